--- /dev/null
+++ b/src/flow.rs
@@ -0,0 +1,1 @@
+//! Maximum flow: the throughput bound that engines and links allow.
--- /dev/null
+++ b/src/limit.rs
@@ -0,0 +1,1 @@
+//! Leased shares of fleet-wide limits.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `laburnumquay` program: a thin shell over the library.
+
+fn main() {}
--- /dev/null
+++ b/src/membership.rs
@@ -0,0 +1,1 @@
+//! Which instances are alive: a SWIM-style failure detector.
--- /dev/null
+++ b/src/queue.rs
@@ -0,0 +1,1 @@
+//! Order of waiting work between organisations and classes.
--- /dev/null
+++ b/src/replica.rs
@@ -0,0 +1,1 @@
+//! Replicated log: election, replication, snapshots, membership change.
--- /dev/null
+++ b/src/request.rs
@@ -0,0 +1,1 @@
+//! Life cycle of one request, as a typestate.
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,1 @@
+//! Durable log and snapshot files of a replica.
--- /dev/null
+++ b/src/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of crate-private parts, one file a module.
+
+mod auth;
--- /dev/null
+++ b/src/upstream.rs
@@ -0,0 +1,1 @@
+//! Records of announced upstreams and their spread through the fleet.
