--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! out. Thin threads run them, so that a randomised run replays from its seed.
 
 mod auth;
+mod catalogue;
 mod claim;
 mod clock;
 mod collections;
@@ -20,6 +21,7 @@
 mod upstream;
 
 pub use auth::FleetKey;
+pub use catalogue::{Class, Entry, Limits, Organisation, Pool, Route, Target};
 pub use clock::{Clock, SystemClock, Time};
 pub use collections::{HashMap, HashSet};
 pub use id::{Incarnation, InstanceId, OrganisationId, Revision, UpstreamId};
