--- /dev/null
+++ b/src/disk.rs
@@ -0,0 +1,115 @@
+//! Files of one data folder, behind an interface that tests can break.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+use rustix::fs::{FlockOperation, flock};
+
+use crate::collections::HashMap;
+
+/// Name of the file whose lock keeps a second process off the folder.
+const LOCK: &str = "lock";
+
+/// A flat folder of files. Nothing is durable before [`Disk::sync`] of the
+/// file and, for names, [`Disk::sync_names`].
+pub(crate) trait Disk: Send {
+    /// Names of all files.
+    fn list(&self) -> io::Result<Vec<String>>;
+    /// Content of a file.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+    /// Creates an empty file, or empties it.
+    fn create(&mut self, name: &str) -> io::Result<()>;
+    /// Adds bytes to a file created before.
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+    /// Makes a file's content durable.
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+    /// Gives a file another name, in place of any file with that name.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+    /// Removes a file.
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+    /// Makes creations, renames and removals durable.
+    fn sync_names(&mut self) -> io::Result<()>;
+}
+
+/// A folder of the machine's file system.
+#[derive(Debug)]
+pub(crate) struct Folder {
+    path: PathBuf,
+    /// Files open for writing.
+    open: HashMap<String, File>,
+    /// Holds the lock while it is open.
+    _lock: File,
+}
+
+impl Folder {
+    /// Opens the folder, creating it if missing, and locks it.
+    ///
+    /// Two processes on one folder would both vote as its store.
+    pub(crate) fn open(path: &Path) -> io::Result<Self> {
+        fs::create_dir_all(path)?;
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(path.join(LOCK))?;
+        flock(&lock, FlockOperation::NonBlockingLockExclusive)?;
+        if let Some(parent) = path.canonicalize()?.parent() {
+            File::open(parent)?.sync_all()?;
+        }
+        Ok(Self {
+            path: path.to_owned(),
+            open: HashMap::default(),
+            _lock: lock,
+        })
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&mut File> {
+        let missing = || io::Error::new(io::ErrorKind::NotFound, "file isn't open");
+        self.open.get_mut(name).ok_or_else(missing)
+    }
+}
+
+impl Disk for Folder {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let names: io::Result<Vec<String>> = fs::read_dir(&self.path)?
+            .map(|entry| Ok(entry?.file_name().to_string_lossy().into_owned()))
+            .collect();
+        Ok(names?.into_iter().filter(|n| n != LOCK).collect())
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.path.join(name))
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        let file = File::create(self.path.join(name))?;
+        self.open.insert(name.to_owned(), file);
+        Ok(())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all(bytes)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_data()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.path.join(from), self.path.join(to))?;
+        if let Some(file) = self.open.remove(from) {
+            self.open.insert(to.to_owned(), file);
+        }
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.open.remove(name);
+        fs::remove_file(self.path.join(name))
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 mod claim;
 mod clock;
 mod collections;
+mod disk;
 mod flow;
 mod id;
 mod limit;
@@ -19,12 +20,18 @@
 mod route;
 mod store;
 mod upstream;
+mod voter;
 
 pub use auth::FleetKey;
 pub use catalogue::{Class, Entry, Limits, Organisation, Pool, Route, Target};
 pub use clock::{Clock, SystemClock, Time};
 pub use collections::{HashMap, HashSet};
 pub use id::{Incarnation, InstanceId, OrganisationId, Revision, UpstreamId};
+pub use replica::{Change, Member, Message, Peer, Role};
+pub use store::StoreError;
+pub use voter::{
+    ChangeError, GroupStatus, Machine, Peers, ProposeError, ReadError, Voter, VoterSettings,
+};
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/replica/election.rs
@@ -0,0 +1,207 @@
+//! Elections: pre-vote, vote, transfer of leadership.
+
+use std::collections::BTreeSet;
+
+use super::member::{Membership, Peer, Role};
+use super::message::{Body, Hello, TimeoutNow, Vote, VoteAck};
+use super::progress::Leadership;
+use super::{Kind, Part, Replica};
+
+/// A running election of our own.
+#[derive(Debug)]
+pub(super) struct Campaign {
+    /// Whether this is the pre-vote.
+    pre: bool,
+    /// Whether the leader asked for it.
+    transfer: bool,
+    /// Peers that support us.
+    votes: BTreeSet<Peer>,
+}
+
+impl Campaign {
+    /// Whether `peer` supports us. Founders are known by instance only.
+    fn has(&self, peer: Peer) -> bool {
+        match peer.store {
+            0 => self.votes.iter().any(|v| v.id == peer.id),
+            _ => self.votes.contains(&peer),
+        }
+    }
+}
+
+impl Replica {
+    /// Whether a leader was heard so lately that no election is due.
+    ///
+    /// A member that can't hear the leader, or that was removed, would
+    /// otherwise depose a leader that works. Voters that hear the leader
+    /// ignore it.
+    pub(super) fn hears_leader(&self) -> bool {
+        if self.is_leader() {
+            return true;
+        }
+        let recent = |at| self.now.since(at) < self.settings.election;
+        self.leader.is_some() && self.heard.is_some_and(recent)
+    }
+
+    fn can_campaign(&self) -> bool {
+        let me = self.settings.me;
+        let members = self.log.members().1;
+        if members.is_founding() {
+            return members.members.iter().any(|m| m.id == me.id);
+        }
+        members.is_voter(me)
+    }
+
+    pub(super) fn on_timeout(&mut self) {
+        self.greet();
+        if self.can_campaign() {
+            return self.campaign(true, false);
+        }
+        self.leader = None;
+        self.reset_deadline();
+    }
+
+    fn greet(&mut self) {
+        let me = self.settings.me;
+        if self.log.members().1.role(me).is_some() {
+            return;
+        }
+        for &id in &self.settings.contacts {
+            if id != me.id {
+                let hello = Body::Hello(Hello {});
+                self.outbox.send(Peer { id, store: 0 }, self.term, hello);
+            }
+        }
+    }
+
+    pub(super) fn on_hello(&mut self, from: Peer) {
+        self.strangers.insert(from.id, (from, self.now));
+    }
+
+    fn campaign(&mut self, pre: bool, transfer: bool) {
+        let me = self.settings.me;
+        self.leader = None;
+        if !pre {
+            self.follow(self.term + 1, None);
+            self.vote = Some(me);
+        }
+        self.part = Part::Candidate(Campaign {
+            pre,
+            transfer,
+            votes: BTreeSet::new(),
+        });
+        self.reset_deadline();
+        let term = self.term + u64::from(pre);
+        let vote = Vote {
+            pre,
+            transfer,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        let voters: Vec<Peer> = self.log.members().1.voters().collect();
+        for peer in voters {
+            if peer.id != me.id {
+                self.outbox.reply(peer, term, Body::Vote(vote));
+            }
+        }
+        // Our own vote counts once it's synced, like any other.
+        let ack = VoteAck { pre, granted: true };
+        self.outbox.reply(me, term, Body::VoteAck(ack));
+    }
+
+    pub(super) fn on_vote(&mut self, from: Peer, term: u64, vote: Vote) {
+        if vote.pre && self.hears_leader() {
+            return;
+        }
+        let granted = self.grants(from, term, vote);
+        if granted && !vote.pre {
+            self.vote = Some(from);
+            self.hard_dirty = true;
+            self.reset_deadline();
+        }
+        let ack = VoteAck {
+            pre: vote.pre,
+            granted,
+        };
+        let term = if granted { term } else { self.term };
+        self.outbox.reply(from, term, Body::VoteAck(ack));
+    }
+
+    fn grants(&self, from: Peer, term: u64, vote: Vote) -> bool {
+        let ours = (self.log.last_term(), self.log.last_index());
+        let current = (vote.last_term, vote.last_index) >= ours;
+        let free = self.vote.is_none_or(|v| v == from);
+        let barred = self.log.members().1.role(self.settings.me) == Some(Role::Barred);
+        if !current || barred {
+            return false;
+        }
+        match vote.pre {
+            true => term > self.term,
+            false => term == self.term && free && self.leader.is_none(),
+        }
+    }
+
+    pub(super) fn on_vote_ack(&mut self, from: Peer, term: u64, ack: VoteAck) {
+        let Part::Candidate(campaign) = &mut self.part else {
+            return;
+        };
+        let expected = self.term + u64::from(campaign.pre);
+        if !ack.granted || ack.pre != campaign.pre || term != expected {
+            return;
+        }
+        campaign.votes.insert(from);
+        let members = self.log.members().1;
+        if !members.quorum(|p| campaign.has(p)) {
+            return;
+        }
+        match campaign.pre {
+            true => {
+                let transfer = campaign.transfer;
+                self.campaign(false, transfer);
+            }
+            false => self.win(),
+        }
+    }
+
+    /// Becomes leader and appends the first entry of the term.
+    fn win(&mut self) {
+        let me = self.settings.me;
+        let Part::Candidate(campaign) = std::mem::replace(&mut self.part, Part::Follower) else {
+            return;
+        };
+        assert_eq!(self.vote, Some(me), "leader without its own vote");
+        let first = self.log.last_index() + 1;
+        self.leader = Some(me);
+        self.part = Part::Leader(Box::new(Leadership::new(first, self.now)));
+        let members = self.log.members().1;
+        if members.is_founding() {
+            let founded = found(&campaign.votes);
+            return self.append_members(&founded);
+        }
+        self.append(Kind::Noop, bytes::Bytes::new());
+        self.track_members();
+    }
+
+    pub(super) fn on_timeout_now(&mut self) {
+        if self.can_campaign() && !self.is_leader() {
+            self.campaign(false, true);
+        }
+    }
+
+    pub(super) fn send_timeout_now(&mut self, to: Peer) {
+        let body = Body::TimeoutNow(TimeoutNow {});
+        self.outbox.send(to, self.term, body);
+    }
+}
+
+/// The first membership with stores, from the unanimous votes.
+fn found(votes: &BTreeSet<Peer>) -> Membership {
+    let mut members = Membership::default();
+    for &peer in votes {
+        let other = members.members.iter().find(|m| m.id == peer.id);
+        if let Some(other) = other.map(super::Member::peer) {
+            members = members.without(other);
+        }
+        members = members.with(peer, Role::Voter);
+    }
+    members
+}
--- /dev/null
+++ b/src/replica/message.rs
@@ -0,0 +1,219 @@
+//! Messages between the replicas of one group.
+
+use bytes::Bytes;
+
+use super::log::Entry;
+use super::member::{Membership, Peer};
+
+/// A message from one replica to another.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Message {
+    /// Number of the group.
+    #[prost(uint32, tag = "1")]
+    pub group: u32,
+    /// Instance that sends.
+    #[prost(uint64, tag = "2")]
+    pub from: u64,
+    /// Store of the sender.
+    #[prost(uint64, tag = "3")]
+    pub from_store: u64,
+    /// Instance that receives.
+    #[prost(uint64, tag = "4")]
+    pub to: u64,
+    /// Store that the message is meant for, zero for any store of `to`.
+    #[prost(uint64, tag = "5")]
+    pub to_store: u64,
+    /// Boot counter of the sender's store.
+    #[prost(uint64, tag = "6")]
+    pub boot: u64,
+    /// Random number of the sender's process.
+    #[prost(uint64, tag = "7")]
+    pub run: u64,
+    /// The sender's term, or the term a pre-vote asks for.
+    #[prost(uint64, tag = "8")]
+    pub term: u64,
+    /// The content.
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
+    pub body: Option<Body>,
+}
+
+impl Message {
+    /// The sender.
+    #[must_use]
+    pub fn sender(&self) -> Peer {
+        Peer {
+            id: self.from,
+            store: self.from_store,
+        }
+    }
+}
+
+/// Content of a [`Message`].
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// A candidate asks for a vote.
+    #[prost(message, tag = "10")]
+    Vote(Vote),
+    /// Answer to [`Body::Vote`].
+    #[prost(message, tag = "11")]
+    VoteAck(VoteAck),
+    /// The leader's entries, or its heartbeat when there are none.
+    #[prost(message, tag = "12")]
+    Append(Append),
+    /// Answer to [`Body::Append`], and to the last [`Body::Chunk`].
+    #[prost(message, tag = "13")]
+    AppendAck(AppendAck),
+    /// A piece of the leader's snapshot.
+    #[prost(message, tag = "14")]
+    Chunk(Chunk),
+    /// Answer to [`Body::Chunk`].
+    #[prost(message, tag = "15")]
+    ChunkAck(ChunkAck),
+    /// A follower asks the leader for a read index.
+    #[prost(message, tag = "16")]
+    Read(Read),
+    /// Answer to [`Body::Read`].
+    #[prost(message, tag = "17")]
+    ReadAck(ReadAck),
+    /// The leader hands over: the receiver campaigns at once.
+    #[prost(message, tag = "18")]
+    TimeoutNow(TimeoutNow),
+    /// A store that the membership doesn't name makes itself known.
+    #[prost(message, tag = "19")]
+    Hello(Hello),
+}
+
+/// Request for a vote or a pre-vote.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Vote {
+    /// Whether this only asks how a vote would go.
+    #[prost(bool, tag = "1")]
+    pub pre: bool,
+    /// Whether the leader asked for this election.
+    #[prost(bool, tag = "2")]
+    pub transfer: bool,
+    /// Index of the candidate's last entry.
+    #[prost(uint64, tag = "3")]
+    pub last_index: u64,
+    /// Term of the candidate's last entry.
+    #[prost(uint64, tag = "4")]
+    pub last_term: u64,
+}
+
+/// Answer to a vote or pre-vote.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct VoteAck {
+    /// As in the request.
+    #[prost(bool, tag = "1")]
+    pub pre: bool,
+    /// Whether the vote was given.
+    #[prost(bool, tag = "2")]
+    pub granted: bool,
+}
+
+/// Entries that follow `prev_index`.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Append {
+    /// Index of the entry before the first of `entries`.
+    #[prost(uint64, tag = "1")]
+    pub prev_index: u64,
+    /// Term of that entry.
+    #[prost(uint64, tag = "2")]
+    pub prev_term: u64,
+    /// Entries in order, without gaps.
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<Entry>,
+    /// The leader's commit index.
+    #[prost(uint64, tag = "4")]
+    pub commit: u64,
+    /// Number of the leader's latest round of read confirmation.
+    #[prost(uint64, tag = "5")]
+    pub round: u64,
+}
+
+/// Outcome of an append. A refusal is no loss: the leader sends earlier entries.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct AppendAck {
+    /// Whether the entry before the first one matched.
+    #[prost(bool, tag = "1")]
+    pub matched: bool,
+    /// Last matching and synced index, or the refused `prev_index`.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+    /// After a refusal: the first index that the leader should try next.
+    #[prost(uint64, tag = "3")]
+    pub hint: u64,
+    /// Index of the last entry in the sender's log.
+    #[prost(uint64, tag = "4")]
+    pub last_index: u64,
+    /// Round of the append.
+    #[prost(uint64, tag = "5")]
+    pub round: u64,
+}
+
+/// A piece of a snapshot.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Chunk {
+    /// Index of the last entry that the snapshot covers.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// Term of that entry.
+    #[prost(uint64, tag = "2")]
+    pub last_term: u64,
+    /// Membership at that index.
+    #[prost(message, optional, tag = "3")]
+    pub members: Option<Membership>,
+    /// Position of `data` in the snapshot, in bytes.
+    #[prost(uint64, tag = "4")]
+    pub offset: u64,
+    /// Size of the snapshot in bytes.
+    #[prost(uint64, tag = "5")]
+    pub total: u64,
+    /// Bytes of the snapshot.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub data: Bytes,
+    /// Number of the leader's latest round of read confirmation.
+    #[prost(uint64, tag = "7")]
+    pub round: u64,
+}
+
+/// How much of a snapshot the receiver holds.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct ChunkAck {
+    /// Index of the snapshot.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// Position from which the receiver needs bytes.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    /// Round of the chunk.
+    #[prost(uint64, tag = "3")]
+    pub round: u64,
+}
+
+/// Request for a read index.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Read {
+    /// The follower's number for the request, never used twice.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+}
+
+/// A confirmed read index.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct ReadAck {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// Entries up to this index must be applied before the read.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+}
+
+/// Order to campaign at once.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct TimeoutNow {}
+
+/// A store that is no member yet.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Hello {}
--- /dev/null
+++ b/src/replica/outbox.rs
@@ -0,0 +1,156 @@
+//! What a replica asks its driver to do, and what waits for a sync.
+
+use std::collections::VecDeque;
+
+use super::log::{Entry, Snapshot};
+use super::member::Peer;
+use super::message::{Body, Message};
+
+/// State that must be durable besides the log.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub(crate) struct Hard {
+    /// Latest term seen. Only grows.
+    #[prost(uint64, tag = "1")]
+    pub(crate) term: u64,
+    /// Vote given in that term. Never changes within the term.
+    #[prost(message, optional, tag = "2")]
+    pub(crate) vote: Option<Peer>,
+    /// A commit index. May lag behind the true one, never exceeds the log.
+    #[prost(uint64, tag = "3")]
+    pub(crate) commit: u64,
+}
+
+/// State to write and sync before `Event::Persisted` with the same number.
+#[derive(Clone, Debug)]
+pub(crate) struct Persist {
+    /// Number of the order, ascending by one.
+    pub(crate) seq: u64,
+    /// Term, vote, commit.
+    pub(crate) hard: Hard,
+    /// A snapshot that replaces everything up to its index.
+    pub(crate) snapshot: Option<Snapshot>,
+    /// Entries that replace the log from the first one's index on.
+    pub(crate) entries: Vec<Entry>,
+}
+
+/// Why a proposal, read or change failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cause {
+    /// Nothing was done. The leader, if known, is in `hint`.
+    NotLeader { hint: Option<u64> },
+    /// It may or may not take effect.
+    Unknown,
+    /// The change was not started: another one runs, or the leader is new.
+    Busy,
+    /// The change was not started: it would leave the group without a quorum.
+    Unsafe,
+}
+
+/// An order to the driver.
+#[derive(Clone, Debug)]
+pub(crate) enum Effect {
+    /// Send a message. It needs no sync.
+    Send(Message),
+    /// Make state durable.
+    Persist(Persist),
+    /// Apply a committed entry, and answer its proposer if it is ours.
+    Apply { entry: Entry, ticket: Option<u64> },
+    /// Replace the machine's state.
+    Restore(Snapshot),
+    /// A read may proceed at `index`.
+    Readable { ticket: u64, index: u64 },
+    /// A proposal, read or change failed.
+    Failed { ticket: u64, cause: Cause },
+}
+
+/// Effects of the current step and replies that wait for a sync.
+#[derive(Debug)]
+pub(crate) struct Outbox {
+    /// Header of every message.
+    head: Message,
+    /// Effects of the current step.
+    pub(crate) effects: Vec<Effect>,
+    /// Replies of the current step that attest durable state.
+    replies: Vec<Message>,
+    /// Replies of earlier steps with the number of the write they wait for.
+    deferred: VecDeque<(u64, Message)>,
+    /// Number of the latest write.
+    issued: u64,
+    /// Number of the latest write known to be synced. Not above `issued`.
+    synced: u64,
+}
+
+impl Outbox {
+    /// `head` carries group, sender, boot counter and run.
+    pub(crate) fn new(head: Message) -> Self {
+        Self {
+            head,
+            effects: Vec::new(),
+            replies: Vec::new(),
+            deferred: VecDeque::new(),
+            issued: 0,
+            synced: 0,
+        }
+    }
+
+    /// Sends a message that attests nothing durable.
+    pub(crate) fn send(&mut self, to: Peer, term: u64, body: Body) {
+        let message = self.message(to, term, body);
+        self.effects.push(Effect::Send(message));
+    }
+
+    /// Sends a message once everything written so far is synced.
+    ///
+    /// A vote or acknowledgement that left before the sync would be forgotten
+    /// by a crash: the store could then vote twice in a term, or a majority
+    /// could count an entry that no longer exists.
+    pub(crate) fn reply(&mut self, to: Peer, term: u64, body: Body) {
+        let message = self.message(to, term, body);
+        self.replies.push(message);
+    }
+
+    /// Drops replies of the term that ends.
+    ///
+    /// An acknowledgement that waits for its sync while the next term
+    /// overwrites the entry would attest an entry that was never durable.
+    pub(crate) fn forget(&mut self) {
+        self.replies.clear();
+        self.deferred.clear();
+    }
+
+    /// Number for the next write.
+    pub(crate) fn issue(&mut self) -> u64 {
+        self.issued += 1;
+        self.issued
+    }
+
+    /// Queues the replies of this step behind the writes so far. Returns
+    /// those that need not wait.
+    pub(crate) fn queue(&mut self) -> Vec<Message> {
+        if self.synced == self.issued {
+            return std::mem::take(&mut self.replies);
+        }
+        let seq = self.issued;
+        let replies = self.replies.drain(..);
+        self.deferred.extend(replies.map(|m| (seq, m)));
+        Vec::new()
+    }
+
+    /// Takes the replies that waited for write `seq` or an earlier one.
+    pub(crate) fn release(&mut self, seq: u64) -> Vec<Message> {
+        assert!(seq <= self.issued, "sync of a write that wasn't ordered");
+        self.synced = self.synced.max(seq);
+        let count = self.deferred.partition_point(|(s, _)| *s <= seq);
+        self.deferred.drain(..count).map(|(_, m)| m).collect()
+    }
+
+    fn message(&self, to: Peer, term: u64, body: Body) -> Message {
+        Message {
+            to: to.id,
+            to_store: to.store,
+            term,
+            body: Some(body),
+            ..self.head.clone()
+        }
+    }
+}
--- /dev/null
+++ b/src/replica/read.rs
@@ -0,0 +1,188 @@
+//! Linearizable reads without log entries (read index).
+//!
+//! The leader notes its commit index, then hears a quorum in its own term: so
+//! no later leader had committed anything when the read began. Reads that
+//! arrive while a round runs share the next one.
+
+use std::collections::BTreeMap;
+
+use super::member::Peer;
+use super::message::{Body, Read, ReadAck};
+use super::outbox::Outbox;
+use super::{Cause, Effect, Part, Replica};
+use crate::clock::Time;
+
+/// Who waits for a read index.
+#[derive(Clone, Copy, Debug)]
+enum Reader {
+    Local(u64),
+    Remote(Peer, u64),
+}
+
+/// Reads of one replica.
+#[derive(Debug)]
+pub(super) struct Reads {
+    /// Number for the next request to a leader. Starts at a random point, so
+    /// that an answer to an earlier run of this process fits no request.
+    next: u64,
+    queued: Vec<Reader>,
+    /// Round, commit index and readers of the leader's running confirmation.
+    round: Option<(u64, u64, Vec<Reader>)>,
+    /// Request, sending time and tickets of a follower's running request.
+    asked: Option<(u64, Time, Vec<u64>)>,
+    /// Tickets that wait until an index is applied.
+    waiting: BTreeMap<u64, Vec<u64>>,
+}
+
+impl Reads {
+    pub(super) fn new(run: u64) -> Self {
+        Self {
+            next: run,
+            queued: Vec::new(),
+            round: None,
+            asked: None,
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn queue_local(&mut self, ticket: u64) {
+        self.queued.push(Reader::Local(ticket));
+    }
+
+    pub(super) fn queue_remote(&mut self, from: Peer, ticket: u64) {
+        self.queued.push(Reader::Remote(from, ticket));
+    }
+
+    pub(super) fn on_ack(&mut self, ack: ReadAck) {
+        if let Some((_, _, tickets)) = self.asked.take_if(|(n, _, _)| *n == ack.ticket) {
+            self.waiting.entry(ack.index).or_default().extend(tickets);
+        }
+    }
+
+    /// Fails the reads of a leader that lost its place.
+    pub(super) fn abandon(&mut self, outbox: &mut Outbox) {
+        let running = self.round.take().map(|(_, _, readers)| readers);
+        let readers = running.into_iter().flatten().chain(self.queued.drain(..));
+        for reader in readers {
+            fail(reader, None, outbox);
+        }
+    }
+}
+
+/// Fails a local read. A remote reader runs into its own timeout.
+fn fail(reader: Reader, hint: Option<u64>, outbox: &mut Outbox) {
+    if let Reader::Local(ticket) = reader {
+        let cause = Cause::NotLeader { hint };
+        outbox.effects.push(Effect::Failed { ticket, cause });
+    }
+}
+
+impl Replica {
+    /// Starts and finishes read rounds.
+    pub(super) fn serve_reads(&mut self) {
+        match self.is_leader() {
+            true => self.lead_reads(),
+            false => self.ask_reads(),
+        }
+        self.finish_reads();
+    }
+
+    fn lead_reads(&mut self) {
+        self.confirm_reads();
+        let Part::Leader(lead) = &mut self.part else {
+            return;
+        };
+        // Before the first entry of its term is committed a leader may not
+        // know the latest commit index.
+        let ready = self.commit >= lead.first;
+        if self.reads.queued.is_empty() || self.reads.round.is_some() || !ready {
+            return;
+        }
+        lead.round += 1;
+        let readers = std::mem::take(&mut self.reads.queued);
+        self.reads.round = Some((lead.round, self.commit, readers));
+        self.beat();
+        self.confirm_reads();
+    }
+
+    fn confirm_reads(&mut self) {
+        let Part::Leader(lead) = &self.part else {
+            return;
+        };
+        let me = self.settings.me;
+        let members = self.log.members().1;
+        let heard = |round: u64| {
+            members.quorum(|p| {
+                let progress = lead.progress.get(&p);
+                p == me || progress.is_some_and(|g| !g.rolled && g.round >= round)
+            })
+        };
+        let done = self.reads.round.take_if(|(round, _, _)| heard(*round));
+        let Some((_, index, readers)) = done else {
+            return;
+        };
+        for reader in readers {
+            match reader {
+                Reader::Local(ticket) => {
+                    self.reads.waiting.entry(index).or_default().push(ticket);
+                }
+                Reader::Remote(peer, ticket) => {
+                    let ack = Body::ReadAck(ReadAck { ticket, index });
+                    self.outbox.send(peer, self.term, ack);
+                }
+            }
+        }
+    }
+
+    /// Forwards a follower's reads to the leader.
+    fn ask_reads(&mut self) {
+        if self.reads.queued.is_empty() || self.reads.asked.is_some() {
+            return;
+        }
+        let readers = std::mem::take(&mut self.reads.queued);
+        let Some(leader) = self.leader else {
+            for reader in readers {
+                fail(reader, None, &mut self.outbox);
+            }
+            return;
+        };
+        let local = |r| match r {
+            Reader::Local(ticket) => Some(ticket),
+            Reader::Remote(..) => None,
+        };
+        let tickets: Vec<u64> = readers.into_iter().filter_map(local).collect();
+        if tickets.is_empty() {
+            return;
+        }
+        let ticket = self.reads.next;
+        self.reads.next = ticket.wrapping_add(1);
+        self.reads.asked = Some((ticket, self.now, tickets));
+        self.outbox
+            .send(leader, self.term, Body::Read(Read { ticket }));
+    }
+
+    /// Fails a request that the leader didn't answer in an election timeout.
+    pub(super) fn expire_reads(&mut self) {
+        let (now, limit) = (self.now, self.settings.election);
+        let late = self
+            .reads
+            .asked
+            .take_if(|(_, at, _)| now.since(*at) >= limit);
+        let hint = self.leader.map(|l| l.id);
+        for ticket in late.into_iter().flat_map(|(_, _, tickets)| tickets) {
+            self.fail(ticket, Cause::NotLeader { hint });
+        }
+    }
+
+    fn finish_reads(&mut self) {
+        while let Some(first) = self.reads.waiting.first_entry()
+            && *first.key() <= self.applied
+        {
+            let index = *first.key();
+            for ticket in first.remove() {
+                let effect = Effect::Readable { ticket, index };
+                self.outbox.effects.push(effect);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/replica/replication.rs
@@ -0,0 +1,401 @@
+//! Replication: the leader's appends and commits, the follower's answers,
+//! changes of the membership.
+
+use bytes::Bytes;
+use prost::Message as _;
+
+use super::log::Entry;
+use super::member::{Change, Membership, Peer, Role};
+use super::message::{Append, AppendAck, Body};
+use super::progress::{Flow, Progress};
+use super::{Cause, Kind, Part, Replica};
+
+/// Entries in one message at most.
+const BATCH_ENTRIES: usize = 1024;
+/// Bytes of commands in one message, exceeded by one entry at most.
+const BATCH_BYTES: usize = 256 * 1024;
+/// Entries sent ahead of acknowledgements to one member.
+const WINDOW: u64 = 8192;
+
+impl Replica {
+    pub(super) fn on_propose(&mut self, commands: Vec<(u64, Bytes)>) {
+        let accepts = matches!(&self.part, Part::Leader(lead) if lead.transfer.is_none());
+        for (ticket, command) in commands {
+            if !accepts {
+                let hint = self.leader.filter(|&l| l != self.settings.me);
+                let hint = hint.map(|l| l.id);
+                self.fail(ticket, Cause::NotLeader { hint });
+                continue;
+            }
+            self.append(Kind::Command, command);
+            self.tickets.insert(self.log.last_index(), ticket);
+        }
+    }
+
+    /// Appends an entry of the current term as leader.
+    pub(super) fn append(&mut self, kind: Kind, data: Bytes) {
+        assert!(self.is_leader(), "only a leader appends");
+        self.push(Entry {
+            index: self.log.last_index() + 1,
+            term: self.term,
+            kind: kind as i32,
+            data,
+        });
+    }
+
+    pub(super) fn append_members(&mut self, members: &Membership) {
+        self.append(Kind::Members, members.encode_to_vec().into());
+        self.track_members();
+    }
+
+    /// Whether `progress` shows a member that answers.
+    fn is_recent(&self, progress: &Progress) -> bool {
+        self.now.since(progress.heard) < self.settings.election
+    }
+
+    /// Follows the members of the latest membership.
+    pub(super) fn track_members(&mut self) {
+        let me = self.settings.me;
+        let last = self.log.last_index();
+        let members = self.log.members().1;
+        let Part::Leader(lead) = &mut self.part else {
+            return;
+        };
+        lead.progress.retain(|&p, _| members.role(p).is_some());
+        for member in &members.members {
+            let peer = member.peer();
+            if peer != me {
+                let fresh = || Progress::new(last, self.now);
+                lead.progress.entry(peer).or_insert_with(fresh);
+            }
+        }
+    }
+
+    /// A leader's work after every event: commit, change members, send.
+    pub(super) fn lead(&mut self) {
+        if !self.is_leader() {
+            return;
+        }
+        self.advance_commit();
+        self.settle_members();
+        self.replicate_all(false);
+        self.hand_over();
+    }
+
+    pub(super) fn tick_leader(&mut self) {
+        let (now, limit) = (self.now, self.settings.election);
+        let me = self.settings.me;
+        let members = self.log.members().1;
+        let Part::Leader(lead) = &mut self.part else {
+            return;
+        };
+        lead.transfer = lead.transfer.filter(|(_, end)| now < *end);
+        let recent = |p: &Progress| now.since(p.heard) < limit;
+        let quorum = members.quorum(|p| p == me || lead.progress.get(&p).is_some_and(recent));
+        // A leader cut off from its quorum would go on accepting proposals
+        // that can't commit, and hold its followers on its side of the cut.
+        if !quorum {
+            return self.follow(self.term, None);
+        }
+        if now.since(lead.beat) >= self.settings.heartbeat {
+            self.beat();
+        }
+    }
+
+    /// Sends to every member, entries or not.
+    pub(super) fn beat(&mut self) {
+        if let Part::Leader(lead) = &mut self.part {
+            lead.beat = self.now;
+        }
+        self.replicate_all(true);
+    }
+
+    fn replicate_all(&mut self, force: bool) {
+        let Part::Leader(lead) = &self.part else {
+            return;
+        };
+        let peers: Vec<Peer> = lead.progress.keys().copied().collect();
+        for peer in peers {
+            self.replicate(peer, force);
+        }
+    }
+
+    /// Sends what `peer` lacks; with `force` at least an empty message.
+    fn replicate(&mut self, peer: Peer, mut force: bool) {
+        let commit = self.commit;
+        loop {
+            let Part::Leader(lead) = &mut self.part else {
+                return;
+            };
+            let round = lead.round;
+            let Some(progress) = lead.progress.get_mut(&peer) else {
+                return;
+            };
+            let waiting = progress.flow == Flow::Probe { waiting: true };
+            let snapshot = matches!(progress.flow, Flow::Snapshot { .. });
+            if (waiting || snapshot) && !force {
+                return;
+            }
+            if snapshot {
+                return self.send_chunk(peer, true);
+            }
+            let prev_index = progress.next - 1;
+            let held = progress.next >= self.log.first_index();
+            let Some(prev_term) = self.log.term(prev_index).filter(|_| held) else {
+                progress.flow = Flow::Snapshot {
+                    index: self.log.snapshot().index,
+                    offset: 0,
+                    sent: self.now,
+                };
+                return self.send_chunk(peer, false);
+            };
+            let open = !waiting && prev_index - progress.matched < WINDOW;
+            let count = if open { BATCH_ENTRIES } else { 0 };
+            let entries = self.log.slice(progress.next, count, BATCH_BYTES);
+            if entries.is_empty() && !force && progress.told >= commit {
+                return;
+            }
+            progress.told = commit;
+            match &mut progress.flow {
+                Flow::Probe { waiting } => *waiting = true,
+                _ => progress.next += entries.len() as u64,
+            }
+            let append = Append {
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+                round,
+            };
+            self.outbox.send(peer, self.term, Body::Append(append));
+            force = false;
+        }
+    }
+
+    pub(super) fn on_append(&mut self, from: Peer, append: Append) {
+        assert!(!self.is_leader(), "two leaders in a term");
+        self.follow(self.term, Some(from));
+        let round = append.round;
+        let prev = append.prev_index;
+        let last = prev + append.entries.len() as u64;
+        if prev < self.log.snapshot().index && last <= self.commit {
+            // The leader has every committed entry, so these match.
+            return self.ack(from, true, self.commit, 0, round);
+        }
+        if prev >= self.log.first_index() - 1 && self.log.term(prev) != Some(append.prev_term) {
+            let hint = self.hint(prev);
+            return self.ack(from, false, prev, hint, round);
+        }
+        for entry in append.entries {
+            self.accept(entry);
+        }
+        self.commit = self.commit.max(append.commit.min(last));
+        self.ack(from, true, last, 0, round);
+    }
+
+    /// Takes one entry of the leader, unless it's already here.
+    fn accept(&mut self, entry: Entry) {
+        let known = self.log.term(entry.index);
+        if entry.index <= self.commit {
+            let same = known.is_none_or(|t| t == entry.term);
+            assert!(same, "committed entry differs from the leader's");
+            return;
+        }
+        if known == Some(entry.term) {
+            return;
+        }
+        if entry.index <= self.log.last_index() {
+            self.truncate(entry.index);
+        }
+        self.push(entry);
+    }
+
+    /// Where the leader should try next after a mismatch at `index`.
+    fn hint(&self, index: u64) -> u64 {
+        if index > self.log.last_index() {
+            return self.log.last_index() + 1;
+        }
+        self.log.term_start(index).max(self.commit + 1).min(index)
+    }
+
+    pub(super) fn ack(&mut self, to: Peer, matched: bool, index: u64, hint: u64, round: u64) {
+        let ack = AppendAck {
+            matched,
+            index,
+            hint,
+            last_index: self.log.last_index(),
+            round,
+        };
+        self.outbox.reply(to, self.term, Body::AppendAck(ack));
+    }
+
+    pub(super) fn on_append_ack(&mut self, from: Peer, boot: u64, ack: AppendAck) {
+        let last = self.log.last_index();
+        let now = self.now;
+        let Part::Leader(lead) = &mut self.part else {
+            return;
+        };
+        let Some(progress) = lead.progress.get_mut(&from) else {
+            return;
+        };
+        progress.heard = now;
+        progress.round = progress.round.max(ack.round);
+        // Synced entries survive a restart. A later boot whose log ends
+        // before what was acknowledged runs on an old copy of its folder, and
+        // has forgotten votes too. It shows as a refused append.
+        if boot > progress.boot && ack.last_index < progress.matched {
+            progress.rolled = true;
+            return;
+        }
+        if !ack.matched {
+            if ack.index <= progress.matched {
+                return;
+            }
+            progress.next = ack.hint.min(ack.index).max(progress.matched + 1);
+            progress.flow = Flow::Probe { waiting: false };
+            return;
+        }
+        assert!(ack.index <= last, "member acknowledged what was never sent");
+        if ack.index >= progress.matched {
+            progress.matched = ack.index;
+            progress.boot = progress.boot.max(boot);
+        }
+        progress.next = progress.next.max(progress.matched + 1);
+        progress.flow = match progress.flow {
+            Flow::Snapshot { index, .. } if ack.index < index => progress.flow,
+            _ => Flow::Stream,
+        };
+    }
+
+    /// Commits what a quorum has synced.
+    fn advance_commit(&mut self) {
+        let Part::Leader(lead) = &self.part else {
+            return;
+        };
+        let me = self.settings.me;
+        let members = self.log.members().1;
+        let reached = members.reached(|p| match p == me {
+            true => self.synced,
+            false => lead.matched(p),
+        });
+        // An entry of an earlier term on a majority can still be overwritten
+        // by a leader that lacks it; one of this term can't, and covers it.
+        let current = self.log.term(reached) == Some(self.term);
+        if reached > self.commit && current {
+            self.commit = reached;
+        }
+    }
+
+    pub(super) fn on_change(&mut self, ticket: u64, change: Change) {
+        let Part::Leader(lead) = &self.part else {
+            let hint = self.leader.map(|l| l.id);
+            return self.fail(ticket, Cause::NotLeader { hint });
+        };
+        let (at, members) = self.log.members();
+        if at > self.commit || self.commit < lead.first || lead.transfer.is_some() {
+            return self.fail(ticket, Cause::Busy);
+        }
+        let next = match change {
+            Change::Add(peer) if members.role(peer).is_some() => members.clone(),
+            Change::Add(peer) => members.with(peer, Role::Learner),
+            Change::Remove(peer) => members.without(peer),
+        };
+        if !self.keeps_quorum(&next) {
+            return self.fail(ticket, Cause::Unsafe);
+        }
+        self.append_members(&next);
+        self.tickets.insert(self.log.last_index(), ticket);
+    }
+
+    /// Whether members that were heard lately are a quorum of `next`.
+    fn keeps_quorum(&self, next: &Membership) -> bool {
+        let Part::Leader(lead) = &self.part else {
+            return false;
+        };
+        let recent = |p| lead.progress.get(&p).is_some_and(|g| self.is_recent(g));
+        next.quorum(|p| p == self.settings.me || recent(p))
+    }
+
+    /// Takes the next step of a membership change once the last is committed.
+    ///
+    /// Two memberships that differ by one voter always share a voter in their
+    /// quorums; two uncommitted changes at once would break that. So one
+    /// change runs at a time, and none before an entry of this term is
+    /// committed.
+    fn settle_members(&mut self) {
+        let Part::Leader(lead) = &self.part else {
+            return;
+        };
+        let (at, members) = self.log.members();
+        if at > self.commit || self.commit < lead.first || lead.transfer.is_some() {
+            return;
+        }
+        if !members.is_voter(self.settings.me) {
+            return self.follow(self.term, None);
+        }
+        if let Some(next) = self.next_members()
+            && self.keeps_quorum(&next)
+        {
+            self.append_members(&next);
+        }
+    }
+
+    /// The membership that a finished change or a rolled back store asks for.
+    fn next_members(&self) -> Option<Membership> {
+        let Part::Leader(lead) = &self.part else {
+            return None;
+        };
+        let members = self.log.members().1;
+        let rolled = members
+            .voters()
+            .find(|p| lead.progress.get(p).is_some_and(|g| g.rolled));
+        if let Some(peer) = rolled {
+            return Some(members.with(peer, Role::Barred));
+        }
+        let learner = members.members.iter().find(|m| {
+            // A newcomer that voted before it held every committed entry
+            // would complete a quorum that holds too few copies.
+            let progress = lead.progress.get(&m.peer());
+            let recent = progress.is_some_and(|g| self.is_recent(g));
+            m.role() == Role::Learner && recent && lead.matched(m.peer()) >= self.commit
+        })?;
+        let old = members
+            .members
+            .iter()
+            .find(|m| m.id == learner.id && m.store != learner.store);
+        match old {
+            Some(old) => Some(members.without(old.peer())),
+            None => Some(members.with(learner.peer(), Role::Voter)),
+        }
+    }
+
+    pub(super) fn on_transfer(&mut self) {
+        let end = self.now + self.settings.election;
+        let voters: Vec<Peer> = self.log.members().1.voters().collect();
+        let Part::Leader(lead) = &mut self.part else {
+            return;
+        };
+        let best = voters
+            .into_iter()
+            .filter(|p| lead.progress.contains_key(p))
+            .max_by_key(|&p| (lead.matched(p), lead.progress[&p].heard));
+        lead.transfer = best.map(|p| (p, end));
+        lead.told = false;
+    }
+
+    /// Tells the chosen member to campaign once it has every entry.
+    fn hand_over(&mut self) {
+        let last = self.log.last_index();
+        let Part::Leader(lead) = &mut self.part else {
+            return;
+        };
+        let Some((peer, _)) = lead.transfer else {
+            return;
+        };
+        if lead.told || lead.matched(peer) < last {
+            return;
+        }
+        lead.told = true;
+        self.send_timeout_now(peer);
+    }
+}
--- /dev/null
+++ b/src/store/record.rs
@@ -0,0 +1,89 @@
+//! Records in the payload of log frames.
+
+use crate::replica::{Entry, Hard, Membership};
+
+/// Payload of one frame: everything that one sync makes durable.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Batch {
+    /// Whether the batch is the whole state, the first of its file.
+    #[prost(bool, tag = "1")]
+    pub(super) whole: bool,
+    /// Records in order.
+    #[prost(message, repeated, tag = "2")]
+    pub(super) records: Vec<Record>,
+}
+
+/// One record.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Record {
+    #[prost(oneof = "Content", tags = "1, 2, 3, 4, 5")]
+    pub(super) content: Option<Content>,
+}
+
+/// Content of a [`Record`].
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub(super) enum Content {
+    #[prost(message, tag = "1")]
+    Identity(Identity),
+    #[prost(message, tag = "2")]
+    State(State),
+    #[prost(message, tag = "3")]
+    Entries(Entries),
+    #[prost(message, tag = "4")]
+    Mark(Mark),
+    #[prost(message, tag = "5")]
+    Sighting(Sighting),
+}
+
+/// The store itself.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub(super) struct Identity {
+    /// Random number of the folder. Never changes.
+    #[prost(uint64, tag = "1")]
+    pub(super) store: u64,
+    /// Starts so far.
+    #[prost(uint64, tag = "2")]
+    pub(super) boot: u64,
+}
+
+/// Term, vote and commit of a group.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub(super) struct State {
+    #[prost(uint32, tag = "1")]
+    pub(super) group: u32,
+    #[prost(message, required, tag = "2")]
+    pub(super) hard: Hard,
+}
+
+/// Entries that replace a group's log from the first one's index on.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Entries {
+    #[prost(uint32, tag = "1")]
+    pub(super) group: u32,
+    #[prost(message, repeated, tag = "2")]
+    pub(super) entries: Vec<Entry>,
+}
+
+/// A snapshot file that is in force. Its name follows from group and index.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Mark {
+    #[prost(uint32, tag = "1")]
+    pub(super) group: u32,
+    #[prost(uint64, tag = "2")]
+    pub(super) index: u64,
+    #[prost(uint64, tag = "3")]
+    pub(super) term: u64,
+    #[prost(message, required, tag = "4")]
+    pub(super) members: Membership,
+}
+
+/// Latest run seen of another store.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub(super) struct Sighting {
+    #[prost(uint64, tag = "1")]
+    pub(super) store: u64,
+    #[prost(uint64, tag = "2")]
+    pub(super) boot: u64,
+    #[prost(uint64, tag = "3")]
+    pub(super) run: u64,
+}
--- /dev/null
+++ b/src/tests/voter.rs
@@ -0,0 +1,185 @@
+//! Tests of [`crate::voter`] with threads and real files.
+
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::Bytes;
+use crossbeam::channel;
+
+use crate::{
+    InstanceId, Machine, Message, ProposeError, StoreError, SystemClock, Voter, VoterSettings,
+};
+
+/// How long a test waits before it gives up.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Collects commands in order.
+#[derive(Clone, Default)]
+struct Journal(Arc<Mutex<Vec<Vec<u8>>>>);
+
+impl Machine for Journal {
+    fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
+        let mut lines = self.0.lock().unwrap();
+        lines.push(command.to_vec());
+        lines.len().to_string().into_bytes()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.lock().unwrap().join(&b'\n')
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) {
+        let lines = snapshot.split(|&b| b == b'\n').map(<[u8]>::to_vec);
+        *self.0.lock().unwrap() = lines.collect();
+    }
+}
+
+type Handle = JoinHandle<Result<(), StoreError>>;
+
+/// Voters of one process that reach each other through their handles.
+struct Cluster {
+    routes: Arc<Mutex<Vec<Option<Voter>>>>,
+    journals: Vec<Journal>,
+    handles: Vec<Option<Handle>>,
+}
+
+impl Cluster {
+    fn start(folder: &Path, size: usize) -> Self {
+        let mut cluster = Self {
+            routes: Arc::new(Mutex::new(vec![None; size])),
+            journals: vec![Journal::default(); size],
+            handles: Vec::new(),
+        };
+        for at in 0..size {
+            cluster.handles.push(None);
+            cluster.boot(folder, at);
+        }
+        cluster
+    }
+
+    fn boot(&mut self, folder: &Path, at: usize) {
+        let size = self.journals.len() as u64;
+        let settings = VoterSettings {
+            instance: InstanceId(at as u64 + 1),
+            folder: folder.join(at.to_string()),
+            founders: (1..=size).map(InstanceId).collect(),
+            election: Duration::from_millis(400),
+            heartbeat: Duration::from_millis(50),
+            compact: 20,
+            seed: 7,
+        };
+        let routes = self.routes.clone();
+        let peers = Box::new(move |to: InstanceId, message: Message| {
+            let at = usize::try_from(to.0 - 1).unwrap();
+            let voter = routes.lock().unwrap()[at].clone();
+            if let Some(voter) = voter {
+                voter.deliver(message);
+            }
+        });
+        let journal = Journal::default();
+        self.journals[at] = journal.clone();
+        let clock = Arc::new(SystemClock);
+        let spawned = Voter::spawn(settings, vec![Box::new(journal)], peers, clock);
+        let (voter, handle) = spawned.unwrap();
+        self.routes.lock().unwrap()[at] = Some(voter);
+        self.handles[at] = Some(handle);
+    }
+
+    fn voter(&self, at: usize) -> Voter {
+        self.routes.lock().unwrap()[at].clone().unwrap()
+    }
+
+    fn halt(&mut self, at: usize) {
+        self.voter(at).stop();
+        self.handles[at].take().unwrap().join().unwrap().unwrap();
+        self.routes.lock().unwrap()[at] = None;
+    }
+
+    /// Proposes on whichever voter leads, until one accepts.
+    fn propose(&self, command: &str) -> Vec<u8> {
+        let start = std::time::Instant::now();
+        while start.elapsed() < PATIENCE {
+            let voters: Vec<Voter> = self
+                .routes
+                .lock()
+                .unwrap()
+                .iter()
+                .flatten()
+                .cloned()
+                .collect();
+            for voter in voters {
+                match propose(&voter, command) {
+                    Ok(reply) => return reply,
+                    Err(ProposeError::NotLeader { .. }) => {}
+                    Err(e) => panic!("{e}"),
+                }
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("no leader accepted {command}");
+    }
+
+    /// Commands of one voter after a linearizable read.
+    fn read(&self, at: usize) -> Vec<Vec<u8>> {
+        let start = std::time::Instant::now();
+        while start.elapsed() < PATIENCE {
+            let (done, outcome) = channel::bounded(1);
+            let reply = Box::new(move |r| done.send(r).unwrap());
+            self.voter(at).read(0, reply);
+            if outcome.recv_timeout(PATIENCE).unwrap().is_ok() {
+                return self.journals[at].0.lock().unwrap().clone();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("no read was confirmed");
+    }
+}
+
+fn propose(voter: &Voter, command: &str) -> Result<Vec<u8>, ProposeError> {
+    let (done, outcome) = channel::bounded(1);
+    let reply = Box::new(move |r| done.send(r).unwrap());
+    voter.propose(0, Bytes::copy_from_slice(command.as_bytes()), reply);
+    outcome.recv_timeout(PATIENCE).unwrap()
+}
+
+#[test]
+fn propose_three_voters() {
+    let folder = tempfile::tempdir().unwrap();
+    let cluster = Cluster::start(folder.path(), 3);
+    assert_eq!(cluster.propose("a"), b"1");
+    assert_eq!(cluster.propose("b"), b"2");
+    for at in 0..3 {
+        assert_eq!(cluster.read(at), [b"a", b"b"]);
+    }
+}
+
+#[test]
+fn restart_all() {
+    // A user sees a change accepted, then every process restarts one after
+    // the other, some past a snapshot. The change must still be there, once.
+    let folder = tempfile::tempdir().unwrap();
+    let mut cluster = Cluster::start(folder.path(), 3);
+    for n in 0..50 {
+        cluster.propose(&n.to_string());
+    }
+    for at in 0..3 {
+        cluster.halt(at);
+        cluster.boot(folder.path(), at);
+    }
+    assert_eq!(cluster.propose("last"), b"51");
+    for at in 0..3 {
+        assert_eq!(cluster.read(at).len(), 51);
+    }
+}
+
+#[test]
+fn spawn_locked_folder() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut cluster = Cluster::start(folder.path(), 1);
+    let second = crate::disk::Folder::open(&folder.path().join("0"));
+    assert!(second.is_err());
+    cluster.halt(0);
+    assert!(crate::disk::Folder::open(&folder.path().join("0")).is_ok());
+}
--- /dev/null
+++ b/src/voter.rs
@@ -0,0 +1,326 @@
+//! The thread that owns a store and its replicas, and the handle to it.
+
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use bytes::Bytes;
+use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender, TrySendError};
+use snafu::ResultExt;
+
+use self::core::{Config, Core, Input, Reply};
+pub use self::error::{ChangeError, ProposeError, ReadError};
+use crate::clock::{Clock, Time};
+use crate::disk::{Disk, Folder};
+use crate::id::InstanceId;
+use crate::replica::{Change, Member, Message, Peer};
+use crate::store::StoreError;
+
+pub(crate) mod core;
+mod error;
+
+/// Inputs that may wait for the thread.
+const QUEUE: usize = 65_536;
+/// Inputs handled with one sync.
+const BATCH: usize = 1024;
+/// Ticks in one heartbeat.
+const TICKS: u32 = 4;
+
+/// Application state of one group. Every store applies the same commands in
+/// the same order, so each method must depend on nothing else.
+pub trait Machine: Send {
+    /// Applies the committed command at `index`. The result goes to the
+    /// proposer.
+    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8>;
+    /// The whole state, for [`Machine::restore`].
+    fn snapshot(&self) -> Vec<u8>;
+    /// Replaces the state.
+    fn restore(&mut self, snapshot: &[u8]);
+}
+
+/// Settings of a voter.
+#[derive(Clone, Debug)]
+pub struct VoterSettings {
+    /// This instance.
+    pub instance: InstanceId,
+    /// Data folder. Must belong to this voter alone.
+    pub folder: PathBuf,
+    /// Instances that form the groups, the same list everywhere. All of them
+    /// must be up once, to record their stores; afterwards the list only
+    /// serves to find the leader. An instance that isn't in the list waits
+    /// until it is added with [`Change::Add`].
+    pub founders: Vec<InstanceId>,
+    /// Shortest election timeout. Longer than a slow sync plus a round trip.
+    pub election: Duration,
+    /// Time between heartbeats, at most a third of `election`.
+    pub heartbeat: Duration,
+    /// Applied entries between two snapshots of a group.
+    pub compact: u64,
+    /// Seed of the election timeouts.
+    pub seed: u64,
+}
+
+/// State of one group as this voter sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GroupStatus {
+    /// Number of the group.
+    pub group: u32,
+    /// This store.
+    pub me: Peer,
+    /// Starts of this store.
+    pub boot: u64,
+    /// Current term.
+    pub term: u64,
+    /// Leader of the term, if known.
+    pub leader: Option<InstanceId>,
+    /// Whether this store leads.
+    pub leads: bool,
+    /// Last index in the log.
+    pub last: u64,
+    /// Commit index.
+    pub commit: u64,
+    /// Last index applied.
+    pub applied: u64,
+    /// Index of the snapshot.
+    pub snapshot: u64,
+    /// Members, the latest in the log.
+    pub members: Vec<Member>,
+    /// Stores that ask to become members, such as one whose folder was wiped.
+    pub strangers: Vec<Peer>,
+    /// Messages refused because they came from a superseded run of a store.
+    pub refused: u64,
+}
+
+enum Order {
+    Input(Input),
+    Stop,
+}
+
+/// Handle to a voter's thread.
+#[derive(Clone)]
+pub struct Voter {
+    orders: Sender<Order>,
+    status: Arc<Mutex<Vec<GroupStatus>>>,
+}
+
+/// Sends a message to an instance. Must not block; may lose the message.
+pub type Peers = Box<dyn Fn(InstanceId, Message) + Send>;
+
+impl Voter {
+    /// Opens the data folder and starts the thread, with one group for each
+    /// machine.
+    ///
+    /// The thread ends after [`Voter::stop`], when all handles are gone, or
+    /// when the store fails; in that last case it returns the error, and the
+    /// process should end: only a new start can tell what is durable.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder can't be opened or holds damaged files.
+    pub fn spawn(
+        settings: VoterSettings,
+        machines: Vec<Box<dyn Machine>>,
+        peers: Peers,
+        clock: Arc<dyn Clock>,
+    ) -> Result<(Self, JoinHandle<Result<(), StoreError>>), StoreError> {
+        let disk = Folder::open(&settings.folder).context(crate::store::IoSnafu {
+            action: "open",
+            name: settings.folder.display().to_string(),
+        })?;
+        Self::spawn_on(settings, Box::new(disk), machines, peers, clock)
+    }
+
+    /// As [`Voter::spawn`], on any disk.
+    pub(crate) fn spawn_on(
+        settings: VoterSettings,
+        disk: Box<dyn Disk>,
+        machines: Vec<Box<dyn Machine>>,
+        peers: Peers,
+        clock: Arc<dyn Clock>,
+    ) -> Result<(Self, JoinHandle<Result<(), StoreError>>), StoreError> {
+        let core = Core::open(config(&settings), disk, machines, clock.now())?;
+        let (orders, inbox) = channel::bounded(QUEUE);
+        let status = Arc::new(Mutex::new(core.status()));
+        let worker = Worker {
+            core,
+            inbox,
+            peers,
+            clock,
+            status: status.clone(),
+            tick: settings.heartbeat / TICKS,
+            patience: 2 * settings.election,
+            stopping: None,
+        };
+        let thread = thread::Builder::new().name("voter".to_owned());
+        let handle = thread
+            .spawn(move || worker.run())
+            .context(crate::store::IoSnafu {
+                action: "start a thread for",
+                name: "the log",
+            })?;
+        Ok((Self { orders, status }, handle))
+    }
+
+    /// Hands over a message from the network. Drops it when too much waits.
+    pub fn deliver(&self, message: Message) {
+        let order = Order::Input(Input::Message(message));
+        // A lost message is sent again; a blocked network thread would stall
+        // other traffic.
+        let _ = self.orders.try_send(order);
+    }
+
+    /// Appends a command to a group's log. `done` runs on the voter's thread,
+    /// exactly once, and must not block.
+    pub fn propose(&self, group: u32, command: Bytes, done: Reply<Vec<u8>, ProposeError>) {
+        let input = Input::Propose {
+            group,
+            command,
+            done,
+        };
+        self.request(input);
+    }
+
+    /// Confirms a linearizable read: at `done`, the machine of this voter has
+    /// applied everything that was committed when the call began.
+    pub fn read(&self, group: u32, done: Reply<u64, ReadError>) {
+        self.request(Input::Read { group, done });
+    }
+
+    /// Changes the members of a group, on its leader. `done` reports the
+    /// commit of the first step; a newcomer votes once it has caught up.
+    pub fn change_member(&self, group: u32, change: Change, done: Reply<(), ChangeError>) {
+        let input = Input::Change {
+            group,
+            change,
+            done,
+        };
+        self.request(input);
+    }
+
+    /// State of each group after the last batch.
+    #[must_use]
+    pub fn status(&self) -> Vec<GroupStatus> {
+        let status = self.status.lock();
+        status.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Hands leadership over, then ends the thread.
+    pub fn stop(&self) {
+        // A thread that has ended needs no order.
+        let _ = self.orders.send(Order::Stop);
+    }
+
+    fn request(&self, input: Input) {
+        match self.orders.try_send(Order::Input(input)) {
+            Ok(()) => {}
+            Err(TrySendError::Full(Order::Input(input))) => refuse_busy(input),
+            Err(TrySendError::Disconnected(Order::Input(input))) => refuse_stopped(input),
+            Err(_) => unreachable!("only inputs are requested"),
+        }
+    }
+}
+
+fn refuse_busy(input: Input) {
+    match input {
+        Input::Propose { done, .. } => done(Err(ProposeError::Busy)),
+        Input::Read { done, .. } => done(Err(ReadError::Busy)),
+        Input::Change { done, .. } => done(Err(ChangeError::Busy)),
+        Input::Message(_) | Input::Transfer => {}
+    }
+}
+
+fn refuse_stopped(input: Input) {
+    match input {
+        Input::Propose { done, .. } => done(Err(ProposeError::Stopped)),
+        Input::Read { done, .. } => done(Err(ReadError::Stopped)),
+        Input::Change { done, .. } => done(Err(ChangeError::Stopped)),
+        Input::Message(_) | Input::Transfer => {}
+    }
+}
+
+/// Entries kept behind a snapshot for followers that lag a little.
+const KEEP: u64 = 256;
+
+fn config(settings: &VoterSettings) -> Config {
+    let founders: Vec<u64> = settings.founders.iter().map(|i| i.0).collect();
+    Config {
+        instance: settings.instance.0,
+        contacts: founders.clone(),
+        founders,
+        election: settings.election,
+        heartbeat: settings.heartbeat,
+        compact: settings.compact,
+        keep: KEEP,
+        seed: settings.seed,
+        run: rand::random(),
+        // Zero stands for an unknown store.
+        fresh: rand::random::<u64>().max(1),
+    }
+}
+
+/// What the thread owns.
+struct Worker {
+    core: Core,
+    inbox: Receiver<Order>,
+    peers: Peers,
+    clock: Arc<dyn Clock>,
+    status: Arc<Mutex<Vec<GroupStatus>>>,
+    tick: Duration,
+    /// Longest wait for a successor.
+    patience: Duration,
+    /// When the thread ends, successor or not.
+    stopping: Option<Time>,
+}
+
+impl Worker {
+    fn run(mut self) -> Result<(), StoreError> {
+        while let Some(inputs) = self.receive() {
+            let now = self.clock.now();
+            let peers = &self.peers;
+            let mut send = |message: Message| peers(InstanceId(message.to), message);
+            self.core.run(now, inputs, &mut send)?;
+            let status = self.core.status();
+            *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
+        }
+        // What still waits gets its answer.
+        while let Ok(order) = self.inbox.try_recv() {
+            if let Order::Input(input) = order {
+                refuse_stopped(input);
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits for inputs or the next tick. `None` ends the thread.
+    fn receive(&mut self) -> Option<Vec<Input>> {
+        let now = self.clock.now();
+        if let Some(end) = self.stopping
+            && (now >= end || !self.core.leads())
+        {
+            return None;
+        }
+        let mut inputs = Vec::new();
+        match self.inbox.recv_timeout(self.tick) {
+            Ok(order) => self.take(order, now, &mut inputs),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return None,
+        }
+        while inputs.len() < BATCH
+            && let Ok(order) = self.inbox.try_recv()
+        {
+            self.take(order, now, &mut inputs);
+        }
+        Some(inputs)
+    }
+
+    fn take(&mut self, order: Order, now: Time, inputs: &mut Vec<Input>) {
+        match order {
+            Order::Input(input) => inputs.push(input),
+            Order::Stop => {
+                self.stopping = Some(now + self.patience);
+                inputs.push(Input::Transfer);
+            }
+        }
+    }
+}
