Run voters on simulated time, network and disks; refuse old copies of a folder

Random runs of three and five stores with loss, duplication, reordering, cuts, freezes, power failures at any disk operation, failed syncs, disks wiped or put back from an old copy, and skewed clocks, two groups on each store. Checked: one leader a term, logs that agree at an index agree before it, no acknowledged command lost, no refused command done, the same command at an index on every store, linearizable reads, progress once healed.

A boot counter alone is no proof, so a run now shows the runs before it.

--- a/src/replica.rs
+++ b/src/replica.rs
@@ -28,8 +28,8 @@
 pub(crate) use self::log::{Entry, Kind, Log, Snapshot};
 pub(crate) use self::member::Membership;
 pub use self::member::{Change, Member, Peer, Role};
-pub(crate) use self::message::Body;
 pub use self::message::Message;
+pub(crate) use self::message::{Ask, Body, Hello, Superseded};
 pub(crate) use self::outbox::{Cause, Effect, Hard, Persist};
 
 use self::election::Campaign;
@@ -137,6 +137,8 @@
     incoming: Option<Incoming>,
     /// Stores that greeted without being members, by instance.
     strangers: BTreeMap<u64, (Peer, Time)>,
+    /// Whether the peers were told of this run.
+    greeted: bool,
     outbox: Outbox,
     /// Term, vote, commit and applied after the last step.
     checked: (u64, Option<Peer>, u64, u64),
@@ -175,6 +177,7 @@
             reads: Reads::new(settings.run),
             incoming: None,
             strangers: BTreeMap::new(),
+            greeted: false,
             outbox: Outbox::new(head),
             checked: (start.hard.term, start.hard.vote, 0, 0),
             log,
@@ -257,6 +260,10 @@
 
     fn on_tick(&mut self) {
         self.expire_reads();
+        if !self.greeted {
+            self.greeted = true;
+            self.greet();
+        }
         if self.is_leader() {
             return self.tick_leader();
         }
@@ -288,6 +295,8 @@
             Body::ReadAck(ack) => self.reads.on_ack(ack),
             Body::TimeoutNow(_) => self.on_timeout_now(),
             Body::Hello(_) => self.on_hello(from),
+            // The driver handles it: it concerns all groups.
+            Body::Superseded(_) | Body::Ask(_) => {}
         }
     }
 
@@ -296,7 +305,11 @@
         match body {
             // Reads are answered by whoever confirms its leadership after the
             // request, whatever the term; greetings carry none.
-            Body::Read(_) | Body::ReadAck(_) | Body::Hello(_) => return true,
+            Body::Read(_)
+            | Body::ReadAck(_)
+            | Body::Hello(_)
+            | Body::Superseded(_)
+            | Body::Ask(_) => return true,
             // The term asked for isn't in force yet.
             Body::Vote(vote) if vote.pre => return true,
             Body::VoteAck(ack) if ack.pre && ack.granted => return true,
@@ -406,7 +419,11 @@
     fn apply(&mut self) {
         let end = self.commit.min(self.synced);
         let snapshot = self.log.snapshot();
-        if snapshot.index > self.applied && end >= snapshot.index {
+        if snapshot.index > self.applied {
+            // The entries before it are gone: wait until it is synced.
+            if end < snapshot.index {
+                return;
+            }
             self.applied = snapshot.index;
             let effect = Effect::Restore(snapshot.clone());
             self.outbox.effects.push(effect);
--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -60,16 +60,17 @@
         self.reset_deadline();
     }
 
-    fn greet(&mut self) {
-        let me = self.settings.me;
-        if self.log.members().1.role(me).is_some() {
-            return;
-        }
-        for &id in &self.settings.contacts {
-            if id != me.id {
-                let hello = Body::Hello(Hello {});
-                self.outbox.send(Peer { id, store: 0 }, self.term, hello);
-            }
+    /// Makes this store known, whatever its own log says of it: the entry that
+    /// added it may have been overwritten elsewhere.
+    pub(super) fn greet(&mut self) {
+        let members = &self.log.members().1.members;
+        let members = members.iter().map(|m| m.id);
+        let known = self.settings.contacts.iter().copied().chain(members);
+        let mut ids: BTreeSet<u64> = known.collect();
+        ids.remove(&self.settings.me.id);
+        for id in ids {
+            let hello = Body::Hello(Hello::default());
+            self.outbox.send(Peer { id, store: 0 }, self.term, hello);
         }
     }
 
--- a/src/replica/message.rs
+++ b/src/replica/message.rs
@@ -33,7 +33,10 @@
     #[prost(uint64, tag = "8")]
     pub term: u64,
     /// The content.
-    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
+    #[prost(
+        oneof = "Body",
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+    )]
     pub body: Option<Body>,
 }
 
@@ -78,9 +81,15 @@
     /// The leader hands over: the receiver campaigns at once.
     #[prost(message, tag = "18")]
     TimeoutNow(TimeoutNow),
-    /// A store that the membership doesn't name makes itself known.
+    /// A store makes itself and its run known.
     #[prost(message, tag = "19")]
     Hello(Hello),
+    /// The receiver runs on an old copy of its data folder.
+    #[prost(message, tag = "20")]
+    Superseded(Superseded),
+    /// The sender doesn't know the receiver's run: it wants a greeting.
+    #[prost(message, tag = "21")]
+    Ask(Ask),
 }
 
 /// Request for a vote or a pre-vote.
@@ -214,6 +223,26 @@
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct TimeoutNow {}
 
-/// A store that is no member yet.
+/// Greeting of a store that starts or hears no leader.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Hello {
+    /// Random numbers of the latest runs of the sender's store, in order, the
+    /// sender's own last.
+    #[prost(uint64, repeated, tag = "1")]
+    pub runs: Vec<u64>,
+}
+
+/// Request for a greeting.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct Hello {}
+pub struct Ask {}
+
+/// Refusal of everything that a run sends: a later run of its store was seen.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Superseded {
+    /// Boot counter of the refused run.
+    #[prost(uint64, tag = "1")]
+    pub boot: u64,
+    /// Random number of the refused run.
+    #[prost(uint64, tag = "2")]
+    pub run: u64,
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -29,6 +29,11 @@
 const SNAPSHOT: &str = "snapshot-";
 /// Suffix of files that aren't complete.
 const PART: &str = ".part";
+/// Runs remembered. A store that starts more often without a word to one of
+/// its peers must be replaced.
+const RUNS: usize = 1000;
+/// Frame numbers left to one log file, so that numbers never repeat.
+const FRAMES_PER_FILE: u64 = 1 << 32;
 /// Size below which a log file is never rewritten, in bytes.
 const REWRITE_BYTES: usize = 4 * 1024 * 1024;
 /// A log file is rewritten when it has grown by this factor.
@@ -72,6 +77,13 @@
         /// File.
         name: String,
     },
+    /// The folder is an old copy.
+    #[snafu(display(
+        "the data folder was put back from an old copy and has forgotten what it \
+         promised since; move the folder away, start with an empty one and add this \
+         instance's new store as a member"
+    ))]
+    Superseded,
     /// An earlier operation failed.
     #[snafu(display("the store failed earlier; start the process again"))]
     Failed,
@@ -84,6 +96,8 @@
     pub(crate) store: u64,
     /// Starts of the folder so far, this one included.
     pub(crate) boot: u64,
+    /// Numbers of the latest runs, in order, this one last.
+    pub(crate) runs: Vec<u64>,
     /// State by group.
     pub(crate) groups: BTreeMap<u32, Start>,
     /// Boot counter and run last seen, by store.
@@ -117,9 +131,13 @@
 }
 
 impl Store {
-    /// Opens the folder and counts the start. `fresh` is the id that an empty
-    /// folder gets.
-    pub(crate) fn open(disk: Box<dyn Disk>, fresh: u64) -> Result<(Self, Contents), StoreError> {
+    /// Opens the folder and records the start. `fresh` is the id that an empty
+    /// folder gets, `run` the random number of this start.
+    pub(crate) fn open(
+        disk: Box<dyn Disk>,
+        fresh: u64,
+        run: u64,
+    ) -> Result<(Self, Contents), StoreError> {
         let names = disk.list().context(IoSnafu {
             action: "list",
             name: "files",
@@ -129,10 +147,14 @@
             content.store = fresh;
         }
         content.boot += 1;
+        content.runs.push(run);
+        let excess = content.runs.len().saturating_sub(RUNS);
+        content.runs.drain(..excess);
         let number = names.iter().filter_map(|n| log_number(n)).max();
         let identity = Identity {
             store: content.store,
             boot: content.boot,
+            runs: content.runs.clone(),
         };
         let snapshots = content
             .groups
@@ -217,7 +239,7 @@
         assert!(self.pending.is_empty(), "rewrite between write and sync");
         let batch = Batch {
             whole: true,
-            records: records(self.identity, groups, sightings),
+            records: records(&self.identity, groups, sightings),
         };
         let number = self.number;
         let bytes = frame::encode(number, &batch.encode_to_vec());
@@ -280,9 +302,6 @@
     }
 }
 
-/// Frame numbers left to one log file, so that numbers never repeat.
-const FRAMES_PER_FILE: u64 = 1 << 32;
-
 fn log_name(number: u64) -> String {
     format!("{LOG}{number:020}")
 }
@@ -312,11 +331,11 @@
 
 /// Records of a whole state.
 fn records(
-    identity: Identity,
+    identity: &Identity,
     groups: &BTreeMap<u32, Start>,
     sightings: &BTreeMap<u64, (u64, u64)>,
 ) -> Vec<Record> {
-    let mut records = vec![record(Content::Identity(identity))];
+    let mut records = vec![record(Content::Identity(identity.clone()))];
     for (&store, &(boot, run)) in sightings {
         records.push(record(Content::Sighting(Sighting { store, boot, run })));
     }
@@ -390,6 +409,7 @@
         Content::Identity(identity) => {
             content.store = identity.store;
             content.boot = identity.boot;
+            content.runs = identity.runs;
         }
         Content::Sighting(s) => {
             content.sightings.insert(s.store, (s.boot, s.run));
--- a/src/store/record.rs
+++ b/src/store/record.rs
@@ -36,7 +36,7 @@
 }
 
 /// The store itself.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub(super) struct Identity {
     /// Random number of the folder. Never changes.
     #[prost(uint64, tag = "1")]
@@ -44,6 +44,9 @@
     /// Starts so far.
     #[prost(uint64, tag = "2")]
     pub(super) boot: u64,
+    /// Random numbers of the latest runs, in order.
+    #[prost(uint64, repeated, tag = "3")]
+    pub(super) runs: Vec<u64>,
 }
 
 /// Term, vote and commit of a group.
--- /dev/null
+++ b/src/tests/simulation/disk.rs
@@ -0,0 +1,182 @@
+//! A disk that loses what wasn't synced, tears writes and fails on demand.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Mutex};
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::disk::Disk;
+
+/// One file's content.
+#[derive(Clone, Default)]
+struct Inode {
+    data: Vec<u8>,
+    /// Bytes known to be durable.
+    synced: usize,
+}
+
+#[derive(Clone, Default)]
+struct State {
+    inodes: Vec<Inode>,
+    names: BTreeMap<String, usize>,
+    durable: BTreeMap<String, usize>,
+    /// Operations until the power fails.
+    fuse: Option<u32>,
+    /// Whether syncs fail without a power failure.
+    broken: bool,
+    /// Bytes that still fit.
+    space: Option<usize>,
+    off: bool,
+}
+
+/// Handle to a simulated disk. Clones share the disk.
+#[derive(Clone, Default)]
+pub(in crate::tests) struct SimDisk(Arc<Mutex<State>>);
+
+impl SimDisk {
+    fn with<T>(&self, f: impl FnOnce(&mut State) -> T) -> T {
+        f(&mut self.0.lock().unwrap())
+    }
+
+    /// Lets the power fail after some more operations.
+    pub(in crate::tests) fn light(&self, operations: u32) {
+        self.with(|s| s.fuse = Some(operations));
+    }
+
+    pub(in crate::tests) fn break_sync(&self) {
+        self.with(|s| s.broken = true);
+    }
+
+    pub(in crate::tests) fn limit(&self, space: usize) {
+        self.with(|s| s.space = Some(space));
+    }
+
+    /// The disk after the power failed now: unsynced bytes are gone, or torn.
+    pub(in crate::tests) fn after_crash(&self, rng: &mut ChaCha8Rng) -> Self {
+        let mut state = self.with(|s| s.clone());
+        let kept_names = rng.random_bool(0.5);
+        state.names = match kept_names {
+            true => state.names,
+            false => state.durable.clone(),
+        };
+        state.durable = state.names.clone();
+        for inode in &mut state.inodes {
+            let torn = inode.data.len() - inode.synced;
+            let kept = rng.random_range(0..=torn);
+            inode.data.truncate(inode.synced + kept);
+            if kept > 0 && rng.random_bool(0.5) {
+                let at = rng.random_range(inode.synced..inode.data.len());
+                inode.data[at] ^= 0x55;
+            }
+            inode.synced = inode.data.len();
+        }
+        (state.fuse, state.broken, state.space, state.off) = (None, false, None, false);
+        Self(Arc::new(Mutex::new(state)))
+    }
+
+    /// A copy of the files as they are.
+    pub(in crate::tests) fn copy(&self) -> Self {
+        Self(Arc::new(Mutex::new(self.with(|s| s.clone()))))
+    }
+
+    /// Flips one bit of the file whose name starts with `prefix`.
+    pub(in crate::tests) fn flip(&self, prefix: &str, at: usize) {
+        self.with(|s| {
+            let (_, &inode) = s.names.iter().find(|(n, _)| n.starts_with(prefix)).unwrap();
+            s.inodes[inode].data[at] ^= 1;
+        });
+    }
+
+    /// Size of the file whose name starts with `prefix`.
+    pub(in crate::tests) fn size(&self, prefix: &str) -> usize {
+        self.with(|s| {
+            let (_, &inode) = s.names.iter().find(|(n, _)| n.starts_with(prefix)).unwrap();
+            s.inodes[inode].data.len()
+        })
+    }
+
+    /// Runs one operation unless the power has failed.
+    fn operate<T>(&self, f: impl FnOnce(&mut State) -> io::Result<T>) -> io::Result<T> {
+        self.with(|s| {
+            s.off |= s.fuse == Some(0);
+            if s.off {
+                return Err(io::Error::other("power is off"));
+            }
+            s.fuse = s.fuse.map(|n| n - 1);
+            f(s)
+        })
+    }
+}
+
+impl State {
+    fn inode(&mut self, name: &str) -> io::Result<&mut Inode> {
+        let at = self.names.get(name).ok_or(io::ErrorKind::NotFound)?;
+        Ok(&mut self.inodes[*at])
+    }
+}
+
+impl Disk for SimDisk {
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.with(|s| s.names.keys().cloned().collect()))
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        self.with(|s| s.inode(name).map(|i| i.data.clone()))
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        self.operate(|s| {
+            s.inodes.push(Inode::default());
+            s.names.insert(name.to_owned(), s.inodes.len() - 1);
+            Ok(())
+        })
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.operate(|s| {
+            let space = s.space.unwrap_or(bytes.len());
+            let fits = bytes.len().min(space);
+            s.space = s.space.map(|n| n - fits);
+            s.inode(name)?.data.extend_from_slice(&bytes[..fits]);
+            match fits == bytes.len() {
+                true => Ok(()),
+                false => Err(io::ErrorKind::StorageFull.into()),
+            }
+        })
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.operate(|s| {
+            if std::mem::take(&mut s.broken) {
+                return Err(io::Error::other("sync failed"));
+            }
+            let inode = s.inode(name)?;
+            inode.synced = inode.data.len();
+            Ok(())
+        })
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.operate(|s| {
+            let inode = s.names.remove(from).ok_or(io::ErrorKind::NotFound)?;
+            s.names.insert(to.to_owned(), inode);
+            Ok(())
+        })
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.operate(|s| {
+            s.names.remove(name);
+            Ok(())
+        })
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        self.operate(|s| {
+            s.durable = s.names.clone();
+            Ok(())
+        })
+    }
+}
--- /dev/null
+++ b/src/tests/simulation/ledger.rs
@@ -0,0 +1,110 @@
+//! What must hold over all stores of a run, and a machine that checks it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use crate::Machine;
+
+/// What callers were told and what any store applied.
+#[derive(Default)]
+pub(in crate::tests) struct Ledger {
+    /// Command by group and index, the same on every store.
+    history: BTreeMap<(u32, u64), u64>,
+    /// Commands acknowledged, in order, with their group.
+    acked: Vec<(u32, u64)>,
+    /// Commands reported as not done.
+    refused: BTreeSet<u64>,
+    /// Reads confirmed.
+    pub(in crate::tests) reads: usize,
+}
+
+impl Ledger {
+    pub(in crate::tests) fn acked(&self) -> usize {
+        self.acked.len()
+    }
+
+    /// Commands acknowledged and reads confirmed.
+    pub(in crate::tests) fn done(&self) -> usize {
+        self.acked.len() + self.reads
+    }
+
+    fn apply(&mut self, group: u32, index: u64, command: u64) {
+        let first = *self.history.entry((group, index)).or_insert(command);
+        assert_eq!(first, command, "stores disagree at {group}/{index}");
+        let refused = self.refused.contains(&command);
+        assert!(!refused, "a refused command took effect");
+    }
+
+    pub(in crate::tests) fn acknowledge(&mut self, group: u32, command: u64) {
+        self.acked.push((group, command));
+    }
+
+    pub(in crate::tests) fn refuse(&mut self, command: u64) {
+        let done = self.history.values().any(|&c| c == command);
+        assert!(!done, "a command that took effect was refused");
+        self.refused.insert(command);
+    }
+}
+
+/// The ledger, shared by all parts of a run.
+#[derive(Clone, Default)]
+pub(in crate::tests) struct Shared(Arc<Mutex<Ledger>>);
+
+impl Shared {
+    pub(in crate::tests) fn lock(&self) -> MutexGuard<'_, Ledger> {
+        self.0.lock().unwrap()
+    }
+}
+
+/// A machine that lists its commands with their indexes.
+#[derive(Clone)]
+pub(in crate::tests) struct Tape {
+    group: u32,
+    ledger: Shared,
+    lines: Arc<Mutex<BTreeMap<u64, u64>>>,
+}
+
+impl Tape {
+    pub(in crate::tests) fn new(group: u32, ledger: &Shared) -> Self {
+        Self {
+            group,
+            ledger: ledger.clone(),
+            lines: Arc::default(),
+        }
+    }
+
+    /// Asserts that the first `count` acknowledged commands are here.
+    pub(in crate::tests) fn check(&self, count: usize) {
+        let lines = self.lines.lock().unwrap();
+        let held: BTreeSet<u64> = lines.values().copied().collect();
+        for (group, command) in &self.ledger.lock().acked[..count] {
+            let here = *group != self.group || held.contains(command);
+            assert!(here, "acknowledged command {command} is missing");
+        }
+    }
+}
+
+impl Machine for Tape {
+    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+        let value = u64::from_le_bytes(command.try_into().unwrap());
+        self.ledger.lock().apply(self.group, index, value);
+        self.lines.lock().unwrap().insert(index, value);
+        Vec::new()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        let lines = self.lines.lock().unwrap();
+        let pairs = lines.iter().flat_map(|(i, c)| [*i, *c]);
+        pairs.flat_map(u64::to_le_bytes).collect()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) {
+        let number = |b: &[u8]| u64::from_le_bytes(b.try_into().unwrap());
+        let pairs = snapshot.chunks(16);
+        let lines: BTreeMap<u64, u64> = pairs.map(|p| (number(&p[..8]), number(&p[8..]))).collect();
+        for (&index, &command) in &lines {
+            self.ledger.lock().apply(self.group, index, command);
+        }
+        *self.lines.lock().unwrap() = lines;
+    }
+}
--- /dev/null
+++ b/src/tests/simulation/runs.rs
@@ -0,0 +1,153 @@
+//! Random runs: every fault at any time, twice or together.
+
+use rand::RngExt;
+
+use super::{GROUPS, SECOND, Sim};
+
+/// Random runs of each size in every test run.
+const RUNS: u64 = 12;
+/// Variable that sets another number of runs.
+const RUNS_VARIABLE: &str = "LQ_RUNS";
+/// Variable that sets the first seed.
+const SEED_VARIABLE: &str = "LQ_SEED";
+/// Simulated time with faults.
+const LENGTH: u64 = 20 * SECOND;
+
+impl Sim {
+    fn pick(&mut self) -> usize {
+        self.rng.random_range(0..self.nodes.len())
+    }
+
+    /// Does something bad, or ends it.
+    fn disturb(&mut self) {
+        let at = self.pick();
+        match self.rng.random_range(0..12) {
+            0 => self.split(),
+            1 => self.cut_one_way(),
+            2 | 3 => self.cut.clear(),
+            4 => self.nodes[at].frozen = self.now + self.rng.random_range(0..2 * SECOND),
+            5 | 6 => self.nodes[at]
+                .disk
+                .light(self.rng.clone().random_range(0..30)),
+            7 => self.nodes[at].disk.break_sync(),
+            8 => self.noise = self.rng.random_range(0..20),
+            9 => self.noise = 0,
+            _ => self.lose_disk(at),
+        }
+    }
+
+    fn split(&mut self) {
+        self.cut.clear();
+        let size = self.nodes.len() as u64;
+        let sides: Vec<bool> = (0..=size).map(|_| self.rng.random_bool(0.5)).collect();
+        for from in 1..=size {
+            for to in 1..=size {
+                if sides[usize::try_from(from).unwrap()] != sides[usize::try_from(to).unwrap()] {
+                    self.cut.insert((from, to));
+                }
+            }
+        }
+    }
+
+    fn cut_one_way(&mut self) {
+        let (from, to) = (self.pick() as u64 + 1, self.pick() as u64 + 1);
+        self.cut.insert((from, to));
+    }
+
+    /// Replaces a disk by an empty one, or by an old copy. Only one at a time:
+    /// the next one when every instance votes with its current store again,
+    /// whether it runs or not. The first may go while the groups form.
+    fn lose_disk(&mut self, at: usize) {
+        if self.losses > 0 && !self.is_settled() {
+            return;
+        }
+        self.losses += 1;
+        let old = self.nodes[at].old.take();
+        let known = self.is_life_known(at);
+        match old.filter(|_| known) {
+            None => self.replace(at),
+            Some(disk) => {
+                let node = &mut self.nodes[at];
+                node.core = None;
+                node.inbox.clear();
+                (node.disk, node.stale) = (disk, true);
+            }
+        }
+    }
+
+    /// Whether all others know the present run of an instance. An old copy is
+    /// only recognised by those that do.
+    fn is_life_known(&self, at: usize) -> bool {
+        let Some(core) = &self.nodes[at].core else {
+            return false;
+        };
+        let (store, life) = (self.nodes[at].store, core.life());
+        let mut others = (0..self.nodes.len()).filter(|&n| n != at);
+        others.all(|n| {
+            let core = self.nodes[n].core.as_ref();
+            core.is_some_and(|c| c.sighting(store) == Some(life))
+        })
+    }
+
+    fn work(&mut self) {
+        let group = self.rng.random_range(0..GROUPS);
+        let leader = self.leader(group);
+        let any = self.pick();
+        let at = leader.filter(|_| any > 0).unwrap_or(any);
+        if self.nodes[at].frozen > self.now {
+            return;
+        }
+        match self.rng.random_bool(0.7) {
+            true => self.propose(at, group),
+            false => self.read(any, group),
+        }
+    }
+}
+
+fn random_run(seed: u64, size: u64) -> (usize, usize) {
+    let mut sim = Sim::new(seed, size);
+    while sim.now < LENGTH {
+        sim.tick();
+        if sim.chance(50) {
+            sim.work();
+        }
+        if sim.chance(4) {
+            sim.disturb();
+        }
+        if sim.chance(5) {
+            sim.operate();
+            sim.check_logs();
+        }
+    }
+    sim.finish();
+    let ledger = sim.ledger.lock();
+    (ledger.acked(), ledger.reads)
+}
+
+fn number(variable: &str, default: u64) -> u64 {
+    let text = std::env::var(variable).ok();
+    text.map_or(default, |t| t.parse().expect("a number"))
+}
+
+fn random_runs(size: u64) {
+    let first = number(SEED_VARIABLE, 1);
+    let mut total = (0, 0);
+    for seed in first..first + number(RUNS_VARIABLE, RUNS) {
+        // Shown when the run fails, and with --nocapture.
+        println!("size {size} seed {seed}");
+        let (acked, reads) = random_run(seed, size);
+        total = (total.0 + acked, total.1 + reads);
+    }
+    println!("size {size}: {} commands, {} reads", total.0, total.1);
+    assert!(total.0 > 0 && total.1 > 0, "the runs did nothing");
+}
+
+#[test]
+fn random_runs_three() {
+    random_runs(3);
+}
+
+#[test]
+fn random_runs_five() {
+    random_runs(5);
+}
--- /dev/null
+++ b/src/tests/simulation/stories.rs
@@ -0,0 +1,1 @@
+//! Single failures, told in order.
--- a/src/voter.rs
+++ b/src/voter.rs
@@ -19,6 +19,7 @@
 
 pub(crate) mod core;
 mod error;
+mod sighting;
 
 /// Inputs that may wait for the thread.
 const QUEUE: usize = 65_536;
--- a/src/voter/core.rs
+++ b/src/voter/core.rs
@@ -4,17 +4,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use snafu::ensure;
 
+use super::sighting::{Sightings, Verdict};
 use super::{ChangeError, GroupStatus, Machine, ProposeError, ReadError};
 use crate::clock::Time;
 use crate::collections::HashMap;
 use crate::disk::Disk;
 use crate::id::InstanceId;
 use crate::replica::{
-    Cause, Change, Effect, Entry, Event, Kind, Membership, Message, Peer, Persist, Replica,
-    Settings, Start,
+    Ask, Body, Cause, Change, Effect, Entry, Event, Hello, Kind, Membership, Message, Peer,
+    Persist, Replica, Settings, Start, Superseded,
 };
-use crate::store::{Store, StoreError};
+use crate::store::{Store, StoreError, SupersededSnafu};
 
 /// Takes the outcome of a request, on the voter's thread.
 pub(crate) type Reply<T, E> = Box<dyn FnOnce(Result<T, E>) + Send>;
@@ -84,8 +86,9 @@
     boot: u64,
     store: Store,
     groups: Vec<Group>,
-    /// Highest boot counter seen of each other store, and its run. Durable.
-    sightings: BTreeMap<u64, (u64, u64)>,
+    /// Numbers of this store's runs.
+    runs: Vec<u64>,
+    sightings: Sightings,
     /// Messages of runs whose sighting isn't durable yet.
     held: Vec<Message>,
     /// Messages of superseded runs that were refused.
@@ -101,7 +104,7 @@
         machines: Vec<Box<dyn Machine>>,
         now: Time,
     ) -> Result<Self, StoreError> {
-        let (store, mut contents) = Store::open(disk, config.fresh)?;
+        let (store, mut contents) = Store::open(disk, config.fresh, config.run)?;
         let me = Peer {
             id: config.instance,
             store: contents.store,
@@ -126,7 +129,8 @@
             boot: contents.boot,
             store,
             groups,
-            sightings: contents.sightings,
+            runs: contents.runs,
+            sightings: Sightings::new(contents.sightings),
             held: Vec::new(),
             refused: 0,
             ticket: 0,
@@ -136,8 +140,8 @@
 
     /// Handles inputs and the passing of time. Returns with everything synced.
     ///
-    /// An error means that the store has failed: drop the core then, and open
-    /// the folder again in a new one.
+    /// An error means that the store has failed or is an old copy: drop the
+    /// core then.
     pub(crate) fn run(
         &mut self,
         now: Time,
@@ -171,6 +175,24 @@
         groups.map(|(n, g)| self.group_status(n, g)).collect()
     }
 
+    /// The replica of a group.
+    #[cfg(test)]
+    pub(crate) fn replica(&self, group: usize) -> &Replica {
+        &self.groups[group].replica
+    }
+
+    /// Latest run known of another store.
+    #[cfg(test)]
+    pub(crate) fn sighting(&self, store: u64) -> Option<(u64, u64)> {
+        self.sightings.known().get(&store).copied()
+    }
+
+    /// Boot counter and run of this store.
+    #[cfg(test)]
+    pub(crate) fn life(&self) -> (u64, u64) {
+        (self.boot, self.config.run)
+    }
+
     fn group_status(&self, number: u32, group: &Group) -> GroupStatus {
         let replica = &group.replica;
         let log = replica.log();
@@ -261,7 +283,22 @@
         let Some(at) = self.position(message.group) else {
             return Ok(());
         };
-        if message.from_store == self.me.store || !self.sight(&message) {
+        if message.from_store == self.me.store {
+            return Ok(());
+        }
+        match message.body {
+            Some(Body::Superseded(refused)) => {
+                let ours = (refused.boot, refused.run) == (self.boot, self.config.run);
+                ensure!(!ours || message.to_store != self.me.store, SupersededSnafu);
+                return Ok(());
+            }
+            Some(Body::Ask(_)) => {
+                send(self.answer(&message, self.hello()));
+                return Ok(());
+            }
+            _ => {}
+        }
+        if !self.sight(&message, send) {
             return Ok(());
         }
         // A vote or acknowledgement counts only once we'd remember its run.
@@ -272,29 +309,46 @@
         self.step(at, now, Event::Message(message), send)
     }
 
-    /// Whether a message comes from the latest known run of its store.
-    ///
-    /// A folder put back from an old copy runs with a boot counter that its
-    /// peers have seen already, under another run number: it has forgotten
-    /// votes and entries, and must not vote as its former self.
-    fn sight(&mut self, message: &Message) -> bool {
-        let store = message.from_store;
-        let seen = (message.boot, message.run);
-        let known = self.sightings.get(&store).copied();
-        match known {
-            Some(known) if known == seen => true,
-            Some((boot, _)) if message.boot <= boot => {
-                self.refused += 1;
-                false
-            }
-            _ if !self.is_member(message.sender()) => true,
-            _ => {
-                self.sightings.insert(store, seen);
-                self.store.write_sighting(store, seen.0, seen.1);
+    /// Whether a message may be handled now, by the run that sent it.
+    fn sight(&mut self, message: &Message, send: &mut dyn FnMut(Message)) -> bool {
+        match self.sightings.judge(message) {
+            Verdict::Current => return true,
+            Verdict::Later if !self.is_member(message.sender()) => return true,
+            Verdict::Later => {
+                self.sightings.insert(message);
+                let (store, boot, run) = (message.from_store, message.boot, message.run);
+                self.store.write_sighting(store, boot, run);
                 self.held.push(message.clone());
-                false
+            }
+            Verdict::Unproven => send(self.answer(message, Body::Ask(Ask {}))),
+            Verdict::Superseded => {
+                self.refused += 1;
+                let (boot, run) = (message.boot, message.run);
+                let body = Body::Superseded(Superseded { boot, run });
+                send(self.answer(message, body));
             }
         }
+        false
+    }
+
+    /// A message back to the run that sent `message`.
+    fn answer(&self, message: &Message, body: Body) -> Message {
+        Message {
+            group: message.group,
+            from: self.me.id,
+            from_store: self.me.store,
+            to: message.from,
+            to_store: message.from_store,
+            boot: self.boot,
+            run: self.config.run,
+            term: 0,
+            body: Some(body),
+        }
+    }
+
+    fn hello(&self) -> Body {
+        let runs = self.runs.clone();
+        Body::Hello(Hello { runs })
     }
 
     /// Whether `peer` is a member of any group. Bounds what is remembered.
@@ -343,7 +397,6 @@
     }
 
     fn rewrite(&mut self) -> Result<(), StoreError> {
-        let known = std::mem::take(&mut self.sightings);
         let members: Vec<u64> = self
             .groups
             .iter()
@@ -351,13 +404,11 @@
             .map(|m| m.store)
             .collect();
         let founding = members.contains(&0);
-        self.sightings = known
-            .into_iter()
-            .filter(|(store, _)| founding || members.contains(store))
-            .collect();
+        self.sightings
+            .retain(|store| founding || members.contains(&store));
         let images = self.groups.iter().map(|g| g.replica.image());
         let images: BTreeMap<u32, Start> = (0..).zip(images).collect();
-        self.store.rewrite(&images, &self.sightings)
+        self.store.rewrite(&images, self.sightings.known())
     }
 
     fn step(
@@ -372,7 +423,12 @@
         group.replica.step(now, event, &mut effects);
         for effect in effects {
             match effect {
-                Effect::Send(message) => send(message),
+                Effect::Send(mut message) => {
+                    if let Some(Body::Hello(hello)) = &mut message.body {
+                        hello.runs.clone_from(&self.runs);
+                    }
+                    send(message);
+                }
                 Effect::Persist(persist) => group.write(at, &persist, &mut self.store)?,
                 Effect::Apply { entry, ticket } => group.apply(&entry, ticket),
                 Effect::Restore(snapshot) => group.machine.restore(&snapshot.data),
