Add fleet membership and upstream records over datagrams

Instances have to agree on who is alive and which upstreams take work, at a cost per instance that doesn't grow with the fleet.

A SWIM-style detector probes one instance a period. An upstream record is held alive by the instance that hears it (its voucher), for as long as the detector holds that instance for alive. Ruled out: to spread each announcement (600 a second to 360 instances is above 9 KB/s even at 16 bytes), and a heartbeat for each voucher (grows with the fleet).

--- /dev/null
+++ b/src/gossip.rs
@@ -0,0 +1,13 @@
+//! Datagrams between instances: the failure detector's probes, rumours that
+//! ride on them, and comparisons of tables that mend what was lost.
+
+mod driver;
+mod dump;
+mod fleet;
+mod node;
+mod rumour;
+mod sync;
+mod wire;
+
+pub use dump::{FleetDump, TrafficCounts};
+pub use fleet::{Fleet, FleetError, FleetSettings};
--- /dev/null
+++ b/src/gossip/driver.rs
@@ -0,0 +1,302 @@
+//! The threads that run a node: one reads the socket, one does the rest.
+
+use std::io::ErrorKind;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, Sender, bounded, select_biased, tick};
+
+use crate::auth::FleetKey;
+use crate::clock::{Clock, Time};
+use crate::gossip::dump::{FleetDump, TrafficCounts};
+use crate::gossip::fleet::{self, FleetError, FleetSettings, Shared};
+use crate::gossip::node::{Datagram, Event, Node, NodeSettings};
+use crate::gossip::wire::{MAX_DATAGRAM, decode, encode};
+use crate::membership::{Member, MemberState, STALL};
+use crate::upstream::{AnnounceError, AnnounceOutcome, Announcement};
+
+/// Datagrams that may wait for the driver. More are dropped, as a full socket
+/// would do.
+const BACKLOG: usize = 1_024;
+
+/// Commands that may wait for the driver.
+const COMMANDS: usize = 256;
+
+/// Turns of the driver in a period.
+const TURNS: u32 = 20;
+
+/// Time after a suspension in which datagrams are dropped: they may have
+/// waited in the socket since before it, and their ages would be too low.
+const DEAF: Duration = Duration::from_millis(100);
+
+/// Time after a suspension in which announcements are refused.
+const WARY: Duration = Duration::from_secs(1);
+
+/// Rounds of rumours after leaving.
+const FAREWELL: u32 = 4;
+
+/// Longest wait of the reading thread before it looks whether to end.
+const READ_TIMEOUT: Duration = Duration::from_millis(200);
+
+type Answer = Result<AnnounceOutcome, AnnounceError>;
+
+/// What the handle asks of the driver.
+pub(crate) enum Command {
+    Announce(Box<Announcement>, Sender<Answer>),
+    Dump(Sender<FleetDump>),
+    Drain,
+    Stop,
+}
+
+/// What [`start`] gives back.
+pub(crate) struct Started {
+    pub(crate) commands: Sender<Command>,
+    pub(crate) address: SocketAddr,
+    pub(crate) thread: JoinHandle<()>,
+}
+
+type Incoming = (SocketAddr, Vec<u8>);
+
+struct Driver {
+    node: Node,
+    socket: UdpSocket,
+    address: SocketAddr,
+    key: FleetKey,
+    clock: Arc<dyn Clock>,
+    shared: Arc<Shared>,
+    period: Duration,
+    traffic: TrafficCounts,
+    overflow: Arc<std::sync::atomic::AtomicU64>,
+    last_turn: Time,
+    woke: Option<Time>,
+    out: Vec<Datagram>,
+}
+
+/// Binds the socket and starts both threads.
+pub(crate) fn start(
+    settings: FleetSettings,
+    shared: Arc<Shared>,
+    clock: Arc<dyn Clock>,
+) -> Result<Started, FleetError> {
+    let socket = fleet::bind(settings.bind)?;
+    let bound = fleet::local_address(&socket, settings.bind)?;
+    let reader = fleet::reader(&socket, settings.bind, READ_TIMEOUT)?;
+    let (key, period) = (settings.key.clone(), settings.period);
+    let mut address = settings.gossip;
+    if address.port() == 0 {
+        address.set_port(bound.port());
+    }
+    let now = clock.now();
+    let node = Node::new(now, node_settings(settings, address));
+    let overflow = Arc::default();
+    let mut driver = Driver {
+        node,
+        socket,
+        address,
+        key,
+        clock,
+        shared,
+        period,
+        traffic: TrafficCounts::default(),
+        overflow: Arc::clone(&overflow),
+        last_turn: now,
+        woke: None,
+        out: Vec::new(),
+    };
+    driver.publish(now);
+    let (commands, command_queue) = bounded(COMMANDS);
+    let (datagrams, datagram_queue) = bounded(BACKLOG);
+    let ended = Arc::new(AtomicBool::new(false));
+    let read_ended = Arc::clone(&ended);
+    let reading = fleet::spawn_thread("gossip-read", move || {
+        read(&reader, &datagrams, &overflow, &read_ended);
+    })?;
+    let thread = fleet::spawn_thread("gossip", move || {
+        driver.run(&command_queue, &datagram_queue);
+        ended.store(true, Ordering::Release);
+        if reading.join().is_err() {
+            tracing::error!("the thread that reads datagrams panicked");
+        }
+    })?;
+    Ok(Started {
+        commands,
+        address,
+        thread,
+    })
+}
+
+fn node_settings(settings: FleetSettings, gossip: SocketAddr) -> NodeSettings {
+    let own = Member {
+        id: settings.id,
+        incarnation: settings.incarnation,
+        domain: settings.domain,
+        peer: settings.peer,
+        gossip,
+        control: settings.control,
+        voter: settings.voter,
+        draining: false,
+        state: MemberState::Alive,
+    };
+    NodeSettings {
+        own,
+        seeds: settings.seeds,
+        period: settings.period,
+        seed: settings.seed,
+    }
+}
+
+/// Reads datagrams until told to end.
+fn read(
+    socket: &UdpSocket,
+    datagrams: &Sender<Incoming>,
+    overflow: &std::sync::atomic::AtomicU64,
+    ended: &AtomicBool,
+) {
+    // One byte more than the longest, so that a longer one shows.
+    let mut buffer = [0; MAX_DATAGRAM + 1];
+    while !ended.load(Ordering::Acquire) {
+        match socket.recv_from(&mut buffer) {
+            Ok((len, from)) => {
+                if datagrams.try_send((from, buffer[..len].to_vec())).is_err() {
+                    overflow.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            // A refused datagram shows as an error of the next read.
+            Err(e) if e.kind() == ErrorKind::ConnectionRefused => {}
+            Err(error) => {
+                tracing::warn!(%error, "can't read datagrams");
+                std::thread::sleep(READ_TIMEOUT);
+            }
+        }
+    }
+}
+
+impl Driver {
+    fn run(&mut self, commands: &Receiver<Command>, datagrams: &Receiver<Incoming>) {
+        let turns = tick(self.period / TURNS);
+        loop {
+            select_biased! {
+                recv(turns) -> _ => { self.turn(); }
+                recv(commands) -> command => {
+                    let now = self.turn();
+                    match command {
+                        Ok(Command::Stop) | Err(_) => break,
+                        Ok(command) => self.obey(now, command),
+                    }
+                }
+                recv(datagrams) -> datagram => {
+                    let now = self.turn();
+                    match datagram {
+                        Ok((from, bytes)) => self.take(now, from, &bytes),
+                        Err(_) => break,
+                    }
+                }
+            }
+            self.flush();
+        }
+        self.farewell();
+    }
+
+    /// Notes the time, and lets it pass for the node when a turn is due. Goes
+    /// before whatever came, so that a suspension is seen first.
+    fn turn(&mut self) -> Time {
+        let now = self.clock.now();
+        let gap = now.since(self.last_turn);
+        if gap >= STALL {
+            self.woke = Some(now);
+            tracing::warn!(millis = gap.as_millis() as u64, "the process was suspended");
+        }
+        if gap >= self.period / TURNS {
+            self.last_turn = now;
+            self.node.step(now, Event::Tick, &mut self.out);
+            self.publish(now);
+        }
+        now
+    }
+
+    fn obey(&mut self, now: Time, command: Command) {
+        match command {
+            Command::Announce(announcement, reply) => {
+                let outcome = self.announce(now, &announcement);
+                let _ = reply.send(outcome);
+            }
+            Command::Dump(reply) => {
+                let mut traffic = self.traffic;
+                traffic.overflow = self.overflow.load(Ordering::Relaxed);
+                let dump = FleetDump::new(now, &self.node, self.address, traffic);
+                let _ = reply.send(dump);
+            }
+            Command::Drain => self.node.step(now, Event::Drain, &mut self.out),
+            Command::Stop => {}
+        }
+    }
+
+    /// Guards against an announcement that waited in a connection while this
+    /// process was suspended: it would count as heard now, and bring back an
+    /// upstream that left meanwhile.
+    fn announce(&mut self, now: Time, announcement: &Announcement) -> Answer {
+        if self.woke.is_some_and(|at| now.since(at) < WARY) {
+            let retry = u64::try_from(WARY.as_millis()).unwrap_or(u64::MAX);
+            return Err(AnnounceError::Stalled { retry });
+        }
+        let outcome = self.node.announce(now, announcement, &mut self.out);
+        self.publish(now);
+        outcome
+    }
+
+    fn take(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) {
+        if self.woke.is_some_and(|at| now.since(at) < DEAF) {
+            self.traffic.stale += 1;
+            return;
+        }
+        self.traffic.received += 1;
+        self.traffic.read += bytes.len() as u64;
+        let Some(packet) = decode(bytes, &self.key) else {
+            self.traffic.bad += 1;
+            return;
+        };
+        self.node
+            .step(now, Event::Packet(from, Box::new(packet)), &mut self.out);
+    }
+
+    fn flush(&mut self) {
+        for datagram in std::mem::take(&mut self.out) {
+            let bytes = encode(&datagram.packet, &self.key);
+            match self.socket.send_to(&bytes, datagram.to) {
+                Ok(_) => {
+                    self.traffic.sent += 1;
+                    self.traffic.written += bytes.len() as u64;
+                }
+                Err(_) => self.traffic.failed += 1,
+            }
+        }
+    }
+
+    fn publish(&mut self, now: Time) {
+        self.shared.turned.store(now.0, Ordering::Release);
+        if self.node.registry.changed() {
+            self.shared.upstreams.store(self.node.upstreams(now));
+        }
+        if let Some(view) = self.node.changed_members() {
+            self.shared.members.store(Arc::new(view));
+        }
+    }
+
+    /// Tells the fleet that this instance leaves, a few times.
+    fn farewell(&mut self) {
+        self.node
+            .step(self.clock.now(), Event::Leave, &mut self.out);
+        for _ in 0..FAREWELL {
+            self.flush();
+            std::thread::sleep(self.period / TURNS);
+            let now = self.clock.now();
+            self.node.farewell(now, &mut self.out);
+        }
+        self.flush();
+        self.publish(self.clock.now());
+    }
+}
--- /dev/null
+++ b/src/gossip/fleet.rs
@@ -0,0 +1,247 @@
+//! The handle of the fleet for the other parts of an instance.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use crossbeam::channel::{Sender, bounded};
+use snafu::{ResultExt, Snafu, ensure};
+
+use crate::auth::FleetKey;
+use crate::clock::{Clock, Time};
+use crate::gossip::driver::{self, Command};
+use crate::gossip::dump::FleetDump;
+use crate::id::{Incarnation, InstanceId};
+use crate::membership::MemberView;
+use crate::upstream::{AnnounceError, AnnounceOutcome, Announcement, UpstreamView};
+
+/// Time without a turn of the driver after which its views are out of date.
+const TRUSTED: Duration = Duration::from_secs(5);
+
+/// Longest wait for the driver to answer a call.
+const ANSWER: Duration = Duration::from_secs(2);
+
+/// Settings of an instance's part in the fleet.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// Number of this instance, not zero, unique in the fleet.
+    pub id: InstanceId,
+    /// Start of this process. It must be above that of every earlier start,
+    /// or the others keep holding this instance for dead.
+    pub incarnation: Incarnation,
+    /// Failure domain, 1 to 64 printable ASCII characters.
+    pub domain: String,
+    /// Where to take datagrams, by IP number.
+    pub bind: SocketAddr,
+    /// Where others reach this instance's datagrams. Port 0 stands for the
+    /// port that was bound.
+    pub gossip: SocketAddr,
+    /// Where others reach it over TCP.
+    pub peer: SocketAddr,
+    /// Where its control interface is.
+    pub control: SocketAddr,
+    /// Whether it votes on the catalogue.
+    pub voter: bool,
+    /// Datagram addresses of instances to join through.
+    pub seeds: Vec<SocketAddr>,
+    /// Secret of the fleet.
+    pub key: FleetKey,
+    /// Time between two probes. One second suits a fleet in service.
+    pub period: Duration,
+    /// Seed of random choices. Each instance takes another one.
+    pub seed: u64,
+}
+
+/// Why an instance can't take part in the fleet.
+#[derive(Debug, Snafu)]
+#[non_exhaustive]
+pub enum FleetError {
+    /// A setting is out of its bounds.
+    #[snafu(display("setting {name} is out of bounds: {remedy}"))]
+    Setting {
+        /// Name of the setting.
+        name: &'static str,
+        /// What to change.
+        remedy: &'static str,
+    },
+    /// The socket couldn't be bound.
+    #[snafu(display("can't take datagrams at {address}: choose a free address of this machine"))]
+    Bind {
+        /// Address asked for.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// A thread couldn't be started.
+    #[snafu(display("can't start a thread: raise the limit of threads"))]
+    Thread {
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// What the driver publishes.
+pub(crate) struct Shared {
+    pub(crate) upstreams: ArcSwap<UpstreamView>,
+    pub(crate) members: ArcSwap<MemberView>,
+    /// Last turn of the driver, in microseconds of the local clock.
+    pub(crate) turned: AtomicU64,
+}
+
+/// Handle of this instance's part in the fleet. Clones share it.
+#[derive(Clone)]
+pub struct Fleet {
+    shared: Arc<Shared>,
+    commands: Sender<Command>,
+    clock: Arc<dyn Clock>,
+    address: SocketAddr,
+}
+
+impl Fleet {
+    /// Binds the socket and starts the threads. The handle that comes back
+    /// ends after [`Fleet::stop`], or when all clones are dropped.
+    ///
+    /// # Errors
+    ///
+    /// When a setting is out of bounds, the address is taken, or no thread
+    /// can be had.
+    pub fn spawn(
+        settings: FleetSettings,
+        clock: Arc<dyn Clock>,
+    ) -> Result<(Fleet, JoinHandle<()>), FleetError> {
+        settings.validate()?;
+        let shared = Arc::new(Shared {
+            upstreams: ArcSwap::default(),
+            members: ArcSwap::default(),
+            turned: AtomicU64::new(clock.now().0),
+        });
+        let started = driver::start(settings, Arc::clone(&shared), Arc::clone(&clock))?;
+        let fleet = Fleet {
+            shared,
+            commands: started.commands,
+            clock,
+            address: started.address,
+        };
+        Ok((fleet, started.thread))
+    }
+
+    /// Where this instance takes datagrams.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes an announcement that an upstream made to this instance.
+    ///
+    /// # Errors
+    ///
+    /// When the announcement is out of bounds, the table is full, or this
+    /// instance can't tell how old the announcement is.
+    pub fn announce(&self, announcement: Announcement) -> Result<AnnounceOutcome, AnnounceError> {
+        let (reply, answer) = bounded(1);
+        let command = Command::Announce(Box::new(announcement), reply);
+        let stalled = || AnnounceError::Stalled { retry: 1_000 };
+        self.commands.send(command).map_err(|_| stalled())?;
+        answer.recv_timeout(ANSWER).map_err(|_| stalled())?
+    }
+
+    /// Upstreams that may be given work.
+    ///
+    /// The view is empty while the driver stands still. Guards against a
+    /// process that was stopped, runs again and picks an upstream that left
+    /// meanwhile, before its driver had a turn to drop it.
+    #[must_use]
+    pub fn upstreams(&self) -> Arc<UpstreamView> {
+        let turned = Time(self.shared.turned.load(Ordering::Acquire));
+        if self.clock.now().since(turned) > TRUSTED {
+            return Arc::default();
+        }
+        self.shared.upstreams.load_full()
+    }
+
+    /// All instances, this one included.
+    #[must_use]
+    pub fn members(&self) -> Arc<MemberView> {
+        self.shared.members.load_full()
+    }
+
+    /// Tells the fleet that this instance takes no new requests.
+    pub fn drain(&self) {
+        let _ = self.commands.send(Command::Drain);
+    }
+
+    /// Leaves the fleet and ends the threads after a few rounds of rumours.
+    pub fn stop(&self) {
+        let _ = self.commands.send(Command::Stop);
+    }
+
+    /// The state for the state dump. Empty when the driver doesn't answer.
+    #[must_use]
+    pub fn dump(&self) -> FleetDump {
+        let (reply, answer) = bounded(1);
+        if self.commands.send(Command::Dump(reply)).is_err() {
+            return FleetDump::default();
+        }
+        answer.recv_timeout(ANSWER).unwrap_or_default()
+    }
+}
+
+impl FleetSettings {
+    fn validate(&self) -> Result<(), FleetError> {
+        let id = SettingSnafu {
+            name: "id",
+            remedy: "give the instance a number above zero",
+        };
+        ensure!(self.id.0 != 0, id);
+        let domain = SettingSnafu {
+            name: "domain",
+            remedy: "use 1 to 64 printable ASCII characters",
+        };
+        let sized = (1..=crate::upstream::MAX_NAME).contains(&self.domain.len());
+        ensure!(
+            sized && self.domain.bytes().all(|b| b.is_ascii_graphic()),
+            domain
+        );
+        let period = SettingSnafu {
+            name: "period",
+            remedy: "use 20 ms to 60 s",
+        };
+        let bounds = Duration::from_millis(20)..=Duration::from_secs(60);
+        ensure!(bounds.contains(&self.period), period);
+        Ok(())
+    }
+}
+
+pub(crate) fn bind(address: SocketAddr) -> Result<std::net::UdpSocket, FleetError> {
+    std::net::UdpSocket::bind(address).context(BindSnafu { address })
+}
+
+pub(crate) fn spawn_thread(
+    name: &str,
+    body: impl FnOnce() + Send + 'static,
+) -> Result<JoinHandle<()>, FleetError> {
+    let builder = std::thread::Builder::new().name(name.to_owned());
+    builder.spawn(body).context(ThreadSnafu)
+}
+
+pub(crate) fn local_address(
+    socket: &std::net::UdpSocket,
+    address: SocketAddr,
+) -> Result<SocketAddr, FleetError> {
+    socket.local_addr().context(BindSnafu { address })
+}
+
+/// A second handle of the socket, whose reads end after `timeout`.
+pub(crate) fn reader(
+    socket: &std::net::UdpSocket,
+    address: SocketAddr,
+    timeout: Duration,
+) -> Result<std::net::UdpSocket, FleetError> {
+    let reader = socket.try_clone().context(BindSnafu { address })?;
+    let timeout = reader.set_read_timeout(Some(timeout));
+    timeout.context(BindSnafu { address })?;
+    Ok(reader)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,21 +10,31 @@
 mod clock;
 mod collections;
 mod flow;
+#[allow(dead_code)]
+mod gossip;
 mod id;
 mod limit;
+#[allow(dead_code)]
 mod membership;
 mod queue;
 mod replica;
 mod request;
 mod route;
 mod store;
+#[allow(dead_code)]
 mod upstream;
 
 pub use auth::FleetKey;
 pub use catalogue::{Class, Entry, Limits, Organisation, Pool, Route, Target};
 pub use clock::{Clock, SystemClock, Time};
 pub use collections::{HashMap, HashSet};
+pub use gossip::{Fleet, FleetDump, FleetError, FleetSettings, TrafficCounts};
 pub use id::{Incarnation, InstanceId, OrganisationId, Revision, UpstreamId};
+pub use membership::{Member, MemberDump, MemberState, MemberView};
+pub use upstream::{
+    AnnounceError, AnnounceOutcome, Announcement, Engine, Load, RegistryCounts, Serves, Service,
+    Upstream, UpstreamDump, UpstreamState, UpstreamView,
+};
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/upstream/registry.rs
@@ -0,0 +1,434 @@
+//! All upstreams that an instance knows: a state machine without I/O.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::collections::HashMap;
+use crate::id::{Incarnation, InstanceId, UpstreamId};
+use crate::upstream::entry::{Entry, Facts, Since, Version, key_of};
+use crate::upstream::wire::{FactsRecord, Renewal, state_code, state_of};
+use crate::upstream::{
+    AnnounceError, Announcement, Load, LoadLevel, Upstream, UpstreamState, UpstreamView, short_of,
+};
+
+mod merge;
+
+/// Silence after which an upstream is dropped from the view.
+pub(crate) const EXPIRY: Duration = Duration::from_secs(10);
+
+/// How long the order of a retired upstream is kept.
+///
+/// An announcement that was sent before `leaving` or `gone` can wait in the
+/// socket of an instance that is suspended, or on the far side of a partition.
+/// Two hours outlast the hour for which regions lose each other now and then.
+pub(crate) const RETENTION: Duration = Duration::from_secs(7_200);
+
+/// Most entries, retired ones included. The one that retired first makes room.
+pub(crate) const MAX_ENTRIES: usize = 4_096;
+
+/// Least time between two load reports of one upstream, unless work begins or
+/// ceases to wait there.
+const LOAD_PERIOD: Duration = Duration::from_secs(2);
+
+/// Time after which a change by one step of the scale is reported too.
+const LOAD_SETTLE: Duration = Duration::from_secs(10);
+
+/// What became of an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnnounceOutcome {
+    /// It was news, or proof of life.
+    Accepted,
+    /// The same or a later one of this incarnation is known. Nothing changed.
+    Duplicate,
+    /// A higher incarnation is known, or this one is leaving or gone.
+    Superseded,
+}
+
+/// What the owner of a registry must do.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum RegistryEffect {
+    /// Tell the fleet of this record.
+    Spread(u64),
+    /// Tell the fleet of this load.
+    SpreadLoad(u64),
+    /// Pass an announcement without news on to the instance that vouches.
+    Renew(InstanceId, Renewal),
+    /// Ask the sender for the facts of this record.
+    Want(u64),
+}
+
+/// Who is alive, as the failure detector sees it.
+pub(crate) trait Vouchers {
+    /// Whether the instance is alive in this incarnation.
+    fn alive(&self, id: InstanceId, boot: Incarnation) -> bool;
+}
+
+/// Counts for dumps and metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct RegistryCounts {
+    /// Upstreams that may be given work.
+    pub usable: usize,
+    /// Upstreams that finish their work.
+    pub leaving: usize,
+    /// Entries kept for their order alone.
+    pub retired: usize,
+    /// Entries for which this instance vouches.
+    pub vouched: usize,
+    /// Records refused because the table was full.
+    pub refused: u64,
+    /// Records that were older than the one known.
+    pub stale: u64,
+}
+
+/// The table of upstreams.
+pub(crate) struct Registry {
+    id: InstanceId,
+    boot: Incarnation,
+    pub(super) entries: HashMap<u64, Entry>,
+    /// Keys by their short form. Two keys can share one; reports of load
+    /// for both are then dropped.
+    shorts: HashMap<u32, Vec<u64>>,
+    view: Arc<UpstreamView>,
+    dirty: bool,
+    refused: u64,
+    stale: u64,
+}
+
+impl Registry {
+    /// An empty table of the instance `id` in its incarnation `boot`.
+    pub(crate) fn new(id: InstanceId, boot: Incarnation) -> Self {
+        Self {
+            id,
+            boot,
+            entries: HashMap::default(),
+            shorts: HashMap::default(),
+            view: Arc::default(),
+            dirty: false,
+            refused: 0,
+            stale: 0,
+        }
+    }
+
+    /// Takes an announcement that the upstream itself made to this instance.
+    pub(crate) fn announce(
+        &mut self,
+        now: Time,
+        a: &Announcement,
+        vouchers: &impl Vouchers,
+        out: &mut Vec<RegistryEffect>,
+    ) -> Result<AnnounceOutcome, AnnounceError> {
+        a.validate()?;
+        let key = key_of(&a.id);
+        let facts = Facts::from(a);
+        let Some(entry) = self.entries.get_mut(&key) else {
+            self.make_room(now, &a.id)?;
+            self.vouch(now, key, a, facts, out);
+            return Ok(AnnounceOutcome::Accepted);
+        };
+        if let Some(known) = &entry.facts
+            && known.id != a.id
+        {
+            return Err(AnnounceError::Taken {
+                id: known.id.clone(),
+            });
+        }
+        let outcome = entry.judge(a);
+        if outcome != AnnounceOutcome::Accepted {
+            return Ok(outcome);
+        }
+        if !entry.repeats(a, &facts) || !self.has_voucher(key, vouchers) {
+            self.vouch(now, key, a, facts, out);
+            return Ok(AnnounceOutcome::Accepted);
+        }
+        self.renewed(now, key, a, out);
+        Ok(AnnounceOutcome::Accepted)
+    }
+
+    /// Takes proof of life that another instance heard and passed on.
+    pub(crate) fn renew(&mut self, now: Time, renewal: &Renewal, out: &mut Vec<RegistryEffect>) {
+        let (id, boot) = (self.id, self.boot);
+        let Some(entry) = self.entries.get_mut(&renewal.key) else {
+            return;
+        };
+        let Version {
+            incarnation, state, ..
+        } = entry.version;
+        let own = (entry.version.voucher, entry.version.boot) == (id, boot);
+        let same = incarnation.0 == renewal.incarnation && state_of(renewal.state) == Some(state);
+        if !own || !same || renewal.sequence <= entry.latest {
+            return;
+        }
+        entry.latest = renewal.sequence;
+        entry.since = Since::now(now);
+        entry.lapsed = false;
+        if entry.version.silent {
+            entry.version.silent = false;
+            entry.version.sequence = renewal.sequence;
+            self.dirty = true;
+            out.push(RegistryEffect::Spread(renewal.key));
+        }
+        let load = Load {
+            running: renewal.running,
+            waiting: renewal.waiting,
+        };
+        self.loaded(now, renewal.key, load, out);
+    }
+
+    /// Lets time pass. To be called about once a second, before other events
+    /// of the same time.
+    ///
+    /// Expiry goes before renewal by a voucher that is alive. After a long
+    /// suspension of this process every record lapses, since the fleet may
+    /// have moved on, and comes back only with a record from elsewhere.
+    pub(crate) fn tick(
+        &mut self,
+        now: Time,
+        vouchers: &impl Vouchers,
+        out: &mut Vec<RegistryEffect>,
+    ) {
+        let own = (self.id, self.boot);
+        let mut ended = Vec::new();
+        for (key, entry) in &mut self.entries {
+            let age = entry.since.age(now);
+            if entry.retired() {
+                if age >= RETENTION {
+                    ended.push(*key);
+                }
+                continue;
+            }
+            let version = &mut entry.version;
+            let vouched = (version.voucher, version.boot);
+            if age < EXPIRY {
+                if vouched != own && vouchers.alive(vouched.0, vouched.1) {
+                    entry.since = Since::now(now);
+                }
+                continue;
+            }
+            self.dirty = true;
+            if vouched == own {
+                version.silent = true;
+                version.sequence = entry.latest;
+                out.push(RegistryEffect::Spread(*key));
+            } else {
+                entry.lapsed = true;
+            }
+        }
+        for key in ended {
+            self.remove(key);
+        }
+    }
+
+    /// The upstreams that may be given work.
+    pub(crate) fn snapshot(&mut self, now: Time) -> Arc<UpstreamView> {
+        if self.dirty {
+            self.dirty = false;
+            self.view = Arc::new(self.build(now));
+        }
+        Arc::clone(&self.view)
+    }
+
+    /// Whether [`Registry::snapshot`] would give another view than before.
+    pub(crate) fn changed(&self) -> bool {
+        self.dirty
+    }
+
+    /// Counts for dumps and metrics.
+    pub(crate) fn counts(&self) -> RegistryCounts {
+        let count = |f: &dyn Fn(&Entry) -> bool| self.entries.values().filter(|e| f(e)).count();
+        let leaving = |e: &Entry| e.version.state == UpstreamState::Leaving && !e.retired();
+        let vouched =
+            |e: &Entry| (e.version.voucher, e.version.boot) == (self.id, self.boot) && !e.retired();
+        RegistryCounts {
+            usable: count(&Entry::usable),
+            leaving: count(&leaving),
+            retired: count(&Entry::retired),
+            vouched: count(&vouched),
+            refused: self.refused,
+            stale: self.stale,
+        }
+    }
+
+    /// Makes this instance the voucher.
+    fn vouch(
+        &mut self,
+        now: Time,
+        key: u64,
+        a: &Announcement,
+        facts: Facts,
+        out: &mut Vec<RegistryEffect>,
+    ) {
+        let gone = a.state == UpstreamState::Gone;
+        let digest = if gone { 0 } else { facts.digest() };
+        let old = self.entries.get(&key);
+        let entry = Entry {
+            version: Version {
+                incarnation: a.incarnation,
+                state: a.state,
+                sequence: a.sequence,
+                silent: false,
+                voucher: self.id,
+                boot: self.boot,
+            },
+            facts: (!gone).then(|| Arc::new(facts)),
+            digest,
+            since: Since::now(now),
+            lapsed: false,
+            latest: a.sequence,
+            load: old.map_or(Load::default(), |e| e.load),
+            loaded: 0,
+            told: old.map_or(LoadLevel::default(), |e| e.told),
+            told_at: old.map_or(now, |e| e.told_at),
+        };
+        self.insert(key, entry);
+        out.push(RegistryEffect::Spread(key));
+        self.loaded(now, key, a.load, out);
+    }
+
+    /// Takes an announcement without news.
+    fn renewed(&mut self, now: Time, key: u64, a: &Announcement, out: &mut Vec<RegistryEffect>) {
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return;
+        };
+        entry.latest = a.sequence;
+        entry.since = Since::now(now);
+        let voucher = entry.version.voucher;
+        if voucher == self.id {
+            self.loaded(now, key, a.load, out);
+            return;
+        }
+        entry.load = a.load;
+        entry.loaded = a.sequence;
+        self.dirty = true;
+        let renewal = Renewal {
+            key,
+            incarnation: a.incarnation.0,
+            sequence: a.sequence,
+            state: state_code(a.state),
+            running: a.load.running,
+            waiting: a.load.waiting,
+        };
+        out.push(RegistryEffect::Renew(voucher, renewal));
+    }
+
+    /// Notes a load as the voucher, and reports it when it changed enough.
+    fn loaded(&mut self, now: Time, key: u64, load: Load, out: &mut Vec<RegistryEffect>) {
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return;
+        };
+        entry.loaded = entry.latest;
+        self.dirty |= entry.load != load;
+        entry.load = load;
+        let level = LoadLevel::from(load);
+        let quiet = now.since(entry.told_at);
+        let crosses = level.crosses(entry.told);
+        let report = match level.distance(entry.told) {
+            0 => false,
+            1 if !crosses => quiet >= LOAD_SETTLE,
+            _ => crosses || quiet >= LOAD_PERIOD,
+        };
+        if report {
+            entry.told = level;
+            entry.told_at = now;
+            out.push(RegistryEffect::SpreadLoad(key));
+        }
+    }
+
+    /// Whether the voucher of this entry is this instance or one alive.
+    fn has_voucher(&self, key: u64, vouchers: &impl Vouchers) -> bool {
+        self.entries.get(&key).is_some_and(|entry| {
+            let vouched = (entry.version.voucher, entry.version.boot);
+            vouched == (self.id, self.boot) || vouchers.alive(vouched.0, vouched.1)
+        })
+    }
+
+    fn make_room(&mut self, now: Time, id: &UpstreamId) -> Result<(), AnnounceError> {
+        if self.entries.len() < MAX_ENTRIES || self.evict(now) {
+            return Ok(());
+        }
+        self.refused += 1;
+        tracing::debug!(upstream = %id, "table of upstreams is full");
+        Err(AnnounceError::Full { limit: MAX_ENTRIES })
+    }
+
+    /// Drops the entry that retired first. Only a full table comes to this.
+    fn evict(&mut self, now: Time) -> bool {
+        let retired = self.entries.iter().filter(|(_, e)| e.retired());
+        let oldest = retired.max_by_key(|(key, e)| (e.since.age(now), **key));
+        let Some(key) = oldest.map(|(key, _)| *key) else {
+            return false;
+        };
+        self.remove(key);
+        true
+    }
+
+    fn insert(&mut self, key: u64, entry: Entry) {
+        self.dirty = true;
+        if self.entries.insert(key, entry).is_none() {
+            self.shorts.entry(short_of(key)).or_default().push(key);
+        }
+    }
+
+    fn remove(&mut self, key: u64) {
+        self.entries.remove(&key);
+        let short = short_of(key);
+        if let Some(keys) = self.shorts.get_mut(&short) {
+            keys.retain(|k| *k != key);
+            if keys.is_empty() {
+                self.shorts.remove(&short);
+            }
+        }
+    }
+
+    fn build(&self, now: Time) -> UpstreamView {
+        let usable = self.entries.values().filter(|e| e.usable());
+        let mut upstreams: Vec<_> = usable.filter_map(Entry::upstream).map(Arc::new).collect();
+        upstreams.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        UpstreamView {
+            version: self.view.version + 1,
+            built: now,
+            upstreams,
+        }
+    }
+}
+
+impl Entry {
+    /// What an announcement is, compared with this entry.
+    fn judge(&self, a: &Announcement) -> AnnounceOutcome {
+        let known = (self.version.incarnation, self.version.state);
+        if (a.incarnation, a.state) < known {
+            return AnnounceOutcome::Superseded;
+        }
+        if (a.incarnation, a.state) == known && a.sequence <= self.latest {
+            return AnnounceOutcome::Duplicate;
+        }
+        AnnounceOutcome::Accepted
+    }
+
+    /// Whether an accepted announcement is proof of life and nothing else.
+    fn repeats(&self, a: &Announcement, facts: &Facts) -> bool {
+        let known = (self.version.incarnation, self.version.state);
+        let same = (a.incarnation, a.state) == known && !self.retired();
+        same && self.facts.as_deref() == Some(facts)
+    }
+
+    fn upstream(&self) -> Option<Upstream> {
+        let facts = self.facts.as_deref()?;
+        Some(Upstream {
+            id: facts.id.clone(),
+            incarnation: self.version.incarnation,
+            address: facts.address,
+            domain: facts.domain.clone(),
+            pool: facts.pool.clone(),
+            serves: facts.serves.clone(),
+            load: self.load,
+        })
+    }
+}
+
+impl Facts {
+    /// Checksum over all fields.
+    fn digest(&self) -> u32 {
+        crc32fast::hash(&prost::Message::encode_to_vec(&FactsRecord::from(self)))
+    }
+}
--- /dev/null
+++ b/src/upstream/wire.rs
@@ -0,0 +1,237 @@
+//! Records of upstreams as datagrams carry them.
+
+use std::net::SocketAddr;
+
+use crate::id::{Incarnation, InstanceId, UpstreamId};
+use crate::upstream::entry::{Facts, Version};
+use crate::upstream::{Engine, Serves, Service, UpstreamState};
+
+/// A record. Without `facts` the receiver uses those that it has, if their
+/// digest is the same, and asks for them otherwise.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct UpstreamRecord {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) key: u64,
+    #[prost(uint64, tag = "2")]
+    pub(crate) incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub(crate) sequence: u64,
+    /// State in the lower two bits, silence in the third.
+    #[prost(uint32, tag = "4")]
+    pub(crate) state: u32,
+    #[prost(uint64, tag = "5")]
+    pub(crate) voucher: u64,
+    #[prost(uint64, tag = "6")]
+    pub(crate) boot: u64,
+    /// Milliseconds since the last proof of life or the end.
+    #[prost(uint32, tag = "7")]
+    pub(crate) age: u32,
+    #[prost(fixed32, tag = "8")]
+    pub(crate) digest: u32,
+    #[prost(message, optional, tag = "9")]
+    pub(crate) facts: Option<FactsRecord>,
+}
+
+/// What seldom changes about an upstream.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct FactsRecord {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(string, tag = "2")]
+    address: String,
+    #[prost(string, tag = "3")]
+    domain: String,
+    #[prost(string, tag = "4")]
+    pool: String,
+    #[prost(oneof = "ServesRecord", tags = "5, 6")]
+    serves: Option<ServesRecord>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum ServesRecord {
+    #[prost(message, tag = "5")]
+    Engine(EngineRecord),
+    #[prost(message, tag = "6")]
+    Service(ServiceRecord),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct EngineRecord {
+    #[prost(string, tag = "1")]
+    model: String,
+    #[prost(string, tag = "2")]
+    version: String,
+    #[prost(uint32, tag = "3")]
+    first: u32,
+    #[prost(uint32, tag = "4")]
+    end: u32,
+    #[prost(uint32, tag = "5")]
+    total: u32,
+    #[prost(string, tag = "6")]
+    accelerator: String,
+    #[prost(uint32, tag = "7")]
+    rate: u32,
+    #[prost(uint32, tag = "8")]
+    slots: u32,
+    #[prost(uint32, tag = "9")]
+    link: u32,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct ServiceRecord {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(uint32, tag = "2")]
+    slots: u32,
+}
+
+/// An announcement without news, passed on to the voucher.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct Renewal {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) key: u64,
+    #[prost(uint64, tag = "2")]
+    pub(crate) incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub(crate) sequence: u64,
+    #[prost(uint32, tag = "4")]
+    pub(crate) state: u32,
+    #[prost(uint32, tag = "5")]
+    pub(crate) running: u32,
+    #[prost(uint32, tag = "6")]
+    pub(crate) waiting: u32,
+}
+
+/// Load reports as columns: one entry costs about nine bytes.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Loads {
+    #[prost(fixed32, repeated, tag = "1")]
+    pub(crate) keys: Vec<u32>,
+    /// Lowest seven bits of each incarnation.
+    #[prost(bytes = "vec", tag = "2")]
+    pub(crate) incarnations: Vec<u8>,
+    #[prost(uint64, repeated, tag = "3")]
+    pub(crate) sequences: Vec<u64>,
+    #[prost(bytes = "vec", tag = "4")]
+    pub(crate) levels: Vec<u8>,
+}
+
+const SILENT: u32 = 4;
+
+/// State as a number on the wire.
+pub(crate) fn state_code(state: UpstreamState) -> u32 {
+    match state {
+        UpstreamState::Up => 0,
+        UpstreamState::Leaving => 1,
+        UpstreamState::Gone => 2,
+    }
+}
+
+/// State of a number on the wire.
+pub(crate) fn state_of(code: u32) -> Option<UpstreamState> {
+    match code {
+        0 => Some(UpstreamState::Up),
+        1 => Some(UpstreamState::Leaving),
+        2 => Some(UpstreamState::Gone),
+        _ => None,
+    }
+}
+
+impl UpstreamRecord {
+    /// A record without facts.
+    pub(crate) fn new(key: u64, version: &Version, age: u32, digest: u32) -> Self {
+        let silent = if version.silent { SILENT } else { 0 };
+        Self {
+            key,
+            incarnation: version.incarnation.0,
+            sequence: version.sequence,
+            state: state_code(version.state) | silent,
+            voucher: version.voucher.0,
+            boot: version.boot.0,
+            age,
+            digest,
+            facts: None,
+        }
+    }
+
+    /// Its place in the order, or `None` when the state is unknown.
+    pub(crate) fn version(&self) -> Option<Version> {
+        Some(Version {
+            incarnation: Incarnation(self.incarnation),
+            state: state_of(self.state & !SILENT)?,
+            sequence: self.sequence,
+            silent: self.state & SILENT != 0,
+            voucher: InstanceId(self.voucher),
+            boot: Incarnation(self.boot),
+        })
+    }
+}
+
+impl From<&Facts> for FactsRecord {
+    fn from(facts: &Facts) -> Self {
+        Self {
+            id: facts.id.0.to_string(),
+            address: facts.address.to_string(),
+            domain: facts.domain.clone(),
+            pool: facts.pool.clone(),
+            serves: Some((&facts.serves).into()),
+        }
+    }
+}
+
+impl From<&Serves> for ServesRecord {
+    fn from(serves: &Serves) -> Self {
+        match serves {
+            Serves::Engine(e) => Self::Engine(EngineRecord {
+                model: e.model.clone(),
+                version: e.version.clone(),
+                first: e.first,
+                end: e.end,
+                total: e.total,
+                accelerator: e.accelerator.clone(),
+                rate: e.rate,
+                slots: e.slots,
+                link: e.link,
+            }),
+            Serves::Service(s) => Self::Service(ServiceRecord {
+                name: s.name.clone(),
+                slots: s.slots,
+            }),
+        }
+    }
+}
+
+impl FactsRecord {
+    /// The facts, or `None` when they are incomplete.
+    pub(crate) fn facts(self) -> Option<Facts> {
+        Some(Facts {
+            id: UpstreamId(self.id.into()),
+            address: self.address.parse::<SocketAddr>().ok()?,
+            domain: self.domain,
+            pool: self.pool,
+            serves: self.serves?.into(),
+        })
+    }
+}
+
+impl From<ServesRecord> for Serves {
+    fn from(record: ServesRecord) -> Self {
+        match record {
+            ServesRecord::Engine(e) => Self::Engine(Engine {
+                model: e.model,
+                version: e.version,
+                first: e.first,
+                end: e.end,
+                total: e.total,
+                accelerator: e.accelerator,
+                rate: e.rate,
+                slots: e.slots,
+                link: e.link,
+            }),
+            ServesRecord::Service(s) => Self::Service(Service {
+                name: s.name,
+                slots: s.slots,
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,93 @@
+//! Instances of a fleet over real sockets of the loopback address.
+
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use laburnumquay::{
+    AnnounceOutcome, Announcement, Fleet, FleetKey, FleetSettings, Incarnation, InstanceId, Load,
+    MemberState, Serves, Service, SystemClock, UpstreamId, UpstreamState,
+};
+
+/// Longest wait for something that takes a few periods; never a verdict.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn spawn(id: u64, seeds: &[&Fleet]) -> (Fleet, JoinHandle<()>) {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let settings = FleetSettings {
+        id: InstanceId(id),
+        incarnation: Incarnation(1),
+        domain: "peristeri".into(),
+        bind: any,
+        gossip: any,
+        peer: any,
+        control: any,
+        voter: false,
+        seeds: seeds.iter().map(|f| f.address()).collect(),
+        key: FleetKey::new(b"secret"),
+        period: Duration::from_millis(100),
+        seed: id,
+    };
+    Fleet::spawn(settings, Arc::new(SystemClock)).unwrap()
+}
+
+fn announcement(sequence: u64, state: UpstreamState) -> Announcement {
+    Announcement {
+        id: UpstreamId::from("orders-1"),
+        incarnation: Incarnation(1),
+        sequence,
+        address: "127.0.0.1:9001".parse().unwrap(),
+        domain: "peristeri".into(),
+        pool: "attiki".into(),
+        state,
+        serves: Serves::Service(Service {
+            name: "orders".into(),
+            slots: 8,
+        }),
+        load: Load::default(),
+    }
+}
+
+fn wait_until(mut met: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !met() {
+        assert!(start.elapsed() < PATIENCE, "not met in {PATIENCE:?}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn usable(fleet: &Fleet) -> usize {
+    fleet.upstreams().upstreams.len()
+}
+
+#[test]
+fn fleet_three_instances() {
+    let (a, a_thread) = spawn(1, &[]);
+    let (b, b_thread) = spawn(2, &[&a]);
+    let (c, c_thread) = spawn(3, &[&a]);
+    let all = [&a, &b, &c];
+    wait_until(|| all.iter().all(|f| f.members().present().count() == 3));
+
+    let up = announcement(1, UpstreamState::Up);
+    assert_eq!(a.announce(up.clone()), Ok(AnnounceOutcome::Accepted));
+    assert_eq!(a.announce(up), Ok(AnnounceOutcome::Duplicate));
+    wait_until(|| all.iter().all(|f| usable(f) == 1));
+
+    let leaving = announcement(2, UpstreamState::Leaving);
+    assert_eq!(b.announce(leaving), Ok(AnnounceOutcome::Accepted));
+    wait_until(|| all.iter().all(|f| usable(f) == 0));
+
+    let late = announcement(3, UpstreamState::Up);
+    assert_eq!(c.announce(late), Ok(AnnounceOutcome::Superseded));
+
+    c.drain();
+    wait_until(|| a.members().get(InstanceId(3)).unwrap().draining);
+    c.stop();
+    c_thread.join().unwrap();
+    let left = || a.members().get(InstanceId(3)).unwrap().state == MemberState::Left;
+    wait_until(left);
+    assert_eq!(a.dump().traffic.bad, 0);
+    [a, b].iter().for_each(Fleet::stop);
+    a_thread.join().unwrap();
+    b_thread.join().unwrap();
+}
