Order waiting work by cost and lease shares of fleet-wide limits

Cause: instances admit independently, so limits and fairness need pure decision code that the serving path can call.

Limits: of static shares, gossip counters and leased shares, leases are the only one that can't over-admit and still follows demand. A grant is counted at the allocator from the receipt of the question and used at the holder from its sending, so a share in use is always a counted one. A new allocator renews reported shares only, and the holder takes a renewal only while the reported share is still in use: a delayed question could otherwise revive a share that was granted elsewhere since.

Queue: classes with a floor for the lower ones; inside a class start-time fair queueing by cost, corrected at completion. FIFO and stride dispatch are disciplines of the same queue. Not measured yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,13 +9,17 @@
 mod claim;
 mod clock;
 mod collections;
+#[allow(dead_code)]
 mod flow;
 mod id;
+#[allow(dead_code)]
 mod limit;
 mod membership;
+#[allow(dead_code)]
 mod queue;
 mod replica;
 mod request;
+#[allow(dead_code)]
 mod route;
 mod store;
 mod upstream;
@@ -25,6 +29,11 @@
 pub use clock::{Clock, SystemClock, Time};
 pub use collections::{HashMap, HashSet};
 pub use id::{Incarnation, InstanceId, OrganisationId, Revision, UpstreamId};
+pub use limit::{
+    Allocator, Amounts, Ask, Demand, Denial, DenialReason, Grant, Holder, LEASE, PERIOD, Permit,
+    Share, URGENT,
+};
+pub use queue::{Discipline, Item, Queue, Refusal, RefusalReason};
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/limit/holder.rs
@@ -0,0 +1,398 @@
+//! An instance's side of the limits: admission by the shares it holds.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::queue::SegQueue;
+use snafu::Snafu;
+
+use super::bucket::Bucket;
+use super::message::{Amounts, Ask, Demand, Grant};
+use super::{LEASE, PERIOD, URGENT};
+use crate::clock::Time;
+use crate::collections::HashMap;
+use crate::id::{Incarnation, InstanceId};
+
+/// Questions whose answers may still come. Older ones are forgotten.
+const PENDING: usize = 128;
+
+/// Time after which a route without use is asked for no longer.
+const FORGET: Duration = Duration::from_secs(10);
+
+/// Which limit a request met.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DenialReason {
+    /// No valid share: the first request on this instance, or cut off from
+    /// the allocator.
+    NoShare,
+    /// Requests a second.
+    Requests,
+    /// Tokens a second.
+    Tokens,
+    /// Requests at the same time.
+    Concurrent,
+}
+
+/// A request was not admitted. It was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("not run, limit of {reason:?} reached: send it again in {retry_after:?}"))]
+pub struct Denial {
+    /// The limit met.
+    pub reason: DenialReason,
+    /// When another try has a chance.
+    pub retry_after: Duration,
+}
+
+/// Leave to run one request. Given back when it is dropped or settled, by its
+/// type exactly once, and even when the thread that held it panicked.
+#[derive(Debug)]
+#[must_use = "the request counts as running while its permit lives"]
+pub struct Permit {
+    route: Arc<str>,
+    tokens: u32,
+    returns: Arc<SegQueue<Arc<str>>>,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.returns.push(self.route.clone());
+    }
+}
+
+#[derive(Debug, Default)]
+struct Local {
+    share: Amounts,
+    requests: Bucket,
+    tokens: Bucket,
+    running: u32,
+    /// Items waiting, as last reported by the caller.
+    waiting: u32,
+    /// Seen since the last question.
+    seen: Seen,
+    /// Wanted requests and tokens a second, smoothed.
+    wanted: [f64; 2],
+    used: Time,
+    /// Last denial that asked for an urgent question.
+    denied: Option<Time>,
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    requests: u32,
+    tokens: u64,
+    /// Most requests that ran or wished to run at a time.
+    peak: u32,
+    denied: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    sequence: u64,
+    sent: Time,
+    /// Grant in use when it was sent.
+    applied: u64,
+}
+
+/// Shares of one instance.
+#[derive(Debug)]
+pub struct Holder {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    routes: HashMap<Arc<str>, Local>,
+    /// Last question sent.
+    sequence: u64,
+    /// Question whose grant is in use.
+    applied: u64,
+    /// Highest term seen.
+    term: u64,
+    /// End of all shares held.
+    until: Time,
+    /// Questions without an answer, oldest first.
+    pending: VecDeque<Pending>,
+    asked: Option<Time>,
+    urgent: bool,
+    returns: Arc<SegQueue<Arc<str>>>,
+}
+
+impl Holder {
+    /// A holder without shares.
+    #[must_use]
+    pub fn new(instance: InstanceId, incarnation: Incarnation) -> Self {
+        Self {
+            instance,
+            incarnation,
+            routes: HashMap::default(),
+            sequence: 0,
+            applied: 0,
+            term: 0,
+            until: Time::default(),
+            pending: VecDeque::new(),
+            asked: None,
+            urgent: false,
+            returns: Arc::default(),
+        }
+    }
+
+    /// Admits a request of `tokens` (prompt and expected answer).
+    ///
+    /// # Errors
+    /// [`Denial`] with the limit met. With [`DenialReason::NoShare`] a question
+    /// is due at once, and the request may wait for its answer.
+    pub fn admit(&mut self, now: Time, route: &str, tokens: u32) -> Result<Permit, Denial> {
+        self.collect();
+        let valid = now < self.until;
+        let until = self.until;
+        let local = entry(&mut self.routes, route);
+        local.seen.requests += 1;
+        local.seen.tokens += u64::from(tokens);
+        local.used = now;
+        local.refill(now.min(until));
+        if let Some(denial) = local.denial(valid, tokens) {
+            local.seen.denied += 1;
+            self.urgent |= local.first_denial(now);
+            return Err(denial);
+        }
+        local.requests.take(1.0);
+        local.tokens.take(f64::from(tokens));
+        local.running += 1;
+        local.seen.peak = local.seen.peak.max(local.running);
+        let route = self.routes.get_key_value(route).map(|(k, _)| k.clone());
+        Ok(Permit {
+            route: route.unwrap_or_default(),
+            tokens,
+            returns: self.returns.clone(),
+        })
+    }
+
+    /// Gives a permit back and books what the request really used.
+    pub fn settle(&mut self, permit: Permit, tokens: u32) {
+        if let Some(local) = self.routes.get_mut(&permit.route) {
+            local
+                .tokens
+                .correct(f64::from(tokens) - f64::from(permit.tokens));
+        }
+        drop(permit);
+        self.collect();
+    }
+
+    /// The share of a route in force at `now`; zero once the lease has run out.
+    #[must_use]
+    pub fn share(&self, now: Time, route: &str) -> Amounts {
+        if now >= self.until {
+            return Amounts::default();
+        }
+        self.routes.get(route).map(|l| l.share).unwrap_or_default()
+    }
+
+    /// Requests of a route that run on this instance.
+    #[must_use]
+    pub fn running(&mut self, route: &str) -> u32 {
+        self.collect();
+        self.routes.get(route).map_or(0, |l| l.running)
+    }
+
+    /// Tells how many requests of a route wait in the queue.
+    pub fn set_waiting(&mut self, now: Time, route: &str, waiting: u32) {
+        let local = entry(&mut self.routes, route);
+        local.waiting = waiting;
+        if waiting > 0 {
+            local.used = now;
+        }
+    }
+
+    /// When [`ask`](Self::ask) should be called next.
+    #[must_use]
+    pub fn due(&self) -> Time {
+        let gap = if self.urgent { URGENT } else { PERIOD };
+        self.asked.map_or(Time::default(), |at| at + gap)
+    }
+
+    /// The next question. Its sending counts from `now`, so call it right
+    /// before the message leaves.
+    pub fn ask(&mut self, now: Time) -> Ask {
+        self.collect();
+        let passed = self.asked.map_or(PERIOD, |at| now.since(at));
+        self.asked = Some(now);
+        self.urgent = false;
+        self.sequence += 1;
+        self.pending.push_back(Pending {
+            sequence: self.sequence,
+            sent: now,
+            applied: self.applied,
+        });
+        if self.pending.len() > PENDING {
+            self.pending.pop_front();
+        }
+        let valid = now < self.until;
+        self.routes
+            .retain(|_, l| l.running > 0 || now.since(l.used) < FORGET);
+        let demands = self.routes.iter_mut();
+        let demands = demands.map(|(route, l)| l.demand(route, valid, passed));
+        Ask {
+            instance: self.instance.0,
+            incarnation: self.incarnation.0,
+            sequence: self.sequence,
+            applied: self.applied,
+            demands: demands.collect(),
+        }
+    }
+
+    /// Takes an answer in. Returns whether it is now in use.
+    ///
+    /// Guards against late and doubled answers: an answer to an older question
+    /// would bring back a share that the allocator counts no longer, which
+    /// would show as two instances using the same share. Only the answer to a
+    /// question sent after the one in use is taken, and a question is
+    /// forgotten with its answer.
+    pub fn grant(&mut self, now: Time, grant: &Grant) -> bool {
+        let own = grant.instance == self.instance.0 && grant.incarnation == self.incarnation.0;
+        if !own || grant.term < self.term || grant.sequence <= self.applied {
+            return false;
+        }
+        let found = self.pending.iter().find(|p| p.sequence == grant.sequence);
+        let Some(&asked) = found else {
+            return false;
+        };
+        let until = asked.sent + LEASE;
+        if until <= now || (grant.renewal && !self.renews(now, asked)) {
+            return false;
+        }
+        self.term = grant.term;
+        self.applied = grant.sequence;
+        self.pending.retain(|p| p.sequence > grant.sequence);
+        self.replace(now, until, grant);
+        true
+    }
+
+    /// Whether the share that `asked` reported is still the one in use.
+    ///
+    /// A new allocator renews what a question reported. When the question was
+    /// on its way for long, the share may have run out or been given up since,
+    /// and the earlier allocator may have granted it to another instance,
+    /// which would show as both using it. While the share is still in use
+    /// here, the earlier allocator counted it.
+    fn renews(&self, now: Time, asked: Pending) -> bool {
+        now < self.until && self.applied == asked.applied
+    }
+
+    fn replace(&mut self, now: Time, until: Time, grant: &Grant) {
+        let lapsed = now >= self.until;
+        for local in self.routes.values_mut() {
+            local.refill(now.min(self.until));
+            local.share = Amounts::default();
+            if lapsed {
+                local.drain();
+            }
+        }
+        for share in &grant.shares {
+            entry(&mut self.routes, &share.route).share = share.amounts;
+        }
+        for local in self.routes.values_mut() {
+            local.restart(now);
+        }
+        self.until = until;
+    }
+
+    /// Books the permits that were dropped.
+    fn collect(&mut self) {
+        while let Some(route) = self.returns.pop() {
+            let local = entry(&mut self.routes, &route);
+            assert!(local.running > 0, "a permit of {route} came back twice");
+            local.running -= 1;
+        }
+    }
+}
+
+impl Local {
+    /// Fills the buckets up to `until`, the end of the lease at most.
+    fn refill(&mut self, until: Time) {
+        self.requests.fill(until);
+        self.tokens.fill(until);
+    }
+
+    /// Gives up saved rate with a lapsed lease: another instance may have
+    /// saved up the same share meanwhile, and both would burst.
+    fn drain(&mut self) {
+        self.requests.drain();
+        self.tokens.drain();
+    }
+
+    /// Whether this is the first denial for a period. Only then is it worth an
+    /// urgent question; a limit that is used up stays so for a while.
+    fn first_denial(&mut self, now: Time) -> bool {
+        let first = self.denied.is_none_or(|at| now.since(at) >= PERIOD);
+        if first {
+            self.denied = Some(now);
+        }
+        first
+    }
+
+    /// Starts the present share at `now`; time without a lease gave nothing.
+    fn restart(&mut self, now: Time) {
+        self.requests.set_rate(now, self.share.requests);
+        self.tokens.set_rate(now, self.share.tokens);
+    }
+
+    fn denial(&self, valid: bool, tokens: u32) -> Option<Denial> {
+        if !valid || self.share == Amounts::default() {
+            return Some(deny(DenialReason::NoShare, URGENT));
+        }
+        if self.running >= self.share.concurrent {
+            return Some(deny(DenialReason::Concurrent, PERIOD));
+        }
+        if !self.requests.has(1.0) {
+            return Some(late(DenialReason::Requests, self.requests.wait(1.0)));
+        }
+        let tokens = f64::from(tokens);
+        if !self.tokens.has(tokens) {
+            return Some(late(DenialReason::Tokens, self.tokens.wait(tokens)));
+        }
+        None
+    }
+
+    fn demand(&mut self, route: &str, valid: bool, passed: Duration) -> Demand {
+        let seen = std::mem::take(&mut self.seen);
+        let secs = passed.as_secs_f64().max(URGENT.as_secs_f64());
+        let weight = (secs / PERIOD.as_secs_f64()).min(1.0);
+        let rates = [f64::from(seen.requests) / secs, seen.tokens as f64 / secs];
+        for (wanted, rate) in self.wanted.iter_mut().zip(rates) {
+            *wanted += (rate - *wanted) * weight;
+        }
+        let peak = seen.peak.max(self.running);
+        Demand {
+            route: route.to_owned(),
+            held: if valid {
+                self.share
+            } else {
+                Amounts::default()
+            },
+            wanted: Amounts {
+                requests: self.wanted[0].max(rates[0].min(1.0)).ceil() as u32,
+                tokens: self.wanted[1].ceil() as u32,
+                concurrent: peak.saturating_add(seen.denied.max(self.waiting)),
+                queued: self.waiting,
+            },
+            running: self.running,
+        }
+    }
+}
+
+fn entry<'a>(routes: &'a mut HashMap<Arc<str>, Local>, route: &str) -> &'a mut Local {
+    if !routes.contains_key(route) {
+        routes.insert(route.into(), Local::default());
+    }
+    routes.get_mut(route).expect("inserted above")
+}
+
+fn deny(reason: DenialReason, retry_after: Duration) -> Denial {
+    Denial {
+        reason,
+        retry_after,
+    }
+}
+
+fn late(reason: DenialReason, wait: Option<f64>) -> Denial {
+    let wait = wait.map_or(PERIOD, Duration::from_secs_f64);
+    deny(reason, wait)
+}
