--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,16 +10,20 @@
 mod clock;
 mod collections;
 mod disk;
+#[allow(dead_code)]
 mod flow;
 #[allow(dead_code)]
 mod gossip;
 mod id;
+#[allow(dead_code)]
 mod limit;
 #[allow(dead_code)]
 mod membership;
+#[allow(dead_code)]
 mod queue;
 mod replica;
 mod request;
+#[allow(dead_code)]
 mod route;
 mod store;
 #[allow(dead_code)]
@@ -40,6 +44,14 @@
 pub use upstream::{
     AnnounceError, AnnounceOutcome, Announcement, Engine, Load, RegistryCounts, Serves, Service,
     Upstream, UpstreamDump, UpstreamState, UpstreamView,
+pub use limit::{
+    Allocator, Amounts, Ask, Demand, Denial, DenialReason, Grant, Holder, LEASE, PERIOD, Permit,
+    Share, URGENT,
+};
+pub use queue::{Discipline, Item, Queue, Refusal, RefusalReason};
+pub use route::{
+    Candidate, Choice, FlowShares, GreedyCheapest, Hop, LeastInFlight, NoPath, NoPathReason,
+    Outcome, Policy, Query, RoundRobin, Router, Site, Stage, Ticket,
 };
 
 #[cfg(test)]
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -2,3 +2,5 @@
 
 mod auth;
 mod voter;
+mod flow;
+mod route;
