--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,10 @@
 //! out. Thin threads run them, so that a randomised run replays from its seed.
 
 mod auth;
+#[allow(dead_code)]
+mod budget;
 mod catalogue;
+#[allow(dead_code, unused_imports)]
 mod claim;
 mod clock;
 mod collections;
@@ -22,6 +25,7 @@
 #[allow(dead_code)]
 mod queue;
 mod replica;
+#[allow(dead_code, unused_imports)]
 mod request;
 #[allow(dead_code)]
 mod route;
