--- /dev/null
+++ b/tests/common/emulator.rs
@@ -0,0 +1,123 @@
+//! Emulated upstreams as separate processes.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+
+use serde_json::Value;
+
+use super::caller::agent;
+use super::process::Process;
+use super::until;
+
+/// How to start an emulator.
+pub(crate) struct Plan {
+    id: String,
+    args: Vec<String>,
+}
+
+/// A running emulator.
+pub(crate) struct Emulator {
+    pub(crate) id: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) process: Process,
+}
+
+impl Plan {
+    /// An engine that holds `layers` ("0..16") of the emulated model.
+    pub(crate) fn engine(id: &str, layers: &str) -> Self {
+        Self::new(id).with("layers", layers).with("rate", "0")
+    }
+
+    /// A plain service.
+    pub(crate) fn service(id: &str, name: &str) -> Self {
+        Self::new(id).with("service", name)
+    }
+
+    fn new(id: &str) -> Self {
+        let plan = Self {
+            id: id.to_owned(),
+            args: Vec::new(),
+        };
+        plan.with("id", id).with("listen", "127.0.0.1:0")
+    }
+
+    /// Sets a flag of the emulator.
+    pub(crate) fn with(mut self, flag: &str, value: impl ToString) -> Self {
+        self.args.push(format!("--{flag}={}", value.to_string()));
+        self
+    }
+
+    /// Sets the control addresses to announce to.
+    pub(crate) fn announce(self, to: &[SocketAddr]) -> Self {
+        let list: Vec<_> = to.iter().map(SocketAddr::to_string).collect();
+        self.with("announce", list.join(","))
+    }
+
+    /// Starts the emulator and waits until it listens.
+    pub(crate) fn start(self) -> Emulator {
+        let mut process = Process::start(&self.id, Command::new(program()).args(&self.args));
+        let line = process.lines(1).pop().unwrap_or_default();
+        let address = line.strip_prefix("ready ").and_then(|a| a.parse().ok());
+        Emulator {
+            id: self.id,
+            address: address.unwrap_or_else(|| panic!("the emulator printed {line:?}")),
+            process,
+        }
+    }
+}
+
+/// Cargo builds examples before it runs tests, beside the binary.
+fn program() -> PathBuf {
+    let binary = PathBuf::from(env!("CARGO_BIN_EXE_laburnumquay"));
+    let folder = binary.parent().expect("the binary lies in a folder");
+    folder.join("examples").join("emulator")
+}
+
+impl Emulator {
+    /// Asks for a fault, see examples/emulator/fault.rs.
+    pub(crate) fn fault(&self, fault: &Value) {
+        let uri = format!("http://{}/emulator/fault", self.address);
+        let reply = agent().post(uri).send(fault.to_string());
+        assert_eq!(reply.expect("ask for a fault").status(), 200);
+    }
+
+    /// What was executed so far.
+    pub(crate) fn executions(&self) -> Value {
+        let uri = format!("http://{}/emulator/executions", self.address);
+        let mut reply = agent().get(uri).call().expect("ask for the executions");
+        let text = reply
+            .body_mut()
+            .with_config()
+            .limit(u64::MAX)
+            .read_to_string();
+        serde_json::from_str(&text.expect("read the executions")).expect("executions are JSON")
+    }
+
+    /// One of the totals.
+    pub(crate) fn total(&self, name: &str) -> u64 {
+        self.executions()["totals"][name]
+            .as_u64()
+            .unwrap_or_else(|| panic!("no total {name}"))
+    }
+
+    /// Waits until a total has reached a value.
+    pub(crate) fn reach(&self, name: &str, value: u64) {
+        let what = format!("{name} = {value} at {}", self.id);
+        until(&what, || (self.total(name) >= value).then_some(()));
+    }
+
+    /// Attempts that began with this prompt.
+    pub(crate) fn attempts(&self, prompt: &str) -> u64 {
+        let hash = format!("{:016x}", super::model::Context::new(prompt).state());
+        let executions = self.executions();
+        let requests = executions["requests"]
+            .as_object()
+            .expect("a map of requests");
+        requests
+            .values()
+            .filter(|r| r["prompt"] == hash)
+            .filter_map(|r| r["attempts"].as_u64())
+            .sum()
+    }
+}
