--- /dev/null
+++ b/src/catalogue.rs
@@ -0,0 +1,13 @@
+//! The catalogue: what operators write and every instance acts on.
+
+mod change;
+mod entry;
+mod machine;
+mod view;
+
+pub use change::{Change, Expect, Operation, Outcome};
+pub use entry::{Class, Entry, EntryKey, Kind, Limits, Organisation, Pool, Route, Target};
+pub use machine::Past;
+pub(crate) use machine::{Book, CatalogueMachine, Feed, Shared};
+pub(crate) use view::digest;
+pub use view::{Catalogue, Listed, Record};
--- a/src/catalogue/entry.rs
+++ b/src/catalogue/entry.rs
@@ -1,4 +1,6 @@
-//! Catalogue entries: what operators write and every instance acts on.
+//! Catalogue entries.
+
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
@@ -97,3 +99,66 @@
     /// A route.
     Route(Route),
 }
+
+/// Kind of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// See [`Organisation`].
+    Organisation,
+    /// See [`Pool`].
+    Pool,
+    /// See [`Route`].
+    Route,
+}
+
+impl Kind {
+    /// Parses the form that [`fmt::Display`] writes.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        match text {
+            "organisation" => Some(Self::Organisation),
+            "pool" => Some(Self::Pool),
+            "route" => Some(Self::Route),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Organisation => "organisation",
+            Self::Pool => "pool",
+            Self::Route => "route",
+        })
+    }
+}
+
+/// Identifies an entry: names are unique within a kind.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct EntryKey {
+    /// Kind of the entry.
+    pub kind: Kind,
+    /// Name of the entry.
+    pub name: String,
+}
+
+impl fmt::Display for EntryKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind, self.name)
+    }
+}
+
+impl Entry {
+    /// Kind and name of this entry.
+    #[must_use]
+    pub fn key(&self) -> EntryKey {
+        let (kind, name) = match self {
+            Self::Organisation(o) => (Kind::Organisation, o.name.0.to_string()),
+            Self::Pool(p) => (Kind::Pool, p.name.clone()),
+            Self::Route(r) => (Kind::Route, r.name.clone()),
+        };
+        EntryKey { kind, name }
+    }
+}
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -20,9 +20,10 @@
 pub(crate) use lease::{ClaimLease, START};
 pub(crate) use machine::{Bounds, Claims};
 pub(crate) use message::{
-    Action, Answered, Claim, Command, Expire, Full, Granted, InProgress, Kept, MAX_KEPT, MAX_KEY,
-    Outcome, Release, Reply, Settle, Ticked, Token,
+    Action, Answered, Claim, Expire, Kept, MAX_KEPT, MAX_KEY, Outcome, Release, Reply, Settle,
+    Ticked, Token,
 };
+#[cfg(test)]
+pub(crate) use message::{Full, Granted, InProgress};
 pub(crate) use record::shard;
-pub(crate) use snapshot::Machine;
 pub(crate) use ticker::Ticker;
--- a/src/claim/machine.rs
+++ b/src/claim/machine.rs
@@ -79,11 +79,13 @@
     }
 
     /// Claims that are remembered.
+    #[cfg(test)]
     pub(crate) fn len(&self) -> usize {
         self.records.len()
     }
 
     /// Bytes in use, as counted against the bounds.
+    #[cfg(test)]
     pub(crate) fn bytes(&self) -> u64 {
         self.usage.values().sum()
     }
--- a/src/claim/snapshot.rs
+++ b/src/claim/snapshot.rs
@@ -6,16 +6,7 @@
 use crate::claim::message::{Command, Kept, Outcome, Reply, Token};
 use crate::claim::record::{Id, Record, State, head};
 use crate::id::OrganisationId;
-
-/// State that a replicated log drives.
-pub(crate) trait Machine: Send {
-    /// Applies the command at `index` of the log and gives the reply.
-    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8>;
-    /// The whole state.
-    fn snapshot(&self) -> Vec<u8>;
-    /// Replaces the state.
-    fn restore(&mut self, snapshot: &[u8]);
-}
+use crate::voter::Machine;
 
 #[derive(Clone, PartialEq, Message)]
 struct Saved {
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,343 @@
+//! The control address: operators, upstreams, the platform's probes, the
+//! state dump and the metrics. All answers are whole, so `astra` serves them.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use astra::{Body, Request, Response, ResponseBuilder, Server};
+use hyper::{Method, StatusCode, header};
+use metrics_exporter_prometheus::PrometheusHandle;
+use serde::Serialize;
+use tokio::runtime::Handle;
+
+use crate::catalogue::{Change, EntryKey, Kind, Outcome, digest};
+use crate::clock::Clock;
+use crate::dump::{self, Dump};
+use crate::event;
+use crate::follow::InForce;
+use crate::follower::Confirm;
+use crate::gate::Gate;
+use crate::gossip::Fleet;
+use crate::propose::{NotCommitted, Proposer};
+use crate::settings::Settings;
+use crate::upstream::{AnnounceOutcome, Announcement};
+
+/// Longest body, in bytes: a change of a whole catalogue.
+const MAX_BODY: u64 = 32 << 20;
+
+/// Longest body of an announcement, in bytes.
+const MAX_ANNOUNCEMENT: u64 = 16 << 10;
+
+/// Time for a change to be committed.
+const COMMIT: Duration = Duration::from_secs(8);
+
+/// Time for a read to be confirmed by a quorum.
+const CONFIRM: Duration = Duration::from_secs(3);
+
+/// Period of an upstream's announcements.
+const RENEW: Duration = Duration::from_secs(1);
+
+/// Pasts that one listing of the history holds at most.
+const MAX_HISTORY: usize = 1000;
+
+/// Threads for answers; operators and upstreams are few, their answers short.
+const WORKERS: usize = 16;
+
+/// What the control address needs of the instance.
+pub(crate) struct Control {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) runtime: Handle,
+    pub(crate) force: Arc<InForce>,
+    pub(crate) confirm: Confirm,
+    pub(crate) proposer: Arc<Proposer>,
+    pub(crate) fleet: Fleet,
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) metrics: PrometheusHandle,
+    pub(crate) dump: Arc<dyn Fn() -> Dump + Send + Sync>,
+}
+
+/// A failure with its HTTP status; the body names the remedy.
+struct Problem {
+    status: StatusCode,
+    code: &'static str,
+    message: String,
+}
+
+type Answer = Result<Response, Problem>;
+
+fn problem(status: StatusCode, code: &'static str, message: impl Into<String>) -> Problem {
+    Problem {
+        status,
+        code,
+        message: message.into(),
+    }
+}
+
+/// Serves `addr` for as long as the process lives; returns only on failure.
+pub(crate) fn serve(control: Arc<Control>, addr: SocketAddr) -> std::io::Result<()> {
+    Server::bind(addr)
+        .max_workers(WORKERS)
+        .http1_only()
+        .serve(move |request, _| control.answer(request))
+}
+
+impl Control {
+    fn answer(&self, mut request: Request) -> Response {
+        self.dispatch(&mut request).unwrap_or_else(|problem| {
+            let body = serde_json::json!({
+                "error": {"code": problem.code, "message": problem.message}
+            });
+            respond(problem.status, "application/json", body.to_string())
+        })
+    }
+
+    fn dispatch(&self, request: &mut Request) -> Answer {
+        let path = request.uri().path().to_owned();
+        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match (request.method().clone(), parts.as_slice()) {
+            (Method::GET, ["healthz"]) => Ok(text(StatusCode::OK, "ok\n")),
+            (Method::GET, ["readyz"]) => Ok(self.ready()),
+            (Method::GET, ["metrics"]) => Ok(text(StatusCode::OK, &self.metrics.render())),
+            (Method::POST, ["v1", "upstreams"]) => self.announce(request),
+            (method, ["v1", rest @ ..]) => {
+                self.authorise(request)?;
+                self.operate(request, &method, rest)
+            }
+            _ => Err(not_found()),
+        }
+    }
+
+    fn operate(&self, request: &mut Request, method: &Method, path: &[&str]) -> Answer {
+        match (method, path) {
+            (&Method::GET, ["state"]) => Ok(self.state(request)),
+            (&Method::GET, ["catalogue"]) => self.list(),
+            (&Method::GET, ["catalogue", "history"]) => self.history(),
+            (&Method::GET, ["catalogue", kind, name]) => self.get(kind, name),
+            (&Method::POST, ["catalogue", "changes"]) => self.change(request),
+            _ => Err(not_found()),
+        }
+    }
+
+    fn authorise(&self, request: &Request) -> Result<(), Problem> {
+        let known = bearer(request).is_some_and(|key| {
+            let given = digest(key);
+            bool::from(subtle::ConstantTimeEq::ct_eq(
+                given.as_bytes(),
+                self.settings.operator.as_bytes(),
+            ))
+        });
+        if known {
+            return Ok(());
+        }
+        Err(problem(
+            StatusCode::UNAUTHORIZED,
+            "operator_key",
+            "send the operators' key as Authorization: Bearer",
+        ))
+    }
+
+    fn ready(&self) -> Response {
+        let reason = self.gate.not_ready(&self.force, self.clock.now());
+        match reason {
+            None => text(StatusCode::OK, "ready\n"),
+            Some(reason) => text(StatusCode::SERVICE_UNAVAILABLE, reason),
+        }
+    }
+
+    fn state(&self, request: &Request) -> Response {
+        let dump = (self.dump)();
+        if request.uri().query() == Some("form=text") {
+            return text(StatusCode::OK, &dump::text(&dump));
+        }
+        json(StatusCode::OK, &dump)
+    }
+
+    /// Waits until the catalogue here holds all that was accepted before the
+    /// call, so that an operator's reads are linearizable.
+    fn confirm(&self) -> Result<(), Problem> {
+        if self.runtime.block_on(self.confirm.now(CONFIRM)) {
+            return Ok(());
+        }
+        Err(problem(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_quorum",
+            "no quorum of voters confirms the catalogue; ask another instance or see docs/OPERATIONS.md",
+        ))
+    }
+
+    fn list(&self) -> Answer {
+        self.confirm()?;
+        let listed = self.force.last().list();
+        let mut response = json(StatusCode::OK, &listed);
+        tag(&mut response, listed.revision);
+        Ok(response)
+    }
+
+    fn get(&self, kind: &str, name: &str) -> Answer {
+        let kind = Kind::parse(kind).ok_or_else(not_found)?;
+        self.confirm()?;
+        let key = EntryKey {
+            kind,
+            name: name.to_owned(),
+        };
+        let catalogue = self.force.last();
+        let record = catalogue.records.get(&key).ok_or_else(not_found)?;
+        let mut response = json(StatusCode::OK, record);
+        tag(&mut response, record.revision);
+        Ok(response)
+    }
+
+    fn history(&self) -> Answer {
+        self.confirm()?;
+        Ok(json(StatusCode::OK, &self.confirm.history(MAX_HISTORY)))
+    }
+
+    fn change(&self, request: &mut Request) -> Answer {
+        let body = read(request.body_mut(), MAX_BODY)?;
+        let change: Change = serde_json::from_slice(&body).map_err(|e| {
+            problem(
+                StatusCode::BAD_REQUEST,
+                "malformed",
+                format!("the change can't be read: {e}"),
+            )
+        })?;
+        // Written anew, a resend has the same bytes whatever its white space.
+        let command = serde_json::to_vec(&change).expect("a change always serialises");
+        let committed = self
+            .runtime
+            .block_on(self.proposer.propose(command.into(), COMMIT));
+        let outcome: Outcome = match committed {
+            Ok(reply) => serde_json::from_slice(&reply).expect("the machine wrote it"),
+            Err(NotCommitted::Refused) => {
+                return Err(problem(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "no_leader",
+                    "no voter leads; nothing was changed; try again in a few seconds",
+                ));
+            }
+            Err(NotCommitted::Unknown) => {
+                return Err(problem(
+                    StatusCode::GATEWAY_TIMEOUT,
+                    "outcome_unknown",
+                    "the change may have been accepted; resend it with the same change id",
+                ));
+            }
+        };
+        tracing::info!(event = event::CHANGE_DECIDED.id, id = %change.id, ?outcome, "change decided");
+        Ok(json(status(&outcome), &outcome))
+    }
+
+    fn announce(&self, request: &mut Request) -> Answer {
+        let Ok(catalogue) = self.force.get(self.clock.now()) else {
+            return Err(problem(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "catalogue_lease",
+                "this instance can't confirm its catalogue; announce to another one",
+            ));
+        };
+        let pool = bearer(request)
+            .and_then(|key| catalogue.pool(key))
+            .map(str::to_owned);
+        let body = read(request.body_mut(), MAX_ANNOUNCEMENT)?;
+        let parsed: Result<Announcement, _> = serde_json::from_slice(&body);
+        let announcement = parsed.map_err(|e| {
+            problem(
+                StatusCode::BAD_REQUEST,
+                "malformed",
+                format!("the announcement can't be read: {e}"),
+            )
+        })?;
+        if pool.as_deref() != Some(announcement.pool.as_str()) {
+            tracing::warn!(
+                event = event::ANNOUNCE_REFUSED.id,
+                upstream = %announcement.id,
+                "announcement refused: its credential isn't the pool's"
+            );
+            return Err(problem(
+                StatusCode::UNAUTHORIZED,
+                "pool_credential",
+                "send the credential of the announced pool as Authorization: Bearer",
+            ));
+        }
+        match self.fleet.announce(announcement) {
+            Ok(AnnounceOutcome::Accepted | AnnounceOutcome::Duplicate) => Ok(json(
+                StatusCode::OK,
+                &serde_json::json!({"renew": RENEW.as_millis()}),
+            )),
+            Ok(AnnounceOutcome::Superseded) => Err(problem(
+                StatusCode::CONFLICT,
+                "superseded",
+                "a later announcement of this upstream is known; start with a higher incarnation",
+            )),
+            Err(e) => Err(problem(StatusCode::BAD_REQUEST, "malformed", e.to_string())),
+        }
+    }
+}
+
+fn status(outcome: &Outcome) -> StatusCode {
+    match outcome {
+        Outcome::Accepted { .. } => StatusCode::OK,
+        Outcome::Conflict { .. } => StatusCode::PRECONDITION_FAILED,
+        Outcome::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        Outcome::Reused => StatusCode::CONFLICT,
+    }
+}
+
+fn not_found() -> Problem {
+    problem(
+        StatusCode::NOT_FOUND,
+        "not_found",
+        "nothing is here; see docs/CONFIGURATION.md for the paths",
+    )
+}
+
+fn bearer(request: &Request) -> Option<&str> {
+    let value = request.headers().get(header::AUTHORIZATION)?;
+    value.to_str().ok()?.strip_prefix("Bearer ")
+}
+
+fn read(body: &mut Body, most: u64) -> Result<Vec<u8>, Problem> {
+    let mut bytes = Vec::new();
+    let read = body.reader().take(most + 1).read_to_end(&mut bytes);
+    read.map_err(|_| {
+        problem(
+            StatusCode::BAD_REQUEST,
+            "cut",
+            "the body was cut; send it whole",
+        )
+    })?;
+    if bytes.len() as u64 > most {
+        return Err(problem(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "too_large",
+            format!("the body is longer than {most} bytes; split it"),
+        ));
+    }
+    Ok(bytes)
+}
+
+fn tag(response: &mut Response, revision: u64) {
+    let value = format!("\"{revision}\"");
+    let value = value.parse().expect("digits and quotes are a valid header");
+    response.headers_mut().insert(header::ETAG, value);
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> Response {
+    let body = serde_json::to_string(body).expect("answers hold only strings and numbers");
+    respond(status, "application/json", body)
+}
+
+fn text(status: StatusCode, body: &str) -> Response {
+    respond(status, "text/plain; charset=utf-8", body.to_owned())
+}
+
+fn respond(status: StatusCode, kind: &'static str, body: String) -> Response {
+    ResponseBuilder::new()
+        .status(status)
+        .header(header::CONTENT_TYPE, kind)
+        .body(Body::new(body))
+        .expect("the parts of the head are valid")
+}
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,66 @@
+//! Numbered log events. docs/EVENTS.md is their catalogue; a test keeps the
+//! two equal.
+
+/// A kind of log line, under a number that never changes its meaning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Event {
+    /// Number; the hundreds tell the part of the program.
+    pub(crate) id: u16,
+    /// Short name.
+    pub(crate) name: &'static str,
+}
+
+const fn event(id: u16, name: &'static str) -> Event {
+    Event { id, name }
+}
+
+/// The instance listens on all of its addresses.
+pub(crate) const STARTED: Event = event(101, "started");
+/// The instance takes no new work and waits for running answers.
+pub(crate) const DRAINING: Event = event(102, "draining");
+/// The instance has ended.
+pub(crate) const STOPPED: Event = event(103, "stopped");
+/// The drain limit ran out with answers still running.
+pub(crate) const DRAIN_LIMIT: Event = event(104, "drain_limit");
+/// A supervised part ended and is started again.
+pub(crate) const PART_RESTARTED: Event = event(105, "part_restarted");
+/// A supervised part failed for good; the instance ends.
+pub(crate) const PART_FAILED: Event = event(106, "part_failed");
+/// The catalogue lease is held; new work is taken.
+pub(crate) const LEASE_HELD: Event = event(201, "lease_held");
+/// The catalogue lease ran out; new work is refused.
+pub(crate) const LEASE_LOST: Event = event(202, "lease_lost");
+/// A newer catalogue revision is in force here.
+pub(crate) const CATALOGUE_APPLIED: Event = event(203, "catalogue_applied");
+/// An operator's change was decided.
+pub(crate) const CHANGE_DECIDED: Event = event(204, "change_decided");
+/// A connection from another instance was refused or broke its framing.
+pub(crate) const PEER_REFUSED: Event = event(301, "peer_refused");
+/// An upstream's announcement was refused.
+pub(crate) const ANNOUNCE_REFUSED: Event = event(302, "announce_refused");
+/// A request got a refusal.
+pub(crate) const REQUEST_REFUSED: Event = event(401, "request_refused");
+/// An attempt failed and the request goes on over another path.
+pub(crate) const REQUEST_RESUMED: Event = event(402, "request_resumed");
+/// A request ended without a whole answer.
+pub(crate) const REQUEST_FAILED: Event = event(403, "request_failed");
+
+/// Every event that the program logs.
+#[cfg(test)]
+pub(crate) const ALL: &[Event] = &[
+    STARTED,
+    DRAINING,
+    STOPPED,
+    DRAIN_LIMIT,
+    PART_RESTARTED,
+    PART_FAILED,
+    LEASE_HELD,
+    LEASE_LOST,
+    CATALOGUE_APPLIED,
+    CHANGE_DECIDED,
+    PEER_REFUSED,
+    ANNOUNCE_REFUSED,
+    REQUEST_REFUSED,
+    REQUEST_RESUMED,
+    REQUEST_FAILED,
+];
--- /dev/null
+++ b/src/follow.rs
@@ -0,0 +1,183 @@
+//! How an instance keeps its catalogue current and knows when it may not.
+//!
+//! Each instance, voter or not, asks a voter once a period for what it misses.
+//! A voter answers only after a quorum has confirmed its leader after the
+//! request arrived, so the reply holds everything accepted before the request
+//! was sent. From that moment the catalogue may be acted on for one lease.
+//! Both ends of the lease are read from this instance's own clock: the
+//! distance between the clocks of two machines plays no part.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+
+use crate::catalogue::{Book, Catalogue, Past};
+use crate::clock::Time;
+use crate::event;
+use crate::id::InstanceId;
+use crate::message::FeedReply;
+
+/// The catalogue under its lease, shared with the request path.
+pub(crate) struct InForce {
+    catalogue: ArcSwap<Catalogue>,
+    /// End of the lease on this instance's clock, in microseconds. Only grows.
+    until: AtomicU64,
+    /// Whether the last look found the lease held; only for the log.
+    held: AtomicBool,
+}
+
+/// The lease on the catalogue has run out: a change may have been accepted
+/// that this instance doesn't know of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LeaseLost;
+
+impl InForce {
+    /// No catalogue and no lease.
+    pub(crate) fn new() -> Self {
+        Self {
+            catalogue: ArcSwap::from_pointee(Catalogue::default()),
+            until: AtomicU64::new(0),
+            held: AtomicBool::new(false),
+        }
+    }
+
+    /// The catalogue, if it may be acted on at `now`.
+    pub(crate) fn get(&self, now: Time) -> Result<Arc<Catalogue>, LeaseLost> {
+        // Read in this order: a lease read after the catalogue could belong
+        // to a newer one than the catalogue that is returned.
+        let held = now.0 < self.until.load(Ordering::Acquire);
+        self.note(held);
+        if held {
+            return Ok(self.catalogue.load_full());
+        }
+        Err(LeaseLost)
+    }
+
+    /// The catalogue as last applied, whether or not it may be acted on.
+    pub(crate) fn last(&self) -> Arc<Catalogue> {
+        self.catalogue.load_full()
+    }
+
+    /// Time left on the lease.
+    pub(crate) fn left(&self, now: Time) -> Duration {
+        Time(self.until.load(Ordering::Acquire)).since(now)
+    }
+
+    fn publish(&self, catalogue: Catalogue) {
+        let revision = catalogue.revision;
+        tracing::info!(
+            event = event::CATALOGUE_APPLIED.id,
+            revision,
+            "catalogue in force"
+        );
+        self.catalogue.store(Arc::new(catalogue));
+    }
+
+    fn extend(&self, until: Time) {
+        self.until.fetch_max(until.0, Ordering::AcqRel);
+    }
+
+    fn note(&self, held: bool) {
+        if self.held.swap(held, Ordering::Relaxed) == held {
+            return;
+        }
+        if held {
+            tracing::info!(event = event::LEASE_HELD.id, "catalogue lease held");
+        } else {
+            tracing::warn!(
+                event = event::LEASE_LOST.id,
+                "catalogue lease lost: no voter confirms it; new work is refused"
+            );
+        }
+    }
+}
+
+/// Asks `voter` for everything behind index `have`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Ask {
+    /// Whom to ask.
+    pub voter: InstanceId,
+    /// Index of the last command applied here.
+    pub have: u64,
+    /// When the question is sent; the lease counts from here.
+    pub sent: Time,
+}
+
+/// Follows the catalogue: a state machine without I/O.
+pub(crate) struct Follower {
+    book: Book,
+    voters: Vec<InstanceId>,
+    /// Position in `voters` of the one asked next.
+    next: usize,
+    lease: Duration,
+    shared: Arc<InForce>,
+}
+
+impl Follower {
+    /// Starts with an empty catalogue. `voters` must not be empty; the first
+    /// is asked first, the others only after a failure.
+    pub(crate) fn new(voters: Vec<InstanceId>, lease: Duration, shared: Arc<InForce>) -> Self {
+        assert!(!voters.is_empty(), "the settings name at least one voter");
+        Self {
+            book: Book::default(),
+            voters,
+            next: 0,
+            lease,
+            shared,
+        }
+    }
+
+    /// The question to send at `now`.
+    pub(crate) fn ask(&self, now: Time) -> Ask {
+        Ask {
+            voter: self.voters[self.next],
+            have: self.book.index(),
+            sent: now,
+        }
+    }
+
+    /// Takes the answer to `ask`.
+    pub(crate) fn answered(&mut self, ask: Ask, feed: &FeedReply) {
+        let before = self.book.catalogue_revision();
+        if !feed.snapshot.is_empty() && !self.restore(&feed.snapshot) {
+            return self.failed(ask);
+        }
+        for command in &feed.commands {
+            // A late answer repeats what a later one has brought already.
+            // Applied again, it would count twice or revert a change.
+            if command.index > self.book.index() {
+                self.book.apply(command.index, &command.command);
+            }
+        }
+        if self.book.catalogue_revision() != before {
+            self.shared.publish(self.book.catalogue());
+        }
+        self.shared.extend(ask.sent + self.lease);
+    }
+
+    /// Takes note that `ask` got no answer: another voter is asked next.
+    pub(crate) fn failed(&mut self, ask: Ask) {
+        if self.voters[self.next] == ask.voter {
+            self.next = (self.next + 1) % self.voters.len();
+        }
+    }
+
+    /// Recent changes, newest last.
+    pub(crate) fn history(&self, most: usize) -> Vec<Past> {
+        self.book.history(most)
+    }
+
+    /// Whether the snapshot could be read. An older one than what stands here
+    /// is passed over: installed, it would revert accepted changes.
+    fn restore(&mut self, snapshot: &[u8]) -> bool {
+        let Some(book) = Book::from_snapshot(snapshot) else {
+            return false;
+        };
+        if book.index() > self.book.index() {
+            self.book = book;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/src/follower.rs
@@ -0,0 +1,90 @@
+//! Runs [`Follower`]: polls the voters for the catalogue.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::catalogue::Past;
+use crate::clock::Clock;
+use crate::follow::Follower;
+use crate::message::{Answer, Ask, Follow, Request};
+use crate::node::Node;
+
+/// Longest pause before another voter is asked after a failure.
+const RETRY: Duration = Duration::from_millis(50);
+
+/// Confirms the catalogue on demand and once a period.
+#[derive(Clone)]
+pub(crate) struct Confirm {
+    follower: Arc<Mutex<Follower>>,
+    node: Node,
+    clock: Arc<dyn Clock>,
+    /// Time for one voter to answer.
+    limit: Duration,
+}
+
+impl Confirm {
+    /// `limit` is the time that one voter has to answer.
+    pub(crate) fn new(
+        follower: Follower,
+        node: Node,
+        clock: Arc<dyn Clock>,
+        limit: Duration,
+    ) -> Self {
+        Self {
+            follower: Arc::new(Mutex::new(follower)),
+            node,
+            clock,
+            limit,
+        }
+    }
+
+    /// Recent changes, newest last.
+    pub(crate) fn history(&self, most: usize) -> Vec<Past> {
+        self.lock().history(most)
+    }
+
+    /// Confirms the catalogue within `limit`; false when no voter could.
+    pub(crate) async fn now(&self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        loop {
+            match timeout_at(end, self.once()).await {
+                Ok(true) => return true,
+                Ok(false) if Instant::now() + RETRY < end => sleep(RETRY).await,
+                _ => return false,
+            }
+        }
+    }
+
+    /// Polls for as long as the runtime lives.
+    pub(crate) async fn run(self, period: Duration) {
+        loop {
+            let confirmed = self.once().await;
+            sleep(if confirmed { period } else { RETRY.min(period) }).await;
+        }
+    }
+
+    async fn once(&self) -> bool {
+        let ask = self.lock().ask(self.clock.now());
+        let request = Request {
+            ask: Some(Ask::Follow(Follow { have: ask.have })),
+        };
+        let reply = self.node.call(ask.voter, request, self.limit).await;
+        let mut follower = self.lock();
+        match reply.map(|r| r.answer) {
+            Ok(Some(Answer::Feed(feed))) => {
+                follower.answered(ask, &feed);
+                true
+            }
+            _ => {
+                follower.failed(ask);
+                false
+            }
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Follower> {
+        self.follower.lock().expect("no holder panics")
+    }
+}
--- /dev/null
+++ b/src/instance.rs
@@ -0,0 +1,509 @@
+//! One instance: builds its parts, runs them, drains and ends.
+
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crossbeam::channel::{Receiver, Sender, bounded, select, tick};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::auth::FleetKey;
+use crate::catalogue::CatalogueMachine;
+use crate::claim::{Bounds, Claims, Reply, Ticker};
+use crate::clock::{Clock, SystemClock};
+use crate::control::{self, Control};
+use crate::dump::{CatalogueDump, Dump, RequestDump};
+use crate::error::{FailedSnafu, ListenSnafu, Result, StartSnafu};
+use crate::event;
+use crate::follow::{Follower, InForce};
+use crate::follower::Confirm;
+use crate::gate::Gate;
+use crate::gossip::{Fleet, FleetSettings};
+use crate::id::{Incarnation, InstanceId};
+use crate::log;
+use crate::message::{Answer, Ask, Request};
+use crate::node::{CATALOGUE_GROUP, CLAIM_GROUP, CLAIM_SHARDS, Node, Vote};
+use crate::peer::{self, Peers};
+use crate::propose::Proposer;
+use crate::serve::{self, Serving};
+use crate::settings::Settings;
+use crate::supervise::{Policy, Supervisor};
+use crate::voter::{Machine, Voter, VoterSettings};
+
+/// Period of looking whether the last request has ended while draining.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+
+/// Time for which a draining instance still answers new requests with a
+/// refusal: the platform's balancer takes a probe or two to notice.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Heartbeats in one election timeout.
+const HEARTBEATS: u32 = 4;
+
+/// Applied commands between two snapshots of a group.
+const COMPACT: u64 = 1000;
+
+/// Time between two probes of the failure detector.
+const GOSSIP: Duration = Duration::from_secs(1);
+
+/// Period of moving the claims' time on.
+const CLAIM_TICK: Duration = Duration::from_secs(1);
+
+/// Period of looking whether a question for shares is due.
+const SHARE_LOOK: Duration = Duration::from_millis(20);
+
+/// Time for the allocator to answer.
+const SHARE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Period of passing deadlines and refilling rates.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Ticks between two views that the router gets: 100 ms.
+const TICKS_A_VIEW: u32 = 5;
+
+/// Runs one instance until a signal, and lets running answers end.
+///
+/// # Errors
+///
+/// When a part can't start, or one failed that the instance can't do without.
+pub(crate) fn run(settings: Settings) -> Result<()> {
+    log::start(settings.json);
+    let parts = Parts::start(Arc::new(settings))?;
+    let result = parts.wait();
+    parts.stop();
+    tracing::info!(event = event::STOPPED.id, "stopped");
+    result
+}
+
+/// The running parts.
+struct Parts {
+    settings: Arc<Settings>,
+    supervisor: Supervisor,
+    signals: Receiver<()>,
+    gate: Arc<Gate>,
+    fleet: Fleet,
+    node: Node,
+    peer_runtime: Runtime,
+    caller_runtime: Runtime,
+}
+
+impl Parts {
+    fn start(settings: Arc<Settings>) -> Result<Self> {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let incarnation = incarnation();
+        let metrics = install_metrics()?;
+        let supervisor = Supervisor::new();
+        // Callers have a runtime of their own: however many there are, the
+        // heartbeats and leases of the control path find a free thread.
+        let peer_runtime = runtime("peers", 1)?;
+        let caller_runtime = runtime("callers", settings.workers)?;
+        let peer_listener = listen(settings.peer, "instances")?;
+        let caller_listener = listen(settings.caller, "callers")?;
+
+        let peers = Peers::new(settings.key.clone(), peer_runtime.handle().clone());
+        for (id, addr) in &settings.voters {
+            peers.learn(*id, *addr);
+        }
+        let vote = start_vote(&settings, &clock, &peers, &supervisor)?;
+        let node = Node::new(settings.instance, peers.clone(), vote);
+        let fleet = start_fleet(&settings, &clock, incarnation, &supervisor)?;
+
+        let force = Arc::new(InForce::new());
+        let voters = voters_from(&settings);
+        let follower = Follower::new(voters.clone(), settings.lease, Arc::clone(&force));
+        let confirm = Confirm::new(
+            follower,
+            node.clone(),
+            Arc::clone(&clock),
+            settings.lease / 4,
+        );
+        let proposer = |group| Arc::new(Proposer::new(node.clone(), group, voters.clone()));
+        let catalogue = proposer(CATALOGUE_GROUP);
+        let claims: Vec<_> = (CLAIM_GROUP..CLAIM_GROUP + CLAIM_SHARDS)
+            .map(proposer)
+            .collect();
+        let gate = Arc::new(Gate::default());
+        let serving = Serving::new(serve::Parts {
+            settings: Arc::clone(&settings),
+            clock: Arc::clone(&clock),
+            incarnation,
+            force: Arc::clone(&force),
+            gate: Arc::clone(&gate),
+            fleet: fleet.clone(),
+            claims: claims.clone(),
+        });
+
+        peer_runtime.spawn(run_peers(
+            peer_listener,
+            settings.key.clone(),
+            Arc::new(node.clone()),
+        ));
+        peer_runtime.spawn(confirm.clone().run(settings.poll));
+        peer_runtime.spawn(keep_shares(
+            node.clone(),
+            Arc::clone(&catalogue),
+            Arc::clone(&serving),
+        ));
+        for (group, register) in (CLAIM_GROUP..).zip(claims) {
+            let clock = Arc::clone(&clock);
+            peer_runtime.spawn(keep_claims(node.clone(), group, register, clock));
+        }
+        caller_runtime.spawn(Arc::clone(&serving).accept(caller_listener));
+        start_views(&supervisor, &serving, &fleet, &peers);
+        let control = Arc::new(Control {
+            settings: Arc::clone(&settings),
+            clock: Arc::clone(&clock),
+            runtime: peer_runtime.handle().clone(),
+            force: Arc::clone(&force),
+            confirm,
+            proposer: catalogue,
+            fleet: fleet.clone(),
+            gate: Arc::clone(&gate),
+            metrics,
+            dump: dumper(&settings, &node, (&serving, &force, &gate, &fleet), &clock),
+        });
+        start_control(&supervisor, &control, settings.control);
+        let signals = signals(&peer_runtime)?;
+        tracing::info!(
+            event = event::STARTED.id,
+            instance = settings.instance.0,
+            domain = settings.domain,
+            "started"
+        );
+        Ok(Self {
+            settings,
+            supervisor,
+            signals,
+            gate,
+            fleet,
+            node,
+            peer_runtime,
+            caller_runtime,
+        })
+    }
+
+    /// Waits for a signal and drains, or for a failure.
+    fn wait(&self) -> Result<()> {
+        select! {
+            recv(self.signals) -> _ => self.drain(),
+            recv(self.supervisor.failures()) -> part => {
+                let part = part.unwrap_or_default();
+                return FailedSnafu { part }.fail();
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes no new work and waits until the last answer is whole, the drain
+    /// limit has run out, or a second signal comes.
+    fn drain(&self) {
+        self.gate.close();
+        self.fleet.drain();
+        let running = self.gate.running();
+        tracing::info!(event = event::DRAINING.id, running, "draining");
+        let limit = crossbeam::channel::after(self.settings.drain);
+        let look = tick(DRAIN_LOOK);
+        let linger = crossbeam::channel::after(LINGER);
+        let mut lingered = false;
+        while !lingered || self.gate.running() > 0 {
+            select! {
+                recv(look) -> _ => {}
+                recv(linger) -> _ => lingered = true,
+                recv(self.signals) -> _ => break,
+                recv(limit) -> _ => break,
+            }
+        }
+        let running = self.gate.running();
+        if running > 0 {
+            tracing::warn!(event = event::DRAIN_LIMIT.id, running, "answers cut off");
+        }
+    }
+
+    fn stop(self) {
+        self.fleet.stop();
+        if let Some(vote) = self.node.vote() {
+            vote.voter.stop();
+        }
+        self.caller_runtime.shutdown_timeout(LINGER);
+        self.peer_runtime.shutdown_background();
+    }
+}
+
+/// Start of this process on the wall clock, in milliseconds: it grows with
+/// each start and needs no disk.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.map_or(0, |d| d.as_millis());
+    Incarnation(u64::try_from(millis).unwrap_or(u64::MAX))
+}
+
+fn install_metrics() -> Result<PrometheusHandle> {
+    PrometheusBuilder::new().install_recorder().map_err(|e| {
+        StartSnafu {
+            part: "metrics",
+            reason: e.to_string(),
+        }
+        .build()
+    })
+}
+
+fn runtime(name: &'static str, workers: usize) -> Result<Runtime> {
+    let built = Builder::new_multi_thread()
+        .worker_threads(workers)
+        .thread_name(name)
+        .enable_all()
+        .build();
+    built.map_err(|e| {
+        StartSnafu {
+            part: name,
+            reason: e.to_string(),
+        }
+        .build()
+    })
+}
+
+fn listen(addr: SocketAddr, role: &'static str) -> Result<StdListener> {
+    let listener = StdListener::bind(addr).context(ListenSnafu { addr, role })?;
+    listener
+        .set_nonblocking(true)
+        .context(ListenSnafu { addr, role })?;
+    Ok(listener)
+}
+
+/// The voters to ask, this instance first if it is one; else in an order that
+/// differs from instance to instance, so that the load spreads.
+fn voters_from(settings: &Settings) -> Vec<InstanceId> {
+    let mut voters: Vec<_> = settings.voters.keys().copied().collect();
+    let own = voters.iter().position(|id| *id == settings.instance);
+    let spread = usize::try_from(settings.instance.0).unwrap_or(0) % voters.len();
+    voters.rotate_left(own.unwrap_or(spread));
+    voters
+}
+
+fn start_vote(
+    settings: &Settings,
+    clock: &Arc<dyn Clock>,
+    peers: &Peers,
+    supervisor: &Supervisor,
+) -> Result<Option<Vote>> {
+    let Some(data) = settings.data.clone().filter(|_| settings.votes()) else {
+        return Ok(None);
+    };
+    let (machine, catalogue) = CatalogueMachine::new();
+    let voter_settings = VoterSettings {
+        instance: settings.instance,
+        folder: data,
+        founders: settings.voters.keys().copied().collect(),
+        election: settings.election,
+        heartbeat: settings.election / HEARTBEATS,
+        compact: COMPACT,
+        seed: rand::random(),
+    };
+    let peers = peers.clone();
+    let mut machines: Vec<Box<dyn Machine>> = vec![Box::new(machine)];
+    machines.extend(
+        (0..CLAIM_SHARDS).map(|_| -> Box<dyn Machine> { Box::new(Claims::new(Bounds::default())) }),
+    );
+    let spawned = Voter::spawn(
+        voter_settings,
+        machines,
+        Box::new(move |to, message| peers.send(to, message)),
+        Arc::clone(clock),
+    );
+    let (voter, thread) = spawned.map_err(|e| {
+        StartSnafu {
+            part: "voter",
+            reason: e.to_string(),
+        }
+        .build()
+    })?;
+    watch(supervisor, "voter", thread, |ended| {
+        if let Err(e) = ended {
+            panic!("the voter's store failed: {e}");
+        }
+    });
+    Ok(Some(Vote {
+        voter,
+        catalogue,
+        shares: Arc::default(),
+        clock: Arc::clone(clock),
+    }))
+}
+
+fn start_fleet(
+    settings: &Settings,
+    clock: &Arc<dyn Clock>,
+    incarnation: Incarnation,
+    supervisor: &Supervisor,
+) -> Result<Fleet> {
+    let seeds = settings.voters.values().copied();
+    let fleet_settings = FleetSettings {
+        id: settings.instance,
+        incarnation,
+        domain: settings.domain.clone(),
+        bind: settings.peer,
+        gossip: settings.peer,
+        peer: settings.peer,
+        control: settings.control,
+        voter: settings.votes(),
+        period: GOSSIP,
+        seeds: seeds.filter(|s| *s != settings.peer).collect(),
+        key: settings.key.clone(),
+        seed: rand::random(),
+    };
+    let (fleet, thread) = Fleet::spawn(fleet_settings, Arc::clone(clock)).map_err(|e| {
+        StartSnafu {
+            part: "fleet",
+            reason: e.to_string(),
+        }
+        .build()
+    })?;
+    watch(supervisor, "fleet", thread, drop);
+    Ok(fleet)
+}
+
+/// Hears of the panic of a thread that runs its own loop.
+fn watch<T: Send + 'static>(
+    supervisor: &Supervisor,
+    name: &'static str,
+    thread: thread::JoinHandle<T>,
+    check: fn(T),
+) {
+    let mut thread = Some(thread);
+    supervisor.start(name, Policy::Escalate, move || {
+        match thread.take().map(thread::JoinHandle::join) {
+            Some(Ok(ended)) => check(ended),
+            Some(Err(panic)) => std::panic::resume_unwind(panic),
+            None => {}
+        }
+    });
+}
+
+async fn run_peers(listener: StdListener, key: FleetKey, node: Arc<Node>) {
+    let listener = TcpListener::from_std(listener).expect("the listener doesn't block");
+    peer::serve(listener, key, node).await;
+}
+
+/// Asks for shares of the limits whenever a question is due.
+async fn keep_shares(node: Node, leader: Arc<Proposer>, serving: Arc<Serving>) {
+    loop {
+        tokio::time::sleep(SHARE_LOOK).await;
+        let Some(ask) = serving.ask() else { continue };
+        let request = Request {
+            ask: Some(Ask::Share(ask)),
+        };
+        let to = leader.target();
+        match node.call(to, request, SHARE_LIMIT).await.map(|r| r.answer) {
+            Ok(Some(Answer::Grant(grant))) => serving.grant(&grant),
+            Ok(Some(Answer::NotLeader(hint))) => leader.moved(to, hint),
+            _ => leader.moved(to, 0),
+        }
+    }
+}
+
+/// Moves the claims' time on while this instance leads their group.
+async fn keep_claims(node: Node, group: u32, claims: Arc<Proposer>, clock: Arc<dyn Clock>) {
+    let mut ticker = Ticker::new(CLAIM_TICK);
+    loop {
+        tokio::time::sleep(CLAIM_TICK).await;
+        let leads = node.vote().and_then(|v| v.leads(group)).is_some();
+        let action = ticker.poll(clock.now()).filter(|_| leads);
+        let Some(action) = action else { continue };
+        let reply = claims.propose(action.into_bytes().into(), CLAIM_TICK).await;
+        if let Some(Reply::Ticked(ticked)) = reply.ok().and_then(|r| Reply::from_bytes(&r)) {
+            ticker.heard(clock.now(), ticked);
+        }
+    }
+}
+
+fn start_control(supervisor: &Supervisor, control: &Arc<Control>, addr: SocketAddr) {
+    let control = Arc::clone(control);
+    supervisor.start("control", Policy::Restart, move || {
+        if let Err(e) = control::serve(Arc::clone(&control), addr) {
+            panic!("can't listen on {addr} for operators and upstreams: {e}");
+        }
+    });
+}
+
+/// Hands what the fleet knows to routing and to the connections.
+fn start_views(supervisor: &Supervisor, serving: &Arc<Serving>, fleet: &Fleet, peers: &Peers) {
+    let serving = Arc::clone(serving);
+    let fleet = fleet.clone();
+    let peers = peers.clone();
+    supervisor.start("views", Policy::Restart, move || {
+        let mut ticks: u32 = 0;
+        for _ in tick(TICK) {
+            ticks = ticks.wrapping_add(1);
+            serving.tick();
+            if ticks.is_multiple_of(TICKS_A_VIEW) {
+                serving.refresh(&fleet.upstreams());
+                for member in &fleet.members().members {
+                    peers.learn(member.id, member.peer);
+                }
+            }
+        }
+    });
+}
+
+/// Makes the state dump on request.
+fn dumper(
+    settings: &Arc<Settings>,
+    node: &Node,
+    parts: (&Arc<Serving>, &Arc<InForce>, &Arc<Gate>, &Fleet),
+    clock: &Arc<dyn Clock>,
+) -> Arc<dyn Fn() -> Dump + Send + Sync> {
+    let settings = Arc::clone(settings);
+    let node = node.clone();
+    let (serving, force, gate, fleet) = parts;
+    let (serving, force) = (Arc::clone(serving), Arc::clone(force));
+    let (gate, fleet) = (Arc::clone(gate), fleet.clone());
+    let clock = Arc::clone(clock);
+    Arc::new(move || {
+        let catalogue = force.last();
+        Dump {
+            instance: settings.instance.0,
+            domain: settings.domain.clone(),
+            release: env!("CARGO_PKG_VERSION"),
+            catalogue: CatalogueDump {
+                revision: catalogue.revision,
+                entries: catalogue.records.len(),
+                lease_left: force.left(clock.now()).as_millis(),
+            },
+            requests: RequestDump {
+                running: gate.running(),
+                queued: serving.queued(),
+                draining: gate.closed(),
+            },
+            groups: node.vote().map(|v| v.voter.status()).unwrap_or_default(),
+            fleet: fleet.dump(),
+            bounds: serving.bounds().into_iter().collect(),
+        }
+    })
+}
+
+fn signals(runtime: &Runtime) -> Result<Receiver<()>> {
+    let (sender, receiver) = bounded(2);
+    let _guard = runtime.enter();
+    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+        let stream = signal(kind).map_err(|e| {
+            StartSnafu {
+                part: "signal handler",
+                reason: e.to_string(),
+            }
+            .build()
+        })?;
+        runtime.spawn(forward(stream, sender.clone()));
+    }
+    Ok(receiver)
+}
+
+async fn forward(mut stream: tokio::signal::unix::Signal, sender: Sender<()>) {
+    while stream.recv().await.is_some() {
+        let _ = sender.try_send(());
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,59 +4,82 @@
 //! State machines do no I/O: an event and a time go in, typed effects come
 //! out. Thin threads run them, so that a randomised run replays from its seed.
 
+mod allocate;
 mod auth;
-#[allow(dead_code)]
 mod budget;
 mod catalogue;
-#[allow(dead_code, unused_imports)]
 mod claim;
+mod cli;
+mod client;
 mod clock;
 mod collections;
+mod control;
 mod disk;
-#[allow(dead_code)]
+mod dispatch;
+mod dump;
+mod engine;
+mod error;
+mod event;
 mod flow;
-#[allow(dead_code)]
+mod follow;
+mod follower;
+mod frame;
+mod gate;
 mod gossip;
 mod id;
-#[allow(dead_code)]
+mod instance;
 mod limit;
-#[allow(dead_code)]
+mod log;
 mod membership;
-#[allow(dead_code)]
+mod message;
+mod node;
+mod openai;
+mod peer;
+mod program;
+mod propose;
 mod queue;
 mod replica;
-#[allow(dead_code, unused_imports)]
 mod request;
-#[allow(dead_code)]
 mod route;
+mod serve;
+mod settings;
 mod store;
-#[allow(dead_code)]
+mod supervise;
 mod upstream;
 mod voter;
 
 pub use auth::FleetKey;
-pub use catalogue::{Class, Entry, Limits, Organisation, Pool, Route, Target};
+pub use catalogue::{
+    Catalogue, Change as CatalogueChange, Class, Entry, EntryKey, Expect, Kind, Limits, Listed,
+    Operation, Organisation, Outcome as ChangeOutcome, Past, Pool, Record, Route, Target,
+};
+pub use cli::command;
 pub use clock::{Clock, SystemClock, Time};
 pub use collections::{HashMap, HashSet};
+pub use error::{EXIT_OK, Error, Result};
 pub use gossip::{Fleet, FleetDump, FleetError, FleetSettings, TrafficCounts};
 pub use id::{Incarnation, InstanceId, OrganisationId, Revision, UpstreamId};
-pub use replica::{Change, Member, Message, Peer, Role};
-pub use store::StoreError;
-pub use voter::{
-    ChangeError, GroupStatus, Machine, Peers, ProposeError, ReadError, Voter, VoterSettings,
-pub use membership::{Member, MemberDump, MemberState, MemberView};
-pub use upstream::{
-    AnnounceError, AnnounceOutcome, Announcement, Engine, Load, RegistryCounts, Serves, Service,
-    Upstream, UpstreamDump, UpstreamState, UpstreamView,
 pub use limit::{
     Allocator, Amounts, Ask, Demand, Denial, DenialReason, Grant, Holder, LEASE, PERIOD, Permit,
     Share, URGENT,
 };
+pub use membership::{Member, MemberDump, MemberState, MemberView};
+pub use program::run;
 pub use queue::{Discipline, Item, Queue, Refusal, RefusalReason};
+pub use replica::{Change, Member as GroupMember, Message, Peer, Role};
 pub use route::{
     Candidate, Choice, FlowShares, GreedyCheapest, Hop, LeastInFlight, NoPath, NoPathReason,
     Outcome, Policy, Query, RoundRobin, Router, Site, Stage, Ticket,
 };
+pub use settings::Settings;
+pub use store::StoreError;
+pub use upstream::{
+    AnnounceError, AnnounceOutcome, Announcement, Engine, Load, RegistryCounts, Serves, Service,
+    Upstream, UpstreamDump, UpstreamState, UpstreamView,
+};
+pub use voter::{
+    ChangeError, GroupStatus, Machine, Peers, ProposeError, ReadError, Voter, VoterSettings,
+};
 
 #[cfg(test)]
 mod tests;
--- a/src/limit/holder.rs
+++ b/src/limit/holder.rs
@@ -140,19 +140,39 @@
     /// [`Denial`] with the limit met. With [`DenialReason::NoShare`] a question
     /// is due at once, and the request may wait for its answer.
     pub fn admit(&mut self, now: Time, route: &str, tokens: u32) -> Result<Permit, Denial> {
-        self.collect();
-        let valid = now < self.until;
-        let until = self.until;
+        self.wish(now, route, tokens);
+        let admitted = self.readmit(now, route, tokens);
+        if admitted.is_err() {
+            let local = entry(&mut self.routes, route);
+            local.seen.denied += 1;
+            self.urgent |= local.first_denial(now);
+        }
+        admitted
+    }
+
+    /// Counts a request as wanted.
+    fn wish(&mut self, now: Time, route: &str, tokens: u32) {
         let local = entry(&mut self.routes, route);
         local.seen.requests += 1;
         local.seen.tokens += u64::from(tokens);
         local.used = now;
+    }
+
+    /// Tries again to admit a request that was denied and waits. It counts as
+    /// wanted only once, however often it is tried.
+    ///
+    /// # Errors
+    /// [`Denial`] with the limit met.
+    pub fn readmit(&mut self, now: Time, route: &str, tokens: u32) -> Result<Permit, Denial> {
+        self.collect();
+        let valid = now < self.until;
+        let until = self.until;
+        let local = entry(&mut self.routes, route);
         local.refill(now.min(until));
         if let Some(denial) = local.denial(valid, tokens) {
-            local.seen.denied += 1;
-            self.urgent |= local.first_denial(now);
             return Err(denial);
         }
+        local.used = now;
         local.requests.take(1.0);
         local.tokens.take(f64::from(tokens));
         local.running += 1;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,13 @@
 //! The `laburnumquay` program: a thin shell over the library.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match laburnumquay::run(std::env::args_os(), &mut std::io::stdout()) {
+        Ok(()) => ExitCode::from(laburnumquay::EXIT_OK),
+        Err(e) => {
+            eprintln!("laburnumquay: {e}");
+            ExitCode::from(e.exit_code())
+        }
+    }
+}
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -63,6 +63,13 @@
         found.ok().map(|i| &self.members[i])
     }
 
+    /// Whether that start of the instance is alive or only suspect.
+    #[must_use]
+    pub fn alive(&self, id: InstanceId, incarnation: Incarnation) -> bool {
+        self.get(id)
+            .is_some_and(|m| m.incarnation == incarnation && m.state < MemberState::Dead)
+    }
+
     /// Instances that are alive or only suspect.
     pub fn present(&self) -> impl Iterator<Item = &Arc<Member>> {
         self.members.iter().filter(|m| m.state < MemberState::Dead)
--- /dev/null
+++ b/src/message.rs
@@ -0,0 +1,128 @@
+//! Messages between instances, apart from gossip.
+
+use prost::{Message, Oneof};
+
+use crate::{limit, replica};
+
+/// One frame on a connection between instances.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Frame {
+    /// Number of the call on this connection; 0 when no answer is awaited.
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    /// What the frame carries.
+    #[prost(oneof = "Payload", tags = "2, 3, 4")]
+    pub payload: Option<Payload>,
+}
+
+/// What a frame carries.
+#[derive(Clone, PartialEq, Oneof)]
+pub(crate) enum Payload {
+    /// A message of the replicated log.
+    #[prost(message, tag = "2")]
+    Replica(replica::Message),
+    /// A request that awaits a reply.
+    #[prost(message, tag = "3")]
+    Request(Request),
+    /// The reply to a request.
+    #[prost(message, tag = "4")]
+    Reply(Reply),
+}
+
+/// A request from one instance to another.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Request {
+    /// What is asked.
+    #[prost(oneof = "Ask", tags = "1, 2, 3")]
+    pub ask: Option<Ask>,
+}
+
+/// What is asked.
+#[derive(Clone, PartialEq, Oneof)]
+pub(crate) enum Ask {
+    /// For the catalogue.
+    #[prost(message, tag = "1")]
+    Follow(Follow),
+    /// For a command to be committed.
+    #[prost(message, tag = "2")]
+    Propose(Propose),
+    /// For shares of the limits.
+    #[prost(message, tag = "3")]
+    Share(limit::Ask),
+}
+
+/// Asks a voter for what the sender misses of the catalogue, confirmed after
+/// the request arrived.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Follow {
+    /// Index of the last command that the sender has applied.
+    #[prost(uint64, tag = "1")]
+    pub have: u64,
+}
+
+/// Asks a voter to commit a command.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Propose {
+    /// Group of the replicated log.
+    #[prost(uint32, tag = "1")]
+    pub group: u32,
+    /// The command.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub command: bytes::Bytes,
+}
+
+/// The reply to a [`Request`].
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Reply {
+    /// What is answered.
+    #[prost(oneof = "Answer", tags = "1, 2, 3, 4, 5, 6")]
+    pub answer: Option<Answer>,
+}
+
+/// What is answered.
+#[derive(Clone, PartialEq, Oneof)]
+pub(crate) enum Answer {
+    /// What the follower misses.
+    #[prost(message, tag = "1")]
+    Feed(FeedReply),
+    /// The reply of the state machine to the committed command.
+    #[prost(bytes = "bytes", tag = "2")]
+    Committed(bytes::Bytes),
+    /// Another instance leads; its number, or 0 when unknown.
+    #[prost(uint64, tag = "3")]
+    NotLeader(u64),
+    /// Whether the command is or will be committed isn't known.
+    #[prost(bool, tag = "4")]
+    Unknown(bool),
+    /// The asked instance has no vote or no leader to ask.
+    #[prost(bool, tag = "5")]
+    Unavailable(bool),
+    /// Shares of the limits.
+    #[prost(message, tag = "6")]
+    Grant(limit::Grant),
+}
+
+/// What a follower misses of the catalogue.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct FeedReply {
+    /// Everything committed before the request arrived is contained.
+    #[prost(message, repeated, tag = "1")]
+    pub commands: Vec<Command>,
+    /// The whole state, instead of commands. Empty when commands suffice.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub snapshot: bytes::Bytes,
+    /// The leader of the catalogue's group as the voter knows it, or 0.
+    #[prost(uint64, tag = "3")]
+    pub leader: u64,
+}
+
+/// A committed command.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Command {
+    /// Its index in the log.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// Its bytes.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub command: bytes::Bytes,
+}
--- /dev/null
+++ b/src/propose.rs
@@ -0,0 +1,114 @@
+//! How any instance gets a command committed: it finds the leader and asks.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::id::InstanceId;
+use crate::message::{Answer, Ask, Propose, Request};
+use crate::node::Node;
+
+/// Time for one answer. A committed command takes two syncs and a round trip.
+const ONE_TRY: Duration = Duration::from_secs(2);
+
+/// Pause before the next try.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a command has no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotCommitted {
+    /// No voter took the command: it is not and will not be committed.
+    Refused,
+    /// At least one voter may have taken it.
+    Unknown,
+}
+
+/// Proposes commands to the leader of one group.
+pub(crate) struct Proposer {
+    node: Node,
+    group: u32,
+    voters: Vec<InstanceId>,
+    /// The leader as last heard of; 0 when unknown. Only a hint.
+    leader: AtomicU64,
+}
+
+impl Proposer {
+    /// Proposes to `group`, which `voters` replicate. Never empty.
+    pub(crate) fn new(node: Node, group: u32, voters: Vec<InstanceId>) -> Self {
+        Self {
+            node,
+            group,
+            voters,
+            leader: AtomicU64::new(0),
+        }
+    }
+
+    /// The leader as last heard of.
+    pub(crate) fn leader(&self) -> Option<InstanceId> {
+        let hint = self.leader.load(Ordering::Relaxed);
+        (hint != 0).then_some(InstanceId(hint))
+    }
+
+    /// Whom to ask for what only the leader does.
+    pub(crate) fn target(&self) -> InstanceId {
+        self.leader().unwrap_or(self.voters[0])
+    }
+
+    /// Learns that `asked` doesn't lead, and who may; 0 when unknown.
+    pub(crate) fn moved(&self, asked: InstanceId, hint: u64) {
+        let hint = if hint == asked.0 { 0 } else { hint };
+        self.leader.store(hint, Ordering::Relaxed);
+    }
+
+    /// Gets `command` committed within `limit` and returns the reply of the
+    /// state machine.
+    ///
+    /// The command may be proposed more than once when an answer is lost, so
+    /// the state machine has to know a repetition by an id of its own.
+    pub(crate) async fn propose(
+        &self,
+        command: Bytes,
+        limit: Duration,
+    ) -> Result<Bytes, NotCommitted> {
+        let end = Instant::now() + limit;
+        let mut failure = NotCommitted::Refused;
+        let mut turn = 0;
+        loop {
+            let voter = self
+                .leader()
+                .unwrap_or(self.voters[turn % self.voters.len()]);
+            let request = Request {
+                ask: Some(Ask::Propose(Propose {
+                    group: self.group,
+                    command: command.clone(),
+                })),
+            };
+            let answer = timeout_at(end, self.node.call(voter, request, ONE_TRY)).await;
+            match answer.map(|reply| reply.map(|r| r.answer)) {
+                Ok(Ok(Some(Answer::Committed(reply)))) => {
+                    self.leader.store(voter.0, Ordering::Relaxed);
+                    return Ok(reply);
+                }
+                Ok(Ok(Some(Answer::NotLeader(hint)))) => {
+                    let hint = if hint == voter.0 { 0 } else { hint };
+                    self.leader.store(hint, Ordering::Relaxed);
+                }
+                Ok(Ok(Some(Answer::Unavailable(_)))) => self.leader.store(0, Ordering::Relaxed),
+                _ => {
+                    // The voter may have taken the command before it fell
+                    // silent. Told "refused", a caller would believe that
+                    // nothing happened.
+                    failure = NotCommitted::Unknown;
+                    self.leader.store(0, Ordering::Relaxed);
+                }
+            }
+            if Instant::now() + PAUSE >= end {
+                return Err(failure);
+            }
+            turn += 1;
+            sleep(PAUSE).await;
+        }
+    }
+}
--- a/src/replica/member.rs
+++ b/src/replica/member.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeSet;
 
+use serde::Serialize;
+
 /// One data folder of one instance: what votes and acknowledges.
 ///
 /// A wiped folder gets another store id, and so is another peer.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Message)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, prost::Message)]
 pub struct Peer {
     /// Number of the instance.
     #[prost(uint64, tag = "1")]
@@ -28,7 +30,7 @@
 }
 
 /// One member of a group.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+#[derive(Clone, Copy, PartialEq, Eq, Serialize, prost::Message)]
 pub struct Member {
     /// Number of the instance.
     #[prost(uint64, tag = "1")]
--- a/src/request.rs
+++ b/src/request.rs
@@ -14,4 +14,4 @@
 pub(crate) use attempt::{Frame, Hop, covers};
 pub(crate) use generation::{Bounds, Cause, Effect, Event, Generation, Report, Unopened};
 pub(crate) use id::RequestId;
-pub(crate) use life::{Admitted, Answering, Claimed, Dispatched, Life, Received, Unrun};
+pub(crate) use life::{Admitted, Claimed, Life, Received};
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use crate::claim::Kept;
+use crate::request::life::DEFAULT_PAUSE;
 
 /// Whether the request was run, as far as this instance knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -53,11 +54,18 @@
     KeyMismatch,
     /// The instance shuts down.
     Draining,
+    /// Nothing is served under the path.
+    UnknownPath,
+    /// The request wasn't sent in time.
+    TooSlow,
+    /// The instance can't confirm its catalogue.
+    CatalogueLease,
 }
 
 impl RefusalCode {
     /// Every code, for the documentation's test.
-    pub(crate) const ALL: [Self; 16] = [
+    #[cfg(test)]
+    pub(crate) const ALL: [Self; 19] = [
         Self::Unauthenticated,
         Self::InvalidRequest,
         Self::UnknownRoute,
@@ -74,6 +82,9 @@
         Self::ClaimLapsed,
         Self::KeyMismatch,
         Self::Draining,
+        Self::UnknownPath,
+        Self::TooSlow,
+        Self::CatalogueLease,
     ];
 
     /// Stable name of the code.
@@ -95,6 +106,9 @@
             Self::ClaimLapsed => "claim_lapsed",
             Self::KeyMismatch => "key_mismatch",
             Self::Draining => "draining",
+            Self::UnknownPath => "unknown_path",
+            Self::TooSlow => "too_slow",
+            Self::CatalogueLease => "catalogue_lease",
         }
     }
 
@@ -103,7 +117,8 @@
         match self {
             Self::Unauthenticated => 401,
             Self::InvalidRequest => 400,
-            Self::UnknownRoute => 404,
+            Self::UnknownRoute | Self::UnknownPath => 404,
+            Self::TooSlow => 408,
             Self::TooLarge => 413,
             Self::LimitReached | Self::QueueFull => 429,
             Self::CallerLeft => 499,
@@ -115,7 +130,8 @@
             | Self::ClaimUnavailable
             | Self::ClaimsFull
             | Self::ClaimLapsed
-            | Self::Draining => 503,
+            | Self::Draining
+            | Self::CatalogueLease => 503,
         }
     }
 
@@ -140,6 +156,11 @@
             Self::ClaimLapsed => "the claim came too late: send again with the same key",
             Self::KeyMismatch => "the key was used for another request: choose a new key",
             Self::Draining => "the instance shuts down: send again, to another instance",
+            Self::UnknownPath => "nothing is served here: see docs/REQUESTS.md for the paths",
+            Self::TooSlow => "the request wasn't sent in time: send it faster, or in parts",
+            Self::CatalogueLease => {
+                "the instance can't confirm its catalogue: send again, to another instance"
+            }
         }
     }
 
@@ -152,6 +173,7 @@
                 | Self::UnknownRoute
                 | Self::TooLarge
                 | Self::KeyMismatch
+                | Self::UnknownPath
         )
     }
 }
@@ -175,6 +197,7 @@
 
 impl FailureCode {
     /// Every code, for the documentation's test.
+    #[cfg(test)]
     pub(crate) const ALL: [Self; 6] = [
         Self::OutcomeUnknown,
         Self::InProgress,
@@ -246,6 +269,7 @@
     }
 
     /// The reason.
+    #[cfg(test)]
     pub(crate) fn code(&self) -> RefusalCode {
         self.code
     }
@@ -265,6 +289,7 @@
     }
 
     /// The reason.
+    #[cfg(test)]
     pub(crate) fn code(&self) -> FailureCode {
         self.code
     }
@@ -287,6 +312,16 @@
 }
 
 impl Answer {
+    /// A refusal before the request was attributed to an organisation.
+    ///
+    /// Of a keyed request an earlier sending may have run, and the claims
+    /// weren't asked; so "not run" is said only of one without a key.
+    pub(crate) fn unread(code: RefusalCode, keyed: bool, retry: Option<Duration>) -> Self {
+        let ran = if keyed { Ran::Unknown } else { Ran::No };
+        let retry = retry.or_else(|| code.again().then_some(DEFAULT_PAUSE));
+        Self::Refused(Refusal::new(code, ran, retry))
+    }
+
     /// Stable name of the result.
     pub(crate) fn code(&self) -> &'static str {
         match self {
--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -47,6 +47,8 @@
     NoPath,
     /// The retry budget is used up.
     Budget,
+    /// No path was free in time.
+    Deadline,
 }
 
 /// What the driver tells a [`Generation`].
@@ -355,6 +357,7 @@
         let code = match reason {
             Unopened::NoPath => RefusalCode::NoUpstream,
             Unopened::Budget => RefusalCode::RetryBudget,
+            Unopened::Deadline => RefusalCode::QueueTimeout,
         };
         self.end(code, pause, out);
     }
--- a/src/route.rs
+++ b/src/route.rs
@@ -150,6 +150,11 @@
                     self.engines.failed(now, engine);
                 }
             }
+            Outcome::Unclear => {
+                for &engine in &engines {
+                    self.engines.failed(now, engine);
+                }
+            }
             Outcome::Busy { stage } => {
                 if let Some(&engine) = engines.get(stage) {
                     self.engines.refused(now, engine);
--- a/src/route/types.rs
+++ b/src/route/types.rs
@@ -142,6 +142,8 @@
         /// Index of the hop to blame.
         stage: usize,
     },
+    /// The stream was cut, and any of the engines may be the cause.
+    Unclear,
     /// An engine refused before it ran anything.
     Busy {
         /// Index of the hop that refused.
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,220 @@
+//! The callers' address: completions over pipelines, calls to plain services,
+//! and the probes of the platform's balancer.
+
+mod admit;
+mod body;
+mod claims;
+mod complete;
+mod generate;
+mod head;
+mod listen;
+mod respond;
+mod service;
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use tokio::sync::oneshot;
+
+use crate::budget::Budget;
+use crate::clock::{Clock, Time};
+use crate::dispatch::{Dispatcher, Effect, Told, service_model};
+use crate::follow::InForce;
+use crate::gate::Gate;
+use crate::gossip::Fleet;
+use crate::id::{Incarnation, InstanceId};
+use crate::limit::{Ask, Grant, Permit};
+use crate::propose::Proposer;
+use crate::request::RequestId;
+use crate::route::Stage;
+use crate::settings::Settings;
+use crate::upstream::{Serves, Upstream, UpstreamView};
+
+/// Tokens a second that one slot of a plain service counts as.
+const SERVICE_RATE: u32 = 100;
+
+/// Link of a plain service in Mbit/s; its calls are small.
+const SERVICE_LINK: u32 = 1000;
+
+/// Who waits for the dispatcher.
+type Waiter = oneshot::Sender<Told>;
+
+/// What serving needs of the instance.
+pub(crate) struct Parts {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) force: Arc<InForce>,
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) fleet: Fleet,
+    /// Registers of claims, by shard.
+    pub(crate) claims: Vec<Arc<Proposer>>,
+}
+
+/// Serves callers.
+pub(crate) struct Serving {
+    parts: Parts,
+    dispatcher: Mutex<Dispatcher<Waiter>>,
+    budget: Mutex<Budget>,
+    /// Number of the next request. Never used twice in an incarnation.
+    sequence: AtomicU64,
+}
+
+impl Serving {
+    pub(crate) fn new(parts: Parts) -> Arc<Self> {
+        let dispatcher =
+            Dispatcher::new(parts.settings.instance, parts.incarnation, rand::random());
+        let budget = Budget::new(parts.clock.now());
+        Arc::new(Self {
+            parts,
+            dispatcher: Mutex::new(dispatcher),
+            budget: Mutex::new(budget),
+            sequence: AtomicU64::new(1),
+        })
+    }
+
+    fn now(&self) -> Time {
+        self.parts.clock.now()
+    }
+
+    fn next_id(&self) -> RequestId {
+        RequestId {
+            instance: self.parts.settings.instance,
+            incarnation: self.parts.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
+    fn budget(&self) -> MutexGuard<'_, Budget> {
+        self.budget.lock().expect("no holder panics")
+    }
+
+    /// Steps the dispatcher and tells its waiters.
+    fn dispatch(&self, step: impl FnOnce(&mut Dispatcher<Waiter>, Time, &mut Vec<Effect<Waiter>>)) {
+        let mut out = Vec::new();
+        let now = self.now();
+        step(
+            &mut self.dispatcher.lock().expect("no holder panics"),
+            now,
+            &mut out,
+        );
+        for (waiter, told) in out {
+            // A waiter that left drops what it was told, and with it the
+            // permit or ticket, which gives itself back.
+            let _ = waiter.send(told);
+        }
+    }
+
+    /// Hands the upstreams that are alive to routing.
+    pub(crate) fn refresh(&self, view: &UpstreamView) {
+        let now = self.now();
+        let stages: Vec<Stage> = view.upstreams.iter().map(|u| stage(u, now)).collect();
+        self.dispatch(|dispatcher, now, out| dispatcher.set_view(now, &stages, out));
+    }
+
+    /// Takes note of the time.
+    pub(crate) fn tick(&self) {
+        self.dispatch(|dispatcher, now, out| dispatcher.tick(now, out));
+    }
+
+    /// The question for shares, if one is due.
+    pub(crate) fn ask(&self) -> Option<Ask> {
+        let now = self.now();
+        let mut dispatcher = self.dispatcher.lock().expect("no holder panics");
+        (dispatcher.due() <= now).then(|| dispatcher.ask(now))
+    }
+
+    /// Takes the answer to a question for shares.
+    pub(crate) fn grant(&self, grant: &Grant) {
+        self.dispatch(|dispatcher, now, out| dispatcher.grant(now, grant, out));
+    }
+
+    /// Requests that wait.
+    pub(crate) fn queued(&self) -> usize {
+        let dispatcher = self.dispatcher.lock().expect("no holder panics");
+        dispatcher.queued()
+    }
+
+    /// Tokens a second that the hardware allows for each route's model.
+    pub(crate) fn bounds(&self) -> Vec<(String, f64)> {
+        let catalogue = self.parts.force.last();
+        let now = self.now();
+        let mut dispatcher = self.dispatcher.lock().expect("no holder panics");
+        catalogue
+            .routes()
+            .filter_map(|route| match &route.target {
+                crate::catalogue::Target::Model(model) => {
+                    let bound = dispatcher.bound(now, model, &route.pools);
+                    Some((route.name.clone(), bound))
+                }
+                crate::catalogue::Target::Service(_) => None,
+            })
+            .collect()
+    }
+
+    /// Whether the start of an instance that holds a claim is believed to run.
+    fn alive(&self, instance: InstanceId, incarnation: Incarnation) -> bool {
+        if instance == self.parts.settings.instance {
+            return incarnation == self.parts.incarnation;
+        }
+        self.parts.fleet.members().alive(instance, incarnation)
+    }
+}
+
+/// An upstream as routing sees it.
+fn stage(upstream: &Upstream, now: Time) -> Stage {
+    let base = Stage {
+        id: upstream.id.clone(),
+        domain: upstream.domain.as_str().into(),
+        pool: upstream.pool.as_str().into(),
+        model: "".into(),
+        version: "".into(),
+        first: 0,
+        end: 1,
+        total: 1,
+        rate: 0,
+        slots: 0,
+        link: SERVICE_LINK,
+        running: upstream.load.running,
+        waiting: upstream.load.waiting,
+        leaving: false,
+        reported: now,
+    };
+    match &upstream.serves {
+        Serves::Service(service) => Stage {
+            model: service_model(&service.name),
+            rate: service.slots.saturating_mul(SERVICE_RATE),
+            slots: service.slots,
+            ..base
+        },
+        Serves::Engine(engine) => Stage {
+            model: engine.model.as_str().into(),
+            version: engine.version.as_str().into(),
+            first: engine.first,
+            end: engine.end,
+            total: engine.total,
+            rate: engine.rate,
+            slots: engine.slots,
+            link: engine.link,
+            ..base
+        },
+    }
+}
+
+/// A permit that books what was really used when its request ends.
+pub(crate) struct Held {
+    serving: Arc<Serving>,
+    permit: Option<Permit>,
+    /// Tokens used so far, shared with the request that counts them.
+    used: Arc<std::sync::atomic::AtomicU32>,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let used = self.used.load(Ordering::Relaxed);
+        if let Some(permit) = self.permit.take() {
+            self.serving
+                .dispatch(|dispatcher, now, out| dispatcher.settle(now, permit, used, out));
+        }
+    }
+}
--- /dev/null
+++ b/src/serve/complete.rs
@@ -0,0 +1,214 @@
+//! Completions: admission, claim, generation, and the answer's HTTP form.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+
+use bytes::Bytes;
+use hyper::{Response, StatusCode};
+use tokio::sync::mpsc;
+
+use super::Serving;
+use super::admit::Known;
+use super::body::Reply;
+use super::claims::{ClaimKey, request_digest};
+use super::generate::{Job, OUTPUT, Output, Prompt, Work};
+use super::listen::Received;
+use super::respond::{self, EVENTS, JSON};
+use crate::catalogue::{Route, Target};
+use crate::openai::{Completion, DONE, Form, Writer};
+use crate::request::{Answer, Claimed, Life, RefusalCode};
+
+/// Bytes of a prompt that make one token, roughly.
+const TOKEN_BYTES: usize = 4;
+
+/// Reason under which a kept answer ends.
+const KEPT_REASON: &str = "length";
+
+/// Content type of the text that is kept with a claim.
+const KEPT_KIND: &str = "text/plain; charset=utf-8";
+
+impl Serving {
+    /// Answers `POST /v1/completions` and `/v1/chat/completions`.
+    pub(crate) async fn complete(
+        self: Arc<Self>,
+        form: Form,
+        received: Received,
+    ) -> Response<Reply> {
+        let known = match self.identify(&received.head) {
+            Ok(known) => known,
+            Err(response) => return *response,
+        };
+        let id = known.id.to_string();
+        match self.begin(form, &known, &received).await {
+            Ok((completion, output)) => {
+                let writer = Writer {
+                    form,
+                    id: id.clone(),
+                    model: completion.route,
+                };
+                present(writer, completion.stream, output, known).await
+            }
+            Err((answer, form)) => {
+                self.note(known.id, &answer);
+                earlier(&answer, form, id)
+            }
+        }
+    }
+
+    /// Everything up to the start of the generation.
+    async fn begin(
+        self: &Arc<Self>,
+        form: Form,
+        known: &Known,
+        received: &Received,
+    ) -> Result<(Completion, mpsc::Receiver<Output>), (Answer, Option<(Completion, Form)>)> {
+        let keyed = known.head.key.is_some();
+        let unread = |code| (Answer::unread(code, keyed, None), None);
+        let completion = Completion::parse(form, &received.body)
+            .map_err(|_| unread(RefusalCode::InvalidRequest))?;
+        let route = known.route(&completion.route);
+        let route = route.ok_or_else(|| unread(RefusalCode::UnknownRoute))?;
+        let Target::Model(model) = &route.target else {
+            return Err(unread(RefusalCode::UnknownRoute));
+        };
+        let key = known.claim_key();
+        let used = Arc::new(AtomicU32::new(0));
+        let life = self
+            .enter(
+                known,
+                route,
+                &completion,
+                key.as_ref(),
+                &received.body,
+                &used,
+            )
+            .await
+            .map_err(|answer| (answer, Some((completion.clone(), form))))?;
+        let (output, pieces) = mpsc::channel(OUTPUT);
+        let job = Job {
+            id: known.id,
+            organisation: known.organisation.clone(),
+            route: route.name.as_str().into(),
+            class: route.class,
+            model: model.as_str().into(),
+            pools: route.pools.clone().into(),
+            prompt_tokens: prompt_tokens(&completion.prompt),
+            limit: completion.limit,
+            idempotent: life.idempotent,
+            deadline: known.deadline,
+            key,
+            used,
+            work: Work::Engine(Prompt {
+                model: model.clone(),
+                text: completion.prompt.clone(),
+            }),
+            running: self.parts.gate.hold(),
+        };
+        tokio::spawn(Arc::clone(self).generate(job, life, output));
+        Ok((completion, pieces))
+    }
+
+    async fn enter(
+        self: &Arc<Self>,
+        known: &Known,
+        route: &Route,
+        completion: &Completion,
+        key: Option<&ClaimKey>,
+        body: &Bytes,
+        used: &Arc<AtomicU32>,
+    ) -> Result<Life<Claimed<super::Held>>, Answer> {
+        let tokens = prompt_tokens(&completion.prompt) + completion.limit;
+        let life = known.life(route);
+        let life = self
+            .admit(life, route, tokens, known.deadline, used)
+            .await?;
+        let digest = request_digest(&[route.name.as_bytes(), body]);
+        let time = known.deadline.since(self.now());
+        self.claim(life, key, digest, time).await
+    }
+}
+
+fn prompt_tokens(prompt: &str) -> u32 {
+    u32::try_from(prompt.len().div_ceil(TOKEN_BYTES)).unwrap_or(u32::MAX / 2)
+}
+
+/// An answer without a generation: a refusal, or what an earlier sending with
+/// the same key got.
+fn earlier(answer: &Answer, form: Option<(Completion, Form)>, id: String) -> Response<Reply> {
+    let (Answer::Kept(kept), Some((completion, form))) = (answer, form) else {
+        return respond::refuse(answer, &id);
+    };
+    let text = String::from_utf8_lossy(&kept.body);
+    let writer = Writer {
+        form,
+        id: id.clone(),
+        model: completion.route,
+    };
+    debug_assert_eq!(kept.kind, KEPT_KIND);
+    if completion.stream {
+        let mut events = writer.event(&text, None);
+        events.push_str(&writer.event("", Some(KEPT_REASON)));
+        events.push_str(DONE);
+        return respond::reply(StatusCode::OK, EVENTS, events, &id);
+    }
+    let body = writer.whole(&text, KEPT_REASON, completion.limit);
+    respond::reply(StatusCode::OK, JSON, body, &id)
+}
+
+/// Gives a generation's output the form that the caller asked for.
+async fn present(
+    writer: Writer,
+    stream: bool,
+    mut output: mpsc::Receiver<Output>,
+    known: Known,
+) -> Response<Reply> {
+    let id = writer.id.clone();
+    if !stream {
+        return whole(&writer, output).await;
+    }
+    // The status line waits for the first token, so that a request which
+    // fails before it gets its own status.
+    let first = match output.recv().await {
+        Some(Output::Token(text)) => text,
+        Some(Output::Finish(answer)) if !matches!(answer, Answer::Complete { .. }) => {
+            return respond::refuse(&answer, &id);
+        }
+        _ => return respond::lost(&id),
+    };
+    let (pieces, body) = mpsc::channel(OUTPUT);
+    tokio::spawn(async move {
+        let _running = known.running;
+        let mut next = Some(Output::Token(first));
+        while let Some(piece) = next {
+            let (text, last) = match piece {
+                Output::Token(text) => (writer.event(&text, None), false),
+                Output::Finish(Answer::Complete { .. }) => {
+                    let mut end = writer.event("", Some(KEPT_REASON));
+                    end.push_str(DONE);
+                    (end, true)
+                }
+                Output::Finish(answer) => (respond::error_event(&answer), true),
+            };
+            if pieces.send(Bytes::from(text)).await.is_err() || last {
+                return;
+            }
+            next = output.recv().await;
+        }
+    });
+    respond::reply(StatusCode::OK, EVENTS, Reply::Pieces(body), &id)
+}
+
+async fn whole(writer: &Writer, mut output: mpsc::Receiver<Output>) -> Response<Reply> {
+    let mut text = String::new();
+    while let Some(piece) = output.recv().await {
+        match piece {
+            Output::Token(token) => text.push_str(&token),
+            Output::Finish(Answer::Complete { count }) => {
+                let body = writer.whole(&text, KEPT_REASON, count);
+                return respond::reply(StatusCode::OK, JSON, body, &writer.id);
+            }
+            Output::Finish(answer) => return respond::refuse(&answer, &writer.id),
+        }
+    }
+    respond::lost(&writer.id)
+}
--- /dev/null
+++ b/src/serve/generate.rs
@@ -0,0 +1,571 @@
+//! Runs the state machine of one generation against engines.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use super::claims::ClaimKey;
+use super::service::{self, Call};
+use super::{Held, Serving};
+use crate::catalogue::Class;
+use crate::claim::Outcome as Settled;
+use crate::clock::Time;
+use crate::dispatch::{Placed, Placement, Unplaced};
+use crate::engine::{Engine, EngineError, EngineEvent, Events, HttpEngine, Order, Stage};
+use crate::event;
+use crate::gate::Running;
+use crate::id::OrganisationId;
+use crate::request::{
+    Answer, Bounds, Cause, Claimed, Effect, Event, Frame, Generation, Hop, Life, Report, RequestId,
+    Unopened,
+};
+use crate::route::Outcome;
+
+/// Layers that a plain service counts as.
+const SERVICE_LAYERS: u32 = 1;
+
+/// Most attempts of one request, the first one included.
+const ATTEMPTS: u32 = 4;
+
+/// Pieces of an answer that may wait for a slow caller.
+pub(crate) const OUTPUT: usize = 64;
+
+/// Events of an attempt that may wait while the caller is slow.
+const EVENTS: usize = 16;
+
+/// A generation to run.
+pub(crate) struct Job {
+    pub(crate) id: RequestId,
+    pub(crate) organisation: OrganisationId,
+    pub(crate) route: Arc<str>,
+    pub(crate) class: Class,
+    pub(crate) model: Arc<str>,
+    pub(crate) pools: Arc<[String]>,
+    pub(crate) prompt_tokens: u32,
+    /// Tokens of the whole answer.
+    pub(crate) limit: u32,
+    pub(crate) idempotent: bool,
+    pub(crate) deadline: Time,
+    /// The claim's name; used only if the request has a claim.
+    pub(crate) key: Option<ClaimKey>,
+    /// Tokens used so far, for the limits.
+    pub(crate) used: Arc<AtomicU32>,
+    /// What each attempt does.
+    pub(crate) work: Work,
+    /// Keeps a graceful shutdown waiting until the answer is whole.
+    pub(crate) running: Running,
+}
+
+/// What each attempt does.
+pub(crate) enum Work {
+    /// Sends the prompt to engines.
+    Engine(Prompt),
+    /// Calls a plain service.
+    Call(Call),
+}
+
+/// What engines are asked.
+pub(crate) struct Prompt {
+    /// Name of the model.
+    pub(crate) model: String,
+    /// The caller's text.
+    pub(crate) text: String,
+}
+
+/// What a generation hands to the caller's side.
+#[derive(Debug)]
+pub(crate) enum Output {
+    /// A verified token.
+    Token(String),
+    /// The final answer; nothing follows.
+    Finish(Answer),
+}
+
+/// The attempt in flight.
+struct Flight {
+    placed: Placed,
+    path: Vec<Stage>,
+    /// Reads the engine's stream; present once the order was sent.
+    reader: Option<Reader>,
+    started: Time,
+}
+
+/// Ends its task, and so the engine's connection, when dropped.
+struct Reader(JoinHandle<()>);
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Runs one generation.
+struct Run {
+    serving: Arc<Serving>,
+    job: Job,
+    generation: Generation<Held>,
+    flight: Option<Flight>,
+    /// Version that the answer was begun with; a resume stays with it.
+    version: Option<Arc<str>>,
+    events: mpsc::Sender<Event>,
+    incoming: mpsc::Receiver<Event>,
+    output: mpsc::Sender<Output>,
+    /// Whether the caller's leaving was told to the state machine.
+    left: bool,
+}
+
+impl Serving {
+    /// Runs a generation to its final answer.
+    pub(crate) async fn generate(
+        self: Arc<Self>,
+        job: Job,
+        life: Life<Claimed<Held>>,
+        output: mpsc::Sender<Output>,
+    ) {
+        let settings = &self.parts.settings;
+        let (layers, first) = match &job.work {
+            Work::Engine(prompt) => (self.layers(&prompt.model, &job.pools), settings.first),
+            Work::Call(_) => (SERVICE_LAYERS, settings.call),
+        };
+        let bounds = Bounds {
+            tokens: job.limit,
+            layers,
+            attempts: ATTEMPTS,
+            deadline: job.deadline,
+            first,
+            idle: settings.idle,
+        };
+        let mut effects = Vec::new();
+        let generation = Generation::new(life, bounds, &mut effects);
+        let (events, incoming) = mpsc::channel(EVENTS);
+        let run = Run {
+            serving: Arc::clone(&self),
+            job,
+            generation,
+            flight: None,
+            version: None,
+            events,
+            incoming,
+            output,
+            left: false,
+        };
+        run.run(effects.into()).await;
+    }
+
+    /// Layers of the model as its engines announce it; 0 when none is known,
+    /// which no path covers.
+    fn layers(&self, model: &str, pools: &[String]) -> u32 {
+        let view = self.parts.fleet.upstreams();
+        let engines = view.upstreams.iter().filter(|u| pools.contains(&u.pool));
+        engines
+            .filter_map(|u| match &u.serves {
+                crate::upstream::Serves::Engine(e) if e.model == model => Some(e.total),
+                _ => None,
+            })
+            .max()
+            .unwrap_or(0)
+    }
+}
+
+impl Run {
+    async fn run(mut self, mut effects: VecDeque<Effect>) {
+        loop {
+            while let Some(effect) = effects.pop_front() {
+                if let Effect::Finish(answer) = effect {
+                    return self.finish(answer).await;
+                }
+                self.carry_out(effect, &mut effects).await;
+            }
+            let event = self.wait().await;
+            self.step(event, &mut effects);
+        }
+    }
+
+    fn step(&mut self, event: Event, effects: &mut VecDeque<Effect>) {
+        let mut out = Vec::new();
+        self.generation.step(self.serving.now(), event, &mut out);
+        effects.extend(out);
+    }
+
+    /// The next event: from the engine, the clock or the caller.
+    async fn wait(&mut self) -> Event {
+        let wake = self.generation.wake().since(self.serving.now());
+        tokio::select! {
+            biased;
+            () = self.output.closed(), if !self.left => {
+                self.left = true;
+                Event::CallerLeft
+            }
+            Some(event) = self.incoming.recv() => event,
+            () = sleep(wake) => Event::Tick,
+        }
+    }
+
+    async fn carry_out(&mut self, effect: Effect, effects: &mut VecDeque<Effect>) {
+        match effect {
+            Effect::Open {
+                attempt,
+                resume,
+                exclude,
+            } => {
+                let event = self.open(attempt, resume, exclude).await;
+                self.step(event, effects);
+            }
+            Effect::Send { attempt } => self.send(attempt),
+            Effect::Emit {
+                request,
+                index,
+                text,
+            } => self.emit(request, index, text).await,
+            Effect::Cancel { .. } => self.cancel(),
+            Effect::Report { report, .. } => self.report(&report),
+            Effect::Release { token } => {
+                if let Some(key) = self.job.key.clone() {
+                    self.serving.release(key, token);
+                }
+            }
+            Effect::Settle { token, outcome } => {
+                let outcome = match (&self.job.work, outcome) {
+                    (Work::Call(call), Settled::Kept(_)) => call.kept(),
+                    (_, outcome) => outcome,
+                };
+                if let Some(key) = self.job.key.clone() {
+                    self.serving.settle(key, token, outcome);
+                }
+            }
+            Effect::Finish(_) => unreachable!("handled by the loop"),
+        }
+    }
+
+    /// Chooses a path, with the caller's leaving and the deadline in view.
+    async fn open(
+        &mut self,
+        attempt: u32,
+        resume: u32,
+        exclude: Vec<crate::id::UpstreamId>,
+    ) -> Event {
+        if attempt > 1 && !self.retry_allowed() {
+            return Event::Unopened {
+                attempt,
+                reason: Unopened::Budget,
+                pause: Some(Duration::from_secs(1)),
+            };
+        }
+        let placement = self.placement(attempt, resume, exclude);
+        let serving = Arc::clone(&self.serving);
+        let placed = tokio::select! {
+            placed = serving.place(placement) => placed,
+            () = self.output.closed(), if !self.left => {
+                self.left = true;
+                return Event::CallerLeft;
+            }
+        };
+        match placed {
+            Ok(placed) => self.planned(attempt, placed),
+            Err((Unplaced::NoPath, pause)) => Event::Unopened {
+                attempt,
+                reason: Unopened::NoPath,
+                pause: Some(pause),
+            },
+            Err((Unplaced::Deadline, pause)) => Event::Unopened {
+                attempt,
+                reason: Unopened::Deadline,
+                pause: Some(pause),
+            },
+        }
+    }
+
+    fn retry_allowed(&self) -> bool {
+        let now = self.serving.now();
+        let allowed = self.serving.budget().take(now, &self.job.organisation);
+        if allowed {
+            metrics::counter!("retries_total").increment(1);
+            tracing::info!(event = event::REQUEST_RESUMED.id, id = %self.job.id, "request resumed");
+        }
+        allowed
+    }
+
+    fn placement(
+        &self,
+        attempt: u32,
+        resume: u32,
+        exclude: Vec<crate::id::UpstreamId>,
+    ) -> Placement {
+        Placement {
+            id: self.job.id.sequence,
+            route: self.job.route.clone(),
+            organisation: self.job.organisation.clone(),
+            class: self.job.class,
+            model: self.job.model.clone(),
+            version: self.version.clone().filter(|_| resume > 0),
+            pools: self.job.pools.clone(),
+            prompt: self.job.prompt_tokens,
+            expected: self.job.limit - resume.min(self.job.limit),
+            prefix: None,
+            exclude,
+            idempotent: self.job.idempotent,
+            resumed: attempt > 1,
+            deadline: self.job.deadline,
+        }
+    }
+
+    fn planned(&mut self, attempt: u32, placed: Placed) -> Event {
+        let view = self.serving.parts.fleet.upstreams();
+        let path: Option<Vec<Stage>> = placed
+            .hops
+            .iter()
+            .map(|hop| {
+                Some(Stage {
+                    upstream: hop.upstream.clone(),
+                    address: view.get(&hop.upstream)?.address,
+                    first: hop.first,
+                    end: hop.end,
+                })
+            })
+            .collect();
+        // An upstream that has just gone has no address any more.
+        let Some(path) = path else {
+            self.give_back(placed, Outcome::Cancelled, 0);
+            return Event::Unopened {
+                attempt,
+                reason: Unopened::NoPath,
+                pause: None,
+            };
+        };
+        let hops = path.iter().map(hop).collect();
+        self.version = Some(placed.version.clone());
+        self.flight = Some(Flight {
+            placed,
+            path,
+            reader: None,
+            started: self.serving.now(),
+        });
+        Event::Started {
+            attempt,
+            path: hops,
+        }
+    }
+
+    fn send(&mut self, attempt: u32) {
+        let Some(flight) = &mut self.flight else {
+            return;
+        };
+        let events = self.events.clone();
+        flight.started = self.serving.now();
+        let prompt = match &self.job.work {
+            Work::Engine(prompt) => prompt,
+            Work::Call(call) => {
+                let path = flight.path.clone();
+                let read = service::read(call.clone(), self.job.id, attempt, path, events);
+                flight.reader = Some(Reader(tokio::spawn(read)));
+                return;
+            }
+        };
+        let order = OwnedOrder {
+            request: self.job.id.to_string(),
+            attempt,
+            organisation: self.job.organisation.to_string(),
+            model: prompt.model.clone(),
+            prompt: prompt.text.clone(),
+            tokens: self.generation.tokens().to_vec(),
+            limit: self.job.limit,
+            priority: self.job.class as u8,
+            remaining: self.job.deadline.since(flight.started),
+            path: flight.path.clone(),
+        };
+        flight.reader = Some(Reader(tokio::spawn(read(HttpEngine, order, events))));
+    }
+
+    /// Hands a verified token to the caller's side.
+    async fn emit(&mut self, request: RequestId, index: u32, text: String) {
+        // The last check before a token leaves: it must be this request's. A
+        // token of another organisation would be the worst of all answers.
+        assert_eq!(request, self.job.id, "a token of another request");
+        self.job.used.store(
+            self.job.prompt_tokens.saturating_add(index + 1),
+            Ordering::Relaxed,
+        );
+        if index == 0 {
+            metrics::histogram!("first_token_seconds").record(self.since_start().as_secs_f64());
+        }
+        let left = self.job.deadline.since(self.serving.now());
+        // A caller that reads nothing is bounded by the request's own time.
+        let _ = tokio::time::timeout(left, self.output.send(Output::Token(text))).await;
+    }
+
+    fn since_start(&self) -> Duration {
+        let started = self.flight.as_ref().map(|f| f.started);
+        started.map_or(Duration::ZERO, |s| self.serving.now().since(s))
+    }
+
+    fn cancel(&mut self) {
+        if let Some(flight) = self.flight.take() {
+            self.give_back(flight.placed, Outcome::Cancelled, 0);
+        }
+    }
+
+    fn report(&mut self, report: &Report) {
+        let Some(flight) = self.flight.take() else {
+            return;
+        };
+        let tokens = u32::try_from(self.generation.tokens().len()).unwrap_or(u32::MAX);
+        let blamed = |suspect: &Option<crate::id::UpstreamId>| {
+            let stages = flight.path.iter();
+            suspect
+                .as_ref()
+                .and_then(|s| stages.clone().position(|stage| stage.upstream == *s))
+        };
+        let outcome = match report {
+            Report::Served => {
+                self.serving.budget().succeeded(&self.job.organisation);
+                let spent = self.serving.now().since(flight.started);
+                Outcome::Done {
+                    token: spent / tokens.max(1),
+                }
+            }
+            Report::Busy => Outcome::Busy { stage: 0 },
+            Report::Broken { cause, suspect } => match (blamed(suspect), cause) {
+                (Some(stage), _) => Outcome::Failed { stage },
+                // Only the first stage takes connections from here.
+                (None, Cause::Refused) => Outcome::Failed { stage: 0 },
+                (None, _) => Outcome::Unclear,
+            },
+        };
+        drop(flight.reader);
+        self.give_back(flight.placed, outcome, tokens);
+    }
+
+    fn give_back(&self, placed: Placed, outcome: Outcome, tokens: u32) {
+        self.serving.dispatch(|dispatcher, now, out| {
+            dispatcher.finish(now, placed.receipt, outcome, tokens, out);
+        });
+    }
+
+    async fn finish(mut self, answer: Answer) {
+        self.cancel();
+        self.serving.note(self.job.id, &answer);
+        // The closing event may wait for a slow reader a little longer; one
+        // that reads nothing sees its stream end without the marker.
+        let grace = self.serving.parts.settings.idle;
+        let _ = tokio::time::timeout(grace, self.output.send(Output::Finish(answer))).await;
+        drop(self.job.running);
+    }
+}
+
+fn hop(stage: &Stage) -> Hop {
+    Hop {
+        upstream: stage.upstream.clone(),
+        first: stage.first,
+        end: stage.end,
+    }
+}
+
+/// An order that its reader's task owns.
+struct OwnedOrder {
+    request: String,
+    attempt: u32,
+    organisation: String,
+    model: String,
+    prompt: String,
+    tokens: Vec<String>,
+    limit: u32,
+    priority: u8,
+    remaining: Duration,
+    path: Vec<Stage>,
+}
+
+/// Sends the order and hands on each event of its stream.
+async fn read(engine: impl Engine, order: OwnedOrder, events: mpsc::Sender<Event>) {
+    let attempt = order.attempt;
+    let started = engine
+        .start(&Order {
+            request: &order.request,
+            attempt,
+            organisation: &order.organisation,
+            model: &order.model,
+            prompt: &order.prompt,
+            tokens: &order.tokens,
+            limit: order.limit,
+            priority: order.priority,
+            remaining: u64::try_from(order.remaining.as_millis()).unwrap_or(u64::MAX),
+            path: &order.path,
+        })
+        .await;
+    let mut stream = match started {
+        Ok(stream) => stream,
+        Err(e) => {
+            let _ = events.send(failure(attempt, &e, None)).await;
+            return;
+        }
+    };
+    loop {
+        let event = stream.next().await;
+        let last = !matches!(event, Ok(EngineEvent::Token { .. }));
+        let sent = events.send(translate(attempt, event)).await;
+        if last || sent.is_err() {
+            return;
+        }
+    }
+}
+
+fn translate(on: u32, event: Result<EngineEvent, EngineError>) -> Event {
+    match event {
+        Ok(EngineEvent::Token {
+            request,
+            attempt,
+            index,
+            text,
+            passed,
+        }) => Event::Frame {
+            on,
+            frame: Frame {
+                request,
+                attempt,
+                index,
+                text,
+                passed: passed
+                    .into_iter()
+                    .map(|p| Hop {
+                        upstream: p.upstream,
+                        first: p.first,
+                        end: p.end,
+                    })
+                    .collect(),
+            },
+        },
+        Ok(EngineEvent::Done {
+            request,
+            attempt,
+            count,
+            done: true,
+            ..
+        }) => Event::Done {
+            on,
+            request,
+            attempt,
+            count,
+        },
+        Ok(EngineEvent::Failed { upstream, .. }) => failure(on, &EngineError::Cut, Some(upstream)),
+        Ok(EngineEvent::Done { .. }) => failure(on, &EngineError::Garbage, None),
+        Err(e) => failure(on, &e, None),
+    }
+}
+
+fn failure(attempt: u32, error: &EngineError, suspect: Option<crate::id::UpstreamId>) -> Event {
+    let cause = match error {
+        EngineError::Busy => return Event::Busy { attempt },
+        EngineError::Connect => Cause::Refused,
+        EngineError::Cut => Cause::Cut,
+        EngineError::Status { .. } | EngineError::Garbage => Cause::Garbage,
+    };
+    Event::Broken {
+        attempt,
+        cause,
+        suspect,
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,225 @@
+//! Settings of one instance, built in one place and handed down read-only.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::ArgMatches;
+
+use crate::auth::FleetKey;
+use crate::catalogue::digest;
+use crate::error::{Error, Result};
+use crate::id::InstanceId;
+
+/// Shortest secret, in bytes.
+const MIN_SECRET: usize = 16;
+
+/// Least value of `head`, in bytes; the HTTP library takes no smaller one.
+const MIN_HEAD: usize = 8192;
+
+/// Polls that fit in one lease, so that a single lost answer costs nothing.
+const MIN_POLLS: u32 = 3;
+
+/// All settings of `laburnumquay serve`.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This instance.
+    pub instance: InstanceId,
+    /// Its failure domain.
+    pub domain: String,
+    /// Where callers connect.
+    pub caller: SocketAddr,
+    /// Where operators and upstreams connect.
+    pub control: SocketAddr,
+    /// Where other instances connect (TCP) and gossip (UDP).
+    pub peer: SocketAddr,
+    /// Peer addresses of the initial voters. Never empty.
+    pub voters: BTreeMap<InstanceId, SocketAddr>,
+    /// Where a voter keeps its state; `None` on an instance that has no vote.
+    pub data: Option<PathBuf>,
+    /// Key that all instances share.
+    pub key: FleetKey,
+    /// SHA-256 digest of the operators' key.
+    pub operator: String,
+    /// How long the catalogue may be acted on after its last confirmation.
+    pub lease: Duration,
+    /// Period of confirming the catalogue; a fraction of `lease`.
+    pub poll: Duration,
+    /// Election timeout of the voters, least value.
+    pub election: Duration,
+    /// Longest wait for running answers after SIGTERM.
+    pub drain: Duration,
+    /// Longest body of a request, in bytes.
+    pub body: usize,
+    /// Longest head of a request, in bytes.
+    pub head: usize,
+    /// Longest time for a caller to send its request.
+    pub receive: Duration,
+    /// Deadline of a request that names none.
+    pub deadline: Duration,
+    /// Longest wait for the first token of an attempt.
+    pub first: Duration,
+    /// Longest wait for the answer of a plain service.
+    pub call: Duration,
+    /// Longest silence of an engine between two tokens.
+    pub idle: Duration,
+    /// Worker threads for callers' connections.
+    pub workers: usize,
+    /// Whether logs are JSON lines.
+    pub json: bool,
+}
+
+impl Settings {
+    /// Reads and checks the arguments of `serve` and `check`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Settings`] with every fault found, not only the first.
+    pub fn from_matches(matches: &ArgMatches) -> Result<Self> {
+        let mut faults = Vec::new();
+        let settings = Self {
+            instance: InstanceId(value(matches, "instance-id")),
+            domain: value(matches, "domain"),
+            caller: value(matches, "caller-addr"),
+            control: value(matches, "control-addr"),
+            peer: value(matches, "peer-addr"),
+            voters: parse_voters(&value::<String>(matches, "voters"), &mut faults),
+            data: matches.get_one::<PathBuf>("data-dir").cloned(),
+            key: FleetKey::new(&read_secret(matches, "fleet-key-file", &mut faults)),
+            operator: digest_bytes(&read_secret(matches, "operator-key-file", &mut faults)),
+            lease: millis(matches, "lease-ms"),
+            poll: millis(matches, "poll-ms"),
+            election: millis(matches, "election-ms"),
+            drain: millis(matches, "drain-ms"),
+            body: value(matches, "max-body"),
+            head: value(matches, "max-head"),
+            receive: millis(matches, "receive-ms"),
+            deadline: millis(matches, "deadline-ms"),
+            call: millis(matches, "call-ms"),
+            first: millis(matches, "first-ms"),
+            idle: millis(matches, "idle-ms"),
+            workers: value(matches, "workers"),
+            json: matches.get_flag("json-logs"),
+        };
+        settings.check(&mut faults);
+        if faults.is_empty() {
+            return Ok(settings);
+        }
+        Err(Error::Settings { faults })
+    }
+
+    /// Whether this instance votes on the catalogue from the start.
+    #[must_use]
+    pub fn votes(&self) -> bool {
+        self.voters.contains_key(&self.instance)
+    }
+
+    fn check(&self, faults: &mut Vec<String>) {
+        let mut expect = |ok: bool, fault: &str| {
+            if !ok {
+                faults.push(fault.to_owned());
+            }
+        };
+        expect(
+            self.instance.0 > 0,
+            "--instance-id is 0: number instances from 1",
+        );
+        expect(
+            !self.domain.is_empty(),
+            "--domain is empty: name the failure domain",
+        );
+        expect(
+            !self.votes() || self.data.is_some(),
+            "--data-dir is missing: this instance is named in --voters and needs a disk",
+        );
+        expect(
+            self.poll * MIN_POLLS <= self.lease,
+            "--poll-ms is too long: at least three polls must fit in --lease-ms",
+        );
+        expect(
+            self.election >= Duration::from_millis(50),
+            "--election-ms is below 50: no leader would last; raise it",
+        );
+        expect(
+            self.head >= MIN_HEAD,
+            "--max-head is below 8192 bytes, the least that the HTTP library takes: raise it",
+        );
+        expect(self.workers > 0, "--workers is 0: set 1 or more");
+        let addrs = [self.caller, self.control, self.peer];
+        expect(
+            addrs
+                .iter()
+                .all(|a| a.port() != 0 && !a.ip().is_unspecified()),
+            "--caller-addr, --control-addr and --peer-addr need an IP number and a port: others are told of them",
+        );
+        expect(
+            self.caller != self.control && self.control != self.peer && self.caller != self.peer,
+            "--caller-addr, --control-addr and --peer-addr share an address: give each its own",
+        );
+        if let Some(addr) = self.voters.get(&self.instance) {
+            expect(
+                *addr == self.peer,
+                "--voters names another address for this instance than --peer-addr: make them equal",
+            );
+        }
+    }
+}
+
+/// A value that the command line always has, by default or by demand.
+fn value<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> T {
+    matches
+        .get_one::<T>(name)
+        .cloned()
+        .unwrap_or_else(|| panic!("the command line defines {name} with a value"))
+}
+
+fn millis(matches: &ArgMatches, name: &str) -> Duration {
+    Duration::from_millis(value(matches, name))
+}
+
+/// Parses `1=10.0.0.1:7101,2=10.0.0.2:7101`.
+fn parse_voters(text: &str, faults: &mut Vec<String>) -> BTreeMap<InstanceId, SocketAddr> {
+    let mut voters = BTreeMap::new();
+    for part in text.split(',').filter(|p| !p.is_empty()) {
+        let parsed = part.split_once('=').and_then(|(id, addr)| {
+            let id = id.parse().ok().filter(|id| *id > 0)?;
+            Some((InstanceId(id), addr.parse().ok()?))
+        });
+        let fresh = parsed.is_some_and(|(id, addr)| voters.insert(id, addr).is_none());
+        if !fresh {
+            faults.push(format!(
+                "--voters has '{part}': write ID=IP:PORT, each id once"
+            ));
+        }
+    }
+    if voters.is_empty() {
+        faults.push("--voters is empty: name the initial voters as ID=IP:PORT,...".to_owned());
+    }
+    voters
+}
+
+fn read_secret(matches: &ArgMatches, name: &str, faults: &mut Vec<String>) -> Vec<u8> {
+    let path: PathBuf = value(matches, name);
+    let secret = match fs::read(&path) {
+        Ok(bytes) => bytes.trim_ascii().to_vec(),
+        Err(source) => {
+            faults.push(format!(
+                "--{name} {} can't be read ({source}): check the path and its mode",
+                path.display()
+            ));
+            return Vec::new();
+        }
+    };
+    if secret.len() < MIN_SECRET {
+        faults.push(format!(
+            "--{name} holds fewer than {MIN_SECRET} bytes: write a longer random secret"
+        ));
+    }
+    secret
+}
+
+fn digest_bytes(secret: &[u8]) -> String {
+    digest(&String::from_utf8_lossy(secret))
+}
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of crate-private parts, one file a module.
 
 mod auth;
-mod voter;
+mod event;
 mod flow;
 mod route;
+mod voter;
--- a/src/voter.rs
+++ b/src/voter.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender, TrySendError};
+use serde::Serialize;
 use snafu::ResultExt;
 
 use self::core::{Config, Core, Input, Reply};
@@ -62,7 +63,7 @@
 }
 
 /// State of one group as this voter sees it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct GroupStatus {
     /// Number of the group.
     pub group: u32,
