--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -11,3 +11,4 @@
 
 pub use dump::{FleetDump, TrafficCounts};
 pub use fleet::{Fleet, FleetError, FleetSettings};
+pub use node::{Datagram, Node, NodeEvent, NodeSettings};
--- a/src/gossip/driver.rs
+++ b/src/gossip/driver.rs
@@ -9,12 +9,11 @@
 
 use crossbeam::channel::{Receiver, Sender, bounded, select_biased, tick};
 
-use crate::auth::FleetKey;
 use crate::clock::{Clock, Time};
-use crate::gossip::dump::{FleetDump, TrafficCounts};
+use crate::gossip::dump::FleetDump;
 use crate::gossip::fleet::{self, FleetError, FleetSettings, Shared};
-use crate::gossip::node::{Datagram, Event, Node, NodeSettings};
-use crate::gossip::wire::{MAX_DATAGRAM, decode, encode};
+use crate::gossip::node::{Datagram, Node, NodeEvent, NodeSettings};
+use crate::gossip::wire::MAX_DATAGRAM;
 use crate::membership::{Member, MemberState, STALL};
 use crate::upstream::{AnnounceError, AnnounceOutcome, Announcement};
 
@@ -28,13 +27,6 @@
 /// Turns of the driver in a period.
 const TURNS: u32 = 20;
 
-/// Time after a suspension in which datagrams are dropped: they may have
-/// waited in the socket since before it, and their ages would be too low.
-const DEAF: Duration = Duration::from_millis(100);
-
-/// Time after a suspension in which announcements are refused.
-const WARY: Duration = Duration::from_secs(1);
-
 /// Rounds of rumours after leaving.
 const FAREWELL: u32 = 4;
 
@@ -63,15 +55,12 @@
 struct Driver {
     node: Node,
     socket: UdpSocket,
-    address: SocketAddr,
-    key: FleetKey,
     clock: Arc<dyn Clock>,
     shared: Arc<Shared>,
     period: Duration,
-    traffic: TrafficCounts,
     overflow: Arc<std::sync::atomic::AtomicU64>,
     last_turn: Time,
-    woke: Option<Time>,
+    failed: u64,
     out: Vec<Datagram>,
 }
 
@@ -84,7 +73,7 @@
     let socket = fleet::bind(settings.bind)?;
     let bound = fleet::local_address(&socket, settings.bind)?;
     let reader = fleet::reader(&socket, settings.bind, READ_TIMEOUT)?;
-    let (key, period) = (settings.key.clone(), settings.period);
+    let period = settings.period;
     let mut address = settings.gossip;
     if address.port() == 0 {
         address.set_port(bound.port());
@@ -95,15 +84,12 @@
     let mut driver = Driver {
         node,
         socket,
-        address,
-        key,
         clock,
         shared,
         period,
-        traffic: TrafficCounts::default(),
         overflow: Arc::clone(&overflow),
         last_turn: now,
-        woke: None,
+        failed: 0,
         out: Vec::new(),
     };
     driver.publish(now);
@@ -143,6 +129,7 @@
     NodeSettings {
         own,
         seeds: settings.seeds,
+        key: settings.key,
         period: settings.period,
         seed: settings.seed,
     }
@@ -180,22 +167,24 @@
         let turns = tick(self.period / TURNS);
         loop {
             select_biased! {
-                recv(turns) -> _ => { self.turn(); }
-                recv(commands) -> command => {
-                    let now = self.turn();
-                    match command {
-                        Ok(Command::Stop) | Err(_) => break,
-                        Ok(command) => self.obey(now, command),
-                    }
-                }
-                recv(datagrams) -> datagram => {
-                    let now = self.turn();
-                    match datagram {
-                        Ok((from, bytes)) => self.take(now, from, &bytes),
-                        Err(_) => break,
-                    }
-                }
+                            recv(turns) -> _ => { self.turn(); }
+                            recv(commands) -> command => {
+                                let now = self.turn();
+                                match command {
+                                    Ok(Command::Stop) | Err(_) => break,
+                                    Ok(command) => self.obey(now, command),
+                                }
+                            }
+                            recv(datagrams) -> datagram => {
+                                let now = self.turn();
+                                match datagram {
+                                    Ok((from, bytes)) => {
+             let event = NodeEvent::Datagram(from, &bytes); self.node.step(now, event, &mut self.out);
             }
+                                    Err(_) => break,
+                                }
+                            }
+                        }
             self.flush();
         }
         self.farewell();
@@ -207,12 +196,11 @@
         let now = self.clock.now();
         let gap = now.since(self.last_turn);
         if gap >= STALL {
-            self.woke = Some(now);
             tracing::warn!(millis = gap.as_millis() as u64, "the process was suspended");
         }
         if gap >= self.period / TURNS {
             self.last_turn = now;
-            self.node.step(now, Event::Tick, &mut self.out);
+            self.node.step(now, NodeEvent::Tick, &mut self.out);
             self.publish(now);
         }
         now
@@ -225,53 +213,26 @@
                 let _ = reply.send(outcome);
             }
             Command::Dump(reply) => {
-                let mut traffic = self.traffic;
-                traffic.overflow = self.overflow.load(Ordering::Relaxed);
-                let dump = FleetDump::new(now, &self.node, self.address, traffic);
+                let mut dump = self.node.dump(now);
+                dump.traffic.overflow = self.overflow.load(Ordering::Relaxed);
+                dump.traffic.failed = self.failed;
                 let _ = reply.send(dump);
             }
-            Command::Drain => self.node.step(now, Event::Drain, &mut self.out),
+            Command::Drain => self.node.step(now, NodeEvent::Drain, &mut self.out),
             Command::Stop => {}
         }
     }
 
-    /// Guards against an announcement that waited in a connection while this
-    /// process was suspended: it would count as heard now, and bring back an
-    /// upstream that left meanwhile.
     fn announce(&mut self, now: Time, announcement: &Announcement) -> Answer {
-        if self.woke.is_some_and(|at| now.since(at) < WARY) {
-            let retry = u64::try_from(WARY.as_millis()).unwrap_or(u64::MAX);
-            return Err(AnnounceError::Stalled { retry });
-        }
         let outcome = self.node.announce(now, announcement, &mut self.out);
         self.publish(now);
         outcome
     }
 
-    fn take(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) {
-        if self.woke.is_some_and(|at| now.since(at) < DEAF) {
-            self.traffic.stale += 1;
-            return;
-        }
-        self.traffic.received += 1;
-        self.traffic.read += bytes.len() as u64;
-        let Some(packet) = decode(bytes, &self.key) else {
-            self.traffic.bad += 1;
-            return;
-        };
-        self.node
-            .step(now, Event::Packet(from, Box::new(packet)), &mut self.out);
-    }
-
     fn flush(&mut self) {
-        for datagram in std::mem::take(&mut self.out) {
-            let bytes = encode(&datagram.packet, &self.key);
-            match self.socket.send_to(&bytes, datagram.to) {
-                Ok(_) => {
-                    self.traffic.sent += 1;
-                    self.traffic.written += bytes.len() as u64;
-                }
-                Err(_) => self.traffic.failed += 1,
+        for datagram in self.out.drain(..) {
+            if self.socket.send_to(&datagram.bytes, datagram.to).is_err() {
+                self.failed += 1;
             }
         }
     }
@@ -289,7 +250,7 @@
     /// Tells the fleet that this instance leaves, a few times.
     fn farewell(&mut self) {
         self.node
-            .step(self.clock.now(), Event::Leave, &mut self.out);
+            .step(self.clock.now(), NodeEvent::Leave, &mut self.out);
         for _ in 0..FAREWELL {
             self.flush();
             std::thread::sleep(self.period / TURNS);
--- a/src/gossip/dump.rs
+++ b/src/gossip/dump.rs
@@ -4,8 +4,6 @@
 
 use serde::Serialize;
 
-use crate::clock::Time;
-use crate::gossip::node::Node;
 use crate::id::{Incarnation, InstanceId};
 use crate::membership::MemberDump;
 use crate::upstream::{RegistryCounts, UpstreamDump};
@@ -56,21 +54,3 @@
     /// All upstreams, retired ones included.
     pub upstreams: Vec<UpstreamDump>,
 }
-
-impl FleetDump {
-    pub(crate) fn new(now: Time, node: &Node, address: SocketAddr, traffic: TrafficCounts) -> Self {
-        let (id, incarnation) = node.members.identity();
-        Self {
-            id,
-            incarnation,
-            address: Some(address),
-            health: node.members.health(),
-            conflicts: node.members.conflicts(),
-            rumours: node.waiting(),
-            counts: node.registry.counts(),
-            traffic,
-            members: node.members.dump(now),
-            upstreams: node.registry.dump(now),
-        }
-    }
-}
--- a/src/gossip/fleet.rs
+++ b/src/gossip/fleet.rs
@@ -207,9 +207,9 @@
         );
         let period = SettingSnafu {
             name: "period",
-            remedy: "use 20 ms to 60 s",
+            remedy: "use 20 ms to 10 s",
         };
-        let bounds = Duration::from_millis(20)..=Duration::from_secs(60);
+        let bounds = Duration::from_millis(20)..=Duration::from_secs(10);
         ensure!(bounds.contains(&self.period), period);
         Ok(())
     }
--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -8,13 +8,15 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::auth::FleetKey;
 use crate::clock::Time;
+use crate::gossip::dump::{FleetDump, TrafficCounts};
 use crate::gossip::rumour::Rumours;
 use crate::gossip::sync;
-use crate::gossip::wire::{Body, Packet, Ping, Request, Want};
+use crate::gossip::wire::{Body, Packet, Ping, Request, Want, decode, encode};
 use crate::id::InstanceId;
 use crate::membership::{
-    DetectorSettings, Member, MemberEffect, MemberView, Membership, ProbeEvent,
+    DetectorSettings, Member, MemberEffect, MemberView, Membership, ProbeEvent, STALL, Source,
 };
 use crate::upstream::{
     AnnounceError, AnnounceOutcome, Announcement, Registry, RegistryEffect, UpstreamView,
@@ -30,64 +32,96 @@
 const ROUNDS: u32 = 5;
 
 /// Periods between two comparisons of tables.
-const SYNC: u32 = 5;
+const SYNC: u32 = 2;
 
 /// Time between two passes over the upstreams.
 const REGISTRY_TICK: Duration = Duration::from_secs(1);
 
+/// Time after a suspension in which datagrams are dropped.
+const DEAF: Duration = Duration::from_millis(100);
+
+/// Time after a suspension in which announcements are refused.
+const WARY: Duration = Duration::from_secs(1);
+
 /// Settings of a node.
 #[derive(Clone, Debug)]
-pub(crate) struct NodeSettings {
+pub struct NodeSettings {
     /// This instance.
-    pub(crate) own: Member,
+    pub own: Member,
     /// Addresses to join through.
-    pub(crate) seeds: Vec<SocketAddr>,
+    pub seeds: Vec<SocketAddr>,
+    /// Secret of the fleet.
+    pub key: FleetKey,
     /// Time between two probes.
-    pub(crate) period: Duration,
+    pub period: Duration,
     /// Seed of all random choices.
-    pub(crate) seed: u64,
+    pub seed: u64,
 }
 
 /// What happens to a node.
-#[derive(Debug)]
-pub(crate) enum Event {
+#[derive(Clone, Copy, Debug)]
+pub enum NodeEvent<'a> {
     /// Time passes.
     Tick,
-    /// A datagram came.
-    Packet(SocketAddr, Box<Packet>),
+    /// A datagram came from an address.
+    Datagram(SocketAddr, &'a [u8]),
     /// The instance takes no new requests.
     Drain,
     /// The instance leaves.
     Leave,
 }
 
-/// A packet for an address.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Datagram {
-    pub(crate) to: SocketAddr,
-    pub(crate) packet: Packet,
+/// A sealed datagram for an address.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Datagram {
+    /// Receiver.
+    pub to: SocketAddr,
+    /// Content.
+    pub bytes: Vec<u8>,
+}
+
+/// The instance that an event came from.
+#[derive(Clone, Copy, Debug)]
+struct Origin {
+    id: InstanceId,
+    address: SocketAddr,
+}
+
+/// A packet that is still to be sealed.
+struct Outgoing {
+    to: SocketAddr,
+    packet: Packet,
 }
 
-/// The state machine of one instance.
-pub(crate) struct Node {
-    pub(crate) members: Membership,
-    pub(crate) registry: Registry,
+/// The state machine of one instance: no I/O, no clock, no entropy but what
+/// comes in. [`crate::Fleet`] runs it over a socket.
+pub struct Node {
+    pub(super) members: Membership,
+    pub(super) registry: Registry,
     member_rumours: Rumours<InstanceId>,
     upstream_rumours: Rumours<u64>,
     load_rumours: Rumours<u64>,
+    key: FleetKey,
+    traffic: TrafficCounts,
     period: Duration,
+    last_tick: Time,
+    /// End of the last suspension of this process.
+    woke: Option<Time>,
     next_round: Time,
     next_sync: Time,
     next_pass: Time,
     rng: ChaCha8Rng,
+    out: Vec<Outgoing>,
 }
 
 impl Node {
     /// A node that knows itself alone.
-    pub(crate) fn new(now: Time, settings: NodeSettings) -> Self {
+    #[must_use]
+    pub fn new(now: Time, settings: NodeSettings) -> Self {
         let NodeSettings {
             own,
             seeds,
+            key,
             period,
             seed,
         } = settings;
@@ -101,56 +135,98 @@
             member_rumours: Rumours::new(),
             upstream_rumours: Rumours::new(),
             load_rumours: Rumours::new(),
+            key,
+            traffic: TrafficCounts::default(),
             period,
+            last_tick: now,
+            woke: None,
             next_round: now,
             next_sync: now + period,
             next_pass: now,
             rng,
+            out: Vec::new(),
         }
     }
 
-    /// Takes an event; datagrams to send are added to `out`.
-    pub(crate) fn step(&mut self, now: Time, event: Event, out: &mut Vec<Datagram>) {
+    /// Takes an event; datagrams to send are added to `out`. Time is to pass
+    /// by [`NodeEvent::Tick`] at least five times a period.
+    pub fn step(&mut self, now: Time, event: NodeEvent<'_>, out: &mut Vec<Datagram>) {
+        self.notice_stall(now);
         match event {
-            Event::Tick => self.tick(now, out),
-            Event::Packet(from, packet) => self.receive(now, from, *packet, out),
-            Event::Drain => self.restate(now, out, Membership::drain),
-            Event::Leave => self.restate(now, out, Membership::leave),
+            NodeEvent::Tick => self.tick(now),
+            NodeEvent::Datagram(from, bytes) => self.take(now, from, bytes),
+            NodeEvent::Drain => self.restate(now, Membership::drain),
+            NodeEvent::Leave => self.restate(now, Membership::leave),
         }
+        self.seal(out);
     }
 
     /// Takes an announcement that an upstream made to this instance.
-    pub(crate) fn announce(
+    ///
+    /// Guards against one that waited in a connection while this process was
+    /// suspended: it would count as heard now, and bring back an upstream
+    /// that left meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// When the announcement is out of bounds, the table is full, or this
+    /// process has just been suspended.
+    pub fn announce(
         &mut self,
         now: Time,
         announcement: &Announcement,
         out: &mut Vec<Datagram>,
     ) -> Result<AnnounceOutcome, AnnounceError> {
+        self.notice_stall(now);
+        if self.woke_within(now, WARY) {
+            let retry = u64::try_from(WARY.as_millis()).unwrap_or(u64::MAX);
+            return Err(AnnounceError::Stalled { retry });
+        }
         let mut effects = Vec::new();
         let outcome = self
             .registry
             .announce(now, announcement, &self.members, &mut effects);
-        self.on_registry(effects, None, out);
+        self.on_registry(effects, None);
+        self.seal(out);
         outcome
     }
 
-    /// Sends the rumours that wait once more, after leaving.
-    pub(crate) fn farewell(&mut self, now: Time, out: &mut Vec<Datagram>) {
-        self.send_round(now, out);
-    }
-
     /// Upstreams that may be given work.
-    pub(crate) fn upstreams(&mut self, now: Time) -> Arc<UpstreamView> {
+    pub fn upstreams(&mut self, now: Time) -> Arc<UpstreamView> {
         self.registry.snapshot(now)
     }
 
     /// The members, if they changed since the last call.
-    pub(crate) fn changed_members(&mut self) -> Option<MemberView> {
+    pub fn changed_members(&mut self) -> Option<MemberView> {
         self.members.changed_view()
     }
 
+    /// The whole state.
+    #[must_use]
+    pub fn dump(&self, now: Time) -> FleetDump {
+        let (id, incarnation) = self.members.identity();
+        FleetDump {
+            id,
+            incarnation,
+            address: self.members.address(id),
+            health: self.members.health(),
+            conflicts: self.members.conflicts(),
+            rumours: self.waiting(),
+            counts: self.registry.counts(),
+            traffic: self.traffic,
+            members: self.members.dump(now),
+            upstreams: self.registry.dump(now),
+        }
+    }
+
+    /// Sends the rumours that wait once more, after leaving.
+    pub(super) fn farewell(&mut self, now: Time, out: &mut Vec<Datagram>) {
+        self.send_round(now);
+        self.seal(out);
+    }
+
     /// Rumours that wait: of members, upstreams and loads.
-    pub(crate) fn waiting(&self) -> [usize; 3] {
+    fn waiting(&self) -> [usize; 3] {
         [
             self.member_rumours.len(),
             self.upstream_rumours.len(),
@@ -158,48 +234,79 @@
         ]
     }
 
+    /// Lets time pass first when this process was suspended, so that whatever
+    /// came meets expired records and not those of before.
+    fn notice_stall(&mut self, now: Time) {
+        if now.since(self.last_tick) < STALL {
+            return;
+        }
+        self.woke = Some(now);
+        self.next_sync = now + DEAF;
+        self.tick(now);
+    }
+
+    fn woke_within(&self, now: Time, pause: Duration) -> bool {
+        self.woke.is_some_and(|at| now.since(at) < pause)
+    }
+
+    /// Takes a datagram, unless it may have waited in the socket while this
+    /// process was suspended. The ages in it would then be too low, and an
+    /// upstream that left an hour ago would come back.
+    fn take(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) {
+        if self.woke_within(now, DEAF) {
+            self.traffic.stale += 1;
+            return;
+        }
+        self.traffic.received += 1;
+        self.traffic.read += bytes.len() as u64;
+        match decode(bytes, &self.key) {
+            Some(packet) => self.receive(now, from, packet),
+            None => self.traffic.bad += 1,
+        }
+    }
+
+    fn seal(&mut self, out: &mut Vec<Datagram>) {
+        for outgoing in self.out.drain(..) {
+            let bytes = encode(&outgoing.packet, &self.key);
+            self.traffic.sent += 1;
+            self.traffic.written += bytes.len() as u64;
+            let to = outgoing.to;
+            out.push(Datagram { to, bytes });
+        }
+    }
+
     /// Expiry goes first, so that after a suspension nothing that has run out
     /// is renewed or told of.
-    fn tick(&mut self, now: Time, out: &mut Vec<Datagram>) {
+    fn tick(&mut self, now: Time) {
+        self.last_tick = now;
         if now >= self.next_pass {
             self.next_pass = now + REGISTRY_TICK;
             let mut effects = Vec::new();
             self.registry.tick(now, &self.members, &mut effects);
-            self.on_registry(effects, None, out);
+            self.on_registry(effects, None);
         }
         let mut effects = Vec::new();
         self.members.tick(now, &mut effects);
-        self.on_members(now, effects, None, out);
+        self.on_members(now, effects, None);
         if now >= self.next_sync {
             self.next_sync = now + (self.period * SYNC).mul_f64(self.rng.random_range(0.75..1.25));
             let peers = self.members.pick(1);
-            peers.into_iter().for_each(|to| self.compare(now, to, out));
+            peers.into_iter().for_each(|to| self.compare(now, to));
         }
         if now >= self.next_round {
             self.next_round = now + self.period / ROUNDS;
-            self.send_round(now, out);
+            self.send_round(now);
         }
     }
 
-    fn restate(
-        &mut self,
-        now: Time,
-        out: &mut Vec<Datagram>,
-        change: impl FnOnce(&mut Membership, &mut Vec<MemberEffect>),
-    ) {
+    fn restate(&mut self, now: Time, change: impl FnOnce(&mut Membership, &mut Vec<MemberEffect>)) {
         let mut effects = Vec::new();
         change(&mut self.members, &mut effects);
-        self.on_members(now, effects, None, out);
-        self.send_round(now, out);
+        self.on_members(now, effects, None);
+        self.send_round(now);
     }
 
-    fn on_members(
-        &mut self,
-        now: Time,
-        effects: Vec<MemberEffect>,
-        reply: Option<SocketAddr>,
-        out: &mut Vec<Datagram>,
-    ) {
+    fn on_members(&mut self, now: Time, effects: Vec<MemberEffect>, origin: Option<Origin>) {
         for effect in effects {
             match effect {
                 MemberEffect::Ping {
@@ -207,18 +314,18 @@
                     target,
                     sequence,
                 } => {
-                    let target_id = target.0;
-                    let ping = Ping {
-                        target: target_id,
+                    let body = Body::Ping(Ping {
+                        target: target.0,
                         sequence,
-                    };
-                    self.send_probe(now, to, Body::Ping(ping), Some(target), out);
+                    });
+                    self.send_probe(now, to, body, Some(target));
                 }
                 MemberEffect::Ack { to, sequence } => {
-                    self.send_probe(now, to, Body::Ack(sequence), None, out);
+                    let sender = origin.map(|o| o.id);
+                    self.send_probe(now, to, Body::Ack(sequence), sender);
                 }
                 MemberEffect::Nack { to, sequence } => {
-                    self.send_probe(now, to, Body::Nack(sequence), None, out);
+                    self.send_probe(now, to, Body::Nack(sequence), None);
                 }
                 MemberEffect::Request {
                     to,
@@ -227,7 +334,7 @@
                     sequence,
                 } => {
                     let request = Request::new(target, address, sequence);
-                    self.send_probe(now, to, Body::Request(request), None, out);
+                    self.send_probe(now, to, Body::Request(request), None);
                 }
                 MemberEffect::Spread(id) => self.member_rumours.add(id),
                 MemberEffect::Want(id) => {
@@ -235,29 +342,33 @@
                         members: vec![id.0],
                         upstreams: Vec::new(),
                     };
-                    out.extend(reply.map(|to| self.datagram(to, Body::Want(want))));
+                    self.answer(origin, Body::Want(want));
+                }
+                MemberEffect::Reply(id) => {
+                    let record = self.members.record(now, id, true);
+                    let to = origin.map(|o| o.address);
+                    if let (Some(record), Some(to)) = (record, to) {
+                        self.send_records(to, Source::Rumour, vec![record], Vec::new());
+                    }
                 }
-                MemberEffect::Sync(to) => self.compare(now, to, out),
+                MemberEffect::Sync(to) => self.compare(now, to),
             }
         }
     }
 
-    fn on_registry(
-        &mut self,
-        effects: Vec<RegistryEffect>,
-        reply: Option<SocketAddr>,
-        out: &mut Vec<Datagram>,
-    ) {
+    fn on_registry(&mut self, effects: Vec<RegistryEffect>, origin: Option<Origin>) {
         let mut wanted = Vec::new();
         for effect in effects {
             match effect {
                 RegistryEffect::Spread(key) => self.upstream_rumours.add(key),
                 RegistryEffect::SpreadLoad(key) => self.load_rumours.add(key),
                 RegistryEffect::Renew(voucher, renewal) => {
-                    let Some(to) = self.members.address(voucher) else {
-                        continue;
-                    };
-                    out.push(self.datagram(to, Body::Renewal(renewal)));
+                    let to = self.members.address(voucher);
+                    let to = to.map(|address| Origin {
+                        id: voucher,
+                        address,
+                    });
+                    self.answer(to, Body::Renewal(renewal));
                 }
                 RegistryEffect::Want(key) => wanted.push(key),
             }
@@ -269,13 +380,19 @@
             members: Vec::new(),
             upstreams: wanted,
         };
-        out.extend(reply.map(|to| self.datagram(to, Body::Want(want))));
+        self.answer(origin, Body::Want(want));
+    }
+
+    /// Sends a body without rumours to an instance, if there is one.
+    fn answer(&mut self, to: Option<Origin>, body: Body) {
+        let outgoing = to.map(|to| self.datagram(to.address, body));
+        self.out.extend(outgoing);
     }
 
     /// Starts a comparison of tables.
-    fn compare(&mut self, now: Time, to: SocketAddr, out: &mut Vec<Datagram>) {
+    fn compare(&mut self, now: Time, to: SocketAddr) {
         let roots = sync::roots(now, &self.members, &self.registry);
-        out.push(self.datagram(to, Body::Roots(roots)));
+        self.out.push(self.datagram(to, Body::Roots(roots)));
     }
 }
 
--- a/src/gossip/node/receive.rs
+++ b/src/gossip/node/receive.rs
@@ -5,25 +5,19 @@
 use rand::RngExt;
 
 use crate::clock::Time;
-use crate::gossip::node::{Datagram, Node};
+use crate::gossip::node::{Node, Origin};
 use crate::gossip::sync::{self, Difference};
 use crate::gossip::wire::{Body, Buckets, Listing, Packet, Request, Roots, Want};
 use crate::id::InstanceId;
 use crate::membership::{
-    MemberEffect, MemberRecord, ProbeEvent, Source, decode_address, encode_address,
+    MemberEffect, MemberRecord, MemberState, ProbeEvent, Source, decode_address, encode_address,
 };
 use crate::upstream::{Loads, RegistryEffect, UpstreamRecord};
 
 impl Node {
     /// Takes a packet. Records go first, so that an answer to a probe that
     /// came with an accusation carries the refutation.
-    pub(super) fn receive(
-        &mut self,
-        now: Time,
-        from: SocketAddr,
-        packet: Packet,
-        out: &mut Vec<Datagram>,
-    ) {
+    pub(super) fn receive(&mut self, now: Time, from: SocketAddr, packet: Packet) {
         let sender = InstanceId(packet.from);
         if sender == self.members.identity().0 {
             return;
@@ -33,92 +27,84 @@
         } else {
             Source::Rumour
         };
-        self.merge_members(now, from, source, &packet.members, out);
-        self.merge_upstreams(now, from, source, packet.upstreams, out);
+        let origin = Origin {
+            id: sender,
+            address: from,
+        };
+        self.merge_members(now, origin, source, &packet.members);
+        self.merge_upstreams(now, origin, source, packet.upstreams);
         if let Some(loads) = packet.loads {
-            self.merge_loads(&loads, out);
+            self.merge_loads(&loads);
         }
         if let Some(body) = packet.body {
-            self.on_body(now, from, sender, body, out);
+            self.on_body(now, origin, source, body);
         }
     }
 
-    fn on_body(
-        &mut self,
-        now: Time,
-        from: SocketAddr,
-        sender: InstanceId,
-        body: Body,
-        out: &mut Vec<Datagram>,
-    ) {
+    fn on_body(&mut self, now: Time, origin: Origin, source: Source, body: Body) {
+        let from = origin.address;
         if let Some(event) = Option::<ProbeEvent>::from(&body) {
-            return self.on_probe(now, from, sender, event, out);
+            return self.on_probe(now, origin, event);
         }
         match body {
             Body::Renewal(renewal) => {
                 let mut effects = Vec::new();
                 self.registry.renew(now, &renewal, &mut effects);
-                self.on_registry(effects, None, out);
+                self.on_registry(effects, None);
             }
-            Body::Roots(roots) => self.on_roots(now, from, &roots, out),
-            Body::Buckets(buckets) => self.on_buckets(now, from, &buckets, out),
-            Body::Listing(listing) => self.on_listing(now, from, &listing, out),
-            Body::Want(want) => self.on_want(now, from, &want, out),
+            Body::Roots(roots) => self.on_roots(now, from, &roots),
+            Body::Buckets(buckets) => self.on_buckets(now, from, &buckets),
+            Body::Listing(listing) => self.on_listing(now, from, &listing),
+            Body::Want(want) => self.on_want(now, from, source, &want),
             Body::Ping(_) | Body::Ack(_) | Body::Nack(_) | Body::Request(_) => {}
         }
     }
 
     /// Takes a message of the detector. A sender that is unknown here, or held
     /// for dead or suspect, hears of it.
-    fn on_probe(
-        &mut self,
-        now: Time,
-        from: SocketAddr,
-        sender: InstanceId,
-        event: ProbeEvent,
-        out: &mut Vec<Datagram>,
-    ) {
+    fn on_probe(&mut self, now: Time, origin: Origin, event: ProbeEvent) {
         let mut effects = Vec::new();
-        self.members.receive(now, from, event, &mut effects);
-        if self.members.state(sender).is_none() {
-            effects.push(MemberEffect::Want(sender));
-        }
-        self.on_members(now, effects, Some(from), out);
-        let accusation = self.accusation(now, sender);
-        let answer = out.last_mut().filter(|datagram| datagram.to == from);
-        if let (Some(record), Some(answer)) = (accusation, answer)
-            && matches!(event, ProbeEvent::Ping { .. })
-        {
-            answer.packet.members.insert(0, record);
+        self.members
+            .receive(now, origin.address, event, &mut effects);
+        if self.members.state(origin.id).is_none() {
+            effects.push(MemberEffect::Want(origin.id));
         }
+        self.on_members(now, effects, Some(origin));
     }
 
     fn merge_members(
         &mut self,
         now: Time,
-        from: SocketAddr,
+        origin: Origin,
         source: Source,
         records: &[MemberRecord],
-        out: &mut Vec<Datagram>,
     ) {
         let mut effects = Vec::new();
         for record in records {
             self.members.merge(now, record, &mut effects);
         }
-        let own = self.members.identity().0;
         if source == Source::Sync {
-            effects.retain(|e| !matches!(e, MemberEffect::Spread(id) if *id != own));
+            effects.retain(|effect| self.urgent(effect));
         }
-        self.on_members(now, effects, Some(from), out);
+        self.on_members(now, effects, Some(origin));
+    }
+
+    /// Whether an effect of a comparison is more than learning what others
+    /// know. A suspect has to hear of it in time to refute.
+    fn urgent(&self, effect: &MemberEffect) -> bool {
+        let MemberEffect::Spread(id) = effect else {
+            return true;
+        };
+        let own = self.members.identity().0;
+        *id == own || self.members.state(*id) == Some(MemberState::Suspect)
     }
 
     fn merge_upstreams(
         &mut self,
         now: Time,
-        from: SocketAddr,
+        origin: Origin,
         source: Source,
         records: Vec<UpstreamRecord>,
-        out: &mut Vec<Datagram>,
     ) {
         let mut effects = Vec::new();
         for record in records {
@@ -127,66 +113,49 @@
         if source == Source::Sync {
             effects.retain(|e| !matches!(e, RegistryEffect::Spread(_)));
         }
-        self.on_registry(effects, Some(from), out);
+        self.on_registry(effects, Some(origin));
     }
 
-    fn merge_loads(&mut self, loads: &Loads, out: &mut Vec<Datagram>) {
+    fn merge_loads(&mut self, loads: &Loads) {
         let mut effects = Vec::new();
         self.registry.receive_loads(loads, &mut effects);
-        self.on_registry(effects, None, out);
+        self.on_registry(effects, None);
     }
 
-    fn on_roots(&mut self, now: Time, from: SocketAddr, roots: &Roots, out: &mut Vec<Datagram>) {
+    fn on_roots(&mut self, now: Time, from: SocketAddr, roots: &Roots) {
         let buckets = sync::buckets(now, roots, &self.members, &self.registry);
-        out.extend(buckets.map(|b| self.datagram(from, Body::Buckets(b))));
+        self.out
+            .extend(buckets.map(|b| self.datagram(from, Body::Buckets(b))));
     }
 
     /// Goes into the buckets that differ, and compares again soon.
-    fn on_buckets(
-        &mut self,
-        now: Time,
-        from: SocketAddr,
-        buckets: &Buckets,
-        out: &mut Vec<Datagram>,
-    ) {
+    fn on_buckets(&mut self, now: Time, from: SocketAddr, buckets: &Buckets) {
         let offset = self.rng.random_range(0..1_024);
         let listings = sync::listings(now, buckets, offset, &self.members, &self.registry);
         if !listings.is_empty() {
             self.next_sync = self.next_sync.min(now + self.period / 2);
         }
         for listing in listings {
-            out.push(self.datagram(from, Body::Listing(listing)));
+            self.out.push(self.datagram(from, Body::Listing(listing)));
         }
     }
 
-    fn on_listing(
-        &mut self,
-        now: Time,
-        from: SocketAddr,
-        listing: &Listing,
-        out: &mut Vec<Datagram>,
-    ) {
+    fn on_listing(&mut self, now: Time, from: SocketAddr, listing: &Listing) {
         if listing.upstreams {
             let difference = sync::difference(listing, self.registry.hashes(now));
-            self.send_difference_upstreams(now, from, difference, out);
+            self.send_difference_upstreams(now, from, difference);
         } else {
             let difference = sync::difference(listing, self.members.hashes(now));
-            self.send_difference_members(now, from, difference, out);
+            self.send_difference_members(now, from, difference);
         }
     }
 
-    fn send_difference_upstreams(
-        &mut self,
-        now: Time,
-        from: SocketAddr,
-        difference: Difference,
-        out: &mut Vec<Datagram>,
-    ) {
+    fn send_difference_upstreams(&mut self, now: Time, from: SocketAddr, difference: Difference) {
         let missing = difference.missing.iter().map(|key| (*key, true));
         let changed = difference.changed.iter().map(|key| (*key, false));
         let records = missing.chain(changed);
         let records = records.filter_map(|(key, full)| self.registry.record(now, key, full));
-        self.send_records(from, Vec::new(), records.collect(), out);
+        self.send_records(from, Source::Sync, Vec::new(), records.collect());
         if difference.wanted.is_empty() {
             return;
         }
@@ -194,19 +163,13 @@
             members: Vec::new(),
             upstreams: difference.wanted,
         };
-        out.push(self.datagram(from, Body::Want(want)));
+        self.ask(from, want);
     }
 
-    fn send_difference_members(
-        &mut self,
-        now: Time,
-        from: SocketAddr,
-        difference: Difference,
-        out: &mut Vec<Datagram>,
-    ) {
+    fn send_difference_members(&mut self, now: Time, from: SocketAddr, difference: Difference) {
         let keys = difference.missing.iter().chain(&difference.changed);
         let records = keys.filter_map(|id| self.members.record(now, InstanceId(*id), true));
-        self.send_records(from, records.collect(), Vec::new(), out);
+        self.send_records(from, Source::Sync, records.collect(), Vec::new());
         if difference.wanted.is_empty() {
             return;
         }
@@ -214,15 +177,24 @@
             members: difference.wanted,
             upstreams: Vec::new(),
         };
-        out.push(self.datagram(from, Body::Want(want)));
+        self.ask(from, want);
+    }
+
+    /// Asks for records that a comparison found to differ.
+    fn ask(&mut self, to: SocketAddr, want: Want) {
+        let mut outgoing = self.datagram(to, Body::Want(want));
+        outgoing.packet.sync = true;
+        self.out.push(outgoing);
     }
 
-    fn on_want(&mut self, now: Time, from: SocketAddr, want: &Want, out: &mut Vec<Datagram>) {
+    /// Sends what was asked for, as news or as part of a comparison, whichever
+    /// the request was.
+    fn on_want(&mut self, now: Time, from: SocketAddr, source: Source, want: &Want) {
         let members = want.members.iter();
         let members = members.filter_map(|id| self.members.record(now, InstanceId(*id), true));
         let upstreams = want.upstreams.iter();
         let upstreams = upstreams.filter_map(|key| self.registry.record(now, *key, true));
-        self.send_records(from, members.collect(), upstreams.collect(), out);
+        self.send_records(from, source, members.collect(), upstreams.collect());
     }
 }
 
--- a/src/gossip/node/send.rs
+++ b/src/gossip/node/send.rs
@@ -6,17 +6,20 @@
 use prost::encoding::encoded_len_varint;
 
 use crate::clock::Time;
-use crate::gossip::node::{Datagram, FANOUT, Node};
+use crate::gossip::node::{FANOUT, Node, Outgoing};
 use crate::gossip::rumour::Put;
 use crate::gossip::wire::{Body, MAX_PACKET, Packet};
 use crate::id::InstanceId;
-use crate::membership::{MemberRecord, MemberState};
+use crate::membership::{MemberRecord, MemberState, Source};
 use crate::upstream::{Loads, UpstreamRecord};
 
-/// Times that a rumour is told by each instance, for each power of ten in the
-/// size of the fleet.
+/// Times that a rumour is told by each instance, for each digit of the size of
+/// the fleet and one more.
 const REPEATS: u32 = 4;
 
+/// The same for a report of load. One that is missed does little harm.
+const LOAD_REPEATS: u32 = 1;
+
 /// Bytes of load reports on one probe or answer. Together with the fixed
 /// number of probes this bounds what load reports cost, however many
 /// upstreams change their load.
@@ -30,13 +33,13 @@
 
 impl Node {
     /// A datagram with a body and no rumours.
-    pub(super) fn datagram(&self, to: SocketAddr, body: Body) -> Datagram {
+    pub(super) fn datagram(&self, to: SocketAddr, body: Body) -> Outgoing {
         let packet = Packet {
             from: self.members.identity().0.0,
             body: Some(body),
             ..Packet::default()
         };
-        Datagram { to, packet }
+        Outgoing { to, packet }
     }
 
     /// Sends a message of the detector, filled with rumours. A target that is
@@ -47,7 +50,6 @@
         to: SocketAddr,
         body: Body,
         target: Option<InstanceId>,
-        out: &mut Vec<Datagram>,
     ) {
         let mut packet = self.datagram(to, body).packet;
         packet
@@ -55,11 +57,11 @@
             .extend(target.and_then(|id| self.accusation(now, id)));
         self.fill(now, &mut packet);
         self.fill_loads(&mut packet);
-        out.push(Datagram { to, packet });
+        self.out.push(Outgoing { to, packet });
     }
 
     /// Sends urgent rumours to a few instances.
-    pub(super) fn send_round(&mut self, now: Time, out: &mut Vec<Datagram>) {
+    pub(super) fn send_round(&mut self, now: Time) {
         if self.member_rumours.len() + self.upstream_rumours.len() == 0 {
             return;
         }
@@ -72,51 +74,53 @@
             if packet.members.is_empty() && packet.upstreams.is_empty() {
                 return;
             }
-            out.push(Datagram { to, packet });
+            self.out.push(Outgoing { to, packet });
         }
     }
 
-    /// Sends records that answer a comparison, in as many datagrams as needed.
+    /// Sends records that were asked for, in as many datagrams as needed.
     pub(super) fn send_records(
-        &self,
+        &mut self,
         to: SocketAddr,
+        source: Source,
         members: Vec<MemberRecord>,
         upstreams: Vec<UpstreamRecord>,
-        out: &mut Vec<Datagram>,
     ) {
-        let empty = || Packet {
-            from: self.members.identity().0.0,
-            sync: true,
-            ..Packet::default()
-        };
-        let mut packet = empty();
+        let mut packet = self.record_packet(source);
         let mut room = Room::of(&packet);
-        let mut flush = |packet: &mut Packet, room: &mut Room| {
-            let full = std::mem::replace(packet, empty());
-            *room = Room::of(packet);
-            out.push(Datagram { to, packet: full });
-        };
         for record in members {
             if !room.take(record.encoded_len()) {
-                flush(&mut packet, &mut room);
+                let full = std::mem::replace(&mut packet, self.record_packet(source));
+                self.out.push(Outgoing { to, packet: full });
+                room = Room::of(&packet);
                 room.take(record.encoded_len());
             }
             packet.members.push(record);
         }
         for record in upstreams {
             if !room.take(record.encoded_len()) {
-                flush(&mut packet, &mut room);
+                let full = std::mem::replace(&mut packet, self.record_packet(source));
+                self.out.push(Outgoing { to, packet: full });
+                room = Room::of(&packet);
                 room.take(record.encoded_len());
             }
             packet.upstreams.push(record);
         }
         if !packet.members.is_empty() || !packet.upstreams.is_empty() {
-            flush(&mut packet, &mut room);
+            self.out.push(Outgoing { to, packet });
+        }
+    }
+
+    fn record_packet(&self, source: Source) -> Packet {
+        Packet {
+            from: self.members.identity().0.0,
+            sync: source == Source::Sync,
+            ..Packet::default()
         }
     }
 
     /// What this instance holds against `id`, if anything.
-    pub(super) fn accusation(&self, now: Time, id: InstanceId) -> Option<MemberRecord> {
+    fn accusation(&self, now: Time, id: InstanceId) -> Option<MemberRecord> {
         let accused = self.members.state(id)? != MemberState::Alive;
         accused
             .then(|| self.members.record(now, id, false))
@@ -138,7 +142,7 @@
     }
 
     fn fill_loads(&mut self, packet: &mut Packet) {
-        let limit = self.repeats() / 2;
+        let limit = self.repeats() * LOAD_REPEATS / REPEATS;
         let mut room = MAX_PACKET
             .saturating_sub(packet.encoded_len() + 4 * RECORD_HEAD)
             .min(LOAD_BUDGET);
@@ -164,8 +168,8 @@
     /// Times that a rumour is told: grows with the logarithm of the fleet.
     fn repeats(&self) -> u32 {
         let size = u32::try_from(self.members.present()).unwrap_or(u32::MAX);
-        let digits = f64::from(size.saturating_add(1)).log10().ceil().max(1.0);
-        REPEATS * digits as u32
+        let digits = size.checked_ilog10().unwrap_or(0) + 1;
+        REPEATS * (1 + digits)
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,7 +28,10 @@
 pub use catalogue::{Class, Entry, Limits, Organisation, Pool, Route, Target};
 pub use clock::{Clock, SystemClock, Time};
 pub use collections::{HashMap, HashSet};
-pub use gossip::{Fleet, FleetDump, FleetError, FleetSettings, TrafficCounts};
+pub use gossip::{
+    Datagram, Fleet, FleetDump, FleetError, FleetSettings, Node, NodeEvent, NodeSettings,
+    TrafficCounts,
+};
 pub use id::{Incarnation, InstanceId, OrganisationId, Revision, UpstreamId};
 pub use membership::{Member, MemberDump, MemberState, MemberView};
 pub use upstream::{
--- a/src/membership/detector.rs
+++ b/src/membership/detector.rs
@@ -76,6 +76,8 @@
     Spread(InstanceId),
     /// Ask the sender for its record of this instance.
     Want(InstanceId),
+    /// Send the record of this instance to the sender.
+    Reply(InstanceId),
     /// Compare tables with the instance at this address.
     Sync(SocketAddr),
 }
--- a/src/membership/merge.rs
+++ b/src/membership/merge.rs
@@ -59,22 +59,28 @@
     ///
     /// Guards against an instance that is alive and stays dead for the others
     /// after a lost datagram or a partition: only a higher revision of its own
-    /// outranks the accusation everywhere.
+    /// outranks the accusation everywhere. One who holds an accusation that
+    /// was refuted before gets the refutation at once.
     fn refute(&mut self, version: MemberVersion, out: &mut Vec<MemberEffect>) {
         let own = self.slots[&self.own].version;
         if version.incarnation > own.incarnation {
             self.conflicts += 1;
             return;
         }
-        if version <= own || self.left() {
+        let accused = version.state != MemberState::Alive;
+        if self.left() || (version <= own && !accused) {
             return;
         }
-        let accused = version.state != MemberState::Alive;
-        if let Some(slot) = self.slots.get_mut(&self.own) {
-            slot.version.revision = version.revision;
+        if version > own {
+            if let Some(slot) = self.slots.get_mut(&self.own) {
+                slot.version.revision = version.revision;
+            }
+            self.restate(MemberState::Alive, |_| (), out);
         }
-        self.restate(MemberState::Alive, |_| (), out);
         if accused {
+            out.push(MemberEffect::Reply(self.own));
+        }
+        if accused && version > own {
             self.adjust_health(true);
         }
     }
--- /dev/null
+++ b/tests/simulation/mod.rs
@@ -0,0 +1,480 @@
+//! A fleet of nodes on a simulated network, replayed from a seed.
+//!
+//! Each host has a clock of its own, so that no point in time of one means
+//! anything to another.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "each user of this module uses a part of it"
+)]
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use laburnumquay::{
+    AnnounceError, AnnounceOutcome, Announcement, Datagram, Engine, FleetKey, Incarnation,
+    InstanceId, Load, Member, MemberState, MemberView, Node, NodeEvent, NodeSettings, Serves, Time,
+    UpstreamId, UpstreamState,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Headers of IPv4 and UDP, in bytes.
+pub const HEADERS: u64 = 28;
+
+const TICK: Duration = Duration::from_millis(100);
+const PERIOD: Duration = Duration::from_secs(1);
+const FIRST_PORT: u16 = 10_000;
+
+/// Shape of a run.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub seed: u64,
+    pub hosts: usize,
+    pub domains: usize,
+    pub upstreams: usize,
+    /// Part of the datagrams that is lost.
+    pub loss: f64,
+    /// Part that comes twice.
+    pub duplicate: f64,
+    /// Part that comes up to two seconds late.
+    pub late: f64,
+    /// Chance a second that the load of an upstream changes.
+    pub restless: f64,
+}
+
+pub struct Host {
+    pub node: Option<Node>,
+    pub view: MemberView,
+    pub boot: u64,
+    /// Side of the partition.
+    pub side: usize,
+    pub domain: usize,
+    pub frozen: bool,
+    /// What came while the host was frozen.
+    inbox: Vec<Input>,
+    /// Start of this host's clock.
+    offset: u64,
+    pub sent: u64,
+    pub received: u64,
+    pub datagrams: u64,
+    pub busy: Duration,
+}
+
+pub struct Upstream {
+    pub announcement: Announcement,
+    pub side: usize,
+    /// Whether it announces itself.
+    pub running: bool,
+    /// When it left, was gone or fell silent.
+    pub ended: Option<Time>,
+    /// When a host that runs first heard that it left or is gone.
+    pub told: Option<Time>,
+}
+
+enum Input {
+    Datagram(SocketAddr, Vec<u8>),
+    Announcement(Box<Announcement>),
+}
+
+enum Act {
+    Tick(usize, u64),
+    Deliver(usize, Input),
+    Announce(usize),
+}
+
+pub struct Simulation {
+    pub now: Time,
+    pub shape: Shape,
+    pub hosts: Vec<Host>,
+    pub upstreams: Vec<Upstream>,
+    /// Last fault or repair.
+    pub disturbed: Time,
+    /// Announcements that were once made, for late repeats.
+    pub history: Vec<Announcement>,
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    acts: std::collections::HashMap<u64, Act>,
+    order: u64,
+    rng: ChaCha8Rng,
+}
+
+impl Simulation {
+    pub fn new(shape: Shape) -> Self {
+        let mut sim = Self {
+            now: Time(0),
+            rng: ChaCha8Rng::seed_from_u64(shape.seed),
+            hosts: Vec::new(),
+            upstreams: Vec::new(),
+            disturbed: Time(0),
+            history: Vec::new(),
+            queue: BinaryHeap::new(),
+            acts: Default::default(),
+            order: 0,
+            shape,
+        };
+        for index in 0..sim.shape.hosts {
+            let host = Host {
+                node: None,
+                view: MemberView::default(),
+                boot: 0,
+                side: 0,
+                domain: index % sim.shape.domains,
+                frozen: false,
+                inbox: Vec::new(),
+                offset: sim.rng.random_range(0..7_200_000_000),
+                sent: 0,
+                received: 0,
+                datagrams: 0,
+                busy: Duration::ZERO,
+            };
+            sim.hosts.push(host);
+            sim.start(index);
+        }
+        for index in 0..sim.shape.upstreams {
+            let upstream = Upstream {
+                announcement: announcement(index),
+                side: 0,
+                running: true,
+                ended: None,
+                told: None,
+            };
+            sim.upstreams.push(upstream);
+            let at = sim.now + Duration::from_millis(sim.rng.random_range(0..1_000));
+            sim.at(at, Act::Announce(index));
+        }
+        sim
+    }
+
+    /// Lets `span` pass and calls `check` twice a second.
+    pub fn run(&mut self, span: Duration, mut check: impl FnMut(&mut Self)) {
+        let end = self.now + span;
+        while self.now < end {
+            let pause = (self.now + Duration::from_millis(500)).min(end);
+            while let Some(Reverse((at, order))) = self.queue.peek().copied() {
+                if at > pause {
+                    break;
+                }
+                self.queue.pop();
+                self.now = at;
+                let act = self.acts.remove(&order).unwrap();
+                self.perform(act);
+            }
+            self.now = pause;
+            check(self);
+        }
+    }
+
+    /// Starts a host, with a higher incarnation and no memory.
+    pub fn start(&mut self, index: usize) {
+        let seed = self.rng.random();
+        let host = &mut self.hosts[index];
+        host.boot += 1;
+        host.frozen = false;
+        host.inbox.clear();
+        let address = address(index);
+        let own = Member {
+            id: InstanceId(index as u64 + 1),
+            incarnation: Incarnation(host.boot),
+            domain: format!("domain-{}", host.domain),
+            peer: address,
+            gossip: address,
+            control: address,
+            voter: index < 3,
+            draining: false,
+            state: MemberState::Alive,
+        };
+        let settings = NodeSettings {
+            own,
+            seeds: (0..3).map(self::address).collect(),
+            key: FleetKey::new(b"secret"),
+            period: PERIOD,
+            seed,
+        };
+        let now = Time(self.now.0 + host.offset);
+        host.node = Some(Node::new(now, settings));
+        let boot = host.boot;
+        self.disturbed = self.now;
+        let at = self.now + Duration::from_micros(self.rng.random_range(0..100_000));
+        self.at(at, Act::Tick(index, boot));
+    }
+
+    pub fn crash(&mut self, index: usize) {
+        self.hosts[index].node = None;
+        self.hosts[index].frozen = false;
+        self.disturbed = self.now;
+    }
+
+    pub fn freeze(&mut self, index: usize) {
+        self.hosts[index].frozen = self.hosts[index].node.is_some();
+        self.disturbed = self.now;
+    }
+
+    /// Lets a host run on. What waited in its sockets comes before its timer.
+    pub fn thaw(&mut self, index: usize) {
+        if !std::mem::take(&mut self.hosts[index].frozen) {
+            return;
+        }
+        self.disturbed = self.now;
+        for input in std::mem::take(&mut self.hosts[index].inbox) {
+            self.input(index, input);
+        }
+        let boot = self.hosts[index].boot;
+        self.at(self.now, Act::Tick(index, boot));
+    }
+
+    /// Puts hosts and upstreams on sides that don't reach each other.
+    pub fn partition(&mut self, side: impl Fn(usize) -> usize) {
+        for (index, host) in self.hosts.iter_mut().enumerate() {
+            host.side = side(index);
+        }
+        for (index, upstream) in self.upstreams.iter_mut().enumerate() {
+            upstream.side = side(index);
+        }
+        self.disturbed = self.now;
+    }
+
+    /// Makes an upstream announce that it leaves or is gone.
+    pub fn end(&mut self, index: usize, state: UpstreamState) {
+        let now = self.now;
+        let upstream = &mut self.upstreams[index];
+        upstream.announcement.state = upstream.announcement.state.max(state);
+        upstream.ended.get_or_insert(now);
+        self.announce(index);
+        self.upstreams[index].running &= state != UpstreamState::Gone;
+    }
+
+    /// Makes an upstream fall silent.
+    pub fn silence(&mut self, index: usize) {
+        let now = self.now;
+        let upstream = &mut self.upstreams[index];
+        upstream.running = false;
+        upstream.ended.get_or_insert(now);
+    }
+
+    /// Starts an upstream again, with a higher incarnation.
+    pub fn renew(&mut self, index: usize) {
+        let upstream = &mut self.upstreams[index];
+        upstream.announcement.incarnation.0 += 1;
+        upstream.announcement.sequence = 0;
+        upstream.announcement.state = UpstreamState::Up;
+        upstream.running = true;
+        upstream.ended = None;
+        upstream.told = None;
+    }
+
+    /// Gives an announcement of the past to a host that runs.
+    pub fn repeat(&mut self, index: usize, past: usize) -> Option<AnnounceOutcome> {
+        if self.history.is_empty() || !self.runs(index) {
+            return None;
+        }
+        let past = self.history[past % self.history.len()].clone();
+        self.give(index, &past).ok()
+    }
+
+    /// Whether a host has a process that isn't frozen.
+    pub fn runs(&self, index: usize) -> bool {
+        self.hosts[index].node.is_some() && !self.hosts[index].frozen
+    }
+
+    /// What one host holds another for.
+    pub fn state(&self, observer: usize, subject: usize) -> Option<MemberState> {
+        let id = InstanceId(subject as u64 + 1);
+        let member = self.hosts[observer].view.get(id)?;
+        let current = member.incarnation.0 == self.hosts[subject].boot;
+        let ended = member.state >= MemberState::Dead;
+        (current || !ended).then_some(member.state)
+    }
+
+    /// Whether a host would give work to an upstream.
+    pub fn uses(&mut self, host: usize, upstream: usize) -> bool {
+        let id = self.upstreams[upstream].announcement.id.clone();
+        let now = self.clock(host);
+        let node = self.hosts[host].node.as_mut();
+        node.is_some_and(|n| n.upstreams(now).get(&id).is_some())
+    }
+
+    /// Time on the clock of a host.
+    pub fn clock(&self, host: usize) -> Time {
+        Time(self.now.0 + self.hosts[host].offset)
+    }
+
+    fn at(&mut self, at: Time, act: Act) {
+        self.order += 1;
+        self.queue.push(Reverse((at, self.order)));
+        self.acts.insert(self.order, act);
+    }
+
+    fn perform(&mut self, act: Act) {
+        match act {
+            Act::Tick(index, boot) => {
+                if !self.runs(index) || self.hosts[index].boot != boot {
+                    return;
+                }
+                self.step(index, NodeEvent::Tick);
+                self.at(self.now + TICK, Act::Tick(index, boot));
+            }
+            Act::Deliver(index, input) => self.input(index, input),
+            Act::Announce(index) => {
+                self.at(self.now + Duration::from_secs(1), Act::Announce(index));
+                if self.upstreams[index].running {
+                    self.change_load(index);
+                    self.announce(index);
+                }
+            }
+        }
+    }
+
+    /// Announces an upstream to one host of its side, as a balancer chooses:
+    /// it doesn't know which hosts are frozen.
+    fn announce(&mut self, index: usize) {
+        let side = self.upstreams[index].side;
+        let hosts = self.hosts.iter().enumerate();
+        let hosts: Vec<_> = hosts
+            .filter(|(_, h)| h.node.is_some() && h.side == side)
+            .map(|(i, _)| i)
+            .collect();
+        self.upstreams[index].announcement.sequence += 1;
+        if hosts.is_empty() {
+            return;
+        }
+        let host = hosts[self.rng.random_range(0..hosts.len())];
+        let announcement = self.upstreams[index].announcement.clone();
+        if self.history.len() < 10_000 {
+            self.history.push(announcement.clone());
+        }
+        self.input(host, Input::Announcement(Box::new(announcement)));
+    }
+
+    fn change_load(&mut self, index: usize) {
+        if !self.rng.random_bool(self.shape.restless) {
+            return;
+        }
+        let load = Load {
+            running: self.rng.random_range(0..32),
+            waiting: self.rng.random_range(0..4),
+        };
+        self.upstreams[index].announcement.load = load;
+    }
+
+    fn input(&mut self, index: usize, input: Input) {
+        if self.hosts[index].node.is_none() {
+            return;
+        }
+        if self.hosts[index].frozen {
+            self.hosts[index].inbox.push(input);
+            return;
+        }
+        match input {
+            Input::Datagram(from, bytes) => self.step(index, NodeEvent::Datagram(from, &bytes)),
+            Input::Announcement(announcement) => {
+                let _ = self.give(index, &announcement);
+            }
+        }
+    }
+
+    fn give(
+        &mut self,
+        index: usize,
+        announcement: &Announcement,
+    ) -> Result<AnnounceOutcome, AnnounceError> {
+        let now = self.clock(index);
+        let mut out = Vec::new();
+        let host = &mut self.hosts[index];
+        let start = Instant::now();
+        let node = host.node.as_mut().unwrap();
+        let outcome = node.announce(now, announcement, &mut out);
+        host.busy += start.elapsed();
+        self.send(index, out);
+        self.note_told(announcement, &outcome);
+        outcome
+    }
+
+    fn note_told(
+        &mut self,
+        given: &Announcement,
+        outcome: &Result<AnnounceOutcome, AnnounceError>,
+    ) {
+        let now = self.now;
+        let named = |u: &&mut Upstream| u.announcement.id == given.id;
+        let upstream = self.upstreams.iter_mut().find(named).unwrap();
+        let current = upstream.announcement.incarnation == given.incarnation;
+        if current && given.state != UpstreamState::Up && outcome.is_ok() {
+            upstream.told.get_or_insert(now);
+        }
+    }
+
+    fn step(&mut self, index: usize, event: NodeEvent<'_>) {
+        let now = self.clock(index);
+        let mut out = Vec::new();
+        let host = &mut self.hosts[index];
+        if let NodeEvent::Datagram(_, bytes) = event {
+            host.received += bytes.len() as u64 + HEADERS;
+        }
+        let start = Instant::now();
+        let node = host.node.as_mut().unwrap();
+        node.step(now, event, &mut out);
+        node.upstreams(now);
+        if let Some(view) = node.changed_members() {
+            host.view = view;
+        }
+        host.busy += start.elapsed();
+        self.send(index, out);
+    }
+
+    fn send(&mut self, from: usize, out: Vec<Datagram>) {
+        for datagram in out {
+            let host = &mut self.hosts[from];
+            host.sent += datagram.bytes.len() as u64 + HEADERS;
+            host.datagrams += 1;
+            let to = usize::from(datagram.to.port() - FIRST_PORT);
+            let cut = self.hosts[to].side != self.hosts[from].side;
+            if cut || self.rng.random_bool(self.shape.loss) {
+                continue;
+            }
+            if self.rng.random_bool(self.shape.duplicate) {
+                self.post(from, to, datagram.bytes.clone());
+            }
+            self.post(from, to, datagram.bytes);
+        }
+    }
+
+    fn post(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+        let late = self.rng.random_bool(self.shape.late);
+        let delay = if late { 0..2_000_000 } else { 200..1_000 };
+        let at = self.now + Duration::from_micros(self.rng.random_range(delay));
+        let input = Input::Datagram(address(from), bytes);
+        self.at(at, Act::Deliver(to, input));
+    }
+}
+
+pub fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + index as u16))
+}
+
+fn announcement(index: usize) -> Announcement {
+    let half = index as u32 % 2;
+    Announcement {
+        id: UpstreamId::from(format!("engine-{index}").as_str()),
+        incarnation: Incarnation(1),
+        sequence: 0,
+        address: SocketAddr::from(([127, 0, 0, 1], 30_000 + index as u16)),
+        domain: format!("domain-{}", index % 3),
+        pool: "attiki".into(),
+        state: UpstreamState::Up,
+        serves: Serves::Engine(Engine {
+            model: "quote-7b".into(),
+            version: "1".into(),
+            first: 16 * half,
+            end: 16 * half + 16,
+            total: 32,
+            accelerator: "a".into(),
+            rate: 400,
+            slots: 32,
+            link: 1_000,
+        }),
+        load: Load::default(),
+    }
+}
