--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,10 @@
 pub use collections::{HashMap, HashSet};
 pub use error::{EXIT_OK, Error, Result};
 pub use gossip::{Fleet, FleetDump, FleetError, FleetSettings, TrafficCounts};
+pub use gossip::{
+    Datagram, Fleet, FleetDump, FleetError, FleetSettings, Node, NodeEvent, NodeSettings,
+    TrafficCounts,
+};
 pub use id::{Incarnation, InstanceId, OrganisationId, Revision, UpstreamId};
 pub use limit::{
     Allocator, Amounts, Ask, Demand, Denial, DenialReason, Grant, Holder, LEASE, PERIOD, Permit,
