--- a/src/claim/lease.rs
+++ b/src/claim/lease.rs
@@ -10,8 +10,8 @@
 pub(crate) const START: Duration = Duration::from_secs(2);
 
 /// Part of [`START`] that the holder leaves unused, so that its clock may run
-/// slower than the register's by this much and no dispatch comes after the
-/// register calls the outcome unknown.
+/// slower than the register's by this much, a tenth, and no dispatch comes
+/// after the register calls the outcome unknown.
 const MARGIN: Duration = Duration::from_millis(200);
 
 /// The right to send the first byte of a claimed request until a time on the
@@ -22,14 +22,23 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ClaimLease {
     token: Token,
+    /// End of the right to dispatch.
     end: Time,
+    /// Time up to which the register surely remembers the claim.
+    known: Time,
 }
 
 impl ClaimLease {
-    /// The lease of a claim by `token` that is sent for the first time at `now`.
-    pub(crate) fn new(token: Token, now: Time) -> Self {
-        let end = now + (START - MARGIN);
-        Self { token, end }
+    /// The lease of a claim by `token` that is sent for the first time at `now`
+    /// to a register with this `retention`.
+    pub(crate) fn new(token: Token, now: Time, retention: Duration) -> Self {
+        let share = START.as_millis() / MARGIN.as_millis();
+        let drift = retention / u32::try_from(share).unwrap_or(1);
+        Self {
+            token,
+            end: now + (START - MARGIN),
+            known: now + (retention - drift),
+        }
     }
 
     /// The sending that holds the claim.
@@ -47,4 +56,14 @@
     pub(crate) fn valid(&self, now: Time) -> bool {
         now < self.end
     }
+
+    /// Whether the claim, once granted and not released, still keeps every
+    /// other sending with its key from running at `now`.
+    ///
+    /// Guards against a false "not run" from an instance that froze for longer
+    /// than the retention: its claim is forgotten, and a later sending may have
+    /// run. It holds as the register remembers a claim for longer than this.
+    pub(crate) fn exclusive(&self, now: Time) -> bool {
+        now < self.known
+    }
 }
--- a/src/claim/machine.rs
+++ b/src/claim/machine.rs
@@ -11,6 +11,10 @@
 use crate::collections::HashMap;
 use crate::id::OrganisationId;
 
+/// Most that one [`Expire`] moves the register's time, in milliseconds. After a
+/// longer gap the time lags behind, which only keeps claims for longer.
+const LONGEST_STEP: u64 = 2_000;
+
 /// Bounds of a register. The same on every replica.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Bounds {
@@ -106,46 +110,13 @@
             return Reply::Malformed(());
         }
         let id = id(&claim.organisation, &claim.key);
-        match self.records.get(&id) {
-            Some(record) => self.found(record, claim, token),
+        let (time, retention) = (self.time, self.retention());
+        match self.records.get_mut(&id) {
+            Some(record) => found(record, claim, token, time, retention),
             None => self.grant(index, id, claim, token),
         }
     }
 
-    fn found(&self, record: &Record, claim: &Claim, token: Token) -> Reply {
-        if record.digest != head(&claim.digest) {
-            return Reply::Mismatch(());
-        }
-        match &record.state {
-            State::Kept(kept) => {
-                let kept = Some(Kept::clone(kept));
-                Reply::Answered(Answered { kept })
-            }
-            State::NotKept => Reply::Answered(Answered { kept: None }),
-            State::Unknown => Reply::Unknown(()),
-            // The proposal arrived twice; the holder still dispatches once.
-            State::Pending if record.token == token => {
-                Reply::Granted(Granted { token: Some(token) })
-            }
-            State::Pending => self.pending(record, token),
-        }
-    }
-
-    fn pending(&self, record: &Record, token: Token) -> Reply {
-        let age = record.age(self.time);
-        // A holder that started again has lost what it ran.
-        let restarted =
-            record.token.holder == token.holder && record.token.incarnation < token.incarnation;
-        if restarted || age >= u64::from(record.ttl) {
-            return Reply::Unknown(());
-        }
-        Reply::InProgress(InProgress {
-            holder: Some(record.token),
-            age,
-            starting: age < u64::from(record.start),
-        })
-    }
-
     fn grant(&mut self, index: u64, id: Id, claim: &Claim, token: Token) -> Reply {
         let organisation = OrganisationId::from(claim.organisation.as_str());
         if !self.fits(&organisation, RECORD_LEN) {
@@ -160,6 +131,7 @@
             since: None,
             start: claim.start,
             ttl: claim.ttl.min(self.longest()),
+            told: false,
             state: State::Pending,
         };
         self.charge(&record.organisation.clone(), 0, RECORD_LEN);
@@ -183,6 +155,7 @@
         let state = match settle.outcome {
             Some(Outcome::Kept(kept)) => self.keep(record, kept),
             Some(Outcome::NotKept(())) => State::NotKept,
+            Some(Outcome::Unrun(())) => State::Unrun,
             Some(Outcome::Unknown(())) | None => State::Unknown,
         };
         self.replace(id, state);
@@ -212,13 +185,18 @@
 
     fn release(&mut self, release: &Release) -> Reply {
         let id = id(&release.organisation, &release.key);
-        let held = self.records.get(&id).is_some_and(|record| {
-            release.token == Some(record.token) && record.state == State::Pending
-        });
-        if !held {
+        let Some(record) = self.records.get(&id) else {
+            return Reply::Stale(());
+        };
+        if release.token != Some(record.token) || record.state != State::Pending {
             return Reply::Stale(());
         }
-        self.remove(id);
+        // Someone may have acted on "unknown, never run again": it stays true.
+        if record.told {
+            self.replace(id, State::Unrun);
+        } else {
+            self.remove(id);
+        }
         Reply::Done(())
     }
 
@@ -231,7 +209,7 @@
     fn expire(&mut self, index: u64, expire: Expire) -> Reply {
         if expire.after == self.tick {
             self.tick = index;
-            self.time = self.time.saturating_add(expire.elapsed);
+            self.time += expire.elapsed.min(LONGEST_STEP);
             self.settle_ages();
             self.forget();
         }
@@ -316,3 +294,48 @@
             .map_or(organisation, |(name, _)| name.clone())
     }
 }
+
+/// Replies to a claim of a key that is in use.
+fn found(record: &mut Record, claim: &Claim, token: Token, time: u64, retention: u64) -> Reply {
+    // What is said of a claim that is about to be forgotten must stay true
+    // until the caller reads it, although the key may be free and run by then.
+    let age = record.age(time);
+    let ending = age + u64::from(claim.start) + LONGEST_STEP >= retention;
+    if record.digest != head(&claim.digest) {
+        return if ending {
+            Reply::Unknown(())
+        } else {
+            Reply::Mismatch(())
+        };
+    }
+    match &record.state {
+        State::Kept(kept) => {
+            let kept = Some(Kept::clone(kept));
+            Reply::Answered(Answered { kept })
+        }
+        State::NotKept => Reply::Answered(Answered { kept: None }),
+        State::Unknown => Reply::Unknown(()),
+        State::Unrun if ending => Reply::Unknown(()),
+        State::Unrun => Reply::Unrun(()),
+        // The proposal arrived twice; the holder still dispatches once.
+        State::Pending if record.token == token => Reply::Granted(Granted { token: Some(token) }),
+        State::Pending => pending(record, token, time),
+    }
+}
+
+fn pending(record: &mut Record, token: Token, time: u64) -> Reply {
+    let age = record.age(time);
+    // A holder that started again has lost what it ran.
+    let restarted =
+        record.token.holder == token.holder && record.token.incarnation < token.incarnation;
+    let starting = age < u64::from(record.start) && !restarted;
+    record.told |= !starting;
+    if restarted || age >= u64::from(record.ttl) {
+        return Reply::Unknown(());
+    }
+    Reply::InProgress(InProgress {
+        holder: Some(record.token),
+        age,
+        starting,
+    })
+}
--- a/src/claim/message.rs
+++ b/src/claim/message.rs
@@ -92,6 +92,9 @@
     /// The holder can't tell whether it ran.
     #[prost(message, tag = "15")]
     Unknown(()),
+    /// No byte left, and none will.
+    #[prost(message, tag = "16")]
+    Unrun(()),
 }
 
 /// Records how a claimed request ended.
@@ -104,7 +107,7 @@
     #[prost(string, tag = "2")]
     pub(crate) key: String,
     /// The outcome.
-    #[prost(oneof = "Outcome", tags = "13, 14, 15")]
+    #[prost(oneof = "Outcome", tags = "13, 14, 15, 16")]
     pub(crate) outcome: Option<Outcome>,
     /// The sending that holds the claim.
     #[prost(message, optional, tag = "3")]
@@ -112,6 +115,9 @@
 }
 
 /// Gives a claim back. Only for a holder that knows no byte left.
+///
+/// The key is free again, unless someone was told that the outcome may be
+/// unknown and never run again. Then it stays so: see [`Reply::Unrun`].
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct Release {
     /// The claim's organisation.
@@ -246,6 +252,9 @@
     /// The state of the register's time.
     #[prost(message, tag = "9")]
     Ticked(Ticked),
+    /// It was never run and never will be under this key.
+    #[prost(message, tag = "11")]
+    Unrun(()),
     /// The command can't be read or breaks a bound.
     #[prost(message, tag = "10")]
     Malformed(()),
@@ -253,7 +262,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 struct Envelope {
-    #[prost(oneof = "Reply", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Reply", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     reply: Option<Reply>,
 }
 
--- a/src/claim/record.rs
+++ b/src/claim/record.rs
@@ -62,6 +62,8 @@
     NotKept,
     /// The holder itself can't tell.
     Unknown,
+    /// It didn't run; the key stays used.
+    Unrun,
 }
 
 /// One claim.
@@ -79,6 +81,8 @@
     /// As in [`Claim`].
     pub(super) start: u32,
     pub(super) ttl: u32,
+    /// Whether a later sending was told that the outcome may be unknown.
+    pub(super) told: bool,
     pub(super) state: State,
 }
 
--- a/src/claim/snapshot.rs
+++ b/src/claim/snapshot.rs
@@ -35,8 +35,10 @@
     start: u32,
     #[prost(uint32, tag = "8")]
     ttl: u32,
+    #[prost(bool, tag = "9")]
+    told: bool,
     /// Absent while the outcome is awaited.
-    #[prost(oneof = "Outcome", tags = "13, 14, 15")]
+    #[prost(oneof = "Outcome", tags = "13, 14, 15, 16")]
     outcome: Option<Outcome>,
 }
 
@@ -61,6 +63,7 @@
         since: record.since,
         start: record.start,
         ttl: record.ttl,
+        told: record.told,
         outcome: outcome(&record.state),
     }
 }
@@ -71,6 +74,7 @@
         State::Kept(kept) => Some(Outcome::Kept(Kept::clone(kept))),
         State::NotKept => Some(Outcome::NotKept(())),
         State::Unknown => Some(Outcome::Unknown(())),
+        State::Unrun => Some(Outcome::Unrun(())),
     }
 }
 
@@ -80,6 +84,7 @@
         Some(Outcome::Kept(kept)) => State::Kept(Box::new(kept)),
         Some(Outcome::NotKept(())) => State::NotKept,
         Some(Outcome::Unknown(())) => State::Unknown,
+        Some(Outcome::Unrun(())) => State::Unrun,
     }
 }
 
@@ -127,6 +132,7 @@
             since: saved.since,
             start: saved.start,
             ttl: saved.ttl,
+            told: saved.told,
             state: state(saved.outcome),
         };
         self.charge(&organisation, 0, record.cost());
--- a/src/request.rs
+++ b/src/request.rs
@@ -6,12 +6,14 @@
 
 mod answer;
 mod attempt;
+mod event;
 mod generation;
 mod id;
 mod life;
 
 pub(crate) use answer::{Answer, Failure, FailureCode, Ran, Refusal, RefusalCode};
 pub(crate) use attempt::{Frame, Hop, covers};
-pub(crate) use generation::{Bounds, Cause, Effect, Event, Generation, Report, Unopened};
+pub(crate) use event::{Bounds, Cause, Effect, Event, Report, Unopened};
+pub(crate) use generation::Generation;
 pub(crate) use id::RequestId;
 pub(crate) use life::{Admitted, Answering, Claimed, Dispatched, Life, Received, Unrun};
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -51,13 +51,16 @@
     ClaimLapsed,
     /// The key was used with another request.
     KeyMismatch,
+    /// The request wasn't run, but an earlier sending was told that it may
+    /// have been and never will be.
+    KeyRetired,
     /// The instance shuts down.
     Draining,
 }
 
 impl RefusalCode {
     /// Every code, for the documentation's test.
-    pub(crate) const ALL: [Self; 16] = [
+    pub(crate) const ALL: [Self; 17] = [
         Self::Unauthenticated,
         Self::InvalidRequest,
         Self::UnknownRoute,
@@ -73,6 +76,7 @@
         Self::ClaimsFull,
         Self::ClaimLapsed,
         Self::KeyMismatch,
+        Self::KeyRetired,
         Self::Draining,
     ];
 
@@ -94,6 +98,7 @@
             Self::ClaimsFull => "claims_full",
             Self::ClaimLapsed => "claim_lapsed",
             Self::KeyMismatch => "key_mismatch",
+            Self::KeyRetired => "key_retired",
             Self::Draining => "draining",
         }
     }
@@ -109,6 +114,7 @@
             Self::CallerLeft => 499,
             Self::QueueTimeout => 504,
             Self::KeyMismatch => 422,
+            Self::KeyRetired => 409,
             Self::NoUpstream
             | Self::UpstreamBusy
             | Self::RetryBudget
@@ -138,6 +144,7 @@
             }
             Self::ClaimsFull => "too many keys are kept: send again with the same key later",
             Self::ClaimLapsed => "the claim came too late: send again with the same key",
+            Self::KeyRetired => "the request of this key wasn't run: send it with a new key",
             Self::KeyMismatch => "the key was used for another request: choose a new key",
             Self::Draining => "the instance shuts down: send again, to another instance",
         }
@@ -152,6 +159,7 @@
                 | Self::UnknownRoute
                 | Self::TooLarge
                 | Self::KeyMismatch
+                | Self::KeyRetired
         )
     }
 }
--- /dev/null
+++ b/src/request/event.rs
@@ -0,0 +1,179 @@
+//! What goes into a [`Generation`] and what comes out of it.
+//!
+//! [`Generation`]: super::Generation
+
+use std::time::Duration;
+
+use crate::claim::{Outcome, Token};
+use crate::clock::Time;
+use crate::id::UpstreamId;
+use crate::request::{Answer, Frame, Hop, RequestId};
+
+/// Bounds of one generation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bounds {
+    /// Most tokens of the answer.
+    pub(crate) tokens: u32,
+    /// Layers of the model.
+    pub(crate) layers: u32,
+    /// Most attempts, the first one included.
+    pub(crate) attempts: u32,
+    /// End of the request's time.
+    pub(crate) deadline: Time,
+    /// Longest wait for the first token of an attempt.
+    pub(crate) first: Duration,
+    /// Longest wait between two tokens.
+    pub(crate) idle: Duration,
+}
+
+/// Why an attempt broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Cause {
+    /// The connection was refused: no byte reached a process.
+    Refused,
+    /// The connection ended before the closing event.
+    Cut,
+    /// Something came that doesn't belong to this attempt, or can't be read.
+    Garbage,
+    /// No token came in time.
+    Timeout,
+}
+
+/// Why no attempt could be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unopened {
+    /// No path covers the layers.
+    NoPath,
+    /// The retry budget is used up.
+    Budget,
+}
+
+/// What the driver tells a [`super::Generation`].
+#[derive(Clone, Debug)]
+pub(crate) enum Event {
+    /// A path is chosen for the attempt. The first byte must not leave before
+    /// [`Effect::Send`].
+    Started {
+        /// From [`Effect::Open`].
+        attempt: u32,
+        /// Planned path.
+        path: Vec<Hop>,
+    },
+    /// The attempt can't be opened.
+    Unopened {
+        /// From [`Effect::Open`].
+        attempt: u32,
+        /// Why.
+        reason: Unopened,
+        /// Pause that the caller should make.
+        pause: Option<Duration>,
+    },
+    /// A token came on the connection of attempt `on`.
+    Frame {
+        /// The attempt that the connection was opened for.
+        on: u32,
+        /// What the engine sent.
+        frame: Frame,
+    },
+    /// The closing event came on the connection of attempt `on`.
+    Done {
+        /// The attempt that the connection was opened for.
+        on: u32,
+        /// The request that the engine names.
+        request: String,
+        /// The attempt that the engine names.
+        attempt: u32,
+        /// Tokens of the whole answer.
+        count: u32,
+    },
+    /// The first engine answered 503 before any token: it ran nothing.
+    Busy {
+        /// The attempt.
+        attempt: u32,
+    },
+    /// The attempt ended without its closing event.
+    Broken {
+        /// The attempt.
+        attempt: u32,
+        /// What was seen.
+        cause: Cause,
+        /// The stage at fault, where known.
+        suspect: Option<UpstreamId>,
+    },
+    /// Time has passed.
+    Tick,
+    /// The caller closed its connection.
+    CallerLeft,
+}
+
+/// How an attempt went, for the choice of later paths.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Report {
+    /// It brought the whole answer.
+    Served,
+    /// Its first engine was busy.
+    Busy,
+    /// It broke.
+    Broken {
+        /// What was seen.
+        cause: Cause,
+        /// The stage at fault, where known.
+        suspect: Option<UpstreamId>,
+    },
+}
+
+/// What a [`super::Generation`] tells its driver to do.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Effect {
+    /// Choose a path and answer with `Started` or `Unopened`. Attempts after
+    /// the first take from the retry budget.
+    Open {
+        /// Counts from 1.
+        attempt: u32,
+        /// Tokens that the attempt starts behind; see [`super::Generation::tokens`].
+        resume: u32,
+        /// Upstreams to avoid where another path exists.
+        exclude: Vec<UpstreamId>,
+    },
+    /// Send the attempt's request, now: a later time may be too late.
+    Send {
+        /// The attempt.
+        attempt: u32,
+    },
+    /// Write a verified token to the caller, if it is still there.
+    Emit {
+        /// The request that it belongs to, for the writer's own check.
+        request: RequestId,
+        /// Position in the whole answer.
+        index: u32,
+        /// Text of the token.
+        text: String,
+    },
+    /// Close the attempt's connection.
+    Cancel {
+        /// The attempt.
+        attempt: u32,
+    },
+    /// Tell the router how an attempt went.
+    Report {
+        /// The path that was used.
+        path: Vec<Hop>,
+        /// How it went.
+        report: Report,
+    },
+    /// Release the claim: no byte left.
+    Release {
+        /// The claim's holder.
+        token: Token,
+    },
+    /// Settle the claim.
+    Settle {
+        /// The claim's holder.
+        token: Token,
+        /// What is known.
+        outcome: Outcome,
+    },
+    /// The one final answer. A stream that has begun ends with the closing
+    /// marker if it is complete, else with an error event.
+    Finish(Answer),
+}
--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -3,181 +3,13 @@
 use std::mem;
 use std::time::Duration;
 
-use crate::claim::{Kept, MAX_KEPT, Outcome, Token};
+use crate::claim::{Kept, MAX_KEPT, Outcome};
 use crate::clock::Time;
 use crate::id::UpstreamId;
 use crate::request::attempt::{Attempt, Verdict};
+use crate::request::event::{Bounds, Cause, Effect, Event, Report, Unopened};
 use crate::request::life::{Answering, Claimed, DEFAULT_PAUSE, Dispatched, Life, Unrun};
-use crate::request::{Answer, FailureCode, Frame, Hop, RefusalCode, RequestId, covers};
-
-/// Bounds of one generation.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Bounds {
-    /// Most tokens of the answer.
-    pub(crate) tokens: u32,
-    /// Layers of the model.
-    pub(crate) layers: u32,
-    /// Most attempts, the first one included.
-    pub(crate) attempts: u32,
-    /// End of the request's time.
-    pub(crate) deadline: Time,
-    /// Longest wait for the first token of an attempt.
-    pub(crate) first: Duration,
-    /// Longest wait between two tokens.
-    pub(crate) idle: Duration,
-}
-
-/// Why an attempt broke.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) enum Cause {
-    /// The connection was refused: no byte reached a process.
-    Refused,
-    /// The connection ended before the closing event.
-    Cut,
-    /// Something came that doesn't belong to this attempt, or can't be read.
-    Garbage,
-    /// No token came in time.
-    Timeout,
-}
-
-/// Why no attempt could be opened.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Unopened {
-    /// No path covers the layers.
-    NoPath,
-    /// The retry budget is used up.
-    Budget,
-}
-
-/// What the driver tells a [`Generation`].
-#[derive(Clone, Debug)]
-pub(crate) enum Event {
-    /// A path is chosen for the attempt. The first byte must not leave before
-    /// [`Effect::Send`].
-    Started {
-        /// From [`Effect::Open`].
-        attempt: u32,
-        /// Planned path.
-        path: Vec<Hop>,
-    },
-    /// The attempt can't be opened.
-    Unopened {
-        /// From [`Effect::Open`].
-        attempt: u32,
-        /// Why.
-        reason: Unopened,
-        /// Pause that the caller should make.
-        pause: Option<Duration>,
-    },
-    /// A token came on the connection of attempt `on`.
-    Frame {
-        /// The attempt that the connection was opened for.
-        on: u32,
-        /// What the engine sent.
-        frame: Frame,
-    },
-    /// The closing event came on the connection of attempt `on`.
-    Done {
-        /// The attempt that the connection was opened for.
-        on: u32,
-        /// The request that the engine names.
-        request: String,
-        /// The attempt that the engine names.
-        attempt: u32,
-        /// Tokens of the whole answer.
-        count: u32,
-    },
-    /// The first engine answered 503 before any token: it ran nothing.
-    Busy {
-        /// The attempt.
-        attempt: u32,
-    },
-    /// The attempt ended without its closing event.
-    Broken {
-        /// The attempt.
-        attempt: u32,
-        /// What was seen.
-        cause: Cause,
-        /// The stage at fault, where known.
-        suspect: Option<UpstreamId>,
-    },
-    /// Time has passed.
-    Tick,
-    /// The caller closed its connection.
-    CallerLeft,
-}
-
-/// How an attempt went, for the choice of later paths.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Report {
-    /// It brought the whole answer.
-    Served,
-    /// Its first engine was busy.
-    Busy,
-    /// It broke.
-    Broken {
-        /// What was seen.
-        cause: Cause,
-        /// The stage at fault, where known.
-        suspect: Option<UpstreamId>,
-    },
-}
-
-/// What a [`Generation`] tells its driver to do.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Effect {
-    /// Choose a path and answer with `Started` or `Unopened`. Attempts after
-    /// the first take from the retry budget.
-    Open {
-        /// Counts from 1.
-        attempt: u32,
-        /// Tokens that the attempt starts behind; see [`Generation::tokens`].
-        resume: u32,
-        /// Upstreams to avoid where another path exists.
-        exclude: Vec<UpstreamId>,
-    },
-    /// Send the attempt's request, now: a later time may be too late.
-    Send {
-        /// The attempt.
-        attempt: u32,
-    },
-    /// Write a verified token to the caller, if it is still there.
-    Emit {
-        /// The request that it belongs to, for the writer's own check.
-        request: RequestId,
-        /// Position in the whole answer.
-        index: u32,
-        /// Text of the token.
-        text: String,
-    },
-    /// Close the attempt's connection.
-    Cancel {
-        /// The attempt.
-        attempt: u32,
-    },
-    /// Tell the router how an attempt went.
-    Report {
-        /// The path that was used.
-        path: Vec<Hop>,
-        /// How it went.
-        report: Report,
-    },
-    /// Release the claim: no byte left.
-    Release {
-        /// The claim's holder.
-        token: Token,
-    },
-    /// Settle the claim.
-    Settle {
-        /// The claim's holder.
-        token: Token,
-        /// What is known.
-        outcome: Outcome,
-    },
-    /// The one final answer. A stream that has begun ends with the closing
-    /// marker if it is complete, else with an error event.
-    Finish(Answer),
-}
+use crate::request::{FailureCode, Frame, Hop, RefusalCode, RequestId, covers};
 
 /// How far the request has come.
 #[derive(Debug)]
@@ -199,6 +31,8 @@
 pub(crate) struct Generation<P> {
     id: RequestId,
     bounds: Bounds,
+    /// Time of the event in hand.
+    now: Time,
     stage: Stage<P>,
     /// Attempts opened so far.
     number: u32,
@@ -220,6 +54,7 @@
         let mut generation = Self {
             id: life.id,
             bounds,
+            now: Time::default(),
             stage: Stage::Ready(life),
             number: 0,
             attempt: None,
@@ -252,6 +87,7 @@
 
     /// Takes an event at `now` and adds what is to be done.
     pub(crate) fn step(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
+        self.now = now;
         if self.finished() {
             return Self::late(event, out);
         }
@@ -259,13 +95,13 @@
             return self.expire(out);
         }
         match event {
-            Event::Started { attempt, path } => self.started(now, attempt, path, out),
+            Event::Started { attempt, path } => self.started(attempt, path, out),
             Event::Unopened {
                 attempt,
                 reason,
                 pause,
             } => self.unopened(attempt, reason, pause, out),
-            Event::Frame { on, frame } => self.frame(now, on, frame, out),
+            Event::Frame { on, frame } => self.frame(on, frame, out),
             Event::Done {
                 on,
                 request,
@@ -278,7 +114,7 @@
                 cause,
                 suspect,
             } => self.broken(attempt, cause, suspect, out),
-            Event::Tick => self.tick(now, out),
+            Event::Tick => self.tick(out),
             Event::CallerLeft => self.left(out),
         }
     }
@@ -319,7 +155,7 @@
         });
     }
 
-    fn started(&mut self, now: Time, attempt: u32, path: Vec<Hop>, out: &mut Vec<Effect>) {
+    fn started(&mut self, attempt: u32, path: Vec<Hop>, out: &mut Vec<Effect>) {
         if attempt != self.number || self.attempt.is_some() {
             return out.push(Effect::Cancel { attempt });
         }
@@ -327,9 +163,9 @@
             return self.unopened(attempt, Unopened::NoPath, None, out);
         }
         self.stage = match self.take() {
-            Stage::Ready(life) => match life.dispatch(now) {
+            Stage::Ready(life) => match life.dispatch(self.now) {
                 Ok(life) => Stage::Sent(life),
-                Err(life) => return refuse(life, RefusalCode::ClaimLapsed, None, out),
+                Err(life) => return refuse(life, self.now, RefusalCode::ClaimLapsed, None, out),
             },
             stage => stage,
         };
@@ -338,7 +174,7 @@
             path,
         });
         self.flowing = false;
-        self.moved = now;
+        self.moved = self.now;
         out.push(Effect::Send { attempt });
     }
 
@@ -359,22 +195,22 @@
         self.end(code, pause, out);
     }
 
-    fn frame(&mut self, now: Time, on: u32, frame: Frame, out: &mut Vec<Effect>) {
+    fn frame(&mut self, on: u32, frame: Frame, out: &mut Vec<Effect>) {
         let Some(attempt) = self.attempt.as_ref().filter(|a| a.number == on) else {
             return;
         };
         let next = self.next();
         match attempt.check(self.id, next, self.bounds.tokens, &frame) {
-            Verdict::Valid => self.emit(now, next, frame.text, out),
+            Verdict::Valid => self.emit(next, frame.text, out),
             Verdict::Stale => {}
             Verdict::Invalid => self.broken(on, Cause::Garbage, None, out),
         }
     }
 
-    fn emit(&mut self, now: Time, index: u32, text: String, out: &mut Vec<Effect>) {
+    fn emit(&mut self, index: u32, text: String, out: &mut Vec<Effect>) {
         self.answering();
         self.flowing = true;
-        self.moved = now;
+        self.moved = self.now;
         self.texts.push(text.clone());
         out.push(Effect::Emit {
             request: self.id,
@@ -462,12 +298,10 @@
     }
 
     fn retry(&mut self, code: RefusalCode, out: &mut Vec<Effect>) {
-        // All tokens are there; only the closing event was lost.
-        if self.next() >= self.bounds.tokens {
-            return self.complete(out);
-        }
         let again = match &self.stage {
             Stage::Ready(_) => true,
+            // All tokens are there; only the closing event was lost.
+            Stage::Running(_) if self.next() >= self.bounds.tokens => return self.complete(out),
             Stage::Running(life) => life.idempotent,
             Stage::Sent(_) | Stage::Finished => false,
         };
@@ -478,11 +312,11 @@
         }
     }
 
-    fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
+    fn tick(&mut self, out: &mut Vec<Effect>) {
         let Some(attempt) = &self.attempt else {
             return;
         };
-        if now >= self.moved + self.patience() {
+        if self.now >= self.moved + self.patience() {
             self.broken(attempt.number, Cause::Timeout, None, out);
         }
     }
@@ -490,7 +324,7 @@
     fn expire(&mut self, out: &mut Vec<Effect>) {
         self.abandon(out);
         match self.take() {
-            Stage::Ready(life) => refuse(life, RefusalCode::QueueTimeout, None, out),
+            Stage::Ready(life) => refuse(life, self.now, RefusalCode::QueueTimeout, None, out),
             Stage::Sent(life) => fail(life.answering(), FailureCode::DeadlineExceeded, None, out),
             Stage::Running(life) => fail(life, FailureCode::DeadlineExceeded, None, out),
             Stage::Finished => {}
@@ -503,7 +337,7 @@
         }
         self.abandon(out);
         match self.take() {
-            Stage::Ready(life) => refuse(life, RefusalCode::CallerLeft, None, out),
+            Stage::Ready(life) => refuse(life, self.now, RefusalCode::CallerLeft, None, out),
             Stage::Sent(life) => fail(life.answering(), FailureCode::Cancelled, None, out),
             Stage::Running(life) => fail(life, FailureCode::Cancelled, None, out),
             Stage::Finished => {}
@@ -530,7 +364,7 @@
     fn end(&mut self, code: RefusalCode, pause: Option<Duration>, out: &mut Vec<Effect>) {
         self.abandon(out);
         match self.take() {
-            Stage::Ready(life) => refuse(life, code, pause, out),
+            Stage::Ready(life) => refuse(life, self.now, code, pause, out),
             Stage::Sent(life) => fail(life.answering(), FailureCode::AnswerCut, pause, out),
             Stage::Running(life) => fail(life, FailureCode::AnswerCut, pause, out),
             Stage::Finished => {}
@@ -565,6 +399,7 @@
 
 fn refuse<P>(
     life: Life<Claimed<P>>,
+    now: Time,
     code: RefusalCode,
     pause: Option<Duration>,
     out: &mut Vec<Effect>,
@@ -573,7 +408,7 @@
         let token = lease.token();
         out.push(Effect::Release { token });
     }
-    out.push(Effect::Finish(life.refuse(code, pause)));
+    out.push(Effect::Finish(life.refuse(now, code, pause)));
 }
 
 fn fail<P>(
--- a/src/request/life.rs
+++ b/src/request/life.rs
@@ -158,11 +158,13 @@
     /// [`Reply::InProgress`] names is believed to be up.
     pub(crate) fn claimed(
         self,
+        now: Time,
         lease: ClaimLease,
         reply: Reply,
         alive: bool,
     ) -> Result<Life<Claimed<P>>, Answer> {
         let failed = |code, retry| Answer::Failed(Failure::new(code, retry));
+        let not_run = |code| Answer::Refused(Refusal::new(code, Ran::No, None));
         let answer = match reply {
             Reply::Granted(granted) if granted.token == Some(lease.token()) => {
                 return Ok(self.map(|Admitted { permit }| Claimed {
@@ -176,9 +178,9 @@
             Reply::InProgress(_) | Reply::Unknown(()) => failed(FailureCode::OutcomeUnknown, None),
             Reply::Answered(Answered { kept: Some(kept) }) => Answer::Kept(kept),
             Reply::Answered(_) => failed(FailureCode::AnswerNotKept, None),
-            Reply::Mismatch(()) => {
-                Answer::Refused(Refusal::new(RefusalCode::KeyMismatch, Ran::No, None))
-            }
+            // A late reply may be outdated: the key may have been used since.
+            Reply::Mismatch(()) if lease.valid(now) => not_run(RefusalCode::KeyMismatch),
+            Reply::Unrun(()) if lease.valid(now) => not_run(RefusalCode::KeyRetired),
             Reply::Full(full) => {
                 let pause = Duration::from_millis(full.pause);
                 self.refuse_unclaimed(RefusalCode::ClaimsFull, Some(pause))
@@ -214,9 +216,11 @@
         Ok(self.map(|Claimed { permit, lease }| Dispatched { permit, lease }))
     }
 
-    /// Refuses the request. The claim, if any, must be released.
-    pub(crate) fn refuse(self, code: RefusalCode, retry: Option<Duration>) -> Answer {
-        Answer::Refused(Refusal::new(code, Ran::No, retry))
+    /// Refuses the request at `now`. The claim, if any, must be released.
+    pub(crate) fn refuse(self, now: Time, code: RefusalCode, retry: Option<Duration>) -> Answer {
+        let exclusive = self.state.lease.as_ref().is_none_or(|l| l.exclusive(now));
+        let ran = if exclusive { Ran::No } else { Ran::Unknown };
+        Answer::Refused(Refusal::new(code, ran, retry))
     }
 }
 
