--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 mod auth;
 mod budget;
 mod catalogue;
+#[allow(dead_code)]
 mod claim;
 mod cli;
 mod client;
@@ -20,6 +21,7 @@
 mod engine;
 mod error;
 mod event;
+#[allow(dead_code)]
 mod flow;
 mod follow;
 mod follower;
@@ -39,6 +41,7 @@
 mod propose;
 mod queue;
 mod replica;
+#[allow(dead_code)]
 mod request;
 mod route;
 mod serve;
@@ -57,7 +60,6 @@
 pub use clock::{Clock, SystemClock, Time};
 pub use collections::{HashMap, HashSet};
 pub use error::{EXIT_OK, Error, Result};
-pub use gossip::{Fleet, FleetDump, FleetError, FleetSettings, TrafficCounts};
 pub use gossip::{
     Datagram, Fleet, FleetDump, FleetError, FleetSettings, Node, NodeEvent, NodeSettings,
     TrafficCounts,
--- a/src/serve/claims.rs
+++ b/src/serve/claims.rs
@@ -7,7 +7,7 @@
 
 use super::{Held, Serving};
 use crate::claim::{
-    Action, Claim, ClaimLease, Outcome, Release, Reply, START, Settle, Token, shard,
+    Action, Bounds, Claim, ClaimLease, Outcome, Release, Reply, START, Settle, Token, shard,
 };
 use crate::id::Incarnation;
 use crate::propose::Proposer;
@@ -52,7 +52,7 @@
             (Err(life), None) => return Err(life.refuse(RefusalCode::ClaimUnavailable, None)),
         };
         let token = Token::from(life.id);
-        let lease = ClaimLease::new(token, self.now());
+        let lease = ClaimLease::new(token, self.now(), Bounds::default().retention);
         let claim = Claim {
             organisation: key.organisation.clone(),
             key: key.key.clone(),
@@ -75,7 +75,7 @@
             _ => None,
         };
         let alive = holder.is_some_and(|t| self.alive(t.instance(), Incarnation(t.incarnation)));
-        life.claimed(lease, reply, alive)
+        life.claimed(self.now(), lease, reply, alive)
     }
 
     /// Records in the background that a claim wasn't used.
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -3,5 +3,6 @@
 mod auth;
 mod event;
 mod flow;
+mod life;
 mod route;
 mod voter;
