Let the emulator keep begun attempts through a kill

Cause: when an engine is killed in mid-answer its counts die with it, and a second run of the same request elsewhere would count as the first.

Each begun attempt is appended to a file before it runs; a restart reads it. Ruled out: asking for the counts before each kill, which misses what begins in between.

--- a/examples/emulator/announce.rs
+++ b/examples/emulator/announce.rs
@@ -60,6 +60,8 @@
             tokio::time::sleep(LOOK).await;
         }
         self.renew("gone").await;
+        let totals = json!(self.upstream.counts.lock().unwrap().totals);
+        eprintln!("gone {totals}");
     }
 
     /// Announces once; answers the pause until the next time.
--- a/examples/emulator/count.rs
+++ b/examples/emulator/count.rs
@@ -1,6 +1,9 @@
 //! What was really executed, so that doubles are counted and not guessed.
 
 use std::collections::BTreeMap;
+use std::fs::{File, OpenOptions};
+use std::io::{self, BufRead, BufReader, Write};
+use std::path::Path;
 
 use serde::Serialize;
 
@@ -47,14 +50,46 @@
     pub(crate) ids: BTreeMap<String, u64>,
     /// Services: calls by `Idempotency-Key`.
     pub(crate) keys: BTreeMap<String, u64>,
+    /// Where begun attempts are kept for a restart after a kill.
+    #[serde(skip)]
+    journal: Option<File>,
 }
 
 impl Counts {
+    /// Counts that outlive a kill of the process: a second run of a request
+    /// whose first one died with the engine must still show as a second run.
+    pub(crate) fn with_journal(path: &Path) -> io::Result<Self> {
+        let file = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .read(true)
+            .open(path)?;
+        let mut counts = Self::default();
+        for line in BufReader::new(&file).lines() {
+            let line = line?;
+            let Some((request, prompt)) = line.split_once(' ') else {
+                continue;
+            };
+            counts.count(request, prompt.to_owned());
+        }
+        counts.journal = Some(file);
+        Ok(counts)
+    }
+
     /// An attempt begins as first stage.
     pub(crate) fn begin(&mut self, request: &str, prompt: u64) {
+        let prompt = format!("{prompt:016x}");
+        if let Some(file) = &mut self.journal {
+            let line = format!("{request} {prompt}\n");
+            file.write_all(line.as_bytes()).expect("write the journal");
+        }
+        self.count(request, prompt);
+    }
+
+    fn count(&mut self, request: &str, prompt: String) {
         self.totals.began += 1;
         let entry = self.requests.entry(request.to_owned()).or_default();
-        entry.prompt = format!("{prompt:016x}");
+        entry.prompt = prompt;
         entry.attempts += 1;
     }
 
--- a/examples/emulator/main.rs
+++ b/examples/emulator/main.rs
@@ -3,7 +3,8 @@
 //! (`GET /emulator/executions`) and fails on request (`POST /emulator/fault`).
 //!
 //! Prints `ready ADDRESS` for each upstream. On SIGTERM it announces
-//! `leaving`, ends the running work, announces `gone` and exits with 0.
+//! `leaving`, ends the running work, announces `gone`, logs `gone TOTALS` and
+//! exits with 0.
 
 mod announce;
 mod count;
@@ -58,7 +59,7 @@
     for spec in specs {
         let listener = TcpListener::bind(spec.listen).await?;
         let address = listener.local_addr()?;
-        let upstream = Arc::new(Upstream::new(spec, address));
+        let upstream = Arc::new(Upstream::new(spec, address)?);
         println!("ready {address}");
         tokio::spawn(server::serve(upstream.clone(), listener));
         announcers.spawn(announce::Announcer::new(upstream).run(stopped.clone()));
--- a/examples/emulator/spec.rs
+++ b/examples/emulator/spec.rs
@@ -1,6 +1,7 @@
 //! Command line of the emulator: one upstream, and further ones beside it.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use serde_json::{Value, json};
@@ -22,6 +23,8 @@
     pub(crate) delay: u64,
     /// How long a leaving upstream stays at least, in milliseconds.
     pub(crate) linger: u64,
+    /// File that keeps begun attempts through a kill.
+    pub(crate) journal: Option<PathBuf>,
 }
 
 /// An engine or a plain service.
@@ -74,7 +77,7 @@
     }
 }
 
-const FIELDS: [(&str, &str, &str); 16] = [
+const FIELDS: [(&str, &str, &str); 17] = [
     ("listen", "127.0.0.1:0", "Address to listen on"),
     ("id", "eng-1", "Identifier of the upstream"),
     ("pool", "attiki", "Pool of the catalogue"),
@@ -95,6 +98,11 @@
     ("slots", "32", "Concurrent sequences or calls"),
     ("rate", "400", "Tokens a second; 0 for no bound"),
     ("link", "1000", "Network link in Mbit/s"),
+    (
+        "journal",
+        "",
+        "File that keeps begun attempts through a kill",
+    ),
 ];
 
 /// The command line.
@@ -187,6 +195,9 @@
         slots: number("slots")? as usize,
         delay: number("token-ms")?,
         linger: number("linger-ms")?,
+        journal: Some(text("journal"))
+            .filter(|path| !path.is_empty())
+            .map(PathBuf::from),
     })
 }
 
--- a/examples/emulator/upstream.rs
+++ b/examples/emulator/upstream.rs
@@ -1,6 +1,7 @@
 //! State of one emulated upstream, shared by its server and announcer.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -50,20 +51,24 @@
 }
 
 impl Upstream {
-    pub(crate) fn new(spec: Spec, address: SocketAddr) -> Self {
+    pub(crate) fn new(spec: Spec, address: SocketAddr) -> io::Result<Self> {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_secs(2)));
-        Self {
+        let counts = match &spec.journal {
+            Some(path) => Counts::with_journal(path)?,
+            None => Counts::default(),
+        };
+        Ok(Self {
             spec,
             address,
             faults: Mutex::default(),
-            counts: Mutex::default(),
+            counts: Mutex::new(counts),
             running: Mutex::default(),
             leaving: Mutex::default(),
             free: Mutex::new(Instant::now()),
             client: Client::builder(TokioExecutor::new()).build(connector),
-        }
+        })
     }
 
     /// Takes a slot; the fault that strikes the sequence comes with it.
