Let the emulator break order, attempts and the closing event

Cause: "contiguous, in order, once" and "tokens of an older attempt are dropped" need upstreams that repeat or disorder layers, swap two tokens, mix in an older attempt and close an answer before it is whole.

--- a/examples/emulator/engine.rs
+++ b/examples/emulator/engine.rs
@@ -106,6 +106,9 @@
         let mut sent = Vec::new();
         for index in call.tokens.len()..call.limit {
             let made = sent.len();
+            if self.strikes(Mode::EarlyDone, made) {
+                break;
+            }
             self.before(made).await?;
             let token = self.token(index, made, context.state()).await?;
             context.push(&token.text);
@@ -148,6 +151,17 @@
         let (mut state, passed) =
             run_range(self.upstream, &call.request, index, state, own, skip).await;
         let mut passed = vec![passed];
+        if self.strikes(Mode::RepeatLayer, made) {
+            state = model::run(state, own.end - 1, own.end);
+            passed.push(part(&passed[0], own.end - 1, own.end));
+        }
+        if self.strikes(Mode::Disorder, made) {
+            let middle = u32::midpoint(own.first, own.end);
+            let halves = [(middle, own.end), (own.first, middle)];
+            passed = halves
+                .map(|(first, end)| part(&passed[0], first, end))
+                .into();
+        }
         for hop in &call.path[1..] {
             let step = StageCall {
                 request: call.request.clone(),
@@ -179,12 +193,30 @@
         if self.strikes(Mode::Garbage, made) {
             return self.piece("data: {\"request\": no json\n\n".into()).await;
         }
+        if self.strikes(Mode::Reorder, made) {
+            return Ok(());
+        }
         if self.strikes(Mode::LateDuplicate, made.wrapping_sub(2)) {
             self.event(&sent[made - 2]).await?;
         }
         if self.strikes(Mode::RepeatToken, made) {
             self.event(token).await?;
         }
+        if self.strikes(Mode::StaleAttempt, made) {
+            let attempt = token.attempt.saturating_sub(1);
+            let text = "0000 ".to_owned();
+            let stale = token.clone();
+            self.event(&Token {
+                attempt,
+                text,
+                ..stale
+            })
+            .await?;
+        }
+        if self.strikes(Mode::Reorder, made.wrapping_sub(1)) {
+            self.event(token).await?;
+            return self.event(&sent[made - 1]).await;
+        }
         let swaps = self
             .fault
             .is_some_and(|f| f.mode == Mode::SwapIds && f.after <= made);
@@ -219,6 +251,15 @@
     }
 }
 
+fn part(whole: &Passed, first: u32, end: u32) -> Passed {
+    let upstream = whole.upstream.clone();
+    Passed {
+        upstream,
+        first,
+        end,
+    }
+}
+
 async fn run_range(
     upstream: &Upstream,
     request: &str,
--- a/examples/emulator/fault.rs
+++ b/examples/emulator/fault.rs
@@ -12,6 +12,10 @@
     Garbage,
     /// Leave out the last layer of the own range, and report so.
     SkipLayer,
+    /// Run the last layer of the own range twice, and report so.
+    RepeatLayer,
+    /// Report the two halves of the own range in the wrong order.
+    Disorder,
     /// Emit a token twice.
     RepeatToken,
     /// Close the connection in the middle of the answer.
@@ -22,6 +26,12 @@
     SwapIds,
     /// Emit a token once more, two tokens later.
     LateDuplicate,
+    /// Emit a token behind its successor.
+    Reorder,
+    /// Emit a token of an older attempt first.
+    StaleAttempt,
+    /// Close the answer as whole before it is.
+    EarlyDone,
     /// Take `ms` longer for each token or call.
     Slow,
     /// Close the connection without an answer.
