Choose paths by shares of the maximum flow

Cause: a path must run each layer once and in order over engines with overlapping ranges, and many instances choose from the same late reports.

Engines that hold the same layers form a group; the maximum flow over the groups gives the bound, and the flow is spread evenly before its shares are drawn from. Ruled out: a search for the cheapest path per request, which sends all instances to the same engine; the raw maximum flow, which may leave one of two equal groups idle; and turning back from dead ends, since an engine may be entered at any layer it holds and so there are none. The flow is computed anew only when a capacity, a state or an ejection changes.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,10 @@
     Share, URGENT,
 };
 pub use queue::{Discipline, Item, Queue, Refusal, RefusalReason};
+pub use route::{
+    Candidate, Choice, FlowShares, GreedyCheapest, Hop, LeastInFlight, NoPath, NoPathReason,
+    Outcome, Policy, Query, RoundRobin, Router, Site, Stage, Ticket,
+};
 
 #[cfg(test)]
 mod tests;
--- a/src/route.rs
+++ b/src/route.rs
@@ -1,1 +1,224 @@
 //! Choice of a pipeline: an ordered list of upstreams that covers all layers once.
+//!
+//! [`Router::set_view`] takes the announced upstreams in and, when one of them
+//! changed its capacity or state, computes for each model in use the maximum
+//! flow over engines and links and spreads it evenly. [`Router::choose`] walks
+//! from layer 0 to the last one and draws each hop by its share of that flow,
+//! then corrects by load. Since the draw is random, many instances that see
+//! the same late reports don't all choose the same engine.
+
+mod engine;
+mod health;
+mod plan;
+mod policy;
+mod prefix;
+mod types;
+mod walk;
+
+use std::cell::Cell;
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::queue::SegQueue;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHasher;
+
+pub use policy::{Candidate, FlowShares, GreedyCheapest, LeastInFlight, Policy, RoundRobin, Site};
+pub use types::{Choice, Hop, NoPath, NoPathReason, Outcome, Query, Stage, Ticket};
+
+use crate::clock::Time;
+use crate::collections::HashMap;
+use engine::Engines;
+use plan::Plan;
+use prefix::Prefixes;
+use walk::Walk;
+
+/// Time after which the plan of an unused model and set of pools is dropped.
+const PLAN_KEPT: Duration = Duration::from_secs(30);
+
+/// Plans kept at most; beyond it the least recently used one goes.
+const PLANS: usize = 512;
+
+/// Chooses paths for one instance.
+#[derive(Debug)]
+pub struct Router {
+    rng: ChaCha8Rng,
+    policy: Box<dyn Policy>,
+    engines: Engines,
+    /// Plans by the hash of model and pools.
+    plans: HashMap<u64, Vec<Plan>>,
+    prefixes: Prefixes,
+    returns: Arc<SegQueue<Vec<u32>>>,
+}
+
+impl Router {
+    /// A router that steers by flow shares.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self::with_policy(seed, Box::new(FlowShares))
+    }
+
+    /// A router with another policy, for comparison.
+    #[must_use]
+    pub fn with_policy(seed: u64, policy: Box<dyn Policy>) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            policy,
+            engines: Engines::default(),
+            plans: HashMap::default(),
+            prefixes: Prefixes::default(),
+            returns: Arc::default(),
+        }
+    }
+
+    /// Takes over the engines that announce themselves at present. Plans in
+    /// use are computed anew when capacities, states or ejections changed.
+    pub fn set_view(&mut self, now: Time, stages: &[Stage]) {
+        self.collect();
+        let changed = self.engines.update(now, stages);
+        for plans in self.plans.values_mut() {
+            plans.retain(|plan| now.since(plan.used) < PLAN_KEPT);
+            if changed {
+                plans.iter_mut().for_each(|p| p.rebuild(&self.engines));
+            }
+        }
+        self.plans.retain(|_, plans| !plans.is_empty());
+    }
+
+    /// Chooses a path for one request.
+    ///
+    /// # Errors
+    /// [`NoPath`]: the request was not sent anywhere.
+    pub fn choose(&mut self, now: Time, query: &Query<'_>) -> Result<Choice, NoPath> {
+        self.collect();
+        let key = self.plan_key(now, query);
+        let plans = self.plans.get(&key).map_or(&[][..], Vec::as_slice);
+        let plan = plans.iter().find(|p| p.serves(query));
+        let plan = plan.ok_or(NoPath::unknown())?;
+        let cached = query.prefix.map_or(&[][..], |p| self.prefixes.get(p));
+        let walk = Walk {
+            now,
+            query,
+            engines: &self.engines,
+            cached,
+            full: Cell::new(false),
+            probing: Cell::new(true),
+        };
+        let (variant, steps) = walk.path(plan, self.policy.as_mut(), &mut self.rng)?;
+        let hops = steps.iter().map(|step| Hop {
+            upstream: self.engines[step.engine].stage.id.clone(),
+            first: step.first,
+            end: step.end,
+        });
+        let choice = Choice {
+            hops: hops.collect(),
+            version: variant.version.clone(),
+            ticket: Ticket {
+                engines: steps.iter().map(|step| step.engine).collect(),
+                expected: steps.iter().map(|step| step.cost).sum(),
+                prefix: query.prefix,
+                returns: self.returns.clone(),
+            },
+        };
+        for step in &steps {
+            self.engines.start(step.engine);
+        }
+        Ok(choice)
+    }
+
+    /// Gives the in-flight weight of a path back and learns from its outcome.
+    pub fn finish(&mut self, now: Time, mut ticket: Ticket, outcome: Outcome) {
+        let engines = std::mem::take(&mut ticket.engines);
+        for &engine in &engines {
+            self.engines.stop(engine);
+        }
+        match outcome {
+            Outcome::Done { token } => {
+                let factor = token.as_secs_f64() / ticket.expected.max(1e-6);
+                for &engine in &engines {
+                    self.engines.succeeded(now, engine, factor);
+                }
+                if let Some(prefix) = ticket.prefix {
+                    let places = engines.iter().map(|&e| (e, self.engines[e].epoch));
+                    self.prefixes.learn(now, prefix, places);
+                }
+            }
+            Outcome::Failed { stage } => {
+                if let Some(&engine) = engines.get(stage) {
+                    self.engines.failed(now, engine);
+                }
+            }
+            Outcome::Busy { stage } => {
+                if let Some(&engine) = engines.get(stage) {
+                    self.engines.refused(now, engine);
+                }
+            }
+            Outcome::Cancelled => {}
+        }
+    }
+
+    /// Tokens a second that engines and links allow for a model in a set of
+    /// pools: the maximum flow. Zero when there is no complete path.
+    pub fn bound(&mut self, now: Time, model: &str, pools: &[String]) -> f64 {
+        let query = Query::new(model, pools);
+        let key = self.plan_key(now, &query);
+        let plans = self.plans.get(&key).map_or(&[][..], Vec::as_slice);
+        let plan = plans.iter().find(|p| p.serves(&query));
+        plan.map_or(0.0, Plan::bound)
+    }
+
+    /// Requests of this instance that are in flight on an upstream.
+    #[must_use]
+    pub fn in_flight(&mut self, upstream: &crate::id::UpstreamId) -> u32 {
+        self.collect();
+        self.engines.in_flight(upstream)
+    }
+
+    /// Whether an upstream is ejected at present.
+    #[must_use]
+    pub fn is_ejected(&self, now: Time, upstream: &crate::id::UpstreamId) -> bool {
+        self.engines.is_ejected(now, upstream)
+    }
+
+    /// Finds the plan of a query or computes it, and marks it as used.
+    fn plan_key(&mut self, now: Time, query: &Query<'_>) -> u64 {
+        let mut hasher = FxHasher::default();
+        query.model.hash(&mut hasher);
+        query.pools.hash(&mut hasher);
+        let key = hasher.finish();
+        let plans = self.plans.entry(key).or_default();
+        if let Some(plan) = plans.iter_mut().find(|p| p.serves(query)) {
+            plan.used = now;
+            return key;
+        }
+        let mut plan = Plan::new(query.model, query.pools, now);
+        plan.rebuild(&self.engines);
+        plans.push(plan);
+        self.evict();
+        key
+    }
+
+    fn evict(&mut self) {
+        if self.plans.len() <= PLANS {
+            return;
+        }
+        let oldest = self.plans.iter().min_by_key(|(_, plans)| {
+            let used = plans.iter().map(|p| p.used);
+            used.max().unwrap_or_default()
+        });
+        if let Some(key) = oldest.map(|(&key, _)| key) {
+            self.plans.remove(&key);
+        }
+    }
+
+    /// Gives back what dropped tickets held.
+    fn collect(&mut self) {
+        while let Some(engines) = self.returns.pop() {
+            for engine in engines {
+                self.engines.stop(engine);
+            }
+        }
+    }
+}
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,3 +1,5 @@
 //! Tests of crate-private parts, one file a module.
 
 mod auth;
+mod flow;
+mod route;
