--- a/src/route/plan.rs
+++ b/src/route/plan.rs
@@ -36,7 +36,8 @@
     /// Layers where a path may pass from one engine to the next, ascending;
     /// the first is 0 and the last the total.
     pub(crate) cuts: Vec<u32>,
-    /// Ways on from each cut. Every one leads to the last cut in the end.
+    /// Ways on from each cut but the last; none of them is empty, or the
+    /// maximum flow would be zero.
     pub(crate) ways: Vec<Vec<Way>>,
     pub(crate) groups: Vec<Group>,
 }
@@ -221,7 +222,7 @@
     ranges.into_values().collect()
 }
 
-/// The ways on from each cut, without dead ends.
+/// The ways on from each cut.
 fn ways(cuts: &[u32], groups: &[Group]) -> Vec<Vec<Way>> {
     let mut ways: Vec<Vec<Way>> = vec![Vec::new(); cuts.len()];
     for from in (0..cuts.len() - 1).rev() {
@@ -230,8 +231,7 @@
             let Ok(to) = cuts.binary_search(&g.end) else {
                 continue;
             };
-            let leads_on = to == cuts.len() - 1 || !ways[to].is_empty();
-            if g.first <= cut && cut < g.end && leads_on {
+            if g.first <= cut && cut < g.end {
                 ways[from].push(Way {
                     group,
                     to,
--- a/src/route/policy.rs
+++ b/src/route/policy.rs
@@ -24,8 +24,6 @@
     pub(crate) walk: &'a Walk<'b>,
     pub(crate) variant: &'a Variant,
     pub(crate) ways: &'a [Way],
-    /// Cuts that turned out to lead nowhere.
-    pub(crate) dead: &'a [bool],
     /// Engine of the hop before.
     pub(crate) last: Option<u32>,
 }
@@ -34,8 +32,7 @@
     /// All engines that may be used, in a fixed order.
     pub fn candidates(&self) -> impl Iterator<Item = Candidate> {
         let ways = self.ways.iter().enumerate();
-        let live = ways.filter(|(_, way)| !self.dead[way.to]);
-        let all = live.flat_map(|(way, w)| {
+        let all = ways.flat_map(|(way, w)| {
             let members = &self.variant.groups[w.group].members;
             members.iter().map(move |&engine| Candidate { way, engine })
         });
@@ -48,9 +45,6 @@
         let at = rng.random::<f64>() * total;
         let way = self.ways.partition_point(|w| w.flow <= at);
         let found = self.ways.get(way)?;
-        if self.dead[found.to] {
-            return None;
-        }
         let group = &self.variant.groups[found.group];
         let at = rng.random::<f64>() * group.sums.last()?;
         let member = group.sums.partition_point(|&sum| sum <= at);
@@ -71,7 +65,7 @@
         let stage = &self.walk.engines[engine].stage;
         let way = self.ways.iter().position(|w| {
             let group = &self.variant.groups[w.group];
-            !self.dead[w.to] && group.first == stage.first && group.end == stage.end
+            group.first == stage.first && group.end == stage.end
         })?;
         let group = &self.variant.groups[self.ways[way].group];
         let held = group.members.binary_search(&engine).is_ok();
--- a/src/route/walk.rs
+++ b/src/route/walk.rs
@@ -38,8 +38,6 @@
     pub(crate) engine: u32,
     pub(crate) first: u32,
     pub(crate) end: u32,
-    /// Cut that the step began at.
-    from: usize,
     /// Seconds a token is expected to take.
     pub(crate) cost: f64,
 }
@@ -84,9 +82,9 @@
         self.try_steps(variant, policy, rng)
     }
 
-    /// Walks on from cut to cut. A cut with no usable engine is marked dead
-    /// and the step that led there is taken back, so the walk ends after at
-    /// most as many steps back as there are cuts.
+    /// Walks on from cut to cut. An engine may be entered at any layer it
+    /// holds, so a cut without a usable engine means that its layer has none,
+    /// and no other walk would get past it either: there is no turning back.
     fn try_steps(
         &self,
         variant: &Variant,
@@ -94,7 +92,6 @@
         rng: &mut ChaCha8Rng,
     ) -> Option<Vec<Step>> {
         let last = variant.cuts.len() - 1;
-        let mut dead = vec![false; variant.cuts.len()];
         let mut steps: Vec<Step> = Vec::with_capacity(last);
         let mut cut = 0;
         while cut != last {
@@ -103,20 +100,14 @@
                 walk: self,
                 variant,
                 ways,
-                dead: &dead,
                 last: steps.last().map(|s| s.engine),
             };
-            let Some(pick) = policy.pick(&site, rng) else {
-                dead[cut] = true;
-                cut = steps.pop()?.from;
-                continue;
-            };
+            let pick = policy.pick(&site, rng)?;
             let way = &ways[pick.way];
             steps.push(Step {
                 engine: pick.engine,
                 first: variant.cuts[cut],
                 end: variant.cuts[way.to],
-                from: cut,
                 cost: self.engines[pick.engine].token_time(self.now),
             });
             cut = way.to;
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -4,5 +4,7 @@
 mod event;
 mod flow;
 mod life;
+mod limit;
+mod queue;
 mod route;
 mod voter;
