--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -3,4 +3,10 @@
 mod auth;
 mod simulation;
 mod store;
+mod event;
+mod flow;
+mod life;
+mod limit;
+mod queue;
+mod route;
 mod voter;
