--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,12 +1,12 @@
 //! Tests of crate-private parts, one file a module.
 
 mod auth;
-mod simulation;
-mod store;
 mod event;
 mod flow;
 mod life;
 mod limit;
 mod queue;
 mod route;
+mod simulation;
+mod store;
 mod voter;
