--- /dev/null
+++ b/src/tests/life/check.rs
@@ -0,0 +1,143 @@
+//! The invariants of the runs.
+
+use std::collections::BTreeMap;
+
+use super::engine::parts;
+use super::world::{Sending, TOKENS, WINDOW, World};
+use crate::request::{Answer, Ran, RequestId};
+
+/// Counts over all runs, to show that the runs reach what they should.
+#[derive(Debug, Default)]
+pub(super) struct Totals {
+    pub(super) sendings: u64,
+    pub(super) executions: u64,
+    codes: BTreeMap<&'static str, u64>,
+}
+
+impl Totals {
+    pub(super) fn add(&mut self, other: &Self) {
+        self.sendings += other.sendings;
+        self.executions += other.executions;
+        for (code, count) in &other.codes {
+            *self.codes.entry(code).or_default() += count;
+        }
+    }
+
+    pub(super) fn assert_varied(&self) {
+        let expected = [
+            "complete",
+            "kept",
+            "outcome_unknown",
+            "in_progress",
+            "answer_cut",
+            "cancelled",
+            "claim_lapsed",
+            "claim_unavailable",
+            "key_retired",
+            "no_upstream",
+            "upstream_busy",
+        ];
+        for code in expected {
+            assert!(self.codes.contains_key(code), "no run reaches {code}");
+        }
+    }
+}
+
+/// What one request did at the engines.
+#[derive(Default)]
+pub(super) struct Work {
+    /// Real times of executions.
+    runs: Vec<u64>,
+    /// Real time of the last grant of its claim.
+    pub(super) granted: u64,
+    /// Grants of which a caller was told that the outcome is unknown.
+    unknown: Vec<u64>,
+}
+
+impl World {
+    pub(super) fn work(&mut self, sending: usize) -> &mut Work {
+        let caller = &self.callers[self.sendings[sending].caller];
+        let name = match &caller.key {
+            Some(key) if !caller.idempotent => format!("{}/{key}", caller.organisation),
+            _ => format!("sending {sending}"),
+        };
+        self.works.entry(name).or_default()
+    }
+
+    pub(super) fn execute(&mut self, sending: usize) {
+        let (now, seed) = (self.now, self.seed);
+        let granted = self.sendings[sending].granted;
+        let idempotent = self.callers[self.sendings[sending].caller].idempotent;
+        self.totals.executions += 1;
+        let work = self.work(sending);
+        if !idempotent {
+            let recent = work.runs.last().is_some_and(|at| now < at + WINDOW);
+            assert!(!recent, "seed {seed}: run twice, sending {sending}");
+            let told = granted.is_some_and(|at| work.unknown.iter().any(|of| at < of + WINDOW));
+            assert!(!told, "seed {seed}: run after unknown, sending {sending}");
+        }
+        work.runs.push(now);
+    }
+
+    pub(super) fn emit(&mut self, sending: usize, request: RequestId, index: u32, text: &str) {
+        let seed = self.seed;
+        let Sending {
+            id,
+            caller,
+            emitted,
+            sent,
+            answer,
+            ..
+        } = &mut self.sendings[sending];
+        assert_eq!(request, *id, "seed {seed}");
+        assert!(answer.is_none(), "seed {seed}: a token after the answer");
+        assert_eq!(index, *emitted, "seed {seed}: not the next token");
+        let expected = [*caller as u32, index, *sent];
+        assert_eq!(parts(text), expected, "seed {seed}: sending {sending}");
+        *emitted += 1;
+    }
+
+    pub(super) fn answer(&mut self, sending: usize, answer: Answer) {
+        let (now, seed) = (self.now, self.seed);
+        *self.totals.codes.entry(answer.code()).or_default() += 1;
+        let recent = |at: &u64| now < at + WINDOW;
+        let ran = self.work(sending).runs.last().is_some_and(recent);
+        match answer.ran() {
+            Ran::No => assert!(!ran, "seed {seed}: not run, yet ran: {answer:?}"),
+            Ran::Yes => assert!(!self.work(sending).runs.is_empty(), "seed {seed}"),
+            Ran::Unknown => {}
+        }
+        if answer.code() == "outcome_unknown" {
+            let about = self.sendings[sending].about;
+            self.work(sending).unknown.push(about);
+        }
+        assert_ne!(
+            answer.code(),
+            "key_mismatch",
+            "seed {seed}: another's claim"
+        );
+        let state = &mut self.sendings[sending];
+        assert!(state.answer.is_none(), "seed {seed}: two answers");
+        assert_eq!(state.permits.get(), 0, "seed {seed}: permit kept");
+        let caller = state.caller;
+        match &answer {
+            Answer::Complete { count } => assert_eq!((*count, state.emitted), (TOKENS, TOKENS)),
+            Answer::Kept(kept) => assert_whole(caller, &kept.body, seed),
+            _ => {}
+        }
+        let over = matches!(answer, Answer::Complete { .. } | Answer::Kept(_));
+        state.answer = Some(answer);
+        if !over {
+            self.again(caller);
+        }
+    }
+}
+
+fn assert_whole(caller: usize, body: &[u8], seed: u64) {
+    let body = String::from_utf8_lossy(body);
+    let tokens: Vec<Vec<u32>> = body.split_whitespace().map(parts).collect();
+    assert_eq!(tokens.len() as u32, TOKENS, "seed {seed}");
+    for (index, token) in tokens.iter().enumerate() {
+        assert_eq!(token[..2], [caller as u32, index as u32], "seed {seed}");
+    }
+}
--- /dev/null
+++ b/src/tests/life/register.rs
@@ -0,0 +1,138 @@
+//! The simulated register: two replicas behind a lossy way of proposals.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::world::{Back, Caller, END, Permit, Phase, RETENTION, Sending, What, World};
+use crate::claim::{self, Action, Claim, ClaimLease, Claims, Granted, Machine, Reply, Token};
+use crate::request::{Admitted, Effect, Life, RefusalCode};
+
+/// An empty replica.
+pub(super) fn register() -> Claims {
+    Claims::new(claim::Bounds {
+        retention: Duration::from_millis(RETENTION),
+        ..claim::Bounds::default()
+    })
+}
+
+impl World {
+    pub(super) fn claim(&self, sending: usize) -> Action {
+        let Sending { caller, id, .. } = &self.sendings[sending];
+        let Caller {
+            organisation, key, ..
+        } = &self.callers[*caller];
+        Action::Claim(Claim {
+            organisation: (*organisation).into(),
+            key: key.clone().unwrap_or_default(),
+            digest: format!("{caller:032}").into_bytes(),
+            token: Some(Token::from(*id)),
+            start: 2_000,
+            ttl: 8_000,
+        })
+    }
+
+    pub(super) fn propose(&mut self, action: Action, back: Back) {
+        let command = action.into_bytes();
+        if self.chance(4) {
+            let delay = self.rng.random_range(0..14_000);
+            self.push(delay, What::Apply(command.clone(), Back::Nobody));
+        }
+        if !self.chance(4) {
+            let delay = self.rng.random_range(1..20);
+            self.push(delay, What::Apply(command, back));
+        }
+    }
+
+    pub(super) fn apply(&mut self, command: &[u8], back: Back) {
+        self.index += 1;
+        let reply = self.register.apply(self.index, command);
+        let other = self.replica.apply(self.index, command);
+        assert_eq!(reply, other, "seed {}: replicas differ", self.seed);
+        self.observe(back, &reply);
+        if self.chance(2) {
+            let snapshot = self.register.snapshot();
+            assert_eq!(snapshot, self.replica.snapshot(), "seed {}", self.seed);
+            self.register = register();
+            self.register.restore(&snapshot);
+        }
+        if !self.chance(4) {
+            let delay = self.rng.random_range(1..20);
+            self.push(delay, What::Reply(reply, back));
+        }
+    }
+
+    /// Notes grants, to tie every "unknown" to the grant that it is about.
+    fn observe(&mut self, back: Back, reply: &[u8]) {
+        let now = self.now;
+        if let Some(Reply::Granted(Granted { token: Some(token) })) = Reply::from_bytes(reply) {
+            let sending = token.sequence as usize;
+            if self.sendings[sending].granted.is_none() {
+                self.sendings[sending].granted = Some(now);
+                self.work(sending).granted = now;
+            }
+        }
+        if let Back::Claim(sending) = back {
+            self.sendings[sending].about = self.work(sending).granted;
+        }
+    }
+
+    pub(super) fn reply(&mut self, reply: &[u8], back: Back) {
+        let reply = Reply::from_bytes(reply).expect("a reply");
+        match (back, reply) {
+            (Back::Claim(sending), reply) => self.claimed(sending, reply),
+            (Back::Tick(instance), Reply::Ticked(ticked)) => {
+                let now = self.local(instance);
+                self.instances[instance].ticker.heard(now, ticked);
+            }
+            _ => {}
+        }
+    }
+
+    fn claimed(&mut self, sending: usize, reply: Reply) {
+        let alive = self.chance(50);
+        let now = self.local(self.sendings[sending].instance);
+        if let Some((life, lease)) = self.waiting(sending) {
+            self.generate(sending, life.claimed(now, lease, reply, alive));
+        }
+    }
+
+    pub(super) fn patience(&mut self, sending: usize) {
+        if let Some((life, lease)) = self.waiting(sending) {
+            self.generate(
+                sending,
+                Err(life.refuse(RefusalCode::ClaimUnavailable, None)),
+            );
+            self.effect(
+                sending,
+                Effect::Release {
+                    token: lease.token(),
+                },
+            );
+        }
+    }
+
+    pub(super) fn waiting(
+        &mut self,
+        sending: usize,
+    ) -> Option<(Life<Admitted<Permit>>, ClaimLease)> {
+        let phase = &mut self.sendings[sending].phase;
+        match std::mem::replace(phase, Phase::Over) {
+            Phase::Waiting(life, lease) => Some((life, lease)),
+            other => {
+                *phase = other;
+                None
+            }
+        }
+    }
+
+    pub(super) fn poll(&mut self, instance: usize) {
+        let now = self.local(instance);
+        if let Some(action) = self.instances[instance].ticker.poll(now) {
+            self.propose(action, Back::Tick(instance));
+        }
+        if self.now < 2 * END {
+            self.push(100, What::Poll(instance));
+        }
+    }
+}
