Test the attempts of a generation case by case

Cause: the random runs don't show the connection check and the attempt number alone to matter, as either covers for the other.

--- /dev/null
+++ b/src/tests/generation.rs
@@ -0,0 +1,324 @@
+//! Tests of [`crate::request::Generation`].
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use crate::claim::{ClaimLease, Granted, Outcome, Reply, Token};
+use crate::request::{
+    Answer, Bounds, Cause, Effect, Event, Frame, Generation, Hop, Life, Ran, Report, RequestId,
+    Unopened,
+};
+use crate::{Incarnation, InstanceId, Time};
+
+const START: Time = Time(1_000_000);
+const RETENTION: Duration = Duration::from_secs(60);
+
+fn id() -> RequestId {
+    RequestId {
+        instance: InstanceId(7),
+        incarnation: Incarnation(41),
+        sequence: 9,
+    }
+}
+
+fn hop(name: &str, first: u32, end: u32) -> Hop {
+    Hop {
+        upstream: name.into(),
+        first,
+        end,
+    }
+}
+
+fn path() -> Vec<Hop> {
+    vec![hop("e1", 0, 4), hop("e2", 4, 8)]
+}
+
+fn bounds() -> Bounds {
+    Bounds {
+        tokens: 3,
+        layers: 8,
+        attempts: 3,
+        deadline: START + Duration::from_secs(10),
+        first: Duration::from_secs(1),
+        idle: Duration::from_millis(100),
+    }
+}
+
+struct Run {
+    generation: Generation<()>,
+    now: Time,
+    out: Vec<Effect>,
+}
+
+impl Run {
+    /// A run whose first attempt is sent. A keyed one holds a claim.
+    fn sent(idempotent: bool, keyed: bool) -> Self {
+        let mut run = Self::opened(idempotent, keyed);
+        run.start(1);
+        run
+    }
+
+    fn opened(idempotent: bool, keyed: bool) -> Self {
+        let life = Life::new(id(), "a".into(), idempotent, keyed).admit(());
+        let token = Token::from(id());
+        let granted = Reply::Granted(Granted { token: Some(token) });
+        let life = match life.unclaimed() {
+            Ok(life) => life,
+            Err(life) => {
+                let lease = ClaimLease::new(token, START, RETENTION);
+                life.claimed(START, lease, granted, true).expect("granted")
+            }
+        };
+        let mut out = Vec::new();
+        Self {
+            generation: Generation::new(life, bounds(), &mut out),
+            now: START,
+            out,
+        }
+    }
+
+    fn start(&mut self, attempt: u32) {
+        let path = path();
+        self.step(Event::Started { attempt, path });
+        assert_eq!(self.out, [Effect::Send { attempt }]);
+    }
+
+    fn step(&mut self, event: Event) {
+        self.out.clear();
+        self.generation.step(self.now, event, &mut self.out);
+    }
+
+    fn frame(&mut self, on: u32, attempt: u32, index: u32) {
+        let frame = frame(attempt, index);
+        self.step(Event::Frame { on, frame });
+    }
+
+    fn broken(&mut self, attempt: u32, cause: Cause) {
+        let suspect = None;
+        self.step(Event::Broken {
+            attempt,
+            cause,
+            suspect,
+        });
+    }
+
+    fn emitted(&self) -> bool {
+        matches!(self.out[..], [Effect::Emit { .. }])
+    }
+
+    /// Code and `ran` of the answer that the last step gave.
+    fn answer(&self) -> Option<(&'static str, Ran)> {
+        self.out.iter().find_map(|effect| match effect {
+            Effect::Finish(answer) => Some((answer.code(), answer.ran())),
+            _ => None,
+        })
+    }
+
+    fn open(&self) -> Option<(u32, u32)> {
+        self.out.iter().find_map(|effect| match effect {
+            Effect::Open {
+                attempt, resume, ..
+            } => Some((*attempt, *resume)),
+            _ => None,
+        })
+    }
+}
+
+fn frame(attempt: u32, index: u32) -> Frame {
+    Frame {
+        request: id().to_string(),
+        attempt,
+        index,
+        text: format!("t{index} "),
+        passed: path(),
+    }
+}
+
+/// A stage dies in the middle of an answer. The caller sees a short pause and
+/// then the rest, each token once, though the old connection still brings some.
+#[test]
+fn step_resume() {
+    let mut run = Run::sent(true, false);
+    run.frame(1, 1, 0);
+    run.broken(1, Cause::Cut);
+    assert_eq!(run.open(), Some((2, 1)));
+    run.start(2);
+    run.frame(1, 1, 1);
+    assert_eq!(run.out, []);
+    // The new attempt isn't broken by what the old connection claims to be.
+    run.frame(1, 2, 1);
+    assert_eq!(run.out, []);
+    // Nor by a token of the old attempt on the new connection.
+    run.frame(2, 1, 1);
+    assert_eq!(run.out, []);
+    run.frame(2, 2, 1);
+    assert!(run.emitted());
+    assert_eq!(run.generation.tokens(), ["t0 ", "t1 "]);
+}
+
+#[rstest]
+#[case::repeated(|f: &mut Frame| f.index = 0)]
+#[case::ahead(|f: &mut Frame| f.index = 2)]
+#[case::other_request(|f: &mut Frame| f.request = "7-41-8".into())]
+#[case::no_request(|f: &mut Frame| f.request = "9".into())]
+#[case::later_attempt(|f: &mut Frame| f.attempt = 2)]
+#[case::layer_skipped(|f: &mut Frame| f.passed[1].first = 5)]
+#[case::stage_skipped(|f: &mut Frame| { f.passed.pop(); })]
+#[case::stage_twice(|f: &mut Frame| f.passed.push(hop("e2", 4, 8)))]
+#[case::out_of_order(|f: &mut Frame| f.passed.reverse())]
+#[case::other_engine(|f: &mut Frame| f.passed[0].upstream = "e3".into())]
+fn step_invalid_frame(#[case] change: fn(&mut Frame)) {
+    let mut run = Run::sent(false, false);
+    run.frame(1, 1, 0);
+    let mut frame = frame(1, 1);
+    change(&mut frame);
+    run.step(Event::Frame { on: 1, frame });
+    assert!(run.out.contains(&Effect::Cancel { attempt: 1 }));
+    assert_eq!(run.answer(), Some(("outcome_unknown", Ran::Unknown)));
+}
+
+#[rstest]
+#[case::gap(vec![hop("e1", 0, 4), hop("e2", 5, 8)])]
+#[case::twice(vec![hop("e1", 0, 4), hop("e2", 3, 8)])]
+#[case::short(vec![hop("e1", 0, 7)])]
+#[case::empty(vec![])]
+fn started_bad_path(#[case] path: Vec<Hop>) {
+    let mut run = Run::opened(true, false);
+    run.step(Event::Started { attempt: 1, path });
+    assert_eq!(run.answer(), Some(("no_upstream", Ran::No)));
+}
+
+#[rstest]
+#[case::refused(true, Cause::Refused, Some(("no_upstream", Ran::No)))]
+#[case::cut(true, Cause::Cut, Some(("answer_cut", Ran::Unknown)))]
+#[case::cut_once(false, Cause::Cut, Some(("outcome_unknown", Ran::Unknown)))]
+#[case::refused_once(false, Cause::Refused, Some(("no_upstream", Ran::No)))]
+fn broken_until_end(
+    #[case] idempotent: bool,
+    #[case] cause: Cause,
+    #[case] answer: Option<(&'static str, Ran)>,
+) {
+    let mut run = Run::sent(idempotent, false);
+    let mut attempt = 1;
+    run.broken(attempt, cause);
+    while let Some((next, _)) = run.open() {
+        attempt = next;
+        run.start(attempt);
+        run.broken(attempt, cause);
+    }
+    assert_eq!(run.answer(), answer);
+    assert!(attempt <= bounds().attempts);
+}
+
+/// One attempt ran and broke, the next finds every engine busy. The caller must
+/// not be told that nothing ran.
+#[test]
+fn busy_after_cut() {
+    let mut run = Run::sent(true, false);
+    run.broken(1, Cause::Cut);
+    run.start(2);
+    run.step(Event::Busy { attempt: 2 });
+    let (reason, pause) = (Unopened::NoPath, None);
+    run.step(Event::Unopened {
+        attempt: 3,
+        reason,
+        pause,
+    });
+    assert_eq!(run.answer(), Some(("answer_cut", Ran::Unknown)));
+}
+
+/// The last token came and the closing event was lost: the answer is whole, and
+/// a second attempt would have nothing to do.
+#[test]
+fn broken_after_last() {
+    let mut run = Run::sent(false, false);
+    (0..3).for_each(|index| run.frame(1, 1, index));
+    run.broken(1, Cause::Cut);
+    assert_eq!(run.answer(), Some(("complete", Ran::Yes)));
+}
+
+/// The caller of a letter closes its connection. The letter goes out all the
+/// same, and a later sending with the same key gets the kept answer.
+#[test]
+fn left_keyed() {
+    let mut run = Run::sent(false, true);
+    run.frame(1, 1, 0);
+    run.step(Event::CallerLeft);
+    assert_eq!(run.out, []);
+    (1..3).for_each(|index| run.frame(1, 1, index));
+    let (request, count) = (id().to_string(), 3);
+    run.step(Event::Done {
+        on: 1,
+        request,
+        attempt: 1,
+        count,
+    });
+    let kept = run.out.iter().find_map(|effect| match effect {
+        Effect::Settle {
+            outcome: Outcome::Kept(kept),
+            ..
+        } => Some(kept.body.clone()),
+        _ => None,
+    });
+    assert_eq!(kept.as_deref(), Some(&b"t0 t1 t2 "[..]));
+    assert_eq!(run.answer(), Some(("complete", Ran::Yes)));
+}
+
+/// An instance freezes between claim and dispatch. When it wakes, others count
+/// its claim as lost; it must send nothing and give the claim back.
+#[test]
+fn started_after_lease() {
+    let mut run = Run::opened(false, true);
+    run.now = START + Duration::from_secs(2);
+    let path = path();
+    run.step(Event::Started { attempt: 1, path });
+    let token = Token::from(id());
+    assert_eq!(run.out[0], Effect::Release { token });
+    assert_eq!(run.answer(), Some(("claim_lapsed", Ran::No)));
+}
+
+#[rstest]
+#[case::first(0, 999, None)]
+#[case::first_late(0, 1000, Some((2, 0)))]
+#[case::idle(1, 99, None)]
+#[case::idle_late(1, 100, Some((2, 1)))]
+fn tick_timeout(#[case] tokens: u32, #[case] ms: u64, #[case] open: Option<(u32, u32)>) {
+    let mut run = Run::sent(true, false);
+    (0..tokens).for_each(|index| run.frame(1, 1, index));
+    run.now = START + Duration::from_millis(ms);
+    run.step(Event::Tick);
+    assert_eq!(run.open(), open);
+    let report = Report::Broken {
+        cause: Cause::Timeout,
+        suspect: None,
+    };
+    let path = path();
+    let reported = run.out.contains(&Effect::Report { path, report });
+    assert_eq!(reported, open.is_some());
+}
+
+#[rstest]
+#[case::opened(false, "queue_timeout", Ran::No)]
+#[case::sent(true, "deadline_exceeded", Ran::Unknown)]
+fn step_deadline(#[case] sent: bool, #[case] code: &'static str, #[case] ran: Ran) {
+    let mut run = Run::opened(true, false);
+    if sent {
+        run.start(1);
+    }
+    run.now = bounds().deadline;
+    run.step(Event::Tick);
+    assert_eq!(run.answer(), Some((code, ran)));
+    run.step(Event::Tick);
+    assert_eq!(run.out, []);
+}
+
+/// Every refusal of a letter before its claim is granted may be about a resend.
+/// The first sending may have run, so "not run" would be false.
+#[test]
+fn refuse_keyed() {
+    let code = crate::request::RefusalCode::QueueFull;
+    let refuse = |keyed| -> Answer { Life::new(id(), "a".into(), false, keyed).refuse(code, None) };
+    assert_eq!(refuse(true).ran(), Ran::Unknown);
+    assert_eq!(refuse(false).ran(), Ran::No);
+}
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,4 +1,5 @@
 //! Tests of crate-private parts, one file a module.
 
 mod auth;
+mod generation;
 mod life;
