--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,31 +4,88 @@
 //! State machines do no I/O: an event and a time go in, typed effects come
 //! out. Thin threads run them, so that a randomised run replays from its seed.
 
+mod allocate;
 mod auth;
-#[allow(dead_code)]
 mod budget;
 mod catalogue;
-#[allow(dead_code, unused_imports)]
+#[allow(dead_code)]
 mod claim;
+mod cli;
+mod client;
 mod clock;
 mod collections;
+mod control;
+mod disk;
+mod dispatch;
+mod dump;
+mod engine;
+mod error;
+mod event;
+#[allow(dead_code)]
 mod flow;
+mod follow;
+mod follower;
+mod frame;
+mod gate;
+mod gossip;
 mod id;
+mod instance;
 mod limit;
+mod log;
 mod membership;
+mod message;
+mod node;
+mod openai;
+mod peer;
+mod program;
+mod propose;
 mod queue;
 mod replica;
-#[allow(dead_code, unused_imports)]
+#[allow(dead_code)]
 mod request;
 mod route;
+mod serve;
+mod settings;
 mod store;
+mod supervise;
 mod upstream;
+mod voter;
 
 pub use auth::FleetKey;
-pub use catalogue::{Class, Entry, Limits, Organisation, Pool, Route, Target};
+pub use catalogue::{
+    Catalogue, Change as CatalogueChange, Class, Entry, EntryKey, Expect, Kind, Limits, Listed,
+    Operation, Organisation, Outcome as ChangeOutcome, Past, Pool, Record, Route, Target,
+};
+pub use cli::command;
 pub use clock::{Clock, SystemClock, Time};
 pub use collections::{HashMap, HashSet};
+pub use error::{EXIT_OK, Error, Result};
+pub use gossip::{
+    Datagram, Fleet, FleetDump, FleetError, FleetSettings, Node, NodeEvent, NodeSettings,
+    TrafficCounts,
+};
 pub use id::{Incarnation, InstanceId, OrganisationId, Revision, UpstreamId};
+pub use limit::{
+    Allocator, Amounts, Ask, Demand, Denial, DenialReason, Grant, Holder, LEASE, PERIOD, Permit,
+    Share, URGENT,
+};
+pub use membership::{Member, MemberDump, MemberState, MemberView};
+pub use program::run;
+pub use queue::{Discipline, Item, Queue, Refusal, RefusalReason};
+pub use replica::{Change, Member as GroupMember, Message, Peer, Role};
+pub use route::{
+    Candidate, Choice, FlowShares, GreedyCheapest, Hop, LeastInFlight, NoPath, NoPathReason,
+    Outcome, Policy, Query, RoundRobin, Router, Site, Stage, Ticket,
+};
+pub use settings::Settings;
+pub use store::StoreError;
+pub use upstream::{
+    AnnounceError, AnnounceOutcome, Announcement, Engine, Load, RegistryCounts, Serves, Service,
+    Upstream, UpstreamDump, UpstreamState, UpstreamView,
+};
+pub use voter::{
+    ChangeError, GroupStatus, Machine, Peers, ProposeError, ReadError, Voter, VoterSettings,
+};
 
 #[cfg(test)]
 mod tests;
--- a/src/request.rs
+++ b/src/request.rs
@@ -16,4 +16,4 @@
 pub(crate) use event::{Bounds, Cause, Effect, Event, Report, Unopened};
 pub(crate) use generation::Generation;
 pub(crate) use id::RequestId;
-pub(crate) use life::{Admitted, Answering, Claimed, Dispatched, Life, Received, Unrun};
+pub(crate) use life::{Admitted, Claimed, Life, Received};
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use crate::claim::Kept;
+use crate::request::life::DEFAULT_PAUSE;
 
 /// Whether the request was run, as far as this instance knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -56,11 +57,18 @@
     KeyRetired,
     /// The instance shuts down.
     Draining,
+    /// Nothing is served under the path.
+    UnknownPath,
+    /// The request wasn't sent in time.
+    TooSlow,
+    /// The instance can't confirm its catalogue.
+    CatalogueLease,
 }
 
 impl RefusalCode {
     /// Every code, for the documentation's test.
-    pub(crate) const ALL: [Self; 17] = [
+    #[cfg(test)]
+    pub(crate) const ALL: [Self; 20] = [
         Self::Unauthenticated,
         Self::InvalidRequest,
         Self::UnknownRoute,
@@ -78,6 +86,9 @@
         Self::KeyMismatch,
         Self::KeyRetired,
         Self::Draining,
+        Self::UnknownPath,
+        Self::TooSlow,
+        Self::CatalogueLease,
     ];
 
     /// Stable name of the code.
@@ -100,6 +111,9 @@
             Self::KeyMismatch => "key_mismatch",
             Self::KeyRetired => "key_retired",
             Self::Draining => "draining",
+            Self::UnknownPath => "unknown_path",
+            Self::TooSlow => "too_slow",
+            Self::CatalogueLease => "catalogue_lease",
         }
     }
 
@@ -108,7 +122,8 @@
         match self {
             Self::Unauthenticated => 401,
             Self::InvalidRequest => 400,
-            Self::UnknownRoute => 404,
+            Self::UnknownRoute | Self::UnknownPath => 404,
+            Self::TooSlow => 408,
             Self::TooLarge => 413,
             Self::LimitReached | Self::QueueFull => 429,
             Self::CallerLeft => 499,
@@ -121,7 +136,8 @@
             | Self::ClaimUnavailable
             | Self::ClaimsFull
             | Self::ClaimLapsed
-            | Self::Draining => 503,
+            | Self::Draining
+            | Self::CatalogueLease => 503,
         }
     }
 
@@ -147,6 +163,11 @@
             Self::KeyRetired => "the request of this key wasn't run: send it with a new key",
             Self::KeyMismatch => "the key was used for another request: choose a new key",
             Self::Draining => "the instance shuts down: send again, to another instance",
+            Self::UnknownPath => "nothing is served here: see docs/REQUESTS.md for the paths",
+            Self::TooSlow => "the request wasn't sent in time: send it faster, or in parts",
+            Self::CatalogueLease => {
+                "the instance can't confirm its catalogue: send again, to another instance"
+            }
         }
     }
 
@@ -159,6 +180,7 @@
                 | Self::UnknownRoute
                 | Self::TooLarge
                 | Self::KeyMismatch
+                | Self::UnknownPath
                 | Self::KeyRetired
         )
     }
@@ -183,6 +205,7 @@
 
 impl FailureCode {
     /// Every code, for the documentation's test.
+    #[cfg(test)]
     pub(crate) const ALL: [Self; 6] = [
         Self::OutcomeUnknown,
         Self::InProgress,
@@ -254,6 +277,7 @@
     }
 
     /// The reason.
+    #[cfg(test)]
     pub(crate) fn code(&self) -> RefusalCode {
         self.code
     }
@@ -273,6 +297,7 @@
     }
 
     /// The reason.
+    #[cfg(test)]
     pub(crate) fn code(&self) -> FailureCode {
         self.code
     }
@@ -295,6 +320,16 @@
 }
 
 impl Answer {
+    /// A refusal before the request was attributed to an organisation.
+    ///
+    /// Of a keyed request an earlier sending may have run, and the claims
+    /// weren't asked; so "not run" is said only of one without a key.
+    pub(crate) fn unread(code: RefusalCode, keyed: bool, retry: Option<Duration>) -> Self {
+        let ran = if keyed { Ran::Unknown } else { Ran::No };
+        let retry = retry.or_else(|| code.again().then_some(DEFAULT_PAUSE));
+        Self::Refused(Refusal::new(code, ran, retry))
+    }
+
     /// Stable name of the result.
     pub(crate) fn code(&self) -> &'static str {
         match self {
--- a/src/request/event.rs
+++ b/src/request/event.rs
@@ -46,6 +46,8 @@
     NoPath,
     /// The retry budget is used up.
     Budget,
+    /// No path was free in time.
+    Deadline,
 }
 
 /// What the driver tells a [`super::Generation`].
--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -191,6 +191,7 @@
         let code = match reason {
             Unopened::NoPath => RefusalCode::NoUpstream,
             Unopened::Budget => RefusalCode::RetryBudget,
+            Unopened::Deadline => RefusalCode::QueueTimeout,
         };
         self.end(code, pause, out);
     }
--- a/src/tests/life/register.rs
+++ b/src/tests/life/register.rs
@@ -5,8 +5,9 @@
 use rand::RngExt;
 
 use super::world::{Back, Caller, END, Permit, Phase, RETENTION, Sending, What, World};
-use crate::claim::{self, Action, Claim, ClaimLease, Claims, Granted, Machine, Reply, Token};
+use crate::claim::{self, Action, Claim, ClaimLease, Claims, Granted, Reply, Token};
 use crate::request::{Admitted, Effect, Life, RefusalCode};
+use crate::voter::Machine;
 
 /// An empty replica.
 pub(super) fn register() -> Claims {
