--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -3,6 +3,7 @@
 mod auth;
 mod event;
 mod flow;
+mod generation;
 mod life;
 mod limit;
 mod queue;
