Leave part of a limit for instances that haven't asked yet

Cause: the allocator divided what nobody asks for among the holders with a stake in the route; when the first requests came to 9 instances at once, the first three took the whole limit and the last ones waited two periods. Ruled out: the quiet time of a new allocator (the same with 9 s of rest), the leader hint (known from the idle questions). The new test fails without the change: a holder's share is all zero.

--- a/src/limit/allocator.rs
+++ b/src/limit/allocator.rs
@@ -155,12 +155,13 @@
     }
 
     fn grant(&mut self, now: Time, key: HolderKey, ask: &Ask, demand: &Demand) -> Option<[u32; 4]> {
+        let fleet = self.holders.len();
         let route = self.routes.get_mut(demand.route.as_str())?;
         route.hear(now, key, ask.applied, demand);
         let target = if now < self.quiet {
             demand.held.array()
         } else {
-            route.target(key)
+            route.target(key, fleet)
         };
         let amounts = route.issue(now, key, ask.sequence, target);
         Some(amounts).filter(|a| *a != [0; 4])
@@ -251,9 +252,14 @@
     /// The part of the limit that a holder should have: its demand and an
     /// equal part of what nobody asks for, or its part of the limit by demand
     /// when all ask for more than there is, but at least one.
-    fn target(&self, key: HolderKey) -> [u32; 4] {
+    ///
+    /// The equal part counts all `fleet` holders, also those that have no
+    /// stake in the route yet. Divided among the stakes alone, the first few
+    /// took the whole limit, and when the first requests came to all instances
+    /// at once, the last ones waited two periods for the first to give back.
+    fn target(&self, key: HolderKey, fleet: usize) -> [u32; 4] {
         let own = self.stakes.get(&key).map(|s| s.wanted).unwrap_or_default();
-        let holders = self.stakes.len().max(1) as u64;
+        let holders = self.stakes.len().max(fleet).max(1) as u64;
         std::array::from_fn(|k| {
             let limit = u64::from(self.limit[k]);
             let want = u64::from(own[k]);
--- a/src/tests/limit.rs
+++ b/src/tests/limit.rs
@@ -464,3 +464,25 @@
     let _ = holder.admit(later, "r", 1);
     assert_eq!(holder.due(), now + PERIOD);
 }
+
+/// The first requests of a route come to all nine instances at once, as after
+/// a pause. The first askers used to get all of the limit that nobody asked
+/// for, so the last ones waited two periods until it was given back; a caller
+/// saw its first token after two seconds.
+#[test]
+fn ask_first_requests_everywhere() {
+    let (mut allocator, _, now) = pair(100);
+    let mut holders: Vec<Holder> = (1..=9).map(holder).collect();
+    for holder in &mut holders {
+        assert!(exchange(&mut allocator, holder, now), "no demand yet");
+    }
+    let now = now + PERIOD;
+    for holder in &mut holders {
+        let _ = holder.admit(now, "r", 1);
+        exchange(&mut allocator, holder, now);
+    }
+    for holder in &mut holders {
+        let share = holder.share(now, "r");
+        assert!(share.requests > 0 && share.concurrent > 0, "{share:?}");
+    }
+}
