Test the register and the retry budget; pay the budget's floor without loss

Cause: the floor's refill dropped the part of a unit at each call, so frequent calls lost time: 4 retries in 5.001 s instead of 5 (take_often).

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -7,16 +7,16 @@
 use crate::id::OrganisationId;
 
 /// One retry, in the unit of the buckets.
-const RETRY: u64 = 1000;
+const RETRY: u32 = 1000;
 
 /// What a success earns: a tenth of a retry.
-const EARNED: u64 = RETRY / 10;
+const EARNED: u32 = RETRY / 10;
 
 /// Size and floor of one bucket.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Rate {
     /// Retries that may be saved up.
-    pub(crate) burst: u64,
+    pub(crate) burst: u32,
     /// Time after which one retry is earned without any success. It lets an
     /// organisation with little work, or after an outage, try again.
     pub(crate) floor: Duration,
@@ -38,7 +38,7 @@
 struct Bucket {
     rate: Rate,
     /// At most `rate.burst` retries.
-    saved: u64,
+    saved: u32,
     /// Time up to which the floor is paid out.
     paid: Time,
 }
@@ -52,18 +52,21 @@
         }
     }
 
-    fn add(&mut self, earned: u64) {
-        self.saved = (self.saved + earned).min(self.rate.burst * RETRY);
+    fn add(&mut self, earned: u32) {
+        self.saved = self
+            .saved
+            .saturating_add(earned)
+            .min(self.rate.burst * RETRY);
     }
 
     fn refill(&mut self, now: Time) {
-        let floor = self.rate.floor.as_micros().max(1);
-        let earned = now.since(self.paid).as_micros() * u128::from(RETRY) / floor;
-        // Below one unit the time stays unpaid, so that frequent calls lose nothing.
-        if earned > 0 {
-            self.paid = self.paid.max(now);
-            self.add(u64::try_from(earned).unwrap_or(u64::MAX / 2));
-        }
+        // Only whole units are paid; the rest of the time counts later, so that
+        // frequent calls lose nothing.
+        let unit = self.rate.floor / RETRY;
+        let units = now.since(self.paid).as_micros() / unit.as_micros().max(1);
+        let units = u32::try_from(units).unwrap_or(u32::MAX);
+        self.paid = self.paid + unit * units;
+        self.add(units);
     }
 }
 
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -19,11 +19,11 @@
 
 pub(crate) use lease::{ClaimLease, START};
 pub(crate) use machine::{Bounds, Claims};
-#[cfg(test)]
-pub(crate) use message::Granted;
 pub(crate) use message::{
     Action, Answered, Claim, Expire, Kept, MAX_KEPT, MAX_KEY, Outcome, Release, Reply, Settle,
     Ticked, Token,
 };
+#[cfg(test)]
+pub(crate) use message::{Full, Granted, InProgress};
 pub(crate) use record::shard;
 pub(crate) use ticker::Ticker;
--- /dev/null
+++ b/src/tests/claim.rs
@@ -0,0 +1,282 @@
+//! Tests of [`crate::claim`].
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use crate::Time;
+use crate::claim::{
+    Action, Answered, Bounds, Claim, Claims, Expire, Full, Granted, InProgress, Kept, MAX_KEPT,
+    Outcome, Release, Reply, Settle, Ticked, Ticker, Token, shard,
+};
+use crate::voter::Machine;
+
+const HOLDER: Token = token(1, 1, 1);
+
+const fn token(holder: u64, incarnation: u64, sequence: u64) -> Token {
+    Token {
+        holder,
+        incarnation,
+        sequence,
+    }
+}
+
+/// A register with the length of its log.
+struct Log(Claims, u64);
+
+impl Log {
+    fn new(bounds: Bounds) -> Self {
+        Self(Claims::new(bounds), 0)
+    }
+
+    fn step(&mut self, action: Action) -> Reply {
+        self.1 += 1;
+        self.0.step(self.1, action)
+    }
+
+    fn claim(&mut self, organisation: &str, key: &str, token: Token) -> Reply {
+        self.step(Action::Claim(Claim {
+            organisation: organisation.into(),
+            key: key.into(),
+            digest: vec![7; 32],
+            token: Some(token),
+            start: 2_000,
+            ttl: 8_000,
+        }))
+    }
+
+    fn settle(&mut self, key: &str, token: Token, outcome: Outcome) -> Reply {
+        self.step(Action::Settle(Settle {
+            organisation: "a".into(),
+            key: key.into(),
+            outcome: Some(outcome),
+            token: Some(token),
+        }))
+    }
+
+    fn release(&mut self, token: Token) -> Reply {
+        self.step(Action::Release(Release {
+            organisation: "a".into(),
+            key: "k".into(),
+            token: Some(token),
+        }))
+    }
+
+    /// Moves the time on, in steps as a ticker makes them.
+    fn pass(&mut self, mut ms: u64) {
+        let unseen = u64::MAX;
+        let mut after = self.expire(unseen, 0);
+        while ms > 0 {
+            let step = ms.min(1_000);
+            after = self.expire(after, step);
+            ms -= step;
+        }
+    }
+
+    fn expire(&mut self, after: u64, elapsed: u64) -> u64 {
+        match self.step(Action::Expire(Expire { after, elapsed })) {
+            Reply::Ticked(ticked) => ticked.index,
+            reply => panic!("{reply:?}"),
+        }
+    }
+}
+
+fn kept(len: usize) -> Kept {
+    Kept {
+        status: 200,
+        kind: String::new(),
+        body: vec![b'x'; len],
+    }
+}
+
+fn granted(token: Token) -> Reply {
+    Reply::Granted(Granted { token: Some(token) })
+}
+
+fn in_progress(age: u64, starting: bool) -> Reply {
+    Reply::InProgress(InProgress {
+        holder: Some(HOLDER),
+        age,
+        starting,
+    })
+}
+
+// The first second passes before the claim has an age.
+#[rstest]
+#[case::again(token(2, 1, 1), 0, None, in_progress(0, true))]
+#[case::same_sending(HOLDER, 0, None, granted(HOLDER))]
+#[case::aged(token(2, 1, 1), 2_000, None, in_progress(1_000, true))]
+#[case::dispatched(token(2, 1, 1), 3_000, None, in_progress(2_000, false))]
+#[case::given_up(token(2, 1, 1), 9_000, None, Reply::Unknown(()))]
+#[case::holder_restarted(token(1, 2, 1), 0, None, Reply::Unknown(()))]
+#[case::not_kept(token(2, 1, 1), 0, Some(Outcome::NotKept(())), Reply::Answered(Answered { kept: None }))]
+#[case::kept(token(2, 1, 1), 9_000, Some(Outcome::Kept(kept(3))), Reply::Answered(Answered { kept: Some(kept(3)) }))]
+#[case::too_long(token(2, 1, 1), 0, Some(Outcome::Kept(kept(MAX_KEPT + 1))), Reply::Answered(Answered { kept: None }))]
+#[case::broken(token(2, 1, 1), 0, Some(Outcome::Unknown(())), Reply::Unknown(()))]
+#[case::forgotten(token(2, 1, 1), 3_602_000, Some(Outcome::NotKept(())), granted(token(2, 1, 1)))]
+fn claim_again(
+    #[case] asker: Token,
+    #[case] ms: u64,
+    #[case] outcome: Option<Outcome>,
+    #[case] reply: Reply,
+) {
+    let mut log = Log::new(Bounds::default());
+    assert_eq!(log.claim("a", "k", HOLDER), granted(HOLDER));
+    if let Some(outcome) = outcome {
+        assert_eq!(log.settle("k", HOLDER, outcome), Reply::Done(()));
+    }
+    log.pass(ms);
+    let mut other = Log::new(Bounds::default());
+    other.0.restore(&log.0.snapshot());
+    other.1 = log.1;
+    assert_eq!(log.claim("a", "k", asker), reply);
+    assert_eq!(other.claim("a", "k", asker), reply);
+    // Another organisation's claim of the same key is its own.
+    assert_eq!(log.claim("b", "k", asker), granted(asker));
+}
+
+/// A holder that was slow gives its claim back after others were told that the
+/// outcome is unknown and the request never runs again. That must stay true.
+#[rstest]
+#[case::early(1_000, granted(token(3, 1, 1)))]
+#[case::told(4_000, Reply::Unrun(()))]
+fn release_then_claim(#[case] ms: u64, #[case] reply: Reply) {
+    let mut log = Log::new(Bounds::default());
+    log.claim("a", "k", HOLDER);
+    log.pass(ms);
+    log.claim("a", "k", token(2, 1, 1));
+    assert_eq!(log.release(token(2, 1, 1)), Reply::Stale(()));
+    assert_eq!(log.release(HOLDER), Reply::Done(()));
+    assert_eq!(log.claim("a", "k", token(3, 1, 1)), reply);
+}
+
+/// A ticker's proposal is delayed for ten seconds while a claim is made. The
+/// claim is young: what passed before it must not count.
+#[test]
+fn expire_delayed() {
+    let mut log = Log::new(Bounds::default());
+    let after = log.expire(u64::MAX, 0);
+    let seen = log.expire(after, 0);
+    log.claim("a", "k", HOLDER);
+    let next = log.expire(seen, 10_000);
+    // The same time, measured and proposed by another instance.
+    assert_eq!(log.expire(seen, 10_000), next);
+    let asker = token(2, 1, 1);
+    assert_eq!(log.claim("a", "k", asker), in_progress(0, true));
+}
+
+/// An organisation fills its share. Its new claims are refused, none of its
+/// claims is forgotten early, and another organisation still gets its floor.
+#[test]
+fn claim_full() {
+    let (shared, floor, share) = (0, 1_000, 1_000_000);
+    let bounds = Bounds {
+        shared,
+        floor,
+        share,
+        ..Bounds::default()
+    };
+    let mut log = Log::new(bounds);
+    let fill = |log: &mut Log, organisation: &str| {
+        let keys = (0..100).map(|n| log.claim(organisation, &n.to_string(), HOLDER));
+        keys.filter(|reply| *reply == granted(HOLDER)).count()
+    };
+    let first = fill(&mut log, "a");
+    assert!(first > 0);
+    log.pass(601_000);
+    let full = Reply::Full(Full { pause: 3_000_000 });
+    assert_eq!(log.claim("a", "more", HOLDER), full);
+    assert_eq!(fill(&mut log, "b"), first);
+    assert_eq!(fill(&mut log, "a"), first, "each one is still held");
+    // No room for answers either: the fact is kept, not the text.
+    log.settle("0", HOLDER, Outcome::Kept(kept(900)));
+    let found = log.claim("a", "0", HOLDER);
+    assert_eq!(found, Reply::Answered(Answered { kept: None }));
+    assert!(log.0.bytes() <= 2 * floor);
+    log.pass(3_602_000);
+    assert_eq!((log.0.len(), log.0.bytes()), (0, 0));
+}
+
+#[test]
+fn claim_mismatch() {
+    let mut log = Log::new(Bounds::default());
+    log.claim("a", "k", HOLDER);
+    let claim = Claim {
+        organisation: "a".into(),
+        key: "k".into(),
+        digest: vec![8; 32],
+        token: Some(token(2, 1, 1)),
+        start: 2_000,
+        ttl: 8_000,
+    };
+    assert_eq!(log.step(Action::Claim(claim)), Reply::Mismatch(()));
+}
+
+#[test]
+fn poll_measures() {
+    let mut ticker = Ticker::new(Duration::from_secs(1));
+    let at = |ms: u64| Time(ms * 1_000);
+    let expire = |after, elapsed| Some(Action::Expire(Expire { after, elapsed }));
+    assert_eq!(ticker.poll(at(5_000)), expire(u64::MAX, 0));
+    assert_eq!(ticker.poll(at(5_999)), None);
+    ticker.heard(at(6_000), Ticked { index: 9 });
+    // A later reply about the same one tells nothing new.
+    ticker.heard(at(6_500), Ticked { index: 9 });
+    assert_eq!(ticker.poll(at(7_200)), expire(9, 1_200));
+}
+
+/// Claims must stay where they are over an upgrade.
+#[rstest]
+#[case("a", "key", 34)]
+#[case("ab", "c", 49)]
+#[case("a", "bc", 51)]
+fn shard_stable(#[case] organisation: &str, #[case] key: &str, #[case] expected: u32) {
+    assert_eq!(shard(organisation, key, 64), expected);
+}
+
+/// Prints what a claim costs. `LQ_CLAIMS` sets the number of claims.
+#[test]
+fn claim_cost() {
+    let count = std::env::var("LQ_CLAIMS").map_or(2_000, |n| n.parse().expect("a number"));
+    let bounds = Bounds {
+        shared: u64::MAX,
+        share: u64::MAX,
+        ..Bounds::default()
+    };
+    let before = resident();
+    let mut log = Log::new(bounds);
+    let start = Instant::now();
+    (0..count).for_each(|n| {
+        log.claim("organisation", &format!("letter-{n:032}"), token(1, 1, n));
+    });
+    let claimed = start.elapsed();
+    let held = resident().saturating_sub(before);
+    let start = Instant::now();
+    (0..count).for_each(|n| {
+        let outcome = Outcome::NotKept(());
+        let mut settle = |key: &str| log.settle(key, token(1, 1, n), outcome.clone());
+        settle(&format!("letter-{n:032}"));
+    });
+    let settled = start.elapsed();
+    let start = Instant::now();
+    let snapshot = log.0.snapshot();
+    println!(
+        "{count} claims: {:?} a claim, {:?} a settlement, {} counted and {} resident bytes, \
+         snapshot of {} bytes each in {:?}",
+        claimed / u32::try_from(count).unwrap_or(1),
+        settled / u32::try_from(count).unwrap_or(1),
+        log.0.bytes() / count,
+        held / count,
+        snapshot.len() as u64 / count,
+        start.elapsed()
+    );
+    assert_eq!(log.0.len() as u64, count);
+}
+
+/// Resident memory of the process in bytes.
+fn resident() -> u64 {
+    const PAGE: u64 = 4096;
+    let statm = std::fs::read_to_string("/proc/self/statm").expect("Linux");
+    let pages = statm.split(' ').nth(1).and_then(|n| n.parse::<u64>().ok());
+    pages.expect("the second field") * PAGE
+}
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,6 +1,8 @@
 //! Tests of crate-private parts, one file a module.
 
 mod auth;
+mod budget;
+mod claim;
 mod event;
 mod flow;
 mod generation;
