Let operators add and remove voters; instances follow who votes

An instance with a data folder that isn't a founder asks to become a voter; 'voters add' takes it in, in every group, and it votes once it has caught up. Followers and proposers learn the voters from each answer.

--- a/scripts/lab.sh
+++ b/scripts/lab.sh
@@ -40,7 +40,9 @@
 export LQ_VOTERS=${LQ_VOTERS%,}
 TARGETS="" CONTROLS="" PIDS="" EMULATORS=""
 for ((i = 1; i <= instances; i++)); do
-    "$BIN" serve --instance-id "$i" --domain "${domains[i % 3]}" --data-dir "$LAB/data-$i" \
+    data=()
+    [ "$i" -gt "$voters" ] || data=(--data-dir "$LAB/data-$i")
+    "$BIN" serve --instance-id "$i" --domain "${domains[i % 3]}" "${data[@]}" \
         --caller-addr "127.0.0.1:$((base + i * 3))" --peer-addr "127.0.0.1:$((base + i * 3 + 1))" \
         --control-addr "127.0.0.1:$((base + i * 3 + 2))" 2>"$LAB/instance-$i.log" &
     pids+=($!)
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -19,6 +19,7 @@
         .subcommand(serve())
         .subcommand(check())
         .subcommand(catalogue())
+        .subcommand(voters())
         .subcommand(state())
         .subcommand(digest())
         .subcommand(completions())
@@ -286,6 +287,36 @@
         )
 }
 
+fn voters() -> Command {
+    let instance = || {
+        Arg::new("instance")
+            .required(true)
+            .value_parser(value_parser!(u64))
+            .help("Number of the instance")
+    };
+    Command::new("voters")
+        .about("Read and change who votes on the catalogue and keeps the claims")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("list")
+                .about("List the voters, and the instances that ask to become one")
+                .args(client()),
+        )
+        .subcommand(
+            Command::new("add")
+                .about("Add an instance that runs with a data folder, or its new folder")
+                .args(client())
+                .arg(instance()),
+        )
+        .subcommand(
+            Command::new("remove")
+                .about("Remove a voter")
+                .args(client())
+                .arg(instance()),
+        )
+}
+
 fn state() -> Command {
     Command::new("state")
         .about("Dump the state of a running instance; holds no key and no caller's text")
--- a/src/client.rs
+++ b/src/client.rs
@@ -14,6 +14,7 @@
     Change, Entry, EntryKey, Expect, Kind, Listed, Operation, Organisation, Outcome, Past, Pool,
     Record, Route, digest,
 };
+use crate::dump;
 use crate::error::{
     CatalogueFileSnafu, Error, OutputSnafu, ReadFileSnafu, RefusedSnafu, Result, UnreachableSnafu,
 };
@@ -84,6 +85,25 @@
         self.answer(call)
     }
 
+    /// Sends a request without a body.
+    fn send(&self, path: &str, remove: bool) -> Result<String> {
+        let uri = format!("http://{}{path}", self.target);
+        let key = format!("Bearer {}", self.key);
+        let call = if remove {
+            self.agent.delete(uri).header("Authorization", key).call()
+        } else {
+            self.agent
+                .put(uri)
+                .header("Authorization", key)
+                .send_empty()
+        };
+        let answer = self.answer(call)?;
+        if answer.status == 200 {
+            return Ok(answer.body);
+        }
+        self.refused(&answer)
+    }
+
     fn answer(
         &self,
         call: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
@@ -178,6 +198,29 @@
     }
 }
 
+/// Runs `laburnumquay voters ...`.
+///
+/// # Errors
+///
+/// When the instance can't be reached or refuses.
+pub(crate) fn voters(matches: &ArgMatches, out: &mut dyn Write) -> Result<()> {
+    let (name, matches) = matches.subcommand().expect("the command line demands one");
+    let client = Client::new(matches)?;
+    if name == "list" {
+        let body = client.fetch("/v1/voters")?;
+        if matches.get_flag("json") {
+            return print(out, &body);
+        }
+        let groups: serde_json::Value = client.parse(&body)?;
+        return print(out, dump::lines(&groups).trim_end());
+    }
+    let instance = matches
+        .get_one::<u64>("instance")
+        .expect("the command line demands it");
+    let path = format!("/v1/voters/{instance}");
+    print(out, &client.send(&path, name == "remove")?)
+}
+
 /// Runs `laburnumquay state`.
 ///
 /// # Errors
--- a/src/control.rs
+++ b/src/control.rs
@@ -20,6 +20,7 @@
 use crate::follower::Confirm;
 use crate::gate::Gate;
 use crate::gossip::Fleet;
+use crate::message::{self, Ask, AskGroup, ChangeVoter, VoterChanged};
 use crate::propose::{NotCommitted, Proposer};
 use crate::settings::Settings;
 use crate::upstream::{AnnounceOutcome, Announcement};
@@ -53,6 +54,8 @@
     pub(crate) force: Arc<InForce>,
     pub(crate) confirm: Confirm,
     pub(crate) proposer: Arc<Proposer>,
+    /// Registers of claims; their groups have the same voters.
+    pub(crate) registers: Vec<Arc<Proposer>>,
     pub(crate) fleet: Fleet,
     pub(crate) gate: Arc<Gate>,
     pub(crate) metrics: PrometheusHandle,
@@ -117,6 +120,9 @@
             (&Method::GET, ["catalogue", "history"]) => self.history(),
             (&Method::GET, ["catalogue", kind, name]) => self.get(kind, name),
             (&Method::POST, ["catalogue", "changes"]) => self.change(request),
+            (&Method::GET, ["voters"]) => self.voters(),
+            (&Method::PUT, ["voters", id]) => self.change_voter(id, false),
+            (&Method::DELETE, ["voters", id]) => self.change_voter(id, true),
             _ => Err(not_found()),
         }
     }
@@ -211,13 +217,7 @@
             .block_on(self.proposer.propose(command.into(), COMMIT));
         let outcome: Outcome = match committed {
             Ok(reply) => serde_json::from_slice(&reply).expect("the machine wrote it"),
-            Err(NotCommitted::Refused) => {
-                return Err(problem(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "no_leader",
-                    "no voter leads; nothing was changed; try again in a few seconds",
-                ));
-            }
+            Err(NotCommitted::Refused) => return Err(no_leader()),
             Err(NotCommitted::Unknown) => {
                 return Err(problem(
                     StatusCode::GATEWAY_TIMEOUT,
@@ -230,6 +230,67 @@
         Ok(json(status(&outcome), &outcome))
     }
 
+    /// Members of each group, and the stores that ask to become members.
+    fn voters(&self) -> Answer {
+        let mut groups = Vec::new();
+        for proposer in self.groups() {
+            let ask = Ask::Group(AskGroup {
+                group: proposer.group(),
+            });
+            let found = self.runtime.block_on(proposer.ask_leader(ask, COMMIT));
+            let Some(message::Answer::Group(reply)) = found else {
+                return Err(no_leader());
+            };
+            groups.push(serde_json::json!({
+                "group": proposer.group(),
+                "leader": reply.leader,
+                "members": reply.members,
+                "strangers": reply.strangers,
+            }));
+        }
+        Ok(json(StatusCode::OK, &groups))
+    }
+
+    /// Adds or removes a voter in every group, one after the other. Repeated
+    /// after a failure it goes on where it stopped.
+    fn change_voter(&self, id: &str, remove: bool) -> Answer {
+        let instance: u64 = id.parse().map_err(|_| not_found())?;
+        let mut missing = 0;
+        for proposer in self.groups() {
+            let ask = Ask::Member(ChangeVoter {
+                group: proposer.group(),
+                instance,
+                remove,
+            });
+            let changed = self.runtime.block_on(proposer.ask_leader(ask, COMMIT));
+            let Some(message::Answer::Changed(changed)) = changed else {
+                return Err(no_leader());
+            };
+            match VoterChanged::try_from(changed) {
+                Ok(VoterChanged::Done) => {}
+                Ok(VoterChanged::NotFound) => missing += 1,
+                other => return Err(voter_problem(other.unwrap_or(VoterChanged::Unknown))),
+            }
+        }
+        if missing == self.groups().count() {
+            return Err(voter_problem(VoterChanged::NotFound));
+        }
+        tracing::info!(
+            event = event::VOTER_CHANGED.id,
+            instance,
+            remove,
+            "voters changed"
+        );
+        Ok(json(
+            StatusCode::OK,
+            &serde_json::json!({"instance": instance, "removed": remove}),
+        ))
+    }
+
+    fn groups(&self) -> impl Iterator<Item = &Arc<Proposer>> {
+        std::iter::once(&self.proposer).chain(&self.registers)
+    }
+
     fn announce(&self, request: &mut Request) -> Answer {
         let Ok(catalogue) = self.force.get(self.clock.now()) else {
             return Err(problem(
@@ -286,6 +347,40 @@
     }
 }
 
+fn no_leader() -> Problem {
+    problem(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "no_leader",
+        "no voter leads; nothing was changed; try again in a few seconds",
+    )
+}
+
+fn voter_problem(changed: VoterChanged) -> Problem {
+    let (status, code, message) = match changed {
+        VoterChanged::NotFound => (
+            StatusCode::NOT_FOUND,
+            "no_such_voter",
+            "the instance neither votes nor asks to; start it with --data-dir and wait some seconds",
+        ),
+        VoterChanged::Busy => (
+            StatusCode::CONFLICT,
+            "change_running",
+            "another change of the voters runs; repeat this one in some seconds",
+        ),
+        VoterChanged::Unsafe => (
+            StatusCode::CONFLICT,
+            "no_quorum_left",
+            "the voters that answer would be no quorum; bring others back first",
+        ),
+        VoterChanged::Unknown | VoterChanged::Done => (
+            StatusCode::GATEWAY_TIMEOUT,
+            "outcome_unknown",
+            "the change may have been made; list the voters and repeat it if need be",
+        ),
+    };
+    problem(status, code, message)
+}
+
 fn not_found() -> Problem {
     problem(
         StatusCode::NOT_FOUND,
--- a/src/dump.rs
+++ b/src/dump.rs
@@ -47,9 +47,13 @@
 
 /// The dump as indented lines for people.
 pub(crate) fn text(dump: &Dump) -> String {
-    let value = serde_json::to_value(dump).expect("a dump holds only strings and numbers");
+    lines(&serde_json::to_value(dump).expect("a dump holds only strings and numbers"))
+}
+
+/// A JSON value as indented lines for people.
+pub(crate) fn lines(value: &Value) -> String {
     let mut out = String::new();
-    write_value(&mut out, &value, 0);
+    write_value(&mut out, value, 0);
     out
 }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -34,6 +34,8 @@
 pub(crate) const CATALOGUE_APPLIED: Event = event(203, "catalogue_applied");
 /// An operator's change was decided.
 pub(crate) const CHANGE_DECIDED: Event = event(204, "change_decided");
+/// A voter was added or removed.
+pub(crate) const VOTER_CHANGED: Event = event(205, "voter_changed");
 /// A connection from another instance was refused or broke its framing.
 pub(crate) const PEER_REFUSED: Event = event(301, "peer_refused");
 /// An upstream's announcement was refused.
@@ -58,6 +60,7 @@
     LEASE_LOST,
     CATALOGUE_APPLIED,
     CHANGE_DECIDED,
+    VOTER_CHANGED,
     PEER_REFUSED,
     ANNOUNCE_REFUSED,
     REQUEST_REFUSED,
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -169,6 +169,15 @@
         self.book.history(most)
     }
 
+    /// Learns who votes now.
+    pub(crate) fn learn(&mut self, voters: &[InstanceId]) {
+        if self.voters == voters || voters.is_empty() {
+            return;
+        }
+        self.voters = voters.to_vec();
+        self.next = 0;
+    }
+
     /// Whether the snapshot could be read. An older one than what stands here
     /// is passed over: installed, it would revert accepted changes.
     fn restore(&mut self, snapshot: &[u8]) -> bool {
--- a/src/follower.rs
+++ b/src/follower.rs
@@ -75,6 +75,8 @@
         match reply.map(|r| r.answer) {
             Ok(Some(Answer::Feed(feed))) => {
                 follower.answered(ask, &feed);
+                self.node.learn_voters(&feed.voters);
+                follower.learn(&self.node.voters());
                 true
             }
             _ => {
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -24,10 +24,10 @@
 use crate::follower::Confirm;
 use crate::gate::Gate;
 use crate::gossip::{Fleet, FleetSettings};
-use crate::id::{Incarnation, InstanceId};
+use crate::id::Incarnation;
 use crate::log;
 use crate::message::{Answer, Ask, Request};
-use crate::node::{CATALOGUE_GROUP, CLAIM_GROUP, CLAIM_SHARDS, Node, Vote};
+use crate::node::{CATALOGUE_GROUP, CLAIM_GROUP, CLAIM_SHARDS, Node, Vote, spread};
 use crate::peer::{self, Peers};
 use crate::propose::Proposer;
 use crate::serve::{self, Serving};
@@ -110,19 +110,20 @@
             peers.learn(*id, *addr);
         }
         let vote = start_vote(&settings, &clock, &peers, &supervisor)?;
-        let node = Node::new(settings.instance, peers.clone(), vote);
+        let mut voters: Vec<_> = settings.voters.keys().copied().collect();
+        spread(&mut voters, settings.instance);
+        let node = Node::new(settings.instance, peers.clone(), vote, voters.clone());
         let fleet = start_fleet(&settings, &clock, incarnation, &supervisor)?;
 
         let force = Arc::new(InForce::new());
-        let voters = voters_from(&settings);
-        let follower = Follower::new(voters.clone(), settings.lease, Arc::clone(&force));
+        let follower = Follower::new(voters, settings.lease, Arc::clone(&force));
         let confirm = Confirm::new(
             follower,
             node.clone(),
             Arc::clone(&clock),
             settings.lease / 4,
         );
-        let proposer = |group| Arc::new(Proposer::new(node.clone(), group, voters.clone()));
+        let proposer = |group| Arc::new(Proposer::new(node.clone(), group));
         let catalogue = proposer(CATALOGUE_GROUP);
         let claims: Vec<_> = (CLAIM_GROUP..CLAIM_GROUP + CLAIM_SHARDS)
             .map(proposer)
@@ -149,7 +150,7 @@
             Arc::clone(&catalogue),
             Arc::clone(&serving),
         ));
-        for (group, register) in (CLAIM_GROUP..).zip(claims) {
+        for (group, register) in (CLAIM_GROUP..).zip(claims.clone()) {
             let clock = Arc::clone(&clock);
             peer_runtime.spawn(keep_claims(node.clone(), group, register, clock));
         }
@@ -162,6 +163,7 @@
             force: Arc::clone(&force),
             confirm,
             proposer: catalogue,
+            registers: claims.clone(),
             fleet: fleet.clone(),
             gate: Arc::clone(&gate),
             metrics,
@@ -275,23 +277,13 @@
     Ok(listener)
 }
 
-/// The voters to ask, this instance first if it is one; else in an order that
-/// differs from instance to instance, so that the load spreads.
-fn voters_from(settings: &Settings) -> Vec<InstanceId> {
-    let mut voters: Vec<_> = settings.voters.keys().copied().collect();
-    let own = voters.iter().position(|id| *id == settings.instance);
-    let spread = usize::try_from(settings.instance.0).unwrap_or(0) % voters.len();
-    voters.rotate_left(own.unwrap_or(spread));
-    voters
-}
-
 fn start_vote(
     settings: &Settings,
     clock: &Arc<dyn Clock>,
     peers: &Peers,
     supervisor: &Supervisor,
 ) -> Result<Option<Vote>> {
-    let Some(data) = settings.data.clone().filter(|_| settings.votes()) else {
+    let Some(data) = settings.data.clone() else {
         return Ok(None);
     };
     let (machine, catalogue) = CatalogueMachine::new();
@@ -350,7 +342,7 @@
         gossip: settings.peer,
         peer: settings.peer,
         control: settings.control,
-        voter: settings.votes(),
+        voter: settings.data.is_some(),
         period: GOSSIP,
         seeds: seeds.filter(|s| *s != settings.peer).collect(),
         key: settings.key.clone(),
--- a/src/message.rs
+++ b/src/message.rs
@@ -33,7 +33,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct Request {
     /// What is asked.
-    #[prost(oneof = "Ask", tags = "1, 2, 3")]
+    #[prost(oneof = "Ask", tags = "1, 2, 3, 4, 5")]
     pub ask: Option<Ask>,
 }
 
@@ -49,6 +49,12 @@
     /// For shares of the limits.
     #[prost(message, tag = "3")]
     Share(limit::Ask),
+    /// For a change of the voters of a group.
+    #[prost(message, tag = "4")]
+    Member(ChangeVoter),
+    /// For the state of a group as its leader sees it.
+    #[prost(message, tag = "5")]
+    Group(AskGroup),
 }
 
 /// Asks a voter for what the sender misses of the catalogue, confirmed after
@@ -71,11 +77,63 @@
     pub command: bytes::Bytes,
 }
 
+/// Asks the leader of a group to add or remove a voter.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ChangeVoter {
+    /// Group of the replicated log.
+    #[prost(uint32, tag = "1")]
+    pub group: u32,
+    /// The instance.
+    #[prost(uint64, tag = "2")]
+    pub instance: u64,
+    /// Whether it is removed; else it is added.
+    #[prost(bool, tag = "3")]
+    pub remove: bool,
+}
+
+/// What became of a [`ChangeVoter`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub(crate) enum VoterChanged {
+    /// Committed. A newcomer votes once it has caught up.
+    Done = 0,
+    /// The instance doesn't ask to become a voter, or isn't one.
+    NotFound = 1,
+    /// Another change runs.
+    Busy = 2,
+    /// The voters that answer would be no quorum.
+    Unsafe = 3,
+    /// It may or may not take effect.
+    Unknown = 4,
+}
+
+/// Asks the leader of a group for its state.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct AskGroup {
+    /// Group of the replicated log.
+    #[prost(uint32, tag = "1")]
+    pub group: u32,
+}
+
+/// State of a group as its leader sees it.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct GroupReply {
+    /// Its members.
+    #[prost(message, repeated, tag = "1")]
+    pub members: Vec<replica::Member>,
+    /// Stores that ask to become members.
+    #[prost(message, repeated, tag = "2")]
+    pub strangers: Vec<replica::Peer>,
+    /// The leader.
+    #[prost(uint64, tag = "3")]
+    pub leader: u64,
+}
+
 /// The reply to a [`Request`].
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct Reply {
     /// What is answered.
-    #[prost(oneof = "Answer", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "Answer", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub answer: Option<Answer>,
 }
 
@@ -100,6 +158,12 @@
     /// Shares of the limits.
     #[prost(message, tag = "6")]
     Grant(limit::Grant),
+    /// What became of a change of the voters.
+    #[prost(enumeration = "VoterChanged", tag = "7")]
+    Changed(i32),
+    /// The state of a group.
+    #[prost(message, tag = "8")]
+    Group(GroupReply),
 }
 
 /// What a follower misses of the catalogue.
@@ -111,9 +175,9 @@
     /// The whole state, instead of commands. Empty when commands suffice.
     #[prost(bytes = "bytes", tag = "2")]
     pub snapshot: bytes::Bytes,
-    /// The leader of the catalogue's group as the voter knows it, or 0.
-    #[prost(uint64, tag = "3")]
-    pub leader: u64,
+    /// The voters of the catalogue's group, as its membership stands.
+    #[prost(uint64, repeated, tag = "3")]
+    pub voters: Vec<u64>,
 }
 
 /// A committed command.
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -12,10 +13,13 @@
 use crate::clock::Clock;
 use crate::id::InstanceId;
 use crate::limit;
-use crate::message::{Answer, Ask, Command, FeedReply, Follow, Propose, Reply, Request};
+use crate::message::{
+    Answer, Ask, ChangeVoter, Command, FeedReply, Follow, GroupReply, Propose, Reply, Request,
+    VoterChanged,
+};
 use crate::peer::{Handler, NoReply, Peers, ReplySink};
-use crate::replica;
-use crate::voter::{GroupStatus, ProposeError, Voter};
+use crate::replica::{self, Change, Role};
+use crate::voter::{ChangeError, GroupStatus, ProposeError, Voter};
 
 /// Group of the replicated log that holds the catalogue.
 pub(crate) const CATALOGUE_GROUP: u32 = 0;
@@ -51,6 +55,13 @@
         leader.map_or(0, |id| id.0)
     }
 
+    /// The voters of a group, as its membership stands here.
+    fn voters(&self, group: u32) -> Vec<u64> {
+        let members = self.status(group).map(|s| s.members).unwrap_or_default();
+        let voting = members.iter().filter(|m| m.role() == Role::Voter);
+        voting.map(|m| m.id).collect()
+    }
+
     /// The term in which this instance leads a group, as far as it knows.
     pub(crate) fn leads(&self, group: u32) -> Option<u64> {
         self.status(group).filter(|s| s.leads).map(|s| s.term)
@@ -61,6 +72,8 @@
     instance: InstanceId,
     peers: Peers,
     vote: Option<Vote>,
+    /// Voters as last heard of. Never empty.
+    voters: ArcSwap<Vec<InstanceId>>,
 }
 
 /// This instance among its peers.
@@ -69,14 +82,35 @@
 
 impl Node {
     /// `vote` is `None` on an instance without a vote.
-    pub(crate) fn new(instance: InstanceId, peers: Peers, vote: Option<Vote>) -> Self {
+    pub(crate) fn new(
+        instance: InstanceId,
+        peers: Peers,
+        vote: Option<Vote>,
+        voters: Vec<InstanceId>,
+    ) -> Self {
         Self(Arc::new(Inner {
             instance,
             peers,
             vote,
+            voters: ArcSwap::from_pointee(voters),
         }))
     }
 
+    /// Voters as last heard of: this instance first if it is one, else in an
+    /// order that differs from instance to instance, so that load spreads.
+    pub(crate) fn voters(&self) -> Arc<Vec<InstanceId>> {
+        self.0.voters.load_full()
+    }
+
+    /// Learns the voters from a voter's answer.
+    pub(crate) fn learn_voters(&self, voters: &[u64]) {
+        let mut voters: Vec<_> = voters.iter().copied().map(InstanceId).collect();
+        spread(&mut voters, self.0.instance);
+        if !voters.is_empty() && voters != *self.voters() {
+            self.0.voters.store(Arc::new(voters));
+        }
+    }
+
     /// The vote, on an instance that has one.
     pub(crate) fn vote(&self) -> Option<&Vote> {
         self.0.vote.as_ref()
@@ -113,6 +147,8 @@
             Some(Ask::Follow(follow)) => feed(&vote, follow, move |a| done(answer(a))),
             Some(Ask::Share(ask)) => share(&vote, ask, move |a| done(answer(a))),
             Some(Ask::Propose(propose)) => commit(&vote, propose, move |a| done(answer(a))),
+            Some(Ask::Member(change)) => change_voter(&vote, change, move |a| done(answer(a))),
+            Some(Ask::Group(ask)) => done(answer(group(&vote, ask.group))),
             // Of a later release: no answer is the only honest one.
             None => {}
         }
@@ -125,21 +161,21 @@
         if confirmed.is_err() {
             return done(Answer::Unavailable(true));
         }
-        let leader = reader.leader(CATALOGUE_GROUP);
+        let voters = reader.voters(CATALOGUE_GROUP);
         done(Answer::Feed(reply(
             reader.catalogue.feed(follow.have),
-            leader,
+            voters,
         )));
     };
     vote.voter.read(CATALOGUE_GROUP, Box::new(read));
 }
 
-fn reply(feed: Feed, leader: u64) -> FeedReply {
+fn reply(feed: Feed, voters: Vec<u64>) -> FeedReply {
     match feed {
         Feed::Snapshot(snapshot) => FeedReply {
             commands: Vec::new(),
             snapshot: snapshot.into(),
-            leader,
+            voters,
         },
         Feed::Commands(commands) => FeedReply {
             commands: commands
@@ -150,7 +186,7 @@
                 })
                 .collect(),
             snapshot: Bytes::new(),
-            leader,
+            voters,
         },
     }
 }
@@ -178,6 +214,65 @@
     vote.voter.read(CATALOGUE_GROUP, Box::new(read));
 }
 
+/// The state of a group, if this instance leads it.
+fn group(vote: &Vote, group: u32) -> Answer {
+    let Some(status) = vote.status(group) else {
+        return Answer::Unavailable(true);
+    };
+    if !status.leads {
+        return Answer::NotLeader(status.leader.map_or(0, |id| id.0));
+    }
+    Answer::Group(GroupReply {
+        members: status.members,
+        strangers: status.strangers,
+        leader: status.me.id,
+    })
+}
+
+/// Adds the store that an instance offers, or removes the one it has.
+fn change_voter(vote: &Vote, ask: ChangeVoter, done: impl FnOnce(Answer) + Send + 'static) {
+    let Some(status) = vote.status(ask.group) else {
+        return done(Answer::Unavailable(true));
+    };
+    if !status.leads {
+        return done(Answer::NotLeader(status.leader.map_or(0, |id| id.0)));
+    }
+    let change = if ask.remove {
+        let member = status.members.iter().find(|m| m.id == ask.instance);
+        member.map(|m| Change::Remove(m.peer()))
+    } else {
+        let stranger = status.strangers.iter().find(|p| p.id == ask.instance);
+        stranger.copied().map(Change::Add)
+    };
+    let Some(change) = change else {
+        return done(Answer::Changed(VoterChanged::NotFound.into()));
+    };
+    let changed = move |result: Result<(), ChangeError>| {
+        done(match result {
+            Ok(()) => Answer::Changed(VoterChanged::Done.into()),
+            Err(ChangeError::Busy) => Answer::Changed(VoterChanged::Busy.into()),
+            Err(ChangeError::Unsafe) => Answer::Changed(VoterChanged::Unsafe.into()),
+            Err(ChangeError::Unknown) => Answer::Changed(VoterChanged::Unknown.into()),
+            Err(ChangeError::NotLeader { hint }) => Answer::NotLeader(hint.map_or(0, |id| id.0)),
+            Err(ChangeError::Stopped) => Answer::Unavailable(true),
+        });
+    };
+    vote.voter
+        .change_member(ask.group, change, Box::new(changed));
+}
+
+/// Puts `own` first if it is among `voters`; else begins at a place that
+/// depends on it.
+pub(crate) fn spread(voters: &mut [InstanceId], own: InstanceId) {
+    if voters.is_empty() {
+        return;
+    }
+    voters.sort_unstable();
+    let at = voters.iter().position(|id| *id == own);
+    let other = usize::try_from(own.0).unwrap_or(0) % voters.len();
+    voters.rotate_left(at.unwrap_or(other));
+}
+
 fn commit(vote: &Vote, propose: Propose, done: impl FnOnce(Answer) + Send + 'static) {
     let proposed = move |result: Result<Vec<u8>, ProposeError>| {
         done(match result {
--- a/src/program.rs
+++ b/src/program.rs
@@ -24,6 +24,7 @@
         "serve" => instance::run(Settings::from_matches(matches)?),
         "check" => Settings::from_matches(matches).map(|_| ()),
         "catalogue" => client::catalogue(matches, out),
+        "voters" => client::voters(matches, out),
         "state" => client::state(matches, out),
         "digest" => client::secret_digest(matches, out),
         "completions" => {
--- a/src/propose.rs
+++ b/src/propose.rs
@@ -29,18 +29,16 @@
 pub(crate) struct Proposer {
     node: Node,
     group: u32,
-    voters: Vec<InstanceId>,
     /// The leader as last heard of; 0 when unknown. Only a hint.
     leader: AtomicU64,
 }
 
 impl Proposer {
-    /// Proposes to `group`, which `voters` replicate. Never empty.
-    pub(crate) fn new(node: Node, group: u32, voters: Vec<InstanceId>) -> Self {
+    /// Proposes to `group`.
+    pub(crate) fn new(node: Node, group: u32) -> Self {
         Self {
             node,
             group,
-            voters,
             leader: AtomicU64::new(0),
         }
     }
@@ -53,7 +51,7 @@
 
     /// Whom to ask for what only the leader does.
     pub(crate) fn target(&self) -> InstanceId {
-        self.leader().unwrap_or(self.voters[0])
+        self.leader().unwrap_or(self.node.voters()[0])
     }
 
     /// Learns that `asked` doesn't lead, and who may; 0 when unknown.
@@ -62,6 +60,33 @@
         self.leader.store(hint, Ordering::Relaxed);
     }
 
+    /// Asks the group's leader for something that may be done twice, within
+    /// `limit`.
+    pub(crate) async fn ask_leader(&self, ask: Ask, limit: Duration) -> Option<Answer> {
+        let end = Instant::now() + limit;
+        let mut turn = 0;
+        while Instant::now() < end {
+            let voters = self.node.voters();
+            let to = self.leader().unwrap_or(voters[turn % voters.len()]);
+            let request = Request {
+                ask: Some(ask.clone()),
+            };
+            match self.node.call(to, request, ONE_TRY).await.map(|r| r.answer) {
+                Ok(Some(Answer::NotLeader(hint))) => self.moved(to, hint),
+                Ok(Some(Answer::Unavailable(_)) | None) | Err(_) => self.moved(to, 0),
+                Ok(Some(answer)) => return Some(answer),
+            }
+            turn += 1;
+            sleep(PAUSE).await;
+        }
+        None
+    }
+
+    /// The group.
+    pub(crate) fn group(&self) -> u32 {
+        self.group
+    }
+
     /// Gets `command` committed within `limit` and returns the reply of the
     /// state machine.
     ///
@@ -76,9 +101,8 @@
         let mut failure = NotCommitted::Refused;
         let mut turn = 0;
         loop {
-            let voter = self
-                .leader()
-                .unwrap_or(self.voters[turn % self.voters.len()]);
+            let voters = self.node.voters();
+            let voter = self.leader().unwrap_or(voters[turn % voters.len()]);
             let request = Request {
                 ask: Some(Ask::Propose(Propose {
                     group: self.group,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -37,7 +37,8 @@
     pub peer: SocketAddr,
     /// Peer addresses of the initial voters. Never empty.
     pub voters: BTreeMap<InstanceId, SocketAddr>,
-    /// Where a voter keeps its state; `None` on an instance that has no vote.
+    /// Where a voter keeps its state; `None` on an instance that has no vote
+    /// and can't be given one.
     pub data: Option<PathBuf>,
     /// Key that all instances share.
     pub key: FleetKey,
