--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,8 +1,11 @@
 //! Tests of crate-private parts, one file a module.
 
 mod auth;
+mod budget;
+mod claim;
 mod event;
 mod flow;
+mod generation;
 mod life;
 mod limit;
 mod queue;
