Split the replica, the store and the voter; answer each caller exactly once

A caller whose request was in the queue when the thread ended was never answered; a dropped answer now tells it how far the request can have got (test propose_after_stop; the random runs check that what was reported as not done is never done).

--- a/src/replica.rs
+++ b/src/replica.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::Time;
 
+mod durable;
 mod election;
 mod log;
 mod member;
@@ -22,6 +23,7 @@
 mod outbox;
 mod progress;
 mod read;
+mod reconfigure;
 mod replication;
 mod snapshot;
 
@@ -210,6 +212,11 @@
         out.append(&mut self.outbox.effects);
     }
 
+    /// This store.
+    pub(crate) fn me(&self) -> Peer {
+        self.settings.me
+    }
+
     pub(crate) fn term(&self) -> u64 {
         self.term
     }
@@ -252,14 +259,6 @@
         }
     }
 
-    fn hard(&self) -> Hard {
-        Hard {
-            term: self.term,
-            vote: self.vote,
-            commit: self.commit,
-        }
-    }
-
     fn on_tick(&mut self) {
         self.expire_reads();
         if !self.greeted {
@@ -379,99 +378,6 @@
         self.deadline = self.now + Duration::from_micros(wait);
     }
 
-    fn on_persisted(&mut self, seq: u64) {
-        while let Some(&(number, last)) = self.writes.front()
-            && number <= seq
-        {
-            self.writes.pop_front();
-            self.synced = last;
-        }
-        for message in self.outbox.release(seq) {
-            self.release(message);
-        }
-    }
-
-    /// Sends a reply that is durable now, or counts it when it's our own.
-    fn release(&mut self, message: Message) {
-        let me = self.settings.me;
-        let own = message.to == me.id && message.to_store == me.store;
-        match own {
-            true => self.on_message(message),
-            false => self.outbox.effects.push(Effect::Send(message)),
-        }
-    }
-
-    /// Removes entries that conflict with the leader's.
-    fn truncate(&mut self, index: u64) {
-        assert!(index > self.commit, "committed entry overwritten");
-        self.log.truncate(index);
-        self.synced = self.synced.min(index - 1);
-        for (_, last) in &mut self.writes {
-            *last = (*last).min(index - 1);
-        }
-    }
-
-    fn push(&mut self, entry: Entry) {
-        let index = entry.index;
-        self.unsaved = Some(self.unsaved.map_or(index, |at| at.min(index)));
-        self.log.push(entry);
-    }
-
-    /// Hands committed entries to the machine.
-    fn apply(&mut self) {
-        let end = self.commit.min(self.synced);
-        let snapshot = self.log.snapshot();
-        if snapshot.index > self.applied {
-            // The entries before it are gone: wait until it is synced.
-            if end < snapshot.index {
-                return;
-            }
-            self.applied = snapshot.index;
-            let effect = Effect::Restore(snapshot.clone());
-            self.outbox.effects.push(effect);
-        }
-        while self.applied < end {
-            self.applied += 1;
-            let entry = self.log.get(self.applied);
-            let entry = entry.expect("committed entry is in the log").clone();
-            let ticket = self.tickets.remove(&self.applied);
-            self.outbox.effects.push(Effect::Apply { entry, ticket });
-        }
-    }
-
-    fn on_compact(&mut self, index: u64, data: Bytes) {
-        assert!(index <= self.applied, "snapshot of the future");
-        if index <= self.log.snapshot().index {
-            return;
-        }
-        self.log.compact(index, data, self.settings.keep);
-        self.snapshot_dirty = true;
-    }
-
-    /// Orders the write of what changed in this step, and queues replies.
-    fn save(&mut self) {
-        if self.hard_dirty || self.snapshot_dirty || self.unsaved.is_some() {
-            let seq = self.outbox.issue();
-            let snapshot = self.log.snapshot();
-            let first = self.unsaved.take().map(|at| at.max(snapshot.index + 1));
-            let entries =
-                first.map_or_else(Vec::new, |at| self.log.slice(at, usize::MAX, usize::MAX));
-            let persist = Persist {
-                seq,
-                hard: self.hard(),
-                snapshot: self.snapshot_dirty.then(|| snapshot.clone()),
-                entries,
-            };
-            self.hard_dirty = false;
-            self.snapshot_dirty = false;
-            self.writes.push_back((seq, self.log.last_index()));
-            self.outbox.effects.push(Effect::Persist(persist));
-        }
-        for message in self.outbox.queue() {
-            self.release(message);
-        }
-    }
-
     /// Asserts what must never change in the wrong direction.
     fn check(&mut self) {
         let (term, vote, commit, applied) = self.checked;
--- /dev/null
+++ b/src/replica/durable.rs
@@ -0,0 +1,111 @@
+//! What must reach the disk before it counts, and what may be applied.
+
+use bytes::Bytes;
+
+use super::Replica;
+use super::log::Entry;
+use super::message::Message;
+use super::outbox::{Effect, Hard, Persist};
+
+impl Replica {
+    pub(super) fn hard(&self) -> Hard {
+        Hard {
+            term: self.term,
+            vote: self.vote,
+            commit: self.commit,
+        }
+    }
+
+    pub(super) fn on_persisted(&mut self, seq: u64) {
+        while let Some(&(number, last)) = self.writes.front()
+            && number <= seq
+        {
+            self.writes.pop_front();
+            self.synced = last;
+        }
+        for message in self.outbox.release(seq) {
+            self.release(message);
+        }
+    }
+
+    /// Sends a reply that is durable now, or counts it when it's our own.
+    fn release(&mut self, message: Message) {
+        let me = self.settings.me;
+        let own = message.to == me.id && message.to_store == me.store;
+        match own {
+            true => self.on_message(message),
+            false => self.outbox.effects.push(Effect::Send(message)),
+        }
+    }
+
+    /// Removes entries that conflict with the leader's.
+    pub(super) fn truncate(&mut self, index: u64) {
+        assert!(index > self.commit, "committed entry overwritten");
+        self.log.truncate(index);
+        self.synced = self.synced.min(index - 1);
+        for (_, last) in &mut self.writes {
+            *last = (*last).min(index - 1);
+        }
+    }
+
+    pub(super) fn push(&mut self, entry: Entry) {
+        let index = entry.index;
+        self.unsaved = Some(self.unsaved.map_or(index, |at| at.min(index)));
+        self.log.push(entry);
+    }
+
+    /// Hands committed entries to the machine.
+    pub(super) fn apply(&mut self) {
+        let end = self.commit.min(self.synced);
+        let snapshot = self.log.snapshot();
+        if snapshot.index > self.applied {
+            // The entries before it are gone: wait until it is synced.
+            if end < snapshot.index {
+                return;
+            }
+            self.applied = snapshot.index;
+            let effect = Effect::Restore(snapshot.clone());
+            self.outbox.effects.push(effect);
+        }
+        while self.applied < end {
+            self.applied += 1;
+            let entry = self.log.get(self.applied);
+            let entry = entry.expect("committed entry is in the log").clone();
+            let ticket = self.tickets.remove(&self.applied);
+            self.outbox.effects.push(Effect::Apply { entry, ticket });
+        }
+    }
+
+    pub(super) fn on_compact(&mut self, index: u64, data: Bytes) {
+        assert!(index <= self.applied, "snapshot of the future");
+        if index <= self.log.snapshot().index {
+            return;
+        }
+        self.log.compact(index, data, self.settings.keep);
+        self.snapshot_dirty = true;
+    }
+
+    /// Orders the write of what changed in this step, and queues replies.
+    pub(super) fn save(&mut self) {
+        if self.hard_dirty || self.snapshot_dirty || self.unsaved.is_some() {
+            let seq = self.outbox.issue();
+            let snapshot = self.log.snapshot();
+            let first = self.unsaved.take().map(|at| at.max(snapshot.index + 1));
+            let entries =
+                first.map_or_else(Vec::new, |at| self.log.slice(at, usize::MAX, usize::MAX));
+            let persist = Persist {
+                seq,
+                hard: self.hard(),
+                snapshot: self.snapshot_dirty.then(|| snapshot.clone()),
+                entries,
+            };
+            self.hard_dirty = false;
+            self.snapshot_dirty = false;
+            self.writes.push_back((seq, self.log.last_index()));
+            self.outbox.effects.push(Effect::Persist(persist));
+        }
+        for message in self.outbox.queue() {
+            self.release(message);
+        }
+    }
+}
--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -188,6 +188,36 @@
         }
     }
 
+    pub(super) fn on_transfer(&mut self) {
+        let end = self.now + self.settings.election;
+        let voters: Vec<Peer> = self.log.members().1.voters().collect();
+        let Part::Leader(lead) = &mut self.part else {
+            return;
+        };
+        let best = voters
+            .into_iter()
+            .filter(|p| lead.progress.contains_key(p))
+            .max_by_key(|&p| (lead.matched(p), lead.progress[&p].heard));
+        lead.transfer = best.map(|p| (p, end));
+        lead.told = false;
+    }
+
+    /// Tells the chosen member to campaign once it has every entry.
+    pub(super) fn hand_over(&mut self) {
+        let last = self.log.last_index();
+        let Part::Leader(lead) = &mut self.part else {
+            return;
+        };
+        let Some((peer, _)) = lead.transfer else {
+            return;
+        };
+        if lead.told || lead.matched(peer) < last {
+            return;
+        }
+        lead.told = true;
+        self.send_timeout_now(peer);
+    }
+
     pub(super) fn send_timeout_now(&mut self, to: Peer) {
         let body = Body::TimeoutNow(TimeoutNow {});
         self.outbox.send(to, self.term, body);
--- /dev/null
+++ b/src/store/load.rs
@@ -0,0 +1,135 @@
+//! Reads a data folder.
+
+use std::io;
+
+use bytes::Bytes;
+use prost::Message as _;
+use snafu::{OptionExt, ResultExt, ensure};
+
+use super::record::{Batch, Content, Entries, Mark, Record};
+use super::{
+    Contents, DamagedSnafu, IoSnafu, MissingSnafu, PART, SNAPSHOT, StoreError, frame, log_number,
+    snapshot_name,
+};
+use crate::disk::Disk;
+use crate::replica::{Snapshot, Start};
+
+/// Reads the newest log file and the snapshots it names.
+pub(super) fn load(disk: &dyn Disk, names: &[String]) -> Result<Contents, StoreError> {
+    let mut content = Contents::default();
+    let Some(name) = names.iter().filter(|n| log_number(n).is_some()).max() else {
+        let snapshot = |n: &&String| n.starts_with(SNAPSHOT) && !n.ends_with(PART);
+        let orphan = names.iter().find(snapshot);
+        ensure!(
+            orphan.is_none(),
+            MissingSnafu {
+                name: "the log file"
+            }
+        );
+        return Ok(content);
+    };
+    let file = disk.read(name).context(IoSnafu {
+        action: "read",
+        name,
+    })?;
+    let mut at = 0;
+    let mut number = log_number(name).unwrap_or(0);
+    while at < file.len() {
+        let damaged = || DamagedSnafu { name, offset: at };
+        let frame = frame::decode(&file, at).filter(|f| f.number == number);
+        let Some(frame) = frame else {
+            // A frame is written only after the one before it was synced. So a
+            // valid frame further on proves that this one was durable, and
+            // acknowledged; only the last one may be a torn write.
+            ensure!(at > 0 && !frame::follows(&file, at), damaged());
+            break;
+        };
+        let batch = Batch::decode(frame.payload).ok();
+        let batch = batch.filter(|b| b.whole == (at == 0));
+        let batch = batch.with_context(damaged)?;
+        for record in batch.records {
+            replay(&mut content, record).with_context(damaged)?;
+        }
+        at = frame.end;
+        number += 1;
+    }
+    ensure!(
+        at > 0,
+        DamagedSnafu {
+            name,
+            offset: 0usize
+        }
+    );
+    for (&group, start) in &mut content.groups {
+        load_snapshot(disk, group, &mut start.snapshot)?;
+    }
+    Ok(content)
+}
+
+/// Applies one record, or nothing when it doesn't fit.
+fn replay(content: &mut Contents, record: Record) -> Option<()> {
+    match record.content? {
+        Content::Identity(identity) => {
+            content.store = identity.store;
+            content.boot = identity.boot;
+            content.runs = identity.runs;
+        }
+        Content::Sighting(s) => {
+            content.sightings.insert(s.store, (s.boot, s.run));
+        }
+        Content::State(state) => content.groups.entry(state.group).or_default().hard = state.hard,
+        Content::Mark(mark) => replay_mark(content.groups.entry(mark.group).or_default(), mark),
+        Content::Entries(entries) => {
+            let start = content.groups.entry(entries.group).or_default();
+            return replay_entries(start, entries);
+        }
+    }
+    Some(())
+}
+
+fn replay_mark(start: &mut Start, mark: Mark) {
+    let held = start.entries.iter().find(|e| e.index == mark.index);
+    let agrees = held.is_some_and(|e| e.term == mark.term);
+    start.entries.retain(|e| agrees && e.index > mark.index);
+    start.snapshot = Snapshot {
+        index: mark.index,
+        term: mark.term,
+        members: mark.members,
+        data: Bytes::new(),
+    };
+}
+
+fn replay_entries(start: &mut Start, entries: Entries) -> Option<()> {
+    let Some(first) = entries.entries.first().map(|e| e.index) else {
+        return Some(());
+    };
+    start.entries.retain(|e| e.index < first);
+    let last = start
+        .entries
+        .last()
+        .map_or(start.snapshot.index, |e| e.index);
+    start.entries.extend(entries.entries);
+    (first == last + 1).then_some(())
+}
+
+fn load_snapshot(disk: &dyn Disk, group: u32, snapshot: &mut Snapshot) -> Result<(), StoreError> {
+    if snapshot.index == 0 {
+        return Ok(());
+    }
+    let name = snapshot_name(group, snapshot.index);
+    let file = match disk.read(&name) {
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return MissingSnafu { name }.fail(),
+        other => other.context(IoSnafu {
+            action: "read",
+            name: &name,
+        })?,
+    };
+    let frame = frame::decode(&file, 0);
+    let frame = frame.filter(|f| f.number == snapshot.index && f.end == file.len());
+    let frame = frame.context(DamagedSnafu {
+        name,
+        offset: 0usize,
+    })?;
+    snapshot.data = Bytes::copy_from_slice(frame.payload);
+    Ok(())
+}
--- a/src/tests/simulation/mod.rs
+++ b/src/tests/simulation/mod.rs
@@ -10,8 +10,9 @@
 use self::disk::SimDisk;
 use self::ledger::{Shared, Tape};
 use crate::clock::Time;
+use crate::voter::answer::Answer;
 use crate::voter::core::{Config, Core, Input};
-use crate::{Change, ChangeError, Message, Peer, ProposeError, Role, StoreError};
+use crate::{Change, ChangeError, Message, Peer, ProposeError, ReadError, Role, StoreError};
 
 pub(super) mod disk;
 pub(super) mod ledger;
@@ -282,7 +283,7 @@
             vec![Input::Propose {
                 group,
                 command,
-                done,
+                answer: Answer::new(done, ProposeError::Stopped),
             }],
         );
     }
@@ -300,7 +301,8 @@
                 tape.check(count);
             }
         });
-        self.run(at, vec![Input::Read { group, done }]);
+        let answer = Answer::new(done, ReadError::Stopped);
+        self.run(at, vec![Input::Read { group, answer }]);
     }
 
     /// The instance that leads a group, in the highest term if two believe so.
@@ -341,7 +343,7 @@
             vec![Input::Change {
                 group,
                 change,
-                done,
+                answer: Answer::new(done, ChangeError::Stopped),
             }],
         );
     }
--- a/src/tests/voter.rs
+++ b/src/tests/voter.rs
@@ -183,3 +183,15 @@
     cluster.halt(0);
     assert!(crate::disk::Folder::open(&folder.path().join("0")).is_ok());
 }
+
+#[test]
+fn propose_after_stop() {
+    // An instance shuts down while callers still send changes. Each must be
+    // told, and that nothing was done.
+    let folder = tempfile::tempdir().unwrap();
+    let mut cluster = Cluster::start(folder.path(), 1);
+    cluster.propose("a");
+    let voter = cluster.voter(0);
+    cluster.halt(0);
+    assert_eq!(propose(&voter, "b"), Err(ProposeError::Stopped));
+}
--- a/src/voter.rs
+++ b/src/voter.rs
@@ -10,7 +10,8 @@
 use serde::Serialize;
 use snafu::ResultExt;
 
-use self::core::{Config, Core, Input, Reply};
+use self::answer::{Answer, Reply};
+use self::core::{Config, Core, Input};
 pub use self::error::{ChangeError, ProposeError, ReadError};
 use crate::clock::{Clock, Time};
 use crate::disk::{Disk, Folder};
@@ -18,8 +19,10 @@
 use crate::replica::{Change, Member, Message, Peer};
 use crate::store::StoreError;
 
+pub(crate) mod answer;
 pub(crate) mod core;
 mod error;
+mod group;
 mod sighting;
 
 /// Inputs that may wait for the thread.
@@ -178,7 +181,7 @@
         let input = Input::Propose {
             group,
             command,
-            done,
+            answer: Answer::new(done, ProposeError::Stopped),
         };
         self.request(input);
     }
@@ -186,7 +189,8 @@
     /// Confirms a linearizable read: at `done`, the machine of this voter has
     /// applied everything that was committed when the call began.
     pub fn read(&self, group: u32, done: Reply<u64, ReadError>) {
-        self.request(Input::Read { group, done });
+        let answer = Answer::new(done, ReadError::Stopped);
+        self.request(Input::Read { group, answer });
     }
 
     /// Changes the members of a group, on its leader. `done` reports the
@@ -195,7 +199,7 @@
         let input = Input::Change {
             group,
             change,
-            done,
+            answer: Answer::new(done, ChangeError::Stopped),
         };
         self.request(input);
     }
@@ -214,33 +218,14 @@
     }
 
     fn request(&self, input: Input) {
-        match self.orders.try_send(Order::Input(input)) {
-            Ok(()) => {}
-            Err(TrySendError::Full(Order::Input(input))) => refuse_busy(input),
-            Err(TrySendError::Disconnected(Order::Input(input))) => refuse_stopped(input),
-            Err(_) => unreachable!("only inputs are requested"),
+        if let Err(TrySendError::Full(Order::Input(input))) =
+            self.orders.try_send(Order::Input(input))
+        {
+            input.refuse_busy();
         }
     }
 }
 
-fn refuse_busy(input: Input) {
-    match input {
-        Input::Propose { done, .. } => done(Err(ProposeError::Busy)),
-        Input::Read { done, .. } => done(Err(ReadError::Busy)),
-        Input::Change { done, .. } => done(Err(ChangeError::Busy)),
-        Input::Message(_) | Input::Transfer => {}
-    }
-}
-
-fn refuse_stopped(input: Input) {
-    match input {
-        Input::Propose { done, .. } => done(Err(ProposeError::Stopped)),
-        Input::Read { done, .. } => done(Err(ReadError::Stopped)),
-        Input::Change { done, .. } => done(Err(ChangeError::Stopped)),
-        Input::Message(_) | Input::Transfer => {}
-    }
-}
-
 /// Entries kept behind a snapshot for followers that lag a little.
 const KEEP: u64 = 256;
 
@@ -285,12 +270,6 @@
             let status = self.core.status();
             *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
         }
-        // What still waits gets its answer.
-        while let Ok(order) = self.inbox.try_recv() {
-            if let Order::Input(input) = order {
-                refuse_stopped(input);
-            }
-        }
         Ok(())
     }
 
--- a/src/voter/core.rs
+++ b/src/voter/core.rs
@@ -6,46 +6,48 @@
 use bytes::Bytes;
 use snafu::ensure;
 
+use super::answer::Answer;
+use super::group::{Group, Pending};
 use super::sighting::{Sightings, Verdict};
 use super::{ChangeError, GroupStatus, Machine, ProposeError, ReadError};
 use crate::clock::Time;
-use crate::collections::HashMap;
 use crate::disk::Disk;
-use crate::id::InstanceId;
 use crate::replica::{
-    Ask, Body, Cause, Change, Effect, Entry, Event, Hello, Kind, Membership, Message, Peer,
-    Persist, Replica, Settings, Start, Superseded,
+    Ask, Body, Change, Effect, Event, Hello, Membership, Message, Peer, Replica, Settings, Start,
+    Superseded,
 };
 use crate::store::{Store, StoreError, SupersededSnafu};
 
-/// Takes the outcome of a request, on the voter's thread.
-pub(crate) type Reply<T, E> = Box<dyn FnOnce(Result<T, E>) + Send>;
-
 /// A request or message for the core.
 pub(crate) enum Input {
     Message(Message),
     Propose {
         group: u32,
         command: Bytes,
-        done: Reply<Vec<u8>, ProposeError>,
+        answer: Answer<Vec<u8>, ProposeError>,
     },
     Read {
         group: u32,
-        done: Reply<u64, ReadError>,
+        answer: Answer<u64, ReadError>,
     },
     Change {
         group: u32,
         change: Change,
-        done: Reply<(), ChangeError>,
+        answer: Answer<(), ChangeError>,
     },
     Transfer,
 }
 
-/// A request that waits for its outcome.
-enum Pending {
-    Propose(Reply<Vec<u8>, ProposeError>),
-    Read(Reply<u64, ReadError>),
-    Change(Reply<(), ChangeError>),
+impl Input {
+    /// Answers a request that nothing was done for lack of room.
+    pub(super) fn refuse_busy(self) {
+        match self {
+            Self::Propose { answer, .. } => answer.send(Err(ProposeError::Busy)),
+            Self::Read { answer, .. } => answer.send(Err(ReadError::Busy)),
+            Self::Change { answer, .. } => answer.send(Err(ChangeError::Busy)),
+            Self::Message(_) | Self::Transfer => {}
+        }
+    }
 }
 
 /// Constants of a core.
@@ -69,16 +71,6 @@
     pub(crate) fresh: u64,
 }
 
-struct Group {
-    replica: Replica,
-    machine: Box<dyn Machine>,
-    pending: HashMap<u64, Pending>,
-    /// Proposals of the current batch.
-    proposals: Vec<(u64, Bytes)>,
-    /// Number of the latest write that awaits a sync.
-    written: Option<u64>,
-}
-
 /// All groups of one store.
 pub(crate) struct Core {
     config: Config,
@@ -116,13 +108,8 @@
             if start.snapshot.index == 0 {
                 start.snapshot.members = Membership::founders(config.founders.iter().copied());
             }
-            groups.push(Group {
-                replica: Replica::new(settings, start, now),
-                machine,
-                pending: HashMap::default(),
-                proposals: Vec::new(),
-                written: None,
-            });
+            let replica = Replica::new(settings, start, now);
+            groups.push(Group::new(group, replica, machine));
         }
         Ok(Self {
             me,
@@ -171,8 +158,8 @@
     }
 
     pub(crate) fn status(&self) -> Vec<GroupStatus> {
-        let groups = (0..).zip(&self.groups);
-        groups.map(|(n, g)| self.group_status(n, g)).collect()
+        let groups = self.groups.iter();
+        groups.map(|g| g.status(self.boot, self.refused)).collect()
     }
 
     /// The replica of a group.
@@ -193,26 +180,6 @@
         (self.boot, self.config.run)
     }
 
-    fn group_status(&self, number: u32, group: &Group) -> GroupStatus {
-        let replica = &group.replica;
-        let log = replica.log();
-        GroupStatus {
-            group: number,
-            me: self.me,
-            boot: self.boot,
-            term: replica.term(),
-            leader: replica.leader().map(|l| InstanceId(l.id)),
-            leads: replica.is_leader(),
-            last: log.last_index(),
-            commit: replica.commit(),
-            applied: replica.applied(),
-            snapshot: log.snapshot().index,
-            members: log.members().1.members.clone(),
-            strangers: replica.strangers().collect(),
-            refused: self.refused,
-        }
-    }
-
     fn take(
         &mut self,
         now: Time,
@@ -224,34 +191,33 @@
             Input::Propose {
                 group,
                 command,
-                done,
+                mut answer,
             } => {
                 let Some(at) = self.position(group) else {
-                    done(Err(ProposeError::Stopped));
                     return Ok(());
                 };
-                let ticket = self.wait(at, Pending::Propose(done));
+                answer.else_tell(ProposeError::Unknown);
+                let ticket = self.wait(at, Pending::Propose(answer));
                 self.groups[at].proposals.push((ticket, command));
                 Ok(())
             }
-            Input::Read { group, done } => {
+            Input::Read { group, answer } => {
                 let Some(at) = self.position(group) else {
-                    done(Err(ReadError::Stopped));
                     return Ok(());
                 };
-                let ticket = self.wait(at, Pending::Read(done));
+                let ticket = self.wait(at, Pending::Read(answer));
                 self.step(at, now, Event::Read(ticket), send)
             }
             Input::Change {
                 group,
                 change,
-                done,
+                mut answer,
             } => {
                 let Some(at) = self.position(group) else {
-                    done(Err(ChangeError::Stopped));
                     return Ok(());
                 };
-                let ticket = self.wait(at, Pending::Change(done));
+                answer.else_tell(ChangeError::Unknown);
+                let ticket = self.wait(at, Pending::Change(answer));
                 self.step(at, now, Event::Change(ticket, change), send)
             }
             Input::Transfer => {
@@ -270,7 +236,7 @@
 
     fn wait(&mut self, at: usize, pending: Pending) -> u64 {
         self.ticket += 1;
-        self.groups[at].pending.insert(self.ticket, pending);
+        self.groups[at].wait(self.ticket, pending);
         self.ticket
     }
 
@@ -429,7 +395,7 @@
                     }
                     send(message);
                 }
-                Effect::Persist(persist) => group.write(at, &persist, &mut self.store)?,
+                Effect::Persist(persist) => group.write(&persist, &mut self.store)?,
                 Effect::Apply { entry, ticket } => group.apply(&entry, ticket),
                 Effect::Restore(snapshot) => group.machine.restore(&snapshot.data),
                 Effect::Readable { ticket, index } => group.readable(ticket, index),
@@ -440,56 +406,6 @@
     }
 }
 
-impl Group {
-    fn write(&mut self, at: usize, persist: &Persist, store: &mut Store) -> Result<(), StoreError> {
-        let number = u32::try_from(at).expect("few groups");
-        self.written = Some(persist.seq);
-        store.write(number, persist)
-    }
-
-    fn apply(&mut self, entry: &Entry, ticket: Option<u64>) {
-        let reply = match entry.kind() {
-            Kind::Command => self.machine.apply(entry.index, &entry.data),
-            Kind::Noop | Kind::Members => Vec::new(),
-        };
-        let pending = ticket.and_then(|t| self.pending.remove(&t));
-        match pending {
-            Some(Pending::Propose(done)) => done(Ok(reply)),
-            Some(Pending::Change(done)) => done(Ok(())),
-            Some(Pending::Read(_)) => unreachable!("reads have no entry"),
-            None => {}
-        }
-    }
-
-    fn readable(&mut self, ticket: u64, index: u64) {
-        if let Some(Pending::Read(done)) = self.pending.remove(&ticket) {
-            done(Ok(index));
-        }
-    }
-
-    fn fail(&mut self, ticket: u64, cause: Cause) {
-        match self.pending.remove(&ticket) {
-            Some(Pending::Propose(done)) => done(Err(cause.into())),
-            Some(Pending::Read(done)) => done(Err(cause.into())),
-            Some(Pending::Change(done)) => done(Err(cause.into())),
-            None => {}
-        }
-    }
-}
-
-impl Drop for Group {
-    /// Answers what can't be answered any more.
-    fn drop(&mut self) {
-        for pending in std::mem::take(&mut self.pending).into_values() {
-            match pending {
-                Pending::Propose(done) => done(Err(ProposeError::Unknown)),
-                Pending::Read(done) => done(Err(ReadError::Stopped)),
-                Pending::Change(done) => done(Err(ChangeError::Unknown)),
-            }
-        }
-    }
-}
-
 fn settings(config: &Config, me: Peer, boot: u64, group: u32) -> Settings {
     Settings {
         group,
