--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -5,6 +5,7 @@
 mod claim;
 mod event;
 mod flow;
+mod follow;
 mod generation;
 mod life;
 mod limit;
