--- a/src/tests/follow.rs
+++ b/src/tests/follow.rs
@@ -243,6 +243,7 @@
         let Ok(catalogue) = self.force.get(self.local()) else {
             return;
         };
+        let seed = self.seed;
         // A clock that runs 1% slow stretches the lease by as much.
         let lease = 4_000_000 * 1000 / self.rate + 1;
         let must = self
