--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -10,6 +10,7 @@
 mod life;
 mod limit;
 mod queue;
+mod replica;
 mod route;
 mod simulation;
 mod store;
