Keep claims for as long as their organisation has room

Cause: a fixed retention is either too short for a caller that sends again after an hour or too long for the memory. At 400 claims a second an hour is 1.4 million claims; the old bounds held 48,000 at their true size, and an organisation that filled its share was refused for up to an hour.

Kept answers use half of the room at most, so they can't crowd out claims. Claims that have ended hold no token.

Ruled out: one order of age for all organisations (one could push out another's claims); a fixed longer retention (refusals under load).

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -16,6 +16,7 @@
 mod record;
 mod snapshot;
 mod ticker;
+mod usage;
 
 pub(crate) use lease::{ClaimLease, START};
 pub(crate) use machine::{Bounds, Claims};
--- a/src/claim/machine.rs
+++ b/src/claim/machine.rs
@@ -1,13 +1,14 @@
 //! The replicated register of claims.
 
-use std::collections::VecDeque;
+use std::mem;
 use std::time::Duration;
 
 use crate::claim::message::{
     Action, Answered, Claim, Expire, Full, Granted, InProgress, Kept, MAX_KEPT, MAX_KEY, Outcome,
     Release, Reply, Settle, Ticked, Token,
 };
-use crate::claim::record::{DIGEST_LEN, Id, RECORD_LEN, Record, State, head, id};
+use crate::claim::record::{DIGEST_LEN, FRESH, Id, Pending, RECORD_LEN, Record, State, head, id};
+use crate::claim::usage::{Place, Usage};
 use crate::collections::HashMap;
 use crate::id::OrganisationId;
 
@@ -15,11 +16,17 @@
 /// longer gap the time lags behind, which only keeps claims for longer.
 const LONGEST_STEP: u64 = 2_000;
 
+/// Pause for an organisation that has no claim of its own to wait for, in
+/// milliseconds.
+const FULL_PAUSE: u64 = 60_000;
+
 /// Bounds of a register. The same on every replica.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Bounds {
-    /// Time for which a claim is remembered.
+    /// Time for which a claim is remembered in any case.
     pub(crate) retention: Duration,
+    /// Time for which it is remembered while its organisation has room.
+    pub(crate) longest: Duration,
     /// Bytes of all claims beyond each organisation's floor.
     pub(crate) shared: u64,
     /// Bytes that every organisation may use, whatever the others use.
@@ -29,12 +36,15 @@
 }
 
 impl Default for Bounds {
+    /// Room for 100,000 claims of one organisation and 200,000 in all, so for
+    /// 330 claims a second over ten minutes, or for 2 a second over a day.
     fn default() -> Self {
         Self {
-            retention: Duration::from_secs(3600),
-            shared: 16 << 20,
-            floor: 8 << 10,
-            share: 8 << 20,
+            retention: Duration::from_secs(600),
+            longest: Duration::from_secs(24 * 3600),
+            shared: 48 << 20,
+            floor: 16 << 10,
+            share: 24 << 20,
         }
     }
 }
@@ -45,9 +55,26 @@
 /// A claim's age counts from the first `Expire` after the claim, since every
 /// later one measures a time that began after the claim was applied.
 ///
-/// Nothing is evicted: a claim leaves when its retention ends or its holder
-/// releases it. When an organisation's share is used up, its new claims are
-/// refused; a forgotten young claim would let a letter go out twice.
+/// A claim younger than the retention is never forgotten, as a letter could go
+/// out twice: if there is no room, new claims are refused. An older one makes
+/// room for a new one of the same organisation, never of another.
+///
+/// # Where claims live
+///
+/// Three places were weighed, with 7,900 requests a second ahead:
+///
+/// * The catalogue's log: nothing to add, but a claim then shares its syncs and
+///   its leader with changes that must be in force within seconds, and a
+///   catalogue snapshot carries every claim.
+/// * A group of its own: same code, own leader and log; a stalled or full
+///   register doesn't touch the catalogue. One log carries what one disk syncs;
+///   claims in one batch share a sync.
+/// * Several such groups, by [`shard`](crate::claim::shard): throughput and
+///   memory grow with the groups. A claim needs only its own group, since no
+///   command touches two keys.
+///
+/// So it is a machine of its own that knows nothing of shards, and the number
+/// of groups is the caller's.
 #[derive(Debug)]
 pub(crate) struct Claims {
     pub(super) bounds: Bounds,
@@ -56,15 +83,9 @@
     /// Log index of the last `Expire` applied.
     pub(super) tick: u64,
     pub(super) records: HashMap<Id, Record>,
-    /// Claims in order of their index. An entry without a record of that index
-    /// was released.
-    pub(super) order: VecDeque<(u64, Id)>,
-    /// Entries at the end of `order` that have no age yet.
-    pub(super) fresh: usize,
-    /// Bytes in use by organisation. Never zero.
-    usage: HashMap<OrganisationId, u64>,
-    /// Sum over organisations of what they use beyond the floor, in bytes.
-    beyond: u64,
+    /// Claims since the last `Expire`, in order of their index.
+    fresh: Vec<Place>,
+    pub(super) usage: Usage,
 }
 
 impl Claims {
@@ -75,10 +96,8 @@
             time: 0,
             tick: 0,
             records: HashMap::default(),
-            order: VecDeque::new(),
-            fresh: 0,
-            usage: HashMap::default(),
-            beyond: 0,
+            fresh: Vec::new(),
+            usage: Usage::default(),
         }
     }
 
@@ -91,7 +110,13 @@
     /// Bytes in use, as counted against the bounds.
     #[cfg(test)]
     pub(crate) fn bytes(&self) -> u64 {
-        self.usage.values().sum()
+        self.usage.bytes()
+    }
+
+    /// Places in the orders of age.
+    #[cfg(test)]
+    pub(crate) fn places(&self) -> usize {
+        self.usage.places()
     }
 
     /// Applies one command.
@@ -121,39 +146,54 @@
 
     fn grant(&mut self, index: u64, id: Id, claim: &Claim, token: Token) -> Reply {
         let organisation = OrganisationId::from(claim.organisation.as_str());
-        if !self.fits(&organisation, RECORD_LEN) {
-            let pause = self.pause();
+        if !self.make_room(&organisation) {
+            let pause = self.pause(&organisation);
             return Reply::Full(Full { pause });
         }
-        let record = Record {
-            organisation: self.name(organisation),
-            digest: head(&claim.digest),
+        let pending = Pending {
             token,
-            index,
-            since: None,
             start: claim.start,
-            ttl: claim.ttl.min(self.longest()),
+            ttl: claim.ttl.min(self.longest_wait()),
             told: false,
-            state: State::Pending,
         };
-        self.charge(&record.organisation.clone(), 0, RECORD_LEN);
-        self.records.insert(id, record);
-        self.order.push_back((index, id));
-        self.fresh += 1;
+        let record = Record {
+            organisation: self.usage.name(organisation),
+            digest: head(&claim.digest),
+            index,
+            since: FRESH,
+            state: State::Pending(Box::new(pending)),
+        };
+        self.insert(id, record);
         Reply::Granted(Granted { token: Some(token) })
     }
 
+    pub(super) fn insert(&mut self, id: Id, record: Record) {
+        let place = (record.index, id);
+        let organisation = &record.organisation;
+        self.usage.add(&self.bounds, organisation, record.cost());
+        if record.since == FRESH {
+            self.fresh.push(place);
+        } else if let Some(tenant) = self.usage.tenant(organisation) {
+            tenant.order.push_back(place);
+        }
+        self.records.insert(id, record);
+    }
+
+    /// Forgets old claims of `organisation` until it has room for a new one.
+    fn make_room(&mut self, organisation: &OrganisationId) -> bool {
+        while !self.usage.fits(&self.bounds, organisation, RECORD_LEN) {
+            if !self.forget_oldest(organisation, self.retention()) {
+                return false;
+            }
+        }
+        true
+    }
+
     fn settle(&mut self, settle: Settle) -> Reply {
         let id = id(&settle.organisation, &settle.key);
-        let Some(record) = self.records.get(&id) else {
+        let Some(record) = self.records.get(&id).filter(|r| r.held(settle.token)) else {
             return Reply::Stale(());
         };
-        if settle.token != Some(record.token) {
-            return Reply::Stale(());
-        }
-        if record.state != State::Pending {
-            return Reply::Done(());
-        }
         let state = match settle.outcome {
             Some(Outcome::Kept(kept)) => self.keep(record, kept),
             Some(Outcome::NotKept(())) => State::NotKept,
@@ -167,7 +207,10 @@
     /// The answer, or only the fact that there was one if there is no room.
     fn keep(&self, record: &Record, kept: Kept) -> State {
         let len = kept.body.len() + kept.kind.len();
-        if len <= MAX_KEPT && self.fits(&record.organisation, len as u64) {
+        let fits = self
+            .usage
+            .keeps(&self.bounds, &record.organisation, len as u64);
+        if len <= MAX_KEPT && fits {
             State::Kept(Box::new(kept))
         } else {
             State::NotKept
@@ -181,20 +224,17 @@
         let before = record.cost();
         record.state = state;
         let after = record.cost();
-        let organisation = record.organisation.clone();
-        self.charge(&organisation, before, after);
+        self.usage
+            .change(&self.bounds, &record.organisation, before, after);
     }
 
     fn release(&mut self, release: &Release) -> Reply {
         let id = id(&release.organisation, &release.key);
-        let Some(record) = self.records.get(&id) else {
+        let Some(record) = self.records.get(&id).filter(|r| r.held(release.token)) else {
             return Reply::Stale(());
         };
-        if release.token != Some(record.token) || record.state != State::Pending {
-            return Reply::Stale(());
-        }
         // Someone may have acted on "unknown, never run again": it stays true.
-        if record.told {
+        if matches!(&record.state, State::Pending(pending) if pending.told) {
             self.replace(id, State::Unrun);
         } else {
             self.remove(id);
@@ -203,98 +243,95 @@
     }
 
     fn remove(&mut self, id: Id) {
-        if let Some(record) = self.records.remove(&id) {
-            self.charge(&record.organisation, record.cost(), 0);
-        }
+        let Some(record) = self.records.remove(&id) else {
+            return;
+        };
+        let records = &self.records;
+        let live = |place: &Place| is_live(records, *place);
+        self.usage
+            .remove(&self.bounds, &record.organisation, record.cost(), live);
     }
 
     fn expire(&mut self, index: u64, expire: Expire) -> Reply {
         if expire.after == self.tick {
             self.tick = index;
             self.time += expire.elapsed.min(LONGEST_STEP);
-            self.settle_ages();
+            self.begin_ages();
             self.forget();
         }
         Reply::Ticked(Ticked { index: self.tick })
     }
 
     /// Lets the claims since the last `Expire` begin to age.
-    fn settle_ages(&mut self) {
-        let aged = self.order.len() - self.fresh;
-        for (index, id) in self.order.iter().skip(aged) {
-            if let Some(record) = self.records.get_mut(id)
-                && record.index == *index
-            {
-                record.since = Some(self.time);
+    fn begin_ages(&mut self) {
+        for (index, id) in mem::take(&mut self.fresh) {
+            let record = self.records.get_mut(&id).filter(|r| r.index == index);
+            let Some(record) = record else { continue };
+            record.since = self.time;
+            if let Some(tenant) = self.usage.tenant(&record.organisation) {
+                tenant.order.push_back((index, id));
             }
         }
-        self.fresh = 0;
     }
 
     fn forget(&mut self) {
-        while let Some((index, id)) = self.order.front().copied() {
-            match self.live(index, id) {
-                Some(record) if !self.ended(record) => return,
-                Some(_) => self.remove(id),
-                None => {}
-            }
-            self.order.pop_front();
+        let longest = millis(self.bounds.longest).max(self.retention());
+        for organisation in self.usage.names() {
+            while self.forget_oldest(&organisation, longest) {}
         }
     }
 
-    pub(super) fn live(&self, index: u64, id: Id) -> Option<&Record> {
-        self.records.get(&id).filter(|record| record.index == index)
+    /// Forgets the oldest claim of `organisation` if its age in milliseconds is
+    /// `least` or more.
+    fn forget_oldest(&mut self, organisation: &OrganisationId, least: u64) -> bool {
+        let Some(place) = self.oldest(organisation) else {
+            return false;
+        };
+        let live = is_live(&self.records, place);
+        if live && self.age(place.1) < least {
+            return false;
+        }
+        if let Some(tenant) = self.usage.tenant(organisation) {
+            tenant.order.pop_front();
+        }
+        if live {
+            self.remove(place.1);
+        }
+        true
     }
 
-    fn ended(&self, record: &Record) -> bool {
-        record.since.is_some() && record.age(self.time) >= self.retention()
+    fn oldest(&mut self, organisation: &OrganisationId) -> Option<Place> {
+        self.usage.tenant(organisation)?.order.front().copied()
+    }
+
+    fn age(&self, id: Id) -> u64 {
+        self.records.get(&id).map_or(0, |r| r.age(self.time))
     }
 
     fn retention(&self) -> u64 {
-        u64::try_from(self.bounds.retention.as_millis()).unwrap_or(u64::MAX)
+        millis(self.bounds.retention)
     }
 
     /// Longest time that an outcome is awaited: within the retention.
-    fn longest(&self) -> u32 {
+    fn longest_wait(&self) -> u32 {
         u32::try_from(self.retention() / 2).unwrap_or(u32::MAX)
     }
 
-    /// Milliseconds until the oldest claim is forgotten.
-    fn pause(&self) -> u64 {
-        let oldest = self.order.iter().find_map(|(i, id)| self.live(*i, *id));
-        let age = oldest.map_or(0, |record| record.age(self.time));
-        self.retention().saturating_sub(age)
-    }
-
-    /// Whether `organisation` may use `more` bytes.
-    fn fits(&self, organisation: &OrganisationId, more: u64) -> bool {
-        let used = self.usage.get(organisation).copied().unwrap_or(0);
-        let after = used + more;
-        let extra = self.over(after) - self.over(used);
-        after <= self.bounds.share && (extra == 0 || self.beyond + extra <= self.bounds.shared)
-    }
-
-    fn over(&self, used: u64) -> u64 {
-        used.saturating_sub(self.bounds.floor)
-    }
-
-    pub(super) fn charge(&mut self, organisation: &OrganisationId, before: u64, after: u64) {
-        let used = self.usage.get(organisation).copied().unwrap_or(0);
-        let next = used + after - before;
-        self.beyond = self.beyond + self.over(next) - self.over(used);
-        if next == 0 {
-            self.usage.remove(organisation);
-        } else {
-            self.usage.insert(organisation.clone(), next);
+    /// Milliseconds until the organisation's oldest claim makes room.
+    fn pause(&mut self, organisation: &OrganisationId) -> u64 {
+        match self.oldest(organisation) {
+            Some((_, id)) => self.retention().saturating_sub(self.age(id)),
+            None => FULL_PAUSE,
         }
     }
+}
 
-    /// The stored copy of the name, so that records share it.
-    pub(super) fn name(&self, organisation: OrganisationId) -> OrganisationId {
-        self.usage
-            .get_key_value(&organisation)
-            .map_or(organisation, |(name, _)| name.clone())
-    }
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn is_live(records: &HashMap<Id, Record>, (index, id): Place) -> bool {
+    records.get(&id).is_some_and(|record| record.index == index)
 }
 
 /// Replies to a claim of a key that is in use.
@@ -310,7 +347,7 @@
             Reply::Mismatch(())
         };
     }
-    match &record.state {
+    match &mut record.state {
         State::Kept(kept) => {
             let kept = Some(Kept::clone(kept));
             Reply::Answered(Answered { kept })
@@ -320,23 +357,24 @@
         State::Unrun if ending => Reply::Unknown(()),
         State::Unrun => Reply::Unrun(()),
         // The proposal arrived twice; the holder still dispatches once.
-        State::Pending if record.token == token => Reply::Granted(Granted { token: Some(token) }),
-        State::Pending => pending(record, token, time),
+        State::Pending(held) if held.token == token => {
+            Reply::Granted(Granted { token: Some(token) })
+        }
+        State::Pending(held) => pending(held, token, age),
     }
 }
 
-fn pending(record: &mut Record, token: Token, time: u64) -> Reply {
-    let age = record.age(time);
+fn pending(held: &mut Pending, token: Token, age: u64) -> Reply {
+    let holder = held.token;
     // A holder that started again has lost what it ran.
-    let restarted =
-        record.token.holder == token.holder && record.token.incarnation < token.incarnation;
-    let starting = age < u64::from(record.start) && !restarted;
-    record.told |= !starting;
-    if restarted || age >= u64::from(record.ttl) {
+    let restarted = holder.holder == token.holder && holder.incarnation < token.incarnation;
+    let starting = age < u64::from(held.start) && !restarted;
+    held.told |= !starting;
+    if restarted || age >= u64::from(held.ttl) {
         return Reply::Unknown(());
     }
     Reply::InProgress(InProgress {
-        holder: Some(record.token),
+        holder: Some(holder),
         age,
         starting,
     })
--- a/src/claim/record.rs
+++ b/src/claim/record.rs
@@ -5,9 +5,10 @@
 use crate::claim::message::{Kept, Token};
 use crate::id::OrganisationId;
 
-/// Bytes that a claim is counted with, besides its kept answer: the record, its
-/// entry in the map and its place in the order of age.
-pub(super) const RECORD_LEN: u64 = 208;
+/// Bytes that a claim is counted with, besides its kept answer: its entry in a
+/// map that is half full after it has grown, and its place in the order of age.
+/// The box of an awaited outcome isn't counted; few are awaited at a time.
+pub(super) const RECORD_LEN: u64 = 240;
 
 /// Bytes of a digest that are kept.
 pub(super) const DIGEST_LEN: usize = 16;
@@ -53,12 +54,31 @@
     u32::try_from(shard).unwrap_or(0)
 }
 
-/// What is known of the outcome.
+/// `since` of a claim that has no age yet.
+pub(super) const FRESH: u64 = u64::MAX;
+
+/// A claim whose outcome is awaited.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Pending {
+    /// The sending that holds it.
+    pub(super) token: Token,
+    /// As in [`Claim`](crate::claim::Claim), in milliseconds.
+    pub(super) start: u32,
+    /// As in [`Claim`](crate::claim::Claim), in milliseconds.
+    pub(super) ttl: u32,
+    /// Whether a later sending was told that the outcome may be unknown.
+    pub(super) told: bool,
+}
+
+/// What is known of the outcome. Boxed where it is large: most claims that a
+/// register remembers have ended and keep no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum State {
     /// The outcome is awaited.
-    Pending,
+    Pending(Box<Pending>),
+    /// It was answered so.
     Kept(Box<Kept>),
+    /// It was answered.
     NotKept,
     /// The holder itself can't tell.
     Unknown,
@@ -72,24 +92,21 @@
     pub(super) organisation: OrganisationId,
     /// Head of the request's digest.
     pub(super) digest: Id,
-    pub(super) token: Token,
     /// Log index of the claim.
     pub(super) index: u64,
-    /// Register's time at the first `Expire` after the claim, in milliseconds.
-    /// Until then the claim has no age.
-    pub(super) since: Option<u64>,
-    /// As in [`Claim`].
-    pub(super) start: u32,
-    pub(super) ttl: u32,
-    /// Whether a later sending was told that the outcome may be unknown.
-    pub(super) told: bool,
+    /// Register's time at the first `Expire` after the claim, in milliseconds,
+    /// or [`FRESH`].
+    pub(super) since: u64,
     pub(super) state: State,
 }
 
 impl Record {
     /// Time since the claim, in milliseconds, at the register's `time`.
     pub(super) fn age(&self, time: u64) -> u64 {
-        self.since.map_or(0, |since| time.saturating_sub(since))
+        match self.since {
+            FRESH => 0,
+            since => time.saturating_sub(since),
+        }
     }
 
     /// Bytes that it is counted with.
@@ -100,4 +117,9 @@
         };
         RECORD_LEN + kept as u64
     }
+
+    /// Whether `token` holds it and its outcome is awaited.
+    pub(super) fn held(&self, token: Option<Token>) -> bool {
+        matches!(&self.state, State::Pending(pending) if Some(pending.token) == token)
+    }
 }
--- a/src/claim/snapshot.rs
+++ b/src/claim/snapshot.rs
@@ -4,7 +4,7 @@
 
 use crate::claim::machine::Claims;
 use crate::claim::message::{Command, Kept, Outcome, Reply, Token};
-use crate::claim::record::{Id, Record, State, head};
+use crate::claim::record::{FRESH, Id, Pending, Record, State, head};
 use crate::id::OrganisationId;
 use crate::voter::Machine;
 
@@ -39,43 +39,55 @@
     time: u64,
     #[prost(uint64, tag = "2")]
     tick: u64,
-    /// In order of age.
+    /// In order of their index, so that equal states give equal bytes.
     #[prost(message, repeated, tag = "3")]
     records: Vec<Saved>,
 }
 
 fn save(id: Id, record: &Record) -> Saved {
-    Saved {
+    let mut saved = Saved {
         id: id.to_vec(),
         organisation: record.organisation.to_string(),
         digest: record.digest.to_vec(),
-        token: Some(record.token),
         index: record.index,
-        since: record.since,
-        start: record.start,
-        ttl: record.ttl,
-        told: record.told,
-        outcome: outcome(&record.state),
-    }
-}
-
-fn outcome(state: &State) -> Option<Outcome> {
-    match state {
-        State::Pending => None,
+        since: (record.since != FRESH).then_some(record.since),
+        ..Saved::default()
+    };
+    saved.outcome = match &record.state {
+        State::Pending(pending) => {
+            saved.token = Some(pending.token);
+            saved.start = pending.start;
+            saved.ttl = pending.ttl;
+            saved.told = pending.told;
+            None
+        }
         State::Kept(kept) => Some(Outcome::Kept(Kept::clone(kept))),
         State::NotKept => Some(Outcome::NotKept(())),
         State::Unknown => Some(Outcome::Unknown(())),
         State::Unrun => Some(Outcome::Unrun(())),
-    }
+    };
+    saved
 }
 
-fn state(outcome: Option<Outcome>) -> State {
-    match outcome {
-        None => State::Pending,
+fn load(saved: Saved, organisation: OrganisationId) -> Record {
+    let state = match saved.outcome {
+        None => State::Pending(Box::new(Pending {
+            token: saved.token.unwrap_or_default(),
+            start: saved.start,
+            ttl: saved.ttl,
+            told: saved.told,
+        })),
         Some(Outcome::Kept(kept)) => State::Kept(Box::new(kept)),
         Some(Outcome::NotKept(())) => State::NotKept,
         Some(Outcome::Unknown(())) => State::Unknown,
         Some(Outcome::Unrun(())) => State::Unrun,
+    };
+    Record {
+        organisation,
+        digest: head(&saved.digest),
+        index: saved.index,
+        since: saved.since.unwrap_or(FRESH),
+        state,
     }
 }
 
@@ -88,8 +100,9 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        let live = |(index, id): &(u64, Id)| Some(save(*id, self.live(*index, *id)?));
-        let records = self.order.iter().filter_map(live).collect();
+        let saved = self.records.iter().map(|(id, record)| save(*id, record));
+        let mut records: Vec<_> = saved.collect();
+        records.sort_unstable_by_key(|record| record.index);
         let snapshot = Snapshot {
             time: self.time,
             tick: self.tick,
@@ -98,37 +111,21 @@
         snapshot.encode_to_vec()
     }
 
+    /// # Panics
+    ///
+    /// If the snapshot can't be read. A replica that went on with an empty
+    /// register would grant claims a second time.
     fn restore(&mut self, snapshot: &[u8]) {
+        let snapshot = Snapshot::decode(snapshot)
+            .expect("a snapshot of claims that this release can read: restore it from a replica");
         *self = Self::new(self.bounds);
-        let Ok(snapshot) = Snapshot::decode(snapshot) else {
-            return;
-        };
         self.time = snapshot.time;
         self.tick = snapshot.tick;
         for saved in snapshot.records {
-            self.load(saved);
+            let organisation = OrganisationId::from(saved.organisation.as_str());
+            let id = head(&saved.id);
+            let record = load(saved, self.usage.name(organisation));
+            self.insert(id, record);
         }
     }
 }
-
-impl Claims {
-    fn load(&mut self, saved: Saved) {
-        let id = head(&saved.id);
-        let organisation = self.name(OrganisationId::from(saved.organisation.as_str()));
-        let record = Record {
-            organisation: organisation.clone(),
-            digest: head(&saved.digest),
-            token: saved.token.unwrap_or_default(),
-            index: saved.index,
-            since: saved.since,
-            start: saved.start,
-            ttl: saved.ttl,
-            told: saved.told,
-            state: state(saved.outcome),
-        };
-        self.charge(&organisation, 0, record.cost());
-        self.fresh += usize::from(record.since.is_none());
-        self.order.push_back((record.index, id));
-        self.records.insert(id, record);
-    }
-}
--- a/src/tests/life/check.rs
+++ b/src/tests/life/check.rs
@@ -33,6 +33,7 @@
             "cancelled",
             "claim_lapsed",
             "claim_unavailable",
+            "claims_full",
             "key_retired",
             "no_upstream",
             "upstream_busy",
