--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -10,4 +10,6 @@
 mod limit;
 mod queue;
 mod route;
+mod simulation;
+mod store;
 mod voter;
