Test the queue and take leaving items out of it exactly

Cause: a place that was left stayed in its line and in the heap of deadlines until it came to the head, so callers that come and go behind a stuck head would have let both grow without bound. Lines and deadlines are ordered maps now, and an item that leaves is removed at once.

Long against short requests (costs 10 and 1, both always waiting): served cost of long by short is within 0.9..1.1 when charged by cost and within 9..11 with stride dispatch and FIFO (pop_long_against_short).

--- a/src/queue.rs
+++ b/src/queue.rs
@@ -10,8 +10,7 @@
 mod rate;
 mod tenant;
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,7 +21,7 @@
 use crate::collections::HashMap;
 use crate::id::OrganisationId;
 use rate::ServiceRate;
-use tenant::{Place, Tenants};
+use tenant::Tenants;
 
 /// Classes in their order of priority.
 const CLASSES: [Class; 3] = [Class::Interactive, Class::Standard, Class::Bulk];
@@ -51,14 +50,12 @@
     classes: [Tenants; 3],
     /// Floor service owed to each class while it waits behind higher ones.
     credit: [f64; 3],
-    /// Every waiting item by id, with the number of its push. A place in a
-    /// line whose number isn't found here was left and is passed over; an id
-    /// that left and came back has a new number.
+    /// Every waiting item by id, with the number of its push.
     items: HashMap<u64, (Item, u64)>,
     /// Number of the latest push.
     pushes: u64,
-    /// Earliest deadline first; places that were left are passed over.
-    deadlines: BinaryHeap<Reverse<(Time, Place)>>,
+    /// Deadline and id of every waiting item.
+    deadlines: BTreeSet<(Time, u64)>,
     /// Number of waiting items of each route.
     routes: HashMap<Arc<str>, u32>,
     rate: ServiceRate,
@@ -74,7 +71,7 @@
             credit: [0.0; 3],
             items: HashMap::default(),
             pushes: 0,
-            deadlines: BinaryHeap::new(),
+            deadlines: BTreeSet::new(),
             routes: HashMap::default(),
             rate: ServiceRate::default(),
         }
@@ -130,27 +127,17 @@
         }
         *self.routes.entry(item.route.clone()).or_default() += 1;
         self.pushes += 1;
-        let place = Place {
-            id: item.id,
-            push: self.pushes,
-        };
-        self.deadlines.push(Reverse((item.deadline, place)));
+        self.deadlines.insert((item.deadline, item.id));
         let key = self.key(&item);
-        self.classes[item.class as usize].push(&key, place, item.cost);
+        self.classes[item.class as usize].push(&key, self.pushes, item.id, item.cost);
         self.items.insert(item.id, (item, self.pushes));
     }
 
     /// Takes out the item that is served next.
     pub fn pop(&mut self, now: Time) -> Option<Item> {
         let index = self.next_class()?;
-        let items = &self.items;
-        let waits = |place: Place| {
-            items
-                .get(&place.id)
-                .is_some_and(|(_, push)| *push == place.push)
-        };
-        let id = self.classes[index].pop(waits)?.id;
-        let item = self.forget(id)?;
+        let id = self.classes[index].pop()?;
+        let (item, _) = self.forget(id)?;
         let charge = self.charge(item.cost);
         let key = self.key(&item);
         self.classes[index].charge(&key, charge);
@@ -179,23 +166,20 @@
 
     /// Takes out an item whose caller left.
     pub fn remove(&mut self, id: u64) -> Option<Item> {
-        let item = self.forget(id)?;
+        let (item, push) = self.forget(id)?;
         let key = self.key(&item);
-        self.classes[item.class as usize].removed(&key, item.cost);
+        self.classes[item.class as usize].remove(&key, push);
         Some(item)
     }
 
     /// Takes out every item whose deadline has come.
     pub fn expire(&mut self, now: Time) -> Vec<Item> {
         let mut gone = Vec::new();
-        while let Some(&Reverse((deadline, place))) = self.deadlines.peek() {
+        while let Some(&(deadline, id)) = self.deadlines.first() {
             if deadline > now {
                 break;
             }
-            self.deadlines.pop();
-            if self.waits(place) {
-                gone.extend(self.remove(place.id));
-            }
+            gone.extend(self.remove(id));
         }
         gone
     }
@@ -216,11 +200,6 @@
         self.rate.time_for(floored)
     }
 
-    fn waits(&self, place: Place) -> bool {
-        let found = self.items.get(&place.id);
-        found.is_some_and(|&(_, push)| push == place.push)
-    }
-
     fn key(&self, item: &Item) -> OrganisationId {
         match self.discipline {
             Discipline::Fifo => OrganisationId::from(""),
@@ -244,28 +223,27 @@
     }
 
     /// Books a service of `cost`: classes that waited behind it earn their
-    /// floor of it, the served class pays. An empty class keeps no credit, so
-    /// it can't save up for a burst.
+    /// floor of it, the served class pays.
     fn account(&mut self, served: usize, cost: f64) {
         for (i, credit) in self.credit.iter_mut().enumerate() {
-            if self.classes[i].is_empty() {
-                *credit = 0.0;
-            } else if i == served {
+            if i == served {
                 *credit = (*credit - cost).max(0.0);
-            } else {
+            } else if !self.classes[i].is_empty() {
                 *credit += FLOOR[i] * cost;
             }
         }
     }
 
-    fn forget(&mut self, id: u64) -> Option<Item> {
-        let (item, _) = self.items.remove(&id)?;
+    /// Drops an item from all but its class; returns it and its push.
+    fn forget(&mut self, id: u64) -> Option<(Item, u64)> {
+        let (item, push) = self.items.remove(&id)?;
+        self.deadlines.remove(&(item.deadline, id));
         if let Some(count) = self.routes.get_mut(&item.route) {
             *count -= 1;
             if *count == 0 {
                 self.routes.remove(&item.route);
             }
         }
-        Some(item)
+        Some((item, push))
     }
 }
--- a/src/queue/tenant.rs
+++ b/src/queue/tenant.rs
@@ -1,6 +1,6 @@
 //! The organisations of one class, ordered by virtual time.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::collections::HashMap;
 use crate::id::OrganisationId;
@@ -26,12 +26,10 @@
     }
 }
 
-/// One push of one item.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Place {
-    pub(crate) id: u64,
-    /// Number of the push, unique in the queue.
-    pub(crate) push: u64,
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    id: u64,
+    cost: f64,
 }
 
 /// One organisation's line.
@@ -40,12 +38,9 @@
     weight: f64,
     /// Served cost by weight, in the class's virtual time.
     passed: f64,
-    /// Waiting places with their cost, oldest first; those that left stay until
-    /// they reach the head.
-    line: VecDeque<(Place, f64)>,
-    /// Items waiting, without those that left.
-    live: usize,
-    /// Cost of the live items.
+    /// Waiting items by the number of their push: oldest first.
+    line: BTreeMap<u64, Waiting>,
+    /// Cost of `line`.
     backlog: f64,
 }
 
@@ -54,7 +49,7 @@
 pub(crate) struct Tenants {
     index: HashMap<OrganisationId, usize>,
     slab: Vec<Tenant>,
-    /// Exactly the organisations with live items, by virtual time.
+    /// Exactly the organisations with waiting items, by virtual time.
     order: BTreeSet<(Virtual, usize)>,
     /// Virtual time of the class: that of the organisation served last. An
     /// organisation that comes back starts here, so idling saves up nothing.
@@ -69,7 +64,7 @@
         self.order.is_empty()
     }
 
-    /// Cost of all live items.
+    /// Cost of all waiting items.
     pub(crate) fn backlog(&self) -> f64 {
         self.backlog
     }
@@ -78,38 +73,34 @@
         let valid = weight.is_finite() && weight > 0.0;
         let i = self.find(organisation);
         let old = std::mem::replace(&mut self.slab[i].weight, if valid { weight } else { 1.0 });
-        if self.slab[i].live > 0 {
+        if !self.slab[i].line.is_empty() {
             self.weights += self.slab[i].weight - old;
         }
     }
 
-    pub(crate) fn push(&mut self, organisation: &OrganisationId, place: Place, cost: f64) {
+    pub(crate) fn push(&mut self, organisation: &OrganisationId, push: u64, id: u64, cost: f64) {
         let clock = self.clock;
         let i = self.find(organisation);
         let tenant = &mut self.slab[i];
-        tenant.line.push_back((place, cost));
-        tenant.live += 1;
+        let idle = tenant.line.is_empty();
+        tenant.line.insert(push, Waiting { id, cost });
         tenant.backlog += cost;
         self.backlog += cost;
-        if tenant.live == 1 {
+        if idle {
             tenant.passed = tenant.passed.max(clock);
             self.weights += tenant.weight;
             self.order.insert((Virtual(tenant.passed), i));
         }
     }
 
-    /// Takes the head of the organisation with the smallest virtual time.
-    pub(crate) fn pop(&mut self, waits: impl Fn(Place) -> bool) -> Option<Place> {
+    /// Takes the oldest item of the organisation with the smallest virtual
+    /// time; returns its id.
+    pub(crate) fn pop(&mut self) -> Option<u64> {
         let &(passed, i) = self.order.first()?;
         self.clock = self.clock.max(passed.0);
-        let tenant = &mut self.slab[i];
-        while let Some((place, cost)) = tenant.line.pop_front() {
-            if waits(place) {
-                self.left(i, cost);
-                return Some(place);
-            }
-        }
-        None
+        let (_, waiting) = self.slab[i].line.pop_first()?;
+        self.left(i, waiting.cost);
+        Some(waiting.id)
     }
 
     /// Moves an organisation's virtual time by `cost`, which may be negative
@@ -121,29 +112,31 @@
         let tenant = &mut self.slab[i];
         let before = Virtual(tenant.passed);
         tenant.passed += cost / tenant.weight;
-        if tenant.live > 0 {
+        if !tenant.line.is_empty() {
             self.order.remove(&(before, i));
             self.order.insert((Virtual(tenant.passed), i));
         }
     }
 
-    /// Books an item that left without being served.
-    pub(crate) fn removed(&mut self, organisation: &OrganisationId, cost: f64) {
-        if let Some(&i) = self.index.get(organisation) {
-            self.left(i, cost);
+    /// Takes out an item that leaves without being served.
+    pub(crate) fn remove(&mut self, organisation: &OrganisationId, push: u64) {
+        let Some(&i) = self.index.get(organisation) else {
+            return;
+        };
+        if let Some(waiting) = self.slab[i].line.remove(&push) {
+            self.left(i, waiting.cost);
         }
     }
 
+    /// Books that an item of `cost` left a line.
     fn left(&mut self, i: usize, cost: f64) {
         let tenant = &mut self.slab[i];
-        tenant.live -= 1;
         tenant.backlog -= cost;
         self.backlog -= cost;
-        if tenant.live > 0 {
+        if !tenant.line.is_empty() {
             return;
         }
         self.order.remove(&(Virtual(tenant.passed), i));
-        tenant.line.clear();
         tenant.backlog = 0.0;
         self.weights -= tenant.weight;
         if self.order.is_empty() {
@@ -157,15 +150,20 @@
         let Some(&(_, i)) = self.order.first() else {
             return 0.0;
         };
-        self.slab[i].line.front().map_or(0.0, |&(_, cost)| cost)
+        self.slab[i]
+            .line
+            .first_key_value()
+            .map_or(0.0, |(_, w)| w.cost)
     }
 
     /// Cost served before a new item of the organisation would be: its own
     /// line at its share of the service, at most the whole backlog.
     pub(crate) fn work_ahead(&self, organisation: &OrganisationId) -> f64 {
         let tenant = self.index.get(organisation).map(|&i| &self.slab[i]);
-        let (own, weight, live) = tenant.map_or((0.0, 1.0, 0), |t| (t.backlog, t.weight, t.live));
-        let others = if live > 0 {
+        let (own, weight, live) = tenant.map_or((0.0, 1.0, false), |t| {
+            (t.backlog, t.weight, !t.line.is_empty())
+        });
+        let others = if live {
             self.weights - weight
         } else {
             self.weights
@@ -187,8 +185,7 @@
         self.slab.push(Tenant {
             weight: 1.0,
             passed: self.clock,
-            line: VecDeque::new(),
-            live: 0,
+            line: BTreeMap::new(),
             backlog: 0.0,
         });
         i
@@ -201,7 +198,7 @@
         let old = std::mem::take(&mut self.slab);
         let mut places = vec![usize::MAX; old.len()];
         for (i, tenant) in old.into_iter().enumerate() {
-            let idle = tenant.live == 0 && tenant.passed <= clock;
+            let idle = tenant.line.is_empty() && tenant.passed <= clock;
             if idle && (tenant.weight - 1.0).abs() < f64::EPSILON {
                 continue;
             }
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -3,4 +3,5 @@
 mod auth;
 mod flow;
 mod limit;
+mod queue;
 mod route;
--- /dev/null
+++ b/src/tests/queue.rs
@@ -0,0 +1,241 @@
+//! Tests of [`crate::queue`].
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+use crate::catalogue::Class;
+use crate::clock::Time;
+use crate::collections::{HashMap, HashSet};
+use crate::id::OrganisationId;
+use crate::queue::{Discipline, Item, Queue, RefusalReason};
+
+fn item(id: u64, organisation: &str, cost: f64) -> Item {
+    Item {
+        id,
+        route: organisation.into(),
+        organisation: organisation.into(),
+        class: Class::Standard,
+        cost,
+        deadline: Time(u64::MAX),
+        bound: 1_000_000,
+    }
+}
+
+/// Cost served of each organisation over `pops` services.
+fn served(queue: &mut Queue, pops: usize) -> HashMap<OrganisationId, f64> {
+    let mut sums = HashMap::default();
+    for _ in 0..pops {
+        let item = queue.pop(Time(0)).unwrap();
+        *sums.entry(item.organisation).or_insert(0.0) += item.cost;
+    }
+    sums
+}
+
+/// Both organisations always have work; requests of one cost ten times those
+/// of the other. Only charging by cost serves both alike.
+#[rstest]
+#[case::cost(Discipline::Cost, 0.9..1.1)]
+#[case::stride(Discipline::Stride, 9.0..11.0)]
+#[case::fifo(Discipline::Fifo, 9.0..11.0)]
+fn pop_long_against_short(#[case] discipline: Discipline, #[case] ratio: std::ops::Range<f64>) {
+    let mut queue = Queue::new(discipline);
+    for id in 0..2000 {
+        let (name, cost) = [("short", 1.0), ("long", 10.0)][id as usize % 2];
+        queue.push(Time(0), item(id, name, cost)).unwrap();
+    }
+    let sums = served(&mut queue, 900);
+    let found = sums[&"long".into()] / sums[&"short".into()];
+    assert!(ratio.contains(&found), "{found}");
+}
+
+#[rstest]
+#[case::cost(Discipline::Cost)]
+#[case::stride(Discipline::Stride)]
+fn pop_by_weight(#[case] discipline: Discipline) {
+    let mut queue = Queue::new(discipline);
+    queue.set_weight(&"a".into(), 3.0);
+    for id in 0..2000 {
+        let name = ["a", "b"][id as usize % 2];
+        queue.push(Time(0), item(id, name, 1.0)).unwrap();
+    }
+    let sums = served(&mut queue, 800);
+    assert_eq!(sums[&"a".into()] / sums[&"b".into()], 3.0);
+}
+
+/// Estimates of one organisation are ten times too low. Without the
+/// correction it would get ten times its part.
+#[test]
+fn settle_corrects_low_estimate() {
+    let mut queue = Queue::new(Discipline::Cost);
+    for id in 0..4000 {
+        let name = ["honest", "low"][id as usize % 2];
+        queue.push(Time(0), item(id, name, 1.0)).unwrap();
+    }
+    let mut actual: HashMap<OrganisationId, f64> = HashMap::default();
+    for _ in 0..1100 {
+        let item = queue.pop(Time(0)).unwrap();
+        let cost = if *item.organisation.0 == *"low" {
+            10.0
+        } else {
+            1.0
+        };
+        *actual.entry(item.organisation.clone()).or_default() += cost;
+        queue.settle(&item.organisation, item.class, item.cost, cost);
+    }
+    let ratio = actual[&"low".into()] / actual[&"honest".into()];
+    assert!((0.95..1.05).contains(&ratio), "{ratio}");
+}
+
+/// An organisation that was idle for long comes back with a burst. Had it
+/// saved up its turns, the others would wait for the whole burst.
+#[test]
+fn push_after_idle_saves_nothing() {
+    let mut queue = Queue::new(Discipline::Cost);
+    queue.push(Time(0), item(0, "idle", 1.0)).unwrap();
+    queue.pop(Time(0));
+    for id in 1..1001 {
+        queue.push(Time(0), item(id, "busy", 1.0)).unwrap();
+    }
+    served(&mut queue, 500);
+    for id in 2000..2100 {
+        queue.push(Time(0), item(id, "idle", 1.0)).unwrap();
+    }
+    let sums = served(&mut queue, 100);
+    assert!(sums[&"busy".into()] >= 49.0, "{sums:?}");
+}
+
+/// Interactive work without end must leave bulk work its floor.
+#[test]
+fn pop_lower_class_keeps_floor() {
+    let mut queue = Queue::new(Discipline::Cost);
+    let classes = [Class::Interactive, Class::Standard, Class::Bulk];
+    for id in 0..6000 {
+        let class = classes[id as usize % 3];
+        let item = Item {
+            class,
+            ..item(id, "a", 1.0)
+        };
+        queue.push(Time(0), item).unwrap();
+    }
+    let mut counts = [0; 3];
+    for _ in 0..2000 {
+        counts[queue.pop(Time(0)).unwrap().class as usize] += 1;
+    }
+    assert!((1600..1750).contains(&counts[0]), "{counts:?}");
+    assert!(counts[1] >= 160 && counts[2] >= 80, "{counts:?}");
+}
+
+#[test]
+fn push_route_full() {
+    let mut queue = Queue::new(Discipline::Cost);
+    let bound = |id| Item {
+        bound: 1,
+        ..item(id, "a", 1.0)
+    };
+    queue.push(Time(0), bound(1)).unwrap();
+    let refusal = queue.push(Time(0), bound(2)).unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::Full);
+    queue.remove(1).unwrap();
+    queue.push(Time(0), bound(2)).unwrap();
+}
+
+/// A queue that serves one item a second holds ten. A request that has five
+/// seconds left must hear at once that it won't be served, and when to come.
+#[test]
+fn push_hopeless_deadline() {
+    let mut queue = Queue::new(Discipline::Cost);
+    for id in 0..20 {
+        queue.push(Time(0), item(id, "a", 1.0)).unwrap();
+    }
+    let now = (1..=10).fold(Time(0), |now, _| {
+        let now = now + Duration::from_secs(1);
+        queue.pop(now).unwrap();
+        now
+    });
+    let due = |id, secs| Item {
+        deadline: now + Duration::from_secs(secs),
+        ..item(id, "a", 1.0)
+    };
+    let refusal = queue.push(now, due(100, 5)).unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::Deadline);
+    let secs = refusal.retry_after.as_secs_f64();
+    assert!((3.0..7.0).contains(&secs), "{secs}");
+    queue.push(now, due(101, 60)).unwrap();
+    let other = Item {
+        organisation: "b".into(),
+        ..due(102, 5)
+    };
+    queue.push(now, other).unwrap();
+}
+
+/// A caller leaves and comes back under the same id with a later deadline. Its
+/// old deadline and place must not count for the new request.
+#[test]
+fn expire_id_pushed_again() {
+    let mut queue = Queue::new(Discipline::Cost);
+    let at = |secs| Time(0) + Duration::from_secs(secs);
+    queue.push(at(0), item(7, "a", 1.0)).unwrap();
+    let early = Item {
+        deadline: at(1),
+        ..item(1, "a", 1.0)
+    };
+    queue.push(at(0), early).unwrap();
+    queue.remove(1).unwrap();
+    let late = Item {
+        deadline: at(9),
+        ..item(1, "b", 1.0)
+    };
+    queue.push(at(0), late).unwrap();
+    assert_eq!(queue.expire(at(2)), []);
+    assert_eq!(queue.pop(at(2)).unwrap().id, 7);
+    assert_eq!(queue.pop(at(2)).unwrap().organisation, "b".into());
+    assert_eq!(queue.pop(at(2)), None);
+}
+
+/// Random pushes, services, departures and expiries: every item taken in comes
+/// out once, the queue serves whenever something waits, and nothing is left.
+#[rstest]
+fn push_random_runs(
+    #[values(Discipline::Cost, Discipline::Stride, Discipline::Fifo)] discipline: Discipline,
+) {
+    for seed in 0..60 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut queue = Queue::new(discipline);
+        let mut inside: HashSet<u64> = HashSet::default();
+        let mut now = Time(0);
+        for _ in 0..1500 {
+            now = now + Duration::from_millis(rng.random_range(0..20));
+            let id = rng.random_range(0..200);
+            let out: Vec<Item> = match rng.random_range(0..10) {
+                0..=4 => {
+                    let organisation = format!("o{}", rng.random_range(0..12));
+                    let mut item = item(id, &organisation, rng.random_range(0.1..20.0));
+                    item.class =
+                        [Class::Interactive, Class::Standard, Class::Bulk][id as usize % 3];
+                    item.deadline = now + Duration::from_millis(rng.random_range(1..3000));
+                    item.bound = 15;
+                    if queue.push(now, item).is_ok() {
+                        assert!(inside.insert(id), "taken in twice, seed {seed}");
+                    }
+                    Vec::new()
+                }
+                5..=7 => {
+                    let out = queue.pop(now);
+                    assert_eq!(out.is_some(), !inside.is_empty(), "idle, seed {seed}");
+                    out.into_iter().collect()
+                }
+                8 => queue.remove(id).into_iter().collect(),
+                _ => queue.expire(now),
+            };
+            for item in out {
+                assert!(inside.remove(&item.id), "out twice, seed {seed}");
+                let actual = rng.random_range(0.1..40.0);
+                queue.settle(&item.organisation, item.class, item.cost, actual);
+            }
+            assert_eq!(queue.len(), inside.len(), "seed {seed}");
+        }
+    }
+}
