Log and count what the voters' groups do; refuse a folder with unknown groups

A release that runs fewer groups would drop the others at the next rewrite of the log; opening such a folder is an error that names the remedy.

--- a/src/event.rs
+++ b/src/event.rs
@@ -46,6 +46,16 @@
 pub(crate) const REQUEST_RESUMED: Event = event(402, "request_resumed");
 /// A request ended without a whole answer.
 pub(crate) const REQUEST_FAILED: Event = event(403, "request_failed");
+/// This voter leads a group of the replicated log.
+pub(crate) const LEADS: Event = event(501, "leads");
+/// This voter leads a group no more.
+pub(crate) const LEADS_NO_MORE: Event = event(502, "leads_no_more");
+/// A store that is no member asks to become one.
+pub(crate) const STORE_UNKNOWN: Event = event(503, "store_unknown");
+/// A store lost entries that it had acknowledged, and votes no more.
+pub(crate) const STORE_BARRED: Event = event(504, "store_barred");
+/// This voter's store failed; the voter has ended.
+pub(crate) const STORE_FAILED: Event = event(505, "store_failed");
 
 /// Every event that the program logs.
 #[cfg(test)]
@@ -66,4 +76,9 @@
     REQUEST_REFUSED,
     REQUEST_RESUMED,
     REQUEST_FAILED,
+    LEADS,
+    LEADS_NO_MORE,
+    STORE_UNKNOWN,
+    STORE_BARRED,
+    STORE_FAILED,
 ];
--- a/src/store.rs
+++ b/src/store.rs
@@ -11,6 +11,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::time::Instant;
 
 use prost::Message as _;
 use snafu::{ResultExt, Snafu, ensure};
@@ -77,6 +78,15 @@
         /// File.
         name: String,
     },
+    /// The folder holds a group that isn't run.
+    #[snafu(display(
+        "the data folder holds group {group}, which this release doesn't run; start \
+         the release that wrote it, or give this instance an empty folder"
+    ))]
+    Unused {
+        /// Number of the group.
+        group: u32,
+    },
     /// The folder is an old copy.
     #[snafu(display(
         "the data folder was put back from an old copy and has forgotten what it \
@@ -214,8 +224,10 @@
         };
         let bytes = frame::encode(self.number, &batch.encode_to_vec());
         let name = self.name.clone();
+        let begin = Instant::now();
         self.run("write to", &name, |disk| disk.append(&name, &bytes))?;
         self.run("sync", &name, |disk| disk.sync(&name))?;
+        metrics::histogram!("log_sync_seconds").record(begin.elapsed().as_secs_f64());
         self.number += 1;
         self.size += bytes.len();
         for old in std::mem::take(&mut self.stale) {
--- a/src/voter.rs
+++ b/src/voter.rs
@@ -15,6 +15,7 @@
 pub use self::error::{ChangeError, ProposeError, ReadError};
 use crate::clock::{Clock, Time};
 use crate::disk::{Disk, Folder};
+use crate::event;
 use crate::id::InstanceId;
 use crate::replica::{Change, Member, Message, Peer};
 use crate::store::StoreError;
@@ -23,12 +24,16 @@
 pub(crate) mod core;
 mod error;
 mod group;
+mod inbound;
 mod sighting;
+mod watch;
 
 /// Inputs that may wait for the thread.
 const QUEUE: usize = 65_536;
 /// Inputs handled with one sync.
 const BATCH: usize = 1024;
+/// Time between two updates of the gauges.
+const PUBLISH: Duration = Duration::from_secs(1);
 /// Ticks in one heartbeat.
 const TICKS: u32 = 4;
 
@@ -262,13 +267,28 @@
 
 impl Worker {
     fn run(mut self) -> Result<(), StoreError> {
+        let outcome = self.serve();
+        if let Err(error) = &outcome {
+            tracing::error!(event = event::STORE_FAILED.id, %error, "the store failed");
+        }
+        outcome
+    }
+
+    fn serve(&mut self) -> Result<(), StoreError> {
+        let mut publish = self.clock.now();
         while let Some(inputs) = self.receive() {
             let now = self.clock.now();
             let peers = &self.peers;
             let mut send = |message: Message| peers(InstanceId(message.to), message);
             self.core.run(now, inputs, &mut send)?;
             let status = self.core.status();
-            *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
+            if now >= publish {
+                watch::publish(&status);
+                publish = now + PUBLISH;
+            }
+            let mut shared = self.status.lock().unwrap_or_else(PoisonError::into_inner);
+            watch::report(&shared, &status);
+            *shared = status;
         }
         Ok(())
     }
--- a/src/voter/core.rs
+++ b/src/voter/core.rs
@@ -4,19 +4,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use snafu::ensure;
 
 use super::answer::Answer;
 use super::group::{Group, Pending};
-use super::sighting::{Sightings, Verdict};
+use super::sighting::Sightings;
 use super::{ChangeError, GroupStatus, Machine, ProposeError, ReadError};
 use crate::clock::Time;
 use crate::disk::Disk;
 use crate::replica::{
-    Ask, Body, Change, Effect, Event, Hello, Membership, Message, Peer, Replica, Settings, Start,
-    Superseded,
+    Body, Change, Effect, Event, Membership, Message, Peer, Replica, Settings, Start,
 };
-use crate::store::{Store, StoreError, SupersededSnafu};
+use crate::store::{Store, StoreError, UnusedSnafu};
 
 /// A request or message for the core.
 pub(crate) enum Input {
@@ -73,19 +71,19 @@
 
 /// All groups of one store.
 pub(crate) struct Core {
-    config: Config,
-    me: Peer,
-    boot: u64,
-    store: Store,
-    groups: Vec<Group>,
+    pub(super) config: Config,
+    pub(super) me: Peer,
+    pub(super) boot: u64,
+    pub(super) store: Store,
+    pub(super) groups: Vec<Group>,
     /// Numbers of this store's runs.
-    runs: Vec<u64>,
-    sightings: Sightings,
+    pub(super) runs: Vec<u64>,
+    pub(super) sightings: Sightings,
     /// Messages of runs whose sighting isn't durable yet.
-    held: Vec<Message>,
+    pub(super) held: Vec<Message>,
     /// Messages of superseded runs that were refused.
-    refused: u64,
-    ticket: u64,
+    pub(super) refused: u64,
+    pub(super) ticket: u64,
 }
 
 impl Core {
@@ -111,6 +109,10 @@
             let replica = Replica::new(settings, start, now);
             groups.push(Group::new(group, replica, machine));
         }
+        if let Some(&group) = contents.groups.keys().next() {
+            // The next rewrite of the log would drop it.
+            return UnusedSnafu { group }.fail();
+        }
         Ok(Self {
             me,
             boot: contents.boot,
@@ -229,7 +231,7 @@
         }
     }
 
-    fn position(&self, group: u32) -> Option<usize> {
+    pub(super) fn position(&self, group: u32) -> Option<usize> {
         let at = usize::try_from(group).ok()?;
         (at < self.groups.len()).then_some(at)
     }
@@ -240,93 +242,6 @@
         self.ticket
     }
 
-    fn deliver(
-        &mut self,
-        now: Time,
-        message: Message,
-        send: &mut dyn FnMut(Message),
-    ) -> Result<(), StoreError> {
-        let Some(at) = self.position(message.group) else {
-            return Ok(());
-        };
-        if message.from_store == self.me.store {
-            return Ok(());
-        }
-        match message.body {
-            Some(Body::Superseded(refused)) => {
-                let ours = (refused.boot, refused.run) == (self.boot, self.config.run);
-                ensure!(!ours || message.to_store != self.me.store, SupersededSnafu);
-                return Ok(());
-            }
-            Some(Body::Ask(_)) => {
-                send(self.answer(&message, self.hello()));
-                return Ok(());
-            }
-            _ => {}
-        }
-        if !self.sight(&message, send) {
-            return Ok(());
-        }
-        // A vote or acknowledgement counts only once we'd remember its run.
-        if self.held.iter().any(|h| h.from_store == message.from_store) {
-            self.held.push(message);
-            return Ok(());
-        }
-        self.step(at, now, Event::Message(message), send)
-    }
-
-    /// Whether a message may be handled now, by the run that sent it.
-    fn sight(&mut self, message: &Message, send: &mut dyn FnMut(Message)) -> bool {
-        match self.sightings.judge(message) {
-            Verdict::Current => return true,
-            Verdict::Later if !self.is_member(message.sender()) => return true,
-            Verdict::Later => {
-                self.sightings.insert(message);
-                let (store, boot, run) = (message.from_store, message.boot, message.run);
-                self.store.write_sighting(store, boot, run);
-                self.held.push(message.clone());
-            }
-            Verdict::Unproven => send(self.answer(message, Body::Ask(Ask {}))),
-            Verdict::Superseded => {
-                self.refused += 1;
-                let (boot, run) = (message.boot, message.run);
-                let body = Body::Superseded(Superseded { boot, run });
-                send(self.answer(message, body));
-            }
-        }
-        false
-    }
-
-    /// A message back to the run that sent `message`.
-    fn answer(&self, message: &Message, body: Body) -> Message {
-        Message {
-            group: message.group,
-            from: self.me.id,
-            from_store: self.me.store,
-            to: message.from,
-            to_store: message.from_store,
-            boot: self.boot,
-            run: self.config.run,
-            term: 0,
-            body: Some(body),
-        }
-    }
-
-    fn hello(&self) -> Body {
-        let runs = self.runs.clone();
-        Body::Hello(Hello { runs })
-    }
-
-    /// Whether `peer` is a member of any group. Bounds what is remembered.
-    fn is_member(&self, peer: Peer) -> bool {
-        self.groups.iter().any(|g| {
-            let members = &g.replica.log().members().1.members;
-            let is =
-                |m: &crate::replica::Member| m.peer() == peer || (m.store == 0 && m.id == peer.id);
-            members.iter().any(is)
-        })
-    }
-
     /// Syncs until nothing is left to sync.
     fn settle(&mut self, now: Time, send: &mut dyn FnMut(Message)) -> Result<(), StoreError> {
         loop {
@@ -377,7 +292,7 @@
         self.store.rewrite(&images, self.sightings.known())
     }
 
-    fn step(
+    pub(super) fn step(
         &mut self,
         at: usize,
         now: Time,
--- /dev/null
+++ b/src/voter/watch.rs
@@ -0,0 +1,62 @@
+//! Log lines and metrics of what a voter's groups do.
+
+use super::GroupStatus;
+use crate::event;
+use crate::replica::{Member, Role};
+
+/// Compares two states of all groups and reports what changed.
+pub(super) fn report(before: &[GroupStatus], after: &[GroupStatus]) {
+    for (old, new) in before.iter().zip(after) {
+        report_leadership(old, new);
+        report_members(old, new);
+    }
+}
+
+fn report_leadership(old: &GroupStatus, new: &GroupStatus) {
+    let (group, term) = (new.group, new.term);
+    if new.leads && (!old.leads || old.term != term) {
+        tracing::info!(event = event::LEADS.id, group, term, "this voter leads");
+    }
+    if old.leads && !new.leads {
+        tracing::info!(
+            event = event::LEADS_NO_MORE.id,
+            group,
+            term,
+            "this voter leads no more"
+        );
+    }
+}
+
+fn report_members(old: &GroupStatus, new: &GroupStatus) {
+    for peer in new.strangers.iter().filter(|p| !old.strangers.contains(p)) {
+        let (id, store) = (peer.id, peer.store);
+        tracing::warn!(
+            event = event::STORE_UNKNOWN.id,
+            id,
+            store,
+            "a store is no member"
+        );
+    }
+    let barred = |m: &&Member| m.role() == Role::Barred && !old.members.contains(m);
+    for member in new.members.iter().filter(barred) {
+        let (id, store) = (member.id, member.store);
+        tracing::error!(
+            event = event::STORE_BARRED.id,
+            id,
+            store,
+            "a store lost entries"
+        );
+    }
+}
+
+/// Publishes the state of each group as gauges.
+pub(super) fn publish(groups: &[GroupStatus]) {
+    for status in groups {
+        let group = status.group.to_string();
+        let gauge = |name: &'static str| metrics::gauge!(name, "group" => group.clone());
+        gauge("log_term").set(status.term as f64);
+        gauge("log_commit").set(status.commit as f64);
+        gauge("log_applied").set(status.applied as f64);
+        gauge("log_leads").set(f64::from(u8::from(status.leads)));
+    }
+}
