Answer the operator who removes the leader; let reads time out everywhere

A leader that committed its own removal stepped down before it answered, so the operator was told that the outcome is unknown. A read on a follower that was cut off between the confirmation and the entries waited for ever. Stores that greeted once stayed in the list of strangers; they leave it after six election timeouts.

--- a/src/replica.rs
+++ b/src/replica.rs
@@ -42,6 +42,10 @@
 use self::read::Reads;
 use self::snapshot::Incoming;
 
+/// Election timeouts for which a store that greeted is remembered. It greets
+/// again after two at the latest.
+const STRANGER_TIMEOUTS: u32 = 6;
+
 /// Constants of one replica.
 #[derive(Clone, Debug)]
 pub(crate) struct Settings {
@@ -244,8 +248,10 @@
     /// Stores that greeted lately without being members.
     pub(crate) fn strangers(&self) -> impl Iterator<Item = Peer> + '_ {
         let members = self.log.members().1;
+        let limit = STRANGER_TIMEOUTS * self.settings.election;
         self.strangers
             .values()
+            .filter(move |(_, at)| self.now.since(*at) < limit)
             .map(|(peer, _)| *peer)
             .filter(|&p| members.role(p).is_none())
     }
--- a/src/replica/read.rs
+++ b/src/replica/read.rs
@@ -5,6 +5,7 @@
 //! arrive while a round runs share the next one.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::member::Peer;
 use super::message::{Body, Read, ReadAck};
@@ -30,8 +31,8 @@
     round: Option<(u64, u64, Vec<Reader>)>,
     /// Request, sending time and tickets of a follower's running request.
     asked: Option<(u64, Time, Vec<u64>)>,
-    /// Tickets that wait until an index is applied.
-    waiting: BTreeMap<u64, Vec<u64>>,
+    /// Tickets that wait until an index is applied, and since when.
+    waiting: BTreeMap<u64, Vec<(u64, Time)>>,
 }
 
 impl Reads {
@@ -54,11 +55,25 @@
     }
 
     pub(super) fn on_ack(&mut self, ack: ReadAck) {
-        if let Some((_, _, tickets)) = self.asked.take_if(|(n, _, _)| *n == ack.ticket) {
+        if let Some((_, at, tickets)) = self.asked.take_if(|(n, _, _)| *n == ack.ticket) {
+            let tickets = tickets.into_iter().map(|t| (t, at));
             self.waiting.entry(ack.index).or_default().extend(tickets);
         }
     }
 
+    /// Takes the tickets that have waited since before `limit` ago.
+    fn expired(&mut self, now: Time, limit: Duration) -> Vec<u64> {
+        let late = |at: Time| now.since(at) >= limit;
+        let asked = self.asked.take_if(|(_, at, _)| late(*at));
+        let mut expired = asked.map_or_else(Vec::new, |(_, _, tickets)| tickets);
+        self.waiting.retain(|_, tickets| {
+            let gone = tickets.extract_if(.., |(_, at)| late(*at));
+            expired.extend(gone.map(|(t, _)| t));
+            !tickets.is_empty()
+        });
+        expired
+    }
+
     /// Fails the reads of a leader that lost its place.
     pub(super) fn abandon(&mut self, outbox: &mut Outbox) {
         let running = self.round.take().map(|(_, _, readers)| readers);
@@ -124,7 +139,8 @@
         for reader in readers {
             match reader {
                 Reader::Local(ticket) => {
-                    self.reads.waiting.entry(index).or_default().push(ticket);
+                    let waiting = self.reads.waiting.entry(index).or_default();
+                    waiting.push((ticket, self.now));
                 }
                 Reader::Remote(peer, ticket) => {
                     let ack = Body::ReadAck(ReadAck { ticket, index });
@@ -161,15 +177,12 @@
             .send(leader, self.term, Body::Read(Read { ticket }));
     }
 
-    /// Fails a request that the leader didn't answer in an election timeout.
+    /// Fails reads that weren't confirmed, or whose index wasn't applied, in an
+    /// election timeout.
     pub(super) fn expire_reads(&mut self) {
-        let (now, limit) = (self.now, self.settings.election);
-        let late = self
-            .reads
-            .asked
-            .take_if(|(_, at, _)| now.since(*at) >= limit);
+        let expired = self.reads.expired(self.now, self.settings.election);
         let hint = self.leader.map(|l| l.id);
-        for ticket in late.into_iter().flat_map(|(_, _, tickets)| tickets) {
+        for ticket in expired {
             self.fail(ticket, Cause::NotLeader { hint });
         }
     }
@@ -179,7 +192,7 @@
             && *first.key() <= self.applied
         {
             let index = *first.key();
-            for ticket in first.remove() {
+            for (ticket, _) in first.remove() {
                 let effect = Effect::Readable { ticket, index };
                 self.outbox.effects.push(effect);
             }
--- a/src/replica/reconfigure.rs
+++ b/src/replica/reconfigure.rs
@@ -80,7 +80,7 @@
             return;
         }
         if !members.is_voter(self.settings.me) {
-            return self.follow(self.term, None);
+            return;
         }
         if let Some(next) = self.next_members()
             && self.keeps_quorum(&next)
@@ -89,6 +89,15 @@
         }
     }
 
+    /// Steps down once this leader's own removal is committed and its operator
+    /// answered.
+    pub(super) fn retire(&mut self) {
+        let (at, members) = self.log.members();
+        if at <= self.applied && !members.is_voter(self.settings.me) {
+            self.follow(self.term, None);
+        }
+    }
+
     /// The membership that a finished change or a rolled back store asks for.
     fn next_members(&self) -> Option<Membership> {
         let Part::Leader(lead) = &self.part else {
--- a/src/replica/replication.rs
+++ b/src/replica/replication.rs
@@ -41,15 +41,17 @@
         });
     }
 
-    /// A leader's work after every event: commit, change members, send.
+    /// A leader's work after every event: commit, apply, change members, send.
     pub(super) fn lead(&mut self) {
         if !self.is_leader() {
             return;
         }
         self.advance_commit();
+        self.apply();
         self.settle_members();
         self.replicate_all(false);
         self.hand_over();
+        self.retire();
     }
 
     pub(super) fn tick_leader(&mut self) {
--- a/src/tests/simulation/runs.rs
+++ b/src/tests/simulation/runs.rs
@@ -22,7 +22,7 @@
     /// Does something bad, or ends it.
     fn disturb(&mut self) {
         let at = self.pick();
-        match self.rng.random_range(0..13) {
+        match self.rng.random_range(0..14) {
             0 => self.split(),
             1 => self.cut_one_way(),
             2 | 3 => self.cut.clear(),
@@ -34,6 +34,7 @@
             8 => self.noise = self.rng.random_range(0..20),
             9 => self.noise = 0,
             10 => self.remove(at),
+            11 => (0..self.nodes.len()).for_each(|at| self.lose_power(at)),
             _ => self.lose_disk(at),
         }
     }
