--- a/examples/commit.rs
+++ b/examples/commit.rs
@@ -1,10 +1,12 @@
 //! Measures the replicated log with real files and syncs: commit latency,
-//! changes a second, time to a new leader, restart after 1,000 changes.
+//! changes a second, time to a new leader, restart after 1,000 changes, cost
+//! at rest.
 //!
 //! `cargo run --release --example commit -- FOLDER` with a folder on the disk
 //! to measure. All voters run in this process and share that disk; messages
 //! pass between threads.
 
+use std::io::Write;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
@@ -15,6 +17,8 @@
 use crossbeam::channel;
 use hdrhistogram::Histogram;
 use laburnumquay::{InstanceId, Machine, Message, StoreError, SystemClock, Voter, VoterSettings};
+use prost::Message as _;
+use rustix::time::{ClockId, clock_gettime};
 
 /// Bytes of one change, about those of a catalogue entry.
 const CHANGE_BYTES: usize = 500;
@@ -56,6 +60,8 @@
     handles: Vec<Option<Handle>>,
     /// Voters whose messages are dropped both ways.
     cut: Vec<Arc<AtomicBool>>,
+    /// Messages sent and their encoded bytes.
+    sent: Arc<(AtomicU64, AtomicU64)>,
 }
 
 impl Cluster {
@@ -64,6 +70,7 @@
             routes: Arc::new(RwLock::new(vec![None; size])),
             handles: (0..size).map(|_| None).collect(),
             cut: (0..size).map(|_| Arc::default()).collect(),
+            sent: Arc::default(),
         };
         for at in 0..size {
             cluster.boot(folder, at);
@@ -82,9 +89,12 @@
             compact: 10_000,
             seed: at as u64,
         };
-        let (routes, cut) = (self.routes.clone(), self.cut.clone());
+        let (routes, cut, sent) = (self.routes.clone(), self.cut.clone(), self.sent.clone());
         let peers = Box::new(move |to: InstanceId, message: Message| {
             let to = usize::try_from(to.0 - 1).expect("few voters");
+            sent.0.fetch_add(1, Ordering::Relaxed);
+            sent.1
+                .fetch_add(message.encoded_len() as u64, Ordering::Relaxed);
             if cut[at].load(Ordering::Relaxed) || cut[to].load(Ordering::Relaxed) {
                 return;
             }
@@ -198,6 +208,52 @@
     );
 }
 
+/// Time of one bare write and sync, the floor of a commit.
+fn measure_sync(folder: &Path) {
+    std::fs::create_dir_all(folder).expect("the folder is usable");
+    let mut file = std::fs::File::create(folder.join("sync")).expect("the folder is usable");
+    let mut times = Histogram::<u64>::new(3).expect("valid precision");
+    for _ in 0..2000 {
+        let start = Instant::now();
+        file.write_all(&[7; CHANGE_BYTES])
+            .expect("space on the disk");
+        file.sync_data().expect("the disk works");
+        times.saturating_record(start.elapsed().as_micros() as u64);
+    }
+    let ms = |q| times.value_at_quantile(q) as f64 / 1000.0;
+    println!(
+        "bare write and sync: p50 {:.2} ms, p99 {:.2} ms",
+        ms(0.5),
+        ms(0.99)
+    );
+}
+
+/// Cost of voters that do nothing.
+fn measure_rest(folder: &Path, size: usize) {
+    let cluster = Cluster::start(folder, size);
+    thread::sleep(ELECTION);
+    let sent = || {
+        (
+            cluster.sent.0.load(Ordering::Relaxed),
+            cluster.sent.1.load(Ordering::Relaxed),
+        )
+    };
+    let used = || {
+        let time = clock_gettime(ClockId::ProcessCPUTime);
+        time.tv_sec as f64 + time.tv_nsec as f64 / 1e9
+    };
+    let (before, cpu) = (sent(), used());
+    thread::sleep(SPAN);
+    let (after, cpu) = (sent(), used() - cpu);
+    let each = 1.0 / SPAN.as_secs_f64() / size as f64;
+    println!(
+        "{size} voters at rest, one group, a voter and second: {:.0} messages, {:.0} bytes, {:.2} ms of processor",
+        (after.0 - before.0) as f64 * each,
+        (after.1 - before.1) as f64 * each,
+        cpu * each * 1000.0
+    );
+}
+
 fn measure(folder: &Path, size: usize) {
     println!("{size} voters");
     let mut cluster = Cluster::start(folder, size);
@@ -263,6 +319,9 @@
     let folder = std::env::args().nth(1).expect("usage: commit FOLDER");
     let folder = Path::new(&folder);
     println!("election timeout {ELECTION:?} to twice that, heartbeat {HEARTBEAT:?}");
+    measure_sync(folder);
+    measure_rest(&folder.join("rest-three"), 3);
+    measure_rest(&folder.join("rest-five"), 5);
     measure(&folder.join("three"), 3);
     measure(&folder.join("five"), 5);
     measure_restart(&folder.join("restart"));
--- a/src/tests/simulation/stories.rs
+++ b/src/tests/simulation/stories.rs
@@ -1,6 +1,7 @@
 //! Single failures, told in order.
 
 use super::{SECOND, Sim, TICK};
+use crate::replica::Replica;
 use crate::voter::core::Input;
 use crate::{Change, Peer, Role};
 
@@ -29,11 +30,22 @@
     ((leader + 1) % 3, (leader + 2) % 3)
 }
 
+/// Group 0 of an instance that runs.
+fn replica(sim: &Sim, at: usize) -> &Replica {
+    sim.nodes[at].core.as_ref().unwrap().replica(0)
+}
+
+fn isolate(sim: &mut Sim, id: u64) {
+    for other in 1..=3 {
+        sim.cut.insert((id, other));
+        sim.cut.insert((other, id));
+    }
+}
+
 fn role(sim: &Sim, at: usize) -> Option<Role> {
-    let core = sim.nodes[sim.leader(0)?].core.as_ref()?;
-    let members = &core.status()[0].members;
-    let member = members.iter().find(|m| m.store == sim.nodes[at].store)?;
-    Some(member.role())
+    let members = replica(sim, sim.leader(0)?).log().members().1;
+    let (id, store) = (sim.nodes[at].id, sim.nodes[at].store);
+    members.role(Peer { id, store })
 }
 
 #[test]
@@ -109,19 +121,14 @@
     // it needs. It must catch up from a snapshot, without an election.
     let mut sim = three(5);
     let (at, _) = followers(&sim);
-    let term = sim.nodes[at].core.as_ref().unwrap().replica(0).term();
+    let term = replica(&sim, at).term();
     sim.nodes[at].frozen = u64::MAX;
     work(&mut sim, 200);
     sim.nodes[at].frozen = 0;
-    let goal = sim.nodes[sim.leader(0).unwrap()].core.as_ref().unwrap();
-    let goal = goal.replica(0).commit();
-    sim.until("caught up", |s| {
-        let core = s.nodes[at].core.as_ref();
-        core.is_some_and(|c| c.replica(0).applied() >= goal)
-    });
-    let replica = sim.nodes[at].core.as_ref().unwrap().replica(0);
-    assert_eq!(replica.term(), term);
-    assert!(replica.log().snapshot().index > 200);
+    let goal = replica(&sim, sim.leader(0).unwrap()).commit();
+    sim.until("caught up", |s| replica(s, at).applied() >= goal);
+    assert_eq!(replica(&sim, at).term(), term);
+    assert!(replica(&sim, at).log().snapshot().index > 200);
     sim.finish();
 }
 
@@ -132,18 +139,14 @@
     let mut sim = three(6);
     let leader = sim.leader(0).unwrap();
     let id = sim.nodes[leader].id;
-    for other in 1..=3 {
-        sim.cut.insert((id, other));
-        sim.cut.insert((other, id));
-    }
+    isolate(&mut sim, id);
     let before = sim.ledger.lock().done();
     sim.propose(leader, 0);
     sim.read(leader, 0);
     sim.until("another leader", |s| {
         s.leader(0).is_some_and(|at| at != leader)
     });
-    let core = sim.nodes[leader].core.as_ref().unwrap();
-    assert!(!core.status()[0].leads);
+    assert!(!replica(&sim, leader).is_leader());
     assert_eq!(sim.ledger.lock().done(), before);
     sim.finish();
 }
@@ -170,14 +173,13 @@
     // that doesn't can't depose it.
     let mut sim = three(8);
     let leader = sim.leader(0).unwrap();
-    let term = sim.nodes[leader].core.as_ref().unwrap().replica(0).term();
+    let term = replica(&sim, leader).term();
     let (deaf, _) = followers(&sim);
     let link = (sim.nodes[leader].id, sim.nodes[deaf].id);
     sim.cut.insert(link);
     rest(&mut sim, 5);
     assert_eq!(sim.leader(0), Some(leader));
-    let replica = sim.nodes[leader].core.as_ref().unwrap().replica(0);
-    assert_eq!(replica.term(), term);
+    assert_eq!(replica(&sim, leader).term(), term);
     sim.finish();
 }
 
@@ -187,19 +189,15 @@
     // raised its term meanwhile, which would depose the leader.
     let mut sim = three(9);
     let leader = sim.leader(0).unwrap();
-    let term = sim.nodes[leader].core.as_ref().unwrap().replica(0).term();
+    let term = replica(&sim, leader).term();
     let (lone, _) = followers(&sim);
     let id = sim.nodes[lone].id;
-    for other in 1..=3 {
-        sim.cut.insert((id, other));
-        sim.cut.insert((other, id));
-    }
+    isolate(&mut sim, id);
     rest(&mut sim, 5);
     sim.cut.clear();
     rest(&mut sim, 5);
-    let replica = sim.nodes[leader].core.as_ref().unwrap().replica(0);
-    assert!(replica.is_leader());
-    assert_eq!(replica.term(), term);
+    assert!(replica(&sim, leader).is_leader());
+    assert_eq!(replica(&sim, leader).term(), term);
     sim.finish();
 }
 
