--- a/src/tests/simulation/stories.rs
+++ b/src/tests/simulation/stories.rs
@@ -16,7 +16,9 @@
 /// Has some commands accepted in group 0.
 fn work(sim: &mut Sim, count: usize) {
     let goal = sim.ledger.lock().acked() + count;
+    let limit = sim.now + 60 * SECOND;
     while sim.ledger.lock().acked() < goal {
+        assert!(sim.now < limit, "accepts commands within a minute");
         if let Some(at) = sim.leader(0) {
             sim.propose(at, 0);
         }
