Act on the catalogue in force when a request is sent, not when it came

Cause, by reading: a request that waited for a path was sent by the pools its route had when it was let in, for up to its whole deadline, and also on an instance whose lease had ended meanwhile. Now each attempt looks again, before it waits and after. If-Match is taken as the expected revision.

--- a/src/control.rs
+++ b/src/control.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 use tokio::runtime::Handle;
 
-use crate::catalogue::{Change, EntryKey, Kind, Outcome, digest};
+use crate::catalogue::{Change, EntryKey, Expect, Kind, Outcome, digest};
 use crate::clock::Clock;
 use crate::dump::{self, Dump};
 use crate::event;
@@ -203,13 +203,16 @@
 
     fn change(&self, request: &mut Request) -> Answer {
         let body = read(request.body_mut(), MAX_BODY)?;
-        let change: Change = serde_json::from_slice(&body).map_err(|e| {
+        let mut change: Change = serde_json::from_slice(&body).map_err(|e| {
             problem(
                 StatusCode::BAD_REQUEST,
                 "malformed",
                 format!("the change can't be read: {e}"),
             )
         })?;
+        if let Some(revision) = if_match(request)? {
+            change.expect = Expect::Catalogue(revision);
+        }
         // Written anew, a resend has the same bytes whatever its white space.
         let command = serde_json::to_vec(&change).expect("a change always serialises");
         let committed = self
@@ -389,6 +392,25 @@
     )
 }
 
+/// The revision of the catalogue that the operator expects, if given.
+fn if_match(request: &Request) -> Result<Option<u64>, Problem> {
+    let Some(value) = request.headers().get(header::IF_MATCH) else {
+        return Ok(None);
+    };
+    let revision = value
+        .to_str()
+        .ok()
+        .and_then(|v| v.trim_matches('"').parse().ok());
+    let malformed = || {
+        problem(
+            StatusCode::BAD_REQUEST,
+            "malformed",
+            "If-Match isn't a revision; send the ETag of the catalogue",
+        )
+    };
+    revision.map(Some).ok_or_else(malformed)
+}
+
 fn bearer(request: &Request) -> Option<&str> {
     let value = request.headers().get(header::AUTHORIZATION)?;
     value.to_str().ok()?.strip_prefix("Bearer ")
--- a/src/request/event.rs
+++ b/src/request/event.rs
@@ -48,6 +48,10 @@
     Budget,
     /// No path was free in time.
     Deadline,
+    /// The instance can't confirm its catalogue.
+    Lease,
+    /// The catalogue has no such route any more.
+    NoRoute,
 }
 
 /// What the driver tells a [`super::Generation`].
--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -192,6 +192,8 @@
             Unopened::NoPath => RefusalCode::NoUpstream,
             Unopened::Budget => RefusalCode::RetryBudget,
             Unopened::Deadline => RefusalCode::QueueTimeout,
+            Unopened::Lease => RefusalCode::CatalogueLease,
+            Unopened::NoRoute => RefusalCode::UnknownRoute,
         };
         self.end(code, pause, out);
     }
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -256,7 +256,18 @@
                 pause: Some(Duration::from_secs(1)),
             };
         }
-        let placement = self.placement(attempt, resume, exclude);
+        let pools = match self.pools() {
+            Ok(pools) => pools,
+            Err(reason) => {
+                return Event::Unopened {
+                    attempt,
+                    reason,
+                    pause: None,
+                };
+            }
+        };
+        let used = pools.clone();
+        let placement = self.placement(attempt, resume, exclude, pools);
         let serving = Arc::clone(&self.serving);
         let placed = tokio::select! {
             placed = serving.place(placement) => placed,
@@ -266,7 +277,27 @@
             }
         };
         match placed {
-            Ok(placed) => self.planned(attempt, placed),
+            // The wait may have been long. A lease that ended, or a change
+            // that came meanwhile, must not be passed over.
+            Ok(placed) => match self.pools() {
+                Ok(pools) if pools == used => self.planned(attempt, placed),
+                Ok(_) => {
+                    self.give_back(placed, Outcome::Cancelled, 0);
+                    Event::Unopened {
+                        attempt,
+                        reason: Unopened::NoPath,
+                        pause: Some(Duration::ZERO),
+                    }
+                }
+                Err(reason) => {
+                    self.give_back(placed, Outcome::Cancelled, 0);
+                    Event::Unopened {
+                        attempt,
+                        reason,
+                        pause: None,
+                    }
+                }
+            },
             Err((Unplaced::NoPath, pause)) => Event::Unopened {
                 attempt,
                 reason: Unopened::NoPath,
@@ -280,6 +311,20 @@
         }
     }
 
+    /// Pools that the route allows by the catalogue in force now.
+    ///
+    /// A request may have waited since it was let in. Sent on by what the
+    /// catalogue said then, it could reach capacity that its organisation has
+    /// lost meanwhile, or go on under an instance that is cut off.
+    fn pools(&self) -> Result<Arc<[String]>, Unopened> {
+        let now = self.serving.now();
+        let catalogue = self.serving.parts.force.get(now);
+        let catalogue = catalogue.map_err(|_| Unopened::Lease)?;
+        let route = catalogue.route(&self.job.organisation, &self.job.route);
+        let route = route.ok_or(Unopened::NoRoute)?;
+        Ok(route.pools.clone().into())
+    }
+
     fn retry_allowed(&self) -> bool {
         let now = self.serving.now();
         let allowed = self.serving.budget().take(now, &self.job.organisation);
@@ -295,6 +340,7 @@
         attempt: u32,
         resume: u32,
         exclude: Vec<crate::id::UpstreamId>,
+        pools: Arc<[String]>,
     ) -> Placement {
         Placement {
             id: self.job.id.sequence,
@@ -303,7 +349,7 @@
             class: self.job.class,
             model: self.job.model.clone(),
             version: self.version.clone().filter(|_| resume > 0),
-            pools: self.job.pools.clone(),
+            pools,
             prompt: self.job.prompt_tokens,
             expected: self.job.limit - resume.min(self.job.limit),
             prefix: None,
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -3,6 +3,7 @@
 mod auth;
 mod budget;
 mod claim;
+mod cli;
 mod event;
 mod flow;
 mod follow;
