Check a claim's lease behind the connection; take a service's 503 as no proof

Cause, first: the lease was checked before the connection was opened, which may take 0.75 s or, if the instance freezes meanwhile, any time. The first byte of a letter could leave after a later sending was told 'unknown, never run again'. The order to send now carries the end of the lease, and the connection looks at it between connect and write. Only the write itself lies behind the check.

Cause, second: a 503 of a plain service was taken as proof that it ran nothing. Only the engines' protocol says so; a service may have done its work and found another one busy. A non-idempotent call now gets that answer passed on; an idempotent one is tried elsewhere and never called 'not run'.

Ruled out: a shorter lease that leaves room for the connection: it costs claims under load and still doesn't hold for a freeze.

--- a/src/claim/lease.rs
+++ b/src/claim/lease.rs
@@ -46,6 +46,11 @@
         self.token
     }
 
+    /// End of the right to dispatch.
+    pub(crate) fn end(&self) -> Time {
+        self.end
+    }
+
     /// Whether the first byte may leave at `now`.
     ///
     /// Guards against an instance that froze between claim and dispatch. A
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -4,6 +4,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -18,6 +19,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::clock::{Clock, Time};
 use crate::id::UpstreamId;
 
 /// Longest time to connect to an upstream.
@@ -127,13 +129,37 @@
 pub(crate) trait Engine: Send + Sync {
     /// Events that an order yields.
     type Events: Events;
-    /// Sends the order to the first stage of its path.
+    /// Sends the order to the first stage of its path, unless the cutoff has
+    /// passed.
     fn start(
         &self,
         order: &Order<'_>,
+        cutoff: &Cutoff,
     ) -> impl Future<Output = Result<Self::Events, EngineError>> + Send;
 }
 
+/// Time at which the first byte of a claimed request must have left.
+///
+/// Guards against an instance that freezes while it connects: by the time it
+/// wakes, a later sending may have been told that the outcome is unknown. It
+/// holds as it is asked between the connection and the first byte; only the
+/// write itself lies behind it.
+#[derive(Clone)]
+pub(crate) struct Cutoff {
+    until: Option<Time>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Cutoff {
+    pub(crate) fn new(until: Option<Time>, clock: Arc<dyn Clock>) -> Self {
+        Self { until, clock }
+    }
+
+    fn passed(&self) -> bool {
+        self.until.is_some_and(|until| self.clock.now() >= until)
+    }
+}
+
 /// A connection of its own for one call to an upstream.
 ///
 /// A pooled connection may have been closed by the upstream at the moment of
@@ -181,11 +207,16 @@
         })
     }
 
-    /// Sends the request. From here on it may have run.
+    /// Sends the request, unless the cutoff has passed. From here on it may
+    /// have run.
     pub(crate) async fn send(
         mut self,
         request: Request<Full<Bytes>>,
+        cutoff: &Cutoff,
     ) -> Result<Answer, EngineError> {
+        if cutoff.passed() {
+            return ConnectSnafu.fail();
+        }
         let sent = self.sender.send_request(request).await;
         let response = sent.map_err(|_| EngineError::Cut)?;
         Ok(Answer {
@@ -201,7 +232,7 @@
 impl Engine for HttpEngine {
     type Events = HttpEvents;
 
-    async fn start(&self, order: &Order<'_>) -> Result<HttpEvents, EngineError> {
+    async fn start(&self, order: &Order<'_>, cutoff: &Cutoff) -> Result<HttpEvents, EngineError> {
         let head = order.path.first().ok_or(EngineError::Connect)?;
         let connection = Connection::open(head.address).await?;
         let body = serde_json::to_vec(order).expect("an order always serialises");
@@ -210,7 +241,7 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::from(body))
             .expect("the parts of the head are valid");
-        let answer = connection.send(request).await?;
+        let answer = connection.send(request, cutoff).await?;
         match answer.response.status() {
             StatusCode::OK => Ok(HttpEvents {
                 answer,
--- a/src/request/event.rs
+++ b/src/request/event.rs
@@ -88,10 +88,14 @@
         /// Tokens of the whole answer.
         count: u32,
     },
-    /// The first engine answered 503 before any token: it ran nothing.
+    /// The first upstream answered 503 before any token.
     Busy {
         /// The attempt.
         attempt: u32,
+        /// Whether its protocol says that a busy upstream ran nothing. That of
+        /// engines does; a plain service may have done its work and then found
+        /// another one busy.
+        unrun: bool,
     },
     /// The attempt ended without its closing event.
     Broken {
@@ -137,10 +141,13 @@
         /// Upstreams to avoid where another path exists.
         exclude: Vec<UpstreamId>,
     },
-    /// Send the attempt's request, now: a later time may be too late.
+    /// Send the attempt's request.
     Send {
         /// The attempt.
         attempt: u32,
+        /// Time at which the first byte must have left, if there is one: the
+        /// driver checks it again when it is connected.
+        until: Option<Time>,
     },
     /// Write a verified token to the caller, if it is still there.
     Emit {
--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -108,7 +108,7 @@
                 attempt,
                 count,
             } => self.done(on, &request, attempt, count, out),
-            Event::Busy { attempt } => self.busy(attempt, out),
+            Event::Busy { attempt, unrun } => self.busy(attempt, unrun, out),
             Event::Broken {
                 attempt,
                 cause,
@@ -175,7 +175,11 @@
         });
         self.flowing = false;
         self.moved = self.now;
-        out.push(Effect::Send { attempt });
+        let until = match &self.stage {
+            Stage::Sent(life) => life.until(),
+            _ => None,
+        };
+        out.push(Effect::Send { attempt, until });
     }
 
     fn unopened(
@@ -242,7 +246,7 @@
         self.complete(out);
     }
 
-    fn busy(&mut self, attempt: u32, out: &mut Vec<Effect>) {
+    fn busy(&mut self, attempt: u32, unrun: bool, out: &mut Vec<Effect>) {
         if !self.current(attempt) {
             return;
         }
@@ -252,7 +256,11 @@
         let first = self.attempt.as_ref().and_then(|a| a.path.first());
         self.excluded.extend(first.map(|hop| hop.upstream.clone()));
         self.report(Report::Busy, out);
-        self.unrun(Unrun::busy());
+        if unrun {
+            self.unrun(Unrun::busy());
+        } else {
+            self.answering();
+        }
         self.retry(RefusalCode::UpstreamBusy, out);
     }
 
--- a/src/request/life.rs
+++ b/src/request/life.rs
@@ -225,6 +225,11 @@
 }
 
 impl<P> Life<Dispatched<P>> {
+    /// End of the time in which the first byte may leave.
+    pub(crate) fn until(&self) -> Option<Time> {
+        self.state.lease.as_ref().map(ClaimLease::end)
+    }
+
     /// The claim, to be settled when the request ends.
     pub(crate) fn lease(&self) -> Option<&ClaimLease> {
         self.state.lease.as_ref()
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -16,7 +16,7 @@
 use crate::claim::Outcome as Settled;
 use crate::clock::Time;
 use crate::dispatch::{Placed, Placement, Unplaced};
-use crate::engine::{Engine, EngineError, EngineEvent, Events, HttpEngine, Order, Stage};
+use crate::engine::{Cutoff, Engine, EngineError, EngineEvent, Events, HttpEngine, Order, Stage};
 use crate::event;
 use crate::gate::Running;
 use crate::id::OrganisationId;
@@ -216,7 +216,7 @@
                 let event = self.open(attempt, resume, exclude).await;
                 self.step(event, effects);
             }
-            Effect::Send { attempt } => self.send(attempt),
+            Effect::Send { attempt, until } => self.send(attempt, until),
             Effect::Emit {
                 request,
                 index,
@@ -351,7 +351,8 @@
         }
     }
 
-    fn send(&mut self, attempt: u32) {
+    fn send(&mut self, attempt: u32, until: Option<Time>) {
+        let cutoff = Cutoff::new(until, Arc::clone(&self.serving.parts.clock));
         let Some(flight) = &mut self.flight else {
             return;
         };
@@ -361,7 +362,7 @@
             Work::Engine(prompt) => prompt,
             Work::Call(call) => {
                 let path = flight.path.clone();
-                let read = service::read(call.clone(), self.job.id, attempt, path, events);
+                let read = service::read(call.clone(), self.job.id, attempt, path, events, cutoff);
                 flight.reader = Some(Reader(tokio::spawn(read)));
                 return;
             }
@@ -378,7 +379,9 @@
             remaining: self.job.deadline.since(flight.started),
             path: flight.path.clone(),
         };
-        flight.reader = Some(Reader(tokio::spawn(read(HttpEngine, order, events))));
+        flight.reader = Some(Reader(tokio::spawn(read(
+            HttpEngine, order, events, cutoff,
+        ))));
     }
 
     /// Hands a verified token to the caller's side.
@@ -480,21 +483,24 @@
 }
 
 /// Sends the order and hands on each event of its stream.
-async fn read(engine: impl Engine, order: OwnedOrder, events: mpsc::Sender<Event>) {
+async fn read(engine: impl Engine, order: OwnedOrder, events: mpsc::Sender<Event>, cutoff: Cutoff) {
     let attempt = order.attempt;
     let started = engine
-        .start(&Order {
-            request: &order.request,
-            attempt,
-            organisation: &order.organisation,
-            model: &order.model,
-            prompt: &order.prompt,
-            tokens: &order.tokens,
-            limit: order.limit,
-            priority: order.priority,
-            remaining: u64::try_from(order.remaining.as_millis()).unwrap_or(u64::MAX),
-            path: &order.path,
-        })
+        .start(
+            &Order {
+                request: &order.request,
+                attempt,
+                organisation: &order.organisation,
+                model: &order.model,
+                prompt: &order.prompt,
+                tokens: &order.tokens,
+                limit: order.limit,
+                priority: order.priority,
+                remaining: u64::try_from(order.remaining.as_millis()).unwrap_or(u64::MAX),
+                path: &order.path,
+            },
+            &cutoff,
+        )
         .await;
     let mut stream = match started {
         Ok(stream) => stream,
@@ -558,7 +564,10 @@
 
 fn failure(attempt: u32, error: &EngineError, suspect: Option<crate::id::UpstreamId>) -> Event {
     let cause = match error {
-        EngineError::Busy => return Event::Busy { attempt },
+        EngineError::Busy => {
+            let unrun = true;
+            return Event::Busy { attempt, unrun };
+        }
         EngineError::Connect => Cause::Refused,
         EngineError::Cut => Cause::Cut,
         EngineError::Status { .. } | EngineError::Garbage => Cause::Garbage,
--- a/src/serve/service.rs
+++ b/src/serve/service.rs
@@ -21,7 +21,7 @@
 use crate::catalogue::Target;
 use crate::claim::{Kept, MAX_KEPT, Outcome as Settled};
 use crate::dispatch::service_model;
-use crate::engine::{Connection, EngineError, Stage};
+use crate::engine::{Connection, Cutoff, EngineError, Stage};
 use crate::request::{Answer, Cause, Event, Frame, Hop, RefusalCode, RequestId};
 
 /// Longest answer of a plain service, in bytes.
@@ -53,6 +53,8 @@
     kind: Option<HeaderValue>,
     key: Option<String>,
     body: Bytes,
+    /// Whether it may be made more than once.
+    idempotent: bool,
     /// Empty until an attempt was answered.
     slot: Slot,
 }
@@ -99,7 +101,7 @@
         ]);
         let time = known.deadline.since(self.now());
         let life = self.claim(life, key.as_ref(), digest, time).await?;
-        let call = call(known, received);
+        let call = call(known, received, life.idempotent);
         let slot = Arc::clone(&call.slot);
         let (output, pieces) = mpsc::channel(OUTPUT);
         let job = Job {
@@ -146,6 +148,7 @@
     attempt: u32,
     path: Vec<Stage>,
     events: mpsc::Sender<Event>,
+    cutoff: Cutoff,
 ) {
     let Some(stage) = path.first() else { return };
     let broken = |cause| Event::Broken {
@@ -157,11 +160,16 @@
         Err(_) => Err(broken(Cause::Refused)),
         Ok(connection) => {
             let request = call.request(&stage.address.to_string(), &id.to_string());
-            match exchange(connection, request).await {
-                Ok(whole) if whole.status == StatusCode::SERVICE_UNAVAILABLE => {
-                    Err(Event::Busy { attempt })
+            match exchange(connection, request, &cutoff).await {
+                // A service that says so may have done its work all the same.
+                // An idempotent call is tried elsewhere; else its answer is
+                // the answer.
+                Ok(whole) if whole.status == StatusCode::SERVICE_UNAVAILABLE && call.idempotent => {
+                    let unrun = false;
+                    Err(Event::Busy { attempt, unrun })
                 }
                 Ok(whole) => Ok(whole),
+                Err(EngineError::Connect) => Err(broken(Cause::Refused)),
                 Err(_) => Err(broken(Cause::Cut)),
             }
         }
@@ -243,12 +251,13 @@
     }
 }
 
-fn call(known: &Known, received: Received) -> Call {
+fn call(known: &Known, received: Received, idempotent: bool) -> Call {
     let uri = &received.head.uri;
     let (_, rest) = split(uri.path());
     let query = uri.query().map(|q| format!("?{q}")).unwrap_or_default();
     Call {
         slot: Slot::default(),
+        idempotent,
         rest: format!("{rest}{query}"),
         kind: received.head.headers.get(CONTENT_TYPE).cloned(),
         key: known.head.key.clone(),
@@ -279,8 +288,9 @@
 async fn exchange(
     connection: Connection,
     request: Request<Full<Bytes>>,
+    cutoff: &Cutoff,
 ) -> Result<Whole, EngineError> {
-    let mut answer = connection.send(request).await?;
+    let mut answer = connection.send(request, cutoff).await?;
     let status = answer.response.status();
     let kind = answer.response.headers().get(CONTENT_TYPE);
     let kind = kind
--- /dev/null
+++ b/src/tests/engine.rs
@@ -0,0 +1,43 @@
+//! Tests of [`crate::engine`].
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+
+use crate::engine::{Connection, Cutoff, EngineError};
+use crate::{Clock, Time};
+
+struct Fixed(Time);
+
+impl Clock for Fixed {
+    fn now(&self) -> Time {
+        self.0
+    }
+}
+
+/// An instance freezes between the connection to a service and the first byte.
+/// When it wakes, its claim's lease has ended, so no byte may leave.
+#[rstest]
+#[case::before(Time(9), false)]
+#[case::after(Time(10), true)]
+#[tokio::test]
+async fn send_cutoff(#[case] now: Time, #[case] passed: bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        stream.read(&mut [0; 64]).await.expect("bytes or the end")
+    });
+    let connection = Connection::open(addr).await.expect("a listener");
+    let cutoff = Cutoff::new(Some(Time(10)), Arc::new(Fixed(now)));
+    let request = Request::post("/letters").body(Full::new(Bytes::new()));
+    let sent = connection.send(request.expect("valid"), &cutoff).await;
+    let error = sent.err().expect("the server answers nothing");
+    assert_eq!(matches!(error, EngineError::Connect), passed);
+    assert_eq!(server.await.expect("no panic") == 0, passed);
+}
--- a/src/tests/generation.rs
+++ b/src/tests/generation.rs
@@ -81,7 +81,8 @@
     fn start(&mut self, attempt: u32) {
         let path = path();
         self.step(Event::Started { attempt, path });
-        assert_eq!(self.out, [Effect::Send { attempt }]);
+        let sent = |e: &Effect| matches!(e, Effect::Send { attempt: a, .. } if *a == attempt);
+        assert!(self.out.len() == 1 && self.out.iter().all(sent));
     }
 
     fn step(&mut self, event: Event) {
@@ -218,7 +219,10 @@
     let mut run = Run::sent(true, false);
     run.broken(1, Cause::Cut);
     run.start(2);
-    run.step(Event::Busy { attempt: 2 });
+    run.step(Event::Busy {
+        attempt: 2,
+        unrun: true,
+    });
     let (reason, pause) = (Unopened::NoPath, None);
     run.step(Event::Unopened {
         attempt: 3,
@@ -322,3 +326,30 @@
     assert_eq!(refuse(true).ran(), Ran::Unknown);
     assert_eq!(refuse(false).ran(), Ran::No);
 }
+
+/// A plain service does its work and then finds another one busy: it answers
+/// 503. The caller must not be told that the call wasn't run.
+#[rstest]
+#[case::engine(true, ("upstream_busy", Ran::No))]
+#[case::service(false, ("outcome_unknown", Ran::Unknown))]
+fn busy_proof(#[case] unrun: bool, #[case] answer: (&'static str, Ran)) {
+    let mut run = Run::sent(false, false);
+    let mut attempt = 1;
+    run.step(Event::Busy { attempt, unrun });
+    while let Some((next, _)) = run.open() {
+        attempt = next;
+        run.start(attempt);
+        run.step(Event::Busy { attempt, unrun });
+    }
+    assert_eq!(run.answer(), Some(answer));
+}
+
+/// The driver gets the end of the claim's lease with the order to send, to look
+/// at it again when it is connected.
+#[rstest]
+#[case::keyed(true, Some(START + Duration::from_millis(1_800)))]
+#[case::free(false, None)]
+fn send_until(#[case] keyed: bool, #[case] until: Option<Time>) {
+    let run = Run::sent(false, keyed);
+    assert_eq!(run.out, [Effect::Send { attempt: 1, until }]);
+}
--- a/src/tests/life/engine.rs
+++ b/src/tests/life/engine.rs
@@ -41,7 +41,16 @@
         };
         match fault {
             0 => return self.plan(sending, 2, broken(attempt, Cause::Refused)),
-            1 => return self.plan(sending, 5, Event::Busy { attempt }),
+            1 => {
+                return self.plan(
+                    sending,
+                    5,
+                    Event::Busy {
+                        attempt,
+                        unrun: true,
+                    },
+                );
+            }
             _ => self.execute(sending),
         }
         let from = self.sendings[sending].resume;
@@ -132,7 +141,7 @@
     }
 }
 
-fn broken(attempt: u32, cause: Cause) -> Event {
+pub(super) fn broken(attempt: u32, cause: Cause) -> Event {
     Event::Broken {
         attempt,
         cause,
--- a/src/tests/life/world.rs
+++ b/src/tests/life/world.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::check::{Totals, Work};
-use super::engine::unopened;
+use super::engine::{broken, unopened};
 use super::register::register;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -15,7 +15,8 @@
 use crate::budget::Budget;
 use crate::claim::{self, Action, ClaimLease, Claims, Ticker};
 use crate::request::{
-    Admitted, Answer, Bounds, Claimed, Effect, Event, Generation, Hop, Life, RequestId, Unopened,
+    Admitted, Answer, Bounds, Cause, Claimed, Effect, Event, Generation, Hop, Life, RequestId,
+    Unopened,
 };
 use crate::{HashMap, Incarnation, InstanceId, Time};
 
@@ -56,6 +57,8 @@
     /// The wait for the claim's reply ends.
     Patience(usize),
     Event(usize, Event),
+    /// The connection for an attempt is there.
+    Connected(usize, u32, Option<Time>),
     Poll(usize),
     Crash(usize),
     Freeze(usize),
@@ -88,6 +91,8 @@
     pub(super) emitted: u32,
     pub(super) resume: u32,
     pub(super) path: Vec<Hop>,
+    /// The attempt whose connection is open.
+    flight: Option<u32>,
     /// The last attempt that was sent.
     pub(super) sent: u32,
 }
@@ -216,9 +221,10 @@
     /// The instance that handles the event.
     fn place(&self, what: &What) -> Option<usize> {
         match what {
-            What::Patience(s) | What::Event(s, _) | What::Reply(_, Back::Claim(s)) => {
-                Some(self.sendings[*s].instance)
-            }
+            What::Patience(s)
+            | What::Event(s, _)
+            | What::Connected(s, ..)
+            | What::Reply(_, Back::Claim(s)) => Some(self.sendings[*s].instance),
             What::Poll(instance) | What::Reply(_, Back::Tick(instance)) => Some(*instance),
             _ => None,
         }
@@ -231,6 +237,7 @@
             What::Reply(reply, back) => self.reply(&reply, back),
             What::Patience(sending) => self.patience(sending),
             What::Event(sending, event) => self.step(sending, event),
+            What::Connected(sending, attempt, until) => self.connected(sending, attempt, until),
             What::Poll(instance) => self.poll(instance),
             What::Crash(instance) => self.crash(instance),
             What::Freeze(instance) => {
@@ -272,6 +279,7 @@
             emitted: 0,
             resume: 0,
             path: Vec::new(),
+            flight: None,
             sent: 0,
         });
         if self.chance(15) {
@@ -343,7 +351,11 @@
             Effect::Open {
                 attempt, resume, ..
             } => self.open(sending, attempt, resume),
-            Effect::Send { attempt } => self.send(sending, attempt),
+            Effect::Send { attempt, until } => {
+                self.sendings[sending].flight = Some(attempt);
+                let delay = self.rng.random_range(0..300);
+                self.push(delay, What::Connected(sending, attempt, until));
+            }
             Effect::Emit {
                 request,
                 index,
@@ -367,8 +379,20 @@
                 self.propose(Action::Settle(settle), Back::Nobody);
             }
             Effect::Finish(answer) => self.answer(sending, answer),
-            Effect::Cancel { .. } | Effect::Report { .. } => {}
+            Effect::Cancel { .. } => self.sendings[sending].flight = None,
+            Effect::Report { .. } => {}
+        }
+    }
+
+    fn connected(&mut self, sending: usize, attempt: u32, until: Option<Time>) {
+        let state = &self.sendings[sending];
+        if state.flight != Some(attempt) || matches!(state.phase, Phase::Over) {
+            return;
+        }
+        if until.is_some_and(|until| self.local(state.instance) >= until) {
+            return self.plan(sending, 0, broken(attempt, Cause::Refused));
         }
+        self.send(sending, attempt);
     }
 
     fn open(&mut self, sending: usize, attempt: u32, resume: u32) {
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -3,6 +3,7 @@
 mod auth;
 mod budget;
 mod claim;
+mod engine;
 mod event;
 mod flow;
 mod generation;
