--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of crate-private parts, one file a module.
 
+mod answer;
 mod auth;
 mod budget;
 mod claim;
