--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,9 +1,11 @@
 //! Tests of crate-private parts, one file a module.
 
+mod answer;
 mod auth;
 mod budget;
 mod claim;
 mod cli;
+mod engine;
 mod event;
 mod flow;
 mod follow;
