Add a bench of the routing policies over a model of engines

Cause: the policy must be measured against the hardware bound and beside round robin, least in flight and greedy cheapest path.

--- /dev/null
+++ b/examples/bench/routing.rs
@@ -0,0 +1,211 @@
+//! Routing policies over the model of engines.
+
+use std::path::Path;
+use std::sync::Mutex;
+
+use laburnumquay::{FlowShares, GreedyCheapest, LeastInFlight, Policy, RoundRobin};
+
+use crate::Failure;
+use crate::fleet::{Fault, Figures, Fleet, Setup};
+use crate::output::{Series, plot, table};
+
+/// Runs at the same time. Few, since the machine has other work.
+const THREADS: usize = 4;
+
+const POLICIES: [&str; 4] = [
+    "flow shares",
+    "round robin",
+    "least in flight",
+    "greedy cheapest",
+];
+
+fn policy(name: &str) -> Box<dyn Policy> {
+    match name {
+        "flow shares" => Box::new(FlowShares),
+        "round robin" => Box::new(RoundRobin::default()),
+        "least in flight" => Box::new(LeastInFlight),
+        _ => Box::new(GreedyCheapest),
+    }
+}
+
+type Job = (&'static str, Setup);
+
+/// Runs all jobs; results in the order of the jobs.
+fn run_all(jobs: &[Job]) -> Vec<Figures> {
+    let next = Mutex::new(0);
+    let results = Mutex::new(vec![Figures::default(); jobs.len()]);
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let i = {
+                        let mut next = next.lock().expect("unpoisoned");
+                        *next += 1;
+                        *next - 1
+                    };
+                    let Some(&(name, setup)) = jobs.get(i) else {
+                        return;
+                    };
+                    let figures = Fleet::new(setup, || policy(name)).run();
+                    results.lock().expect("unpoisoned")[i] = figures;
+                }
+            });
+        }
+    });
+    results.into_inner().expect("unpoisoned")
+}
+
+fn setup(seed: u64) -> Setup {
+    Setup {
+        engines: 75,
+        instances: 9,
+        lag: 0.5,
+        load: 0.8,
+        fault: Fault::None,
+        seconds: 36.0,
+        seed,
+    }
+}
+
+fn jobs(setups: &[Setup]) -> Vec<Job> {
+    let each = |&name| setups.iter().map(move |&s| (name, s));
+    POLICIES.iter().flat_map(each).collect()
+}
+
+fn ms(seconds: f64) -> String {
+    format!("{:.0}", seconds * 1000.0)
+}
+
+fn row(name: &str, first: String, f: &Figures) -> Vec<String> {
+    vec![
+        name.to_owned(),
+        first,
+        format!("{:.3}", f.offered),
+        format!("{:.3}", f.share),
+        ms(f.first[0]),
+        ms(f.first[1]),
+        ms(f.first[2]),
+        ms(f.between[0]),
+        ms(f.between[1]),
+        f.given_up.to_string(),
+    ]
+}
+
+const REST: [&str; 8] = [
+    "offered by bound",
+    "work by bound",
+    "first token p50 ms",
+    "p95 ms",
+    "p99 ms",
+    "between tokens p50 ms",
+    "p95 ms",
+    "given up",
+];
+
+fn sweep(
+    out: &Path,
+    name: &str,
+    axis: &str,
+    setups: &[Setup],
+    x: impl Fn(&Setup) -> f64,
+) -> Result<(), Failure> {
+    let jobs = jobs(setups);
+    let results = run_all(&jobs);
+    let rows = jobs.iter().zip(&results);
+    let rows: Vec<_> = rows
+        .map(|((policy, setup), f)| row(policy, format!("{}", x(setup)), f))
+        .collect();
+    let head: Vec<&str> = ["policy", axis].into_iter().chain(REST).collect();
+    table(out, name, &head, &rows)?;
+    let lines = |pick: &dyn Fn(&Figures) -> f64| -> Vec<Series> {
+        let parts = results.chunks(setups.len()).zip(POLICIES);
+        let line = parts.map(|(part, name)| Series {
+            name: name.to_owned(),
+            points: setups
+                .iter()
+                .zip(part)
+                .map(|(s, f)| (x(s), pick(f)))
+                .collect(),
+        });
+        line.collect()
+    };
+    let log = axis != "load";
+    plot(
+        out,
+        &format!("{name}-work"),
+        (axis, "work by bound"),
+        log,
+        &lines(&|f| f.share),
+    )?;
+    plot(
+        out,
+        &format!("{name}-between"),
+        (axis, "between tokens p95 s"),
+        log,
+        &lines(&|f| f.between[1]),
+    )?;
+    plot(
+        out,
+        &format!("{name}-first"),
+        (axis, "first token p95 s"),
+        log,
+        &lines(&|f| f.first[1]),
+    )
+}
+
+pub(crate) fn run(out: &Path, seed: u64) -> Result<(), Failure> {
+    let base = setup(seed);
+    let loads = [0.5, 0.8, 0.95, 1.2].map(|load| Setup { load, ..base });
+    sweep(out, "load", "load", &loads, |s| s.load)?;
+    let counts = [1, 9, 90, 360].map(|instances| Setup {
+        instances,
+        lag: 1.0,
+        load: 1.2,
+        ..base
+    });
+    sweep(out, "instances", "instances", &counts, |s| {
+        s.instances as f64
+    })?;
+    let lags = [0.1, 0.5, 1.0, 2.0, 5.0].map(|lag| Setup {
+        lag,
+        instances: 90,
+        load: 0.95,
+        ..base
+    });
+    sweep(out, "lag", "report lag s", &lags, |s| s.lag)?;
+    faults(out, base)
+}
+
+fn faults(out: &Path, base: Setup) -> Result<(), Failure> {
+    let kinds = [Fault::None, Fault::Engine, Fault::Link, Fault::Domain];
+    let setups = kinds.map(|fault| Setup {
+        fault,
+        load: 0.6,
+        ..base
+    });
+    let jobs = jobs(&setups);
+    let results = run_all(&jobs);
+    let rows = jobs.iter().zip(&results).map(|((policy, setup), f)| {
+        vec![
+            (*policy).to_owned(),
+            format!("{:?}", setup.fault),
+            format!("{:.3}", f.after),
+            ms(f.first[1]),
+            ms(f.between[1]),
+            f.failed.to_string(),
+            format!("{:.4}", f.wasted),
+            f.given_up.to_string(),
+        ]
+    });
+    let head = [
+        "policy",
+        "lost",
+        "work in 10 s after by before",
+        "first token p95 ms",
+        "between tokens p95 ms",
+        "failed attempts",
+        "wasted work",
+        "given up",
+    ];
+    table(out, "faults", &head, &rows.collect::<Vec<_>>())
+}
--- a/src/route/policy.rs
+++ b/src/route/policy.rs
@@ -141,7 +141,7 @@
     }
 }
 
-/// The engine with the least expected time, by the reports as they are.
+/// The engine with the least expected time of all.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct GreedyCheapest;
 
