--- /dev/null
+++ b/scripts/rest.sh
@@ -0,0 +1,69 @@
+#!/usr/bin/env bash
+# Control cost of an instance at rest: processor time, memory and bytes, as the
+# fleet, the upstreams and the catalogue grow. Prints one line a fleet:
+#   instances voters upstreams organisations: voter/other cpu% rss_mb bytes_s
+# Usage: scripts/rest.sh [SECONDS]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+export SECONDS_OF_REST=${1:-15}
+inner=$(mktemp)
+trap 'rm -f "$inner"' EXIT
+cat >"$inner" <<'EOF'
+set -euo pipefail
+# More organisations, each with a key and a route, 200 a change.
+for ((from = 0; from < ORGANISATIONS; from += 200)); do
+    file=$LAB/more.toml
+    : >"$file"
+    for ((o = from; o < from + 200 && o < ORGANISATIONS; o++)); do
+        digest=$(printf 'organisation-key-%d' "$o" | sha256sum | cut -d' ' -f1)
+        cat >>"$file" <<EOT
+[[organisation]]
+name = "organisation-$o"
+keys = ["$digest"]
+[[route]]
+name = "route-$o"
+organisation = "organisation-$o"
+target = { model = "quote-7b" }
+pools = ["lab"]
+limits = { requests = 100, tokens = 10000, concurrent = 50, queued = 100 }
+EOT
+    done
+    "$BIN" catalogue apply --target "${CONTROLS%%,*}" "$file" >/dev/null
+done
+sleep 6
+read -ra pids <<<"$PIDS"
+IFS=, read -ra controls <<<"$CONTROLS"
+sample() {
+    local at
+    for at in "${!pids[@]}"; do
+        local cpu rss bytes
+        cpu=$(awk '{print $14 + $15}' "/proc/${pids[at]}/stat")
+        rss=$(awk '/VmRSS/ {print $2}' "/proc/${pids[at]}/status")
+        bytes=$(curl -s "${controls[at]}/metrics" | awk '/^peer_bytes_total/ {n += $2} END {print n + 0}')
+        gossip=$("$BIN" state --json --target "${controls[at]}" |
+            python3 -c 'import json,sys; t=json.load(sys.stdin)["fleet"]["traffic"]; print(t["written"]+t["read"])')
+        echo "$at $cpu $rss $bytes $gossip"
+    done
+}
+sample >"$LAB/before"
+sleep "$SECONDS_OF_REST"
+sample >"$LAB/after"
+paste -d' ' "$LAB/before" "$LAB/after" | awk -v voters="$VOTERS" -v secs="$SECONDS_OF_REST" \
+    -v head="$INSTANCES instances $VOTERS voters $UPSTREAMS upstreams $ORGANISATIONS organisations" '
+    { kind = $1 < voters ? "voter" : "other"; n[kind]++
+      cpu[kind] += ($7 - $2) / secs; rss[kind] += $8 / 1024
+      peer[kind] += ($9 - $4) / secs; gossip[kind] += ($10 - $5) / secs }
+    END { for (kind in n) printf "%s: %s cpu %.2f%% rss %.1f MB peer %.0f B/s gossip %.0f B/s\n",
+        head, kind, cpu[kind] / n[kind], rss[kind] / n[kind], peer[kind] / n[kind], gossip[kind] / n[kind] }'
+EOF
+run() {
+    export INSTANCES=$1 VOTERS=$2 UPSTREAMS=$(($3 * 2)) ORGANISATIONS=$4
+    SETTLE=3 scripts/lab.sh "$1" "$2" "$3" bash "$inner" 2>/dev/null
+}
+run 3 3 2 0
+run 9 3 2 0
+run 9 3 20 0
+run 9 3 20 1000
+run 9 5 20 0
+run 27 3 20 0
+run 54 3 20 0
--- a/src/frame.rs
+++ b/src/frame.rs
@@ -69,6 +69,12 @@
     }
 }
 
+/// Counts a frame's bytes without the headers of TCP and IP.
+fn count(way: &'static str, bytes: usize) {
+    metrics::counter!("peer_frames_total", "way" => way).increment(1);
+    metrics::counter!("peer_bytes_total", "way" => way).increment(bytes as u64);
+}
+
 /// Receives frames of one connection.
 pub(crate) struct Receiver {
     frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
@@ -155,6 +161,7 @@
             .expect("the buffer grows on demand");
         let tag = self.signer.tag(&sealed);
         sealed.extend_from_slice(&tag);
+        count("sent", sealed.len());
         self.frames.send(sealed.freeze()).await?;
         Ok(())
     }
@@ -170,6 +177,7 @@
             return Ok(None);
         };
         let mut sealed: Bytes = sealed?.freeze();
+        count("received", sealed.len());
         let Some(length) = sealed.len().checked_sub(TAG_LEN) else {
             return TagSnafu.fail();
         };
