--- a/src/replica.rs
+++ b/src/replica.rs
@@ -42,6 +42,10 @@
 use self::read::Reads;
 use self::snapshot::Incoming;
 
+/// Election timeouts for which a store that greeted is remembered. It greets
+/// again after two at the latest.
+const STRANGER_TIMEOUTS: u32 = 6;
+
 /// Constants of one replica.
 #[derive(Clone, Debug)]
 pub(crate) struct Settings {
@@ -244,8 +248,10 @@
     /// Stores that greeted lately without being members.
     pub(crate) fn strangers(&self) -> impl Iterator<Item = Peer> + '_ {
         let members = self.log.members().1;
+        let limit = STRANGER_TIMEOUTS * self.settings.election;
         self.strangers
             .values()
+            .filter(move |(_, at)| self.now.since(*at) < limit)
             .map(|(peer, _)| *peer)
             .filter(|&p| members.role(p).is_none())
     }
@@ -330,12 +336,15 @@
 
     /// Tells a sender of an older term which term it is.
     fn refuse_old(&mut self, from: Peer, body: &Body) {
-        let ack = match body {
-            Body::Append(_) | Body::Chunk(_) => Body::AppendAck(message::AppendAck::default()),
-            Body::Vote(_) => Body::VoteAck(message::VoteAck::default()),
-            _ => return,
-        };
-        self.outbox.reply(from, self.term, ack);
+        match body {
+            // The sender may lead this term by now, so all of it must be true.
+            Body::Append(_) | Body::Chunk(_) => self.ack(from, false, 0, 0, 0),
+            Body::Vote(_) => {
+                let ack = Body::VoteAck(message::VoteAck::default());
+                self.outbox.reply(from, self.term, ack);
+            }
+            _ => {}
+        }
     }
 
     /// Becomes follower in `term`.
@@ -389,6 +398,7 @@
         assert!(self.commit >= commit, "commit index fell");
         assert!(self.applied >= applied, "applied index fell");
         assert!(self.applied <= self.commit, "applied before commit");
+        assert!(self.applied <= self.synced, "applied before its sync");
         assert!(self.commit <= self.log.last_index(), "commit past the log");
         assert!(self.synced <= self.log.last_index(), "synced past the log");
         self.checked = (self.term, self.vote, self.commit, self.applied);
