Renew a claim that has waited for a path; say unknown only when asked in doubt

Cause: a letter is claimed before it waits for a path, and may dispatch for 1.8 s only. Under load the wait is longer, so every letter in the queue would be refused as claim_lapsed. The holder now renews its claim when the path is there and less than a second is left.

A caller that asked again meanwhile made the register count the claim as called unknown, though the asker then said 'in progress', and the key was lost. The register now says unknown early only to an asker that names its doubt.

Cause, second: a caller that left while its claim was being recorded left the claim behind; its next sending was told 'in progress' and then 'unknown' of a request that nobody runs. The claim is now released when that task is dropped.

The release on drop has no test of its own; it hangs on a cancelled task.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -21,8 +21,8 @@
 pub(crate) use lease::{ClaimLease, START};
 pub(crate) use machine::{Bounds, Claims};
 pub(crate) use message::{
-    Action, Answered, Claim, Expire, Kept, MAX_KEPT, MAX_KEY, Outcome, Release, Reply, Settle,
-    Ticked, Token,
+    Action, Answered, Claim, Expire, Kept, MAX_KEPT, MAX_KEY, Outcome, Purpose, Release, Reply,
+    Settle, Ticked, Token,
 };
 #[cfg(test)]
 pub(crate) use message::{Full, Granted, InProgress};
--- a/src/claim/lease.rs
+++ b/src/claim/lease.rs
@@ -14,6 +14,10 @@
 /// after the register calls the outcome unknown.
 const MARGIN: Duration = Duration::from_millis(200);
 
+/// Time that a lease should have left when a request is about to be dispatched:
+/// more than a connection to an upstream takes.
+const RENEW: Duration = Duration::from_secs(1);
+
 /// The right to send the first byte of a claimed request until a time on the
 /// holder's own clock.
 ///
@@ -51,6 +55,11 @@
         self.end
     }
 
+    /// Whether the claim should be renewed before dispatch.
+    pub(crate) fn short(&self, now: Time) -> bool {
+        now + RENEW >= self.end
+    }
+
     /// Whether the first byte may leave at `now`.
     ///
     /// Guards against an instance that froze between claim and dispatch. A
--- a/src/claim/machine.rs
+++ b/src/claim/machine.rs
@@ -5,7 +5,7 @@
 
 use crate::claim::message::{
     Action, Answered, Claim, Expire, Full, Granted, InProgress, Kept, MAX_KEPT, MAX_KEY, Outcome,
-    Release, Reply, Settle, Ticked, Token,
+    Purpose, Release, Reply, Settle, Ticked, Token,
 };
 use crate::claim::record::{DIGEST_LEN, FRESH, Id, Pending, RECORD_LEN, Record, State, head, id};
 use crate::claim::usage::{Place, Usage};
@@ -139,6 +139,7 @@
         let id = id(&claim.organisation, &claim.key);
         let (time, retention) = (self.time, self.retention());
         match self.records.get_mut(&id) {
+            _ if claim.purpose() == Purpose::Renew => self.renew(index, id, claim),
             Some(record) => found(record, claim, token, time, retention),
             None => self.grant(index, id, claim, token),
         }
@@ -167,6 +168,28 @@
         Reply::Granted(Granted { token: Some(token) })
     }
 
+    /// Lets a claim begin anew: a request may wait for a path for longer than
+    /// its claim lets it dispatch. A proposal that arrives twice gives the holder
+    /// more time than it takes.
+    fn renew(&mut self, index: u64, id: Id, claim: &Claim) -> Reply {
+        let ttl = claim.ttl.min(self.longest_wait());
+        let record = self.records.get_mut(&id);
+        let Some(record) = record.filter(|record| record.held(claim.token)) else {
+            return Reply::Stale(());
+        };
+        let token = claim.token;
+        match &mut record.state {
+            State::Pending(held) if !held.told => held.ttl = ttl,
+            _ => return Reply::Stale(()),
+        }
+        record.index = index;
+        record.since = FRESH;
+        self.fresh.push((index, id));
+        let organisation = record.organisation.clone();
+        self.trim(&organisation);
+        Reply::Granted(Granted { token })
+    }
+
     pub(super) fn insert(&mut self, id: Id, record: Record) {
         let place = (record.index, id);
         let organisation = &record.organisation;
@@ -246,10 +269,15 @@
         let Some(record) = self.records.remove(&id) else {
             return;
         };
+        let organisation = &record.organisation;
+        self.usage.remove(&self.bounds, organisation, record.cost());
+        self.trim(organisation);
+    }
+
+    fn trim(&mut self, organisation: &OrganisationId) {
         let records = &self.records;
         let live = |place: &Place| is_live(records, *place);
-        self.usage
-            .remove(&self.bounds, &record.organisation, record.cost(), live);
+        self.usage.trim(organisation, live);
     }
 
     fn expire(&mut self, index: u64, expire: Expire) -> Reply {
@@ -360,17 +388,18 @@
         State::Pending(held) if held.token == token => {
             Reply::Granted(Granted { token: Some(token) })
         }
-        State::Pending(held) => pending(held, token, age),
+        State::Pending(held) => pending(held, claim, token, age),
     }
 }
 
-fn pending(held: &mut Pending, token: Token, age: u64) -> Reply {
+fn pending(held: &mut Pending, claim: &Claim, token: Token, age: u64) -> Reply {
     let holder = held.token;
     // A holder that started again has lost what it ran.
     let restarted = holder.holder == token.holder && holder.incarnation < token.incarnation;
     let starting = age < u64::from(held.start) && !restarted;
-    held.told |= !starting;
-    if restarted || age >= u64::from(held.ttl) {
+    let doubted = claim.purpose() == Purpose::Doubt && !starting;
+    if restarted || doubted || age >= u64::from(held.ttl) {
+        held.told = true;
         return Reply::Unknown(());
     }
     Reply::InProgress(InProgress {
--- a/src/claim/message.rs
+++ b/src/claim/message.rs
@@ -64,6 +64,24 @@
     /// Time within which the outcome is awaited, in milliseconds.
     #[prost(uint32, tag = "6")]
     pub(crate) ttl: u32,
+    /// What the claim is sent for.
+    #[prost(enumeration = "Purpose", tag = "7")]
+    pub(crate) purpose: i32,
+}
+
+/// What a [`Claim`] is sent for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+pub(crate) enum Purpose {
+    /// To get the only run.
+    Run = 0,
+    /// The same, by an asker that was told [`InProgress`] and believes that the
+    /// holder is down. It is told that the outcome is unknown as soon as the
+    /// holder can't dispatch any more.
+    Doubt = 1,
+    /// By the holder, to begin anew before it dispatches. That fails with
+    /// [`Reply::Stale`] once someone was told that the outcome is unknown, or
+    /// when the claim is forgotten.
+    Renew = 2,
 }
 
 /// An answer that is kept for later sendings with the same key.
@@ -246,7 +264,8 @@
     /// The settlement or release was applied.
     #[prost(message, tag = "7")]
     Done(()),
-    /// The settlement or release isn't by the claim's holder, or comes late.
+    /// The renewal, settlement or release isn't by the claim's holder, or comes
+    /// late.
     #[prost(message, tag = "8")]
     Stale(()),
     /// The state of the register's time.
--- a/src/claim/usage.rs
+++ b/src/claim/usage.rs
@@ -94,15 +94,8 @@
         }
     }
 
-    /// Counts a claim of `bytes` that is gone. `live` tells which places still
-    /// have a record.
-    pub(super) fn remove(
-        &mut self,
-        bounds: &Bounds,
-        organisation: &OrganisationId,
-        bytes: u64,
-        live: impl Fn(&Place) -> bool,
-    ) {
+    /// Counts a claim of `bytes` that is gone.
+    pub(super) fn remove(&mut self, bounds: &Bounds, organisation: &OrganisationId, bytes: u64) {
         self.change(bounds, organisation, bytes, 0);
         let Some(tenant) = self.tenants.get_mut(organisation) else {
             return;
@@ -110,10 +103,17 @@
         tenant.count -= 1;
         if tenant.count == 0 {
             self.tenants.remove(organisation);
-            return;
         }
-        // Requests that are refused and released at a high rate must not fill
-        // the memory with places of claims that are gone.
+    }
+
+    /// Drops places that aren't `live`, if there are many.
+    ///
+    /// Requests that are refused and released, or renewed, at a high rate must
+    /// not fill the memory with places of claims that are gone.
+    pub(super) fn trim(&mut self, organisation: &OrganisationId, live: impl Fn(&Place) -> bool) {
+        let Some(tenant) = self.tenants.get_mut(organisation) else {
+            return;
+        };
         if tenant.order.len() > 2 * tenant.count + SLACK {
             tenant.order.retain(live);
         }
--- a/src/request/event.rs
+++ b/src/request/event.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use crate::claim::{Outcome, Token};
+use crate::claim::{ClaimLease, Outcome, Token};
 use crate::clock::Time;
 use crate::id::UpstreamId;
 use crate::request::{Answer, Frame, Hop, RequestId};
@@ -60,6 +60,8 @@
         attempt: u32,
         /// Planned path.
         path: Vec<Hop>,
+        /// The claim's new lease, if it was renewed.
+        lease: Option<ClaimLease>,
     },
     /// The attempt can't be opened.
     Unopened {
@@ -131,8 +133,9 @@
 /// What a [`super::Generation`] tells its driver to do.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Effect {
-    /// Choose a path and answer with `Started` or `Unopened`. Attempts after
-    /// the first take from the retry budget.
+    /// Choose a path, renew the claim if its lease is short, and answer with
+    /// `Started` or `Unopened`. Attempts after the first take from the retry
+    /// budget.
     Open {
         /// Counts from 1.
         attempt: u32,
--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -3,7 +3,7 @@
 use std::mem;
 use std::time::Duration;
 
-use crate::claim::{Kept, MAX_KEPT, Outcome};
+use crate::claim::{ClaimLease, Kept, MAX_KEPT, Outcome};
 use crate::clock::Time;
 use crate::id::UpstreamId;
 use crate::request::attempt::{Attempt, Verdict};
@@ -72,6 +72,14 @@
         &self.texts
     }
 
+    /// The claim that the request still waits with.
+    pub(crate) fn waiting(&self) -> Option<&ClaimLease> {
+        match &self.stage {
+            Stage::Ready(life) => life.lease(),
+            _ => None,
+        }
+    }
+
     /// Whether the final answer was given.
     pub(crate) fn finished(&self) -> bool {
         matches!(self.stage, Stage::Finished)
@@ -95,7 +103,11 @@
             return self.expire(out);
         }
         match event {
-            Event::Started { attempt, path } => self.started(attempt, path, out),
+            Event::Started {
+                attempt,
+                path,
+                lease,
+            } => self.started(attempt, path, lease, out),
             Event::Unopened {
                 attempt,
                 reason,
@@ -155,7 +167,13 @@
         });
     }
 
-    fn started(&mut self, attempt: u32, path: Vec<Hop>, out: &mut Vec<Effect>) {
+    fn started(
+        &mut self,
+        attempt: u32,
+        path: Vec<Hop>,
+        lease: Option<ClaimLease>,
+        out: &mut Vec<Effect>,
+    ) {
         if attempt != self.number || self.attempt.is_some() {
             return out.push(Effect::Cancel { attempt });
         }
@@ -163,7 +181,7 @@
             return self.unopened(attempt, Unopened::NoPath, None, out);
         }
         self.stage = match self.take() {
-            Stage::Ready(life) => match life.dispatch(self.now) {
+            Stage::Ready(life) => match life.renew(lease).dispatch(self.now) {
                 Ok(life) => Stage::Sent(life),
                 Err(life) => return refuse(life, self.now, RefusalCode::ClaimLapsed, None, out),
             },
--- a/src/request/life.rs
+++ b/src/request/life.rs
@@ -154,14 +154,12 @@
     }
 
     /// Goes on as the claims replied: dispatch if `lease` was granted, else the
-    /// final answer. `alive` tells whether the holder that an
-    /// [`Reply::InProgress`] names is believed to be up.
+    /// final answer.
     pub(crate) fn claimed(
         self,
         now: Time,
         lease: ClaimLease,
         reply: Reply,
-        alive: bool,
     ) -> Result<Life<Claimed<P>>, Answer> {
         let failed = |code, retry| Answer::Failed(Failure::new(code, retry));
         let not_run = |code| Answer::Refused(Refusal::new(code, Ran::No, None));
@@ -172,10 +170,8 @@
                     lease: Some(lease),
                 }));
             }
-            Reply::InProgress(held) if alive || held.starting => {
-                failed(FailureCode::InProgress, Some(DEFAULT_PAUSE))
-            }
-            Reply::InProgress(_) | Reply::Unknown(()) => failed(FailureCode::OutcomeUnknown, None),
+            Reply::InProgress(_) => failed(FailureCode::InProgress, Some(DEFAULT_PAUSE)),
+            Reply::Unknown(()) => failed(FailureCode::OutcomeUnknown, None),
             Reply::Answered(Answered { kept: Some(kept) }) => Answer::Kept(kept),
             Reply::Answered(_) => failed(FailureCode::AnswerNotKept, None),
             // A late reply may be outdated: the key may have been used since.
@@ -202,6 +198,15 @@
         self.state.lease.as_ref()
     }
 
+    /// Takes the new lease of a claim that was renewed.
+    pub(crate) fn renew(mut self, lease: Option<ClaimLease>) -> Self {
+        let held = self.state.lease.map(|held| held.token());
+        if lease.is_some_and(|lease| Some(lease.token()) == held) {
+            self.state.lease = lease;
+        }
+        self
+    }
+
     /// Allows the first byte to leave now, and only now.
     ///
     /// # Errors
--- a/src/serve/admit.rs
+++ b/src/serve/admit.rs
@@ -41,11 +41,12 @@
     }
 
     /// Name of the claim that the request has if it needs one.
-    pub(crate) fn claim_key(&self) -> Option<ClaimKey> {
+    pub(crate) fn claim_key(&self, digest: Vec<u8>) -> Option<ClaimKey> {
         let key = self.head.key.clone()?;
         Some(ClaimKey {
             organisation: self.organisation.to_string(),
             key,
+            digest,
         })
     }
 
--- a/src/serve/claims.rs
+++ b/src/serve/claims.rs
@@ -7,8 +7,10 @@
 
 use super::{Held, Serving};
 use crate::claim::{
-    Action, Bounds, Claim, ClaimLease, Outcome, Release, Reply, START, Settle, Token, shard,
+    Action, Bounds, Claim, ClaimLease, Outcome, Purpose, Release, Reply, START, Settle, Token,
+    shard,
 };
+use crate::clock::Time;
 use crate::id::Incarnation;
 use crate::propose::Proposer;
 use crate::request::{Admitted, Answer, Claimed, Life, RefusalCode};
@@ -20,11 +22,33 @@
 /// Margin behind the request's own time in which its outcome is awaited.
 const SETTLE_MARGIN: Duration = Duration::from_secs(5);
 
-/// Names one claim: the organisation and its key.
+/// What one claim is about.
 #[derive(Clone, Debug)]
 pub(crate) struct ClaimKey {
     pub(crate) organisation: String,
     pub(crate) key: String,
+    /// SHA-256 of what makes it the same request.
+    pub(crate) digest: Vec<u8>,
+}
+
+/// Gives a claim back that isn't used.
+///
+/// Guards against a caller that leaves while its claim is being recorded: the
+/// task ends at that point, and its next sending would be told "in progress"
+/// and then "unknown" of a request that nobody runs.
+struct Unused {
+    serving: Arc<Serving>,
+    key: ClaimKey,
+    token: Token,
+    armed: bool,
+}
+
+impl Drop for Unused {
+    fn drop(&mut self) {
+        if self.armed {
+            self.serving.release(self.key.clone(), self.token);
+        }
+    }
 }
 
 /// SHA-256 over the parts of a request that make it the same request.
@@ -43,8 +67,7 @@
         self: &Arc<Self>,
         life: Life<Admitted<Held>>,
         key: Option<&ClaimKey>,
-        digest: Vec<u8>,
-        time: Duration,
+        deadline: Time,
     ) -> Result<Life<Claimed<Held>>, Answer> {
         let (life, key) = match (life.unclaimed(), key) {
             (Ok(life), _) => return Ok(life),
@@ -52,30 +75,72 @@
             (Err(life), None) => return Err(life.refuse(RefusalCode::ClaimUnavailable, None)),
         };
         let token = Token::from(life.id);
-        let lease = ClaimLease::new(token, self.now(), Bounds::default().retention);
+        let lease = self.lease(token);
+        let mut unused = Unused {
+            serving: Arc::clone(self),
+            key: key.clone(),
+            token,
+            armed: true,
+        };
+        let mut reply = self.claims(key, token, deadline, Purpose::Run).await;
+        if self.doubts(reply.as_ref()) {
+            reply = self.claims(key, token, deadline, Purpose::Doubt).await;
+        }
+        let Some(reply) = reply else {
+            return Err(life.refuse(RefusalCode::ClaimUnavailable, None));
+        };
+        // A claim of ours that others count as lost is given back as well.
+        unused.armed = matches!(reply, Reply::Stale(()));
+        life.claimed(self.now(), lease, reply)
+    }
+
+    /// Renews a claim before dispatch. `None` leaves it as it is.
+    pub(crate) async fn renew(
+        &self,
+        key: &ClaimKey,
+        token: Token,
+        deadline: Time,
+    ) -> Option<ClaimLease> {
+        let lease = self.lease(token);
+        let reply = self.claims(key, token, deadline, Purpose::Renew).await?;
+        matches!(reply, Reply::Granted(granted) if granted.token == Some(token)).then_some(lease)
+    }
+
+    /// The lease of a claim that is sent now.
+    fn lease(&self, token: Token) -> ClaimLease {
+        ClaimLease::new(token, self.now(), Bounds::default().retention)
+    }
+
+    /// Sends a claim and gives the reply, or `None` if it may not be recorded.
+    async fn claims(
+        &self,
+        key: &ClaimKey,
+        token: Token,
+        deadline: Time,
+        purpose: Purpose,
+    ) -> Option<Reply> {
+        let time = deadline.since(self.now());
         let claim = Claim {
             organisation: key.organisation.clone(),
             key: key.key.clone(),
-            digest,
+            digest: key.digest.clone(),
             token: Some(token),
             start: millis(START),
             ttl: millis(time + SETTLE_MARGIN),
+            purpose: purpose.into(),
         };
         let command = Action::Claim(claim).into_bytes();
         let reply = self.register(key).propose(command.into(), START).await;
-        let reply = reply.ok().and_then(|bytes| Reply::from_bytes(&bytes));
-        let Some(reply) = reply else {
-            // The claim may be recorded yet. It isn't used, so it is given
-            // back; else the caller's next try would find it taken.
-            self.release(key.clone(), token);
-            return Err(life.refuse(RefusalCode::ClaimUnavailable, None));
-        };
-        let holder = match &reply {
-            Reply::InProgress(found) => found.holder,
-            _ => None,
+        Reply::from_bytes(&reply.ok()?)
+    }
+
+    /// Whether the claim's holder is down and can't dispatch any more.
+    fn doubts(&self, reply: Option<&Reply>) -> bool {
+        let Some(Reply::InProgress(found)) = reply else {
+            return false;
         };
-        let alive = holder.is_some_and(|t| self.alive(t.instance(), Incarnation(t.incarnation)));
-        life.claimed(self.now(), lease, reply, alive)
+        let alive = |t: Token| self.alive(t.instance(), Incarnation(t.incarnation));
+        !found.starting && !found.holder.is_some_and(alive)
     }
 
     /// Records in the background that a claim wasn't used.
--- a/src/serve/complete.rs
+++ b/src/serve/complete.rs
@@ -71,17 +71,10 @@
         let Target::Model(model) = &route.target else {
             return Err(unread(RefusalCode::UnknownRoute));
         };
-        let key = known.claim_key();
+        let key = known.claim_key(request_digest(&[route.name.as_bytes(), &received.body]));
         let used = Arc::new(AtomicU32::new(0));
         let life = self
-            .enter(
-                known,
-                route,
-                &completion,
-                key.as_ref(),
-                &received.body,
-                &used,
-            )
+            .enter(known, route, &completion, key.as_ref(), &used)
             .await
             .map_err(|answer| (answer, Some((completion.clone(), form))))?;
         let (output, pieces) = mpsc::channel(OUTPUT);
@@ -114,7 +107,6 @@
         route: &Route,
         completion: &Completion,
         key: Option<&ClaimKey>,
-        body: &Bytes,
         used: &Arc<AtomicU32>,
     ) -> Result<Life<Claimed<super::Held>>, Answer> {
         let tokens = prompt_tokens(&completion.prompt) + completion.limit;
@@ -122,9 +114,7 @@
         let life = self
             .admit(life, route, tokens, known.deadline, used)
             .await?;
-        let digest = request_digest(&[route.name.as_bytes(), body]);
-        let time = known.deadline.since(self.now());
-        self.claim(life, key, digest, time).await
+        self.claim(life, key, known.deadline).await
     }
 }
 
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -13,7 +13,7 @@
 use super::service::{self, Call};
 use super::{Held, Serving};
 use crate::catalogue::Class;
-use crate::claim::Outcome as Settled;
+use crate::claim::{ClaimLease, Outcome as Settled};
 use crate::clock::Time;
 use crate::dispatch::{Placed, Placement, Unplaced};
 use crate::engine::{Cutoff, Engine, EngineError, EngineEvent, Events, HttpEngine, Order, Stage};
@@ -266,7 +266,10 @@
             }
         };
         match placed {
-            Ok(placed) => self.planned(attempt, placed),
+            Ok(placed) => {
+                let lease = self.renew().await;
+                self.planned(attempt, placed, lease)
+            }
             Err((Unplaced::NoPath, pause)) => Event::Unopened {
                 attempt,
                 reason: Unopened::NoPath,
@@ -314,7 +317,18 @@
         }
     }
 
-    fn planned(&mut self, attempt: u32, placed: Placed) -> Event {
+    /// Renews the claim if the wait for a path has used up its lease.
+    async fn renew(&self) -> Option<ClaimLease> {
+        let held = self.generation.waiting()?;
+        let key = self.job.key.as_ref()?;
+        if !held.short(self.serving.now()) {
+            return None;
+        }
+        let deadline = self.job.deadline;
+        self.serving.renew(key, held.token(), deadline).await
+    }
+
+    fn planned(&mut self, attempt: u32, placed: Placed, lease: Option<ClaimLease>) -> Event {
         let view = self.serving.parts.fleet.upstreams();
         let path: Option<Vec<Stage>> = placed
             .hops
@@ -348,6 +362,7 @@
         Event::Started {
             attempt,
             path: hops,
+            lease,
         }
     }
 
--- a/src/serve/service.rs
+++ b/src/serve/service.rs
@@ -92,15 +92,14 @@
         let used = Arc::new(AtomicU32::new(1));
         let life = known.life(route);
         let life = self.admit(life, route, 1, known.deadline, &used).await?;
-        let key = known.claim_key();
         let target = received.head.uri.path_and_query();
         let digest = request_digest(&[
             received.head.method.as_str().as_bytes(),
             target.map_or("", |p| p.as_str()).as_bytes(),
             &received.body,
         ]);
-        let time = known.deadline.since(self.now());
-        let life = self.claim(life, key.as_ref(), digest, time).await?;
+        let key = known.claim_key(digest);
+        let life = self.claim(life, key.as_ref(), known.deadline).await?;
         let call = call(known, received, life.idempotent);
         let slot = Arc::clone(&call.slot);
         let (output, pieces) = mpsc::channel(OUTPUT);
--- a/src/tests/claim.rs
+++ b/src/tests/claim.rs
@@ -7,7 +7,7 @@
 use crate::Time;
 use crate::claim::{
     Action, Answered, Bounds, Claim, Claims, Expire, Full, Granted, InProgress, Kept, MAX_KEPT,
-    Outcome, Release, Reply, Settle, Ticked, Ticker, Token, shard,
+    Outcome, Purpose, Release, Reply, Settle, Ticked, Ticker, Token, shard,
 };
 use crate::voter::Machine;
 
@@ -35,6 +35,16 @@
     }
 
     fn claim(&mut self, organisation: &str, key: &str, token: Token) -> Reply {
+        self.claim_for(Purpose::Run, organisation, key, token)
+    }
+
+    fn claim_for(
+        &mut self,
+        purpose: Purpose,
+        organisation: &str,
+        key: &str,
+        token: Token,
+    ) -> Reply {
         self.step(Action::Claim(Claim {
             organisation: organisation.into(),
             key: key.into(),
@@ -42,6 +52,7 @@
             token: Some(token),
             start: 2_000,
             ttl: 8_000,
+            purpose: purpose.into(),
         }))
     }
 
@@ -144,12 +155,41 @@
     let mut log = Log::new(Bounds::default());
     log.claim("a", "k", HOLDER);
     log.pass(ms);
-    log.claim("a", "k", token(2, 1, 1));
+    log.claim_for(Purpose::Doubt, "a", "k", token(2, 1, 1));
     assert_eq!(log.release(token(2, 1, 1)), Reply::Stale(()));
     assert_eq!(log.release(HOLDER), Reply::Done(()));
     assert_eq!(log.claim("a", "k", token(3, 1, 1)), reply);
 }
 
+/// A letter waits for a path, and its caller asks again meanwhile. The holder
+/// renews its claim and goes on, unless someone was told "unknown".
+#[rstest]
+#[case::asked(Purpose::Run, 4_000, granted(HOLDER), in_progress(0, true))]
+#[case::early(Purpose::Doubt, 1_000, granted(HOLDER), in_progress(0, true))]
+#[case::told(Purpose::Doubt, 4_000, Reply::Stale(()), Reply::Unknown(()))]
+fn claim_renew(
+    #[case] purpose: Purpose,
+    #[case] ms: u64,
+    #[case] renewed: Reply,
+    #[case] reply: Reply,
+) {
+    let asker = token(2, 1, 1);
+    let mut log = Log::new(Bounds::default());
+    assert_eq!(
+        log.claim_for(Purpose::Renew, "a", "k", HOLDER),
+        Reply::Stale(())
+    );
+    log.claim("a", "k", HOLDER);
+    log.pass(ms);
+    log.claim_for(purpose, "a", "k", asker);
+    assert_eq!(
+        log.claim_for(Purpose::Renew, "a", "k", asker),
+        Reply::Stale(())
+    );
+    assert_eq!(log.claim_for(Purpose::Renew, "a", "k", HOLDER), renewed);
+    assert_eq!(log.claim_for(Purpose::Doubt, "a", "k", asker), reply);
+}
+
 /// A ticker's proposal is delayed for ten seconds while a claim is made. The
 /// claim is young: what passed before it must not count.
 #[test]
@@ -227,6 +267,7 @@
         token: Some(token(2, 1, 1)),
         start: 2_000,
         ttl: 8_000,
+        purpose: Purpose::Run.into(),
     };
     assert_eq!(log.step(Action::Claim(claim)), Reply::Mismatch(()));
 }
--- a/src/tests/generation.rs
+++ b/src/tests/generation.rs
@@ -67,7 +67,7 @@
             Ok(life) => life,
             Err(life) => {
                 let lease = ClaimLease::new(token, START, RETENTION);
-                life.claimed(START, lease, granted, true).expect("granted")
+                life.claimed(START, lease, granted).expect("granted")
             }
         };
         let mut out = Vec::new();
@@ -80,7 +80,11 @@
 
     fn start(&mut self, attempt: u32) {
         let path = path();
-        self.step(Event::Started { attempt, path });
+        self.step(Event::Started {
+            attempt,
+            path,
+            lease: None,
+        });
         let sent = |e: &Effect| matches!(e, Effect::Send { attempt: a, .. } if *a == attempt);
         assert!(self.out.len() == 1 && self.out.iter().all(sent));
     }
@@ -186,7 +190,11 @@
 #[case::empty(vec![])]
 fn started_bad_path(#[case] path: Vec<Hop>) {
     let mut run = Run::opened(true, false);
-    run.step(Event::Started { attempt: 1, path });
+    run.step(Event::Started {
+        attempt: 1,
+        path,
+        lease: None,
+    });
     assert_eq!(run.answer(), Some(("no_upstream", Ran::No)));
 }
 
@@ -276,12 +284,40 @@
     let mut run = Run::opened(false, true);
     run.now = START + Duration::from_secs(2);
     let path = path();
-    run.step(Event::Started { attempt: 1, path });
+    run.step(Event::Started {
+        attempt: 1,
+        path,
+        lease: None,
+    });
     let token = Token::from(id());
     assert_eq!(run.out[0], Effect::Release { token });
     assert_eq!(run.answer(), Some(("claim_lapsed", Ran::No)));
 }
 
+/// A letter waits for a path for longer than its claim lets it dispatch. The
+/// claim is renewed and the letter goes out; another's lease is of no use.
+#[rstest]
+#[case::own(9, true)]
+#[case::other(8, false)]
+fn started_renewed(#[case] sequence: u64, #[case] sent: bool) {
+    let mut run = Run::opened(false, true);
+    let held = run.generation.waiting().expect("a claim");
+    assert!(!held.short(START));
+    run.now = START + Duration::from_secs(5);
+    assert!(held.short(run.now));
+    let token = RequestId { sequence, ..id() };
+    let lease = Some(ClaimLease::new(token.into(), run.now, RETENTION));
+    let path = path();
+    run.step(Event::Started {
+        attempt: 1,
+        path,
+        lease,
+    });
+    let until = Some(run.now + Duration::from_millis(1_800));
+    assert_eq!(run.out == [Effect::Send { attempt: 1, until }], sent);
+    assert_eq!(run.answer().is_none(), sent);
+}
+
 #[rstest]
 #[case::first(0, 999, None)]
 #[case::first_late(0, 1000, Some((2, 0)))]
--- a/src/tests/life.rs
+++ b/src/tests/life.rs
@@ -11,7 +11,7 @@
 use check::Totals;
 use world::World;
 
-const RUNS: u64 = 300;
+const RUNS: u64 = 500;
 
 /// A caller sends a letter's request, and sends it again through another
 /// instance when the answer is lost. Meanwhile instances crash and freeze
--- a/src/tests/life/register.rs
+++ b/src/tests/life/register.rs
@@ -5,8 +5,8 @@
 use rand::RngExt;
 
 use super::world::{Back, Caller, END, Permit, Phase, RETENTION, Sending, What, World};
-use crate::claim::{self, Action, Claim, ClaimLease, Claims, Granted, Reply, Token};
-use crate::request::{Admitted, Effect, Life, RefusalCode};
+use crate::claim::{self, Action, Claim, ClaimLease, Claims, Granted, Purpose, Reply, Token};
+use crate::request::{Admitted, Effect, Event, Life, RefusalCode};
 use crate::voter::Machine;
 
 /// An empty replica.
@@ -24,7 +24,7 @@
 }
 
 impl World {
-    pub(super) fn claim(&self, sending: usize) -> Action {
+    pub(super) fn claim(&self, sending: usize, purpose: Purpose) -> Action {
         let Sending { caller, id, .. } = &self.sendings[sending];
         let Caller {
             organisation, key, ..
@@ -36,6 +36,7 @@
             token: Some(Token::from(*id)),
             start: 2_000,
             ttl: 8_000,
+            purpose: purpose.into(),
         })
     }
 
@@ -88,6 +89,7 @@
         let reply = Reply::from_bytes(reply).expect("a reply");
         match (back, reply) {
             (Back::Claim(sending), reply) => self.claimed(sending, reply),
+            (Back::Renew(sending), reply) => self.renewed(sending, &reply),
             (Back::Tick(instance), Reply::Ticked(ticked)) => {
                 let now = self.local(instance);
                 self.instances[instance].ticker.heard(now, ticked);
@@ -97,14 +99,52 @@
     }
 
     fn claimed(&mut self, sending: usize, reply: Reply) {
-        let alive = self.chance(50);
+        // Whether the holder is believed to be down has nothing to do with
+        // whether it is.
+        let held = matches!(&reply, Reply::InProgress(found) if !found.starting);
+        if held && self.chance(50) {
+            let doubt = self.claim(sending, Purpose::Doubt);
+            return self.propose(doubt, Back::Claim(sending));
+        }
         let now = self.local(self.sendings[sending].instance);
         if let Some((life, lease)) = self.waiting(sending) {
-            self.generate(sending, life.claimed(now, lease, reply, alive));
+            self.generate(sending, life.claimed(now, lease, reply));
+        }
+    }
+
+    /// Renews the claim before the attempt starts, if its lease is short.
+    pub(super) fn start(&mut self, sending: usize, event: Event) {
+        let now = self.local(self.sendings[sending].instance);
+        let Phase::Running(generation) = &self.sendings[sending].phase else {
+            return;
+        };
+        let short = generation.waiting().is_some_and(|lease| lease.short(now));
+        if !short {
+            return self.step(sending, event);
+        }
+        let retention = Duration::from_millis(RETENTION);
+        let lease = ClaimLease::new(self.sendings[sending].id.into(), now, retention);
+        self.sendings[sending].renewing = Some((event, lease));
+        self.propose(self.claim(sending, Purpose::Renew), Back::Renew(sending));
+        self.push(900, What::Patience(sending));
+    }
+
+    fn renewed(&mut self, sending: usize, reply: &Reply) {
+        if let Some((Event::Started { attempt, path, .. }, held)) =
+            self.sendings[sending].renewing.take()
+        {
+            let lease = matches!(reply, Reply::Granted(_)).then_some(held);
+            let event = Event::Started {
+                attempt,
+                path,
+                lease,
+            };
+            self.step(sending, event);
         }
     }
 
     pub(super) fn patience(&mut self, sending: usize) {
+        self.renewed(sending, &Reply::Stale(()));
         if let Some((life, lease)) = self.waiting(sending) {
             self.generate(
                 sending,
--- a/src/tests/life/world.rs
+++ b/src/tests/life/world.rs
@@ -13,7 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::budget::Budget;
-use crate::claim::{self, Action, ClaimLease, Claims, Ticker};
+use crate::claim::{self, Action, ClaimLease, Claims, Purpose, Ticker};
 use crate::request::{
     Admitted, Answer, Bounds, Cause, Claimed, Effect, Event, Generation, Hop, Life, RequestId,
     Unopened,
@@ -67,6 +67,7 @@
 #[derive(Clone, Copy)]
 pub(super) enum Back {
     Claim(usize),
+    Renew(usize),
     Tick(usize),
     Nobody,
 }
@@ -91,6 +92,8 @@
     pub(super) emitted: u32,
     pub(super) resume: u32,
     pub(super) path: Vec<Hop>,
+    /// A start that waits for a renewal, and the lease that this gives.
+    pub(super) renewing: Option<(Event, ClaimLease)>,
     /// The attempt whose connection is open.
     flight: Option<u32>,
     /// The last attempt that was sent.
@@ -224,7 +227,7 @@
             What::Patience(s)
             | What::Event(s, _)
             | What::Connected(s, ..)
-            | What::Reply(_, Back::Claim(s)) => Some(self.sendings[*s].instance),
+            | What::Reply(_, Back::Claim(s) | Back::Renew(s)) => Some(self.sendings[*s].instance),
             What::Poll(instance) | What::Reply(_, Back::Tick(instance)) => Some(*instance),
             _ => None,
         }
@@ -236,6 +239,7 @@
             What::Apply(command, back) => self.apply(&command, back),
             What::Reply(reply, back) => self.reply(&reply, back),
             What::Patience(sending) => self.patience(sending),
+            What::Event(sending, event @ Event::Started { .. }) => self.start(sending, event),
             What::Event(sending, event) => self.step(sending, event),
             What::Connected(sending, attempt, until) => self.connected(sending, attempt, until),
             What::Poll(instance) => self.poll(instance),
@@ -279,6 +283,7 @@
             emitted: 0,
             resume: 0,
             path: Vec::new(),
+            renewing: None,
             flight: None,
             sent: 0,
         });
@@ -288,7 +293,7 @@
             self.again(caller);
         }
         if needed {
-            self.propose(self.claim(number), Back::Claim(number));
+            self.propose(self.claim(number, Purpose::Run), Back::Claim(number));
             self.push(900, What::Patience(number));
         } else {
             let (life, _) = self.waiting(number).expect("just arrived");
@@ -320,7 +325,7 @@
         }
     }
 
-    fn step(&mut self, sending: usize, event: Event) {
+    pub(super) fn step(&mut self, sending: usize, event: Event) {
         let now = self.local(self.sendings[sending].instance);
         let mut out = Vec::new();
         if let Phase::Running(generation) = &mut self.sendings[sending].phase {
@@ -410,6 +415,7 @@
             None => Event::Started {
                 attempt,
                 path: self.path(sending, resume),
+                lease: None,
             },
         };
         let range = if self.chance(4) { 1_500..3_000 } else { 1..40 };
