--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -4,6 +4,7 @@
 mod auth;
 mod budget;
 mod claim;
+mod cli;
 mod engine;
 mod event;
 mod flow;
