Split the stage of a generation and the codes off; blame the first stage only

A refused connection without a named suspect excluded the whole path, though only the first stage takes connections from here: with few engines the retry found no path (broken_refused_excludes_first fails without it).

--- a/src/claim/machine.rs
+++ b/src/claim/machine.rs
@@ -4,18 +4,16 @@
 use std::time::Duration;
 
 use crate::claim::message::{
-    Action, Answered, Claim, Expire, Full, Granted, InProgress, Kept, MAX_KEPT, MAX_KEY, Outcome,
-    Purpose, Release, Reply, Settle, Ticked, Token,
+    Action, Claim, Expire, Full, Granted, Kept, MAX_KEPT, MAX_KEY, Outcome, Purpose, Release,
+    Reply, Settle, Ticked, Token,
+};
+use crate::claim::record::{
+    DIGEST_LEN, FRESH, Id, LONGEST_STEP, Pending, RECORD_LEN, Record, State, head, id,
 };
-use crate::claim::record::{DIGEST_LEN, FRESH, Id, Pending, RECORD_LEN, Record, State, head, id};
 use crate::claim::usage::{Place, Usage};
 use crate::collections::HashMap;
 use crate::id::OrganisationId;
 
-/// Most that one [`Expire`] moves the register's time, in milliseconds. After a
-/// longer gap the time lags behind, which only keeps claims for longer.
-const LONGEST_STEP: u64 = 2_000;
-
 /// Pause for an organisation that has no claim of its own to wait for, in
 /// milliseconds.
 const FULL_PAUSE: u64 = 60_000;
@@ -140,7 +138,7 @@
         let (time, retention) = (self.time, self.retention());
         match self.records.get_mut(&id) {
             _ if claim.purpose() == Purpose::Renew => self.renew(index, id, claim),
-            Some(record) => found(record, claim, token, time, retention),
+            Some(record) => record.found(claim, token, time, retention),
             None => self.grant(index, id, claim, token),
         }
     }
@@ -361,50 +359,3 @@
 fn is_live(records: &HashMap<Id, Record>, (index, id): Place) -> bool {
     records.get(&id).is_some_and(|record| record.index == index)
 }
-
-/// Replies to a claim of a key that is in use.
-fn found(record: &mut Record, claim: &Claim, token: Token, time: u64, retention: u64) -> Reply {
-    // What is said of a claim that is about to be forgotten must stay true
-    // until the caller reads it, although the key may be free and run by then.
-    let age = record.age(time);
-    let ending = age + u64::from(claim.start) + LONGEST_STEP >= retention;
-    if record.digest != head(&claim.digest) {
-        return if ending {
-            Reply::Unknown(())
-        } else {
-            Reply::Mismatch(())
-        };
-    }
-    match &mut record.state {
-        State::Kept(kept) => {
-            let kept = Some(Kept::clone(kept));
-            Reply::Answered(Answered { kept })
-        }
-        State::NotKept => Reply::Answered(Answered { kept: None }),
-        State::Unknown => Reply::Unknown(()),
-        State::Unrun if ending => Reply::Unknown(()),
-        State::Unrun => Reply::Unrun(()),
-        // The proposal arrived twice; the holder still dispatches once.
-        State::Pending(held) if held.token == token => {
-            Reply::Granted(Granted { token: Some(token) })
-        }
-        State::Pending(held) => pending(held, claim, token, age),
-    }
-}
-
-fn pending(held: &mut Pending, claim: &Claim, token: Token, age: u64) -> Reply {
-    let holder = held.token;
-    // A holder that started again has lost what it ran.
-    let restarted = holder.holder == token.holder && holder.incarnation < token.incarnation;
-    let starting = age < u64::from(held.start) && !restarted;
-    let doubted = claim.purpose() == Purpose::Doubt && !starting;
-    if restarted || doubted || age >= u64::from(held.ttl) {
-        held.told = true;
-        return Reply::Unknown(());
-    }
-    Reply::InProgress(InProgress {
-        holder: Some(holder),
-        age,
-        starting,
-    })
-}
--- a/src/claim/record.rs
+++ b/src/claim/record.rs
@@ -2,9 +2,14 @@
 
 use sha2::{Digest, Sha256};
 
-use crate::claim::message::{Kept, Token};
+use crate::claim::message::{Answered, Claim, Granted, InProgress, Kept, Purpose, Reply, Token};
 use crate::id::OrganisationId;
 
+/// Most that one [`Expire`](crate::claim::Expire) moves the register's time, in
+/// milliseconds. After a longer gap the time lags behind, which only keeps
+/// claims for longer.
+pub(super) const LONGEST_STEP: u64 = 2_000;
+
 /// Bytes that a claim is counted with, besides its kept answer: its entry in a
 /// map that is half full after it has grown, and its place in the order of age.
 /// The box of an awaited outcome isn't counted; few are awaited at a time.
@@ -122,4 +127,58 @@
     pub(super) fn held(&self, token: Option<Token>) -> bool {
         matches!(&self.state, State::Pending(pending) if Some(pending.token) == token)
     }
+
+    /// Replies to `claim` of its key at the register's `time`; all times are in
+    /// milliseconds.
+    pub(super) fn found(
+        &mut self,
+        claim: &Claim,
+        token: Token,
+        time: u64,
+        retention: u64,
+    ) -> Reply {
+        // What is said of a claim that is about to be forgotten must stay true
+        // until the caller reads it, although the key may be free and run by then.
+        let age = self.age(time);
+        let ending = age + u64::from(claim.start) + LONGEST_STEP >= retention;
+        if self.digest != head(&claim.digest) {
+            return if ending {
+                Reply::Unknown(())
+            } else {
+                Reply::Mismatch(())
+            };
+        }
+        match &mut self.state {
+            State::Kept(kept) => {
+                let kept = Some(Kept::clone(kept));
+                Reply::Answered(Answered { kept })
+            }
+            State::NotKept => Reply::Answered(Answered { kept: None }),
+            State::Unknown => Reply::Unknown(()),
+            State::Unrun if ending => Reply::Unknown(()),
+            State::Unrun => Reply::Unrun(()),
+            // The proposal arrived twice; the holder still dispatches once.
+            State::Pending(held) if held.token == token => {
+                Reply::Granted(Granted { token: Some(token) })
+            }
+            State::Pending(held) => pending(held, claim, token, age),
+        }
+    }
+}
+
+fn pending(held: &mut Pending, claim: &Claim, token: Token, age: u64) -> Reply {
+    let holder = held.token;
+    // A holder that started again has lost what it ran.
+    let restarted = holder.holder == token.holder && holder.incarnation < token.incarnation;
+    let starting = age < u64::from(held.start) && !restarted;
+    let doubted = claim.purpose() == Purpose::Doubt && !starting;
+    if restarted || doubted || age >= u64::from(held.ttl) {
+        held.told = true;
+        return Reply::Unknown(());
+    }
+    Reply::InProgress(InProgress {
+        holder: Some(holder),
+        age,
+        starting,
+    })
 }
--- a/src/request.rs
+++ b/src/request.rs
@@ -6,13 +6,16 @@
 
 mod answer;
 mod attempt;
+mod code;
 mod event;
 mod generation;
 mod id;
 mod life;
+mod stage;
 
-pub(crate) use answer::{Answer, Failure, FailureCode, Ran, Refusal, RefusalCode};
+pub(crate) use answer::{Answer, Failure, Refusal};
 pub(crate) use attempt::{Frame, Hop, covers};
+pub(crate) use code::{FailureCode, Ran, RefusalCode};
 pub(crate) use event::{Bounds, Cause, Effect, Event, Report, Unopened};
 pub(crate) use generation::Generation;
 pub(crate) use id::RequestId;
--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -8,18 +8,10 @@
 use crate::id::UpstreamId;
 use crate::request::attempt::{Attempt, Verdict};
 use crate::request::event::{Bounds, Cause, Effect, Event, Report, Unopened};
-use crate::request::life::{Answering, Claimed, DEFAULT_PAUSE, Dispatched, Life, Unrun};
+use crate::request::life::{Claimed, DEFAULT_PAUSE, Life, Unrun};
+use crate::request::stage::Stage;
 use crate::request::{FailureCode, Frame, Hop, RefusalCode, RequestId, covers};
 
-/// How far the request has come.
-#[derive(Debug)]
-enum Stage<P> {
-    Ready(Life<Claimed<P>>),
-    Sent(Life<Dispatched<P>>),
-    Running(Life<Answering<P>>),
-    Finished,
-}
-
 /// One generation, from its claim to its answer.
 ///
 /// Idempotent work goes on over another path behind the last verified token.
@@ -180,12 +172,12 @@
         if !covers(&path, self.bounds.layers) {
             return self.unopened(attempt, Unopened::NoPath, None, out);
         }
-        self.stage = match self.take() {
-            Stage::Ready(life) => match life.renew(lease).dispatch(self.now) {
-                Ok(life) => Stage::Sent(life),
-                Err(life) => return refuse(life, self.now, RefusalCode::ClaimLapsed, None, out),
-            },
-            stage => stage,
+        self.stage = match self.take().dispatch(self.now, lease) {
+            Ok(stage) => stage,
+            Err(stage) => {
+                self.stage = stage;
+                return self.end(RefusalCode::ClaimLapsed, None, out);
+            }
         };
         self.attempt = Some(Attempt {
             number: attempt,
@@ -233,7 +225,7 @@
     }
 
     fn emit(&mut self, index: u32, text: String, out: &mut Vec<Effect>) {
-        self.answering();
+        self.stage = self.take().answering();
         self.flowing = true;
         self.moved = self.now;
         self.texts.push(text.clone());
@@ -244,13 +236,6 @@
         });
     }
 
-    fn answering(&mut self) {
-        self.stage = match self.take() {
-            Stage::Sent(life) => Stage::Running(life.answering()),
-            stage => stage,
-        };
-    }
-
     fn done(&mut self, on: u32, request: &str, attempt: u32, count: u32, out: &mut Vec<Effect>) {
         if !self.current(on) {
             return;
@@ -273,24 +258,16 @@
         if self.flowing {
             return self.broken(attempt, Cause::Garbage, None, out);
         }
-        let first = self.attempt.as_ref().and_then(|a| a.path.first());
-        self.excluded.extend(first.map(|hop| hop.upstream.clone()));
+        self.excluded.extend(self.head());
         self.report(Report::Busy, out);
         if unrun {
-            self.unrun(Unrun::busy());
+            self.stage = self.take().unrun(Unrun::busy());
         } else {
-            self.answering();
+            self.stage = self.take().answering();
         }
         self.retry(RefusalCode::UpstreamBusy, out);
     }
 
-    fn unrun(&mut self, proof: Unrun) {
-        self.stage = match self.take() {
-            Stage::Sent(life) => Stage::Ready(life.unrun(proof)),
-            stage => stage,
-        };
-    }
-
     fn broken(
         &mut self,
         attempt: u32,
@@ -301,16 +278,27 @@
         if !self.current(attempt) {
             return;
         }
+        // Only the first stage takes connections from here.
+        let suspect = match cause {
+            Cause::Refused => suspect.or_else(|| self.head()),
+            _ => suspect,
+        };
         self.exclude(suspect.as_ref());
         self.report(Report::Broken { cause, suspect }, out);
         out.push(Effect::Cancel { attempt });
-        match cause {
-            Cause::Refused if !self.flowing => self.unrun(Unrun::refused()),
-            _ => self.answering(),
-        }
+        self.stage = match cause {
+            Cause::Refused if !self.flowing => self.take().unrun(Unrun::refused()),
+            _ => self.take().answering(),
+        };
         self.retry(RefusalCode::NoUpstream, out);
     }
 
+    /// The first stage of the attempt in flight.
+    fn head(&self) -> Option<UpstreamId> {
+        let first = self.attempt.as_ref()?.path.first()?;
+        Some(first.upstream.clone())
+    }
+
     fn exclude(&mut self, suspect: Option<&UpstreamId>) {
         let path = self.attempt.iter().flat_map(|a| &a.path);
         let blamed = path
@@ -351,57 +339,40 @@
     }
 
     fn expire(&mut self, out: &mut Vec<Effect>) {
-        self.abandon(out);
-        match self.take() {
-            Stage::Ready(life) => refuse(life, self.now, RefusalCode::QueueTimeout, None, out),
-            Stage::Sent(life) => fail(life.answering(), FailureCode::DeadlineExceeded, None, out),
-            Stage::Running(life) => fail(life, FailureCode::DeadlineExceeded, None, out),
-            Stage::Finished => {}
-        }
+        let failure = FailureCode::DeadlineExceeded;
+        self.give_up(RefusalCode::QueueTimeout, failure, None, out);
     }
 
+    /// The caller is gone. A request with a claim that may have run goes on
+    /// without it: it can't be run again, and the caller will ask for the kept
+    /// answer with the same key.
     fn left(&mut self, out: &mut Vec<Effect>) {
-        if self.keeps() {
-            return;
-        }
-        self.abandon(out);
-        match self.take() {
-            Stage::Ready(life) => refuse(life, self.now, RefusalCode::CallerLeft, None, out),
-            Stage::Sent(life) => fail(life.answering(), FailureCode::Cancelled, None, out),
-            Stage::Running(life) => fail(life, FailureCode::Cancelled, None, out),
-            Stage::Finished => {}
+        let ready = matches!(self.stage, Stage::Ready(_));
+        if ready || self.stage.lease().is_none() {
+            self.give_up(RefusalCode::CallerLeft, FailureCode::Cancelled, None, out);
         }
     }
 
-    /// Whether the request runs on without its caller, who will ask for the
-    /// kept answer with the same key: it can't be run again.
-    fn keeps(&self) -> bool {
-        match &self.stage {
-            Stage::Sent(life) => life.lease().is_some(),
-            Stage::Running(life) => life.lease().is_some(),
-            Stage::Ready(_) | Stage::Finished => false,
-        }
+    /// No further attempt is made.
+    fn end(&mut self, refusal: RefusalCode, pause: Option<Duration>, out: &mut Vec<Effect>) {
+        self.give_up(refusal, FailureCode::AnswerCut, pause, out);
     }
 
-    fn abandon(&mut self, out: &mut Vec<Effect>) {
+    fn give_up(
+        &mut self,
+        refusal: RefusalCode,
+        failure: FailureCode,
+        pause: Option<Duration>,
+        out: &mut Vec<Effect>,
+    ) {
         if let Some(Attempt { number, .. }) = self.attempt.take() {
             out.push(Effect::Cancel { attempt: number });
         }
-    }
-
-    /// Gives up, as far as the request has come.
-    fn end(&mut self, code: RefusalCode, pause: Option<Duration>, out: &mut Vec<Effect>) {
-        self.abandon(out);
-        match self.take() {
-            Stage::Ready(life) => refuse(life, self.now, code, pause, out),
-            Stage::Sent(life) => fail(life.answering(), FailureCode::AnswerCut, pause, out),
-            Stage::Running(life) => fail(life, FailureCode::AnswerCut, pause, out),
-            Stage::Finished => {}
-        }
+        self.take().end(self.now, refusal, failure, pause, out);
     }
 
     fn complete(&mut self, out: &mut Vec<Effect>) {
-        self.answering();
+        self.stage = self.take().answering();
         let Stage::Running(life) = self.take() else {
             return;
         };
@@ -425,31 +396,3 @@
         })
     }
 }
-
-fn refuse<P>(
-    life: Life<Claimed<P>>,
-    now: Time,
-    code: RefusalCode,
-    pause: Option<Duration>,
-    out: &mut Vec<Effect>,
-) {
-    if let Some(lease) = life.lease() {
-        let token = lease.token();
-        out.push(Effect::Release { token });
-    }
-    out.push(Effect::Finish(life.refuse(now, code, pause)));
-}
-
-fn fail<P>(
-    life: Life<Answering<P>>,
-    code: FailureCode,
-    pause: Option<Duration>,
-    out: &mut Vec<Effect>,
-) {
-    if let Some(lease) = life.lease() {
-        let token = lease.token();
-        let outcome = Outcome::Unknown(());
-        out.push(Effect::Settle { token, outcome });
-    }
-    out.push(Effect::Finish(life.fail(code, pause)));
-}
--- /dev/null
+++ b/src/request/stage.rs
@@ -0,0 +1,86 @@
+//! How far a generation has come, over the states of its [`Life`].
+
+use std::time::Duration;
+
+use crate::claim::{ClaimLease, Outcome};
+use crate::clock::Time;
+use crate::request::event::Effect;
+use crate::request::life::{Answering, Claimed, Dispatched, Life, Unrun};
+use crate::request::{FailureCode, RefusalCode};
+
+/// The life of a request in one of the states that a generation knows.
+#[derive(Debug)]
+pub(super) enum Stage<P> {
+    /// No byte has left, or it is proved that nothing ran.
+    Ready(Life<Claimed<P>>),
+    /// The first byte may have left.
+    Sent(Life<Dispatched<P>>),
+    /// Some attempt has run, or may have.
+    Running(Life<Answering<P>>),
+    /// The final answer was given.
+    Finished,
+}
+
+impl<P> Stage<P> {
+    /// The claim that the request holds.
+    pub(super) fn lease(&self) -> Option<&ClaimLease> {
+        match self {
+            Self::Ready(life) => life.lease(),
+            Self::Sent(life) => life.lease(),
+            Self::Running(life) => life.lease(),
+            Self::Finished => None,
+        }
+    }
+
+    /// An attempt is started; a byte may leave. On an error it must not.
+    pub(super) fn dispatch(self, now: Time, lease: Option<ClaimLease>) -> Result<Self, Self> {
+        match self {
+            Self::Ready(life) => match life.renew(lease).dispatch(now) {
+                Ok(life) => Ok(Self::Sent(life)),
+                Err(life) => Err(Self::Ready(life)),
+            },
+            stage => Ok(stage),
+        }
+    }
+
+    /// A token came, or an attempt ended without proof that nothing ran.
+    pub(super) fn answering(self) -> Self {
+        match self {
+            Self::Sent(life) => Self::Running(life.answering()),
+            stage => stage,
+        }
+    }
+
+    /// An attempt ended with proof that it ran nothing.
+    pub(super) fn unrun(self, proof: Unrun) -> Self {
+        match self {
+            Self::Sent(life) => Self::Ready(life.unrun(proof)),
+            stage => stage,
+        }
+    }
+
+    /// Gives up: with the refusal if nothing ran, else with the failure.
+    pub(super) fn end(
+        self,
+        now: Time,
+        refusal: RefusalCode,
+        failure: FailureCode,
+        pause: Option<Duration>,
+        out: &mut Vec<Effect>,
+    ) {
+        let token = self.lease().map(ClaimLease::token);
+        let answer = match self.answering() {
+            Self::Ready(life) => {
+                out.extend(token.map(|token| Effect::Release { token }));
+                life.refuse(now, refusal, pause)
+            }
+            Self::Running(life) => {
+                let outcome = Outcome::Unknown(());
+                out.extend(token.map(|token| Effect::Settle { token, outcome }));
+                life.fail(failure, pause)
+            }
+            Self::Sent(_) | Self::Finished => return,
+        };
+        out.push(Effect::Finish(answer));
+    }
+}
--- a/src/tests/answer.rs
+++ b/src/tests/answer.rs
@@ -6,7 +6,7 @@
 
 /// Variants that the exhaustive matches in the source name.
 fn named() -> usize {
-    let lines = include_str!("../request/answer.rs").lines().map(str::trim);
+    let lines = include_str!("../request/code.rs").lines().map(str::trim);
     let arms = lines.filter(|line| line.starts_with("Self::") && !line.contains(['(', '{']));
     let names = arms.filter_map(|line| line.split_once("=> \"")?.1.strip_suffix("\","));
     names.filter(|name| !name.contains(' ')).count()
--- a/src/tests/generation.rs
+++ b/src/tests/generation.rs
@@ -220,6 +220,17 @@
     assert!(attempt <= bounds().attempts);
 }
 
+/// The first engine has gone. The others of its path are well and must stay in
+/// the choice, else a fleet of few engines has no path left.
+#[test]
+fn broken_refused_excludes_first() {
+    let mut run = Run::sent(true, false);
+    run.broken(1, Cause::Refused);
+    let opened =
+        |e: &Effect| matches!(e, Effect::Open { exclude, .. } if *exclude == ["e1".into()]);
+    assert!(run.out.iter().any(opened));
+}
+
 /// One attempt ran and broke, the next finds every engine busy. The caller must
 /// not be told that nothing ran.
 #[test]
--- a/src/tests/life.rs
+++ b/src/tests/life.rs
@@ -3,6 +3,7 @@
 //! Each run is a discrete simulation with one seed. `LQ_RUNS` sets the number
 //! of runs.
 
+mod caller;
 mod check;
 mod engine;
 mod register;
--- a/src/tests/life/check.rs
+++ b/src/tests/life/check.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use super::caller::Sending;
 use super::engine::parts;
-use super::world::{Sending, TOKENS, WINDOW, World};
+use super::world::{TOKENS, WINDOW, World};
 use crate::request::{Answer, Ran, RequestId};
 
 /// Counts over all runs, to show that the runs reach what they should.
--- a/src/tests/life/engine.rs
+++ b/src/tests/life/engine.rs
@@ -2,7 +2,8 @@
 
 use rand::RngExt;
 
-use super::world::{LAYERS, Sending, TOKENS, World};
+use super::caller::Sending;
+use super::world::{LAYERS, TOKENS, World};
 use crate::request::{Cause, Event, Frame, Hop, Unopened};
 
 /// Text of a token: what it is a part of, and who sent it.
--- a/src/tests/life/register.rs
+++ b/src/tests/life/register.rs
@@ -4,7 +4,8 @@
 
 use rand::RngExt;
 
-use super::world::{Back, Caller, END, Permit, Phase, RETENTION, Sending, What, World};
+use super::caller::{Caller, Permit, Sending};
+use super::world::{Back, END, Phase, RETENTION, What, World};
 use crate::claim::{self, Action, Claim, ClaimLease, Claims, Granted, Purpose, Reply, Token};
 use crate::request::{Admitted, Effect, Event, Life, RefusalCode};
 use crate::voter::Machine;
--- a/src/tests/life/world.rs
+++ b/src/tests/life/world.rs
@@ -1,11 +1,10 @@
 //! The simulated fleet: clocks, instances, register, engines and callers.
 
-use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::rc::Rc;
 use std::time::Duration;
 
+use super::caller::{Caller, Permit, Sending};
 use super::check::{Totals, Work};
 use super::engine::{broken, unopened};
 use super::register::register;
@@ -13,12 +12,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::budget::Budget;
-use crate::claim::{self, Action, ClaimLease, Claims, Purpose, Ticker};
+use crate::claim::{self, Action, ClaimLease, Claims, Ticker};
 use crate::request::{
-    Admitted, Answer, Bounds, Cause, Claimed, Effect, Event, Generation, Hop, Life, RequestId,
-    Unopened,
+    Admitted, Answer, Bounds, Cause, Claimed, Effect, Event, Generation, Life, Unopened,
 };
-use crate::{HashMap, Incarnation, InstanceId, Time};
+use crate::{HashMap, Time};
 
 pub(super) const INSTANCES: usize = 3;
 pub(super) const CALLERS: usize = 24;
@@ -32,23 +30,6 @@
 /// claim is forgotten [`RETENTION`] after it, and runs up to `START` later.
 pub(super) const WINDOW: u64 = RETENTION - 2_000;
 
-/// Counts the permits given and not given back.
-#[derive(Debug)]
-pub(super) struct Permit(Rc<Cell<i64>>);
-
-impl Permit {
-    fn new(out: &Rc<Cell<i64>>) -> Self {
-        out.set(out.get() + 1);
-        Self(out.clone())
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 pub(super) enum What {
     /// A caller sends its request.
     Arrive(usize),
@@ -78,28 +59,6 @@
     Over,
 }
 
-pub(super) struct Sending {
-    pub(super) caller: usize,
-    pub(super) instance: usize,
-    pub(super) id: RequestId,
-    pub(super) phase: Phase,
-    pub(super) permits: Rc<Cell<i64>>,
-    /// Real time at which the register first granted its claim.
-    pub(super) granted: Option<u64>,
-    /// The grant that the register's reply is about.
-    pub(super) about: u64,
-    pub(super) answer: Option<Answer>,
-    pub(super) emitted: u32,
-    pub(super) resume: u32,
-    pub(super) path: Vec<Hop>,
-    /// A start that waits for a renewal, and the lease that this gives.
-    pub(super) renewing: Option<(Event, ClaimLease)>,
-    /// The attempt whose connection is open.
-    flight: Option<u32>,
-    /// The last attempt that was sent.
-    pub(super) sent: u32,
-}
-
 pub(super) struct Instance {
     pub(super) incarnation: u64,
     frozen: u64,
@@ -110,13 +69,6 @@
     budget: Budget,
 }
 
-#[derive(Clone)]
-pub(super) struct Caller {
-    pub(super) organisation: &'static str,
-    pub(super) key: Option<String>,
-    pub(super) idempotent: bool,
-}
-
 pub(super) struct World {
     pub(super) seed: u64,
     pub(super) rng: ChaCha8Rng,
@@ -250,57 +202,6 @@
         }
     }
 
-    pub(super) fn arrive(&mut self, caller: usize) {
-        let instance = self.rng.random_range(0..INSTANCES);
-        let Caller {
-            organisation,
-            key,
-            idempotent,
-        } = self.callers[caller].clone();
-        let incarnation = Incarnation(self.instances[instance].incarnation);
-        let number = self.sendings.len();
-        let id = RequestId {
-            instance: InstanceId(instance as u64 + 1),
-            incarnation,
-            sequence: number as u64,
-        };
-        let permits = Rc::new(Cell::new(0));
-        let life = Life::new(id, organisation.into(), idempotent, key.is_some());
-        let life = life.admit(Permit::new(&permits));
-        let retention = Duration::from_millis(RETENTION);
-        let lease = ClaimLease::new(id.into(), self.local(instance), retention);
-        let needed = life.needs_claim();
-        self.totals.sendings += 1;
-        self.sendings.push(Sending {
-            caller,
-            instance,
-            id,
-            phase: Phase::Waiting(life, lease),
-            permits,
-            granted: None,
-            about: 0,
-            answer: None,
-            emitted: 0,
-            resume: 0,
-            path: Vec::new(),
-            renewing: None,
-            flight: None,
-            sent: 0,
-        });
-        if self.chance(15) {
-            let delay = self.rng.random_range(0..600);
-            self.push(delay, What::Event(number, Event::CallerLeft));
-            self.again(caller);
-        }
-        if needed {
-            self.propose(self.claim(number, Purpose::Run), Back::Claim(number));
-            self.push(900, What::Patience(number));
-        } else {
-            let (life, _) = self.waiting(number).expect("just arrived");
-            self.generate(number, Ok(life.unclaimed().expect("needs no claim")));
-        }
-    }
-
     pub(super) fn generate(&mut self, sending: usize, next: Result<Life<Claimed<Permit>>, Answer>) {
         let mut out = Vec::new();
         match next {
@@ -427,14 +328,6 @@
         self.push(delay, What::Event(sending, event));
     }
 
-    /// The caller sends the same request again, if it may.
-    pub(super) fn again(&mut self, caller: usize) {
-        let delay = self.rng.random_range(50..4_000);
-        if self.callers[caller].key.is_some() && self.now + delay < END {
-            self.push(delay, What::Arrive(caller));
-        }
-    }
-
     fn crash(&mut self, instance: usize) {
         self.instances[instance].incarnation += 1;
         self.instances[instance].ticker = Ticker::new(Duration::from_millis(250));
