--- a/src/claim/snapshot.rs
+++ b/src/claim/snapshot.rs
@@ -1,21 +1,46 @@
 //! The register as a replicated state machine, and its snapshot.
+//!
+//! A snapshot is a [`Header`] and then a [`Saved`] for each claim, each with its
+//! length in front. It is written claim by claim: a message of all claims would
+//! take several times their memory.
 
 use prost::Message;
 
 use crate::claim::machine::Claims;
 use crate::claim::message::{Command, Kept, Outcome, Reply, Token};
-use crate::claim::record::{FRESH, Id, Pending, Record, State, head};
+use crate::claim::record::{DIGEST_LEN, FRESH, Id, Pending, Record, State};
+use crate::collections::HashMap;
 use crate::id::OrganisationId;
 use crate::voter::Machine;
 
+#[derive(Clone, PartialEq, Message)]
+struct Header {
+    #[prost(uint64, tag = "1")]
+    time: u64,
+    #[prost(uint64, tag = "2")]
+    tick: u64,
+    /// Names that [`Saved`] counts from 0, in alphabetical order.
+    #[prost(string, repeated, tag = "3")]
+    organisations: Vec<String>,
+}
+
+/// An [`Id`] without an allocation.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct Pair {
+    #[prost(fixed64, tag = "1")]
+    head: u64,
+    #[prost(fixed64, tag = "2")]
+    tail: u64,
+}
+
 #[derive(Clone, PartialEq, Message)]
 struct Saved {
-    #[prost(bytes = "vec", tag = "1")]
-    id: Vec<u8>,
-    #[prost(string, tag = "2")]
-    organisation: String,
-    #[prost(bytes = "vec", tag = "3")]
-    digest: Vec<u8>,
+    #[prost(message, required, tag = "1")]
+    id: Pair,
+    #[prost(uint32, tag = "2")]
+    organisation: u32,
+    #[prost(message, required, tag = "3")]
+    digest: Pair,
     #[prost(message, optional, tag = "4")]
     token: Option<Token>,
     #[prost(uint64, tag = "5")]
@@ -33,22 +58,31 @@
     outcome: Option<Outcome>,
 }
 
-#[derive(Clone, PartialEq, Message)]
-struct Snapshot {
-    #[prost(uint64, tag = "1")]
-    time: u64,
-    #[prost(uint64, tag = "2")]
-    tick: u64,
-    /// In order of their index, so that equal states give equal bytes.
-    #[prost(message, repeated, tag = "3")]
-    records: Vec<Saved>,
+impl From<Id> for Pair {
+    fn from(id: Id) -> Self {
+        let value = u128::from_be_bytes(id);
+        let half = |value: u128| u64::try_from(value & u128::from(u64::MAX)).unwrap_or(0);
+        Self {
+            head: half(value >> u64::BITS),
+            tail: half(value),
+        }
+    }
 }
 
-fn save(id: Id, record: &Record) -> Saved {
+impl From<Pair> for Id {
+    fn from(pair: Pair) -> Self {
+        let mut id = [0; DIGEST_LEN];
+        id[..8].copy_from_slice(&pair.head.to_be_bytes());
+        id[8..].copy_from_slice(&pair.tail.to_be_bytes());
+        id
+    }
+}
+
+fn save(id: Id, record: &Record, organisation: u32) -> Saved {
     let mut saved = Saved {
-        id: id.to_vec(),
-        organisation: record.organisation.to_string(),
-        digest: record.digest.to_vec(),
+        id: id.into(),
+        organisation,
+        digest: record.digest.into(),
         index: record.index,
         since: (record.since != FRESH).then_some(record.since),
         ..Saved::default()
@@ -84,7 +118,7 @@
     };
     Record {
         organisation,
-        digest: head(&saved.digest),
+        digest: saved.digest.into(),
         index: saved.index,
         since: saved.since.unwrap_or(FRESH),
         state,
@@ -100,32 +134,46 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        let saved = self.records.iter().map(|(id, record)| save(*id, record));
-        let mut records: Vec<_> = saved.collect();
-        records.sort_unstable_by_key(|record| record.index);
-        let snapshot = Snapshot {
+        let mut names = self.usage.names();
+        names.sort_unstable();
+        let numbers: HashMap<&OrganisationId, u32> = names.iter().zip(0..).collect();
+        let header = Header {
             time: self.time,
             tick: self.tick,
-            records,
+            organisations: names.iter().map(ToString::to_string).collect(),
         };
-        snapshot.encode_to_vec()
+        let mut out = header.encode_length_delimited_to_vec();
+        // In order of their index, so that equal states give equal bytes.
+        let mut records: Vec<_> = self.records.iter().collect();
+        records.sort_unstable_by_key(|(_, record)| record.index);
+        for (id, record) in records {
+            save(*id, record, numbers[&record.organisation])
+                .encode_length_delimited(&mut out)
+                .expect("a vector grows");
+        }
+        out
     }
 
     /// # Panics
     ///
     /// If the snapshot can't be read. A replica that went on with an empty
     /// register would grant claims a second time.
-    fn restore(&mut self, snapshot: &[u8]) {
-        let snapshot = Snapshot::decode(snapshot)
-            .expect("a snapshot of claims that this release can read: restore it from a replica");
+    fn restore(&mut self, mut snapshot: &[u8]) {
+        const READABLE: &str = "a snapshot of claims that this release wrote";
+        let header = Header::decode_length_delimited(&mut snapshot).expect(READABLE);
         *self = Self::new(self.bounds);
-        self.time = snapshot.time;
-        self.tick = snapshot.tick;
-        for saved in snapshot.records {
-            let organisation = OrganisationId::from(saved.organisation.as_str());
-            let id = head(&saved.id);
-            let record = load(saved, self.usage.name(organisation));
-            self.insert(id, record);
+        self.time = header.time;
+        self.tick = header.tick;
+        let names: Vec<OrganisationId> = header
+            .organisations
+            .iter()
+            .map(|name| OrganisationId::from(name.as_str()))
+            .collect();
+        while !snapshot.is_empty() {
+            let saved = Saved::decode_length_delimited(&mut snapshot).expect(READABLE);
+            let name = names[saved.organisation as usize].clone();
+            let id = saved.id.into();
+            self.insert(id, load(saved, name));
         }
     }
 }
