Let a request that finds an engine busy wait, instead of using up its attempts

Cause: instances share engines and learn late of each other's work, so an engine may be full when a request gets there. Four such attempts, or a retry budget that others used up, refused a request that had only to wait.

The deadline ends the wait, and a hundred such attempts do.

--- a/src/request/event.rs
+++ b/src/request/event.rs
@@ -16,7 +16,8 @@
     pub(crate) tokens: u32,
     /// Layers of the model.
     pub(crate) layers: u32,
-    /// Most attempts, the first one included.
+    /// Most attempts, the first one included. One that an engine was too busy
+    /// to run doesn't count.
     pub(crate) attempts: u32,
     /// End of the request's time.
     pub(crate) deadline: Time,
@@ -138,11 +139,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Effect {
     /// Choose a path, renew the claim if its lease is short, and answer with
-    /// `Started` or `Unopened`. Attempts after the first take from the retry
-    /// budget.
+    /// `Started` or `Unopened`.
     Open {
         /// Counts from 1.
         attempt: u32,
+        /// Whether it takes from the retry budget: an attempt before it broke.
+        retry: bool,
         /// Tokens that the attempt starts behind; see [`super::Generation::tokens`].
         resume: u32,
         /// Upstreams to avoid where another path exists.
--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -3,7 +3,7 @@
 use std::mem;
 use std::time::Duration;
 
-use crate::claim::{ClaimLease, Kept, MAX_KEPT, Outcome};
+use crate::claim::ClaimLease;
 use crate::clock::Time;
 use crate::id::UpstreamId;
 use crate::request::attempt::{Attempt, Verdict};
@@ -12,6 +12,10 @@
 use crate::request::stage::Stage;
 use crate::request::{FailureCode, Frame, Hop, RefusalCode, RequestId, covers};
 
+/// Attempts that may find an engine too busy. Routing leaves such an engine out
+/// for a moment, so this takes seconds; the deadline ends most waits before.
+const BUSY: u32 = 100;
+
 /// One generation, from its claim to its answer.
 ///
 /// Idempotent work goes on over another path behind the last verified token.
@@ -28,6 +32,8 @@
     stage: Stage<P>,
     /// Attempts opened so far.
     number: u32,
+    /// Those of them that an engine was too busy to run.
+    busy: u32,
     /// The attempt that may send tokens. `None` while a path is chosen.
     attempt: Option<Attempt>,
     /// Whether the attempt in flight has brought a token.
@@ -49,13 +55,14 @@
             now: Time::default(),
             stage: Stage::Ready(life),
             number: 0,
+            busy: 0,
             attempt: None,
             flowing: false,
             moved: Time::default(),
             texts: Vec::new(),
             excluded: Vec::new(),
         };
-        generation.open(out);
+        generation.open(false, out);
         generation
     }
 
@@ -150,10 +157,11 @@
         mem::replace(&mut self.stage, Stage::Finished)
     }
 
-    fn open(&mut self, out: &mut Vec<Effect>) {
+    fn open(&mut self, retry: bool, out: &mut Vec<Effect>) {
         self.number += 1;
         out.push(Effect::Open {
             attempt: self.number,
+            retry,
             resume: self.next(),
             exclude: self.excluded.clone(),
         });
@@ -258,14 +266,31 @@
         if self.flowing {
             return self.broken(attempt, Cause::Garbage, None, out);
         }
-        self.excluded.extend(self.head());
+        let head = self.head();
         self.report(Report::Busy, out);
         if unrun {
             self.stage = self.take().unrun(Unrun::busy());
+            self.requeue(out);
         } else {
+            self.excluded.extend(head);
             self.stage = self.take().answering();
+            self.retry(RefusalCode::UpstreamBusy, out);
+        }
+    }
+
+    /// Waits for another path.
+    ///
+    /// Several instances share the engines and learn late of each other's work,
+    /// so an engine may be full when a request gets there. That isn't a failure:
+    /// without this, four of them in a row, or a retry budget that others used
+    /// up, would refuse a request that only had to wait.
+    fn requeue(&mut self, out: &mut Vec<Effect>) {
+        self.busy += 1;
+        if self.busy < BUSY {
+            self.open(false, out);
+        } else {
+            self.end(RefusalCode::UpstreamBusy, Some(DEFAULT_PAUSE), out);
         }
-        self.retry(RefusalCode::UpstreamBusy, out);
     }
 
     fn broken(
@@ -322,8 +347,8 @@
             Stage::Running(life) => life.idempotent,
             Stage::Sent(_) | Stage::Finished => false,
         };
-        if again && self.number < self.bounds.attempts {
-            self.open(out);
+        if again && self.number - self.busy < self.bounds.attempts {
+            self.open(true, out);
         } else {
             self.end(code, Some(DEFAULT_PAUSE), out);
         }
@@ -372,27 +397,6 @@
     }
 
     fn complete(&mut self, out: &mut Vec<Effect>) {
-        self.stage = self.take().answering();
-        let Stage::Running(life) = self.take() else {
-            return;
-        };
-        if let Some(lease) = life.lease() {
-            let token = lease.token();
-            let outcome = self.kept();
-            out.push(Effect::Settle { token, outcome });
-        }
-        out.push(Effect::Finish(life.complete(self.next())));
-    }
-
-    fn kept(&self) -> Outcome {
-        let body = self.texts.concat().into_bytes();
-        if body.len() > MAX_KEPT {
-            return Outcome::NotKept(());
-        }
-        Outcome::Kept(Kept {
-            status: 200,
-            kind: "text/plain; charset=utf-8".into(),
-            body,
-        })
+        self.take().complete(&self.texts, out);
     }
 }
--- a/src/request/stage.rs
+++ b/src/request/stage.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::claim::{ClaimLease, Outcome};
+use crate::claim::{ClaimLease, Kept, MAX_KEPT, Outcome};
 use crate::clock::Time;
 use crate::request::event::Effect;
 use crate::request::life::{Answering, Claimed, Dispatched, Life, Unrun};
@@ -83,4 +83,29 @@
         };
         out.push(Effect::Finish(answer));
     }
+
+    /// The whole answer, of these tokens, was passed on.
+    pub(super) fn complete(self, texts: &[String], out: &mut Vec<Effect>) {
+        let Self::Running(life) = self.answering() else {
+            return;
+        };
+        if let Some(token) = life.lease().map(ClaimLease::token) {
+            let outcome = kept(texts);
+            out.push(Effect::Settle { token, outcome });
+        }
+        let count = u32::try_from(texts.len()).unwrap_or(u32::MAX);
+        out.push(Effect::Finish(life.complete(count)));
+    }
+}
+
+fn kept(texts: &[String]) -> Outcome {
+    let body = texts.concat().into_bytes();
+    if body.len() > MAX_KEPT {
+        return Outcome::NotKept(());
+    }
+    Outcome::Kept(Kept {
+        status: 200,
+        kind: "text/plain; charset=utf-8".into(),
+        body,
+    })
 }
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -210,10 +210,11 @@
         match effect {
             Effect::Open {
                 attempt,
+                retry,
                 resume,
                 exclude,
             } => {
-                let event = self.open(attempt, resume, exclude).await;
+                let event = self.open(attempt, retry, resume, exclude).await;
                 self.step(event, effects);
             }
             Effect::Send { attempt, until } => self.send(attempt, until),
@@ -246,10 +247,11 @@
     async fn open(
         &mut self,
         attempt: u32,
+        retry: bool,
         resume: u32,
         exclude: Vec<crate::id::UpstreamId>,
     ) -> Event {
-        if attempt > 1 && !self.retry_allowed() {
+        if retry && !self.retry_allowed() {
             return Event::Unopened {
                 attempt,
                 reason: Unopened::Budget,
