Don't take a small difference in speed for a slow engine

Cause: the factor by which an engine is slower than its peers was applied from 0.5 to 10; below 1.5 it mostly shows the load of some time ago.

--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -8,6 +8,10 @@
 const FAILURES: u32 = 3;
 /// How many times slower than its usual peer an engine may be.
 const SLOW: f64 = 3.0;
+/// How many times slower than its usual peer an engine must be before it is
+/// thought to be slow at all. Below, the difference is mostly the load of some
+/// time ago, and reacting to it late makes the load swing.
+const NOTICEABLE: f64 = 1.5;
 /// Answers before the speed of an engine is judged.
 const SAMPLES: u32 = 8;
 /// Weight of a new sample in the mean of the speed.
@@ -81,7 +85,11 @@
     /// Factor on the expected token time.
     pub(crate) fn slowness(&self) -> f64 {
         let failing = f64::from(1 + self.failures.min(8));
-        self.relative.unwrap_or(1.0) * failing
+        let relative = self.relative.unwrap_or(1.0);
+        if relative < NOTICEABLE {
+            return failing;
+        }
+        relative * failing
     }
 
     pub(crate) fn is_slow(&self, median: f64) -> bool {
