Compare two draws only as far as their load is known

Cause: with reports 5 s old every instance favoured the same engines for 5 s, and the load swung between engines.

Ruled out: one draw without comparison, which loses the fresh reports' worth.

--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -68,11 +68,22 @@
     /// Sequences that are on the engine by all that is known: own ones, and
     /// those of others, who fade from the last report to the usual load.
     pub(crate) fn load(&self, now: Time) -> f64 {
-        let age = now.since(self.stage.reported).as_secs_f64();
-        let worth = (-age / REPORT_WORTH).exp();
+        let worth = self.report_worth(now);
         f64::from(self.own) + self.usual + (self.others - self.usual) * worth
     }
 
+    /// How far [`load`](Self::load) is known: own sequences are, others as far
+    /// as the report is fresh.
+    pub(crate) fn knowledge(&self, now: Time) -> f64 {
+        let own = f64::from(self.own) + 1.0;
+        (own + self.others * self.report_worth(now)) / (own + self.others)
+    }
+
+    fn report_worth(&self, now: Time) -> f64 {
+        let age = now.since(self.stage.reported).as_secs_f64();
+        (-age / REPORT_WORTH).exp()
+    }
+
     /// Whether another sequence would only wait.
     pub(crate) fn is_full(&self, now: Time) -> bool {
         let refused = self.refused.is_some_and(|at| now.since(at) < REFUSED);
--- a/src/route/policy.rs
+++ b/src/route/policy.rs
@@ -11,6 +11,10 @@
 /// Draws of [`FlowShares`] for one hop, of which the cheapest is taken.
 const DRAWS: usize = 2;
 
+/// How many times cheaper an engine must be to be taken whatever the age of
+/// the reports: then it isn't load but a slow engine or a cached prefix.
+const CLEAR: f64 = 2.0;
+
 /// An engine that could be the next hop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate {
@@ -78,6 +82,12 @@
         self.walk.cost(candidate.engine, self.last)
     }
 
+    /// How far the load of an engine is known, from 0 to 1.
+    #[must_use]
+    pub fn knowledge(&self, candidate: Candidate) -> f64 {
+        self.walk.engines[candidate.engine].knowledge(self.walk.now)
+    }
+
     /// Requests of this instance in flight on an engine by its slots.
     #[must_use]
     pub fn in_flight(&self, candidate: Candidate) -> f64 {
@@ -99,17 +109,28 @@
     fn pick(&mut self, site: &Site<'_, '_>, rng: &mut ChaCha8Rng) -> Option<Candidate>;
 }
 
-/// The cheapest of a few draws by the flow's shares and of the engines that
-/// cached the prefix; of all engines when none of the drawn may be used.
+/// A draw by the flow's shares, unless a second draw or an engine that cached
+/// the prefix is cheaper; the cheapest of all engines when none of the drawn
+/// may be used.
+///
+/// Two draws are compared only as far as the load is known: with old reports
+/// all instances would favour the same engines for as long as the reports are
+/// old, and load would swing between engines.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FlowShares;
 
 impl Policy for FlowShares {
     fn pick(&mut self, site: &Site<'_, '_>, rng: &mut ChaCha8Rng) -> Option<Candidate> {
         let drawn: [Option<Candidate>; DRAWS] = std::array::from_fn(|_| site.draw(rng));
-        let few = drawn.into_iter().flatten().chain(site.cached());
-        let found = site.cheapest(few);
-        found.or_else(|| site.cheapest(site.candidates()))
+        let few = drawn.into_iter().flatten();
+        let first = few.clone().next();
+        let found = site.cheapest(few.chain(site.cached()));
+        let (Some(first), Some(found)) = (first, found) else {
+            return found.or_else(|| site.cheapest(site.candidates()));
+        };
+        let clear = site.cost(found) * CLEAR < site.cost(first);
+        let compare = clear || rng.random::<f64>() < site.knowledge(found);
+        Some(if compare { found } else { first })
     }
 }
 
