--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -3,6 +3,7 @@
 //!
 //! `cargo run --release --example bench -- --out DIR [--seed N]`
 
+mod fairness;
 mod fleet;
 mod output;
 mod routing;
@@ -33,6 +34,7 @@
     let out: &PathBuf = matches.get_one("out").ok_or("missing --out")?;
     let seed = *matches.get_one::<u64>("seed").ok_or("missing --seed")?;
     std::fs::create_dir_all(out)?;
+    fairness::run(out, seed)?;
     routing::run(out, seed)?;
     Ok(())
 }
