Add a bench of limit schemes; follow demand without chasing chance

Cause: leased shares must be weighed against a static split and gossip counters, and with 360 instances most see less than a request a second.

A request that waits can be tried again without counting as demand twice (Holder::retry).

--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -5,6 +5,7 @@
 
 mod fairness;
 mod fleet;
+mod limits;
 mod output;
 mod routing;
 
@@ -35,6 +36,7 @@
     let seed = *matches.get_one::<u64>("seed").ok_or("missing --seed")?;
     std::fs::create_dir_all(out)?;
     fairness::run(out, seed)?;
+    limits::run(out, seed)?;
     routing::run(out, seed)?;
     Ok(())
 }
--- a/src/limit/allocator.rs
+++ b/src/limit/allocator.rs
@@ -259,7 +259,7 @@
             let want = u64::from(own[k]);
             let part = match limit.checked_sub(self.wanted[k]) {
                 Some(spare) => want + spare / (holders + 1),
-                None => (limit * want / self.wanted[k]).max(want.min(1)),
+                None => divide(limit * want, self.wanted[k], key).max(want.min(1)),
             };
             u32::try_from(part).unwrap_or(u32::MAX).min(self.limit[k])
         })
@@ -343,6 +343,16 @@
     }
 }
 
+/// Divides, rounding up for as many holders as the remainder says. Rounded down
+/// for all, many small parts would leave much of a limit unused; the number of
+/// the instance decides, so that parts stay the same from grant to grant.
+fn divide(part: u64, by: u64, key: HolderKey) -> u64 {
+    const GOLDEN: u64 = 0x9E37_79B9_7F4A_7C15;
+    let place = key.0.wrapping_mul(GOLDEN) as f64 / u64::MAX as f64;
+    let remainder = (part % by) as f64 / by as f64;
+    part / by + u64::from(place < remainder)
+}
+
 impl Stake {
     /// Recounts what the issued grants expose.
     fn count(&mut self, epoch: u64) {
--- a/src/limit/holder.rs
+++ b/src/limit/holder.rs
@@ -20,6 +20,9 @@
 /// Time after which a route without use is asked for no longer.
 const FORGET: Duration = Duration::from_secs(10);
 
+/// Gain on a change of demand that may be chance.
+const SLOW: f64 = 0.2;
+
 /// Which limit a request met.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DenialReason {
@@ -137,12 +140,22 @@
     /// [`Denial`] with the limit met. With [`DenialReason::NoShare`] a question
     /// is due at once, and the request may wait for its answer.
     pub fn admit(&mut self, now: Time, route: &str, tokens: u32) -> Result<Permit, Denial> {
+        let local = entry(&mut self.routes, route);
+        local.seen.requests += 1;
+        local.seen.tokens += u64::from(tokens);
+        self.retry(now, route, tokens)
+    }
+
+    /// As [`admit`](Self::admit), for a request that was denied before and
+    /// waits. It doesn't count as demand a second time.
+    ///
+    /// # Errors
+    /// As [`admit`](Self::admit).
+    pub fn retry(&mut self, now: Time, route: &str, tokens: u32) -> Result<Permit, Denial> {
         self.collect();
         let valid = now < self.until;
         let until = self.until;
         let local = entry(&mut self.routes, route);
-        local.seen.requests += 1;
-        local.seen.tokens += u64::from(tokens);
         local.used = now;
         local.refill(now.min(until));
         if let Some(denial) = local.denial(valid, tokens) {
@@ -351,7 +364,7 @@
         let weight = (secs / PERIOD.as_secs_f64()).min(1.0);
         let rates = [f64::from(seen.requests) / secs, seen.tokens as f64 / secs];
         for (wanted, rate) in self.wanted.iter_mut().zip(rates) {
-            *wanted += (rate - *wanted) * weight;
+            *wanted += (rate - *wanted) * weight * gain(*wanted, rate);
         }
         let peak = seen.peak.max(self.running);
         Demand {
@@ -379,6 +392,17 @@
     routes.get_mut(route).expect("inserted above")
 }
 
+/// How much of a change of demand is believed at once. A change that may be
+/// chance is followed slowly: a share that was given up for a fall would be
+/// missed by the next request.
+fn gain(wanted: f64, rate: f64) -> f64 {
+    let chance = 3.0 * wanted.sqrt();
+    if (rate - wanted).abs() < chance {
+        return SLOW;
+    }
+    1.0
+}
+
 fn deny(reason: DenialReason, retry_after: Duration) -> Denial {
     Denial {
         reason,
