Tell the allocator at once that a smaller share is in use

Cause: a share that was taken away could be granted to others only a period later, when the holder's next question told that it uses the smaller one.

Guard off: due_after_shrunk_share fails.

--- a/src/limit/holder.rs
+++ b/src/limit/holder.rs
@@ -285,6 +285,7 @@
 
     fn replace(&mut self, now: Time, until: Time, grant: &Grant) {
         let lapsed = now >= self.until;
+        self.urgent |= self.shrinks(grant);
         for local in self.routes.values_mut() {
             local.refill(now.min(self.until));
             local.share = Amounts::default();
@@ -301,6 +302,17 @@
         self.until = until;
     }
 
+    /// Whether a grant takes a noticeable part of a share away. The allocator
+    /// may give it to others only once it hears that the grant is in use.
+    fn shrinks(&self, grant: &Grant) -> bool {
+        grant.shares.iter().any(|share| {
+            let held = self.routes.get(share.route.as_str());
+            let held = held.map(|l| l.share.array()).unwrap_or_default();
+            let mut kinds = held.into_iter().zip(share.amounts.array());
+            kinds.any(|(old, new)| new < old / 2)
+        })
+    }
+
     /// Books the permits that were dropped.
     fn collect(&mut self) {
         while let Some(route) = self.returns.pop() {
--- a/src/tests/limit.rs
+++ b/src/tests/limit.rs
@@ -454,6 +454,20 @@
     assert_eq!(got[9], 10, "{got:?}");
 }
 
+/// The limit falls and takes most of a share away. The allocator can give it
+/// to no one before it hears that the smaller share is in use, so the holder
+/// says so at once instead of a period later.
+#[test]
+fn due_after_shrunk_share() {
+    let (mut allocator, mut holder, now) = pair(100);
+    let _ = holder.admit(now, "r", 1);
+    exchange(&mut allocator, &mut holder, now);
+    assert_eq!(holder.due(), now + PERIOD);
+    allocator.set_limits([("r", limits(10))]);
+    exchange(&mut allocator, &mut holder, now + PERIOD);
+    assert_eq!(holder.due(), now + PERIOD + URGENT);
+}
+
 #[test]
 fn due_urgent_once_a_period() {
     let (mut allocator, mut holder, now) = pair(1);
