--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -7,7 +7,7 @@
 use criterion::{Criterion, criterion_group, criterion_main};
 use laburnumquay::{
     Allocator, Class, Discipline, Holder, Incarnation, InstanceId, Item, LEASE, Limits, Outcome,
-    Query, Queue, Router, Stage, Time,
+    PERIOD, Query, Queue, Router, Stage, Time,
 };
 
 const ENGINES: u32 = 600;
@@ -115,6 +115,14 @@
     });
 }
 
+/// One request on each of an instance's 100 routes.
+fn touch(holder: &mut Holder, names: &[String], i: usize, now: Time) {
+    for route in 0..100 {
+        let name = &names[(i * 7 + route * 29) % names.len()];
+        let _ = holder.admit(now, name, 10);
+    }
+}
+
 fn limit(c: &mut Criterion) {
     let mut allocator = Allocator::new(Time(0));
     let names: Vec<String> = (0..ORGANISATIONS)
@@ -132,23 +140,27 @@
         .map(|i| Holder::new(InstanceId(i), Incarnation(1)))
         .collect();
     for (i, holder) in holders.iter_mut().enumerate() {
-        for route in 0..100 {
-            let _ = holder.admit(now, &names[(i * 7 + route * 29) % names.len()], 10);
-        }
+        touch(holder, &names, i, now);
         let ask = holder.ask(now);
         let grant = allocator.ask(now, &ask).expect("an answer");
         assert!(holder.grant(now, &grant));
     }
     let mut turn = 0;
-    c.bench_function("question and answer on 100 routes, 360 instances", |b| {
-        b.iter(|| {
-            turn = (turn + 1) % holders.len();
-            let holder = &mut holders[turn];
-            let ask = holder.ask(now);
-            let grant = allocator.ask(now, &ask).expect("an answer");
-            black_box(holder.grant(now, &grant));
-        });
-    });
+    let mut now = now;
+    c.bench_function(
+        "100 requests, question and answer on 100 routes, 360 instances",
+        |b| {
+            b.iter(|| {
+                turn = (turn + 1) % holders.len();
+                now = now + PERIOD / 360;
+                let holder = &mut holders[turn];
+                touch(holder, &names, turn, now);
+                let ask = holder.ask(now);
+                let grant = allocator.ask(now, &ask).expect("an answer");
+                black_box(holder.grant(now, &grant));
+            });
+        },
+    );
     let holder = &mut holders[0];
     let later = now + Duration::from_secs(1);
     c.bench_function("admission or denial", |b| {
--- a/src/limit/allocator.rs
+++ b/src/limit/allocator.rs
@@ -303,7 +303,9 @@
 
     fn sweep(&mut self, now: Time) {
         let epoch = self.epoch;
-        let keys: Vec<HolderKey> = self.stakes.keys().copied().collect();
+        let ran_out = |s: &Stake| s.issued.iter().any(|i| i.until <= now);
+        let stakes = self.stakes.iter().filter(|(_, s)| ran_out(s));
+        let keys: Vec<HolderKey> = stakes.map(|(key, _)| *key).collect();
         for key in keys {
             let mut stake = self.take(key);
             stake.issued.retain(|i| i.until > now);
