--- a/examples/bench/fleet.rs
+++ b/examples/bench/fleet.rs
@@ -29,6 +29,39 @@
 /// Ranges that engines hold, in turn, of 64 layers.
 const RANGES: [(u32, u32); 5] = [(0, 16), (16, 32), (32, 48), (48, 64), (24, 48)];
 
+/// Engines and links of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Mix {
+    /// Five kinds of engines from 200 to 3200 tokens a second, links of 100 to
+    /// 10,000 Mbit/s.
+    Mixed,
+    /// One kind of engine and link.
+    Equal,
+    /// Five kinds, and links of 10 to 1,000 Mbit/s that are the bottleneck.
+    SlowLinks,
+    /// Five kinds, and a fifth of the engines hold the whole model.
+    SomeWhole,
+}
+
+impl Mix {
+    fn kind(self, i: usize) -> (u32, u32) {
+        let rate = [200, 400, 800, 1600, 3200][i / RANGES.len() % 5];
+        let link = [100, 1000, 10_000][i / 3 % 3];
+        match self {
+            Mix::Mixed | Mix::SomeWhole => (rate, link),
+            Mix::Equal => (800, 1000),
+            Mix::SlowLinks => (rate, link / 10),
+        }
+    }
+
+    fn range(self, i: usize) -> (u32, u32) {
+        match self {
+            Mix::SomeWhole if i % RANGES.len() == 4 => (0, 64),
+            _ => RANGES[i % RANGES.len()],
+        }
+    }
+}
+
 /// What breaks at a third of the run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -45,6 +78,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Setup {
     pub(crate) engines: usize,
+    pub(crate) mix: Mix,
     pub(crate) instances: usize,
     /// Age of load reports in seconds.
     pub(crate) lag: f64,
@@ -151,11 +185,9 @@
     Time((seconds * 1e6) as u64 + 1_000_000)
 }
 
-fn engine(i: usize) -> Engine {
-    let (first, end) = RANGES[i % RANGES.len()];
-    let kind = i / RANGES.len() % 5;
-    let rate = [200, 400, 800, 1600, 3200][kind];
-    let link = [100, 1000, 10_000][i / 3 % 3];
+fn engine(mix: Mix, i: usize) -> Engine {
+    let (first, end) = mix.range(i);
+    let (rate, link) = mix.kind(i);
     let stage = Stage {
         id: format!("engine-{i}").as_str().into(),
         domain: format!("domain-{}", i / RANGES.len() % 3).into(),
@@ -166,7 +198,7 @@
         end,
         total: 64,
         rate,
-        slots: (rate as f64 * 0.15) as u32,
+        slots: (f64::from(rate) * 0.15) as u32,
         link,
         running: 0,
         waiting: 0,
@@ -175,7 +207,11 @@
     };
     Engine {
         rate: f64::from(rate),
-        link: f64::from(link) * 1e6 / TOKEN_BITS,
+        link: if (first, end) == (0, 64) {
+            f64::INFINITY
+        } else {
+            f64::from(link) * 1e6 / TOKEN_BITS
+        },
         stage,
         queue: 0.0,
         inflow: 0.0,
@@ -188,7 +224,7 @@
 impl Fleet {
     pub(crate) fn new(setup: Setup, policy: impl Fn() -> Box<dyn Policy>) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(setup.seed);
-        let engines: Vec<Engine> = (0..setup.engines).map(engine).collect();
+        let engines: Vec<Engine> = (0..setup.engines).map(|i| engine(setup.mix, i)).collect();
         let view: Vec<Stage> = engines.iter().map(|e| e.stage.clone()).collect();
         let mut exact = Router::new(0);
         exact.set_view(at(0.0), &view);
--- a/examples/bench/routing.rs
+++ b/examples/bench/routing.rs
@@ -6,7 +6,7 @@
 use laburnumquay::{FlowShares, GreedyCheapest, LeastInFlight, Policy, RoundRobin};
 
 use crate::Failure;
-use crate::fleet::{Fault, Figures, Fleet, Setup};
+use crate::fleet::{Fault, Figures, Fleet, Mix, Setup};
 use crate::output::{Series, plot, table};
 
 /// Runs at the same time. Few, since the machine has other work.
@@ -58,6 +58,7 @@
 fn setup(seed: u64) -> Setup {
     Setup {
         engines: 75,
+        mix: Mix::Mixed,
         instances: 9,
         lag: 0.5,
         load: 0.8,
@@ -102,21 +103,34 @@
     "given up",
 ];
 
-fn sweep(
+/// Runs all policies over some setups and writes a table.
+fn rows(
     out: &Path,
     name: &str,
     axis: &str,
     setups: &[Setup],
-    x: impl Fn(&Setup) -> f64,
-) -> Result<(), Failure> {
+    label: impl Fn(&Setup) -> String,
+) -> Result<Vec<Figures>, Failure> {
     let jobs = jobs(setups);
     let results = run_all(&jobs);
     let rows = jobs.iter().zip(&results);
     let rows: Vec<_> = rows
-        .map(|((policy, setup), f)| row(policy, format!("{}", x(setup)), f))
+        .map(|((policy, setup), f)| row(policy, label(setup), f))
         .collect();
     let head: Vec<&str> = ["policy", axis].into_iter().chain(REST).collect();
     table(out, name, &head, &rows)?;
+    Ok(results)
+}
+
+/// As [`rows`], with plots over `x`.
+fn sweep(
+    out: &Path,
+    name: &str,
+    axis: &str,
+    setups: &[Setup],
+    x: impl Fn(&Setup) -> f64,
+) -> Result<(), Failure> {
+    let results = rows(out, name, axis, setups, |s| x(s).to_string())?;
     let lines = |pick: &dyn Fn(&Figures) -> f64| -> Vec<Series> {
         let parts = results.chunks(setups.len()).zip(POLICIES);
         let line = parts.map(|(part, name)| Series {
@@ -173,6 +187,22 @@
         ..base
     });
     sweep(out, "lag", "report lag s", &lags, |s| s.lag)?;
+    let mixes = [Mix::Mixed, Mix::Equal, Mix::SlowLinks, Mix::SomeWhole];
+    let mixes = mixes.map(|mix| Setup {
+        mix,
+        load: 1.2,
+        instances: 90,
+        ..base
+    });
+    rows(out, "mixes", "mix", &mixes, |s| format!("{:?}", s.mix))?;
+    let large = [0.8, 0.95, 1.2].map(|load| Setup {
+        load,
+        engines: 600,
+        instances: 360,
+        lag: 1.0,
+        ..base
+    });
+    rows(out, "large", "load", &large, |s| s.load.to_string())?;
     faults(out, base)
 }
 
