--- a/src/limit/holder.rs
+++ b/src/limit/holder.rs
@@ -20,6 +20,9 @@
 /// Time after which a route without use is asked for no longer.
 const FORGET: Duration = Duration::from_secs(10);
 
+/// Gain on a change of demand that may be chance.
+const SLOW: f64 = 0.2;
+
 /// Which limit a request met.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DenialReason {
@@ -292,6 +295,7 @@
 
     fn replace(&mut self, now: Time, until: Time, grant: &Grant) {
         let lapsed = now >= self.until;
+        self.urgent |= self.shrinks(grant);
         for local in self.routes.values_mut() {
             local.refill(now.min(self.until));
             local.share = Amounts::default();
@@ -308,6 +312,17 @@
         self.until = until;
     }
 
+    /// Whether a grant takes a noticeable part of a share away. The allocator
+    /// may give it to others only once it hears that the grant is in use.
+    fn shrinks(&self, grant: &Grant) -> bool {
+        grant.shares.iter().any(|share| {
+            let held = self.routes.get(share.route.as_str());
+            let held = held.map(|l| l.share.array()).unwrap_or_default();
+            let mut kinds = held.into_iter().zip(share.amounts.array());
+            kinds.any(|(old, new)| new < old / 2)
+        })
+    }
+
     /// Books the permits that were dropped.
     fn collect(&mut self) {
         while let Some(route) = self.returns.pop() {
@@ -371,7 +386,7 @@
         let weight = (secs / PERIOD.as_secs_f64()).min(1.0);
         let rates = [f64::from(seen.requests) / secs, seen.tokens as f64 / secs];
         for (wanted, rate) in self.wanted.iter_mut().zip(rates) {
-            *wanted += (rate - *wanted) * weight;
+            *wanted += (rate - *wanted) * weight * gain(*wanted, rate);
         }
         let peak = seen.peak.max(self.running);
         Demand {
@@ -399,6 +414,17 @@
     routes.get_mut(route).expect("inserted above")
 }
 
+/// How much of a change of demand is believed at once. A change that may be
+/// chance is followed slowly: a share that was given up for a fall would be
+/// missed by the next request.
+fn gain(wanted: f64, rate: f64) -> f64 {
+    let chance = 3.0 * wanted.sqrt();
+    if (rate - wanted).abs() < chance {
+        return SLOW;
+    }
+    1.0
+}
+
 fn deny(reason: DenialReason, retry_after: Duration) -> Denial {
     Denial {
         reason,
--- a/src/route.rs
+++ b/src/route.rs
@@ -152,7 +152,7 @@
             }
             Outcome::Unclear => {
                 for &engine in &engines {
-                    self.engines.failed(now, engine);
+                    self.engines.suspected(now, engine);
                 }
             }
             Outcome::Busy { stage } => {
--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::health::{Health, Peers};
+use super::health::{Health, Peers, Trouble};
 use super::types::Stage;
 use crate::clock::Time;
 use crate::collections::HashMap;
@@ -68,11 +68,22 @@
     /// Sequences that are on the engine by all that is known: own ones, and
     /// those of others, who fade from the last report to the usual load.
     pub(crate) fn load(&self, now: Time) -> f64 {
-        let age = now.since(self.stage.reported).as_secs_f64();
-        let worth = (-age / REPORT_WORTH).exp();
+        let worth = self.report_worth(now);
         f64::from(self.own) + self.usual + (self.others - self.usual) * worth
     }
 
+    /// How far [`load`](Self::load) is known: own sequences are, others as far
+    /// as the report is fresh.
+    pub(crate) fn knowledge(&self, now: Time) -> f64 {
+        let own = f64::from(self.own) + 1.0;
+        (own + self.others * self.report_worth(now)) / (own + self.others)
+    }
+
+    fn report_worth(&self, now: Time) -> f64 {
+        let age = now.since(self.stage.reported).as_secs_f64();
+        (-age / REPORT_WORTH).exp()
+    }
+
     /// Whether another sequence would only wait.
     pub(crate) fn is_full(&self, now: Time) -> bool {
         let refused = self.refused.is_some_and(|at| now.since(at) < REFUSED);
@@ -98,6 +109,8 @@
     slab: Vec<Engine>,
     index: HashMap<UpstreamId, u32>,
     peers: Vec<Peers>,
+    /// Failures by failure domain.
+    domains: HashMap<Arc<str>, Trouble>,
     /// Whether an engine was ejected since the last view.
     ejected: bool,
 }
@@ -251,7 +264,23 @@
     }
 
     pub(crate) fn failed(&mut self, now: Time, i: u32) {
-        if self.slab[i as usize].health.failed() {
+        let first = self.slab[i as usize].health.failures() == 0;
+        let domain = self.slab[i as usize].stage.domain.clone();
+        let trouble = self.domains.entry(domain).or_default();
+        if first {
+            trouble.book(now);
+        }
+        let doubted = trouble.is_doubted(now);
+        if self.slab[i as usize].health.failed(doubted) {
+            self.eject(now, i);
+        }
+    }
+
+    /// Books a failure that another engine of the path may have caused. It
+    /// says nothing about the failure domain: a cut stream over three engines
+    /// of one domain would look like the loss of the domain.
+    pub(crate) fn suspected(&mut self, now: Time, i: u32) {
+        if self.slab[i as usize].health.failed(false) {
             self.eject(now, i);
         }
     }
