--- a/src/gossip/node/receive.rs
+++ b/src/gossip/node/receive.rs
@@ -189,11 +189,17 @@
 
     /// Sends what was asked for, as news or as part of a comparison, whichever
     /// the request was.
+    ///
+    /// Guards against two instances that both lack the facts of an upstream
+    /// and ask each other for them without end: a record that can't answer the
+    /// request isn't sent.
     fn on_want(&mut self, now: Time, from: SocketAddr, source: Source, want: &Want) {
         let members = want.members.iter();
         let members = members.filter_map(|id| self.members.record(now, InstanceId(*id), true));
         let upstreams = want.upstreams.iter();
-        let upstreams = upstreams.filter_map(|key| self.registry.record(now, *key, true));
+        let upstreams = upstreams
+            .filter(|key| self.registry.complete(**key))
+            .filter_map(|key| self.registry.record(now, *key, true));
         self.send_records(from, source, members.collect(), upstreams.collect());
     }
 }
--- a/src/membership/detector.rs
+++ b/src/membership/detector.rs
@@ -30,7 +30,10 @@
 const SUSPICION: u32 = 3;
 
 /// Worst state of the local health, which stretches all timeouts.
-const MAX_HEALTH: u32 = 4;
+const MAX_HEALTH: u32 = 2;
+
+/// Probes without answer in a row after which this instance is cut off.
+const CUT_OFF: u32 = 5;
 
 /// A pause between two ticks after which this process was suspended.
 pub(crate) const STALL: Duration = Duration::from_secs(2);
@@ -38,8 +41,10 @@
 /// Periods between two probes of a dead instance.
 const RETRY: u32 = 10;
 
-/// Periods between two exchanges with a seed, while others are alive.
-const RESEED: u32 = 30;
+/// Least periods between two comparisons with a seed, while others are alive.
+/// In a large fleet it is half as many as there are instances, so that the
+/// seeds get the same number of them.
+const RESEED: u32 = 5;
 
 /// Settings of the detector.
 #[derive(Clone, Debug)]
@@ -96,6 +101,8 @@
     pub(super) sequence: u64,
     /// Zero is healthy. Grows when this instance is the likely cause.
     pub(super) health: u32,
+    /// Probes in a row that got no answer.
+    pub(super) failures: u32,
     pub(super) period: Duration,
     pub(super) rng: ChaCha8Rng,
     pub(super) dirty: bool,
@@ -111,7 +118,12 @@
 impl Membership {
     /// A table that knows this instance alone.
     pub(crate) fn new(now: Time, settings: DetectorSettings, rng: ChaCha8Rng) -> Self {
-        let DetectorSettings { own, seeds, period } = settings;
+        let DetectorSettings {
+            own,
+            mut seeds,
+            period,
+        } = settings;
+        seeds.retain(|seed| *seed != own.gossip);
         let id = own.id;
         let version = MemberVersion {
             incarnation: own.incarnation,
@@ -134,6 +146,7 @@
             retried: None,
             sequence: 0,
             health: 0,
+            failures: 0,
             period,
             rng,
             dirty: true,
@@ -373,25 +386,34 @@
         self.dirty |= self.slots.len() != before;
     }
 
-    /// Compares tables with a seed: each period while alone, and else seldom,
-    /// in case two halves of the fleet have forgotten each other.
+    /// Compares tables with all seeds each period while alone, and else with
+    /// one now and then, in case the fleet began as two halves that don't know
+    /// each other.
     fn visit_seed(&mut self, now: Time, out: &mut Vec<MemberEffect>) {
         if now < self.next_seed || self.seeds.is_empty() || self.left() {
             return;
         }
-        let pause = if self.present() > 1 { RESEED } else { 1 };
+        let present = u32::try_from(self.present()).unwrap_or(u32::MAX);
+        let alone = present <= 1;
+        let pause = if alone { 1 } else { RESEED.max(present / 2) };
         let jitter = self.rng.random_range(0.5..1.5);
         self.next_seed = now + (self.period * pause).mul_f64(jitter);
-        let seed = self.seeds.choose(&mut self.rng).copied();
-        let own = self.address(self.own);
-        out.extend(seed.filter(|s| Some(*s) != own).map(MemberEffect::Sync));
+        let count = if alone { self.seeds.len() } else { 1 };
+        let visited = self.seeds.sample(&mut self.rng, count);
+        out.extend(visited.copied().map(MemberEffect::Sync));
     }
 }
 
+/// Nobody vouches while this instance is cut off.
+///
+/// Guards against an instance alone behind a silent partition. It finds out
+/// about one other instance a period, which takes minutes in a large fleet;
+/// all that time it would give work to upstreams that left.
 impl Vouchers for Membership {
     fn alive(&self, id: InstanceId, boot: Incarnation) -> bool {
-        self.slots.get(&id).is_some_and(|slot| {
+        let alive = |slot: &Slot| {
             slot.version.state == MemberState::Alive && slot.version.incarnation == boot
-        })
+        };
+        self.failures < CUT_OFF && self.slots.get(&id).is_some_and(alive)
     }
 }
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -202,6 +202,7 @@
         let Some(probe) = self.probe.take() else {
             return;
         };
+        self.failures += 1;
         if probe.asked.is_some_and(|asked| asked > 0) && !probe.helped {
             self.adjust_health(true);
         }
@@ -237,6 +238,9 @@
             return;
         }
         let current = self.probe.take_if(|p| p.sequence == sequence);
+        if current.is_some() {
+            self.failures = 0;
+        }
         if current.is_some_and(|p| now < p.end_at) {
             self.adjust_health(false);
         }
--- a/src/upstream/registry/merge.rs
+++ b/src/upstream/registry/merge.rs
@@ -65,6 +65,12 @@
         Some(record)
     }
 
+    /// Whether the record of `key` says all that there is to say.
+    pub(crate) fn complete(&self, key: u64) -> bool {
+        let entry = self.entries.get(&key);
+        entry.is_some_and(|e| e.facts.is_some() || e.ended())
+    }
+
     /// One row of a [`Loads`]: short key, incarnation, sequence, level.
     pub(crate) fn load_row(&self, key: u64) -> Option<(u32, u8, u64, u8)> {
         let entry = self.entries.get(&key).filter(|e| !e.retired())?;
