--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,3 +1,4 @@
 //! Tests of crate-private parts, one file a module.
 
 mod auth;
+mod registry;
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -22,3 +22,6 @@
 pub(crate) use load::{LoadLevel, short_of};
 pub(crate) use registry::{Registry, RegistryEffect, Vouchers};
 pub(crate) use wire::{Loads, Renewal, UpstreamRecord};
+
+#[cfg(test)]
+pub(crate) use registry::MAX_ENTRIES;
--- /dev/null
+++ b/tests/fleet_faults.rs
@@ -0,0 +1,206 @@
+//! One fault at a time in a simulated fleet.
+
+mod simulation;
+
+use std::time::Duration;
+
+use laburnumquay::{FleetKey, MemberState, Time, UpstreamState};
+use proptest::prelude::*;
+use simulation::{Shape, Simulation};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn fleet(hosts: usize, upstreams: usize) -> Simulation {
+    let mut sim = Simulation::new(Shape {
+        seed: 11,
+        hosts,
+        domains: 3,
+        upstreams,
+        loss: 0.0,
+        duplicate: 0.0,
+        late: 0.0,
+        restless: 0.2,
+    });
+    sim.run(30 * SECOND, |_| ());
+    sim
+}
+
+fn uses_any(sim: &mut Simulation, host: usize) -> usize {
+    let count = sim.upstreams.len();
+    (0..count).filter(|u| sim.uses(host, *u)).count()
+}
+
+/// Asserts that no host holds one of `live` for dead.
+fn assert_none_dead(sim: &Simulation, observers: &[usize], live: &[usize]) {
+    for (o, s) in observers
+        .iter()
+        .flat_map(|o| live.iter().map(move |s| (*o, *s)))
+    {
+        let held = sim.state(o, s);
+        assert_ne!(held, Some(MemberState::Dead), "{o} of {s} at {:?}", sim.now);
+    }
+}
+
+/// A host is stopped for a minute, as a debugger or a busy hypervisor does.
+/// When it runs again, all its timers have run out at once. It must not tell
+/// the fleet that everyone died, or every route would change.
+#[test]
+fn fleet_frozen_minute() {
+    let mut sim = fleet(9, 4);
+    for host in 0..9 {
+        sim.freeze(host);
+        sim.run(60 * SECOND, |_| ());
+        sim.thaw(host);
+        let all: Vec<_> = (0..9).collect();
+        let others: Vec<_> = (0..9).filter(|h| *h != host).collect();
+        sim.run(20 * SECOND, |sim| assert_none_dead(sim, &all, &others));
+        assert_none_dead(&sim, &all, &all);
+    }
+}
+
+/// While a host is stopped, an upstream starts and ends. Word of its start
+/// waits in the host's socket. When the host runs again, a request must not go
+/// to the upstream that ended.
+#[test]
+fn fleet_frozen_datagrams() {
+    let mut sim = fleet(9, 4);
+    sim.silence(0);
+    sim.run(20 * SECOND, |_| ());
+    sim.freeze(5);
+    sim.renew(0);
+    sim.run(5 * SECOND, |_| ());
+    sim.end(0, UpstreamState::Gone);
+    sim.run(60 * SECOND, |_| ());
+    sim.thaw(5);
+    assert!(!sim.uses(5, 0));
+    sim.run(20 * SECOND, |sim| assert!(!sim.uses(5, 0)));
+}
+
+/// While a host is stopped, announcements wait in its connections. When it
+/// runs again it reads them, and must not count the upstreams as heard now:
+/// they were gone a minute ago.
+#[test]
+fn fleet_frozen_announcements() {
+    let mut sim = fleet(9, 40);
+    sim.freeze(5);
+    sim.run(10 * SECOND, |_| ());
+    (0..40).for_each(|u| sim.end(u, UpstreamState::Gone));
+    sim.run(60 * SECOND, |_| ());
+    sim.thaw(5);
+    assert_eq!(uses_any(&mut sim, 5), 0);
+    sim.run(20 * SECOND, |sim| assert_eq!(uses_any(sim, 5), 0));
+}
+
+/// One host of thirty is cut off without a sign. It finds out about one other
+/// a period, and would give work to upstreams that left for a minute and more.
+#[test]
+fn fleet_cut_off() {
+    let mut sim = fleet(30, 60);
+    sim.partition(|i| usize::from(i == 7));
+    sim.upstreams.iter_mut().for_each(|u| u.side = 0);
+    (0..60).for_each(|u| sim.end(u, UpstreamState::Leaving));
+    sim.run(30 * SECOND, |_| ());
+    assert_eq!(uses_any(&mut sim, 7), 0);
+    sim.run(30 * SECOND, |sim| assert_eq!(uses_any(sim, 7), 0));
+}
+
+/// Two halves of a fleet lose each other, and each holds the other for dead.
+/// When they meet, each hears that its own half is dead. Nobody must believe
+/// that of a host that it can reach, or every upstream is dropped for a while.
+#[test]
+fn fleet_halves_meet() {
+    let mut sim = fleet(30, 12);
+    sim.partition(|i| i % 2);
+    sim.run(120 * SECOND, |_| ());
+    sim.partition(|_| 0);
+    let halves = [0, 1].map(|half| (0..30).filter(|h| h % 2 == half).collect::<Vec<_>>());
+    sim.run(60 * SECOND, |sim| {
+        halves
+            .iter()
+            .for_each(|half| assert_none_dead(sim, half, half));
+    });
+    let all: Vec<_> = (0..30).collect();
+    assert_none_dead(&sim, &all, &all);
+    (0..30).for_each(|h| assert_eq!(uses_any(&mut sim, h), 12, "host {h}"));
+}
+
+/// Regions lose each other for an hour, and the instances to join through are
+/// gone for good. Only the slow probes of the dead bring them together again.
+#[test]
+fn fleet_hour_apart() {
+    let mut sim = fleet(9, 6);
+    (0..3).for_each(|h| sim.crash(h));
+    sim.partition(|i| usize::from(i >= 6));
+    sim.run(3_600 * SECOND, |_| ());
+    sim.partition(|_| 0);
+    sim.run(60 * SECOND, |_| ());
+    let left: Vec<_> = (3..9).collect();
+    assert_none_dead(&sim, &left, &left);
+    (3..9).for_each(|h| assert_eq!(uses_any(&mut sim, h), 6, "host {h}"));
+}
+
+/// A failure domain goes silent at once. The rest finds out soon, and takes
+/// none of its own for dead though a third of all probes fail.
+#[test]
+fn fleet_domain_lost() {
+    let mut sim = fleet(30, 12);
+    let (lost, rest): (Vec<_>, Vec<_>) = (0..30).partition(|h| sim.hosts[*h].domain == 1);
+    lost.iter().for_each(|h| sim.crash(*h));
+    sim.run(40 * SECOND, |sim| assert_none_dead(sim, &rest, &rest));
+    for (o, s) in rest.iter().flat_map(|o| lost.iter().map(move |s| (*o, *s))) {
+        assert_eq!(sim.state(o, s), Some(MemberState::Dead));
+    }
+    rest.iter()
+        .for_each(|h| assert_eq!(uses_any(&mut sim, *h), 12, "host {h}"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
+        ..ProptestConfig::default()
+    })]
+
+    /// Datagrams of others, and malformed ones under the right key, are
+    /// dropped; none ends the process.
+    #[test]
+    fn node_any_bytes(sealed: bool, mut bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut sim = small();
+        if sealed {
+            bytes.insert(0, 0xb1);
+            bytes = FleetKey::new(b"secret").seal(&bytes);
+        }
+        sim.inject(0, &bytes);
+        sim.run(SECOND / 2, |_| ());
+        let counts = sim.hosts[0].node.as_ref().unwrap().dump(Time(0)).traffic;
+        prop_assert!(sealed || counts.bad == 1);
+    }
+
+    /// A datagram with one byte changed is dropped, whichever byte it is.
+    #[test]
+    fn node_changed_byte(place: prop::sample::Index, flip in 1..=255_u8) {
+        let mut sim = small();
+        let mut bytes = sim.last_datagram.clone();
+        let place = place.index(bytes.len());
+        bytes[place] ^= flip;
+        sim.inject(0, &bytes);
+        let counts = sim.hosts[0].node.as_ref().unwrap().dump(Time(0)).traffic;
+        prop_assert_eq!(counts.bad, 1);
+    }
+}
+
+fn small() -> Simulation {
+    let mut sim = Simulation::new(Shape {
+        seed: 3,
+        hosts: 2,
+        domains: 1,
+        upstreams: 1,
+        loss: 0.0,
+        duplicate: 0.0,
+        late: 0.0,
+        restless: 0.0,
+    });
+    sim.run(2 * SECOND, |_| ());
+    sim
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -95,6 +95,7 @@
     pub disturbed: Time,
     /// Announcements that were once made, for late repeats.
     pub history: Vec<Announcement>,
+    pub last_datagram: Vec<u8>,
     queue: BinaryHeap<Reverse<(Time, u64)>>,
     acts: std::collections::HashMap<u64, Act>,
     order: u64,
@@ -110,6 +111,7 @@
             upstreams: Vec::new(),
             disturbed: Time(0),
             history: Vec::new(),
+            last_datagram: Vec::new(),
             queue: BinaryHeap::new(),
             acts: Default::default(),
             order: 0,
@@ -292,6 +294,11 @@
         }
     }
 
+    /// Hands a host a datagram that no host sent.
+    pub fn inject(&mut self, index: usize, bytes: &[u8]) {
+        self.step(index, NodeEvent::Datagram(address(99), bytes));
+    }
+
     /// Whether a host has a process that isn't frozen.
     pub fn runs(&self, index: usize) -> bool {
         self.hosts[index].node.is_some() && !self.hosts[index].frozen
@@ -448,10 +455,14 @@
 
     fn send(&mut self, from: usize, out: Vec<Datagram>) {
         for datagram in out {
+            self.last_datagram.clone_from(&datagram.bytes);
             let host = &mut self.hosts[from];
             host.sent += datagram.bytes.len() as u64 + HEADERS;
             host.datagrams += 1;
             let to = usize::from(datagram.to.port() - FIRST_PORT);
+            if to >= self.hosts.len() {
+                continue;
+            }
             let cut = self.hosts[to].side != self.hosts[from].side;
             if cut || self.rng.random_bool(self.shape.loss) {
                 continue;
