--- a/tests/fleet_faults.rs
+++ b/tests/fleet_faults.rs
@@ -58,6 +58,29 @@
     }
 }
 
+/// A host suspects four others that were stopped for a moment, and is then
+/// stopped itself. They refute meanwhile. When it runs again, the time that it
+/// gave them has run out, though their answers wait in its socket.
+#[test]
+fn fleet_frozen_suspicious() {
+    let mut sim = fleet(9, 4);
+    (1..5).for_each(|h| sim.freeze(h));
+    let suspects = |sim: &Simulation| {
+        let suspect = |s: &usize| sim.state(0, *s) == Some(MemberState::Suspect);
+        (1..5).filter(suspect).count()
+    };
+    while suspects(&sim) == 0 {
+        sim.run(SECOND / 2, |_| ());
+    }
+    sim.freeze(0);
+    (1..5).for_each(|h| sim.thaw(h));
+    sim.run(60 * SECOND, |_| ());
+    sim.thaw(0);
+    let others: Vec<_> = (1..9).collect();
+    assert_none_dead(&sim, &[0], &others);
+    sim.run(20 * SECOND, |sim| assert_none_dead(sim, &[0], &others));
+}
+
 /// While a host is stopped, an upstream starts and ends. Word of its start
 /// waits in the host's socket. When the host runs again, a request must not go
 /// to the upstream that ended.
