--- a/src/upstream/entry.rs
+++ b/src/upstream/entry.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::Time;
 use crate::id::{Incarnation, InstanceId, UpstreamId};
-use crate::upstream::{Announcement, Load, LoadLevel, Serves, UpstreamState};
+use crate::upstream::{Announcement, Load, LoadLevel, Serves, Upstream, UpstreamState};
 
 /// A point in the past that may lie before this process's clock began.
 ///
@@ -111,6 +111,8 @@
     /// Load that the fleet was told last, and when.
     pub(crate) told: LoadLevel,
     pub(crate) told_at: Time,
+    /// What the view shows, until something of it changes.
+    pub(crate) shown: Option<Arc<Upstream>>,
 }
 
 impl Entry {
--- a/src/upstream/registry.rs
+++ b/src/upstream/registry.rs
@@ -279,6 +279,7 @@
             loaded: 0,
             told: old.map_or(LoadLevel::default(), |e| e.told),
             told_at: old.map_or(now, |e| e.told_at),
+            shown: None,
         };
         self.insert(key, entry);
         out.push(RegistryEffect::Spread(key));
@@ -297,9 +298,8 @@
             self.loaded(now, key, a.load, out);
             return;
         }
-        entry.load = a.load;
         entry.loaded = a.sequence;
-        self.dirty = true;
+        self.dirty |= entry.set_load(a.load);
         let renewal = Renewal {
             key,
             incarnation: a.incarnation.0,
@@ -317,8 +317,7 @@
             return;
         };
         entry.loaded = entry.latest;
-        self.dirty |= entry.load != load;
-        entry.load = load;
+        self.dirty |= entry.set_load(load);
         let level = LoadLevel::from(load);
         let quiet = now.since(entry.told_at);
         let crosses = level.crosses(entry.told);
@@ -380,9 +379,9 @@
         }
     }
 
-    fn build(&self, now: Time) -> UpstreamView {
-        let usable = self.entries.values().filter(|e| e.usable());
-        let mut upstreams: Vec<_> = usable.filter_map(Entry::upstream).map(Arc::new).collect();
+    fn build(&mut self, now: Time) -> UpstreamView {
+        let usable = self.entries.values_mut().filter(|e| e.usable());
+        let mut upstreams: Vec<_> = usable.filter_map(Entry::show).collect();
         upstreams.sort_unstable_by(|a, b| a.id.cmp(&b.id));
         UpstreamView {
             version: self.view.version + 1,
@@ -412,6 +411,21 @@
         same && self.facts.as_deref() == Some(facts)
     }
 
+    /// Notes a load; says whether it is another.
+    fn set_load(&mut self, load: Load) -> bool {
+        let changed = self.load != load;
+        self.load = load;
+        self.shown.take_if(|_| changed);
+        changed
+    }
+
+    fn show(&mut self) -> Option<Arc<Upstream>> {
+        if self.shown.is_none() {
+            self.shown = self.upstream().map(Arc::new);
+        }
+        self.shown.clone()
+    }
+
     fn upstream(&self) -> Option<Upstream> {
         let facts = self.facts.as_deref()?;
         Some(Upstream {
--- a/src/upstream/registry/merge.rs
+++ b/src/upstream/registry/merge.rs
@@ -161,6 +161,7 @@
             facts,
             digest,
             since,
+            shown: None,
         };
         let lacking = entry.facts.is_none() && !entry.ended();
         self.insert(key, entry);
@@ -190,9 +191,8 @@
             return;
         }
         entry.loaded = sequence;
-        entry.load = level.into();
         entry.told = level;
-        self.dirty = true;
+        self.dirty |= entry.set_load(level.into());
         out.push(RegistryEffect::SpreadLoad(*key));
     }
 }
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -445,7 +445,9 @@
         let start = Instant::now();
         let node = host.node.as_mut().unwrap();
         node.step(now, event, &mut out);
-        node.upstreams(now);
+        if matches!(event, NodeEvent::Tick) {
+            node.upstreams(now);
+        }
         if let Some(view) = node.changed_members() {
             host.view = view;
         }
