--- /dev/null
+++ b/src/claim/machine.rs
@@ -0,0 +1,381 @@
+//! The replicated register of claims.
+
+use std::mem;
+use std::time::Duration;
+
+use crate::claim::message::{
+    Action, Answered, Claim, Expire, Full, Granted, InProgress, Kept, MAX_KEPT, MAX_KEY, Outcome,
+    Release, Reply, Settle, Ticked, Token,
+};
+use crate::claim::record::{DIGEST_LEN, FRESH, Id, Pending, RECORD_LEN, Record, State, head, id};
+use crate::claim::usage::{Place, Usage};
+use crate::collections::HashMap;
+use crate::id::OrganisationId;
+
+/// Most that one [`Expire`] moves the register's time, in milliseconds. After a
+/// longer gap the time lags behind, which only keeps claims for longer.
+const LONGEST_STEP: u64 = 2_000;
+
+/// Pause for an organisation that has no claim of its own to wait for, in
+/// milliseconds.
+const FULL_PAUSE: u64 = 60_000;
+
+/// Bounds of a register. The same on every replica.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bounds {
+    /// Time for which a claim is remembered in any case.
+    pub(crate) retention: Duration,
+    /// Time for which it is remembered while its organisation has room.
+    pub(crate) longest: Duration,
+    /// Bytes of all claims beyond each organisation's floor.
+    pub(crate) shared: u64,
+    /// Bytes that every organisation may use, whatever the others use.
+    pub(crate) floor: u64,
+    /// Bytes that one organisation may use.
+    pub(crate) share: u64,
+}
+
+impl Default for Bounds {
+    /// Room for 100,000 claims of one organisation and 200,000 in all, so for
+    /// 330 claims a second over ten minutes, or for 2 a second over a day.
+    fn default() -> Self {
+        Self {
+            retention: Duration::from_secs(600),
+            longest: Duration::from_secs(24 * 3600),
+            shared: 48 << 20,
+            floor: 16 << 10,
+            share: 24 << 20,
+        }
+    }
+}
+
+/// The register of claims.
+///
+/// It has no clock: its time is the sum of what [`Expire`] commands report.
+/// A claim's age counts from the first `Expire` after the claim, since every
+/// later one measures a time that began after the claim was applied.
+///
+/// A claim younger than the retention is never forgotten, as a letter could go
+/// out twice: if there is no room, new claims are refused. An older one makes
+/// room for a new one of the same organisation, never of another.
+///
+/// # Where claims live
+///
+/// Three places were weighed, with 7,900 requests a second ahead:
+///
+/// * The catalogue's log: nothing to add, but a claim then shares its syncs and
+///   its leader with changes that must be in force within seconds, and a
+///   catalogue snapshot carries every claim.
+/// * A group of its own: same code, own leader and log; a stalled or full
+///   register doesn't touch the catalogue. One log carries what one disk syncs;
+///   claims in one batch share a sync.
+/// * Several such groups, by [`shard`](crate::claim::shard): throughput and
+///   memory grow with the groups. A claim needs only its own group, since no
+///   command touches two keys.
+///
+/// So it is a machine of its own that knows nothing of shards, and the number
+/// of groups is the caller's.
+#[derive(Debug)]
+pub(crate) struct Claims {
+    pub(super) bounds: Bounds,
+    /// Milliseconds. Only grows.
+    pub(super) time: u64,
+    /// Log index of the last `Expire` applied.
+    pub(super) tick: u64,
+    pub(super) records: HashMap<Id, Record>,
+    /// Claims since the last `Expire`, in order of their index.
+    fresh: Vec<Place>,
+    pub(super) usage: Usage,
+}
+
+impl Claims {
+    /// An empty register.
+    pub(crate) fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            time: 0,
+            tick: 0,
+            records: HashMap::default(),
+            fresh: Vec::new(),
+            usage: Usage::default(),
+        }
+    }
+
+    /// Claims that are remembered.
+    #[cfg(test)]
+    pub(crate) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Bytes in use, as counted against the bounds.
+    #[cfg(test)]
+    pub(crate) fn bytes(&self) -> u64 {
+        self.usage.bytes()
+    }
+
+    /// Places in the orders of age.
+    #[cfg(test)]
+    pub(crate) fn places(&self) -> usize {
+        self.usage.places()
+    }
+
+    /// Applies one command.
+    pub(crate) fn step(&mut self, index: u64, action: Action) -> Reply {
+        match action {
+            Action::Claim(claim) => self.claim(index, &claim),
+            Action::Settle(settle) => self.settle(settle),
+            Action::Release(release) => self.release(&release),
+            Action::Expire(expire) => self.expire(index, expire),
+        }
+    }
+
+    fn claim(&mut self, index: u64, claim: &Claim) -> Reply {
+        let Some(token) = claim.token else {
+            return Reply::Malformed(());
+        };
+        if claim.key.len() > MAX_KEY || claim.digest.len() < DIGEST_LEN {
+            return Reply::Malformed(());
+        }
+        let id = id(&claim.organisation, &claim.key);
+        let (time, retention) = (self.time, self.retention());
+        match self.records.get_mut(&id) {
+            Some(record) => found(record, claim, token, time, retention),
+            None => self.grant(index, id, claim, token),
+        }
+    }
+
+    fn grant(&mut self, index: u64, id: Id, claim: &Claim, token: Token) -> Reply {
+        let organisation = OrganisationId::from(claim.organisation.as_str());
+        if !self.make_room(&organisation) {
+            let pause = self.pause(&organisation);
+            return Reply::Full(Full { pause });
+        }
+        let pending = Pending {
+            token,
+            start: claim.start,
+            ttl: claim.ttl.min(self.longest_wait()),
+            told: false,
+        };
+        let record = Record {
+            organisation: self.usage.name(organisation),
+            digest: head(&claim.digest),
+            index,
+            since: FRESH,
+            state: State::Pending(Box::new(pending)),
+        };
+        self.insert(id, record);
+        Reply::Granted(Granted { token: Some(token) })
+    }
+
+    pub(super) fn insert(&mut self, id: Id, record: Record) {
+        let place = (record.index, id);
+        let organisation = &record.organisation;
+        self.usage.add(&self.bounds, organisation, record.cost());
+        if record.since == FRESH {
+            self.fresh.push(place);
+        } else if let Some(tenant) = self.usage.tenant(organisation) {
+            tenant.order.push_back(place);
+        }
+        self.records.insert(id, record);
+    }
+
+    /// Forgets old claims of `organisation` until it has room for a new one.
+    fn make_room(&mut self, organisation: &OrganisationId) -> bool {
+        while !self.usage.fits(&self.bounds, organisation, RECORD_LEN) {
+            if !self.forget_oldest(organisation, self.retention()) {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn settle(&mut self, settle: Settle) -> Reply {
+        let id = id(&settle.organisation, &settle.key);
+        let Some(record) = self.records.get(&id).filter(|r| r.held(settle.token)) else {
+            return Reply::Stale(());
+        };
+        let state = match settle.outcome {
+            Some(Outcome::Kept(kept)) => self.keep(record, kept),
+            Some(Outcome::NotKept(())) => State::NotKept,
+            Some(Outcome::Unrun(())) => State::Unrun,
+            Some(Outcome::Unknown(())) | None => State::Unknown,
+        };
+        self.replace(id, state);
+        Reply::Done(())
+    }
+
+    /// The answer, or only the fact that there was one if there is no room.
+    fn keep(&self, record: &Record, kept: Kept) -> State {
+        let len = kept.body.len() + kept.kind.len();
+        let fits = self
+            .usage
+            .keeps(&self.bounds, &record.organisation, len as u64);
+        if len <= MAX_KEPT && fits {
+            State::Kept(Box::new(kept))
+        } else {
+            State::NotKept
+        }
+    }
+
+    fn replace(&mut self, id: Id, state: State) {
+        let Some(record) = self.records.get_mut(&id) else {
+            return;
+        };
+        let before = record.cost();
+        record.state = state;
+        let after = record.cost();
+        self.usage
+            .change(&self.bounds, &record.organisation, before, after);
+    }
+
+    fn release(&mut self, release: &Release) -> Reply {
+        let id = id(&release.organisation, &release.key);
+        let Some(record) = self.records.get(&id).filter(|r| r.held(release.token)) else {
+            return Reply::Stale(());
+        };
+        // Someone may have acted on "unknown, never run again": it stays true.
+        if matches!(&record.state, State::Pending(pending) if pending.told) {
+            self.replace(id, State::Unrun);
+        } else {
+            self.remove(id);
+        }
+        Reply::Done(())
+    }
+
+    fn remove(&mut self, id: Id) {
+        let Some(record) = self.records.remove(&id) else {
+            return;
+        };
+        let records = &self.records;
+        let live = |place: &Place| is_live(records, *place);
+        self.usage
+            .remove(&self.bounds, &record.organisation, record.cost(), live);
+    }
+
+    fn expire(&mut self, index: u64, expire: Expire) -> Reply {
+        if expire.after == self.tick {
+            self.tick = index;
+            self.time += expire.elapsed.min(LONGEST_STEP);
+            self.begin_ages();
+            self.forget();
+        }
+        Reply::Ticked(Ticked { index: self.tick })
+    }
+
+    /// Lets the claims since the last `Expire` begin to age.
+    fn begin_ages(&mut self) {
+        for (index, id) in mem::take(&mut self.fresh) {
+            let record = self.records.get_mut(&id).filter(|r| r.index == index);
+            let Some(record) = record else { continue };
+            record.since = self.time;
+            if let Some(tenant) = self.usage.tenant(&record.organisation) {
+                tenant.order.push_back((index, id));
+            }
+        }
+    }
+
+    fn forget(&mut self) {
+        let longest = millis(self.bounds.longest).max(self.retention());
+        for organisation in self.usage.names() {
+            while self.forget_oldest(&organisation, longest) {}
+        }
+    }
+
+    /// Forgets the oldest claim of `organisation` if its age in milliseconds is
+    /// `least` or more.
+    fn forget_oldest(&mut self, organisation: &OrganisationId, least: u64) -> bool {
+        let Some(place) = self.oldest(organisation) else {
+            return false;
+        };
+        let live = is_live(&self.records, place);
+        if live && self.age(place.1) < least {
+            return false;
+        }
+        if let Some(tenant) = self.usage.tenant(organisation) {
+            tenant.order.pop_front();
+        }
+        if live {
+            self.remove(place.1);
+        }
+        true
+    }
+
+    fn oldest(&mut self, organisation: &OrganisationId) -> Option<Place> {
+        self.usage.tenant(organisation)?.order.front().copied()
+    }
+
+    fn age(&self, id: Id) -> u64 {
+        self.records.get(&id).map_or(0, |r| r.age(self.time))
+    }
+
+    fn retention(&self) -> u64 {
+        millis(self.bounds.retention)
+    }
+
+    /// Longest time that an outcome is awaited: within the retention.
+    fn longest_wait(&self) -> u32 {
+        u32::try_from(self.retention() / 2).unwrap_or(u32::MAX)
+    }
+
+    /// Milliseconds until the organisation's oldest claim makes room.
+    fn pause(&mut self, organisation: &OrganisationId) -> u64 {
+        match self.oldest(organisation) {
+            Some((_, id)) => self.retention().saturating_sub(self.age(id)),
+            None => FULL_PAUSE,
+        }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn is_live(records: &HashMap<Id, Record>, (index, id): Place) -> bool {
+    records.get(&id).is_some_and(|record| record.index == index)
+}
+
+/// Replies to a claim of a key that is in use.
+fn found(record: &mut Record, claim: &Claim, token: Token, time: u64, retention: u64) -> Reply {
+    // What is said of a claim that is about to be forgotten must stay true
+    // until the caller reads it, although the key may be free and run by then.
+    let age = record.age(time);
+    let ending = age + u64::from(claim.start) + LONGEST_STEP >= retention;
+    if record.digest != head(&claim.digest) {
+        return if ending {
+            Reply::Unknown(())
+        } else {
+            Reply::Mismatch(())
+        };
+    }
+    match &mut record.state {
+        State::Kept(kept) => {
+            let kept = Some(Kept::clone(kept));
+            Reply::Answered(Answered { kept })
+        }
+        State::NotKept => Reply::Answered(Answered { kept: None }),
+        State::Unknown => Reply::Unknown(()),
+        State::Unrun if ending => Reply::Unknown(()),
+        State::Unrun => Reply::Unrun(()),
+        // The proposal arrived twice; the holder still dispatches once.
+        State::Pending(held) if held.token == token => {
+            Reply::Granted(Granted { token: Some(token) })
+        }
+        State::Pending(held) => pending(held, token, age),
+    }
+}
+
+fn pending(held: &mut Pending, token: Token, age: u64) -> Reply {
+    let holder = held.token;
+    // A holder that started again has lost what it ran.
+    let restarted = holder.holder == token.holder && holder.incarnation < token.incarnation;
+    let starting = age < u64::from(held.start) && !restarted;
+    held.told |= !starting;
+    if restarted || age >= u64::from(held.ttl) {
+        return Reply::Unknown(());
+    }
+    Reply::InProgress(InProgress {
+        holder: Some(holder),
+        age,
+        starting,
+    })
+}
--- /dev/null
+++ b/src/claim/record.rs
@@ -0,0 +1,125 @@
+//! One claim as the register stores it.
+
+use sha2::{Digest, Sha256};
+
+use crate::claim::message::{Kept, Token};
+use crate::id::OrganisationId;
+
+/// Bytes that a claim is counted with, besides its kept answer: its entry in a
+/// map that is half full after it has grown, and its place in the order of age.
+/// The box of an awaited outcome isn't counted; few are awaited at a time.
+pub(super) const RECORD_LEN: u64 = 240;
+
+/// Bytes of a digest that are kept.
+pub(super) const DIGEST_LEN: usize = 16;
+
+/// Name of a claim.
+pub(super) type Id = [u8; DIGEST_LEN];
+
+/// Name of a claim: a digest of organisation and key.
+///
+/// Guards against one organisation reading or blocking another's claim by the
+/// same key; it would show as another's letter in the answer. The length in
+/// front keeps `a` + `bc` apart from `ab` + `c`.
+fn digest(organisation: &str, key: &str) -> [u8; 32] {
+    Sha256::new()
+        .chain_update((organisation.len() as u64).to_le_bytes())
+        .chain_update(organisation)
+        .chain_update(key)
+        .finalize()
+        .into()
+}
+
+pub(super) fn id(organisation: &str, key: &str) -> Id {
+    head(&digest(organisation, key))
+}
+
+/// The part of a digest that is kept.
+pub(super) fn head(bytes: &[u8]) -> Id {
+    let mut id = Id::default();
+    let len = bytes.len().min(DIGEST_LEN);
+    id[..len].copy_from_slice(&bytes[..len]);
+    id
+}
+
+/// The shard, below `shards`, whose register holds the claim.
+///
+/// The hash is the same in every release. The number of shards must not change
+/// while claims live: choose more shards than groups and map several to each.
+pub(crate) fn shard(organisation: &str, key: &str, shards: u32) -> u32 {
+    let digest = digest(organisation, key);
+    let mut tail = [0; 8];
+    tail.copy_from_slice(&digest[24..]);
+    let shard = u64::from_le_bytes(tail) % u64::from(shards.max(1));
+    u32::try_from(shard).unwrap_or(0)
+}
+
+/// `since` of a claim that has no age yet.
+pub(super) const FRESH: u64 = u64::MAX;
+
+/// A claim whose outcome is awaited.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Pending {
+    /// The sending that holds it.
+    pub(super) token: Token,
+    /// As in [`Claim`](crate::claim::Claim), in milliseconds.
+    pub(super) start: u32,
+    /// As in [`Claim`](crate::claim::Claim), in milliseconds.
+    pub(super) ttl: u32,
+    /// Whether a later sending was told that the outcome may be unknown.
+    pub(super) told: bool,
+}
+
+/// What is known of the outcome. Boxed where it is large: most claims that a
+/// register remembers have ended and keep no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum State {
+    /// The outcome is awaited.
+    Pending(Box<Pending>),
+    /// It was answered so.
+    Kept(Box<Kept>),
+    /// It was answered.
+    NotKept,
+    /// The holder itself can't tell.
+    Unknown,
+    /// It didn't run; the key stays used.
+    Unrun,
+}
+
+/// One claim.
+#[derive(Clone, Debug)]
+pub(super) struct Record {
+    pub(super) organisation: OrganisationId,
+    /// Head of the request's digest.
+    pub(super) digest: Id,
+    /// Log index of the claim.
+    pub(super) index: u64,
+    /// Register's time at the first `Expire` after the claim, in milliseconds,
+    /// or [`FRESH`].
+    pub(super) since: u64,
+    pub(super) state: State,
+}
+
+impl Record {
+    /// Time since the claim, in milliseconds, at the register's `time`.
+    pub(super) fn age(&self, time: u64) -> u64 {
+        match self.since {
+            FRESH => 0,
+            since => time.saturating_sub(since),
+        }
+    }
+
+    /// Bytes that it is counted with.
+    pub(super) fn cost(&self) -> u64 {
+        let kept = match &self.state {
+            State::Kept(kept) => kept.body.len() + kept.kind.len(),
+            _ => 0,
+        };
+        RECORD_LEN + kept as u64
+    }
+
+    /// Whether `token` holds it and its outcome is awaited.
+    pub(super) fn held(&self, token: Option<Token>) -> bool {
+        matches!(&self.state, State::Pending(pending) if Some(pending.token) == token)
+    }
+}
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,4 +1,21 @@
 //! Tests of crate-private parts, one file a module.
 
+mod answer;
 mod auth;
 mod registry;
+mod budget;
+mod claim;
+mod cli;
+mod engine;
+mod event;
+mod flow;
+mod follow;
+mod generation;
+mod life;
+mod limit;
+mod queue;
+mod replica;
+mod route;
+mod simulation;
+mod store;
+mod voter;
