--- a/src/membership.rs
+++ b/src/membership.rs
@@ -8,6 +8,7 @@
 mod member;
 mod merge;
 mod probe;
+mod upkeep;
 mod wire;
 
 pub use member::{Member, MemberDump, MemberState, MemberView};
--- a/src/membership/detector.rs
+++ b/src/membership/detector.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::RngExt;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
@@ -30,7 +29,7 @@
 const SUSPICION: u32 = 3;
 
 /// Worst state of the local health, which stretches all timeouts.
-const MAX_HEALTH: u32 = 2;
+pub(super) const MAX_HEALTH: u32 = 2;
 
 /// Probes without answer in a row after which this instance is cut off.
 const CUT_OFF: u32 = 5;
@@ -39,12 +38,12 @@
 pub(crate) const STALL: Duration = Duration::from_secs(2);
 
 /// Periods between two probes of a dead instance.
-const RETRY: u32 = 10;
+pub(super) const RETRY: u32 = 10;
 
 /// Least periods between two comparisons with a seed, while others are alive.
 /// In a large fleet it is half as many as there are instances, so that the
 /// seeds get the same number of them.
-const RESEED: u32 = 5;
+pub(super) const RESEED: u32 = 5;
 
 /// Settings of the detector.
 #[derive(Clone, Debug)]
@@ -106,10 +105,10 @@
     pub(super) period: Duration,
     pub(super) rng: ChaCha8Rng,
     pub(super) dirty: bool,
-    seeds: Vec<SocketAddr>,
+    pub(super) seeds: Vec<SocketAddr>,
     last_tick: Option<Time>,
-    next_retry: Time,
-    next_seed: Time,
+    pub(super) next_retry: Time,
+    pub(super) next_seed: Time,
     version: u64,
     /// Records of another process that uses this instance's number.
     pub(super) conflicts: u64,
@@ -322,86 +321,6 @@
         self.dirty = true;
         out.push(MemberEffect::Spread(own));
     }
-
-    /// Goes on after a suspension of this process.
-    ///
-    /// Guards against a process that was stopped for a minute and declares
-    /// the whole fleet dead when it runs again: the answers to its probe came
-    /// while it slept, and all its timers have run out. So it forgets the
-    /// probe, gives each suspect its remaining time again, and is wary.
-    fn wake(&mut self, now: Time, gap: Duration, out: &mut Vec<MemberEffect>) {
-        self.health = MAX_HEALTH;
-        self.probe = None;
-        self.next_probe = now;
-        self.relays.clear();
-        self.retried = None;
-        for slot in self.slots.values_mut() {
-            slot.deadline = slot.deadline.map(|at| at + gap);
-        }
-        out.extend(self.pick(1).into_iter().map(MemberEffect::Sync));
-    }
-
-    fn end_suspicions(&mut self, now: Time, out: &mut Vec<MemberEffect>) {
-        let over = |slot: &Slot| slot.deadline.is_some_and(|at| at <= now);
-        let ended = self.slots.iter().filter(|(_, s)| over(s));
-        let mut ended: Vec<_> = ended.map(|(id, _)| *id).collect();
-        ended.sort_unstable();
-        for id in ended {
-            self.set(now, id, MemberState::Dead, out);
-        }
-    }
-
-    /// Probes one dead instance now and then, so that the two sides of a
-    /// partition find each other again, and forgets those dead for too long.
-    fn retry_dead(&mut self, now: Time, out: &mut Vec<MemberEffect>) {
-        if now < self.next_retry {
-            return;
-        }
-        self.next_retry = now + self.period * RETRY;
-        self.forget(now);
-        let dead = self
-            .slots
-            .iter()
-            .filter(|(_, s)| s.version.state == MemberState::Dead);
-        let mut dead: Vec<_> = dead.map(|(id, s)| (*id, s.member.gossip)).collect();
-        dead.sort_unstable_by_key(|(id, _)| *id);
-        let Some((target, to)) = dead.choose(&mut self.rng).copied() else {
-            return;
-        };
-        self.sequence += 1;
-        let sequence = self.sequence;
-        self.retried = Some((sequence, to));
-        out.push(MemberEffect::Ping {
-            to,
-            target,
-            sequence,
-        });
-    }
-
-    fn forget(&mut self, now: Time) {
-        let before = self.slots.len();
-        let own = self.own;
-        self.slots
-            .retain(|id, s| *id == own || s.present() || s.since.age(now) < RETENTION);
-        self.dirty |= self.slots.len() != before;
-    }
-
-    /// Compares tables with all seeds each period while alone, and else with
-    /// one now and then, in case the fleet began as two halves that don't know
-    /// each other.
-    fn visit_seed(&mut self, now: Time, out: &mut Vec<MemberEffect>) {
-        if now < self.next_seed || self.seeds.is_empty() || self.left() {
-            return;
-        }
-        let present = u32::try_from(self.present()).unwrap_or(u32::MAX);
-        let alone = present <= 1;
-        let pause = if alone { 1 } else { RESEED.max(present / 2) };
-        let jitter = self.rng.random_range(0.5..1.5);
-        self.next_seed = now + (self.period * pause).mul_f64(jitter);
-        let count = if alone { self.seeds.len() } else { 1 };
-        let visited = self.seeds.sample(&mut self.rng, count);
-        out.extend(visited.copied().map(MemberEffect::Sync));
-    }
 }
 
 /// Nobody vouches while this instance is cut off.
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -2,7 +2,6 @@
 
 mod answer;
 mod auth;
-mod registry;
 mod budget;
 mod claim;
 mod cli;
@@ -14,6 +13,7 @@
 mod life;
 mod limit;
 mod queue;
+mod registry;
 mod replica;
 mod route;
 mod simulation;
