--- a/src/membership/detector.rs
+++ b/src/membership/detector.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::RngExt;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
@@ -30,16 +29,21 @@
 const SUSPICION: u32 = 3;
 
 /// Worst state of the local health, which stretches all timeouts.
-const MAX_HEALTH: u32 = 4;
+pub(super) const MAX_HEALTH: u32 = 2;
+
+/// Probes without answer in a row after which this instance is cut off.
+const CUT_OFF: u32 = 5;
 
 /// A pause between two ticks after which this process was suspended.
 pub(crate) const STALL: Duration = Duration::from_secs(2);
 
 /// Periods between two probes of a dead instance.
-const RETRY: u32 = 10;
+pub(super) const RETRY: u32 = 10;
 
-/// Periods between two exchanges with a seed, while others are alive.
-const RESEED: u32 = 30;
+/// Least periods between two comparisons with a seed, while others are alive.
+/// In a large fleet it is half as many as there are instances, so that the
+/// seeds get the same number of them.
+pub(super) const RESEED: u32 = 5;
 
 /// Settings of the detector.
 #[derive(Clone, Debug)]
@@ -96,13 +100,15 @@
     pub(super) sequence: u64,
     /// Zero is healthy. Grows when this instance is the likely cause.
     pub(super) health: u32,
+    /// Probes in a row that got no answer.
+    pub(super) failures: u32,
     pub(super) period: Duration,
     pub(super) rng: ChaCha8Rng,
     pub(super) dirty: bool,
-    seeds: Vec<SocketAddr>,
+    pub(super) seeds: Vec<SocketAddr>,
     last_tick: Option<Time>,
-    next_retry: Time,
-    next_seed: Time,
+    pub(super) next_retry: Time,
+    pub(super) next_seed: Time,
     version: u64,
     /// Records of another process that uses this instance's number.
     pub(super) conflicts: u64,
@@ -111,7 +117,12 @@
 impl Membership {
     /// A table that knows this instance alone.
     pub(crate) fn new(now: Time, settings: DetectorSettings, rng: ChaCha8Rng) -> Self {
-        let DetectorSettings { own, seeds, period } = settings;
+        let DetectorSettings {
+            own,
+            mut seeds,
+            period,
+        } = settings;
+        seeds.retain(|seed| *seed != own.gossip);
         let id = own.id;
         let version = MemberVersion {
             incarnation: own.incarnation,
@@ -134,6 +145,7 @@
             retried: None,
             sequence: 0,
             health: 0,
+            failures: 0,
             period,
             rng,
             dirty: true,
@@ -309,89 +321,18 @@
         self.dirty = true;
         out.push(MemberEffect::Spread(own));
     }
-
-    /// Goes on after a suspension of this process.
-    ///
-    /// Guards against a process that was stopped for a minute and declares
-    /// the whole fleet dead when it runs again: the answers to its probe came
-    /// while it slept, and all its timers have run out. So it forgets the
-    /// probe, gives each suspect its remaining time again, and is wary.
-    fn wake(&mut self, now: Time, gap: Duration, out: &mut Vec<MemberEffect>) {
-        self.health = MAX_HEALTH;
-        self.probe = None;
-        self.next_probe = now;
-        self.relays.clear();
-        self.retried = None;
-        for slot in self.slots.values_mut() {
-            slot.deadline = slot.deadline.map(|at| at + gap);
-        }
-        out.extend(self.pick(1).into_iter().map(MemberEffect::Sync));
-    }
-
-    fn end_suspicions(&mut self, now: Time, out: &mut Vec<MemberEffect>) {
-        let over = |slot: &Slot| slot.deadline.is_some_and(|at| at <= now);
-        let ended = self.slots.iter().filter(|(_, s)| over(s));
-        let mut ended: Vec<_> = ended.map(|(id, _)| *id).collect();
-        ended.sort_unstable();
-        for id in ended {
-            self.set(now, id, MemberState::Dead, out);
-        }
-    }
-
-    /// Probes one dead instance now and then, so that the two sides of a
-    /// partition find each other again, and forgets those dead for too long.
-    fn retry_dead(&mut self, now: Time, out: &mut Vec<MemberEffect>) {
-        if now < self.next_retry {
-            return;
-        }
-        self.next_retry = now + self.period * RETRY;
-        self.forget(now);
-        let dead = self
-            .slots
-            .iter()
-            .filter(|(_, s)| s.version.state == MemberState::Dead);
-        let mut dead: Vec<_> = dead.map(|(id, s)| (*id, s.member.gossip)).collect();
-        dead.sort_unstable_by_key(|(id, _)| *id);
-        let Some((target, to)) = dead.choose(&mut self.rng).copied() else {
-            return;
-        };
-        self.sequence += 1;
-        let sequence = self.sequence;
-        self.retried = Some((sequence, to));
-        out.push(MemberEffect::Ping {
-            to,
-            target,
-            sequence,
-        });
-    }
-
-    fn forget(&mut self, now: Time) {
-        let before = self.slots.len();
-        let own = self.own;
-        self.slots
-            .retain(|id, s| *id == own || s.present() || s.since.age(now) < RETENTION);
-        self.dirty |= self.slots.len() != before;
-    }
-
-    /// Compares tables with a seed: each period while alone, and else seldom,
-    /// in case two halves of the fleet have forgotten each other.
-    fn visit_seed(&mut self, now: Time, out: &mut Vec<MemberEffect>) {
-        if now < self.next_seed || self.seeds.is_empty() || self.left() {
-            return;
-        }
-        let pause = if self.present() > 1 { RESEED } else { 1 };
-        let jitter = self.rng.random_range(0.5..1.5);
-        self.next_seed = now + (self.period * pause).mul_f64(jitter);
-        let seed = self.seeds.choose(&mut self.rng).copied();
-        let own = self.address(self.own);
-        out.extend(seed.filter(|s| Some(*s) != own).map(MemberEffect::Sync));
-    }
 }
 
+/// Nobody vouches while this instance is cut off.
+///
+/// Guards against an instance alone behind a silent partition. It finds out
+/// about one other instance a period, which takes minutes in a large fleet;
+/// all that time it would give work to upstreams that left.
 impl Vouchers for Membership {
     fn alive(&self, id: InstanceId, boot: Incarnation) -> bool {
-        self.slots.get(&id).is_some_and(|slot| {
+        let alive = |slot: &Slot| {
             slot.version.state == MemberState::Alive && slot.version.incarnation == boot
-        })
+        };
+        self.failures < CUT_OFF && self.slots.get(&id).is_some_and(alive)
     }
 }
