--- a/src/allocate.rs
+++ b/src/allocate.rs
@@ -38,7 +38,7 @@
             Some(led) if led.term == term => slot.insert(led),
             _ => slot.insert(Led {
                 term,
-                allocator: Allocator::new(now, term),
+                allocator: Allocator::new(now),
                 revision: None,
             }),
         };
--- a/src/limit/allocator.rs
+++ b/src/limit/allocator.rs
@@ -9,16 +9,19 @@
 use crate::clock::Time;
 use crate::collections::{HashMap, HashSet};
 
+/// Time between two sweeps for grants that ran out.
+const SWEEP: Duration = Duration::from_millis(250);
+
 /// Instance and incarnation.
 type HolderKey = (u64, u64);
 
 /// Grants all shares of a fleet.
 ///
 /// One allocator at a time may answer: the caller runs it only while its
-/// leadership is confirmed by a quorum, and starts a new one per term.
+/// leadership is confirmed by a quorum, and starts a new one per term: a new
+/// allocator trusts that no earlier one answers any more.
 #[derive(Debug)]
 pub struct Allocator {
-    term: u64,
     /// Until then shares may be in use that this allocator doesn't know.
     quiet: Time,
     routes: HashMap<Arc<str>, Route>,
@@ -80,9 +83,8 @@
     /// may be in use for a lease more; until then only reported shares are
     /// renewed, at the same amount.
     #[must_use]
-    pub fn new(now: Time, term: u64) -> Self {
+    pub fn new(now: Time) -> Self {
         Self {
-            term,
             quiet: now + LEASE + DRIFT_MARGIN,
             routes: HashMap::default(),
             holders: HashMap::default(),
@@ -91,7 +93,9 @@
     }
 
     /// Takes over the limits of the catalogue. Routes that aren't listed get
-    /// nothing any more. A lowered limit is in force after one lease.
+    /// nothing any more. A lowered limit is in force one lease later, or one
+    /// lease after the next takeover when that comes first: a new allocator
+    /// can't tell which of the reported shares are older than the lowering.
     pub fn set_limits<'a>(&mut self, limits: impl IntoIterator<Item = (&'a str, Limits)>) {
         let mut rest: HashSet<Arc<str>> = self.routes.keys().cloned().collect();
         for (name, limits) in limits {
@@ -115,8 +119,8 @@
 
     /// Answers a question, or nothing when it is a late or doubled copy.
     ///
-    /// A doubled question answered twice would be harmless, but a late one
-    /// reports shares as they were; it would free what is in use again.
+    /// A late copy reports a demand that is past; answering it would grant what
+    /// its sender has no use for and, being older, doesn't take.
     pub fn ask(&mut self, now: Time, ask: &Ask) -> Option<Grant> {
         self.sweep(now);
         let key = (ask.instance, ask.incarnation);
@@ -142,7 +146,6 @@
         }
         self.remember(key, before, &ask.demands);
         Some(Grant {
-            term: self.term,
             instance: ask.instance,
             incarnation: ask.incarnation,
             sequence: ask.sequence,
@@ -152,12 +155,13 @@
     }
 
     fn grant(&mut self, now: Time, key: HolderKey, ask: &Ask, demand: &Demand) -> Option<[u32; 4]> {
+        let fleet = self.holders.len();
         let route = self.routes.get_mut(demand.route.as_str())?;
         route.hear(now, key, ask.applied, demand);
         let target = if now < self.quiet {
             demand.held.array()
         } else {
-            route.target(key)
+            route.target(key, fleet)
         };
         let amounts = route.issue(now, key, ask.sequence, target);
         Some(amounts).filter(|a| *a != [0; 4])
@@ -180,9 +184,9 @@
         }
     }
 
-    /// Drops grants that ran out, and holders that are silent, once a second.
+    /// Drops grants that ran out and silent holders, now and then.
     fn sweep(&mut self, now: Time) {
-        if now.since(self.swept) < Duration::from_secs(1) {
+        if now.since(self.swept) < SWEEP {
             return;
         }
         self.swept = now;
@@ -248,9 +252,14 @@
     /// The part of the limit that a holder should have: its demand and an
     /// equal part of what nobody asks for, or its part of the limit by demand
     /// when all ask for more than there is, but at least one.
-    fn target(&self, key: HolderKey) -> [u32; 4] {
+    ///
+    /// The equal part counts all `fleet` holders, also those that have no
+    /// stake in the route yet. Divided among the stakes alone, the first few
+    /// took the whole limit, and when the first requests came to all instances
+    /// at once, the last ones waited two periods for the first to give back.
+    fn target(&self, key: HolderKey, fleet: usize) -> [u32; 4] {
         let own = self.stakes.get(&key).map(|s| s.wanted).unwrap_or_default();
-        let holders = self.stakes.len().max(1) as u64;
+        let holders = self.stakes.len().max(fleet).max(1) as u64;
         std::array::from_fn(|k| {
             let limit = u64::from(self.limit[k]);
             let want = u64::from(own[k]);
--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -60,16 +60,17 @@
         self.reset_deadline();
     }
 
-    fn greet(&mut self) {
-        let me = self.settings.me;
-        if self.log.members().1.role(me).is_some() {
-            return;
-        }
-        for &id in &self.settings.contacts {
-            if id != me.id {
-                let hello = Body::Hello(Hello {});
-                self.outbox.send(Peer { id, store: 0 }, self.term, hello);
-            }
+    /// Makes this store known, whatever its own log says of it: the entry that
+    /// added it may have been overwritten elsewhere.
+    pub(super) fn greet(&mut self) {
+        let members = &self.log.members().1.members;
+        let members = members.iter().map(|m| m.id);
+        let known = self.settings.contacts.iter().copied().chain(members);
+        let mut ids: BTreeSet<u64> = known.collect();
+        ids.remove(&self.settings.me.id);
+        for id in ids {
+            let hello = Body::Hello(Hello::default());
+            self.outbox.send(Peer { id, store: 0 }, self.term, hello);
         }
     }
 
@@ -187,6 +188,36 @@
         }
     }
 
+    pub(super) fn on_transfer(&mut self) {
+        let end = self.now + self.settings.election;
+        let voters: Vec<Peer> = self.log.members().1.voters().collect();
+        let Part::Leader(lead) = &mut self.part else {
+            return;
+        };
+        let best = voters
+            .into_iter()
+            .filter(|p| lead.progress.contains_key(p))
+            .max_by_key(|&p| (lead.matched(p), lead.progress[&p].heard));
+        lead.transfer = best.map(|p| (p, end));
+        lead.told = false;
+    }
+
+    /// Tells the chosen member to campaign once it has every entry.
+    pub(super) fn hand_over(&mut self) {
+        let last = self.log.last_index();
+        let Part::Leader(lead) = &mut self.part else {
+            return;
+        };
+        let Some((peer, _)) = lead.transfer else {
+            return;
+        };
+        if lead.told || lead.matched(peer) < last {
+            return;
+        }
+        lead.told = true;
+        self.send_timeout_now(peer);
+    }
+
     pub(super) fn send_timeout_now(&mut self, to: Peer) {
         let body = Body::TimeoutNow(TimeoutNow {});
         self.outbox.send(to, self.term, body);
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -52,6 +52,9 @@
     ClaimLapsed,
     /// The key was used with another request.
     KeyMismatch,
+    /// The request wasn't run, but an earlier sending was told that it may
+    /// have been and never will be.
+    KeyRetired,
     /// The instance shuts down.
     Draining,
     /// Nothing is served under the path.
@@ -65,7 +68,7 @@
 impl RefusalCode {
     /// Every code, for the documentation's test.
     #[cfg(test)]
-    pub(crate) const ALL: [Self; 19] = [
+    pub(crate) const ALL: [Self; 20] = [
         Self::Unauthenticated,
         Self::InvalidRequest,
         Self::UnknownRoute,
@@ -81,6 +84,7 @@
         Self::ClaimsFull,
         Self::ClaimLapsed,
         Self::KeyMismatch,
+        Self::KeyRetired,
         Self::Draining,
         Self::UnknownPath,
         Self::TooSlow,
@@ -105,6 +109,7 @@
             Self::ClaimsFull => "claims_full",
             Self::ClaimLapsed => "claim_lapsed",
             Self::KeyMismatch => "key_mismatch",
+            Self::KeyRetired => "key_retired",
             Self::Draining => "draining",
             Self::UnknownPath => "unknown_path",
             Self::TooSlow => "too_slow",
@@ -124,6 +129,7 @@
             Self::CallerLeft => 499,
             Self::QueueTimeout => 504,
             Self::KeyMismatch => 422,
+            Self::KeyRetired => 409,
             Self::NoUpstream
             | Self::UpstreamBusy
             | Self::RetryBudget
@@ -154,6 +160,7 @@
             }
             Self::ClaimsFull => "too many keys are kept: send again with the same key later",
             Self::ClaimLapsed => "the claim came too late: send again with the same key",
+            Self::KeyRetired => "the request of this key wasn't run: send it with a new key",
             Self::KeyMismatch => "the key was used for another request: choose a new key",
             Self::Draining => "the instance shuts down: send again, to another instance",
             Self::UnknownPath => "nothing is served here: see docs/REQUESTS.md for the paths",
@@ -174,6 +181,7 @@
                 | Self::TooLarge
                 | Self::KeyMismatch
                 | Self::UnknownPath
+                | Self::KeyRetired
         )
     }
 }
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -16,7 +16,7 @@
 use crate::claim::Outcome as Settled;
 use crate::clock::Time;
 use crate::dispatch::{Placed, Placement, Unplaced};
-use crate::engine::{Engine, EngineError, EngineEvent, Events, HttpEngine, Order, Stage};
+use crate::engine::{Cutoff, Engine, EngineError, EngineEvent, Events, HttpEngine, Order, Stage};
 use crate::event;
 use crate::gate::Running;
 use crate::id::OrganisationId;
@@ -216,7 +216,7 @@
                 let event = self.open(attempt, resume, exclude).await;
                 self.step(event, effects);
             }
-            Effect::Send { attempt } => self.send(attempt),
+            Effect::Send { attempt, until } => self.send(attempt, until),
             Effect::Emit {
                 request,
                 index,
@@ -256,7 +256,18 @@
                 pause: Some(Duration::from_secs(1)),
             };
         }
-        let placement = self.placement(attempt, resume, exclude);
+        let pools = match self.pools() {
+            Ok(pools) => pools,
+            Err(reason) => {
+                return Event::Unopened {
+                    attempt,
+                    reason,
+                    pause: None,
+                };
+            }
+        };
+        let used = pools.clone();
+        let placement = self.placement(attempt, resume, exclude, pools);
         let serving = Arc::clone(&self.serving);
         let placed = tokio::select! {
             placed = serving.place(placement) => placed,
@@ -266,7 +277,27 @@
             }
         };
         match placed {
-            Ok(placed) => self.planned(attempt, placed),
+            // The wait may have been long. A lease that ended, or a change
+            // that came meanwhile, must not be passed over.
+            Ok(placed) => match self.pools() {
+                Ok(pools) if pools == used => self.planned(attempt, placed),
+                Ok(_) => {
+                    self.give_back(placed, Outcome::Cancelled, 0);
+                    Event::Unopened {
+                        attempt,
+                        reason: Unopened::NoPath,
+                        pause: Some(Duration::ZERO),
+                    }
+                }
+                Err(reason) => {
+                    self.give_back(placed, Outcome::Cancelled, 0);
+                    Event::Unopened {
+                        attempt,
+                        reason,
+                        pause: None,
+                    }
+                }
+            },
             Err((Unplaced::NoPath, pause)) => Event::Unopened {
                 attempt,
                 reason: Unopened::NoPath,
@@ -280,6 +311,20 @@
         }
     }
 
+    /// Pools that the route allows by the catalogue in force now.
+    ///
+    /// A request may have waited since it was let in. Sent on by what the
+    /// catalogue said then, it could reach capacity that its organisation has
+    /// lost meanwhile, or go on under an instance that is cut off.
+    fn pools(&self) -> Result<Arc<[String]>, Unopened> {
+        let now = self.serving.now();
+        let catalogue = self.serving.parts.force.get(now);
+        let catalogue = catalogue.map_err(|_| Unopened::Lease)?;
+        let route = catalogue.route(&self.job.organisation, &self.job.route);
+        let route = route.ok_or(Unopened::NoRoute)?;
+        Ok(route.pools.clone().into())
+    }
+
     fn retry_allowed(&self) -> bool {
         let now = self.serving.now();
         let allowed = self.serving.budget().take(now, &self.job.organisation);
@@ -295,6 +340,7 @@
         attempt: u32,
         resume: u32,
         exclude: Vec<crate::id::UpstreamId>,
+        pools: Arc<[String]>,
     ) -> Placement {
         Placement {
             id: self.job.id.sequence,
@@ -303,7 +349,7 @@
             class: self.job.class,
             model: self.job.model.clone(),
             version: self.version.clone().filter(|_| resume > 0),
-            pools: self.job.pools.clone(),
+            pools,
             prompt: self.job.prompt_tokens,
             expected: self.job.limit - resume.min(self.job.limit),
             prefix: None,
@@ -351,7 +397,8 @@
         }
     }
 
-    fn send(&mut self, attempt: u32) {
+    fn send(&mut self, attempt: u32, until: Option<Time>) {
+        let cutoff = Cutoff::new(until, Arc::clone(&self.serving.parts.clock));
         let Some(flight) = &mut self.flight else {
             return;
         };
@@ -361,7 +408,7 @@
             Work::Engine(prompt) => prompt,
             Work::Call(call) => {
                 let path = flight.path.clone();
-                let read = service::read(call.clone(), self.job.id, attempt, path, events);
+                let read = service::read(call.clone(), self.job.id, attempt, path, events, cutoff);
                 flight.reader = Some(Reader(tokio::spawn(read)));
                 return;
             }
@@ -378,7 +425,9 @@
             remaining: self.job.deadline.since(flight.started),
             path: flight.path.clone(),
         };
-        flight.reader = Some(Reader(tokio::spawn(read(HttpEngine, order, events))));
+        flight.reader = Some(Reader(tokio::spawn(read(
+            HttpEngine, order, events, cutoff,
+        ))));
     }
 
     /// Hands a verified token to the caller's side.
@@ -480,21 +529,24 @@
 }
 
 /// Sends the order and hands on each event of its stream.
-async fn read(engine: impl Engine, order: OwnedOrder, events: mpsc::Sender<Event>) {
+async fn read(engine: impl Engine, order: OwnedOrder, events: mpsc::Sender<Event>, cutoff: Cutoff) {
     let attempt = order.attempt;
     let started = engine
-        .start(&Order {
-            request: &order.request,
-            attempt,
-            organisation: &order.organisation,
-            model: &order.model,
-            prompt: &order.prompt,
-            tokens: &order.tokens,
-            limit: order.limit,
-            priority: order.priority,
-            remaining: u64::try_from(order.remaining.as_millis()).unwrap_or(u64::MAX),
-            path: &order.path,
-        })
+        .start(
+            &Order {
+                request: &order.request,
+                attempt,
+                organisation: &order.organisation,
+                model: &order.model,
+                prompt: &order.prompt,
+                tokens: &order.tokens,
+                limit: order.limit,
+                priority: order.priority,
+                remaining: u64::try_from(order.remaining.as_millis()).unwrap_or(u64::MAX),
+                path: &order.path,
+            },
+            &cutoff,
+        )
         .await;
     let mut stream = match started {
         Ok(stream) => stream,
@@ -558,7 +610,10 @@
 
 fn failure(attempt: u32, error: &EngineError, suspect: Option<crate::id::UpstreamId>) -> Event {
     let cause = match error {
-        EngineError::Busy => return Event::Busy { attempt },
+        EngineError::Busy => {
+            let unrun = true;
+            return Event::Busy { attempt, unrun };
+        }
         EngineError::Connect => Cause::Refused,
         EngineError::Cut => Cause::Cut,
         EngineError::Status { .. } | EngineError::Garbage => Cause::Garbage,
--- a/src/voter/core.rs
+++ b/src/voter/core.rs
@@ -5,19 +5,16 @@
 
 use bytes::Bytes;
 
+use super::answer::Answer;
+use super::group::{Group, Pending};
+use super::sighting::Sightings;
 use super::{ChangeError, GroupStatus, Machine, ProposeError, ReadError};
 use crate::clock::Time;
-use crate::collections::HashMap;
 use crate::disk::Disk;
-use crate::id::InstanceId;
 use crate::replica::{
-    Cause, Change, Effect, Entry, Event, Kind, Membership, Message, Peer, Persist, Replica,
-    Settings, Start,
+    Body, Change, Effect, Event, Membership, Message, Peer, Replica, Settings, Start,
 };
-use crate::store::{Store, StoreError};
-
-/// Takes the outcome of a request, on the voter's thread.
-pub(crate) type Reply<T, E> = Box<dyn FnOnce(Result<T, E>) + Send>;
+use crate::store::{Store, StoreError, UnusedSnafu};
 
 /// A request or message for the core.
 pub(crate) enum Input {
@@ -25,25 +22,30 @@
     Propose {
         group: u32,
         command: Bytes,
-        done: Reply<Vec<u8>, ProposeError>,
+        answer: Answer<Vec<u8>, ProposeError>,
     },
     Read {
         group: u32,
-        done: Reply<u64, ReadError>,
+        answer: Answer<u64, ReadError>,
     },
     Change {
         group: u32,
         change: Change,
-        done: Reply<(), ChangeError>,
+        answer: Answer<(), ChangeError>,
     },
     Transfer,
 }
 
-/// A request that waits for its outcome.
-enum Pending {
-    Propose(Reply<Vec<u8>, ProposeError>),
-    Read(Reply<u64, ReadError>),
-    Change(Reply<(), ChangeError>),
+impl Input {
+    /// Answers a request that nothing was done for lack of room.
+    pub(super) fn refuse_busy(self) {
+        match self {
+            Self::Propose { answer, .. } => answer.send(Err(ProposeError::Busy)),
+            Self::Read { answer, .. } => answer.send(Err(ReadError::Busy)),
+            Self::Change { answer, .. } => answer.send(Err(ChangeError::Busy)),
+            Self::Message(_) | Self::Transfer => {}
+        }
+    }
 }
 
 /// Constants of a core.
@@ -67,30 +69,21 @@
     pub(crate) fresh: u64,
 }
 
-struct Group {
-    replica: Replica,
-    machine: Box<dyn Machine>,
-    pending: HashMap<u64, Pending>,
-    /// Proposals of the current batch.
-    proposals: Vec<(u64, Bytes)>,
-    /// Number of the latest write that awaits a sync.
-    written: Option<u64>,
-}
-
 /// All groups of one store.
 pub(crate) struct Core {
-    config: Config,
-    me: Peer,
-    boot: u64,
-    store: Store,
-    groups: Vec<Group>,
-    /// Highest boot counter seen of each other store, and its run. Durable.
-    sightings: BTreeMap<u64, (u64, u64)>,
+    pub(super) config: Config,
+    pub(super) me: Peer,
+    pub(super) boot: u64,
+    pub(super) store: Store,
+    pub(super) groups: Vec<Group>,
+    /// Numbers of this store's runs.
+    pub(super) runs: Vec<u64>,
+    pub(super) sightings: Sightings,
     /// Messages of runs whose sighting isn't durable yet.
-    held: Vec<Message>,
+    pub(super) held: Vec<Message>,
     /// Messages of superseded runs that were refused.
-    refused: u64,
-    ticket: u64,
+    pub(super) refused: u64,
+    pub(super) ticket: u64,
 }
 
 impl Core {
@@ -101,7 +94,7 @@
         machines: Vec<Box<dyn Machine>>,
         now: Time,
     ) -> Result<Self, StoreError> {
-        let (store, mut contents) = Store::open(disk, config.fresh)?;
+        let (store, mut contents) = Store::open(disk, config.fresh, config.run)?;
         let me = Peer {
             id: config.instance,
             store: contents.store,
@@ -113,20 +106,20 @@
             if start.snapshot.index == 0 {
                 start.snapshot.members = Membership::founders(config.founders.iter().copied());
             }
-            groups.push(Group {
-                replica: Replica::new(settings, start, now),
-                machine,
-                pending: HashMap::default(),
-                proposals: Vec::new(),
-                written: None,
-            });
+            let replica = Replica::new(settings, start, now);
+            groups.push(Group::new(group, replica, machine));
+        }
+        if let Some(&group) = contents.groups.keys().next() {
+            // The next rewrite of the log would drop it.
+            return UnusedSnafu { group }.fail();
         }
         Ok(Self {
             me,
             boot: contents.boot,
             store,
             groups,
-            sightings: contents.sightings,
+            runs: contents.runs,
+            sightings: Sightings::new(contents.sightings),
             held: Vec::new(),
             refused: 0,
             ticket: 0,
@@ -136,8 +129,8 @@
 
     /// Handles inputs and the passing of time. Returns with everything synced.
     ///
-    /// An error means that the store has failed: drop the core then, and open
-    /// the folder again in a new one.
+    /// An error means that the store has failed or is an old copy: drop the
+    /// core then.
     pub(crate) fn run(
         &mut self,
         now: Time,
@@ -167,28 +160,26 @@
     }
 
     pub(crate) fn status(&self) -> Vec<GroupStatus> {
-        let groups = (0..).zip(&self.groups);
-        groups.map(|(n, g)| self.group_status(n, g)).collect()
+        let groups = self.groups.iter();
+        groups.map(|g| g.status(self.boot, self.refused)).collect()
     }
 
-    fn group_status(&self, number: u32, group: &Group) -> GroupStatus {
-        let replica = &group.replica;
-        let log = replica.log();
-        GroupStatus {
-            group: number,
-            me: self.me,
-            boot: self.boot,
-            term: replica.term(),
-            leader: replica.leader().map(|l| InstanceId(l.id)),
-            leads: replica.is_leader(),
-            last: log.last_index(),
-            commit: replica.commit(),
-            applied: replica.applied(),
-            snapshot: log.snapshot().index,
-            members: log.members().1.members.clone(),
-            strangers: replica.strangers().collect(),
-            refused: self.refused,
-        }
+    /// The replica of a group.
+    #[cfg(test)]
+    pub(crate) fn replica(&self, group: usize) -> &Replica {
+        &self.groups[group].replica
+    }
+
+    /// Latest run known of another store.
+    #[cfg(test)]
+    pub(crate) fn sighting(&self, store: u64) -> Option<(u64, u64)> {
+        self.sightings.known().get(&store).copied()
+    }
+
+    /// Boot counter and run of this store.
+    #[cfg(test)]
+    pub(crate) fn life(&self) -> (u64, u64) {
+        (self.boot, self.config.run)
     }
 
     fn take(
@@ -202,34 +193,33 @@
             Input::Propose {
                 group,
                 command,
-                done,
+                mut answer,
             } => {
                 let Some(at) = self.position(group) else {
-                    done(Err(ProposeError::Stopped));
                     return Ok(());
                 };
-                let ticket = self.wait(at, Pending::Propose(done));
+                answer.else_tell(ProposeError::Unknown);
+                let ticket = self.wait(at, Pending::Propose(answer));
                 self.groups[at].proposals.push((ticket, command));
                 Ok(())
             }
-            Input::Read { group, done } => {
+            Input::Read { group, answer } => {
                 let Some(at) = self.position(group) else {
-                    done(Err(ReadError::Stopped));
                     return Ok(());
                 };
-                let ticket = self.wait(at, Pending::Read(done));
+                let ticket = self.wait(at, Pending::Read(answer));
                 self.step(at, now, Event::Read(ticket), send)
             }
             Input::Change {
                 group,
                 change,
-                done,
+                mut answer,
             } => {
                 let Some(at) = self.position(group) else {
-                    done(Err(ChangeError::Stopped));
                     return Ok(());
                 };
-                let ticket = self.wait(at, Pending::Change(done));
+                answer.else_tell(ChangeError::Unknown);
+                let ticket = self.wait(at, Pending::Change(answer));
                 self.step(at, now, Event::Change(ticket, change), send)
             }
             Input::Transfer => {
@@ -241,72 +231,17 @@
         }
     }
 
-    fn position(&self, group: u32) -> Option<usize> {
+    pub(super) fn position(&self, group: u32) -> Option<usize> {
         let at = usize::try_from(group).ok()?;
         (at < self.groups.len()).then_some(at)
     }
 
     fn wait(&mut self, at: usize, pending: Pending) -> u64 {
         self.ticket += 1;
-        self.groups[at].pending.insert(self.ticket, pending);
+        self.groups[at].wait(self.ticket, pending);
         self.ticket
     }
 
-    fn deliver(
-        &mut self,
-        now: Time,
-        message: Message,
-        send: &mut dyn FnMut(Message),
-    ) -> Result<(), StoreError> {
-        let Some(at) = self.position(message.group) else {
-            return Ok(());
-        };
-        if message.from_store == self.me.store || !self.sight(&message) {
-            return Ok(());
-        }
-        // A vote or acknowledgement counts only once we'd remember its run.
-        if self.held.iter().any(|h| h.from_store == message.from_store) {
-            self.held.push(message);
-            return Ok(());
-        }
-        self.step(at, now, Event::Message(message), send)
-    }
-
-    /// Whether a message comes from the latest known run of its store.
-    ///
-    /// A folder put back from an old copy runs with a boot counter that its
-    /// peers have seen already, under another run number: it has forgotten
-    /// votes and entries, and must not vote as its former self.
-    fn sight(&mut self, message: &Message) -> bool {
-        let store = message.from_store;
-        let seen = (message.boot, message.run);
-        let known = self.sightings.get(&store).copied();
-        match known {
-            Some(known) if known == seen => true,
-            Some((boot, _)) if message.boot <= boot => {
-                self.refused += 1;
-                false
-            }
-            _ if !self.is_member(message.sender()) => true,
-            _ => {
-                self.sightings.insert(store, seen);
-                self.store.write_sighting(store, seen.0, seen.1);
-                self.held.push(message.clone());
-                false
-            }
-        }
-    }
-
-    /// Whether `peer` is a member of any group. Bounds what is remembered.
-    fn is_member(&self, peer: Peer) -> bool {
-        self.groups.iter().any(|g| {
-            let members = &g.replica.log().members().1.members;
-            let is =
-                |m: &crate::replica::Member| m.peer() == peer || (m.store == 0 && m.id == peer.id);
-            members.iter().any(is)
-        })
-    }
-
     /// Syncs until nothing is left to sync.
     fn settle(&mut self, now: Time, send: &mut dyn FnMut(Message)) -> Result<(), StoreError> {
         loop {
@@ -343,7 +278,6 @@
     }
 
     fn rewrite(&mut self) -> Result<(), StoreError> {
-        let known = std::mem::take(&mut self.sightings);
         let members: Vec<u64> = self
             .groups
             .iter()
@@ -351,16 +285,14 @@
             .map(|m| m.store)
             .collect();
         let founding = members.contains(&0);
-        self.sightings = known
-            .into_iter()
-            .filter(|(store, _)| founding || members.contains(store))
-            .collect();
+        self.sightings
+            .retain(|store| founding || members.contains(&store));
         let images = self.groups.iter().map(|g| g.replica.image());
         let images: BTreeMap<u32, Start> = (0..).zip(images).collect();
-        self.store.rewrite(&images, &self.sightings)
+        self.store.rewrite(&images, self.sightings.known())
     }
 
-    fn step(
+    pub(super) fn step(
         &mut self,
         at: usize,
         now: Time,
@@ -372,8 +304,13 @@
         group.replica.step(now, event, &mut effects);
         for effect in effects {
             match effect {
-                Effect::Send(message) => send(message),
-                Effect::Persist(persist) => group.write(at, &persist, &mut self.store)?,
+                Effect::Send(mut message) => {
+                    if let Some(Body::Hello(hello)) = &mut message.body {
+                        hello.runs.clone_from(&self.runs);
+                    }
+                    send(message);
+                }
+                Effect::Persist(persist) => group.write(&persist, &mut self.store)?,
                 Effect::Apply { entry, ticket } => group.apply(&entry, ticket),
                 Effect::Restore(snapshot) => group.machine.restore(&snapshot.data),
                 Effect::Readable { ticket, index } => group.readable(ticket, index),
@@ -384,56 +321,6 @@
     }
 }
 
-impl Group {
-    fn write(&mut self, at: usize, persist: &Persist, store: &mut Store) -> Result<(), StoreError> {
-        let number = u32::try_from(at).expect("few groups");
-        self.written = Some(persist.seq);
-        store.write(number, persist)
-    }
-
-    fn apply(&mut self, entry: &Entry, ticket: Option<u64>) {
-        let reply = match entry.kind() {
-            Kind::Command => self.machine.apply(entry.index, &entry.data),
-            Kind::Noop | Kind::Members => Vec::new(),
-        };
-        let pending = ticket.and_then(|t| self.pending.remove(&t));
-        match pending {
-            Some(Pending::Propose(done)) => done(Ok(reply)),
-            Some(Pending::Change(done)) => done(Ok(())),
-            Some(Pending::Read(_)) => unreachable!("reads have no entry"),
-            None => {}
-        }
-    }
-
-    fn readable(&mut self, ticket: u64, index: u64) {
-        if let Some(Pending::Read(done)) = self.pending.remove(&ticket) {
-            done(Ok(index));
-        }
-    }
-
-    fn fail(&mut self, ticket: u64, cause: Cause) {
-        match self.pending.remove(&ticket) {
-            Some(Pending::Propose(done)) => done(Err(cause.into())),
-            Some(Pending::Read(done)) => done(Err(cause.into())),
-            Some(Pending::Change(done)) => done(Err(cause.into())),
-            None => {}
-        }
-    }
-}
-
-impl Drop for Group {
-    /// Answers what can't be answered any more.
-    fn drop(&mut self) {
-        for pending in std::mem::take(&mut self.pending).into_values() {
-            match pending {
-                Pending::Propose(done) => done(Err(ProposeError::Unknown)),
-                Pending::Read(done) => done(Err(ReadError::Stopped)),
-                Pending::Change(done) => done(Err(ChangeError::Unknown)),
-            }
-        }
-    }
-}
-
 fn settings(config: &Config, me: Peer, boot: u64, group: u32) -> Settings {
     Settings {
         group,
