--- a/src/control.rs
+++ b/src/control.rs
@@ -1,16 +1,16 @@
 //! The control address: operators, upstreams, the platform's probes, the
-//! state dump and the metrics. All answers are whole, so `astra` serves them.
+//! state dump and the metrics. All answers are whole.
 
-use std::io::Read;
-use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 
-use astra::{Body, Request, Response, ResponseBuilder, Server};
-use hyper::{Method, StatusCode, header};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, StatusCode, header};
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
-use tokio::runtime::Handle;
 
 use crate::catalogue::{Change, EntryKey, Expect, Kind, Outcome, digest};
 use crate::clock::Clock;
@@ -20,16 +20,17 @@
 use crate::follower::Confirm;
 use crate::gate::Gate;
 use crate::gossip::Fleet;
+use crate::http::{self, Bounds, Reply, Unreceived};
 use crate::message::{self, Ask, AskGroup, ChangeVoter, VoterChanged};
 use crate::propose::{NotCommitted, Proposer};
 use crate::settings::Settings;
 use crate::upstream::{AnnounceOutcome, Announcement};
 
 /// Longest body, in bytes: a change of a whole catalogue.
-const MAX_BODY: u64 = 32 << 20;
+const MAX_BODY: usize = 32 << 20;
 
 /// Longest body of an announcement, in bytes.
-const MAX_ANNOUNCEMENT: u64 = 16 << 10;
+const MAX_ANNOUNCEMENT: usize = 16 << 10;
 
 /// Time for a change to be committed.
 const COMMIT: Duration = Duration::from_secs(8);
@@ -43,14 +44,10 @@
 /// Pasts that one listing of the history holds at most.
 const MAX_HISTORY: usize = 1000;
 
-/// Threads for answers; operators and upstreams are few, their answers short.
-const WORKERS: usize = 16;
-
 /// What the control address needs of the instance.
 pub(crate) struct Control {
     pub(crate) settings: Arc<Settings>,
     pub(crate) clock: Arc<dyn Clock>,
-    pub(crate) runtime: Handle,
     pub(crate) force: Arc<InForce>,
     pub(crate) confirm: Confirm,
     pub(crate) proposer: Arc<Proposer>,
@@ -69,7 +66,7 @@
     message: String,
 }
 
-type Answer = Result<Response, Problem>;
+type Answer = Result<Response<Reply>, Problem>;
 
 fn problem(status: StatusCode, code: &'static str, message: impl Into<String>) -> Problem {
     Problem {
@@ -79,17 +76,21 @@
     }
 }
 
-/// Serves `addr` for as long as the process lives; returns only on failure.
-pub(crate) fn serve(control: Arc<Control>, addr: SocketAddr) -> std::io::Result<()> {
-    Server::bind(addr)
-        .max_workers(WORKERS)
-        .http1_only()
-        .serve(move |request, _| control.answer(request))
+/// Accepts operators, upstreams and probes until the runtime ends.
+pub(crate) async fn serve(control: Arc<Control>, listener: TcpListener) {
+    let bounds = Bounds {
+        head: control.settings.head,
+        receive: control.settings.receive,
+    };
+    http::accept(listener, bounds, move |request| {
+        Arc::clone(&control).answer(request)
+    })
+    .await;
 }
 
 impl Control {
-    fn answer(&self, mut request: Request) -> Response {
-        self.dispatch(&mut request).unwrap_or_else(|problem| {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Reply> {
+        self.dispatch(request).await.unwrap_or_else(|problem| {
             let body = serde_json::json!({
                 "error": {"code": problem.code, "message": problem.message}
             });
@@ -97,38 +98,39 @@
         })
     }
 
-    fn dispatch(&self, request: &mut Request) -> Answer {
-        let path = request.uri().path().to_owned();
-        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
-        match (request.method().clone(), parts.as_slice()) {
-            (Method::GET, ["healthz"]) => Ok(text(StatusCode::OK, "ok\n")),
-            (Method::GET, ["readyz"]) => Ok(self.ready()),
-            (Method::GET, ["metrics"]) => Ok(text(StatusCode::OK, &self.metrics.render())),
-            (Method::POST, ["v1", "upstreams"]) => self.announce(request),
-            (method, ["v1", rest @ ..]) => {
-                self.authorise(request)?;
-                self.operate(request, &method, rest)
+    async fn dispatch(&self, request: Request<Incoming>) -> Answer {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path().trim_matches('/');
+        let parts: Vec<&str> = path.split('/').collect();
+        match (&head.method, parts.as_slice()) {
+            (&Method::GET, ["healthz"]) => Ok(text(StatusCode::OK, "ok\n")),
+            (&Method::GET, ["readyz"]) => Ok(self.ready()),
+            (&Method::GET, ["metrics"]) => Ok(text(StatusCode::OK, &self.metrics.render())),
+            (&Method::POST, ["v1", "upstreams"]) => self.announce(&head, body).await,
+            (_, ["v1", rest @ ..]) => {
+                self.authorise(&head)?;
+                self.operate(&head, rest, body).await
             }
             _ => Err(not_found()),
         }
     }
 
-    fn operate(&self, request: &mut Request, method: &Method, path: &[&str]) -> Answer {
-        match (method, path) {
-            (&Method::GET, ["state"]) => Ok(self.state(request)),
-            (&Method::GET, ["catalogue"]) => self.list(),
-            (&Method::GET, ["catalogue", "history"]) => self.history(),
-            (&Method::GET, ["catalogue", kind, name]) => self.get(kind, name),
-            (&Method::POST, ["catalogue", "changes"]) => self.change(request),
-            (&Method::GET, ["voters"]) => self.voters(),
-            (&Method::PUT, ["voters", id]) => self.change_voter(id, false),
-            (&Method::DELETE, ["voters", id]) => self.change_voter(id, true),
+    async fn operate(&self, head: &Parts, path: &[&str], body: Incoming) -> Answer {
+        match (&head.method, path) {
+            (&Method::GET, ["state"]) => Ok(self.state(head)),
+            (&Method::GET, ["catalogue"]) => self.list().await,
+            (&Method::GET, ["catalogue", "history"]) => self.history().await,
+            (&Method::GET, ["catalogue", kind, name]) => self.get(kind, name).await,
+            (&Method::POST, ["catalogue", "changes"]) => self.change(head, body).await,
+            (&Method::GET, ["voters"]) => self.voters().await,
+            (&Method::PUT, ["voters", id]) => self.change_voter(id, false).await,
+            (&Method::DELETE, ["voters", id]) => self.change_voter(id, true).await,
             _ => Err(not_found()),
         }
     }
 
-    fn authorise(&self, request: &Request) -> Result<(), Problem> {
-        let known = bearer(request).is_some_and(|key| {
+    fn authorise(&self, head: &Parts) -> Result<(), Problem> {
+        let known = bearer(head).is_some_and(|key| {
             let given = digest(key);
             bool::from(subtle::ConstantTimeEq::ct_eq(
                 given.as_bytes(),
@@ -145,7 +147,28 @@
         ))
     }
 
-    fn ready(&self) -> Response {
+    async fn read(&self, body: Incoming, most: usize) -> Result<Bytes, Problem> {
+        let read = http::receive(body, most, self.settings.receive).await;
+        read.map_err(|e| match e {
+            Unreceived::TooLarge => problem(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "too_large",
+                format!("the body is longer than {most} bytes; split it"),
+            ),
+            Unreceived::Cut => problem(
+                StatusCode::BAD_REQUEST,
+                "cut",
+                "the body was cut; send it whole",
+            ),
+            Unreceived::TooSlow => problem(
+                StatusCode::REQUEST_TIMEOUT,
+                "too_slow",
+                "the body wasn't sent in time; send it faster",
+            ),
+        })
+    }
+
+    fn ready(&self) -> Response<Reply> {
         let reason = self.gate.not_ready(&self.force, self.clock.now());
         match reason {
             None => text(StatusCode::OK, "ready\n"),
@@ -153,9 +176,9 @@
         }
     }
 
-    fn state(&self, request: &Request) -> Response {
+    fn state(&self, head: &Parts) -> Response<Reply> {
         let dump = (self.dump)();
-        if request.uri().query() == Some("form=text") {
+        if head.uri.query() == Some("form=text") {
             return text(StatusCode::OK, &dump::text(&dump));
         }
         json(StatusCode::OK, &dump)
@@ -163,8 +186,8 @@
 
     /// Waits until the catalogue here holds all that was accepted before the
     /// call, so that an operator's reads are linearizable.
-    fn confirm(&self) -> Result<(), Problem> {
-        if self.runtime.block_on(self.confirm.now(CONFIRM)) {
+    async fn confirmed(&self) -> Result<(), Problem> {
+        if self.confirm.now(CONFIRM).await {
             return Ok(());
         }
         Err(problem(
@@ -174,17 +197,17 @@
         ))
     }
 
-    fn list(&self) -> Answer {
-        self.confirm()?;
+    async fn list(&self) -> Answer {
+        self.confirmed().await?;
         let listed = self.force.last().list();
         let mut response = json(StatusCode::OK, &listed);
         tag(&mut response, listed.revision);
         Ok(response)
     }
 
-    fn get(&self, kind: &str, name: &str) -> Answer {
+    async fn get(&self, kind: &str, name: &str) -> Answer {
         let kind = Kind::parse(kind).ok_or_else(not_found)?;
-        self.confirm()?;
+        self.confirmed().await?;
         let key = EntryKey {
             kind,
             name: name.to_owned(),
@@ -196,13 +219,13 @@
         Ok(response)
     }
 
-    fn history(&self) -> Answer {
-        self.confirm()?;
+    async fn history(&self) -> Answer {
+        self.confirmed().await?;
         Ok(json(StatusCode::OK, &self.confirm.history(MAX_HISTORY)))
     }
 
-    fn change(&self, request: &mut Request) -> Answer {
-        let body = read(request.body_mut(), MAX_BODY)?;
+    async fn change(&self, head: &Parts, body: Incoming) -> Answer {
+        let body = self.read(body, MAX_BODY).await?;
         let mut change: Change = serde_json::from_slice(&body).map_err(|e| {
             problem(
                 StatusCode::BAD_REQUEST,
@@ -210,14 +233,12 @@
                 format!("the change can't be read: {e}"),
             )
         })?;
-        if let Some(revision) = if_match(request)? {
+        if let Some(revision) = if_match(head)? {
             change.expect = Expect::Catalogue(revision);
         }
         // Written anew, a resend has the same bytes whatever its white space.
         let command = serde_json::to_vec(&change).expect("a change always serialises");
-        let committed = self
-            .runtime
-            .block_on(self.proposer.propose(command.into(), COMMIT));
+        let committed = self.proposer.propose(command.into(), COMMIT).await;
         let outcome: Outcome = match committed {
             Ok(reply) => serde_json::from_slice(&reply).expect("the machine wrote it"),
             Err(NotCommitted::Refused) => return Err(no_leader()),
@@ -234,13 +255,13 @@
     }
 
     /// Members of each group, and the stores that ask to become members.
-    fn voters(&self) -> Answer {
+    async fn voters(&self) -> Answer {
         let mut groups = Vec::new();
         for proposer in self.groups() {
             let ask = Ask::Group(AskGroup {
                 group: proposer.group(),
             });
-            let found = self.runtime.block_on(proposer.ask_leader(ask, COMMIT));
+            let found = proposer.ask_leader(ask, COMMIT).await;
             let Some(message::Answer::Group(reply)) = found else {
                 return Err(no_leader());
             };
@@ -256,7 +277,7 @@
 
     /// Adds or removes a voter in every group, one after the other. Repeated
     /// after a failure it goes on where it stopped.
-    fn change_voter(&self, id: &str, remove: bool) -> Answer {
+    async fn change_voter(&self, id: &str, remove: bool) -> Answer {
         let instance: u64 = id.parse().map_err(|_| not_found())?;
         let mut missing = 0;
         for proposer in self.groups() {
@@ -265,7 +286,7 @@
                 instance,
                 remove,
             });
-            let changed = self.runtime.block_on(proposer.ask_leader(ask, COMMIT));
+            let changed = proposer.ask_leader(ask, COMMIT).await;
             let Some(message::Answer::Changed(changed)) = changed else {
                 return Err(no_leader());
             };
@@ -294,7 +315,7 @@
         std::iter::once(&self.proposer).chain(&self.registers)
     }
 
-    fn announce(&self, request: &mut Request) -> Answer {
+    async fn announce(&self, head: &Parts, body: Incoming) -> Answer {
         let Ok(catalogue) = self.force.get(self.clock.now()) else {
             return Err(problem(
                 StatusCode::SERVICE_UNAVAILABLE,
@@ -302,10 +323,10 @@
                 "this instance can't confirm its catalogue; announce to another one",
             ));
         };
-        let pool = bearer(request)
+        let pool = bearer(head)
             .and_then(|key| catalogue.pool(key))
             .map(str::to_owned);
-        let body = read(request.body_mut(), MAX_ANNOUNCEMENT)?;
+        let body = self.read(body, MAX_ANNOUNCEMENT).await?;
         let parsed: Result<Announcement, _> = serde_json::from_slice(&body);
         let announcement = parsed.map_err(|e| {
             problem(
@@ -393,8 +414,8 @@
 }
 
 /// The revision of the catalogue that the operator expects, if given.
-fn if_match(request: &Request) -> Result<Option<u64>, Problem> {
-    let Some(value) = request.headers().get(header::IF_MATCH) else {
+fn if_match(head: &Parts) -> Result<Option<u64>, Problem> {
+    let Some(value) = head.headers.get(header::IF_MATCH) else {
         return Ok(None);
     };
     let revision = value
@@ -411,50 +432,30 @@
     revision.map(Some).ok_or_else(malformed)
 }
 
-fn bearer(request: &Request) -> Option<&str> {
-    let value = request.headers().get(header::AUTHORIZATION)?;
+fn bearer(head: &Parts) -> Option<&str> {
+    let value = head.headers.get(header::AUTHORIZATION)?;
     value.to_str().ok()?.strip_prefix("Bearer ")
 }
 
-fn read(body: &mut Body, most: u64) -> Result<Vec<u8>, Problem> {
-    let mut bytes = Vec::new();
-    let read = body.reader().take(most + 1).read_to_end(&mut bytes);
-    read.map_err(|_| {
-        problem(
-            StatusCode::BAD_REQUEST,
-            "cut",
-            "the body was cut; send it whole",
-        )
-    })?;
-    if bytes.len() as u64 > most {
-        return Err(problem(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "too_large",
-            format!("the body is longer than {most} bytes; split it"),
-        ));
-    }
-    Ok(bytes)
-}
-
-fn tag(response: &mut Response, revision: u64) {
+fn tag(response: &mut Response<Reply>, revision: u64) {
     let value = format!("\"{revision}\"");
     let value = value.parse().expect("digits and quotes are a valid header");
     response.headers_mut().insert(header::ETAG, value);
 }
 
-fn json(status: StatusCode, body: &impl Serialize) -> Response {
+fn json(status: StatusCode, body: &impl Serialize) -> Response<Reply> {
     let body = serde_json::to_string(body).expect("answers hold only strings and numbers");
     respond(status, "application/json", body)
 }
 
-fn text(status: StatusCode, body: &str) -> Response {
+fn text(status: StatusCode, body: &str) -> Response<Reply> {
     respond(status, "text/plain; charset=utf-8", body.to_owned())
 }
 
-fn respond(status: StatusCode, kind: &'static str, body: String) -> Response {
-    ResponseBuilder::new()
+fn respond(status: StatusCode, kind: &'static str, body: String) -> Response<Reply> {
+    Response::builder()
         .status(status)
         .header(header::CONTENT_TYPE, kind)
-        .body(Body::new(body))
+        .body(Reply::from(body))
         .expect("the parts of the head are valid")
 }
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,139 @@
+//! The HTTP server that callers, operators and upstreams meet.
+//!
+//! hyper serves all of them: astra strands connections and hands small pieces
+//! on late, see docs/TRIALS.md.
+
+use std::convert::Infallible;
+use std::net::TcpListener as StdListener;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// Pause after a failed accept, such as for lack of file descriptors.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Bounds on what a client may send.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bounds {
+    /// Longest head of a request, in bytes. A longer one is answered with 431.
+    pub(crate) head: usize,
+    /// Longest time to send a head, and again to send a body.
+    pub(crate) receive: Duration,
+}
+
+/// Accepts connections until the runtime ends, and answers each request with
+/// what `handler` gives.
+pub(crate) async fn accept<H, F>(listener: StdListener, bounds: Bounds, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Reply>> + Send + 'static,
+{
+    let listener = TcpListener::from_std(listener).expect("the listener doesn't block");
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(stream, bounds, handler.clone()));
+            }
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+async fn serve<H, F>(stream: TcpStream, bounds: Bounds, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Response<Reply>> + Send + 'static,
+{
+    // Without it each token waits for the delayed acknowledgement of the one
+    // before.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let served = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.receive)
+        .max_buf_size(bounds.head)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(e) = served {
+        tracing::debug!("a client's connection ended: {e}");
+    }
+}
+
+/// Why a body wasn't received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unreceived {
+    /// It is longer than the bound.
+    TooLarge,
+    /// The client closed in the middle of it.
+    Cut,
+    /// It wasn't sent in time.
+    TooSlow,
+}
+
+/// Reads a body whole, of at most `most` bytes within `time`.
+pub(crate) async fn receive<B>(body: B, most: usize, time: Duration) -> Result<Bytes, Unreceived>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    match timeout(time, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Unreceived::TooLarge),
+        Ok(Err(_)) => Err(Unreceived::Cut),
+        Err(_) => Err(Unreceived::TooSlow),
+    }
+}
+
+/// A response body.
+pub(crate) enum Reply {
+    /// All of it; `None` once it was handed on.
+    Whole(Option<Bytes>),
+    /// Pieces as they come. The body ends when the sender is dropped; when the
+    /// caller leaves, hyper drops the receiver and the sender sees it closed.
+    Pieces(mpsc::Receiver<Bytes>),
+}
+
+impl From<String> for Reply {
+    fn from(text: String) -> Self {
+        Self::Whole(Some(text.into()))
+    }
+}
+
+impl From<Bytes> for Reply {
+    fn from(bytes: Bytes) -> Self {
+        Self::Whole(Some(bytes))
+    }
+}
+
+impl Body for Reply {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Pieces(pieces) => pieces.poll_recv(cx).map(|p| p.map(|b| Ok(Frame::data(b)))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+}
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -90,6 +90,7 @@
     node: Node,
     peer_runtime: Runtime,
     caller_runtime: Runtime,
+    control_runtime: Runtime,
 }
 
 impl Parts {
@@ -102,6 +103,8 @@
         // heartbeats and leases of the control path find a free thread.
         let peer_runtime = runtime("peers", 1)?;
         let caller_runtime = runtime("callers", settings.workers)?;
+        let control_runtime = runtime("control", 1)?;
+        let control_listener = listen(settings.control, "operators and upstreams")?;
         let peer_listener = listen(settings.peer, "instances")?;
         let caller_listener = listen(settings.caller, "callers")?;
 
@@ -159,7 +162,6 @@
         let control = Arc::new(Control {
             settings: Arc::clone(&settings),
             clock: Arc::clone(&clock),
-            runtime: peer_runtime.handle().clone(),
             force: Arc::clone(&force),
             confirm,
             proposer: catalogue,
@@ -169,7 +171,7 @@
             metrics,
             dump: dumper(&settings, &node, (&serving, &force, &gate, &fleet), &clock),
         });
-        start_control(&supervisor, &control, settings.control);
+        control_runtime.spawn(control::serve(control, control_listener));
         let signals = signals(&peer_runtime)?;
         tracing::info!(
             event = event::STARTED.id,
@@ -186,6 +188,7 @@
             node,
             peer_runtime,
             caller_runtime,
+            control_runtime,
         })
     }
 
@@ -232,6 +235,7 @@
             vote.voter.stop();
         }
         self.caller_runtime.shutdown_timeout(LINGER);
+        self.control_runtime.shutdown_background();
         self.peer_runtime.shutdown_background();
     }
 }
@@ -413,15 +417,6 @@
     }
 }
 
-fn start_control(supervisor: &Supervisor, control: &Arc<Control>, addr: SocketAddr) {
-    let control = Arc::clone(control);
-    supervisor.start("control", Policy::Restart, move || {
-        if let Err(e) = control::serve(Arc::clone(&control), addr) {
-            panic!("can't listen on {addr} for operators and upstreams: {e}");
-        }
-    });
-}
-
 /// Hands what the fleet knows to routing and to the connections.
 fn start_views(supervisor: &Supervisor, serving: &Arc<Serving>, fleet: &Fleet, peers: &Peers) {
     let serving = Arc::clone(serving);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 mod frame;
 mod gate;
 mod gossip;
+mod http;
 mod id;
 mod instance;
 mod limit;
--- a/src/log.rs
+++ b/src/log.rs
@@ -2,14 +2,10 @@
 
 use tracing_subscriber::EnvFilter;
 
-/// Level without `RUST_LOG`. astra reports each connection that a client drops
-/// as an error, without an event's number.
-const DEFAULT: &str = "info,astra=off";
-
 /// Starts logging to standard error, as text or as JSON lines. `RUST_LOG`
 /// sets the level; the default is `info`.
 pub(crate) fn start(json: bool) {
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(DEFAULT));
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(std::io::stderr)
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -2,7 +2,6 @@
 //! and the probes of the platform's balancer.
 
 mod admit;
-mod body;
 mod claims;
 mod complete;
 mod generate;
--- a/src/serve/admit.rs
+++ b/src/serve/admit.rs
@@ -7,7 +7,6 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::sync::oneshot;
 
-use super::body::Reply;
 use super::claims::ClaimKey;
 use super::head::Head;
 use super::{Held, Serving, Waiter, listen, respond};
@@ -16,6 +15,7 @@
 use crate::dispatch::{Admission, Dispatcher, Placement, Told, Unplaced};
 use crate::event;
 use crate::gate::Running;
+use crate::http::Reply;
 use crate::id::OrganisationId;
 use crate::request::{Admitted, Answer, Life, Received, RefusalCode, RequestId};
 
--- a/src/serve/complete.rs
+++ b/src/serve/complete.rs
@@ -9,12 +9,12 @@
 
 use super::Serving;
 use super::admit::Known;
-use super::body::Reply;
 use super::claims::{ClaimKey, request_digest};
 use super::generate::{Job, OUTPUT, Output, Prompt, Work};
 use super::listen::Received;
 use super::respond::{self, EVENTS, JSON};
 use crate::catalogue::{Route, Target};
+use crate::http::Reply;
 use crate::openai::{Completion, DONE, Form, Writer};
 use crate::request::{Answer, Claimed, Life, RefusalCode};
 
--- a/src/serve/listen.rs
+++ b/src/serve/listen.rs
@@ -1,29 +1,19 @@
 //! The listener for callers, and which handler a path has.
 
-use std::convert::Infallible;
 use std::net::TcpListener as StdListener;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::server::conn::http1::Builder;
-use hyper::service::service_fn;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
 
 use super::Serving;
-use super::body::Reply;
 use super::respond;
+use crate::http::{self, Bounds, Reply, Unreceived};
 use crate::openai::Form;
 use crate::request::{Answer, RefusalCode};
 
-/// Pause after a failed accept, such as for lack of file descriptors.
-const PAUSE: Duration = Duration::from_millis(50);
-
 /// Prefix of the paths of plain services.
 const SERVICES: &str = "/services/";
 
@@ -36,40 +26,32 @@
 impl Serving {
     /// Accepts callers until the runtime ends.
     pub(crate) async fn accept(self: Arc<Self>, listener: StdListener) {
-        let listener = TcpListener::from_std(listener).expect("the listener doesn't block");
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(Arc::clone(&self).connection(stream));
-                }
-                Err(_) => tokio::time::sleep(PAUSE).await,
-            }
-        }
+        let bounds = Bounds {
+            head: self.parts.settings.head,
+            receive: self.parts.settings.receive,
+        };
+        http::accept(listener, bounds, move |request| {
+            Arc::clone(&self).answer(request)
+        })
+        .await;
     }
 
-    async fn connection(self: Arc<Self>, stream: TcpStream) {
-        // Without it each token waits for the delayed acknowledgement of the
-        // one before.
-        let _ = stream.set_nodelay(true);
-        let settings = Arc::clone(&self.parts.settings);
-        let service = service_fn(move |request| Arc::clone(&self).respond(request));
-        let served = Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(settings.receive)
-            .max_buf_size(settings.head)
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
-        if let Err(e) = served {
-            tracing::debug!("a caller's connection ended: {e}");
+    /// Answers a request, and closes its connection while draining: a caller
+    /// that keeps one open might send its next request at the very moment at
+    /// which the process ends, and would never hear of it.
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Reply> {
+        let gate = Arc::clone(&self.parts.gate);
+        let mut response = self.respond(request).await;
+        if gate.closed() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
         }
+        response
     }
 
-    async fn respond(
-        self: Arc<Self>,
-        request: Request<Incoming>,
-    ) -> Result<Response<Reply>, Infallible> {
+    async fn respond(self: Arc<Self>, request: Request<Incoming>) -> Response<Reply> {
         let path = request.uri().path();
-        let response = match (request.method(), path) {
+        match (request.method(), path) {
             (&Method::GET, "/healthz") => respond::plain(StatusCode::OK, "ok\n"),
             (&Method::GET, "/readyz") => self.ready(),
             (&Method::GET, "/v1/models") => self.models(&request),
@@ -79,8 +61,7 @@
             }
             (_, path) if path.starts_with(SERVICES) => self.call_form(request).await,
             _ => refuse(RefusalCode::UnknownPath),
-        };
-        Ok(response)
+        }
     }
 
     fn ready(&self) -> Response<Reply> {
@@ -112,15 +93,11 @@
     async fn receive(&self, request: Request<Incoming>) -> Result<Received, RefusalCode> {
         let settings = &self.parts.settings;
         let (head, body) = request.into_parts();
-        let whole = Limited::new(body, settings.body).collect();
-        match timeout(settings.receive, whole).await {
-            Ok(Ok(body)) => Ok(Received {
-                head,
-                body: body.to_bytes(),
-            }),
-            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(RefusalCode::TooLarge),
-            Ok(Err(_)) => Err(RefusalCode::InvalidRequest),
-            Err(_) => Err(RefusalCode::TooSlow),
+        match http::receive(body, settings.body, settings.receive).await {
+            Ok(body) => Ok(Received { head, body }),
+            Err(Unreceived::TooLarge) => Err(RefusalCode::TooLarge),
+            Err(Unreceived::Cut) => Err(RefusalCode::InvalidRequest),
+            Err(Unreceived::TooSlow) => Err(RefusalCode::TooSlow),
         }
     }
 }
--- a/src/serve/respond.rs
+++ b/src/serve/respond.rs
@@ -5,7 +5,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderName, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
-use super::body::Reply;
+use crate::http::Reply;
 use crate::request::Answer;
 
 /// Number of the request, on each response.
--- a/src/serve/service.rs
+++ b/src/serve/service.rs
@@ -13,7 +13,6 @@
 use tokio::sync::mpsc;
 
 use super::admit::Known;
-use super::body::Reply;
 use super::claims::request_digest;
 use super::generate::{Job, OUTPUT, Output, Work};
 use super::listen::Received;
@@ -22,6 +21,7 @@
 use crate::claim::{Kept, MAX_KEPT, Outcome as Settled};
 use crate::dispatch::service_model;
 use crate::engine::{Connection, Cutoff, EngineError, Stage};
+use crate::http::Reply;
 use crate::request::{Answer, Cause, Event, Frame, Hop, RefusalCode, RequestId};
 
 /// Longest answer of a plain service, in bytes.
