--- a/src/claim/machine.rs
+++ b/src/claim/machine.rs
@@ -4,18 +4,16 @@
 use std::time::Duration;
 
 use crate::claim::message::{
-    Action, Answered, Claim, Expire, Full, Granted, InProgress, Kept, MAX_KEPT, MAX_KEY, Outcome,
-    Release, Reply, Settle, Ticked, Token,
+    Action, Claim, Expire, Full, Granted, Kept, MAX_KEPT, MAX_KEY, Outcome, Purpose, Release,
+    Reply, Settle, Ticked, Token,
+};
+use crate::claim::record::{
+    DIGEST_LEN, FRESH, Id, LONGEST_STEP, Pending, RECORD_LEN, Record, State, head, id,
 };
-use crate::claim::record::{DIGEST_LEN, FRESH, Id, Pending, RECORD_LEN, Record, State, head, id};
 use crate::claim::usage::{Place, Usage};
 use crate::collections::HashMap;
 use crate::id::OrganisationId;
 
-/// Most that one [`Expire`] moves the register's time, in milliseconds. After a
-/// longer gap the time lags behind, which only keeps claims for longer.
-const LONGEST_STEP: u64 = 2_000;
-
 /// Pause for an organisation that has no claim of its own to wait for, in
 /// milliseconds.
 const FULL_PAUSE: u64 = 60_000;
@@ -139,7 +137,8 @@
         let id = id(&claim.organisation, &claim.key);
         let (time, retention) = (self.time, self.retention());
         match self.records.get_mut(&id) {
-            Some(record) => found(record, claim, token, time, retention),
+            _ if claim.purpose() == Purpose::Renew => self.renew(index, id, claim),
+            Some(record) => record.found(claim, token, time, retention),
             None => self.grant(index, id, claim, token),
         }
     }
@@ -167,6 +166,28 @@
         Reply::Granted(Granted { token: Some(token) })
     }
 
+    /// Lets a claim begin anew: a request may wait for a path for longer than
+    /// its claim lets it dispatch. A proposal that arrives twice gives the holder
+    /// more time than it takes.
+    fn renew(&mut self, index: u64, id: Id, claim: &Claim) -> Reply {
+        let ttl = claim.ttl.min(self.longest_wait());
+        let record = self.records.get_mut(&id);
+        let Some(record) = record.filter(|record| record.held(claim.token)) else {
+            return Reply::Stale(());
+        };
+        let token = claim.token;
+        match &mut record.state {
+            State::Pending(held) if !held.told => held.ttl = ttl,
+            _ => return Reply::Stale(()),
+        }
+        record.index = index;
+        record.since = FRESH;
+        self.fresh.push((index, id));
+        let organisation = record.organisation.clone();
+        self.trim(&organisation);
+        Reply::Granted(Granted { token })
+    }
+
     pub(super) fn insert(&mut self, id: Id, record: Record) {
         let place = (record.index, id);
         let organisation = &record.organisation;
@@ -246,10 +267,15 @@
         let Some(record) = self.records.remove(&id) else {
             return;
         };
+        let organisation = &record.organisation;
+        self.usage.remove(&self.bounds, organisation, record.cost());
+        self.trim(organisation);
+    }
+
+    fn trim(&mut self, organisation: &OrganisationId) {
         let records = &self.records;
         let live = |place: &Place| is_live(records, *place);
-        self.usage
-            .remove(&self.bounds, &record.organisation, record.cost(), live);
+        self.usage.trim(organisation, live);
     }
 
     fn expire(&mut self, index: u64, expire: Expire) -> Reply {
@@ -333,49 +359,3 @@
 fn is_live(records: &HashMap<Id, Record>, (index, id): Place) -> bool {
     records.get(&id).is_some_and(|record| record.index == index)
 }
-
-/// Replies to a claim of a key that is in use.
-fn found(record: &mut Record, claim: &Claim, token: Token, time: u64, retention: u64) -> Reply {
-    // What is said of a claim that is about to be forgotten must stay true
-    // until the caller reads it, although the key may be free and run by then.
-    let age = record.age(time);
-    let ending = age + u64::from(claim.start) + LONGEST_STEP >= retention;
-    if record.digest != head(&claim.digest) {
-        return if ending {
-            Reply::Unknown(())
-        } else {
-            Reply::Mismatch(())
-        };
-    }
-    match &mut record.state {
-        State::Kept(kept) => {
-            let kept = Some(Kept::clone(kept));
-            Reply::Answered(Answered { kept })
-        }
-        State::NotKept => Reply::Answered(Answered { kept: None }),
-        State::Unknown => Reply::Unknown(()),
-        State::Unrun if ending => Reply::Unknown(()),
-        State::Unrun => Reply::Unrun(()),
-        // The proposal arrived twice; the holder still dispatches once.
-        State::Pending(held) if held.token == token => {
-            Reply::Granted(Granted { token: Some(token) })
-        }
-        State::Pending(held) => pending(held, token, age),
-    }
-}
-
-fn pending(held: &mut Pending, token: Token, age: u64) -> Reply {
-    let holder = held.token;
-    // A holder that started again has lost what it ran.
-    let restarted = holder.holder == token.holder && holder.incarnation < token.incarnation;
-    let starting = age < u64::from(held.start) && !restarted;
-    held.told |= !starting;
-    if restarted || age >= u64::from(held.ttl) {
-        return Reply::Unknown(());
-    }
-    Reply::InProgress(InProgress {
-        holder: Some(holder),
-        age,
-        starting,
-    })
-}
--- a/src/request/event.rs
+++ b/src/request/event.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use crate::claim::{Outcome, Token};
+use crate::claim::{ClaimLease, Outcome, Token};
 use crate::clock::Time;
 use crate::id::UpstreamId;
 use crate::request::{Answer, Frame, Hop, RequestId};
@@ -16,7 +16,8 @@
     pub(crate) tokens: u32,
     /// Layers of the model.
     pub(crate) layers: u32,
-    /// Most attempts, the first one included.
+    /// Most attempts, the first one included. One that an engine was too busy
+    /// to run doesn't count.
     pub(crate) attempts: u32,
     /// End of the request's time.
     pub(crate) deadline: Time,
@@ -48,6 +49,10 @@
     Budget,
     /// No path was free in time.
     Deadline,
+    /// The instance can't confirm its catalogue.
+    Lease,
+    /// The catalogue has no such route any more.
+    NoRoute,
 }
 
 /// What the driver tells a [`super::Generation`].
@@ -60,6 +65,8 @@
         attempt: u32,
         /// Planned path.
         path: Vec<Hop>,
+        /// The claim's new lease, if it was renewed.
+        lease: Option<ClaimLease>,
     },
     /// The attempt can't be opened.
     Unopened {
@@ -88,10 +95,14 @@
         /// Tokens of the whole answer.
         count: u32,
     },
-    /// The first engine answered 503 before any token: it ran nothing.
+    /// The first upstream answered 503 before any token.
     Busy {
         /// The attempt.
         attempt: u32,
+        /// Whether its protocol says that a busy upstream ran nothing. That of
+        /// engines does; a plain service may have done its work and then found
+        /// another one busy.
+        unrun: bool,
     },
     /// The attempt ended without its closing event.
     Broken {
@@ -127,20 +138,25 @@
 /// What a [`super::Generation`] tells its driver to do.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Effect {
-    /// Choose a path and answer with `Started` or `Unopened`. Attempts after
-    /// the first take from the retry budget.
+    /// Choose a path, renew the claim if its lease is short, and answer with
+    /// `Started` or `Unopened`.
     Open {
         /// Counts from 1.
         attempt: u32,
+        /// Whether it takes from the retry budget: an attempt before it broke.
+        retry: bool,
         /// Tokens that the attempt starts behind; see [`super::Generation::tokens`].
         resume: u32,
         /// Upstreams to avoid where another path exists.
         exclude: Vec<UpstreamId>,
     },
-    /// Send the attempt's request, now: a later time may be too late.
+    /// Send the attempt's request.
     Send {
         /// The attempt.
         attempt: u32,
+        /// Time at which the first byte must have left, if there is one: the
+        /// driver checks it again when it is connected.
+        until: Option<Time>,
     },
     /// Write a verified token to the caller, if it is still there.
     Emit {
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -13,10 +13,10 @@
 use super::service::{self, Call};
 use super::{Held, Serving};
 use crate::catalogue::Class;
-use crate::claim::Outcome as Settled;
+use crate::claim::{ClaimLease, Outcome as Settled};
 use crate::clock::Time;
 use crate::dispatch::{Placed, Placement, Unplaced};
-use crate::engine::{Engine, EngineError, EngineEvent, Events, HttpEngine, Order, Stage};
+use crate::engine::{Cutoff, Engine, EngineError, EngineEvent, Events, HttpEngine, Order, Stage};
 use crate::event;
 use crate::gate::Running;
 use crate::id::OrganisationId;
@@ -210,13 +210,14 @@
         match effect {
             Effect::Open {
                 attempt,
+                retry,
                 resume,
                 exclude,
             } => {
-                let event = self.open(attempt, resume, exclude).await;
+                let event = self.open(attempt, retry, resume, exclude).await;
                 self.step(event, effects);
             }
-            Effect::Send { attempt } => self.send(attempt),
+            Effect::Send { attempt, until } => self.send(attempt, until),
             Effect::Emit {
                 request,
                 index,
@@ -246,17 +247,29 @@
     async fn open(
         &mut self,
         attempt: u32,
+        retry: bool,
         resume: u32,
         exclude: Vec<crate::id::UpstreamId>,
     ) -> Event {
-        if attempt > 1 && !self.retry_allowed() {
+        if retry && !self.retry_allowed() {
             return Event::Unopened {
                 attempt,
                 reason: Unopened::Budget,
                 pause: Some(Duration::from_secs(1)),
             };
         }
-        let placement = self.placement(attempt, resume, exclude);
+        let pools = match self.pools() {
+            Ok(pools) => pools,
+            Err(reason) => {
+                return Event::Unopened {
+                    attempt,
+                    reason,
+                    pause: None,
+                };
+            }
+        };
+        let used = pools.clone();
+        let placement = self.placement(attempt, resume, exclude, pools);
         let serving = Arc::clone(&self.serving);
         let placed = tokio::select! {
             placed = serving.place(placement) => placed,
@@ -265,8 +278,32 @@
                 return Event::CallerLeft;
             }
         };
+        let lease = match &placed {
+            Ok(_) => self.renew().await,
+            Err(_) => None,
+        };
         match placed {
-            Ok(placed) => self.planned(attempt, placed),
+            // The wait may have been long. A lease that ended, or a change
+            // that came meanwhile, must not be passed over.
+            Ok(placed) => match self.pools() {
+                Ok(pools) if pools == used => self.planned(attempt, placed, lease),
+                Ok(_) => {
+                    self.give_back(placed, Outcome::Cancelled, 0);
+                    Event::Unopened {
+                        attempt,
+                        reason: Unopened::NoPath,
+                        pause: Some(Duration::ZERO),
+                    }
+                }
+                Err(reason) => {
+                    self.give_back(placed, Outcome::Cancelled, 0);
+                    Event::Unopened {
+                        attempt,
+                        reason,
+                        pause: None,
+                    }
+                }
+            },
             Err((Unplaced::NoPath, pause)) => Event::Unopened {
                 attempt,
                 reason: Unopened::NoPath,
@@ -280,6 +317,20 @@
         }
     }
 
+    /// Pools that the route allows by the catalogue in force now.
+    ///
+    /// A request may have waited since it was let in. Sent on by what the
+    /// catalogue said then, it could reach capacity that its organisation has
+    /// lost meanwhile, or go on under an instance that is cut off.
+    fn pools(&self) -> Result<Arc<[String]>, Unopened> {
+        let now = self.serving.now();
+        let catalogue = self.serving.parts.force.get(now);
+        let catalogue = catalogue.map_err(|_| Unopened::Lease)?;
+        let route = catalogue.route(&self.job.organisation, &self.job.route);
+        let route = route.ok_or(Unopened::NoRoute)?;
+        Ok(route.pools.clone().into())
+    }
+
     fn retry_allowed(&self) -> bool {
         let now = self.serving.now();
         let allowed = self.serving.budget().take(now, &self.job.organisation);
@@ -295,6 +346,7 @@
         attempt: u32,
         resume: u32,
         exclude: Vec<crate::id::UpstreamId>,
+        pools: Arc<[String]>,
     ) -> Placement {
         Placement {
             id: self.job.id.sequence,
@@ -303,7 +355,7 @@
             class: self.job.class,
             model: self.job.model.clone(),
             version: self.version.clone().filter(|_| resume > 0),
-            pools: self.job.pools.clone(),
+            pools,
             prompt: self.job.prompt_tokens,
             expected: self.job.limit - resume.min(self.job.limit),
             prefix: None,
@@ -314,7 +366,18 @@
         }
     }
 
-    fn planned(&mut self, attempt: u32, placed: Placed) -> Event {
+    /// Renews the claim if the wait for a path has used up its lease.
+    async fn renew(&self) -> Option<ClaimLease> {
+        let held = self.generation.waiting()?;
+        let key = self.job.key.as_ref()?;
+        if !held.short(self.serving.now()) {
+            return None;
+        }
+        let deadline = self.job.deadline;
+        self.serving.renew(key, held.token(), deadline).await
+    }
+
+    fn planned(&mut self, attempt: u32, placed: Placed, lease: Option<ClaimLease>) -> Event {
         let view = self.serving.parts.fleet.upstreams();
         let path: Option<Vec<Stage>> = placed
             .hops
@@ -348,10 +411,12 @@
         Event::Started {
             attempt,
             path: hops,
+            lease,
         }
     }
 
-    fn send(&mut self, attempt: u32) {
+    fn send(&mut self, attempt: u32, until: Option<Time>) {
+        let cutoff = Cutoff::new(until, Arc::clone(&self.serving.parts.clock));
         let Some(flight) = &mut self.flight else {
             return;
         };
@@ -361,7 +426,7 @@
             Work::Engine(prompt) => prompt,
             Work::Call(call) => {
                 let path = flight.path.clone();
-                let read = service::read(call.clone(), self.job.id, attempt, path, events);
+                let read = service::read(call.clone(), self.job.id, attempt, path, events, cutoff);
                 flight.reader = Some(Reader(tokio::spawn(read)));
                 return;
             }
@@ -378,7 +443,9 @@
             remaining: self.job.deadline.since(flight.started),
             path: flight.path.clone(),
         };
-        flight.reader = Some(Reader(tokio::spawn(read(HttpEngine, order, events))));
+        flight.reader = Some(Reader(tokio::spawn(read(
+            HttpEngine, order, events, cutoff,
+        ))));
     }
 
     /// Hands a verified token to the caller's side.
@@ -480,21 +547,24 @@
 }
 
 /// Sends the order and hands on each event of its stream.
-async fn read(engine: impl Engine, order: OwnedOrder, events: mpsc::Sender<Event>) {
+async fn read(engine: impl Engine, order: OwnedOrder, events: mpsc::Sender<Event>, cutoff: Cutoff) {
     let attempt = order.attempt;
     let started = engine
-        .start(&Order {
-            request: &order.request,
-            attempt,
-            organisation: &order.organisation,
-            model: &order.model,
-            prompt: &order.prompt,
-            tokens: &order.tokens,
-            limit: order.limit,
-            priority: order.priority,
-            remaining: u64::try_from(order.remaining.as_millis()).unwrap_or(u64::MAX),
-            path: &order.path,
-        })
+        .start(
+            &Order {
+                request: &order.request,
+                attempt,
+                organisation: &order.organisation,
+                model: &order.model,
+                prompt: &order.prompt,
+                tokens: &order.tokens,
+                limit: order.limit,
+                priority: order.priority,
+                remaining: u64::try_from(order.remaining.as_millis()).unwrap_or(u64::MAX),
+                path: &order.path,
+            },
+            &cutoff,
+        )
         .await;
     let mut stream = match started {
         Ok(stream) => stream,
@@ -558,7 +628,10 @@
 
 fn failure(attempt: u32, error: &EngineError, suspect: Option<crate::id::UpstreamId>) -> Event {
     let cause = match error {
-        EngineError::Busy => return Event::Busy { attempt },
+        EngineError::Busy => {
+            let unrun = true;
+            return Event::Busy { attempt, unrun };
+        }
         EngineError::Connect => Cause::Refused,
         EngineError::Cut => Cause::Cut,
         EngineError::Status { .. } | EngineError::Garbage => Cause::Garbage,
--- a/src/tests/life/engine.rs
+++ b/src/tests/life/engine.rs
@@ -2,7 +2,8 @@
 
 use rand::RngExt;
 
-use super::world::{LAYERS, Sending, TOKENS, World};
+use super::caller::Sending;
+use super::world::{LAYERS, TOKENS, World};
 use crate::request::{Cause, Event, Frame, Hop, Unopened};
 
 /// Text of a token: what it is a part of, and who sent it.
@@ -41,7 +42,16 @@
         };
         match fault {
             0 => return self.plan(sending, 2, broken(attempt, Cause::Refused)),
-            1 => return self.plan(sending, 5, Event::Busy { attempt }),
+            1 => {
+                return self.plan(
+                    sending,
+                    5,
+                    Event::Busy {
+                        attempt,
+                        unrun: true,
+                    },
+                );
+            }
             _ => self.execute(sending),
         }
         let from = self.sendings[sending].resume;
@@ -132,7 +142,7 @@
     }
 }
 
-fn broken(attempt: u32, cause: Cause) -> Event {
+pub(super) fn broken(attempt: u32, cause: Cause) -> Event {
     Event::Broken {
         attempt,
         cause,
--- a/src/tests/life/world.rs
+++ b/src/tests/life/world.rs
@@ -1,13 +1,12 @@
 //! The simulated fleet: clocks, instances, register, engines and callers.
 
-use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::rc::Rc;
 use std::time::Duration;
 
+use super::caller::{Caller, Permit, Sending};
 use super::check::{Totals, Work};
-use super::engine::unopened;
+use super::engine::{broken, unopened};
 use super::register::register;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -15,9 +14,9 @@
 use crate::budget::Budget;
 use crate::claim::{self, Action, ClaimLease, Claims, Ticker};
 use crate::request::{
-    Admitted, Answer, Bounds, Claimed, Effect, Event, Generation, Hop, Life, RequestId, Unopened,
+    Admitted, Answer, Bounds, Cause, Claimed, Effect, Event, Generation, Life, Unopened,
 };
-use crate::{HashMap, Incarnation, InstanceId, Time};
+use crate::{HashMap, Time};
 
 pub(super) const INSTANCES: usize = 3;
 pub(super) const CALLERS: usize = 24;
@@ -31,23 +30,6 @@
 /// claim is forgotten [`RETENTION`] after it, and runs up to `START` later.
 pub(super) const WINDOW: u64 = RETENTION - 2_000;
 
-/// Counts the permits given and not given back.
-#[derive(Debug)]
-pub(super) struct Permit(Rc<Cell<i64>>);
-
-impl Permit {
-    fn new(out: &Rc<Cell<i64>>) -> Self {
-        out.set(out.get() + 1);
-        Self(out.clone())
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 pub(super) enum What {
     /// A caller sends its request.
     Arrive(usize),
@@ -56,6 +38,8 @@
     /// The wait for the claim's reply ends.
     Patience(usize),
     Event(usize, Event),
+    /// The connection for an attempt is there.
+    Connected(usize, u32, Option<Time>),
     Poll(usize),
     Crash(usize),
     Freeze(usize),
@@ -64,34 +48,17 @@
 #[derive(Clone, Copy)]
 pub(super) enum Back {
     Claim(usize),
+    Renew(usize),
     Tick(usize),
     Nobody,
 }
 
 pub(super) enum Phase {
     Waiting(Life<Admitted<Permit>>, ClaimLease),
-    Running(Generation<Permit>),
+    Running(Box<Generation<Permit>>),
     Over,
 }
 
-pub(super) struct Sending {
-    pub(super) caller: usize,
-    pub(super) instance: usize,
-    pub(super) id: RequestId,
-    pub(super) phase: Phase,
-    pub(super) permits: Rc<Cell<i64>>,
-    /// Real time at which the register first granted its claim.
-    pub(super) granted: Option<u64>,
-    /// The grant that the register's reply is about.
-    pub(super) about: u64,
-    pub(super) answer: Option<Answer>,
-    pub(super) emitted: u32,
-    pub(super) resume: u32,
-    pub(super) path: Vec<Hop>,
-    /// The last attempt that was sent.
-    pub(super) sent: u32,
-}
-
 pub(super) struct Instance {
     pub(super) incarnation: u64,
     frozen: u64,
@@ -102,13 +69,6 @@
     budget: Budget,
 }
 
-#[derive(Clone)]
-pub(super) struct Caller {
-    pub(super) organisation: &'static str,
-    pub(super) key: Option<String>,
-    pub(super) idempotent: bool,
-}
-
 pub(super) struct World {
     pub(super) seed: u64,
     pub(super) rng: ChaCha8Rng,
@@ -216,9 +176,10 @@
     /// The instance that handles the event.
     fn place(&self, what: &What) -> Option<usize> {
         match what {
-            What::Patience(s) | What::Event(s, _) | What::Reply(_, Back::Claim(s)) => {
-                Some(self.sendings[*s].instance)
-            }
+            What::Patience(s)
+            | What::Event(s, _)
+            | What::Connected(s, ..)
+            | What::Reply(_, Back::Claim(s) | Back::Renew(s)) => Some(self.sendings[*s].instance),
             What::Poll(instance) | What::Reply(_, Back::Tick(instance)) => Some(*instance),
             _ => None,
         }
@@ -230,7 +191,9 @@
             What::Apply(command, back) => self.apply(&command, back),
             What::Reply(reply, back) => self.reply(&reply, back),
             What::Patience(sending) => self.patience(sending),
+            What::Event(sending, event @ Event::Started { .. }) => self.start(sending, event),
             What::Event(sending, event) => self.step(sending, event),
+            What::Connected(sending, attempt, until) => self.connected(sending, attempt, until),
             What::Poll(instance) => self.poll(instance),
             What::Crash(instance) => self.crash(instance),
             What::Freeze(instance) => {
@@ -239,61 +202,12 @@
         }
     }
 
-    pub(super) fn arrive(&mut self, caller: usize) {
-        let instance = self.rng.random_range(0..INSTANCES);
-        let Caller {
-            organisation,
-            key,
-            idempotent,
-        } = self.callers[caller].clone();
-        let incarnation = Incarnation(self.instances[instance].incarnation);
-        let number = self.sendings.len();
-        let id = RequestId {
-            instance: InstanceId(instance as u64 + 1),
-            incarnation,
-            sequence: number as u64,
-        };
-        let permits = Rc::new(Cell::new(0));
-        let life = Life::new(id, organisation.into(), idempotent, key.is_some());
-        let life = life.admit(Permit::new(&permits));
-        let retention = Duration::from_millis(RETENTION);
-        let lease = ClaimLease::new(id.into(), self.local(instance), retention);
-        let needed = life.needs_claim();
-        self.totals.sendings += 1;
-        self.sendings.push(Sending {
-            caller,
-            instance,
-            id,
-            phase: Phase::Waiting(life, lease),
-            permits,
-            granted: None,
-            about: 0,
-            answer: None,
-            emitted: 0,
-            resume: 0,
-            path: Vec::new(),
-            sent: 0,
-        });
-        if self.chance(15) {
-            let delay = self.rng.random_range(0..600);
-            self.push(delay, What::Event(number, Event::CallerLeft));
-            self.again(caller);
-        }
-        if needed {
-            self.propose(self.claim(number), Back::Claim(number));
-            self.push(900, What::Patience(number));
-        } else {
-            let (life, _) = self.waiting(number).expect("just arrived");
-            self.generate(number, Ok(life.unclaimed().expect("needs no claim")));
-        }
-    }
-
     pub(super) fn generate(&mut self, sending: usize, next: Result<Life<Claimed<Permit>>, Answer>) {
         let mut out = Vec::new();
         match next {
             Ok(life) => {
                 let generation = Generation::new(life, self.bounds(sending), &mut out);
-                self.sendings[sending].phase = Phase::Running(generation);
+                self.sendings[sending].phase = Phase::Running(Box::new(generation));
             }
             Err(answer) => out.push(Effect::Finish(answer)),
         }
@@ -312,7 +226,7 @@
         }
     }
 
-    fn step(&mut self, sending: usize, event: Event) {
+    pub(super) fn step(&mut self, sending: usize, event: Event) {
         let now = self.local(self.sendings[sending].instance);
         let mut out = Vec::new();
         if let Phase::Running(generation) = &mut self.sendings[sending].phase {
@@ -341,9 +255,16 @@
         let key = caller.key.clone().unwrap_or_default();
         match effect {
             Effect::Open {
-                attempt, resume, ..
-            } => self.open(sending, attempt, resume),
-            Effect::Send { attempt } => self.send(sending, attempt),
+                attempt,
+                retry,
+                resume,
+                ..
+            } => self.open(sending, attempt, retry, resume),
+            Effect::Send { attempt, until } => {
+                self.sendings[sending].flight = Some(attempt);
+                let delay = self.rng.random_range(0..300);
+                self.push(delay, What::Connected(sending, attempt, until));
+            }
             Effect::Emit {
                 request,
                 index,
@@ -367,16 +288,28 @@
                 self.propose(Action::Settle(settle), Back::Nobody);
             }
             Effect::Finish(answer) => self.answer(sending, answer),
-            Effect::Cancel { .. } | Effect::Report { .. } => {}
+            Effect::Cancel { .. } => self.sendings[sending].flight = None,
+            Effect::Report { .. } => {}
         }
     }
 
-    fn open(&mut self, sending: usize, attempt: u32, resume: u32) {
+    fn connected(&mut self, sending: usize, attempt: u32, until: Option<Time>) {
+        let state = &self.sendings[sending];
+        if state.flight != Some(attempt) || matches!(state.phase, Phase::Over) {
+            return;
+        }
+        if until.is_some_and(|until| self.local(state.instance) >= until) {
+            return self.plan(sending, 0, broken(attempt, Cause::Refused));
+        }
+        self.send(sending, attempt);
+    }
+
+    fn open(&mut self, sending: usize, attempt: u32, retry: bool, resume: u32) {
         let instance = self.sendings[sending].instance;
         let now = self.local(instance);
         let organisation = self.callers[self.sendings[sending].caller].organisation;
         let budget = &mut self.instances[instance].budget;
-        let reason = if attempt > 1 && !budget.take(now, &organisation.into()) {
+        let reason = if retry && !budget.take(now, &organisation.into()) {
             Some(Unopened::Budget)
         } else {
             self.chance(4).then_some(Unopened::NoPath)
@@ -386,6 +319,7 @@
             None => Event::Started {
                 attempt,
                 path: self.path(sending, resume),
+                lease: None,
             },
         };
         let range = if self.chance(4) { 1_500..3_000 } else { 1..40 };
@@ -397,14 +331,6 @@
         self.push(delay, What::Event(sending, event));
     }
 
-    /// The caller sends the same request again, if it may.
-    pub(super) fn again(&mut self, caller: usize) {
-        let delay = self.rng.random_range(50..4_000);
-        if self.callers[caller].key.is_some() && self.now + delay < END {
-            self.push(delay, What::Arrive(caller));
-        }
-    }
-
     fn crash(&mut self, instance: usize) {
         self.instances[instance].incarnation += 1;
         self.instances[instance].ticker = Ticker::new(Duration::from_millis(250));
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,8 +1,11 @@
 //! Tests of crate-private parts, one file a module.
 
+mod answer;
 mod auth;
 mod budget;
 mod claim;
+mod cli;
+mod engine;
 mod event;
 mod flow;
 mod follow;
@@ -10,6 +13,7 @@
 mod life;
 mod limit;
 mod queue;
+mod registry;
 mod replica;
 mod route;
 mod simulation;
