--- a/examples/commit.rs
+++ b/examples/commit.rs
@@ -86,7 +86,7 @@
             founders: (1..=self.cut.len() as u64).map(InstanceId).collect(),
             election: ELECTION,
             heartbeat: HEARTBEAT,
-            compact: 10_000,
+            compact: 1000,
             seed: at as u64,
         };
         let (routes, cut, sent) = (self.routes.clone(), self.cut.clone(), self.sent.clone());
@@ -316,7 +316,7 @@
         }
         ready.push(begin.elapsed());
     }
-    println!("one of 3 voters restarts after {committed} changes, no snapshot");
+    println!("one of 3 voters restarts after {committed} changes");
     report("files read and written anew", opened);
     report("first read confirmed", ready);
 }
--- a/src/voter.rs
+++ b/src/voter.rs
@@ -65,7 +65,7 @@
     pub election: Duration,
     /// Time between heartbeats, at most a third of `election`.
     pub heartbeat: Duration,
-    /// Applied entries between two snapshots of a group.
+    /// Applied entries between two snapshots of a group, at least.
     pub compact: u64,
     /// Seed of the election timeouts.
     pub seed: u64,
--- a/src/voter/core.rs
+++ b/src/voter/core.rs
@@ -266,11 +266,10 @@
     /// Takes snapshots of machines that have applied enough.
     fn compact(&mut self, now: Time, send: &mut dyn FnMut(Message)) -> Result<(), StoreError> {
         for at in 0..self.groups.len() {
-            let group = &self.groups[at];
-            let index = group.replica.applied();
-            let grown = index - group.replica.log().snapshot().index.min(index);
-            if grown >= self.config.compact {
-                let data = Bytes::from(group.machine.snapshot());
+            let group = &mut self.groups[at];
+            if group.wants_snapshot(self.config.compact) {
+                let index = group.replica.applied();
+                let data = group.snapshot();
                 self.step(at, now, Event::Compact { index, data }, send)?;
             }
         }
--- a/src/voter/group.rs
+++ b/src/voter/group.rs
@@ -26,8 +26,13 @@
     pub(super) proposals: Vec<(u64, Bytes)>,
     /// Number of the latest write that awaits a sync.
     pub(super) written: Option<u64>,
+    /// Bytes of the entries applied since the snapshot, about.
+    grown: usize,
 }
 
+/// Bytes of an entry besides its command, about.
+const ENTRY_BYTES: usize = 32;
+
 impl Group {
     pub(super) fn new(number: u32, replica: Replica, machine: Box<dyn Machine>) -> Self {
         Self {
@@ -37,6 +42,7 @@
             pending: HashMap::default(),
             proposals: Vec::new(),
             written: None,
+            grown: 0,
         }
     }
 
@@ -50,6 +56,7 @@
     }
 
     pub(super) fn apply(&mut self, entry: &Entry, ticket: Option<u64>) {
+        self.grown += entry.data.len() + ENTRY_BYTES;
         let reply = match entry.kind() {
             Kind::Command => self.machine.apply(entry.index, &entry.data),
             Kind::Noop | Kind::Members => Vec::new(),
@@ -63,6 +70,21 @@
         }
     }
 
+    /// Whether a snapshot is due: after `count` entries, and not before the
+    /// entries weigh as much as the snapshot. A big state with small commands
+    /// would otherwise spend the disk on snapshots.
+    pub(super) fn wants_snapshot(&self, count: u64) -> bool {
+        let snapshot = self.replica.log().snapshot();
+        let applied = self.replica.applied();
+        applied >= snapshot.index + count && self.grown >= snapshot.data.len()
+    }
+
+    /// The machine's state, to be kept as snapshot.
+    pub(super) fn snapshot(&mut self) -> Bytes {
+        self.grown = 0;
+        self.machine.snapshot().into()
+    }
+
     pub(super) fn readable(&mut self, ticket: u64, index: u64) {
         if let Some(Pending::Read(answer)) = self.pending.remove(&ticket) {
             answer.send(Ok(index));
