--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -31,6 +31,10 @@
 /// Periods between two comparisons of tables.
 const SYNC: u32 = 2;
 
+/// Most datagrams that answer comparisons in one round. When a whole fleet
+/// starts at once, all come to the seeds; whoever gets no answer asks again.
+const ANSWERS: u32 = 16;
+
 /// Time between two passes over the upstreams.
 const REGISTRY_TICK: Duration = Duration::from_secs(1);
 
@@ -105,6 +109,8 @@
     /// End of the last suspension of this process.
     woke: Option<Time>,
     next_round: Time,
+    /// Datagrams left to answer comparisons with, until the next round.
+    answers: u32,
     next_sync: Time,
     next_pass: Time,
     rng: ChaCha8Rng,
@@ -138,6 +144,7 @@
             last_tick: now,
             woke: None,
             next_round: now,
+            answers: ANSWERS,
             next_sync: now + period,
             next_pass: now,
             rng,
@@ -292,6 +299,7 @@
         }
         if now >= self.next_round {
             self.next_round = now + self.period / ROUNDS;
+            self.answers = ANSWERS;
             self.send_round(now);
         }
     }
--- a/src/gossip/node/receive.rs
+++ b/src/gossip/node/receive.rs
@@ -123,9 +123,15 @@
     }
 
     fn on_roots(&mut self, now: Time, from: SocketAddr, roots: &Roots) {
+        if self.answers == 0 {
+            return;
+        }
         let buckets = sync::buckets(now, roots, &self.members, &self.registry);
-        self.out
-            .extend(buckets.map(|b| self.datagram(from, Body::Buckets(b))));
+        if let Some(buckets) = buckets {
+            let mut answer = self.datagram(from, Body::Buckets(buckets));
+            answer.packet.sync = true;
+            self.send_answer(from, answer.packet);
+        }
     }
 
     /// Goes into the buckets that differ, and compares again soon.
--- a/src/gossip/node/send.rs
+++ b/src/gossip/node/send.rs
@@ -91,7 +91,7 @@
         for record in members {
             if !room.take(record.encoded_len()) {
                 let full = std::mem::replace(&mut packet, self.record_packet(source));
-                self.out.push(Outgoing { to, packet: full });
+                self.send_answer(to, full);
                 room = Room::of(&packet);
                 room.take(record.encoded_len());
             }
@@ -100,15 +100,24 @@
         for record in upstreams {
             if !room.take(record.encoded_len()) {
                 let full = std::mem::replace(&mut packet, self.record_packet(source));
-                self.out.push(Outgoing { to, packet: full });
+                self.send_answer(to, full);
                 room = Room::of(&packet);
                 room.take(record.encoded_len());
             }
             packet.upstreams.push(record);
         }
         if !packet.members.is_empty() || !packet.upstreams.is_empty() {
-            self.out.push(Outgoing { to, packet });
+            self.send_answer(to, packet);
+        }
+    }
+
+    /// Sends an answer; one to a comparison only while there are some left.
+    pub(super) fn send_answer(&mut self, to: SocketAddr, packet: Packet) {
+        if packet.sync && self.answers == 0 {
+            return;
         }
+        self.answers -= u32::from(packet.sync);
+        self.out.push(Outgoing { to, packet });
     }
 
     fn record_packet(&self, source: Source) -> Packet {
