--- a/src/event.rs
+++ b/src/event.rs
@@ -56,6 +56,15 @@
 pub(crate) const STORE_BARRED: Event = event(504, "store_barred");
 /// This voter's store failed; the voter has ended.
 pub(crate) const STORE_FAILED: Event = event(505, "store_failed");
+/// Another instance is held for something else than before.
+pub(crate) const MEMBER_CHANGED: Event = event(601, "member_changed");
+/// The process was suspended; views of before are dropped.
+pub(crate) const SUSPENDED: Event = event(602, "suspended");
+/// The socket for datagrams can't be read.
+pub(crate) const DATAGRAMS_LOST: Event = event(603, "datagrams_lost");
+/// Another process uses this instance's number, or this one's incarnation is
+/// below that of an earlier start.
+pub(crate) const ID_CONFLICT: Event = event(604, "id_conflict");
 
 /// Every event that the program logs.
 #[cfg(test)]
@@ -81,4 +90,8 @@
     STORE_UNKNOWN,
     STORE_BARRED,
     STORE_FAILED,
+    MEMBER_CHANGED,
+    SUSPENDED,
+    DATAGRAMS_LOST,
+    ID_CONFLICT,
 ];
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -7,6 +7,7 @@
 mod node;
 mod rumour;
 mod sync;
+mod watch;
 mod wire;
 
 pub use dump::{FleetDump, TrafficCounts};
--- a/src/gossip/driver.rs
+++ b/src/gossip/driver.rs
@@ -10,9 +10,11 @@
 use crossbeam::channel::{Receiver, Sender, bounded, select_biased, tick};
 
 use crate::clock::{Clock, Time};
+use crate::event;
 use crate::gossip::dump::FleetDump;
 use crate::gossip::fleet::{self, FleetError, FleetSettings, Shared};
 use crate::gossip::node::{Datagram, Node, NodeEvent, NodeSettings};
+use crate::gossip::watch::Watch;
 use crate::gossip::wire::MAX_DATAGRAM;
 use crate::membership::{Member, MemberState, STALL};
 use crate::upstream::{AnnounceError, AnnounceOutcome, Announcement};
@@ -61,6 +63,7 @@
     overflow: Arc<std::sync::atomic::AtomicU64>,
     last_turn: Time,
     failed: u64,
+    watch: Watch,
     out: Vec<Datagram>,
 }
 
@@ -90,6 +93,7 @@
         overflow: Arc::clone(&overflow),
         last_turn: now,
         failed: 0,
+        watch: Watch::default(),
         out: Vec::new(),
     };
     driver.publish(now);
@@ -155,7 +159,7 @@
             // A refused datagram shows as an error of the next read.
             Err(e) if e.kind() == ErrorKind::ConnectionRefused => {}
             Err(error) => {
-                tracing::warn!(%error, "can't read datagrams");
+                tracing::warn!(event = event::DATAGRAMS_LOST.id, %error, "can't read datagrams");
                 std::thread::sleep(READ_TIMEOUT);
             }
         }
@@ -166,42 +170,60 @@
     fn run(&mut self, commands: &Receiver<Command>, datagrams: &Receiver<Incoming>) {
         let turns = tick(self.period / TURNS);
         loop {
-            select_biased! {
-                            recv(turns) -> _ => { self.turn(); }
-                            recv(commands) -> command => {
-                                let now = self.turn();
-                                match command {
-                                    Ok(Command::Stop) | Err(_) => break,
-                                    Ok(command) => self.obey(now, command),
-                                }
-                            }
-                            recv(datagrams) -> datagram => {
-                                let now = self.turn();
-                                match datagram {
-                                    Ok((from, bytes)) => {
-             let event = NodeEvent::Datagram(from, &bytes); self.node.step(now, event, &mut self.out);
+            let goes_on = select_biased! {
+                recv(turns) -> _ => {
+                    self.turn();
+                    true
+                }
+                recv(commands) -> command => self.on_command(command.ok()),
+                recv(datagrams) -> datagram => self.on_datagram(datagram.ok()),
+            };
+            if !goes_on {
+                break;
             }
-                                    Err(_) => break,
-                                }
-                            }
-                        }
             self.flush();
         }
         self.farewell();
     }
 
+    /// Says whether to go on.
+    fn on_command(&mut self, command: Option<Command>) -> bool {
+        let now = self.turn();
+        match command {
+            Some(Command::Stop) | None => return false,
+            Some(command) => self.obey(now, command),
+        }
+        true
+    }
+
+    /// Says whether to go on.
+    fn on_datagram(&mut self, datagram: Option<Incoming>) -> bool {
+        let now = self.turn();
+        let Some((from, bytes)) = datagram else {
+            return false;
+        };
+        let event = NodeEvent::Datagram(from, &bytes);
+        self.node.step(now, event, &mut self.out);
+        true
+    }
+
     /// Notes the time, and lets it pass for the node when a turn is due. Goes
     /// before whatever came, so that a suspension is seen first.
     fn turn(&mut self) -> Time {
         let now = self.clock.now();
         let gap = now.since(self.last_turn);
         if gap >= STALL {
-            tracing::warn!(millis = gap.as_millis() as u64, "the process was suspended");
+            tracing::warn!(
+                event = event::SUSPENDED.id,
+                millis = gap.as_millis() as u64,
+                "the process was suspended"
+            );
         }
         if gap >= self.period / TURNS {
             self.last_turn = now;
             self.node.step(now, NodeEvent::Tick, &mut self.out);
             self.publish(now);
+            self.watch.node(&self.node);
         }
         now
     }
@@ -240,9 +262,12 @@
     fn publish(&mut self, now: Time) {
         self.shared.turned.store(now.0, Ordering::Release);
         if self.node.registry.changed() {
-            self.shared.upstreams.store(self.node.upstreams(now));
+            let view = self.node.upstreams(now);
+            self.watch.upstreams(&view);
+            self.shared.upstreams.store(view);
         }
         if let Some(view) = self.node.changed_members() {
+            self.watch.members(&view);
             self.shared.members.store(Arc::new(view));
         }
     }
--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -205,6 +205,11 @@
         self.members.changed_view()
     }
 
+    /// Datagrams so far.
+    pub(super) fn traffic(&self) -> TrafficCounts {
+        self.traffic
+    }
+
     /// The whole state.
     #[must_use]
     pub fn dump(&self, now: Time) -> FleetDump {
