--- a/examples/fleet.rs
+++ b/examples/fleet.rs
@@ -1,7 +1,8 @@
 //! Measures a simulated fleet: what an instance spends at rest, how soon a
-//! dead instance is found out, and how soon a leaving upstream is dropped.
+//! dead instance is found out, how soon a leaving upstream is dropped, and how
+//! right instances are about load.
 //!
-//! `cargo run --release --example fleet -- rest|detect|leave HOSTS UPSTREAMS [RESTLESS] [LOSS]`
+//! `cargo run --release --example fleet -- rest|detect|leave|load HOSTS UPSTREAMS [RESTLESS] [LOSS]`
 //!
 //! `RESTLESS` is the chance a second that an upstream's load changes, `LOSS`
 //! the part of datagrams that is lost. Bytes include 28 of headers for each
@@ -46,7 +47,8 @@
         "rest" => rest(&mut sim, before),
         "detect" => detect(&mut sim),
         "leave" => leave(&mut sim),
-        other => panic!("{other}: use rest, detect or leave"),
+        "load" => load(&mut sim),
+        other => panic!("{other}: use rest, detect, leave or load"),
     }
 }
 
@@ -126,6 +128,31 @@
     report(times);
 }
 
+/// Prints the mean difference of running sequences between what instances
+/// hold and what is, and the part of instances and upstreams where one says
+/// that work waits and the other doesn't.
+fn load(sim: &mut Simulation) {
+    let (mut pairs, mut difference, mut opposite) = (0.0, 0.0, 0.0);
+    for _ in 0..TRIALS {
+        sim.run(3 * WARM_UP / 60, |_| ());
+        for host in 0..sim.hosts.len() {
+            let now = sim.clock(host);
+            let node = sim.hosts[host].node.as_mut().expect("no host crashes");
+            let view = node.upstreams(now);
+            for upstream in &sim.upstreams {
+                let truth = upstream.announcement.load;
+                let Some(held) = view.get(&upstream.announcement.id) else {
+                    continue;
+                };
+                pairs += 1.0;
+                difference += f64::from(held.load.running.abs_diff(truth.running));
+                opposite += f64::from((held.load.waiting == 0) != (truth.waiting == 0));
+            }
+        }
+    }
+    println!("{pairs},{:.2},{:.3}", difference / pairs, opposite / pairs);
+}
+
 /// Times from now at which `met` first holds for each host, in milliseconds.
 fn wait_for(
     sim: &mut Simulation,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,18 +1,19 @@
 //! Instances of a fleet over real sockets of the loopback address.
 
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use laburnumquay::{
-    AnnounceOutcome, Announcement, Fleet, FleetKey, FleetSettings, Incarnation, InstanceId, Load,
-    MemberState, Serves, Service, SystemClock, UpstreamId, UpstreamState,
+    AnnounceOutcome, Announcement, Clock, Fleet, FleetKey, FleetSettings, Incarnation, InstanceId,
+    Load, MemberState, Serves, Service, SystemClock, Time, UpstreamId, UpstreamState,
 };
 
 /// Longest wait for something that takes a few periods; never a verdict.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-fn spawn(id: u64, seeds: &[&Fleet]) -> (Fleet, JoinHandle<()>) {
+fn spawn(id: u64, seeds: &[&Fleet], clock: Arc<dyn Clock>) -> (Fleet, JoinHandle<()>) {
     let any = "127.0.0.1:0".parse().unwrap();
     let settings = FleetSettings {
         id: InstanceId(id),
@@ -28,7 +29,7 @@
         period: Duration::from_millis(100),
         seed: id,
     };
-    Fleet::spawn(settings, Arc::new(SystemClock)).unwrap()
+    Fleet::spawn(settings, clock).unwrap()
 }
 
 fn announcement(sequence: u64, state: UpstreamState) -> Announcement {
@@ -62,9 +63,9 @@
 
 #[test]
 fn fleet_three_instances() {
-    let (a, a_thread) = spawn(1, &[]);
-    let (b, b_thread) = spawn(2, &[&a]);
-    let (c, c_thread) = spawn(3, &[&a]);
+    let (a, a_thread) = spawn(1, &[], Arc::new(SystemClock));
+    let (b, b_thread) = spawn(2, &[&a], Arc::new(SystemClock));
+    let (c, c_thread) = spawn(3, &[&a], Arc::new(SystemClock));
     let all = [&a, &b, &c];
     wait_until(|| all.iter().all(|f| f.members().present().count() == 3));
 
@@ -91,3 +92,37 @@
     a_thread.join().unwrap();
     b_thread.join().unwrap();
 }
+
+/// A clock that is moved by hand. While the gate is held, the fleet's thread
+/// waits for the time, as if the system didn't run it.
+#[derive(Default)]
+struct Manual {
+    micros: AtomicU64,
+    gate: Mutex<()>,
+}
+
+impl Clock for Manual {
+    fn now(&self) -> Time {
+        if std::thread::current().name() == Some("gossip") {
+            drop(self.gate.lock());
+        }
+        Time(self.micros.load(Ordering::Acquire))
+    }
+}
+
+/// A request goes to an upstream that left an hour ago: the process was
+/// suspended, runs again, and the thread that routes is first to run.
+#[test]
+fn upstreams_after_suspension() {
+    let clock = Arc::new(Manual::default());
+    let (fleet, thread) = spawn(1, &[], Arc::clone(&clock) as _);
+    let outcome = fleet.announce(announcement(1, UpstreamState::Up));
+    assert_eq!(outcome, Ok(AnnounceOutcome::Accepted));
+    assert_eq!(usable(&fleet), 1);
+    let gate = clock.gate.lock().unwrap();
+    clock.micros.store(3_600_000_000, Ordering::Release);
+    assert_eq!(usable(&fleet), 0);
+    drop(gate);
+    fleet.stop();
+    thread.join().unwrap();
+}
