--- a/src/control.rs
+++ b/src/control.rs
@@ -1,14 +1,13 @@
 //! The control address: operators, upstreams, the platform's probes, the
-//! state dump and the metrics. All answers are whole.
-
-mod listen;
+//! state dump and the metrics. All answers are whole, so `astra` serves them.
 
+use std::io::Read;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{HeaderMap, Method, StatusCode, header};
+use astra::{Body, Request, Response, ResponseBuilder, Server};
+use hyper::{Method, StatusCode, header};
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
 use tokio::runtime::Handle;
@@ -26,11 +25,11 @@
 use crate::settings::Settings;
 use crate::upstream::{AnnounceOutcome, Announcement};
 
-/// Longest body of an operator, in bytes: a change of a whole catalogue.
-const MAX_BODY: usize = 32 << 20;
+/// Longest body, in bytes: a change of a whole catalogue.
+const MAX_BODY: u64 = 32 << 20;
 
-/// Longest body of anyone else, in bytes: an announcement.
-const MAX_ANNOUNCEMENT: usize = 16 << 10;
+/// Longest body of an announcement, in bytes.
+const MAX_ANNOUNCEMENT: u64 = 16 << 10;
 
 /// Time for a change to be committed.
 const COMMIT: Duration = Duration::from_secs(8);
@@ -44,6 +43,9 @@
 /// Pasts that one listing of the history holds at most.
 const MAX_HISTORY: usize = 1000;
 
+/// Threads for answers; operators and upstreams are few, their answers short.
+const WORKERS: usize = 16;
+
 /// What the control address needs of the instance.
 pub(crate) struct Control {
     pub(crate) settings: Arc<Settings>,
@@ -67,22 +69,8 @@
     message: String,
 }
 
-/// A request with its whole body.
-type Request = hyper::Request<Bytes>;
-
-type Response = hyper::Response<Full<Bytes>>;
-
 type Answer = Result<Response, Problem>;
 
-impl Problem {
-    fn response(&self) -> Response {
-        let body = serde_json::json!({
-            "error": {"code": self.code, "message": self.message}
-        });
-        respond(self.status, "application/json", body.to_string())
-    }
-}
-
 fn problem(status: StatusCode, code: &'static str, message: impl Into<String>) -> Problem {
     Problem {
         status,
@@ -91,14 +79,25 @@
     }
 }
 
-pub(crate) use listen::serve;
+/// Serves `addr` for as long as the process lives; returns only on failure.
+pub(crate) fn serve(control: Arc<Control>, addr: SocketAddr) -> std::io::Result<()> {
+    Server::bind(addr)
+        .max_workers(WORKERS)
+        .http1_only()
+        .serve(move |request, _| control.answer(request))
+}
 
 impl Control {
-    fn answer(&self, request: &Request) -> Response {
-        self.dispatch(request).unwrap_or_else(|p| p.response())
+    fn answer(&self, mut request: Request) -> Response {
+        self.dispatch(&mut request).unwrap_or_else(|problem| {
+            let body = serde_json::json!({
+                "error": {"code": problem.code, "message": problem.message}
+            });
+            respond(problem.status, "application/json", body.to_string())
+        })
     }
 
-    fn dispatch(&self, request: &Request) -> Answer {
+    fn dispatch(&self, request: &mut Request) -> Answer {
         let path = request.uri().path().to_owned();
         let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
         match (request.method().clone(), parts.as_slice()) {
@@ -107,14 +106,14 @@
             (Method::GET, ["metrics"]) => Ok(text(StatusCode::OK, &self.metrics.render())),
             (Method::POST, ["v1", "upstreams"]) => self.announce(request),
             (method, ["v1", rest @ ..]) => {
-                self.authorise(request.headers())?;
+                self.authorise(request)?;
                 self.operate(request, &method, rest)
             }
             _ => Err(not_found()),
         }
     }
 
-    fn operate(&self, request: &Request, method: &Method, path: &[&str]) -> Answer {
+    fn operate(&self, request: &mut Request, method: &Method, path: &[&str]) -> Answer {
         match (method, path) {
             (&Method::GET, ["state"]) => Ok(self.state(request)),
             (&Method::GET, ["catalogue"]) => self.list(),
@@ -128,8 +127,8 @@
         }
     }
 
-    fn authorise(&self, headers: &HeaderMap) -> Result<(), Problem> {
-        let known = bearer(headers).is_some_and(|key| {
+    fn authorise(&self, request: &Request) -> Result<(), Problem> {
+        let known = bearer(request).is_some_and(|key| {
             let given = digest(key);
             bool::from(subtle::ConstantTimeEq::ct_eq(
                 given.as_bytes(),
@@ -202,8 +201,9 @@
         Ok(json(StatusCode::OK, &self.confirm.history(MAX_HISTORY)))
     }
 
-    fn change(&self, request: &Request) -> Answer {
-        let mut change: Change = serde_json::from_slice(request.body()).map_err(|e| {
+    fn change(&self, request: &mut Request) -> Answer {
+        let body = read(request.body_mut(), MAX_BODY)?;
+        let mut change: Change = serde_json::from_slice(&body).map_err(|e| {
             problem(
                 StatusCode::BAD_REQUEST,
                 "malformed",
@@ -294,7 +294,7 @@
         std::iter::once(&self.proposer).chain(&self.registers)
     }
 
-    fn announce(&self, request: &Request) -> Answer {
+    fn announce(&self, request: &mut Request) -> Answer {
         let Ok(catalogue) = self.force.get(self.clock.now()) else {
             return Err(problem(
                 StatusCode::SERVICE_UNAVAILABLE,
@@ -302,10 +302,11 @@
                 "this instance can't confirm its catalogue; announce to another one",
             ));
         };
-        let pool = bearer(request.headers())
+        let pool = bearer(request)
             .and_then(|key| catalogue.pool(key))
             .map(str::to_owned);
-        let parsed: Result<Announcement, _> = serde_json::from_slice(request.body());
+        let body = read(request.body_mut(), MAX_ANNOUNCEMENT)?;
+        let parsed: Result<Announcement, _> = serde_json::from_slice(&body);
         let announcement = parsed.map_err(|e| {
             problem(
                 StatusCode::BAD_REQUEST,
@@ -410,11 +411,31 @@
     revision.map(Some).ok_or_else(malformed)
 }
 
-fn bearer(headers: &HeaderMap) -> Option<&str> {
-    let value = headers.get(header::AUTHORIZATION)?;
+fn bearer(request: &Request) -> Option<&str> {
+    let value = request.headers().get(header::AUTHORIZATION)?;
     value.to_str().ok()?.strip_prefix("Bearer ")
 }
 
+fn read(body: &mut Body, most: u64) -> Result<Vec<u8>, Problem> {
+    let mut bytes = Vec::new();
+    let read = body.reader().take(most + 1).read_to_end(&mut bytes);
+    read.map_err(|_| {
+        problem(
+            StatusCode::BAD_REQUEST,
+            "cut",
+            "the body was cut; send it whole",
+        )
+    })?;
+    if bytes.len() as u64 > most {
+        return Err(problem(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "too_large",
+            format!("the body is longer than {most} bytes; split it"),
+        ));
+    }
+    Ok(bytes)
+}
+
 fn tag(response: &mut Response, revision: u64) {
     let value = format!("\"{revision}\"");
     let value = value.parse().expect("digits and quotes are a valid header");
@@ -431,9 +452,9 @@
 }
 
 fn respond(status: StatusCode, kind: &'static str, body: String) -> Response {
-    hyper::Response::builder()
+    ResponseBuilder::new()
         .status(status)
         .header(header::CONTENT_TYPE, kind)
-        .body(Full::from(body))
+        .body(Body::new(body))
         .expect("the parts of the head are valid")
 }
