--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -3,22 +3,18 @@
 use std::mem;
 use std::time::Duration;
 
-use crate::claim::{Kept, MAX_KEPT, Outcome};
+use crate::claim::ClaimLease;
 use crate::clock::Time;
 use crate::id::UpstreamId;
 use crate::request::attempt::{Attempt, Verdict};
 use crate::request::event::{Bounds, Cause, Effect, Event, Report, Unopened};
-use crate::request::life::{Answering, Claimed, DEFAULT_PAUSE, Dispatched, Life, Unrun};
+use crate::request::life::{Claimed, DEFAULT_PAUSE, Life, Unrun};
+use crate::request::stage::Stage;
 use crate::request::{FailureCode, Frame, Hop, RefusalCode, RequestId, covers};
 
-/// How far the request has come.
-#[derive(Debug)]
-enum Stage<P> {
-    Ready(Life<Claimed<P>>),
-    Sent(Life<Dispatched<P>>),
-    Running(Life<Answering<P>>),
-    Finished,
-}
+/// Attempts that may find an engine too busy. Routing leaves such an engine out
+/// for a moment, so this takes seconds; the deadline ends most waits before.
+const BUSY: u32 = 100;
 
 /// One generation, from its claim to its answer.
 ///
@@ -36,6 +32,8 @@
     stage: Stage<P>,
     /// Attempts opened so far.
     number: u32,
+    /// Those of them that an engine was too busy to run.
+    busy: u32,
     /// The attempt that may send tokens. `None` while a path is chosen.
     attempt: Option<Attempt>,
     /// Whether the attempt in flight has brought a token.
@@ -57,13 +55,14 @@
             now: Time::default(),
             stage: Stage::Ready(life),
             number: 0,
+            busy: 0,
             attempt: None,
             flowing: false,
             moved: Time::default(),
             texts: Vec::new(),
             excluded: Vec::new(),
         };
-        generation.open(out);
+        generation.open(false, out);
         generation
     }
 
@@ -72,6 +71,14 @@
         &self.texts
     }
 
+    /// The claim that the request still waits with.
+    pub(crate) fn waiting(&self) -> Option<&ClaimLease> {
+        match &self.stage {
+            Stage::Ready(life) => life.lease(),
+            _ => None,
+        }
+    }
+
     /// Whether the final answer was given.
     pub(crate) fn finished(&self) -> bool {
         matches!(self.stage, Stage::Finished)
@@ -95,7 +102,11 @@
             return self.expire(out);
         }
         match event {
-            Event::Started { attempt, path } => self.started(attempt, path, out),
+            Event::Started {
+                attempt,
+                path,
+                lease,
+            } => self.started(attempt, path, lease, out),
             Event::Unopened {
                 attempt,
                 reason,
@@ -146,28 +157,35 @@
         mem::replace(&mut self.stage, Stage::Finished)
     }
 
-    fn open(&mut self, out: &mut Vec<Effect>) {
+    fn open(&mut self, retry: bool, out: &mut Vec<Effect>) {
         self.number += 1;
         out.push(Effect::Open {
             attempt: self.number,
+            retry,
             resume: self.next(),
             exclude: self.excluded.clone(),
         });
     }
 
-    fn started(&mut self, attempt: u32, path: Vec<Hop>, out: &mut Vec<Effect>) {
+    fn started(
+        &mut self,
+        attempt: u32,
+        path: Vec<Hop>,
+        lease: Option<ClaimLease>,
+        out: &mut Vec<Effect>,
+    ) {
         if attempt != self.number || self.attempt.is_some() {
             return out.push(Effect::Cancel { attempt });
         }
         if !covers(&path, self.bounds.layers) {
             return self.unopened(attempt, Unopened::NoPath, None, out);
         }
-        self.stage = match self.take() {
-            Stage::Ready(life) => match life.dispatch(self.now) {
-                Ok(life) => Stage::Sent(life),
-                Err(life) => return refuse(life, self.now, RefusalCode::ClaimLapsed, None, out),
-            },
-            stage => stage,
+        self.stage = match self.take().dispatch(self.now, lease) {
+            Ok(stage) => stage,
+            Err(stage) => {
+                self.stage = stage;
+                return self.end(RefusalCode::ClaimLapsed, None, out);
+            }
         };
         self.attempt = Some(Attempt {
             number: attempt,
@@ -215,7 +233,7 @@
     }
 
     fn emit(&mut self, index: u32, text: String, out: &mut Vec<Effect>) {
-        self.answering();
+        self.stage = self.take().answering();
         self.flowing = true;
         self.moved = self.now;
         self.texts.push(text.clone());
@@ -226,13 +244,6 @@
         });
     }
 
-    fn answering(&mut self) {
-        self.stage = match self.take() {
-            Stage::Sent(life) => Stage::Running(life.answering()),
-            stage => stage,
-        };
-    }
-
     fn done(&mut self, on: u32, request: &str, attempt: u32, count: u32, out: &mut Vec<Effect>) {
         if !self.current(on) {
             return;
@@ -255,22 +266,31 @@
         if self.flowing {
             return self.broken(attempt, Cause::Garbage, None, out);
         }
-        let first = self.attempt.as_ref().and_then(|a| a.path.first());
-        self.excluded.extend(first.map(|hop| hop.upstream.clone()));
+        let head = self.head();
         self.report(Report::Busy, out);
         if unrun {
-            self.unrun(Unrun::busy());
+            self.stage = self.take().unrun(Unrun::busy());
+            self.requeue(out);
         } else {
-            self.answering();
+            self.excluded.extend(head);
+            self.stage = self.take().answering();
+            self.retry(RefusalCode::UpstreamBusy, out);
         }
-        self.retry(RefusalCode::UpstreamBusy, out);
     }
 
-    fn unrun(&mut self, proof: Unrun) {
-        self.stage = match self.take() {
-            Stage::Sent(life) => Stage::Ready(life.unrun(proof)),
-            stage => stage,
-        };
+    /// Waits for another path.
+    ///
+    /// Several instances share the engines and learn late of each other's work,
+    /// so an engine may be full when a request gets there. That isn't a failure:
+    /// without this, four of them in a row, or a retry budget that others used
+    /// up, would refuse a request that only had to wait.
+    fn requeue(&mut self, out: &mut Vec<Effect>) {
+        self.busy += 1;
+        if self.busy < BUSY {
+            self.open(false, out);
+        } else {
+            self.end(RefusalCode::UpstreamBusy, Some(DEFAULT_PAUSE), out);
+        }
     }
 
     fn broken(
@@ -283,16 +303,27 @@
         if !self.current(attempt) {
             return;
         }
+        // Only the first stage takes connections from here.
+        let suspect = match cause {
+            Cause::Refused => suspect.or_else(|| self.head()),
+            _ => suspect,
+        };
         self.exclude(suspect.as_ref());
         self.report(Report::Broken { cause, suspect }, out);
         out.push(Effect::Cancel { attempt });
-        match cause {
-            Cause::Refused if !self.flowing => self.unrun(Unrun::refused()),
-            _ => self.answering(),
-        }
+        self.stage = match cause {
+            Cause::Refused if !self.flowing => self.take().unrun(Unrun::refused()),
+            _ => self.take().answering(),
+        };
         self.retry(RefusalCode::NoUpstream, out);
     }
 
+    /// The first stage of the attempt in flight.
+    fn head(&self) -> Option<UpstreamId> {
+        let first = self.attempt.as_ref()?.path.first()?;
+        Some(first.upstream.clone())
+    }
+
     fn exclude(&mut self, suspect: Option<&UpstreamId>) {
         let path = self.attempt.iter().flat_map(|a| &a.path);
         let blamed = path
@@ -316,8 +347,8 @@
             Stage::Running(life) => life.idempotent,
             Stage::Sent(_) | Stage::Finished => false,
         };
-        if again && self.number < self.bounds.attempts {
-            self.open(out);
+        if again && self.number - self.busy < self.bounds.attempts {
+            self.open(true, out);
         } else {
             self.end(code, Some(DEFAULT_PAUSE), out);
         }
@@ -333,105 +364,39 @@
     }
 
     fn expire(&mut self, out: &mut Vec<Effect>) {
-        self.abandon(out);
-        match self.take() {
-            Stage::Ready(life) => refuse(life, self.now, RefusalCode::QueueTimeout, None, out),
-            Stage::Sent(life) => fail(life.answering(), FailureCode::DeadlineExceeded, None, out),
-            Stage::Running(life) => fail(life, FailureCode::DeadlineExceeded, None, out),
-            Stage::Finished => {}
-        }
+        let failure = FailureCode::DeadlineExceeded;
+        self.give_up(RefusalCode::QueueTimeout, failure, None, out);
     }
 
+    /// The caller is gone. A request with a claim that may have run goes on
+    /// without it: it can't be run again, and the caller will ask for the kept
+    /// answer with the same key.
     fn left(&mut self, out: &mut Vec<Effect>) {
-        if self.keeps() {
-            return;
-        }
-        self.abandon(out);
-        match self.take() {
-            Stage::Ready(life) => refuse(life, self.now, RefusalCode::CallerLeft, None, out),
-            Stage::Sent(life) => fail(life.answering(), FailureCode::Cancelled, None, out),
-            Stage::Running(life) => fail(life, FailureCode::Cancelled, None, out),
-            Stage::Finished => {}
+        let ready = matches!(self.stage, Stage::Ready(_));
+        if ready || self.stage.lease().is_none() {
+            self.give_up(RefusalCode::CallerLeft, FailureCode::Cancelled, None, out);
         }
     }
 
-    /// Whether the request runs on without its caller, who will ask for the
-    /// kept answer with the same key: it can't be run again.
-    fn keeps(&self) -> bool {
-        match &self.stage {
-            Stage::Sent(life) => life.lease().is_some(),
-            Stage::Running(life) => life.lease().is_some(),
-            Stage::Ready(_) | Stage::Finished => false,
-        }
+    /// No further attempt is made.
+    fn end(&mut self, refusal: RefusalCode, pause: Option<Duration>, out: &mut Vec<Effect>) {
+        self.give_up(refusal, FailureCode::AnswerCut, pause, out);
     }
 
-    fn abandon(&mut self, out: &mut Vec<Effect>) {
+    fn give_up(
+        &mut self,
+        refusal: RefusalCode,
+        failure: FailureCode,
+        pause: Option<Duration>,
+        out: &mut Vec<Effect>,
+    ) {
         if let Some(Attempt { number, .. }) = self.attempt.take() {
             out.push(Effect::Cancel { attempt: number });
         }
-    }
-
-    /// Gives up, as far as the request has come.
-    fn end(&mut self, code: RefusalCode, pause: Option<Duration>, out: &mut Vec<Effect>) {
-        self.abandon(out);
-        match self.take() {
-            Stage::Ready(life) => refuse(life, self.now, code, pause, out),
-            Stage::Sent(life) => fail(life.answering(), FailureCode::AnswerCut, pause, out),
-            Stage::Running(life) => fail(life, FailureCode::AnswerCut, pause, out),
-            Stage::Finished => {}
-        }
+        self.take().end(self.now, refusal, failure, pause, out);
     }
 
     fn complete(&mut self, out: &mut Vec<Effect>) {
-        self.answering();
-        let Stage::Running(life) = self.take() else {
-            return;
-        };
-        if let Some(lease) = life.lease() {
-            let token = lease.token();
-            let outcome = self.kept();
-            out.push(Effect::Settle { token, outcome });
-        }
-        out.push(Effect::Finish(life.complete(self.next())));
-    }
-
-    fn kept(&self) -> Outcome {
-        let body = self.texts.concat().into_bytes();
-        if body.len() > MAX_KEPT {
-            return Outcome::NotKept(());
-        }
-        Outcome::Kept(Kept {
-            status: 200,
-            kind: "text/plain; charset=utf-8".into(),
-            body,
-        })
-    }
-}
-
-fn refuse<P>(
-    life: Life<Claimed<P>>,
-    now: Time,
-    code: RefusalCode,
-    pause: Option<Duration>,
-    out: &mut Vec<Effect>,
-) {
-    if let Some(lease) = life.lease() {
-        let token = lease.token();
-        out.push(Effect::Release { token });
-    }
-    out.push(Effect::Finish(life.refuse(now, code, pause)));
-}
-
-fn fail<P>(
-    life: Life<Answering<P>>,
-    code: FailureCode,
-    pause: Option<Duration>,
-    out: &mut Vec<Effect>,
-) {
-    if let Some(lease) = life.lease() {
-        let token = lease.token();
-        let outcome = Outcome::Unknown(());
-        out.push(Effect::Settle { token, outcome });
+        self.take().complete(&self.texts, out);
     }
-    out.push(Effect::Finish(life.fail(code, pause)));
 }
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -13,7 +13,7 @@
 use super::service::{self, Call};
 use super::{Held, Serving};
 use crate::catalogue::Class;
-use crate::claim::Outcome as Settled;
+use crate::claim::{ClaimLease, Outcome as Settled};
 use crate::clock::Time;
 use crate::dispatch::{Placed, Placement, Unplaced};
 use crate::engine::{Cutoff, Engine, EngineError, EngineEvent, Events, HttpEngine, Order, Stage};
@@ -210,10 +210,11 @@
         match effect {
             Effect::Open {
                 attempt,
+                retry,
                 resume,
                 exclude,
             } => {
-                let event = self.open(attempt, resume, exclude).await;
+                let event = self.open(attempt, retry, resume, exclude).await;
                 self.step(event, effects);
             }
             Effect::Send { attempt, until } => self.send(attempt, until),
@@ -246,10 +247,11 @@
     async fn open(
         &mut self,
         attempt: u32,
+        retry: bool,
         resume: u32,
         exclude: Vec<crate::id::UpstreamId>,
     ) -> Event {
-        if attempt > 1 && !self.retry_allowed() {
+        if retry && !self.retry_allowed() {
             return Event::Unopened {
                 attempt,
                 reason: Unopened::Budget,
@@ -276,11 +278,15 @@
                 return Event::CallerLeft;
             }
         };
+        let lease = match &placed {
+            Ok(_) => self.renew().await,
+            Err(_) => None,
+        };
         match placed {
             // The wait may have been long. A lease that ended, or a change
             // that came meanwhile, must not be passed over.
             Ok(placed) => match self.pools() {
-                Ok(pools) if pools == used => self.planned(attempt, placed),
+                Ok(pools) if pools == used => self.planned(attempt, placed, lease),
                 Ok(_) => {
                     self.give_back(placed, Outcome::Cancelled, 0);
                     Event::Unopened {
@@ -360,7 +366,18 @@
         }
     }
 
-    fn planned(&mut self, attempt: u32, placed: Placed) -> Event {
+    /// Renews the claim if the wait for a path has used up its lease.
+    async fn renew(&self) -> Option<ClaimLease> {
+        let held = self.generation.waiting()?;
+        let key = self.job.key.as_ref()?;
+        if !held.short(self.serving.now()) {
+            return None;
+        }
+        let deadline = self.job.deadline;
+        self.serving.renew(key, held.token(), deadline).await
+    }
+
+    fn planned(&mut self, attempt: u32, placed: Placed, lease: Option<ClaimLease>) -> Event {
         let view = self.serving.parts.fleet.upstreams();
         let path: Option<Vec<Stage>> = placed
             .hops
@@ -394,6 +411,7 @@
         Event::Started {
             attempt,
             path: hops,
+            lease,
         }
     }
 
