Confirm many questions by one round of the quorum; wake only for what is due

Cause: each poll of a follower and each question for shares cost the leader a round to all voters; the shares and the router were looked at 50 times a second.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crossbeam::channel::{Receiver, Sender, bounded, select, tick};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -16,6 +16,7 @@
 use crate::catalogue::CatalogueMachine;
 use crate::claim::{Bounds, Claims, Reply, Ticker};
 use crate::clock::{Clock, SystemClock};
+use crate::confirm::Confirmations;
 use crate::control::{self, Control};
 use crate::dump::{CatalogueDump, Dump, RequestDump};
 use crate::error::{FailedSnafu, ListenSnafu, Result, StartSnafu};
@@ -54,17 +55,17 @@
 /// Period of moving the claims' time on.
 const CLAIM_TICK: Duration = Duration::from_secs(1);
 
-/// Period of looking whether a question for shares is due.
-const SHARE_LOOK: Duration = Duration::from_millis(20);
-
 /// Time for the allocator to answer.
 const SHARE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Period of passing deadlines and refilling rates.
 const TICK: Duration = Duration::from_millis(20);
 
-/// Ticks between two views that the router gets: 100 ms.
-const TICKS_A_VIEW: u32 = 5;
+/// The same while nothing waits.
+const IDLE_TICK: Duration = Duration::from_millis(50);
+
+/// Least time between two views that the router gets.
+const VIEW: Duration = Duration::from_millis(100);
 
 /// Runs one instance until a signal, and lets running answers end.
 ///
@@ -300,7 +301,7 @@
         compact: COMPACT,
         seed: rand::random(),
     };
-    let peers = peers.clone();
+    let links = peers.clone();
     let mut machines: Vec<Box<dyn Machine>> = vec![Box::new(machine)];
     machines.extend(
         (0..CLAIM_SHARDS).map(|_| -> Box<dyn Machine> { Box::new(Claims::new(Bounds::default())) }),
@@ -308,7 +309,7 @@
     let spawned = Voter::spawn(
         voter_settings,
         machines,
-        Box::new(move |to, message| peers.send(to, message)),
+        Box::new(move |to, message| links.send(to, message)),
         Arc::clone(clock),
     );
     let (voter, thread) = spawned.map_err(|e| {
@@ -324,6 +325,7 @@
         }
     });
     Ok(Some(Vote {
+        confirmations: Confirmations::start(voter.clone(), CATALOGUE_GROUP, peers.runtime()),
         voter,
         catalogue,
         shares: Arc::default(),
@@ -388,7 +390,7 @@
 /// Asks for shares of the limits whenever a question is due.
 async fn keep_shares(node: Node, leader: Arc<Proposer>, serving: Arc<Serving>) {
     loop {
-        tokio::time::sleep(SHARE_LOOK).await;
+        serving.share_due().await;
         let Some(ask) = serving.ask() else { continue };
         let request = Request {
             ask: Some(Ask::Share(ask)),
@@ -423,11 +425,16 @@
     let fleet = fleet.clone();
     let peers = peers.clone();
     supervisor.start("views", Policy::Restart, move || {
-        let mut ticks: u32 = 0;
-        for _ in tick(TICK) {
-            ticks = ticks.wrapping_add(1);
+        let mut viewed = Instant::now();
+        loop {
+            thread::sleep(if serving.queued() > 0 {
+                TICK
+            } else {
+                IDLE_TICK
+            });
             serving.tick();
-            if ticks.is_multiple_of(TICKS_A_VIEW) {
+            if viewed.elapsed() >= VIEW {
+                viewed = Instant::now();
                 serving.refresh(&fleet.upstreams());
                 for member in &fleet.members().members {
                     peers.learn(member.id, member.peer);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 mod client;
 mod clock;
 mod collections;
+mod confirm;
 mod control;
 mod disk;
 mod dispatch;
--- a/src/limit/holder.rs
+++ b/src/limit/holder.rs
@@ -224,7 +224,13 @@
     /// When [`ask`](Self::ask) should be called next.
     #[must_use]
     pub fn due(&self) -> Time {
-        let gap = if self.urgent { URGENT } else { PERIOD };
+        let gap = match (self.urgent, self.routes.is_empty()) {
+            (true, _) => URGENT,
+            (false, false) => PERIOD,
+            // Nothing is wanted or held; the allocator only has to know that
+            // this holder exists.
+            (false, true) => LEASE,
+        };
         self.asked.map_or(Time::default(), |at| at + gap)
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,6 +11,7 @@
 use crate::allocate::Allocation;
 use crate::catalogue::{Feed, Shared};
 use crate::clock::Clock;
+use crate::confirm::Confirmations;
 use crate::id::InstanceId;
 use crate::limit;
 use crate::message::{
@@ -39,6 +40,8 @@
     pub(crate) voter: Voter,
     /// The catalogue as applied here.
     pub(crate) catalogue: Arc<Shared>,
+    /// Confirms the catalogue's group.
+    pub(crate) confirmations: Confirmations,
     /// Shares of the limits, while this instance leads.
     pub(crate) shares: Arc<Allocation>,
     pub(crate) clock: Arc<dyn Clock>,
@@ -157,8 +160,8 @@
 
 fn feed(vote: &Vote, follow: Follow, done: impl FnOnce(Answer) + Send + 'static) {
     let reader = vote.clone();
-    let read = move |confirmed: Result<u64, _>| {
-        if confirmed.is_err() {
+    let read = move |confirmed: bool| {
+        if !confirmed {
             return done(Answer::Unavailable(true));
         }
         let voters = reader.voters(CATALOGUE_GROUP);
@@ -167,7 +170,7 @@
             voters,
         )));
     };
-    vote.voter.read(CATALOGUE_GROUP, Box::new(read));
+    vote.confirmations.push(Box::new(read));
 }
 
 fn reply(feed: Feed, voters: Vec<u64>) -> FeedReply {
@@ -200,8 +203,8 @@
         return done(Answer::NotLeader(vote.leader(CATALOGUE_GROUP)));
     };
     let reader = vote.clone();
-    let read = move |confirmed: Result<u64, _>| {
-        if confirmed.is_err() || reader.leads(CATALOGUE_GROUP) != Some(term) {
+    let read = move |confirmed: bool| {
+        if !confirmed || reader.leads(CATALOGUE_GROUP) != Some(term) {
             return done(Answer::NotLeader(reader.leader(CATALOGUE_GROUP)));
         }
         let now = reader.clock.now();
@@ -211,7 +214,7 @@
             None => done(Answer::Unavailable(true)),
         }
     };
-    vote.voter.read(CATALOGUE_GROUP, Box::new(read));
+    vote.confirmations.push(Box::new(read));
 }
 
 /// The state of a group, if this instance leads it.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -88,6 +88,11 @@
         }))
     }
 
+    /// Where the connections run.
+    pub(crate) fn runtime(&self) -> &Handle {
+        &self.0.runtime
+    }
+
     /// Learns or corrects the address of a peer.
     pub(crate) fn learn(&self, peer: InstanceId, addr: SocketAddr) {
         let mut addresses = self.0.addresses.write().expect("no holder panics");
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use crate::budget::Budget;
 use crate::clock::{Clock, Time};
@@ -22,7 +22,7 @@
 use crate::gate::Gate;
 use crate::gossip::Fleet;
 use crate::id::{Incarnation, InstanceId};
-use crate::limit::{Ask, Grant, Permit};
+use crate::limit::{Ask, Grant, Permit, URGENT};
 use crate::propose::Proposer;
 use crate::request::RequestId;
 use crate::route::Stage;
@@ -55,6 +55,8 @@
     parts: Parts,
     dispatcher: Mutex<Dispatcher<Waiter>>,
     budget: Mutex<Budget>,
+    /// Signalled when a question for shares is due at once.
+    urgent: Notify,
     /// Number of the next request. Never used twice in an incarnation.
     sequence: AtomicU64,
 }
@@ -68,6 +70,7 @@
             parts,
             dispatcher: Mutex::new(dispatcher),
             budget: Mutex::new(budget),
+            urgent: Notify::new(),
             sequence: AtomicU64::new(1),
         })
     }
@@ -92,11 +95,13 @@
     fn dispatch(&self, step: impl FnOnce(&mut Dispatcher<Waiter>, Time, &mut Vec<Effect<Waiter>>)) {
         let mut out = Vec::new();
         let now = self.now();
-        step(
-            &mut self.dispatcher.lock().expect("no holder panics"),
-            now,
-            &mut out,
-        );
+        let mut dispatcher = self.dispatcher.lock().expect("no holder panics");
+        step(&mut dispatcher, now, &mut out);
+        let due = dispatcher.due();
+        drop(dispatcher);
+        if due <= now + URGENT {
+            self.urgent.notify_one();
+        }
         for (waiter, told) in out {
             // A waiter that left drops what it was told, and with it the
             // permit or ticket, which gives itself back.
@@ -116,6 +121,21 @@
         self.dispatch(|dispatcher, now, out| dispatcher.tick(now, out));
     }
 
+    /// Waits until a question for shares is due.
+    pub(crate) async fn share_due(&self) {
+        loop {
+            let due = self.dispatcher.lock().expect("no holder panics").due();
+            let left = due.since(self.now());
+            if left.is_zero() {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(left) => {}
+                () = self.urgent.notified() => {}
+            }
+        }
+    }
+
     /// The question for shares, if one is due.
     pub(crate) fn ask(&self) -> Option<Ask> {
         let now = self.now();
