--- a/src/replica.rs
+++ b/src/replica.rs
@@ -245,7 +245,8 @@
         &self.log
     }
 
-    /// Stores that greeted lately without being members.
+    /// Stores that greeted lately without being members. None while the group
+    /// forms, when every founder's store is new.
     pub(crate) fn strangers(&self) -> impl Iterator<Item = Peer> + '_ {
         let members = self.log.members().1;
         let limit = STRANGER_TIMEOUTS * self.settings.election;
@@ -253,7 +254,7 @@
             .values()
             .filter(move |(_, at)| self.now.since(*at) < limit)
             .map(|(peer, _)| *peer)
-            .filter(|&p| members.role(p).is_none())
+            .filter(|&p| !members.is_founding() && members.role(p).is_none())
     }
 
     /// The state that a rewritten log file must hold.
