--- a/src/voter/watch.rs
+++ b/src/voter/watch.rs
@@ -29,9 +29,10 @@
 
 fn report_members(old: &GroupStatus, new: &GroupStatus) {
     for peer in new.strangers.iter().filter(|p| !old.strangers.contains(p)) {
-        let (id, store) = (peer.id, peer.store);
+        let (group, id, store) = (new.group, peer.id, peer.store);
         tracing::warn!(
             event = event::STORE_UNKNOWN.id,
+            group,
             id,
             store,
             "a store is no member"
@@ -39,9 +40,10 @@
     }
     let barred = |m: &&Member| m.role() == Role::Barred && !old.members.contains(m);
     for member in new.members.iter().filter(barred) {
-        let (id, store) = (member.id, member.store);
+        let (group, id, store) = (new.group, member.id, member.store);
         tracing::error!(
             event = event::STORE_BARRED.id,
+            group,
             id,
             store,
             "a store lost entries"
