Renew a claim only while it can't have been forgotten

A renewed lease is now taken only while the old claim must still be remembered, by the holder's own clock and after the reply. Ruled out: the index of the grant in each renewal, which the retention makes needless.

--- a/src/request/life.rs
+++ b/src/request/life.rs
@@ -198,10 +198,16 @@
         self.state.lease.as_ref()
     }
 
-    /// Takes the new lease of a claim that was renewed.
-    pub(crate) fn renew(mut self, lease: Option<ClaimLease>) -> Self {
-        let held = self.state.lease.map(|held| held.token());
-        if lease.is_some_and(|lease| Some(lease.token()) == held) {
+    /// Takes the new lease of a claim that was renewed, at `now`.
+    ///
+    /// Guards against a holder that was frozen for longer than the retention.
+    /// Its claim was called unknown and forgotten, and a proposal of its own
+    /// that had been on the way got it granted once more; renewed, it would run.
+    /// Before that time the claim can't have been forgotten.
+    pub(crate) fn renew(mut self, now: Time, lease: Option<ClaimLease>) -> Self {
+        let same = |held: &ClaimLease| lease.is_some_and(|l| l.token() == held.token());
+        let held = self.state.lease.as_ref();
+        if held.is_some_and(|held| same(held) && held.exclusive(now)) {
             self.state.lease = lease;
         }
         self
--- a/src/request/stage.rs
+++ b/src/request/stage.rs
@@ -35,7 +35,7 @@
     /// An attempt is started; a byte may leave. On an error it must not.
     pub(super) fn dispatch(self, now: Time, lease: Option<ClaimLease>) -> Result<Self, Self> {
         match self {
-            Self::Ready(life) => match life.renew(lease).dispatch(now) {
+            Self::Ready(life) => match life.renew(now, lease).dispatch(now) {
                 Ok(life) => Ok(Self::Sent(life)),
                 Err(life) => Err(Self::Ready(life)),
             },
