Pace engines, and share out free places when instances contend for them

Two changes: - An engine is full with as many sequences as it can give a token each in 80 ms; the rest waits in the fair queue.

Price: what can't be served waits at the instances up to their patience instead of at the engines.

--- a/examples/bench/fleet.rs
+++ b/examples/bench/fleet.rs
@@ -228,9 +228,13 @@
         let view: Vec<Stage> = engines.iter().map(|e| e.stage.clone()).collect();
         let mut exact = Router::new(0);
         exact.set_view(at(0.0), &view);
-        let instances = (0..setup.instances).map(|_| Instance {
-            router: Router::with_policy(rng.random(), policy()),
-            queue: VecDeque::new(),
+        let instances = (0..setup.instances).map(|_| {
+            let mut router = Router::with_policy(rng.random(), policy());
+            router.set_instances(setup.instances as u32);
+            Instance {
+                router,
+                queue: VecDeque::new(),
+            }
         });
         Self {
             instances: instances.collect(),
--- a/src/route.rs
+++ b/src/route.rs
@@ -50,6 +50,8 @@
     /// Plans by the hash of model and pools.
     plans: HashMap<u64, Vec<Plan>>,
     prefixes: Prefixes,
+    /// Instances that choose from the same reports, this one included.
+    instances: u32,
     returns: Arc<SegQueue<Vec<u32>>>,
 }
 
@@ -69,15 +71,23 @@
             engines: Engines::default(),
             plans: HashMap::default(),
             prefixes: Prefixes::default(),
+            instances: 1,
             returns: Arc::default(),
         }
     }
 
+    /// Tells how many instances choose from the same reports, this one
+    /// included; 1 when it was never told.
+    pub fn set_instances(&mut self, instances: u32) {
+        self.instances = instances.max(1);
+    }
+
     /// Takes over the engines that announce themselves at present. Plans in
     /// use are computed anew when capacities, states or ejections changed.
     pub fn set_view(&mut self, now: Time, stages: &[Stage]) {
         self.collect();
-        let changed = self.engines.update(now, stages);
+        let instances = self.instances;
+        let changed = self.engines.update(now, stages, instances, &mut self.rng);
         for plans in self.plans.values_mut() {
             plans.retain(|plan| now.since(plan.used) < PLAN_KEPT);
             if changed {
@@ -105,8 +115,15 @@
             cached,
             full: Cell::new(false),
             probing: Cell::new(true),
+            crowd: Cell::new(0.0),
+            contended: self.instances > 1 && plan.is_contended(now),
         };
-        let (variant, steps) = walk.path(plan, self.policy.as_mut(), &mut self.rng)?;
+        let path = walk.path(plan, self.policy.as_mut(), &mut self.rng);
+        let full = matches!(&path, Err(none) if none.reason == NoPathReason::Full);
+        if full {
+            plan.contend(now, walk.crowd.get());
+        }
+        let (variant, steps) = path?;
         let hops = steps.iter().map(|step| Hop {
             upstream: self.engines[step.engine].stage.id.clone(),
             first: step.first,
--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -4,6 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
 use super::health::{Health, Peers, Trouble};
 use super::types::Stage;
 use crate::clock::Time;
@@ -22,6 +25,11 @@
 /// report of its free slots would idle.
 const FILL: f64 = 1.25;
 
+/// Seconds between two tokens of a sequence that an engine may come to: it is
+/// full with as many sequences as it can give a token each in this time. More
+/// would slow all down and could wait here instead, in fair order.
+const PACE: f64 = 0.08;
+
 /// Time that a refusal counts as a full engine.
 const REFUSED: Duration = Duration::from_millis(200);
 
@@ -43,6 +51,9 @@
     peers: usize,
     pub(crate) health: Health,
     refused: Option<Time>,
+    /// Sequences that this instance may start before the next report, when
+    /// all instances have work waiting. Grows as own sequences end.
+    claims: f64,
 }
 
 impl Engine {
@@ -86,8 +97,41 @@
 
     /// Whether another sequence would only wait.
     pub(crate) fn is_full(&self, now: Time) -> bool {
-        let refused = self.refused.is_some_and(|at| now.since(at) < REFUSED);
-        refused || self.load(now) + 1.0 > f64::from(self.stage.slots) * FILL
+        self.is_refusing(now) || self.load(now) + 1.0 > self.most()
+    }
+
+    /// Whether this instance used up its part of the places that were free at
+    /// the last report.
+    ///
+    /// Guards against the stampede of many instances with work waiting: all
+    /// see the same few free places in the same late reports and take them at
+    /// once, which shows as throughput far below the bound under overload.
+    /// Since each takes its part only, they don't take more than there is.
+    pub(crate) fn is_claimed(&self, now: Time) -> bool {
+        self.is_refusing(now) || self.claims <= 0.0
+    }
+
+    fn is_refusing(&self, now: Time) -> bool {
+        self.refused.is_some_and(|at| now.since(at) < REFUSED)
+    }
+
+    /// Sequences that the engine should have at most. A plain service, which
+    /// routing knows as a model of one layer, has no pace of tokens.
+    pub(crate) fn most(&self) -> f64 {
+        let slots = f64::from(self.stage.slots) * FILL;
+        if self.stage.total <= 1 {
+            return slots;
+        }
+        slots.min(self.capacity() * PACE).max(1.0)
+    }
+
+    /// Counts the places free at a new report. `instances` share them; `chance`
+    /// between 0 and 1 decides whether a fraction is a place.
+    fn claim(&mut self, instances: f64, chance: f64) {
+        let load = f64::from(self.stage.running) + f64::from(self.stage.waiting);
+        let part = (self.most() - load).max(0.0) / instances;
+        let idle = if load < 1.0 { 1.0 } else { 0.0 };
+        self.claims = (part + chance).floor().max(idle);
     }
 
     /// Requests of this instance in flight.
@@ -125,12 +169,23 @@
 
 impl Engines {
     /// Takes a view over. Returns whether plans must be computed anew.
-    pub(crate) fn update(&mut self, now: Time, stages: &[Stage]) -> bool {
+    pub(crate) fn update(
+        &mut self,
+        now: Time,
+        stages: &[Stage],
+        instances: u32,
+        rng: &mut ChaCha8Rng,
+    ) -> bool {
         let mut changed = std::mem::take(&mut self.ejected);
         let before: Vec<bool> = self.slab.iter().map(|e| e.present).collect();
         self.slab.iter_mut().for_each(|e| e.present = false);
         for stage in stages {
+            let known = self.index.get(&stage.id).map(|&i| &self[i].stage);
+            let fresh = known.is_none_or(|s| s.reported != stage.reported);
             changed |= self.take(now, stage);
+            if fresh && let Some(&i) = self.index.get(&stage.id) {
+                self.slab[i as usize].claim(f64::from(instances), rng.random());
+            }
         }
         let gone = self
             .slab
@@ -180,6 +235,7 @@
             peers: 0,
             health: Health::default(),
             refused: None,
+            claims: 0.0,
         };
         let i = match free {
             Some(i) => {
@@ -241,6 +297,7 @@
 
     pub(crate) fn start(&mut self, i: u32) {
         self.slab[i as usize].own += 1;
+        self.slab[i as usize].claims -= 1.0;
     }
 
     pub(crate) fn stop(&mut self, i: u32) {
@@ -251,6 +308,7 @@
             engine.stage.id
         );
         engine.own -= 1;
+        engine.claims += 1.0;
     }
 
     pub(crate) fn succeeded(&mut self, now: Time, i: u32, factor: f64) {
--- a/src/route/plan.rs
+++ b/src/route/plan.rs
@@ -1,7 +1,9 @@
 //! The layered graph of one model within a set of pools, and its flow.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::engine::Engines;
 use super::types::Query;
@@ -15,6 +17,12 @@
 /// steeper, the nearer to the least possible use of the most used group.
 const STEEPNESS: i32 = 8;
 
+/// Time for which engines that were found full are taken to be contended.
+const CONTENDED: Duration = Duration::from_secs(2);
+
+/// Load by places from which engines are taken to be contended.
+const CROWDED: f64 = 0.7;
+
 /// Flow is computed in thousandths of a token a second.
 const SCALE: f64 = 1000.0;
 
@@ -24,6 +32,8 @@
     model: Arc<str>,
     pools: Vec<String>,
     pub(crate) used: Time,
+    /// When all engines were last found full.
+    contended: Cell<Option<Time>>,
     pub(crate) variants: Vec<Variant>,
 }
 
@@ -74,6 +84,7 @@
             model: model.into(),
             pools: pools.to_vec(),
             used: now,
+            contended: Cell::new(None),
             variants: Vec::new(),
         }
     }
@@ -82,6 +93,20 @@
         *self.model == *query.model && self.pools == query.pools
     }
 
+    /// Whether work waits for these engines on this instance, and so probably
+    /// on all: then a place that comes free is seen by all at once.
+    pub(crate) fn is_contended(&self, now: Time) -> bool {
+        let contended = self.contended.get();
+        contended.is_some_and(|at| now.since(at) < CONTENDED)
+    }
+
+    /// Books that no path was free, with the load by places where it ended.
+    /// With many places free it was only this instance's part that was used
+    /// up: then there is nothing to contend for, and waiting would idle them.
+    pub(crate) fn contend(&self, now: Time, crowd: f64) {
+        self.contended.set((crowd >= CROWDED).then_some(now));
+    }
+
     /// Sum of the versions' maximum flows, in tokens a second.
     pub(crate) fn bound(&self) -> f64 {
         self.variants.iter().map(|v| v.bound).sum()
--- a/src/route/policy.rs
+++ b/src/route/policy.rs
@@ -43,6 +43,17 @@
         all.filter(|c| self.walk.usable(c.engine))
     }
 
+    /// Load of all engines in reach by the sequences they should have at most.
+    pub(crate) fn crowd(&self) -> f64 {
+        let groups = self.ways.iter().map(|w| &self.variant.groups[w.group]);
+        let members = groups.flat_map(|g| &g.members);
+        let engines = members.map(|&i| &self.walk.engines[i]);
+        let sums = engines.fold((0.0, 0.0), |(load, most), e| {
+            (load + e.load(self.walk.now), most + e.most())
+        });
+        sums.0 / sums.1
+    }
+
     /// Draws an engine by its share of the maximum flow, if it may be used.
     pub fn draw(&self, rng: &mut ChaCha8Rng) -> Option<Candidate> {
         let total = self.ways.last()?.flow;
--- a/src/route/walk.rs
+++ b/src/route/walk.rs
@@ -30,6 +30,10 @@
     pub(crate) full: Cell<bool>,
     /// Whether engines that failed lately may be used too.
     pub(crate) probing: Cell<bool>,
+    /// Load by places where the walk ended.
+    pub(crate) crowd: Cell<f64>,
+    /// Whether the instances contend for free places.
+    pub(crate) contended: bool,
 }
 
 /// One hop of a path.
@@ -102,7 +106,10 @@
                 ways,
                 last: steps.last().map(|s| s.engine),
             };
-            let pick = policy.pick(&site, rng)?;
+            let Some(pick) = policy.pick(&site, rng) else {
+                self.crowd.set(site.crowd());
+                return None;
+            };
             let way = &ways[pick.way];
             steps.push(Step {
                 engine: pick.engine,
@@ -125,7 +132,11 @@
         if engine.health.is_probed() && (engine.own() > 0 || !self.probing.get()) {
             return false;
         }
-        let full = engine.is_full(self.now);
+        let full = if self.contended {
+            engine.is_claimed(self.now)
+        } else {
+            engine.is_full(self.now)
+        };
         self.full.set(self.full.get() || full);
         !full
     }
