Estimate the number of contending instances when it isn't told

Cause: without the number the places of full engines weren't shared out, and the pace of engines alone is worse than nothing with many instances.

--- a/examples/bench/routing.rs
+++ b/examples/bench/routing.rs
@@ -175,6 +175,7 @@
         instances,
         lag: 1.0,
         load: 1.2,
+        seconds: 120.0,
         ..base
     });
     sweep(out, "instances", "instances", &counts, |s| {
--- a/src/route.rs
+++ b/src/route.rs
@@ -50,8 +50,9 @@
     /// Plans by the hash of model and pools.
     plans: HashMap<u64, Vec<Plan>>,
     prefixes: Prefixes,
-    /// Instances that choose from the same reports, this one included.
-    instances: u32,
+    /// Instances that choose from the same reports, this one included, if
+    /// that was told.
+    instances: Option<u32>,
     returns: Arc<SegQueue<Vec<u32>>>,
 }
 
@@ -71,22 +72,22 @@
             engines: Engines::default(),
             plans: HashMap::default(),
             prefixes: Prefixes::default(),
-            instances: 1,
+            instances: None,
             returns: Arc::default(),
         }
     }
 
     /// Tells how many instances choose from the same reports, this one
-    /// included; 1 when it was never told.
+    /// included. When it was never told, it is estimated from the loads.
     pub fn set_instances(&mut self, instances: u32) {
-        self.instances = instances.max(1);
+        self.instances = Some(instances.max(1));
     }
 
     /// Takes over the engines that announce themselves at present. Plans in
     /// use are computed anew when capacities, states or ejections changed.
     pub fn set_view(&mut self, now: Time, stages: &[Stage]) {
         self.collect();
-        let instances = self.instances;
+        let instances = self.instances.map(f64::from);
         let changed = self.engines.update(now, stages, instances, &mut self.rng);
         for plans in self.plans.values_mut() {
             plans.retain(|plan| now.since(plan.used) < PLAN_KEPT);
@@ -116,7 +117,7 @@
             full: Cell::new(false),
             probing: Cell::new(true),
             crowd: Cell::new(0.0),
-            contended: self.instances > 1 && plan.is_contended(now),
+            contended: self.instances != Some(1) && plan.is_contended(now),
         };
         let path = walk.path(plan, self.policy.as_mut(), &mut self.rng);
         let full = matches!(&path, Err(none) if none.reason == NoPathReason::Full);
--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -173,9 +173,10 @@
         &mut self,
         now: Time,
         stages: &[Stage],
-        instances: u32,
+        instances: Option<f64>,
         rng: &mut ChaCha8Rng,
     ) -> bool {
+        let instances = instances.unwrap_or_else(|| self.instances());
         let mut changed = std::mem::take(&mut self.ejected);
         let before: Vec<bool> = self.slab.iter().map(|e| e.present).collect();
         self.slab.iter_mut().for_each(|e| e.present = false);
@@ -184,7 +185,7 @@
             let fresh = known.is_none_or(|s| s.reported != stage.reported);
             changed |= self.take(now, stage);
             if fresh && let Some(&i) = self.index.get(&stage.id) {
-                self.slab[i as usize].claim(f64::from(instances), rng.random());
+                self.slab[i as usize].claim(instances, rng.random());
             }
         }
         let gone = self
@@ -203,6 +204,13 @@
         changed
     }
 
+    /// Instances that would make up the load, were all as busy as this one.
+    fn instances(&self) -> f64 {
+        let own: u32 = self.slab.iter().map(|e| e.own).sum();
+        let others: f64 = self.slab.iter().map(|e| e.others).sum();
+        1.0 + others / f64::from(own.max(1))
+    }
+
     fn take(&mut self, now: Time, stage: &Stage) -> bool {
         let Some(&i) = self.index.get(&stage.id) else {
             self.insert(stage);
