--- a/src/gossip/node/receive.rs
+++ b/src/gossip/node/receive.rs
@@ -123,9 +123,15 @@
     }
 
     fn on_roots(&mut self, now: Time, from: SocketAddr, roots: &Roots) {
+        if self.answers == 0 {
+            return;
+        }
         let buckets = sync::buckets(now, roots, &self.members, &self.registry);
-        self.out
-            .extend(buckets.map(|b| self.datagram(from, Body::Buckets(b))));
+        if let Some(buckets) = buckets {
+            let mut answer = self.datagram(from, Body::Buckets(buckets));
+            answer.packet.sync = true;
+            self.send_answer(from, answer.packet);
+        }
     }
 
     /// Goes into the buckets that differ, and compares again soon.
@@ -189,11 +195,17 @@
 
     /// Sends what was asked for, as news or as part of a comparison, whichever
     /// the request was.
+    ///
+    /// Guards against two instances that both lack the facts of an upstream
+    /// and ask each other for them without end: a record that can't answer the
+    /// request isn't sent.
     fn on_want(&mut self, now: Time, from: SocketAddr, source: Source, want: &Want) {
         let members = want.members.iter();
         let members = members.filter_map(|id| self.members.record(now, InstanceId(*id), true));
         let upstreams = want.upstreams.iter();
-        let upstreams = upstreams.filter_map(|key| self.registry.record(now, *key, true));
+        let upstreams = upstreams
+            .filter(|key| self.registry.complete(**key))
+            .filter_map(|key| self.registry.record(now, *key, true));
         self.send_records(from, source, members.collect(), upstreams.collect());
     }
 }
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -13,6 +13,7 @@
 mod life;
 mod limit;
 mod queue;
+mod registry;
 mod replica;
 mod route;
 mod simulation;
--- a/src/tests/simulation/runs.rs
+++ b/src/tests/simulation/runs.rs
@@ -22,7 +22,7 @@
     /// Does something bad, or ends it.
     fn disturb(&mut self) {
         let at = self.pick();
-        match self.rng.random_range(0..13) {
+        match self.rng.random_range(0..14) {
             0 => self.split(),
             1 => self.cut_one_way(),
             2 | 3 => self.cut.clear(),
@@ -34,6 +34,7 @@
             8 => self.noise = self.rng.random_range(0..20),
             9 => self.noise = 0,
             10 => self.remove(at),
+            11 => (0..self.nodes.len()).for_each(|at| self.lose_power(at)),
             _ => self.lose_disk(at),
         }
     }
@@ -108,9 +109,11 @@
 
     fn work(&mut self) {
         let group = self.rng.random_range(0..GROUPS);
-        let leader = self.leader(group);
         let any = self.pick();
-        let at = leader.filter(|_| any > 0).unwrap_or(any);
+        // A former leader that doesn't know gets commands too.
+        let direct = self.chance(60);
+        let known = self.leader(group).filter(|_| direct);
+        let at = known.unwrap_or(any);
         if self.nodes[at].frozen > self.now {
             return;
         }
--- a/src/upstream/registry/merge.rs
+++ b/src/upstream/registry/merge.rs
@@ -65,6 +65,12 @@
         Some(record)
     }
 
+    /// Whether the record of `key` says all that there is to say.
+    pub(crate) fn complete(&self, key: u64) -> bool {
+        let entry = self.entries.get(&key);
+        entry.is_some_and(|e| e.facts.is_some() || e.ended())
+    }
+
     /// One row of a [`Loads`]: short key, incarnation, sequence, level.
     pub(crate) fn load_row(&self, key: u64) -> Option<(u32, u8, u64, u8)> {
         let entry = self.entries.get(&key).filter(|e| !e.retired())?;
@@ -155,6 +161,7 @@
             facts,
             digest,
             since,
+            shown: None,
         };
         let lacking = entry.facts.is_none() && !entry.ended();
         self.insert(key, entry);
@@ -184,9 +191,8 @@
             return;
         }
         entry.loaded = sequence;
-        entry.load = level.into();
         entry.told = level;
-        self.dirty = true;
+        self.dirty |= entry.set_load(level.into());
         out.push(RegistryEffect::SpreadLoad(*key));
     }
 }
