--- a/tests/fleet_faults.rs
+++ b/tests/fleet_faults.rs
@@ -177,6 +177,36 @@
         .for_each(|h| assert_eq!(uses_any(&mut sim, *h), 12, "host {h}"));
 }
 
+/// A whole fleet starts at once, after a power cut. All instances join through
+/// the same three, which must not spend their link on answers; yet soon every
+/// instance knows every other.
+#[test]
+fn fleet_cold_start() {
+    let mut sim = Simulation::new(Shape {
+        seed: 11,
+        hosts: 60,
+        domains: 3,
+        upstreams: 100,
+        loss: 0.0,
+        duplicate: 0.0,
+        late: 0.0,
+        restless: 0.2,
+    });
+    let mut before = vec![0; 60];
+    let mut burst = 0;
+    sim.run(20 * SECOND, |sim| {
+        for (host, before) in sim.hosts.iter().zip(&mut before) {
+            burst = burst.max(host.datagrams - *before);
+            *before = host.datagrams;
+        }
+    });
+    assert!(burst <= 250, "{burst} datagrams in half a second");
+    for (o, s) in (0..60).flat_map(|o| (0..60).map(move |s| (o, s))) {
+        assert_eq!(sim.state(o, s), Some(MemberState::Alive));
+    }
+    (0..60).for_each(|h| assert_eq!(uses_any(&mut sim, h), 100, "host {h}"));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 2_000,
