Place a request again when its upstream left between choice and address

Cause: routing takes the upstreams' view over a moment after it changes. In between it chose the leaving engine, whose address the newer view no longer holds, and the request was refused as no_upstream while another engine was free.

Ruled out: keeping addresses of those that left, which would send new work to them.

The address is now read before the claim's lease is renewed; that wait can't open the gap again.

--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -268,15 +268,29 @@
                 };
             }
         };
-        let used = pools.clone();
-        let placement = self.placement(attempt, resume, exclude, pools);
         let serving = Arc::clone(&self.serving);
-        let placed = tokio::select! {
-            placed = serving.place(placement) => placed,
-            () = self.output.closed(), if !self.left => {
-                self.left = true;
-                return Event::CallerLeft;
+        let placed = loop {
+            let placement = self.placement(attempt, resume, exclude.clone(), pools.clone());
+            let placed = tokio::select! {
+                placed = serving.place(placement) => placed,
+                () = self.output.closed(), if !self.left => {
+                    self.left = true;
+                    return Event::CallerLeft;
+                }
+            };
+            let placed = match placed {
+                Ok(placed) => placed,
+                Err(unplaced) => break Err(unplaced),
+            };
+            if let Some(path) = self.path(&placed) {
+                break Ok((placed, path));
             }
+            // Routing learns of a leaving upstream a moment after the view
+            // does, and still chooses it: callers were refused for want of an
+            // upstream while others were free. It takes the view over now and
+            // can't choose that one again.
+            self.give_back(placed, Outcome::Cancelled, 0);
+            serving.refresh(&serving.parts.fleet.upstreams());
         };
         let lease = match &placed {
             Ok(_) => self.renew().await,
@@ -285,8 +299,8 @@
         match placed {
             // The wait may have been long. A lease that ended, or a change
             // that came meanwhile, must not be passed over.
-            Ok(placed) => match self.pools() {
-                Ok(pools) if pools == used => self.planned(attempt, placed, lease),
+            Ok((placed, path)) => match self.pools() {
+                Ok(now) if now == pools => self.planned(attempt, placed, path, lease),
                 Ok(_) => {
                     self.give_back(placed, Outcome::Cancelled, 0);
                     Event::Unopened {
@@ -377,29 +391,27 @@
         self.serving.renew(key, held.token(), deadline).await
     }
 
-    fn planned(&mut self, attempt: u32, placed: Placed, lease: Option<ClaimLease>) -> Event {
+    /// The path with its addresses; none when an upstream has just gone.
+    fn path(&self, placed: &Placed) -> Option<Vec<Stage>> {
         let view = self.serving.parts.fleet.upstreams();
-        let path: Option<Vec<Stage>> = placed
-            .hops
-            .iter()
-            .map(|hop| {
-                Some(Stage {
-                    upstream: hop.upstream.clone(),
-                    address: view.get(&hop.upstream)?.address,
-                    first: hop.first,
-                    end: hop.end,
-                })
+        let stage = |hop: &crate::route::Hop| {
+            Some(Stage {
+                upstream: hop.upstream.clone(),
+                address: view.get(&hop.upstream)?.address,
+                first: hop.first,
+                end: hop.end,
             })
-            .collect();
-        // An upstream that has just gone has no address any more.
-        let Some(path) = path else {
-            self.give_back(placed, Outcome::Cancelled, 0);
-            return Event::Unopened {
-                attempt,
-                reason: Unopened::NoPath,
-                pause: None,
-            };
         };
+        placed.hops.iter().map(stage).collect()
+    }
+
+    fn planned(
+        &mut self,
+        attempt: u32,
+        placed: Placed,
+        path: Vec<Stage>,
+        lease: Option<ClaimLease>,
+    ) -> Event {
         let hops = path.iter().map(hop).collect();
         self.version = Some(placed.version.clone());
         self.flight = Some(Flight {
