Plan anew when an engine comes back as it was

Cause: the router compared engines that went with the view before, but not those that came back; one that returned with the same capacity left the plan without it. A thawed instance, whose view is empty for a moment, then refused everything as no_upstream for as long as nothing else changed. Ruled out: the fleet's view (the dump showed both engines usable, with a bound of 0), ejection, the catalogue's lease.

--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -188,12 +188,14 @@
                 self.slab[i as usize].claim(instances, rng.random());
             }
         }
-        let gone = self
+        // An engine that comes back as it was changes the plan as much as one
+        // that goes.
+        let before = before.into_iter().chain(std::iter::repeat(false));
+        changed |= self
             .slab
             .iter()
             .zip(before)
-            .any(|(e, was)| was && !e.present);
-        changed |= gone;
+            .any(|(e, was)| was != e.present);
         for engine in &mut self.slab {
             changed |= engine.health.wake(now);
         }
--- a/src/tests/route.rs
+++ b/src/tests/route.rs
@@ -52,6 +52,27 @@
     assert_eq!(ranges, [(0, 20), (20, 32)]);
 }
 
+/// An instance is frozen, and its view is empty for a moment when it wakes; or
+/// all engines are cut off and come back as they were. Routing kept the plan of
+/// the empty view, and callers got "no upstream" for as long as nothing else
+/// changed.
+#[test]
+fn choose_after_empty_view() {
+    let mut router = Router::new(1);
+    let stages = [stage("a", 0, 16, 100), stage("b", 16, 32, 100)];
+    let pools = pools();
+    let query = Query::new("m", &pools);
+    router.set_view(Time(0), &stages);
+    drop(router.choose(Time(0), &query).unwrap());
+    router.set_view(Time(1), &[]);
+    assert!(router.choose(Time(1), &query).is_err());
+    router.set_view(Time(2), &stages);
+    assert!(
+        router.choose(Time(2), &query).is_ok(),
+        "the plan stayed empty"
+    );
+}
+
 #[test]
 fn choose_missing_layer() {
     let mut router = Router::new(1);
