Choose another path when the chosen one has gone, instead of refusing

Routing had chosen the engine that had just left, the view no longer had its address, and the request was refused. Traced with a line at each place of refusal: all were this one. The same held for a route whose pools an operator changed while a request waited.

The request now goes back to the choice, around the upstream that has gone, and ends as no_upstream only if routing insists on it.

Pools that change meanwhile have no test of their own yet.

--- a/src/request/event.rs
+++ b/src/request/event.rs
@@ -77,6 +77,14 @@
         /// Pause that the caller should make.
         pause: Option<Duration>,
     },
+    /// The path that was chosen is no longer valid; another may be.
+    Gone {
+        /// From [`Effect::Open`].
+        attempt: u32,
+        /// The upstream that has just gone. `None` if the pools of the route
+        /// were changed.
+        upstream: Option<UpstreamId>,
+    },
     /// A token came on the connection of attempt `on`.
     Frame {
         /// The attempt that the connection was opened for.
--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -112,6 +112,7 @@
                 reason,
                 pause,
             } => self.unopened(attempt, reason, pause, out),
+            Event::Gone { attempt, upstream } => self.gone(attempt, upstream, out),
             Event::Frame { on, frame } => self.frame(on, frame, out),
             Event::Done {
                 on,
@@ -220,6 +221,18 @@
         self.end(code, pause, out);
     }
 
+    /// Chooses again, around an upstream that left between choice and dispatch.
+    fn gone(&mut self, attempt: u32, upstream: Option<UpstreamId>, out: &mut Vec<Effect>) {
+        if attempt != self.number || self.attempt.is_some() {
+            return;
+        }
+        if upstream.as_ref().is_some_and(|u| self.excluded.contains(u)) {
+            return self.end(RefusalCode::NoUpstream, Some(DEFAULT_PAUSE), out);
+        }
+        self.excluded.extend(upstream);
+        self.requeue(out);
+    }
+
     fn frame(&mut self, on: u32, frame: Frame, out: &mut Vec<Effect>) {
         let Some(attempt) = self.attempt.as_ref().filter(|a| a.number == on) else {
             return;
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -289,11 +289,8 @@
                 Ok(pools) if pools == used => self.planned(attempt, placed, lease),
                 Ok(_) => {
                     self.give_back(placed, Outcome::Cancelled, 0);
-                    Event::Unopened {
-                        attempt,
-                        reason: Unopened::NoPath,
-                        pause: Some(Duration::ZERO),
-                    }
+                    let upstream = None;
+                    Event::Gone { attempt, upstream }
                 }
                 Err(reason) => {
                     self.give_back(placed, Outcome::Cancelled, 0);
@@ -379,26 +376,31 @@
 
     fn planned(&mut self, attempt: u32, placed: Placed, lease: Option<ClaimLease>) -> Event {
         let view = self.serving.parts.fleet.upstreams();
-        let path: Option<Vec<Stage>> = placed
+        let path: Result<Vec<Stage>, _> = placed
             .hops
             .iter()
             .map(|hop| {
-                Some(Stage {
-                    upstream: hop.upstream.clone(),
-                    address: view.get(&hop.upstream)?.address,
-                    first: hop.first,
-                    end: hop.end,
-                })
+                let upstream = hop.upstream.clone();
+                match view.get(&upstream) {
+                    Some(known) => Ok(Stage {
+                        upstream,
+                        address: known.address,
+                        first: hop.first,
+                        end: hop.end,
+                    }),
+                    None => Err(upstream),
+                }
             })
             .collect();
-        // An upstream that has just gone has no address any more.
-        let Some(path) = path else {
-            self.give_back(placed, Outcome::Cancelled, 0);
-            return Event::Unopened {
-                attempt,
-                reason: Unopened::NoPath,
-                pause: None,
-            };
+        // An upstream that has just gone has no address any more, though
+        // routing may not know yet. Another path may do.
+        let path = match path {
+            Ok(path) => path,
+            Err(upstream) => {
+                self.give_back(placed, Outcome::Cancelled, 0);
+                let upstream = Some(upstream);
+                return Event::Gone { attempt, upstream };
+            }
         };
         let hops = path.iter().map(hop).collect();
         self.version = Some(placed.version.clone());
--- a/src/tests/generation.rs
+++ b/src/tests/generation.rs
@@ -231,6 +231,29 @@
     assert!(run.out.iter().any(opened));
 }
 
+/// An upstream leaves between the choice of a path and its use. Another path
+/// must be tried; the caller was refused although a second engine was idle.
+#[test]
+fn gone_chooses_again() {
+    let mut run = Run::opened(true, false);
+    let gone = |attempt| Event::Gone {
+        attempt,
+        upstream: Some("e1".into()),
+    };
+    run.step(gone(1));
+    assert_eq!(
+        run.out,
+        [Effect::Open {
+            attempt: 2,
+            retry: false,
+            resume: 0,
+            exclude: vec!["e1".into()],
+        }]
+    );
+    run.step(gone(2));
+    assert_eq!(run.answer(), Some(("no_upstream", Ran::No)));
+}
+
 /// One attempt ran and broke, the next finds every engine busy. The caller must
 /// not be told that nothing ran.
 #[test]
