--- a/src/request/event.rs
+++ b/src/request/event.rs
@@ -77,13 +77,10 @@
         /// Pause that the caller should make.
         pause: Option<Duration>,
     },
-    /// The path that was chosen is no longer valid; another may be.
-    Gone {
+    /// The path was chosen by a catalogue that was changed meanwhile.
+    Outdated {
         /// From [`Effect::Open`].
         attempt: u32,
-        /// The upstream that has just gone. `None` if the pools of the route
-        /// were changed.
-        upstream: Option<UpstreamId>,
     },
     /// A token came on the connection of attempt `on`.
     Frame {
--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -112,7 +112,7 @@
                 reason,
                 pause,
             } => self.unopened(attempt, reason, pause, out),
-            Event::Gone { attempt, upstream } => self.gone(attempt, upstream, out),
+            Event::Outdated { attempt } => self.outdated(attempt, out),
             Event::Frame { on, frame } => self.frame(on, frame, out),
             Event::Done {
                 on,
@@ -221,16 +221,10 @@
         self.end(code, pause, out);
     }
 
-    /// Chooses again, around an upstream that left between choice and dispatch.
-    fn gone(&mut self, attempt: u32, upstream: Option<UpstreamId>, out: &mut Vec<Effect>) {
-        if attempt != self.number || self.attempt.is_some() {
-            return;
-        }
-        if upstream.as_ref().is_some_and(|u| self.excluded.contains(u)) {
-            return self.end(RefusalCode::NoUpstream, Some(DEFAULT_PAUSE), out);
+    fn outdated(&mut self, attempt: u32, out: &mut Vec<Effect>) {
+        if attempt == self.number && self.attempt.is_none() {
+            self.requeue(out);
         }
-        self.excluded.extend(upstream);
-        self.requeue(out);
     }
 
     fn frame(&mut self, on: u32, frame: Frame, out: &mut Vec<Effect>) {
