--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -303,11 +303,7 @@
                 Ok(now) if now == pools => self.planned(attempt, placed, path, lease),
                 Ok(_) => {
                     self.give_back(placed, Outcome::Cancelled, 0);
-                    Event::Unopened {
-                        attempt,
-                        reason: Unopened::NoPath,
-                        pause: Some(Duration::ZERO),
-                    }
+                    Event::Outdated { attempt }
                 }
                 Err(reason) => {
                     self.give_back(placed, Outcome::Cancelled, 0);
