Keep what is known of engines when another one joins; split engines.rs off

Cause: an engine new to the view took the first place that looked absent, and while a view is taken over, engines not come to yet look absent. An ejected engine lost its record at every join that stood before it in the view, and with it the prefixes it had cached.

Known engines are taken over first now.

--- a/src/route.rs
+++ b/src/route.rs
@@ -8,6 +8,7 @@
 //! the same late reports don't all choose the same engine.
 
 mod engine;
+mod engines;
 mod health;
 mod plan;
 mod policy;
@@ -30,7 +31,7 @@
 
 use crate::clock::Time;
 use crate::collections::HashMap;
-use engine::Engines;
+use engines::Engines;
 use plan::Plan;
 use prefix::Prefixes;
 use walk::Walk;
--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -1,17 +1,10 @@
-//! The engines as this instance knows them.
+//! One engine as this instance knows it.
 
-use std::ops::Index;
-use std::sync::Arc;
 use std::time::Duration;
 
-use rand::RngExt;
-use rand_chacha::ChaCha8Rng;
-
-use super::health::{Health, Peers, Trouble};
+use super::health::Health;
 use super::types::Stage;
 use crate::clock::Time;
-use crate::collections::HashMap;
-use crate::id::UpstreamId;
 
 /// Bits that one token carries over a link between two engines: a vector of
 /// 8192 numbers of 16 bits.
@@ -40,23 +33,69 @@
     /// Grows when the place is taken by another engine.
     pub(crate) epoch: u32,
     /// Whether it is in the present view.
-    present: bool,
+    pub(crate) present: bool,
     /// Requests of this instance in flight.
-    own: u32,
+    pub(crate) own: u32,
     /// Load of other instances at the time of the report.
-    others: f64,
+    pub(crate) others: f64,
     /// Load of other instances to expect when the report is worth nothing.
-    usual: f64,
+    pub(crate) usual: f64,
     /// Index of its peers.
-    peers: usize,
+    pub(crate) peers: usize,
     pub(crate) health: Health,
-    refused: Option<Time>,
+    pub(crate) refused: Option<Time>,
     /// Sequences that this instance may start before the next report, when
     /// all instances have work waiting. Grows as own sequences end.
     claims: f64,
 }
 
 impl Engine {
+    /// An engine of the present view of which nothing else is known.
+    pub(crate) fn new(stage: Stage, epoch: u32) -> Self {
+        let others = f64::from(stage.running) + f64::from(stage.waiting);
+        Self {
+            stage,
+            epoch,
+            present: true,
+            own: 0,
+            others,
+            usual: others,
+            peers: 0,
+            health: Health::default(),
+            refused: None,
+            claims: 0.0,
+        }
+    }
+
+    /// Takes over what it announced last. Returns whether its capacity or
+    /// state changed.
+    pub(crate) fn take(&mut self, now: Time, stage: &Stage) -> bool {
+        let same = same_capacity(&self.stage, stage);
+        if self.stage.reported != stage.reported {
+            let total = f64::from(stage.running) + f64::from(stage.waiting);
+            self.others = (total - f64::from(self.own)).max(0.0);
+        }
+        if self.refused.is_some() && !self.is_refusing(now) {
+            self.refused = None;
+        }
+        self.present = true;
+        self.stage.clone_from(stage);
+        !same
+    }
+
+    /// Books that a request of this instance was sent here.
+    pub(crate) fn start(&mut self) {
+        self.own += 1;
+        self.claims -= 1.0;
+    }
+
+    /// Gives the weight of a request back.
+    pub(crate) fn stop(&mut self) {
+        assert!(self.own > 0, "weight of {} came back twice", self.stage.id);
+        self.own -= 1;
+        self.claims += 1.0;
+    }
+
     /// Tokens a second that engine and link allow. An engine that holds the
     /// whole model sends no vectors over its link.
     pub(crate) fn capacity(&self) -> f64 {
@@ -127,7 +166,7 @@
 
     /// Counts the places free at a new report. `instances` share them; `chance`
     /// between 0 and 1 decides whether a fraction is a place.
-    fn claim(&mut self, instances: f64, chance: f64) {
+    pub(crate) fn claim(&mut self, instances: f64, chance: f64) {
         let load = f64::from(self.stage.running) + f64::from(self.stage.waiting);
         let part = (self.most() - load).max(0.0) / instances;
         let idle = if load < 1.0 { 1.0 } else { 0.0 };
@@ -147,251 +186,6 @@
     }
 }
 
-/// All engines, at stable indices while they are in use.
-#[derive(Debug, Default)]
-pub(crate) struct Engines {
-    slab: Vec<Engine>,
-    index: HashMap<UpstreamId, u32>,
-    peers: Vec<Peers>,
-    /// Failures by failure domain.
-    domains: HashMap<Arc<str>, Trouble>,
-    /// Whether an engine was ejected since the last view.
-    ejected: bool,
-}
-
-impl Index<u32> for Engines {
-    type Output = Engine;
-
-    fn index(&self, i: u32) -> &Engine {
-        &self.slab[i as usize]
-    }
-}
-
-impl Engines {
-    /// Takes a view over. Returns whether plans must be computed anew.
-    pub(crate) fn update(
-        &mut self,
-        now: Time,
-        stages: &[Stage],
-        instances: Option<f64>,
-        rng: &mut ChaCha8Rng,
-    ) -> bool {
-        let instances = instances.unwrap_or_else(|| self.instances());
-        let mut changed = std::mem::take(&mut self.ejected);
-        let before: Vec<bool> = self.slab.iter().map(|e| e.present).collect();
-        self.slab.iter_mut().for_each(|e| e.present = false);
-        for stage in stages {
-            let known = self.index.get(&stage.id).map(|&i| &self[i].stage);
-            let fresh = known.is_none_or(|s| s.reported != stage.reported);
-            changed |= self.take(now, stage);
-            if fresh && let Some(&i) = self.index.get(&stage.id) {
-                self.slab[i as usize].claim(instances, rng.random());
-            }
-        }
-        let gone = self
-            .slab
-            .iter()
-            .zip(before)
-            .any(|(e, was)| was && !e.present);
-        changed |= gone;
-        for engine in &mut self.slab {
-            changed |= engine.health.wake(now);
-        }
-        if changed {
-            self.regroup();
-        }
-        self.spread_load();
-        changed
-    }
-
-    /// Instances that would make up the load, were all as busy as this one.
-    fn instances(&self) -> f64 {
-        let own: u32 = self.slab.iter().map(|e| e.own).sum();
-        let others: f64 = self.slab.iter().map(|e| e.others).sum();
-        1.0 + others / f64::from(own.max(1))
-    }
-
-    fn take(&mut self, now: Time, stage: &Stage) -> bool {
-        let Some(&i) = self.index.get(&stage.id) else {
-            self.insert(stage);
-            return true;
-        };
-        let engine = &mut self.slab[i as usize];
-        let same = same_capacity(&engine.stage, stage);
-        if engine.stage.reported != stage.reported {
-            let total = f64::from(stage.running) + f64::from(stage.waiting);
-            engine.others = (total - f64::from(engine.own)).max(0.0);
-        }
-        if !engine.present && engine.own == 0 && now.since(engine.stage.reported) > REFUSED {
-            engine.refused = None;
-        }
-        engine.present = true;
-        engine.stage.clone_from(stage);
-        !same
-    }
-
-    fn insert(&mut self, stage: &Stage) {
-        let others = f64::from(stage.running) + f64::from(stage.waiting);
-        let free = self.slab.iter().position(|e| !e.present && e.own == 0);
-        let mut engine = Engine {
-            stage: stage.clone(),
-            epoch: 0,
-            present: true,
-            own: 0,
-            others,
-            usual: others,
-            peers: 0,
-            health: Health::default(),
-            refused: None,
-            claims: 0.0,
-        };
-        let i = match free {
-            Some(i) => {
-                engine.epoch = self.slab[i].epoch + 1;
-                self.index.remove(&self.slab[i].stage.id);
-                self.slab[i] = engine;
-                i
-            }
-            None => {
-                self.slab.push(engine);
-                self.slab.len() - 1
-            }
-        };
-        self.index.insert(stage.id.clone(), i as u32);
-    }
-
-    /// Sorts engines that hold the same layers into groups of peers.
-    fn regroup(&mut self) {
-        type Range = (Arc<str>, Arc<str>, u32, u32);
-        let mut ranges: HashMap<Range, usize> = HashMap::default();
-        self.peers.clear();
-        for (i, engine) in self.slab.iter_mut().enumerate() {
-            if !engine.present {
-                continue;
-            }
-            let stage = &engine.stage;
-            let key = (
-                stage.model.clone(),
-                stage.version.clone(),
-                stage.first,
-                stage.end,
-            );
-            let next = ranges.len();
-            engine.peers = *ranges.entry(key).or_insert(next);
-            if engine.peers == next {
-                self.peers.push(Peers::default());
-            }
-            self.peers[engine.peers].members.push(i);
-        }
-    }
-
-    /// Computes for each group of peers the usual load and the usual speed.
-    fn spread_load(&mut self) {
-        for peers in &mut self.peers {
-            let members = peers.members.iter().map(|&i| &self.slab[i]);
-            let capacity: f64 = members.clone().map(Engine::capacity).sum();
-            let others: f64 = members.clone().map(|e| e.others).sum();
-            let mut factors: Vec<f64> = members.filter_map(|e| e.health.factor()).collect();
-            factors.sort_by(f64::total_cmp);
-            let median = factors.get(factors.len() / 2).copied();
-            peers.median = median;
-            for &i in &peers.members {
-                let engine = &mut self.slab[i];
-                engine.usual = others * engine.capacity() / capacity.max(1.0);
-                engine.health.compare(median);
-            }
-        }
-    }
-
-    pub(crate) fn start(&mut self, i: u32) {
-        self.slab[i as usize].own += 1;
-        self.slab[i as usize].claims -= 1.0;
-    }
-
-    pub(crate) fn stop(&mut self, i: u32) {
-        let engine = &mut self.slab[i as usize];
-        assert!(
-            engine.own > 0,
-            "weight of {} came back twice",
-            engine.stage.id
-        );
-        engine.own -= 1;
-        engine.claims += 1.0;
-    }
-
-    pub(crate) fn succeeded(&mut self, now: Time, i: u32, factor: f64) {
-        self.slab[i as usize].health.succeeded(factor);
-        let Some(median) = self.peers_of(i).and_then(|p| p.median) else {
-            return;
-        };
-        if self.slab[i as usize].health.is_slow(median) {
-            self.eject(now, i);
-        }
-    }
-
-    pub(crate) fn failed(&mut self, now: Time, i: u32) {
-        let first = self.slab[i as usize].health.failures() == 0;
-        let domain = self.slab[i as usize].stage.domain.clone();
-        let trouble = self.domains.entry(domain).or_default();
-        if first {
-            trouble.book(now);
-        }
-        let doubted = trouble.is_doubted(now);
-        if self.slab[i as usize].health.failed(doubted) {
-            self.eject(now, i);
-        }
-    }
-
-    /// Books a failure that another engine of the path may have caused. It
-    /// says nothing about the failure domain: a cut stream over three engines
-    /// of one domain would look like the loss of the domain.
-    pub(crate) fn suspected(&mut self, now: Time, i: u32) {
-        if self.slab[i as usize].health.failed(false) {
-            self.eject(now, i);
-        }
-    }
-
-    pub(crate) fn refused(&mut self, now: Time, i: u32) {
-        self.slab[i as usize].refused = Some(now);
-    }
-
-    /// Ejects an engine unless too many of its peers are out already.
-    fn eject(&mut self, now: Time, i: u32) {
-        let Some(peers) = self.peers_of(i) else {
-            return;
-        };
-        let members = peers.members.iter();
-        let out = members
-            .filter(|&&p| self.slab[p].health.is_ejected(now))
-            .count();
-        if out >= peers.most_ejected() {
-            return;
-        }
-        self.slab[i as usize].health.eject(now);
-        self.ejected = true;
-    }
-
-    fn peers_of(&self, i: u32) -> Option<&Peers> {
-        let engine = &self.slab[i as usize];
-        let peers = self.peers.get(engine.peers)?;
-        peers.members.contains(&(i as usize)).then_some(peers)
-    }
-
-    pub(crate) fn in_flight(&self, id: &UpstreamId) -> u32 {
-        self.index.get(id).map_or(0, |&i| self[i].own)
-    }
-
-    pub(crate) fn is_ejected(&self, now: Time, id: &UpstreamId) -> bool {
-        let found = self.index.get(id);
-        found.is_some_and(|&i| self[i].health.is_ejected(now))
-    }
-
-    /// All engines with their index.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (u32, &Engine)> {
-        self.slab.iter().enumerate().map(|(i, e)| (i as u32, e))
-    }
-}
-
 /// Whether nothing changed but the load.
 fn same_capacity(a: &Stage, b: &Stage) -> bool {
     let numbers = |s: &Stage| (s.first, s.end, s.total, s.rate, s.slots, s.link, s.leaving);
--- /dev/null
+++ b/src/route/engines.rs
@@ -0,0 +1,234 @@
+//! All engines, with their peers and failure domains.
+
+use std::ops::Index;
+use std::sync::Arc;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use super::engine::Engine;
+use super::health::{Peers, Trouble};
+use super::types::Stage;
+use crate::clock::Time;
+use crate::collections::HashMap;
+use crate::id::UpstreamId;
+
+/// All engines, at stable indices while they are in use.
+#[derive(Debug, Default)]
+pub(crate) struct Engines {
+    slab: Vec<Engine>,
+    index: HashMap<UpstreamId, u32>,
+    peers: Vec<Peers>,
+    /// Failures by failure domain.
+    domains: HashMap<Arc<str>, Trouble>,
+    /// Whether an engine was ejected since the last view.
+    ejected: bool,
+}
+
+impl Index<u32> for Engines {
+    type Output = Engine;
+
+    fn index(&self, i: u32) -> &Engine {
+        &self.slab[i as usize]
+    }
+}
+
+impl Engines {
+    /// Takes a view over. Returns whether plans must be computed anew.
+    pub(crate) fn update(
+        &mut self,
+        now: Time,
+        stages: &[Stage],
+        instances: Option<f64>,
+        rng: &mut ChaCha8Rng,
+    ) -> bool {
+        let instances = instances.unwrap_or_else(|| self.instances());
+        let mut changed = std::mem::take(&mut self.ejected);
+        let before: Vec<bool> = self.slab.iter().map(|e| e.present).collect();
+        self.slab.iter_mut().for_each(|e| e.present = false);
+        // Known engines first: until then an engine that is still here looks
+        // absent, and a new one would take its place with all it is known by.
+        let known = |engines: &Self, stage: &&Stage| engines.index.contains_key(&stage.id);
+        let (old, new): (Vec<_>, Vec<_>) = stages.iter().partition(|s| known(self, s));
+        for stage in old {
+            changed |= self.take(now, stage, instances, rng);
+        }
+        for stage in new {
+            self.insert(stage, instances, rng);
+            changed = true;
+        }
+        let gone = self
+            .slab
+            .iter()
+            .zip(before)
+            .any(|(e, was)| was && !e.present);
+        changed |= gone;
+        for engine in &mut self.slab {
+            changed |= engine.health.wake(now);
+        }
+        if changed {
+            self.regroup();
+        }
+        self.spread_load();
+        changed
+    }
+
+    /// Instances that would make up the load, were all as busy as this one.
+    fn instances(&self) -> f64 {
+        let own: u32 = self.slab.iter().map(|e| e.own).sum();
+        let others: f64 = self.slab.iter().map(|e| e.others).sum();
+        1.0 + others / f64::from(own.max(1))
+    }
+
+    fn take(&mut self, now: Time, stage: &Stage, instances: f64, rng: &mut ChaCha8Rng) -> bool {
+        let Some(&i) = self.index.get(&stage.id) else {
+            return false;
+        };
+        let engine = &mut self.slab[i as usize];
+        let fresh = engine.stage.reported != stage.reported;
+        let changed = engine.take(now, stage);
+        if fresh {
+            engine.claim(instances, rng.random());
+        }
+        changed
+    }
+
+    /// Adds an engine, at the place of one that is gone if there is one.
+    fn insert(&mut self, stage: &Stage, instances: f64, rng: &mut ChaCha8Rng) {
+        let free = self.slab.iter().position(|e| !e.present && e.own == 0);
+        let epoch = free.map_or(0, |i| self.slab[i].epoch + 1);
+        let mut engine = Engine::new(stage.clone(), epoch);
+        engine.claim(instances, rng.random());
+        let i = free.unwrap_or(self.slab.len());
+        if let Some(place) = self.slab.get_mut(i) {
+            self.index.remove(&place.stage.id);
+            *place = engine;
+        } else {
+            self.slab.push(engine);
+        }
+        self.index.insert(stage.id.clone(), i as u32);
+    }
+
+    /// Sorts engines that hold the same layers into groups of peers.
+    fn regroup(&mut self) {
+        type Range = (Arc<str>, Arc<str>, u32, u32);
+        let mut ranges: HashMap<Range, usize> = HashMap::default();
+        self.peers.clear();
+        for (i, engine) in self.slab.iter_mut().enumerate() {
+            if !engine.present {
+                continue;
+            }
+            let stage = &engine.stage;
+            let key = (
+                stage.model.clone(),
+                stage.version.clone(),
+                stage.first,
+                stage.end,
+            );
+            let next = ranges.len();
+            engine.peers = *ranges.entry(key).or_insert(next);
+            if engine.peers == next {
+                self.peers.push(Peers::default());
+            }
+            self.peers[engine.peers].members.push(i);
+        }
+    }
+
+    /// Computes for each group of peers the usual load and the usual speed.
+    fn spread_load(&mut self) {
+        for peers in &mut self.peers {
+            let members = peers.members.iter().map(|&i| &self.slab[i]);
+            let capacity: f64 = members.clone().map(Engine::capacity).sum();
+            let others: f64 = members.clone().map(|e| e.others).sum();
+            let mut factors: Vec<f64> = members.filter_map(|e| e.health.factor()).collect();
+            factors.sort_by(f64::total_cmp);
+            let median = factors.get(factors.len() / 2).copied();
+            peers.median = median;
+            for &i in &peers.members {
+                let engine = &mut self.slab[i];
+                engine.usual = others * engine.capacity() / capacity.max(1.0);
+                engine.health.compare(median);
+            }
+        }
+    }
+
+    pub(crate) fn start(&mut self, i: u32) {
+        self.slab[i as usize].start();
+    }
+
+    pub(crate) fn stop(&mut self, i: u32) {
+        self.slab[i as usize].stop();
+    }
+
+    pub(crate) fn succeeded(&mut self, now: Time, i: u32, factor: f64) {
+        self.slab[i as usize].health.succeeded(factor);
+        let Some(median) = self.peers_of(i).and_then(|p| p.median) else {
+            return;
+        };
+        if self.slab[i as usize].health.is_slow(median) {
+            self.eject(now, i);
+        }
+    }
+
+    pub(crate) fn failed(&mut self, now: Time, i: u32) {
+        let first = self.slab[i as usize].health.failures() == 0;
+        let domain = self.slab[i as usize].stage.domain.clone();
+        let trouble = self.domains.entry(domain).or_default();
+        if first {
+            trouble.book(now);
+        }
+        let doubted = trouble.is_doubted(now);
+        if self.slab[i as usize].health.failed(doubted) {
+            self.eject(now, i);
+        }
+    }
+
+    /// Books a failure that another engine of the path may have caused. It
+    /// says nothing about the failure domain: a cut stream over three engines
+    /// of one domain would look like the loss of the domain.
+    pub(crate) fn suspected(&mut self, now: Time, i: u32) {
+        if self.slab[i as usize].health.failed(false) {
+            self.eject(now, i);
+        }
+    }
+
+    pub(crate) fn refused(&mut self, now: Time, i: u32) {
+        self.slab[i as usize].refused = Some(now);
+    }
+
+    /// Ejects an engine unless too many of its peers are out already.
+    fn eject(&mut self, now: Time, i: u32) {
+        let Some(peers) = self.peers_of(i) else {
+            return;
+        };
+        let members = peers.members.iter();
+        let out = members
+            .filter(|&&p| self.slab[p].health.is_ejected(now))
+            .count();
+        if out >= peers.most_ejected() {
+            return;
+        }
+        self.slab[i as usize].health.eject(now);
+        self.ejected = true;
+    }
+
+    fn peers_of(&self, i: u32) -> Option<&Peers> {
+        let engine = &self.slab[i as usize];
+        let peers = self.peers.get(engine.peers)?;
+        peers.members.contains(&(i as usize)).then_some(peers)
+    }
+
+    pub(crate) fn in_flight(&self, id: &UpstreamId) -> u32 {
+        self.index.get(id).map_or(0, |&i| self[i].own)
+    }
+
+    pub(crate) fn is_ejected(&self, now: Time, id: &UpstreamId) -> bool {
+        let found = self.index.get(id);
+        found.is_some_and(|&i| self[i].health.is_ejected(now))
+    }
+
+    /// All engines with their index.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (u32, &Engine)> {
+        self.slab.iter().enumerate().map(|(i, e)| (i as u32, e))
+    }
+}
--- a/src/route/plan.rs
+++ b/src/route/plan.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::engine::Engines;
+use super::engines::Engines;
 use super::types::Query;
 use crate::clock::Time;
 use crate::flow::Network;
--- a/src/route/walk.rs
+++ b/src/route/walk.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use super::engine::Engines;
+use super::engines::Engines;
 use super::plan::{Plan, Variant};
 use super::policy::{Policy, Site};
 use super::prefix::Cached;
--- a/src/tests/route.rs
+++ b/src/tests/route.rs
@@ -224,6 +224,34 @@
     assert!(failures <= 8, "{failures} requests failed");
 }
 
+/// An ejected engine stays ejected when a new one joins, wherever the new one
+/// stands in the view. It used to lose its record to the new engine's place,
+/// and callers met the broken engine again at every start of another.
+#[test]
+fn set_view_join_keeps_records() {
+    let mut router = Router::new(3);
+    let mut all: Vec<_> = (0..5)
+        .map(|i| stage(&format!("e{i}"), 0, 32, 400))
+        .collect();
+    router.set_view(Time(0), &all);
+    let pools = pools();
+    for _ in 0..500 {
+        let choice = router.choose(Time(0), &Query::new("m", &pools)).unwrap();
+        let bad = &*choice.hops[0].upstream.0 == "e0";
+        let token = Duration::from_millis(5);
+        let outcome = if bad {
+            Outcome::Failed { stage: 0 }
+        } else {
+            Outcome::Done { token }
+        };
+        router.finish(Time(0), choice.ticket, outcome);
+    }
+    assert!(router.is_ejected(Time(0), &"e0".into()));
+    all.insert(0, stage("new", 0, 32, 400));
+    router.set_view(Time(1), &all);
+    assert!(router.is_ejected(Time(1), &"e0".into()));
+}
+
 /// One stream over four engines of one domain is cut, by whichever of them.
 /// Were this taken for the loss of the domain, all four would be ejected.
 #[test]
