Readmit ejected engines when their peers leave

Cause: the cap on ejections held when an engine was ejected, but not when its only peer left afterwards; then nothing was left to serve. Engines that leave no longer count as peers, and ejections beyond the cap end.

Guard off: set_view_last_engine_readmitted fails. An engine that is being probed and has its one request now counts as full, not as missing, so the request waits instead of being refused.

--- a/src/route/engines.rs
+++ b/src/route/engines.rs
@@ -115,7 +115,7 @@
         let mut ranges: HashMap<Range, usize> = HashMap::default();
         self.peers.clear();
         for (i, engine) in self.slab.iter_mut().enumerate() {
-            if !engine.present {
+            if !engine.is_up() {
                 continue;
             }
             let stage = &engine.stage;
@@ -132,6 +132,9 @@
             }
             self.peers[engine.peers].members.push(i);
         }
+        for peers in &self.peers {
+            readmit(&mut self.slab, peers);
+        }
     }
 
     /// Computes for each group of peers the usual load and the usual speed.
@@ -232,3 +235,15 @@
         self.slab.iter().enumerate().map(|(i, e)| (i as u32, e))
     }
 }
+
+/// Takes back ejections that are too many since peers left or went away.
+///
+/// Guards against an outage: an engine may be ejected while its only peer
+/// serves, and when that one leaves, nothing would be left to serve.
+fn readmit(slab: &mut [Engine], peers: &Peers) {
+    let out = peers.members.iter().filter(|&&i| slab[i].health.is_out());
+    let out: Vec<usize> = out.copied().collect();
+    for &i in out.iter().skip(peers.most_ejected()) {
+        slab[i].health.readmit();
+    }
+}
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -171,6 +171,12 @@
         matches!(self.state, State::Ejected(_))
     }
 
+    /// Ends an ejection early.
+    pub(crate) fn readmit(&mut self) {
+        self.state = State::Admitted;
+        self.failures = 0;
+    }
+
     /// Ends an ejection that ran out. Returns whether it did.
     pub(crate) fn wake(&mut self, now: Time) -> bool {
         let State::Ejected(until) = self.state else {
--- a/src/route/walk.rs
+++ b/src/route/walk.rs
@@ -130,6 +130,8 @@
             return false;
         }
         if engine.health.is_probed() && (engine.own() > 0 || !self.probing.get()) {
+            // It will be free again, which isn't the same as no engine.
+            self.full.set(true);
             return false;
         }
         let full = if self.contended {
--- a/src/tests/route.rs
+++ b/src/tests/route.rs
@@ -252,6 +252,32 @@
     assert!(router.is_ejected(Time(1), &"e0".into()));
 }
 
+/// One of two engines is ejected, and then the other one leaves. Were the
+/// first one kept out, callers would hear that there is no engine at all.
+#[test]
+fn set_view_last_engine_readmitted() {
+    let mut router = Router::new(3);
+    let mut all = vec![stage("bad", 0, 32, 400), stage("good", 0, 32, 400)];
+    router.set_view(Time(0), &all);
+    let pools = pools();
+    let query = Query::new("m", &pools);
+    while !router.is_ejected(Time(0), &"bad".into()) {
+        let choice = router.choose(Time(0), &query).unwrap();
+        let bad = &*choice.hops[0].upstream.0 == "bad";
+        let token = Duration::from_millis(5);
+        let outcome = if bad {
+            Outcome::Failed { stage: 0 }
+        } else {
+            Outcome::Done { token }
+        };
+        router.finish(Time(0), choice.ticket, outcome);
+    }
+    all[1].leaving = true;
+    router.set_view(Time(1), &all);
+    let choice = router.choose(Time(1), &query).unwrap();
+    assert_eq!(ids(&choice), ["bad"]);
+}
+
 /// One stream over four engines of one domain is cut, by whichever of them.
 /// Were this taken for the loss of the domain, all four would be ejected.
 #[test]
