--- a/src/tests/route.rs
+++ b/src/tests/route.rs
@@ -278,6 +278,31 @@
     assert_eq!(ids(&choice), ["bad"]);
 }
 
+/// An engine comes back from its ejection and has its one request for a probe.
+/// The next caller must wait for it, not hear that there is no engine.
+#[test]
+fn choose_probed_engine_busy() {
+    let mut router = Router::new(3);
+    let all = [stage("bad", 0, 32, 400), stage("good", 0, 32, 400)];
+    router.set_view(Time(0), &all);
+    let pools = pools();
+    let query = Query {
+        exclude: &["good".into()],
+        ..Query::new("m", &pools)
+    };
+    for _ in 0..3 {
+        let choice = router.choose(Time(0), &query).unwrap();
+        router.finish(Time(0), choice.ticket, Outcome::Failed { stage: 0 });
+    }
+    let later = Time(0) + Duration::from_secs(10);
+    router.set_view(later, &all);
+    let probe = router.choose(later, &query).unwrap();
+    let none = router.choose(later, &query).unwrap_err();
+    assert_eq!(none.reason, NoPathReason::Full);
+    drop(probe);
+    assert!(router.choose(later, &query).is_ok());
+}
+
 /// One stream over four engines of one domain is cut, by whichever of them.
 /// Were this taken for the loss of the domain, all four would be ejected.
 #[test]
