--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -1,11 +1,12 @@
 //! Fleets of real instances on loopback, with a catalogue in force.
 
-use std::cell::RefCell;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::sync::Mutex;
 
+use rustix::process::Signal;
 use tempfile::TempDir;
 
 use super::caller::{Ask, agent};
@@ -43,7 +44,7 @@
     folder: TempDir,
     flags: Vec<String>,
     /// Id and pool of the engines started for it.
-    engines: RefCell<Vec<(String, String)>>,
+    engines: Mutex<Vec<(String, String)>>,
 }
 
 impl Fleet {
@@ -85,7 +86,7 @@
             peers: (0..count).map(|_| port::free()).collect(),
             folder,
             flags: flags.iter().map(|f| (*f).to_owned()).collect(),
-            engines: RefCell::default(),
+            engines: Mutex::default(),
         };
         for at in 0..count {
             let (caller, control) = (port::free(), port::free());
@@ -166,6 +167,23 @@
         &mut self.instances[at]
     }
 
+    /// Kills an instance while other threads use the fleet; [`Fleet::restart`]
+    /// reaps it.
+    pub(crate) fn kill_now(&self, at: usize) {
+        self.instances[at].process.signal(Signal::KILL);
+    }
+
+    /// Data folder of a voter.
+    pub(crate) fn data(&self, at: usize) -> PathBuf {
+        self.file(&format!("data-{}", at + 1))
+    }
+
+    /// Value of the operators' `Authorization` header.
+    pub(crate) fn operator(&self) -> String {
+        let key = fs::read_to_string(self.file("operator")).expect("read the key");
+        format!("Bearer {}", key.trim())
+    }
+
     /// An engine for kouvertoura's routes.
     pub(crate) fn engine(&self, id: &str, layers: &str) -> Emulator {
         self.engine_in(id, layers, POOL)
@@ -190,7 +208,7 @@
 
     fn launch(&self, plan: Plan, id: &str, pool: &str) -> Emulator {
         let known = (id.to_owned(), pool.to_owned());
-        let mut engines = self.engines.borrow_mut();
+        let mut engines = self.engines.lock().unwrap();
         if !engines.contains(&known) {
             engines.push(known);
         }
@@ -202,7 +220,7 @@
     /// Waits until every instance knows every engine and answers through them.
     pub(crate) fn serving(&self) {
         for at in 0..self.instances.len() {
-            let engines = self.engines.borrow();
+            let engines = self.engines.lock().unwrap();
             until("all engines in the view", || {
                 let state = self.state(at);
                 let known = |id: &String| state.contains(&format!("\"{id}\""));
