--- a/src/limit.rs
+++ b/src/limit.rs
@@ -11,12 +11,14 @@
 mod allocator;
 mod bucket;
 mod holder;
+mod local;
 mod message;
 
 use std::time::Duration;
 
 pub use allocator::Allocator;
-pub use holder::{Denial, DenialReason, Holder, Permit};
+pub use holder::{Holder, Permit};
+pub use local::{Denial, DenialReason};
 pub use message::{Amounts, Ask, Demand, Grant, Share};
 
 /// Validity of a grant from the sending of the question, on the holder's clock.
