--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -28,6 +28,9 @@
 /// Rounds of urgent rumours in one period.
 const ROUNDS: u32 = 5;
 
+/// Datagrams in one period that carry loads alone.
+const LOAD_ROUNDS: u32 = 2;
+
 /// Periods between two comparisons of tables.
 const SYNC: u32 = 2;
 
@@ -109,6 +112,7 @@
     /// End of the last suspension of this process.
     woke: Option<Time>,
     next_round: Time,
+    next_loads: Time,
     /// Datagrams left to answer comparisons with, until the next round.
     answers: u32,
     next_sync: Time,
@@ -144,6 +148,7 @@
             last_tick: now,
             woke: None,
             next_round: now,
+            next_loads: now,
             answers: ANSWERS,
             next_sync: now + period,
             next_pass: now,
@@ -307,6 +312,10 @@
             self.answers = ANSWERS;
             self.send_round(now);
         }
+        if now >= self.next_loads {
+            self.next_loads = now + self.period / LOAD_ROUNDS;
+            self.send_loads();
+        }
     }
 
     fn restate(&mut self, now: Time, change: impl FnOnce(&mut Membership, &mut Vec<MemberEffect>)) {
--- a/src/gossip/node/send.rs
+++ b/src/gossip/node/send.rs
@@ -20,8 +20,8 @@
 /// The same for a report of load. One that is missed does little harm.
 const LOAD_REPEATS: u32 = 1;
 
-/// Bytes of load reports on one probe or answer. Together with the fixed
-/// number of probes this bounds what load reports cost, however many
+/// Bytes of load reports in one datagram. Together with the fixed
+/// number of datagrams this bounds what load reports cost, however many
 /// upstreams change their load.
 const LOAD_BUDGET: usize = 560;
 
@@ -78,6 +78,21 @@
         }
     }
 
+    /// Sends loads that are news to one instance.
+    pub(super) fn send_loads(&mut self) {
+        if self.load_rumours.len() == 0 {
+            return;
+        }
+        for to in self.members.pick(1) {
+            let mut packet = Packet {
+                from: self.members.identity().0.0,
+                ..Packet::default()
+            };
+            self.fill_loads(&mut packet);
+            self.out.push(Outgoing { to, packet });
+        }
+    }
+
     /// Sends records that were asked for, in as many datagrams as needed.
     pub(super) fn send_records(
         &mut self,
