--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::health::{Health, Peers};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use super::health::{Health, Peers, Trouble};
 use super::types::Stage;
 use crate::clock::Time;
 use crate::collections::HashMap;
@@ -22,6 +25,11 @@
 /// report of its free slots would idle.
 const FILL: f64 = 1.25;
 
+/// Seconds between two tokens of a sequence that an engine may come to: it is
+/// full with as many sequences as it can give a token each in this time. More
+/// would slow all down and could wait here instead, in fair order.
+const PACE: f64 = 0.08;
+
 /// Time that a refusal counts as a full engine.
 const REFUSED: Duration = Duration::from_millis(200);
 
@@ -43,6 +51,9 @@
     peers: usize,
     pub(crate) health: Health,
     refused: Option<Time>,
+    /// Sequences that this instance may start before the next report, when
+    /// all instances have work waiting. Grows as own sequences end.
+    claims: f64,
 }
 
 impl Engine {
@@ -68,15 +79,59 @@
     /// Sequences that are on the engine by all that is known: own ones, and
     /// those of others, who fade from the last report to the usual load.
     pub(crate) fn load(&self, now: Time) -> f64 {
-        let age = now.since(self.stage.reported).as_secs_f64();
-        let worth = (-age / REPORT_WORTH).exp();
+        let worth = self.report_worth(now);
         f64::from(self.own) + self.usual + (self.others - self.usual) * worth
     }
 
+    /// How far [`load`](Self::load) is known: own sequences are, others as far
+    /// as the report is fresh.
+    pub(crate) fn knowledge(&self, now: Time) -> f64 {
+        let own = f64::from(self.own) + 1.0;
+        (own + self.others * self.report_worth(now)) / (own + self.others)
+    }
+
+    fn report_worth(&self, now: Time) -> f64 {
+        let age = now.since(self.stage.reported).as_secs_f64();
+        (-age / REPORT_WORTH).exp()
+    }
+
     /// Whether another sequence would only wait.
     pub(crate) fn is_full(&self, now: Time) -> bool {
-        let refused = self.refused.is_some_and(|at| now.since(at) < REFUSED);
-        refused || self.load(now) + 1.0 > f64::from(self.stage.slots) * FILL
+        self.is_refusing(now) || self.load(now) + 1.0 > self.most()
+    }
+
+    /// Whether this instance used up its part of the places that were free at
+    /// the last report.
+    ///
+    /// Guards against the stampede of many instances with work waiting: all
+    /// see the same few free places in the same late reports and take them at
+    /// once, which shows as throughput far below the bound under overload.
+    /// Since each takes its part only, they don't take more than there is.
+    pub(crate) fn is_claimed(&self, now: Time) -> bool {
+        self.is_refusing(now) || self.claims <= 0.0
+    }
+
+    fn is_refusing(&self, now: Time) -> bool {
+        self.refused.is_some_and(|at| now.since(at) < REFUSED)
+    }
+
+    /// Sequences that the engine should have at most. A plain service, which
+    /// routing knows as a model of one layer, has no pace of tokens.
+    pub(crate) fn most(&self) -> f64 {
+        let slots = f64::from(self.stage.slots) * FILL;
+        if self.stage.total <= 1 {
+            return slots;
+        }
+        slots.min(self.capacity() * PACE).max(1.0)
+    }
+
+    /// Counts the places free at a new report. `instances` share them; `chance`
+    /// between 0 and 1 decides whether a fraction is a place.
+    fn claim(&mut self, instances: f64, chance: f64) {
+        let load = f64::from(self.stage.running) + f64::from(self.stage.waiting);
+        let part = (self.most() - load).max(0.0) / instances;
+        let idle = if load < 1.0 { 1.0 } else { 0.0 };
+        self.claims = (part + chance).floor().max(idle);
     }
 
     /// Requests of this instance in flight.
@@ -98,6 +153,8 @@
     slab: Vec<Engine>,
     index: HashMap<UpstreamId, u32>,
     peers: Vec<Peers>,
+    /// Failures by failure domain.
+    domains: HashMap<Arc<str>, Trouble>,
     /// Whether an engine was ejected since the last view.
     ejected: bool,
 }
@@ -112,12 +169,24 @@
 
 impl Engines {
     /// Takes a view over. Returns whether plans must be computed anew.
-    pub(crate) fn update(&mut self, now: Time, stages: &[Stage]) -> bool {
+    pub(crate) fn update(
+        &mut self,
+        now: Time,
+        stages: &[Stage],
+        instances: Option<f64>,
+        rng: &mut ChaCha8Rng,
+    ) -> bool {
+        let instances = instances.unwrap_or_else(|| self.instances());
         let mut changed = std::mem::take(&mut self.ejected);
         let before: Vec<bool> = self.slab.iter().map(|e| e.present).collect();
         self.slab.iter_mut().for_each(|e| e.present = false);
         for stage in stages {
+            let known = self.index.get(&stage.id).map(|&i| &self[i].stage);
+            let fresh = known.is_none_or(|s| s.reported != stage.reported);
             changed |= self.take(now, stage);
+            if fresh && let Some(&i) = self.index.get(&stage.id) {
+                self.slab[i as usize].claim(instances, rng.random());
+            }
         }
         let gone = self
             .slab
@@ -135,6 +204,13 @@
         changed
     }
 
+    /// Instances that would make up the load, were all as busy as this one.
+    fn instances(&self) -> f64 {
+        let own: u32 = self.slab.iter().map(|e| e.own).sum();
+        let others: f64 = self.slab.iter().map(|e| e.others).sum();
+        1.0 + others / f64::from(own.max(1))
+    }
+
     fn take(&mut self, now: Time, stage: &Stage) -> bool {
         let Some(&i) = self.index.get(&stage.id) else {
             self.insert(stage);
@@ -167,6 +243,7 @@
             peers: 0,
             health: Health::default(),
             refused: None,
+            claims: 0.0,
         };
         let i = match free {
             Some(i) => {
@@ -228,6 +305,7 @@
 
     pub(crate) fn start(&mut self, i: u32) {
         self.slab[i as usize].own += 1;
+        self.slab[i as usize].claims -= 1.0;
     }
 
     pub(crate) fn stop(&mut self, i: u32) {
@@ -238,6 +316,7 @@
             engine.stage.id
         );
         engine.own -= 1;
+        engine.claims += 1.0;
     }
 
     pub(crate) fn succeeded(&mut self, now: Time, i: u32, factor: f64) {
@@ -251,7 +330,23 @@
     }
 
     pub(crate) fn failed(&mut self, now: Time, i: u32) {
-        if self.slab[i as usize].health.failed() {
+        let first = self.slab[i as usize].health.failures() == 0;
+        let domain = self.slab[i as usize].stage.domain.clone();
+        let trouble = self.domains.entry(domain).or_default();
+        if first {
+            trouble.book(now);
+        }
+        let doubted = trouble.is_doubted(now);
+        if self.slab[i as usize].health.failed(doubted) {
+            self.eject(now, i);
+        }
+    }
+
+    /// Books a failure that another engine of the path may have caused. It
+    /// says nothing about the failure domain: a cut stream over three engines
+    /// of one domain would look like the loss of the domain.
+    pub(crate) fn suspected(&mut self, now: Time, i: u32) {
+        if self.slab[i as usize].health.failed(false) {
             self.eject(now, i);
         }
     }
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -13,7 +13,7 @@
 use super::service::{self, Call};
 use super::{Held, Serving};
 use crate::catalogue::Class;
-use crate::claim::Outcome as Settled;
+use crate::claim::{ClaimLease, Outcome as Settled};
 use crate::clock::Time;
 use crate::dispatch::{Placed, Placement, Unplaced};
 use crate::engine::{Cutoff, Engine, EngineError, EngineEvent, Events, HttpEngine, Order, Stage};
@@ -210,10 +210,11 @@
         match effect {
             Effect::Open {
                 attempt,
+                retry,
                 resume,
                 exclude,
             } => {
-                let event = self.open(attempt, resume, exclude).await;
+                let event = self.open(attempt, retry, resume, exclude).await;
                 self.step(event, effects);
             }
             Effect::Send { attempt, until } => self.send(attempt, until),
@@ -246,10 +247,11 @@
     async fn open(
         &mut self,
         attempt: u32,
+        retry: bool,
         resume: u32,
         exclude: Vec<crate::id::UpstreamId>,
     ) -> Event {
-        if attempt > 1 && !self.retry_allowed() {
+        if retry && !self.retry_allowed() {
             return Event::Unopened {
                 attempt,
                 reason: Unopened::Budget,
@@ -266,21 +268,39 @@
                 };
             }
         };
-        let used = pools.clone();
-        let placement = self.placement(attempt, resume, exclude, pools);
         let serving = Arc::clone(&self.serving);
-        let placed = tokio::select! {
-            placed = serving.place(placement) => placed,
-            () = self.output.closed(), if !self.left => {
-                self.left = true;
-                return Event::CallerLeft;
+        let placed = loop {
+            let placement = self.placement(attempt, resume, exclude.clone(), pools.clone());
+            let placed = tokio::select! {
+                placed = serving.place(placement) => placed,
+                () = self.output.closed(), if !self.left => {
+                    self.left = true;
+                    return Event::CallerLeft;
+                }
+            };
+            let placed = match placed {
+                Ok(placed) => placed,
+                Err(unplaced) => break Err(unplaced),
+            };
+            if let Some(path) = self.path(&placed) {
+                break Ok((placed, path));
             }
+            // Routing learns of a leaving upstream a moment after the view
+            // does, and still chooses it: callers were refused for want of an
+            // upstream while others were free. It takes the view over now and
+            // can't choose that one again.
+            self.give_back(placed, Outcome::Cancelled, 0);
+            serving.refresh(&serving.parts.fleet.upstreams());
+        };
+        let lease = match &placed {
+            Ok(_) => self.renew().await,
+            Err(_) => None,
         };
         match placed {
             // The wait may have been long. A lease that ended, or a change
             // that came meanwhile, must not be passed over.
-            Ok(placed) => match self.pools() {
-                Ok(pools) if pools == used => self.planned(attempt, placed),
+            Ok((placed, path)) => match self.pools() {
+                Ok(now) if now == pools => self.planned(attempt, placed, path, lease),
                 Ok(_) => {
                     self.give_back(placed, Outcome::Cancelled, 0);
                     Event::Unopened {
@@ -360,29 +380,38 @@
         }
     }
 
-    fn planned(&mut self, attempt: u32, placed: Placed) -> Event {
+    /// Renews the claim if the wait for a path has used up its lease.
+    async fn renew(&self) -> Option<ClaimLease> {
+        let held = self.generation.waiting()?;
+        let key = self.job.key.as_ref()?;
+        if !held.short(self.serving.now()) {
+            return None;
+        }
+        let deadline = self.job.deadline;
+        self.serving.renew(key, held.token(), deadline).await
+    }
+
+    /// The path with its addresses; none when an upstream has just gone.
+    fn path(&self, placed: &Placed) -> Option<Vec<Stage>> {
         let view = self.serving.parts.fleet.upstreams();
-        let path: Option<Vec<Stage>> = placed
-            .hops
-            .iter()
-            .map(|hop| {
-                Some(Stage {
-                    upstream: hop.upstream.clone(),
-                    address: view.get(&hop.upstream)?.address,
-                    first: hop.first,
-                    end: hop.end,
-                })
+        let stage = |hop: &crate::route::Hop| {
+            Some(Stage {
+                upstream: hop.upstream.clone(),
+                address: view.get(&hop.upstream)?.address,
+                first: hop.first,
+                end: hop.end,
             })
-            .collect();
-        // An upstream that has just gone has no address any more.
-        let Some(path) = path else {
-            self.give_back(placed, Outcome::Cancelled, 0);
-            return Event::Unopened {
-                attempt,
-                reason: Unopened::NoPath,
-                pause: None,
-            };
         };
+        placed.hops.iter().map(stage).collect()
+    }
+
+    fn planned(
+        &mut self,
+        attempt: u32,
+        placed: Placed,
+        path: Vec<Stage>,
+        lease: Option<ClaimLease>,
+    ) -> Event {
         let hops = path.iter().map(hop).collect();
         self.version = Some(placed.version.clone());
         self.flight = Some(Flight {
@@ -394,6 +423,7 @@
         Event::Started {
             attempt,
             path: hops,
+            lease,
         }
     }
 
