--- a/src/request/event.rs
+++ b/src/request/event.rs
@@ -77,6 +77,11 @@
         /// Pause that the caller should make.
         pause: Option<Duration>,
     },
+    /// The path was chosen by a catalogue that was changed meanwhile.
+    Outdated {
+        /// From [`Effect::Open`].
+        attempt: u32,
+    },
     /// A token came on the connection of attempt `on`.
     Frame {
         /// The attempt that the connection was opened for.
--- a/src/route/walk.rs
+++ b/src/route/walk.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use super::engine::Engines;
+use super::engines::Engines;
 use super::plan::{Plan, Variant};
 use super::policy::{Policy, Site};
 use super::prefix::Cached;
@@ -130,6 +130,8 @@
             return false;
         }
         if engine.health.is_probed() && (engine.own() > 0 || !self.probing.get()) {
+            // It will be free again, which isn't the same as no engine.
+            self.full.set(true);
             return false;
         }
         let full = if self.contended {
--- a/src/tests/route.rs
+++ b/src/tests/route.rs
@@ -52,6 +52,27 @@
     assert_eq!(ranges, [(0, 20), (20, 32)]);
 }
 
+/// An instance is frozen, and its view is empty for a moment when it wakes; or
+/// all engines are cut off and come back as they were. Routing kept the plan of
+/// the empty view, and callers got "no upstream" for as long as nothing else
+/// changed.
+#[test]
+fn choose_after_empty_view() {
+    let mut router = Router::new(1);
+    let stages = [stage("a", 0, 16, 100), stage("b", 16, 32, 100)];
+    let pools = pools();
+    let query = Query::new("m", &pools);
+    router.set_view(Time(0), &stages);
+    drop(router.choose(Time(0), &query).unwrap());
+    router.set_view(Time(1), &[]);
+    assert!(router.choose(Time(1), &query).is_err());
+    router.set_view(Time(2), &stages);
+    assert!(
+        router.choose(Time(2), &query).is_ok(),
+        "the plan stayed empty"
+    );
+}
+
 #[test]
 fn choose_missing_layer() {
     let mut router = Router::new(1);
@@ -224,6 +245,85 @@
     assert!(failures <= 8, "{failures} requests failed");
 }
 
+/// An ejected engine stays ejected when a new one joins, wherever the new one
+/// stands in the view. It used to lose its record to the new engine's place,
+/// and callers met the broken engine again at every start of another.
+#[test]
+fn set_view_join_keeps_records() {
+    let mut router = Router::new(3);
+    let mut all: Vec<_> = (0..5)
+        .map(|i| stage(&format!("e{i}"), 0, 32, 400))
+        .collect();
+    router.set_view(Time(0), &all);
+    let pools = pools();
+    for _ in 0..500 {
+        let choice = router.choose(Time(0), &Query::new("m", &pools)).unwrap();
+        let bad = &*choice.hops[0].upstream.0 == "e0";
+        let token = Duration::from_millis(5);
+        let outcome = if bad {
+            Outcome::Failed { stage: 0 }
+        } else {
+            Outcome::Done { token }
+        };
+        router.finish(Time(0), choice.ticket, outcome);
+    }
+    assert!(router.is_ejected(Time(0), &"e0".into()));
+    all.insert(0, stage("new", 0, 32, 400));
+    router.set_view(Time(1), &all);
+    assert!(router.is_ejected(Time(1), &"e0".into()));
+}
+
+/// One of two engines is ejected, and then the other one leaves. Were the
+/// first one kept out, callers would hear that there is no engine at all.
+#[test]
+fn set_view_last_engine_readmitted() {
+    let mut router = Router::new(3);
+    let mut all = vec![stage("bad", 0, 32, 400), stage("good", 0, 32, 400)];
+    router.set_view(Time(0), &all);
+    let pools = pools();
+    let query = Query::new("m", &pools);
+    while !router.is_ejected(Time(0), &"bad".into()) {
+        let choice = router.choose(Time(0), &query).unwrap();
+        let bad = &*choice.hops[0].upstream.0 == "bad";
+        let token = Duration::from_millis(5);
+        let outcome = if bad {
+            Outcome::Failed { stage: 0 }
+        } else {
+            Outcome::Done { token }
+        };
+        router.finish(Time(0), choice.ticket, outcome);
+    }
+    all[1].leaving = true;
+    router.set_view(Time(1), &all);
+    let choice = router.choose(Time(1), &query).unwrap();
+    assert_eq!(ids(&choice), ["bad"]);
+}
+
+/// An engine comes back from its ejection and has its one request for a probe.
+/// The next caller must wait for it, not hear that there is no engine.
+#[test]
+fn choose_probed_engine_busy() {
+    let mut router = Router::new(3);
+    let all = [stage("bad", 0, 32, 400), stage("good", 0, 32, 400)];
+    router.set_view(Time(0), &all);
+    let pools = pools();
+    let query = Query {
+        exclude: &["good".into()],
+        ..Query::new("m", &pools)
+    };
+    for _ in 0..3 {
+        let choice = router.choose(Time(0), &query).unwrap();
+        router.finish(Time(0), choice.ticket, Outcome::Failed { stage: 0 });
+    }
+    let later = Time(0) + Duration::from_secs(10);
+    router.set_view(later, &all);
+    let probe = router.choose(later, &query).unwrap();
+    let none = router.choose(later, &query).unwrap_err();
+    assert_eq!(none.reason, NoPathReason::Full);
+    drop(probe);
+    assert!(router.choose(later, &query).is_ok());
+}
+
 /// One stream over four engines of one domain is cut, by whichever of them.
 /// Were this taken for the loss of the domain, all four would be ejected.
 #[test]
--- a/tests/e2e/main.rs
+++ b/tests/e2e/main.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod bad_input;
+mod catalogue;
 mod control;
 mod drain;
 mod once;
