Test a link that goes silent between an instance and an engine

Cause: a cut that closes nothing is the failure that only a timeout finds, and no test of the whole path had one. The emulator can announce another address, so that a shim stands before it.

--- a/examples/emulator/announce.rs
+++ b/examples/emulator/announce.rs
@@ -87,7 +87,7 @@
             "id": spec.id,
             "incarnation": self.incarnation,
             "sequence": self.sequence,
-            "address": self.upstream.address.to_string(),
+            "address": spec.advertise.unwrap_or(self.upstream.address).to_string(),
             "domain": spec.domain,
             "pool": spec.pool,
             "state": state,
--- a/examples/emulator/spec.rs
+++ b/examples/emulator/spec.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Spec {
     pub(crate) listen: SocketAddr,
+    /// Announced in place of the own address.
+    pub(crate) advertise: Option<SocketAddr>,
     pub(crate) id: String,
     pub(crate) pool: String,
     pub(crate) domain: String,
@@ -77,8 +79,13 @@
     }
 }
 
-const FIELDS: [(&str, &str, &str); 17] = [
+const FIELDS: [(&str, &str, &str); 18] = [
     ("listen", "127.0.0.1:0", "Address to listen on"),
+    (
+        "advertise",
+        "",
+        "Address to announce instead, of a proxy before it",
+    ),
     ("id", "eng-1", "Identifier of the upstream"),
     ("pool", "attiki", "Pool of the catalogue"),
     ("domain", "peristeri", "Failure domain"),
@@ -186,6 +193,10 @@
     };
     Ok(Spec {
         listen: address(&text("listen"))?,
+        advertise: match text("advertise") {
+            empty if empty.is_empty() => None,
+            given => Some(address(&given)?),
+        },
         id: text("id"),
         pool: text("pool"),
         domain: text("domain"),
--- a/tests/e2e/resume.rs
+++ b/tests/e2e/resume.rs
@@ -5,6 +5,8 @@
 use crate::common::caller::{Ask, Event, Stream};
 use crate::common::emulator::Emulator;
 use crate::common::fleet::{Fleet, KEY};
+use crate::common::port;
+use crate::common::shim::Shim;
 
 const TOKENS: usize = 12;
 const SEEN: usize = 3;
@@ -120,3 +122,27 @@
     let (rest, end) = stream.rest();
     assert_eq!((text + &rest, end), (ask.expected(32), Event::Done));
 }
+
+/// The link to an engine goes silent in the middle of an answer: nothing is
+/// closed, and the engine is well and works on. The answer goes on elsewhere;
+/// what the first engine sends when the link heals reaches nobody.
+#[test]
+fn completions_link_silent_goes_on_elsewhere() {
+    let fleet = Fleet::single();
+    let address = port::free();
+    let shim = Shim::new(address);
+    let near = fleet.engine_with("near", "0..32", |plan| {
+        plan.with("listen", address).with("advertise", shim.address)
+    });
+    fleet.serving();
+    near.fault(&json!({"mode": "slow", "count": 1, "after": SEEN, "ms": 300}));
+    let ask = Ask::new(KEY, "cut the link", TOKENS);
+    let mut stream = ask.stream(fleet.caller(0));
+    let begun = tokens(&mut stream);
+    let far = fleet.engine("far", "0..32");
+    shim.silence();
+    let (rest, end) = stream.rest();
+    shim.heal();
+    assert_eq!((begun + &rest, end), (ask.expected(32), Event::Done));
+    assert_eq!(far.attempts(&ask.prompt), 1);
+}
