--- a/tests/e2e/answers.rs
+++ b/tests/e2e/answers.rs
@@ -5,7 +5,10 @@
 use rstest::rstest;
 use serde_json::json;
 
+use std::process::Command;
+
 use crate::common::caller::{Ask, Event, agent};
+use crate::common::emulator::example;
 use crate::common::fleet::{Fleet, KEY, OTHER_KEY};
 use crate::common::until;
 
@@ -182,3 +185,29 @@
     assert_eq!(value["body"], "17 pieces");
     assert_eq!(service.total("began"), 1);
 }
+
+/// The load tool's verdict rests on what the engines count. Here the same
+/// prompts run a second time, now marked as non-idempotent: the tool must see
+/// each of them as run twice and fail.
+#[test]
+fn load_second_run_of_a_request_violates() {
+    let fleet = Fleet::single();
+    let engine = fleet.engine("eng-1", "0..32");
+    fleet.serving();
+    let load = |marked: &str| {
+        Command::new(example("load"))
+            .args(["--target", &fleet.caller(0).to_string(), "--key", KEY])
+            .args(["--emulators", &engine.address.to_string()])
+            .args(["--requests", "20", "--tokens", "2", "--stream", "--json"])
+            .args(["--non-idempotent", marked])
+            .output()
+            .expect("run the load tool")
+    };
+    let first = load("0");
+    assert!(first.status.success(), "{first:?}");
+    let second = load("1");
+    assert_eq!(second.status.code(), Some(1), "{second:?}");
+    let text = String::from_utf8_lossy(&second.stdout);
+    let value: serde_json::Value = serde_json::from_str(&text).expect("a result");
+    assert_eq!(value["audit"]["repeated"], 20);
+}
