--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -112,6 +112,7 @@
                 reason,
                 pause,
             } => self.unopened(attempt, reason, pause, out),
+            Event::Outdated { attempt } => self.outdated(attempt, out),
             Event::Frame { on, frame } => self.frame(on, frame, out),
             Event::Done {
                 on,
@@ -220,6 +221,12 @@
         self.end(code, pause, out);
     }
 
+    fn outdated(&mut self, attempt: u32, out: &mut Vec<Effect>) {
+        if attempt == self.number && self.attempt.is_none() {
+            self.requeue(out);
+        }
+    }
+
     fn frame(&mut self, on: u32, frame: Frame, out: &mut Vec<Effect>) {
         let Some(attempt) = self.attempt.as_ref().filter(|a| a.number == on) else {
             return;
--- a/src/tests/generation.rs
+++ b/src/tests/generation.rs
@@ -231,6 +231,19 @@
     assert!(run.out.iter().any(opened));
 }
 
+/// An operator changes the pools of a route while requests wait for a path.
+/// They must get a path in the new pools; they were refused instead.
+#[test]
+fn outdated_chooses_again() {
+    let mut run = Run::opened(true, false);
+    run.step(Event::Outdated { attempt: 1 });
+    assert_eq!(run.open(), Some((2, 0)));
+    run.start(2);
+    // One that comes late says nothing of the attempt in flight.
+    run.step(Event::Outdated { attempt: 2 });
+    assert_eq!(run.out, []);
+}
+
 /// One attempt ran and broke, the next finds every engine busy. The caller must
 /// not be told that nothing ran.
 #[test]
