--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -328,8 +328,16 @@
         }
     }
 
-    /// Takes over the upstreams that are alive.
-    pub(crate) fn set_view(&mut self, now: Time, stages: &[Stage], out: &mut Vec<Effect<W>>) {
+    /// Takes over the upstreams that are alive, and how many instances there
+    /// are to share them.
+    pub(crate) fn set_view(
+        &mut self,
+        now: Time,
+        stages: &[Stage],
+        instances: u32,
+        out: &mut Vec<Effect<W>>,
+    ) {
+        self.router.set_instances(instances);
         self.router.set_view(now, stages);
         self.pump_all(now, out);
     }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -435,7 +435,7 @@
             serving.tick();
             if viewed.elapsed() >= VIEW {
                 viewed = Instant::now();
-                serving.refresh(&fleet.upstreams());
+                serving.refresh();
                 for member in &fleet.members().members {
                     peers.learn(member.id, member.peer);
                 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -12,26 +12,31 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use tokio::sync::{Notify, oneshot};
 
 use crate::budget::Budget;
 use crate::clock::{Clock, Time};
+use crate::collections::HashMap;
 use crate::dispatch::{Dispatcher, Effect, Told, service_model};
 use crate::follow::InForce;
 use crate::gate::Gate;
 use crate::gossip::Fleet;
-use crate::id::{Incarnation, InstanceId};
+use crate::id::{Incarnation, InstanceId, UpstreamId};
 use crate::limit::{Ask, Grant, Permit, URGENT};
 use crate::propose::Proposer;
 use crate::request::RequestId;
 use crate::route::Stage;
 use crate::settings::Settings;
-use crate::upstream::{Serves, Upstream, UpstreamView};
+use crate::upstream::{Load, Serves, Upstream};
 
 /// Tokens a second that one slot of a plain service counts as.
 const SERVICE_RATE: u32 = 100;
 
+/// Period of an upstream's load reports.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
 /// Link of a plain service in Mbit/s; its calls are small.
 const SERVICE_LINK: u32 = 1000;
 
@@ -55,6 +60,8 @@
     parts: Parts,
     dispatcher: Mutex<Dispatcher<Waiter>>,
     budget: Mutex<Budget>,
+    /// Latest load report of each upstream, and when it came.
+    reports: Mutex<HashMap<UpstreamId, (Load, Time)>>,
     /// Signalled when a question for shares is due at once.
     urgent: Notify,
     /// Number of the next request. Never used twice in an incarnation.
@@ -70,6 +77,7 @@
             parts,
             dispatcher: Mutex::new(dispatcher),
             budget: Mutex::new(budget),
+            reports: Mutex::default(),
             urgent: Notify::new(),
             sequence: AtomicU64::new(1),
         })
@@ -110,10 +118,23 @@
     }
 
     /// Hands the upstreams that are alive to routing.
-    pub(crate) fn refresh(&self, view: &UpstreamView) {
+    pub(crate) fn refresh(&self) {
+        let view = self.parts.fleet.upstreams();
+        let members = self.parts.fleet.members();
         let now = self.now();
-        let stages: Vec<Stage> = view.upstreams.iter().map(|u| stage(u, now)).collect();
-        self.dispatch(|dispatcher, now, out| dispatcher.set_view(now, &stages, out));
+        let stages: Vec<Stage> = {
+            let mut reports = self.reports.lock().expect("no holder panics");
+            reports.retain(|id, _| view.get(id).is_some());
+            let upstreams = view.upstreams.iter();
+            upstreams
+                .map(|u| stage(u, reported(&mut reports, u, now)))
+                .collect()
+        };
+        let serving = members.present().filter(|m| !m.draining).count();
+        let instances = u32::try_from(serving).unwrap_or(u32::MAX).max(1);
+        self.dispatch(|dispatcher, now, out| {
+            dispatcher.set_view(now, &stages, instances, out);
+        });
     }
 
     /// Takes note of the time.
@@ -180,8 +201,22 @@
     }
 }
 
+/// When the load of an upstream was reported, as far as this instance can tell:
+/// upstreams report once a second, and only a load that differs is spread.
+///
+/// Taken as new at each look, an old load would be acted on ten times: many
+/// instances with work waiting would take the same few free places again and
+/// again, which shows as throughput far below the bound under overload.
+fn reported(reports: &mut HashMap<UpstreamId, (Load, Time)>, u: &Upstream, now: Time) -> Time {
+    let report = reports.entry(u.id.clone()).or_insert((u.load, now));
+    if report.0 != u.load || now.since(report.1) >= REPORT_PERIOD {
+        *report = (u.load, now);
+    }
+    report.1
+}
+
 /// An upstream as routing sees it.
-fn stage(upstream: &Upstream, now: Time) -> Stage {
+fn stage(upstream: &Upstream, reported: Time) -> Stage {
     let base = Stage {
         id: upstream.id.clone(),
         domain: upstream.domain.as_str().into(),
@@ -197,7 +232,7 @@
         running: upstream.load.running,
         waiting: upstream.load.waiting,
         leaving: false,
-        reported: now,
+        reported,
     };
     match &upstream.serves {
         Serves::Service(service) => Stage {
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -290,7 +290,7 @@
             // upstream while others were free. It takes the view over now and
             // can't choose that one again.
             self.give_back(placed, Outcome::Cancelled, 0);
-            serving.refresh(&serving.parts.fleet.upstreams());
+            serving.refresh();
         };
         let lease = match &placed {
             Ok(_) => self.renew().await,
--- a/tests/e2e/catalogue.rs
+++ b/tests/e2e/catalogue.rs
@@ -245,7 +245,7 @@
 #[test]
 fn completions_route_retired_while_waiting() {
     let fleet = Fleet::with(1, &["--first-ms=60000"]);
-    let engine = fleet.engine_with("eng-1", "0..32", |p| p.with("slots", 1).with("rate", 0));
+    let engine = fleet.engine_with("eng-1", "0..32", |p| p.with("slots", 1));
     fleet.serving();
     engine.fault(&json!({"mode": "slow", "count": 4, "ms": 2000}));
     let address = fleet.caller(0);
