--- a/src/upstream/registry/announce.rs
+++ b/src/upstream/registry/announce.rs
@@ -62,7 +62,7 @@
         }
         entry.latest = renewal.sequence;
         entry.since = Since::now(now);
-        entry.lapsed = false;
+        self.dirty |= std::mem::take(&mut entry.lapsed);
         if entry.version.silent {
             entry.version.silent = false;
             entry.version.sequence = renewal.sequence;
