--- a/examples/load/call.rs
+++ b/examples/load/call.rs
@@ -189,7 +189,7 @@
     Some(Outcome::Refused {
         code: error["code"].as_str()?.to_owned(),
         ran: error["ran"].as_str()?.to_owned(),
-        pause: error["retry_after_ms"].as_u64().unwrap_or(0),
+        pause: error["retry"].as_u64().unwrap_or(0),
     })
 }
 
