--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -20,6 +20,8 @@
 impl Refusal {
     /// Private to the life cycle: a state after dispatch has no way to here.
     pub(super) fn new(code: RefusalCode, ran: Ran, retry: Option<Duration>) -> Self {
+        // Where sending again can help, the caller is always told when.
+        let retry = retry.or_else(|| code.again().then_some(DEFAULT_PAUSE));
         Self { code, ran, retry }
     }
 
@@ -73,7 +75,6 @@
     /// weren't asked; so "not run" is said only of one without a key.
     pub(crate) fn unread(code: RefusalCode, keyed: bool, retry: Option<Duration>) -> Self {
         let ran = if keyed { Ran::Unknown } else { Ran::No };
-        let retry = retry.or_else(|| code.again().then_some(DEFAULT_PAUSE));
         Self::Refused(Refusal::new(code, ran, retry))
     }
 
