Add a voter to every group, also to one that hasn't heard of it yet

Cause: a group whose leader hadn't heard of the newcomer answered like one in which the change was made already, and the command reported success while the group kept the lost store; a second loss would then have cost its quorum. The order now names the store, and waits until the leader has heard of it. Seen in the voters' list: group 1 with the new store, group 0 with the old one and the new one a stranger.

--- a/src/control.rs
+++ b/src/control.rs
@@ -11,6 +11,7 @@
 use hyper::{Method, Request, Response, StatusCode, header};
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
+use tokio::time::{Instant, sleep};
 
 use crate::catalogue::{Change, EntryKey, Expect, Kind, Outcome, digest};
 use crate::clock::Clock;
@@ -21,7 +22,7 @@
 use crate::gate::Gate;
 use crate::gossip::Fleet;
 use crate::http::{self, Bounds, Reply, Unreceived};
-use crate::message::{self, Ask, AskGroup, ChangeVoter, VoterChanged};
+use crate::message::{self, Ask, AskGroup, ChangeVoter, GroupReply, VoterChanged};
 use crate::propose::{NotCommitted, Proposer};
 use crate::settings::Settings;
 use crate::upstream::{AnnounceOutcome, Announcement};
@@ -35,6 +36,9 @@
 /// Time for a change to be committed.
 const COMMIT: Duration = Duration::from_secs(8);
 
+/// Pause before a leader is asked again for a newcomer it hasn't heard of.
+const GREETING: Duration = Duration::from_millis(200);
+
 /// Time for a read to be confirmed by a quorum.
 const CONFIRM: Duration = Duration::from_secs(3);
 
@@ -258,13 +262,7 @@
     async fn voters(&self) -> Answer {
         let mut groups = Vec::new();
         for proposer in self.groups() {
-            let ask = Ask::Group(AskGroup {
-                group: proposer.group(),
-            });
-            let found = proposer.ask_leader(ask, COMMIT).await;
-            let Some(message::Answer::Group(reply)) = found else {
-                return Err(no_leader());
-            };
+            let reply = self.group_state(proposer).await?;
             groups.push(serde_json::json!({
                 "group": proposer.group(),
                 "leader": reply.leader,
@@ -279,21 +277,19 @@
     /// after a failure it goes on where it stopped.
     async fn change_voter(&self, id: &str, remove: bool) -> Answer {
         let instance: u64 = id.parse().map_err(|_| not_found())?;
+        let store = if remove {
+            0
+        } else {
+            self.offered(instance).await?
+        };
         let mut missing = 0;
         for proposer in self.groups() {
-            let ask = Ask::Member(ChangeVoter {
-                group: proposer.group(),
-                instance,
-                remove,
-            });
-            let changed = proposer.ask_leader(ask, COMMIT).await;
-            let Some(message::Answer::Changed(changed)) = changed else {
-                return Err(no_leader());
-            };
-            match VoterChanged::try_from(changed) {
-                Ok(VoterChanged::Done) => {}
-                Ok(VoterChanged::NotFound) => missing += 1,
-                other => return Err(voter_problem(other.unwrap_or(VoterChanged::Unknown))),
+            let changed = self.change_group(proposer, instance, store, remove).await?;
+            match changed {
+                VoterChanged::Done => {}
+                // Removed from this group by an earlier try.
+                VoterChanged::NotFound if remove => missing += 1,
+                other => return Err(voter_problem(other)),
             }
         }
         if missing == self.groups().count() {
@@ -311,6 +307,59 @@
         ))
     }
 
+    /// The store that an instance offers, by what any group has heard. Each
+    /// group is then asked for just this one: a group whose leader hasn't
+    /// heard of it yet looks, by the instance's number alone, like one in
+    /// which the change is made already, and the repair would stay half done.
+    async fn offered(&self, instance: u64) -> Result<u64, Problem> {
+        for proposer in self.groups() {
+            let state = self.group_state(proposer).await?;
+            let stranger = state.strangers.iter().find(|p| p.id == instance);
+            if let Some(peer) = stranger {
+                return Ok(peer.store);
+            }
+        }
+        Err(voter_problem(VoterChanged::NotFound))
+    }
+
+    async fn group_state(&self, proposer: &Proposer) -> Result<GroupReply, Problem> {
+        let ask = Ask::Group(AskGroup {
+            group: proposer.group(),
+        });
+        match proposer.ask_leader(ask, COMMIT).await {
+            Some(message::Answer::Group(reply)) => Ok(reply),
+            _ => Err(no_leader()),
+        }
+    }
+
+    /// Changes one group; waits a while for its leader to hear of a newcomer.
+    async fn change_group(
+        &self,
+        proposer: &Proposer,
+        instance: u64,
+        store: u64,
+        remove: bool,
+    ) -> Result<VoterChanged, Problem> {
+        let ask = Ask::Member(ChangeVoter {
+            group: proposer.group(),
+            instance,
+            remove,
+            store,
+        });
+        let end = Instant::now() + COMMIT;
+        loop {
+            let answer = proposer.ask_leader(ask.clone(), COMMIT).await;
+            let Some(message::Answer::Changed(changed)) = answer else {
+                return Err(no_leader());
+            };
+            let changed = VoterChanged::try_from(changed).unwrap_or(VoterChanged::Unknown);
+            if remove || changed != VoterChanged::NotFound || Instant::now() >= end {
+                return Ok(changed);
+            }
+            sleep(GREETING).await;
+        }
+    }
+
     fn groups(&self) -> impl Iterator<Item = &Arc<Proposer>> {
         std::iter::once(&self.proposer).chain(&self.registers)
     }
--- a/src/message.rs
+++ b/src/message.rs
@@ -89,6 +89,9 @@
     /// Whether it is removed; else it is added.
     #[prost(bool, tag = "3")]
     pub remove: bool,
+    /// The store to add; 0 for a removal.
+    #[prost(uint64, tag = "4")]
+    pub store: u64,
 }
 
 /// What became of a [`ChangeVoter`].
--- a/src/node.rs
+++ b/src/node.rs
@@ -19,7 +19,7 @@
     VoterChanged,
 };
 use crate::peer::{Handler, NoReply, Peers, ReplySink};
-use crate::replica::{self, Change, Role};
+use crate::replica::{self, Change, Peer, Role};
 use crate::voter::{ChangeError, GroupStatus, ProposeError, Voter};
 
 /// Group of the replicated log that holds the catalogue.
@@ -244,7 +244,11 @@
         let member = status.members.iter().find(|m| m.id == ask.instance);
         member.map(|m| Change::Remove(m.peer()))
     } else {
-        let stranger = status.strangers.iter().find(|p| p.id == ask.instance);
+        let offered = |p: &Peer| p.id == ask.instance && p.store == ask.store;
+        if status.members.iter().any(|m| offered(&m.peer())) {
+            return done(Answer::Changed(VoterChanged::Done.into()));
+        }
+        let stranger = status.strangers.iter().find(|p| offered(p));
         stranger.copied().map(Change::Add)
     };
     let Some(change) = change else {
--- a/tests/measure.rs
+++ b/tests/measure.rs
@@ -8,7 +8,7 @@
 
 use serde_json::{Value, json};
 
-use common::caller::{Ask, Event, Stream};
+use common::caller::{Ask, Event, Stream, agent};
 use common::emulator::{Emulator, example};
 use common::fleet::{Fleet, KEY};
 use common::process::Process;
@@ -203,3 +203,45 @@
     }
     show("instance killed, resend", times);
 }
+
+/// From an operator's order to a change accepted, and from there to the change
+/// in force on all of nine instances, three of them voters.
+#[test]
+#[ignore = "a measurement; run by command"]
+fn catalogue_in_force_everywhere() {
+    let fleet = Fleet::of(9);
+    let (mut accepted, mut everywhere) = (Vec::new(), Vec::new());
+    for round in 0..40 {
+        let name = format!("pool-{round}");
+        let body = json!({"id": name, "expect": "any", "operations": [{"put":
+            {"kind": "pool", "name": name, "credential": format!("{round:064x}")}}]});
+        let begin = Instant::now();
+        let uri = format!("http://{}/v1/catalogue/changes", fleet.control(round % 9));
+        let reply = agent()
+            .post(uri)
+            .header("Authorization", fleet.operator())
+            .send_json(&body);
+        let outcome: Value = reply.expect("an answer").body_mut().read_json().unwrap();
+        accepted.push(begin.elapsed());
+        let revision = outcome["revision"].as_u64().expect("accepted");
+        let begin = Instant::now();
+        for at in 0..9 {
+            until("the change in force", || {
+                (revision_at(&fleet, at) >= revision).then_some(())
+            });
+        }
+        everywhere.push(begin.elapsed());
+    }
+    show("order to accepted", accepted);
+    show("accepted to in force on all 9", everywhere);
+}
+
+fn revision_at(fleet: &Fleet, at: usize) -> u64 {
+    let uri = format!("http://{}/v1/state", fleet.control(at));
+    let reply = agent()
+        .get(uri)
+        .header("Authorization", fleet.operator())
+        .call();
+    let state: Value = reply.expect("a state").body_mut().read_json().unwrap();
+    state["catalogue"]["revision"].as_u64().unwrap_or(0)
+}
