Split what had grown large; run the dispatcher under random requests

serve/generate.rs into job, stream and the run itself; control.rs without the voters; instance.rs without its periodic tasks. An order to engines is one owned type.

--- a/scripts/rest.sh
+++ b/scripts/rest.sh
@@ -2,7 +2,8 @@
 # Control cost of an instance at rest: processor time, memory and bytes, as the
 # fleet, the upstreams and the catalogue grow. Prints one line a fleet:
 #   instances voters upstreams organisations: voter/other cpu% rss_mb bytes_s
-# Usage: scripts/rest.sh [SECONDS]
+# Usage: scripts/rest.sh [SECONDS]; REST_ONLY="INSTANCES VOTERS PAIRS ORGANISATIONS"
+# measures one fleet, with settings from the environment.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export SECONDS_OF_REST=${1:-15}
@@ -60,6 +61,11 @@
     export INSTANCES=$1 VOTERS=$2 UPSTREAMS=$(($3 * 2)) ORGANISATIONS=$4
     SETTLE=3 scripts/lab.sh "$1" "$2" "$3" bash "$inner" 2>/dev/null
 }
+if [ -n "${REST_ONLY:-}" ]; then
+    # shellcheck disable=SC2086
+    run $REST_ONLY
+    exit
+fi
 run 3 3 2 0
 run 9 3 2 0
 run 9 3 20 0
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,8 @@
 //! The control address: operators, upstreams, the platform's probes, the
 //! state dump and the metrics. All answers are whole.
 
+mod voters;
+
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +13,6 @@
 use hyper::{Method, Request, Response, StatusCode, header};
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
-use tokio::time::{Instant, sleep};
 
 use crate::catalogue::{Change, EntryKey, Expect, Kind, Outcome, digest};
 use crate::clock::Clock;
@@ -22,7 +23,6 @@
 use crate::gate::Gate;
 use crate::gossip::Fleet;
 use crate::http::{self, Bounds, Reply, Unreceived};
-use crate::message::{self, Ask, AskGroup, ChangeVoter, GroupReply, VoterChanged};
 use crate::propose::{NotCommitted, Proposer};
 use crate::settings::Settings;
 use crate::upstream::{AnnounceOutcome, Announcement};
@@ -36,9 +36,6 @@
 /// Time for a change to be committed.
 const COMMIT: Duration = Duration::from_secs(8);
 
-/// Pause before a leader is asked again for a newcomer it hasn't heard of.
-const GREETING: Duration = Duration::from_millis(200);
-
 /// Time for a read to be confirmed by a quorum.
 const CONFIRM: Duration = Duration::from_secs(3);
 
@@ -258,112 +255,6 @@
         Ok(json(status(&outcome), &outcome))
     }
 
-    /// Members of each group, and the stores that ask to become members.
-    async fn voters(&self) -> Answer {
-        let mut groups = Vec::new();
-        for proposer in self.groups() {
-            let reply = self.group_state(proposer).await?;
-            groups.push(serde_json::json!({
-                "group": proposer.group(),
-                "leader": reply.leader,
-                "members": reply.members,
-                "strangers": reply.strangers,
-            }));
-        }
-        Ok(json(StatusCode::OK, &groups))
-    }
-
-    /// Adds or removes a voter in every group, one after the other. Repeated
-    /// after a failure it goes on where it stopped.
-    async fn change_voter(&self, id: &str, remove: bool) -> Answer {
-        let instance: u64 = id.parse().map_err(|_| not_found())?;
-        let store = if remove {
-            0
-        } else {
-            self.offered(instance).await?
-        };
-        let mut missing = 0;
-        for proposer in self.groups() {
-            let changed = self.change_group(proposer, instance, store, remove).await?;
-            match changed {
-                VoterChanged::Done => {}
-                // Removed from this group by an earlier try.
-                VoterChanged::NotFound if remove => missing += 1,
-                other => return Err(voter_problem(other)),
-            }
-        }
-        if missing == self.groups().count() {
-            return Err(voter_problem(VoterChanged::NotFound));
-        }
-        tracing::info!(
-            event = event::VOTER_CHANGED.id,
-            instance,
-            remove,
-            "voters changed"
-        );
-        Ok(json(
-            StatusCode::OK,
-            &serde_json::json!({"instance": instance, "removed": remove}),
-        ))
-    }
-
-    /// The store that an instance offers, by what any group has heard. Each
-    /// group is then asked for just this one: a group whose leader hasn't
-    /// heard of it yet looks, by the instance's number alone, like one in
-    /// which the change is made already, and the repair would stay half done.
-    async fn offered(&self, instance: u64) -> Result<u64, Problem> {
-        for proposer in self.groups() {
-            let state = self.group_state(proposer).await?;
-            let stranger = state.strangers.iter().find(|p| p.id == instance);
-            if let Some(peer) = stranger {
-                return Ok(peer.store);
-            }
-        }
-        Err(voter_problem(VoterChanged::NotFound))
-    }
-
-    async fn group_state(&self, proposer: &Proposer) -> Result<GroupReply, Problem> {
-        let ask = Ask::Group(AskGroup {
-            group: proposer.group(),
-        });
-        match proposer.ask_leader(ask, COMMIT).await {
-            Some(message::Answer::Group(reply)) => Ok(reply),
-            _ => Err(no_leader()),
-        }
-    }
-
-    /// Changes one group; waits a while for its leader to hear of a newcomer.
-    async fn change_group(
-        &self,
-        proposer: &Proposer,
-        instance: u64,
-        store: u64,
-        remove: bool,
-    ) -> Result<VoterChanged, Problem> {
-        let ask = Ask::Member(ChangeVoter {
-            group: proposer.group(),
-            instance,
-            remove,
-            store,
-        });
-        let end = Instant::now() + COMMIT;
-        loop {
-            let answer = proposer.ask_leader(ask.clone(), COMMIT).await;
-            let Some(message::Answer::Changed(changed)) = answer else {
-                return Err(no_leader());
-            };
-            let changed = VoterChanged::try_from(changed).unwrap_or(VoterChanged::Unknown);
-            if remove || changed != VoterChanged::NotFound || Instant::now() >= end {
-                return Ok(changed);
-            }
-            sleep(GREETING).await;
-        }
-    }
-
-    fn groups(&self) -> impl Iterator<Item = &Arc<Proposer>> {
-        std::iter::once(&self.proposer).chain(&self.registers)
-    }
-
     async fn announce(&self, head: &Parts, body: Incoming) -> Answer {
         let Ok(catalogue) = self.force.get(self.clock.now()) else {
             return Err(problem(
@@ -428,32 +319,6 @@
     )
 }
 
-fn voter_problem(changed: VoterChanged) -> Problem {
-    let (status, code, message) = match changed {
-        VoterChanged::NotFound => (
-            StatusCode::NOT_FOUND,
-            "no_such_voter",
-            "the instance neither votes nor asks to; start it with --data-dir and wait some seconds",
-        ),
-        VoterChanged::Busy => (
-            StatusCode::CONFLICT,
-            "change_running",
-            "another change of the voters runs; repeat this one in some seconds",
-        ),
-        VoterChanged::Unsafe => (
-            StatusCode::CONFLICT,
-            "no_quorum_left",
-            "the voters that answer would be no quorum; bring others back first",
-        ),
-        VoterChanged::Unknown | VoterChanged::Done => (
-            StatusCode::GATEWAY_TIMEOUT,
-            "outcome_unknown",
-            "the change may have been made; list the voters and repeat it if need be",
-        ),
-    };
-    problem(status, code, message)
-}
-
 fn not_found() -> Problem {
     problem(
         StatusCode::NOT_FOUND,
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -43,21 +43,21 @@
 
 /// An order to generate, as the first stage gets it.
 #[derive(Clone, Debug, Serialize)]
-pub(crate) struct Order<'a> {
-    pub(crate) request: &'a str,
+pub(crate) struct Order {
+    pub(crate) request: String,
     pub(crate) attempt: u32,
-    pub(crate) organisation: &'a str,
-    pub(crate) model: &'a str,
-    pub(crate) prompt: &'a str,
+    pub(crate) organisation: String,
+    pub(crate) model: String,
+    pub(crate) prompt: String,
     /// Tokens verified on earlier attempts; generation goes on behind them.
-    pub(crate) tokens: &'a [String],
+    pub(crate) tokens: Vec<String>,
     /// Tokens of the whole answer.
     pub(crate) limit: u32,
     /// Lower numbers go first.
     pub(crate) priority: u8,
     /// Milliseconds left to the deadline.
     pub(crate) remaining: u64,
-    pub(crate) path: &'a [Stage],
+    pub(crate) path: Vec<Stage>,
 }
 
 /// Layers that a token passed in one upstream.
@@ -133,7 +133,7 @@
     /// passed.
     fn start(
         &self,
-        order: &Order<'_>,
+        order: &Order,
         cutoff: &Cutoff,
     ) -> impl Future<Output = Result<Self::Events, EngineError>> + Send;
 }
@@ -232,7 +232,7 @@
 impl Engine for HttpEngine {
     type Events = HttpEvents;
 
-    async fn start(&self, order: &Order<'_>, cutoff: &Cutoff) -> Result<HttpEvents, EngineError> {
+    async fn start(&self, order: &Order, cutoff: &Cutoff) -> Result<HttpEvents, EngineError> {
         let head = order.path.first().ok_or(EngineError::Connect)?;
         let connection = Connection::open(head.address).await?;
         let body = serde_json::to_vec(order).expect("an order always serialises");
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -43,6 +43,7 @@
     }
 
     /// Flow over an arc after [`maximise`](Self::maximise).
+    #[cfg(test)]
     pub(crate) fn flow(&self, number: usize) -> u64 {
         self.arcs[number ^ 1].left
     }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crossbeam::channel::{Receiver, Sender, bounded, select, tick};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -14,7 +14,7 @@
 
 use crate::auth::FleetKey;
 use crate::catalogue::CatalogueMachine;
-use crate::claim::{Bounds, Claims, Reply, Ticker};
+use crate::claim::{Bounds, Claims};
 use crate::clock::{Clock, SystemClock};
 use crate::confirm::Confirmations;
 use crate::control::{self, Control};
@@ -27,9 +27,9 @@
 use crate::gossip::{Fleet, FleetSettings};
 use crate::id::Incarnation;
 use crate::log;
-use crate::message::{Answer, Ask, Request};
 use crate::node::{CATALOGUE_GROUP, CLAIM_GROUP, CLAIM_SHARDS, Node, Vote, spread};
 use crate::peer::{self, Peers};
+use crate::periodic::{keep_claims, keep_shares, start_views};
 use crate::propose::Proposer;
 use crate::serve::{self, Serving};
 use crate::settings::Settings;
@@ -52,21 +52,6 @@
 /// Time between two probes of the failure detector.
 const GOSSIP: Duration = Duration::from_secs(1);
 
-/// Period of moving the claims' time on.
-const CLAIM_TICK: Duration = Duration::from_secs(1);
-
-/// Time for the allocator to answer.
-const SHARE_LIMIT: Duration = Duration::from_secs(1);
-
-/// Period of passing deadlines and refilling rates.
-const TICK: Duration = Duration::from_millis(20);
-
-/// The same while nothing waits.
-const IDLE_TICK: Duration = Duration::from_millis(50);
-
-/// Least time between two views that the router gets.
-const VIEW: Duration = Duration::from_millis(100);
-
 /// Runs one instance until a signal, and lets running answers end.
 ///
 /// # Errors
@@ -387,63 +372,6 @@
     peer::serve(listener, key, node).await;
 }
 
-/// Asks for shares of the limits whenever a question is due.
-async fn keep_shares(node: Node, leader: Arc<Proposer>, serving: Arc<Serving>) {
-    loop {
-        serving.share_due().await;
-        let Some(ask) = serving.ask() else { continue };
-        let request = Request {
-            ask: Some(Ask::Share(ask)),
-        };
-        let to = leader.target();
-        match node.call(to, request, SHARE_LIMIT).await.map(|r| r.answer) {
-            Ok(Some(Answer::Grant(grant))) => serving.grant(&grant),
-            Ok(Some(Answer::NotLeader(hint))) => leader.moved(to, hint),
-            _ => leader.moved(to, 0),
-        }
-    }
-}
-
-/// Moves the claims' time on while this instance leads their group.
-async fn keep_claims(node: Node, group: u32, claims: Arc<Proposer>, clock: Arc<dyn Clock>) {
-    let mut ticker = Ticker::new(CLAIM_TICK);
-    loop {
-        tokio::time::sleep(CLAIM_TICK).await;
-        let leads = node.vote().and_then(|v| v.leads(group)).is_some();
-        let action = ticker.poll(clock.now()).filter(|_| leads);
-        let Some(action) = action else { continue };
-        let reply = claims.propose(action.into_bytes().into(), CLAIM_TICK).await;
-        if let Some(Reply::Ticked(ticked)) = reply.ok().and_then(|r| Reply::from_bytes(&r)) {
-            ticker.heard(clock.now(), ticked);
-        }
-    }
-}
-
-/// Hands what the fleet knows to routing and to the connections.
-fn start_views(supervisor: &Supervisor, serving: &Arc<Serving>, fleet: &Fleet, peers: &Peers) {
-    let serving = Arc::clone(serving);
-    let fleet = fleet.clone();
-    let peers = peers.clone();
-    supervisor.start("views", Policy::Restart, move || {
-        let mut viewed = Instant::now();
-        loop {
-            thread::sleep(if serving.queued() > 0 {
-                TICK
-            } else {
-                IDLE_TICK
-            });
-            serving.tick();
-            if viewed.elapsed() >= VIEW {
-                viewed = Instant::now();
-                serving.refresh();
-                for member in &fleet.members().members {
-                    peers.learn(member.id, member.peer);
-                }
-            }
-        }
-    });
-}
-
 /// Makes the state dump on request.
 fn dumper(
     settings: &Arc<Settings>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,7 +8,6 @@
 mod auth;
 mod budget;
 mod catalogue;
-#[allow(dead_code)]
 mod claim;
 mod cli;
 mod client;
@@ -22,7 +21,6 @@
 mod engine;
 mod error;
 mod event;
-#[allow(dead_code)]
 mod flow;
 mod follow;
 mod follower;
@@ -39,11 +37,11 @@
 mod node;
 mod openai;
 mod peer;
+mod periodic;
 mod program;
 mod propose;
 mod queue;
 mod replica;
-#[allow(dead_code)]
 mod request;
 mod route;
 mod serve;
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -24,12 +24,6 @@
         let retry = retry.or_else(|| code.again().then_some(DEFAULT_PAUSE));
         Self { code, ran, retry }
     }
-
-    /// The reason.
-    #[cfg(test)]
-    pub(crate) fn code(&self) -> RefusalCode {
-        self.code
-    }
 }
 
 /// A failure after which parts of the request may have run.
@@ -44,12 +38,6 @@
     pub(super) fn new(code: FailureCode, retry: Option<Duration>) -> Self {
         Self { code, retry }
     }
-
-    /// The reason.
-    #[cfg(test)]
-    pub(crate) fn code(&self) -> FailureCode {
-        self.code
-    }
 }
 
 /// The final answer. Each request gets exactly one.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -6,9 +6,11 @@
 mod complete;
 mod generate;
 mod head;
+mod job;
 mod listen;
 mod respond;
 mod service;
+mod stream;
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
--- a/src/serve/complete.rs
+++ b/src/serve/complete.rs
@@ -10,7 +10,7 @@
 use super::Serving;
 use super::admit::Known;
 use super::claims::{ClaimKey, request_digest};
-use super::generate::{Job, OUTPUT, Output, Prompt, Work};
+use super::job::{Job, OUTPUT, Output, Prompt, Work};
 use super::listen::Received;
 use super::respond::{self, EVENTS, JSON};
 use crate::catalogue::{Route, Target};
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -2,26 +2,24 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use super::claims::ClaimKey;
-use super::service::{self, Call};
-use super::{Held, Serving};
-use crate::catalogue::Class;
+use super::job::{Job, Output, Work};
+use super::service;
+use super::{Held, Serving, stream};
 use crate::claim::{ClaimLease, Outcome as Settled};
 use crate::clock::Time;
 use crate::dispatch::{Placed, Placement, Unplaced};
-use crate::engine::{Cutoff, Engine, EngineError, EngineEvent, Events, HttpEngine, Order, Stage};
+use crate::engine::{Cutoff, HttpEngine, Order, Stage};
 use crate::event;
-use crate::gate::Running;
-use crate::id::OrganisationId;
+use crate::id::UpstreamId;
 use crate::request::{
-    Answer, Bounds, Cause, Claimed, Effect, Event, Frame, Generation, Hop, Life, Report, RequestId,
+    Answer, Bounds, Cause, Claimed, Effect, Event, Generation, Hop, Life, Report, RequestId,
     Unopened,
 };
 use crate::route::Outcome;
@@ -32,59 +30,15 @@
 /// Most attempts of one request, the first one included.
 const ATTEMPTS: u32 = 4;
 
-/// Pieces of an answer that may wait for a slow caller.
-pub(crate) const OUTPUT: usize = 64;
+/// Pause for a caller whose retry budget is used up; the floor of the budget
+/// earns one retry in this time.
+const BUDGET_PAUSE: Duration = Duration::from_secs(1);
 
 /// Events of an attempt that may wait while the caller is slow.
 const EVENTS: usize = 16;
 
-/// A generation to run.
-pub(crate) struct Job {
-    pub(crate) id: RequestId,
-    pub(crate) organisation: OrganisationId,
-    pub(crate) route: Arc<str>,
-    pub(crate) class: Class,
-    pub(crate) model: Arc<str>,
-    pub(crate) pools: Arc<[String]>,
-    pub(crate) prompt_tokens: u32,
-    /// Tokens of the whole answer.
-    pub(crate) limit: u32,
-    pub(crate) idempotent: bool,
-    pub(crate) deadline: Time,
-    /// The claim's name; used only if the request has a claim.
-    pub(crate) key: Option<ClaimKey>,
-    /// Tokens used so far, for the limits.
-    pub(crate) used: Arc<AtomicU32>,
-    /// What each attempt does.
-    pub(crate) work: Work,
-    /// Keeps a graceful shutdown waiting until the answer is whole.
-    pub(crate) running: Running,
-}
-
-/// What each attempt does.
-pub(crate) enum Work {
-    /// Sends the prompt to engines.
-    Engine(Prompt),
-    /// Calls a plain service.
-    Call(Call),
-}
-
-/// What engines are asked.
-pub(crate) struct Prompt {
-    /// Name of the model.
-    pub(crate) model: String,
-    /// The caller's text.
-    pub(crate) text: String,
-}
-
-/// What a generation hands to the caller's side.
-#[derive(Debug)]
-pub(crate) enum Output {
-    /// A verified token.
-    Token(String),
-    /// The final answer; nothing follows.
-    Finish(Answer),
-}
+/// Why an attempt can't be opened, and the pause that the caller should make.
+type Closed = (Unopened, Option<Duration>);
 
 /// The attempt in flight.
 struct Flight {
@@ -243,87 +197,76 @@
         }
     }
 
-    /// Chooses a path, with the caller's leaving and the deadline in view.
+    /// Opens an attempt, or tells why it can't be opened.
     async fn open(
         &mut self,
         attempt: u32,
         retry: bool,
         resume: u32,
-        exclude: Vec<crate::id::UpstreamId>,
+        exclude: Vec<UpstreamId>,
     ) -> Event {
+        let opened = self.try_open(attempt, retry, resume, exclude).await;
+        opened.unwrap_or_else(|(reason, pause)| Event::Unopened {
+            attempt,
+            reason,
+            pause,
+        })
+    }
+
+    async fn try_open(
+        &mut self,
+        attempt: u32,
+        retry: bool,
+        resume: u32,
+        exclude: Vec<UpstreamId>,
+    ) -> Result<Event, Closed> {
         if retry && !self.retry_allowed() {
-            return Event::Unopened {
-                attempt,
-                reason: Unopened::Budget,
-                pause: Some(Duration::from_secs(1)),
-            };
+            return Err((Unopened::Budget, Some(BUDGET_PAUSE)));
         }
-        let pools = match self.pools() {
-            Ok(pools) => pools,
-            Err(reason) => {
-                return Event::Unopened {
-                    attempt,
-                    reason,
-                    pause: None,
-                };
-            }
+        let pools = self.pools()?;
+        let placement = self.placement(attempt, resume, exclude, pools.clone());
+        let Some((placed, path)) = self.find_path(placement).await? else {
+            return Ok(Event::CallerLeft);
         };
-        let serving = Arc::clone(&self.serving);
-        let placed = loop {
-            let placement = self.placement(attempt, resume, exclude.clone(), pools.clone());
+        let lease = self.renew().await;
+        // The wait may have been long. A lease that ended, or a change that
+        // came meanwhile, must not be passed over.
+        match self.pools() {
+            Ok(now) if now == pools => Ok(self.planned(attempt, placed, path, lease)),
+            changed => {
+                self.give_back(placed, Outcome::Cancelled, 0);
+                changed.map(|_| Event::Outdated { attempt })
+            }
+        }
+    }
+
+    /// Waits for a path whose upstreams all have an address; nothing when the
+    /// caller leaves first.
+    async fn find_path(
+        &mut self,
+        placement: Placement,
+    ) -> Result<Option<(Placed, Vec<Stage>)>, Closed> {
+        loop {
             let placed = tokio::select! {
-                placed = serving.place(placement) => placed,
+                placed = self.serving.place(placement.clone()) => placed,
                 () = self.output.closed(), if !self.left => {
                     self.left = true;
-                    return Event::CallerLeft;
+                    return Ok(None);
                 }
             };
-            let placed = match placed {
-                Ok(placed) => placed,
-                Err(unplaced) => break Err(unplaced),
-            };
+            let placed = placed.map_err(|(why, pause)| match why {
+                Unplaced::NoPath => (Unopened::NoPath, Some(pause)),
+                Unplaced::Deadline => (Unopened::Deadline, Some(pause)),
+            })?;
             if let Some(path) = self.path(&placed) {
-                break Ok((placed, path));
+                return Ok(Some((placed, path)));
             }
             // Routing learns of a leaving upstream a moment after the view
             // does, and still chooses it: callers were refused for want of an
             // upstream while others were free. It takes the view over now and
             // can't choose that one again.
             self.give_back(placed, Outcome::Cancelled, 0);
-            serving.refresh();
-        };
-        let lease = match &placed {
-            Ok(_) => self.renew().await,
-            Err(_) => None,
-        };
-        match placed {
-            // The wait may have been long. A lease that ended, or a change
-            // that came meanwhile, must not be passed over.
-            Ok((placed, path)) => match self.pools() {
-                Ok(now) if now == pools => self.planned(attempt, placed, path, lease),
-                Ok(_) => {
-                    self.give_back(placed, Outcome::Cancelled, 0);
-                    Event::Outdated { attempt }
-                }
-                Err(reason) => {
-                    self.give_back(placed, Outcome::Cancelled, 0);
-                    Event::Unopened {
-                        attempt,
-                        reason,
-                        pause: None,
-                    }
-                }
-            },
-            Err((Unplaced::NoPath, pause)) => Event::Unopened {
-                attempt,
-                reason: Unopened::NoPath,
-                pause: Some(pause),
-            },
-            Err((Unplaced::Deadline, pause)) => Event::Unopened {
-                attempt,
-                reason: Unopened::Deadline,
-                pause: Some(pause),
-            },
+            self.serving.refresh();
         }
     }
 
@@ -332,12 +275,12 @@
     /// A request may have waited since it was let in. Sent on by what the
     /// catalogue said then, it could reach capacity that its organisation has
     /// lost meanwhile, or go on under an instance that is cut off.
-    fn pools(&self) -> Result<Arc<[String]>, Unopened> {
+    fn pools(&self) -> Result<Arc<[String]>, Closed> {
         let now = self.serving.now();
         let catalogue = self.serving.parts.force.get(now);
-        let catalogue = catalogue.map_err(|_| Unopened::Lease)?;
+        let catalogue = catalogue.map_err(|_| (Unopened::Lease, None))?;
         let route = catalogue.route(&self.job.organisation, &self.job.route);
-        let route = route.ok_or(Unopened::NoRoute)?;
+        let route = route.ok_or((Unopened::NoRoute, None))?;
         Ok(route.pools.clone().into())
     }
 
@@ -355,7 +298,7 @@
         &self,
         attempt: u32,
         resume: u32,
-        exclude: Vec<crate::id::UpstreamId>,
+        exclude: Vec<UpstreamId>,
         pools: Arc<[String]>,
     ) -> Placement {
         Placement {
@@ -439,7 +382,7 @@
                 return;
             }
         };
-        let order = OwnedOrder {
+        let order = Order {
             request: self.job.id.to_string(),
             attempt,
             organisation: self.job.organisation.to_string(),
@@ -448,10 +391,10 @@
             tokens: self.generation.tokens().to_vec(),
             limit: self.job.limit,
             priority: self.job.class as u8,
-            remaining: self.job.deadline.since(flight.started),
+            remaining: millis(self.job.deadline.since(flight.started)),
             path: flight.path.clone(),
         };
-        flight.reader = Some(Reader(tokio::spawn(read(
+        flight.reader = Some(Reader(tokio::spawn(stream::read(
             HttpEngine, order, events, cutoff,
         ))));
     }
@@ -489,7 +432,7 @@
             return;
         };
         let tokens = u32::try_from(self.generation.tokens().len()).unwrap_or(u32::MAX);
-        let blamed = |suspect: &Option<crate::id::UpstreamId>| {
+        let blamed = |suspect: &Option<UpstreamId>| {
             let stages = flight.path.iter();
             suspect
                 .as_ref()
@@ -540,113 +483,6 @@
     }
 }
 
-/// An order that its reader's task owns.
-struct OwnedOrder {
-    request: String,
-    attempt: u32,
-    organisation: String,
-    model: String,
-    prompt: String,
-    tokens: Vec<String>,
-    limit: u32,
-    priority: u8,
-    remaining: Duration,
-    path: Vec<Stage>,
-}
-
-/// Sends the order and hands on each event of its stream.
-async fn read(engine: impl Engine, order: OwnedOrder, events: mpsc::Sender<Event>, cutoff: Cutoff) {
-    let attempt = order.attempt;
-    let started = engine
-        .start(
-            &Order {
-                request: &order.request,
-                attempt,
-                organisation: &order.organisation,
-                model: &order.model,
-                prompt: &order.prompt,
-                tokens: &order.tokens,
-                limit: order.limit,
-                priority: order.priority,
-                remaining: u64::try_from(order.remaining.as_millis()).unwrap_or(u64::MAX),
-                path: &order.path,
-            },
-            &cutoff,
-        )
-        .await;
-    let mut stream = match started {
-        Ok(stream) => stream,
-        Err(e) => {
-            let _ = events.send(failure(attempt, &e, None)).await;
-            return;
-        }
-    };
-    loop {
-        let event = stream.next().await;
-        let last = !matches!(event, Ok(EngineEvent::Token { .. }));
-        let sent = events.send(translate(attempt, event)).await;
-        if last || sent.is_err() {
-            return;
-        }
-    }
-}
-
-fn translate(on: u32, event: Result<EngineEvent, EngineError>) -> Event {
-    match event {
-        Ok(EngineEvent::Token {
-            request,
-            attempt,
-            index,
-            text,
-            passed,
-        }) => Event::Frame {
-            on,
-            frame: Frame {
-                request,
-                attempt,
-                index,
-                text,
-                passed: passed
-                    .into_iter()
-                    .map(|p| Hop {
-                        upstream: p.upstream,
-                        first: p.first,
-                        end: p.end,
-                    })
-                    .collect(),
-            },
-        },
-        Ok(EngineEvent::Done {
-            request,
-            attempt,
-            count,
-            done: true,
-            ..
-        }) => Event::Done {
-            on,
-            request,
-            attempt,
-            count,
-        },
-        Ok(EngineEvent::Failed { upstream, .. }) => failure(on, &EngineError::Cut, Some(upstream)),
-        Ok(EngineEvent::Done { .. }) => failure(on, &EngineError::Garbage, None),
-        Err(e) => failure(on, &e, None),
-    }
-}
-
-fn failure(attempt: u32, error: &EngineError, suspect: Option<crate::id::UpstreamId>) -> Event {
-    let cause = match error {
-        EngineError::Busy => {
-            let unrun = true;
-            return Event::Busy { attempt, unrun };
-        }
-        EngineError::Connect => Cause::Refused,
-        EngineError::Cut => Cause::Cut,
-        EngineError::Status { .. } | EngineError::Garbage => Cause::Garbage,
-    };
-    Event::Broken {
-        attempt,
-        cause,
-        suspect,
-    }
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/serve/service.rs
+++ b/src/serve/service.rs
@@ -14,7 +14,7 @@
 
 use super::admit::Known;
 use super::claims::request_digest;
-use super::generate::{Job, OUTPUT, Output, Work};
+use super::job::{Job, OUTPUT, Output, Work};
 use super::listen::Received;
 use super::{Serving, respond};
 use crate::catalogue::Target;
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod claim;
 mod cli;
+mod dispatch;
 mod engine;
 mod event;
 mod flow;
