Take a resend in another form for the same request; tell why an answer ended

The claim's digest covered the body, so a caller whose stream was cut and who asked for the answer whole was refused as key_mismatch. It covers route, prompt and max_tokens now; the kept answer has its number of tokens. New end-to-end tests: the resend in another form, a second SIGTERM and the drain limit.

--- a/src/claim/message.rs
+++ b/src/claim/message.rs
@@ -98,6 +98,21 @@
     pub(crate) body: Vec<u8>,
 }
 
+/// Content type of a kept text, before the number of its tokens.
+const TEXT: &str = "text/plain; tokens=";
+
+impl Kept {
+    /// Content type of a text of `count` tokens.
+    pub(crate) fn text(count: usize) -> String {
+        format!("{TEXT}{count}")
+    }
+
+    /// Tokens of a kept text; nothing for the answer of a plain service.
+    pub(crate) fn tokens(&self) -> Option<u32> {
+        self.kind.strip_prefix(TEXT)?.parse().ok()
+    }
+}
+
 /// How a claimed request ended.
 #[derive(Clone, PartialEq, Eq, prost::Oneof)]
 pub(crate) enum Outcome {
--- a/src/control.rs
+++ b/src/control.rs
@@ -18,11 +18,11 @@
 use crate::clock::Clock;
 use crate::dump::{self, Dump};
 use crate::event;
-use crate::follow::InForce;
-use crate::follower::Confirm;
 use crate::gate::Gate;
 use crate::gossip::Fleet;
 use crate::http::{self, Bounds, Reply, Unreceived};
+use crate::lease::InForce;
+use crate::poll::Poller;
 use crate::propose::{NotCommitted, Proposer};
 use crate::settings::Settings;
 use crate::upstream::{AnnounceOutcome, Announcement};
@@ -50,7 +50,7 @@
     pub(crate) settings: Arc<Settings>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) force: Arc<InForce>,
-    pub(crate) confirm: Confirm,
+    pub(crate) poller: Poller,
     pub(crate) proposer: Arc<Proposer>,
     /// Registers of claims; their groups have the same voters.
     pub(crate) registers: Vec<Arc<Proposer>>,
@@ -188,7 +188,7 @@
     /// Waits until the catalogue here holds all that was accepted before the
     /// call, so that an operator's reads are linearizable.
     async fn confirmed(&self) -> Result<(), Problem> {
-        if self.confirm.now(CONFIRM).await {
+        if self.poller.confirm(CONFIRM).await {
             return Ok(());
         }
         Err(problem(
@@ -222,7 +222,7 @@
 
     async fn history(&self) -> Answer {
         self.confirmed().await?;
-        Ok(json(StatusCode::OK, &self.confirm.history(MAX_HISTORY)))
+        Ok(json(StatusCode::OK, &self.poller.history(MAX_HISTORY)))
     }
 
     async fn change(&self, head: &Parts, body: Incoming) -> Answer {
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use crate::clock::Time;
-use crate::follow::InForce;
+use crate::lease::InForce;
 
 /// Counts running requests and closes for a graceful shutdown.
 #[derive(Debug, Default)]
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -21,15 +21,16 @@
 use crate::dump::{CatalogueDump, Dump, RequestDump};
 use crate::error::{FailedSnafu, ListenSnafu, Result, StartSnafu};
 use crate::event;
-use crate::follow::{Follower, InForce};
-use crate::follower::Confirm;
+use crate::follow::Follower;
 use crate::gate::Gate;
 use crate::gossip::{Fleet, FleetSettings};
 use crate::id::Incarnation;
+use crate::lease::InForce;
 use crate::log;
 use crate::node::{CATALOGUE_GROUP, CLAIM_GROUP, CLAIM_SHARDS, Node, Vote, spread};
 use crate::peer::{self, Peers};
 use crate::periodic::{keep_claims, keep_shares, start_views};
+use crate::poll::Poller;
 use crate::propose::Proposer;
 use crate::serve::{self, Serving};
 use crate::settings::Settings;
@@ -106,7 +107,7 @@
 
         let force = Arc::new(InForce::new());
         let follower = Follower::new(voters, settings.lease, Arc::clone(&force));
-        let confirm = Confirm::new(
+        let poller = Poller::new(
             follower,
             node.clone(),
             Arc::clone(&clock),
@@ -133,7 +134,7 @@
             settings.key.clone(),
             Arc::new(node.clone()),
         ));
-        peer_runtime.spawn(confirm.clone().run(settings.poll));
+        peer_runtime.spawn(poller.clone().run(settings.poll));
         peer_runtime.spawn(keep_shares(
             node.clone(),
             Arc::clone(&catalogue),
@@ -149,7 +150,7 @@
             settings: Arc::clone(&settings),
             clock: Arc::clone(&clock),
             force: Arc::clone(&force),
-            confirm,
+            poller,
             proposer: catalogue,
             registers: claims.clone(),
             fleet: fleet.clone(),
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -9,7 +9,7 @@
 pub(crate) const MAX_TOKENS: u32 = 32_768;
 
 /// Marks the end of a stream that is whole.
-pub(crate) const DONE: &str = "data: [DONE]\n\n";
+const DONE: &str = "data: [DONE]\n\n";
 
 /// Which of the two forms a caller uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -119,11 +119,30 @@
     pub(crate) id: String,
     /// Name of the route.
     pub(crate) model: String,
+    /// Tokens that the answer may have.
+    pub(crate) limit: u32,
 }
 
 impl Writer {
+    /// Reason for which an answer of `count` tokens ended.
+    fn reason(&self, count: u32) -> &'static str {
+        if count < self.limit { "stop" } else { "length" }
+    }
+
+    /// The events that end a whole stream of `count` tokens.
+    pub(crate) fn end(&self, count: u32) -> String {
+        let mut end = self.event("", Some(self.reason(count)));
+        end.push_str(DONE);
+        end
+    }
+
+    /// The event that carries one token.
+    pub(crate) fn token(&self, text: &str) -> String {
+        self.event(text, None)
+    }
+
     /// The event that carries `text`, or ends the text with a reason.
-    pub(crate) fn event(&self, text: &str, finish: Option<&str>) -> String {
+    fn event(&self, text: &str, finish: Option<&str>) -> String {
         let part = Part {
             role: "assistant",
             content: text,
@@ -149,13 +168,13 @@
         format!("data: {}\n\n", self.json(object, choice, None))
     }
 
-    /// The whole answer as one JSON document.
-    pub(crate) fn whole(&self, text: &str, finish: &str, tokens: u32) -> String {
+    /// The whole answer of `count` tokens as one JSON document.
+    pub(crate) fn whole(&self, text: &str, count: u32) -> String {
         let part = Part {
             role: "assistant",
             content: text,
         };
-        let finish_reason = Some(finish);
+        let finish_reason = Some(self.reason(count));
         let (object, choice) = match self.form {
             Form::Text => (
                 "text_completion",
@@ -175,7 +194,7 @@
             ),
         };
         let usage = Usage {
-            completion_tokens: tokens,
+            completion_tokens: count,
         };
         self.json(object, choice, Some(usage))
     }
--- a/src/follower.rs
+++ b/src/poll.rs
@@ -1,4 +1,4 @@
-//! Runs [`Follower`]: polls the voters for the catalogue.
+//! Runs a [`Follower`]: polls the voters for the catalogue.
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -14,9 +14,9 @@
 /// Longest pause before another voter is asked after a failure.
 const RETRY: Duration = Duration::from_millis(50);
 
-/// Confirms the catalogue on demand and once a period.
+/// Pollers the catalogue on demand and once a period.
 #[derive(Clone)]
-pub(crate) struct Confirm {
+pub(crate) struct Poller {
     follower: Arc<Mutex<Follower>>,
     node: Node,
     clock: Arc<dyn Clock>,
@@ -24,7 +24,7 @@
     limit: Duration,
 }
 
-impl Confirm {
+impl Poller {
     /// `limit` is the time that one voter has to answer.
     pub(crate) fn new(
         follower: Follower,
@@ -45,8 +45,8 @@
         self.lock().history(most)
     }
 
-    /// Confirms the catalogue within `limit`; false when no voter could.
-    pub(crate) async fn now(&self, limit: Duration) -> bool {
+    /// Pollers the catalogue within `limit`; false when no voter could.
+    pub(crate) async fn confirm(&self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
         loop {
             match timeout_at(end, self.once()).await {
--- a/src/request/stage.rs
+++ b/src/request/stage.rs
@@ -105,7 +105,7 @@
     }
     Outcome::Kept(Kept {
         status: 200,
-        kind: "text/plain; charset=utf-8".into(),
+        kind: Kept::text(texts.len()),
         body,
     })
 }
--- a/src/serve/complete.rs
+++ b/src/serve/complete.rs
@@ -15,18 +15,12 @@
 use super::respond::{self, EVENTS, JSON};
 use crate::catalogue::{Route, Target};
 use crate::http::Reply;
-use crate::openai::{Completion, DONE, Form, Writer};
+use crate::openai::{Completion, Form, Writer};
 use crate::request::{Answer, Claimed, Life, RefusalCode};
 
 /// Bytes of a prompt that make one token, roughly.
 const TOKEN_BYTES: usize = 4;
 
-/// Reason under which a kept answer ends.
-const KEPT_REASON: &str = "length";
-
-/// Content type of the text that is kept with a claim.
-const KEPT_KIND: &str = "text/plain; charset=utf-8";
-
 impl Serving {
     /// Answers `POST /v1/completions` and `/v1/chat/completions`.
     pub(crate) async fn complete(
@@ -45,6 +39,7 @@
                     form,
                     id: id.clone(),
                     model: completion.route,
+                    limit: completion.limit,
                 };
                 present(writer, completion.stream, output, known).await
             }
@@ -71,7 +66,14 @@
         let Target::Model(model) = &route.target else {
             return Err(unread(RefusalCode::UnknownRoute));
         };
-        let key = known.claim_key(request_digest(&[route.name.as_bytes(), &received.body]));
+        // Whether the answer is streamed isn't part of it: a caller whose
+        // stream was cut may ask for the kept answer whole.
+        let digest = request_digest(&[
+            route.name.as_bytes(),
+            completion.prompt.as_bytes(),
+            &completion.limit.to_be_bytes(),
+        ]);
+        let key = known.claim_key(digest);
         let used = Arc::new(AtomicU32::new(0));
         let life = self
             .enter(known, route, &completion, key.as_ref(), &used)
@@ -133,15 +135,14 @@
         form,
         id: id.clone(),
         model: completion.route,
+        limit: completion.limit,
     };
-    debug_assert_eq!(kept.kind, KEPT_KIND);
+    let count = kept.tokens().unwrap_or(completion.limit);
     if completion.stream {
-        let mut events = writer.event(&text, None);
-        events.push_str(&writer.event("", Some(KEPT_REASON)));
-        events.push_str(DONE);
+        let events = writer.token(&text) + &writer.end(count);
         return respond::reply(StatusCode::OK, EVENTS, events, &id);
     }
-    let body = writer.whole(&text, KEPT_REASON, completion.limit);
+    let body = writer.whole(&text, count);
     respond::reply(StatusCode::OK, JSON, body, &id)
 }
 
@@ -159,24 +160,20 @@
     // The status line waits for the first token, so that a request which
     // fails before it gets its own status.
     let first = match output.recv().await {
-        Some(Output::Token(text)) => text,
+        None => return respond::lost(&id),
         Some(Output::Finish(answer)) if !matches!(answer, Answer::Complete { .. }) => {
             return respond::refuse(&answer, &id);
         }
-        _ => return respond::lost(&id),
+        Some(first) => first,
     };
     let (pieces, body) = mpsc::channel(OUTPUT);
     tokio::spawn(async move {
         let _running = known.running;
-        let mut next = Some(Output::Token(first));
+        let mut next = Some(first);
         while let Some(piece) = next {
             let (text, last) = match piece {
-                Output::Token(text) => (writer.event(&text, None), false),
-                Output::Finish(Answer::Complete { .. }) => {
-                    let mut end = writer.event("", Some(KEPT_REASON));
-                    end.push_str(DONE);
-                    (end, true)
-                }
+                Output::Token(text) => (writer.token(&text), false),
+                Output::Finish(Answer::Complete { count }) => (writer.end(count), true),
                 Output::Finish(answer) => (respond::error_event(&answer), true),
             };
             if pieces.send(Bytes::from(text)).await.is_err() || last {
@@ -194,7 +191,7 @@
         match piece {
             Output::Token(token) => text.push_str(&token),
             Output::Finish(Answer::Complete { count }) => {
-                let body = writer.whole(&text, KEPT_REASON, count);
+                let body = writer.whole(&text, count);
                 return respond::reply(StatusCode::OK, JSON, body, &writer.id);
             }
             Output::Finish(answer) => return respond::refuse(&answer, &writer.id),
--- a/src/tests/follow.rs
+++ b/src/tests/follow.rs
@@ -12,8 +12,9 @@
     Organisation, Outcome, Pool, Route, Shared, Target, digest,
 };
 use crate::clock::Time;
-use crate::follow::{Ask, Follower, InForce};
+use crate::follow::{Ask, Follower};
 use crate::id::InstanceId;
+use crate::lease::InForce;
 use crate::message::{Command, FeedReply};
 use crate::voter::Machine;
 
--- a/tests/e2e/drain.rs
+++ b/tests/e2e/drain.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
+use std::time::Duration;
 
+use rstest::rstest;
 use serde_json::json;
 
 use crate::common::caller::{Ask, Event, agent};
@@ -42,6 +44,30 @@
     assert_eq!(engine.total("cancelled"), 0);
 }
 
+/// An answer takes minutes and the platform can't wait: it sends SIGTERM a
+/// second time, or the drain limit runs out. The instance ends, and the caller
+/// sees a stream without its closing marker, never one that looks whole.
+#[rstest]
+#[case::second_signal("--drain-ms=120000", 2)]
+#[case::limit("--drain-ms=700", 1)]
+fn serve_terminated_ends_in_time(#[case] drain: &str, #[case] signals: usize) {
+    let mut fleet = Fleet::with(1, &[drain, "--idle-ms=60000", "--first-ms=60000"]);
+    let engine = fleet.engine("eng-1", "0..32");
+    fleet.serving();
+    engine.fault(&json!({"mode": "slow", "count": 1, "ms": 20_000}));
+    let ask = Ask::new(KEY, "an answer of minutes", 12);
+    let mut stream = ask.stream(fleet.caller(0));
+    until("a running answer", || {
+        (engine.attempts(&ask.prompt) == 1).then_some(())
+    });
+    for _ in 0..signals {
+        fleet.instance(0).process.terminate();
+        thread::sleep(Duration::from_millis(300));
+    }
+    assert!(fleet.instance(0).process.exit().success());
+    assert_ne!(stream.rest().1, Event::Done);
+}
+
 /// An engine is taken out of service under load. It gets no new work after a
 /// few seconds, ends what it runs, and no caller notices.
 #[test]
--- a/tests/e2e/once.rs
+++ b/tests/e2e/once.rs
@@ -104,6 +104,25 @@
     assert_eq!(attempts(&engines, &ask.prompt), 1);
 }
 
+/// The caller's stream was cut behind the last token, and it asks for the
+/// answer whole. It is the same request in another form: the kept answer is
+/// given, with its true number of tokens.
+#[test]
+fn completions_resend_in_another_form_gets_the_kept_answer() {
+    let fleet = Fleet::of(3);
+    let engines = engines(&fleet);
+    let ask = Ask::new(KEY, "demand letter, other form", 8).once("letter-7");
+    let first = ask.stream(fleet.caller(0)).rest();
+    assert_eq!(first, (ask.expected(32), Event::Done));
+    let reply = until("the kept answer", || {
+        let reply = ask.send(fleet.caller(1)).ok()?;
+        (!PENDING.contains(&reply.code())).then_some(reply)
+    });
+    assert_eq!((reply.status, reply.text()), (200, &*ask.expected(32)));
+    assert_eq!(reply.body["usage"]["completion_tokens"], 8);
+    assert_eq!(attempts(&engines, &ask.prompt), 1);
+}
+
 /// Two organisations use the same key. Each has its own claim: the second one
 /// is served, and learns nothing of the first one's letter.
 #[test]
