Cut a leader in silence with real processes; hand the prompt's prefix to routing

--peer-advertise tells the others an address before which a relay stands. change_leader_cut_in_silence: what is sent to the leader is lost in silence for longer than a lease; another voter leads, nothing accepted is lost. Routing looked for a cached prefix, but serving never named one.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -86,6 +86,13 @@
             "LQ_PEER_ADDR",
             "Address for other instances, TCP and UDP",
         )),
+        setting(
+            "peer-advertise",
+            "LQ_PEER_ADVERTISE",
+            "Address that other instances are told, if a relay stands before --peer-addr",
+        )
+        .value_name("IP:PORT")
+        .value_parser(value_parser!(std::net::SocketAddr)),
         setting("voters", "LQ_VOTERS", "Initial voters on the catalogue")
             .value_name("ID=IP:PORT,...")
             .required(true),
--- a/src/serve/complete.rs
+++ b/src/serve/complete.rs
@@ -1,5 +1,6 @@
 //! Completions: admission, claim, generation, and the answer's HTTP form.
 
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 
@@ -15,12 +16,16 @@
 use super::respond::{self, EVENTS, JSON};
 use crate::catalogue::{Route, Target};
 use crate::http::Reply;
+use crate::id::OrganisationId;
 use crate::openai::{Completion, Form, Writer};
 use crate::request::{Answer, Claimed, Life, RefusalCode};
 
 /// Bytes of a prompt that make one token, roughly.
 const TOKEN_BYTES: usize = 4;
 
+/// Bytes of a prompt that an engine's prefix cache is looked up by.
+const PREFIX_BYTES: usize = 512;
+
 impl Serving {
     /// Answers `POST /v1/completions` and `/v1/chat/completions`.
     pub(crate) async fn complete(
@@ -88,6 +93,7 @@
             model: model.as_str().into(),
             pools: route.pools.clone().into(),
             prompt_tokens: prompt_tokens(&completion.prompt),
+            prefix: prefix(&known.organisation, &completion.prompt),
             limit: completion.limit,
             idempotent: life.idempotent,
             deadline: known.deadline,
@@ -120,6 +126,16 @@
     }
 }
 
+/// Hash of the beginning of a prompt that is long enough to be worth a cache.
+/// It covers the organisation: a cache shared with others would tell one, by
+/// the time to the first token, what another one asks.
+fn prefix(organisation: &OrganisationId, prompt: &str) -> Option<u64> {
+    let start = prompt.as_bytes().get(..PREFIX_BYTES)?;
+    let mut hasher = rustc_hash::FxHasher::default();
+    (organisation, start).hash(&mut hasher);
+    Some(hasher.finish())
+}
+
 fn prompt_tokens(prompt: &str) -> u32 {
     u32::try_from(prompt.len().div_ceil(TOKEN_BYTES)).unwrap_or(u32::MAX / 2)
 }
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -311,7 +311,7 @@
             pools,
             prompt: self.job.prompt_tokens,
             expected: self.job.limit - resume.min(self.job.limit),
-            prefix: None,
+            prefix: self.job.prefix,
             exclude,
             idempotent: self.job.idempotent,
             resumed: attempt > 1,
--- a/src/serve/job.rs
+++ b/src/serve/job.rs
@@ -23,6 +23,8 @@
     pub(crate) model: Arc<str>,
     pub(crate) pools: Arc<[String]>,
     pub(crate) prompt_tokens: u32,
+    /// Hash of the prompt's beginning, for engines that cached it.
+    pub(crate) prefix: Option<u64>,
     /// Tokens of the whole answer.
     pub(crate) limit: u32,
     pub(crate) idempotent: bool,
--- a/src/serve/service.rs
+++ b/src/serve/service.rs
@@ -111,6 +111,7 @@
             model: service_model(name_of(&route.target)),
             pools: route.pools.clone().into(),
             prompt_tokens: 0,
+            prefix: None,
             limit: 1,
             idempotent: life.idempotent,
             deadline: known.deadline,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -35,6 +35,9 @@
     pub control: SocketAddr,
     /// Where other instances connect (TCP) and gossip (UDP).
     pub peer: SocketAddr,
+    /// Where other instances are told to find `peer`; the same unless a relay
+    /// stands before it.
+    pub advertised: SocketAddr,
     /// Peer addresses of the initial voters. Never empty.
     pub voters: BTreeMap<InstanceId, SocketAddr>,
     /// Where a voter keeps its state; `None` on an instance that has no vote
@@ -80,12 +83,15 @@
     /// [`Error::Settings`] with every fault found, not only the first.
     pub fn from_matches(matches: &ArgMatches) -> Result<Self> {
         let mut faults = Vec::new();
+        let peer = value(matches, "peer-addr");
+        let advertised = matches.get_one("peer-advertise").copied();
         let settings = Self {
             instance: InstanceId(value(matches, "instance-id")),
             domain: value(matches, "domain"),
             caller: value(matches, "caller-addr"),
             control: value(matches, "control-addr"),
-            peer: value(matches, "peer-addr"),
+            peer,
+            advertised: advertised.unwrap_or(peer),
             voters: parse_voters(&value::<String>(matches, "voters"), &mut faults),
             data: matches.get_one::<PathBuf>("data-dir").cloned(),
             key: FleetKey::new(&read_secret(matches, "fleet-key-file", &mut faults)),
@@ -161,8 +167,8 @@
         );
         if let Some(addr) = self.voters.get(&self.instance) {
             expect(
-                *addr == self.peer,
-                "--voters names another address for this instance than --peer-addr: make them equal",
+                *addr == self.advertised,
+                "--voters names another address for this instance than the one it tells: make them equal",
             );
         }
     }
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -12,6 +12,7 @@
 use super::caller::{Ask, agent};
 use super::emulator::{Emulator, Plan};
 use super::process::Process;
+use super::shim::Shim;
 use super::{port, until};
 
 /// Key of the organisation kouvertoura, which owns "quotations", "narrow" and
@@ -40,7 +41,12 @@
 /// A fleet; all its processes end with it.
 pub(crate) struct Fleet {
     instances: Vec<Instance>,
+    /// Where the others find each instance.
     peers: Vec<SocketAddr>,
+    /// Relays before the instances, in a fleet that can be cut.
+    shims: Vec<Shim>,
+    /// Where each instance listens behind its relay.
+    binds: Vec<SocketAddr>,
     folder: TempDir,
     flags: Vec<String>,
     /// Id and pool of the engines started for it.
@@ -58,10 +64,25 @@
         Self::with(count, &[])
     }
 
+    /// `count` instances with a relay before each, so that what others send to
+    /// one can be cut in silence.
+    pub(crate) fn relayed(count: usize) -> Self {
+        let fleet = (0..STARTS)
+            .find_map(|_| Self::launched(count, &[], true))
+            .expect("addresses that no other process takes meanwhile");
+        fleet.apply(&fleet.catalogue());
+        fleet
+    }
+
+    /// The relay before an instance.
+    pub(crate) fn shim(&self, at: usize) -> &Shim {
+        &self.shims[at]
+    }
+
     /// The same with further flags of `serve`.
     pub(crate) fn with(count: usize, flags: &[&str]) -> Self {
         let fleet = (0..STARTS)
-            .find_map(|_| Self::launched(count, flags))
+            .find_map(|_| Self::launched(count, flags, false))
             .expect("addresses that no other process takes meanwhile");
         fleet.apply(&fleet.catalogue());
         fleet
@@ -69,7 +90,7 @@
 
     /// Starts all instances; none when another process took an address between
     /// the look at it and the bind.
-    fn launched(count: usize, flags: &[&str]) -> Option<Self> {
+    fn launched(count: usize, flags: &[&str], relayed: bool) -> Option<Self> {
         let folder = tempfile::tempdir().expect("make a folder");
         for (name, text) in [
             ("fleet", "fleet-secret-of-the-tests-0123456789"),
@@ -81,9 +102,18 @@
         ] {
             fs::write(folder.path().join(name), text).expect("write a secret");
         }
+        let binds: Vec<_> = (0..count).map(|_| port::free()).collect();
+        let relays = binds.iter().filter(|_| relayed);
+        let shims: Vec<_> = relays.map(|bind| Shim::new(*bind)).collect();
+        let peers = match relayed {
+            true => shims.iter().map(|s| s.address).collect(),
+            false => binds.clone(),
+        };
         let mut fleet = Self {
             instances: Vec::new(),
-            peers: (0..count).map(|_| port::free()).collect(),
+            peers,
+            shims,
+            binds,
             folder,
             flags: flags.iter().map(|f| (*f).to_owned()).collect(),
             engines: Mutex::default(),
@@ -124,7 +154,8 @@
             .arg(format!("--voters={}", voters.join(",")))
             .arg(format!("--caller-addr={caller}"))
             .arg(format!("--control-addr={control}"))
-            .arg(format!("--peer-addr={}", self.peers[at]))
+            .arg(format!("--peer-addr={}", self.binds[at]))
+            .arg(format!("--peer-advertise={}", self.peers[at]))
             .arg(path_flag("fleet-key-file", &self.file("fleet")))
             .arg(path_flag("operator-key-file", &self.file("operator")))
             .args(&self.flags);
--- a/tests/e2e/catalogue.rs
+++ b/tests/e2e/catalogue.rs
@@ -239,6 +239,41 @@
     }
 }
 
+/// Whatever is sent to the leader is cut in silence, for longer than a lease,
+/// while its own messages still pass: heartbeats go out, no answer comes in. It
+/// must step down, another voter must lead, and changes be accepted; and what
+/// the former leader had accepted stands when the cut heals.
+#[test]
+fn change_leader_cut_in_silence() {
+    let fleet = Fleet::relayed(3);
+    let before = decide(&fleet, &[0, 1, 2], &put("before", "before"));
+    assert_eq!(before["outcome"], "accepted");
+    let cut = leader(&fleet, 0);
+    let others: Vec<usize> = (0..3).filter(|at| *at != cut).collect();
+    fleet.shim(cut).silence();
+    until("another leader", || {
+        let led = leader(&fleet, others[0]);
+        (led != cut).then_some(())
+    });
+    let during = decide(&fleet, &others, &put("during", "during"));
+    assert_eq!(during["outcome"], "accepted", "{during}");
+    thread::sleep(PAST_LEASE);
+    fleet.shim(cut).heal();
+    until("the change in force on the former leader", || {
+        pools(&fleet, cut)
+            .iter()
+            .any(|p| p == "during")
+            .then_some(())
+    });
+    for (body, first) in [
+        (put("before", "before"), before),
+        (put("during", "during"), during),
+    ] {
+        let again = decide(&fleet, &[cut], &body);
+        assert_eq!(again["revision"], first["revision"]);
+    }
+}
+
 /// A request waits for a place at a busy engine. Meanwhile its organisation
 /// loses the route. It must be refused as not run, and not be sent on by what
 /// the catalogue said when it came.
