Send a request that found an engine busy back to the queue

Cause: every later attempt went before the queue. When an organisation overloads the engines its requests are bounced by busy engines all the time, and so came first again and again; nobody else's turn came. Left: the engines are still sent more than they have places for.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -64,7 +64,11 @@
     pub(crate) exclude: Vec<UpstreamId>,
     /// Whether the request may run again.
     pub(crate) idempotent: bool,
-    /// Whether this is a later attempt: it has waited its turn already.
+    /// Whether an attempt before this one broke: the request has had its turn,
+    /// and its caller waits in the middle of an answer. One that only found an
+    /// engine busy goes back to the queue. Put before it, the requests of an
+    /// organisation that overloads the engines would bounce and come first
+    /// again and again, and nobody else would get a turn.
     pub(crate) resumed: bool,
     /// End of the request's time.
     pub(crate) deadline: Time,
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -224,7 +224,7 @@
             return Err((Unopened::Budget, Some(BUDGET_PAUSE)));
         }
         let pools = self.pools()?;
-        let placement = self.placement(attempt, resume, exclude, pools.clone());
+        let placement = self.placement(retry, resume, exclude, pools.clone());
         let Some((placed, path)) = self.find_path(placement).await? else {
             return Ok(Event::CallerLeft);
         };
@@ -296,7 +296,7 @@
 
     fn placement(
         &self,
-        attempt: u32,
+        retry: bool,
         resume: u32,
         exclude: Vec<UpstreamId>,
         pools: Arc<[String]>,
@@ -314,7 +314,7 @@
             prefix: self.job.prefix,
             exclude,
             idempotent: self.job.idempotent,
-            resumed: attempt > 1,
+            resumed: retry,
             deadline: self.job.deadline,
         }
     }
