--- a/src/serve.rs
+++ b/src/serve.rs
@@ -187,7 +187,8 @@
             .filter_map(|route| match &route.target {
                 crate::catalogue::Target::Model(model) => {
                     let bound = dispatcher.bound(now, model, &route.pools);
-                    Some((route.name.clone(), bound))
+                    // The sum over no engine is -0.0, which would read strangely.
+                    Some((route.name.clone(), bound + 0.0))
                 }
                 crate::catalogue::Target::Service(_) => None,
             })
