Say once what stood twice

From reading the whole change: duration to milliseconds (three copies), the feed as a message (also in a test), whom to ask for a group's leader and learning of another one (two loops of the proposer), the start of a job (completions and calls), and the model's name, which the prompt carried beside its job. Behaviour is the same; no test's assertion was changed.

--- a/src/claim/machine.rs
+++ b/src/claim/machine.rs
@@ -11,6 +11,7 @@
     DIGEST_LEN, FRESH, Id, LONGEST_STEP, Pending, RECORD_LEN, Record, State, head, id,
 };
 use crate::claim::usage::{Place, Usage};
+use crate::clock::millis;
 use crate::collections::HashMap;
 use crate::id::OrganisationId;
 
@@ -352,10 +353,6 @@
     }
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn is_live(records: &HashMap<Id, Record>, (index, id): Place) -> bool {
     records.get(&id).is_some_and(|record| record.index == index)
 }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -38,6 +38,11 @@
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
+/// A duration in whole milliseconds, as messages between processes carry it.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Source of [`Time`]. Random runs put a simulated clock here.
 pub trait Clock: Send + Sync {
     /// The current point in time.
--- a/src/message.rs
+++ b/src/message.rs
@@ -2,6 +2,7 @@
 
 use prost::{Message, Oneof};
 
+use crate::catalogue::Feed;
 use crate::{limit, replica};
 
 /// One frame on a connection between instances.
@@ -183,6 +184,26 @@
     pub voters: Vec<u64>,
 }
 
+impl FeedReply {
+    /// The message that carries `feed`.
+    pub(crate) fn new(feed: Feed, voters: Vec<u64>) -> Self {
+        let empty = Self {
+            voters,
+            ..Self::default()
+        };
+        match feed {
+            Feed::Snapshot(snapshot) => Self {
+                snapshot: snapshot.into(),
+                ..empty
+            },
+            Feed::Commands(commands) => Self {
+                commands: commands.into_iter().map(Command::from).collect(),
+                ..empty
+            },
+        }
+    }
+}
+
 /// A committed command.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct Command {
@@ -193,3 +214,12 @@
     #[prost(bytes = "bytes", tag = "2")]
     pub command: bytes::Bytes,
 }
+
+impl From<(u64, Vec<u8>)> for Command {
+    fn from((index, command): (u64, Vec<u8>)) -> Self {
+        Self {
+            index,
+            command: command.into(),
+        }
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,19 +4,17 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use bytes::Bytes;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::allocate::Allocation;
-use crate::catalogue::{Feed, Shared};
+use crate::catalogue::Shared;
 use crate::clock::Clock;
 use crate::confirm::Confirmations;
 use crate::id::InstanceId;
 use crate::limit;
 use crate::message::{
-    Answer, Ask, ChangeVoter, Command, FeedReply, Follow, GroupReply, Propose, Reply, Request,
-    VoterChanged,
+    Answer, Ask, ChangeVoter, FeedReply, Follow, GroupReply, Propose, Reply, Request, VoterChanged,
 };
 use crate::peer::{Handler, NoReply, Peers, ReplySink};
 use crate::replica::{self, Change, Peer, Role};
@@ -165,35 +163,12 @@
             return done(Answer::Unavailable(true));
         }
         let voters = reader.voters(CATALOGUE_GROUP);
-        done(Answer::Feed(reply(
-            reader.catalogue.feed(follow.have),
-            voters,
-        )));
+        let feed = reader.catalogue.feed(follow.have);
+        done(Answer::Feed(FeedReply::new(feed, voters)));
     };
     vote.confirmations.push(Box::new(read));
 }
 
-fn reply(feed: Feed, voters: Vec<u64>) -> FeedReply {
-    match feed {
-        Feed::Snapshot(snapshot) => FeedReply {
-            commands: Vec::new(),
-            snapshot: snapshot.into(),
-            voters,
-        },
-        Feed::Commands(commands) => FeedReply {
-            commands: commands
-                .into_iter()
-                .map(|(index, command)| Command {
-                    index,
-                    command: command.into(),
-                })
-                .collect(),
-            snapshot: Bytes::new(),
-            voters,
-        },
-    }
-}
-
 /// Grants shares, if this instance leads in one and the same term before and
 /// after a quorum has confirmed the leader. Then it led at the confirmation,
 /// and whoever leads later starts its allocator later than this grant's
--- a/src/propose.rs
+++ b/src/propose.rs
@@ -51,7 +51,13 @@
 
     /// Whom to ask for what only the leader does.
     pub(crate) fn target(&self) -> InstanceId {
-        self.leader().unwrap_or(self.node.voters()[0])
+        self.at_turn(0)
+    }
+
+    /// The leader, or while it isn't known one voter after the other.
+    fn at_turn(&self, turn: usize) -> InstanceId {
+        let voters = self.node.voters();
+        self.leader().unwrap_or(voters[turn % voters.len()])
     }
 
     /// Learns that `asked` doesn't lead, and who may; 0 when unknown.
@@ -66,8 +72,7 @@
         let end = Instant::now() + limit;
         let mut turn = 0;
         while Instant::now() < end {
-            let voters = self.node.voters();
-            let to = self.leader().unwrap_or(voters[turn % voters.len()]);
+            let to = self.at_turn(turn);
             let request = Request {
                 ask: Some(ask.clone()),
             };
@@ -101,8 +106,7 @@
         let mut failure = NotCommitted::Refused;
         let mut turn = 0;
         loop {
-            let voters = self.node.voters();
-            let voter = self.leader().unwrap_or(voters[turn % voters.len()]);
+            let voter = self.at_turn(turn);
             let request = Request {
                 ask: Some(Ask::Propose(Propose {
                     group: self.group,
@@ -115,17 +119,14 @@
                     self.leader.store(voter.0, Ordering::Relaxed);
                     return Ok(reply);
                 }
-                Ok(Ok(Some(Answer::NotLeader(hint)))) => {
-                    let hint = if hint == voter.0 { 0 } else { hint };
-                    self.leader.store(hint, Ordering::Relaxed);
-                }
-                Ok(Ok(Some(Answer::Unavailable(_)))) => self.leader.store(0, Ordering::Relaxed),
+                Ok(Ok(Some(Answer::NotLeader(hint)))) => self.moved(voter, hint),
+                Ok(Ok(Some(Answer::Unavailable(_)))) => self.moved(voter, 0),
                 _ => {
                     // The voter may have taken the command before it fell
                     // silent. Told "refused", a caller would believe that
                     // nothing happened.
                     failure = NotCommitted::Unknown;
-                    self.leader.store(0, Ordering::Relaxed);
+                    self.moved(voter, 0);
                 }
             }
             if Instant::now() + PAUSE >= end {
--- a/src/serve/complete.rs
+++ b/src/serve/complete.rs
@@ -11,7 +11,7 @@
 use super::Serving;
 use super::admit::Known;
 use super::claims::{ClaimKey, request_digest};
-use super::job::{Job, OUTPUT, Output, Prompt, Work};
+use super::job::{Job, OUTPUT, Output, Work};
 use super::listen::Received;
 use super::respond::{self, EVENTS, JSON};
 use crate::catalogue::{Route, Target};
@@ -84,7 +84,6 @@
             .enter(known, route, &completion, key.as_ref(), &used)
             .await
             .map_err(|answer| (answer, Some((completion.clone(), form))))?;
-        let (output, pieces) = mpsc::channel(OUTPUT);
         let job = Job {
             id: known.id,
             organisation: known.organisation.clone(),
@@ -99,14 +98,10 @@
             deadline: known.deadline,
             key,
             used,
-            work: Work::Engine(Prompt {
-                model: model.clone(),
-                text: completion.prompt.clone(),
-            }),
+            work: Work::Engine(completion.prompt.clone()),
             running: self.parts.gate.hold(),
         };
-        tokio::spawn(Arc::clone(self).generate(job, life, output));
-        Ok((completion, pieces))
+        Ok((completion, self.start(job, life)))
     }
 
     async fn enter(
--- a/src/serve/generate.rs
+++ b/src/serve/generate.rs
@@ -9,11 +9,11 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use super::job::{Job, Output, Work};
+use super::job::{Job, OUTPUT, Output, Work};
 use super::service;
 use super::{Held, Serving, stream};
 use crate::claim::{ClaimLease, Outcome as Settled};
-use crate::clock::Time;
+use crate::clock::{Time, millis};
 use crate::dispatch::{Placed, Placement, Unplaced};
 use crate::engine::{Cutoff, HttpEngine, Order, Stage};
 use crate::event;
@@ -74,8 +74,19 @@
 }
 
 impl Serving {
+    /// Starts a generation or call; its output comes piece by piece.
+    pub(crate) fn start(
+        self: &Arc<Self>,
+        job: Job,
+        life: Life<Claimed<Held>>,
+    ) -> mpsc::Receiver<Output> {
+        let (output, pieces) = mpsc::channel(OUTPUT);
+        tokio::spawn(Arc::clone(self).generate(job, life, output));
+        pieces
+    }
+
     /// Runs a generation to its final answer.
-    pub(crate) async fn generate(
+    async fn generate(
         self: Arc<Self>,
         job: Job,
         life: Life<Claimed<Held>>,
@@ -83,7 +94,7 @@
     ) {
         let settings = &self.parts.settings;
         let (layers, first) = match &job.work {
-            Work::Engine(prompt) => (self.layers(&prompt.model, &job.pools), settings.first),
+            Work::Engine(_) => (self.layers(&job.model, &job.pools), settings.first),
             Work::Call(_) => (SERVICE_LAYERS, settings.call),
         };
         let bounds = Bounds {
@@ -386,8 +397,8 @@
             request: self.job.id.to_string(),
             attempt,
             organisation: self.job.organisation.to_string(),
-            model: prompt.model.clone(),
-            prompt: prompt.text.clone(),
+            model: self.job.model.to_string(),
+            prompt: prompt.clone(),
             tokens: self.generation.tokens().to_vec(),
             limit: self.job.limit,
             priority: self.job.class as u8,
@@ -482,7 +493,3 @@
         end: stage.end,
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/serve/job.rs
+++ b/src/serve/job.rs
@@ -41,20 +41,12 @@
 
 /// What each attempt does.
 pub(crate) enum Work {
-    /// Sends the prompt to engines.
-    Engine(Prompt),
+    /// Sends this prompt to engines.
+    Engine(String),
     /// Calls a plain service.
     Call(Call),
 }
 
-/// What engines are asked.
-pub(crate) struct Prompt {
-    /// Name of the model.
-    pub(crate) model: String,
-    /// The caller's text.
-    pub(crate) text: String,
-}
-
 /// What a generation hands to the caller's side.
 #[derive(Debug)]
 pub(crate) enum Output {
--- a/src/serve/service.rs
+++ b/src/serve/service.rs
@@ -14,7 +14,7 @@
 
 use super::admit::Known;
 use super::claims::request_digest;
-use super::job::{Job, OUTPUT, Output, Work};
+use super::job::{Job, Output, Work};
 use super::listen::Received;
 use super::{Serving, respond};
 use crate::catalogue::Target;
@@ -102,7 +102,6 @@
         let life = self.claim(life, key.as_ref(), known.deadline).await?;
         let call = call(known, received, life.idempotent);
         let slot = Arc::clone(&call.slot);
-        let (output, pieces) = mpsc::channel(OUTPUT);
         let job = Job {
             id: known.id,
             organisation: known.organisation.clone(),
@@ -120,8 +119,7 @@
             work: Work::Call(call),
             running: self.parts.gate.hold(),
         };
-        tokio::spawn(Arc::clone(self).generate(job, life, output));
-        Ok((slot, pieces))
+        Ok((slot, self.start(job, life)))
     }
 }
 
--- a/src/tests/follow.rs
+++ b/src/tests/follow.rs
@@ -8,14 +8,14 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::catalogue::{
-    CatalogueMachine, Change, Class, Entry, EntryKey, Expect, Feed, Kind, Limits, Operation,
+    CatalogueMachine, Change, Class, Entry, EntryKey, Expect, Kind, Limits, Operation,
     Organisation, Outcome, Pool, Route, Shared, Target, digest,
 };
 use crate::clock::Time;
 use crate::follow::{Ask, Follower};
 use crate::id::InstanceId;
 use crate::lease::InForce;
-use crate::message::{Command, FeedReply};
+use crate::message::FeedReply;
 use crate::voter::Machine;
 
 const LEASE: Duration = Duration::from_secs(4);
@@ -77,22 +77,7 @@
     }
 
     fn feed(&self, have: u64) -> FeedReply {
-        match self.shared.feed(have) {
-            Feed::Snapshot(snapshot) => FeedReply {
-                snapshot: snapshot.into(),
-                ..FeedReply::default()
-            },
-            Feed::Commands(commands) => FeedReply {
-                commands: commands
-                    .into_iter()
-                    .map(|(index, command)| Command {
-                        index,
-                        command: command.into(),
-                    })
-                    .collect(),
-                ..FeedReply::default()
-            },
-        }
+        FeedReply::new(self.shared.feed(have), Vec::new())
     }
 }
 
--- a/src/upstream/dump.rs
+++ b/src/upstream/dump.rs
@@ -1,10 +1,8 @@
 //! Upstreams in the state dump.
 
-use std::time::Duration;
-
 use serde::Serialize;
 
-use crate::clock::Time;
+use crate::clock::{Time, millis};
 use crate::id::{Incarnation, InstanceId};
 use crate::upstream::entry::Entry;
 use crate::upstream::{Load, Registry, UpstreamState};
@@ -58,7 +56,3 @@
         }
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
