--- a/examples/commit.rs
+++ b/examples/commit.rs
@@ -86,6 +86,8 @@
             founders: (1..=self.cut.len() as u64).map(InstanceId).collect(),
             election: ELECTION,
             heartbeat: HEARTBEAT,
+            contacts: Vec::new(),
+            keep: 256,
             compact: 1000,
             seed: at as u64,
         };
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -17,6 +17,14 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(serve())
+        .subcommand(role(
+            "entry",
+            "Run an entry instance on the users' platform until SIGTERM",
+        ))
+        .subcommand(role(
+            "controller",
+            "Run a controller on the users' platform until SIGTERM",
+        ))
         .subcommand(check())
         .subcommand(catalogue())
         .subcommand(voters())
@@ -37,6 +45,42 @@
         .args(settings())
 }
 
+fn role(name: &'static str, about: &'static str) -> Command {
+    Command::new(name).about(about).args(role_settings())
+}
+
+fn role_settings() -> Vec<Arg> {
+    let boot = Arg::new("boot-file")
+        .long("boot-file")
+        .env(crate::platform::boot::PATH_VARIABLE)
+        .help("Settings file that the platform writes");
+    vec![
+        file(boot).required(true),
+        number(
+            setting(
+                "election-ms",
+                "LQ_ELECTION_MS",
+                "Least election timeout of the controllers",
+            ),
+            "600",
+        ),
+        number(
+            setting(
+                "poll-ms",
+                "LQ_POLL_MS",
+                "Period at which an entry instance asks the leading controller",
+            ),
+            "250",
+        ),
+        setting(
+            "metrics-port",
+            "LQ_METRICS_PORT",
+            "Port of this machine for metrics",
+        )
+        .value_parser(value_parser!(u16)),
+    ]
+}
+
 /// A setting: a flag with its environment variable.
 fn setting(name: &'static str, env: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).env(env).help(help)
--- /dev/null
+++ b/src/configuration/table.rs
@@ -0,0 +1,94 @@
+//! A configuration made ready for look-ups.
+
+use std::sync::Arc;
+
+use super::{Configuration, Organisation, Route, Service, Target};
+use crate::collections::HashMap;
+
+/// A checked configuration with its indexes.
+#[derive(Debug)]
+pub(crate) struct Table {
+    pub(crate) configuration: Configuration,
+    /// Routes by host in lower case, longest prefix first.
+    hosts: HashMap<String, Vec<usize>>,
+    /// Organisations by key.
+    keys: HashMap<String, usize>,
+    services: HashMap<String, usize>,
+}
+
+/// What a look-up by host and path found.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Found<'a> {
+    pub(crate) route: &'a Route,
+    /// Whom the key belongs to. `None` when there is no such key, or none is
+    /// needed.
+    pub(crate) organisation: Option<&'a Organisation>,
+    /// Whether the request may pass without a key.
+    pub(crate) open: bool,
+}
+
+impl Table {
+    pub(crate) fn new(configuration: Configuration) -> Arc<Self> {
+        let mut hosts: HashMap<String, Vec<usize>> = HashMap::default();
+        for (i, route) in configuration.routes.iter().enumerate() {
+            let host = route.host.to_ascii_lowercase();
+            hosts.entry(host).or_default().push(i);
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|&i| std::cmp::Reverse(configuration.routes[i].prefix.len()));
+        }
+        let mut keys = HashMap::default();
+        for (i, organisation) in configuration.organisations.iter().flatten().enumerate() {
+            keys.extend(organisation.keys.iter().map(|k| (k.clone(), i)));
+        }
+        let services = configuration.services.iter().enumerate();
+        let services = services.map(|(i, s)| (s.name.clone(), i)).collect();
+        Arc::new(Self {
+            configuration,
+            hosts,
+            keys,
+            services,
+        })
+    }
+
+    /// The route for a request, and whose it is.
+    pub(crate) fn find(&self, host: &str, path: &str, key: Option<&str>) -> Option<Found<'_>> {
+        let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        let routes = self.hosts.get(&host)?.iter();
+        let mut routes = routes.map(|&i| &self.configuration.routes[i]);
+        let route = routes.find(|r| path.starts_with(&r.prefix))?;
+        let organisations = self.configuration.organisations.as_deref();
+        let owner = key.and_then(|k| self.keys.get(k));
+        Some(Found {
+            route,
+            organisation: owner.and_then(|&i| organisations.map(|o| &o[i])),
+            open: route.public || organisations.is_none(),
+        })
+    }
+
+    /// The service of this name.
+    pub(crate) fn service(&self, name: &str) -> Option<&Service> {
+        let at = self.services.get(name)?;
+        Some(&self.configuration.services[*at])
+    }
+}
+
+impl Route {
+    /// The target for a request; `draw` lies in [0, 1).
+    pub(crate) fn target(&self, draw: f64) -> &Target {
+        let total: f64 = self.targets.iter().map(|t| t.weight).sum();
+        let mut left = draw * total;
+        let mut weighed = self.targets.iter().filter(|t| t.weight > 0.0);
+        let mut found = weighed
+            .next()
+            .expect("the weights sum up to more than zero");
+        for target in weighed {
+            if left < found.weight {
+                break;
+            }
+            left -= found.weight;
+            found = target;
+        }
+        found
+    }
+}
--- /dev/null
+++ b/src/controller/board.rs
@@ -0,0 +1,254 @@
+//! What the leading controller knows besides the replicated register: a state
+//! machine without I/O.
+//!
+//! It begins empty with each term of leadership and fills within a heartbeat
+//! period, as every upstream and every entry instance calls again.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::collections::HashMap;
+use crate::configuration::{Configuration, Model};
+use crate::decide::placement::{self, Worker};
+use crate::register::{Departed, Register, Versioned};
+use crate::roster::{Announcement, Entry, Heard, Range, Roster};
+use crate::sync::{Load, RosterRecord, State, Sync, UpstreamRecord};
+
+/// Heartbeat periods after which a new leader has heard every upstream that
+/// lives: an upstream whose call fails asks the next instance within a second.
+const COMPLETE_BEATS: f64 = 2.5;
+
+/// Time for which an entry instance's report counts. It reports several times
+/// in that time, so one that is silent for longer has lost its requests too.
+const REPORT: Duration = Duration::from_secs(2);
+
+/// Time for which a given order is taken to be under way. Loading a usual
+/// range takes one to four seconds; an order that was lost is given again.
+const ORDER: Duration = Duration::from_secs(6);
+
+/// Pause after an order that an engine refused.
+const REFUSED: Duration = Duration::from_millis(700);
+
+/// Departures that are told to entry instances: those of the last minutes.
+const TOLD_DEPARTED: usize = 64;
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Placement {
+    pub(crate) engine: Arc<str>,
+    pub(crate) born: u64,
+    pub(crate) address: SocketAddrV4,
+    pub(crate) range: Range,
+    /// Term of the leadership that gives it.
+    pub(crate) fence: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    born: u64,
+    range: Range,
+    until: Time,
+}
+
+struct Report {
+    at: Time,
+    loads: Vec<Load>,
+}
+
+/// State of one term of leadership.
+pub(crate) struct Board {
+    beat: Duration,
+    term: u64,
+    since: Time,
+    roster: Roster,
+    /// Departures of the register that the roster knows.
+    departed: u64,
+    reports: HashMap<u64, Report>,
+    pending: HashMap<Arc<str>, Pending>,
+}
+
+impl Board {
+    /// An empty board for upstreams that call every `beat`.
+    pub(crate) fn new(beat: Duration) -> Self {
+        Self {
+            beat,
+            term: 0,
+            since: Time::default(),
+            roster: Roster::new(beat),
+            departed: 0,
+            reports: HashMap::default(),
+            pending: HashMap::default(),
+        }
+    }
+
+    /// Enters `term`, with an empty board if it is a new one, and takes in
+    /// what the register has learnt.
+    pub(crate) fn lead(&mut self, now: Time, term: u64, register: &Register) {
+        if self.term != term {
+            *self = Self::new(self.beat);
+            self.term = term;
+            self.since = now;
+        }
+        let (departed, count) = register.departed_after(self.departed);
+        for start in departed {
+            self.roster.end(&start.id.as_str().into(), start.born);
+        }
+        self.departed = count;
+    }
+
+    /// Takes in an announcement of an upstream that isn't leaving.
+    pub(crate) fn hear(&mut self, now: Time, news: Announcement) -> Heard {
+        let pending = self.pending.get(&news.id);
+        let done = |p: &Pending| p.born != news.born || news.layers == Some(p.range);
+        if pending.is_some_and(done) {
+            self.pending.remove(&news.id);
+        }
+        self.roster.hear(now, news)
+    }
+
+    /// The upstream of this id.
+    pub(crate) fn upstream(&self, id: &str) -> Option<&Entry> {
+        self.roster.get(id)
+    }
+
+    /// Whether this start has left.
+    pub(crate) fn has_left(&self, id: &str, born: u64) -> bool {
+        self.roster.has_ended(id, born)
+    }
+
+    /// Lets time pass; returns the upstreams that were dropped.
+    pub(crate) fn tick(&mut self, now: Time) -> Vec<Arc<str>> {
+        self.reports.retain(|_, r| now.since(r.at) < REPORT);
+        self.pending.retain(|_, p| now < p.until);
+        self.roster.tick(now)
+    }
+
+    /// Whether every upstream that lives has been heard in this term.
+    fn is_complete(&self, now: Time) -> bool {
+        now.since(self.since) >= self.beat.mul_f64(COMPLETE_BEATS)
+    }
+
+    /// Answers an entry instance. `age` tells how old the confirmation of the
+    /// register by a quorum is.
+    pub(crate) fn sync(
+        &mut self,
+        now: Time,
+        ask: Sync,
+        age: Duration,
+        current: Option<Versioned>,
+        departed: Vec<Departed>,
+    ) -> State {
+        let instance = ask.instance;
+        let report = Report {
+            at: now,
+            loads: ask.loads,
+        };
+        self.reports.insert(instance, report);
+        let version = current.as_ref().map_or(0, |c| c.version);
+        let newer = current.filter(|c| c.version != ask.version);
+        // A roster that is incomplete is sent again once it isn't.
+        let revision = 2 * self.roster.revision() + u64::from(self.is_complete(now));
+        let known = (ask.term, ask.revision) == (self.term, revision);
+        State {
+            age: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
+            version,
+            body: newer.map(|c| c.body),
+            roster: (!known).then(|| self.record(now, revision, departed)),
+            loads: self.others(instance),
+            entries: self.reports.len() as u32,
+            voters: Vec::new(),
+        }
+    }
+
+    fn record(&self, now: Time, revision: u64, mut departed: Vec<Departed>) -> RosterRecord {
+        let list = self.roster.list();
+        RosterRecord {
+            term: self.term,
+            revision,
+            complete: self.is_complete(now),
+            upstreams: list.into_iter().map(UpstreamRecord::from).collect(),
+            departed: departed.split_off(departed.len().saturating_sub(TOLD_DEPARTED)),
+        }
+    }
+
+    /// What all entry instances but one have at work, by engine.
+    fn others(&self, instance: u64) -> Vec<Load> {
+        let mut sums: HashMap<u64, Load> = HashMap::default();
+        let others = self.reports.iter().filter(|(i, _)| **i != instance);
+        for load in others.flat_map(|(_, r)| &r.loads) {
+            let sum = sums.entry(load.engine).or_insert(Load {
+                engine: load.engine,
+                ..Load::default()
+            });
+            sum.memory += load.memory;
+            sum.requests += load.requests;
+            sum.entered += load.entered;
+        }
+        sums.into_values().collect()
+    }
+
+    /// Orders that the layers of the configuration's models need now.
+    pub(crate) fn orders(&mut self, now: Time, configuration: &Configuration) -> Vec<Placement> {
+        // Before all are heard, engines that hold layers seem to be missing.
+        if !self.is_complete(now) || !self.roster.is_settled(now) {
+            return Vec::new();
+        }
+        let services = configuration.services.iter();
+        let models: Vec<_> = services
+            .filter_map(|s| Some((s.name.as_str(), s.model.as_ref()?)))
+            .collect();
+        let orders = models.into_iter().flat_map(|(s, m)| self.place(s, m));
+        let orders: Vec<Placement> = orders.collect();
+        for order in &orders {
+            let pending = Pending {
+                born: order.born,
+                range: order.range,
+                until: now + ORDER,
+            };
+            self.pending.insert(order.engine.clone(), pending);
+        }
+        orders
+    }
+
+    fn place(&self, service: &str, model: &Model) -> Vec<Placement> {
+        let entries = self.roster.list().into_iter();
+        let members = entries.filter(|e| e.last.service == service);
+        let (entries, workers): (Vec<_>, Vec<_>) = members
+            .filter_map(|e| Some((e, self.worker(e, model)?)))
+            .unzip();
+        let moves = placement::plan(model, &workers);
+        let orders = moves.into_iter().map(|m| {
+            let last = &entries[m.worker].last;
+            Placement {
+                engine: last.id.clone(),
+                born: last.born,
+                address: last.address,
+                range: m.range,
+                fence: self.term,
+            }
+        });
+        orders.collect()
+    }
+
+    fn worker(&self, entry: &Entry, model: &Model) -> Option<Worker> {
+        let last = &entry.last;
+        let accelerator = model.accelerator(last.kind.as_deref()?)?;
+        let pending = self.pending.get(&last.id).filter(|p| p.born == last.born);
+        Some(Worker {
+            domain: last.domain.clone(),
+            size_mb: accelerator.size_mb,
+            step_factor: accelerator.step_factor,
+            held: pending.map(|p| p.range).or(last.layers),
+            busy: pending.is_some(),
+        })
+    }
+
+    /// Notes that an engine didn't take an order; it may get another soon.
+    pub(crate) fn refused(&mut self, now: Time, engine: &str) {
+        if let Some(pending) = self.pending.get_mut(engine) {
+            pending.until = now + REFUSED;
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/mod.rs
@@ -0,0 +1,373 @@
+//! The controller role: keeps the configuration on a replicated log, hears the
+//! upstreams, tells the entry instances, and orders which layers engines hold.
+
+use std::net::SocketAddrV4;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use snafu::ResultExt;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+use self::board::Board;
+use crate::auth::FleetKey;
+use crate::clock::{Clock, SystemClock, Time};
+use crate::configuration::Table;
+use crate::decide::members::{self, Seen};
+use crate::error::{ListenSnafu, Result, StartSnafu};
+use crate::event;
+use crate::http::{self, Bounds};
+use crate::id::InstanceId;
+use crate::message::{Answer, Ask, Reply, Request};
+use crate::peer::{self, Handler, Peers, ReplySink};
+use crate::platform::boot::Boot;
+use crate::register::{Register, Versioned};
+use crate::replica::{Message, Role};
+use crate::role::{self, RoleSettings};
+use crate::sync::{State, Sync};
+use crate::voter::{Lead, Voter, VoterSettings};
+
+pub(crate) mod board;
+mod call;
+mod place;
+
+/// The only group of the replicated log.
+const GROUP: u32 = 0;
+
+/// Heartbeats in one election timeout.
+const HEARTBEATS: u32 = 4;
+
+/// Applied commands between two snapshots. A configuration weighs tens of
+/// kilobytes, and a voter has a disk of 128 MB.
+const COMPACT: u64 = 24;
+
+/// Entries kept behind a snapshot for voters that lag a little.
+const KEEP: u64 = 8;
+
+/// Period at which the leader confirms with a quorum that it still leads.
+const CONFIRM: Duration = Duration::from_millis(200);
+
+/// Age of a confirmation from which a leader no longer answers entry
+/// instances: it may have been deposed, and they should ask another.
+const STALE: Duration = Duration::from_millis(800);
+
+/// Period of looking after members, upstreams and placement.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Time for which a process that ends still answers, so that its successor
+/// leads before callers find it gone.
+const LINGER: Duration = Duration::from_millis(400);
+
+/// A confirmation by a quorum.
+#[derive(Clone, Copy)]
+struct Confirmed {
+    /// When the confirmation began: all that was committed then is known.
+    at: Time,
+    term: u64,
+}
+
+/// One running controller.
+pub(crate) struct Controller {
+    boot: Boot,
+    control: SocketAddrV4,
+    clock: Arc<dyn Clock>,
+    voter: Voter,
+    register: Register,
+    board: Mutex<Board>,
+    confirmed: Mutex<Option<Confirmed>>,
+    /// The configuration in force, decoded.
+    table: Mutex<Option<Arc<Table>>>,
+    ending: AtomicBool,
+}
+
+/// Runs a controller until a signal.
+///
+/// # Errors
+///
+/// When the settings don't fit, or the log can't be opened or fails.
+pub(crate) fn run(settings: &RoleSettings) -> Result<()> {
+    let boot = settings.boot()?;
+    let runtime = role::runtime()?;
+    let stop = role::signals(&runtime, settings)?;
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let (controller, thread) = start(settings, boot, &clock, runtime.handle())?;
+    let watched = role::watch(thread);
+    role::started("controller", &controller.boot);
+    let ended = runtime.block_on(async {
+        tokio::select! {
+            () = stop.wait() => Ok(()),
+            failed = watched => failed,
+        }
+    });
+    if ended.is_ok() {
+        controller.ending.store(true, Ordering::Relaxed);
+        controller.voter.stop();
+        runtime.block_on(sleep(LINGER));
+    }
+    runtime.shutdown_background();
+    tracing::info!(event = event::STOPPED.id, "stopped");
+    ended
+}
+
+type VoterThread = std::thread::JoinHandle<Result<(), crate::store::StoreError>>;
+
+fn start(
+    settings: &RoleSettings,
+    boot: Boot,
+    clock: &Arc<dyn Clock>,
+    runtime: &Handle,
+) -> Result<(Arc<Controller>, VoterThread)> {
+    let control = role::required(boot.control, "a control address")?;
+    let key = FleetKey::new(role::FLEET_SECRET);
+    let peers = Peers::on_port(key.clone(), runtime.clone(), boot.ports.0);
+    let (register, machine) = Register::new();
+    let links = peers.clone();
+    let spawned = Voter::spawn(
+        voter_settings(settings, &boot)?,
+        vec![Box::new(machine)],
+        Box::new(move |to, message| links.send(to, message)),
+        Arc::clone(clock),
+    );
+    let (voter, thread) = spawned.map_err(|e| {
+        StartSnafu {
+            part: "voter",
+            reason: e.to_string(),
+        }
+        .build()
+    })?;
+    let controller = Arc::new(Controller {
+        control,
+        clock: Arc::clone(clock),
+        voter,
+        register,
+        board: Mutex::new(Board::new(boot.heartbeat)),
+        confirmed: Mutex::default(),
+        table: Mutex::default(),
+        ending: AtomicBool::new(false),
+        boot,
+    });
+    controller.listen(key, runtime)?;
+    runtime.spawn(Arc::clone(&controller).confirm());
+    runtime.spawn(Arc::clone(&controller).tend());
+    Ok((controller, thread))
+}
+
+/// The founders are the seeds of the very first start. A store that comes back
+/// empty later must not found: it would forget what it had promised.
+fn voter_settings(settings: &RoleSettings, boot: &Boot) -> Result<VoterSettings> {
+    let folder = role::required(boot.data.clone(), "a data folder")?;
+    let used = std::fs::read_dir(&folder).is_ok_and(|mut names| names.next().is_some());
+    let seeds: Vec<_> = boot.seeds.iter().map(|s| role::instance(*s.ip())).collect();
+    let founders = if boot.founding || used {
+        seeds.clone()
+    } else {
+        Vec::new()
+    };
+    Ok(VoterSettings {
+        instance: role::instance(boot.ip),
+        folder,
+        founders,
+        contacts: seeds,
+        election: settings.election,
+        heartbeat: settings.election / HEARTBEATS,
+        compact: COMPACT,
+        keep: KEEP,
+        seed: rand::random(),
+    })
+}
+
+impl Controller {
+    fn listen(self: &Arc<Self>, key: FleetKey, runtime: &Handle) -> Result<()> {
+        let addr = SocketAddrV4::new(self.boot.ip, self.boot.ports.0).into();
+        let role = "instances";
+        let peers = role::bind(addr).context(ListenSnafu { addr, role })?;
+        let addr = self.control.into();
+        let role = "operators and upstreams";
+        let control = role::bind(addr).context(ListenSnafu { addr, role })?;
+        let _guard = runtime.enter();
+        let peers = tokio::net::TcpListener::from_std(peers);
+        let peers = peers.context(ListenSnafu { addr, role })?;
+        runtime.spawn(peer::serve(peers, key, Arc::new(Link(Arc::clone(self)))));
+        let controller = Arc::clone(self);
+        let bounds = Bounds {
+            head: call::MAX_HEAD,
+            receive: call::IDLE,
+        };
+        runtime.spawn(http::accept(control, bounds, move |request| {
+            Arc::clone(&controller).answer(request)
+        }));
+        Ok(())
+    }
+
+    fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    fn lead(&self) -> Lead {
+        self.voter.lead(GROUP)
+    }
+
+    fn board(&self) -> MutexGuard<'_, Board> {
+        self.board.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The board of the current term, if this controller leads.
+    fn leading(&self) -> Option<MutexGuard<'_, Board>> {
+        let term = self.lead().term?;
+        let mut board = self.board();
+        board.lead(self.now(), term, &self.register);
+        Some(board)
+    }
+
+    /// Confirms over and over that all that is committed is known here.
+    async fn confirm(self: Arc<Self>) {
+        loop {
+            let at = self.now();
+            let before = self.lead().term;
+            if let Some(term) = before
+                && self.read().await
+                && self.lead().term == before
+            {
+                let confirmed = Some(Confirmed { at, term });
+                *self
+                    .confirmed
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner) = confirmed;
+            }
+            sleep(CONFIRM).await;
+        }
+    }
+
+    /// Whether a quorum confirmed that all committed before is applied here.
+    async fn read(&self) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let done = move |read: std::result::Result<u64, _>| {
+            let _ = reply.send(read.is_ok());
+        };
+        self.voter.read(GROUP, Box::new(done));
+        answer.await.unwrap_or(false)
+    }
+
+    /// Age of the latest confirmation of this term.
+    fn age(&self) -> Option<Duration> {
+        let term = self.lead().term?;
+        let confirmed = self
+            .confirmed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let confirmed = confirmed.filter(|c| c.term == term)?;
+        let age = self.now().since(confirmed.at);
+        (age < STALE).then_some(age)
+    }
+
+    /// Looks after members, upstreams and placement while leading.
+    async fn tend(self: Arc<Self>) {
+        loop {
+            sleep(TICK).await;
+            if self.lead().term.is_none() {
+                continue;
+            }
+            self.tend_members();
+            self.tend_upstreams();
+        }
+    }
+
+    fn tend_members(&self) {
+        let Some(status) = self.voter.status().into_iter().find(|s| s.group == GROUP) else {
+            return;
+        };
+        let silence = |peer| status.silences.iter().find(|(p, _)| *p == peer);
+        let voting = status.members.iter().filter(|m| m.role() == Role::Voter);
+        let voters: Vec<Seen> = voting
+            .map(|m| Seen {
+                peer: m.peer(),
+                silent: silence(m.peer()).map_or(Duration::ZERO, |s| Duration::from_millis(s.1)),
+            })
+            .collect();
+        let wanted = members::wanted(self.boot.tolerated);
+        if let Some(change) = members::next(&voters, &status.strangers, wanted) {
+            let done = move |outcome: std::result::Result<(), _>| match outcome {
+                Ok(()) => tracing::info!(event = event::VOTER_CHANGED.id, ?change, "voter changed"),
+                Err(e) => tracing::debug!(?change, "voter not changed: {e}"),
+            };
+            self.voter.change_member(GROUP, change, Box::new(done));
+        }
+    }
+
+    fn tend_upstreams(self: &Arc<Self>) {
+        let Some(mut board) = self.leading() else {
+            return;
+        };
+        let now = self.now();
+        for id in board.tick(now) {
+            tracing::warn!(event = event::UPSTREAM_LOST.id, upstream = %id, "no heartbeats");
+        }
+        let Some(table) = self.table() else { return };
+        // A leader that isn't sure to lead gives no orders: its fence is old.
+        if self.age().is_none() {
+            return;
+        }
+        let orders = board.orders(now, &table.configuration);
+        drop(board);
+        for order in orders {
+            tokio::spawn(Arc::clone(self).place(order));
+        }
+    }
+
+    /// The configuration in force, decoded.
+    fn table(&self) -> Option<Arc<Table>> {
+        let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        let version = table.as_ref().map_or(0, |t| t.configuration.version);
+        if self.register.version() != version {
+            let Versioned { body, .. } = self.register.current()?;
+            // Only what was decoded and checked is ever proposed.
+            let decoded = crate::platform::configuration::decode(&body);
+            *table = decoded.ok().map(Table::new);
+        }
+        table.clone()
+    }
+
+    /// Answers an entry instance, or names the leader.
+    fn sync(&self, ask: Sync) -> Answer {
+        let (Some(age), Some(mut board)) = (self.age(), self.leading()) else {
+            return Answer::NotLeader(self.lead().leader.map_or(0, |l| l.0));
+        };
+        let current = self.register.current();
+        let (departed, _) = self.register.departed_after(0);
+        let state = board.sync(self.now(), ask, age, current, departed);
+        drop(board);
+        let status = self.voter.status();
+        let members = status.iter().flat_map(|s| &s.members);
+        Answer::State(State {
+            voters: members.map(|m| m.id).collect(),
+            ..state
+        })
+    }
+}
+
+/// Takes what other instances send.
+struct Link(Arc<Controller>);
+
+impl Handler for Link {
+    fn deliver(&self, message: Message) {
+        self.0.voter.deliver(message);
+    }
+
+    fn request(&self, request: Request, reply: ReplySink) {
+        let answer = match request.ask {
+            Some(Ask::Sync(ask)) => self.0.sync(ask),
+            _ => Answer::Unavailable(true),
+        };
+        reply.send(Reply {
+            answer: Some(answer),
+        });
+    }
+}
+
+/// Number of the instance behind a control address.
+pub(crate) fn control_of(leader: InstanceId, port: u16) -> Option<SocketAddrV4> {
+    let ip = u32::try_from(leader.0).ok()?;
+    Some(SocketAddrV4::new(ip.into(), port))
+}
--- /dev/null
+++ b/src/decide/health.rs
@@ -0,0 +1,67 @@
+//! Which upstreams are avoided for a while because requests failed there.
+//!
+//! Load pattern: an engine dies or turns bad while its heartbeats still look
+//! good for some seconds, and every request that is sent there meanwhile is
+//! lost time. It is left out at once, for a short time that doubles with each
+//! further failure, so that one lost answer costs little and a dead engine is
+//! asked rarely.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::collections::HashMap;
+
+/// Time out after a first failure: about two heartbeats' worth of waiting for
+/// the controller to notice a dead engine.
+const FIRST_OUT: Duration = Duration::from_millis(1_500);
+
+/// Longest time out. A recovered engine is found again within it.
+const MOST_OUT: Duration = Duration::from_secs(6);
+
+/// Time without a failure after which earlier ones are forgotten.
+const FORGET: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    failures: u32,
+    last: Time,
+    until: Time,
+}
+
+/// Failures by address key.
+#[derive(Debug, Default)]
+pub(crate) struct Health(HashMap<u64, Record>);
+
+impl Health {
+    /// Whether an upstream is left out now.
+    pub(crate) fn is_out(&self, now: Time, upstream: u64) -> bool {
+        self.0.get(&upstream).is_some_and(|r| now < r.until)
+    }
+
+    /// Notes a failure.
+    pub(crate) fn failed(&mut self, now: Time, upstream: u64) {
+        let record = self.0.entry(upstream).or_insert(Record {
+            failures: 0,
+            last: now,
+            until: now,
+        });
+        // Requests that were under way when it was left out fail late; they
+        // say nothing new.
+        if now < record.until {
+            return;
+        }
+        if now.since(record.last) >= FORGET {
+            record.failures = 0;
+        }
+        let out = FIRST_OUT.saturating_mul(1 << record.failures.min(8));
+        record.failures += 1;
+        record.last = now;
+        record.until = now + out.min(MOST_OUT);
+    }
+
+    /// Upstreams that are left out now.
+    pub(crate) fn out(&self, now: Time) -> Vec<u64> {
+        let out = self.0.iter().filter(|(_, r)| now < r.until);
+        out.map(|(&upstream, _)| upstream).collect()
+    }
+}
--- /dev/null
+++ b/src/decide/load.rs
@@ -0,0 +1,128 @@
+//! What each engine has at work: this instance's own requests exactly, those
+//! of the others as last told.
+//!
+//! Load pattern: several instances share the engines and each sees only its
+//! own requests at once. An engine whose memory runs out interrupts the newest
+//! request in the middle of its stream, so the sum must be known before a
+//! request is placed, not after it has failed.
+
+use crate::collections::HashMap;
+use crate::configuration::{Accelerator, Model};
+use crate::decide::path::{Hop, Work};
+use crate::roster::Range;
+use crate::sync::Load;
+
+/// Share of the memory for requests that is given out. The rest covers what
+/// other instances have placed since their last report, and answers that grow
+/// longer than expected.
+const FILL: f64 = 0.92;
+
+/// Work at one engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Use {
+    /// Memory that the requests are expected to take, in megabytes.
+    pub(crate) memory: f64,
+    /// Requests that pass through it.
+    pub(crate) requests: f64,
+    /// Requests that it received as the first engine.
+    pub(crate) entered: f64,
+}
+
+/// Work at all engines, by address key.
+#[derive(Debug, Default)]
+pub(crate) struct Loads {
+    own: HashMap<u64, Use>,
+    others: HashMap<u64, Use>,
+}
+
+impl Loads {
+    /// Work at an engine.
+    pub(crate) fn at(&self, engine: u64) -> Use {
+        let own = self.own.get(&engine).copied().unwrap_or_default();
+        let others = self.others.get(&engine).copied().unwrap_or_default();
+        Use {
+            memory: own.memory + others.memory,
+            requests: own.requests + others.requests,
+            entered: own.entered + others.entered,
+        }
+    }
+
+    /// Books a request that this instance sends; [`Loads::leave`] with the
+    /// same arguments ends it.
+    pub(crate) fn enter(&mut self, path: &[(u64, Hop)], work: &Work) {
+        self.book(path, work, 1.0);
+    }
+
+    /// Ends what [`Loads::enter`] booked.
+    pub(crate) fn leave(&mut self, path: &[(u64, Hop)], work: &Work) {
+        self.book(path, work, -1.0);
+        // Sums of fractions don't come back to zero by themselves.
+        self.own.retain(|_, u| u.requests > 0.5);
+    }
+
+    fn book(&mut self, path: &[(u64, Hop)], work: &Work, sign: f64) {
+        for (at, (engine, hop)) in path.iter().enumerate() {
+            let used = self.own.entry(*engine).or_default();
+            used.memory += sign * work.memory(hop.range.len());
+            used.requests += sign;
+            used.entered += if at == 0 { sign } else { 0.0 };
+        }
+    }
+
+    /// Replaces what is known of the other instances.
+    pub(crate) fn learn(&mut self, loads: &[Load]) {
+        self.others = loads.iter().map(|l| (l.engine, Use::from(l))).collect();
+    }
+
+    /// This instance's own work, to be told.
+    pub(crate) fn report(&self) -> Vec<Load> {
+        let own = self.own.iter();
+        own.map(|(&engine, used)| Load {
+            engine,
+            memory: used.memory.max(0.0).round() as u32,
+            requests: used.requests.max(0.0).round() as u32,
+            entered: used.entered.max(0.0).round() as u32,
+        })
+        .collect()
+    }
+}
+
+impl From<&Load> for Use {
+    fn from(load: &Load) -> Self {
+        Self {
+            memory: f64::from(load.memory),
+            requests: f64::from(load.requests),
+            entered: f64::from(load.entered),
+        }
+    }
+}
+
+/// Speed and room of an engine under its present load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Speed {
+    /// Milliseconds of a step for one layer.
+    pub(crate) step_ms: f64,
+    /// Milliseconds for one layer to read one prompt token.
+    pub(crate) read_ms: f64,
+    /// Memory for requests that is left, in megabytes.
+    pub(crate) room_mb: f64,
+    /// Share of the memory for requests that is in use.
+    pub(crate) used: f64,
+}
+
+impl Speed {
+    /// Of an engine that holds `range` of `model` on `accelerator`.
+    pub(crate) fn new(model: &Model, accelerator: &Accelerator, range: Range, load: Use) -> Self {
+        let layers = f64::from(model.layers);
+        let held = f64::from(range.len());
+        let memory = (accelerator.size_mb - held * model.layer_mb).max(0.0) * FILL;
+        let context = load.memory / (model.token_mb * held);
+        let step = model.step_ms + model.sequence_ms * load.requests + model.context_ms * context;
+        Self {
+            step_ms: accelerator.step_factor * step / layers,
+            read_ms: accelerator.read_factor * model.read_ms / layers,
+            room_mb: memory - load.memory,
+            used: (load.memory / memory.max(1.0)).min(1.0),
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,14 @@
+//! Decisions under load and failure, apart from I/O.
+//!
+//! Each module answers one load pattern, named in its head, and gives the
+//! reason for its limits.
+
+pub(crate) mod allowance;
+pub(crate) mod health;
+pub(crate) mod load;
+pub(crate) mod members;
+pub(crate) mod path;
+pub(crate) mod pick;
+pub(crate) mod placement;
+pub(crate) mod refusal;
+pub(crate) mod retry;
--- /dev/null
+++ b/src/decide/path.rs
@@ -0,0 +1,267 @@
+//! Choice of a path: which engines run which layers of a request.
+//!
+//! Load pattern: many requests a second over engines that differ twentyfold in
+//! speed, where each engine's memory, not its speed, bounds how many requests
+//! pass through it at once. The path with the least expected time is taken
+//! among those with room. Times grow with the work that is under way, so load
+//! spreads; engines in other failure domains cost extra, as all traffic
+//! between domains shares one narrow link.
+
+use std::collections::BTreeSet;
+
+use crate::roster::Range;
+
+/// Cost of a token's passing into another failure domain, in milliseconds.
+/// The delay itself is a quarter; the rest keeps the shared link for requests
+/// that have no whole path at home: it carries about 46,000 tokens a second,
+/// less than one crossing of all prompt tokens of a busy second.
+const CROSSING_MS: f64 = 6.0;
+
+/// Cost of a first engine outside the caller's domain, in milliseconds a
+/// request.
+const ENTRY_MS: f64 = 1.0;
+
+/// Cost of each engine in a path, in milliseconds a token: the way there and
+/// the wait for a pass that runs.
+const HOP_MS: f64 = 0.15;
+
+/// Tokens of a prompt that an engine reads in one pass.
+const CHUNK: f64 = 512.0;
+
+/// Share of an engine's room from which its use is discouraged.
+const TIGHT: f64 = 0.7;
+
+/// An engine that a path may use.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Candidate {
+    /// Layers that it holds.
+    pub(crate) range: Range,
+    /// Number of its failure domain.
+    pub(crate) domain: usize,
+    /// Milliseconds of a step for one layer under the present load.
+    pub(crate) step_ms: f64,
+    /// Milliseconds for one layer to read one prompt token.
+    pub(crate) read_ms: f64,
+    /// Memory for requests that is left, in megabytes.
+    pub(crate) room_mb: f64,
+    /// Share of the memory for requests that is in use.
+    pub(crate) used: f64,
+    /// Whether it takes another request as the first engine.
+    pub(crate) enters: bool,
+    /// Factor on its cost; above 1 for engines that are avoided.
+    pub(crate) penalty: f64,
+}
+
+/// What a request asks of a path.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Work {
+    /// Prompt tokens.
+    pub(crate) prompt: f64,
+    /// Expected tokens of the answer.
+    pub(crate) answer: f64,
+    /// Memory that a token takes in one layer, in megabytes.
+    pub(crate) token_mb: f64,
+    /// Failure domain of the caller.
+    pub(crate) home: usize,
+}
+
+impl Work {
+    /// Memory that the request takes in `layers` layers, in megabytes.
+    pub(crate) fn memory(&self, layers: u32) -> f64 {
+        (self.prompt + self.answer) * self.token_mb * f64::from(layers)
+    }
+}
+
+/// One engine's part of a path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Hop {
+    /// Index of the candidate.
+    pub(crate) engine: usize,
+    pub(crate) range: Range,
+}
+
+/// Why there is no path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoPath {
+    /// No engine holds this layer.
+    Missing(u32),
+    /// Every engine with some layer is full.
+    Full,
+}
+
+/// The cheapest way on from one layer boundary.
+#[derive(Clone, Copy)]
+struct Way {
+    cost: f64,
+    engine: usize,
+    /// Index of the boundary that it leads to.
+    to: usize,
+}
+
+/// The path with the least expected time through layers 0 to `layers`.
+///
+/// `noise` gives a factor near 1 for each candidate: instances that see the
+/// same report would all pick the same engines without it.
+pub(crate) fn choose(
+    layers: u32,
+    candidates: &[Candidate],
+    work: &Work,
+    noise: impl Fn(usize) -> f64,
+) -> Result<Vec<Hop>, NoPath> {
+    let cuts = boundaries(layers, candidates);
+    let domains = candidates.iter().map(|c| c.domain + 1).max().unwrap_or(0);
+    let last = cuts.len() - 1;
+    // Cheapest way on from each boundary, by the domain of the engine before.
+    let mut best: Vec<Vec<Option<Way>>> = vec![vec![None; domains]; cuts.len()];
+    let mut enter: Option<Way> = None;
+    for at in (0..last).rev() {
+        for (i, candidate) in candidates.iter().enumerate() {
+            if !candidate.range.holds(cuts[at]) || (at == 0 && !candidate.enters) {
+                continue;
+            }
+            let Some(way) = way_on(i, candidate, at, &cuts, &best, work, noise(i)) else {
+                continue;
+            };
+            if at == 0 {
+                let far = if candidate.domain == work.home {
+                    0.0
+                } else {
+                    ENTRY_MS
+                };
+                improve(
+                    &mut enter,
+                    Way {
+                        cost: way.cost + far,
+                        ..way
+                    },
+                );
+                continue;
+            }
+            for (domain, slot) in best[at].iter_mut().enumerate() {
+                let crossing = if domain == candidate.domain {
+                    0.0
+                } else {
+                    CROSSING_MS
+                };
+                let cost = way.cost + crossing * (work.answer + work.prompt / CHUNK);
+                improve(slot, Way { cost, ..way });
+            }
+        }
+    }
+    let Some(first) = enter else {
+        return Err(missing(layers, candidates));
+    };
+    Ok(merge(follow(first, candidates, &cuts, &best)))
+}
+
+fn boundaries(layers: u32, candidates: &[Candidate]) -> Vec<u32> {
+    let ends = candidates.iter().flat_map(|c| [c.range.first, c.range.end]);
+    let inner = ends.filter(|&cut| 0 < cut && cut < layers);
+    let cuts: BTreeSet<u32> = inner.chain([0, layers]).collect();
+    cuts.into_iter().collect()
+}
+
+/// The cheapest way on from boundary `at` through one engine.
+fn way_on(
+    engine: usize,
+    candidate: &Candidate,
+    at: usize,
+    cuts: &[u32],
+    best: &[Vec<Option<Way>>],
+    work: &Work,
+    noise: f64,
+) -> Option<Way> {
+    let last = cuts.len() - 1;
+    let crowd = 1.0 + 2.0 * ((candidate.used - TIGHT).max(0.0) / (1.0 - TIGHT));
+    let factor = candidate.penalty * crowd * noise;
+    let layer = candidate.step_ms * work.answer + candidate.read_ms * work.prompt;
+    let hop = HOP_MS * (work.answer + work.prompt / CHUNK);
+    let mut found: Option<Way> = None;
+    for to in at + 1..=last {
+        let passed = cuts[to] - cuts[at];
+        if cuts[to] > candidate.range.end || work.memory(passed) > candidate.room_mb {
+            break;
+        }
+        let rest = if to == last {
+            0.0
+        } else {
+            match best[to][candidate.domain] {
+                Some(way) => way.cost,
+                None => continue,
+            }
+        };
+        let cost = (layer * f64::from(passed) + hop) * factor + rest;
+        improve(&mut found, Way { cost, engine, to });
+    }
+    found
+}
+
+fn improve(slot: &mut Option<Way>, way: Way) {
+    if slot.is_none_or(|s| way.cost < s.cost) {
+        *slot = Some(way);
+    }
+}
+
+fn follow(
+    first: Way,
+    candidates: &[Candidate],
+    cuts: &[u32],
+    best: &[Vec<Option<Way>>],
+) -> Vec<Hop> {
+    let mut hops = Vec::new();
+    let mut at = 0;
+    let mut next = Some(first);
+    while let Some(way) = next {
+        let range = Range::new(cuts[at], cuts[way.to]);
+        hops.push(Hop {
+            engine: way.engine,
+            range,
+        });
+        at = way.to;
+        next = best[at]
+            .get(candidates[way.engine].domain)
+            .copied()
+            .flatten();
+    }
+    hops
+}
+
+/// Joins the parts of an engine that comes twice. It holds all layers between
+/// them, and a path may name an engine only once.
+fn merge(hops: Vec<Hop>) -> Vec<Hop> {
+    let mut merged: Vec<Hop> = Vec::with_capacity(hops.len());
+    for hop in hops {
+        match merged.iter().position(|h| h.engine == hop.engine) {
+            Some(at) => {
+                merged.truncate(at + 1);
+                merged[at].range.end = hop.range.end;
+            }
+            None => merged.push(hop),
+        }
+    }
+    merged
+}
+
+fn missing(layers: u32, candidates: &[Candidate]) -> NoPath {
+    let held = |layer| candidates.iter().any(|c| c.range.holds(layer));
+    match (0..layers).find(|&l| !held(l)) {
+        Some(layer) => NoPath::Missing(layer),
+        None => NoPath::Full,
+    }
+}
+
+/// Whether the hops cover every layer once and in order, each on an engine of
+/// its own that holds it.
+pub(crate) fn is_whole(layers: u32, candidates: &[Candidate], hops: &[Hop]) -> bool {
+    let mut at = 0;
+    for (i, hop) in hops.iter().enumerate() {
+        let held = candidates[hop.engine].range;
+        let inside = held.first <= hop.range.first && hop.range.end <= held.end;
+        let again = hops[..i].iter().any(|h| h.engine == hop.engine);
+        if hop.range.first != at || !inside || again {
+            return false;
+        }
+        at = hop.range.end;
+    }
+    at == layers
+}
--- /dev/null
+++ b/src/decide/refusal.rs
@@ -0,0 +1,49 @@
+//! When a refused client should come back.
+//!
+//! Load pattern: a burst or a lost engine leaves more requests than room, and
+//! all that are refused would come back at the same moment. Each is told
+//! another time, spread over the time in which room comes free: a refused
+//! request that returns too early is refused again, and one that returns late
+//! waits for nothing.
+
+use std::time::Duration;
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reason {
+    /// No configuration is known here yet, or its lease has run out.
+    NoConfiguration,
+    /// No upstream that is up can serve it.
+    NoUpstream,
+    /// Every upstream that could serve it is full.
+    Full,
+    /// Each attempt was refused by an upstream, or found none.
+    NotRun,
+}
+
+impl Reason {
+    /// Stable code for logs and bodies.
+    pub(crate) fn code(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoUpstream => "no_upstream",
+            Self::Full => "full",
+            Self::NotRun => "not_run",
+        }
+    }
+}
+
+/// Time after which a refused client should come back. `draw` lies in [0, 1).
+///
+/// The ranges: a lease or a leader comes back within about a second; lost
+/// layers are loaded again in two to four; a request holds its room for about
+/// three seconds, so a third of the room is free after one.
+pub(crate) fn come_back(reason: Reason, draw: f64) -> Duration {
+    let (least, most) = match reason {
+        Reason::NoConfiguration => (0.4, 1.2),
+        Reason::NoUpstream => (1.0, 3.0),
+        Reason::Full => (0.6, 2.4),
+        Reason::NotRun => (0.3, 1.0),
+    };
+    Duration::from_secs_f64(least + (most - least) * draw)
+}
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -189,7 +189,15 @@
 impl Connection {
     /// Connects; an error proves that nothing has left.
     pub(crate) async fn open(addr: SocketAddr) -> Result<Self, EngineError> {
-        let connected = timeout(CONNECT, TcpStream::connect(addr)).await;
+        Self::open_within(addr, CONNECT).await
+    }
+
+    /// As [`Connection::open`], within `limit`.
+    pub(crate) async fn open_within(
+        addr: SocketAddr,
+        limit: Duration,
+    ) -> Result<Self, EngineError> {
+        let connected = timeout(limit, TcpStream::connect(addr)).await;
         let Ok(Ok(stream)) = connected else {
             return ConnectSnafu.fail();
         };
--- /dev/null
+++ b/src/entry/attempt.rs
@@ -0,0 +1,345 @@
+//! One request on its way through its attempts.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use tokio::time::timeout;
+
+use super::Entry;
+use super::body::Body;
+use super::head;
+use super::listen::{failure, refuse};
+use super::select::Chosen;
+use crate::clock::{Time, millis};
+use crate::configuration::{Repeat, Route, Table};
+use crate::decide::path::Work;
+use crate::decide::refusal::Reason;
+use crate::decide::retry::{self, Failure, Next, Tries};
+use crate::engine::{Answer, Connection, Cutoff};
+use crate::event;
+use crate::platform::headers;
+use crate::sync::address_key;
+
+/// Longest time to connect to an upstream. A connection takes one to two
+/// milliseconds; a lost packet would be sent again after a second, and another
+/// upstream can be asked sooner.
+const CONNECT: Duration = Duration::from_millis(250);
+
+/// Objectives for which the first sign of an answer is awaited, where the
+/// request may be sent elsewhere. An engine that waits for a dead one behind it
+/// says so only after seconds.
+const PATIENCE: u32 = 2;
+
+/// A request that was looked up.
+pub(super) struct Call {
+    /// Id that the client gave this attempt of its own.
+    pub(super) attempt: String,
+    pub(super) route: Route,
+    pub(super) service: String,
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    /// As upstreams get them, but for those that differ by attempt.
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) work: Work,
+    pub(super) began: Time,
+    /// Time from `began` until the answer must be there.
+    pub(super) time: Duration,
+}
+
+/// An attempt that was answered, as far as its head.
+pub(super) struct Opened {
+    pub(super) answer: Answer,
+    pub(super) chosen: Chosen,
+}
+
+/// Why there is no answer from an upstream.
+pub(super) enum Final {
+    /// It did not run.
+    Refuse(Reason),
+    /// It may have run.
+    Fail,
+    /// The time is over.
+    Late,
+    /// An upstream ran it and answered with a failure.
+    Pass(Box<Opened>),
+}
+
+/// A request with what became of its attempts.
+pub(super) struct Run {
+    pub(super) entry: Arc<Entry>,
+    pub(super) table: Arc<Table>,
+    pub(super) call: Call,
+    tries: Tries,
+    /// Upstreams at which it failed.
+    tried: Vec<u64>,
+    /// Id of the last event that the caller has, on a stream.
+    pub(super) last: Option<u64>,
+}
+
+/// How one attempt ended.
+enum Outcome {
+    Answered(Opened),
+    /// The upstream's own failure, which may be tried elsewhere.
+    Error(Opened),
+    Failed {
+        failure: Failure,
+        /// Who is at fault, if known.
+        culprit: Option<u64>,
+        cause: &'static str,
+    },
+}
+
+impl Run {
+    pub(super) fn new(entry: Arc<Entry>, table: Arc<Table>, call: Call) -> Self {
+        entry.shared().allowance.request(call.began, &call.service);
+        let last = head::number(&call.headers, headers::LAST_EVENT);
+        Self {
+            entry,
+            table,
+            call,
+            tries: Tries::default(),
+            tried: Vec::new(),
+            last,
+        }
+    }
+
+    /// Time left.
+    pub(super) fn left(&self) -> Duration {
+        let passed = self.entry.now().since(self.call.began);
+        self.call.time.saturating_sub(passed)
+    }
+
+    /// Makes attempts until one is answered with a usable head.
+    pub(super) async fn open(&mut self) -> Result<Opened, Final> {
+        loop {
+            let left = self.left();
+            if left.is_zero() {
+                return Err(self.late());
+            }
+            let chosen = match self.choose() {
+                Ok(chosen) => chosen,
+                Err(reason) => return Err(self.nowhere(reason)),
+            };
+            let first = chosen.upstream.key;
+            let outcome = match timeout(left, self.attempt(chosen)).await {
+                Ok(outcome) => outcome,
+                Err(_) => {
+                    self.tries.count(Failure::Unknown);
+                    return Err(Final::Late);
+                }
+            };
+            match outcome {
+                Outcome::Answered(opened) => return Ok(opened),
+                Outcome::Error(opened) => {
+                    self.tried.push(first);
+                    if self.fail(Failure::Answered, "upstream_error") != Next::Again {
+                        return Err(Final::Pass(Box::new(opened)));
+                    }
+                }
+                Outcome::Failed {
+                    failure,
+                    culprit,
+                    cause,
+                } => {
+                    self.blame(culprit);
+                    match self.fail(failure, cause) {
+                        Next::Again => {}
+                        Next::Refuse => return Err(Final::Refuse(Reason::NotRun)),
+                        Next::Pass | Next::Fail => return Err(Final::Fail),
+                    }
+                }
+            }
+        }
+    }
+
+    fn choose(&self) -> Result<Chosen, Reason> {
+        let view = self.entry.view();
+        let service = self.table.service(&self.call.service);
+        let model = service.and_then(|s| s.model.as_ref());
+        self.entry.choose(
+            &view,
+            &self.call.service,
+            model,
+            self.call.work,
+            &self.tried,
+        )
+    }
+
+    /// Leaves an upstream out, for this request and for others.
+    pub(super) fn blame(&mut self, culprit: Option<u64>) {
+        if let Some(culprit) = culprit {
+            self.tried.push(culprit);
+            self.entry.suspect(self.entry.now(), culprit);
+        }
+    }
+
+    /// Counts a failed attempt and decides what comes next.
+    pub(super) fn fail(&mut self, failure: Failure, cause: &'static str) -> Next {
+        self.tries.count(failure);
+        let route = &self.call.route;
+        let left = self.left();
+        let mut next = retry::next(route.repeat, route.attempts, self.tries, failure, left);
+        if next == Next::Again {
+            let now = self.entry.now();
+            let entries = self.entry.view().entries;
+            let allowance = &mut self.entry.shared().allowance;
+            if !allowance.take(now, &self.call.service, entries) {
+                next = retry::give_up(self.tries, failure);
+            }
+        }
+        tracing::info!(
+            event = event::ATTEMPT_FAILED.id,
+            attempt = self.call.attempt,
+            cause,
+            ?failure,
+            ?next,
+            run = self.tries.run,
+            idle = self.tries.idle,
+            left_ms = millis(left),
+            last = self.last,
+            "attempt failed"
+        );
+        next
+    }
+
+    fn late(&self) -> Final {
+        match self.tries.run {
+            0 => Final::Refuse(Reason::NotRun),
+            _ => Final::Late,
+        }
+    }
+
+    fn nowhere(&self, reason: Reason) -> Final {
+        match self.tries.run {
+            0 => Final::Refuse(reason),
+            _ => Final::Fail,
+        }
+    }
+
+    /// One attempt, up to the head of its answer.
+    async fn attempt(&self, chosen: Chosen) -> Outcome {
+        let first = chosen.upstream.key;
+        let failed = |failure, cause| Outcome::Failed {
+            failure,
+            culprit: Some(first),
+            cause,
+        };
+        let address = chosen.upstream.address.into();
+        let Ok(connection) = Connection::open_within(address, CONNECT).await else {
+            return failed(Failure::NotRun, "connect");
+        };
+        let request = self.request(&chosen);
+        tracing::info!(
+            event = event::ATTEMPT_SENT.id,
+            attempt = self.call.attempt,
+            route = self.call.route.name,
+            upstream = %chosen.upstream.id,
+            path = chosen.path,
+            left_ms = millis(self.left()),
+            version = self.table.configuration.version,
+            "sent"
+        );
+        let cutoff = Cutoff::new(None, Arc::clone(&self.entry.clock));
+        let patience = match self.call.route.repeat {
+            Repeat::Never => self.left(),
+            _ => self.call.route.objective * PATIENCE,
+        };
+        match timeout(patience, connection.send(request, &cutoff)).await {
+            Ok(Ok(answer)) => self.judge(Opened { answer, chosen }),
+            Ok(Err(_)) => failed(Failure::Unknown, "cut"),
+            Err(_) => Outcome::Failed {
+                failure: Failure::Unknown,
+                culprit: None,
+                cause: "silent",
+            },
+        }
+    }
+
+    fn request(&self, chosen: &Chosen) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::from(self.call.body.clone()));
+        *request.method_mut() = self.call.method.clone();
+        let target = self.call.uri.path_and_query().map_or("/", |p| p.as_str());
+        *request.uri_mut() = target.parse().expect("a target that was received");
+        let mut map = self.call.headers.clone();
+        let mut set = |name: &'static str, value: String| {
+            let value = HeaderValue::try_from(value).expect("visible characters");
+            map.insert(HeaderName::from_static(name), value);
+        };
+        set(headers::DEADLINE, millis(self.left()).max(1).to_string());
+        set(headers::EXPECTED, chosen.upstream.id.to_string());
+        if let Some(path) = &chosen.path {
+            set(headers::PATH, path.clone());
+        }
+        if let Some(last) = self.last {
+            set(headers::LAST_EVENT, last.to_string());
+        }
+        *request.headers_mut() = map;
+        request
+    }
+
+    /// What the head of an answer means.
+    fn judge(&self, opened: Opened) -> Outcome {
+        let response = &opened.answer.response;
+        let status = response.status();
+        let map = response.headers();
+        let first = opened.chosen.upstream.key;
+        let not_run =
+            map.contains_key(headers::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
+        if not_run {
+            let named = head::text(map, headers::CULPRIT).and_then(|a| a.parse().ok());
+            let named = named.map(|a: SocketAddrV4| address_key(a));
+            return Outcome::Failed {
+                failure: Failure::NotRun,
+                culprit: Some(named.unwrap_or(first)),
+                cause: "refused",
+            };
+        }
+        let signed = map.contains_key(headers::SIGNATURE);
+        let echoed = head::text(map, headers::ATTEMPT);
+        let ours = echoed.is_none_or(|id| id == self.call.attempt);
+        if !signed || !ours {
+            return Outcome::Failed {
+                failure: Failure::Unknown,
+                culprit: Some(first),
+                cause: "garbage",
+            };
+        }
+        if status.is_server_error() {
+            return Outcome::Error(opened);
+        }
+        Outcome::Answered(opened)
+    }
+
+    /// The answer of this instance when no upstream has given one.
+    pub(super) fn conclude(&self, end: &Final) -> Response<Body> {
+        let (code, response) = match end {
+            Final::Refuse(reason) => (reason.code(), refuse(*reason)),
+            Final::Fail => {
+                let reason = "the request may have run; no answer came";
+                ("failed", failure(StatusCode::BAD_GATEWAY, reason))
+            }
+            Final::Late | Final::Pass(_) => {
+                let reason = "the request may have run; its time is over";
+                ("late", failure(StatusCode::GATEWAY_TIMEOUT, reason))
+            }
+        };
+        tracing::info!(
+            event = event::REQUEST_ENDED.id,
+            attempt = self.call.attempt,
+            route = self.call.route.name,
+            code,
+            status = response.status().as_u16(),
+            run = self.tries.run,
+            idle = self.tries.idle,
+            took_ms = millis(self.entry.now().since(self.call.began)),
+            "ended without an upstream's answer"
+        );
+        response
+    }
+}
--- /dev/null
+++ b/src/entry/follow.rs
@@ -0,0 +1,145 @@
+//! Asks the leading controller over and over for what is new.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::Entry;
+use crate::event;
+use crate::id::InstanceId;
+use crate::message::{Answer, Ask, Request};
+use crate::role;
+use crate::sync::Sync;
+
+/// Longest wait for an answer. A lost packet is sent again after 200 ms.
+const ANSWER: Duration = Duration::from_millis(500);
+
+/// Pause before the next controller is asked after a failure.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// Whom to ask: the leader as last heard of, else one after the other.
+struct Targets {
+    known: Vec<InstanceId>,
+    leader: Option<InstanceId>,
+    turn: usize,
+}
+
+impl Targets {
+    fn next(&mut self) -> Option<InstanceId> {
+        if self.leader.is_some() {
+            return self.leader;
+        }
+        self.turn += 1;
+        let at = self.turn.checked_rem(self.known.len())?;
+        Some(self.known[at])
+    }
+
+    /// Adds controllers that aren't known yet.
+    fn learn(&mut self, more: impl Iterator<Item = InstanceId>) {
+        for id in more {
+            if !self.known.contains(&id) {
+                self.known.push(id);
+            }
+        }
+    }
+}
+
+impl Entry {
+    /// Keeps the view current for as long as the instance lives.
+    pub(super) async fn follow(self: Arc<Self>) {
+        let mut targets = Targets {
+            known: self.seeds(),
+            leader: None,
+            turn: usize::try_from(self.id.0).unwrap_or(0) % 7,
+        };
+        let mut failures = 0;
+        loop {
+            if self.ask(&mut targets).await {
+                failures = 0;
+                sleep(self.poll).await;
+                continue;
+            }
+            failures += 1;
+            // None of those known answers: the file may name others by now.
+            if failures % (targets.known.len().max(1) * 2) == 0 {
+                targets.learn(self.reread().into_iter());
+            }
+            sleep(PAUSE).await;
+        }
+    }
+
+    fn seeds(&self) -> Vec<InstanceId> {
+        let seeds = self.boot.seeds.iter();
+        seeds.map(|s| role::instance(*s.ip())).collect()
+    }
+
+    fn reread(&self) -> Vec<InstanceId> {
+        let Ok(boot) = self.settings.boot() else {
+            return Vec::new();
+        };
+        let seeds = boot.seeds.iter();
+        seeds.map(|s| role::instance(*s.ip())).collect()
+    }
+
+    /// Asks one controller. Returns whether the view is confirmed by it.
+    async fn ask(&self, targets: &mut Targets) -> bool {
+        let Some(target) = targets.next() else {
+            return false;
+        };
+        let sent = self.now();
+        let request = Request {
+            ask: Some(Ask::Sync(self.question())),
+        };
+        let answer = self.peers.call(target, request, ANSWER).await;
+        match answer.map(|r| r.answer) {
+            Ok(Some(Answer::State(state))) => {
+                targets.learn(state.voters.iter().copied().map(InstanceId));
+                targets.leader = Some(target);
+                self.shared().loads.learn(&state.loads);
+                let before = self.view().version();
+                let learnt = self.learn(sent, state);
+                let version = self.view().version();
+                if version != before {
+                    tracing::info!(
+                        event = event::CONFIGURATION_APPLIED.id,
+                        version,
+                        before,
+                        leader = target.0,
+                        "configuration in force"
+                    );
+                }
+                if !learnt {
+                    targets.leader = None;
+                }
+                learnt
+            }
+            Ok(Some(Answer::NotLeader(hint))) => {
+                let hint = InstanceId(hint);
+                let useful = hint.0 != 0 && hint != target;
+                targets.learn(useful.then_some(hint).into_iter());
+                targets.leader = useful.then_some(hint);
+                false
+            }
+            _ => {
+                targets.leader = None;
+                false
+            }
+        }
+    }
+
+    fn question(&self) -> Sync {
+        let view = self.view();
+        let (term, revision) = view.roster();
+        let now = self.now();
+        let shared = self.shared();
+        Sync {
+            instance: self.id.0,
+            version: view.version(),
+            term,
+            revision,
+            loads: shared.loads.report(),
+            suspects: shared.health.out(now),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,199 @@
+//! The entry role: takes callers' requests and leads them to upstreams.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use snafu::ResultExt;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use self::view::View;
+use crate::auth::FleetKey;
+use crate::clock::{Clock, SystemClock, Time};
+use crate::decide::allowance::{Allowance, Bound};
+use crate::decide::health::Health;
+use crate::decide::load::Loads;
+use crate::error::{ListenSnafu, Result};
+use crate::event;
+use crate::gate::Gate;
+use crate::http::{self, Bounds};
+use crate::id::InstanceId;
+use crate::peer::Peers;
+use crate::platform::boot::Boot;
+use crate::role::{self, RoleSettings};
+use crate::sync::State;
+
+mod attempt;
+mod body;
+mod follow;
+mod head;
+mod listen;
+mod plain;
+mod select;
+mod stream;
+pub(crate) mod view;
+
+/// Longest head of a request, in bytes: the operator's bound with room for
+/// the line of the request.
+const MAX_HEAD: usize = 64 << 10;
+
+/// Time for which a connection may stay without a request. Callers use one
+/// again for up to four fifths of the 15 s that the operator's limits give.
+const IDLE: Duration = Duration::from_secs(20);
+
+/// Time after SIGTERM for which new connections still come: the balancer asks
+/// once a second and leaves an instance out after two refusals.
+const LEAVE_BALANCER: Duration = Duration::from_millis(3_200);
+
+/// Part of the grace period after which running answers are cut off.
+const GRACE_SHARE: f64 = 0.94;
+
+/// Period of looking whether the last answer has ended.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+
+/// State that requests change.
+struct Shared {
+    loads: Loads,
+    health: Health,
+    allowance: Allowance,
+}
+
+/// One running entry instance.
+pub(crate) struct Entry {
+    id: InstanceId,
+    boot: Boot,
+    settings: RoleSettings,
+    poll: Duration,
+    lease: Duration,
+    clock: Arc<dyn Clock>,
+    peers: Peers,
+    view: ArcSwap<View>,
+    shared: Mutex<Shared>,
+    gate: Arc<Gate>,
+}
+
+/// Runs an entry instance until a signal, and lets running answers end.
+///
+/// # Errors
+///
+/// When the settings don't fit, or an address can't be listened on.
+pub(crate) fn run(settings: &RoleSettings) -> Result<()> {
+    let boot = settings.boot()?;
+    let runtime = role::runtime()?;
+    let stop = role::signals(&runtime, settings)?;
+    role::serve_metrics(settings, boot.ip, &runtime)?;
+    let (close, closing) = watch::channel(false);
+    let entry = Arc::new(Entry::new(settings, boot, runtime.handle().clone()));
+    let _guard = runtime.enter();
+    entry.listen(closing)?;
+    runtime.spawn(Arc::clone(&entry).follow());
+    role::started("entry", &entry.boot);
+    runtime.block_on(async {
+        stop.wait().await;
+        entry.drain(&close).await;
+    });
+    runtime.shutdown_background();
+    tracing::info!(event = event::STOPPED.id, "stopped");
+    Ok(())
+}
+
+impl Entry {
+    fn new(settings: &RoleSettings, boot: Boot, runtime: tokio::runtime::Handle) -> Self {
+        let bounds = boot.bounds;
+        let allowance = Allowance::new(Bound {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+        });
+        Self {
+            id: role::instance(boot.ip),
+            peers: Peers::on_port(FleetKey::new(role::FLEET_SECRET), runtime, boot.ports.0),
+            poll: settings.poll,
+            lease: role::lease(&boot),
+            settings: settings.clone(),
+            clock: Arc::new(SystemClock),
+            view: ArcSwap::from_pointee(View::new()),
+            shared: Mutex::new(Shared {
+                loads: Loads::default(),
+                health: Health::default(),
+                allowance,
+            }),
+            gate: Arc::default(),
+            boot,
+        }
+    }
+
+    fn listen(self: &Arc<Self>, closing: watch::Receiver<bool>) -> Result<()> {
+        let callers = role::required(self.boot.callers, "an address for callers")?.into();
+        let readiness = role::required(self.boot.readiness, "a readiness address")?.into();
+        let role = "callers";
+        let listener = role::bind(callers).context(ListenSnafu {
+            addr: callers,
+            role,
+        })?;
+        let bounds = Bounds {
+            head: MAX_HEAD,
+            receive: IDLE,
+        };
+        let entry = Arc::clone(self);
+        tokio::spawn(http::accept_until(
+            listener,
+            bounds,
+            move |request| Arc::clone(&entry).answer(request),
+            closing,
+        ));
+        let role = "readiness";
+        let addr = readiness;
+        let listener = role::bind(addr).context(ListenSnafu { addr, role })?;
+        let entry = Arc::clone(self);
+        tokio::spawn(http::accept(listener, bounds, move |_| {
+            let ready = entry.is_ready();
+            async move { listen::readiness(ready) }
+        }));
+        Ok(())
+    }
+
+    fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    fn shared(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in a leader's answer. Only the follower calls it.
+    fn learn(&self, sent: Time, state: State) -> bool {
+        let mut view = View::clone(&self.view());
+        let learnt = view.learn(sent, state, self.lease);
+        self.view.store(Arc::new(view));
+        learnt
+    }
+
+    /// Whether the balancer should send callers here.
+    fn is_ready(&self) -> bool {
+        !self.gate.closed() && self.view().is_confirmed(self.now())
+    }
+
+    /// Leaves the balancer, then waits for the last answer.
+    async fn drain(&self, close: &watch::Sender<bool>) {
+        self.gate.close();
+        let running = self.gate.running();
+        tracing::info!(event = event::DRAINING.id, running, "draining");
+        let began = Instant::now();
+        let limit = self.boot.bounds.grace.mul_f64(GRACE_SHARE);
+        sleep(LEAVE_BALANCER.min(limit)).await;
+        close.send_replace(true);
+        while self.gate.running() > 0 && began.elapsed() < limit {
+            sleep(DRAIN_LOOK).await;
+        }
+        let running = self.gate.running();
+        if running > 0 {
+            tracing::warn!(event = event::DRAIN_LIMIT.id, running, "answers cut off");
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/select.rs
@@ -0,0 +1,189 @@
+//! Chooses where an attempt goes, and books it.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use rand::RngExt;
+
+use super::Entry;
+use super::view::{Upstream, View};
+use crate::clock::Time;
+use crate::configuration::Model;
+use crate::decide::load::{Loads, Speed};
+use crate::decide::path::{self, Candidate, Hop, NoPath, Work};
+use crate::decide::pick::{self, Offer};
+use crate::decide::refusal::Reason;
+use crate::roster::Range;
+
+/// Factor on the cost of an engine whose heartbeats are late.
+const LATE: f64 = 4.0;
+
+/// Half the width of the random factor on an engine's cost.
+const NOISE: f64 = 0.1;
+
+/// Where an attempt goes. Dropping it ends the booking.
+pub(super) struct Chosen {
+    entry: Arc<Entry>,
+    pub(super) upstream: Upstream,
+    /// The path in the form that engines get; `None` of a plain service.
+    pub(super) path: Option<String>,
+    booked: Vec<(u64, Hop)>,
+    work: Work,
+}
+
+impl Drop for Chosen {
+    fn drop(&mut self) {
+        self.entry.shared().loads.leave(&self.booked, &self.work);
+    }
+}
+
+/// Work of a request to a plain service: it takes a place and no memory.
+pub(super) const PLAIN: Work = Work {
+    prompt: 0.0,
+    answer: 0.0,
+    token_mb: 0.0,
+    home: 0,
+};
+
+impl Entry {
+    /// Chooses an upstream or a path of `service`, and books it. `tried` are
+    /// upstreams at which this request failed.
+    pub(super) fn choose(
+        self: &Arc<Self>,
+        view: &View,
+        service: &str,
+        model: Option<&Model>,
+        work: Work,
+        tried: &[u64],
+    ) -> Result<Chosen, Reason> {
+        let upstreams = view.services.get(service).map_or(&[][..], Vec::as_slice);
+        match model {
+            Some(model) => self.choose_path(upstreams, model, work, tried),
+            None => self.choose_one(upstreams, tried),
+        }
+    }
+
+    fn choose_one(
+        self: &Arc<Self>,
+        upstreams: &[Upstream],
+        tried: &[u64],
+    ) -> Result<Chosen, Reason> {
+        let now = self.now();
+        let shared = self.shared();
+        let offers: Vec<Offer> = upstreams
+            .iter()
+            .map(|u| Offer {
+                requests: shared.loads.at(u.key).requests,
+                slots: u.slots.into(),
+                near: u.domain == self.boot.domain,
+                late: u.late,
+                out: shared.health.is_out(now, u.key),
+                tried: tried.contains(&u.key),
+            })
+            .collect();
+        drop(shared);
+        let found = pick::choose(&offers, rand::rng().random());
+        let upstream = upstreams[found.ok_or(Reason::NoUpstream)?].clone();
+        let hop = Hop {
+            engine: 0,
+            range: Range::new(0, 1),
+        };
+        Ok(self.book(upstream.clone(), None, vec![(upstream.key, hop)], PLAIN))
+    }
+
+    fn choose_path(
+        self: &Arc<Self>,
+        upstreams: &[Upstream],
+        model: &Model,
+        mut work: Work,
+        tried: &[u64],
+    ) -> Result<Chosen, Reason> {
+        let now = self.now();
+        let domains = domains(upstreams);
+        // A caller's domain without engines is none of theirs.
+        let home = domains.iter().position(|d| *d == self.boot.domain);
+        work.home = home.unwrap_or(usize::MAX);
+        let shared = self.shared();
+        let usable: Vec<(&Upstream, Candidate)> = upstreams
+            .iter()
+            .filter(|u| !tried.contains(&u.key) && !shared.health.is_out(now, u.key))
+            .filter_map(|u| Some((u, candidate(u, model, &shared.loads, &domains)?)))
+            .collect();
+        drop(shared);
+        let (engines, candidates): (Vec<_>, Vec<_>) = usable.into_iter().unzip();
+        let mut rng = rand::rng();
+        let noise: Vec<f64> = candidates
+            .iter()
+            .map(|_| 1.0 + NOISE * (2.0 * rng.random::<f64>() - 1.0))
+            .collect();
+        let hops = path::choose(model.layers, &candidates, &work, |i| noise[i]);
+        let hops = hops.map_err(|e| match e {
+            NoPath::Missing(_) => Reason::NoUpstream,
+            NoPath::Full => Reason::Full,
+        })?;
+        assert!(
+            path::is_whole(model.layers, &candidates, &hops),
+            "a path that doesn't cover each layer once and in order: {hops:?}"
+        );
+        let named: Vec<(SocketAddrV4, Hop)> = hops
+            .iter()
+            .map(|h| (engines[h.engine].address, *h))
+            .collect();
+        let booked = hops.iter().map(|h| (engines[h.engine].key, *h)).collect();
+        let first = engines[hops[0].engine].clone();
+        let path = crate::platform::engine::encode_path(&named);
+        Ok(self.book(first, Some(path), booked, work))
+    }
+
+    fn book(
+        self: &Arc<Self>,
+        upstream: Upstream,
+        path: Option<String>,
+        booked: Vec<(u64, Hop)>,
+        work: Work,
+    ) -> Chosen {
+        self.shared().loads.enter(&booked, &work);
+        Chosen {
+            entry: Arc::clone(self),
+            upstream,
+            path,
+            booked,
+            work,
+        }
+    }
+
+    /// Notes that a request failed at an upstream.
+    pub(super) fn suspect(&self, now: Time, upstream: u64) {
+        self.shared().health.failed(now, upstream);
+    }
+}
+
+fn domains(upstreams: &[Upstream]) -> Vec<&str> {
+    let mut domains: Vec<&str> = upstreams.iter().map(|u| u.domain.as_str()).collect();
+    domains.sort_unstable();
+    domains.dedup();
+    domains
+}
+
+/// The engine as a path may use it, if it holds layers.
+fn candidate(
+    upstream: &Upstream,
+    model: &Model,
+    loads: &Loads,
+    domains: &[&str],
+) -> Option<Candidate> {
+    let range = upstream.layers?;
+    let accelerator = model.accelerator(upstream.kind.as_deref()?)?;
+    let load = loads.at(upstream.key);
+    let speed = Speed::new(model, accelerator, range, load);
+    Some(Candidate {
+        range,
+        domain: domains.iter().position(|d| *d == upstream.domain)?,
+        step_ms: speed.step_ms,
+        read_ms: speed.read_ms,
+        room_mb: speed.room_mb,
+        used: speed.used,
+        enters: load.entered < f64::from(upstream.slots),
+        penalty: if upstream.late { LATE } else { 1.0 },
+    })
+}
--- /dev/null
+++ b/src/entry/stream.rs
@@ -0,0 +1,200 @@
+//! Streams of events: handed on as they come, and resumed elsewhere within
+//! the same answer where the route allows it.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::stream;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Frame;
+use tokio::time::timeout;
+
+use super::attempt::{Opened, Run};
+use super::body::{self, Body, BrokenOff};
+use super::head;
+use crate::clock::{Time, millis};
+use crate::configuration::Repeat;
+use crate::decide::retry::{Failure, Next};
+use crate::event;
+use crate::gate::Running;
+
+/// Allowed pauses after which a silent stream is taken up elsewhere. Clients
+/// leave after eight of them; reading the prompt again takes one or two.
+const STALLED: u32 = 4;
+
+/// Objectives after which a stream without any event is taken up elsewhere.
+const FIRST: u32 = 2;
+
+/// Longest event that is held back until it is whole, in bytes.
+const MAX_EVENT: usize = 256 << 10;
+
+/// A stream on its way to a caller.
+struct Streaming {
+    run: Run,
+    opened: Opened,
+    /// Bytes of an event that isn't whole yet.
+    buffer: BytesMut,
+    /// Events handed on by the present run.
+    events: u64,
+    total: u64,
+    first_ms: Option<u64>,
+    last_at: Time,
+    ended: bool,
+    _running: Running,
+}
+
+/// Answers with the stream that `opened` begins.
+pub(super) fn answer(run: Run, mut opened: Opened, running: Running) -> Response<Body> {
+    let status = opened.answer.response.status();
+    let headers = std::mem::take(opened.answer.response.headers_mut());
+    let last_at = run.entry.now();
+    let streaming = Streaming {
+        run,
+        opened,
+        buffer: BytesMut::new(),
+        events: 0,
+        total: 0,
+        first_ms: None,
+        last_at,
+        ended: false,
+        _running: running,
+    };
+    let pieces = stream::unfold(streaming, |mut s| async move {
+        let piece = s.next().await?;
+        Some((piece, s))
+    });
+    let mut response = Response::new(body::pieces(pieces));
+    *response.status_mut() = status;
+    *response.headers_mut() = head::to_caller(headers);
+    response
+}
+
+/// What the upstream's side of a stream gave.
+enum Input {
+    Bytes(Bytes),
+    End,
+    Broken,
+    Silent,
+}
+
+impl Streaming {
+    /// The next whole events, the end, or the breaking off.
+    async fn next(&mut self) -> Option<Result<Frame<Bytes>, BrokenOff>> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            let (failure, cause) = match self.read().await {
+                Input::Bytes(bytes) => {
+                    self.buffer.extend_from_slice(&bytes);
+                    match self.take() {
+                        Some(events) => return Some(Ok(Frame::data(events))),
+                        None if self.buffer.len() <= MAX_EVENT => continue,
+                        None => (Failure::Unknown, "long_event"),
+                    }
+                }
+                Input::End if self.buffer.is_empty() => {
+                    self.finish("whole");
+                    return None;
+                }
+                Input::End => (Failure::Unknown, "cut_event"),
+                Input::Broken => (Failure::Unknown, "cut_stream"),
+                Input::Silent => (Failure::Unknown, "stalled"),
+            };
+            if !self.resume(failure, cause).await {
+                self.finish(cause);
+                return Some(Err(BrokenOff));
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Input {
+        let left = self.run.left();
+        if left.is_zero() {
+            return Input::Broken;
+        }
+        let route = &self.run.call.route;
+        let patience = match (route.repeat, self.events) {
+            (Repeat::Never, _) => left,
+            (_, 0) => route.objective * FIRST,
+            _ => route.pause * STALLED,
+        };
+        let patience = patience.max(Duration::from_millis(100)).min(left);
+        let body = self.opened.answer.response.body_mut();
+        match timeout(patience, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame
+                .into_data()
+                .map_or(Input::Bytes(Bytes::new()), Input::Bytes),
+            Ok(Some(Err(_))) => Input::Broken,
+            Ok(None) => Input::End,
+            Err(_) => Input::Silent,
+        }
+    }
+
+    /// Takes the whole events out of the buffer. An engine may stop in the
+    /// middle of one; half an event followed by another run's would reach the
+    /// caller as one.
+    fn take(&mut self) -> Option<Bytes> {
+        let end = self.buffer.windows(2).rposition(|w| w == b"\n\n")? + 2;
+        let events = self.buffer.split_to(end).freeze();
+        let ids = events.split(|&b| b == b'\n').filter_map(event_id);
+        for id in ids {
+            self.run.last = Some(id);
+            self.events += 1;
+            self.total += 1;
+        }
+        let now = self.run.entry.now();
+        if self.first_ms.is_none() {
+            self.first_ms = Some(millis(now.since(self.run.call.began)));
+        }
+        self.last_at = now;
+        Some(events)
+    }
+
+    /// Goes on behind the last event on another path, if that is allowed.
+    async fn resume(&mut self, failure: Failure, cause: &'static str) -> bool {
+        if self.run.left().is_zero() {
+            return false;
+        }
+        self.buffer.clear();
+        if self.run.call.route.repeat == Repeat::Never {
+            return false;
+        }
+        let first = self.opened.chosen.upstream.key;
+        self.run.blame((cause != "stalled").then_some(first));
+        if self.run.fail(failure, cause) != Next::Again {
+            return false;
+        }
+        match self.run.open().await {
+            Ok(opened) => {
+                self.opened = opened;
+                self.events = 0;
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    fn finish(&mut self, how: &'static str) {
+        self.ended = true;
+        let run = &self.run;
+        tracing::info!(
+            event = event::REQUEST_ANSWERED.id,
+            attempt = run.call.attempt,
+            route = run.call.route.name,
+            upstream = %self.opened.chosen.upstream.id,
+            how,
+            events = self.total,
+            first_ms = self.first_ms,
+            took_ms = millis(run.entry.now().since(run.call.began)),
+            "stream ended"
+        );
+    }
+}
+
+/// The id of an event, from its line.
+fn event_id(line: &[u8]) -> Option<u64> {
+    let id = line.strip_prefix(b"id:")?;
+    std::str::from_utf8(id).ok()?.trim().parse().ok()
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -26,6 +26,8 @@
 pub(crate) const PART_RESTARTED: Event = event(105, "part_restarted");
 /// A supervised part failed for good; the instance ends.
 pub(crate) const PART_FAILED: Event = event(106, "part_failed");
+/// The platform's settings file was read again.
+pub(crate) const RELOADED: Event = event(107, "reloaded");
 /// The catalogue lease is held; new work is taken.
 pub(crate) const LEASE_HELD: Event = event(201, "lease_held");
 /// The catalogue lease ran out; new work is refused.
@@ -36,16 +38,38 @@
 pub(crate) const CHANGE_DECIDED: Event = event(204, "change_decided");
 /// A voter was added or removed.
 pub(crate) const VOTER_CHANGED: Event = event(205, "voter_changed");
+/// An operator's whole configuration was decided.
+pub(crate) const CONFIGURATION_DECIDED: Event = event(206, "configuration_decided");
+/// An operator's whole configuration isn't valid.
+pub(crate) const CONFIGURATION_REFUSED: Event = event(207, "configuration_refused");
+/// Another configuration is in force on an entry instance.
+pub(crate) const CONFIGURATION_APPLIED: Event = event(208, "configuration_applied");
 /// A connection from another instance was refused or broke its framing.
 pub(crate) const PEER_REFUSED: Event = event(301, "peer_refused");
 /// An upstream's announcement was refused.
 pub(crate) const ANNOUNCE_REFUSED: Event = event(302, "announce_refused");
+/// A start of an upstream announced itself.
+pub(crate) const UPSTREAM_JOINED: Event = event(303, "upstream_joined");
+/// An upstream left and gets no more work.
+pub(crate) const UPSTREAM_LEFT: Event = event(304, "upstream_left");
+/// An upstream was dropped for its silence.
+pub(crate) const UPSTREAM_LOST: Event = event(305, "upstream_lost");
+/// An engine was ordered to hold other layers.
+pub(crate) const LAYERS_ORDERED: Event = event(306, "layers_ordered");
 /// A request got a refusal.
 pub(crate) const REQUEST_REFUSED: Event = event(401, "request_refused");
 /// An attempt failed and the request goes on over another path.
 pub(crate) const REQUEST_RESUMED: Event = event(402, "request_resumed");
 /// A request ended without a whole answer.
 pub(crate) const REQUEST_FAILED: Event = event(403, "request_failed");
+/// A request was sent to an upstream.
+pub(crate) const ATTEMPT_SENT: Event = event(404, "attempt_sent");
+/// An attempt failed; the line tells what comes next.
+pub(crate) const ATTEMPT_FAILED: Event = event(405, "attempt_failed");
+/// An upstream's answer was handed on.
+pub(crate) const REQUEST_ANSWERED: Event = event(406, "request_answered");
+/// A request ended without an upstream's answer.
+pub(crate) const REQUEST_ENDED: Event = event(407, "request_ended");
 /// This voter leads a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter leads a group no more.
@@ -75,16 +99,28 @@
     DRAIN_LIMIT,
     PART_RESTARTED,
     PART_FAILED,
+    RELOADED,
     LEASE_HELD,
     LEASE_LOST,
     CATALOGUE_APPLIED,
     CHANGE_DECIDED,
     VOTER_CHANGED,
+    CONFIGURATION_DECIDED,
+    CONFIGURATION_REFUSED,
+    CONFIGURATION_APPLIED,
     PEER_REFUSED,
     ANNOUNCE_REFUSED,
+    UPSTREAM_JOINED,
+    UPSTREAM_LEFT,
+    UPSTREAM_LOST,
+    LAYERS_ORDERED,
     REQUEST_REFUSED,
     REQUEST_RESUMED,
     REQUEST_FAILED,
+    ATTEMPT_SENT,
+    ATTEMPT_FAILED,
+    REQUEST_ANSWERED,
+    REQUEST_ENDED,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/http.rs
+++ b/src/http.rs
@@ -5,7 +5,7 @@
 
 use std::convert::Infallible;
 use std::net::TcpListener as StdListener;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 /// Pause after a failed accept, such as for lack of file descriptors.
@@ -34,26 +34,51 @@
 
 /// Accepts connections until the runtime ends, and answers each request with
 /// what `handler` gives.
-pub(crate) async fn accept<H, F>(listener: StdListener, bounds: Bounds, handler: H)
+pub(crate) async fn accept<H, F, B>(listener: StdListener, bounds: Bounds, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
-    F: Future<Output = Response<Reply>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let (_open, closing) = watch::channel(false);
+    accept_until(listener, bounds, handler, closing).await;
+}
+
+/// As [`accept`], until `closing` tells to close connections, each after the
+/// answer that runs on it.
+pub(crate) async fn accept_until<H, F, B>(
+    listener: StdListener,
+    bounds: Bounds,
+    handler: H,
+    closing: watch::Receiver<bool>,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let listener = TcpListener::from_std(listener).expect("the listener doesn't block");
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve(stream, bounds, handler.clone()));
+                tokio::spawn(serve(stream, bounds, handler.clone(), closing.clone()));
             }
             Err(_) => tokio::time::sleep(PAUSE).await,
         }
     }
 }
 
-async fn serve<H, F>(stream: TcpStream, bounds: Bounds, handler: H)
-where
+async fn serve<H, F, B>(
+    stream: TcpStream,
+    bounds: Bounds,
+    handler: H,
+    mut closing: watch::Receiver<bool>,
+) where
     H: Fn(Request<Incoming>) -> F + Send + 'static,
-    F: Future<Output = Response<Reply>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     // Without it each token waits for the delayed acknowledgement of the one
     // before.
@@ -62,17 +87,33 @@
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
-    let served = Builder::new()
+    let connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(bounds.receive)
         .max_buf_size(bounds.head)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = closed(&mut closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(e) = served {
         tracing::debug!("a client's connection ended: {e}");
     }
 }
 
+/// Returns once connections are to be closed.
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    let told = closing.wait_for(|closing| *closing).await.is_ok();
+    if !told {
+        // Nobody is left who could tell.
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Why a body wasn't received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Unreceived {
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -50,6 +50,9 @@
 /// Applied commands between two snapshots of a group.
 const COMPACT: u64 = 1000;
 
+/// Entries kept behind a snapshot for voters that lag a little.
+const KEEP: u64 = 256;
+
 /// Time between two probes of the failure detector.
 const GOSSIP: Duration = Duration::from_secs(1);
 
@@ -284,7 +287,9 @@
         founders: settings.voters.keys().copied().collect(),
         election: settings.election,
         heartbeat: settings.election / HEARTBEATS,
+        contacts: Vec::new(),
         compact: COMPACT,
+        keep: KEEP,
         seed: rand::random(),
     };
     let links = peers.clone();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,12 +13,16 @@
 mod client;
 mod clock;
 mod collections;
+mod configuration;
 mod confirm;
 mod control;
+mod controller;
+mod decide;
 mod disk;
 mod dispatch;
 mod dump;
 mod engine;
+mod entry;
 mod error;
 mod event;
 mod flow;
@@ -38,17 +42,25 @@
 mod openai;
 mod peer;
 mod periodic;
+// The platform's manner of speaking has a folder of its own at the root, apart
+// from the product's own interfaces.
+#[path = "../platform/mod.rs"]
+mod platform;
 mod poll;
 mod program;
 mod propose;
 mod queue;
+mod register;
 mod replica;
 mod request;
+mod role;
+mod roster;
 mod route;
 mod serve;
 mod settings;
 mod store;
 mod supervise;
+mod sync;
 mod upstream;
 mod voter;
 
--- a/src/log.rs
+++ b/src/log.rs
@@ -19,3 +19,18 @@
         tracing::debug!("logging was started before");
     }
 }
+
+/// Starts logging of a role: JSON lines on standard output.
+pub(crate) fn start_json() {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    let started = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stdout)
+        .with_target(false)
+        .json()
+        .flatten_event(true)
+        .try_init();
+    if started.is_err() {
+        tracing::debug!("logging was started before");
+    }
+}
--- a/src/message.rs
+++ b/src/message.rs
@@ -12,7 +12,7 @@
     #[prost(uint64, tag = "1")]
     pub call: u64,
     /// What the frame carries.
-    #[prost(oneof = "Payload", tags = "2, 3, 4")]
+    #[prost(oneof = "Payload", tags = "2, 3, 4, 5")]
     pub payload: Option<Payload>,
 }
 
@@ -28,13 +28,16 @@
     /// The reply to a request.
     #[prost(message, tag = "4")]
     Reply(Reply),
+    /// Asks for the same frame back, as a sign of life.
+    #[prost(bool, tag = "5")]
+    Echo(bool),
 }
 
 /// A request from one instance to another.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct Request {
     /// What is asked.
-    #[prost(oneof = "Ask", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "Ask", tags = "1, 2, 3, 4, 5, 6")]
     pub ask: Option<Ask>,
 }
 
@@ -56,6 +59,9 @@
     /// For the state of a group as its leader sees it.
     #[prost(message, tag = "5")]
     Group(AskGroup),
+    /// For what an entry instance misses.
+    #[prost(message, tag = "6")]
+    Sync(crate::sync::Sync),
 }
 
 /// Asks a voter for what the sender misses of the catalogue, confirmed after
@@ -137,7 +143,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct Reply {
     /// What is answered.
-    #[prost(oneof = "Answer", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Answer", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub answer: Option<Answer>,
 }
 
@@ -168,6 +174,9 @@
     /// The state of a group.
     #[prost(message, tag = "8")]
     Group(GroupReply),
+    /// What an entry instance missed.
+    #[prost(message, tag = "9")]
+    State(crate::sync::State),
 }
 
 /// What a follower misses of the catalogue.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,14 +4,14 @@
 //! message to a peer that can't be reached is dropped and a call to it fails;
 //! the state machines above resend what they need.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
+use tokio::time::{MissedTickBehavior, timeout};
 
 use crate::auth::FleetKey;
 use crate::collections::HashMap;
@@ -30,6 +30,16 @@
 /// Pause before the next try to open a connection.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Time after which a connection in use that brings nothing is given up, and
+/// the period at which the other side is asked for a sign of life.
+///
+/// A connection can go silent for good without a reset, while new ones work:
+/// what is sent on it vanishes, and the peer seems dead. The other side echoes
+/// an empty frame, so silence beyond this time shows it. Twice a slow sync
+/// plus a round trip.
+const SILENCE: Duration = Duration::from_millis(1_200);
+const ECHO: Duration = Duration::from_millis(400);
+
 /// What an instance does with what its peers send.
 pub(crate) trait Handler: Send + Sync + 'static {
     /// Takes a message of the replicated log. Never blocks.
@@ -66,9 +76,22 @@
     reply: Option<oneshot::Sender<Reply>>,
 }
 
+impl Outgoing {
+    /// A frame that asks for a sign of life.
+    fn echo() -> Self {
+        let payload = Some(Payload::Echo(true));
+        Self {
+            frame: Frame { call: 0, payload },
+            reply: None,
+        }
+    }
+}
+
 struct Shared {
     key: FleetKey,
     runtime: Handle,
+    /// Port of peers whose number is their IPv4 address.
+    port: Option<u16>,
     addresses: RwLock<HashMap<InstanceId, SocketAddr>>,
     links: Mutex<HashMap<InstanceId, mpsc::Sender<Outgoing>>>,
 }
@@ -80,9 +103,20 @@
 impl Peers {
     /// No connection yet; they run on `runtime`.
     pub(crate) fn new(key: FleetKey, runtime: Handle) -> Self {
+        Self::build(key, runtime, None)
+    }
+
+    /// As [`Peers::new`], where the number of each peer is its IPv4 address
+    /// and all listen on `port`.
+    pub(crate) fn on_port(key: FleetKey, runtime: Handle, port: u16) -> Self {
+        Self::build(key, runtime, Some(port))
+    }
+
+    fn build(key: FleetKey, runtime: Handle, port: Option<u16>) -> Self {
         Self(Arc::new(Shared {
             key,
             runtime,
+            port,
             addresses: RwLock::default(),
             links: Mutex::default(),
         }))
@@ -157,11 +191,17 @@
         }
     }
 
-    async fn connect(&self, peer: InstanceId) -> Option<TcpStream> {
-        let addr = {
-            let addresses = self.0.addresses.read().expect("no holder panics");
-            *addresses.get(&peer)?
+    fn address(&self, peer: InstanceId) -> Option<SocketAddr> {
+        let addresses = self.0.addresses.read().expect("no holder panics");
+        let derived = || {
+            let ip = Ipv4Addr::from(u32::try_from(peer.0).ok()?);
+            Some(SocketAddr::new(IpAddr::V4(ip), self.0.port?))
         };
+        addresses.get(&peer).copied().or_else(derived)
+    }
+
+    async fn connect(&self, peer: InstanceId) -> Option<TcpStream> {
+        let addr = self.address(peer)?;
         timeout(CONNECT, TcpStream::connect(addr)).await.ok()?.ok()
     }
 
@@ -180,7 +220,7 @@
         let waiting: Arc<Mutex<HashMap<u64, oneshot::Sender<Reply>>>> = Arc::default();
         let replies = Arc::clone(&waiting);
         let mut reader = tokio::spawn(async move {
-            while let Ok(Some(frame)) = receiver.next::<Frame>().await {
+            while let Ok(Ok(Some(frame))) = timeout(SILENCE, receiver.next::<Frame>()).await {
                 let Some(Payload::Reply(reply)) = frame.payload else {
                     continue;
                 };
@@ -189,17 +229,22 @@
                     .expect("no holder panics")
                     .remove(&frame.call);
                 // The caller may have given up; its answer is nobody else's.
-                let _ = caller.map(|c| c.send(reply));
+                if let Some(caller) = caller {
+                    let _ = caller.send(reply);
+                }
             }
         });
         let mut next = Some(first);
         let mut calls = 0;
+        let mut echo = tokio::time::interval(ECHO);
+        echo.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let mut outgoing = match next.take() {
                 Some(outgoing) => outgoing,
                 None => tokio::select! {
                     biased;
                     _ = &mut reader => return false,
+                    _ = echo.tick() => Outgoing::echo(),
                     outgoing = queue.recv() => match outgoing {
                         Some(outgoing) => outgoing,
                         None => return true,
@@ -213,7 +258,9 @@
                 waiting.retain(|_, caller| !caller.is_closed());
                 waiting.insert(calls, reply);
             }
-            if sender.send(&outgoing.frame).await.is_err() {
+            // A silent peer's window fills up, and the write would wait for ever.
+            let sent = timeout(SILENCE, sender.send(&outgoing.frame)).await;
+            if !matches!(sent, Ok(Ok(()))) {
                 reader.abort();
                 return false;
             }
@@ -268,6 +315,10 @@
                 let call = frame.call;
                 handler.request(request, ReplySink { call, out });
             }
+            Some(Payload::Echo(_)) => {
+                // A full queue means replies are on their way, which do as well.
+                let _ = out.try_send(frame);
+            }
             Some(Payload::Reply(_)) | None => {}
         }
     };
--- a/src/program.rs
+++ b/src/program.rs
@@ -3,9 +3,18 @@
 use std::ffi::OsString;
 use std::io::Write;
 
+use clap::ArgMatches;
+
 use crate::error::Result;
+use crate::role::RoleSettings;
 use crate::settings::Settings;
-use crate::{cli, client, instance};
+use crate::{cli, client, controller, entry, instance, log};
+
+/// Runs a role on the users' platform.
+fn role(matches: &ArgMatches, run: fn(&RoleSettings) -> Result<()>) -> Result<()> {
+    log::start_json();
+    run(&RoleSettings::from_matches(matches)?)
+}
 
 /// Runs the command that the arguments name; output goes to `out`. Wrong
 /// arguments print a usage text and exit with code 2.
@@ -22,6 +31,8 @@
     let (name, matches) = matches.subcommand().expect("the command line demands one");
     match name {
         "serve" => instance::run(Settings::from_matches(matches)?),
+        "entry" => role(matches, entry::run),
+        "controller" => role(matches, controller::run),
         "check" => Settings::from_matches(matches).map(|_| ()),
         "catalogue" => client::catalogue(matches, out),
         "voters" => client::voters(matches, out),
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::clock::Time;
+use crate::clock::{Time, millis};
 
 mod durable;
 mod election;
@@ -257,6 +257,17 @@
             .filter(|&p| !members.is_founding() && members.role(p).is_none())
     }
 
+    /// On the leader, milliseconds since each other member last answered.
+    pub(crate) fn silences(&self) -> Vec<(Peer, u64)> {
+        let Part::Leader(lead) = &self.part else {
+            return Vec::new();
+        };
+        let progress = lead.progress.iter();
+        progress
+            .map(|(&peer, p)| (peer, millis(self.now.since(p.heard))))
+            .collect()
+    }
+
     /// The state that a rewritten log file must hold.
     pub(crate) fn image(&self) -> Start {
         Start {
--- /dev/null
+++ b/src/role.rs
@@ -0,0 +1,232 @@
+//! What the entry and the controller role share: settings, start and end.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{oneshot, watch};
+
+use crate::error::{Error, FailedSnafu, Result, StartSnafu};
+use crate::event;
+use crate::http::{self, Bounds, Reply};
+use crate::id::InstanceId;
+use crate::platform::boot::Boot;
+use crate::store::StoreError;
+
+/// Secret that tells frames of this fleet from others. The platform gives
+/// instances no secret of their own, so this guards against frames that went
+/// astray, not against an attacker inside the network.
+pub(crate) const FLEET_SECRET: &[u8] = b"laburnumquay on the users' platform";
+
+/// Longest head of a question for metrics, in bytes.
+const METRICS_HEAD: usize = 8 << 10;
+
+/// Longest time for which a reader of metrics may keep its connection.
+const METRICS_IDLE: Duration = Duration::from_secs(20);
+
+/// Part of the revocation bound for which keys may be used after the last
+/// confirmation. What remains covers a request on its way to an upstream.
+const LEASE_SHARE: f64 = 0.7;
+
+/// Settings of `laburnumquay entry` and `laburnumquay controller`.
+#[derive(Clone, Debug)]
+pub(crate) struct RoleSettings {
+    /// The platform's settings file.
+    pub(crate) file: PathBuf,
+    /// Least election timeout of the voters.
+    pub(crate) election: Duration,
+    /// Period at which an entry instance asks the leader.
+    pub(crate) poll: Duration,
+    /// Port for metrics, if any.
+    pub(crate) metrics: Option<u16>,
+}
+
+impl RoleSettings {
+    /// Reads and checks the arguments.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Settings`] with every fault found.
+    pub(crate) fn from_matches(matches: &ArgMatches) -> Result<Self> {
+        let millis = |name: &str| {
+            let value = matches.get_one::<u64>(name).copied();
+            Duration::from_millis(value.unwrap_or_default())
+        };
+        let settings = Self {
+            file: matches
+                .get_one::<PathBuf>("boot-file")
+                .cloned()
+                .unwrap_or_default(),
+            election: millis("election-ms"),
+            poll: millis("poll-ms"),
+            metrics: matches.get_one::<u16>("metrics-port").copied(),
+        };
+        let mut faults = Vec::new();
+        if settings.election < Duration::from_millis(100) {
+            faults.push("--election-ms is below 100; a slow sync would depose leaders".to_owned());
+        }
+        if !(20..=1000).contains(&settings.poll.as_millis()) {
+            faults.push("--poll-ms isn't between 20 and 1000; set it to 250".to_owned());
+        }
+        if !faults.is_empty() {
+            return Err(Error::Settings { faults });
+        }
+        Ok(settings)
+    }
+
+    /// Reads the platform's settings file.
+    pub(crate) fn boot(&self) -> Result<Boot> {
+        Boot::read(&self.file).map_err(|reason| Error::Settings {
+            faults: vec![format!("{}: {reason}", self.file.display())],
+        })
+    }
+}
+
+/// How long keys may be used after the last confirmation.
+pub(crate) fn lease(boot: &Boot) -> Duration {
+    boot.bounds.revoke.mul_f64(LEASE_SHARE)
+}
+
+/// The number of the instance on this machine.
+pub(crate) fn instance(ip: Ipv4Addr) -> InstanceId {
+    InstanceId(u32::from(ip).into())
+}
+
+/// A value that the role can't do without.
+pub(crate) fn required<T>(value: Option<T>, what: &str) -> Result<T> {
+    value.ok_or_else(|| Error::Settings {
+        faults: vec![format!(
+            "the settings file gives this machine {what} no value; \
+             run this role on a machine that serves it"
+        )],
+    })
+}
+
+/// A listener that doesn't block.
+pub(crate) fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(addr)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// The runtime of a role. One thread, since a machine has one core: more would
+/// only take turns on it.
+pub(crate) fn runtime() -> Result<Runtime> {
+    let built = Builder::new_current_thread().enable_all().build();
+    built.map_err(|e| start_error("runtime", &e))
+}
+
+fn start_error(part: &'static str, reason: &impl ToString) -> Error {
+    StartSnafu {
+        part,
+        reason: reason.to_string(),
+    }
+    .build()
+}
+
+/// Logs the start of a role.
+pub(crate) fn started(role: &'static str, boot: &Boot) {
+    tracing::info!(
+        event = event::STARTED.id,
+        role,
+        machine = boot.machine,
+        domain = boot.domain,
+        founding = boot.founding,
+        seeds = ?boot.seeds,
+        release = env!("CARGO_PKG_VERSION"),
+        "started"
+    );
+}
+
+/// Tells when the process was asked to end.
+pub(crate) struct Stop(watch::Receiver<bool>);
+
+impl Stop {
+    /// Returns once the process was asked to end.
+    pub(crate) async fn wait(mut self) {
+        // The sender lives as long as the runtime.
+        let _ = self.0.wait_for(|stop| *stop).await;
+    }
+}
+
+/// Hears SIGTERM and SIGINT, and SIGHUP, upon which the settings file is read
+/// and checked again: seeds may have changed, and are used at the next need.
+pub(crate) fn signals(runtime: &Runtime, settings: &RoleSettings) -> Result<Stop> {
+    let _guard = runtime.enter();
+    let open = |kind| signal(kind).map_err(|e| start_error("signal handler", &e));
+    let (sender, receiver) = watch::channel(false);
+    let mut hup = open(SignalKind::hangup())?;
+    let settings = settings.clone();
+    runtime.spawn(async move {
+        while hup.recv().await.is_some() {
+            match settings.boot() {
+                Ok(boot) => {
+                    tracing::info!(event = event::RELOADED.id, seeds = ?boot.seeds, "reloaded");
+                }
+                Err(e) => tracing::warn!(event = event::RELOADED.id, "not reloaded: {e}"),
+            }
+        }
+    });
+    let mut term = open(SignalKind::terminate())?;
+    let mut interrupt = open(SignalKind::interrupt())?;
+    runtime.spawn(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        sender.send_replace(true);
+        // Dropping the sender would look like the end of the runtime.
+        sender.closed().await;
+    });
+    Ok(Stop(receiver))
+}
+
+/// Hears of the end of the voter's thread: after a failure of its store only a
+/// new start can tell what is durable.
+pub(crate) async fn watch(thread: JoinHandle<Result<(), StoreError>>) -> Result<()> {
+    let (sender, ended) = oneshot::channel();
+    let waiter = std::thread::Builder::new().name("voter-watch".to_owned());
+    let spawned = waiter.spawn(move || {
+        let _ = sender.send(thread.join());
+    });
+    spawned.map_err(|e| start_error("watch on the voter", &e))?;
+    match ended.await {
+        Ok(Ok(Ok(()))) => Ok(()),
+        _ => FailedSnafu { part: "voter" }.fail(),
+    }
+}
+
+/// Serves the metrics of this process on `port` of the machine, if one is set.
+pub(crate) fn serve_metrics(
+    settings: &RoleSettings,
+    ip: Ipv4Addr,
+    runtime: &Runtime,
+) -> Result<()> {
+    let recorder = PrometheusBuilder::new().install_recorder();
+    let handle = recorder.map_err(|e| start_error("metrics", &e))?;
+    let Some(port) = settings.metrics else {
+        return Ok(());
+    };
+    let listener = bind(SocketAddr::new(ip.into(), port));
+    let listener = listener.map_err(|e| start_error("metrics listener", &e))?;
+    let _guard = runtime.enter();
+    let bounds = Bounds {
+        head: METRICS_HEAD,
+        receive: METRICS_IDLE,
+    };
+    runtime.spawn(http::accept(listener, bounds, move |_| {
+        let handle = handle.clone();
+        async move { render(&handle) }
+    }));
+    Ok(())
+}
+
+fn render(handle: &PrometheusHandle) -> hyper::Response<Reply> {
+    hyper::Response::new(Reply::from(handle.render()))
+}
--- /dev/null
+++ b/src/roster.rs
@@ -0,0 +1,240 @@
+//! The upstreams that announce themselves, as the leading controller knows
+//! them: a state machine without I/O.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::collections::HashMap;
+
+/// Heartbeats that an upstream may miss before it is avoided where another
+/// can serve. One may be lost with the instance that it was sent to; the
+/// sender then asks the next one within a second.
+const LATE_BEATS: f64 = 2.2;
+
+/// Heartbeats that an upstream may miss before it is dropped. Heartbeats may
+/// arrive seconds late; dropping a sound engine costs a load of its layers.
+const LOST_BEATS: f64 = 4.0;
+
+/// Sequence numbers below which an unknown upstream at a taken address counts
+/// as its successor. A new one begins at 1; its first call or two may be lost.
+const FRESH_SEQUENCE: u64 = 4;
+
+/// Layers `first` (inclusive) to `end` (exclusive). Never empty.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct Range {
+    pub(crate) first: u32,
+    pub(crate) end: u32,
+}
+
+impl Range {
+    pub(crate) fn new(first: u32, end: u32) -> Self {
+        debug_assert!(first < end, "an empty range of layers");
+        Self { first, end }
+    }
+
+    /// Number of layers.
+    pub(crate) fn len(self) -> u32 {
+        self.end - self.first
+    }
+
+    /// Whether `layer` is in the range.
+    pub(crate) fn holds(self, layer: u32) -> bool {
+        self.first <= layer && layer < self.end
+    }
+}
+
+/// What an upstream says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Announcement {
+    pub(crate) id: Arc<str>,
+    /// Start of the process, where ids are used again; else 0. A higher one
+    /// supersedes a lower one of the same id.
+    pub(crate) born: u64,
+    /// Grows with each call of one start.
+    pub(crate) sequence: u64,
+    pub(crate) service: String,
+    pub(crate) address: SocketAddrV4,
+    pub(crate) domain: String,
+    /// Requests that it takes at once.
+    pub(crate) slots: u32,
+    /// Whether it asks for no more work.
+    pub(crate) leaving: bool,
+    /// Kind of its accelerator.
+    pub(crate) kind: Option<String>,
+    /// Layers that it holds.
+    pub(crate) layers: Option<Range>,
+}
+
+/// One upstream in the roster.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) last: Announcement,
+    pub(crate) heard: Time,
+    /// Whether it is avoided for its silence.
+    pub(crate) late: bool,
+}
+
+/// What became of an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Heard {
+    /// A new start of an upstream.
+    New,
+    /// News or proof of life of a known one.
+    Known,
+    /// Older than what is known; nothing changed.
+    Stale,
+}
+
+/// All upstreams that may be given work.
+#[derive(Debug)]
+pub(crate) struct Roster {
+    beat: Duration,
+    entries: HashMap<Arc<str>, Entry>,
+    /// Starts that must not come back: left, or replaced at their address.
+    /// Holds the `born` of the latest.
+    ended: HashMap<Arc<str>, u64>,
+    /// Grows with each change that instances must hear of.
+    revision: u64,
+    /// When an upstream last appeared.
+    joined: Option<Time>,
+}
+
+impl Roster {
+    /// An empty roster of upstreams that call every `beat`.
+    pub(crate) fn new(beat: Duration) -> Self {
+        Self {
+            beat,
+            entries: HashMap::default(),
+            ended: HashMap::default(),
+            revision: 1,
+            joined: None,
+        }
+    }
+
+    /// Takes in an announcement of an upstream that isn't leaving.
+    pub(crate) fn hear(&mut self, now: Time, news: Announcement) -> Heard {
+        if self.has_ended(&news.id, news.born) || self.is_superseded(now, &news) {
+            return Heard::Stale;
+        }
+        let known = self.entries.get(&news.id).map(|e| &e.last);
+        let fresh = known.is_none_or(|k| k.born < news.born);
+        if known.is_some_and(|k| (k.born, k.sequence) >= (news.born, news.sequence)) {
+            return Heard::Stale;
+        }
+        if known.is_none_or(|k| differs(k, &news)) {
+            self.revision += 1;
+        }
+        self.displace(&news);
+        let entry = Entry {
+            heard: now,
+            late: false,
+            last: news,
+        };
+        let id = entry.last.id.clone();
+        let before = self.entries.insert(id, entry);
+        if before.is_some_and(|b| b.late) {
+            self.revision += 1;
+        }
+        if !fresh {
+            return Heard::Known;
+        }
+        self.joined = Some(now);
+        Heard::New
+    }
+
+    /// Whether this start has left or was replaced.
+    pub(crate) fn has_ended(&self, id: &str, born: u64) -> bool {
+        self.ended.get(id).is_some_and(|&b| born <= b)
+    }
+
+    /// Notes that a start gets no more work and mustn't come back.
+    pub(crate) fn end(&mut self, id: &Arc<str>, born: u64) {
+        let latest = self.ended.entry(id.clone()).or_default();
+        *latest = (*latest).max(born);
+        let gone = self.entries.get(id).is_some_and(|e| e.last.born <= born);
+        if gone {
+            self.entries.remove(id);
+            self.revision += 1;
+        }
+    }
+
+    /// Lets time pass: the silent ones are avoided, then dropped.
+    pub(crate) fn tick(&mut self, now: Time) -> Vec<Arc<str>> {
+        let late = self.beat.mul_f64(LATE_BEATS);
+        let lost = self.beat.mul_f64(LOST_BEATS);
+        let mut dropped = Vec::new();
+        for (id, entry) in &mut self.entries {
+            let silent = now.since(entry.heard);
+            if silent >= late && !entry.late {
+                entry.late = true;
+                self.revision += 1;
+            }
+            if silent >= lost {
+                dropped.push(id.clone());
+            }
+        }
+        for id in &dropped {
+            self.entries.remove(id);
+            self.revision += 1;
+        }
+        dropped
+    }
+
+    /// The upstreams, in the order of their ids.
+    pub(crate) fn list(&self) -> Vec<&Entry> {
+        let mut list: Vec<_> = self.entries.values().collect();
+        list.sort_unstable_by(|a, b| a.last.id.cmp(&b.last.id));
+        list
+    }
+
+    /// The upstream of this id.
+    pub(crate) fn get(&self, id: &str) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Whether no upstream has appeared for a heartbeat and a bit.
+    pub(crate) fn is_settled(&self, now: Time) -> bool {
+        let beat = self.beat.mul_f64(1.25);
+        self.joined.is_some_and(|at| now.since(at) >= beat)
+    }
+
+    /// Whether another upstream holds the address, and the news may be older
+    /// than that one.
+    ///
+    /// A heartbeat that a partition delayed can arrive after its sender has
+    /// crashed and another start took the address. Believed, it would bring
+    /// requests to an upstream under a wrong name, which refuses each.
+    fn is_superseded(&self, now: Time, news: &Announcement) -> bool {
+        let mut others = self.entries.values();
+        let holder = others.find(|e| e.last.address == news.address && e.last.id != news.id);
+        let Some(holder) = holder else { return false };
+        if news.born != holder.last.born {
+            return news.born < holder.last.born;
+        }
+        let silent = now.since(holder.heard) >= self.beat.mul_f64(LATE_BEATS);
+        news.sequence >= FRESH_SEQUENCE && !silent
+    }
+
+    /// Ends whoever held the address before.
+    fn displace(&mut self, news: &Announcement) {
+        let taken = |e: &&Entry| e.last.address == news.address && e.last.id != news.id;
+        let before = self.entries.values().find(taken);
+        if let Some((id, born)) = before.map(|e| (e.last.id.clone(), e.last.born)) {
+            self.end(&id, born);
+        }
+    }
+}
+
+/// Whether instances must hear of the difference.
+fn differs(old: &Announcement, new: &Announcement) -> bool {
+    (old.born, old.address, old.layers, old.slots) != (new.born, new.address, new.layers, new.slots)
+        || old.service != new.service
+        || old.domain != new.domain
+        || old.kind != new.kind
+}
--- /dev/null
+++ b/src/sync.rs
@@ -0,0 +1,155 @@
+//! What an entry instance asks the leading controller, and what it is told.
+
+use std::net::SocketAddrV4;
+
+use bytes::Bytes;
+use prost::Message;
+
+use crate::roster::{Entry, Range};
+
+/// Asks for what the sender misses, and tells what it has at work.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Sync {
+    /// The sender.
+    #[prost(uint64, tag = "1")]
+    pub(crate) instance: u64,
+    /// Version of the configuration that it has.
+    #[prost(uint64, tag = "2")]
+    pub(crate) version: u64,
+    /// Term and revision of the roster that it has.
+    #[prost(uint64, tag = "3")]
+    pub(crate) term: u64,
+    #[prost(uint64, tag = "4")]
+    pub(crate) revision: u64,
+    /// What it has at work on engines.
+    #[prost(message, repeated, tag = "5")]
+    pub(crate) loads: Vec<Load>,
+    /// Addresses of upstreams that gave it no answer lately.
+    #[prost(uint64, repeated, tag = "6")]
+    pub(crate) suspects: Vec<u64>,
+}
+
+/// Work on one engine.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(crate) struct Load {
+    /// Address of the engine, see [`address_key`].
+    #[prost(fixed64, tag = "1")]
+    pub(crate) engine: u64,
+    /// Memory that the requests are expected to take, in megabytes.
+    #[prost(uint32, tag = "2")]
+    pub(crate) memory: u32,
+    /// Requests that pass through it.
+    #[prost(uint32, tag = "3")]
+    pub(crate) requests: u32,
+    /// Those of them that it received as the first engine.
+    #[prost(uint32, tag = "4")]
+    pub(crate) entered: u32,
+}
+
+/// What the leader knows that the asker misses.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct State {
+    /// Microseconds since a quorum confirmed what follows.
+    #[prost(uint64, tag = "1")]
+    pub(crate) age: u64,
+    /// Version in force; 0 when there is no configuration yet.
+    #[prost(uint64, tag = "2")]
+    pub(crate) version: u64,
+    /// The configuration, if the asker has another version.
+    #[prost(bytes = "bytes", optional, tag = "3")]
+    pub(crate) body: Option<Bytes>,
+    #[prost(message, optional, tag = "4")]
+    pub(crate) roster: Option<RosterRecord>,
+    /// What the other instances have at work.
+    #[prost(message, repeated, tag = "5")]
+    pub(crate) loads: Vec<Load>,
+    /// Entry instances that asked lately.
+    #[prost(uint32, tag = "6")]
+    pub(crate) entries: u32,
+    /// The voters.
+    #[prost(uint64, repeated, tag = "7")]
+    pub(crate) voters: Vec<u64>,
+}
+
+/// The roster as the leader has it.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct RosterRecord {
+    #[prost(uint64, tag = "1")]
+    pub(crate) term: u64,
+    #[prost(uint64, tag = "2")]
+    pub(crate) revision: u64,
+    /// Whether the leader has led long enough to have heard every upstream
+    /// that lives. Until then, ones that it doesn't list may still serve.
+    #[prost(bool, tag = "3")]
+    pub(crate) complete: bool,
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) upstreams: Vec<UpstreamRecord>,
+    /// Ids of those that have left, with their starts, newest last.
+    #[prost(message, repeated, tag = "5")]
+    pub(crate) departed: Vec<crate::register::Departed>,
+}
+
+/// One upstream.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct UpstreamRecord {
+    #[prost(string, tag = "1")]
+    pub(crate) id: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) born: u64,
+    #[prost(string, tag = "3")]
+    pub(crate) service: String,
+    /// See [`address_key`].
+    #[prost(fixed64, tag = "4")]
+    pub(crate) address: u64,
+    #[prost(string, tag = "5")]
+    pub(crate) domain: String,
+    #[prost(uint32, tag = "6")]
+    pub(crate) slots: u32,
+    #[prost(string, optional, tag = "7")]
+    pub(crate) kind: Option<String>,
+    /// Layers that it holds; both 0 when it holds none.
+    #[prost(uint32, tag = "8")]
+    pub(crate) first: u32,
+    #[prost(uint32, tag = "9")]
+    pub(crate) end: u32,
+    /// Whether it is to be avoided for its silence.
+    #[prost(bool, tag = "10")]
+    pub(crate) late: bool,
+}
+
+impl UpstreamRecord {
+    /// Layers that it holds.
+    pub(crate) fn range(&self) -> Option<Range> {
+        (self.first < self.end).then(|| Range::new(self.first, self.end))
+    }
+}
+
+impl From<&Entry> for UpstreamRecord {
+    fn from(entry: &Entry) -> Self {
+        let last = &entry.last;
+        let (first, end) = last.layers.map_or((0, 0), |l| (l.first, l.end));
+        Self {
+            id: last.id.to_string(),
+            born: last.born,
+            service: last.service.clone(),
+            address: address_key(last.address),
+            domain: last.domain.clone(),
+            slots: last.slots,
+            kind: last.kind.clone(),
+            first,
+            end,
+            late: entry.late,
+        }
+    }
+}
+
+/// An address as one number: the IP in the upper bits, the port below.
+pub(crate) fn address_key(address: SocketAddrV4) -> u64 {
+    (u64::from(u32::from(*address.ip())) << 16) | u64::from(address.port())
+}
+
+/// The address of a key.
+pub(crate) fn key_address(key: u64) -> SocketAddrV4 {
+    let ip = u32::try_from(key >> 16 & 0xffff_ffff).unwrap_or(0);
+    SocketAddrV4::new(ip.into(), (key & 0xffff) as u16)
+}
--- a/src/tests/cli.rs
+++ b/src/tests/cli.rs
@@ -1,14 +1,18 @@
 //! Tests of [`crate::cli`]: the command line and its page agree.
 
+use rstest::rstest;
+
 use crate::cli::command;
 
 const PAGE: &str = include_str!("../../docs/CONFIGURATION.md");
 
-/// A row of the page for each setting of `serve`.
-fn rows() -> Vec<String> {
+const PLATFORM: &str = include_str!("../../docs/PLATFORM.md");
+
+/// A row of the page for each setting of a subcommand.
+fn rows(subcommand: &str) -> Vec<String> {
     let command = command();
-    let serve = command.find_subcommand("serve").unwrap();
-    serve
+    let subcommand = command.find_subcommand(subcommand).unwrap();
+    subcommand
         .get_arguments()
         .filter_map(|arg| {
             let long = arg.get_long()?;
@@ -30,12 +34,15 @@
     command().debug_assert();
 }
 
-#[test]
-fn page_lists_settings() {
-    let rows = rows();
+#[rstest]
+#[case::serve(PAGE, "serve")]
+#[case::entry(PLATFORM, "entry")]
+#[case::controller(PLATFORM, "controller")]
+fn page_lists_settings(#[case] page: &str, #[case] subcommand: &str) {
+    let rows = rows(subcommand);
     for row in &rows {
-        assert!(PAGE.contains(row), "docs/CONFIGURATION.md lacks\n{row}");
+        assert!(page.contains(row), "the page lacks\n{row}");
     }
-    let listed = PAGE.lines().filter(|l| l.starts_with("| `--")).count();
-    assert_eq!(listed, rows.len(), "docs/CONFIGURATION.md lists others too");
+    let listed = page.lines().filter(|l| l.starts_with("| `--")).count();
+    assert_eq!(listed, rows.len(), "the page lists others too");
 }
--- /dev/null
+++ b/src/tests/view.rs
@@ -0,0 +1,122 @@
+//! Tests of what an entry instance knows.
+
+use std::time::Duration;
+
+use super::platform::CONFIGURATION;
+use crate::clock::Time;
+use crate::entry::view::View;
+use crate::register::Departed;
+use crate::sync::{RosterRecord, State, UpstreamRecord};
+
+const LEASE: Duration = Duration::from_millis(3500);
+
+fn at(millis: u64) -> Time {
+    Time(millis * 1000)
+}
+
+fn state(version: u64) -> State {
+    State {
+        version,
+        body: Some(
+            CONFIGURATION
+                .replace("\"version\":7", &format!("\"version\":{version}"))
+                .into(),
+        ),
+        entries: 3,
+        ..State::default()
+    }
+}
+
+fn roster(term: u64, revision: u64, complete: bool, ids: &[&str]) -> RosterRecord {
+    let upstream = |(i, id): (usize, &&str)| UpstreamRecord {
+        id: (*id).to_owned(),
+        service: "models".to_owned(),
+        address: i as u64 + 1 + 100 * u64::from(id.as_bytes()[0]),
+        ..UpstreamRecord::default()
+    };
+    RosterRecord {
+        term,
+        revision,
+        complete,
+        upstreams: ids.iter().enumerate().map(upstream).collect(),
+        departed: Vec::new(),
+    }
+}
+
+fn ids(view: &View) -> Vec<&str> {
+    let upstreams = view.services.get("models").map_or(&[][..], Vec::as_slice);
+    let mut ids: Vec<_> = upstreams.iter().map(|u| &*u.id).collect();
+    ids.sort_unstable();
+    ids
+}
+
+#[test]
+fn learn_lease_from_sending() {
+    // The answer comes late, and the leader's confirmation was old already. A
+    // key may be taken away meanwhile: the lease counts from the confirmation.
+    let mut view = View::new();
+    let state = State {
+        age: 500_000,
+        ..state(7)
+    };
+    assert!(view.learn(at(1000), state, LEASE));
+    assert!(view.is_confirmed(at(3999)));
+    assert!(!view.is_confirmed(at(4000)));
+}
+
+#[test]
+fn learn_never_back() {
+    let mut view = View::new();
+    view.learn(at(0), state(9), LEASE);
+    assert!(!view.learn(at(100), state(8), LEASE));
+    assert_eq!(view.version(), 9);
+    assert!(
+        !view.is_confirmed(at(3550)),
+        "an old leader must not extend the lease"
+    );
+}
+
+#[test]
+fn learn_undecodable() {
+    let mut view = View::new();
+    view.learn(at(0), state(7), LEASE);
+    let broken = State {
+        body: Some("{".into()),
+        ..state(8)
+    };
+    assert!(!view.learn(at(1000), broken, LEASE));
+    assert_eq!(view.version(), 7);
+}
+
+#[test]
+fn learn_new_leader_keeps() {
+    // A new leader has heard only some engines when it is first asked. The
+    // others still serve; dropped, most requests would be refused for seconds.
+    let mut view = View::new();
+    let with = |roster| State {
+        roster: Some(roster),
+        ..state(7)
+    };
+    view.learn(at(0), with(roster(1, 5, true, &["a", "b", "c"])), LEASE);
+    let mut partial = roster(2, 2, false, &["a"]);
+    partial.departed.push(Departed {
+        id: "b".to_owned(),
+        born: 0,
+    });
+    view.learn(at(100), with(partial), LEASE);
+    assert_eq!(ids(&view), ["a", "c"]);
+    view.learn(at(3000), with(roster(2, 3, true, &["a"])), LEASE);
+    assert_eq!(ids(&view), ["a"]);
+}
+
+#[test]
+fn learn_deposed_leader() {
+    let mut view = View::new();
+    let with = |roster| State {
+        roster: Some(roster),
+        ..state(7)
+    };
+    view.learn(at(0), with(roster(3, 2, true, &["a"])), LEASE);
+    assert!(!view.learn(at(100), with(roster(2, 90, true, &["a", "b"])), LEASE));
+    assert_eq!(ids(&view), ["a"]);
+}
--- a/src/tests/voter.rs
+++ b/src/tests/voter.rs
@@ -70,7 +70,9 @@
             founders: (1..=size).map(InstanceId).collect(),
             election: Duration::from_millis(400),
             heartbeat: Duration::from_millis(50),
+            contacts: Vec::new(),
             compact: 20,
+            keep: 256,
             seed: 7,
         };
         let routes = self.routes.clone();
--- a/src/voter.rs
+++ b/src/voter.rs
@@ -61,12 +61,16 @@
     /// serves to find the leader. An instance that isn't in the list waits
     /// until it is added with [`Change::Add`].
     pub founders: Vec<InstanceId>,
+    /// Instances besides the founders that may know the leader.
+    pub contacts: Vec<InstanceId>,
     /// Shortest election timeout. Longer than a slow sync plus a round trip.
     pub election: Duration,
     /// Time between heartbeats, at most a third of `election`.
     pub heartbeat: Duration,
     /// Applied entries between two snapshots of a group, at least.
     pub compact: u64,
+    /// Entries kept behind a snapshot for followers that lag a little.
+    pub keep: u64,
     /// Seed of the election timeouts.
     pub seed: u64,
 }
@@ -100,6 +104,17 @@
     pub strangers: Vec<Peer>,
     /// Messages refused because they came from a superseded run of a store.
     pub refused: u64,
+    /// On the leader, milliseconds since each other member last answered.
+    pub silences: Vec<(Peer, u64)>,
+}
+
+/// Who leads a group, as one voter sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Lead {
+    /// The term, if this voter leads in it.
+    pub(crate) term: Option<u64>,
+    /// The leader, if known.
+    pub(crate) leader: Option<InstanceId>,
 }
 
 enum Order {
@@ -209,6 +224,16 @@
         self.request(input);
     }
 
+    /// Who leads a group, after the last batch.
+    pub(crate) fn lead(&self, group: u32) -> Lead {
+        let status = self.status.lock().unwrap_or_else(PoisonError::into_inner);
+        let status = status.iter().find(|s| s.group == group);
+        status.map_or(Lead::default(), |s| Lead {
+            term: s.leads.then_some(s.term),
+            leader: s.leader,
+        })
+    }
+
     /// State of each group after the last batch.
     #[must_use]
     pub fn status(&self) -> Vec<GroupStatus> {
@@ -231,19 +256,17 @@
     }
 }
 
-/// Entries kept behind a snapshot for followers that lag a little.
-const KEEP: u64 = 256;
-
 fn config(settings: &VoterSettings) -> Config {
     let founders: Vec<u64> = settings.founders.iter().map(|i| i.0).collect();
+    let contacts = settings.contacts.iter().map(|i| i.0);
     Config {
         instance: settings.instance.0,
-        contacts: founders.clone(),
+        contacts: founders.iter().copied().chain(contacts).collect(),
         founders,
         election: settings.election,
         heartbeat: settings.heartbeat,
         compact: settings.compact,
-        keep: KEEP,
+        keep: settings.keep,
         seed: settings.seed,
         run: rand::random(),
         // Zero stands for an unknown store.
--- a/src/voter/group.rs
+++ b/src/voter/group.rs
@@ -117,6 +117,7 @@
             members: log.members().1.members.clone(),
             strangers: replica.strangers().collect(),
             refused,
+            silences: replica.silences(),
         }
     }
 }
