--- a/src/replica.rs
+++ b/src/replica.rs
@@ -32,7 +32,7 @@
 pub use self::member::{Change, Member, Peer, Role};
 pub use self::message::Message;
 #[cfg(test)]
-pub(crate) use self::message::{Append, AppendAck, Vote, VoteAck};
+pub(crate) use self::message::{Append, AppendAck, Introduce, Vote, VoteAck};
 pub(crate) use self::message::{Ask, Body, Hello, Superseded};
 pub(crate) use self::outbox::{Cause, Effect, Hard, Persist};
 
@@ -314,6 +314,7 @@
             Body::ReadAck(ack) => self.reads.on_ack(ack),
             Body::TimeoutNow(_) => self.on_timeout_now(),
             Body::Hello(_) => self.on_hello(from),
+            Body::Introduce(introduce) => self.on_introduce(introduce),
             // The driver handles it: it concerns all groups.
             Body::Superseded(_) | Body::Ask(_) => {}
         }
@@ -327,6 +328,7 @@
             Body::Read(_)
             | Body::ReadAck(_)
             | Body::Hello(_)
+            | Body::Introduce(_)
             | Body::Superseded(_)
             | Body::Ask(_) => return true,
             // The term asked for isn't in force yet.
--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::member::{Membership, Peer, Role};
-use super::message::{Body, Hello, TimeoutNow, Vote, VoteAck};
+use super::message::{Body, Hello, Introduce, TimeoutNow, Vote, VoteAck};
 use super::progress::Leadership;
 use super::{Kind, Part, Replica};
 
@@ -74,8 +74,26 @@
         }
     }
 
+    /// Remembers a store that greets, and tells the leader of it.
+    ///
+    /// A store that comes back with an empty disk knows only the contacts of
+    /// its settings, and the leader may be none of them. It would wait for
+    /// ever, and the next loss could cost the quorum.
     pub(super) fn on_hello(&mut self, from: Peer) {
         self.strangers.insert(from.id, (from, self.now));
+        let member = self.log.members().1.role(from).is_some();
+        let leader = self.leader.filter(|l| *l != self.settings.me && *l != from);
+        if let Some(leader) = leader.filter(|_| !member) {
+            let peer = Some(from);
+            let introduce = Body::Introduce(Introduce { peer });
+            self.outbox.send(leader, self.term, introduce);
+        }
+    }
+
+    pub(super) fn on_introduce(&mut self, introduce: Introduce) {
+        if let Some(peer) = introduce.peer {
+            self.strangers.insert(peer.id, (peer, self.now));
+        }
     }
 
     fn campaign(&mut self, pre: bool, transfer: bool) {
--- a/src/replica/message.rs
+++ b/src/replica/message.rs
@@ -35,7 +35,7 @@
     /// The content.
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: Option<Body>,
 }
@@ -90,6 +90,17 @@
     /// The sender doesn't know the receiver's run: it wants a greeting.
     #[prost(message, tag = "21")]
     Ask(Ask),
+    /// A member tells the leader of a store that greeted it.
+    #[prost(message, tag = "22")]
+    Introduce(Introduce),
+}
+
+/// A store that is no member and greeted the sender.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Introduce {
+    /// The store.
+    #[prost(message, optional, tag = "1")]
+    pub peer: Option<Peer>,
 }
 
 /// Request for a vote or a pre-vote.
--- a/src/tests/replica.rs
+++ b/src/tests/replica.rs
@@ -6,8 +6,8 @@
 
 use crate::Time;
 use crate::replica::{
-    Append, AppendAck, Body, Cause, Change, Effect, Entry, Event, Hard, Kind, Member, Membership,
-    Message, Peer, Replica, Settings, Snapshot, Start, Vote, VoteAck,
+    Append, AppendAck, Body, Cause, Change, Effect, Entry, Event, Hard, Hello, Introduce, Kind,
+    Member, Membership, Message, Peer, Replica, Settings, Snapshot, Start, Vote, VoteAck,
 };
 
 const ELECTION: Duration = Duration::from_millis(300);
@@ -322,3 +322,32 @@
     let truthful = |b: &Body| matches!(b, Body::AppendAck(ack) if ack.last_index == 2);
     assert!(ends.clone().count() == 2 && ends.clone().all(truthful));
 }
+
+#[test]
+fn hello_reaches_leader() {
+    // A machine loses its disk. Its new store knows the seeds only, and the
+    // leader is none of them. Unless a seed passes the greeting on, the store
+    // never votes again, and the next two losses stop the group for good.
+    let mut bench = Bench::new(&[1]);
+    bench.append(2, 1, (1, 1), &[]);
+    let effects = bench.receive(9, 0, Body::Hello(Hello::default()));
+    let told = effects.iter().find_map(|e| match e {
+        Effect::Send(m) if m.to == 2 => m.body.clone(),
+        _ => None,
+    });
+    let introduce = Introduce {
+        peer: Some(peer(9)),
+    };
+    assert_eq!(told, Some(Body::Introduce(introduce)));
+}
+
+#[test]
+fn introduce_makes_stranger() {
+    let mut bench = Bench::new(&[1]);
+    bench.lead();
+    let introduce = Introduce {
+        peer: Some(peer(9)),
+    };
+    bench.receive(2, 0, Body::Introduce(introduce));
+    assert!(bench.replica.strangers().any(|p| p == peer(9)));
+}
