Copy the slow layers; leave out ever longer who refuses in a row

Cause 1: engines to spare were given copies of the fastest engine's layers, and of two kinds that step alike the one that reads half as fast came first. Ruled out: pauses by reading of prompts (p90 of the longest pause is 105 ms in paths without a failure). Streams log their longest pause.

--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -94,6 +94,8 @@
     pub(crate) context_ms: f64,
     /// Milliseconds to read a prompt token through all layers.
     pub(crate) read_ms: f64,
+    /// Milliseconds for which a token occupies the link between two domains.
+    pub(crate) crossing_ms: f64,
     /// Mean tokens of a prompt.
     pub(crate) usual_prompt: f64,
     /// Mean tokens of an answer.
--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -262,6 +262,7 @@
             domain: last.domain.clone(),
             size_mb: accelerator.size_mb,
             step_factor: accelerator.step_factor,
+            read_factor: accelerator.read_factor,
             held: pending.map(|p| p.range).or(last.layers),
             busy: pending.is_some(),
         })
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -15,10 +15,11 @@
 /// the controller to notice a dead engine.
 const FIRST_OUT: Duration = Duration::from_millis(1_500);
 
-/// Time out after a quick refusal. The engine lives: it was short of memory or
-/// gave up layers, which its next report tells. Left out for longer, a busy
-/// second would take the first engine of a whole domain away.
-const REFUSED_OUT: Duration = Duration::from_millis(250);
+/// Time out after a first quick refusal, doubled while no request gets through
+/// in between. An engine that is short of memory takes the next request soon;
+/// left out for longer, a busy second would take the first engine of a whole
+/// domain away. The neighbours of a dead engine refuse as quickly, and go on.
+const REFUSED_OUT: Duration = Duration::from_millis(200);
 
 /// Longest time out. A recovered engine is found again within it.
 const MOST_OUT: Duration = Duration::from_secs(6);
@@ -29,6 +30,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Record {
     failures: u32,
+    /// Quick refusals since a request got through.
+    refusals: u32,
     last: Time,
     until: Time,
 }
@@ -45,11 +48,7 @@
 
     /// Notes a failure.
     pub(crate) fn failed(&mut self, now: Time, upstream: u64) {
-        let record = self.0.entry(upstream).or_insert(Record {
-            failures: 0,
-            last: now,
-            until: now,
-        });
+        let record = self.record(now, upstream);
         // Requests that were under way when it was left out fail late; they
         // say nothing new.
         if now < record.until {
@@ -66,12 +65,29 @@
 
     /// Notes that an upstream refused a request at once.
     pub(crate) fn refused(&mut self, now: Time, upstream: u64) {
-        let record = self.0.entry(upstream).or_insert(Record {
+        let record = self.record(now, upstream);
+        if now < record.until {
+            return;
+        }
+        let out = REFUSED_OUT.saturating_mul(1 << record.refusals.min(8));
+        record.refusals += 1;
+        record.until = now + out.min(MOST_OUT);
+    }
+
+    /// Notes that a request got through.
+    pub(crate) fn succeeded(&mut self, upstream: u64) {
+        if let Some(record) = self.0.get_mut(&upstream) {
+            record.refusals = 0;
+        }
+    }
+
+    fn record(&mut self, now: Time, upstream: u64) -> &mut Record {
+        self.0.entry(upstream).or_insert(Record {
             failures: 0,
+            refusals: 0,
             last: now,
             until: now,
-        });
-        record.until = record.until.max(now + REFUSED_OUT);
+        })
     }
 
     /// Upstreams that are left out now.
--- a/src/decide/path.rs
+++ b/src/decide/path.rs
@@ -11,11 +11,15 @@
 
 use crate::roster::Range;
 
-/// Cost of a token's passing into another failure domain, in milliseconds.
-/// The delay itself is a quarter; the rest keeps the shared link for requests
-/// that have no whole path at home: it carries about 46,000 tokens a second,
-/// less than one crossing of all prompt tokens of a busy second.
-const CROSSING_MS: f64 = 6.0;
+/// Cost of a millisecond for which a request occupies the link between two
+/// domains, in milliseconds. All requests share the link, so each of the some
+/// hundred that run waits for it too: at seven tenths of its use every token
+/// that crosses waits for about 50 ms, which breaks the allowed pause of all
+/// streams that cross. A path that stays in any one domain goes first.
+const CROSSING: f64 = 100.0;
+
+/// Delay between two domains, in milliseconds a token.
+const FAR_MS: f64 = 0.25;
 
 /// Cost of a first engine outside the caller's domain, in milliseconds a
 /// request.
@@ -61,11 +65,25 @@
     pub(crate) answer: f64,
     /// Memory that a token takes in one layer, in megabytes.
     pub(crate) token_mb: f64,
+    /// Milliseconds for which a token occupies the link between two domains.
+    pub(crate) crossing_ms: f64,
+    /// Whether its path may pass from one domain into another.
+    pub(crate) crosses: bool,
     /// Failure domain of the caller.
     pub(crate) home: usize,
 }
 
 impl Work {
+    /// Milliseconds for which one crossing occupies the link between domains.
+    pub(crate) fn occupies(&self) -> f64 {
+        (self.prompt + self.answer) * self.crossing_ms
+    }
+
+    /// Cost of passing into another domain, in milliseconds.
+    fn crossing(&self) -> f64 {
+        FAR_MS * self.answer + CROSSING * self.occupies()
+    }
+
     /// Memory that the request takes in `layers` layers, in megabytes.
     pub(crate) fn memory(&self, layers: u32) -> f64 {
         (self.prompt + self.answer) * self.token_mb * f64::from(layers)
@@ -98,66 +116,85 @@
     to: usize,
 }
 
-/// The path with the least expected time through layers 0 to `layers`.
+/// Where a path begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Start {
+    /// With layer 0, from the caller.
+    Caller,
+    /// Behind an engine in `domain` that keeps the layers before `layer`.
+    Behind { layer: u32, domain: usize },
+}
+
+/// The path with the least expected time from `start` to layer `layers`.
 ///
 /// `noise` gives a factor near 1 for each candidate: instances that see the
 /// same report would all pick the same engines without it.
 pub(crate) fn choose(
     layers: u32,
+    start: Start,
     candidates: &[Candidate],
     work: &Work,
     noise: impl Fn(usize) -> f64,
 ) -> Result<Vec<Hop>, NoPath> {
-    let cuts = boundaries(layers, candidates);
+    let first = match start {
+        Start::Caller => 0,
+        Start::Behind { layer, .. } => layer,
+    };
+    let cuts = boundaries(first, layers, candidates);
     let domains = candidates.iter().map(|c| c.domain + 1).max().unwrap_or(0);
+    let domains = match start {
+        Start::Behind { domain, .. } => domains.max(domain + 1),
+        Start::Caller => domains,
+    };
     let last = cuts.len() - 1;
     // Cheapest way on from each boundary, by the domain of the engine before.
     let mut best: Vec<Vec<Option<Way>>> = vec![vec![None; domains]; cuts.len()];
     let mut enter: Option<Way> = None;
     for at in (0..last).rev() {
+        let from_caller = at == 0 && start == Start::Caller;
         for (i, candidate) in candidates.iter().enumerate() {
-            if !candidate.range.holds(cuts[at]) || (at == 0 && !candidate.enters) {
+            if !candidate.range.holds(cuts[at]) || (from_caller && !candidate.enters) {
                 continue;
             }
             let Some(way) = way_on(i, candidate, at, &cuts, &best, work, noise(i)) else {
                 continue;
             };
-            if at == 0 {
-                let far = if candidate.domain == work.home {
-                    0.0
-                } else {
-                    ENTRY_MS
-                };
-                improve(
-                    &mut enter,
-                    Way {
-                        cost: way.cost + far,
-                        ..way
-                    },
-                );
+            if from_caller {
+                let near = candidate.domain == work.home;
+                let cost = way.cost + if near { 0.0 } else { ENTRY_MS };
+                improve(&mut enter, Way { cost, ..way });
                 continue;
             }
             for (domain, slot) in best[at].iter_mut().enumerate() {
-                let crossing = if domain == candidate.domain {
-                    0.0
-                } else {
-                    CROSSING_MS
-                };
-                let cost = way.cost + crossing * (work.answer + work.prompt / CHUNK);
+                let near = domain == candidate.domain;
+                if !near && !work.crosses {
+                    continue;
+                }
+                let cost = way.cost + if near { 0.0 } else { work.crossing() };
                 improve(slot, Way { cost, ..way });
             }
         }
     }
-    let Some(first) = enter else {
-        return Err(missing(layers, candidates));
+    if let Start::Behind { domain, .. } = start {
+        enter = best[0][domain];
+    }
+    let Some(way) = enter else {
+        return Err(missing(first, layers, candidates));
     };
-    Ok(merge(follow(first, candidates, &cuts, &best)))
+    Ok(merge(follow(way, candidates, &cuts, &best)))
 }
 
-fn boundaries(layers: u32, candidates: &[Candidate]) -> Vec<u32> {
+/// How often a path passes from one domain into another.
+pub(crate) fn crossings(candidates: &[Candidate], hops: &[Hop]) -> usize {
+    let domain = |h: &Hop| candidates[h.engine].domain;
+    let pairs = hops.windows(2);
+    pairs.filter(|p| domain(&p[0]) != domain(&p[1])).count()
+}
+
+fn boundaries(first: u32, layers: u32, candidates: &[Candidate]) -> Vec<u32> {
     let ends = candidates.iter().flat_map(|c| [c.range.first, c.range.end]);
-    let inner = ends.filter(|&cut| 0 < cut && cut < layers);
-    let cuts: BTreeSet<u32> = inner.chain([0, layers]).collect();
+    let inner = ends.filter(|&cut| first < cut && cut < layers);
+    let cuts: BTreeSet<u32> = inner.chain([first, layers]).collect();
     cuts.into_iter().collect()
 }
 
@@ -242,18 +279,18 @@
     merged
 }
 
-fn missing(layers: u32, candidates: &[Candidate]) -> NoPath {
+fn missing(first: u32, layers: u32, candidates: &[Candidate]) -> NoPath {
     let held = |layer| candidates.iter().any(|c| c.range.holds(layer));
-    match (0..layers).find(|&l| !held(l)) {
+    match (first..layers).find(|&l| !held(l)) {
         Some(layer) => NoPath::Missing(layer),
         None => NoPath::Full,
     }
 }
 
-/// Whether the hops cover every layer once and in order, each on an engine of
-/// its own that holds it.
-pub(crate) fn is_whole(layers: u32, candidates: &[Candidate], hops: &[Hop]) -> bool {
-    let mut at = 0;
+/// Whether the hops cover every layer from `first` on once and in order, each
+/// on an engine of its own that holds it.
+pub(crate) fn is_whole(first: u32, layers: u32, candidates: &[Candidate], hops: &[Hop]) -> bool {
+    let mut at = first;
     for (i, hop) in hops.iter().enumerate() {
         let held = candidates[hop.engine].range;
         let inside = held.first <= hop.range.first && hop.range.end <= held.end;
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -29,6 +29,8 @@
     pub(crate) size_mb: f64,
     /// Factor on the time of a step; lower is faster.
     pub(crate) step_factor: f64,
+    /// Factor on the time of reading; lower is faster.
+    pub(crate) read_factor: f64,
     /// Layers that it holds, or is loading.
     pub(crate) held: Option<Range>,
     /// Whether an order for it is under way: it isn't given another.
@@ -118,8 +120,8 @@
         empty.retain(|&i| self.held[i].is_none() && !self.workers[i].busy);
         // The fastest first: the first copy of each layer should be on the
         // fast engines, and large ranges fit best while all is empty.
-        let speed = |i: &usize| self.workers[*i].step_factor;
-        empty.sort_by(|a, b| speed(a).total_cmp(&speed(b)));
+        let slowness = |i: &usize| self.workers[*i].step_factor * self.workers[*i].read_factor;
+        empty.sort_by(|a, b| slowness(a).total_cmp(&slowness(b)));
         for i in empty {
             self.place(i);
         }
@@ -128,7 +130,7 @@
     }
 
     /// Gives an empty engine the lowest layers that nobody holds, or else a
-    /// copy of those with the least room.
+    /// copy of those that are run the slowest.
     fn place(&mut self, worker: usize) {
         let most = self.most(worker, self.requests);
         if most == 0 {
@@ -136,7 +138,7 @@
         }
         let range = match self.gap() {
             Some(gap) => Range::new(gap.first, gap.end.min(gap.first + most)),
-            None => self.tightest(most),
+            None => self.slowest(most),
         };
         self.order(worker, range);
     }
@@ -251,15 +253,15 @@
         Some(Range::new(first, end.unwrap_or(self.model.layers)))
     }
 
-    /// The `length` layers with the least room.
-    fn tightest(&self, length: u32) -> Range {
-        let held = |i: usize| self.held[i].map_or(0.0, |h| self.room(i, h));
-        let rooms: Vec<f64> = (0..self.model.layers)
-            .map(|layer| self.holders(layer).map(held).sum())
+    /// The `length` layers that their holders together run the slowest.
+    fn slowest(&self, length: u32) -> Range {
+        let speed = |i: usize| 1.0 / self.workers[i].step_factor;
+        let speeds: Vec<f64> = (0..self.model.layers)
+            .map(|layer| self.holders(layer).map(speed).sum())
             .collect();
         let sum = |first: u32| -> f64 {
             let range = first as usize..(first + length) as usize;
-            rooms[range].iter().sum()
+            speeds[range].iter().sum()
         };
         let firsts = 0..=self.model.layers - length;
         let first = firsts.min_by(|&a, &b| sum(a).total_cmp(&sum(b)));
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -183,6 +183,8 @@
             .unwrap_or(model.usual_answer)
             .clamp(1.0, most.max(1.0)),
         token_mb: model.token_mb,
+        crossing_ms: model.crossing_ms,
+        crosses: false,
         home: 0,
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 use crate::clock::{Clock, SystemClock, Time};
 use crate::decide::allowance::{Allowance, Bound};
 use crate::decide::health::Health;
+use crate::decide::link::LinkPart;
 use crate::decide::load::Loads;
 use crate::error::{ListenSnafu, Result};
 use crate::event;
@@ -57,6 +58,7 @@
     loads: Loads,
     health: Health,
     allowance: Allowance,
+    link: LinkPart,
 }
 
 /// One running entry instance.
@@ -118,6 +120,7 @@
                 loads: Loads::default(),
                 health: Health::default(),
                 allowance,
+                link: LinkPart::new(SystemClock.now()),
             }),
             gate: Arc::default(),
             boot,
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -9,7 +9,7 @@
 use super::view::{Upstream, View};
 use crate::configuration::Model;
 use crate::decide::load::{Loads, Speed};
-use crate::decide::path::{self, Candidate, Hop, NoPath, Work};
+use crate::decide::path::{self, Candidate, Hop, NoPath, Start, Work};
 use crate::decide::pick::{self, Offer};
 use crate::decide::refusal::Reason;
 use crate::roster::Range;
@@ -36,11 +36,23 @@
     }
 }
 
+impl Chosen {
+    /// Notes that the request got through all its upstreams.
+    pub(super) fn succeeded(&self) {
+        let health = &mut self.entry.shared().health;
+        for (upstream, _) in &self.booked {
+            health.succeeded(*upstream);
+        }
+    }
+}
+
 /// Work of a request to a plain service: it takes a place and no memory.
 pub(super) const PLAIN: Work = Work {
     prompt: 0.0,
     answer: 0.0,
     token_mb: 0.0,
+    crossing_ms: 0.0,
+    crosses: false,
     home: 0,
 };
 
@@ -57,7 +69,7 @@
     ) -> Result<Chosen, Reason> {
         let upstreams = view.services.get(service).map_or(&[][..], Vec::as_slice);
         match model {
-            Some(model) => self.choose_path(upstreams, model, work, tried),
+            Some(model) => self.choose_path(view, upstreams, model, work, tried),
             None => self.choose_one(upstreams, tried),
         }
     }
@@ -92,6 +104,7 @@
 
     fn choose_path(
         self: &Arc<Self>,
+        view: &View,
         upstreams: &[Upstream],
         model: &Model,
         mut work: Work,
@@ -115,13 +128,26 @@
             .iter()
             .map(|_| 1.0 + NOISE * (2.0 * rng.random::<f64>() - 1.0))
             .collect();
-        let hops = path::choose(model.layers, &candidates, &work, |i| noise[i]);
-        let hops = hops.map_err(|e| match e {
+        let search = |work: &Work| {
+            path::choose(model.layers, Start::Caller, &candidates, work, |i| noise[i])
+        };
+        let mut found = search(&work);
+        if found.is_err() {
+            work.crosses = true;
+            found = search(&work).and_then(|hops| {
+                let crossings = path::crossings(&candidates, &hops) as f64;
+                let occupied = crossings * work.occupies();
+                let link = &mut self.shared().link;
+                let free = link.take(now, view.entries, occupied);
+                if free { Ok(hops) } else { Err(NoPath::Full) }
+            });
+        }
+        let hops = found.map_err(|e| match e {
             NoPath::Missing(_) => Reason::NoUpstream,
             NoPath::Full => Reason::Full,
         })?;
         assert!(
-            path::is_whole(model.layers, &candidates, &hops),
+            path::is_whole(0, model.layers, &candidates, &hops),
             "a path that doesn't cover each layer once and in order: {hops:?}"
         );
         let named: Vec<(SocketAddrV4, Hop)> = hops
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -39,6 +39,8 @@
     events: u64,
     total: u64,
     first_ms: Option<u64>,
+    /// Longest pause between two events.
+    pause: Duration,
     last_at: Time,
     ended: bool,
     _running: Running,
@@ -56,6 +58,7 @@
         events: 0,
         total: 0,
         first_ms: None,
+        pause: Duration::ZERO,
         last_at,
         ended: false,
         _running: running,
@@ -138,17 +141,21 @@
     fn take(&mut self) -> Option<Bytes> {
         let end = self.buffer.windows(2).rposition(|w| w == b"\n\n")? + 2;
         let events = self.buffer.split_to(end).freeze();
+        let now = self.run.entry.now();
+        if self.events == 0 {
+            self.opened.chosen.succeeded();
+        }
+        match self.first_ms {
+            Some(_) => self.pause = self.pause.max(now.since(self.last_at)),
+            None => self.first_ms = Some(millis(now.since(self.run.call.began))),
+        }
+        self.last_at = now;
         let ids = events.split(|&b| b == b'\n').filter_map(event_id);
         for id in ids {
             self.run.last = Some(id);
             self.events += 1;
             self.total += 1;
         }
-        let now = self.run.entry.now();
-        if self.first_ms.is_none() {
-            self.first_ms = Some(millis(now.since(self.run.call.began)));
-        }
-        self.last_at = now;
         Some(events)
     }
 
@@ -187,6 +194,7 @@
             how,
             events = self.total,
             first_ms = self.first_ms,
+            pause_ms = millis(self.pause),
             took_ms = millis(run.entry.now().since(run.call.began)),
             "stream ended"
         );
