Relieve layers with little room; hear the instances that find an engine dead

Spare engines now take layers of the tight one, which then gives them up; stretching leaves running requests their memory with growth.

--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -15,7 +15,7 @@
 use crate::decide::placement::{self, Worker};
 use crate::register::{Departed, Register, Versioned};
 use crate::roster::{Announcement, Entry, Heard, Range, Roster};
-use crate::sync::{Load, RosterRecord, State, Sync, UpstreamRecord};
+use crate::sync::{Load, RosterRecord, State, Sync, UpstreamRecord, address_key, key_address};
 
 /// Heartbeat periods after which a new leader has heard every upstream that
 /// lives: an upstream whose call fails asks the next instance within a second.
@@ -56,6 +56,8 @@
 struct Report {
     at: Time,
     loads: Vec<Load>,
+    /// Addresses of upstreams at which requests failed.
+    suspects: Vec<u64>,
 }
 
 /// State of one term of leadership.
@@ -129,7 +131,11 @@
         let before = self.pending.len();
         self.pending.retain(|_, p| now < p.until);
         self.turns += u64::from(self.pending.len() != before);
-        self.roster.tick(now)
+        let mut suspects: HashMap<SocketAddrV4, usize> = HashMap::default();
+        for suspect in self.reports.values().flat_map(|r| &r.suspects) {
+            *suspects.entry(key_address(*suspect)).or_default() += 1;
+        }
+        self.roster.tick(now, &suspects)
     }
 
     /// Whether every upstream that lives has been heard in this term.
@@ -151,6 +157,7 @@
         let report = Report {
             at: now,
             loads: ask.loads,
+            suspects: ask.suspects,
         };
         self.reports.insert(instance, report);
         let version = current.as_ref().map_or(0, |c| c.version);
@@ -263,6 +270,7 @@
             size_mb: accelerator.size_mb,
             step_factor: accelerator.step_factor,
             read_factor: accelerator.read_factor,
+            used_mb: self.used(address_key(last.address)),
             held: pending.map(|p| p.range).or(last.layers),
             busy: pending.is_some(),
         })
@@ -281,6 +289,33 @@
         held.into_iter().map(|(d, r)| (d, gaps(r))).collect()
     }
 
+    /// Memory that requests take on an engine, in megabytes.
+    fn used(&self, engine: u64) -> f64 {
+        let loads = self.reports.values().flat_map(|r| &r.loads);
+        let loads = loads.filter(|l| l.engine == engine);
+        loads.map(|l| f64::from(l.memory)).sum()
+    }
+
+    /// Notes that an engine reports to hold what it was ordered to.
+    pub(crate) fn carried_out(&mut self, order: &Placement) {
+        let ours = |p: &mut Pending| p.born == order.born && p.range == order.range;
+        let Some(pending) = self.pending.get_mut(&order.engine) else {
+            return;
+        };
+        if !ours(pending) {
+            return;
+        }
+        self.pending.remove(&order.engine);
+        self.turns += 1;
+        self.roster.holds(&order.engine, order.born, order.range);
+    }
+
+    /// Whether an order is still taken to be under way.
+    pub(crate) fn is_pending(&self, order: &Placement) -> bool {
+        let pending = self.pending.get(&order.engine);
+        pending.is_some_and(|p| p.born == order.born && p.range == order.range)
+    }
+
     /// Notes that an engine didn't take an order; it may get another soon.
     pub(crate) fn refused(&mut self, now: Time, engine: &str) {
         if let Some(pending) = self.pending.get_mut(engine) {
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -21,6 +21,9 @@
 /// domain away. The neighbours of a dead engine refuse as quickly, and go on.
 const REFUSED_OUT: Duration = Duration::from_millis(200);
 
+/// Quick refusals in a row that a living engine hardly gives.
+const DEAD_REFUSALS: u32 = 3;
+
 /// Longest time out. A recovered engine is found again within it.
 const MOST_OUT: Duration = Duration::from_secs(6);
 
@@ -90,9 +93,11 @@
         })
     }
 
-    /// Upstreams that are left out now.
-    pub(crate) fn out(&self, now: Time) -> Vec<u64> {
-        let out = self.0.iter().filter(|(_, r)| now < r.until);
+    /// Upstreams that are left out now for a failure, or since they refuse
+    /// again and again: those that look dead.
+    pub(crate) fn dead(&self, now: Time) -> Vec<u64> {
+        let dead = |r: &Record| r.failures > 0 || r.refusals >= DEAD_REFUSALS;
+        let out = self.0.iter().filter(|(_, r)| now < r.until && dead(r));
         out.map(|(&upstream, _)| upstream).collect()
     }
 }
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -14,11 +14,22 @@
 /// Requests for which each engine keeps memory, tried in this order. A domain
 /// of the users' size has some fifty under way on a busy day, and takes the
 /// load of another one when that has lost an engine.
-const ROOMS: [f64; 9] = [150.0, 120.0, 100.0, 80.0, 60.0, 40.0, 24.0, 12.0, 4.0];
+const ROOMS: [f64; 7] = [100.0, 80.0, 60.0, 40.0, 24.0, 12.0, 4.0];
+
+/// Requests for which the holders of a layer together should have memory. With
+/// less the whole pipeline is held up by that layer.
+const LEAST_ROOM: f64 = 60.0;
+
+/// Memory that an engine keeps besides what its running requests take now, as
+/// a share of it: their answers still grow. An engine whose memory runs out
+/// interrupts the newest of them.
+const GROWTH: f64 = 1.3;
 
 /// Requests for which an engine keeps memory when it takes layers of a lost
 /// neighbour, tried in this order.
-const STRETCHED: [f64; 3] = [60.0, 24.0, 8.0];
+/// The last is what the smallest engines of the users keep when they are full
+/// to the brim: little room, but a gap of one layer stops the whole pipeline.
+const STRETCHED: [f64; 4] = [60.0, 24.0, 12.0, 6.0];
 
 /// An engine that can hold layers.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,6 +42,8 @@
     pub(crate) step_factor: f64,
     /// Factor on the time of reading; lower is faster.
     pub(crate) read_factor: f64,
+    /// Memory that running requests take, in megabytes.
+    pub(crate) used_mb: f64,
     /// Layers that it holds, or is loading.
     pub(crate) held: Option<Range>,
     /// Whether an order for it is under way: it isn't given another.
@@ -126,20 +139,24 @@
             self.place(i);
         }
         self.mend();
+        if self.gap().is_none() {
+            self.relieve();
+        }
         self.moves
     }
 
     /// Gives an empty engine the lowest layers that nobody holds, or else a
-    /// copy of those that are run the slowest.
+    /// copy of those with too little room, or of those that are run the
+    /// slowest.
     fn place(&mut self, worker: usize) {
         let most = self.most(worker, self.requests);
         if most == 0 {
             return;
         }
-        let range = match self.gap() {
-            Some(gap) => Range::new(gap.first, gap.end.min(gap.first + most)),
-            None => self.slowest(most),
-        };
+        let begin = |r: Range| Range::new(r.first, r.end.min(r.first + most));
+        let tight = || self.tightest().map(|(_, held)| held);
+        let range = self.gap().or_else(tight).map(begin);
+        let range = range.unwrap_or_else(|| self.slowest(most));
         self.order(worker, range);
     }
 
@@ -174,8 +191,8 @@
     /// keeps memory for `requests`.
     fn stretched(&self, worker: usize, gap: Range, requests: f64) -> Option<Range> {
         let held = self.held[worker]?;
-        let more = self.most(worker, requests).saturating_sub(held.len());
-        let more = more.min(gap.len());
+        let most = self.most(worker, requests).min(self.fits(worker));
+        let more = most.saturating_sub(held.len()).min(gap.len());
         if more == 0 {
             return None;
         }
@@ -185,6 +202,92 @@
         (held.first == gap.end).then(|| Range::new(gap.end - more, held.end))
     }
 
+    /// Most layers that leave the running requests their memory.
+    fn fits(&self, worker: usize) -> u32 {
+        let worker = &self.workers[worker];
+        let free = worker.size_mb - GROWTH * worker.used_mb;
+        (free / self.model.layer_mb).max(0.0) as u32
+    }
+
+    /// Gives room to the layers with the least: an engine that holds too many
+    /// gives up those for which others have room, else a spare engine takes
+    /// some of them first.
+    fn relieve(&mut self) {
+        let Some((worker, held)) = self.tightest() else {
+            return;
+        };
+        if !self.is_free(worker) {
+            return;
+        }
+        if let Some(range) = self.trimmed(worker, held) {
+            return self.order(worker, range);
+        }
+        let spare = self.members.iter().copied();
+        let spare = spare.filter(|&i| i != worker && self.is_roomy_spare(i));
+        let Some(helper) = spare.max_by_key(|&i| self.most(i, self.requests)) else {
+            return;
+        };
+        let most = self.most(helper, self.requests).min(held.len());
+        if most > 0 {
+            self.order(helper, Range::new(held.first, held.first + most));
+        }
+    }
+
+    /// The engine with the least room among the holders of a layer for which
+    /// all together have too little, and what it holds.
+    fn tightest(&self) -> Option<(usize, Range)> {
+        let least = self.tokens(LEAST_ROOM);
+        let rooms = (0..self.model.layers).map(|layer| (layer, self.room_at(layer, None)));
+        let tight = rooms.filter(|&(_, room)| room > 0.0 && room < least);
+        let (layer, _) = tight.min_by(|a, b| a.1.total_cmp(&b.1))?;
+        let holders = self.holders(layer).filter_map(|i| Some((i, self.held[i]?)));
+        holders.min_by(|a, b| self.room(a.0, a.1).total_cmp(&self.room(b.0, b.1)))
+    }
+
+    /// What an engine should keep of its layers when others have room for
+    /// some at an end.
+    fn trimmed(&self, worker: usize, held: Range) -> Option<Range> {
+        let least = self.tokens(LEAST_ROOM);
+        let others = |layer: u32| self.room_at(layer, Some(worker)) >= least;
+        let low = (held.first..held.end).take_while(|&l| others(l)).count() as u32;
+        let high = (held.first..held.end)
+            .rev()
+            .take_while(|&l| others(l))
+            .count() as u32;
+        // It keeps a layer at least, or it would be an empty engine.
+        let most = held.len() - 1;
+        if low.max(high).min(most) == 0 {
+            return None;
+        }
+        Some(if low >= high {
+            Range::new(held.first + low.min(most), held.end)
+        } else {
+            Range::new(held.first, held.end - high.min(most))
+        })
+    }
+
+    /// Whether others hold all that an engine holds, with room enough.
+    fn is_roomy_spare(&self, worker: usize) -> bool {
+        let Some(held) = self.held[worker] else {
+            return false;
+        };
+        let least = self.tokens(LEAST_ROOM);
+        let roomy = |layer| self.room_at(layer, Some(worker)) >= least;
+        self.is_free(worker) && (held.first..held.end).all(roomy)
+    }
+
+    /// Tokens for which the holders of a layer together have memory, but for
+    /// one of them.
+    fn room_at(&self, layer: u32, without: Option<usize>) -> f64 {
+        let holders = self.holders(layer).filter(|&i| Some(i) != without);
+        let rooms = holders.filter_map(|i| Some(self.room(i, self.held[i]?)));
+        rooms.sum()
+    }
+
+    fn tokens(&self, requests: f64) -> f64 {
+        requests * (self.model.usual_prompt + self.model.usual_answer)
+    }
+
     /// The engine that can best be spared for a gap: one that fills it, else
     /// the one that fills most of it.
     fn spare(&self, gap: Range) -> Option<(usize, Range)> {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response, StatusCode, header};
@@ -186,6 +186,15 @@
     _driver: Driver,
 }
 
+impl Answer {
+    /// The whole body of at most `most` bytes, or nothing when it broke off or
+    /// is longer.
+    pub(crate) async fn into_body(self, most: usize) -> Option<Bytes> {
+        let body = Limited::new(self.response.into_body(), most);
+        Some(body.collect().await.ok()?.to_bytes())
+    }
+}
+
 impl Connection {
     /// Connects; an error proves that nothing has left.
     pub(crate) async fn open(addr: SocketAddr) -> Result<Self, EngineError> {
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -139,7 +139,7 @@
             term,
             revision,
             loads: shared.loads.report(),
-            suspects: shared.health.out(now),
+            suspects: shared.health.dead(now),
         }
     }
 }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -17,6 +17,15 @@
 /// arrive seconds late; dropping a sound engine costs a load of its layers.
 const LOST_BEATS: f64 = 4.0;
 
+/// As [`LATE_BEATS`] and [`LOST_BEATS`], of an upstream that several instances
+/// found dead. A second witness may miss a heartbeat, but then requests fail
+/// there as well: waiting on would only fail more of them.
+const SUSPECT_LATE_BEATS: f64 = 1.1;
+const SUSPECT_LOST_BEATS: f64 = 2.0;
+
+/// Instances that must suspect an upstream. One alone may be cut off from it.
+const WITNESSES: usize = 2;
+
 /// Sequence numbers below which an unknown upstream at a taken address counts
 /// as its successor. A new one begins at 1; its first call or two may be lost.
 const FRESH_SEQUENCE: u64 = 4;
@@ -160,12 +169,31 @@
         }
     }
 
-    /// Lets time pass: the silent ones are avoided, then dropped.
-    pub(crate) fn tick(&mut self, now: Time) -> Vec<Arc<str>> {
-        let late = self.beat.mul_f64(LATE_BEATS);
-        let lost = self.beat.mul_f64(LOST_BEATS);
+    /// Notes what a start holds, from another source than its heartbeats.
+    pub(crate) fn holds(&mut self, id: &str, born: u64, range: Range) {
+        let entry = self.entries.get_mut(id).filter(|e| e.last.born == born);
+        let Some(entry) = entry else { return };
+        if entry.last.layers != Some(range) {
+            entry.last.layers = Some(range);
+            self.revision += 1;
+        }
+    }
+
+    /// Lets time pass: the silent ones are avoided, then dropped. `suspects`
+    /// counts the instances at which requests failed there, by address.
+    pub(crate) fn tick(
+        &mut self,
+        now: Time,
+        suspects: &HashMap<SocketAddrV4, usize>,
+    ) -> Vec<Arc<str>> {
         let mut dropped = Vec::new();
         for (id, entry) in &mut self.entries {
+            let witnesses = suspects.get(&entry.last.address).copied().unwrap_or(0);
+            let (late, lost) = match witnesses >= WITNESSES {
+                true => (SUSPECT_LATE_BEATS, SUSPECT_LOST_BEATS),
+                false => (LATE_BEATS, LOST_BEATS),
+            };
+            let (late, lost) = (self.beat.mul_f64(late), self.beat.mul_f64(lost));
             let silent = now.since(entry.heard);
             if silent >= late && !entry.late {
                 entry.late = true;
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -238,6 +238,7 @@
         size_mb,
         step_factor,
         read_factor: step_factor / 2.0,
+        used_mb: 0.0,
         held: None,
         busy: false,
     }
@@ -318,6 +319,50 @@
     assert!(depth.iter().any(|&d| d == 2));
 }
 
+#[test]
+fn plan_stretch_spares_running() {
+    // The neighbours of a lost engine are full of running requests. Loading
+    // its layers would take their memory, and the newest would be interrupted
+    // in the middle of their answers.
+    let model = model();
+    let mut workers: Vec<Worker> = (0..3).map(|_| worker("a", 72_000.0, 1.4)).collect();
+    for (w, first) in workers.iter_mut().zip([0, 40, 60]) {
+        w.held = Some(Range::new(first, first + 20));
+        w.used_mb = 26_000.0;
+    }
+    for m in placement::plan(&model, &workers) {
+        assert!(f64::from(m.range.len()) * model.layer_mb + 26_000.0 < 72_000.0);
+    }
+}
+
+#[test]
+fn plan_relieves_brimful() {
+    // An engine stretched over a gap has memory for six requests left, and the
+    // whole pipeline waits for it. A spare engine must take some of its layers
+    // first, and then it gives them up.
+    let model = model();
+    let mut workers = vec![
+        worker("a", 72_000.0, 1.4),
+        worker("a", 72_000.0, 1.4),
+        worker("a", 72_000.0, 1.4),
+    ];
+    workers[0].held = Some(Range::new(0, 30));
+    workers[1].held = Some(Range::new(30, 70));
+    workers[2].held = Some(Range::new(60, 80));
+    workers.push(worker("a", 36_000.0, 3.1));
+    workers[3].held = Some(Range::new(0, 15));
+    for _ in 0..3 {
+        carry_out(&model, &mut workers);
+    }
+    assert!(
+        workers[1].held.unwrap().len() <= 30,
+        "{:?}",
+        workers[1].held
+    );
+    assert!(depths(&workers, "a").iter().all(|&d| d >= 1));
+    assert_eq!(carry_out(&model, &mut workers), 0, "the plan is stable");
+}
+
 #[test]
 fn plan_small_domains_together() {
     // Neither domain can hold the model alone. Were each filled from its
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -1,11 +1,13 @@
 //! Tests of [`crate::roster`], [`crate::register`] and the controller's board.
 
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 
 use crate::clock::Time;
+use crate::collections::HashMap;
 use crate::controller::board::Board;
 use crate::register::{self, Register};
 use crate::roster::{Announcement, Heard, Range, Roster};
@@ -33,6 +35,10 @@
     }
 }
 
+fn none() -> HashMap<SocketAddrV4, usize> {
+    HashMap::default()
+}
+
 fn ids(roster: &Roster) -> Vec<&str> {
     roster.list().into_iter().map(|e| &*e.last.id).collect()
 }
@@ -88,13 +94,13 @@
 fn tick_silence() {
     let mut roster = Roster::new(BEAT);
     roster.hear(at(0), news("i-1", 1));
-    assert!(roster.tick(at(2600)).is_empty());
+    assert!(roster.tick(at(2600), &none()).is_empty());
     assert!(!roster.get("i-1").unwrap().late);
-    roster.tick(at(2700));
+    roster.tick(at(2700), &none());
     assert!(roster.get("i-1").unwrap().late);
     roster.hear(at(2800), news("i-1", 2));
     assert!(!roster.get("i-1").unwrap().late);
-    assert_eq!(roster.tick(at(7700)).len(), 1);
+    assert_eq!(roster.tick(at(7700), &none()).len(), 1);
     assert!(ids(&roster).is_empty());
 }
 
@@ -226,3 +232,23 @@
     let shown = upstreams.iter().find(|u| *u.id == *moved.engine).unwrap();
     assert_eq!(shown.range(), None);
 }
+
+#[test]
+fn tick_witnesses() {
+    // An engine goes dark. Its heartbeats may be late for good reasons for
+    // four seconds, but two instances have found it dead: every request that
+    // is sent there meanwhile stalls, and its layers are missing.
+    let mut roster = Roster::new(BEAT);
+    roster.hear(at(0), news("i-1", 1));
+    let address = roster.get("i-1").unwrap().last.address;
+    let one = HashMap::from_iter([(address, 1)]);
+    let two = HashMap::from_iter([(address, 2)]);
+    roster.tick(at(1400), &one);
+    assert!(!roster.get("i-1").unwrap().late);
+    // An upstream that calls is never dropped on the word of others.
+    assert!(roster.tick(at(1200), &two).is_empty());
+    assert!(!roster.get("i-1").unwrap().late);
+    roster.tick(at(1400), &two);
+    assert!(roster.get("i-1").unwrap().late);
+    assert_eq!(roster.tick(at(2400), &two).len(), 1);
+}
