Lead silent requests around the engine that holds them up

After 260 ms of silence the first engine is asked which one an attempt waits for; other engines in the domain with the same layers take its part, else the stream is taken up on another path at once. Ruled out: reroutes through another domain (900 tokens of prompt for each cross the shared link).

--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -272,6 +272,7 @@
             read_factor: accelerator.read_factor,
             used_mb: self.used(address_key(last.address)),
             held: pending.map(|p| p.range).or(last.layers),
+            loaded: last.layers,
             busy: pending.is_some(),
         })
     }
--- a/src/controller/place.rs
+++ b/src/controller/place.rs
@@ -1,21 +1,17 @@
 //! Orders to engines.
 
-use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::http::request::Builder;
 use hyper::{Request, StatusCode};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::Controller;
 use super::board::Placement;
-use crate::engine::{Connection, Cutoff};
+use crate::engine::call;
 use crate::event;
-use crate::platform::{engine, headers};
+use crate::platform::engine;
 
 /// Longest wait for an engine to take an order.
 const ANSWER: Duration = Duration::from_millis(1_500);
@@ -24,19 +20,13 @@
 /// heartbeat may be more than a second away, while a short load takes 0.2 s.
 const LOOK: Duration = Duration::from_millis(300);
 
-/// Longest report that is read, in bytes.
-const MAX_REPORT: usize = 64 << 10;
-
 impl Controller {
     /// Gives one order, notes what became of it, and looks until it is carried
     /// out.
     pub(super) async fn place(self: Arc<Self>, order: Placement) {
         let body = Bytes::from(engine::place(order.range, order.fence));
-        let request = Request::post(engine::ORDER)
-            .header(CONTENT_TYPE, "application/json")
-            .header(headers::EXPECTED, &*order.engine);
-        let sent = self.ask(order.address, request, body);
-        let answer = timeout(ANSWER, sent).await.ok().flatten();
+        let request = Request::post(engine::ORDER);
+        let answer = call(order.address.into(), &order.engine, request, body, ANSWER).await;
         let status = answer.map(|a| a.0);
         let taken = matches!(status, Some(StatusCode::OK | StatusCode::ACCEPTED));
         if !taken && status.is_some() {
@@ -64,9 +54,9 @@
             if !self.board().is_pending(order) {
                 return;
             }
-            let request = Request::get(engine::REPORT).header(headers::EXPECTED, &*order.engine);
-            let report = self.ask(order.address, request, Bytes::new());
-            let Ok(Some((StatusCode::OK, report))) = timeout(ANSWER, report).await else {
+            let (address, request) = (order.address.into(), Request::get(engine::REPORT));
+            let report = call(address, &order.engine, request, Bytes::new(), ANSWER).await;
+            let Some((StatusCode::OK, report)) = report else {
                 continue;
             };
             if engine::reported_layers(&report) == Some(order.range) {
@@ -74,24 +64,4 @@
             }
         }
     }
-
-    /// An engine's answer, or nothing when it is unknown what became of the
-    /// call.
-    async fn ask(
-        &self,
-        address: SocketAddrV4,
-        request: Builder,
-        body: Bytes,
-    ) -> Option<(StatusCode, Bytes)> {
-        let connection = Connection::open(address.into()).await.ok()?;
-        let request = request
-            .header(HOST, address.to_string())
-            .body(Full::from(body))
-            .expect("the parts of the head are valid");
-        let cutoff = Cutoff::new(None, Arc::clone(&self.clock));
-        let answer = connection.send(request, &cutoff).await.ok()?;
-        let status = answer.response.status();
-        let body = answer.into_body(MAX_REPORT).await?;
-        Some((status, body))
-    }
 }
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -46,6 +46,8 @@
     pub(crate) used_mb: f64,
     /// Layers that it holds, or is loading.
     pub(crate) held: Option<Range>,
+    /// Those of them that it has loaded.
+    pub(crate) loaded: Option<Range>,
     /// Whether an order for it is under way: it isn't given another.
     pub(crate) busy: bool,
 }
@@ -237,7 +239,7 @@
     /// all together have too little, and what it holds.
     fn tightest(&self) -> Option<(usize, Range)> {
         let least = self.tokens(LEAST_ROOM);
-        let rooms = (0..self.model.layers).map(|layer| (layer, self.room_at(layer, None)));
+        let rooms = (0..self.model.layers).map(|layer| (layer, self.room_at(layer)));
         let tight = rooms.filter(|&(_, room)| room > 0.0 && room < least);
         let (layer, _) = tight.min_by(|a, b| a.1.total_cmp(&b.1))?;
         let holders = self.holders(layer).filter_map(|i| Some((i, self.held[i]?)));
@@ -248,7 +250,7 @@
     /// some at an end.
     fn trimmed(&self, worker: usize, held: Range) -> Option<Range> {
         let least = self.tokens(LEAST_ROOM);
-        let others = |layer: u32| self.room_at(layer, Some(worker)) >= least;
+        let others = |layer: u32| self.loaded_room_at(layer, worker) >= least;
         let low = (held.first..held.end).take_while(|&l| others(l)).count() as u32;
         let high = (held.first..held.end)
             .rev()
@@ -272,15 +274,24 @@
             return false;
         };
         let least = self.tokens(LEAST_ROOM);
-        let roomy = |layer| self.room_at(layer, Some(worker)) >= least;
+        let roomy = |layer| self.loaded_room_at(layer, worker) >= least;
         self.is_free(worker) && (held.first..held.end).all(roomy)
     }
 
-    /// Tokens for which the holders of a layer together have memory, but for
-    /// one of them.
-    fn room_at(&self, layer: u32, without: Option<usize>) -> f64 {
-        let holders = self.holders(layer).filter(|&i| Some(i) != without);
-        let rooms = holders.filter_map(|i| Some(self.room(i, self.held[i]?)));
+    /// Tokens for which the holders of a layer together have memory.
+    fn room_at(&self, layer: u32) -> f64 {
+        let rooms = self.holders(layer);
+        let rooms = rooms.filter_map(|i| Some(self.room(i, self.held[i]?)));
+        rooms.sum()
+    }
+
+    /// Tokens for which the engines that have loaded a layer and keep it
+    /// together have memory, but for one of them. What is still being loaded
+    /// doesn't count: given up on its account, the layer would be missing.
+    fn loaded_room_at(&self, layer: u32, without: usize) -> f64 {
+        let loaded = |i: usize| self.workers[i].loaded.is_some_and(|l| l.holds(layer));
+        let others = self.holders(layer).filter(|&i| i != without && loaded(i));
+        let rooms = others.filter_map(|i| Some(self.room(i, self.held[i]?)));
         rooms.sum()
     }
 
@@ -321,7 +332,7 @@
         let Some(held) = self.held[worker] else {
             return false;
         };
-        let copied = |layer| self.holders(layer).any(|i| i != worker);
+        let copied = |layer| self.loaded_room_at(layer, worker) > 0.0;
         self.is_free(worker) && (held.first..held.end).all(copied)
     }
 
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::http::request::Builder;
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
@@ -21,6 +22,7 @@
 
 use crate::clock::{Clock, Time};
 use crate::id::UpstreamId;
+use crate::platform::headers;
 
 /// Longest time to connect to an upstream.
 const CONNECT: Duration = Duration::from_millis(750);
@@ -186,15 +188,6 @@
     _driver: Driver,
 }
 
-impl Answer {
-    /// The whole body of at most `most` bytes, or nothing when it broke off or
-    /// is longer.
-    pub(crate) async fn into_body(self, most: usize) -> Option<Bytes> {
-        let body = Limited::new(self.response.into_body(), most);
-        Some(body.collect().await.ok()?.to_bytes())
-    }
-}
-
 impl Connection {
     /// Connects; an error proves that nothing has left.
     pub(crate) async fn open(addr: SocketAddr) -> Result<Self, EngineError> {
@@ -243,6 +236,34 @@
     }
 }
 
+/// Longest answer to a call that is read, in bytes.
+const MAX_ANSWER: usize = 64 << 10;
+
+/// Makes one short call to an upstream that expects to be `id`. Nothing when it
+/// is unknown what became of the call.
+pub(crate) async fn call(
+    address: SocketAddr,
+    id: &str,
+    request: Builder,
+    body: Bytes,
+    limit: Duration,
+) -> Option<(StatusCode, Bytes)> {
+    let request = request
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(headers::EXPECTED, id)
+        .body(Full::from(body))
+        .expect("the parts of the head are valid");
+    let exchange = async {
+        let mut connection = Connection::open(address).await.ok()?;
+        let response = connection.sender.send_request(request).await.ok()?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER);
+        Some((status, body.collect().await.ok()?.to_bytes()))
+    };
+    timeout(limit, exchange).await.ok().flatten()
+}
+
 /// Engines over HTTP.
 pub(crate) struct HttpEngine;
 
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,6 +1,7 @@
 //! One request on its way through its attempts.
 
 use std::net::SocketAddrV4;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,9 +15,10 @@
 use super::body::Body;
 use super::head;
 use super::listen::{failure, refuse};
+use super::reroute::{self, Rerouted};
 use super::select::Chosen;
 use crate::clock::{Time, millis};
-use crate::configuration::{Repeat, Route, Table};
+use crate::configuration::{Model, Repeat, Route, Table};
 use crate::decide::path::Work;
 use crate::decide::refusal::Reason;
 use crate::decide::retry::{self, Failure, Next, Tries};
@@ -262,17 +264,48 @@
             _ => self.call.route.objective * PATIENCE,
         };
         let sent = self.entry.now();
-        match timeout(patience, connection.send(request, &cutoff)).await {
-            Ok(Ok(answer)) => self.judge(sent, Opened { answer, chosen }),
-            Ok(Err(_)) => failed(Failure::Unknown, "cut"),
-            Err(_) => Outcome::Failed {
-                failure: Failure::Unknown,
-                culprit: None,
-                cause: "silent",
-            },
+        let mut chosen = chosen;
+        let mut answer = pin!(connection.send(request, &cutoff));
+        let mut wait = reroute::QUIET.min(patience);
+        loop {
+            match timeout(wait, answer.as_mut()).await {
+                Ok(Ok(answer)) => return self.judge(sent, Opened { answer, chosen }),
+                Ok(Err(_)) => return failed(Failure::Unknown, "cut"),
+                Err(_) => {}
+            }
+            let waited = self.entry.now().since(sent);
+            let (failure, culprit, cause) = match self.look(&mut chosen).await {
+                Rerouted::Lost(culprit) => (reroute::LOST.0, Some(culprit), reroute::LOST.1),
+                _ if waited >= patience => (Failure::Unknown, None, "silent"),
+                _ => {
+                    wait = reroute::AGAIN.min(patience - waited);
+                    continue;
+                }
+            };
+            return Outcome::Failed {
+                failure,
+                culprit,
+                cause,
+            };
         }
     }
 
+    /// Looks after a silent attempt, if it may be sent elsewhere at all.
+    pub(super) async fn look(&self, chosen: &mut Chosen) -> Rerouted {
+        match self.call.route.repeat {
+            Repeat::Never => Rerouted::Waits,
+            _ => self.reroute(chosen).await,
+        }
+    }
+
+    /// The model that serves the request; only requests with a path have one.
+    pub(super) fn model(&self) -> Model {
+        let service = self.table.service(&self.call.service);
+        service
+            .and_then(|s| s.model.clone())
+            .expect("a path has a model")
+    }
+
     fn request(&self, chosen: &Chosen) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::from(self.call.body.clone()));
         *request.method_mut() = self.call.method.clone();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -31,6 +31,7 @@
 mod head;
 mod listen;
 mod plain;
+mod reroute;
 mod select;
 mod stream;
 pub(crate) mod view;
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -13,6 +13,7 @@
 use crate::decide::pick::{self, Offer};
 use crate::decide::refusal::Reason;
 use crate::roster::Range;
+use crate::sync::key_address;
 
 /// Factor on the cost of an engine whose heartbeats are late.
 const LATE: f64 = 4.0;
@@ -36,7 +37,69 @@
     }
 }
 
+/// A path around an engine.
+pub(super) struct Detour {
+    /// In the form that engines get.
+    pub(super) text: String,
+    hops: Vec<(u64, Hop)>,
+}
+
 impl Chosen {
+    /// Whether the attempt passes through an upstream.
+    pub(super) fn passes(&self, upstream: u64) -> bool {
+        self.booked.iter().any(|(key, _)| *key == upstream)
+    }
+
+    /// A path with other engines in the place of one. The parts of the others
+    /// stay, so that only what is replaced is read again; and it stays in the
+    /// domain, since a whole prompt would have to cross the shared link.
+    pub(super) fn detour(&self, around: u64, model: &Model, draw: f64) -> Option<Detour> {
+        let entry = &self.entry;
+        let at = self.booked.iter().position(|(key, _)| *key == around)?;
+        // The first part has the caller's connection and must stay.
+        let before = self.booked.get(at.checked_sub(1)?)?;
+        let range = self.booked[at].1.range;
+        let view = entry.view();
+        let now = entry.now();
+        let upstreams: Vec<&Upstream> = view.services.values().flatten().collect();
+        let domains = domains(upstreams.iter().copied());
+        let home = upstreams.iter().find(|u| u.key == before.0)?;
+        let domain = domains.iter().position(|d| *d == home.domain)?;
+        let shared = entry.shared();
+        let usable = upstreams
+            .iter()
+            .filter(|u| !self.passes(u.key) && !u.late && !shared.health.is_out(now, u.key))
+            .filter_map(|u| Some((u.key, candidate(u, model, &shared.loads, &domains)?)));
+        let (keys, candidates): (Vec<u64>, Vec<Candidate>) = usable.unzip();
+        drop(shared);
+        let start = Start::Behind {
+            layer: range.first,
+            domain,
+        };
+        let noise = |i: usize| 1.0 + NOISE * ((draw * 97.0 + i as f64 * 0.618).fract() - 0.5);
+        let found = path::choose(range.end, start, &candidates, &self.work, noise).ok()?;
+        let replaced = found.iter().map(|h| (keys[h.engine], *h));
+        let mut hops = self.booked.clone();
+        hops.splice(at..=at, replaced);
+        assert!(
+            is_gapless(model.layers, &hops),
+            "a detour with a gap: {hops:?}"
+        );
+        let named: Vec<_> = hops.iter().map(|(k, h)| (key_address(*k), *h)).collect();
+        let text = crate::platform::engine::encode_path(&named);
+        Some(Detour { text, hops })
+    }
+
+    /// Books another path for the rest of the attempt.
+    pub(super) fn follow(&mut self, detour: Detour) {
+        let mut shared = self.entry.shared();
+        shared.loads.leave(&self.booked, &self.work);
+        shared.loads.enter(&detour.hops, &self.work);
+        drop(shared);
+        self.booked = detour.hops;
+        self.path = Some(detour.text);
+    }
+
     /// Notes that the request got through all its upstreams.
     pub(super) fn succeeded(&self) {
         let health = &mut self.entry.shared().health;
@@ -46,6 +109,18 @@
     }
 }
 
+/// Whether hops cover every layer once and in order.
+fn is_gapless(layers: u32, hops: &[(u64, Hop)]) -> bool {
+    let mut at = 0;
+    for (_, hop) in hops {
+        if hop.range.first != at {
+            return false;
+        }
+        at = hop.range.end;
+    }
+    at == layers
+}
+
 /// Work of a request to a plain service: it takes a place and no memory.
 pub(super) const PLAIN: Work = Work {
     prompt: 0.0,
@@ -111,7 +186,7 @@
         tried: &[u64],
     ) -> Result<Chosen, Reason> {
         let now = self.now();
-        let domains = domains(upstreams);
+        let domains = domains(upstreams.iter());
         // A caller's domain without engines is none of theirs.
         let home = domains.iter().position(|d| *d == self.boot.domain);
         work.home = home.unwrap_or(usize::MAX);
@@ -178,8 +253,8 @@
     }
 }
 
-fn domains(upstreams: &[Upstream]) -> Vec<&str> {
-    let mut domains: Vec<&str> = upstreams.iter().map(|u| u.domain.as_str()).collect();
+fn domains<'a>(upstreams: impl Iterator<Item = &'a Upstream>) -> Vec<&'a str> {
+    let mut domains: Vec<&str> = upstreams.map(|u| u.domain.as_str()).collect();
     domains.sort_unstable();
     domains.dedup();
     domains
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -13,6 +13,7 @@
 use super::attempt::{Opened, Run};
 use super::body::{self, Body, BrokenOff};
 use super::head;
+use super::reroute::{self, Rerouted};
 use crate::clock::{Time, millis};
 use crate::configuration::Repeat;
 use crate::decide::retry::{Failure, Next};
@@ -79,6 +80,19 @@
     End,
     Broken,
     Silent,
+    /// It waits for this engine, and there is no way around.
+    Lost(u64),
+}
+
+fn input(frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Input {
+    match frame {
+        Some(Ok(frame)) => {
+            let data = frame.into_data();
+            Input::Bytes(data.unwrap_or_default())
+        }
+        Some(Err(_)) => Input::Broken,
+        None => Input::End,
+    }
 }
 
 impl Streaming {
@@ -104,6 +118,10 @@
                 Input::End => (Failure::Unknown, "cut_event"),
                 Input::Broken => (Failure::Unknown, "cut_stream"),
                 Input::Silent => (Failure::Unknown, "stalled"),
+                Input::Lost(culprit) => {
+                    self.run.blame(Some(culprit), reroute::LOST.1);
+                    reroute::LOST
+                }
             };
             if !self.resume(failure, cause).await {
                 self.finish(cause);
@@ -123,15 +141,20 @@
             (_, 0) => route.objective * FIRST,
             _ => route.pause * STALLED,
         };
-        let patience = patience.max(Duration::from_millis(100)).min(left);
-        let body = self.opened.answer.response.body_mut();
-        match timeout(patience, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame
-                .into_data()
-                .map_or(Input::Bytes(Bytes::new()), Input::Bytes),
-            Ok(Some(Err(_))) => Input::Broken,
-            Ok(None) => Input::End,
-            Err(_) => Input::Silent,
+        let patience = patience.max(reroute::QUIET).min(left);
+        let since = self.run.entry.now();
+        let mut wait = reroute::QUIET.min(patience);
+        loop {
+            let body = self.opened.answer.response.body_mut();
+            if let Ok(frame) = timeout(wait, body.frame()).await {
+                return input(frame);
+            }
+            let waited = self.run.entry.now().since(since);
+            match self.run.look(&mut self.opened.chosen).await {
+                Rerouted::Lost(culprit) => return Input::Lost(culprit),
+                _ if waited >= patience => return Input::Silent,
+                _ => wait = reroute::AGAIN.min(patience - waited),
+            }
         }
     }
 
@@ -169,7 +192,8 @@
             return false;
         }
         let first = self.opened.chosen.upstream.key;
-        self.run.blame((cause != "stalled").then_some(first), cause);
+        let first_failed = !matches!(cause, "stalled" | "dead_part");
+        self.run.blame(first_failed.then_some(first), cause);
         if self.run.fail(failure, cause) != Next::Again {
             return false;
         }
--- a/src/event.rs
+++ b/src/event.rs
@@ -74,6 +74,8 @@
 pub(crate) const REQUEST_ENDED: Event = event(407, "request_ended");
 /// An entry instance leaves an upstream out for a while.
 pub(crate) const UPSTREAM_SUSPECTED: Event = event(408, "upstream_suspected");
+/// A silent request was led around an engine.
+pub(crate) const REQUEST_REROUTED: Event = event(409, "request_rerouted");
 /// This voter leads a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter leads a group no more.
@@ -127,6 +129,7 @@
     REQUEST_ANSWERED,
     REQUEST_ENDED,
     UPSTREAM_SUSPECTED,
+    REQUEST_REROUTED,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -240,6 +240,7 @@
         read_factor: step_factor / 2.0,
         used_mb: 0.0,
         held: None,
+        loaded: None,
         busy: false,
     }
 }
@@ -253,10 +254,15 @@
     engines.collect()
 }
 
+fn hold(worker: &mut Worker, range: Range) {
+    worker.held = Some(range);
+    worker.loaded = Some(range);
+}
+
 fn carry_out(model: &Model, workers: &mut [Worker]) -> usize {
     let moves = placement::plan(model, workers);
     for m in &moves {
-        workers[m.worker].held = Some(m.range);
+        hold(&mut workers[m.worker], m.range);
     }
     moves.len()
 }
@@ -316,7 +322,24 @@
     let fast = workers[0].held.unwrap();
     let depth = depths(&workers, "a");
     assert!((fast.first..fast.end).all(|l| depth[l as usize] == 1));
-    assert!(depth.iter().any(|&d| d == 2));
+    assert!(depth.contains(&2));
+}
+
+#[test]
+fn plan_keeps_until_loaded() {
+    // A spare engine was ordered to take layers of a tight one and still loads
+    // them. Given up now, they would be missing for the whole time of the load.
+    let model = model();
+    let mut workers: Vec<Worker> = (0..3).map(|_| worker("a", 72_000.0, 1.4)).collect();
+    hold(&mut workers[0], Range::new(0, 40));
+    hold(&mut workers[1], Range::new(40, 80));
+    workers[2].held = Some(Range::new(0, 20));
+    workers[2].busy = true;
+    assert_eq!(placement::plan(&model, &workers), []);
+    hold(&mut workers[2], Range::new(0, 20));
+    workers[2].busy = false;
+    let moves = placement::plan(&model, &workers);
+    assert_eq!(moves[0].range, Range::new(20, 40));
 }
 
 #[test]
@@ -327,7 +350,7 @@
     let model = model();
     let mut workers: Vec<Worker> = (0..3).map(|_| worker("a", 72_000.0, 1.4)).collect();
     for (w, first) in workers.iter_mut().zip([0, 40, 60]) {
-        w.held = Some(Range::new(first, first + 20));
+        hold(w, Range::new(first, first + 20));
         w.used_mb = 26_000.0;
     }
     for m in placement::plan(&model, &workers) {
@@ -346,11 +369,11 @@
         worker("a", 72_000.0, 1.4),
         worker("a", 72_000.0, 1.4),
     ];
-    workers[0].held = Some(Range::new(0, 30));
-    workers[1].held = Some(Range::new(30, 70));
-    workers[2].held = Some(Range::new(60, 80));
+    hold(&mut workers[0], Range::new(0, 30));
+    hold(&mut workers[1], Range::new(30, 70));
+    hold(&mut workers[2], Range::new(60, 80));
     workers.push(worker("a", 36_000.0, 3.1));
-    workers[3].held = Some(Range::new(0, 15));
+    hold(&mut workers[3], Range::new(0, 15));
     for _ in 0..3 {
         carry_out(&model, &mut workers);
     }
@@ -570,14 +593,14 @@
     let mut workers: Vec<Worker> = (0..4).map(|_| worker("a", 72_000.0, 1.4)).collect();
     for (i, w) in workers.iter_mut().enumerate() {
         let first = 20 * i as u32;
-        w.held = Some(Range::new(first, first + 20));
+        hold(w, Range::new(first, first + 20));
     }
     workers.remove(1);
     let moves = placement::plan(&model, &workers);
     for m in &moves {
         let held = workers[m.worker].held.unwrap();
         assert!(m.range.first <= held.first && held.end <= m.range.end);
-        workers[m.worker].held = Some(m.range);
+        hold(&mut workers[m.worker], m.range);
     }
     assert!(depths(&workers, "a").iter().all(|&d| d == 1));
 }
