Refuse late callers while draining

It now takes no connection later than 2.5 s after SIGTERM. Ruled out: kept connections (they are closed after their answer).

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -44,9 +44,11 @@
 /// again for up to four fifths of the 15 s that the operator's limits give.
 const IDLE: Duration = Duration::from_secs(20);
 
-/// Time after SIGTERM for which new connections still come: the balancer asks
-/// once a second and leaves an instance out after two refusals.
-const LEAVE_BALANCER: Duration = Duration::from_millis(3_200);
+/// Time after SIGTERM for which new connections are taken: the balancer asks
+/// once a second and leaves an instance out after two refusals. Where most of a
+/// domain's instances restart in turn it goes on sending; what is taken later
+/// than this would be cut off in the middle, as answers last up to five seconds.
+const LEAVE_BALANCER: Duration = Duration::from_millis(2_500);
 
 /// Part of the grace period after which running answers are cut off.
 const GRACE_SHARE: f64 = 0.94;
--- a/src/http.rs
+++ b/src/http.rs
@@ -45,8 +45,8 @@
     accept_until(listener, bounds, handler, closing).await;
 }
 
-/// As [`accept`], until `closing` tells to close connections, each after the
-/// answer that runs on it.
+/// As [`accept`], until `closing` tells to take no new connections and to close
+/// each that is open after the answer that runs on it.
 pub(crate) async fn accept_until<H, F, B>(
     listener: StdListener,
     bounds: Bounds,
@@ -59,8 +59,15 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let listener = TcpListener::from_std(listener).expect("the listener doesn't block");
+    let mut told = closing.clone();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // Dropping the listener refuses callers at once, and they go
+            // elsewhere. Taken in, they would be cut off with the process.
+            () = closed(&mut told) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(serve(stream, bounds, handler.clone(), closing.clone()));
             }
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -13,6 +13,7 @@
 mod flow;
 mod follow;
 mod generation;
+mod http;
 mod life;
 mod limit;
 mod platform;
