Hold requests while an instance learns its first configuration

A request now waits up to 2.5 s while the instance starts, and 0.35 s when a lease has just run out. Ruled out: lack of room (the refusals bear no_configuration and no_upstream).

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod allowance;
 pub(crate) mod health;
+pub(crate) mod hold;
 pub(crate) mod link;
 pub(crate) mod load;
 pub(crate) mod members;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -17,6 +17,7 @@
 use super::listen::{failure, refuse};
 use super::reroute::{self, Rerouted};
 use super::select::Chosen;
+use super::view::View;
 use crate::clock::{Time, millis};
 use crate::configuration::{Model, Repeat, Route, Table};
 use crate::decide::path::Work;
@@ -126,7 +127,10 @@
             }
             let chosen = match self.choose() {
                 Ok(chosen) => chosen,
-                Err(reason) => return Err(self.nowhere(reason)),
+                Err(reason) => match self.wait(reason).await {
+                    Ok(chosen) => chosen,
+                    Err(reason) => return Err(self.nowhere(reason)),
+                },
             };
             let first = chosen.upstream.key;
             let outcome = match timeout(left, self.attempt(chosen)).await {
@@ -160,6 +164,17 @@
         }
     }
 
+    /// Waits for upstreams to become known, if there may be others than those
+    /// that are.
+    async fn wait(&self, reason: Reason) -> Result<Chosen, Reason> {
+        if reason != Reason::NoUpstream || self.entry.view().is_complete() {
+            return Err(reason);
+        }
+        let ready = |_: &View, _| self.choose().is_ok();
+        self.entry.hold(self.left(), ready).await;
+        self.choose()
+    }
+
     fn choose(&self) -> Result<Chosen, Reason> {
         let view = self.entry.view();
         let service = self.table.service(&self.call.service);
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -27,6 +27,10 @@
 /// Longest time to receive a body.
 const RECEIVE: Duration = Duration::from_secs(5);
 
+/// Longest body before a configuration is known, in bytes: the bound of the
+/// users' deployments.
+const FIRST_BODY: usize = 4 << 20;
+
 /// Time that a request without a deadline gets, if its route allows it.
 const DEADLINE: Duration = Duration::from_secs(60);
 
@@ -71,12 +75,12 @@
             .table
             .as_ref()
             .map_or(0, |t| t.configuration.limits.body);
-        let body = match http::receive(body, limit.max(1), RECEIVE).await {
+        let limit = if limit == 0 { FIRST_BODY } else { limit };
+        let body = match http::receive(body, limit, RECEIVE).await {
             Ok(body) => body,
-            Err(Unreceived::TooLarge) if view.table.is_some() => {
+            Err(Unreceived::TooLarge) => {
                 return failure(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
             }
-            Err(Unreceived::TooLarge) => return refuse(Reason::NoConfiguration),
             Err(Unreceived::TooSlow) => {
                 return failure(StatusCode::REQUEST_TIMEOUT, "the body came too slowly");
             }
@@ -84,6 +88,8 @@
                 return failure(StatusCode::BAD_REQUEST, "the body was cut off");
             }
         };
+        let left = head::deadline(&head.headers).unwrap_or(DEADLINE);
+        self.hold(left, View::is_confirmed).await;
         // Looked up after the body was read: a long body may have outlasted a
         // change.
         let view = self.view();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,14 +5,15 @@
 
 use arc_swap::ArcSwap;
 use snafu::ResultExt;
-use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, sleep, timeout};
 
 use self::view::View;
 use crate::auth::FleetKey;
 use crate::clock::{Clock, SystemClock, Time};
 use crate::decide::allowance::{Allowance, Bound};
 use crate::decide::health::Health;
+use crate::decide::hold;
 use crate::decide::link::LinkPart;
 use crate::decide::load::Loads;
 use crate::error::{ListenSnafu, Result};
@@ -76,6 +77,9 @@
     view: ArcSwap<View>,
     shared: Mutex<Shared>,
     gate: Arc<Gate>,
+    started: Time,
+    /// Tells requests that wait of each new view.
+    news: Notify,
 }
 
 /// Runs an entry instance until a signal, and lets running answers end.
@@ -126,6 +130,8 @@
                 link: LinkPart::new(SystemClock.now()),
             }),
             gate: Arc::default(),
+            started: SystemClock.now(),
+            news: Notify::new(),
             boot,
         }
     }
@@ -177,9 +183,28 @@
         let mut view = View::clone(&self.view());
         let learnt = view.learn(sent, state, self.lease);
         self.view.store(Arc::new(view));
+        self.news.notify_waiters();
         learnt
     }
 
+    /// Waits until `ready` holds of the view, for a bounded time. Returns
+    /// whether it does.
+    async fn hold(&self, left: Duration, ready: impl Fn(&View, Time) -> bool) -> bool {
+        let began = self.now();
+        let limit = hold::limit(self.started, began, left);
+        loop {
+            let news = self.news.notified();
+            if ready(&self.view(), self.now()) {
+                return true;
+            }
+            let waited = self.now().since(began);
+            let rest = limit.saturating_sub(waited);
+            if rest.is_zero() || timeout(rest, news).await.is_err() {
+                return ready(&self.view(), self.now());
+            }
+        }
+    }
+
     /// Whether the balancer should send callers here.
     fn is_ready(&self) -> bool {
         !self.gate.closed() && self.view().is_confirmed(self.now())
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -72,6 +72,11 @@
         (self.term, self.revision)
     }
 
+    /// Whether the roster holds every upstream that lives.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.complete
+    }
+
     /// Whether the configuration may be acted on.
     pub(crate) fn is_confirmed(&self, now: Time) -> bool {
         self.table.is_some() && now < self.until
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -9,6 +9,7 @@
 use crate::configuration::{Model, Repeat};
 use crate::decide::allowance::{Allowance, Bound};
 use crate::decide::health::Health;
+use crate::decide::hold;
 use crate::decide::link::LinkPart;
 use crate::decide::load::{Loads, Speed};
 use crate::decide::members::{self, Seen};
@@ -631,3 +632,18 @@
         );
     }
 }
+
+#[test]
+fn hold_while_starting() {
+    // All processes were killed and are back; a caller whose answer was cut
+    // off comes with its last try before the first configuration does.
+    let left = Duration::from_secs(12);
+    let started = at(1_000);
+    assert!(hold::limit(started, at(1_200), left) >= Duration::from_secs(2));
+    assert!(hold::limit(started, at(9_000), left) < Duration::from_millis(400));
+    let short = Duration::from_millis(300);
+    assert_eq!(
+        hold::limit(started, at(1_200), short),
+        Duration::from_millis(200)
+    );
+}
