Let requests wait in line for room on the engines

Cause: while engines are lost, requests were refused although places come free twenty times a second in each domain, and a refused caller has one more try. Up to twelve requests on an instance now wait in line for up to 2 s.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -14,3 +14,4 @@
 pub(crate) mod placement;
 pub(crate) mod refusal;
 pub(crate) mod retry;
+pub(crate) mod waiting;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddrV4;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::Entry;
 use super::body::Body;
@@ -23,6 +24,7 @@
 use crate::decide::path::Work;
 use crate::decide::refusal::Reason;
 use crate::decide::retry::{self, Failure, Next, Tries};
+use crate::decide::waiting;
 use crate::engine::{Answer, Connection, Cutoff};
 use crate::event;
 use crate::platform::headers;
@@ -85,6 +87,26 @@
     pub(super) last: Option<u64>,
 }
 
+/// A request in the line; dropping it leaves.
+struct Waiter<'a> {
+    count: &'a AtomicUsize,
+    /// Requests that were in the line before.
+    before: usize,
+}
+
+impl<'a> Waiter<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        let before = count.fetch_add(1, Ordering::Relaxed);
+        Self { count, before }
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// How one attempt ended.
 enum Outcome {
     Answered(Opened),
@@ -167,6 +189,9 @@
     /// Waits for upstreams to become known, if there may be others than those
     /// that are.
     async fn wait(&self, reason: Reason) -> Result<Chosen, Reason> {
+        if reason == Reason::Full {
+            return self.wait_room().await;
+        }
         if reason != Reason::NoUpstream || self.entry.view().is_complete() {
             return Err(reason);
         }
@@ -175,6 +200,38 @@
         self.choose()
     }
 
+    /// Waits in line for room on the engines.
+    async fn wait_room(&self) -> Result<Chosen, Reason> {
+        let entry = &self.entry;
+        let waiters = Waiter::new(&entry.waiters);
+        let objective = self.call.route.objective;
+        let Some(limit) = waiting::limit(objective, self.left(), waiters.before) else {
+            return Err(Reason::Full);
+        };
+        let search = async {
+            let _first = entry.line.lock().await;
+            loop {
+                match self.choose() {
+                    Err(Reason::Full) => sleep(waiting::LOOK).await,
+                    found => return found,
+                }
+            }
+        };
+        let began = entry.now();
+        let found = timeout(limit, search).await;
+        let found = found.unwrap_or(Err(Reason::Full));
+        tracing::info!(
+            event = event::REQUEST_WAITED.id,
+            attempt = self.call.attempt,
+            before = waiters.before,
+            waited_ms = millis(entry.now().since(began)),
+            limit_ms = millis(limit),
+            found = found.is_ok(),
+            "waited for room"
+        );
+        found
+    }
+
     fn choose(&self) -> Result<Chosen, Reason> {
         let view = self.entry.view();
         let service = self.table.service(&self.call.service);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry role: takes callers' requests and leads them to upstreams.
 
+use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -80,6 +81,9 @@
     started: Time,
     /// Tells requests that wait of each new view.
     news: Notify,
+    /// The line of requests that wait for room; its lock is fair.
+    line: tokio::sync::Mutex<()>,
+    waiters: AtomicUsize,
 }
 
 /// Runs an entry instance until a signal, and lets running answers end.
@@ -132,6 +136,8 @@
             gate: Arc::default(),
             started: SystemClock.now(),
             news: Notify::new(),
+            line: tokio::sync::Mutex::default(),
+            waiters: AtomicUsize::new(0),
             boot,
         }
     }
--- a/src/event.rs
+++ b/src/event.rs
@@ -76,6 +76,8 @@
 pub(crate) const UPSTREAM_SUSPECTED: Event = event(408, "upstream_suspected");
 /// A silent request was led around an engine.
 pub(crate) const REQUEST_REROUTED: Event = event(409, "request_rerouted");
+/// A request waited for room on the engines.
+pub(crate) const REQUEST_WAITED: Event = event(410, "request_waited");
 /// This voter leads a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter leads a group no more.
@@ -130,6 +132,7 @@
     REQUEST_ENDED,
     UPSTREAM_SUSPECTED,
     REQUEST_REROUTED,
+    REQUEST_WAITED,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -17,6 +17,7 @@
 use crate::decide::pick::{self, Offer};
 use crate::decide::placement::{self, Worker};
 use crate::decide::retry::{Failure, Next, Tries, next};
+use crate::decide::waiting;
 use crate::platform::configuration::decode;
 use crate::replica::{Change, Peer};
 use crate::roster::Range;
@@ -647,3 +648,16 @@
         Duration::from_millis(200)
     );
 }
+
+#[rstest]
+#[case::first(0, 20_000, Some(2_000))]
+#[case::last(11, 20_000, Some(2_000))]
+#[case::line_full(12, 20_000, None)]
+#[case::little_time(0, 600, Some(200))]
+#[case::no_time(0, 60, None)]
+fn waiting_limit(#[case] waiters: usize, #[case] left: u64, #[case] limit: Option<u64>) {
+    let objective = Duration::from_millis(500);
+    let left = Duration::from_millis(left);
+    let limit = limit.map(Duration::from_millis);
+    assert_eq!(waiting::limit(objective, left, waiters), limit);
+}
