--- /dev/null
+++ b/src/decide/placement/layout.rs
@@ -0,0 +1,196 @@
+//! One group of domains that share a pipeline: its gaps, and who fills them.
+
+use super::{GROWTH, Move, ROOMS, STRETCHED, Worker, capacity, total};
+use crate::configuration::Model;
+use crate::roster::Range;
+
+pub(super) struct Group<'a> {
+    pub(super) model: &'a Model,
+    pub(super) workers: &'a [Worker],
+    pub(super) members: &'a [usize],
+    /// Requests for which engines keep memory.
+    pub(super) requests: f64,
+    /// What each worker holds after the moves so far.
+    pub(super) held: Vec<Option<Range>>,
+    moves: Vec<Move>,
+}
+
+impl<'a> Group<'a> {
+    pub(super) fn new(model: &'a Model, workers: &'a [Worker], members: &'a [usize]) -> Self {
+        let enough = |&&r: &&f64| total(model, workers, members, r) >= model.layers;
+        let least = ROOMS[ROOMS.len() - 1];
+        Self {
+            model,
+            workers,
+            members,
+            requests: ROOMS.iter().find(enough).copied().unwrap_or(least),
+            held: workers.iter().map(|w| w.held).collect(),
+            moves: Vec::new(),
+        }
+    }
+
+    pub(super) fn plan(mut self) -> Vec<Move> {
+        let mut empty: Vec<usize> = self.members.to_vec();
+        empty.retain(|&i| self.held[i].is_none() && !self.workers[i].busy);
+        // The fastest first: the first copy of each layer should be on the
+        // fast engines, and large ranges fit best while all is empty.
+        let slowness = |i: &usize| self.workers[*i].step_factor * self.workers[*i].read_factor;
+        empty.sort_by(|a, b| slowness(a).total_cmp(&slowness(b)));
+        for i in empty {
+            self.place(i);
+        }
+        self.mend();
+        if self.gap().is_none() {
+            self.relieve();
+        }
+        self.moves
+    }
+
+    /// Gives an empty engine the lowest layers that nobody holds, or else a
+    /// copy of those with too little room, or of those that are run the
+    /// slowest.
+    fn place(&mut self, worker: usize) {
+        let most = self.most(worker, self.requests);
+        if most == 0 {
+            return;
+        }
+        let begin = |r: Range| Range::new(r.first, r.end.min(r.first + most));
+        let tight = || self.tightest().map(|(_, held)| held);
+        let range = self.gap().or_else(tight).map(begin);
+        let range = range.unwrap_or_else(|| self.slowest(most));
+        self.order(worker, range);
+    }
+
+    /// Fills what nobody holds: by engines beside the gap, which keep what
+    /// they hold and load a few layers more, else by engines whose layers
+    /// others hold too, which must first finish what passes through them.
+    fn mend(&mut self) {
+        while let Some(gap) = self.gap() {
+            let found = self.stretch(gap).or_else(|| self.spare(gap));
+            let Some((worker, range)) = found else {
+                return;
+            };
+            self.order(worker, range);
+        }
+    }
+
+    /// The engine beside a gap that has the most room after it took what it
+    /// can of the gap, and its new range.
+    fn stretch(&self, gap: Range) -> Option<(usize, Range)> {
+        // One that this plan stretches already may take some more.
+        let idle = |&i: &usize| !self.workers[i].busy && self.keeps_held(i);
+        let free = || self.members.iter().copied().filter(idle);
+        let room = |(i, range): &(usize, Range)| self.room(*i, *range);
+        STRETCHED.iter().find_map(|&requests| {
+            free()
+                .filter_map(|i| Some((i, self.stretched(i, gap, requests)?)))
+                .max_by(|a, b| room(a).total_cmp(&room(b)))
+        })
+    }
+
+    /// The range of an engine that takes what it can of the gap beside it and
+    /// keeps memory for `requests`.
+    fn stretched(&self, worker: usize, gap: Range, requests: f64) -> Option<Range> {
+        let held = self.held[worker]?;
+        let most = self.most(worker, requests).min(self.fits(worker));
+        let more = most.saturating_sub(held.len()).min(gap.len());
+        if more == 0 {
+            return None;
+        }
+        if held.end == gap.first {
+            return Some(Range::new(held.first, gap.first + more));
+        }
+        (held.first == gap.end).then(|| Range::new(gap.end - more, held.end))
+    }
+
+    /// Most layers that leave the running requests their memory.
+    pub(super) fn fits(&self, worker: usize) -> u32 {
+        let worker = &self.workers[worker];
+        let free = worker.size_mb - GROWTH * worker.used_mb;
+        (free / self.model.layer_mb).max(0.0) as u32
+    }
+
+    /// The engine that can best be spared for a gap: one that fills it, else
+    /// the one that fills most of it.
+    fn spare(&self, gap: Range) -> Option<(usize, Range)> {
+        let least = ROOMS[ROOMS.len() - 1];
+        let fits = |i: &usize| self.most(*i, least).min(gap.len());
+        let spare = self.members.iter().copied().filter(|&i| self.is_spare(i));
+        // Of those that fill it, the smallest loses the least elsewhere.
+        let size = |i: &usize| std::cmp::Reverse(self.workers[*i].size_mb as u64);
+        let worker = spare.max_by_key(|i| (fits(i), size(i)))?;
+        let most = fits(&worker);
+        (most > 0).then(|| (worker, Range::new(gap.first, gap.first + most)))
+    }
+
+    /// Whether an engine keeps all that it holds under the moves so far.
+    fn keeps_held(&self, worker: usize) -> bool {
+        let kept = |old: Range, new: Range| new.first <= old.first && old.end <= new.end;
+        match (self.workers[worker].held, self.held[worker]) {
+            (Some(old), Some(new)) => kept(old, new),
+            _ => false,
+        }
+    }
+
+    /// Whether an engine may be given an order.
+    pub(super) fn is_free(&self, worker: usize) -> bool {
+        let moved = self.moves.iter().any(|m| m.worker == worker);
+        !self.workers[worker].busy && !moved
+    }
+
+    /// Whether others hold all that an engine holds.
+    fn is_spare(&self, worker: usize) -> bool {
+        let Some(held) = self.held[worker] else {
+            return false;
+        };
+        let copied = |layer| self.loaded_room_at(layer, worker) > 0.0;
+        self.is_free(worker) && (held.first..held.end).all(copied)
+    }
+
+    pub(super) fn order(&mut self, worker: usize, range: Range) {
+        self.held[worker] = Some(range);
+        self.moves.retain(|m| m.worker != worker);
+        self.moves.push(Move { worker, range });
+    }
+
+    /// Most layers of an engine that keeps memory for `requests`.
+    pub(super) fn most(&self, worker: usize, requests: f64) -> u32 {
+        capacity(self.model, self.workers[worker].size_mb, requests)
+    }
+
+    pub(super) fn holders(&self, layer: u32) -> impl Iterator<Item = usize> + '_ {
+        let holds = move |&&i: &&usize| self.held[i].is_some_and(|h| h.holds(layer));
+        self.members.iter().filter(holds).copied()
+    }
+
+    /// Tokens for which an engine with `range` has memory.
+    pub(super) fn room(&self, worker: usize, range: Range) -> f64 {
+        let layers = f64::from(range.len());
+        let memory = self.workers[worker].size_mb - layers * self.model.layer_mb;
+        memory.max(0.0) / (layers * self.model.token_mb)
+    }
+
+    /// The lowest run of layers that nobody holds.
+    fn gap(&self) -> Option<Range> {
+        let held = |layer: &u32| self.holders(*layer).next().is_some();
+        let first = (0..self.model.layers).find(|l| !held(l))?;
+        let end = (first..self.model.layers).find(held);
+        Some(Range::new(first, end.unwrap_or(self.model.layers)))
+    }
+
+    /// The `length` layers that their holders together run the slowest.
+    fn slowest(&self, length: u32) -> Range {
+        let speed = |i: usize| 1.0 / self.workers[i].step_factor;
+        let speeds: Vec<f64> = (0..self.model.layers)
+            .map(|layer| self.holders(layer).map(speed).sum())
+            .collect();
+        let sum = |first: u32| -> f64 {
+            let range = first as usize..(first + length) as usize;
+            speeds[range].iter().sum()
+        };
+        let firsts = 0..=self.model.layers - length;
+        let first = firsts.min_by(|&a, &b| sum(a).total_cmp(&sum(b)));
+        let first = first.unwrap_or(0);
+        Range::new(first, first + length)
+    }
+}
--- /dev/null
+++ b/src/decide/placement/relief.rs
@@ -0,0 +1,184 @@
+//! Room for the layers that hold up the whole pipeline.
+
+use super::layout::Group;
+use super::{BALANCE_GAIN, BALANCE_STEP, BALANCE_STEPS, LEAST_ROOM};
+use crate::roster::Range;
+
+impl Group<'_> {
+    /// Gives room to the layers with the least: an engine that holds too many
+    /// gives up those for which others have room, else a spare engine takes
+    /// some of them first.
+    pub(super) fn relieve(&mut self) {
+        let Some((worker, held)) = self.tightest() else {
+            return;
+        };
+        if !self.is_free(worker) {
+            return;
+        }
+        if let Some(range) = self.trimmed(worker, held) {
+            return self.order(worker, range);
+        }
+        let spare = self.members.iter().copied();
+        let spare = spare.filter(|&i| i != worker && self.is_roomy_spare(i));
+        let helper = spare.max_by_key(|&i| self.most(i, self.requests));
+        let most = helper.map_or(0, |h| self.most(h, self.requests).min(held.len()));
+        match helper {
+            Some(helper) if most > 0 => {
+                self.order(helper, Range::new(held.first, held.first + most));
+            }
+            _ => self.balance(),
+        }
+    }
+
+    /// Moves all engines towards ranges that leave each about the same room.
+    ///
+    /// After a large engine has left for good, some of the others hold too
+    /// much and none can be spared. Each grows towards its place as far as its
+    /// memory allows, and gives up what others have loaded; over some orders
+    /// the whole domain shifts, and no layer is missing in between.
+    fn balance(&mut self) {
+        // Orders that are under way may relieve the layers already.
+        if self.members.iter().any(|&i| self.workers[i].busy) {
+            return;
+        }
+        let Some(targets) = self.targets() else {
+            return;
+        };
+        for (worker, target) in targets {
+            let Some(held) = self.held[worker].filter(|_| self.is_free(worker)) else {
+                continue;
+            };
+            let kept = self.without_copies(worker, held, target);
+            let range = self.grown(worker, kept, target);
+            if range != held {
+                self.order(worker, range);
+            }
+        }
+    }
+
+    /// The ranges of a balanced layout in the present order of the engines, if
+    /// it has much more room than the present one.
+    fn targets(&self) -> Option<Vec<(usize, Range)>> {
+        let rooms = (0..self.model.layers).map(|layer| self.room_at(layer));
+        let present = rooms.fold(f64::INFINITY, f64::min);
+        let most = |requests: f64| -> u32 {
+            let members = self.members.iter();
+            members.map(|&i| self.most(i, requests)).sum()
+        };
+        let steps = (1..=BALANCE_STEPS)
+            .rev()
+            .map(|s| f64::from(s) * BALANCE_STEP);
+        let requests = steps.into_iter().find(|&r| most(r) >= self.model.layers)?;
+        if self.tokens(requests) < BALANCE_GAIN * present {
+            return None;
+        }
+        let mut order: Vec<usize> = self.members.to_vec();
+        order.retain(|&i| self.held[i].is_some());
+        order.sort_by_key(|&i| self.held[i]);
+        let mut at = 0;
+        let mut targets = Vec::new();
+        for worker in order {
+            let end = self.model.layers.min(at + self.most(worker, requests));
+            if at < end {
+                targets.push((worker, Range::new(at, end)));
+            }
+            at = end;
+        }
+        Some(targets)
+    }
+
+    /// What an engine holds without the ends beyond its target that others
+    /// have loaded.
+    fn without_copies(&self, worker: usize, held: Range, target: Range) -> Range {
+        let copied = |layer: u32| self.loaded_room_at(layer, worker) > 0.0;
+        let outside = |layer: u32| !target.holds(layer) && copied(layer);
+        let low = (held.first..held.end).take_while(|&l| outside(l)).count() as u32;
+        if low == held.len() {
+            // All of it is held elsewhere, and none of it is wanted here.
+            return target;
+        }
+        let high = (held.first..held.end)
+            .rev()
+            .take_while(|&l| outside(l))
+            .count() as u32;
+        Range::new(held.first + low, held.end - high)
+    }
+
+    /// A range grown towards its target, as far as the memory allows beside
+    /// the running requests.
+    fn grown(&self, worker: usize, kept: Range, target: Range) -> Range {
+        let mut left = self.fits(worker).saturating_sub(kept.len());
+        let low = kept.first.saturating_sub(target.first).min(left);
+        left -= low;
+        let high = target.end.saturating_sub(kept.end).min(left);
+        if kept.end < target.first || target.end < kept.first {
+            // Growing reaches it only over layers that it doesn't need.
+            return kept;
+        }
+        Range::new(kept.first - low, kept.end + high)
+    }
+
+    /// The engine with the least room among the holders of a layer for which
+    /// all together have too little, and what it holds.
+    pub(super) fn tightest(&self) -> Option<(usize, Range)> {
+        let least = self.tokens(LEAST_ROOM);
+        let rooms = (0..self.model.layers).map(|layer| (layer, self.room_at(layer)));
+        let tight = rooms.filter(|&(_, room)| room > 0.0 && room < least);
+        let (layer, _) = tight.min_by(|a, b| a.1.total_cmp(&b.1))?;
+        let holders = self.holders(layer).filter_map(|i| Some((i, self.held[i]?)));
+        holders.min_by(|a, b| self.room(a.0, a.1).total_cmp(&self.room(b.0, b.1)))
+    }
+
+    /// What an engine should keep of its layers when others have room for
+    /// some at an end.
+    fn trimmed(&self, worker: usize, held: Range) -> Option<Range> {
+        let least = self.tokens(LEAST_ROOM);
+        let others = |layer: u32| self.loaded_room_at(layer, worker) >= least;
+        let low = (held.first..held.end).take_while(|&l| others(l)).count() as u32;
+        let high = (held.first..held.end)
+            .rev()
+            .take_while(|&l| others(l))
+            .count() as u32;
+        // It keeps a layer at least, or it would be an empty engine.
+        let most = held.len() - 1;
+        if low.max(high).min(most) == 0 {
+            return None;
+        }
+        Some(if low >= high {
+            Range::new(held.first + low.min(most), held.end)
+        } else {
+            Range::new(held.first, held.end - high.min(most))
+        })
+    }
+
+    /// Whether others hold all that an engine holds, with room enough.
+    fn is_roomy_spare(&self, worker: usize) -> bool {
+        let Some(held) = self.held[worker] else {
+            return false;
+        };
+        let least = self.tokens(LEAST_ROOM);
+        let roomy = |layer| self.loaded_room_at(layer, worker) >= least;
+        self.is_free(worker) && (held.first..held.end).all(roomy)
+    }
+
+    /// Tokens for which the holders of a layer together have memory.
+    fn room_at(&self, layer: u32) -> f64 {
+        let rooms = self.holders(layer);
+        let rooms = rooms.filter_map(|i| Some(self.room(i, self.held[i]?)));
+        rooms.sum()
+    }
+
+    /// Tokens for which the engines that have loaded a layer and keep it
+    /// together have memory, but for one of them. What is still being loaded
+    /// doesn't count: given up on its account, the layer would be missing.
+    pub(super) fn loaded_room_at(&self, layer: u32, without: usize) -> f64 {
+        let loaded = |i: usize| self.workers[i].loaded.is_some_and(|l| l.holds(layer));
+        let others = self.holders(layer).filter(|&i| i != without && loaded(i));
+        let rooms = others.filter_map(|i| Some(self.room(i, self.held[i]?)));
+        rooms.sum()
+    }
+
+    fn tokens(&self, requests: f64) -> f64 {
+        requests * (self.model.usual_prompt + self.model.usual_answer)
+    }
+}
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -661,3 +661,47 @@
     let limit = limit.map(Duration::from_millis);
     assert_eq!(waiting::limit(objective, left, waiters), limit);
 }
+
+/// Requests for which the tightest layer has memory.
+fn tightest(model: &Model, workers: &[Worker]) -> f64 {
+    let tokens = model.usual_prompt + model.usual_answer;
+    let room = |w: &Worker, held: Range| {
+        let layers = f64::from(held.len());
+        (w.size_mb - layers * model.layer_mb) / (layers * model.token_mb * tokens)
+    };
+    let at = |layer: u32| -> f64 {
+        let holders = workers.iter().filter_map(|w| Some((w, w.held?)));
+        let holders = holders.filter(|(_, h)| h.holds(layer));
+        holders.map(|(w, h)| room(w, h)).sum()
+    };
+    (0..model.layers).map(at).fold(f64::INFINITY, f64::min)
+}
+
+#[test]
+fn plan_lost_largest() {
+    // A domain's largest engine leaves for good. The others have memory for
+    // the whole model and for many requests; filled to the brim where the
+    // large one was, they would let only a few requests a second through.
+    let model = model();
+    let sizes = [
+        (1, 72_000.0, 1.4),
+        (1, 36_000.0, 3.1),
+        (5, 21_600.0, 16.0),
+        (7, 14_400.0, 15.0),
+    ];
+    let engines = sizes.into_iter().flat_map(|(count, size, step)| {
+        std::iter::repeat_with(move || worker("a", size, step)).take(count)
+    });
+    let mut workers: Vec<Worker> = engines.collect();
+    carry_out(&model, &mut workers);
+    workers.remove(0);
+    for _ in 0..40 {
+        if carry_out(&model, &mut workers) == 0 {
+            break;
+        }
+        assert!(depths(&workers, "a").iter().all(|&d| d >= 1));
+    }
+    let room = tightest(&model, &workers);
+    let held: Vec<_> = workers.iter().map(|w| w.held).collect();
+    assert!(room >= 60.0, "room for {room} requests: {held:?}");
+}
