--- a/src/controller/call.rs
+++ b/src/controller/call.rs
@@ -38,9 +38,19 @@
 /// Seconds after which a caller may try again.
 const RETRY: HeaderValue = HeaderValue::from_static("0.3");
 
+/// Answers one call, if a controller runs.
+pub(super) async fn answer(
+    controller: Option<Arc<Controller>>,
+    request: Request<Incoming>,
+) -> Response<Reply> {
+    match controller {
+        Some(controller) => controller.answer(request).await,
+        None => unavailable("this instance opens its store"),
+    }
+}
+
 impl Controller {
-    /// Answers one call.
-    pub(super) async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Reply> {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Reply> {
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         let Some(decoded) = Call::decode(head.method.as_str(), path) else {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use arc_swap::ArcSwapOption;
 use snafu::ResultExt;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
@@ -26,8 +27,9 @@
 use crate::platform::boot::Boot;
 use crate::register::{Register, Versioned};
 use crate::replica::{Message, Role};
-use crate::role::{self, RoleSettings};
+use crate::role::{self, Ended, RoleSettings};
 use crate::roster::Range;
+use crate::store::StoreError;
 use crate::sync::{State, Sync};
 use crate::voter::{Lead, Voter, VoterSettings};
 
@@ -58,6 +60,9 @@
 /// Period of looking after members, upstreams and placement.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Pause before a failed store is opened again.
+const REOPEN: Duration = Duration::from_millis(500);
+
 /// Time for which a process that ends still answers, so that its successor
 /// leads before callers find it gone.
 const LINGER: Duration = Duration::from_millis(400);
@@ -86,26 +91,37 @@
     ending: AtomicBool,
 }
 
+/// The controller that runs now; none while its store is opened again.
+#[derive(Default)]
+struct Slot(ArcSwapOption<Controller>);
+
 /// Runs a controller until a signal.
 ///
+/// A store that fails, as on a full disk, is opened again in this process: all
+/// that was in memory is dropped, as at a new start, and the other roles of the
+/// machine and its addresses are left alone.
+///
 /// # Errors
 ///
-/// When the settings don't fit, or the log can't be opened or fails.
+/// When the settings don't fit, or the files of the log can't be used.
 pub(crate) fn run(settings: &RoleSettings) -> Result<()> {
     let boot = settings.boot()?;
     let runtime = role::runtime()?;
     let stop = role::signals(&runtime, settings)?;
+    role::serve_metrics(settings, boot.ip, &runtime)?;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-    let (controller, thread) = start(settings, boot, &clock, runtime.handle())?;
-    let watched = role::watch(thread);
-    role::started("controller", &controller.boot);
+    let key = FleetKey::new(role::FLEET_SECRET);
+    let peers = Peers::on_port(key.clone(), runtime.handle().clone(), boot.ports.0);
+    let slot = Arc::new(Slot::default());
+    listen(&slot, &boot, key, runtime.handle())?;
+    role::started("controller", &boot);
     let ended = runtime.block_on(async {
         tokio::select! {
             () = stop.wait() => Ok(()),
-            failed = watched => failed,
+            failed = keep(settings, &boot, &clock, &peers, &slot) => failed,
         }
     });
-    if ended.is_ok() {
+    if let Some(controller) = slot.0.swap(None) {
         controller.ending.store(true, Ordering::Relaxed);
         controller.voter.stop();
         runtime.block_on(sleep(LINGER));
@@ -115,32 +131,64 @@
     ended
 }
 
-type VoterThread = std::thread::JoinHandle<Result<(), crate::store::StoreError>>;
+/// Keeps a controller running; returns only with an error that opening the
+/// store again can't mend.
+async fn keep(
+    settings: &RoleSettings,
+    boot: &Boot,
+    clock: &Arc<dyn Clock>,
+    peers: &Peers,
+    slot: &Slot,
+) -> Result<()> {
+    loop {
+        let failed = match start(settings, boot, clock, peers)? {
+            Ok((controller, thread)) => {
+                slot.0.store(Some(Arc::clone(&controller)));
+                let ended = role::watch(thread).await;
+                slot.0.store(None);
+                controller.ending.store(true, Ordering::Relaxed);
+                match ended? {
+                    Ended::Stopped => return Ok(()),
+                    Ended::Failed(error) => error,
+                }
+            }
+            Err(error) => error,
+        };
+        if !matches!(failed, StoreError::Io { .. } | StoreError::Failed) {
+            let reason = failed.to_string();
+            return StartSnafu {
+                part: "voter",
+                reason,
+            }
+            .fail();
+        }
+        tracing::warn!(event = event::STORE_REOPENED.id, "{failed}");
+        sleep(REOPEN).await;
+    }
+}
+
+type VoterThread = std::thread::JoinHandle<Result<(), StoreError>>;
+type Started = std::result::Result<(Arc<Controller>, VoterThread), StoreError>;
 
 fn start(
     settings: &RoleSettings,
-    boot: Boot,
+    boot: &Boot,
     clock: &Arc<dyn Clock>,
-    runtime: &Handle,
-) -> Result<(Arc<Controller>, VoterThread)> {
+    peers: &Peers,
+) -> Result<Started> {
     let control = role::required(boot.control, "a control address")?;
-    let key = FleetKey::new(role::FLEET_SECRET);
-    let peers = Peers::on_port(key.clone(), runtime.clone(), boot.ports.0);
     let (register, machine) = Register::new();
     let links = peers.clone();
     let spawned = Voter::spawn(
-        voter_settings(settings, &boot)?,
+        voter_settings(settings, boot)?,
         vec![Box::new(machine)],
         Box::new(move |to, message| links.send(to, message)),
         Arc::clone(clock),
     );
-    let (voter, thread) = spawned.map_err(|e| {
-        StartSnafu {
-            part: "voter",
-            reason: e.to_string(),
-        }
-        .build()
-    })?;
+    let (voter, thread) = match spawned {
+        Ok(spawned) => spawned,
+        Err(error) => return Ok(Err(error)),
+    };
     let controller = Arc::new(Controller {
         control,
         clock: Arc::clone(clock),
@@ -151,12 +199,34 @@
         table: Mutex::default(),
         coverage: Mutex::default(),
         ending: AtomicBool::new(false),
-        boot,
+        boot: boot.clone(),
     });
-    controller.listen(key, runtime)?;
-    runtime.spawn(Arc::clone(&controller).confirm());
-    runtime.spawn(Arc::clone(&controller).tend());
-    Ok((controller, thread))
+    tokio::spawn(Arc::clone(&controller).confirm());
+    tokio::spawn(Arc::clone(&controller).tend());
+    Ok(Ok((controller, thread)))
+}
+
+/// Listens for other instances, operators and upstreams.
+fn listen(slot: &Arc<Slot>, boot: &Boot, key: FleetKey, runtime: &Handle) -> Result<()> {
+    let addr = SocketAddrV4::new(boot.ip, boot.ports.0).into();
+    let role = "instances";
+    let peers = role::bind(addr).context(ListenSnafu { addr, role })?;
+    let _guard = runtime.enter();
+    let peers = tokio::net::TcpListener::from_std(peers);
+    let peers = peers.context(ListenSnafu { addr, role })?;
+    runtime.spawn(peer::serve(peers, key, Arc::clone(slot) as _));
+    let addr = role::required(boot.control, "a control address")?.into();
+    let role = "operators and upstreams";
+    let control = role::bind(addr).context(ListenSnafu { addr, role })?;
+    let slot = Arc::clone(slot);
+    let bounds = Bounds {
+        head: call::MAX_HEAD,
+        receive: call::IDLE,
+    };
+    runtime.spawn(http::accept(control, bounds, move |request| {
+        call::answer(slot.0.load_full(), request)
+    }));
+    Ok(())
 }
 
 /// The founders are the seeds of the very first start. A store that comes back
@@ -184,28 +254,6 @@
 }
 
 impl Controller {
-    fn listen(self: &Arc<Self>, key: FleetKey, runtime: &Handle) -> Result<()> {
-        let addr = SocketAddrV4::new(self.boot.ip, self.boot.ports.0).into();
-        let role = "instances";
-        let peers = role::bind(addr).context(ListenSnafu { addr, role })?;
-        let addr = self.control.into();
-        let role = "operators and upstreams";
-        let control = role::bind(addr).context(ListenSnafu { addr, role })?;
-        let _guard = runtime.enter();
-        let peers = tokio::net::TcpListener::from_std(peers);
-        let peers = peers.context(ListenSnafu { addr, role })?;
-        runtime.spawn(peer::serve(peers, key, Arc::new(Link(Arc::clone(self)))));
-        let controller = Arc::clone(self);
-        let bounds = Bounds {
-            head: call::MAX_HEAD,
-            receive: call::IDLE,
-        };
-        runtime.spawn(http::accept(control, bounds, move |request| {
-            Arc::clone(&controller).answer(request)
-        }));
-        Ok(())
-    }
-
     fn now(&self) -> Time {
         self.clock.now()
     }
@@ -228,7 +276,7 @@
 
     /// Confirms over and over that all that is committed is known here.
     async fn confirm(self: Arc<Self>) {
-        loop {
+        while !self.ending.load(Ordering::Relaxed) {
             let at = self.now();
             let before = self.lead().term;
             if let Some(term) = before
@@ -269,7 +317,7 @@
 
     /// Looks after members, upstreams and placement while leading.
     async fn tend(self: Arc<Self>) {
-        loop {
+        while !self.ending.load(Ordering::Relaxed) {
             sleep(TICK).await;
             if self.lead().term.is_none() {
                 continue;
@@ -369,17 +417,16 @@
     }
 }
 
-/// Takes what other instances send.
-struct Link(Arc<Controller>);
-
-impl Handler for Link {
+impl Handler for Slot {
     fn deliver(&self, message: Message) {
-        self.0.voter.deliver(message);
+        if let Some(controller) = self.0.load_full() {
+            controller.voter.deliver(message);
+        }
     }
 
     fn request(&self, request: Request, reply: ReplySink) {
-        let answer = match request.ask {
-            Some(Ask::Sync(ask)) => self.0.sync(ask),
+        let answer = match (request.ask, self.0.load_full()) {
+            (Some(Ask::Sync(ask)), Some(controller)) => controller.sync(ask),
             _ => Answer::Unavailable(true),
         };
         reply.send(Reply {
--- a/src/event.rs
+++ b/src/event.rs
@@ -88,6 +88,8 @@
 pub(crate) const STORE_BARRED: Event = event(504, "store_barred");
 /// This voter's store failed; the voter has ended.
 pub(crate) const STORE_FAILED: Event = event(505, "store_failed");
+/// A controller opens its failed store again.
+pub(crate) const STORE_REOPENED: Event = event(506, "store_reopened");
 /// Another instance is held for something else than before.
 pub(crate) const MEMBER_CHANGED: Event = event(601, "member_changed");
 /// The process was suspended; views of before are dropped.
@@ -138,6 +140,7 @@
     STORE_UNKNOWN,
     STORE_BARRED,
     STORE_FAILED,
+    STORE_REOPENED,
     MEMBER_CHANGED,
     SUSPENDED,
     DATAGRAMS_LOST,
--- a/src/role.rs
+++ b/src/role.rs
@@ -187,9 +187,20 @@
     Ok(Stop(receiver))
 }
 
-/// Hears of the end of the voter's thread: after a failure of its store only a
-/// new start can tell what is durable.
-pub(crate) async fn watch(thread: JoinHandle<Result<(), StoreError>>) -> Result<()> {
+/// How a voter's thread ended.
+pub(crate) enum Ended {
+    /// It was told to.
+    Stopped,
+    /// Its store failed; only what a new one reads from the files is durable.
+    Failed(StoreError),
+}
+
+/// Hears of the end of the voter's thread.
+///
+/// # Errors
+///
+/// When it panicked.
+pub(crate) async fn watch(thread: JoinHandle<Result<(), StoreError>>) -> Result<Ended> {
     let (sender, ended) = oneshot::channel();
     let waiter = std::thread::Builder::new().name("voter-watch".to_owned());
     let spawned = waiter.spawn(move || {
@@ -197,7 +208,8 @@
     });
     spawned.map_err(|e| start_error("watch on the voter", &e))?;
     match ended.await {
-        Ok(Ok(Ok(()))) => Ok(()),
+        Ok(Ok(Ok(()))) => Ok(Ended::Stopped),
+        Ok(Ok(Err(error))) => Ok(Ended::Failed(error)),
         _ => FailedSnafu { part: "voter" }.fail(),
     }
 }
