Test the roles as real processes between stand-ins for the platform

Found by them: a request whose time ran out while its upstream was silent got 502 instead of 504 (booking_runs_once, failed before).

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -179,6 +179,9 @@
                     match self.fail(failure, cause) {
                         Next::Again => {}
                         Next::Refuse => return Err(Final::Refuse(Reason::NotRun)),
+                        Next::Pass | Next::Fail if self.left().is_zero() => {
+                            return Err(Final::Late);
+                        }
                         Next::Pass | Next::Fail => return Err(Final::Fail),
                     }
                 }
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -42,6 +42,26 @@
         }
     }
 
+    /// Starts a program with all that it writes in a log file.
+    pub(crate) fn start_logged(name: &str, command: &mut Command) -> Self {
+        let folder = tempfile::tempdir().expect("make a folder for the log");
+        let log = folder.path().join("log");
+        let file = File::create(&log).expect("make the log");
+        let errors = file.try_clone().expect("share the log");
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(file)
+            .stderr(errors)
+            .spawn()
+            .unwrap_or_else(|e| panic!("start {name}: {e}"));
+        Self {
+            name: name.to_owned(),
+            child,
+            log,
+            _folder: folder,
+        }
+    }
+
     /// The first `count` lines of standard output; the rest is read and dropped.
     pub(crate) fn lines(&mut self, count: usize) -> Vec<String> {
         let output = self.child.stdout.take().expect("output is read once");
--- /dev/null
+++ b/tests/platform/engine.rs
@@ -0,0 +1,281 @@
+//! Stand-in engines: they announce themselves, take orders for layers, and
+//! stream events, as the platform's pages describe.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+
+use crate::common::caller::agent;
+
+/// Period of the heartbeats.
+pub(crate) const BEAT: Duration = Duration::from_millis(300);
+/// Layers of the model.
+pub(crate) const LAYERS: u32 = 8;
+/// Events of a whole stream.
+pub(crate) const EVENTS: u64 = 12;
+/// What a caller must get of a whole stream.
+pub(crate) fn whole_stream() -> String {
+    let event = |id| format!("id: {id}\ndata: token {id}\n\n");
+    (1..=EVENTS).map(event).collect()
+}
+
+/// Time between two events.
+const PACE: Duration = Duration::from_millis(40);
+
+/// How an engine misbehaves at the first run of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    None,
+    /// It resets each stream after so many events.
+    CutAfter(u64),
+    /// It takes requests and says nothing.
+    Mute,
+}
+
+/// What all engines of a test know together.
+#[derive(Default)]
+pub(crate) struct World {
+    /// Layers by address.
+    held: HashMap<SocketAddr, (u32, u32)>,
+    /// Runs by the caller's attempt.
+    runs: HashMap<String, u32>,
+    faults: HashMap<String, Fault>,
+    dead: Vec<String>,
+    /// Paths that no engine should have got.
+    wrong: Vec<String>,
+}
+
+pub(crate) type Shared = Arc<Mutex<World>>;
+
+/// What an engine is.
+#[derive(Clone)]
+pub(crate) struct Spec {
+    pub(crate) id: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) domain: &'static str,
+    pub(crate) service: &'static str,
+}
+
+impl World {
+    pub(crate) fn fault(&mut self, id: &str, fault: Fault) {
+        self.faults.insert(id.to_owned(), fault);
+    }
+
+    /// Ends an engine without a word.
+    pub(crate) fn kill(&mut self, spec: &Spec) {
+        self.dead.push(spec.id.clone());
+        self.held.remove(&spec.address);
+    }
+
+    pub(crate) fn runs(&self, attempt: &str) -> u32 {
+        self.runs.get(attempt).copied().unwrap_or(0)
+    }
+
+    pub(crate) fn wrong(&self) -> &[String] {
+        &self.wrong
+    }
+
+    /// Whether the engines at these addresses hold all layers together.
+    pub(crate) fn covers(&self, addresses: &[SocketAddr]) -> bool {
+        let ranges = || addresses.iter().filter_map(|a| self.held.get(a));
+        (0..LAYERS).all(|l| ranges().any(|r| r.0 <= l && l < r.1))
+    }
+
+    /// Why a path can't run, if so.
+    fn refuses(&mut self, path: &str, first: SocketAddr) -> Option<SocketAddr> {
+        let mut at = 0;
+        for (i, part) in path.split(',').enumerate() {
+            let (address, range) = part.split_once('=').expect("an address and layers");
+            let (from, to) = range.split_once('-').expect("two layers");
+            let (from, to): (u32, u32) = (from.parse().unwrap(), to.parse().unwrap());
+            let address: SocketAddr = address.parse().expect("an address");
+            if from != at || (i == 0 && address != first) {
+                self.wrong.push(path.to_owned());
+            }
+            at = to;
+            let holds = |h: &(u32, u32)| h.0 <= from && to <= h.1;
+            if !self.held.get(&address).is_some_and(holds) {
+                return Some(address);
+            }
+        }
+        if at != LAYERS {
+            self.wrong.push(path.to_owned());
+        }
+        None
+    }
+}
+
+/// Runs an engine until the test ends.
+pub(crate) fn run(spec: Spec, world: Shared, controllers: Vec<SocketAddr>) {
+    let listener = std::net::TcpListener::bind(spec.address).expect("a free address");
+    listener.set_nonblocking(true).unwrap();
+    let (beating, beats) = (spec.clone(), Arc::clone(&world));
+    thread::spawn(move || beat(&beating, &beats, &controllers));
+    thread::spawn(move || {
+        let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(serve(listener, spec, world));
+    });
+}
+
+fn beat(spec: &Spec, world: &Shared, controllers: &[SocketAddr]) {
+    let mut target = 0;
+    for seq in 1_u64.. {
+        if world.lock().unwrap().dead.contains(&spec.id) {
+            return;
+        }
+        let held = world.lock().unwrap().held.get(&spec.address).copied();
+        let layers = held.map(|(from, to)| json!({"from": from, "to": to, "version": 1}));
+        let body = json!({
+            "service": spec.service, "addr": spec.address.to_string(), "zone": spec.domain,
+            "version": "v1", "slots": 8, "state": "ready", "seq": seq, "coldLeftMs": 0,
+            "type": "small", "layers": layers,
+        });
+        let path = format!("/v1/Instances.Heartbeat/{}", spec.id);
+        if !post(controllers[target % controllers.len()], &path, &body) {
+            target += 1;
+        }
+        thread::sleep(BEAT);
+    }
+}
+
+/// Posts and follows one redirect; says whether it was acknowledged.
+pub(crate) fn post(to: SocketAddr, path: &str, body: &Value) -> bool {
+    let mut uri = format!("http://{to}{path}");
+    for _ in 0..2 {
+        let sent = agent().post(&uri).send(body.to_string());
+        let Ok(reply) = sent else { return false };
+        if reply.status() != 307 {
+            return reply.status() == 200;
+        }
+        let location = reply.headers().get("location").expect("a location");
+        location.to_str().unwrap().clone_into(&mut uri);
+    }
+    false
+}
+
+async fn serve(listener: std::net::TcpListener, spec: Spec, world: Shared) {
+    let listener = TcpListener::from_std(listener).unwrap();
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        if world.lock().unwrap().dead.contains(&spec.id) {
+            continue;
+        }
+        let (spec, world) = (spec.clone(), Arc::clone(&world));
+        let service = service_fn(move |request| {
+            let (spec, world) = (spec.clone(), Arc::clone(&world));
+            async move { Ok::<_, Infallible>(answer(&spec, &world, request).await) }
+        });
+        tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+    }
+}
+
+type Body = UnsyncBoxBody<Bytes, &'static str>;
+
+fn whole(status: u16, body: &str) -> Response<Body> {
+    let body = Full::from(body.to_owned()).map_err(|never| match never {});
+    let response = Response::builder().status(status);
+    response.body(body.boxed_unsync()).unwrap()
+}
+
+async fn answer(spec: &Spec, world: &Shared, request: Request<Incoming>) -> Response<Body> {
+    let header = |name: &str| {
+        let value = request.headers().get(name);
+        value.map(|v| v.to_str().unwrap().to_owned())
+    };
+    if header("x-expect-instance").is_some_and(|id| id != spec.id) {
+        return whole(421, "");
+    }
+    match request.uri().path() {
+        "/v1/order" => return order(spec, world, request).await,
+        "/v1/report" => return report(spec, world),
+        _ => {}
+    }
+    let attempt = header("x-attempt-id").expect("an id");
+    let path = header("x-hop-count");
+    assert!(header("x-credential").is_none(), "a key was passed on");
+    assert!(header("x-tenant").is_some(), "an organisation is named");
+    let refused = path.and_then(|p| world.lock().unwrap().refuses(&p, spec.address));
+    if let Some(culprit) = refused {
+        let mut response = whole(503, "");
+        let headers = response.headers_mut();
+        headers.insert("x-not-executed", "1".parse().unwrap());
+        headers.insert("at-server", culprit.to_string().parse().unwrap());
+        return response;
+    }
+    let fault = {
+        let mut world = world.lock().unwrap();
+        let runs = world.runs.entry(attempt.clone()).or_default();
+        *runs += 1;
+        let again = *runs > 1;
+        let fault = world.faults.get(&spec.id).copied();
+        fault.filter(|_| !again).unwrap_or(Fault::None)
+    };
+    let last: u64 = header("last-event-id").map_or(0, |l| l.parse().unwrap());
+    if fault == Fault::Mute {
+        std::future::pending::<()>().await;
+    }
+    let mut response = match spec.service {
+        "models" => Response::new(events(last, fault)),
+        _ => whole(200, &format!("done by {}", spec.id)),
+    };
+    let headers = response.headers_mut();
+    if spec.service == "models" {
+        headers.insert("content-type", "text/event-stream".parse().unwrap());
+    }
+    headers.insert("x-attempt-id", attempt.parse().unwrap());
+    headers.insert("x-server-signature", spec.id.parse().unwrap());
+    response
+}
+
+/// The events behind `last`.
+fn events(last: u64, fault: Fault) -> Body {
+    let next = move |id: u64| async move {
+        tokio::time::sleep(PACE).await;
+        let cut = matches!(fault, Fault::CutAfter(most) if id > most);
+        let event = format!("id: {id}\ndata: token {id}\n\n");
+        match (id > EVENTS, cut) {
+            (true, _) => None,
+            // Half an event, as a dying engine leaves it.
+            (_, true) if id % 2 == 0 => {
+                Some((Ok(Frame::data(event[..7].to_owned().into())), id + 1))
+            }
+            (_, true) => Some((Err("cut"), id)),
+            _ => Some((Ok(Frame::data(event.into())), id + 1)),
+        }
+    };
+    StreamBody::new(stream::unfold(last + 1, next)).boxed_unsync()
+}
+
+async fn order(spec: &Spec, world: &Shared, request: Request<Incoming>) -> Response<Body> {
+    let body = request.into_body().collect().await.unwrap().to_bytes();
+    let order: Value = serde_json::from_slice(&body).unwrap();
+    if order["op"] != "place" {
+        return whole(404, "");
+    }
+    let layer = |name: &str| u32::try_from(order[name].as_u64().unwrap()).unwrap();
+    let range = (layer("from"), layer("to"));
+    world.lock().unwrap().held.insert(spec.address, range);
+    whole(202, "")
+}
+
+fn report(spec: &Spec, world: &Shared) -> Response<Body> {
+    let held = world.lock().unwrap().held.get(&spec.address).copied();
+    let layers = held.map(|(from, to)| json!({"from": from, "to": to, "version": 1}));
+    whole(200, &json!({"layers": layers, "stalled": []}).to_string())
+}
--- /dev/null
+++ b/tests/platform/faults.rs
@@ -0,0 +1,130 @@
+//! Engines and instances that fail in the middle of requests.
+
+use std::fs;
+use std::thread;
+use std::time::Duration;
+
+use crate::common::until;
+use crate::engine::{Fault, whole_stream};
+use crate::stage::{KEY, Stage};
+
+/// Engines reset their streams in the middle of an event. The officer on the
+/// line must get every event once, in order, in one answer.
+#[test]
+fn stream_resumed_within_answer() {
+    let stage = Stage::start();
+    let first: Vec<_> = stage.engines.iter().map(|e| e.id.clone()).take(3).collect();
+    for id in &first {
+        stage.world().fault(id, Fault::CutAfter(5));
+    }
+    let (status, body) = stage.ask(0, "/letters/x", "s-1", KEY);
+    assert_eq!((status, body), (200, whole_stream()));
+    assert_eq!(stage.world().runs("s-1"), 2);
+    assert_eq!(stage.world().wrong(), [""; 0]);
+}
+
+/// Engines take a booking and say nothing more. It may have run, so it must
+/// not be sent again, and the caller must not be told that it did not run.
+#[test]
+fn booking_runs_once() {
+    let stage = Stage::start();
+    for engine in stage.engines.iter().filter(|e| e.service == "desk") {
+        stage.world().fault(&engine.id, Fault::Mute);
+    }
+    let address = stage.callers(0);
+    let ask = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build();
+    let reply = ureq::Agent::from(ask)
+        .post(format!("http://{address}/bookings/x"))
+        .header("host", crate::stage::HOST)
+        .header("x-attempt-id", "b-1")
+        .header("x-credential", KEY)
+        .header("x-deadline-ms", "900")
+        .send("text");
+    assert_eq!(reply.unwrap().status(), 504);
+    assert_eq!(stage.world().runs("b-1"), 1);
+}
+
+/// An engine of a domain dies without a word. Its layers must come back on
+/// another engine, and requests are served all the while by the other domain.
+#[test]
+fn layers_come_back() {
+    let stage = Stage::start();
+    let lost = stage.engines[0].clone();
+    stage.world().kill(&lost);
+    let rest: Vec<_> = stage.engines[1..3].iter().map(|e| e.address).collect();
+    let mut asked = 0;
+    until("the lost layers", || {
+        asked += 1;
+        let (status, body) = stage.ask(0, "/letters/x", &format!("l-{asked}"), KEY);
+        assert!(status != 200 || body == whole_stream());
+        stage.world().covers(&rest).then_some(())
+    });
+    let (status, body) = stage.ask(0, "/letters/x", "l-last", KEY);
+    assert_eq!((status, body), (200, whole_stream()));
+    assert_eq!(stage.world().wrong(), [""; 0]);
+}
+
+/// A controller's disk is lost right after an acknowledgement. It must come
+/// back as a new store, catch up and vote, so that the loss of another one
+/// loses nothing.
+#[test]
+fn wiped_controller_rejoins() {
+    let mut stage = Stage::start();
+    assert!(stage.replace(9, &[KEY]));
+    for i in [0, 1, 2] {
+        stage.controllers[usize::from(i)].kill();
+        fs::remove_dir_all(stage.data(i)).unwrap();
+        stage.controllers[usize::from(i)] = stage.controller(i, false);
+        until("the newcomer's read", || stage.fetch(i).filter(|&v| v == 9));
+        // It reads before it votes; the next disk may go only after that.
+        thread::sleep(Duration::from_secs(2));
+    }
+    assert!(stage.replace(10, &[KEY]));
+}
+
+/// An entry instance is stopped for an update while letters are being
+/// written. They end whole, and the process ends by itself.
+#[test]
+fn entry_drains() {
+    let mut stage = Stage::start();
+    let running = thread::scope(|scope| {
+        let stage_ref = &stage;
+        let asks: Vec<_> = (0..4)
+            .map(|i| scope.spawn(move || stage_ref.ask(0, "/letters/x", &format!("d-{i}"), KEY)))
+            .collect();
+        until("running letters", || {
+            (0..4)
+                .all(|i| stage_ref.world().runs(&format!("d-{i}")) == 1)
+                .then_some(())
+        });
+        stage_ref.entries[0].terminate();
+        until("an entry that isn't ready", || {
+            (!stage_ref.is_ready(0)).then_some(())
+        });
+        asks.into_iter()
+            .map(|a| a.join().unwrap())
+            .collect::<Vec<_>>()
+    });
+    for (status, body) in running {
+        assert_eq!((status, body), (200, whole_stream()));
+    }
+    assert!(stage.entries[0].exit().success());
+}
+
+/// Logs and metrics must show no key, whatever fails.
+#[test]
+fn logs_hold_no_key() {
+    let stage = Stage::start();
+    stage.ask(0, "/letters/x", "n-1", KEY);
+    stage.ask(0, "/letters/x", "n-2", "a wrong key that is secret");
+    let logs: String = stage
+        .entries
+        .iter()
+        .chain(&stage.controllers)
+        .map(|p| p.log())
+        .collect();
+    assert!(logs.contains("n-1") && logs.contains("n-2"));
+    assert!(!logs.contains(KEY) && !logs.contains("secret"));
+}
--- /dev/null
+++ b/tests/platform/main.rs
@@ -0,0 +1,10 @@
+//! The roles of the users' platform as real processes, between an operator,
+//! callers and engines that these tests stand in for.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod engine;
+mod faults;
+mod path;
+mod stage;
--- /dev/null
+++ b/tests/platform/path.rs
@@ -0,0 +1,68 @@
+//! The whole path: configuration, keys, plain requests, streams.
+
+use std::thread;
+
+use crate::common::until;
+use crate::engine::whole_stream;
+use crate::stage::{APPLY, KEY, Stage};
+
+/// A fitter asks for a quotation, an officer books a visit; someone without a
+/// key and someone on an unknown path are turned away. Each answer is the
+/// engine's own, and every path covers each layer once and in order.
+#[test]
+fn entry_serves_all_kinds() {
+    let stage = Stage::start();
+    let (status, body) = stage.ask(0, "/letters/x", "a-1", KEY);
+    assert_eq!((status, body), (200, whole_stream()));
+    let (status, body) = stage.ask(1, "/bookings/x", "a-2", KEY);
+    assert_eq!(status, 200);
+    assert!(body.starts_with("done by "));
+    assert_eq!(stage.ask(0, "/lookups/x", "a-3", "no such key").0, 401);
+    assert_eq!(stage.ask(0, "/nowhere/x", "a-4", KEY).0, 404);
+    let world = stage.world();
+    assert_eq!(world.runs("a-3") + world.runs("a-4"), 0);
+    assert_eq!(world.wrong(), [""; 0]);
+}
+
+/// Operators take a key away. It must be refused on all instances within
+/// seconds, and what was acknowledged is read back from every controller.
+#[test]
+fn replace_revokes_key() {
+    let stage = Stage::start();
+    assert!(stage.replace(5, &["another"]));
+    thread::sleep(APPLY);
+    for entry in 0..2 {
+        assert_eq!(stage.ask(entry, "/lookups/x", "r-1", KEY).0, 401);
+        assert_eq!(stage.ask(entry, "/lookups/x", "r-2", "another").0, 200);
+    }
+    // An older change arrives late: acknowledged, and without effect.
+    assert!(stage.replace(4, &[KEY]));
+    for i in 0..3 {
+        until("a read", || stage.fetch(i))
+            .eq(&5)
+            .then_some(())
+            .expect("the newest");
+    }
+}
+
+/// The leading controller is killed. What was acknowledged is still read, a
+/// new change is taken, and callers are served meanwhile.
+#[test]
+fn replace_survives_kill() {
+    let mut stage = Stage::start();
+    assert!(stage.replace(7, &[KEY]));
+    for i in 0..3 {
+        stage.controllers[usize::from(i)].kill();
+        assert_eq!(stage.ask(0, "/lookups/x", &format!("k-{i}"), KEY).0, 200);
+        let version = 8 + u64::from(i);
+        until("an acknowledgement", || {
+            stage.replace(version, &[KEY]).then_some(())
+        });
+        let other = (i + 1) % 3;
+        assert_eq!(until("a read", || stage.fetch(other)), version);
+        stage.controllers[usize::from(i)] = stage.controller(i, false);
+        until("a read by the one that is back", || {
+            stage.fetch(i).filter(|&v| v == version)
+        });
+    }
+}
