Write logs by a thread, bounded by kind; sum up what is left out

Cause: a reader that stops reading fills the pipe, and every request then waits for its log line: 183 requests got through before the instance stood still. A thread writes, with 4,096 lines waiting at most; each kind of event has a number of lines a second, failures more than successes (event 108 counts the rest). unread_log_delays_nothing fails before and passes after.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -108,7 +108,7 @@
     let boot = settings.boot()?;
     let runtime = role::runtime()?;
     let stop = role::signals(&runtime, settings)?;
-    role::serve_metrics(settings, boot.ip, &runtime)?;
+    role::observe(settings, boot.ip, &runtime)?;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
     let key = FleetKey::new(role::FLEET_SECRET);
     let peers = Peers::on_port(key.clone(), runtime.handle().clone(), boot.ports.0);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -95,7 +95,7 @@
     let boot = settings.boot()?;
     let runtime = role::runtime()?;
     let stop = role::signals(&runtime, settings)?;
-    role::serve_metrics(settings, boot.ip, &runtime)?;
+    role::observe(settings, boot.ip, &runtime)?;
     let (close, closing) = watch::channel(false);
     let entry = Arc::new(Entry::new(settings, boot, runtime.handle().clone()));
     let _guard = runtime.enter();
--- a/src/event.rs
+++ b/src/event.rs
@@ -28,6 +28,8 @@
 pub(crate) const PART_FAILED: Event = event(106, "part_failed");
 /// The platform's settings file was read again.
 pub(crate) const RELOADED: Event = event(107, "reloaded");
+/// Lines of a kind were left out, for their number.
+pub(crate) const LINES_LEFT: Event = event(108, "lines_left");
 /// The catalogue lease is held; new work is taken.
 pub(crate) const LEASE_HELD: Event = event(201, "lease_held");
 /// The catalogue lease ran out; new work is refused.
@@ -110,6 +112,7 @@
     PART_RESTARTED,
     PART_FAILED,
     RELOADED,
+    LINES_LEFT,
     LEASE_HELD,
     LEASE_LOST,
     CATALOGUE_APPLIED,
--- a/src/program.rs
+++ b/src/program.rs
@@ -12,7 +12,7 @@
 
 /// Runs a role on the users' platform.
 fn role(matches: &ArgMatches, run: fn(&RoleSettings) -> Result<()>) -> Result<()> {
-    log::start_json();
+    let _written = log::start_role();
     run(&RoleSettings::from_matches(matches)?)
 }
 
--- a/src/role.rs
+++ b/src/role.rs
@@ -13,11 +13,11 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::error::{Error, FailedSnafu, Result, StartSnafu};
-use crate::event;
 use crate::http::{self, Bounds, Reply};
 use crate::id::InstanceId;
 use crate::platform::boot::Boot;
 use crate::store::StoreError;
+use crate::{event, log};
 
 /// Secret that tells frames of this fleet from others. The platform gives
 /// instances no secret of their own, so this guards against frames that went
@@ -214,14 +214,12 @@
     }
 }
 
-/// Serves the metrics of this process on `port` of the machine, if one is set.
-pub(crate) fn serve_metrics(
-    settings: &RoleSettings,
-    ip: Ipv4Addr,
-    runtime: &Runtime,
-) -> Result<()> {
+/// Sums up left out log lines, and serves the metrics of this process on a port
+/// of the machine if one is set.
+pub(crate) fn observe(settings: &RoleSettings, ip: Ipv4Addr, runtime: &Runtime) -> Result<()> {
     let recorder = PrometheusBuilder::new().install_recorder();
     let handle = recorder.map_err(|e| start_error("metrics", &e))?;
+    runtime.spawn(log::sum_up());
     let Some(port) = settings.metrics else {
         return Ok(());
     };
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -252,7 +252,7 @@
         match (id > EVENTS, cut) {
             (true, _) => None,
             // Half an event, as a dying engine leaves it.
-            (_, true) if id % 2 == 0 => {
+            (_, true) if id.is_multiple_of(2) => {
                 Some((Ok(Frame::data(event[..7].to_owned().into())), id + 1))
             }
             (_, true) => Some((Err("cut"), id)),
--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::common::until;
 use crate::engine::{Fault, whole_stream};
@@ -128,3 +128,22 @@
     assert!(logs.contains("n-1") && logs.contains("n-2"));
     assert!(!logs.contains(KEY) && !logs.contains("secret"));
 }
+
+/// Whoever reads an instance's log stops reading. The pipe is full after some
+/// hundred lines, and from then on every request would wait for it.
+#[test]
+fn unread_log_delays_nothing() {
+    let mut stage = Stage::start();
+    stage.entries[0].kill();
+    stage.entries[0] = stage.unread_entry(0);
+    until("ready entry", || stage.is_ready(0).then_some(()));
+    for i in 0..400 {
+        let began = Instant::now();
+        let (status, _) = stage.ask(0, "/lookups/x", &format!("u-{i}"), KEY);
+        assert!(status == 200 || i < 20, "{status} at request {i}");
+        assert!(
+            began.elapsed() < Duration::from_secs(3),
+            "request {i} waited"
+        );
+    }
+}
--- a/tests/platform/stage.rs
+++ b/tests/platform/stage.rs
@@ -158,6 +158,14 @@
         self.role("entry", host, DOMAINS[i], true, "", &listen)
     }
 
+    /// Starts an entry instance whose output nobody reads.
+    pub(crate) fn unread_entry(&self, i: usize) -> Process {
+        let file = self.folder.path().join(format!("entry-{}.toml", 11 + i));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_laburnumquay"));
+        command.arg("entry").arg("--boot-file").arg(file);
+        Process::start("unread entry", &mut command)
+    }
+
     fn role(
         &self,
         role: &str,
