--- a/src/cli.rs
+++ b/src/cli.rs
@@ -29,6 +29,7 @@
         .subcommand(catalogue())
         .subcommand(voters())
         .subcommand(state())
+        .subcommand(explain())
         .subcommand(digest())
         .subcommand(completions())
 }
@@ -374,6 +375,23 @@
         .args(client())
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Gather what all instances logged of one request, and name its cause")
+        .arg(
+            Arg::new("id")
+                .required(true)
+                .help("Id of the request, as its client sent it"),
+        )
+        .arg(
+            Arg::new("files")
+                .num_args(1..)
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs of the roles; standard input if none is given"),
+        )
+}
+
 fn digest() -> Command {
     Command::new("digest")
         .about("Print the SHA-256 digest of a secret file, as catalogue entries hold it")
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 mod entry;
 mod error;
 mod event;
+mod explain;
 mod flow;
 mod follow;
 mod frame;
--- a/src/program.rs
+++ b/src/program.rs
@@ -8,7 +8,7 @@
 use crate::error::Result;
 use crate::role::RoleSettings;
 use crate::settings::Settings;
-use crate::{cli, client, controller, entry, instance, log};
+use crate::{cli, client, controller, entry, explain, instance, log};
 
 /// Runs a role on the users' platform.
 fn role(matches: &ArgMatches, run: fn(&RoleSettings) -> Result<()>) -> Result<()> {
@@ -37,6 +37,7 @@
         "catalogue" => client::catalogue(matches, out),
         "voters" => client::voters(matches, out),
         "state" => client::state(matches, out),
+        "explain" => explain::run(matches, out),
         "digest" => client::secret_digest(matches, out),
         "completions" => {
             let shell = matches
--- /dev/null
+++ b/src/tests/explain.rs
@@ -0,0 +1,45 @@
+//! Tests of [`crate::explain`], on lines as the roles write them.
+
+use rstest::rstest;
+
+use crate::explain::explain;
+
+const LINES: &str = r#"
+  10.1 core-a {"timestamp":"2026-04-25T18:43:30.000000Z","level":"WARN","message":"no heartbeats","event":305,"upstream":"i-9"}
+  10.2 core-a {"timestamp":"2026-04-25T18:43:30.100000Z","level":"INFO","message":"layers ordered","event":306,"upstream":"i-2","address":"10.1.64.22:8446","first":37,"end":53,"fence":2,"status":202}
+  edge-1 {"timestamp":"2026-04-25T18:43:35.450609Z","level":"INFO","message":"sent","event":404,"attempt":"aa","route":"r","upstream":"i-1","path":"10.1.64.11:8446=0-37,10.1.64.22:8446=37-80","left_ms":19999,"version":4}
+  edge-1 {"timestamp":"2026-04-25T18:43:36.000000Z","level":"INFO","message":"left out","event":408,"attempt":"aa","address":"10.1.64.22:8446","cause":"dead_part","left_ms":19000}
+  edge-1 {"timestamp":"2026-04-25T18:43:36.000001Z","level":"INFO","message":"attempt failed","event":405,"attempt":"aa","cause":"dead_part","failure":"Unknown","next":"Fail","run":2}
+  edge-1 {"timestamp":"2026-04-25T18:43:36.000002Z","level":"INFO","message":"stream ended","event":406,"attempt":"aa","how":"dead_part","events":12}
+  edge-2 {"timestamp":"2026-04-25T18:43:37.000000Z","level":"INFO","message":"configuration in force","event":208,"version":5,"before":4}
+  edge-2 {"timestamp":"2026-04-25T18:43:37.250000Z","level":"INFO","message":"refused","event":401,"attempt":"bb","code":"unknown_key","version":5}
+  edge-2 {"timestamp":"2026-04-25T18:43:38.000000Z","level":"INFO","message":"ended without an upstream's answer","event":407,"attempt":"cc","code":"full","status":503}
+not a line at all
+"#;
+
+fn lines() -> Vec<String> {
+    LINES.lines().map(str::to_owned).collect()
+}
+
+#[rstest]
+#[case::broken_stream("aa", "its stream broke off: dead_part at 10.1.64.22:8446")]
+#[case::revoked_key("bb", "unknown_key by configuration 5, in force for 250 ms")]
+#[case::no_room("cc", "no engine had room")]
+#[case::unknown("zz", "no line names zz")]
+fn explain_cause(#[case] attempt: &str, #[case] cause: &str) {
+    let text = explain(attempt, &lines());
+    assert!(text.contains(cause), "{text}");
+}
+
+#[test]
+fn explain_timeline() {
+    let text = explain("aa", &lines());
+    let rows: Vec<_> = text.lines().collect();
+    // The order for an engine of its path is shown, that of another isn't.
+    assert!(
+        rows[0].starts_with("*   -5350 ms  306 layers ordered"),
+        "{text}"
+    );
+    assert!(rows[1].starts_with("        0 ms  404 sent"), "{text}");
+    assert!(!text.contains("i-9"));
+}
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod engine;
 mod event;
+mod explain;
 mod flow;
 mod follow;
 mod generation;
