--- a/src/decide/placement/layout.rs
+++ b/src/decide/placement/layout.rs
@@ -63,17 +63,27 @@
 
     /// Fills what nobody holds: by engines beside the gap, which keep what
     /// they hold and load a few layers more; else by engines whose layers
-    /// others hold too, which must first finish what passes through them; else
-    /// by engines beside it at the cost of their room.
+    /// others hold too.
+    ///
+    /// Those must first finish what passes through them, for many seconds, in
+    /// which the gap of even one layer stops the whole domain. So a neighbour
+    /// bridges it meanwhile at the cost of its room, and gives the layers up
+    /// again once the other has loaded them.
     fn mend(&mut self) {
         while let Some(gap) = self.gap() {
-            let found = self.stretch(gap, &STRETCHED);
-            let found = found.or_else(|| self.spare(gap));
-            let found = found.or_else(|| self.stretch(gap, &BRIMFUL));
-            let Some((worker, range)) = found else {
+            if let Some((worker, range)) = self.stretch(gap, &STRETCHED) {
+                self.order(worker, range);
+                continue;
+            }
+            let bridge = self.stretch(gap, &BRIMFUL);
+            let spare = self.spare(gap);
+            let spare = spare.filter(|(s, _)| bridge.is_none_or(|(b, _)| b != *s));
+            for (worker, range) in bridge.into_iter().chain(spare) {
+                self.order(worker, range);
+            }
+            if bridge.is_none() && spare.is_none() {
                 return;
-            };
-            self.order(worker, range);
+            }
         }
     }
 
@@ -119,9 +129,9 @@
         let least = ROOMS[ROOMS.len() - 1];
         let fits = |i: &usize| self.most(*i, least).min(gap.len());
         let spare = self.members.iter().copied().filter(|&i| self.is_spare(i));
-        // Of those that fill it, the smallest loses the least elsewhere.
-        let size = |i: &usize| std::cmp::Reverse(self.workers[*i].size_mb as u64);
-        let worker = spare.max_by_key(|i| (fits(i), size(i)))?;
+        // Of those that fill it, the one with the least to finish is free first.
+        let used = |i: &usize| std::cmp::Reverse(self.workers[*i].used_mb as u64);
+        let worker = spare.max_by_key(|i| (fits(i), used(i)))?;
         let most = fits(&worker);
         (most > 0).then(|| (worker, Range::new(gap.first, gap.first + most)))
     }
--- a/src/decide/placement/relief.rs
+++ b/src/decide/placement/relief.rs
@@ -5,9 +5,12 @@
 use crate::roster::Range;
 
 impl Group<'_> {
-    /// Gives room to the layers with the least: an engine that holds too many
-    /// gives up those for which others have room, else a spare engine takes
-    /// some of them first.
+    /// Relieves the tightest engine: it gives up layers for which others have
+    /// room, else a spare engine takes some of them first.
+    ///
+    /// One order a plan: several at once took engines from requests faster than
+    /// they gave room (sum of worth over ten days with trouble: 6.48 against
+    /// 6.71).
     pub(super) fn relieve(&mut self) {
         let Some((worker, held)) = self.tightest() else {
             return;
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -388,6 +388,34 @@
     assert_eq!(carry_out(&model, &mut workers), 0, "the plan is stable");
 }
 
+#[test]
+fn plan_bridges_gap() {
+    // One layer is left of a lost engine's, and both neighbours are as full as
+    // is comfortable. The engine that is moved there must first finish its
+    // requests; for those six seconds the domain served nothing. A neighbour
+    // must take the layer at once, to the brim if need be.
+    let model = model();
+    let mut workers: Vec<Worker> = Vec::new();
+    for (first, end) in [(0, 7), (8, 15), (0, 7), (8, 15)] {
+        let mut small = worker("a", 14_400.0, 15.0);
+        hold(&mut small, Range::new(first, end));
+        workers.push(small);
+    }
+    for first in [15, 47] {
+        let mut large = worker("a", 72_000.0, 1.4);
+        hold(&mut large, Range::new(first, (first + 33).min(80)));
+        workers.push(large);
+    }
+    workers[0].used_mb = 300.0;
+    workers[2].used_mb = 100.0;
+    let moves = placement::plan(&model, &workers);
+    let bridges = |m: &placement::Move| {
+        let held = workers[m.worker].held.unwrap();
+        m.range.holds(7) && m.range.first <= held.first && held.end <= m.range.end
+    };
+    assert!(moves.iter().any(bridges), "{moves:?}");
+}
+
 #[test]
 fn plan_small_domains_together() {
     // Neither domain can hold the model alone. Were each filled from its
@@ -610,8 +638,8 @@
 #[test]
 fn plan_stretch_both() {
     // Engines as in a domain of the users; any one is lost. One plan must close
-    // the gap, and must not do so by filling a neighbour to the brim: with room
-    // for six requests the domain would serve two a second from then on.
+    // the gap. A neighbour that is filled to the brim for it must not stay so:
+    // with room for six requests the domain would serve two a second.
     let model = model();
     let mut whole = domain("a");
     carry_out(&model, &mut whole);
@@ -619,9 +647,16 @@
         let mut workers = whole.clone();
         workers.remove(lost);
         carry_out(&model, &mut workers);
-        assert!(depths(&workers, "a").iter().all(|&d| d >= 1), "lost {lost}");
+        for _ in 0..30 {
+            assert!(depths(&workers, "a").iter().all(|&d| d >= 1), "lost {lost}");
+            carry_out(&model, &mut workers);
+        }
         let room = tightest(&model, &workers);
-        assert!(room >= 24.0, "lost {lost}: room for {room} requests");
+        let held: Vec<_> = workers.iter().map(|w| (w.size_mb as u64, w.held)).collect();
+        assert!(
+            room >= 24.0,
+            "lost {lost}: room for {room} requests: {held:?}"
+        );
     }
 }
 
