--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -71,18 +71,23 @@
     id: InstanceId,
     boot: Boot,
     settings: RoleSettings,
+    /// Period of asking the leading controller.
     poll: Duration,
+    /// How long keys may be used after a confirmation. Shorter than the bound
+    /// within which a revoked key must be refused everywhere.
     lease: Duration,
     clock: Arc<dyn Clock>,
     peers: Peers,
     view: ArcSwap<View>,
     shared: Mutex<Shared>,
     gate: Arc<Gate>,
+    /// Start of this process.
     started: Time,
     /// Tells requests that wait of each new view.
     news: Notify,
     /// The line of requests that wait for room; its lock is fair.
     line: tokio::sync::Mutex<()>,
+    /// Requests in the line.
     waiters: AtomicUsize,
 }
 
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -25,33 +25,24 @@
 impl Process {
     /// Starts a program with its standard error in a log file.
     pub(crate) fn start(name: &str, command: &mut Command) -> Self {
-        let folder = tempfile::tempdir().expect("make a folder for the log");
-        let log = folder.path().join("log");
-        let file = File::create(&log).expect("make the log");
-        let child = command
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(file)
-            .spawn()
-            .unwrap_or_else(|e| panic!("start {name}: {e}"));
-        Self {
-            name: name.to_owned(),
-            child,
-            log,
-            _folder: folder,
-        }
+        Self::start_with(name, command, |_| Stdio::piped())
     }
 
     /// Starts a program with all that it writes in a log file.
     pub(crate) fn start_logged(name: &str, command: &mut Command) -> Self {
+        Self::start_with(name, command, |log| {
+            log.try_clone().expect("share the log").into()
+        })
+    }
+
+    fn start_with(name: &str, command: &mut Command, output: fn(&File) -> Stdio) -> Self {
         let folder = tempfile::tempdir().expect("make a folder for the log");
         let log = folder.path().join("log");
         let file = File::create(&log).expect("make the log");
-        let errors = file.try_clone().expect("share the log");
         let child = command
             .stdin(Stdio::null())
-            .stdout(file)
-            .stderr(errors)
+            .stdout(output(&file))
+            .stderr(file)
             .spawn()
             .unwrap_or_else(|e| panic!("start {name}: {e}"));
         Self {
