Make one piece of code serve where the change had two

Read again as a newcomer; no behaviour is meant to change. - A silent attempt and a silent stream were awaited by two copies of one loop. Run::watch serves both, and sets no timers for what can't be led around. - start_error, listen, install_metrics stood in instance.rs and role.rs (startup), the time of day in milliseconds in instance.rs and call.rs (clock). - Sums of reports, models of a configuration, an order under way, and the check that parts cover all layers stood twice each. The leader scanned all reports for each engine at each tick, and copied all departures at each question. - explain reckoned the calendar by hand; the time library does it.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,7 +1,7 @@
 //! Time as the state machines see it.
 
 use std::ops::{Add, Sub};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rustix::time::{ClockId, clock_gettime};
 
@@ -43,6 +43,13 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// The time of day in milliseconds since 1970; it may jump.
+pub(crate) fn wall_millis() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, millis)
+}
+
 /// Source of [`Time`]. Random runs put a simulated clock here.
 pub trait Clock: Send + Sync {
     /// The current point in time.
--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -197,6 +197,12 @@
         self.check_keys()
     }
 
+    /// The models, each with the name of the service that generates by it.
+    pub(crate) fn models(&self) -> impl Iterator<Item = (&str, &Model)> {
+        let services = self.services.iter();
+        services.filter_map(|s| Some((s.name.as_str(), s.model.as_ref()?)))
+    }
+
     fn check_keys(&self) -> Result<(), Invalid> {
         let mut owners: HashMap<&str, &str> = HashMap::default();
         for organisation in self.organisations.iter().flatten() {
--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -13,7 +13,7 @@
 use crate::collections::HashMap;
 use crate::configuration::{Configuration, Model};
 use crate::decide::placement::{self, Worker};
-use crate::register::{Departed, Register, Versioned};
+use crate::register::{Register, Versioned};
 use crate::roster::{Announcement, Entry, Heard, Range, Roster};
 use crate::sync::{Load, RosterRecord, State, Sync, UpstreamRecord, address_key, key_address};
 
@@ -151,7 +151,7 @@
         ask: Sync,
         age: Duration,
         current: Option<Versioned>,
-        departed: Vec<Departed>,
+        register: &Register,
     ) -> State {
         let instance = ask.instance;
         let report = Report {
@@ -170,21 +170,21 @@
             age: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
             version,
             body: newer.map(|c| c.body),
-            roster: (!known).then(|| self.record(now, revision, departed)),
-            loads: self.others(instance),
+            roster: (!known).then(|| self.record(now, revision, register)),
+            loads: self.work(Some(instance)).into_values().collect(),
             entries: self.reports.len() as u32,
             voters: Vec::new(),
         }
     }
 
-    fn record(&self, now: Time, revision: u64, mut departed: Vec<Departed>) -> RosterRecord {
+    fn record(&self, now: Time, revision: u64, register: &Register) -> RosterRecord {
         let list = self.roster.list();
         RosterRecord {
             term: self.term,
             revision,
             complete: self.is_complete(now),
             upstreams: list.into_iter().map(|e| self.shown(e)).collect(),
-            departed: departed.split_off(departed.len().saturating_sub(TOLD_DEPARTED)),
+            departed: register.latest_departed(TOLD_DEPARTED),
         }
     }
 
@@ -192,19 +192,23 @@
     /// it was ordered to give up. It takes nothing new for them.
     fn shown(&self, entry: &Entry) -> UpstreamRecord {
         let mut record = UpstreamRecord::from(entry);
-        let pending = self.pending.get(&entry.last.id);
-        let pending = pending.filter(|p| p.born == entry.last.born);
-        if let Some(pending) = pending {
+        if let Some(pending) = self.pending_of(&entry.last) {
             record.first = record.first.max(pending.range.first);
             record.end = record.end.min(pending.range.end);
         }
         record
     }
 
-    /// What all entry instances but one have at work, by engine.
-    fn others(&self, instance: u64) -> Vec<Load> {
+    /// The order that is under way for a start.
+    fn pending_of(&self, start: &Announcement) -> Option<&Pending> {
+        let pending = self.pending.get(&start.id);
+        pending.filter(|p| p.born == start.born)
+    }
+
+    /// What all entry instances, but for one, have at work, by engine.
+    fn work(&self, but: Option<u64>) -> HashMap<u64, Load> {
         let mut sums: HashMap<u64, Load> = HashMap::default();
-        let others = self.reports.iter().filter(|(i, _)| **i != instance);
+        let others = self.reports.iter().filter(|(i, _)| Some(**i) != but);
         for load in others.flat_map(|(_, r)| &r.loads) {
             let sum = sums.entry(load.engine).or_insert(Load {
                 engine: load.engine,
@@ -214,7 +218,7 @@
             sum.requests += load.requests;
             sum.entered += load.entered;
         }
-        sums.into_values().collect()
+        sums
     }
 
     /// Orders that the layers of the configuration's models need now.
@@ -223,12 +227,9 @@
         if !self.is_complete(now) || !self.roster.is_settled(now) {
             return Vec::new();
         }
-        let services = configuration.services.iter();
-        let models: Vec<_> = services
-            .filter_map(|s| Some((s.name.as_str(), s.model.as_ref()?)))
-            .collect();
-        let orders = models.into_iter().flat_map(|(s, m)| self.place(s, m));
-        let orders: Vec<Placement> = orders.collect();
+        let work = self.work(None);
+        let models = configuration.models();
+        let orders: Vec<Placement> = models.flat_map(|(s, m)| self.place(s, m, &work)).collect();
         for order in &orders {
             let pending = Pending {
                 born: order.born,
@@ -241,11 +242,11 @@
         orders
     }
 
-    fn place(&self, service: &str, model: &Model) -> Vec<Placement> {
+    fn place(&self, service: &str, model: &Model, work: &HashMap<u64, Load>) -> Vec<Placement> {
         let entries = self.roster.list().into_iter();
         let members = entries.filter(|e| e.last.service == service);
         let (entries, workers): (Vec<_>, Vec<_>) = members
-            .filter_map(|e| Some((e, self.worker(e, model)?)))
+            .filter_map(|e| Some((e, self.worker(e, model, work)?)))
             .unzip();
         let moves = placement::plan(model, &workers);
         let orders = moves.into_iter().map(|m| {
@@ -261,16 +262,17 @@
         orders.collect()
     }
 
-    fn worker(&self, entry: &Entry, model: &Model) -> Option<Worker> {
+    fn worker(&self, entry: &Entry, model: &Model, work: &HashMap<u64, Load>) -> Option<Worker> {
         let last = &entry.last;
         let accelerator = model.accelerator(last.kind.as_deref()?)?;
-        let pending = self.pending.get(&last.id).filter(|p| p.born == last.born);
+        let pending = self.pending_of(last);
+        let used = work.get(&address_key(last.address));
         Some(Worker {
             domain: last.domain.clone(),
             size_mb: accelerator.size_mb,
             step_factor: accelerator.step_factor,
             read_factor: accelerator.read_factor,
-            used_mb: self.used(address_key(last.address)),
+            used_mb: used.map_or(0.0, |l| f64::from(l.memory)),
             held: pending.map(|p| p.range).or(last.layers),
             loaded: last.layers,
             busy: pending.is_some(),
@@ -290,20 +292,9 @@
         held.into_iter().map(|(d, r)| (d, gaps(r))).collect()
     }
 
-    /// Memory that requests take on an engine, in megabytes.
-    fn used(&self, engine: u64) -> f64 {
-        let loads = self.reports.values().flat_map(|r| &r.loads);
-        let loads = loads.filter(|l| l.engine == engine);
-        loads.map(|l| f64::from(l.memory)).sum()
-    }
-
     /// Notes that an engine reports to hold what it was ordered to.
     pub(crate) fn carried_out(&mut self, order: &Placement) {
-        let ours = |p: &mut Pending| p.born == order.born && p.range == order.range;
-        let Some(pending) = self.pending.get_mut(&order.engine) else {
-            return;
-        };
-        if !ours(pending) {
+        if !self.is_pending(order) {
             return;
         }
         self.pending.remove(&order.engine);
--- a/src/controller/call.rs
+++ b/src/controller/call.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use super::{Controller, GROUP, control_of};
-use crate::clock::millis;
+use crate::clock::{millis, wall_millis};
 use crate::event;
 use crate::http::{self, Reply};
 use crate::platform::call::{self, Call};
@@ -198,12 +198,6 @@
     }
 }
 
-/// The time of day in milliseconds, as the platform tells starts apart.
-fn wall_millis() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.map_or(0, millis)
-}
-
 fn empty(status: StatusCode) -> Response<Reply> {
     let mut response = Response::new(Reply::Whole(Some(Bytes::new())));
     *response.status_mut() = status;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -18,7 +18,7 @@
 use crate::clock::{Clock, SystemClock, Time};
 use crate::configuration::Table;
 use crate::decide::members::{self, Seen};
-use crate::error::{ListenSnafu, Result, StartSnafu};
+use crate::error::{ListenSnafu, Result};
 use crate::event;
 use crate::http::{self, Bounds};
 use crate::id::InstanceId;
@@ -29,6 +29,7 @@
 use crate::replica::{Message, Role};
 use crate::role::{self, Ended, RoleSettings};
 use crate::roster::Range;
+use crate::startup;
 use crate::store::StoreError;
 use crate::sync::{self, State, Sync};
 use crate::voter::{Lead, Voter, VoterSettings};
@@ -157,12 +158,7 @@
             Err(error) => error,
         };
         if !matches!(failed, StoreError::Io { .. } | StoreError::Failed) {
-            let reason = failed.to_string();
-            return StartSnafu {
-                part: "voter",
-                reason,
-            }
-            .fail();
+            return Err(startup::start_error("voter", &failed));
         }
         tracing::warn!(event = event::STORE_REOPENED.id, "{failed}");
         sleep(REOPEN).await;
@@ -213,14 +209,13 @@
 fn listen(slot: &Arc<Slot>, boot: &Boot, key: FleetKey, runtime: &Handle) -> Result<()> {
     let addr = SocketAddrV4::new(boot.ip, boot.ports.0).into();
     let role = "instances";
-    let peers = role::bind(addr).context(ListenSnafu { addr, role })?;
+    let peers = startup::listen(addr, role)?;
     let _guard = runtime.enter();
     let peers = tokio::net::TcpListener::from_std(peers);
     let peers = peers.context(ListenSnafu { addr, role })?;
     runtime.spawn(peer::serve(peers, key, Arc::clone(slot) as _));
     let addr = role::required(boot.control, "a control address")?.into();
-    let role = "operators and upstreams";
-    let control = role::bind(addr).context(ListenSnafu { addr, role })?;
+    let control = startup::listen(addr, "operators and upstreams")?;
     let slot = Arc::clone(slot);
     let bounds = Bounds {
         head: call::MAX_HEAD,
@@ -375,9 +370,8 @@
 
     /// Logs which layers no engine of a domain holds, when that changes.
     fn report_coverage(&self, board: &Board, table: &Table) {
-        let services = table.configuration.services.iter();
-        let models = services.filter_map(|s| Some((s, s.model.as_ref()?)));
-        let coverage: Vec<_> = models.map(|(s, m)| board.missing(&s.name, m)).collect();
+        let models = table.configuration.models();
+        let coverage: Vec<_> = models.map(|(s, m)| board.missing(s, m)).collect();
         let mut last = self.coverage.lock().unwrap_or_else(PoisonError::into_inner);
         if *last != coverage {
             tracing::info!(
@@ -421,8 +415,7 @@
             return Answer::NotLeader(self.lead().leader.map_or(0, |l| l.0));
         };
         let current = self.packed();
-        let (departed, _) = self.register.departed_after(0);
-        let state = board.sync(self.now(), ask, age, current, departed);
+        let state = board.sync(self.now(), ask, age, current, &self.register);
         drop(board);
         let status = self.voter.status();
         let members = status.iter().flat_map(|s| &s.members);
--- a/src/decide/path.rs
+++ b/src/decide/path.rs
@@ -290,15 +290,19 @@
 /// Whether the hops cover every layer from `first` on once and in order, each
 /// on an engine of its own that holds it.
 pub(crate) fn is_whole(first: u32, layers: u32, candidates: &[Candidate], hops: &[Hop]) -> bool {
-    let mut at = first;
-    for (i, hop) in hops.iter().enumerate() {
+    let sound = |(i, hop): (usize, &Hop)| {
         let held = candidates[hop.engine].range;
         let inside = held.first <= hop.range.first && hop.range.end <= held.end;
-        let again = hops[..i].iter().any(|h| h.engine == hop.engine);
-        if hop.range.first != at || !inside || again {
-            return false;
-        }
-        at = hop.range.end;
+        inside && hops[..i].iter().all(|h| h.engine != hop.engine)
+    };
+    hops.iter().enumerate().all(sound) && is_gapless(first, layers, hops.iter().map(|h| h.range))
+}
+
+/// Whether `parts` cover every layer from `first` on once and in order.
+pub(crate) fn is_gapless(first: u32, layers: u32, parts: impl Iterator<Item = Range>) -> bool {
+    let mut at = Some(first);
+    for part in parts {
+        at = at.filter(|&a| a == part.first).map(|_| part.end);
     }
-    at == layers
+    at == Some(layers)
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,7 +1,6 @@
 //! One request on its way through its attempts.
 
 use std::net::SocketAddrV4;
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -16,7 +15,7 @@
 use super::body::Body;
 use super::head;
 use super::listen::{failure, refuse};
-use super::reroute::{self, Rerouted};
+use super::reroute::Silence;
 use super::select::Chosen;
 use super::view::View;
 use crate::clock::{Time, millis};
@@ -38,7 +37,13 @@
 /// Objectives for which the first sign of an answer is awaited, where the
 /// request may be sent elsewhere. An engine that waits for a dead one behind it
 /// says so only after seconds.
-const PATIENCE: u32 = 2;
+pub(super) const PATIENCE: u32 = 2;
+
+/// Cause of a failure: an engine of the path is dead.
+pub(super) const DEAD_PART: &str = "dead_part";
+
+/// Cause of a failure: an upstream refused at once.
+const REFUSED: &str = "refused";
 
 /// A request that was looked up.
 pub(super) struct Call {
@@ -237,12 +242,10 @@
 
     fn choose(&self) -> Result<Chosen, Reason> {
         let view = self.entry.view();
-        let service = self.table.service(&self.call.service);
-        let model = service.and_then(|s| s.model.as_ref());
         self.entry.choose(
             &view,
             &self.call.service,
-            model,
+            self.model(),
             self.call.work,
             &self.tried,
         )
@@ -254,7 +257,7 @@
         self.tried.push(culprit);
         let now = self.entry.now();
         match cause {
-            "refused" => self.entry.shared().health.refused(now, culprit),
+            REFUSED => self.entry.shared().health.refused(now, culprit),
             _ => self.entry.shared().health.failed(now, culprit),
         }
         tracing::info!(
@@ -340,45 +343,26 @@
         };
         let sent = self.entry.now();
         let mut chosen = chosen;
-        let mut answer = pin!(connection.send(request, &cutoff));
-        let mut wait = reroute::QUIET.min(patience);
-        loop {
-            match timeout(wait, answer.as_mut()).await {
-                Ok(Ok(answer)) => return self.judge(sent, Opened { answer, chosen }),
-                Ok(Err(_)) => return failed(Failure::Unknown, "cut"),
-                Err(_) => {}
-            }
-            let waited = self.entry.now().since(sent);
-            let (failure, culprit, cause) = match self.look(&mut chosen).await {
-                Rerouted::Lost(culprit) => (reroute::LOST.0, Some(culprit), reroute::LOST.1),
-                _ if waited >= patience => (Failure::Unknown, None, "silent"),
-                _ => {
-                    wait = reroute::AGAIN.min(patience - waited);
-                    continue;
-                }
-            };
-            return Outcome::Failed {
-                failure,
-                culprit,
-                cause,
-            };
-        }
-    }
-
-    /// Looks after a silent attempt, if it may be sent elsewhere at all.
-    pub(super) async fn look(&self, chosen: &mut Chosen) -> Rerouted {
-        match self.call.route.repeat {
-            Repeat::Never => Rerouted::Waits,
-            _ => self.reroute(chosen).await,
+        let answer = connection.send(request, &cutoff);
+        match self.watch(answer, patience, &mut chosen).await {
+            Ok(Ok(answer)) => self.judge(sent, Opened { answer, chosen }),
+            Ok(Err(_)) => failed(Failure::Unknown, "cut"),
+            Err(Silence::Lost(culprit)) => Outcome::Failed {
+                failure: Failure::Unknown,
+                culprit: Some(culprit),
+                cause: DEAD_PART,
+            },
+            Err(Silence::Unexplained) => Outcome::Failed {
+                failure: Failure::Unknown,
+                culprit: None,
+                cause: "silent",
+            },
         }
     }
 
-    /// The model that serves the request; only requests with a path have one.
-    pub(super) fn model(&self) -> Model {
-        let service = self.table.service(&self.call.service);
-        service
-            .and_then(|s| s.model.clone())
-            .expect("a path has a model")
+    /// The model that serves the request, if its service has one.
+    pub(super) fn model(&self) -> Option<&Model> {
+        self.table.service(&self.call.service)?.model.as_ref()
     }
 
     fn request(&self, chosen: &Chosen) -> Request<Full<Bytes>> {
@@ -420,7 +404,7 @@
             return Outcome::Failed {
                 failure: Failure::NotRun,
                 culprit: Some(named.unwrap_or(first)),
-                cause: if stalled { "dead_part" } else { "refused" },
+                cause: if stalled { DEAD_PART } else { REFUSED },
             };
         }
         let signed = map.contains_key(headers::SIGNATURE);
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -16,7 +16,7 @@
 use super::head;
 use super::select::PLAIN;
 use super::view::View;
-use crate::configuration::{Found, Model, Table};
+use crate::configuration::{Found, Limits, Model, Table};
 use crate::decide::path::Work;
 use crate::decide::refusal::{self, Reason};
 use crate::event;
@@ -27,10 +27,6 @@
 /// Longest time to receive a body.
 const RECEIVE: Duration = Duration::from_secs(5);
 
-/// Longest body before a configuration is known, in bytes: the bound of the
-/// users' deployments.
-const FIRST_BODY: usize = 4 << 20;
-
 /// Time that a request without a deadline gets, if its route allows it.
 const DEADLINE: Duration = Duration::from_secs(60);
 
@@ -71,11 +67,9 @@
     ) -> Response<Body> {
         let (head, body) = request.into_parts();
         let view = self.view();
-        let limit = view
-            .table
-            .as_ref()
-            .map_or(0, |t| t.configuration.limits.body);
-        let limit = if limit == 0 { FIRST_BODY } else { limit };
+        let limit = view.table.as_ref().map(|t| t.configuration.limits.body);
+        let limit = limit.filter(|&l| l > 0);
+        let limit = limit.unwrap_or(Limits::default().body);
         let body = match http::receive(body, limit, RECEIVE).await {
             Ok(body) => body,
             Err(Unreceived::TooLarge) => {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use snafu::ResultExt;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -17,7 +16,7 @@
 use crate::decide::hold;
 use crate::decide::link::LinkPart;
 use crate::decide::load::Loads;
-use crate::error::{ListenSnafu, Result};
+use crate::error::Result;
 use crate::event;
 use crate::gate::Gate;
 use crate::http::{self, Bounds};
@@ -25,6 +24,7 @@
 use crate::peer::Peers;
 use crate::platform::boot::Boot;
 use crate::role::{self, RoleSettings};
+use crate::startup;
 use crate::sync::State;
 
 mod attempt;
@@ -150,11 +150,7 @@
     fn listen(self: &Arc<Self>, closing: watch::Receiver<bool>) -> Result<()> {
         let callers = role::required(self.boot.callers, "an address for callers")?.into();
         let readiness = role::required(self.boot.readiness, "a readiness address")?.into();
-        let role = "callers";
-        let listener = role::bind(callers).context(ListenSnafu {
-            addr: callers,
-            role,
-        })?;
+        let listener = startup::listen(callers, "callers")?;
         let bounds = Bounds {
             head: MAX_HEAD,
             receive: IDLE,
@@ -166,9 +162,7 @@
             move |request| Arc::clone(&entry).answer(request),
             closing,
         ));
-        let role = "readiness";
-        let addr = readiness;
-        let listener = role::bind(addr).context(ListenSnafu { addr, role })?;
+        let listener = startup::listen(readiness, "readiness")?;
         let entry = Arc::clone(self);
         tokio::spawn(http::accept(listener, bounds, move |_| {
             let ready = entry.is_ready();
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -5,15 +5,17 @@
 //! request for which engine an attempt waits. If another one in the domain holds
 //! the same layers, the attempt goes on there: only that part is read again.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
 use rand::RngExt;
+use tokio::time::timeout;
 
 use super::attempt::Run;
 use super::select::Chosen;
-use crate::decide::retry::Failure;
+use crate::configuration::Repeat;
 use crate::engine::call;
 use crate::event;
 use crate::platform::engine;
@@ -24,14 +26,14 @@
 pub(super) const QUIET: Duration = Duration::from_millis(260);
 
 /// Period at which it is asked again.
-pub(super) const AGAIN: Duration = Duration::from_millis(160);
+const AGAIN: Duration = Duration::from_millis(160);
 
 /// Longest wait for a report or an order.
 const ANSWER: Duration = Duration::from_millis(300);
 
 /// What became of a silent attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Rerouted {
+enum Rerouted {
     /// Nobody is known to hold it up.
     Waits,
     /// It goes on over another path.
@@ -40,18 +42,57 @@
     Lost(u64),
 }
 
+/// Why what was awaited didn't come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Silence {
+    /// Nobody is known to be at fault.
+    Unexplained,
+    /// The attempt waits for this engine, and there is no way around.
+    Lost(u64),
+}
+
 impl Run {
-    /// Finds out what a silent attempt waits for, and leads it around.
-    pub(super) async fn reroute(&self, chosen: &mut Chosen) -> Rerouted {
-        if chosen.path.is_none() {
-            return Rerouted::Waits;
+    /// Awaits a sign of an attempt for at most `patience`, and leads the
+    /// attempt around an engine that holds it up.
+    pub(super) async fn watch<F: Future>(
+        &self,
+        sign: F,
+        patience: Duration,
+        chosen: &mut Chosen,
+    ) -> Result<F::Output, Silence> {
+        let mut sign = pin!(sign);
+        let since = self.entry.now();
+        // What may not run again, or has one upstream only, can't be helped.
+        let helped = self.call.route.repeat != Repeat::Never && chosen.path.is_some();
+        let mut wait = if helped {
+            QUIET.min(patience)
+        } else {
+            patience
+        };
+        loop {
+            if let Ok(output) = timeout(wait, sign.as_mut()).await {
+                return Ok(output);
+            }
+            let waited = self.entry.now().since(since);
+            if helped && let Rerouted::Lost(culprit) = self.reroute(chosen).await {
+                return Err(Silence::Lost(culprit));
+            }
+            if waited >= patience {
+                return Err(Silence::Unexplained);
+            }
+            wait = AGAIN.min(patience - waited);
         }
+    }
+
+    /// Finds out what a silent attempt waits for, and leads it around.
+    async fn reroute(&self, chosen: &mut Chosen) -> Rerouted {
         let Some(culprit) = self.culprit(chosen).await else {
             return Rerouted::Waits;
         };
         let now = self.entry.now();
         self.entry.shared().health.failed(now, culprit);
-        let Some(path) = chosen.detour(culprit, &self.model(), rand::rng().random()) else {
+        let detour = |model| chosen.detour(culprit, model, rand::rng().random());
+        let Some(path) = self.model().and_then(detour) else {
             return Rerouted::Lost(culprit);
         };
         let body = engine::repath(&self.call.attempt, &path.text);
@@ -102,6 +143,3 @@
         call(address, id, request, body.into(), ANSWER).await
     }
 }
-
-/// How a silent attempt that couldn't be led around counts.
-pub(super) const LOST: (Failure, &str) = (Failure::Unknown, "dead_part");
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -82,7 +82,7 @@
         let mut hops = self.booked.clone();
         hops.splice(at..=at, replaced);
         assert!(
-            is_gapless(model.layers, &hops),
+            path::is_gapless(0, model.layers, hops.iter().map(|(_, h)| h.range)),
             "a detour with a gap: {hops:?}"
         );
         let named: Vec<_> = hops.iter().map(|(k, h)| (key_address(*k), *h)).collect();
@@ -109,18 +109,6 @@
     }
 }
 
-/// Whether hops cover every layer once and in order.
-fn is_gapless(layers: u32, hops: &[(u64, Hop)]) -> bool {
-    let mut at = 0;
-    for (_, hop) in hops {
-        if hop.range.first != at {
-            return false;
-        }
-        at = hop.range.end;
-    }
-    at == layers
-}
-
 /// Work of a request to a plain service: it takes a place and no memory.
 pub(super) const PLAIN: Work = Work {
     prompt: 0.0,
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -8,12 +8,11 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Frame;
-use tokio::time::timeout;
 
-use super::attempt::{Opened, Run};
+use super::attempt::{DEAD_PART, Opened, PATIENCE, Run};
 use super::body::{self, Body, BrokenOff};
 use super::head;
-use super::reroute::{self, Rerouted};
+use super::reroute::{self, Silence};
 use crate::clock::{Time, millis};
 use crate::configuration::Repeat;
 use crate::decide::retry::{Failure, Next};
@@ -24,8 +23,9 @@
 /// leave after eight of them; reading the prompt again takes one or two.
 const STALLED: u32 = 4;
 
-/// Objectives after which a stream without any event is taken up elsewhere.
-const FIRST: u32 = 2;
+/// Least time after which a silent stream is taken up elsewhere, however short
+/// a pause its route allows: the time after which its engine is asked.
+const LEAST: Duration = reroute::QUIET;
 
 /// Longest event that is held back until it is whole, in bytes.
 const MAX_EVENT: usize = 256 << 10;
@@ -102,28 +102,28 @@
             return None;
         }
         loop {
-            let (failure, cause) = match self.read().await {
+            let cause = match self.read().await {
                 Input::Bytes(bytes) => {
                     self.buffer.extend_from_slice(&bytes);
                     match self.take() {
                         Some(events) => return Some(Ok(Frame::data(events))),
                         None if self.buffer.len() <= MAX_EVENT => continue,
-                        None => (Failure::Unknown, "long_event"),
+                        None => "long_event",
                     }
                 }
                 Input::End if self.buffer.is_empty() => {
                     self.finish("whole");
                     return None;
                 }
-                Input::End => (Failure::Unknown, "cut_event"),
-                Input::Broken => (Failure::Unknown, "cut_stream"),
-                Input::Silent => (Failure::Unknown, "stalled"),
+                Input::End => "cut_event",
+                Input::Broken => "cut_stream",
+                Input::Silent => "stalled",
                 Input::Lost(culprit) => {
-                    self.run.blame(Some(culprit), reroute::LOST.1);
-                    reroute::LOST
+                    self.run.blame(Some(culprit), DEAD_PART);
+                    DEAD_PART
                 }
             };
-            if !self.resume(failure, cause).await {
+            if !self.resume(cause).await {
                 self.finish(cause);
                 return Some(Err(BrokenOff));
             }
@@ -138,23 +138,16 @@
         let route = &self.run.call.route;
         let patience = match (route.repeat, self.events) {
             (Repeat::Never, _) => left,
-            (_, 0) => route.objective * FIRST,
+            (_, 0) => route.objective * PATIENCE,
             _ => route.pause * STALLED,
         };
-        let patience = patience.max(reroute::QUIET).min(left);
-        let since = self.run.entry.now();
-        let mut wait = reroute::QUIET.min(patience);
-        loop {
-            let body = self.opened.answer.response.body_mut();
-            if let Ok(frame) = timeout(wait, body.frame()).await {
-                return input(frame);
-            }
-            let waited = self.run.entry.now().since(since);
-            match self.run.look(&mut self.opened.chosen).await {
-                Rerouted::Lost(culprit) => return Input::Lost(culprit),
-                _ if waited >= patience => return Input::Silent,
-                _ => wait = reroute::AGAIN.min(patience - waited),
-            }
+        let Opened { answer, chosen } = &mut self.opened;
+        let frame = answer.response.body_mut().frame();
+        let patience = patience.max(LEAST).min(left);
+        match self.run.watch(frame, patience, chosen).await {
+            Ok(frame) => input(frame),
+            Err(Silence::Unexplained) => Input::Silent,
+            Err(Silence::Lost(culprit)) => Input::Lost(culprit),
         }
     }
 
@@ -183,7 +176,7 @@
     }
 
     /// Goes on behind the last event on another path, if that is allowed.
-    async fn resume(&mut self, failure: Failure, cause: &'static str) -> bool {
+    async fn resume(&mut self, cause: &'static str) -> bool {
         if self.run.left().is_zero() {
             return false;
         }
@@ -192,9 +185,9 @@
             return false;
         }
         let first = self.opened.chosen.upstream.key;
-        let first_failed = !matches!(cause, "stalled" | "dead_part");
+        let first_failed = !matches!(cause, "stalled" | DEAD_PART);
         self.run.blame(first_failed.then_some(first), cause);
-        if self.run.fail(failure, cause) != Next::Again {
+        if self.run.fail(Failure::Unknown, cause) != Next::Again {
             return false;
         }
         match self.run.open().await {
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -8,6 +8,8 @@
 use clap::ArgMatches;
 use serde_json::{Map, Value};
 use snafu::ResultExt;
+use time::OffsetDateTime;
+use time::format_description::well_known::Rfc3339;
 
 use crate::error::{OutputSnafu, ReadFileSnafu, Result};
 use crate::event;
@@ -70,18 +72,8 @@
 
 /// Milliseconds since 1970 of a time stamp such as `2026-04-09T12:28:17.025427Z`.
 fn millis(stamp: &str) -> Option<i64> {
-    let number = |from: usize, to: usize| stamp.get(from..to)?.parse::<i64>().ok();
-    let (year, month, day) = (number(0, 4)?, number(5, 7)?, number(8, 10)?);
-    let (hour, minute, second) = (number(11, 13)?, number(14, 16)?, number(17, 19)?);
-    let milli = number(20, 23).unwrap_or(0);
-    // Days since 1970 in the proleptic Gregorian calendar, with years that
-    // begin in March so that the leap day is the last.
-    let year = if month <= 2 { year - 1 } else { year };
-    let era = year.div_euclid(400);
-    let of_era = year.rem_euclid(400);
-    let of_year = (153 * ((month + 9) % 12) + 2) / 5 + day - 1;
-    let days = era * 146_097 + of_era * 365 + of_era / 4 - of_era / 100 + of_year - 719_468;
-    Some((((days * 24 + hour) * 60 + minute) * 60 + second) * 1000 + milli)
+    let time = OffsetDateTime::parse(stamp, &Rfc3339).ok()?;
+    i64::try_from(time.unix_timestamp_nanos() / 1_000_000).ok()
 }
 
 /// The `explain` command.
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -1,13 +1,11 @@
 //! One instance: builds its parts, runs them, drains and ends.
 
-use std::net::{SocketAddr, TcpListener as StdListener};
+use std::net::TcpListener as StdListener;
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use crossbeam::channel::{Receiver, Sender, bounded, select, tick};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
@@ -15,11 +13,11 @@
 use crate::auth::FleetKey;
 use crate::catalogue::CatalogueMachine;
 use crate::claim::{Bounds, Claims};
-use crate::clock::{Clock, SystemClock};
+use crate::clock::{Clock, SystemClock, wall_millis};
 use crate::confirm::Confirmations;
 use crate::control::{self, Control};
 use crate::dump::{CatalogueDump, Dump, RequestDump};
-use crate::error::{FailedSnafu, ListenSnafu, Result, StartSnafu};
+use crate::error::{FailedSnafu, Result};
 use crate::event;
 use crate::follow::Follower;
 use crate::gate::Gate;
@@ -34,6 +32,7 @@
 use crate::propose::Proposer;
 use crate::serve::{self, Serving};
 use crate::settings::Settings;
+use crate::startup::{install_metrics, listen, start_error};
 use crate::supervise::{Policy, Supervisor};
 use crate::voter::{Machine, Voter, VoterSettings};
 
@@ -233,19 +232,7 @@
 /// Start of this process on the wall clock, in milliseconds: it grows with
 /// each start and needs no disk.
 fn incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let millis = since.map_or(0, |d| d.as_millis());
-    Incarnation(u64::try_from(millis).unwrap_or(u64::MAX))
-}
-
-fn install_metrics() -> Result<PrometheusHandle> {
-    PrometheusBuilder::new().install_recorder().map_err(|e| {
-        StartSnafu {
-            part: "metrics",
-            reason: e.to_string(),
-        }
-        .build()
-    })
+    Incarnation(wall_millis())
 }
 
 fn runtime(name: &'static str, workers: usize) -> Result<Runtime> {
@@ -254,21 +241,7 @@
         .thread_name(name)
         .enable_all()
         .build();
-    built.map_err(|e| {
-        StartSnafu {
-            part: name,
-            reason: e.to_string(),
-        }
-        .build()
-    })
-}
-
-fn listen(addr: SocketAddr, role: &'static str) -> Result<StdListener> {
-    let listener = StdListener::bind(addr).context(ListenSnafu { addr, role })?;
-    listener
-        .set_nonblocking(true)
-        .context(ListenSnafu { addr, role })?;
-    Ok(listener)
+    built.map_err(|e| start_error(name, &e))
 }
 
 fn start_vote(
@@ -303,13 +276,7 @@
         Box::new(move |to, message| links.send(to, message)),
         Arc::clone(clock),
     );
-    let (voter, thread) = spawned.map_err(|e| {
-        StartSnafu {
-            part: "voter",
-            reason: e.to_string(),
-        }
-        .build()
-    })?;
+    let (voter, thread) = spawned.map_err(|e| start_error("voter", &e))?;
     watch(supervisor, "voter", thread, |ended| {
         if let Err(e) = ended {
             panic!("the voter's store failed: {e}");
@@ -345,13 +312,8 @@
         key: settings.key.clone(),
         seed: rand::random(),
     };
-    let (fleet, thread) = Fleet::spawn(fleet_settings, Arc::clone(clock)).map_err(|e| {
-        StartSnafu {
-            part: "fleet",
-            reason: e.to_string(),
-        }
-        .build()
-    })?;
+    let (fleet, thread) =
+        Fleet::spawn(fleet_settings, Arc::clone(clock)).map_err(|e| start_error("fleet", &e))?;
     watch(supervisor, "fleet", thread, drop);
     Ok(fleet)
 }
@@ -418,13 +380,7 @@
     let (sender, receiver) = bounded(2);
     let _guard = runtime.enter();
     for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
-        let stream = signal(kind).map_err(|e| {
-            StartSnafu {
-                part: "signal handler",
-                reason: e.to_string(),
-            }
-            .build()
-        })?;
+        let stream = signal(kind).map_err(|e| start_error("signal handler", &e))?;
         runtime.spawn(forward(stream, sender.clone()));
     }
     Ok(receiver)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,6 +59,7 @@
 mod route;
 mod serve;
 mod settings;
+mod startup;
 mod store;
 mod supervise;
 mod sync;
--- a/src/register.rs
+++ b/src/register.rs
@@ -95,6 +95,13 @@
         self.lock().current.as_ref().map_or(0, |c| c.version)
     }
 
+    /// The latest departures, at most `most`, newest last.
+    pub(crate) fn latest_departed(&self, most: usize) -> Vec<Departed> {
+        let departed = &self.lock().departed;
+        let skip = departed.len().saturating_sub(most);
+        departed.iter().skip(skip).cloned().collect()
+    }
+
     /// Departures after the first `seen`, and how many there are by now.
     pub(crate) fn departed_after(&self, seen: u64) -> (Vec<Departed>, u64) {
         let inner = self.lock();
--- a/src/role.rs
+++ b/src/role.rs
@@ -1,21 +1,21 @@
 //! What the entry and the controller role share: settings, start and end.
 
-use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use clap::ArgMatches;
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{oneshot, watch};
 
-use crate::error::{Error, FailedSnafu, Result, StartSnafu};
+use crate::error::{Error, FailedSnafu, Result};
 use crate::http::{self, Bounds, Reply};
 use crate::id::InstanceId;
 use crate::platform::boot::Boot;
+use crate::startup::{install_metrics, listen, start_error};
 use crate::store::StoreError;
 use crate::{event, log};
 
@@ -108,13 +108,6 @@
     })
 }
 
-/// A listener that doesn't block.
-pub(crate) fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
-    let listener = TcpListener::bind(addr)?;
-    listener.set_nonblocking(true)?;
-    Ok(listener)
-}
-
 /// The runtime of a role. One thread, since a machine has one core: more would
 /// only take turns on it.
 pub(crate) fn runtime() -> Result<Runtime> {
@@ -122,14 +115,6 @@
     built.map_err(|e| start_error("runtime", &e))
 }
 
-fn start_error(part: &'static str, reason: &impl ToString) -> Error {
-    StartSnafu {
-        part,
-        reason: reason.to_string(),
-    }
-    .build()
-}
-
 /// Logs the start of a role.
 pub(crate) fn started(role: &'static str, boot: &Boot) {
     tracing::info!(
@@ -217,14 +202,12 @@
 /// Sums up left out log lines, and serves the metrics of this process on a port
 /// of the machine if one is set.
 pub(crate) fn observe(settings: &RoleSettings, ip: Ipv4Addr, runtime: &Runtime) -> Result<()> {
-    let recorder = PrometheusBuilder::new().install_recorder();
-    let handle = recorder.map_err(|e| start_error("metrics", &e))?;
+    let handle = install_metrics()?;
     runtime.spawn(log::sum_up());
     let Some(port) = settings.metrics else {
         return Ok(());
     };
-    let listener = bind(SocketAddr::new(ip.into(), port));
-    let listener = listener.map_err(|e| start_error("metrics listener", &e))?;
+    let listener = listen(SocketAddr::new(ip.into(), port), "readers of metrics")?;
     let _guard = runtime.enter();
     let bounds = Bounds {
         head: METRICS_HEAD,
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -167,9 +167,9 @@
         entered: 0,
     };
     let age = Duration::ZERO;
-    board.sync(at(1), question(1, vec![load(10)]), age, None, Vec::new());
-    board.sync(at(2), question(2, vec![load(20)]), age, None, Vec::new());
-    let state = board.sync(at(3), question(3, vec![load(40)]), age, None, Vec::new());
+    board.sync(at(1), question(1, vec![load(10)]), age, None, &register);
+    board.sync(at(2), question(2, vec![load(20)]), age, None, &register);
+    let state = board.sync(at(3), question(3, vec![load(40)]), age, None, &register);
     assert_eq!(state.loads.len(), 1);
     assert_eq!((state.loads[0].memory, state.loads[0].requests), (30, 2));
     assert_eq!(state.entries, 3);
@@ -182,14 +182,14 @@
     board.lead(at(0), 1, &register);
     board.hear(at(1), news("i-1", 1));
     let mut ask = question(1, Vec::new());
-    let first = board.sync(at(2), ask.clone(), Duration::ZERO, None, Vec::new());
+    let first = board.sync(at(2), ask.clone(), Duration::ZERO, None, &register);
     let roster = first.roster.unwrap();
     assert!(!roster.complete);
     (ask.term, ask.revision) = (roster.term, roster.revision);
-    let again = board.sync(at(3), ask.clone(), Duration::ZERO, None, Vec::new());
+    let again = board.sync(at(3), ask.clone(), Duration::ZERO, None, &register);
     assert!(again.roster.is_none());
     // It is told again once every upstream has had time to call.
-    let later = board.sync(at(4000), ask, Duration::ZERO, None, Vec::new());
+    let later = board.sync(at(4000), ask, Duration::ZERO, None, &register);
     assert!(later.roster.unwrap().complete);
 }
 
@@ -226,7 +226,7 @@
         question(1, Vec::new()),
         Duration::ZERO,
         None,
-        Vec::new(),
+        &register,
     );
     let upstreams = state.roster.unwrap().upstreams;
     let shown = upstreams.iter().find(|u| *u.id == *moved.engine).unwrap();
