Keep a detour among the engines of the request's service

Cause: Chosen::detour gathered the candidates from the engines of all services. Where two services generate in one domain, a stream whose engine dies could go on over an engine of the other model.

Ruled out: that the first engine would refuse such a path: it takes layers by number, and the numbers fit.

The choice of paths and of detours shared the same lines for candidates; both now ask Pool, which is made of one service. The random factor on a cost is the same for both, plus or minus a tenth (a detour's was half of that).

Test: pool::around_stays_in_service, which fails with candidates of all services.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -33,6 +33,7 @@
 mod head;
 mod listen;
 mod plain;
+pub(crate) mod pool;
 mod reroute;
 mod select;
 mod stream;
--- /dev/null
+++ b/src/entry/pool.rs
@@ -0,0 +1,119 @@
+//! The engines of one service, as the path of a request may use them.
+
+use super::view::{Services, Upstream};
+use crate::configuration::Model;
+use crate::decide::load::{Loads, Speed};
+use crate::decide::path::{self, Candidate, Hop, Start, Work};
+
+/// Factor on the cost of an engine whose heartbeats are late.
+const LATE: f64 = 4.0;
+
+/// Half the width of the random factor on an engine's cost.
+const NOISE: f64 = 0.1;
+
+/// Engines that a path may use, and what is known of their work.
+pub(crate) struct Pool<'a> {
+    /// All engines of the service, also those that may not be used.
+    all: &'a [Upstream],
+    /// Failure domains of `all`; candidates hold an index into them.
+    domains: Vec<&'a str>,
+    /// Each candidate's engine.
+    pub(crate) engines: Vec<&'a Upstream>,
+    pub(crate) candidates: Vec<Candidate>,
+}
+
+impl<'a> Pool<'a> {
+    /// The engines of `service` that hold layers and are `usable`.
+    pub(crate) fn new(
+        services: &'a Services,
+        service: &str,
+        model: &Model,
+        loads: &Loads,
+        usable: impl Fn(&Upstream) -> bool,
+    ) -> Self {
+        let all = services.get(service).map_or(&[][..], Vec::as_slice);
+        let domains = domains(all);
+        let of = |u| Some((u, candidate(u, model, loads, &domains)?));
+        let (engines, candidates) = all.iter().filter(|u| usable(u)).filter_map(of).unzip();
+        Self {
+            all,
+            domains,
+            engines,
+            candidates,
+        }
+    }
+
+    /// Index of a failure domain; a domain without engines has none.
+    pub(crate) fn domain(&self, name: &str) -> Option<usize> {
+        self.domains.iter().position(|d| *d == name)
+    }
+
+    /// A path as it is booked: by the keys of its engines.
+    pub(crate) fn booking(&self, hops: &[Hop]) -> Vec<(u64, Hop)> {
+        let key = |h: &Hop| (self.engines[h.engine].key, *h);
+        hops.iter().map(key).collect()
+    }
+
+    /// The booked path with other engines in the place of `lost`. The parts of
+    /// the others stay, so that only what is replaced is read again; and it
+    /// stays in the domain, since a whole prompt would have to cross the shared
+    /// link.
+    pub(crate) fn around(
+        &self,
+        lost: u64,
+        booked: &[(u64, Hop)],
+        work: &Work,
+        draw: f64,
+    ) -> Option<Vec<(u64, Hop)>> {
+        let at = booked.iter().position(|(key, _)| *key == lost)?;
+        // The first part has the caller's connection and must stay.
+        let before = booked.get(at.checked_sub(1)?)?;
+        let home = self.all.iter().find(|u| u.key == before.0)?;
+        let range = booked[at].1.range;
+        let start = Start::Behind {
+            layer: range.first,
+            domain: self.domain(&home.domain)?,
+        };
+        let noise = |i: usize| spread((draw * 97.0 + i as f64 * 0.618).fract());
+        let found = path::choose(range.end, start, &self.candidates, work, noise).ok()?;
+        let mut hops = booked.to_vec();
+        hops.splice(at..=at, self.booking(&found));
+        Some(hops)
+    }
+}
+
+/// A factor on a cost, from a `draw` between 0 and 1. Engines of equal cost
+/// take turns by it, though all instances see the same.
+pub(crate) fn spread(draw: f64) -> f64 {
+    1.0 + NOISE * (2.0 * draw - 1.0)
+}
+
+fn domains(upstreams: &[Upstream]) -> Vec<&str> {
+    let mut domains: Vec<&str> = upstreams.iter().map(|u| u.domain.as_str()).collect();
+    domains.sort_unstable();
+    domains.dedup();
+    domains
+}
+
+/// The engine as a path may use it, if it holds layers.
+fn candidate(
+    upstream: &Upstream,
+    model: &Model,
+    loads: &Loads,
+    domains: &[&str],
+) -> Option<Candidate> {
+    let range = upstream.layers?;
+    let accelerator = model.accelerator(upstream.kind.as_deref()?)?;
+    let load = loads.at(upstream.key);
+    let speed = Speed::new(model, accelerator, range, load);
+    Some(Candidate {
+        range,
+        domain: domains.iter().position(|d| *d == upstream.domain)?,
+        step_ms: speed.step_ms,
+        read_ms: speed.read_ms,
+        room_mb: speed.room_mb,
+        used: speed.used,
+        enters: load.entered < f64::from(upstream.slots),
+        penalty: if upstream.late { LATE } else { 1.0 },
+    })
+}
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -10,7 +10,6 @@
 
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
-use rand::RngExt;
 use tokio::time::timeout;
 
 use super::attempt::Run;
@@ -91,7 +90,7 @@
         };
         let now = self.entry.now();
         self.entry.shared().health.failed(now, culprit);
-        let detour = |model| chosen.detour(culprit, model, rand::rng().random());
+        let detour = |model| chosen.detour(&self.call.service, culprit, model);
         let Some(path) = self.model().and_then(detour) else {
             return Rerouted::Lost(culprit);
         };
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -1,26 +1,19 @@
 //! Chooses where an attempt goes, and books it.
 
-use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use rand::RngExt;
 
 use super::Entry;
+use super::pool::{self, Pool};
 use super::view::{Upstream, View};
 use crate::configuration::Model;
-use crate::decide::load::{Loads, Speed};
-use crate::decide::path::{self, Candidate, Hop, NoPath, Start, Work};
+use crate::decide::path::{self, Hop, NoPath, Start, Work};
 use crate::decide::pick::{self, Offer};
 use crate::decide::refusal::Reason;
 use crate::roster::Range;
 use crate::sync::key_address;
 
-/// Factor on the cost of an engine whose heartbeats are late.
-const LATE: f64 = 4.0;
-
-/// Half the width of the random factor on an engine's cost.
-const NOISE: f64 = 0.1;
-
 /// Where an attempt goes. Dropping it ends the booking.
 pub(super) struct Chosen {
     entry: Arc<Entry>,
@@ -50,43 +43,22 @@
         self.booked.iter().any(|(key, _)| *key == upstream)
     }
 
-    /// A path with other engines in the place of one. The parts of the others
-    /// stay, so that only what is replaced is read again; and it stays in the
-    /// domain, since a whole prompt would have to cross the shared link.
-    pub(super) fn detour(&self, around: u64, model: &Model, draw: f64) -> Option<Detour> {
-        let entry = &self.entry;
-        let at = self.booked.iter().position(|(key, _)| *key == around)?;
-        // The first part has the caller's connection and must stay.
-        let before = self.booked.get(at.checked_sub(1)?)?;
-        let range = self.booked[at].1.range;
-        let view = entry.view();
-        let now = entry.now();
-        let upstreams: Vec<&Upstream> = view.services.values().flatten().collect();
-        let domains = domains(upstreams.iter().copied());
-        let home = upstreams.iter().find(|u| u.key == before.0)?;
-        let domain = domains.iter().position(|d| *d == home.domain)?;
-        let shared = entry.shared();
-        let usable = upstreams
-            .iter()
-            .filter(|u| !self.passes(u.key) && !u.late && !shared.health.is_out(now, u.key))
-            .filter_map(|u| Some((u.key, candidate(u, model, &shared.loads, &domains)?)));
-        let (keys, candidates): (Vec<u64>, Vec<Candidate>) = usable.unzip();
+    /// A path around an engine, over others of the same `service`.
+    pub(super) fn detour(&self, service: &str, lost: u64, model: &Model) -> Option<Detour> {
+        let view = self.entry.view();
+        let now = self.entry.now();
+        let shared = self.entry.shared();
+        let usable =
+            |u: &Upstream| !self.passes(u.key) && !u.late && !shared.health.is_out(now, u.key);
+        let pool = Pool::new(&view.services, service, model, &shared.loads, usable);
         drop(shared);
-        let start = Start::Behind {
-            layer: range.first,
-            domain,
-        };
-        let noise = |i: usize| 1.0 + NOISE * ((draw * 97.0 + i as f64 * 0.618).fract() - 0.5);
-        let found = path::choose(range.end, start, &candidates, &self.work, noise).ok()?;
-        let replaced = found.iter().map(|h| (keys[h.engine], *h));
-        let mut hops = self.booked.clone();
-        hops.splice(at..=at, replaced);
+        let draw = rand::rng().random();
+        let hops = pool.around(lost, &self.booked, &self.work, draw)?;
         assert!(
             path::is_gapless(0, model.layers, hops.iter().map(|(_, h)| h.range)),
             "a detour with a gap: {hops:?}"
         );
-        let named: Vec<_> = hops.iter().map(|(k, h)| (key_address(*k), *h)).collect();
-        let text = crate::platform::engine::encode_path(&named);
+        let text = encode(&hops);
         Some(Detour { text, hops })
     }
 
@@ -130,18 +102,19 @@
         work: Work,
         tried: &[u64],
     ) -> Result<Chosen, Reason> {
-        let upstreams = view.services.get(service).map_or(&[][..], Vec::as_slice);
         match model {
-            Some(model) => self.choose_path(view, upstreams, model, work, tried),
-            None => self.choose_one(upstreams, tried),
+            Some(model) => self.choose_path(view, service, model, work, tried),
+            None => self.choose_one(view, service, tried),
         }
     }
 
     fn choose_one(
         self: &Arc<Self>,
-        upstreams: &[Upstream],
+        view: &View,
+        service: &str,
         tried: &[u64],
     ) -> Result<Chosen, Reason> {
+        let upstreams = view.services.get(service).map_or(&[][..], Vec::as_slice);
         let now = self.now();
         let shared = self.shared();
         let offers: Vec<Offer> = upstreams
@@ -168,37 +141,33 @@
     fn choose_path(
         self: &Arc<Self>,
         view: &View,
-        upstreams: &[Upstream],
+        service: &str,
         model: &Model,
         mut work: Work,
         tried: &[u64],
     ) -> Result<Chosen, Reason> {
         let now = self.now();
-        let domains = domains(upstreams.iter());
-        // A caller's domain without engines is none of theirs.
-        let home = domains.iter().position(|d| *d == self.boot.domain);
-        work.home = home.unwrap_or(usize::MAX);
         let shared = self.shared();
-        let usable: Vec<(&Upstream, Candidate)> = upstreams
-            .iter()
-            .filter(|u| !tried.contains(&u.key) && !shared.health.is_out(now, u.key))
-            .filter_map(|u| Some((u, candidate(u, model, &shared.loads, &domains)?)))
-            .collect();
+        let usable = |u: &Upstream| !tried.contains(&u.key) && !shared.health.is_out(now, u.key);
+        let pool = Pool::new(&view.services, service, model, &shared.loads, usable);
         drop(shared);
-        let (engines, candidates): (Vec<_>, Vec<_>) = usable.into_iter().unzip();
+        // A caller's domain without engines is none of theirs.
+        work.home = pool.domain(&self.boot.domain).unwrap_or(usize::MAX);
         let mut rng = rand::rng();
-        let noise: Vec<f64> = candidates
+        let noise: Vec<f64> = pool
+            .candidates
             .iter()
-            .map(|_| 1.0 + NOISE * (2.0 * rng.random::<f64>() - 1.0))
+            .map(|_| pool::spread(rng.random()))
             .collect();
         let search = |work: &Work| {
-            path::choose(model.layers, Start::Caller, &candidates, work, |i| noise[i])
+            let noise = |i: usize| noise[i];
+            path::choose(model.layers, Start::Caller, &pool.candidates, work, noise)
         };
         let mut found = search(&work);
         if found.is_err() {
             work.crosses = true;
             found = search(&work).and_then(|hops| {
-                let crossings = path::crossings(&candidates, &hops) as f64;
+                let crossings = path::crossings(&pool.candidates, &hops) as f64;
                 let occupied = crossings * work.occupies();
                 let link = &mut self.shared().link;
                 let free = link.take(now, view.entries, occupied);
@@ -210,16 +179,12 @@
             NoPath::Full => Reason::Full,
         })?;
         assert!(
-            path::is_whole(0, model.layers, &candidates, &hops),
+            path::is_whole(0, model.layers, &pool.candidates, &hops),
             "a path that doesn't cover each layer once and in order: {hops:?}"
         );
-        let named: Vec<(SocketAddrV4, Hop)> = hops
-            .iter()
-            .map(|h| (engines[h.engine].address, *h))
-            .collect();
-        let booked = hops.iter().map(|h| (engines[h.engine].key, *h)).collect();
-        let first = engines[hops[0].engine].clone();
-        let path = crate::platform::engine::encode_path(&named);
+        let booked = pool.booking(&hops);
+        let first = pool.engines[hops[0].engine].clone();
+        let path = encode(&booked);
         Ok(self.book(first, Some(path), booked, work))
     }
 
@@ -241,32 +206,8 @@
     }
 }
 
-fn domains<'a>(upstreams: impl Iterator<Item = &'a Upstream>) -> Vec<&'a str> {
-    let mut domains: Vec<&str> = upstreams.map(|u| u.domain.as_str()).collect();
-    domains.sort_unstable();
-    domains.dedup();
-    domains
-}
-
-/// The engine as a path may use it, if it holds layers.
-fn candidate(
-    upstream: &Upstream,
-    model: &Model,
-    loads: &Loads,
-    domains: &[&str],
-) -> Option<Candidate> {
-    let range = upstream.layers?;
-    let accelerator = model.accelerator(upstream.kind.as_deref()?)?;
-    let load = loads.at(upstream.key);
-    let speed = Speed::new(model, accelerator, range, load);
-    Some(Candidate {
-        range,
-        domain: domains.iter().position(|d| *d == upstream.domain)?,
-        step_ms: speed.step_ms,
-        read_ms: speed.read_ms,
-        room_mb: speed.room_mb,
-        used: speed.used,
-        enters: load.entered < f64::from(upstream.slots),
-        penalty: if upstream.late { LATE } else { 1.0 },
-    })
+/// A booked path in the form that engines get.
+fn encode(booked: &[(u64, Hop)]) -> String {
+    let named: Vec<_> = booked.iter().map(|(k, h)| (key_address(*k), *h)).collect();
+    crate::platform::engine::encode_path(&named)
 }
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -24,7 +24,7 @@
     Time(millis * 1000)
 }
 
-fn model() -> Model {
+pub(super) fn model() -> Model {
     let decoded = decode(CONFIGURATION.as_bytes()).unwrap();
     decoded.services[0].model.clone().unwrap()
 }
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -18,6 +18,7 @@
 mod life;
 mod limit;
 mod platform;
+mod pool;
 mod queue;
 mod registry;
 mod replica;
--- /dev/null
+++ b/src/tests/pool.rs
@@ -0,0 +1,91 @@
+//! Tests of the engines that a path may use.
+
+use std::net::SocketAddrV4;
+
+use super::decide::model;
+use crate::decide::load::Loads;
+use crate::decide::path::{Hop, Work};
+use crate::entry::pool::Pool;
+use crate::entry::view::{Services, Upstream};
+use crate::roster::Range;
+use crate::sync::address_key;
+
+const WORK: Work = Work {
+    prompt: 100.0,
+    answer: 50.0,
+    token_mb: 0.001,
+    crossing_ms: 0.02,
+    crosses: false,
+    home: 0,
+};
+
+fn engine(host: u8, domain: &str, first: u32, end: u32) -> Upstream {
+    let address = SocketAddrV4::new([10, 0, 0, host].into(), 80);
+    Upstream {
+        id: format!("i-{host}").into(),
+        born: 0,
+        key: address_key(address),
+        address,
+        domain: domain.to_owned(),
+        slots: 8,
+        kind: Some(model().accelerators[0].name.clone()),
+        layers: Some(Range::new(first, end)),
+        late: false,
+    }
+}
+
+fn around(services: &Services, booked: &[&Upstream], lost: &Upstream) -> Option<Vec<u64>> {
+    let hop = |u: &&Upstream| {
+        (
+            u.key,
+            Hop {
+                engine: 0,
+                range: u.layers.unwrap(),
+            },
+        )
+    };
+    let booked: Vec<_> = booked.iter().map(hop).collect();
+    let usable = |u: &Upstream| booked.iter().all(|(key, _)| *key != u.key);
+    let pool = Pool::new(services, "letters", &model(), &Loads::default(), usable);
+    let hops = pool.around(lost.key, &booked, &WORK, 0.5)?;
+    Some(hops.into_iter().map(|(key, _)| key).collect())
+}
+
+#[test]
+fn around_stays_in_service() {
+    // Two services generate in one domain. An engine of the first dies in the
+    // middle of a stream, and the only engine beside it with the same numbers
+    // of layers holds the other service's model: led there, the caller would
+    // get another model's words as the rest of the answer.
+    let (head, tail) = (engine(1, "north", 0, 40), engine(2, "north", 40, 80));
+    let other = engine(3, "north", 40, 80);
+    let mut services = Services::default();
+    services.insert("letters".to_owned(), vec![head.clone(), tail.clone()]);
+    services.insert("drafts".to_owned(), vec![other]);
+    assert_eq!(around(&services, &[&head, &tail], &tail), None);
+    let spare = engine(4, "north", 40, 80);
+    services.get_mut("letters").unwrap().push(spare.clone());
+    let found = around(&services, &[&head, &tail], &tail);
+    assert_eq!(found, Some(vec![head.key, spare.key]));
+}
+
+#[test]
+fn around_stays_in_domain() {
+    let (head, tail) = (engine(1, "north", 0, 40), engine(2, "north", 40, 80));
+    let far = engine(3, "south", 40, 80);
+    let mut services = Services::default();
+    let engines = vec![head.clone(), tail.clone(), far];
+    services.insert("letters".to_owned(), engines);
+    assert_eq!(around(&services, &[&head, &tail], &tail), None);
+}
+
+#[test]
+fn around_keeps_first() {
+    // The caller's connection ends at the first engine.
+    let (head, tail) = (engine(1, "north", 0, 40), engine(2, "north", 40, 80));
+    let copy = engine(3, "north", 0, 40);
+    let mut services = Services::default();
+    let engines = vec![head.clone(), tail.clone(), copy];
+    services.insert("letters".to_owned(), engines);
+    assert_eq!(around(&services, &[&head, &tail], &head), None);
+}
