Give orders for missing layers while engines join

The board waits until no engine has joined for 1.25 beats, and a release starts one each second.

Ruled out: refusal by engines, a deposed leader (one leads from 7 s to 34 s).

Change: a new leader waits until all are heard and either none has joined lately or four beats have passed; later on orders don't wait. While nobody holds layers, the first burst is still awaited, so that the fastest engines get their ranges first.

Test: board::orders_while_others_join fails before.

--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -21,6 +21,10 @@
 /// lives: an upstream whose call fails asks the next instance within a second.
 const COMPLETE_BEATS: f64 = 2.5;
 
+/// Heartbeat periods after which a new leader no longer waits for upstreams that
+/// appear one after the other. An established leader drops a silent one then.
+const HEARD_BEATS: f64 = 4.0;
+
 /// Time for which an entry instance's report counts. It reports several times
 /// in that time, so one that is silent for longer has lost its requests too.
 const REPORT: Duration = Duration::from_secs(2);
@@ -221,14 +225,28 @@
         sums
     }
 
+    /// Whether what is known of the upstreams is enough to give orders.
+    ///
+    /// Before all are heard, engines that hold layers seem to be missing. Once
+    /// they are, a gap doesn't wait for those that join: where the operator
+    /// replaces an engine each second, no moment is without one that has joined
+    /// lately, and gaps stayed open for 5.5 s.
+    fn may_order(&self, now: Time) -> bool {
+        let heard = now.since(self.since) >= self.beat.mul_f64(HEARD_BEATS);
+        self.is_complete(now) && (heard || self.roster.is_settled(now))
+    }
+
     /// Orders that the layers of the configuration's models need now.
     pub(crate) fn orders(&mut self, now: Time, configuration: &Configuration) -> Vec<Placement> {
-        // Before all are heard, engines that hold layers seem to be missing.
-        if !self.is_complete(now) || !self.roster.is_settled(now) {
+        if !self.may_order(now) {
             return Vec::new();
         }
         let work = self.work(None);
+        let settled = self.roster.is_settled(now);
+        // While nobody holds layers, the first to announce itself would get
+        // those that belong on the fastest.
         let models = configuration.models();
+        let models = models.filter(|(s, _)| settled || self.holds_layers(s));
         let orders: Vec<Placement> = models.flat_map(|(s, m)| self.place(s, m, &work)).collect();
         for order in &orders {
             let pending = Pending {
@@ -242,6 +260,12 @@
         orders
     }
 
+    fn holds_layers(&self, service: &str) -> bool {
+        let entries = self.roster.list().into_iter();
+        let mut members = entries.filter(|e| e.last.service == service);
+        members.any(|e| e.last.layers.is_some())
+    }
+
     fn place(&self, service: &str, model: &Model, work: &HashMap<u64, Load>) -> Vec<Placement> {
         let entries = self.roster.list().into_iter();
         let members = entries.filter(|e| e.last.service == service);
--- /dev/null
+++ b/src/tests/board.rs
@@ -0,0 +1,102 @@
+//! Tests of the orders that the controller's board gives.
+
+use std::time::Duration;
+
+use super::platform::CONFIGURATION;
+use crate::clock::Time;
+use crate::configuration::Configuration;
+use crate::controller::board::Board;
+use crate::platform::configuration::decode;
+use crate::register::{self, Register};
+use crate::roster::{Announcement, Range};
+use crate::voter::Machine;
+
+const BEAT: Duration = Duration::from_millis(1200);
+
+fn at(millis: u64) -> Time {
+    Time(millis * 1000)
+}
+
+fn configuration() -> Configuration {
+    decode(CONFIGURATION.as_bytes()).unwrap()
+}
+
+fn news(host: u8, sequence: u64, layers: Option<(u32, u32)>) -> Announcement {
+    Announcement {
+        id: format!("i-{host}").into(),
+        born: 0,
+        sequence,
+        service: "models".to_owned(),
+        address: format!("10.1.64.{host}:8666").parse().unwrap(),
+        domain: "a".to_owned(),
+        slots: 192,
+        leaving: false,
+        kind: Some("h100".to_owned()),
+        layers: layers.map(|(first, end)| Range::new(first, end)),
+    }
+}
+
+/// Engines, by host, and their layers: all are held, the first half twice.
+const HELD: [(u8, (u32, u32)); 5] = [
+    (1, (0, 27)),
+    (2, (27, 54)),
+    (3, (54, 80)),
+    (4, (0, 27)),
+    (5, (27, 54)),
+];
+
+/// A board whose term began at 0, and which hears all of `hosts` each beat
+/// until `end`.
+fn board(register: &Register, hosts: &[u8], end: u64) -> Board {
+    let mut board = Board::new(BEAT);
+    board.lead(at(0), 1, register);
+    for (sequence, now) in (1..).zip((0..=end).step_by(1200)) {
+        board.lead(at(now), 1, register);
+        let heard = HELD.iter().filter(|(host, _)| hosts.contains(host));
+        for (host, layers) in heard {
+            board.hear(at(now), news(*host, sequence, Some(*layers)));
+        }
+        board.tick(at(now));
+    }
+    board
+}
+
+#[test]
+fn orders_while_others_join() {
+    // The operator replaces engines, one a second: a new one joins, an old one
+    // leaves. Orders waited for a moment in which none had joined lately, and
+    // for five seconds a layer was missing in each domain: all was refused.
+    let (register, mut machine) = Register::new();
+    let mut board = board(&register, &[1, 2, 3, 4, 5], 12_000);
+    assert_eq!(board.orders(at(12_000), &configuration()), []);
+    board.hear(at(12_900), news(9, 1, None));
+    machine.apply(1, &register::depart("i-3", 0));
+    board.lead(at(13_000), 1, &register);
+    let orders = board.orders(at(13_000), &configuration());
+    assert!(orders.iter().any(|o| o.range.first == 54), "{orders:?}");
+}
+
+#[test]
+fn orders_after_first_burst() {
+    // All engines start at once and announce themselves within a beat. The
+    // fastest get their layers first, so all must be known before.
+    let (register, _machine) = Register::new();
+    let mut board = Board::new(BEAT);
+    board.lead(at(0), 1, &register);
+    for host in 1..=9 {
+        let now = 5_000 + 150 * u64::from(host);
+        board.hear(at(now), news(host, 1, None));
+        assert_eq!(board.orders(at(now), &configuration()), []);
+    }
+    assert!(!board.orders(at(8_000), &configuration()).is_empty());
+}
+
+#[test]
+fn orders_not_before_all_heard() {
+    // A new leader hears one engine late. Its layers aren't missing.
+    let (register, _machine) = Register::new();
+    let mut board = board(&register, &[1, 2, 4, 5], 2_400);
+    assert_eq!(board.orders(at(2_900), &configuration()), []);
+    board.hear(at(2_950), news(3, 1, Some((54, 80))));
+    assert_eq!(board.orders(at(3_100), &configuration()), []);
+}
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod auth;
+mod board;
 mod budget;
 mod claim;
 mod cli;
