Lead running streams away from engines that leave or give up layers

Change: a stream looks at each new roster whether engines of its path, but for the first, are gone from it or give up layers, and orders a path around them, each stream at a moment of its own within a second.

Tests: decide::leave and pool::given_up.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod allowance;
 pub(crate) mod health;
 pub(crate) mod hold;
+pub(crate) mod leave;
 pub(crate) mod link;
 pub(crate) mod load;
 pub(crate) mod members;
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -4,6 +4,7 @@
 use crate::configuration::Model;
 use crate::decide::load::{Loads, Speed};
 use crate::decide::path::{self, Candidate, Hop, Start, Work};
+use crate::roster::Range;
 
 /// Factor on the cost of an engine whose heartbeats are late.
 const LATE: f64 = 4.0;
@@ -82,6 +83,24 @@
     }
 }
 
+/// The engines of a booked path that aren't among `upstreams` any more with
+/// their layers; none if the first is one of them. That one has the caller's
+/// connection and can't be replaced, and refuses a path in which it is named
+/// with layers that it gives up.
+pub(crate) fn given_up(upstreams: &[Upstream], booked: &[(u64, Hop)]) -> Vec<u64> {
+    let covers = |held: Range, part: Range| held.first <= part.first && part.end <= held.end;
+    let stays = |key: u64, part: Range| {
+        let mut same = upstreams.iter().filter(|u| u.key == key);
+        same.any(|u| u.layers.is_some_and(|held| covers(held, part)))
+    };
+    let lost = booked.iter().filter(|(key, hop)| !stays(*key, hop.range));
+    let lost: Vec<u64> = lost.map(|(key, _)| *key).collect();
+    if lost.first() == booked.first().map(|(key, _)| key) {
+        return Vec::new();
+    }
+    lost
+}
+
 /// A factor on a cost, from a `draw` between 0 and 1. Engines of equal cost
 /// take turns by it, though all instances see the same.
 pub(crate) fn spread(draw: f64) -> f64 {
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -12,12 +12,12 @@
 use hyper::{Request, StatusCode};
 use tokio::time::timeout;
 
-use super::attempt::Run;
+use super::attempt::{DEAD_PART, Run};
 use super::select::Chosen;
 use crate::configuration::Repeat;
 use crate::engine::call;
 use crate::event;
-use crate::platform::engine;
+use crate::platform::engine as order;
 use crate::sync::{address_key, key_address};
 
 /// Silence after which the first engine is asked. Its report lags by 200 ms;
@@ -90,27 +90,41 @@
         };
         let now = self.entry.now();
         self.entry.shared().health.failed(now, culprit);
-        let detour = |model| chosen.detour(&self.call.service, culprit, model);
+        match self.lead_around(&[culprit], chosen, DEAD_PART).await {
+            true => Rerouted::Done,
+            false => Rerouted::Lost(culprit),
+        }
+    }
+
+    /// Orders an attempt to go on over others than some of its engines. Returns
+    /// whether it does.
+    pub(super) async fn lead_around(
+        &self,
+        engines: &[u64],
+        chosen: &mut Chosen,
+        cause: &'static str,
+    ) -> bool {
+        let detour = |model| chosen.detour(&self.call.service, engines, model);
         let Some(path) = self.model().and_then(detour) else {
-            return Rerouted::Lost(culprit);
+            return false;
         };
-        let body = engine::repath(&self.call.attempt, &path.text);
-        let status = self.ask(chosen, Request::post(engine::ORDER), body).await;
+        let body = order::repath(&self.call.attempt, &path.text);
+        let status = self.ask(chosen, Request::post(order::ORDER), body).await;
         let status = status.map(|a| a.0);
         let taken = matches!(status, Some(StatusCode::OK | StatusCode::ACCEPTED));
         tracing::info!(
             event = event::REQUEST_REROUTED.id,
             attempt = self.call.attempt,
-            around = %key_address(culprit),
+            around = ?engines.iter().map(|e| key_address(*e)).collect::<Vec<_>>(),
+            cause,
             path = path.text,
             status = status.map(|s| s.as_u16()),
             "rerouted"
         );
-        if !taken {
-            return Rerouted::Lost(culprit);
+        if taken {
+            chosen.follow(path);
         }
-        chosen.follow(path);
-        Rerouted::Done
+        taken
     }
 
     /// The engine of the path for which the attempt waits.
@@ -120,10 +134,10 @@
         if let Some(known) = dead.into_iter().find(|d| chosen.passes(*d)) {
             return Some(known);
         }
-        let report = self.ask(chosen, Request::get(engine::REPORT), String::new());
+        let report = self.ask(chosen, Request::get(order::REPORT), String::new());
         match report.await {
             Some((StatusCode::OK, report)) => {
-                let address = engine::stalled_at(&report, &self.call.attempt)?;
+                let address = order::stalled_at(&report, &self.call.attempt)?;
                 Some(address_key(address)).filter(|c| chosen.passes(*c))
             }
             // The first engine itself answers nothing.
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -43,17 +43,28 @@
         self.booked.iter().any(|(key, _)| *key == upstream)
     }
 
-    /// A path around an engine, over others of the same `service`.
-    pub(super) fn detour(&self, service: &str, lost: u64, model: &Model) -> Option<Detour> {
+    /// Engines of the path that get nothing new of `service` any more and can
+    /// be replaced.
+    pub(super) fn given_up(&self, service: &str) -> Vec<u64> {
+        let view = self.entry.view();
+        let upstreams = view.services.get(service).map_or(&[][..], Vec::as_slice);
+        pool::given_up(upstreams, &self.booked)
+    }
+
+    /// A path around some engines, over others of the same `service`.
+    pub(super) fn detour(&self, service: &str, lost: &[u64], model: &Model) -> Option<Detour> {
         let view = self.entry.view();
         let now = self.entry.now();
         let shared = self.entry.shared();
-        let usable =
-            |u: &Upstream| !self.passes(u.key) && !u.late && !shared.health.is_out(now, u.key);
-        let pool = Pool::new(&view.services, service, model, &shared.loads, usable);
+        let sound = |u: &Upstream| !u.late && !shared.health.is_out(now, u.key);
+        let mut hops = self.booked.clone();
+        for lost in lost {
+            let passed: Vec<u64> = hops.iter().map(|(key, _)| *key).collect();
+            let usable = |u: &Upstream| sound(u) && !passed.contains(&u.key);
+            let pool = Pool::new(&view.services, service, model, &shared.loads, usable);
+            hops = pool.around(*lost, &hops, &self.work, rand::rng().random())?;
+        }
         drop(shared);
-        let draw = rand::rng().random();
-        let hops = pool.around(lost, &self.booked, &self.work, draw)?;
         assert!(
             path::is_gapless(0, model.layers, hops.iter().map(|(_, h)| h.range)),
             "a detour with a gap: {hops:?}"
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Frame;
+use rand::RngExt;
 
 use super::attempt::{DEAD_PART, Opened, PATIENCE, Run};
 use super::body::{self, Body, BrokenOff};
@@ -15,6 +16,7 @@
 use super::reroute::{self, Silence};
 use crate::clock::{Time, millis};
 use crate::configuration::Repeat;
+use crate::decide::leave::Leave;
 use crate::decide::retry::{Failure, Next};
 use crate::event;
 use crate::gate::Running;
@@ -27,6 +29,9 @@
 /// a pause its route allows: the time after which its engine is asked.
 const LEAST: Duration = reroute::QUIET;
 
+/// Why a stream is led away from an engine that still serves it.
+const GIVEN_UP: &str = "given_up";
+
 /// Longest event that is held back until it is whole, in bytes.
 const MAX_EVENT: usize = 256 << 10;
 
@@ -43,6 +48,7 @@
     /// Longest pause between two events.
     pause: Duration,
     last_at: Time,
+    leave: Leave,
     ended: bool,
     _running: Running,
 }
@@ -61,6 +67,7 @@
         first_ms: None,
         pause: Duration::ZERO,
         last_at,
+        leave: Leave::default(),
         ended: false,
         _running: running,
     };
@@ -130,7 +137,25 @@
         }
     }
 
+    /// Leads the stream away from an engine that gets nothing new.
+    async fn make_way(&mut self) {
+        let Self { run, opened, .. } = self;
+        let (now, service) = (run.entry.now(), &run.call.service);
+        let roster = run.entry.view().roster();
+        let chosen = &mut opened.chosen;
+        let must = || !chosen.given_up(service).is_empty();
+        if !self.leave.is_due(now, roster, must, rand::rng().random()) {
+            return;
+        }
+        let engines = chosen.given_up(service);
+        let done = engines.is_empty() || run.lead_around(&engines, chosen, GIVEN_UP).await;
+        self.leave.tried(now, done);
+    }
+
     async fn read(&mut self) -> Input {
+        if self.run.call.route.repeat != Repeat::Never {
+            self.make_way().await;
+        }
         let left = self.run.left();
         if left.is_zero() {
             return Input::Broken;
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -17,6 +17,7 @@
 use crate::platform::configuration::decode;
 use crate::replica::{Change, Peer};
 
+mod leave;
 mod path;
 mod placement;
 
--- a/src/tests/pool.rs
+++ b/src/tests/pool.rs
@@ -5,7 +5,7 @@
 use super::decide::model;
 use crate::decide::load::Loads;
 use crate::decide::path::{Hop, Work};
-use crate::entry::pool::Pool;
+use crate::entry::pool::{Pool, given_up};
 use crate::entry::view::{Services, Upstream};
 use crate::roster::Range;
 use crate::sync::address_key;
@@ -34,17 +34,16 @@
     }
 }
 
-fn around(services: &Services, booked: &[&Upstream], lost: &Upstream) -> Option<Vec<u64>> {
+fn booked(engines: &[&Upstream]) -> Vec<(u64, Hop)> {
     let hop = |u: &&Upstream| {
-        (
-            u.key,
-            Hop {
-                engine: 0,
-                range: u.layers.unwrap(),
-            },
-        )
+        let range = u.layers.unwrap();
+        (u.key, Hop { engine: 0, range })
     };
-    let booked: Vec<_> = booked.iter().map(hop).collect();
+    engines.iter().map(hop).collect()
+}
+
+fn around(services: &Services, path: &[&Upstream], lost: &Upstream) -> Option<Vec<u64>> {
+    let booked = booked(path);
     let usable = |u: &Upstream| booked.iter().all(|(key, _)| *key != u.key);
     let pool = Pool::new(services, "letters", &model(), &Loads::default(), usable);
     let hops = pool.around(lost.key, &booked, &WORK, 0.5)?;
@@ -89,3 +88,35 @@
     services.insert("letters".to_owned(), engines);
     assert_eq!(around(&services, &[&head, &tail], &head), None);
 }
+
+#[test]
+fn given_up_leaving() {
+    // The operator takes an engine away in the middle of streams. It serves on
+    // for two seconds, the streams last for five: each was cut off.
+    let (head, tail) = (engine(1, "north", 0, 40), engine(2, "north", 40, 80));
+    let path = booked(&[&head, &tail]);
+    assert_eq!(given_up(&[head.clone(), tail.clone()], &path), [0; 0]);
+    assert_eq!(given_up(std::slice::from_ref(&head), &path), [tail.key]);
+}
+
+#[test]
+fn given_up_layers() {
+    // The last engine is ordered to hold layers from 50 on only, and loads
+    // others once all streams have passed that use the ones before.
+    let (head, tail) = (engine(1, "north", 0, 40), engine(2, "north", 40, 80));
+    let path = booked(&[&head, &tail]);
+    let fewer = engine(2, "north", 50, 80);
+    assert_eq!(given_up(&[head.clone(), fewer], &path), [tail.key]);
+    let more = engine(2, "north", 30, 80);
+    assert_eq!(given_up(&[head, more], &path), [0; 0]);
+}
+
+#[test]
+fn given_up_first() {
+    // The first engine refuses each order that names it with layers that it
+    // gives up, so asking it only costs.
+    let (head, tail) = (engine(1, "north", 0, 40), engine(2, "north", 40, 80));
+    let path = booked(&[&head, &tail]);
+    assert_eq!(given_up(&[], &path), [0; 0]);
+    assert_eq!(given_up(&[tail], &path), [0; 0]);
+}
