Count what the roles do, and serve it as metrics

The issue asks for counters and latency histograms by kind and outcome, refusals by cause, upstreams by state, layers covered, queue and memory, configuration version, quorum and retry budget; there were three counters and the platform's file set no port.

src/metric.rs lists names and labels, docs/METRICS.md explains them, a test keeps the two equal.

Test: platform::observe::metrics_tell_state reads them of real processes and looks for keys and ids.

--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -64,6 +64,17 @@
     suspects: Vec<u64>,
 }
 
+/// Numbers for metrics.
+#[derive(Debug, Default)]
+pub(crate) struct Counts {
+    /// Upstreams by service and state.
+    pub(crate) upstreams: BTreeMap<(String, &'static str), u32>,
+    /// Orders under way.
+    pub(crate) pending: usize,
+    /// Entry instances that report.
+    pub(crate) entries: usize,
+}
+
 /// State of one term of leadership.
 pub(crate) struct Board {
     beat: Duration,
@@ -316,6 +327,21 @@
         held.into_iter().map(|(d, r)| (d, gaps(r))).collect()
     }
 
+    /// What the metrics show.
+    pub(crate) fn counts(&self) -> Counts {
+        let mut counts = Counts {
+            pending: self.pending.len(),
+            entries: self.reports.len(),
+            ..Counts::default()
+        };
+        for entry in self.roster.list() {
+            let state = if entry.late { "late" } else { "sound" };
+            let key = (entry.last.service.clone(), state);
+            *counts.upstreams.entry(key).or_default() += 1;
+        }
+        counts
+    }
+
     /// Notes that an engine reports to hold what it was ordered to.
     pub(crate) fn carried_out(&mut self, order: &Placement) {
         if !self.is_pending(order) {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -36,6 +36,7 @@
 
 pub(crate) mod board;
 mod call;
+mod measure;
 mod place;
 
 /// The only group of the replicated log.
@@ -113,11 +114,16 @@
     let boot = settings.boot()?;
     let runtime = role::runtime()?;
     let stop = role::signals(&runtime, settings)?;
-    role::observe(settings, boot.ip, &runtime)?;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
     let key = FleetKey::new(role::FLEET_SECRET);
     let peers = Peers::on_port(key.clone(), runtime.handle().clone(), boot.ports.0);
     let slot = Arc::new(Slot::default());
+    let measured = Arc::clone(&slot);
+    role::observe(settings, boot.ip, &runtime, move || {
+        if let Some(controller) = measured.0.load_full() {
+            controller.measure();
+        }
+    })?;
     listen(&slot, &boot, key, runtime.handle())?;
     role::started("controller", &boot);
     let ended = runtime.block_on(async {
--- a/src/controller/place.rs
+++ b/src/controller/place.rs
@@ -11,6 +11,7 @@
 use super::board::Placement;
 use crate::engine::call;
 use crate::event;
+use crate::metric;
 use crate::platform::engine;
 
 /// Longest wait for an engine to take an order.
@@ -32,6 +33,8 @@
         if !taken && status.is_some() {
             self.board().refused(self.now(), &order.engine);
         }
+        let label = status.map_or("none".to_owned(), |s| s.as_u16().to_string());
+        metrics::counter!(metric::ORDERS.name, "status" => label).increment(1);
         tracing::info!(
             event = event::LAYERS_ORDERED.id,
             upstream = %order.engine,
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -60,6 +60,18 @@
     Fail,
 }
 
+impl Next {
+    /// As metrics name it.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Again => "again",
+            Self::Pass => "pass",
+            Self::Refuse => "refuse",
+            Self::Fail => "fail",
+        }
+    }
+}
+
 /// The step after `failure`, which `tries` counts already.
 pub(crate) fn next(
     repeat: Repeat,
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -26,6 +26,7 @@
 use crate::decide::waiting;
 use crate::engine::{Answer, Connection, Cutoff};
 use crate::event;
+use crate::metric;
 use crate::platform::headers;
 use crate::sync::{address_key, key_address};
 
@@ -291,6 +292,8 @@
                 next = retry::give_up(self.tries, failure);
             }
         }
+        let failures = metric::FAILURES.name;
+        metrics::counter!(failures, "cause" => cause, "next" => next.name()).increment(1);
         tracing::info!(
             event = event::ATTEMPT_FAILED.id,
             attempt = self.call.attempt,
@@ -443,6 +446,7 @@
                 ("late", failure(StatusCode::GATEWAY_TIMEOUT, reason))
             }
         };
+        self.count(code);
         tracing::info!(
             event = event::REQUEST_ENDED.id,
             attempt = self.call.attempt,
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -22,6 +22,7 @@
 use crate::event;
 use crate::gate::Running;
 use crate::http::{self, Reply, Unreceived};
+use crate::metric;
 use crate::platform::{call, headers};
 
 /// Longest time to receive a body.
@@ -201,7 +202,7 @@
 
 /// Says that a request did not run and never will, and when to come back.
 pub(super) fn refuse(reason: Reason) -> Response<Body> {
-    metrics::counter!("requests_refused_total", "reason" => reason.code()).increment(1);
+    metrics::counter!(metric::REFUSALS.name, "reason" => reason.code()).increment(1);
     let mut response = failure(StatusCode::SERVICE_UNAVAILABLE, reason.code());
     let after = refusal::come_back(reason, rand::rng().random());
     let after = HeaderValue::try_from(format!("{:.2}", after.as_secs_f64()));
--- /dev/null
+++ b/src/entry/measure.rs
@@ -0,0 +1,63 @@
+//! What the metrics of an entry instance show at the moment of asking.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use super::Entry;
+use super::attempt::Run;
+use crate::metric;
+
+impl Entry {
+    /// Sets the gauges. Only a reader's question costs time, no request.
+    pub(super) fn measure(&self) {
+        let (now, view) = (self.now(), self.view());
+        metrics::gauge!(metric::RUNNING.name).set(self.gate.running() as f64);
+        let waiting = self.waiters.load(Ordering::Relaxed);
+        metrics::gauge!(metric::WAITING.name).set(waiting as f64);
+        metrics::gauge!(metric::VERSION.name).set(view.version() as f64);
+        let lease = view.until.since(now);
+        metrics::gauge!(metric::LEASE.name).set(lease.as_secs_f64());
+        let complete = u8::from(view.is_complete());
+        metrics::gauge!(metric::COMPLETE.name).set(complete);
+        let shared = self.shared();
+        for (service, upstreams) in &*view.services {
+            let mut states = [("usable", 0), ("late", 0), ("left_out", 0)];
+            let mut booked = 0.0;
+            for upstream in upstreams {
+                let state = match (shared.health.is_out(now, upstream.key), upstream.late) {
+                    (true, _) => 2,
+                    (false, true) => 1,
+                    (false, false) => 0,
+                };
+                states[state].1 += 1;
+                booked += shared.loads.at(upstream.key).memory;
+            }
+            for (state, count) in states {
+                let name = metric::UPSTREAMS.name;
+                metrics::gauge!(name, "service" => service.clone(), "state" => state).set(count);
+            }
+            metrics::gauge!(metric::BOOKED.name, "service" => service.clone()).set(booked);
+            let left = shared.allowance.left(now, service, view.entries);
+            metrics::gauge!(metric::RETRIES.name, "service" => service.clone()).set(left);
+        }
+    }
+}
+
+impl Run {
+    /// Counts the end of the request.
+    pub(super) fn count(&self, outcome: &'static str) {
+        let kind = metric::kind(self.call.route.repeat);
+        let took = self.entry.now().since(self.call.began);
+        metrics::counter!(metric::REQUESTS.name, "kind" => kind, "outcome" => outcome).increment(1);
+        metrics::histogram!(metric::REQUEST_TIME.name, "kind" => kind, "outcome" => outcome)
+            .record(took.as_secs_f64());
+    }
+
+    /// Notes how the events of a stream came.
+    pub(super) fn count_events(&self, first: Option<Duration>, pause: Duration) {
+        if let Some(first) = first {
+            metrics::histogram!(metric::FIRST_EVENT.name).record(first.as_secs_f64());
+            metrics::histogram!(metric::PAUSE.name).record(pause.as_secs_f64());
+        }
+    }
+}
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -54,6 +54,11 @@
     }
 
     fn deliver(&self, head: Parts, bytes: Bytes, upstream: &str) -> Response<Body> {
+        self.count(if head.status.is_server_error() {
+            "upstream_error"
+        } else {
+            "answered"
+        });
         tracing::info!(
             event = event::REQUEST_ANSWERED.id,
             attempt = self.call.attempt,
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -17,6 +17,7 @@
 use crate::configuration::Repeat;
 use crate::engine::call;
 use crate::event;
+use crate::metric;
 use crate::platform::engine as order;
 use crate::sync::{address_key, key_address};
 
@@ -112,6 +113,8 @@
         let status = self.ask(chosen, Request::post(order::ORDER), body).await;
         let status = status.map(|a| a.0);
         let taken = matches!(status, Some(StatusCode::OK | StatusCode::ACCEPTED));
+        let label = if taken { "yes" } else { "no" };
+        metrics::counter!(metric::REROUTES.name, "cause" => cause, "taken" => label).increment(1);
         tracing::info!(
             event = event::REQUEST_REROUTED.id,
             attempt = self.call.attempt,
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -44,7 +44,8 @@
     /// Events handed on by the present run.
     events: u64,
     total: u64,
-    first_ms: Option<u64>,
+    /// Time from the request's arrival to the first event.
+    first: Option<Duration>,
     /// Longest pause between two events.
     pause: Duration,
     last_at: Time,
@@ -64,7 +65,7 @@
         buffer: BytesMut::new(),
         events: 0,
         total: 0,
-        first_ms: None,
+        first: None,
         pause: Duration::ZERO,
         last_at,
         leave: Leave::default(),
@@ -186,9 +187,9 @@
         if self.events == 0 {
             self.opened.chosen.succeeded();
         }
-        match self.first_ms {
+        match self.first {
             Some(_) => self.pause = self.pause.max(now.since(self.last_at)),
-            None => self.first_ms = Some(millis(now.since(self.run.call.began))),
+            None => self.first = Some(now.since(self.run.call.began)),
         }
         self.last_at = now;
         let ids = events.split(|&b| b == b'\n').filter_map(event_id);
@@ -228,6 +229,8 @@
     fn finish(&mut self, how: &'static str) {
         self.ended = true;
         let run = &self.run;
+        run.count(how);
+        run.count_events(self.first, self.pause);
         tracing::info!(
             event = event::REQUEST_ANSWERED.id,
             attempt = run.call.attempt,
@@ -235,7 +238,7 @@
             upstream = %self.opened.chosen.upstream.id,
             how,
             events = self.total,
-            first_ms = self.first_ms,
+            first_ms = self.first.map(millis),
             pause_ms = millis(self.pause),
             took_ms = millis(run.entry.now().since(run.call.began)),
             "stream ended"
@@ -243,6 +246,15 @@
     }
 }
 
+/// A caller that leaves drops the answer with its stream.
+impl Drop for Streaming {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.run.count("caller_left");
+        }
+    }
+}
+
 /// The id of an event, from its line.
 fn event_id(line: &[u8]) -> Option<u64> {
     let id = line.strip_prefix(b"id:")?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 mod log;
 mod membership;
 mod message;
+mod metric;
 mod node;
 mod openai;
 mod peer;
--- a/src/role.rs
+++ b/src/role.rs
@@ -200,8 +200,13 @@
 }
 
 /// Sums up left out log lines, and serves the metrics of this process on a port
-/// of the machine if one is set.
-pub(crate) fn observe(settings: &RoleSettings, ip: Ipv4Addr, runtime: &Runtime) -> Result<()> {
+/// of the machine if one is set. `measure` sets the gauges before each answer.
+pub(crate) fn observe(
+    settings: &RoleSettings,
+    ip: Ipv4Addr,
+    runtime: &Runtime,
+    measure: impl Fn() + Clone + Send + 'static,
+) -> Result<()> {
     let handle = install_metrics()?;
     runtime.spawn(log::sum_up());
     let Some(port) = settings.metrics else {
@@ -214,8 +219,9 @@
         receive: METRICS_IDLE,
     };
     runtime.spawn(http::accept(listener, bounds, move |_| {
-        let handle = handle.clone();
-        async move { render(&handle) }
+        measure();
+        let answer = render(&handle);
+        async move { answer }
     }));
     Ok(())
 }
--- a/src/startup.rs
+++ b/src/startup.rs
@@ -25,8 +25,16 @@
     Ok(listener)
 }
 
+/// Upper ends of the buckets of all histograms, in seconds: syncs take from one
+/// millisecond on, pauses and objectives lie between 0.05 and 0.5, a stream may
+/// last twenty seconds.
+const BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0,
+];
+
 /// Installs the recorder of this process's metrics.
 pub(crate) fn install_metrics() -> Result<PrometheusHandle> {
-    let recorder = PrometheusBuilder::new().install_recorder();
+    let builder = PrometheusBuilder::new().set_buckets(&BUCKETS);
+    let recorder = builder.and_then(PrometheusBuilder::install_recorder);
     recorder.map_err(|e| start_error("metrics", &e))
 }
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -18,6 +18,7 @@
 mod http;
 mod life;
 mod limit;
+mod metric;
 mod platform;
 mod pool;
 mod queue;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -6,5 +6,6 @@
 
 mod engine;
 mod faults;
+mod observe;
 mod path;
 mod stage;
--- a/tests/platform/stage.rs
+++ b/tests/platform/stage.rs
@@ -30,6 +30,7 @@
     readiness: u16,
     control: u16,
     peers: u16,
+    metrics: u16,
 }
 
 /// A running deployment.
@@ -59,6 +60,7 @@
                 readiness: port(),
                 control: port(),
                 peers: port(),
+                metrics: port(),
             },
             folder: tempfile::tempdir().unwrap(),
         };
@@ -190,6 +192,8 @@
         fs::write(&file, text).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_laburnumquay"));
         command.arg(role).arg("--boot-file").arg(&file);
+        let port = self.ports.metrics.to_string();
+        command.args(["--metrics-port", &port]);
         Process::start_logged(&format!("{role} {host}"), &mut command)
     }
 
@@ -222,6 +226,17 @@
         serde_json::from_str::<Value>(&body).ok()?["version"].as_u64()
     }
 
+    /// Metrics of all controllers and entry instances, in this order.
+    pub(crate) fn metrics(&self) -> Vec<String> {
+        let hosts = (1..=CONTROLLERS).chain((0..DOMAINS.len()).map(|i| 11 + i as u8));
+        let read = |host| {
+            let uri = format!("http://{}/metrics", self.at(host, self.ports.metrics));
+            let mut reply = agent().get(&uri).call().expect("metrics");
+            reply.body_mut().read_to_string().expect("text")
+        };
+        hosts.map(read).collect()
+    }
+
     pub(crate) fn is_ready(&self, entry: usize) -> bool {
         let address = self.at(11 + entry as u8, self.ports.readiness);
         let reply = agent().get(format!("http://{address}/v1/readyz")).call();
