Hand on an upstream's own failure; tell why a request has no end

(1) A look-up whose engine answered 500 got 502 from us: after the answer another attempt was due, and when that found no upstream, or brought none, the first answer had been dropped. The latest such answer is kept until the end now. A request whose caller leaves logs event 411 now, with the time that was left; no line at all means that the instance was killed. An answer with status 500 is named as the upstream's own failure.

Ruled out for (1): an answer without signature (it has one), a deposed view.

Tests: faults::error_passed_on_without_other (502 before), five cases of explain_cause.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -89,10 +89,36 @@
     tries: Tries,
     /// Upstreams at which it failed.
     tried: Vec<u64>,
+    /// The latest answer with an upstream's own failure.
+    kept: Option<Box<Opened>>,
+    /// Whether its end was logged.
+    pub(super) ended: AtomicBool,
     /// Id of the last event that the caller has, on a stream.
     pub(super) last: Option<u64>,
 }
 
+/// A caller that leaves drops the request at whatever it waits for.
+impl Drop for Run {
+    fn drop(&mut self) {
+        if self.ended.load(Ordering::Relaxed) {
+            return;
+        }
+        self.count("caller_left");
+        tracing::info!(
+            event = event::REQUEST_ABANDONED.id,
+            attempt = self.call.attempt,
+            route = self.call.route.name,
+            run = self.tries.run,
+            idle = self.tries.idle,
+            last = self.last,
+            draining = self.entry.gate.closed(),
+            took_ms = millis(self.entry.now().since(self.call.began)),
+            left_ms = millis(self.left()),
+            "given up by its caller"
+        );
+    }
+}
+
 /// A request in the line; dropping it leaves.
 struct Waiter<'a> {
     count: &'a AtomicUsize,
@@ -136,6 +162,8 @@
             call,
             tries: Tries::default(),
             tried: Vec::new(),
+            kept: None,
+            ended: AtomicBool::new(false),
             last,
         }
     }
@@ -146,8 +174,18 @@
         self.call.time.saturating_sub(passed)
     }
 
-    /// Makes attempts until one is answered with a usable head.
+    /// Makes attempts until one is answered with a usable head. Where all
+    /// failed and one brought an upstream's own failure, that is handed on: it
+    /// tells the caller more than that no answer came.
     pub(super) async fn open(&mut self) -> Result<Opened, Final> {
+        let end = match self.attempts().await {
+            Ok(opened) => return Ok(opened),
+            Err(end) => end,
+        };
+        Err(self.kept.take().map_or(end, Final::Pass))
+    }
+
+    async fn attempts(&mut self) -> Result<Opened, Final> {
         loop {
             let left = self.left();
             if left.is_zero() {
@@ -172,8 +210,9 @@
                 Outcome::Answered(opened) => return Ok(opened),
                 Outcome::Error(opened) => {
                     self.tried.push(first);
+                    self.kept = Some(Box::new(opened));
                     if self.fail(Failure::Answered, "upstream_error") != Next::Again {
-                        return Err(Final::Pass(Box::new(opened)));
+                        return Err(Final::Fail);
                     }
                 }
                 Outcome::Failed {
--- a/src/entry/measure.rs
+++ b/src/entry/measure.rs
@@ -46,6 +46,7 @@
 impl Run {
     /// Counts the end of the request.
     pub(super) fn count(&self, outcome: &'static str) {
+        self.ended.store(true, Ordering::Relaxed);
         let kind = metric::kind(self.call.route.repeat);
         let took = self.entry.now().since(self.call.began);
         metrics::counter!(metric::REQUESTS.name, "kind" => kind, "outcome" => outcome).increment(1);
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -246,15 +246,6 @@
     }
 }
 
-/// A caller that leaves drops the answer with its stream.
-impl Drop for Streaming {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.run.count("caller_left");
-        }
-    }
-}
-
 /// The id of an event, from its line.
 fn event_id(line: &[u8]) -> Option<u64> {
     let id = line.strip_prefix(b"id:")?;
--- a/src/event.rs
+++ b/src/event.rs
@@ -80,6 +80,8 @@
 pub(crate) const REQUEST_REROUTED: Event = event(409, "request_rerouted");
 /// A request waited for room on the engines.
 pub(crate) const REQUEST_WAITED: Event = event(410, "request_waited");
+/// A request's caller left before its end.
+pub(crate) const REQUEST_ABANDONED: Event = event(411, "request_abandoned");
 /// This voter leads a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter leads a group no more.
@@ -138,6 +140,7 @@
     UPSTREAM_SUSPECTED,
     REQUEST_REROUTED,
     REQUEST_WAITED,
+    REQUEST_ABANDONED,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -50,6 +50,12 @@
         self.fields.get(name)?.as_str()
     }
 
+    /// A number, or 0 where the line has none of this name.
+    fn number(&self, name: &str) -> u64 {
+        let value = self.fields.get(name);
+        value.and_then(Value::as_u64).unwrap_or(0)
+    }
+
     fn is_of(&self, attempt: &str) -> bool {
         self.text("attempt") == Some(attempt)
     }
@@ -99,6 +105,11 @@
     Ok(())
 }
 
+/// Time left of a request below which its caller left for want of time, in
+/// milliseconds: callers give up a little before their deadline, so that the
+/// sign of it arrives with some left.
+const LAST_MS: u64 = 100;
+
 /// The timeline of `attempt` and its cause.
 pub(crate) fn explain(attempt: &str, texts: &[String]) -> String {
     let mut lines: Vec<Line> = texts.iter().filter_map(|t| Line::parse(t)).collect();
@@ -178,21 +189,40 @@
         }
         Some("whole") => "answered whole".to_owned(),
         Some(how) => format!("its stream broke off: {how}{blamed}"),
-        None if find(event::REQUEST_ANSWERED).is_some() => "answered".to_owned(),
-        None => "the caller left, or the instance ended, before it was answered".to_owned(),
+        None => match find(event::REQUEST_ANSWERED).map(|l| l.number("status")) {
+            Some(status) if status >= 500 => {
+                format!("an upstream ran it and answered with a failure of its own, {status}")
+            }
+            Some(_) => "answered".to_owned(),
+            None => abandoned(find(event::REQUEST_ABANDONED).copied(), failed, &blamed),
+        },
+    }
+}
+
+/// Why a request has no end but that its caller left, or none at all.
+fn abandoned(line: Option<&Line>, failed: Option<&str>, blamed: &str) -> String {
+    let Some(line) = line else {
+        return "the instance ended before it was answered: it was killed, or lost power"
+            .to_owned();
+    };
+    let (took, left) = (line.number("took_ms"), line.number("left_ms"));
+    let before = failed.map_or(String::new(), |f| format!(", after a failure: {f}{blamed}"));
+    if left <= LAST_MS {
+        return format!("its time was over after {took} ms{before}");
+    }
+    if line.fields.get("draining") == Some(&Value::Bool(true)) {
+        return format!("the instance ended before it was answered: it drained too long{before}");
     }
+    format!("its caller left after {took} ms, {left} ms before its time was over{before}")
 }
 
 /// Why a request was refused before any attempt: what the instance knew, and
 /// the last change of it.
 fn refused(line: &Line, lines: &[Line], end: i64) -> String {
     let code = line.text("code").unwrap_or("unknown");
-    let version = line.fields.get("version").and_then(Value::as_u64);
-    let version = version.unwrap_or(0);
+    let version = line.number("version");
     let applied = |l: &&Line| {
-        l.is(event::CONFIGURATION_APPLIED)
-            && l.at <= end
-            && l.fields.get("version").and_then(Value::as_u64) == Some(version)
+        l.is(event::CONFIGURATION_APPLIED) && l.at <= end && l.number("version") == version
     };
     let since = lines.iter().filter(applied).map(|l| end - l.at).min();
     let since = since.map_or(String::new(), |ms| format!(", in force for {ms} ms"));
--- a/src/tests/explain.rs
+++ b/src/tests/explain.rs
@@ -14,6 +14,11 @@
   edge-2 {"timestamp":"2026-04-25T18:43:37.000000Z","level":"INFO","message":"configuration in force","event":208,"version":5,"before":4}
   edge-2 {"timestamp":"2026-04-25T18:43:37.250000Z","level":"INFO","message":"refused","event":401,"attempt":"bb","code":"unknown_key","version":5}
   edge-2 {"timestamp":"2026-04-25T18:43:38.000000Z","level":"INFO","message":"ended without an upstream's answer","event":407,"attempt":"cc","code":"full","status":503}
+  edge-2 {"timestamp":"2026-04-25T18:43:38.000000Z","level":"INFO","message":"answered","event":406,"attempt":"dd","status":500,"took_ms":40}
+  edge-2 {"timestamp":"2026-04-25T18:43:38.000000Z","level":"INFO","message":"sent","event":404,"attempt":"ee","route":"r","upstream":"i-1","left_ms":1999}
+  edge-2 {"timestamp":"2026-04-25T18:43:38.000000Z","level":"INFO","message":"given up by its caller","event":411,"attempt":"ff","run":0,"took_ms":1998,"left_ms":2,"draining":false}
+  edge-2 {"timestamp":"2026-04-25T18:43:38.000000Z","level":"INFO","message":"given up by its caller","event":411,"attempt":"gg","run":1,"took_ms":900,"left_ms":9100,"draining":false}
+  edge-2 {"timestamp":"2026-04-25T18:43:38.000000Z","level":"INFO","message":"given up by its caller","event":411,"attempt":"hh","run":1,"took_ms":900,"left_ms":9100,"draining":true}
 not a line at all
 "#;
 
@@ -25,6 +30,11 @@
 #[case::broken_stream("aa", "its stream broke off: dead_part at 10.1.64.22:8446")]
 #[case::revoked_key("bb", "unknown_key by configuration 5, in force for 250 ms")]
 #[case::no_room("cc", "no engine had room")]
+#[case::own_failure("dd", "answered with a failure of its own, 500")]
+#[case::killed("ee", "the instance ended before it was answered: it was killed")]
+#[case::too_slow("ff", "its time was over after 1998 ms")]
+#[case::caller_left("gg", "its caller left after 900 ms, 9100 ms before")]
+#[case::drained("hh", "it drained too long")]
 #[case::unknown("zz", "no line names zz")]
 fn explain_cause(#[case] attempt: &str, #[case] cause: &str) {
     let text = explain(attempt, &lines());
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -46,6 +46,8 @@
     CutAfter(u64),
     /// It takes requests and says nothing.
     Mute,
+    /// It runs requests and answers with a failure of its own.
+    Error,
 }
 
 /// What all engines of a test know together.
@@ -231,6 +233,7 @@
         std::future::pending::<()>().await;
     }
     let mut response = match spec.service {
+        _ if fault == Fault::Error => whole(500, "the stock file is locked"),
         "models" => Response::new(events(last, fault)),
         _ => whole(200, &format!("done by {}", spec.id)),
     };
--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -147,3 +147,22 @@
         );
     }
 }
+
+/// An engine runs a look-up and answers with a failure of its own; the only
+/// other one is dead. Nobody else can be asked, and the caller must get the
+/// engine's answer, which says what is wrong, and not be told that none came.
+#[test]
+fn error_passed_on_without_other() {
+    let stage = Stage::start();
+    let desks: Vec<_> = stage
+        .engines
+        .iter()
+        .filter(|e| e.service == "desk")
+        .collect();
+    stage.world().fault(&desks[0].id, Fault::Error);
+    stage.world().kill(desks[1]);
+    for i in 0..4 {
+        let (status, body) = stage.ask(0, "/lookups/x", &format!("e-{i}"), KEY);
+        assert_eq!((status, body.as_str()), (500, "the stock file is locked"));
+    }
+}
