Ask another upstream after one that stayed silent

A silent attempt blames nobody, since on a path any engine may be at fault; with one upstream alone there is just one.

Change: such an upstream is put behind the others for this request; it stays usable for others.

Test: faults::silent_upstream_not_asked_again, 502 before.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -199,6 +199,7 @@
                 },
             };
             let first = chosen.upstream.key;
+            let alone = chosen.path.is_none();
             let outcome = match timeout(left, self.attempt(chosen)).await {
                 Ok(outcome) => outcome,
                 Err(_) => {
@@ -220,6 +221,11 @@
                     culprit,
                     cause,
                 } => {
+                    // Nobody is known to be at fault, but where one upstream alone
+                    // serves a request, another should be asked next.
+                    if alone && culprit.is_none() {
+                        self.tried.push(first);
+                    }
                     self.blame(culprit, cause);
                     match self.fail(failure, cause) {
                         Next::Again => {}
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -46,6 +46,8 @@
     CutAfter(u64),
     /// It takes requests and says nothing.
     Mute,
+    /// As [`Fault::Mute`], at every run.
+    Deaf,
     /// It runs requests and answers with a failure of its own.
     Error,
 }
@@ -226,10 +228,11 @@
         *runs += 1;
         let again = *runs > 1;
         let fault = world.faults.get(&spec.id).copied();
-        fault.filter(|_| !again).unwrap_or(Fault::None)
+        let lasts = |f: &Fault| !again || *f == Fault::Deaf;
+        fault.filter(lasts).unwrap_or(Fault::None)
     };
     let last: u64 = header("last-event-id").map_or(0, |l| l.parse().unwrap());
-    if fault == Fault::Mute {
+    if matches!(fault, Fault::Mute | Fault::Deaf) {
         std::future::pending::<()>().await;
     }
     let mut response = match spec.service {
--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -166,3 +166,21 @@
         assert_eq!((status, body.as_str()), (500, "the stock file is locked"));
     }
 }
+
+/// One of two engines takes requests and says nothing, with good heartbeats. A
+/// second attempt at the same one is as silent; the other one answers at once.
+#[test]
+fn silent_upstream_not_asked_again() {
+    let stage = Stage::start();
+    let desk = stage.engines.iter().find(|e| e.service == "desk").unwrap();
+    stage.world().fault(&desk.id, Fault::Deaf);
+    thread::scope(|scope| {
+        for i in 0..12 {
+            let stage = &stage;
+            scope.spawn(move || {
+                let (status, _) = stage.ask(i % 2, "/lookups/x", &format!("d-{i}"), KEY);
+                assert_eq!(status, 200);
+            });
+        }
+    });
+}
