--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,15 +1,12 @@
 //! One request on its way through its attempts.
 
-use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::header::{HeaderName, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use tokio::time::{sleep, timeout};
+use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
+use tokio::time::timeout;
 
 use super::Entry;
 use super::body::Body;
@@ -17,18 +14,16 @@
 use super::listen::{failure, refuse};
 use super::reroute::Silence;
 use super::select::Chosen;
-use super::view::View;
 use crate::clock::{Time, millis};
 use crate::configuration::{Model, Repeat, Route, Table};
 use crate::decide::path::Work;
 use crate::decide::refusal::Reason;
 use crate::decide::retry::{self, Failure, Next, Tries};
-use crate::decide::waiting;
 use crate::engine::{Answer, Connection, Cutoff};
 use crate::event;
 use crate::metric;
 use crate::platform::headers;
-use crate::sync::{address_key, key_address};
+use crate::sync::key_address;
 
 /// Longest time to connect to an upstream. A connection takes one to two
 /// milliseconds; a lost packet would be sent again after a second, and another
@@ -44,7 +39,7 @@
 pub(super) const DEAD_PART: &str = "dead_part";
 
 /// Cause of a failure: an upstream refused at once.
-const REFUSED: &str = "refused";
+pub(super) const REFUSED: &str = "refused";
 
 /// A request that was looked up.
 pub(super) struct Call {
@@ -119,28 +114,8 @@
     }
 }
 
-/// A request in the line; dropping it leaves.
-struct Waiter<'a> {
-    count: &'a AtomicUsize,
-    /// Requests that were in the line before.
-    before: usize,
-}
-
-impl<'a> Waiter<'a> {
-    fn new(count: &'a AtomicUsize) -> Self {
-        let before = count.fetch_add(1, Ordering::Relaxed);
-        Self { count, before }
-    }
-}
-
-impl Drop for Waiter<'_> {
-    fn drop(&mut self) {
-        self.count.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// How one attempt ended.
-enum Outcome {
+pub(super) enum Outcome {
     Answered(Opened),
     /// The upstream's own failure, which may be tried elsewhere.
     Error(Opened),
@@ -240,60 +215,7 @@
         }
     }
 
-    /// Waits for upstreams to become known, if there may be others than those
-    /// that are.
-    ///
-    /// Engines also seem full while most of them aren't known: the only paths
-    /// pass between domains then, and that link is shared out narrowly.
-    async fn wait(&self, reason: Reason) -> Result<Chosen, Reason> {
-        if !matches!(reason, Reason::Full | Reason::NoUpstream) {
-            return Err(reason);
-        }
-        let mut found = Err(reason);
-        if !self.entry.view().is_complete() {
-            let ready = |_: &View, _| self.choose().is_ok();
-            self.entry.hold(self.left(), ready).await;
-            found = self.choose();
-        }
-        match found {
-            Err(Reason::Full) => self.wait_room().await,
-            found => found,
-        }
-    }
-
-    /// Waits in line for room on the engines.
-    async fn wait_room(&self) -> Result<Chosen, Reason> {
-        let entry = &self.entry;
-        let waiters = Waiter::new(&entry.waiters);
-        let objective = self.call.route.objective;
-        let Some(limit) = waiting::limit(objective, self.left(), waiters.before) else {
-            return Err(Reason::Full);
-        };
-        let search = async {
-            let _first = entry.line.lock().await;
-            loop {
-                match self.choose() {
-                    Err(Reason::Full) => sleep(waiting::LOOK).await,
-                    found => return found,
-                }
-            }
-        };
-        let began = entry.now();
-        let found = timeout(limit, search).await;
-        let found = found.unwrap_or(Err(Reason::Full));
-        tracing::info!(
-            event = event::REQUEST_WAITED.id,
-            attempt = self.call.attempt,
-            before = waiters.before,
-            waited_ms = millis(entry.now().since(began)),
-            limit_ms = millis(limit),
-            found = found.is_ok(),
-            "waited for room"
-        );
-        found
-    }
-
-    fn choose(&self) -> Result<Chosen, Reason> {
+    pub(super) fn choose(&self) -> Result<Chosen, Reason> {
         let view = self.entry.view();
         self.entry.choose(
             &view,
@@ -420,64 +342,6 @@
         self.table.service(&self.call.service)?.model.as_ref()
     }
 
-    fn request(&self, chosen: &Chosen) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::from(self.call.body.clone()));
-        *request.method_mut() = self.call.method.clone();
-        let target = self.call.uri.path_and_query().map_or("/", |p| p.as_str());
-        *request.uri_mut() = target.parse().expect("a target that was received");
-        let mut map = self.call.headers.clone();
-        let mut set = |name: &'static str, value: String| {
-            let value = HeaderValue::try_from(value).expect("visible characters");
-            map.insert(HeaderName::from_static(name), value);
-        };
-        set(headers::DEADLINE, millis(self.left()).max(1).to_string());
-        set(headers::EXPECTED, chosen.upstream.id.to_string());
-        if let Some(path) = &chosen.path {
-            set(headers::PATH, path.clone());
-        }
-        if let Some(last) = self.last {
-            set(headers::LAST_EVENT, last.to_string());
-        }
-        *request.headers_mut() = map;
-        request
-    }
-
-    /// What the head of an answer means.
-    fn judge(&self, sent: Time, opened: Opened) -> Outcome {
-        let response = &opened.answer.response;
-        let status = response.status();
-        let map = response.headers();
-        let first = opened.chosen.upstream.key;
-        let not_run =
-            map.contains_key(headers::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
-        if not_run {
-            let named = head::text(map, headers::CULPRIT).and_then(|a| a.parse().ok());
-            let named = named.map(|a: SocketAddrV4| address_key(a));
-            // A dead engine in a path shows only after a stall; one that lives
-            // refuses at once.
-            let stalled = self.entry.now().since(sent) >= self.entry.boot.bounds.stall / 2;
-            return Outcome::Failed {
-                failure: Failure::NotRun,
-                culprit: Some(named.unwrap_or(first)),
-                cause: if stalled { DEAD_PART } else { REFUSED },
-            };
-        }
-        let signed = map.contains_key(headers::SIGNATURE);
-        let echoed = head::text(map, headers::ATTEMPT);
-        let ours = echoed.is_none_or(|id| id == self.call.attempt);
-        if !signed || !ours {
-            return Outcome::Failed {
-                failure: Failure::Unknown,
-                culprit: Some(first),
-                cause: "garbage",
-            };
-        }
-        if status.is_server_error() {
-            return Outcome::Error(opened);
-        }
-        Outcome::Answered(opened)
-    }
-
     /// The answer of this instance when no upstream has given one.
     pub(super) fn conclude(&self, end: &Final) -> Response<Body> {
         let (code, response) = match end {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -29,6 +29,7 @@
 
 mod attempt;
 mod body;
+mod exchange;
 mod follow;
 mod head;
 mod listen;
@@ -39,6 +40,7 @@
 mod select;
 mod stream;
 pub(crate) mod view;
+mod wait;
 
 /// Longest head of a request, in bytes: the operator's bound with room for
 /// the line of the request.
--- a/src/replica/replication.rs
+++ b/src/replica/replication.rs
@@ -201,17 +201,23 @@
         self.outbox.reply(to, self.term, Body::AppendAck(ack));
     }
 
-    pub(super) fn on_append_ack(&mut self, from: Peer, boot: u64, ack: AppendAck) {
-        let last = self.log.last_index();
-        let now = self.now;
+    /// Notes that a leader heard of a member, which knows of `round`. Returns
+    /// the member's progress.
+    pub(super) fn hear(&mut self, from: Peer, round: u64) -> Option<&mut Progress> {
         let Part::Leader(lead) = &mut self.part else {
-            return;
+            return None;
         };
-        let Some(progress) = lead.progress.get_mut(&from) else {
+        let progress = lead.progress.get_mut(&from)?;
+        progress.heard = self.now;
+        progress.round = progress.round.max(round);
+        Some(progress)
+    }
+
+    pub(super) fn on_append_ack(&mut self, from: Peer, boot: u64, ack: AppendAck) {
+        let last = self.log.last_index();
+        let Some(progress) = self.hear(from, ack.round) else {
             return;
         };
-        progress.heard = now;
-        progress.round = progress.round.max(ack.round);
         // Synced entries survive a restart. A later boot whose log ends
         // before what was acknowledged runs on an old copy of its folder, and
         // has forgotten votes too. It shows as a refused append.
--- a/src/replica/snapshot.rs
+++ b/src/replica/snapshot.rs
@@ -116,15 +116,10 @@
     }
 
     pub(super) fn on_chunk_ack(&mut self, from: Peer, ack: ChunkAck) {
-        let now = self.now;
-        let Part::Leader(lead) = &mut self.part else {
-            return;
-        };
-        let Some(progress) = lead.progress.get_mut(&from) else {
+        let (now, patience) = (self.now, 2 * self.settings.heartbeat);
+        let Some(progress) = self.hear(from, ack.round) else {
             return;
         };
-        progress.heard = now;
-        progress.round = progress.round.max(ack.round);
         let Flow::Snapshot {
             index,
             offset,
@@ -134,7 +129,7 @@
             return;
         };
         // A piece on its way is only sent again when it seems lost.
-        let lost = now.since(sent) >= 2 * self.settings.heartbeat;
+        let lost = now.since(sent) >= patience;
         if index != ack.index || (offset == ack.offset && !lost) {
             return;
         }
