Give layers to others when an engine doesn't answer an order

Ruled out: that the engines had begun to load (their layers stayed), that no other could take them (a neighbour in three).

Change: an unanswered order is awaited for 0.6 s (1.5 before). Its engine then counts neither for the layers that it was to load nor for those that it would give up, as it may obey late, and gets no other order for 2 s.

Test: board::orders_after_no_answer.

--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -36,6 +36,9 @@
 /// Pause after an order that an engine refused.
 const REFUSED: Duration = Duration::from_millis(700);
 
+/// Pause after an order that an engine didn't answer.
+const UNANSWERED: Duration = Duration::from_secs(2);
+
 /// Departures that are told to entry instances: those of the last minutes.
 const TOLD_DEPARTED: usize = 64;
 
@@ -55,6 +58,8 @@
     born: u64,
     range: Range,
     until: Time,
+    /// Whether the engine is taken to obey.
+    sure: bool,
 }
 
 struct Report {
@@ -264,6 +269,7 @@
                 born: order.born,
                 range: order.range,
                 until: now + ORDER,
+                sure: true,
             };
             self.pending.insert(order.engine.clone(), pending);
             self.turns += 1;
@@ -308,7 +314,11 @@
             step_factor: accelerator.step_factor,
             read_factor: accelerator.read_factor,
             used_mb: used.map_or(0.0, |l| f64::from(l.memory)),
-            held: pending.map(|p| p.range).or(last.layers),
+            held: match pending {
+                Some(pending) if pending.sure => Some(pending.range),
+                Some(pending) => last.layers.and_then(|l| l.common(pending.range)),
+                None => last.layers,
+            },
             loaded: last.layers,
             busy: pending.is_some(),
         })
@@ -358,6 +368,16 @@
         pending.is_some_and(|p| p.born == order.born && p.range == order.range)
     }
 
+    /// Notes that an engine didn't answer an order. It may obey late, so it gets
+    /// nothing new for what it would give up, and no other order for a while;
+    /// but what it was to load is missing, and another engine may take it.
+    pub(crate) fn unanswered(&mut self, now: Time, engine: &str) {
+        if let Some(pending) = self.pending.get_mut(engine) {
+            pending.sure = false;
+            pending.until = now + UNANSWERED;
+        }
+    }
+
     /// Notes that an engine didn't take an order; it may get another soon.
     pub(crate) fn refused(&mut self, now: Time, engine: &str) {
         if let Some(pending) = self.pending.get_mut(engine) {
--- a/src/controller/place.rs
+++ b/src/controller/place.rs
@@ -14,8 +14,9 @@
 use crate::metric;
 use crate::platform::engine;
 
-/// Longest wait for an engine to take an order.
-const ANSWER: Duration = Duration::from_millis(1_500);
+/// Longest wait for an engine to take an order. One that runs answers within
+/// milliseconds, a lost packet is sent again after 200 ms.
+const ANSWER: Duration = Duration::from_millis(600);
 
 /// Period of asking an engine whether it has carried out an order. Its next
 /// heartbeat may be more than a second away, while a short load takes 0.2 s.
@@ -30,8 +31,10 @@
         let answer = call(order.address.into(), &order.engine, request, body, ANSWER).await;
         let status = answer.map(|a| a.0);
         let taken = matches!(status, Some(StatusCode::OK | StatusCode::ACCEPTED));
-        if !taken && status.is_some() {
-            self.board().refused(self.now(), &order.engine);
+        match status {
+            Some(_) if taken => {}
+            Some(_) => self.board().refused(self.now(), &order.engine),
+            None => self.board().unanswered(self.now(), &order.engine),
         }
         let label = status.map_or("none".to_owned(), |s| s.as_u16().to_string());
         metrics::counter!(metric::ORDERS.name, "status" => label).increment(1);
@@ -45,7 +48,7 @@
             status = status.map(|s| s.as_u16()),
             "layers ordered"
         );
-        if taken {
+        if taken || status.is_none() {
             self.look(&order).await;
         }
     }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -23,6 +23,11 @@
 /// started doesn't know all upstreams. Callers wait for what it learns.
 const FILLING: Duration = Duration::from_millis(80);
 
+/// Entry instances up to which the pause is that short. Each answer holds the
+/// whole roster while it grows: with more instances the pause grows too, so that
+/// the leader sends no more than to these.
+const FILLING_ENTRIES: u32 = 30;
+
 /// Whom to ask: the leader as last heard of, else one after the other.
 struct Targets {
     known: Vec<InstanceId>,
@@ -77,11 +82,11 @@
     /// Pause after an answer.
     fn pause(&self) -> Duration {
         let filling = hold::is_starting(self.started, self.now()) && !self.view().is_complete();
-        if filling {
-            FILLING.min(self.poll)
-        } else {
-            self.poll
+        if !filling {
+            return self.poll;
         }
+        let crowd = self.view().entries.max(FILLING_ENTRIES);
+        (FILLING * crowd / FILLING_ENTRIES).min(self.poll)
     }
 
     fn seeds(&self) -> Vec<InstanceId> {
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -48,6 +48,12 @@
         self.end - self.first
     }
 
+    /// What two ranges have in common.
+    pub(crate) fn common(self, other: Self) -> Option<Self> {
+        let (first, end) = (self.first.max(other.first), self.end.min(other.end));
+        (first < end).then(|| Self::new(first, end))
+    }
+
     /// Whether `layer` is in the range.
     pub(crate) fn holds(self, layer: u32) -> bool {
         self.first <= layer && layer < self.end
--- a/src/tests/board.rs
+++ b/src/tests/board.rs
@@ -5,7 +5,7 @@
 use super::platform::CONFIGURATION;
 use crate::clock::Time;
 use crate::configuration::Configuration;
-use crate::controller::board::Board;
+use crate::controller::board::{Board, Placement};
 use crate::platform::configuration::decode;
 use crate::register::{self, Register};
 use crate::roster::{Announcement, Range};
@@ -100,3 +100,34 @@
     board.hear(at(2_950), news(3, 1, Some((54, 80))));
     assert_eq!(board.orders(at(3_100), &configuration()), []);
 }
+
+#[test]
+fn orders_after_no_answer() {
+    // An engine's layers are lost. The engine that is ordered to take them
+    // answers nothing, and nobody knows whether it obeys. It was waited for for
+    // six seconds, with a gap in the domain, while another was free.
+    let (register, mut machine) = Register::new();
+    let mut board = board(&register, &[1, 2, 3, 4, 5], 12_000);
+    machine.apply(1, &register::depart("i-3", 0));
+    board.lead(at(12_100), 1, &register);
+    let orders = board.orders(at(12_100), &configuration());
+    assert!(!orders.is_empty());
+    assert_eq!(board.orders(at(12_300), &configuration()), []);
+    for order in &orders {
+        board.unanswered(at(12_700), &order.engine);
+    }
+    let next = board.orders(at(12_800), &configuration());
+    let again = |o: &&Placement| orders.iter().any(|before| before.engine == o.engine);
+    assert_eq!(next.iter().find(again), None);
+    assert!(next.iter().any(|o| o.range.holds(54)), "{next:?}");
+    // It may obey late. What it would give up must stay on another.
+    let held = |l: u32| {
+        HELD.iter().any(|(host, (first, end))| {
+            let moved = orders.iter().chain(&next);
+            let mut moved = moved.filter(|o| *o.engine == *format!("i-{host}"));
+            let kept = moved.all(|o| o.range.holds(l));
+            kept && *first <= l && l < *end
+        })
+    };
+    assert!((0..54).all(held), "{orders:?}, then {next:?}");
+}
