--- a/src/decide/placement/layout.rs
+++ b/src/decide/placement/layout.rs
@@ -52,7 +52,7 @@
     ///
     /// The fastest engines hold many layers each, and no others did: in a
     /// domain of 33 engines 32 layers had one holder with room for 100 requests
-    /// and 16 had eight, so a third of the requests were refused.
+    /// and 16 had eight; in a burst a third of the requests were refused.
     fn place(&mut self, worker: usize) {
         let most = self.most(worker, self.requests);
         if most == 0 {
