Wait for the log lines in the test that looks for keys

Cause: a thread of its own writes the log after the answer has gone out, and the test read the file at once; the dump at the failure, some milliseconds later, has the missing line of n-2. Ruled out: the cap of lines (two requests), a lost line. The test waits for both lines now, with the same assertions after it.

--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -119,13 +119,15 @@
     let stage = Stage::start();
     stage.ask(0, "/letters/x", "n-1", KEY);
     stage.ask(0, "/letters/x", "n-2", "a wrong key that is secret");
-    let logs: String = stage
-        .entries
-        .iter()
-        .chain(&stage.controllers)
-        .map(|p| p.log())
-        .collect();
-    assert!(logs.contains("n-1") && logs.contains("n-2"));
+    let read = || -> String {
+        let processes = stage.entries.iter().chain(&stage.controllers);
+        processes.map(|p| p.log()).collect()
+    };
+    // A thread of its own writes the lines, after the answers.
+    let logs = until("the lines of both requests", || {
+        let logs = read();
+        (logs.contains("n-1") && logs.contains("n-2")).then_some(logs)
+    });
     assert!(!logs.contains(KEY) && !logs.contains("secret"));
 }
 
