Test that a silent connection between instances is replaced

Two stories behind a relay that lets bytes of the first connection vanish: while calls go on, and while nothing is asked.

--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -19,6 +19,7 @@
 mod life;
 mod limit;
 mod metric;
+mod peer;
 mod platform;
 mod pool;
 mod queue;
