--- a/src/decide/path.rs
+++ b/src/decide/path.rs
@@ -291,8 +291,7 @@
 /// on an engine of its own that holds it.
 pub(crate) fn is_whole(first: u32, layers: u32, candidates: &[Candidate], hops: &[Hop]) -> bool {
     let sound = |(i, hop): (usize, &Hop)| {
-        let held = candidates[hop.engine].range;
-        let inside = held.first <= hop.range.first && hop.range.end <= held.end;
+        let inside = candidates[hop.engine].range.covers(hop.range);
         inside && hops[..i].iter().all(|h| h.engine != hop.engine)
     };
     hops.iter().enumerate().all(sound) && is_gapless(first, layers, hops.iter().map(|h| h.range))
--- a/src/decide/placement/layout.rs
+++ b/src/decide/placement/layout.rs
@@ -58,8 +58,8 @@
         if most == 0 {
             return;
         }
-        let begin = |r: Range| Range::new(r.first, r.end.min(r.first + most));
-        let range = self.gap().map(begin);
+        let gap = self.gap();
+        let range = gap.map(|g| Range::new(g.first, g.end.min(g.first + most)));
         let range = range.or_else(|| self.scarce(most));
         let range = range.unwrap_or_else(|| self.slowest(most));
         self.order(worker, range);
@@ -71,20 +71,12 @@
         let sum = total(self.model, self.workers, self.members, self.requests);
         let fair = self.requests * f64::from(sum) / f64::from(self.model.layers);
         let wanted = self.tokens(LEAST_ROOM.max(fair - UNFAIR));
-        let rooms: Vec<f64> = (0..self.model.layers).map(|l| self.room_at(l)).collect();
-        let least = rooms.iter().copied().min_by(f64::total_cmp)?;
-        if least >= wanted {
+        let rooms = self.rooms();
+        if rooms.iter().all(|&room| room >= wanted) {
             return None;
         }
-        // The window with the least room altogether; where many are alike, the
-        // lowest.
-        let sum = |first: u32| -> f64 {
-            let range = first as usize..(first + length) as usize;
-            rooms[range].iter().map(|room| room.min(wanted)).sum()
-        };
-        let firsts = 0..=self.model.layers - length;
-        let first = firsts.min_by(|&a, &b| sum(a).total_cmp(&sum(b)))?;
-        Some(Range::new(first, first + length))
+        let rooms: Vec<f64> = rooms.into_iter().map(|room| room.min(wanted)).collect();
+        Some(lowest(&rooms, length))
     }
 
     /// Fills what nobody holds: by engines beside the gap, which keep what
@@ -164,9 +156,8 @@
 
     /// Whether an engine keeps all that it holds under the moves so far.
     fn keeps_held(&self, worker: usize) -> bool {
-        let kept = |old: Range, new: Range| new.first <= old.first && old.end <= new.end;
         match (self.workers[worker].held, self.held[worker]) {
-            (Some(old), Some(new)) => kept(old, new),
+            (Some(old), Some(new)) => new.covers(old),
             _ => false,
         }
     }
@@ -179,11 +170,17 @@
 
     /// Whether others hold all that an engine holds.
     fn is_spare(&self, worker: usize) -> bool {
+        self.is_free(worker) && self.others_hold(worker, |room| room > 0.0)
+    }
+
+    /// Whether others have loaded all that an engine holds, each layer with
+    /// `enough` room.
+    pub(super) fn others_hold(&self, worker: usize, enough: impl Fn(f64) -> bool) -> bool {
         let Some(held) = self.held[worker] else {
             return false;
         };
-        let copied = |layer| self.loaded_room_at(layer, worker) > 0.0;
-        self.is_free(worker) && (held.first..held.end).all(copied)
+        let mut layers = held.first..held.end;
+        layers.all(|layer| enough(self.loaded_room_at(layer, worker)))
     }
 
     pub(super) fn order(&mut self, worker: usize, range: Range) {
@@ -223,13 +220,16 @@
         let speeds: Vec<f64> = (0..self.model.layers)
             .map(|layer| self.holders(layer).map(speed).sum())
             .collect();
-        let sum = |first: u32| -> f64 {
-            let range = first as usize..(first + length) as usize;
-            speeds[range].iter().sum()
-        };
-        let firsts = 0..=self.model.layers - length;
-        let first = firsts.min_by(|&a, &b| sum(a).total_cmp(&sum(b)));
-        let first = first.unwrap_or(0);
-        Range::new(first, first + length)
+        lowest(&speeds, length)
     }
 }
+
+/// The `length` layers with the least sum of `values`, which has one for each
+/// layer; where many are alike, the first of them.
+fn lowest(values: &[f64], length: u32) -> Range {
+    let sum = |window: &[f64]| window.iter().sum::<f64>();
+    let windows = values.windows(length as usize).map(sum).enumerate();
+    let first = windows.min_by(|a, b| a.1.total_cmp(&b.1));
+    let first = first.map_or(0, |(at, _)| at as u32);
+    Range::new(first, first + length)
+}
--- a/src/decide/placement/relief.rs
+++ b/src/decide/placement/relief.rs
@@ -1,7 +1,7 @@
 //! Room for the layers that hold up the whole pipeline.
 
 use super::layout::Group;
-use super::{BALANCE_GAIN, BALANCE_STEP, BALANCE_STEPS, LEAST_ROOM};
+use super::{BALANCE_GAIN, BALANCE_STEP, BALANCE_STEPS, LEAST_ROOM, total};
 use crate::roster::Range;
 
 impl Group<'_> {
@@ -65,12 +65,8 @@
     /// The ranges of a balanced layout in the present order of the engines, if
     /// it has much more room than the present one.
     fn targets(&self) -> Option<Vec<(usize, Range)>> {
-        let rooms = (0..self.model.layers).map(|layer| self.room_at(layer));
-        let present = rooms.fold(f64::INFINITY, f64::min);
-        let most = |requests: f64| -> u32 {
-            let members = self.members.iter();
-            members.map(|&i| self.most(i, requests)).sum()
-        };
+        let present = self.rooms().into_iter().fold(f64::INFINITY, f64::min);
+        let most = |requests| total(self.model, self.workers, self.members, requests);
         let steps = (1..=BALANCE_STEPS)
             .rev()
             .map(|s| f64::from(s) * BALANCE_STEP);
@@ -98,15 +94,11 @@
     fn without_copies(&self, worker: usize, held: Range, target: Range) -> Range {
         let copied = |layer: u32| self.loaded_room_at(layer, worker) > 0.0;
         let outside = |layer: u32| !target.holds(layer) && copied(layer);
-        let low = (held.first..held.end).take_while(|&l| outside(l)).count() as u32;
+        let (low, high) = ends(held, outside);
         if low == held.len() {
             // All of it is held elsewhere, and none of it is wanted here.
             return target;
         }
-        let high = (held.first..held.end)
-            .rev()
-            .take_while(|&l| outside(l))
-            .count() as u32;
         Range::new(held.first + low, held.end - high)
     }
 
@@ -140,11 +132,7 @@
     fn trimmed(&self, worker: usize, held: Range) -> Option<Range> {
         let least = self.tokens(LEAST_ROOM);
         let others = |layer: u32| self.loaded_room_at(layer, worker) >= least;
-        let low = (held.first..held.end).take_while(|&l| others(l)).count() as u32;
-        let high = (held.first..held.end)
-            .rev()
-            .take_while(|&l| others(l))
-            .count() as u32;
+        let (low, high) = ends(held, others);
         // It keeps a layer at least, or it would be an empty engine.
         let most = held.len() - 1;
         if low.max(high).min(most) == 0 {
@@ -159,16 +147,18 @@
 
     /// Whether others hold all that an engine holds, with room enough.
     fn is_roomy_spare(&self, worker: usize) -> bool {
-        let Some(held) = self.held[worker] else {
-            return false;
-        };
         let least = self.tokens(LEAST_ROOM);
-        let roomy = |layer| self.loaded_room_at(layer, worker) >= least;
-        self.is_free(worker) && (held.first..held.end).all(roomy)
+        self.is_free(worker) && self.others_hold(worker, |room| room >= least)
+    }
+
+    /// [`Group::room_at`] of each layer.
+    pub(super) fn rooms(&self) -> Vec<f64> {
+        let layers = 0..self.model.layers;
+        layers.map(|layer| self.room_at(layer)).collect()
     }
 
     /// Tokens for which the holders of a layer together have memory.
-    pub(super) fn room_at(&self, layer: u32) -> f64 {
+    fn room_at(&self, layer: u32) -> f64 {
         let rooms = self.holders(layer);
         let rooms = rooms.filter_map(|i| Some(self.room(i, self.held[i]?)));
         rooms.sum()
@@ -188,3 +178,10 @@
         requests * (self.model.usual_prompt + self.model.usual_answer)
     }
 }
+
+/// How many layers at the low and at the high end of a range `are` all so.
+fn ends(range: Range, are: impl Fn(u32) -> bool) -> (u32, u32) {
+    let low = (range.first..range.end).take_while(|&l| are(l)).count();
+    let high = (range.first..range.end).rev().take_while(|&l| are(l));
+    (low as u32, high.count() as u32)
+}
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -15,7 +15,7 @@
 
 /// Heartbeats that an upstream may miss before it is dropped. Heartbeats may
 /// arrive seconds late; dropping a sound engine costs a load of its layers.
-const LOST_BEATS: f64 = 4.0;
+pub(crate) const LOST_BEATS: f64 = 4.0;
 
 /// As [`LATE_BEATS`] and [`LOST_BEATS`], of an upstream that several instances
 /// found dead. A second witness may miss a heartbeat, but then requests fail
@@ -48,6 +48,11 @@
         self.end - self.first
     }
 
+    /// Whether all of `other` is in the range.
+    pub(crate) fn covers(self, other: Self) -> bool {
+        self.first <= other.first && other.end <= self.end
+    }
+
     /// What two ranges have in common.
     pub(crate) fn common(self, other: Self) -> Option<Self> {
         let (first, end) = (self.first.max(other.first), self.end.min(other.end));
