Call the piece that is there instead of writing it again

The layers that a start keeps beside an order were worked out in two ways; members of a service were filtered from the roster three times; the beats after which a new leader waits no more were the roster's own number again; the group's status, the seeds as instances, the upstreams of a service, the layers on the wire and the reading of an order's answer each stood twice or more.

Also: a stream's flag for its end said what its request's flag says; what became of a silent attempt had three cases, of which one was looked at; the retries that are left counted the window again where trimming had done it; the answered line was looked up twice. No change of behaviour; an upstream that keeps no layers is sent with 0 and 0 instead of an empty pair of bounds, which decodes to the same.

--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -14,17 +14,13 @@
 use crate::configuration::{Configuration, Model};
 use crate::decide::placement::{self, Worker};
 use crate::register::{Register, Versioned};
-use crate::roster::{Announcement, Entry, Heard, Range, Roster};
+use crate::roster::{Announcement, Entry, Heard, LOST_BEATS, Range, Roster};
 use crate::sync::{Load, RosterRecord, State, Sync, UpstreamRecord, address_key, key_address};
 
 /// Heartbeat periods after which a new leader has heard every upstream that
 /// lives: an upstream whose call fails asks the next instance within a second.
 const COMPLETE_BEATS: f64 = 2.5;
 
-/// Heartbeat periods after which a new leader no longer waits for upstreams that
-/// appear one after the other. An established leader drops a silent one then.
-const HEARD_BEATS: f64 = 4.0;
-
 /// Time for which an entry instance's report counts. It reports several times
 /// in that time, so one that is silent for longer has lost its requests too.
 const REPORT: Duration = Duration::from_secs(2);
@@ -199,24 +195,23 @@
 
     fn record(&self, now: Time, revision: u64, register: &Register) -> RosterRecord {
         let list = self.roster.list();
+        let shown = |e: &Entry| UpstreamRecord::new(e, self.kept(&e.last));
         RosterRecord {
             term: self.term,
             revision,
             complete: self.is_complete(now),
-            upstreams: list.into_iter().map(|e| self.shown(e)).collect(),
+            upstreams: list.into_iter().map(shown).collect(),
             departed: register.latest_departed(TOLD_DEPARTED),
         }
     }
 
-    /// An upstream as entry instances should see it: without the layers that
-    /// it was ordered to give up. It takes nothing new for them.
-    fn shown(&self, entry: &Entry) -> UpstreamRecord {
-        let mut record = UpstreamRecord::from(entry);
-        if let Some(pending) = self.pending_of(&entry.last) {
-            record.first = record.first.max(pending.range.first);
-            record.end = record.end.min(pending.range.end);
+    /// The layers of a start without those that it was ordered to give up. It
+    /// takes nothing new for them.
+    fn kept(&self, start: &Announcement) -> Option<Range> {
+        match self.pending_of(start) {
+            Some(pending) => start.layers?.common(pending.range),
+            None => start.layers,
         }
-        record
     }
 
     /// The order that is under way for a start.
@@ -248,7 +243,8 @@
     /// replaces an engine each second, no moment is without one that has joined
     /// lately, and gaps stayed open for 5.5 s.
     fn may_order(&self, now: Time) -> bool {
-        let heard = now.since(self.since) >= self.beat.mul_f64(HEARD_BEATS);
+        // An established leader has dropped a silent one by then.
+        let heard = now.since(self.since) >= self.beat.mul_f64(LOST_BEATS);
         self.is_complete(now) && (heard || self.roster.is_settled(now))
     }
 
@@ -277,16 +273,19 @@
         orders
     }
 
+    /// The upstreams of a service, in the order of their ids.
+    fn members(&self, service: &str) -> impl Iterator<Item = &Entry> {
+        let list = self.roster.list().into_iter();
+        list.filter(move |e| e.last.service == service)
+    }
+
     fn holds_layers(&self, service: &str) -> bool {
-        let entries = self.roster.list().into_iter();
-        let mut members = entries.filter(|e| e.last.service == service);
-        members.any(|e| e.last.layers.is_some())
+        self.members(service).any(|e| e.last.layers.is_some())
     }
 
     fn place(&self, service: &str, model: &Model, work: &HashMap<u64, Load>) -> Vec<Placement> {
-        let entries = self.roster.list().into_iter();
-        let members = entries.filter(|e| e.last.service == service);
-        let (entries, workers): (Vec<_>, Vec<_>) = members
+        let (entries, workers): (Vec<_>, Vec<_>) = self
+            .members(service)
             .filter_map(|e| Some((e, self.worker(e, model, work)?)))
             .unzip();
         let moves = placement::plan(model, &workers);
@@ -316,8 +315,7 @@
             used_mb: used.map_or(0.0, |l| f64::from(l.memory)),
             held: match pending {
                 Some(pending) if pending.sure => Some(pending.range),
-                Some(pending) => last.layers.and_then(|l| l.common(pending.range)),
-                None => last.layers,
+                _ => self.kept(last),
             },
             loaded: last.layers,
             busy: pending.is_some(),
@@ -328,8 +326,7 @@
     /// no engine there holds.
     pub(crate) fn missing(&self, service: &str, model: &Model) -> BTreeMap<String, Vec<Range>> {
         let mut held: BTreeMap<String, Vec<Range>> = BTreeMap::new();
-        let entries = self.roster.list().into_iter();
-        for entry in entries.filter(|e| e.last.service == service) {
+        for entry in self.members(service) {
             let ranges = held.entry(entry.last.domain.clone()).or_default();
             ranges.extend(entry.last.layers);
         }
--- a/src/controller/measure.rs
+++ b/src/controller/measure.rs
@@ -1,6 +1,6 @@
 //! What the metrics of a controller show at the moment of asking.
 
-use super::{Controller, GROUP};
+use super::Controller;
 use crate::metric;
 use crate::replica::Role;
 
@@ -11,11 +11,7 @@
         metrics::gauge!(metric::LEADS.name).set(u8::from(leads));
         let age = self.age().unwrap_or_default();
         metrics::gauge!(metric::QUORUM_AGE.name).set(age.as_secs_f64());
-        let status = self.voter.status();
-        let members = status
-            .iter()
-            .filter(|s| s.group == GROUP)
-            .flat_map(|s| &s.members);
+        let members = self.status().into_iter().flat_map(|s| s.members);
         let voters = members.filter(|m| m.role() == Role::Voter).count();
         metrics::gauge!(metric::VOTERS.name).set(voters as f64);
         metrics::gauge!(metric::COMMITTED.name).set(self.register.version() as f64);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -32,7 +32,7 @@
 use crate::startup;
 use crate::store::StoreError;
 use crate::sync::{self, State, Sync};
-use crate::voter::{Lead, Voter, VoterSettings};
+use crate::voter::{GroupStatus, Lead, Voter, VoterSettings};
 
 pub(crate) mod board;
 mod call;
@@ -241,7 +241,7 @@
 fn voter_settings(settings: &RoleSettings, boot: &Boot) -> Result<VoterSettings> {
     let folder = role::required(boot.data.clone(), "a data folder")?;
     let used = std::fs::read_dir(&folder).is_ok_and(|mut names| names.next().is_some());
-    let seeds: Vec<_> = boot.seeds.iter().map(|s| role::instance(*s.ip())).collect();
+    let seeds = role::seeds(boot);
     let founders = if boot.founding || used {
         seeds.clone()
     } else {
@@ -269,6 +269,12 @@
         self.voter.lead(GROUP)
     }
 
+    /// What the voter tells of the replicated log.
+    fn status(&self) -> Option<GroupStatus> {
+        let mut groups = self.voter.status().into_iter();
+        groups.find(|s| s.group == GROUP)
+    }
+
     fn board(&self) -> MutexGuard<'_, Board> {
         self.board.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -335,7 +341,7 @@
     }
 
     fn tend_members(&self) {
-        let Some(status) = self.voter.status().into_iter().find(|s| s.group == GROUP) else {
+        let Some(status) = self.status() else {
             return;
         };
         let silence = |peer| status.silences.iter().find(|(p, _)| *p == peer);
@@ -426,8 +432,7 @@
         let current = self.packed();
         let state = board.sync(self.now(), ask, age, current, &self.register);
         drop(board);
-        let status = self.voter.status();
-        let members = status.iter().flat_map(|s| &s.members);
+        let members = self.status().into_iter().flat_map(|s| s.members);
         Answer::State(State {
             voters: members.map(|m| m.id).collect(),
             ..state
--- a/src/controller/place.rs
+++ b/src/controller/place.rs
@@ -30,7 +30,7 @@
         let request = Request::post(engine::ORDER);
         let answer = call(order.address.into(), &order.engine, request, body, ANSWER).await;
         let status = answer.map(|a| a.0);
-        let taken = matches!(status, Some(StatusCode::OK | StatusCode::ACCEPTED));
+        let taken = engine::is_taken(status);
         match status {
             Some(_) if taken => {}
             Some(_) => self.board().refused(self.now(), &order.engine),
--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -53,7 +53,6 @@
         let counts = self.counts(service);
         counts.requests.push_back(now);
         trim(&mut counts.requests, now, window);
-        trim(&mut counts.retries, now, window);
     }
 
     /// Takes one retry, or says that none is left. `instances` share the bound.
@@ -66,21 +65,13 @@
     }
 
     /// Retries to a service that are left at `now`.
-    pub(crate) fn left(&self, now: Time, service: &str, instances: u32) -> f64 {
-        let Bound {
-            ratio,
-            slack,
-            window,
-        } = self.bound;
-        let recent = |times: &VecDeque<Time>| {
-            let recent = times.iter().rev().take_while(|t| now.since(**t) < window);
-            recent.count() as f64
-        };
-        let counts = self.services.get(service);
-        let requests = counts.map_or(0.0, |c| recent(&c.requests));
-        let retries = counts.map_or(0.0, |c| recent(&c.retries));
-        let slack = slack / f64::from(instances.max(1));
-        USED * (ratio * requests + slack) - retries
+    pub(crate) fn left(&mut self, now: Time, service: &str, instances: u32) -> f64 {
+        let bound = self.bound;
+        let counts = self.counts(service);
+        trim(&mut counts.requests, now, bound.window);
+        trim(&mut counts.retries, now, bound.window);
+        let slack = bound.slack / f64::from(instances.max(1));
+        USED * (bound.ratio * counts.requests.len() as f64 + slack) - counts.retries.len() as f64
     }
 
     fn counts(&mut self, service: &str) -> &mut Counts {
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -86,7 +86,7 @@
     tried: Vec<u64>,
     /// The latest answer with an upstream's own failure.
     kept: Option<Box<Opened>>,
-    /// Whether its end was logged.
+    /// See [`Run::is_ended`].
     pub(super) ended: AtomicBool,
     /// Id of the last event that the caller has, on a stream.
     pub(super) last: Option<u64>,
@@ -95,7 +95,7 @@
 /// A caller that leaves drops the request at whatever it waits for.
 impl Drop for Run {
     fn drop(&mut self) {
-        if self.ended.load(Ordering::Relaxed) {
+        if self.is_ended() {
             return;
         }
         self.count("caller_left");
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Whether its end was counted and logged.
+    pub(super) fn is_ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+
     /// Time left.
     pub(super) fn left(&self) -> Duration {
         let passed = self.entry.now().since(self.call.began);
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -59,7 +59,7 @@
     /// Keeps the view current for as long as the instance lives.
     pub(super) async fn follow(self: Arc<Self>) {
         let mut targets = Targets {
-            known: self.seeds(),
+            known: role::seeds(&self.boot),
             leader: None,
             turn: usize::try_from(self.id.0).unwrap_or(0) % 7,
         };
@@ -89,17 +89,9 @@
         (FILLING * crowd / FILLING_ENTRIES).min(self.poll)
     }
 
-    fn seeds(&self) -> Vec<InstanceId> {
-        let seeds = self.boot.seeds.iter();
-        seeds.map(|s| role::instance(*s.ip())).collect()
-    }
-
     fn reread(&self) -> Vec<InstanceId> {
-        let Ok(boot) = self.settings.boot() else {
-            return Vec::new();
-        };
-        let seeds = boot.seeds.iter();
-        seeds.map(|s| role::instance(*s.ip())).collect()
+        let boot = self.settings.boot();
+        boot.map_or(Vec::new(), |boot| role::seeds(&boot))
     }
 
     /// Asks one controller. Returns whether the view is confirmed by it.
--- a/src/entry/measure.rs
+++ b/src/entry/measure.rs
@@ -19,7 +19,7 @@
         metrics::gauge!(metric::LEASE.name).set(lease.as_secs_f64());
         let complete = u8::from(view.is_complete());
         metrics::gauge!(metric::COMPLETE.name).set(complete);
-        let shared = self.shared();
+        let mut shared = self.shared();
         for (service, upstreams) in &*view.services {
             let mut states = [("usable", 0), ("late", 0), ("left_out", 0)];
             let mut booked = 0.0;
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -1,6 +1,6 @@
 //! The engines of one service, as the path of a request may use them.
 
-use super::view::{Services, Upstream};
+use super::view::{Services, Upstream, of_service};
 use crate::configuration::Model;
 use crate::decide::load::{Loads, Speed};
 use crate::decide::path::{self, Candidate, Hop, Start, Work};
@@ -32,7 +32,7 @@
         loads: &Loads,
         usable: impl Fn(&Upstream) -> bool,
     ) -> Self {
-        let all = services.get(service).map_or(&[][..], Vec::as_slice);
+        let all = of_service(services, service);
         let domains = domains(all);
         let of = |u| Some((u, candidate(u, model, loads, &domains)?));
         let (engines, candidates) = all.iter().filter(|u| usable(u)).filter_map(of).unzip();
@@ -88,10 +88,9 @@
 /// connection and can't be replaced, and refuses a path in which it is named
 /// with layers that it gives up.
 pub(crate) fn given_up(upstreams: &[Upstream], booked: &[(u64, Hop)]) -> Vec<u64> {
-    let covers = |held: Range, part: Range| held.first <= part.first && part.end <= held.end;
     let stays = |key: u64, part: Range| {
         let mut same = upstreams.iter().filter(|u| u.key == key);
-        same.any(|u| u.layers.is_some_and(|held| covers(held, part)))
+        same.any(|u| u.layers.is_some_and(|held| held.covers(part)))
     };
     let lost = booked.iter().filter(|(key, hop)| !stays(*key, hop.range));
     let lost: Vec<u64> = lost.map(|(key, _)| *key).collect();
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -31,17 +31,6 @@
 /// Longest wait for a report or an order.
 const ANSWER: Duration = Duration::from_millis(300);
 
-/// What became of a silent attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Rerouted {
-    /// Nobody is known to hold it up.
-    Waits,
-    /// It goes on over another path.
-    Done,
-    /// It waits for this engine, and there is no way around.
-    Lost(u64),
-}
-
 /// Why what was awaited didn't come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Silence {
@@ -74,7 +63,7 @@
                 return Ok(output);
             }
             let waited = self.entry.now().since(since);
-            if helped && let Rerouted::Lost(culprit) = self.reroute(chosen).await {
+            if helped && let Some(culprit) = self.reroute(chosen).await {
                 return Err(Silence::Lost(culprit));
             }
             if waited >= patience {
@@ -84,17 +73,14 @@
         }
     }
 
-    /// Finds out what a silent attempt waits for, and leads it around.
-    async fn reroute(&self, chosen: &mut Chosen) -> Rerouted {
-        let Some(culprit) = self.culprit(chosen).await else {
-            return Rerouted::Waits;
-        };
+    /// Finds out what a silent attempt waits for, and leads it around. Returns
+    /// the engine for which it waits if there is no way around.
+    async fn reroute(&self, chosen: &mut Chosen) -> Option<u64> {
+        let culprit = self.culprit(chosen).await?;
         let now = self.entry.now();
         self.entry.shared().health.failed(now, culprit);
-        match self.lead_around(&[culprit], chosen, DEAD_PART).await {
-            true => Rerouted::Done,
-            false => Rerouted::Lost(culprit),
-        }
+        let done = self.lead_around(&[culprit], chosen, DEAD_PART).await;
+        (!done).then_some(culprit)
     }
 
     /// Orders an attempt to go on over others than some of its engines. Returns
@@ -112,7 +98,7 @@
         let body = order::repath(&self.call.attempt, &path.text);
         let status = self.ask(chosen, Request::post(order::ORDER), body).await;
         let status = status.map(|a| a.0);
-        let taken = matches!(status, Some(StatusCode::OK | StatusCode::ACCEPTED));
+        let taken = order::is_taken(status);
         let label = if taken { "yes" } else { "no" };
         metrics::counter!(metric::REROUTES.name, "cause" => cause, "taken" => label).increment(1);
         tracing::info!(
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -6,7 +6,7 @@
 
 use super::Entry;
 use super::pool::{self, Pool};
-use super::view::{Upstream, View};
+use super::view::{Upstream, View, of_service};
 use crate::configuration::Model;
 use crate::decide::path::{self, Hop, NoPath, Start, Work};
 use crate::decide::pick::{self, Offer};
@@ -47,8 +47,7 @@
     /// be replaced.
     pub(super) fn given_up(&self, service: &str) -> Vec<u64> {
         let view = self.entry.view();
-        let upstreams = view.services.get(service).map_or(&[][..], Vec::as_slice);
-        pool::given_up(upstreams, &self.booked)
+        pool::given_up(of_service(&view.services, service), &self.booked)
     }
 
     /// A path around some engines, over others of the same `service`.
@@ -125,7 +124,7 @@
         service: &str,
         tried: &[u64],
     ) -> Result<Chosen, Reason> {
-        let upstreams = view.services.get(service).map_or(&[][..], Vec::as_slice);
+        let upstreams = of_service(&view.services, service);
         let now = self.now();
         let shared = self.shared();
         let offers: Vec<Offer> = upstreams
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -50,7 +50,6 @@
     pause: Duration,
     last_at: Time,
     leave: Leave,
-    ended: bool,
     _running: Running,
 }
 
@@ -69,7 +68,6 @@
         pause: Duration::ZERO,
         last_at,
         leave: Leave::default(),
-        ended: false,
         _running: running,
     };
     let pieces = stream::unfold(streaming, |mut s| async move {
@@ -106,7 +104,7 @@
 impl Streaming {
     /// The next whole events, the end, or the breaking off.
     async fn next(&mut self) -> Option<Result<Frame<Bytes>, BrokenOff>> {
-        if self.ended {
+        if self.run.is_ended() {
             return None;
         }
         loop {
@@ -227,7 +225,6 @@
     }
 
     fn finish(&mut self, how: &'static str) {
-        self.ended = true;
         let run = &self.run;
         run.count(how);
         run.count_events(self.first, self.pause);
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -31,6 +31,11 @@
 /// The upstreams by service.
 pub(crate) type Services = HashMap<String, Vec<Upstream>>;
 
+/// The upstreams of one service; none of one that isn't known.
+pub(crate) fn of_service<'a>(services: &'a Services, service: &str) -> &'a [Upstream] {
+    services.get(service).map_or(&[], Vec::as_slice)
+}
+
 /// What is known at one time. Shared with the requests.
 #[derive(Clone)]
 pub(crate) struct View {
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -180,22 +180,17 @@
             (code, None) => format!("it ended with {code}"),
         };
     }
-    match find(event::REQUEST_ANSWERED).and_then(|l| l.text("how")) {
-        Some("whole") if failed.is_some() => {
-            format!(
-                "answered whole after a failure: {}{blamed}",
-                failed.unwrap_or("")
-            )
+    let Some(answered) = find(event::REQUEST_ANSWERED) else {
+        return abandoned(find(event::REQUEST_ABANDONED).copied(), failed, &blamed);
+    };
+    match (answered.text("how"), failed, answered.number("status")) {
+        (Some("whole"), Some(f), _) => format!("answered whole after a failure: {f}{blamed}"),
+        (Some("whole"), None, _) => "answered whole".to_owned(),
+        (Some(how), _, _) => format!("its stream broke off: {how}{blamed}"),
+        (None, _, status @ 500..) => {
+            format!("an upstream ran it and answered with a failure of its own, {status}")
         }
-        Some("whole") => "answered whole".to_owned(),
-        Some(how) => format!("its stream broke off: {how}{blamed}"),
-        None => match find(event::REQUEST_ANSWERED).map(|l| l.number("status")) {
-            Some(status) if status >= 500 => {
-                format!("an upstream ran it and answered with a failure of its own, {status}")
-            }
-            Some(_) => "answered".to_owned(),
-            None => abandoned(find(event::REQUEST_ABANDONED).copied(), failed, &blamed),
-        },
+        (None, _, _) => "answered".to_owned(),
     }
 }
 
--- a/src/role.rs
+++ b/src/role.rs
@@ -98,6 +98,11 @@
     InstanceId(u32::from(ip).into())
 }
 
+/// The instances that the settings name as seeds.
+pub(crate) fn seeds(boot: &Boot) -> Vec<InstanceId> {
+    boot.seeds.iter().map(|s| instance(*s.ip())).collect()
+}
+
 /// A value that the role can't do without.
 pub(crate) fn required<T>(value: Option<T>, what: &str) -> Result<T> {
     value.ok_or_else(|| Error::Settings {
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -122,16 +122,10 @@
 }
 
 impl UpstreamRecord {
-    /// Layers that it holds.
-    pub(crate) fn range(&self) -> Option<Range> {
-        (self.first < self.end).then(|| Range::new(self.first, self.end))
-    }
-}
-
-impl From<&Entry> for UpstreamRecord {
-    fn from(entry: &Entry) -> Self {
+    /// An upstream that is to be seen with `layers`.
+    pub(crate) fn new(entry: &Entry, layers: Option<Range>) -> Self {
         let last = &entry.last;
-        let (first, end) = last.layers.map_or((0, 0), |l| (l.first, l.end));
+        let (first, end) = layers.map_or((0, 0), |l| (l.first, l.end));
         Self {
             id: last.id.to_string(),
             born: last.born,
@@ -145,6 +139,11 @@
             late: entry.late,
         }
     }
+
+    /// Layers that it holds.
+    pub(crate) fn range(&self) -> Option<Range> {
+        (self.first < self.end).then(|| Range::new(self.first, self.end))
+    }
 }
 
 /// Longest configuration that is unpacked, in bytes.
