Share a time and an outcome among tests

A time in milliseconds stood in four files, the outcome of a request at a bad engine three times in the router's tests. All assertions as before.

--- a/src/tests/board.rs
+++ b/src/tests/board.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use super::at;
 use super::platform::CONFIGURATION;
-use crate::clock::Time;
 use crate::configuration::Configuration;
 use crate::controller::board::{Board, Placement};
 use crate::platform::configuration::decode;
@@ -13,10 +13,6 @@
 
 const BEAT: Duration = Duration::from_millis(1200);
 
-fn at(millis: u64) -> Time {
-    Time(millis * 1000)
-}
-
 fn configuration() -> Configuration {
     decode(CONFIGURATION.as_bytes()).unwrap()
 }
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -4,8 +4,8 @@
 
 use rstest::rstest;
 
+use super::at;
 use super::platform::CONFIGURATION;
-use crate::clock::Time;
 use crate::configuration::{Model, Repeat};
 use crate::decide::allowance::{Allowance, Bound};
 use crate::decide::health::Health;
@@ -21,10 +21,6 @@
 mod path;
 mod placement;
 
-fn at(millis: u64) -> Time {
-    Time(millis * 1000)
-}
-
 pub(super) fn model() -> Model {
     let decoded = decode(CONFIGURATION.as_bytes()).unwrap();
     decoded.services[0].model.clone().unwrap()
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of crate-private parts, one file a module.
 
+use crate::clock::Time;
+
 mod answer;
 mod auth;
 mod board;
@@ -31,3 +33,8 @@
 mod store;
 mod view;
 mod voter;
+
+/// A time in milliseconds.
+fn at(millis: u64) -> Time {
+    Time(millis * 1000)
+}
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 
-use crate::clock::Time;
+use super::at;
 use crate::collections::HashMap;
 use crate::controller::board::Board;
 use crate::register::{self, Register};
@@ -16,10 +16,6 @@
 
 const BEAT: Duration = Duration::from_millis(1200);
 
-fn at(millis: u64) -> Time {
-    Time(millis * 1000)
-}
-
 fn news(id: &str, sequence: u64) -> Announcement {
     Announcement {
         id: id.into(),
--- a/src/tests/route.rs
+++ b/src/tests/route.rs
@@ -42,6 +42,15 @@
     choice.hops.iter().map(|h| &*h.upstream.0).collect()
 }
 
+/// What became of a request: refused by its first engine, or done.
+fn outcome(failed: bool) -> Outcome {
+    if failed {
+        return Outcome::Failed { stage: 0 };
+    }
+    let token = Duration::from_millis(5);
+    Outcome::Done { token }
+}
+
 #[test]
 fn choose_overlapping_ranges() {
     let mut router = Router::new(1);
@@ -233,13 +242,7 @@
         let choice = router.choose(Time(0), &Query::new("m", &pools)).unwrap();
         let hit = all[..4].iter().any(|s| s.id == choice.hops[0].upstream);
         failures += u32::from(hit);
-        let token = Duration::from_millis(5);
-        let outcome = if hit {
-            Outcome::Failed { stage: 0 }
-        } else {
-            Outcome::Done { token }
-        };
-        router.finish(Time(0), choice.ticket, outcome);
+        router.finish(Time(0), choice.ticket, outcome(hit));
     }
     assert!(all[..4].iter().all(|s| router.is_ejected(Time(0), &s.id)));
     assert!(failures <= 8, "{failures} requests failed");
@@ -259,13 +262,7 @@
     for _ in 0..500 {
         let choice = router.choose(Time(0), &Query::new("m", &pools)).unwrap();
         let bad = &*choice.hops[0].upstream.0 == "e0";
-        let token = Duration::from_millis(5);
-        let outcome = if bad {
-            Outcome::Failed { stage: 0 }
-        } else {
-            Outcome::Done { token }
-        };
-        router.finish(Time(0), choice.ticket, outcome);
+        router.finish(Time(0), choice.ticket, outcome(bad));
     }
     assert!(router.is_ejected(Time(0), &"e0".into()));
     all.insert(0, stage("new", 0, 32, 400));
@@ -285,13 +282,7 @@
     while !router.is_ejected(Time(0), &"bad".into()) {
         let choice = router.choose(Time(0), &query).unwrap();
         let bad = &*choice.hops[0].upstream.0 == "bad";
-        let token = Duration::from_millis(5);
-        let outcome = if bad {
-            Outcome::Failed { stage: 0 }
-        } else {
-            Outcome::Done { token }
-        };
-        router.finish(Time(0), choice.ticket, outcome);
+        router.finish(Time(0), choice.ticket, outcome(bad));
     }
     all[1].leaving = true;
     router.set_view(Time(1), &all);
--- a/src/tests/view.rs
+++ b/src/tests/view.rs
@@ -2,18 +2,14 @@
 
 use std::time::Duration;
 
+use super::at;
 use super::platform::CONFIGURATION;
-use crate::clock::Time;
 use crate::entry::view::View;
 use crate::register::Departed;
 use crate::sync::{RosterRecord, State, UpstreamRecord, pack, unpack};
 
 const LEASE: Duration = Duration::from_millis(3500);
 
-fn at(millis: u64) -> Time {
-    Time(millis * 1000)
-}
-
 fn state(version: u64) -> State {
     let text = CONFIGURATION.replace("\"version\":7", &format!("\"version\":{version}"));
     State {
