Tell entry instances what changed in the roster, part by part

Cause: with 300 instances before 2,997 engines the leading controller sent each instance the whole roster (230 KB) at each change, and added up all reports for each of 1,200 answers a second.

Now the roster keeps the revision of each upstream's latest change; an answer holds at most 128 changes after what the asker has. Sums of work are kept up with each report, and told as often as a fifth of the link bears.

Tests: sync_large_fleet (230 KB in one answer before), sync_random_changes, sync_forgotten_departures, reports_tell_seldom, learn_part_by_part.

--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -9,22 +9,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::reports::Reports;
 use crate::clock::Time;
 use crate::collections::HashMap;
 use crate::configuration::{Configuration, Model};
 use crate::decide::placement::{self, Worker};
 use crate::register::{Register, Versioned};
 use crate::roster::{Announcement, Entry, Heard, LOST_BEATS, Range, Roster};
-use crate::sync::{Load, RosterRecord, State, Sync, UpstreamRecord, address_key, key_address};
+use crate::sync::{RosterRecord, State, Sync, UpstreamRecord, address_key};
 
 /// Heartbeat periods after which a new leader has heard every upstream that
 /// lives: an upstream whose call fails asks the next instance within a second.
 const COMPLETE_BEATS: f64 = 2.5;
 
-/// Time for which an entry instance's report counts. It reports several times
-/// in that time, so one that is silent for longer has lost its requests too.
-const REPORT: Duration = Duration::from_secs(2);
-
 /// Time for which a given order is taken to be under way. Loading a usual
 /// range takes one to four seconds; an order that was lost is given again.
 const ORDER: Duration = Duration::from_secs(6);
@@ -38,6 +35,11 @@
 /// Departures that are told to entry instances: those of the last minutes.
 const TOLD_DEPARTED: usize = 64;
 
+/// Upstreams that one answer tells of, some 75 bytes each. 300 instances that
+/// all begin anew are told four times a second: 11 MB a second, half of a
+/// controller's link. The users' fleets of today fit into one answer.
+const PAGE: usize = 128;
+
 /// An order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Placement {
@@ -58,13 +60,6 @@
     sure: bool,
 }
 
-struct Report {
-    at: Time,
-    loads: Vec<Load>,
-    /// Addresses of upstreams at which requests failed.
-    suspects: Vec<u64>,
-}
-
 /// Numbers for metrics.
 #[derive(Debug, Default)]
 pub(crate) struct Counts {
@@ -84,10 +79,10 @@
     roster: Roster,
     /// Departures of the register that the roster knows.
     departed: u64,
-    reports: HashMap<u64, Report>,
+    reports: Reports,
+    /// Each change of it touches the upstream in the roster, since instances
+    /// see what an engine keeps, not what it holds.
     pending: HashMap<Arc<str>, Pending>,
-    /// Grows with each change of `pending` that instances must hear of.
-    turns: u64,
 }
 
 impl Board {
@@ -99,9 +94,8 @@
             since: Time::default(),
             roster: Roster::new(beat),
             departed: 0,
-            reports: HashMap::default(),
+            reports: Reports::default(),
             pending: HashMap::default(),
-            turns: 0,
         }
     }
 
@@ -126,7 +120,7 @@
         let done = |p: &Pending| p.born != news.born || news.layers == Some(p.range);
         if pending.is_some_and(done) {
             self.pending.remove(&news.id);
-            self.turns += 1;
+            self.roster.touch(&news.id);
         }
         self.roster.hear(now, news)
     }
@@ -143,15 +137,14 @@
 
     /// Lets time pass; returns the upstreams that were dropped.
     pub(crate) fn tick(&mut self, now: Time) -> Vec<Arc<str>> {
-        self.reports.retain(|_, r| now.since(r.at) < REPORT);
-        let before = self.pending.len();
-        self.pending.retain(|_, p| now < p.until);
-        self.turns += u64::from(self.pending.len() != before);
-        let mut suspects: HashMap<SocketAddrV4, usize> = HashMap::default();
-        for suspect in self.reports.values().flat_map(|r| &r.suspects) {
-            *suspects.entry(key_address(*suspect)).or_default() += 1;
+        self.reports.tick(now);
+        let over = self.pending.iter().filter(|(_, p)| now >= p.until);
+        let over: Vec<Arc<str>> = over.map(|(id, _)| id.clone()).collect();
+        for id in over {
+            self.pending.remove(&id);
+            self.roster.touch(&id);
         }
-        self.roster.tick(now, &suspects)
+        self.roster.tick(now, &self.reports.suspects())
     }
 
     /// Whether every upstream that lives has been heard in this term.
@@ -169,39 +162,57 @@
         current: Option<Versioned>,
         register: &Register,
     ) -> State {
-        let instance = ask.instance;
-        let report = Report {
-            at: now,
-            loads: ask.loads,
-            suspects: ask.suspects,
-        };
-        self.reports.insert(instance, report);
-        let version = current.as_ref().map_or(0, |c| c.version);
+        let current_version = current.as_ref().map_or(0, |c| c.version);
         let newer = current.filter(|c| c.version != ask.version);
-        // A roster that is incomplete is sent again once it isn't.
-        let changes = self.roster.revision() + self.turns;
-        let revision = 2 * changes + u64::from(self.is_complete(now));
-        let known = (ask.term, ask.revision) == (self.term, revision);
+        let known = ask.term == self.term
+            && ask.revision == self.roster.changes().revision()
+            && ask.complete == self.is_complete(now);
+        let roster = (!known).then(|| self.record(now, &ask, register));
+        let instance = ask.instance;
+        self.reports.take(now, instance, ask.loads, ask.suspects);
         State {
             age: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
-            version,
+            version: current_version,
             body: newer.map(|c| c.body),
-            roster: (!known).then(|| self.record(now, revision, register)),
-            loads: self.work(Some(instance)).into_values().collect(),
+            roster,
+            work: self.reports.tell(now, instance),
             entries: self.reports.len() as u32,
             voters: Vec::new(),
         }
     }
 
-    fn record(&self, now: Time, revision: u64, register: &Register) -> RosterRecord {
-        let list = self.roster.list();
-        let shown = |e: &Entry| UpstreamRecord::new(e, self.kept(&e.last));
+    /// The next part of the roster that the asker misses.
+    fn record(&self, now: Time, ask: &Sync, register: &Register) -> RosterRecord {
+        let changes = self.roster.changes();
+        let known = if ask.term == self.term {
+            ask.revision
+        } else {
+            0
+        };
+        let since = changes.base(known);
+        let page = changes.after(since).take(PAGE);
+        let (mut upstreams, mut gone) = (Vec::new(), Vec::new());
+        let mut revision = since;
+        for (changed, id) in page {
+            revision = changed;
+            match self.roster.get(id) {
+                Some(e) => upstreams.push(UpstreamRecord::new(e, self.kept(&e.last))),
+                None => gone.push(id.to_string()),
+            }
+        }
+        let more = changes.after(revision).next().is_some();
+        let complete = !more && self.is_complete(now);
+        let departed = if complete { 0 } else { TOLD_DEPARTED };
         RosterRecord {
             term: self.term,
-            revision,
-            complete: self.is_complete(now),
-            upstreams: list.into_iter().map(shown).collect(),
-            departed: register.latest_departed(TOLD_DEPARTED),
+            since,
+            // Of changes that were overtaken by later ones, nothing is left.
+            revision: if more { revision } else { changes.revision() },
+            complete,
+            upstreams,
+            gone,
+            more,
+            departed: register.latest_departed(departed),
         }
     }
 
@@ -220,22 +231,6 @@
         pending.filter(|p| p.born == start.born)
     }
 
-    /// What all entry instances, but for one, have at work, by engine.
-    fn work(&self, but: Option<u64>) -> HashMap<u64, Load> {
-        let mut sums: HashMap<u64, Load> = HashMap::default();
-        let others = self.reports.iter().filter(|(i, _)| Some(**i) != but);
-        for load in others.flat_map(|(_, r)| &r.loads) {
-            let sum = sums.entry(load.engine).or_insert(Load {
-                engine: load.engine,
-                ..Load::default()
-            });
-            sum.memory += load.memory;
-            sum.requests += load.requests;
-            sum.entered += load.entered;
-        }
-        sums
-    }
-
     /// Whether what is known of the upstreams is enough to give orders.
     ///
     /// Before all are heard, engines that hold layers seem to be missing. Once
@@ -253,13 +248,12 @@
         if !self.may_order(now) {
             return Vec::new();
         }
-        let work = self.work(None);
         let settled = self.roster.is_settled(now);
         // While nobody holds layers, the first to announce itself would get
         // those that belong on the fastest.
         let models = configuration.models();
         let models = models.filter(|(s, _)| settled || self.holds_layers(s));
-        let orders: Vec<Placement> = models.flat_map(|(s, m)| self.place(s, m, &work)).collect();
+        let orders: Vec<Placement> = models.flat_map(|(s, m)| self.place(s, m)).collect();
         for order in &orders {
             let pending = Pending {
                 born: order.born,
@@ -268,7 +262,7 @@
                 sure: true,
             };
             self.pending.insert(order.engine.clone(), pending);
-            self.turns += 1;
+            self.roster.touch(&order.engine);
         }
         orders
     }
@@ -283,10 +277,10 @@
         self.members(service).any(|e| e.last.layers.is_some())
     }
 
-    fn place(&self, service: &str, model: &Model, work: &HashMap<u64, Load>) -> Vec<Placement> {
+    fn place(&self, service: &str, model: &Model) -> Vec<Placement> {
         let (entries, workers): (Vec<_>, Vec<_>) = self
             .members(service)
-            .filter_map(|e| Some((e, self.worker(e, model, work)?)))
+            .filter_map(|e| Some((e, self.worker(e, model)?)))
             .unzip();
         let moves = placement::plan(model, &workers);
         let orders = moves.into_iter().map(|m| {
@@ -302,17 +296,17 @@
         orders.collect()
     }
 
-    fn worker(&self, entry: &Entry, model: &Model, work: &HashMap<u64, Load>) -> Option<Worker> {
+    fn worker(&self, entry: &Entry, model: &Model) -> Option<Worker> {
         let last = &entry.last;
         let accelerator = model.accelerator(last.kind.as_deref()?)?;
         let pending = self.pending_of(last);
-        let used = work.get(&address_key(last.address));
+        let used = self.reports.at(address_key(last.address));
         Some(Worker {
             domain: last.domain.clone(),
             size_mb: accelerator.size_mb,
             step_factor: accelerator.step_factor,
             read_factor: accelerator.read_factor,
-            used_mb: used.map_or(0.0, |l| f64::from(l.memory)),
+            used_mb: f64::from(used.memory),
             held: match pending {
                 Some(pending) if pending.sure => Some(pending.range),
                 _ => self.kept(last),
@@ -355,7 +349,7 @@
             return;
         }
         self.pending.remove(&order.engine);
-        self.turns += 1;
+        self.roster.touch(&order.engine);
         self.roster.holds(&order.engine, order.born, order.range);
     }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -38,6 +38,7 @@
 mod call;
 mod measure;
 mod place;
+pub(crate) mod reports;
 
 /// The only group of the replicated log.
 const GROUP: u32 = 0;
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -19,13 +19,13 @@
 /// Pause before the next controller is asked after a failure.
 const PAUSE: Duration = Duration::from_millis(60);
 
-/// Pause before the leader is asked again while an instance that has just
-/// started doesn't know all upstreams. Callers wait for what it learns.
+/// Pause before the leader is asked again while it has more to tell, or while
+/// an instance that has just started doesn't know all upstreams. Callers wait
+/// for what it learns.
 const FILLING: Duration = Duration::from_millis(80);
 
-/// Entry instances up to which the pause is that short. Each answer holds the
-/// whole roster while it grows: with more instances the pause grows too, so that
-/// the leader sends no more than to these.
+/// Entry instances up to which the pause is that short. With more of them the
+/// pause grows too, so that the leader sends no more than to these.
 const FILLING_ENTRIES: u32 = 30;
 
 /// Whom to ask: the leader as last heard of, else one after the other.
@@ -81,11 +81,12 @@
 
     /// Pause after an answer.
     fn pause(&self) -> Duration {
-        let filling = hold::is_starting(self.started, self.now()) && !self.view().is_complete();
-        if !filling {
+        let view = self.view();
+        let starting = hold::is_starting(self.started, self.now()) && !view.is_complete();
+        if !starting && !view.has_more() {
             return self.poll;
         }
-        let crowd = self.view().entries.max(FILLING_ENTRIES);
+        let crowd = view.entries.max(FILLING_ENTRIES);
         (FILLING * crowd / FILLING_ENTRIES).min(self.poll)
     }
 
@@ -108,7 +109,9 @@
             Ok(Some(Answer::State(state))) => {
                 targets.learn(state.voters.iter().copied().map(InstanceId));
                 targets.leader = Some(target);
-                self.shared().loads.learn(&state.loads);
+                if let Some(work) = &state.work {
+                    self.shared().loads.learn(&work.loads);
+                }
                 let before = self.view().version();
                 let learnt = self.learn(sent, state);
                 let version = self.view().version();
@@ -150,6 +153,7 @@
             version: view.version(),
             term,
             revision,
+            complete: view.is_complete(),
             loads: shared.loads.report(),
             suspects: shared.health.dead(now),
         }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -50,6 +50,11 @@
     revision: u64,
     /// Whether `services` holds every upstream that lives.
     complete: bool,
+    /// Whether the leader had more to tell.
+    more: bool,
+    /// Upstreams in `services` that the leader hasn't told of since it began
+    /// anew. Empty once the roster is complete.
+    unheard: Arc<HashSet<Arc<str>>>,
 }
 
 impl View {
@@ -63,6 +68,8 @@
             term: 0,
             revision: 0,
             complete: false,
+            more: false,
+            unheard: Arc::default(),
         }
     }
 
@@ -82,6 +89,11 @@
         self.complete
     }
 
+    /// Whether the leader has more to tell already.
+    pub(crate) fn has_more(&self) -> bool {
+        self.more
+    }
+
     /// Whether the configuration may be acted on.
     pub(crate) fn is_confirmed(&self, now: Time) -> bool {
         self.table.is_some() && now < self.until
@@ -92,7 +104,7 @@
     pub(crate) fn learn(&mut self, sent: Time, state: State, lease: Duration) -> bool {
         // A deposed leader that doesn't know yet may answer late. Nothing ever
         // goes back.
-        if state.version < self.version() || self.is_older(&state) {
+        if state.version < self.version() || self.is_unfit(&state) {
             return false;
         }
         if let Some(body) = &state.body {
@@ -108,7 +120,7 @@
             return false;
         }
         if let Some(record) = state.roster {
-            self.replace(record);
+            self.merge(record);
         }
         self.entries = state.entries.max(1);
         // The leader confirmed `age` before the question reached it, and it
@@ -119,52 +131,67 @@
         true
     }
 
-    fn is_older(&self, state: &State) -> bool {
-        let roster = state.roster.as_ref();
-        roster.is_some_and(|r| (r.term, r.revision) < (self.term, self.revision))
+    /// Whether the roster comes from a deposed leader, or goes on after
+    /// another part than this view has.
+    fn is_unfit(&self, state: &State) -> bool {
+        let Some(roster) = &state.roster else {
+            return false;
+        };
+        let fits = roster.since == 0 || (roster.term, roster.since) == self.roster();
+        roster.term < self.term || !fits
     }
 
-    /// Takes in a roster. Until a new leader has heard all upstreams, those
-    /// that it doesn't list stay, but for the ones that have left.
-    fn replace(&mut self, record: RosterRecord) {
-        let departed: HashMap<&str, u64> = record
-            .departed
-            .iter()
-            .map(|d| (d.id.as_str(), d.born))
-            .collect();
-        let listed: HashSet<u64> = record.upstreams.iter().map(|u| u.address).collect();
-        let mut services = Services::default();
-        if !record.complete {
-            for (service, upstreams) in &*self.services {
-                let left = |u: &&Upstream| departed.get(&*u.id).is_some_and(|&b| u.born <= b);
-                let kept = upstreams
-                    .iter()
-                    .filter(|u| !listed.contains(&u.key) && !left(u));
-                services.insert(service.clone(), kept.cloned().collect());
-            }
+    /// Takes in a part of the roster. Until the leader has told of all that it
+    /// heard, and has heard all, those of which it hasn't told stay, but for
+    /// the ones that have left.
+    fn merge(&mut self, record: RosterRecord) {
+        let mut services = Services::clone(&self.services);
+        let mut unheard = HashSet::clone(&self.unheard);
+        if record.since == 0 {
+            let known = services.values().flatten();
+            unheard = known.map(|u| u.id.clone()).collect();
         }
-        for upstream in record.upstreams {
+        let mut dropped: HashSet<&str> = record.gone.iter().map(String::as_str).collect();
+        dropped.extend(record.upstreams.iter().map(|u| u.id.as_str()));
+        let departed = record.departed.iter().map(|d| (d.id.as_str(), d.born));
+        let departed: HashMap<&str, u64> = departed.collect();
+        let taken: HashSet<u64> = record.upstreams.iter().map(|u| u.address).collect();
+        unheard.retain(|id| !dropped.contains(&**id));
+        let stays = |u: &Upstream| {
+            let left = departed.get(&*u.id).is_some_and(|&b| u.born <= b);
+            let lost = record.complete && unheard.contains(&u.id);
+            !dropped.contains(&*u.id) && !taken.contains(&u.key) && !left && !lost
+        };
+        for upstreams in services.values_mut() {
+            upstreams.retain(stays);
+        }
+        for upstream in &record.upstreams {
             let service = upstream.service.clone();
             services.entry(service).or_default().push(upstream.into());
         }
+        if record.complete {
+            unheard.clear();
+        }
         self.services = Arc::new(services);
+        self.unheard = Arc::new(unheard);
         self.term = record.term;
         self.revision = record.revision;
         self.complete = record.complete;
+        self.more = record.more;
     }
 }
 
-impl From<UpstreamRecord> for Upstream {
-    fn from(record: UpstreamRecord) -> Self {
+impl From<&UpstreamRecord> for Upstream {
+    fn from(record: &UpstreamRecord) -> Self {
         Self {
             layers: record.range(),
-            id: record.id.into(),
+            id: record.id.as_str().into(),
             born: record.born,
             key: record.address,
             address: key_address(record.address),
-            domain: record.domain,
+            domain: record.domain.clone(),
             slots: record.slots,
-            kind: record.kind,
+            kind: record.kind.clone(),
             late: record.late,
         }
     }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -5,9 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use self::changes::Changes;
 use crate::clock::Time;
 use crate::collections::HashMap;
 
+mod changes;
+
 /// Heartbeats that an upstream may miss before it is avoided where another
 /// can serve. One may be lost with the instance that it was sent to; the
 /// sender then asks the next one within a second.
@@ -112,11 +115,13 @@
 pub(crate) struct Roster {
     beat: Duration,
     entries: HashMap<Arc<str>, Entry>,
+    /// Ids of `entries` by address, at which only one can be.
+    addresses: HashMap<SocketAddrV4, Arc<str>>,
     /// Starts that must not come back: left, or replaced at their address.
     /// Holds the `born` of the latest.
     ended: HashMap<Arc<str>, u64>,
-    /// Grows with each change that instances must hear of.
-    revision: u64,
+    /// What instances must hear of.
+    changes: Changes,
     /// When an upstream last appeared.
     joined: Option<Time>,
 }
@@ -127,8 +132,9 @@
         Self {
             beat,
             entries: HashMap::default(),
+            addresses: HashMap::default(),
             ended: HashMap::default(),
-            revision: 1,
+            changes: Changes::default(),
             joined: None,
         }
     }
@@ -143,9 +149,7 @@
         if known.is_some_and(|k| (k.born, k.sequence) >= (news.born, news.sequence)) {
             return Heard::Stale;
         }
-        if known.is_none_or(|k| differs(k, &news)) {
-            self.revision += 1;
-        }
+        let changed = known.is_none_or(|k| differs(k, &news));
         self.displace(&news);
         let entry = Entry {
             heard: now,
@@ -153,9 +157,14 @@
             last: news,
         };
         let id = entry.last.id.clone();
-        let before = self.entries.insert(id, entry);
-        if before.is_some_and(|b| b.late) {
-            self.revision += 1;
+        let address = entry.last.address;
+        let before = self.entries.insert(id.clone(), entry);
+        if let Some(before) = before.as_ref().filter(|b| b.last.address != address) {
+            self.addresses.remove(&before.last.address);
+        }
+        self.addresses.insert(address, id.clone());
+        if changed || before.is_some_and(|b| b.late) {
+            self.changes.note(&id);
         }
         if !fresh {
             return Heard::Known;
@@ -175,8 +184,22 @@
         *latest = (*latest).max(born);
         let gone = self.entries.get(id).is_some_and(|e| e.last.born <= born);
         if gone {
-            self.entries.remove(id);
-            self.revision += 1;
+            self.remove(id);
+        }
+    }
+
+    fn remove(&mut self, id: &Arc<str>) {
+        if let Some(entry) = self.entries.remove(id) {
+            self.addresses.remove(&entry.last.address);
+            self.changes.leave(id);
+        }
+    }
+
+    /// Notes that instances must hear of an upstream, for what isn't part of
+    /// its announcements.
+    pub(crate) fn touch(&mut self, id: &Arc<str>) {
+        if self.entries.contains_key(id) {
+            self.changes.note(id);
         }
     }
 
@@ -186,7 +209,8 @@
         let Some(entry) = entry else { return };
         if entry.last.layers != Some(range) {
             entry.last.layers = Some(range);
-            self.revision += 1;
+            let id = entry.last.id.clone();
+            self.changes.note(&id);
         }
     }
 
@@ -208,15 +232,14 @@
             let silent = now.since(entry.heard);
             if silent >= late && !entry.late {
                 entry.late = true;
-                self.revision += 1;
+                self.changes.note(id);
             }
             if silent >= lost {
                 dropped.push(id.clone());
             }
         }
         for id in &dropped {
-            self.entries.remove(id);
-            self.revision += 1;
+            self.remove(id);
         }
         dropped
     }
@@ -233,8 +256,9 @@
         self.entries.get(id)
     }
 
-    pub(crate) fn revision(&self) -> u64 {
-        self.revision
+    /// What changed, and when.
+    pub(crate) fn changes(&self) -> &Changes {
+        &self.changes
     }
 
     /// Whether no upstream has appeared for a heartbeat and a bit.
@@ -250,9 +274,9 @@
     /// crashed and another start took the address. Believed, it would bring
     /// requests to an upstream under a wrong name, which refuses each.
     fn is_superseded(&self, now: Time, news: &Announcement) -> bool {
-        let mut others = self.entries.values();
-        let holder = others.find(|e| e.last.address == news.address && e.last.id != news.id);
-        let Some(holder) = holder else { return false };
+        let Some(holder) = self.holder(news) else {
+            return false;
+        };
         if news.born != holder.last.born {
             return news.born < holder.last.born;
         }
@@ -262,12 +286,17 @@
 
     /// Ends whoever held the address before.
     fn displace(&mut self, news: &Announcement) {
-        let taken = |e: &&Entry| e.last.address == news.address && e.last.id != news.id;
-        let before = self.entries.values().find(taken);
+        let before = self.holder(news);
         if let Some((id, born)) = before.map(|e| (e.last.id.clone(), e.last.born)) {
             self.end(&id, born);
         }
     }
+
+    /// Another upstream at the address of the news.
+    fn holder(&self, news: &Announcement) -> Option<&Entry> {
+        let id = self.addresses.get(&news.address);
+        self.entries.get(id.filter(|id| **id != news.id)?)
+    }
 }
 
 /// Whether instances must hear of the difference.
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -31,6 +31,9 @@
     /// Addresses of upstreams that gave it no answer lately.
     #[prost(uint64, repeated, tag = "6")]
     pub(crate) suspects: Vec<u64>,
+    /// Whether the roster that it has holds every upstream that lives.
+    #[prost(bool, tag = "7")]
+    pub(crate) complete: bool,
 }
 
 /// Work on one engine.
@@ -64,9 +67,9 @@
     pub(crate) body: Option<Bytes>,
     #[prost(message, optional, tag = "4")]
     pub(crate) roster: Option<RosterRecord>,
-    /// What the other instances have at work.
-    #[prost(message, repeated, tag = "5")]
-    pub(crate) loads: Vec<Load>,
+    /// What the other instances have at work; not in each answer.
+    #[prost(message, optional, tag = "5")]
+    pub(crate) work: Option<Work>,
     /// Entry instances that asked lately.
     #[prost(uint32, tag = "6")]
     pub(crate) entries: u32,
@@ -75,22 +78,40 @@
     pub(crate) voters: Vec<u64>,
 }
 
-/// The roster as the leader has it.
+/// Work on all engines.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Work {
+    #[prost(message, repeated, tag = "1")]
+    pub(crate) loads: Vec<Load>,
+}
+
+/// A part of the roster as the leader has it: what changed after a revision.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct RosterRecord {
     #[prost(uint64, tag = "1")]
     pub(crate) term: u64,
+    /// Revision that the asker has once it took this in.
     #[prost(uint64, tag = "2")]
     pub(crate) revision: u64,
-    /// Whether the leader has led long enough to have heard every upstream
-    /// that lives. Until then, ones that it doesn't list may still serve.
+    /// Whether the asker then knows every upstream that lives: nothing is left
+    /// to be told, and the leader has led long enough to have heard all. Until
+    /// then, ones that weren't told may still serve.
     #[prost(bool, tag = "3")]
     pub(crate) complete: bool,
     #[prost(message, repeated, tag = "4")]
     pub(crate) upstreams: Vec<UpstreamRecord>,
-    /// Ids of those that have left, with their starts, newest last.
+    /// Starts that have left, newest last; told until the roster is complete.
     #[prost(message, repeated, tag = "5")]
     pub(crate) departed: Vec<crate::register::Departed>,
+    /// Revision after which the changes are told; 0 begins anew.
+    #[prost(uint64, tag = "6")]
+    pub(crate) since: u64,
+    /// Ids that aren't in the roster any more.
+    #[prost(string, repeated, tag = "7")]
+    pub(crate) gone: Vec<String>,
+    /// Whether there is more to be told already.
+    #[prost(bool, tag = "8")]
+    pub(crate) more: bool,
 }
 
 /// One upstream.
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -5,10 +5,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use prost::Message;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 use super::at;
+use crate::clock::Time;
 use crate::collections::HashMap;
 use crate::controller::board::Board;
+use crate::controller::reports::Reports;
+use crate::entry::view::View;
 use crate::register::{self, Register};
 use crate::roster::{Announcement, Heard, Range, Roster};
 use crate::sync::{Load, Sync};
@@ -166,8 +172,9 @@
     board.sync(at(1), question(1, vec![load(10)]), age, None, &register);
     board.sync(at(2), question(2, vec![load(20)]), age, None, &register);
     let state = board.sync(at(3), question(3, vec![load(40)]), age, None, &register);
-    assert_eq!(state.loads.len(), 1);
-    assert_eq!((state.loads[0].memory, state.loads[0].requests), (30, 2));
+    let loads = state.work.unwrap().loads;
+    assert_eq!(loads.len(), 1);
+    assert_eq!((loads[0].memory, loads[0].requests), (30, 2));
     assert_eq!(state.entries, 3);
 }
 
@@ -248,3 +255,177 @@
     assert!(roster.get("i-1").unwrap().late);
     assert_eq!(roster.tick(at(2400), &two).len(), 1);
 }
+
+/// What instances know who ask a board until it has nothing more to tell.
+fn follow(board: &mut Board, now: Time, view: &mut View, register: &Register) -> usize {
+    let mut most = 0;
+    loop {
+        let (term, revision) = view.roster();
+        let ask = Sync {
+            instance: 1,
+            term,
+            revision,
+            complete: view.is_complete(),
+            ..Sync::default()
+        };
+        let state = board.sync(now, ask, Duration::ZERO, None, register);
+        most = most.max(state.encoded_len());
+        assert!(view.learn(now, state, BEAT));
+        if !view.has_more() {
+            return most;
+        }
+    }
+}
+
+fn known(view: &View) -> Vec<&str> {
+    let mut ids: Vec<_> = view.services.values().flatten().map(|u| &*u.id).collect();
+    ids.sort_unstable();
+    ids
+}
+
+fn member(i: u16, sequence: u64) -> Announcement {
+    let mut news = news(&format!("i-{i:04}"), sequence);
+    let [high, low] = i.to_be_bytes();
+    news.address.set_ip([10, 2, high, low].into());
+    news
+}
+
+#[test]
+fn sync_large_fleet() {
+    // 300 instances before 3,000 engines: the leader answered each change with
+    // the whole roster, 230 KB to each instance. Its link was full for seconds,
+    // what waited for it took 257 MB, and the process was ended for memory.
+    let (register, _) = Register::new();
+    let mut board = Board::new(BEAT);
+    board.lead(at(0), 1, &register);
+    for i in 0..3000 {
+        board.hear(at(1), member(i, 1));
+    }
+    let mut view = View::new();
+    let most = follow(&mut board, at(10), &mut view, &register);
+    assert_eq!(known(&view).len(), 3000);
+    assert!(most < 16_000, "{most} bytes in one answer");
+    board.hear(at(20), member(3000, 1));
+    let change = follow(&mut board, at(30), &mut view, &register);
+    assert_eq!(known(&view).len(), 3001);
+    assert!(change < 2_000, "{change} bytes for one change");
+}
+
+#[test]
+fn sync_random_changes() {
+    // Upstreams come, go and change while one instance asks now and then, one
+    // falls behind, and the leader changes: both end up with the roster.
+    for seed in 0..40 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let (register, _) = Register::new();
+        let mut board = Board::new(BEAT);
+        let mut views = [View::new(), View::new()];
+        let (mut term, mut now) = (1, 0);
+        board.lead(at(now), term, &register);
+        for step in 1..600 {
+            now += 20;
+            match rng.random_range(0..60) {
+                0 => {
+                    term += 1;
+                    board.lead(at(now), term, &register);
+                }
+                1..8 => {
+                    follow(&mut board, at(now), &mut views[0], &register);
+                }
+                8 => {
+                    follow(&mut board, at(now), &mut views[1], &register);
+                }
+                _ => {
+                    let mut news = member(rng.random_range(0..400), step);
+                    news.slots = rng.random_range(1..3);
+                    board.hear(at(now), news);
+                }
+            }
+            board.tick(at(now));
+        }
+        now += 4000;
+        board.hear(at(now), member(500, 1));
+        board.tick(at(now));
+        for view in &mut views {
+            follow(&mut board, at(now), view, &register);
+            assert!(view.is_complete(), "seed {seed}");
+        }
+        assert_eq!(known(&views[0]), known(&views[1]), "seed {seed}");
+        let all = known(&views[0]).into_iter();
+        assert!(
+            all.into_iter().all(|id| board.upstream(id).is_some()),
+            "seed {seed}"
+        );
+        assert_eq!(
+            board.counts().upstreams.values().sum::<u32>() as usize,
+            known(&views[0]).len()
+        );
+    }
+}
+
+#[test]
+fn sync_forgotten_departures() {
+    // An instance is cut off while more upstreams leave than are remembered.
+    // Told only what is remembered, it would go on sending to the others.
+    let (register, _) = Register::new();
+    let mut board = Board::new(BEAT);
+    board.lead(at(0), 1, &register);
+    board.hear(at(1), member(0, 1));
+    let mut view = View::new();
+    follow(&mut board, at(4000), &mut view, &register);
+    assert_eq!(known(&view), ["i-0000"]);
+    board.tick(at(5000));
+    for i in 1..=5000 {
+        board.hear(at(5000), member(i, 1));
+    }
+    board.tick(at(11_000));
+    board.hear(at(11_000), member(6000, 1));
+    follow(&mut board, at(11_000), &mut view, &register);
+    assert_eq!(known(&view), ["i-6000"]);
+}
+
+#[test]
+fn reports_tell_seldom() {
+    // 300 instances before 3,000 busy engines: told of all work in each answer,
+    // they would be sent 72 MB a second, over three times the leader's link.
+    let mut reports = Reports::default();
+    let loads = |i: u64| (0..10).map(move |k| (i * 10 + k) % 3000);
+    let load = |engine| Load {
+        engine,
+        memory: 5,
+        requests: 1,
+        entered: 1,
+    };
+    let mut bytes = 0;
+    for now in (0..20_000).step_by(250) {
+        for i in 0..300 {
+            let own = loads(i).map(load).collect();
+            reports.take(at(now), i, own, Vec::new());
+            let told = reports.tell(at(now), i);
+            bytes += told.map_or(0, |w| w.encoded_len());
+        }
+    }
+    assert!(bytes / 20 < 6_000_000, "{} bytes a second", bytes / 20);
+    assert!(bytes / 20 > 500_000, "{} bytes a second", bytes / 20);
+    reports.tick(at(22_000));
+    assert_eq!((reports.len(), reports.at(7).requests), (0, 0));
+}
+
+#[test]
+fn reports_sum_replaced() {
+    let mut reports = Reports::default();
+    let load = |memory, requests| Load {
+        engine: 7,
+        memory,
+        requests,
+        entered: 0,
+    };
+    reports.take(at(0), 1, vec![load(10, 1)], Vec::new());
+    reports.take(at(0), 2, vec![load(20, 2)], Vec::new());
+    reports.take(at(1), 1, vec![load(30, 3)], Vec::new());
+    assert_eq!((reports.at(7).memory, reports.at(7).requests), (50, 5));
+    reports.take(at(2), 1, Vec::new(), Vec::new());
+    assert_eq!((reports.at(7).memory, reports.at(7).requests), (20, 2));
+    reports.take(at(2), 2, vec![load(5, 0)], Vec::new());
+    assert_eq!((reports.at(7).memory, reports.at(7).requests), (0, 0));
+}
--- a/src/tests/view.rs
+++ b/src/tests/view.rs
@@ -32,7 +32,14 @@
         revision,
         complete,
         upstreams: ids.iter().enumerate().map(upstream).collect(),
-        departed: Vec::new(),
+        ..RosterRecord::default()
+    }
+}
+
+fn with(roster: RosterRecord) -> State {
+    State {
+        roster: Some(roster),
+        ..state(7)
     }
 }
 
@@ -86,10 +93,6 @@
     // A new leader has heard only some engines when it is first asked. The
     // others still serve; dropped, most requests would be refused for seconds.
     let mut view = View::new();
-    let with = |roster| State {
-        roster: Some(roster),
-        ..state(7)
-    };
     view.learn(at(0), with(roster(1, 5, true, &["a", "b", "c"])), LEASE);
     let mut partial = roster(2, 2, false, &["a"]);
     partial.departed.push(Departed {
@@ -98,17 +101,59 @@
     });
     view.learn(at(100), with(partial), LEASE);
     assert_eq!(ids(&view), ["a", "c"]);
-    view.learn(at(3000), with(roster(2, 3, true, &["a"])), LEASE);
+    let mut rest = roster(2, 3, true, &[]);
+    rest.since = 2;
+    view.learn(at(3000), with(rest), LEASE);
     assert_eq!(ids(&view), ["a"]);
 }
 
+#[test]
+fn learn_part_by_part() {
+    // A new leader tells of a large fleet in several answers. What it hasn't
+    // told of yet still serves; what it told of doesn't go when the last part
+    // comes, though that part doesn't name it.
+    let mut view = View::new();
+    view.learn(at(0), with(roster(1, 9, true, &["a", "b", "c"])), LEASE);
+    let mut first = roster(2, 1, false, &["a"]);
+    first.more = true;
+    assert!(view.learn(at(100), with(first), LEASE));
+    assert!(view.has_more());
+    assert_eq!(ids(&view), ["a", "b", "c"]);
+    let mut last = roster(2, 2, true, &["b"]);
+    last.since = 1;
+    assert!(view.learn(at(200), with(last), LEASE));
+    assert_eq!(ids(&view), ["a", "b"]);
+    assert!(view.is_complete() && !view.has_more());
+}
+
+#[test]
+fn learn_changes_only() {
+    // One engine leaves and one comes: the answer names just these two, and
+    // the others stay.
+    let mut view = View::new();
+    view.learn(at(0), with(roster(1, 3, true, &["a", "b"])), LEASE);
+    let mut change = roster(1, 5, true, &["c"]);
+    change.since = 3;
+    change.gone.push("a".to_owned());
+    view.learn(at(100), with(change), LEASE);
+    assert_eq!(ids(&view), ["b", "c"]);
+}
+
+#[test]
+fn learn_unfit_part() {
+    // A part that goes on behind one that was lost on the way would leave out
+    // what that one told.
+    let mut view = View::new();
+    view.learn(at(0), with(roster(1, 3, true, &["a"])), LEASE);
+    let mut change = roster(1, 6, true, &["c"]);
+    change.since = 5;
+    assert!(!view.learn(at(100), with(change), LEASE));
+    assert_eq!((ids(&view), view.roster()), (vec!["a"], (1, 3)));
+}
+
 #[test]
 fn learn_deposed_leader() {
     let mut view = View::new();
-    let with = |roster| State {
-        roster: Some(roster),
-        ..state(7)
-    };
     view.learn(at(0), with(roster(3, 2, true, &["a"])), LEASE);
     assert!(!view.learn(at(100), with(roster(2, 90, true, &["a", "b"])), LEASE));
     assert_eq!(ids(&view), ["a"]);
