--- a/src/decide/load.rs
+++ b/src/decide/load.rs
@@ -18,18 +18,20 @@
 /// 0.698 with one and a half, one play each).
 const PART: f64 = 1.5;
 
-/// Room that must be left on each engine of a request's path, in times its own
-/// tokens; and the part of it that is no longer asked for once the request has
-/// waited as long as it may.
+/// Share of the memory for requests that must be left free on each engine of the
+/// path of a usual request, less for a shorter and more for a longer one; and the
+/// part of it that is no longer asked for once the request has waited as long as
+/// it may.
 ///
 /// What is left covers answers that grow longer than expected and what other
 /// instances place meanwhile; and when room is short, a short request finds some
 /// sooner than a long one, which would keep it from several. Under three and a
 /// half times the usual load for 25 s, 2,589 requests were on time while eight
 /// hundredths of the memory were left free for all alike, and 4,201 with this;
-/// the worst-served kind and length got 0.29 and 0.36 of its worth.
-const SPARE: f64 = 11.0;
-
+/// the worst-served kind and length got 0.29 and 0.36 of its worth. A share, not
+/// a number of requests: eleven requests are a tenth of a fast engine's room and
+/// nearly half of a small one's.
+const SPARE: f64 = 0.11;
 /// Times the usual length beyond which a request needs no more room left, so that
 /// no length is shut out; waiting makes up for it as well. With one, 3,603 of the
 /// same requests were on time.
@@ -149,6 +151,8 @@
     pub(crate) step_ms: f64,
     /// Milliseconds for one layer to read one prompt token.
     pub(crate) read_ms: f64,
+    /// Memory for requests in all, in megabytes.
+    pub(crate) memory_mb: f64,
     /// Memory for requests that is left, in megabytes.
     pub(crate) room_mb: f64,
     /// Share of the memory for requests that is in use.
@@ -166,16 +170,17 @@
         Self {
             step_ms: accelerator.step_factor * step / layers,
             read_ms: accelerator.read_factor * model.read_ms / layers,
+            memory_mb: memory,
             room_mb: memory - load.memory,
             used: (load.memory / memory.max(1.0)).min(1.0),
         }
     }
 }
 
-/// Tokens for which an engine must have room besides those of a fresh request
-/// of `tokens`, after it waited for the part `waited` of the time that it may.
-/// `usual` are those of a usual request.
+/// Share of an engine's memory for requests that must be free besides what a
+/// fresh request of `tokens` takes, after it waited for the part `waited` of the
+/// time that it may. `usual` are the tokens of a usual request.
 pub(crate) fn spare(tokens: f64, usual: f64, waited: f64) -> f64 {
     let waits = 1.0 - SHRINKS * waited.clamp(0.0, 1.0);
-    SPARE * tokens.min(LONG * usual) * waits
+    SPARE * (tokens / usual).min(LONG) * waits
 }
--- a/src/decide/path.rs
+++ b/src/decide/path.rs
@@ -46,6 +46,8 @@
     pub(crate) step_ms: f64,
     /// Milliseconds for one layer to read one prompt token.
     pub(crate) read_ms: f64,
+    /// Memory for requests in all, in megabytes.
+    pub(crate) memory_mb: f64,
     /// Memory for requests that is left, in megabytes.
     pub(crate) room_mb: f64,
     /// Share of the memory for requests that is in use.
@@ -73,8 +75,9 @@
     pub(crate) crosses: bool,
     /// Failure domain of the caller.
     pub(crate) home: usize,
-    /// Tokens for which an engine must have room besides the request's own; none
-    /// for one that has begun already, see [`crate::decide::load::spare`].
+    /// Share of an engine's memory for requests that must be free besides the
+    /// request's own; none for one that has begun already, see
+    /// [`crate::decide::load::spare`].
     pub(crate) spare: f64,
 }
 
@@ -94,7 +97,7 @@
     /// has a part of the answer.
     fn fits(&self, candidate: &Candidate, layers: u32) -> bool {
         let begun = self.spare <= 0.0;
-        let spare = self.spare * self.token_mb * f64::from(layers);
+        let spare = self.spare * candidate.memory_mb;
         (candidate.open || begun) && self.memory(layers) + spare <= candidate.room_mb
     }
 
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -133,6 +133,7 @@
         domain: domains.iter().position(|d| *d == upstream.domain)?,
         step_ms: speed.step_ms,
         read_ms: speed.read_ms,
+        memory_mb: speed.memory_mb,
         room_mb: speed.room_mb,
         open: loads.may_add(upstream.key, speed.room_mb, usual, instances),
         used: speed.used,
--- a/src/tests/decide/overload.rs
+++ b/src/tests/decide/overload.rs
@@ -128,6 +128,7 @@
         domain: 0,
         step_ms: 1.0,
         read_ms: 0.1,
+        memory_mb: MEMORY,
         room_mb,
         open: loads.may_add(ENGINE, room_mb, USUAL, INSTANCES as u32),
         used: 0.0,
--- a/src/tests/decide/path.rs
+++ b/src/tests/decide/path.rs
@@ -23,6 +23,7 @@
         domain: 0,
         step_ms: 0.1,
         read_ms: 0.001,
+        memory_mb: 10_000.0,
         room_mb: 10_000.0,
         used: 0.0,
         open: true,
