--- a/src/decide/path.rs
+++ b/src/decide/path.rs
@@ -76,8 +76,8 @@
     /// Failure domain of the caller.
     pub(crate) home: usize,
     /// Share of an engine's memory for requests that must be free besides the
-    /// request's own; none for one that has begun already, see
-    /// [`crate::decide::load::spare`].
+    /// request's own; see [`crate::decide::load::spare`]. None for one that has
+    /// begun already: its caller has a part of the answer.
     pub(crate) spare: f64,
 }
 
@@ -93,12 +93,12 @@
     }
 
     /// Whether a candidate has room for the request in `layers` layers. One that
-    /// has begun isn't held back to leave other instances their part: its caller
-    /// has a part of the answer.
+    /// needs no spare room, since it has begun or would starve, isn't held back
+    /// to leave other instances their part either.
     fn fits(&self, candidate: &Candidate, layers: u32) -> bool {
-        let begun = self.spare <= 0.0;
+        let first = self.spare <= 0.0;
         let spare = self.spare * candidate.memory_mb;
-        (candidate.open || begun) && self.memory(layers) + spare <= candidate.room_mb
+        (candidate.open || first) && self.memory(layers) + spare <= candidate.room_mb
     }
 
     /// Tokens that it takes, with its answer.
--- a/src/decide/waiting.rs
+++ b/src/decide/waiting.rs
@@ -37,7 +37,8 @@
 /// them cover nearly all, as for retransmission timers (RFC 6298).
 const DEVIATIONS: f64 = 4.0;
 
-/// Pace of a line before anything was seen, in seconds.
+/// What is taken for granted before anything was seen, in seconds: a domain frees
+/// some thirty places a second, and first events take 50 ms on a quiet day.
 const FIRST_TURN: f64 = 0.03;
 const FIRST_EVENT: f64 = 0.05;
 const FIRST_SPREAD: f64 = 0.02;
