--- a/src/decide/load.rs
+++ b/src/decide/load.rs
@@ -27,16 +27,17 @@
 /// instances place meanwhile; and when room is short, a short request finds some
 /// sooner than a long one, which would keep it from several. Under three and a
 /// half times the usual load for 25 s, 2,589 requests were on time while eight
-/// hundredths of the memory were left free for all alike, and 4,201 with this;
-/// the worst-served kind and length got 0.29 and 0.36 of its worth. A share, not
-/// a number of requests: eleven requests are a tenth of a fast engine's room and
-/// nearly half of a small one's.
+/// hundredths of the memory were left free for all alike, and 3,957 with this;
+/// the worst-served kind and length got 0.29 and 0.38 of its worth (one play
+/// each). A share, not a number of requests: eleven requests are a tenth of a fast
+/// engine's room and nearly half of a small one's.
 const SPARE: f64 = 0.11;
 const SHRINKS: f64 = 0.3;
 
 /// Times the usual length beyond which a request needs no more room left, so that
 /// no length is shut out; waiting makes up for it as well. With one, 3,603 of the
-/// same requests were on time.
+/// same requests were on time, with two 4,201 (one play each, room left in requests
+/// instead of as a share).
 const LONG: f64 = 2.0;
 
 /// Work at one engine.
