--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Formatter, linter and every test, with the same verdict on each run.
-# Tests named in KNOWN-RED.txt are printed and passed over; nothing else is.
+# Tests named in KNOWN-RED.txt are printed and passed over; nothing else is. Its
+# lines that begin with "run" are of runs by hand and pass over nothing.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -9,6 +10,7 @@
     while IFS= read -r line; do
         case "$line" in '' | '#'*) continue ;; esac
         echo "KNOWN RED: $line"
+        case "$line" in 'run '*) continue ;; esac
         skips+=(--skip "${line%%:*}")
     done < KNOWN-RED.txt
 fi
--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -23,6 +23,27 @@
     assert_eq!(stage.world().wrong(), [""; 0]);
 }
 
+/// The engines of every domain reset a part of their streams and answer the rest.
+/// An officer's next letters must be written all the same. The instance left out
+/// each engine that had reset one, for 1.5 to 6 s; with all holders of a layer
+/// left out it saw no path and refused every letter at once: 282 refusals with
+/// `no_upstream` (407) in 8 s while no layer was missing (307), after `cut` (408)
+/// had named the first engine of each domain.
+#[test]
+fn letters_written_by_failing_engines() {
+    let stage = Stage::start();
+    let models = stage.engines.iter().filter(|e| e.service == "models");
+    for engine in models {
+        stage.world().fault(&engine.id, Fault::CutAfter(2));
+    }
+    for i in 0..12 {
+        let attempt = format!("f-{i}");
+        let (status, body) = stage.ask(0, "/letters/x", &attempt, KEY);
+        assert_eq!((status, body), (200, whole_stream()), "letter {i}");
+    }
+    assert_eq!(stage.world().wrong(), [""; 0]);
+}
+
 /// Engines take a booking and say nothing more. It may have run, so it must
 /// not be sent again, and the caller must not be told that it did not run.
 #[test]
