Use engines that fail in part where nothing else can serve

Cause: each instance leaves an engine out for 1.5 to 6 s after a failure; with the only holders of the first layers of all domains left out it saw no path. Why it holds: where there is no path over sound engines, a second search takes those that are left out but live: they broke off or refused, or their heartbeats still come 1.5 s after a silence. One that has just gone dark stays out.

--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -5,6 +5,9 @@
 //! lost time. It is left out at once, for a short time that doubles with each
 //! further failure, so that one lost answer costs little and a dead engine is
 //! asked rarely.
+//!
+//! An engine that fails only a part of its requests is left out as well. Where all
+//! holders of a layer are left out, those that answer are used all the same.
 
 use std::time::Duration;
 
@@ -30,6 +33,20 @@
 /// Time without a failure after which earlier ones are forgotten.
 const FORGET: Duration = Duration::from_secs(10);
 
+/// Time after the first sign of death from which an upstream that isn't known to
+/// be gone counts as alive. The heartbeats of one that died are late by then.
+const PROVED: Duration = Duration::from_millis(1_500);
+
+/// Whether an upstream may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Standing {
+    Sound,
+    /// Left out, but it lives: used where nothing else can serve.
+    Failing,
+    /// Left out, and it looks dead.
+    Dead,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Record {
     failures: u32,
@@ -37,6 +54,8 @@
     refusals: u32,
     last: Time,
     until: Time,
+    /// First sign of death since a request got through.
+    dead: Option<Time>,
 }
 
 /// Failures by address key.
@@ -49,6 +68,32 @@
         self.0.get(&upstream).is_some_and(|r| now < r.until)
     }
 
+    /// Whether an upstream may be used now.
+    ///
+    /// Engines that reset a part of their streams were left out one after the
+    /// other; with all holders of a layer out, an instance refused every request
+    /// at once for as long as 8 s while two of three would have been answered.
+    /// One that looks dead stays out: a request would wait there in vain. But a
+    /// dead one is late within [`PROVED`], so that later on it is only silent to
+    /// some.
+    pub(crate) fn standing(&self, now: Time, upstream: u64, late: bool) -> Standing {
+        let Some(record) = self.0.get(&upstream).filter(|r| now < r.until) else {
+            return Standing::Sound;
+        };
+        let proved = |since| !late && now.since(since) >= PROVED;
+        match record.dead {
+            Some(since) if !proved(since) => Standing::Dead,
+            _ => Standing::Failing,
+        }
+    }
+
+    /// Notes that an upstream did nothing: took no connection, or kept silent.
+    pub(crate) fn silent(&mut self, now: Time, upstream: u64) {
+        self.failed(now, upstream);
+        let record = self.record(now, upstream);
+        record.dead.get_or_insert(now);
+    }
+
     /// Notes a failure.
     pub(crate) fn failed(&mut self, now: Time, upstream: u64) {
         let record = self.record(now, upstream);
@@ -74,6 +119,9 @@
         }
         let out = REFUSED_OUT.saturating_mul(1 << record.refusals.min(8));
         record.refusals += 1;
+        if record.refusals >= DEAD_REFUSALS {
+            record.dead.get_or_insert(now);
+        }
         record.until = now + out.min(MOST_OUT);
     }
 
@@ -81,16 +129,22 @@
     pub(crate) fn succeeded(&mut self, upstream: u64) {
         if let Some(record) = self.0.get_mut(&upstream) {
             record.refusals = 0;
+            record.dead = None;
         }
     }
 
     fn record(&mut self, now: Time, upstream: u64) -> &mut Record {
-        self.0.entry(upstream).or_insert(Record {
+        let record = self.0.entry(upstream).or_insert(Record {
             failures: 0,
             refusals: 0,
             last: now,
             until: now,
-        })
+            dead: None,
+        });
+        if now.since(record.until) >= FORGET {
+            record.dead = None;
+        }
+        record
     }
 
     /// Upstreams that are left out now for a failure, or since they refuse
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -36,6 +36,9 @@
 /// says so only after seconds.
 pub(super) const PATIENCE: u32 = 2;
 
+/// Cause of a failure: an upstream takes no connection.
+const NO_CONNECTION: &str = "connect";
+
 /// Cause of a failure: an engine of the path is dead.
 pub(super) const DEAD_PART: &str = "dead_part";
 
@@ -253,6 +256,7 @@
         let now = self.entry.now();
         match cause {
             REFUSED => self.entry.shared().health.refused(now, culprit),
+            NO_CONNECTION | DEAD_PART => self.entry.shared().health.silent(now, culprit),
             _ => self.entry.shared().health.failed(now, culprit),
         }
         tracing::info!(
@@ -320,7 +324,7 @@
         };
         let address = chosen.upstream.address.into();
         let Ok(connection) = Connection::open_within(address, CONNECT).await else {
-            return failed(Failure::NotRun, "connect");
+            return failed(Failure::NotRun, NO_CONNECTION);
         };
         let request = self.request(&chosen);
         tracing::info!(
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -2,6 +2,7 @@
 
 use super::view::{Services, Upstream, of_service};
 use crate::configuration::Model;
+use crate::decide::health::Standing;
 use crate::decide::load::{Loads, Speed};
 use crate::decide::path::{self, Candidate, Hop, Start, Work};
 use crate::roster::Range;
@@ -9,9 +10,33 @@
 /// Factor on the cost of an engine whose heartbeats are late.
 const LATE: f64 = 4.0;
 
+/// Factor on the cost of an engine that fails a part of its requests. It is used
+/// only where there is no path without such ones, and then as few as can be.
+const FAILING: f64 = 8.0;
+
 /// Half the width of the random factor on an engine's cost.
 const NOISE: f64 = 0.1;
 
+/// Which engines a path may pass through.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Trust {
+    /// Those that aren't left out.
+    Sound,
+    /// Those too that are left out, but live.
+    Living,
+}
+
+impl Trust {
+    /// Factor on the cost of an engine; none of one that may not be used.
+    pub(crate) fn factor(self, standing: Standing) -> Option<f64> {
+        match (self, standing) {
+            (_, Standing::Sound) => Some(1.0),
+            (Self::Living, Standing::Failing) => Some(FAILING),
+            _ => None,
+        }
+    }
+}
+
 /// Engines that a path may use, and what is known of their work.
 pub(crate) struct Pool<'a> {
     /// All engines of the service, also those that may not be used.
@@ -24,20 +49,24 @@
 }
 
 impl<'a> Pool<'a> {
-    /// The engines of `service` that hold layers and are `usable`. `instances`
-    /// share their room.
+    /// The engines of `service` that hold layers and may be used: those to whose
+    /// cost there is a `factor`. `instances` share their room.
     pub(crate) fn new(
         services: &'a Services,
         service: &str,
         model: &Model,
         loads: &Loads,
         instances: u32,
-        usable: impl Fn(&Upstream) -> bool,
+        factor: impl Fn(&Upstream) -> Option<f64>,
     ) -> Self {
         let all = of_service(services, service);
         let domains = domains(all);
-        let of = |u| Some((u, candidate(u, model, loads, instances, &domains)?));
-        let (engines, candidates) = all.iter().filter(|u| usable(u)).filter_map(of).unzip();
+        let of = |u| {
+            let mut candidate = candidate(u, model, loads, instances, &domains)?;
+            candidate.penalty *= factor(u)?;
+            Some((u, candidate))
+        };
+        let (engines, candidates) = all.iter().filter_map(of).unzip();
         Self {
             all,
             domains,
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -15,6 +15,7 @@
 use super::attempt::{DEAD_PART, Run};
 use super::select::Chosen;
 use crate::configuration::Repeat;
+use crate::decide::health::Standing;
 use crate::engine::call;
 use crate::event;
 use crate::metric;
@@ -78,7 +79,7 @@
     async fn reroute(&self, chosen: &mut Chosen) -> Option<u64> {
         let culprit = self.culprit(chosen).await?;
         let now = self.entry.now();
-        self.entry.shared().health.failed(now, culprit);
+        self.entry.shared().health.silent(now, culprit);
         let done = self.lead_around(&[culprit], chosen, DEAD_PART).await;
         (!done).then_some(culprit)
     }
@@ -119,9 +120,15 @@
     /// The engine of the path for which the attempt waits.
     async fn culprit(&self, chosen: &Chosen) -> Option<u64> {
         let now = self.entry.now();
-        let dead = self.entry.shared().health.dead(now);
-        if let Some(known) = dead.into_iter().find(|d| chosen.passes(*d)) {
-            return Some(known);
+        let dead = {
+            let health = &self.entry.shared().health;
+            let mut dead = health.dead(now).into_iter();
+            // One that is only failing may be used, and may just be slow now.
+            let is_dead = |d: &u64| health.standing(now, *d, false) == Standing::Dead;
+            dead.find(|d| chosen.passes(*d) && is_dead(d))
+        };
+        if dead.is_some() {
+            return dead;
         }
         let report = self.ask(chosen, Request::get(order::REPORT), String::new());
         match report.await {
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 
 use super::Entry;
-use super::pool::{self, Pool};
+use super::pool::{self, Pool, Trust};
 use super::view::{Upstream, View, of_service};
 use crate::clock::Time;
 use crate::configuration::Model;
@@ -53,12 +53,23 @@
         pool::given_up(of_service(&view.services, service), &self.booked)
     }
 
-    /// A path around some engines, over others of the same `service`.
+    /// A path around some engines, over others of the same `service`; over
+    /// failing ones where nothing else leads around.
     pub(super) fn detour(&self, service: &str, lost: &[u64], model: &Model) -> Option<Detour> {
+        let over = |trust| self.detour_over(service, lost, model, trust);
+        over(Trust::Sound).or_else(|| over(Trust::Living))
+    }
+
+    fn detour_over(
+        &self,
+        service: &str,
+        lost: &[u64],
+        model: &Model,
+        trust: Trust,
+    ) -> Option<Detour> {
         let view = self.entry.view();
         let now = self.entry.now();
         let shared = self.entry.shared();
-        let sound = |u: &Upstream| !u.late && !shared.health.is_out(now, u.key);
         let mut hops = self.booked.clone();
         let work = Work {
             spare: 0.0,
@@ -66,14 +77,18 @@
         };
         for lost in lost {
             let passed: Vec<u64> = hops.iter().map(|(key, _)| *key).collect();
-            let usable = |u: &Upstream| sound(u) && !passed.contains(&u.key);
+            let factor = |u: &Upstream| {
+                let usable = !u.late && !passed.contains(&u.key);
+                let standing = shared.health.standing(now, u.key, u.late);
+                trust.factor(standing).filter(|_| usable)
+            };
             let pool = Pool::new(
                 &view.services,
                 service,
                 model,
                 &shared.loads,
                 view.entries,
-                usable,
+                factor,
             );
             hops = pool.around(*lost, &hops, &work, rand::rng().random())?;
         }
@@ -163,24 +178,45 @@
         Ok(self.book(upstream.clone(), None, vec![(upstream.key, hop)], PLAIN))
     }
 
+    /// Books a path over sound engines, or over failing ones too where some layer
+    /// has no other holder.
     fn choose_path(
+        self: &Arc<Self>,
+        view: &View,
+        service: &str,
+        model: &Model,
+        work: Work,
+        tried: &[u64],
+    ) -> Result<Chosen, Reason> {
+        let over = |trust| self.path_over(view, service, model, work, tried, trust);
+        match over(Trust::Sound) {
+            Err(Reason::NoUpstream) => over(Trust::Living),
+            found => found,
+        }
+    }
+
+    fn path_over(
         self: &Arc<Self>,
         view: &View,
         service: &str,
         model: &Model,
         mut work: Work,
         tried: &[u64],
+        trust: Trust,
     ) -> Result<Chosen, Reason> {
         let now = self.now();
         let shared = self.shared();
-        let usable = |u: &Upstream| !tried.contains(&u.key) && !shared.health.is_out(now, u.key);
+        let factor = |u: &Upstream| {
+            let standing = shared.health.standing(now, u.key, u.late);
+            trust.factor(standing).filter(|_| !tried.contains(&u.key))
+        };
         let pool = Pool::new(
             &view.services,
             service,
             model,
             &shared.loads,
             view.entries,
-            usable,
+            factor,
         );
         drop(shared);
         // A caller's domain without engines is none of theirs.
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -8,7 +8,7 @@
 use super::platform::CONFIGURATION;
 use crate::configuration::{Model, Repeat};
 use crate::decide::allowance::{Allowance, Bound};
-use crate::decide::health::Health;
+use crate::decide::health::{Health, Standing};
 use crate::decide::hold;
 use crate::decide::members::{self, Seen};
 use crate::decide::pick::{self, Offer};
@@ -140,6 +140,38 @@
     assert!(asked.count() <= 6);
 }
 
+#[test]
+fn standing_failing_lives() {
+    // An engine resets a part of its streams, another one's answers are lost.
+    // Their heartbeats come. Where nothing else serves both must be used; one
+    // that has just gone dark must not, as a request would wait there in vain.
+    let mut health = Health::default();
+    health.failed(at(0), 1);
+    assert_eq!(health.standing(at(1), 1, false), Standing::Failing);
+    health.silent(at(0), 2);
+    assert_eq!(health.standing(at(1_499), 2, false), Standing::Dead);
+    health.silent(at(1_600), 2);
+    assert_eq!(health.standing(at(1_601), 2, false), Standing::Failing);
+    assert_eq!(health.standing(at(1_601), 2, true), Standing::Dead);
+    assert_eq!(health.standing(at(20_000), 2, true), Standing::Sound);
+    // Long after that, a sign of death counts from then on.
+    health.silent(at(20_000), 2);
+    assert_eq!(health.standing(at(20_001), 2, false), Standing::Dead);
+    health.succeeded(2);
+    assert_eq!(health.standing(at(20_002), 2, false), Standing::Failing);
+}
+
+#[test]
+fn standing_refused_again_and_again() {
+    // The neighbours of a dead engine refuse what should pass through it.
+    let mut health = Health::default();
+    health.refused(at(0), 1);
+    assert_eq!(health.standing(at(1), 1, false), Standing::Failing);
+    health.refused(at(300), 1);
+    health.refused(at(900), 1);
+    assert_eq!(health.standing(at(901), 1, false), Standing::Dead);
+}
+
 #[test]
 fn pick_free_place() {
     let offer = |requests, near| Offer {
--- a/src/tests/pool.rs
+++ b/src/tests/pool.rs
@@ -45,8 +45,11 @@
 
 fn around(services: &Services, path: &[&Upstream], lost: &Upstream) -> Option<Vec<u64>> {
     let booked = booked(path);
-    let usable = |u: &Upstream| booked.iter().all(|(key, _)| *key != u.key);
-    let pool = Pool::new(services, "letters", &model(), &Loads::default(), 1, usable);
+    let factor = |u: &Upstream| {
+        let passed = booked.iter().any(|(key, _)| *key == u.key);
+        (!passed).then_some(1.0)
+    };
+    let pool = Pool::new(services, "letters", &model(), &Loads::default(), 1, factor);
     let hops = pool.around(lost.key, &booked, &WORK, 0.5)?;
     Some(hops.into_iter().map(|(key, _)| key).collect())
 }
