Give no order that waited beyond its term; let only turns of less than a request differ

Found while reading the diff: orders wait for their turn now, and a controller that was deposed meanwhile would have given the rest with its old fence. Engines that check it refuse, others would obey a leader of yesterday.

--- a/src/controller/place.rs
+++ b/src/controller/place.rs
@@ -55,8 +55,10 @@
         let Ok(turn) = self.calls.orders.acquire().await else {
             return;
         };
-        // While it waited, the time of the order may have passed, or the term.
-        if !self.board().is_pending(&order) {
+        // While it waited, the time of the order may have passed, or the term: a
+        // deposed leader would go on giving orders with an old fence.
+        let leads = self.lead().term == Some(order.fence);
+        if !leads || !self.board().is_pending(&order) {
             return;
         }
         let may_run = self.give(&order).await;
--- a/src/decide/load.rs
+++ b/src/decide/load.rs
@@ -122,7 +122,7 @@
     /// that is larger than usual uses up more of the part, but is never too large
     /// for it.
     ///
-    /// In a domain with many `copies` of each layer the turns differ by engine: an
+    /// In a domain with many `copies` of each layer such turns differ by engine: an
     /// instance finds its turn at several holders of each layer at any time. With
     /// the same turns at all, some instances in 300 had none for up to the 4.5 s
     /// between two reports, and refused a quarter of their requests while the
@@ -132,7 +132,7 @@
         let added = memory(&self.own) - memory(&self.then);
         let part = PART * (room_mb + added) / f64::from(share.instances.max(1));
         let requests = part / usual_mb.max(f64::MIN_POSITIVE);
-        let apart = share.copies * requests >= PLENTY;
+        let apart = requests < 1.0 && share.copies * requests >= PLENTY;
         let offset = if apart { scatter(engine) } else { 0.0 };
         let whole = (requests + (self.draw + offset).fract()).floor();
         added < whole * usual_mb
