Gather the engines of a path in one place for choices and detours

Both looked at the standing of each engine and named the same six arguments. The factor is looked up before an engine's load now, so that those left out cost nothing more. No change of behaviour.

--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -63,13 +63,14 @@
         let domains = domains(all);
         let copies = copies(all, model, &domains);
         let of = |u: &'a Upstream| {
+            let factor = factor(u)?;
             let domain = domains.iter().position(|d| *d == u.domain)?;
             let share = Share {
                 instances,
                 copies: copies[domain],
             };
             let mut candidate = candidate(u, model, loads, share, domain)?;
-            candidate.penalty *= factor(u)?;
+            candidate.penalty *= factor;
             Some((u, candidate))
         };
         let (engines, candidates) = all.iter().filter_map(of).unzip();
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -4,9 +4,9 @@
 
 use rand::RngExt;
 
-use super::Entry;
 use super::pool::{self, Pool, Trust};
 use super::view::{Upstream, View, of_service};
+use super::{Entry, Shared};
 use crate::clock::Time;
 use crate::configuration::Model;
 use crate::decide::path::{self, Hop, NoPath, Start, Work};
@@ -77,19 +77,8 @@
         };
         for lost in lost {
             let passed: Vec<u64> = hops.iter().map(|(key, _)| *key).collect();
-            let factor = |u: &Upstream| {
-                let usable = !u.late && !passed.contains(&u.key);
-                let standing = shared.health.standing(now, u.key, u.late);
-                trust.factor(standing).filter(|_| usable)
-            };
-            let pool = Pool::new(
-                &view.services,
-                service,
-                model,
-                &shared.loads,
-                view.entries,
-                factor,
-            );
+            let usable = |u: &Upstream| !u.late && !passed.contains(&u.key);
+            let pool = shared.pool(now, &view, service, model, trust, usable);
             hops = pool.around(*lost, &hops, &work, rand::rng().random())?;
         }
         drop(shared);
@@ -120,6 +109,27 @@
     }
 }
 
+impl Shared {
+    /// The engines of `service` that a path may pass through by their standing,
+    /// and that are `usable`.
+    fn pool<'a>(
+        &self,
+        now: Time,
+        view: &'a View,
+        service: &str,
+        model: &Model,
+        trust: Trust,
+        usable: impl Fn(&Upstream) -> bool,
+    ) -> Pool<'a> {
+        let factor = |u: &Upstream| {
+            let standing = self.health.standing(now, u.key, u.late);
+            trust.factor(standing).filter(|_| usable(u))
+        };
+        let (services, instances) = (&view.services, view.entries);
+        Pool::new(services, service, model, &self.loads, instances, factor)
+    }
+}
+
 /// Work of a request to a plain service: it takes a place and no memory.
 pub(super) const PLAIN: Work = Work {
     prompt: 0.0,
@@ -205,20 +215,8 @@
         trust: Trust,
     ) -> Result<Chosen, Reason> {
         let now = self.now();
-        let shared = self.shared();
-        let factor = |u: &Upstream| {
-            let standing = shared.health.standing(now, u.key, u.late);
-            trust.factor(standing).filter(|_| !tried.contains(&u.key))
-        };
-        let pool = Pool::new(
-            &view.services,
-            service,
-            model,
-            &shared.loads,
-            view.entries,
-            factor,
-        );
-        drop(shared);
+        let usable = |u: &Upstream| !tried.contains(&u.key);
+        let pool = self.shared().pool(now, view, service, model, trust, usable);
         // A caller's domain without engines is none of theirs.
         work.home = pool.domain(&self.boot.domain).unwrap_or(usize::MAX);
         let mut rng = rand::rng();
