Count the instances before their number is told

Cause, first half: the number of instances is that of the reports the leader has. A new leader told the first that asked that it was one of one, the tenth that it was one of ten; each took its part of the room by that, up to all of it, and its part of the retries. Same after a change of the leader alone.

A leader now says whether it has counted (300 ms: an instance without a leader asks a controller each 60 ms); until then an instance keeps the number it knew, or assumes 100 when it has just started.

--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -23,6 +23,10 @@
 /// lives: an upstream whose call fails asks the next instance within a second.
 const COMPLETE_BEATS: f64 = 2.5;
 
+/// Time after which a new leader has heard every entry instance: one that knows no
+/// leader asks the controllers in turn, a few in a second.
+const COUNTED: Duration = Duration::from_millis(300);
+
 /// Time for which a given order is taken to be under way. Loading a usual
 /// range takes one to four seconds; an order that was lost is given again.
 const ORDER: Duration = Duration::from_secs(6);
@@ -184,6 +188,7 @@
             work: self.reports.tell(now, instance),
             entries: self.reports.len() as u32,
             voters: Vec::new(),
+            counted: now.since(self.since) >= COUNTED,
         }
     }
 
--- a/src/decide/demand.rs
+++ b/src/decide/demand.rs
@@ -7,7 +7,7 @@
 //! that ask for it, as long as they are fewer than the instances.
 
 /// Requests that asked for room, here and at all instances together.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Demand {
     /// Here, since the last report.
     asked: u32,
@@ -15,6 +15,20 @@
     own: u32,
     /// At all instances, between two reports; `None` until it was told.
     all: Option<u32>,
+    /// Whether a report has come.
+    begun: bool,
+}
+
+impl Default for Demand {
+    fn default() -> Self {
+        Self {
+            asked: 0,
+            // While instances don't know, their number stands for their requests.
+            own: 1,
+            all: None,
+            begun: false,
+        }
+    }
 }
 
 impl Demand {
@@ -23,11 +37,16 @@
         self.asked += 1;
     }
 
-    /// Notes a report that tells of `all` requests. The `waiting` ones ask again.
-    pub(crate) fn learn(&mut self, all: u32, waiting: u32) {
-        self.own = self.asked;
+    /// Notes a report, and the requests at all instances if it tells of them. The
+    /// `waiting` ones ask again.
+    pub(crate) fn learn(&mut self, all: Option<u32>, waiting: u32) {
+        // What came before the first report tells of no whole span.
+        if self.begun {
+            self.own = self.asked;
+        }
+        self.begun = true;
         self.asked = waiting;
-        self.all = Some(all);
+        self.all = all;
     }
 
     /// Requests at this instance between two reports, to be told.
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -280,7 +280,7 @@
         let mut next = retry::next(route.repeat, route.attempts, self.tries, failure, left);
         if next == Next::Again {
             let now = self.entry.now();
-            let entries = self.entry.view().entries;
+            let entries = self.entry.view().entries();
             let allowance = &mut self.entry.shared().allowance;
             if !allowance.take(now, &self.call.service, entries) {
                 next = retry::give_up(self.tries, failure);
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -88,7 +88,7 @@
         if !starting && !view.has_more() {
             return self.poll;
         }
-        let crowd = view.entries.max(FILLING_ENTRIES);
+        let crowd = view.counted().unwrap_or_default().max(FILLING_ENTRIES);
         (FILLING * crowd / FILLING_ENTRIES).min(self.poll)
     }
 
@@ -112,7 +112,7 @@
                 targets.learn(state.voters.iter().copied().map(InstanceId));
                 targets.leader = Some(target);
                 if let Some(work) = &state.work {
-                    self.take_in(work);
+                    self.take_in(work, state.counted);
                 }
                 let before = self.view().version();
                 let learnt = self.learn(sent, state);
@@ -145,12 +145,15 @@
         }
     }
 
-    /// Takes in what the other instances have at work.
-    fn take_in(&self, work: &Work) {
+    /// Takes in what the other instances have at work. It is a part of it until the
+    /// leader has `counted` them.
+    fn take_in(&self, work: &Work, counted: bool) {
         let waiting = self.waiters.load(Ordering::Relaxed);
         let loads = &mut self.shared().loads;
         loads.learn(&work.loads, rand::rng().random());
-        loads.demand.learn(work.asking, waiting as u32);
+        loads
+            .demand
+            .learn(counted.then_some(work.asking), waiting as u32);
     }
 
     fn question(&self) -> Sync {
--- a/src/entry/measure.rs
+++ b/src/entry/measure.rs
@@ -38,7 +38,7 @@
                 metrics::gauge!(name, "service" => service.clone(), "state" => state).set(count);
             }
             metrics::gauge!(metric::BOOKED.name, "service" => service.clone()).set(booked);
-            let left = shared.allowance.left(now, service, view.entries);
+            let left = shared.allowance.left(now, service, view.entries());
             metrics::gauge!(metric::RETRIES.name, "service" => service.clone()).set(left);
         }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -197,7 +197,7 @@
 
     /// Among how many the room on the engines is divided.
     fn sharers(&self) -> f64 {
-        let instances = self.view().entries;
+        let instances = self.view().entries();
         self.shared().loads.demand.sharers(instances)
     }
 
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -125,7 +125,7 @@
             let standing = self.health.standing(now, u.key, u.late);
             trust.factor(standing).filter(|_| usable(u))
         };
-        let (services, instances) = (&view.services, view.entries);
+        let (services, instances) = (&view.services, view.entries());
         Pool::new(services, service, model, &self.loads, instances, factor)
     }
 }
@@ -236,7 +236,7 @@
                 let crossings = path::crossings(&pool.candidates, &hops) as f64;
                 let occupied = crossings * work.occupies();
                 let link = &mut self.shared().link;
-                let free = link.take(now, view.entries, occupied);
+                let free = link.take(now, view.entries(), occupied);
                 if free { Ok(hops) } else { Err(NoPath::Full) }
             });
         }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -28,6 +28,14 @@
     pub(crate) late: bool,
 }
 
+/// Entry instances that are assumed until a leader has counted them.
+///
+/// After all processes were killed, the first instance that asked the new leader
+/// was told that it was one of one, and took all the room of the fastest engines
+/// for its callers; so did each of the next, and the engines refused hundreds of
+/// requests. Many are assumed: a small fleet waits a little for its turn instead.
+const ASSUMED_ENTRIES: u32 = 100;
+
 /// The upstreams by service.
 pub(crate) type Services = HashMap<String, Vec<Upstream>>;
 
@@ -44,8 +52,8 @@
     pub(crate) services: Arc<Services>,
     /// Until when keys may be used.
     pub(crate) until: Time,
-    /// Entry instances that share the limits.
-    pub(crate) entries: u32,
+    /// Entry instances as a leader counted them last.
+    counted: Option<u32>,
     term: u64,
     revision: u64,
     /// Whether `services` holds every upstream that lives.
@@ -64,7 +72,7 @@
             table: None,
             services: Arc::default(),
             until: Time::default(),
-            entries: 1,
+            counted: None,
             term: 0,
             revision: 0,
             complete: false,
@@ -84,6 +92,16 @@
         (self.term, self.revision)
     }
 
+    /// Entry instances that share the limits.
+    pub(crate) fn entries(&self) -> u32 {
+        self.counted.unwrap_or(ASSUMED_ENTRIES)
+    }
+
+    /// Entry instances as a leader counted them; `None` before it did.
+    pub(crate) fn counted(&self) -> Option<u32> {
+        self.counted
+    }
+
     /// Whether the roster holds every upstream that lives.
     pub(crate) fn is_complete(&self) -> bool {
         self.complete
@@ -122,7 +140,9 @@
         if let Some(record) = state.roster {
             self.merge(record);
         }
-        self.entries = state.entries.max(1);
+        if state.counted {
+            self.counted = Some(state.entries.max(1));
+        }
         // The leader confirmed `age` before the question reached it, and it
         // reached it after it was sent.
         let age = Duration::from_micros(state.age);
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -34,7 +34,8 @@
     /// Whether the roster that it has holds every upstream that lives.
     #[prost(bool, tag = "7")]
     pub(crate) complete: bool,
-    /// Requests that asked it for room on engines between two reports.
+    /// Requests that asked it for room on engines between two reports; 1 while it
+    /// doesn't know.
     #[prost(uint32, tag = "8")]
     pub(crate) asking: u32,
 }
@@ -79,6 +80,10 @@
     /// The voters.
     #[prost(uint64, repeated, tag = "7")]
     pub(crate) voters: Vec<u64>,
+    /// Whether each entry instance has had the time to ask this leader, so that
+    /// `entries` and the sums of the work are whole.
+    #[prost(bool, tag = "8")]
+    pub(crate) counted: bool,
 }
 
 /// Work on all engines.
--- a/src/tests/decide/demand.rs
+++ b/src/tests/decide/demand.rs
@@ -22,9 +22,10 @@
     let mut placed = 0;
     for own in asking {
         let mut loads = Loads::default();
+        loads.demand.learn(None, 0);
         (0..*own).for_each(|_| loads.demand.ask());
         loads.learn(&[], rng.random());
-        loads.demand.learn(all, 0);
+        loads.demand.learn(Some(all), 0);
         assert_eq!(loads.demand.own(), *own);
         let open = loads.may_add(ENGINE, room * USUAL, USUAL, SHARE);
         placed += if open { *own } else { 0 };
@@ -64,7 +65,7 @@
         for _ in 0..INSTANCES {
             let mut loads = Loads::default();
             loads.learn(&[], rng.random());
-            loads.demand.learn(asking.iter().sum(), 3);
+            loads.demand.learn(Some(asking.iter().sum()), 3);
             open += u32::from(loads.may_add(ENGINE, 40.0 * USUAL, USUAL, SHARE));
         }
         assert!((30..=95).contains(&open), "{open} of {INSTANCES}");
@@ -82,10 +83,11 @@
 #[test]
 fn learn_waiting_ask_again() {
     let mut loads = Loads::default();
+    loads.demand.learn(Some(9), 0);
     loads.demand.ask();
-    loads.demand.learn(9, 2);
+    loads.demand.learn(Some(9), 2);
     assert_eq!(loads.demand.own(), 1);
     loads.demand.ask();
-    loads.demand.learn(9, 0);
+    loads.demand.learn(Some(9), 0);
     assert_eq!(loads.demand.own(), 3);
 }
--- a/src/tests/view.rs
+++ b/src/tests/view.rs
@@ -4,9 +4,10 @@
 
 use super::at;
 use super::platform::CONFIGURATION;
+use crate::controller::board::Board;
 use crate::entry::view::View;
-use crate::register::Departed;
-use crate::sync::{RosterRecord, State, UpstreamRecord, pack, unpack};
+use crate::register::{Departed, Register};
+use crate::sync::{RosterRecord, State, Sync, UpstreamRecord, pack, unpack};
 
 const LEASE: Duration = Duration::from_millis(3500);
 
@@ -178,3 +179,37 @@
     assert_eq!(unpack(&packed).unwrap(), text.as_bytes());
     assert_eq!(unpack(b"damaged"), None);
 }
+
+#[test]
+fn entries_counted_late() {
+    // All processes are killed. The first instance that asked the new leader heard
+    // that it was the only one, and took all the room of the engines; so did each
+    // of the next. Until the leader has counted them, many are assumed.
+    let (register, _machine) = Register::new();
+    let mut board = Board::new(LEASE);
+    board.lead(at(0), 1, &register);
+    let mut ask = |now, instance| {
+        let ask = Sync {
+            instance,
+            ..Sync::default()
+        };
+        board.sync(at(now), ask, Duration::ZERO, None, &register)
+    };
+    let mut view = View::new();
+    assert!(view.learn(at(10), ask(10, 1), LEASE));
+    assert_eq!(view.counted(), None);
+    assert!(view.entries() > 50);
+    ask(60, 2);
+    ask(90, 3);
+    assert!(view.learn(at(400), ask(400, 1), LEASE));
+    assert_eq!((view.counted(), view.entries()), (Some(3), 3));
+    // The next leader hasn't heard of most of them.
+    board.lead(at(500), 2, &register);
+    let ask = Sync {
+        instance: 1,
+        ..Sync::default()
+    };
+    let state = board.sync(at(510), ask, Duration::ZERO, None, &register);
+    assert!(view.learn(at(510), state, LEASE));
+    assert_eq!(view.entries(), 3);
+}
