Choose paths by how fast engines work, not by their kind alone

Callers: engines that turn slow for some seconds keep getting most requests, as their heartbeats go on and by their kind they look like the best.

Engines tell on request how many times as long as usual they take (`pace` of their report).

--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -13,6 +13,7 @@
 use crate::clock::Time;
 use crate::collections::HashMap;
 use crate::configuration::{Configuration, Model};
+use crate::decide::pace::Turns;
 use crate::decide::placement::{self, Worker};
 use crate::register::{Register, Versioned};
 use crate::relay::Pulse;
@@ -56,6 +57,14 @@
     pub(crate) fence: u64,
 }
 
+/// An engine that is asked how fast it works.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Asked {
+    pub(crate) engine: Arc<str>,
+    pub(crate) born: u64,
+    pub(crate) address: SocketAddrV4,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Pending {
     born: u64,
@@ -85,6 +94,7 @@
     /// Departures of the register that the roster knows.
     departed: u64,
     reports: Reports,
+    turns: Turns,
     /// Each change of it touches the upstream in the roster, since instances
     /// see what an engine keeps, not what it holds.
     pending: HashMap<Arc<str>, Pending>,
@@ -100,6 +110,7 @@
             roster: Roster::new(beat),
             departed: 0,
             reports: Reports::default(),
+            turns: Turns::default(),
             pending: HashMap::default(),
         }
     }
@@ -339,6 +350,29 @@
         held.into_iter().map(|(d, r)| (d, gaps(r))).collect()
     }
 
+    /// Engines that are to be asked now how fast they work: in turn those that
+    /// requests pass through, or that were slow.
+    pub(crate) fn to_ask(&mut self) -> Vec<Asked> {
+        let at_work = |e: &&Entry| {
+            let used = self.reports.at(address_key(e.last.address));
+            e.last.layers.is_some() && (used.requests > 0 || e.pace > 1.0)
+        };
+        let list = self.roster.list().into_iter().filter(at_work);
+        let engines: Vec<Asked> = list
+            .map(|e| Asked {
+                engine: e.last.id.clone(),
+                born: e.last.born,
+                address: e.last.address,
+            })
+            .collect();
+        self.turns.take(&engines)
+    }
+
+    /// Notes how fast an engine works. Returns whether instances hear of it.
+    pub(crate) fn paced(&mut self, asked: &Asked, reported: f64) -> bool {
+        self.roster.paced(&asked.engine, asked.born, reported)
+    }
+
     /// What the metrics show.
     pub(crate) fn counts(&self) -> Counts {
         let mut counts = Counts {
@@ -347,7 +381,11 @@
             ..Counts::default()
         };
         for entry in self.roster.list() {
-            let state = if entry.late { "late" } else { "sound" };
+            let state = match entry.late {
+                true => "late",
+                false if entry.pace > 1.0 => "slow",
+                false => "sound",
+            };
             let key = (entry.last.service.clone(), state);
             *counts.upstreams.entry(key).or_default() += 1;
         }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -39,6 +39,7 @@
 mod call;
 mod heartbeat;
 mod measure;
+mod pace;
 mod place;
 pub(crate) mod reports;
 
@@ -399,7 +400,11 @@
         }
         self.report_coverage(&board, &table);
         let orders = board.orders(now, &table.configuration);
+        let asked = board.to_ask();
         drop(board);
+        for asked in asked {
+            tokio::spawn(Arc::clone(self).ask_pace(asked));
+        }
         for order in orders {
             tokio::spawn(Arc::clone(self).place(order));
         }
--- /dev/null
+++ b/src/controller/pace.rs
@@ -0,0 +1,40 @@
+//! Asks engines how fast they work.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Request, StatusCode};
+
+use super::Controller;
+use super::board::Asked;
+use crate::engine::call;
+use crate::event;
+use crate::platform::engine;
+
+/// Longest wait for an engine's report. One that is late says nothing of its speed.
+const ANSWER: Duration = Duration::from_millis(300);
+
+impl Controller {
+    /// Asks one engine, and notes its answer.
+    pub(super) async fn ask_pace(self: Arc<Self>, asked: Asked) {
+        let request = Request::get(engine::REPORT);
+        let address = asked.address.into();
+        let report = call(address, &asked.engine, request, Bytes::new(), ANSWER).await;
+        let Some((StatusCode::OK, report)) = report else {
+            return;
+        };
+        let Some(pace) = engine::reported_pace(&report) else {
+            return;
+        };
+        if self.board().paced(&asked, pace) {
+            tracing::info!(
+                event = event::PACE_CHANGED.id,
+                upstream = %asked.engine,
+                address = %asked.address,
+                pace,
+                "works at another speed"
+            );
+        }
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod link;
 pub(crate) mod load;
 pub(crate) mod members;
+pub(crate) mod pace;
 pub(crate) mod path;
 pub(crate) mod pick;
 pub(crate) mod placement;
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -179,8 +179,8 @@
     Some(Candidate {
         range,
         domain,
-        step_ms: speed.step_ms,
-        read_ms: speed.read_ms,
+        step_ms: speed.step_ms * upstream.pace,
+        read_ms: speed.read_ms * upstream.pace,
         memory_mb: speed.memory_mb,
         room_mb: speed.room_mb,
         open: loads.may_add(upstream.key, speed.room_mb, usual, share),
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -26,6 +26,8 @@
     pub(crate) layers: Option<Range>,
     /// Whether its heartbeats are late.
     pub(crate) late: bool,
+    /// How many times as long as usual it takes for its work.
+    pub(crate) pace: f64,
 }
 
 /// Entry instances that are assumed until a leader has counted them.
@@ -213,6 +215,7 @@
             slots: record.slots,
             kind: record.kind.clone(),
             late: record.late,
+            pace: f64::from(record.pace).max(1.0),
         }
     }
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -60,6 +60,8 @@
 pub(crate) const LAYERS_ORDERED: Event = event(306, "layers_ordered");
 /// Another set of layers is held by no engine of a domain.
 pub(crate) const LAYERS_MISSING: Event = event(307, "layers_missing");
+/// An engine works faster or slower than instances were told.
+pub(crate) const PACE_CHANGED: Event = event(308, "pace_changed");
 /// A request got a refusal.
 pub(crate) const REQUEST_REFUSED: Event = event(401, "request_refused");
 /// An attempt failed and the request goes on over another path.
@@ -130,6 +132,7 @@
     UPSTREAM_LOST,
     LAYERS_ORDERED,
     LAYERS_MISSING,
+    PACE_CHANGED,
     REQUEST_REFUSED,
     REQUEST_RESUMED,
     REQUEST_FAILED,
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -8,6 +8,7 @@
 use self::changes::Changes;
 use crate::clock::Time;
 use crate::collections::HashMap;
+use crate::decide::pace;
 use crate::relay::{self, Pulse};
 
 mod changes;
@@ -98,6 +99,8 @@
     pub(crate) heard: Time,
     /// Whether it is avoided for its silence.
     pub(crate) late: bool,
+    /// How many times as long as usual it takes for its work.
+    pub(crate) pace: f64,
 }
 
 /// What became of an announcement.
@@ -151,10 +154,13 @@
             return Heard::Stale;
         }
         let changed = known.is_none_or(|k| differs(k, &news));
+        let before = self.entries.get(&news.id).filter(|_| !fresh);
+        let pace = before.map_or(1.0, |e| e.pace);
         self.displace(&news);
         let entry = Entry {
             heard: now,
             late: false,
+            pace,
             last: news,
         };
         let id = entry.last.id.clone();
@@ -240,6 +246,19 @@
         }
     }
 
+    /// Notes how fast a start works. Returns whether instances hear of it.
+    pub(crate) fn paced(&mut self, id: &str, born: u64, reported: f64) -> bool {
+        let entry = self.entries.get_mut(id).filter(|e| e.last.born == born);
+        let Some(entry) = entry else { return false };
+        let Some(pace) = pace::news(entry.pace, reported) else {
+            return false;
+        };
+        entry.pace = pace;
+        let id = entry.last.id.clone();
+        self.changes.note(&id);
+        true
+    }
+
     /// Lets time pass: the silent ones are avoided, then dropped. `suspects`
     /// counts the instances at which requests failed there, by address.
     pub(crate) fn tick(
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -151,6 +151,9 @@
     /// Whether it is to be avoided for its silence.
     #[prost(bool, tag = "10")]
     pub(crate) late: bool,
+    /// How many times as long as usual it takes for its work; 0 stands for 1.
+    #[prost(float, tag = "11")]
+    pub(crate) pace: f32,
 }
 
 impl From<&Announcement> for UpstreamRecord {
@@ -168,6 +171,7 @@
             first,
             end,
             late: false,
+            pace: 0.0,
         }
     }
 }
@@ -180,6 +184,11 @@
             first,
             end,
             late: entry.late,
+            pace: if entry.pace > 1.0 {
+                entry.pace as f32
+            } else {
+                0.0
+            },
             ..Self::from(&entry.last)
         }
     }
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -23,6 +23,7 @@
 mod demand;
 mod leave;
 mod overload;
+mod pace;
 mod path;
 mod placement;
 
--- a/src/tests/pool.rs
+++ b/src/tests/pool.rs
@@ -33,6 +33,7 @@
         kind: Some(model().accelerators[0].name.clone()),
         layers: Some(Range::new(first, end)),
         late: false,
+        pace: 1.0,
     }
 }
 
