Tell all instances of engines that several found dead

Callers: engines of the fast kinds crash; the engines before them in a path refuse in their name.

Cause: each of 295 instances finds out by itself. A quick refusal looks like one of an engine short of memory, so it was left out for 0.2, 0.4 and 0.8 s only.

A refusal of an engine whose memory is less than three quarters booked is now taken as a sign of death (out for 1.5 s, told to the leader), and what four instances suspect is told to all at once: used only where nothing else holds a layer, until its next heartbeat or until nobody suspects it.

--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -27,6 +27,10 @@
 /// Quick refusals in a row that a living engine hardly gives.
 const DEAD_REFUSALS: u32 = 3;
 
+/// Share of an engine's memory for requests below which it isn't full: requests are
+/// placed only where a tenth is left, and the others' work is known to a report.
+const FULL: f64 = 0.75;
+
 /// Longest time out. A recovered engine is found again within it.
 const MOST_OUT: Duration = Duration::from_secs(6);
 
@@ -41,6 +45,28 @@
 /// be gone counts as alive. The heartbeats of one that died are late by then.
 const PROVED: Duration = Duration::from_millis(1_500);
 
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    failures: u32,
+    /// Quick refusals since a request got through.
+    refusals: u32,
+    last: Time,
+    until: Time,
+    /// First sign of death since a request got through.
+    dead: Option<Time>,
+}
+
+/// Whether an upstream that refuses may just be full, with the share `used` of its
+/// memory for requests, if that is known.
+///
+/// The neighbours of a dead engine refuse in its name as quickly as one that is short
+/// of memory does itself. One that has room and refuses looks dead: left out for
+/// [`REFUSED_OUT`] only, it was asked by each of 295 instances up to four times
+/// before the leader gave it up, and their retries were used up by it.
+pub(crate) fn may_be_full(used: Option<f64>) -> bool {
+    used.is_none_or(|used| used >= FULL)
+}
+
 /// Whether an upstream may be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Standing {
@@ -51,15 +77,14 @@
     Dead,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Record {
-    failures: u32,
-    /// Quick refusals since a request got through.
-    refusals: u32,
-    last: Time,
-    until: Time,
-    /// First sign of death since a request got through.
-    dead: Option<Time>,
+impl Standing {
+    /// With what the leader tells: several instances found it dead.
+    pub(crate) fn told(self, suspected: bool) -> Self {
+        match self {
+            Self::Sound if suspected => Self::Failing,
+            other => other,
+        }
+    }
 }
 
 /// Failures by address key.
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -12,10 +12,13 @@
 use super::body::Body;
 use super::head;
 use super::listen::{failure, refuse};
+use super::pool;
 use super::reroute::Silence;
 use super::select::Chosen;
+use super::view::of_service;
 use crate::clock::{Time, millis};
 use crate::configuration::{Model, Repeat, Route, Table};
+use crate::decide::health;
 use crate::decide::load;
 use crate::decide::path::Work;
 use crate::decide::refusal::Reason;
@@ -258,8 +261,10 @@
         self.tried.push(culprit);
         let now = self.entry.now();
         match cause {
-            REFUSED => self.entry.shared().health.refused(now, culprit),
-            NO_CONNECTION | DEAD_PART => self.entry.shared().health.silent(now, culprit),
+            REFUSED if health::may_be_full(self.used(culprit)) => {
+                self.entry.shared().health.refused(now, culprit);
+            }
+            REFUSED | NO_CONNECTION | DEAD_PART => self.entry.shared().health.silent(now, culprit),
             _ => self.entry.shared().health.failed(now, culprit),
         }
         tracing::info!(
@@ -272,6 +277,14 @@
         );
     }
 
+    /// Share of an engine's memory for requests that is booked.
+    fn used(&self, engine: u64) -> Option<f64> {
+        let view = self.entry.view();
+        let upstreams = of_service(&view.services, &self.call.service);
+        let upstream = upstreams.iter().find(|u| u.key == engine)?;
+        pool::used(upstream, self.model()?, &self.entry.shared().loads)
+    }
+
     /// Counts a failed attempt and decides what comes next.
     pub(super) fn fail(&mut self, failure: Failure, cause: &'static str) -> Next {
         self.tries.count(failure);
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -163,6 +163,13 @@
     copies
 }
 
+/// Share of an engine's memory for requests that is booked, if it holds layers.
+pub(crate) fn used(upstream: &Upstream, model: &Model, loads: &Loads) -> Option<f64> {
+    let accelerator = model.accelerator(upstream.kind.as_deref()?)?;
+    let load = loads.at(upstream.key);
+    Some(Speed::new(model, accelerator, upstream.layers?, load).used)
+}
+
 /// The engine as a path may use it, if it holds layers.
 fn candidate(
     upstream: &Upstream,
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -124,6 +124,7 @@
     ) -> Pool<'a> {
         let factor = |u: &Upstream| {
             let standing = self.health.standing(now, u.key, u.late);
+            let standing = standing.told(u.suspected);
             trust.factor(standing).filter(|_| usable(u))
         };
         let (services, instances) = (&view.services, view.entries());
@@ -176,7 +177,7 @@
                 slots: u.slots.into(),
                 near: u.domain == self.boot.domain,
                 late: u.late,
-                out: shared.health.is_out(now, u.key),
+                out: u.suspected || shared.health.is_out(now, u.key),
                 tried: tried.contains(&u.key),
             })
             .collect();
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -28,6 +28,8 @@
     pub(crate) late: bool,
     /// How many times as long as usual it takes for its work.
     pub(crate) pace: f64,
+    /// Whether several instances found it dead.
+    pub(crate) suspected: bool,
 }
 
 /// Entry instances that are assumed until a leader has counted them.
@@ -216,6 +218,7 @@
             kind: record.kind.clone(),
             late: record.late,
             pace: f64::from(record.pace).max(1.0),
+            suspected: record.suspected,
         }
     }
 }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -31,6 +31,11 @@
 /// Instances that must suspect an upstream. One alone may be cut off from it.
 const WITNESSES: usize = 2;
 
+/// Instances that must suspect an upstream for the others to be told at once, and
+/// the part of a heartbeat period for which its latest heartbeat speaks for it.
+const CROWD: usize = 4;
+const SPOKEN_FOR: f64 = 0.25;
+
 /// Sequence numbers below which an unknown upstream at a taken address counts
 /// as its successor. A new one begins at 1; its first call or two may be lost.
 const FRESH_SEQUENCE: u64 = 4;
@@ -101,6 +106,8 @@
     pub(crate) late: bool,
     /// How many times as long as usual it takes for its work.
     pub(crate) pace: f64,
+    /// Whether several instances found it dead.
+    pub(crate) suspected: bool,
 }
 
 /// What became of an announcement.
@@ -160,6 +167,7 @@
         let entry = Entry {
             heard: now,
             late: false,
+            suspected: false,
             pace,
             last: news,
         };
@@ -170,7 +178,7 @@
             self.addresses.remove(&before.last.address);
         }
         self.addresses.insert(address, id.clone());
-        if changed || before.is_some_and(|b| b.late) {
+        if changed || before.is_some_and(|b| b.late || b.suspected) {
             self.changes.note(&id);
         }
         if !fresh {
@@ -198,7 +206,8 @@
         }
         last.sequence = pulse.sequence;
         entry.heard = now;
-        if std::mem::take(&mut entry.late) {
+        let late = std::mem::take(&mut entry.late);
+        if std::mem::take(&mut entry.suspected) || late {
             let id = entry.last.id.clone();
             self.changes.note(&id);
         }
@@ -279,6 +288,11 @@
                 entry.late = true;
                 self.changes.note(id);
             }
+            let suspected = witnesses >= CROWD && silent >= self.beat.mul_f64(SPOKEN_FOR);
+            if suspected != entry.suspected {
+                entry.suspected = suspected;
+                self.changes.note(id);
+            }
             if silent >= lost {
                 dropped.push(id.clone());
             }
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -154,6 +154,9 @@
     /// How many times as long as usual it takes for its work; 0 stands for 1.
     #[prost(float, tag = "11")]
     pub(crate) pace: f32,
+    /// Whether several instances found it dead.
+    #[prost(bool, tag = "12")]
+    pub(crate) suspected: bool,
 }
 
 impl From<&Announcement> for UpstreamRecord {
@@ -172,6 +175,7 @@
             end,
             late: false,
             pace: 0.0,
+            suspected: false,
         }
     }
 }
@@ -184,6 +188,7 @@
             first,
             end,
             late: entry.late,
+            suspected: entry.suspected,
             pace: if entry.pace > 1.0 {
                 entry.pace as f32
             } else {
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -26,6 +26,7 @@
 mod pace;
 mod path;
 mod placement;
+mod suspicion;
 
 pub(super) fn model() -> Model {
     let decoded = decode(CONFIGURATION.as_bytes()).unwrap();
--- a/src/tests/decide/pace.rs
+++ b/src/tests/decide/pace.rs
@@ -40,6 +40,7 @@
         layers: Some(LAYERS),
         late: false,
         pace,
+        suspected: false,
     }
 }
 
--- a/src/tests/pool.rs
+++ b/src/tests/pool.rs
@@ -34,6 +34,7 @@
         layers: Some(Range::new(first, end)),
         late: false,
         pace: 1.0,
+        suspected: false,
     }
 }
 
