--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -352,7 +352,7 @@
 
     /// Engines that are to be asked now how fast they work: in turn those that
     /// requests pass through, or that were slow.
-    pub(crate) fn to_ask(&mut self) -> Vec<Asked> {
+    pub(crate) fn ask_next(&mut self) -> Vec<Asked> {
         let at_work = |e: &&Entry| {
             let used = self.reports.at(address_key(e.last.address));
             e.last.layers.is_some() && (used.requests > 0 || e.pace > 1.0)
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -400,7 +400,7 @@
         }
         self.report_coverage(&board, &table);
         let orders = board.orders(now, &table.configuration);
-        let asked = board.to_ask();
+        let asked = board.ask_next();
         drop(board);
         for asked in asked {
             tokio::spawn(Arc::clone(self).ask_pace(asked));
