Lead streams around an engine that is known to be dead before its path can tell

A silent stream now looks after 100 ms, and each 40 ms, whether an engine of its path is known to be dead, and is led around it once; what isn't known by 260 ms goes on as before. When what is done is a decision of its own now (decide::silence).

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -17,4 +17,5 @@
 pub(crate) mod placement;
 pub(crate) mod refusal;
 pub(crate) mod retry;
+pub(crate) mod silence;
 pub(crate) mod waiting;
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -14,21 +14,16 @@
 
 use super::attempt::{DEAD_PART, Run};
 use super::select::Chosen;
+use super::view::of_service;
 use crate::configuration::Repeat;
 use crate::decide::health::Standing;
+use crate::decide::silence::{Patience, Step};
 use crate::engine::call;
 use crate::event;
 use crate::metric;
 use crate::platform::engine as order;
 use crate::sync::{address_key, key_address};
 
-/// Silence after which the first engine is asked. Its report lags by 200 ms;
-/// events usually come every 30 to 80 ms.
-pub(super) const QUIET: Duration = Duration::from_millis(260);
-
-/// Period at which it is asked again.
-const AGAIN: Duration = Duration::from_millis(160);
-
 /// Longest wait for a report or an order.
 const ANSWER: Duration = Duration::from_millis(300);
 
@@ -54,26 +49,43 @@
         let since = self.entry.now();
         // What may not run again, or has one upstream only, can't be helped.
         let helped = self.call.route.repeat != Repeat::Never && chosen.path.is_some();
-        let mut wait = if helped {
-            QUIET.min(patience)
-        } else {
-            patience
-        };
+        let mut patience = Patience::new(patience, helped);
+        let mut wait = patience.wait(Duration::ZERO).unwrap_or_default();
         loop {
             if let Ok(output) = timeout(wait, sign.as_mut()).await {
                 return Ok(output);
             }
             let waited = self.entry.now().since(since);
-            if helped && let Some(culprit) = self.reroute(chosen).await {
-                return Err(Silence::Lost(culprit));
+            match patience.step(waited) {
+                Step::Avoid if self.avoid_dead(chosen).await => patience.avoided(),
+                Step::Ask => {
+                    if let Some(culprit) = self.reroute(chosen).await {
+                        return Err(Silence::Lost(culprit));
+                    }
+                }
+                Step::Avoid | Step::Wait => {}
             }
-            if waited >= patience {
+            let Some(next) = patience.wait(waited) else {
                 return Err(Silence::Unexplained);
-            }
-            wait = AGAIN.min(patience - waited);
+            };
+            wait = next;
         }
     }
 
+    /// Leads an attempt around an engine that is known to be dead before the first
+    /// engine can tell of it. Returns whether it tried.
+    ///
+    /// The first engine's report lags by 200 ms, so that a stream through a dead
+    /// engine paused for too long whatever was done then. But new requests that
+    /// would pass through it are refused within milliseconds.
+    async fn avoid_dead(&self, chosen: &mut Chosen) -> bool {
+        let Some(dead) = self.known_dead(chosen) else {
+            return false;
+        };
+        self.lead_around(&[dead], chosen, DEAD_PART).await;
+        true
+    }
+
     /// Finds out what a silent attempt waits for, and leads it around. Returns
     /// the engine for which it waits if there is no way around.
     async fn reroute(&self, chosen: &mut Chosen) -> Option<u64> {
@@ -119,16 +131,8 @@
 
     /// The engine of the path for which the attempt waits.
     async fn culprit(&self, chosen: &Chosen) -> Option<u64> {
-        let now = self.entry.now();
-        let dead = {
-            let health = &self.entry.shared().health;
-            let mut dead = health.dead(now).into_iter();
-            // One that is only failing may be used, and may just be slow now.
-            let is_dead = |d: &u64| health.standing(now, *d, false) == Standing::Dead;
-            dead.find(|d| chosen.passes(*d) && is_dead(d))
-        };
-        if dead.is_some() {
-            return dead;
+        if let Some(dead) = self.known_dead(chosen) {
+            return Some(dead);
         }
         let report = self.ask(chosen, Request::get(order::REPORT), String::new());
         match report.await {
@@ -142,6 +146,19 @@
         }
     }
 
+    /// An engine of the path that was found dead here, or by several instances.
+    fn known_dead(&self, chosen: &Chosen) -> Option<u64> {
+        let now = self.entry.now();
+        let view = self.entry.view();
+        let upstreams = of_service(&view.services, &self.call.service);
+        let told = upstreams.iter().filter(|u| u.suspected).map(|u| u.key);
+        let health = &self.entry.shared().health;
+        // One that is only failing may be used, and may just be slow now.
+        let is_dead = |d: &u64| health.standing(now, *d, false) == Standing::Dead;
+        let found = health.dead(now).into_iter().filter(is_dead);
+        found.chain(told).find(|d| chosen.passes(*d))
+    }
+
     async fn ask(
         &self,
         chosen: &Chosen,
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -13,11 +13,12 @@
 use super::attempt::{DEAD_PART, Opened, PATIENCE, Run};
 use super::body::{self, Body, BrokenOff};
 use super::head;
-use super::reroute::{self, Silence};
+use super::reroute::Silence;
 use crate::clock::{Time, millis};
 use crate::configuration::Repeat;
 use crate::decide::leave::Leave;
 use crate::decide::retry::{Failure, Next};
+use crate::decide::silence;
 use crate::event;
 use crate::gate::Running;
 
@@ -27,7 +28,7 @@
 
 /// Least time after which a silent stream is taken up elsewhere, however short
 /// a pause its route allows: the time after which its engine is asked.
-const LEAST: Duration = reroute::QUIET;
+const LEAST: Duration = silence::QUIET;
 
 /// Why a stream is led away from an engine that still serves it.
 const GIVEN_UP: &str = "given_up";
--- a/src/tests/decide/suspicion.rs
+++ b/src/tests/decide/suspicion.rs
@@ -6,6 +6,7 @@
 use super::super::at;
 use crate::collections::HashMap;
 use crate::decide::health::{Health, Standing, may_be_full};
+use crate::decide::silence::{Patience, Step};
 use crate::entry::view::Upstream;
 use crate::roster::{Announcement, Range, Roster};
 use crate::sync::UpstreamRecord;
@@ -82,3 +83,54 @@
     assert_eq!(Standing::Sound.told(false), Standing::Sound);
     assert_eq!(Standing::Dead.told(true), Standing::Dead);
 }
+
+/// Steps of an attempt that stays silent, with the milliseconds of each.
+fn steps(mut patience: Patience, known_at: Option<u64>) -> Vec<(u64, Step)> {
+    let mut waited = Duration::ZERO;
+    let mut steps = Vec::new();
+    while let Some(wait) = patience.wait(waited) {
+        waited += wait;
+        let now = waited.as_millis() as u64;
+        let step = patience.step(waited);
+        if step == Step::Avoid && known_at.is_some_and(|at| at <= now) {
+            patience.avoided();
+        }
+        steps.push((now, step));
+    }
+    steps
+}
+
+#[test]
+fn patience_known_dead() {
+    // An engine dies under a stream. 120 ms later a new request is refused in its
+    // name. The stream went on waiting until 260 ms, and its caller saw a pause of
+    // over 300 where 200 are allowed.
+    let patience = Patience::new(Duration::from_millis(1000), true);
+    let led = steps(patience, Some(120));
+    assert_eq!(led[..2], [(100, Step::Avoid), (140, Step::Avoid)]);
+    assert_eq!(led[2], (260, Step::Ask));
+    assert_eq!(led.last(), Some(&(1000, Step::Ask)));
+}
+
+#[test]
+fn patience_nothing_known() {
+    // Its first engine is asked as soon as its report can tell.
+    let patience = Patience::new(Duration::from_millis(500), true);
+    let asked: Vec<_> = steps(patience, None);
+    let first = asked.iter().find(|s| s.1 == Step::Ask);
+    assert_eq!(first, Some(&(260, Step::Ask)));
+}
+
+#[test]
+fn patience_not_helped() {
+    let patience = Patience::new(Duration::from_millis(240), false);
+    assert_eq!(steps(patience, None), [(240, Step::Wait)]);
+}
+
+#[test]
+fn patience_short() {
+    // What is awaited for less than the first engine needs to tell is still asked.
+    let patience = Patience::new(Duration::from_millis(150), true);
+    let steps = steps(patience, None);
+    assert_eq!(steps.last(), Some(&(150, Step::Ask)));
+}
