Keep streams that come back after a restart in turn until their instance has started

Cause: a stream that has begun is exempt from its instance's turn behind seven tenths of its wait, 0.34 s. That suits one stream; here a thousand waited, the herd lasts for some seconds, and each was exempt as soon as it was first in line. And of 295 instances that assume a hundred each takes three times its part. While an instance is starting (4 s) such streams stay in turn, and 300 instances are assumed until the leader has counted them.

--- a/src/decide/load.rs
+++ b/src/decide/load.rs
@@ -231,7 +231,8 @@
 /// After all processes were killed each running stream comes back in the same tenth
 /// of a second. Without turns all of them were sent to the first pipeline that was
 /// known again, and its engines refused two in three. A stream that goes on alone
-/// finds its turn at once or within a report, so its caller sees no long pause.
-pub(crate) fn begun_takes_turns(waited: f64) -> bool {
-    waited < BEGUN_TURNS
+/// finds its turn at once or within a report, so its caller sees no long pause. While
+/// the instance is `starting`, the herd lasts for longer than one may wait.
+pub(crate) fn begun_takes_turns(starting: bool, waited: f64) -> bool {
+    starting || waited < BEGUN_TURNS
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -19,6 +19,7 @@
 use crate::clock::{Time, millis};
 use crate::configuration::{Model, Repeat, Route, Table};
 use crate::decide::health;
+use crate::decide::hold;
 use crate::decide::load;
 use crate::decide::path::Work;
 use crate::decide::refusal::Reason;
@@ -240,7 +241,8 @@
         let begun = self.tries.run > 0 || self.last.is_some();
         let first = self.is_long() && self.entry.shared().refused.starves_long();
         if begun {
-            work.turns = load::begun_takes_turns(waited);
+            let starting = hold::is_starting(self.entry.started, self.entry.now());
+            work.turns = load::begun_takes_turns(starting, waited);
         } else if !first && let Some(model) = self.model() {
             work.spare = load::spare(work.tokens(), model.usual_tokens(), waited);
             work.turns = true;
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -38,7 +38,7 @@
 /// was told that it was one of one, and took all the room of the fastest engines
 /// for its callers; so did each of the next, and the engines refused hundreds of
 /// requests. Many are assumed: a small fleet waits a little for its turn instead.
-const ASSUMED_ENTRIES: u32 = 100;
+const ASSUMED_ENTRIES: u32 = 300;
 
 /// The upstreams by service.
 pub(crate) type Services = HashMap<String, Vec<Upstream>>;
--- a/src/tests/decide/demand.rs
+++ b/src/tests/decide/demand.rs
@@ -108,7 +108,7 @@
         crosses: false,
         home: 0,
         spare: 0.0,
-        turns: begun_takes_turns(waited),
+        turns: begun_takes_turns(false, waited),
     };
     let share = Share {
         instances,
@@ -158,4 +158,6 @@
     let mut loads = Loads::default();
     assert!(!goes_on(&mut loads, 295, 100.0, 0.0));
     assert!(goes_on(&mut loads, 295, 100.0, 0.9));
+    // But while all come back at once, each such exemption is one of hundreds.
+    assert!(begun_takes_turns(true, 0.9));
 }
