--- a/src/controller/pace.rs
+++ b/src/controller/pace.rs
@@ -22,9 +22,11 @@
         let address = asked.address.into();
         let report = call(address, &asked.engine, request, Bytes::new(), ANSWER).await;
         let Some((StatusCode::OK, report)) = report else {
+            tracing::debug!(upstream = %asked.engine, "no report");
             return;
         };
         let Some(pace) = engine::reported_pace(&report) else {
+            tracing::debug!(upstream = %asked.engine, "its report names no pace");
             return;
         };
         if self.board().paced(&asked, pace) {
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -14,9 +14,9 @@
 
 /// Bytes in a second that the leader spends to tell all instances of the work
 /// of the others: a quarter of a controller's link. With 300 instances before 216
-/// engines each answer tells of it; with 300 before 3,000 one in 13 does. Where only
-/// each second answer did, instances had twice as many requests to share the room
-/// with, and a tenth of them waited for the next report.
+/// engines each answer tells of it; with 300 before 3,000 one in 13 does. Told less
+/// often, instances share the room with the requests of a longer time, and more of
+/// theirs wait for the next report.
 const BYTES_PER_S: f64 = 5.5e6;
 
 /// Bytes that tell of one engine's work.
--- a/src/decide/demand.rs
+++ b/src/decide/demand.rs
@@ -11,7 +11,7 @@
 pub(crate) struct Demand {
     /// Here, since the last report.
     asked: u32,
-    /// Here, between the two reports before.
+    /// Here, between the latest two reports; 1 before there were two.
     own: u32,
     /// At all instances, between two reports; `None` until it was told.
     all: Option<u32>,
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -61,8 +61,8 @@
 ///
 /// The neighbours of a dead engine refuse in its name as quickly as one that is short
 /// of memory does itself. One that has room and refuses looks dead: left out for
-/// [`REFUSED_OUT`] only, it was asked by each of 295 instances up to four times
-/// before the leader gave it up, and their retries were used up by it.
+/// [`REFUSED_OUT`] only, it is asked by each of hundreds of instances up to four times
+/// before the leader gives it up, and their retries are used up by it.
 pub(crate) fn may_be_full(used: Option<f64>) -> bool {
     used.is_none_or(|used| used >= FULL)
 }
--- a/src/decide/load.rs
+++ b/src/decide/load.rs
@@ -228,11 +228,11 @@
 /// Whether a request that has begun still waits for its instance's turn, after the
 /// part `waited` of the time that it may wait.
 ///
-/// After all processes were killed each running stream comes back in the same tenth
-/// of a second. Without turns all of them were sent to the first pipeline that was
-/// known again, and its engines refused two in three. A stream that goes on alone
-/// finds its turn at once or within a report, so its caller sees no long pause. While
-/// the instance is `starting`, the herd lasts for longer than one may wait.
+/// Guards against the herd after a restart of all processes: each running stream comes
+/// back in the same tenth of a second, and without turns all of them are sent to the
+/// first pipeline that is known again, whose engines refuse most. A stream that goes on
+/// alone finds its turn at once or within a report, so its caller sees no long pause.
+/// While the instance is `starting`, the herd lasts for longer than one may wait.
 pub(crate) fn begun_takes_turns(starting: bool, waited: f64) -> bool {
     starting || waited < BEGUN_TURNS
 }
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -75,9 +75,9 @@
     /// Leads an attempt around an engine that is known to be dead before the first
     /// engine can tell of it. Returns whether it tried.
     ///
-    /// The first engine's report lags by 200 ms, so that a stream through a dead
-    /// engine paused for too long whatever was done then. But new requests that
-    /// would pass through it are refused within milliseconds.
+    /// The first engine's report lags by 200 ms: when it names the dead one, the caller
+    /// has seen too long a pause already. But new requests that would pass through it
+    /// are refused within milliseconds.
     async fn avoid_dead(&self, chosen: &mut Chosen) -> bool {
         let Some(dead) = self.known_dead(chosen) else {
             return false;
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -34,10 +34,10 @@
 
 /// Entry instances that are assumed until a leader has counted them.
 ///
-/// After all processes were killed, the first instance that asked the new leader
-/// was told that it was one of one, and took all the room of the fastest engines
-/// for its callers; so did each of the next, and the engines refused hundreds of
-/// requests. Many are assumed: a small fleet waits a little for its turn instead.
+/// Guards against the herd after a restart of all processes: a new leader knows only
+/// the instances that have asked it, and the first would take all the room of the
+/// fastest engines for its callers, as one of one. Many are assumed: a small fleet
+/// waits a little for its turn instead.
 const ASSUMED_ENTRIES: u32 = 300;
 
 /// The upstreams by service.
