Keep the sum of asking requests, and say once what was said twice

- The leader summed up the asking requests of all instances for each answer, also for those that tell nothing, beside sums that are kept up for this very reason.
- Demand derives whether a report has come; two defaults were state of their own.
- Speed and room of an engine come from one function for paths and for refusals.
- A report is asked for and decoded in one place each.
- Of the engines at work only those whose turn it is are copied; one look-up of a known upstream; the record of failures stands where it stood.

--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -357,15 +357,15 @@
             let used = self.reports.at(address_key(e.last.address));
             e.last.layers.is_some() && (used.requests > 0 || e.pace > 1.0)
         };
-        let list = self.roster.list().into_iter().filter(at_work);
-        let engines: Vec<Asked> = list
-            .map(|e| Asked {
-                engine: e.last.id.clone(),
-                born: e.last.born,
-                address: e.last.address,
-            })
-            .collect();
-        self.turns.take(&engines)
+        let list = self.roster.list().into_iter();
+        let engines: Vec<&Entry> = list.filter(at_work).collect();
+        let turn = self.turns.take(&engines).into_iter();
+        turn.map(|e| Asked {
+            engine: e.last.id.clone(),
+            born: e.last.born,
+            address: e.last.address,
+        })
+        .collect()
     }
 
     /// Notes how fast an engine works. Returns whether instances hear of it.
--- a/src/controller/pace.rs
+++ b/src/controller/pace.rs
@@ -3,12 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::{Request, StatusCode};
-
 use super::Controller;
 use super::board::Asked;
-use crate::engine::call;
+use crate::engine::report;
 use crate::event;
 use crate::platform::engine;
 
@@ -18,10 +15,8 @@
 impl Controller {
     /// Asks one engine, and notes its answer.
     pub(super) async fn ask_pace(self: Arc<Self>, asked: Asked) {
-        let request = Request::get(engine::REPORT);
-        let address = asked.address.into();
-        let report = call(address, &asked.engine, request, Bytes::new(), ANSWER).await;
-        let Some((StatusCode::OK, report)) = report else {
+        let report = report(asked.address.into(), &asked.engine, ANSWER).await;
+        let Some(report) = report else {
             tracing::debug!(upstream = %asked.engine, "no report");
             return;
         };
--- a/src/controller/place.rs
+++ b/src/controller/place.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::{Request, StatusCode};
+use hyper::Request;
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
 use super::Controller;
 use super::board::Placement;
-use crate::engine::call;
+use crate::engine::{call, report};
 use crate::event;
 use crate::metric;
 use crate::platform::engine;
@@ -103,9 +103,7 @@
             if !self.board().is_pending(order) {
                 return;
             }
-            let (address, request) = (order.address.into(), Request::get(engine::REPORT));
-            let report = call(address, &order.engine, request, Bytes::new(), ANSWER).await;
-            let Some((StatusCode::OK, report)) = report else {
+            let Some(report) = report(order.address.into(), &order.engine, ANSWER).await else {
                 continue;
             };
             if engine::reported_layers(&report) == Some(order.range) {
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -41,6 +41,8 @@
     /// Sum of the loads in `latest`, by engine. Kept up with each report:
     /// summed up for each answer, it takes the square of the instances.
     sums: HashMap<u64, Load>,
+    /// Sum of `asking` in `latest`, kept up likewise.
+    asking: u32,
 }
 
 impl Reports {
@@ -63,9 +65,10 @@
             sum.requests += load.requests;
             sum.entered += load.entered;
         }
+        self.asking += ask.asking;
         let before = self.latest.remove(&ask.instance);
         if let Some(before) = &before {
-            self.subtract(&before.loads);
+            self.subtract(before);
         }
         let report = Report {
             at: now,
@@ -77,8 +80,9 @@
         self.latest.insert(ask.instance, report);
     }
 
-    fn subtract(&mut self, loads: &[Load]) {
-        for load in loads {
+    fn subtract(&mut self, report: &Report) {
+        self.asking -= report.asking;
+        for load in &report.loads {
             let Some(sum) = self.sums.get_mut(&load.engine) else {
                 continue;
             };
@@ -97,7 +101,7 @@
         let silent: Vec<u64> = silent.map(|(&instance, _)| instance).collect();
         for instance in silent {
             if let Some(report) = self.latest.remove(&instance) {
-                self.subtract(&report.loads);
+                self.subtract(&report);
             }
         }
     }
@@ -120,7 +124,6 @@
     /// again.
     pub(crate) fn tell(&mut self, now: Time, instance: u64) -> Option<Work> {
         let period = self.period();
-        let asking = self.latest.values().map(|r| r.asking).sum();
         let report = self.latest.get_mut(&instance)?;
         if report.told.is_some_and(|at| now.since(at) < period) {
             return None;
@@ -139,7 +142,7 @@
         });
         Some(Work {
             loads: others.collect(),
-            asking,
+            asking: self.asking,
         })
     }
 
--- a/src/decide/demand.rs
+++ b/src/decide/demand.rs
@@ -7,51 +7,33 @@
 //! that ask for it, as long as they are fewer than the instances.
 
 /// Requests that asked for room, here and at all instances together.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Demand {
-    /// Here, since the last report.
-    asked: u32,
-    /// Here, between the latest two reports; 1 before there were two.
-    own: u32,
+    /// Here, since the last report; `None` before the first.
+    asked: Option<u32>,
+    /// Here, between the latest two reports; `None` before there were two.
+    own: Option<u32>,
     /// At all instances, between two reports; `None` until it was told.
     all: Option<u32>,
-    /// Whether a report has come.
-    begun: bool,
-}
-
-impl Default for Demand {
-    fn default() -> Self {
-        Self {
-            asked: 0,
-            // While instances don't know, their number stands for their requests.
-            own: 1,
-            all: None,
-            begun: false,
-        }
-    }
 }
 
 impl Demand {
     /// Notes that a request asks for room.
     pub(crate) fn ask(&mut self) {
-        self.asked += 1;
+        self.asked = self.asked.map(|asked| asked + 1);
     }
 
     /// Notes a report, and the requests at all instances if it tells of them. The
     /// `waiting` ones ask again.
     pub(crate) fn learn(&mut self, all: Option<u32>, waiting: u32) {
-        // What came before the first report tells of no whole span.
-        if self.begun {
-            self.own = self.asked;
-        }
-        self.begun = true;
-        self.asked = waiting;
+        self.own = self.asked.replace(waiting);
         self.all = all;
     }
 
-    /// Requests at this instance between two reports, to be told.
+    /// Requests at this instance between two reports, to be told. While instances
+    /// don't know, their number stands for that of their requests.
     pub(crate) fn own(&self) -> u32 {
-        self.own
+        self.own.unwrap_or(1)
     }
 
     /// Among how many the room is divided: the `instances`, or the requests if
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -45,17 +45,6 @@
 /// be gone counts as alive. The heartbeats of one that died are late by then.
 const PROVED: Duration = Duration::from_millis(1_500);
 
-#[derive(Clone, Copy, Debug)]
-struct Record {
-    failures: u32,
-    /// Quick refusals since a request got through.
-    refusals: u32,
-    last: Time,
-    until: Time,
-    /// First sign of death since a request got through.
-    dead: Option<Time>,
-}
-
 /// Whether an upstream that refuses may just be full, with the share `used` of its
 /// memory for requests, if that is known.
 ///
@@ -87,6 +76,17 @@
     }
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    failures: u32,
+    /// Quick refusals since a request got through.
+    refusals: u32,
+    last: Time,
+    until: Time,
+    /// First sign of death since a request got through.
+    dead: Option<Time>,
+}
+
 /// Failures by address key.
 #[derive(Debug, Default)]
 pub(crate) struct Health(HashMap<u64, Record>);
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -22,7 +22,7 @@
 
 use crate::clock::{Clock, Time};
 use crate::id::UpstreamId;
-use crate::platform::headers;
+use crate::platform::{engine as platform, headers};
 
 /// Longest time to connect to an upstream.
 const CONNECT: Duration = Duration::from_millis(750);
@@ -239,6 +239,13 @@
 /// Longest answer to a call that is read, in bytes.
 const MAX_ANSWER: usize = 64 << 10;
 
+/// Asks an engine for its report; nothing when none came in time.
+pub(crate) async fn report(address: SocketAddr, id: &str, limit: Duration) -> Option<Bytes> {
+    let request = Request::get(platform::REPORT);
+    let answer = call(address, id, request, Bytes::new(), limit).await;
+    answer.filter(|a| a.0 == StatusCode::OK).map(|a| a.1)
+}
+
 /// Makes one short call to an upstream that expects to be `id`. Nothing when it
 /// is unknown what became of the call.
 pub(crate) async fn call(
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -284,7 +284,8 @@
         let view = self.entry.view();
         let upstreams = of_service(&view.services, &self.call.service);
         let upstream = upstreams.iter().find(|u| u.key == engine)?;
-        pool::used(upstream, self.model()?, &self.entry.shared().loads)
+        let speed = pool::speed(upstream, self.model()?, &self.entry.shared().loads);
+        Some(speed?.used)
     }
 
     /// Counts a failed attempt and decides what comes next.
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -163,11 +163,11 @@
     copies
 }
 
-/// Share of an engine's memory for requests that is booked, if it holds layers.
-pub(crate) fn used(upstream: &Upstream, model: &Model, loads: &Loads) -> Option<f64> {
+/// Speed and room of an engine under its present load, if it holds layers.
+pub(crate) fn speed(upstream: &Upstream, model: &Model, loads: &Loads) -> Option<Speed> {
     let accelerator = model.accelerator(upstream.kind.as_deref()?)?;
     let load = loads.at(upstream.key);
-    Some(Speed::new(model, accelerator, upstream.layers?, load).used)
+    Some(Speed::new(model, accelerator, upstream.layers?, load))
 }
 
 /// The engine as a path may use it, if it holds layers.
@@ -179,9 +179,7 @@
     domain: usize,
 ) -> Option<Candidate> {
     let range = upstream.layers?;
-    let accelerator = model.accelerator(upstream.kind.as_deref()?)?;
-    let load = loads.at(upstream.key);
-    let speed = Speed::new(model, accelerator, range, load);
+    let speed = speed(upstream, model, loads)?;
     let usual = model.usual_mb(range.len());
     Some(Candidate {
         range,
@@ -192,7 +190,7 @@
         room_mb: speed.room_mb,
         open: loads.may_add(upstream.key, speed.room_mb, usual, share),
         used: speed.used,
-        enters: load.entered < f64::from(upstream.slots),
+        enters: loads.at(upstream.key).entered < f64::from(upstream.slots),
         penalty: if upstream.late { LATE } else { 1.0 },
     })
 }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -155,14 +155,14 @@
         if self.has_ended(&news.id, news.born) || self.is_superseded(now, &news) {
             return Heard::Stale;
         }
-        let known = self.entries.get(&news.id).map(|e| &e.last);
+        let entry = self.entries.get(&news.id);
+        let known = entry.map(|e| &e.last);
         let fresh = known.is_none_or(|k| k.born < news.born);
         if known.is_some_and(|k| (k.born, k.sequence) >= (news.born, news.sequence)) {
             return Heard::Stale;
         }
         let changed = known.is_none_or(|k| differs(k, &news));
-        let before = self.entries.get(&news.id).filter(|_| !fresh);
-        let pace = before.map_or(1.0, |e| e.pace);
+        let pace = entry.filter(|_| !fresh).map_or(1.0, |e| e.pace);
         self.displace(&news);
         let entry = Entry {
             heard: now,
