Let the new tests use the request, engine and announcement that others have

The assertions stay as they were. The tests of pace and suspicion announced an engine each in a function of their own, that of demand had the overload's request and engine again.

--- a/src/tests/decide/demand.rs
+++ b/src/tests/decide/demand.rs
@@ -3,39 +3,29 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::decide::load::{Loads, Share, begun_takes_turns};
-use crate::decide::path::{Candidate, Hop, Start, Work, choose};
+use super::overload::{ENGINE, LAYERS, USUAL, USUAL_TOKENS, candidate, few, work};
+use crate::decide::load::{Loads, begun_takes_turns};
+use crate::decide::path::{Hop, Start, Work, choose};
 use crate::roster::Range;
 
-const ENGINE: u64 = 77;
-/// Memory of a usual request on the engine, in megabytes.
-const USUAL: f64 = 45.0;
 const INSTANCES: u32 = 295;
 
 const HOP: Hop = Hop {
     engine: 0,
-    range: Range { first: 0, end: 10 },
+    range: Range {
+        first: 0,
+        end: LAYERS,
+    },
 };
 
 /// A usual request.
 fn usual() -> Work {
     Work {
-        prompt: 900.0,
-        answer: 0.0,
-        token_mb: 0.005,
-        crossing_ms: 0.0,
-        crosses: false,
-        home: 0,
-        spare: 0.0,
         turns: true,
+        ..work(USUAL_TOKENS)
     }
 }
 
-const SHARE: Share = Share {
-    instances: INSTANCES,
-    copies: 1.0,
-};
-
 /// Of the requests that ask at each instance between two reports, those that find
 /// its turn at an engine with `room` for so many.
 fn round(asking: &[u32], room: f64, rng: &mut ChaCha8Rng) -> Vec<u32> {
@@ -50,7 +40,7 @@
         assert_eq!(loads.demand.own(), *own);
         for _ in 0..*own {
             let left = room * USUAL - loads.at(ENGINE).memory;
-            if loads.may_add(ENGINE, left, USUAL, SHARE) {
+            if loads.may_add(ENGINE, left, USUAL, few(INSTANCES)) {
                 loads.enter(&[(ENGINE, HOP)], &usual());
                 placed += 1;
             }
@@ -122,7 +112,7 @@
             let mut loads = Loads::default();
             loads.learn(&[], rng.random());
             loads.demand.learn(Some(asking.iter().sum()), 3);
-            open += u32::from(loads.may_add(ENGINE, 40.0 * USUAL, USUAL, SHARE));
+            open += u32::from(loads.may_add(ENGINE, 40.0 * USUAL, USUAL, few(INSTANCES)));
         }
         assert!((30..=95).contains(&open), "{open} of {INSTANCES}");
     }
@@ -133,7 +123,7 @@
     // A new leader hasn't heard how many requests ask: each may be one of many.
     let mut loads = Loads::default();
     loads.learn(&[], 0.5);
-    assert!(!loads.may_add(ENGINE, 40.0 * USUAL, USUAL, SHARE));
+    assert!(!loads.may_add(ENGINE, 40.0 * USUAL, USUAL, few(INSTANCES)));
 }
 
 #[test]
@@ -154,24 +144,10 @@
         turns: begun_takes_turns(false, waited),
         ..usual()
     };
-    let share = Share {
-        instances,
-        copies: 1.0,
-    };
     let room_mb = room * USUAL - loads.at(ENGINE).memory;
-    let candidate = Candidate {
-        range: HOP.range,
-        domain: 0,
-        step_ms: 1.0,
-        read_ms: 0.1,
-        memory_mb: room * USUAL,
-        room_mb,
-        open: loads.may_add(ENGINE, room_mb, USUAL, share),
-        used: 0.0,
-        enters: true,
-        penalty: 1.0,
-    };
-    let found = choose(10, Start::Caller, &[candidate], &work, |_| 1.0).is_ok();
+    let open = loads.may_add(ENGINE, room_mb, USUAL, few(instances));
+    let candidate = candidate(room * USUAL, room_mb, open);
+    let found = choose(LAYERS, Start::Caller, &[candidate], &work, |_| 1.0).is_ok();
     if found {
         loads.enter(&[(ENGINE, HOP)], &work);
     }
--- a/src/tests/decide/overload.rs
+++ b/src/tests/decide/overload.rs
@@ -14,11 +14,11 @@
 use crate::roster::Range;
 use crate::sync::Load;
 
-const ENGINE: u64 = 77;
-const LAYERS: u32 = 10;
-const USUAL_TOKENS: f64 = 900.0;
+pub(super) const ENGINE: u64 = 77;
+pub(super) const LAYERS: u32 = 10;
+pub(super) const USUAL_TOKENS: f64 = 900.0;
 /// Memory of a usual request on the engine, in megabytes.
-const USUAL: f64 = USUAL_TOKENS * 0.005 * 10.0;
+pub(super) const USUAL: f64 = USUAL_TOKENS * 0.005 * 10.0;
 /// Room for a hundred usual requests.
 const MEMORY: f64 = 100.0 * USUAL;
 const INSTANCES: usize = 9;
@@ -26,7 +26,7 @@
 const REPORT: u64 = 250;
 
 /// Instances before a domain that holds each layer once.
-fn few(instances: u32) -> Share {
+pub(super) fn few(instances: u32) -> Share {
     Share {
         instances,
         copies: 1.0,
@@ -51,7 +51,7 @@
     most: f64,
 }
 
-fn work(tokens: f64) -> Work {
+pub(super) fn work(tokens: f64) -> Work {
     Work {
         prompt: tokens,
         answer: 0.0,
@@ -130,20 +130,26 @@
     tally
 }
 
-/// As instances decide it for a fresh request.
-fn admitted(loads: &Loads, room_mb: f64, work: &Work, refused: &Refused) -> bool {
-    let candidate = Candidate {
+/// The engine, with `room_mb` left of its memory.
+pub(super) fn candidate(memory_mb: f64, room_mb: f64, open: bool) -> Candidate {
+    Candidate {
         range: Range::new(0, LAYERS),
         domain: 0,
         step_ms: 1.0,
         read_ms: 0.1,
-        memory_mb: MEMORY,
+        memory_mb,
         room_mb,
-        open: loads.may_add(ENGINE, room_mb, USUAL, few(INSTANCES as u32)),
+        open,
         used: 0.0,
         enters: true,
         penalty: 1.0,
-    };
+    }
+}
+
+/// As instances decide it for a fresh request.
+fn admitted(loads: &Loads, room_mb: f64, work: &Work, refused: &Refused) -> bool {
+    let open = loads.may_add(ENGINE, room_mb, USUAL, few(INSTANCES as u32));
+    let candidate = candidate(MEMORY, room_mb, open);
     let first = work.tokens() > USUAL_TOKENS && refused.starves_long();
     let work = Work {
         spare: if first {
--- a/src/tests/decide/pace.rs
+++ b/src/tests/decide/pace.rs
@@ -1,46 +1,25 @@
 //! Engines that turn slow, from their reports to the choice of a path.
 
-use std::net::SocketAddrV4;
-
-use super::super::at;
+use super::super::pool::{self, WORK};
+use super::super::{at, board};
 use super::model;
 use crate::decide::load::Loads;
 use crate::decide::pace::{Turns, news};
-use crate::decide::path::{self, Start, Work};
+use crate::decide::path::{self, Start};
 use crate::entry::pool::Pool;
 use crate::entry::view::{Services, Upstream};
 use crate::platform::engine::reported_pace;
 use crate::roster::{Announcement, Range, Roster};
-use crate::sync::{UpstreamRecord, address_key};
-
-const WORK: Work = Work {
-    prompt: 100.0,
-    answer: 50.0,
-    token_mb: 0.001,
-    crossing_ms: 0.02,
-    crosses: false,
-    home: 0,
-    spare: 0.0,
-    turns: false,
-};
+use crate::sync::UpstreamRecord;
 
 /// Layers that each engine holds, and that a request passes through.
 const LAYERS: Range = Range { first: 0, end: 6 };
 
 fn engine(host: u8, kind: &str, pace: f64) -> Upstream {
-    let address = SocketAddrV4::new([10, 0, 0, host].into(), 80);
     Upstream {
-        id: format!("i-{host}").into(),
-        born: 0,
-        key: address_key(address),
-        address,
-        domain: "north".to_owned(),
-        slots: 8,
         kind: Some(kind.to_owned()),
-        layers: Some(LAYERS),
-        late: false,
         pace,
-        suspected: false,
+        ..pool::engine(host, "north", LAYERS.first, LAYERS.end)
     }
 }
 
@@ -121,16 +100,8 @@
 
 fn announcement(born: u64, sequence: u64) -> Announcement {
     Announcement {
-        id: "i-1".into(),
         born,
-        sequence,
-        service: "letters".to_owned(),
-        address: "10.1.64.9:8666".parse().unwrap(),
-        domain: "north".to_owned(),
-        slots: 192,
-        leaving: false,
-        kind: Some("t4".to_owned()),
-        layers: Some(Range::new(0, 9)),
+        ..board::news(1, sequence, Some((0, 9)))
     }
 }
 
--- a/src/tests/decide/suspicion.rs
+++ b/src/tests/decide/suspicion.rs
@@ -3,12 +3,12 @@
 
 use std::time::Duration;
 
-use super::super::at;
+use super::super::{at, board};
 use crate::collections::HashMap;
 use crate::decide::health::{Health, Standing, may_be_full};
 use crate::decide::silence::{Patience, Step};
 use crate::entry::view::Upstream;
-use crate::roster::{Announcement, Range, Roster};
+use crate::roster::{Announcement, Roster};
 use crate::sync::UpstreamRecord;
 
 const BEAT: Duration = Duration::from_millis(1200);
@@ -30,18 +30,7 @@
 }
 
 fn announcement(sequence: u64) -> Announcement {
-    Announcement {
-        id: "i-1".into(),
-        born: 1,
-        sequence,
-        service: "letters".to_owned(),
-        address: "10.1.64.9:8666".parse().unwrap(),
-        domain: "north".to_owned(),
-        slots: 192,
-        leaving: false,
-        kind: Some("t4".to_owned()),
-        layers: Some(Range::new(0, 9)),
-    }
+    board::news(1, sequence, Some((0, 9)))
 }
 
 fn told(roster: &Roster) -> bool {
--- a/src/tests/pool.rs
+++ b/src/tests/pool.rs
@@ -10,7 +10,7 @@
 use crate::roster::Range;
 use crate::sync::address_key;
 
-const WORK: Work = Work {
+pub(super) const WORK: Work = Work {
     prompt: 100.0,
     answer: 50.0,
     token_mb: 0.001,
@@ -21,7 +21,7 @@
     turns: false,
 };
 
-fn engine(host: u8, domain: &str, first: u32, end: u32) -> Upstream {
+pub(super) fn engine(host: u8, domain: &str, first: u32, end: u32) -> Upstream {
     let address = SocketAddrV4::new([10, 0, 0, host].into(), 80);
     Upstream {
         id: format!("i-{host}").into(),
--- a/src/tests/view.rs
+++ b/src/tests/view.rs
@@ -188,7 +188,7 @@
     let (register, _machine) = Register::new();
     let mut board = Board::new(LEASE);
     board.lead(at(0), 1, &register);
-    let mut ask = |now, instance| {
+    let ask = |board: &mut Board, now, instance| {
         let ask = Sync {
             instance,
             ..Sync::default()
@@ -196,20 +196,15 @@
         board.sync(at(now), ask, Duration::ZERO, None, &register)
     };
     let mut view = View::new();
-    assert!(view.learn(at(10), ask(10, 1), LEASE));
+    assert!(view.learn(at(10), ask(&mut board, 10, 1), LEASE));
     assert_eq!(view.counted(), None);
     assert!(view.entries() > 50);
-    ask(60, 2);
-    ask(90, 3);
-    assert!(view.learn(at(400), ask(400, 1), LEASE));
+    ask(&mut board, 60, 2);
+    ask(&mut board, 90, 3);
+    assert!(view.learn(at(400), ask(&mut board, 400, 1), LEASE));
     assert_eq!((view.counted(), view.entries()), (Some(3), 3));
     // The next leader hasn't heard of most of them.
     board.lead(at(500), 2, &register);
-    let ask = Sync {
-        instance: 1,
-        ..Sync::default()
-    };
-    let state = board.sync(at(510), ask, Duration::ZERO, None, &register);
-    assert!(view.learn(at(510), state, LEASE));
+    assert!(view.learn(at(510), ask(&mut board, 510, 1), LEASE));
     assert_eq!(view.entries(), 3);
 }
