Log a fingerprint of the request with each attempt

Callers give each attempt its own id, so logs could not show whether two attempts carry the same request. Event 404 now has `fingerprint`, a hash of organisation, host, path, query and body. Event 405 now has `events`, the number of events that the attempt had delivered. This distinguishes engines that terminate one after the other under attempts of one request from engines that terminate by themselves.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -26,6 +26,7 @@
 use crate::decide::retry::{self, Failure, Next, Tries};
 use crate::engine::{Answer, Connection, Cutoff};
 use crate::event;
+use crate::fingerprint::Fingerprint;
 use crate::metric;
 use crate::platform::headers;
 use crate::sync::key_address;
@@ -53,6 +54,7 @@
 pub(super) struct Call {
     /// Id that the client gave this attempt of its own.
     pub(super) attempt: String,
+    pub(super) fingerprint: Fingerprint,
     pub(super) route: Route,
     pub(super) service: String,
     pub(super) method: Method,
@@ -98,6 +100,8 @@
     pub(super) ended: AtomicBool,
     /// Id of the last event that the caller has, on a stream.
     pub(super) last: Option<u64>,
+    /// Number of events with an id received in the current attempt, on a stream.
+    pub(super) events: u64,
 }
 
 /// A caller that leaves drops the request at whatever it waits for.
@@ -148,6 +152,7 @@
             kept: None,
             ended: AtomicBool::new(false),
             last,
+            events: 0,
         }
     }
 
@@ -192,6 +197,7 @@
             let chosen = found.map_err(|reason| self.nowhere(reason))?;
             let first = chosen.upstream.key;
             let alone = chosen.path.is_none();
+            self.events = 0;
             let outcome = match timeout(left, self.attempt(chosen)).await {
                 Ok(outcome) => outcome,
                 Err(_) => {
@@ -310,6 +316,7 @@
             cause,
             ?failure,
             ?next,
+            events = self.events,
             run = self.tries.run,
             idle = self.tries.idle,
             left_ms = millis(left),
@@ -349,6 +356,7 @@
         tracing::info!(
             event = event::ATTEMPT_SENT.id,
             attempt = self.call.attempt,
+            fingerprint = %self.call.fingerprint,
             route = self.call.route.name,
             upstream = %chosen.upstream.id,
             path = chosen.path,
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -20,6 +20,7 @@
 use crate::decide::path::Work;
 use crate::decide::refusal::{self, Reason};
 use crate::event;
+use crate::fingerprint::Fingerprint;
 use crate::gate::Running;
 use crate::http::{self, Reply, Unreceived};
 use crate::metric;
@@ -137,7 +138,10 @@
             let reason = "the key is missing or unknown";
             return Err(Box::new(failure(StatusCode::UNAUTHORIZED, reason)));
         }
-        let call = self.call(&table, found, &attempt, head, body);
+        let organisation = found.organisation.map(|o| o.name.as_str());
+        let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
+        let fingerprint = Fingerprint::of(organisation, host, target, &body);
+        let call = self.call(&table, found, &attempt, fingerprint, head, body);
         Ok(Admitted { table, call })
     }
 
@@ -146,6 +150,7 @@
         table: &Table,
         found: Found<'_>,
         attempt: &str,
+        fingerprint: Fingerprint,
         head: Parts,
         body: Bytes,
     ) -> Call {
@@ -159,6 +164,7 @@
         tracing::debug!(attempt, route = route.name, service, "admitted");
         Call {
             attempt: attempt.to_owned(),
+            fingerprint,
             route: route.clone(),
             service,
             method: head.method,
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -42,8 +42,6 @@
     opened: Opened,
     /// Bytes of an event that isn't whole yet.
     buffer: BytesMut,
-    /// Events handed on by the present run.
-    events: u64,
     total: u64,
     /// Time from the request's arrival to the first event.
     first: Option<Duration>,
@@ -63,7 +61,6 @@
         run,
         opened,
         buffer: BytesMut::new(),
-        events: 0,
         total: 0,
         first: None,
         pause: Duration::ZERO,
@@ -161,7 +158,7 @@
             return Input::Broken;
         }
         let route = &self.run.call.route;
-        let patience = match (route.repeat, self.events) {
+        let patience = match (route.repeat, self.run.events) {
             (Repeat::Never, _) => left,
             (_, 0) => route.objective * PATIENCE,
             _ => route.pause * STALLED,
@@ -183,7 +180,7 @@
         let end = self.buffer.windows(2).rposition(|w| w == b"\n\n")? + 2;
         let events = self.buffer.split_to(end).freeze();
         let now = self.run.entry.now();
-        if self.events == 0 {
+        if self.run.events == 0 {
             self.opened.chosen.succeeded();
         }
         match self.first {
@@ -198,7 +195,7 @@
         let ids = events.split(|&b| b == b'\n').filter_map(event_id);
         for id in ids {
             self.run.last = Some(id);
-            self.events += 1;
+            self.run.events += 1;
             self.total += 1;
         }
         Some(events)
@@ -222,7 +219,6 @@
         match self.run.open().await {
             Ok(opened) => {
                 self.opened = opened;
-                self.events = 0;
                 true
             }
             Err(_) => false,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 mod error;
 mod event;
 mod explain;
+mod fingerprint;
 mod flow;
 mod follow;
 mod frame;
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -14,6 +14,7 @@
 mod engine;
 mod event;
 mod explain;
+mod fingerprint;
 mod flow;
 mod follow;
 mod generation;
