Test that a request that crashes engines is stopped; it isn't

Engines of the test crash 60 ms after they begin to run one request and are back after 1.5 s under a new id. Its caller sends it again as new attempts at all instances, while eight callers send other requests. Later than 3 s after its third crash it may reach engines three times more.

Platform tests of any size now start in one place; their instances are warmed up 30 at once, as one after the other took 160 s at 300.

--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -20,6 +20,7 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
+use tokio::sync::Notify;
 
 use crate::common::caller::agent;
 
@@ -38,6 +39,12 @@
 /// Time between two events.
 const PACE: Duration = Duration::from_millis(40);
 
+/// Time from the begin of a run that crashes its engine to the crash.
+const CRASH_AFTER: Duration = Duration::from_millis(60);
+
+/// Time for which a crashed engine is down.
+const DOWN: Duration = Duration::from_millis(1500);
+
 /// How an engine misbehaves at the first run of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -68,6 +75,12 @@
     most_ordering: usize,
     /// Paths that no engine should have got.
     wrong: Vec<String>,
+    /// Organisation and body of requests that crash the engines that run them.
+    crashing: Vec<(String, String)>,
+    /// When engines received a request of `crashing`, by body.
+    received: Vec<(Instant, String)>,
+    /// When engines crashed under a request of `crashing`, by body.
+    crashed: Vec<(Instant, String)>,
 }
 
 pub(crate) type Shared = Arc<Mutex<World>>;
@@ -92,6 +105,22 @@
         self.held.remove(&spec.address);
     }
 
+    /// Makes each engine crash that runs this request of an organisation.
+    pub(crate) fn crash_on(&mut self, organisation: &str, body: &str) {
+        let request = (organisation.to_owned(), body.to_owned());
+        self.crashing.push(request);
+    }
+
+    /// When engines received a request of [`World::crash_on`].
+    pub(crate) fn received(&self, body: &str) -> Vec<Instant> {
+        times(&self.received, body)
+    }
+
+    /// When engines crashed under a request of [`World::crash_on`].
+    pub(crate) fn crashed(&self, body: &str) -> Vec<Instant> {
+        times(&self.crashed, body)
+    }
+
     /// Makes all engines take their time over orders.
     pub(crate) fn slow_orders(&mut self, time: Duration) {
         self.order_time = time;
@@ -121,6 +150,16 @@
         (0..LAYERS).all(|l| ranges().any(|r| r.0 <= l && l < r.1))
     }
 
+    /// Notes that an engine received a request; returns its body if it crashes the
+    /// engines that run it.
+    fn receive(&mut self, request: (String, String)) -> Option<String> {
+        if !self.crashing.contains(&request) {
+            return None;
+        }
+        self.received.push((Instant::now(), request.1.clone()));
+        Some(request.1)
+    }
+
     /// Why a path can't run, if so.
     fn refuses(&mut self, path: &str, first: SocketAddr) -> Option<SocketAddr> {
         let mut at = 0;
@@ -145,18 +184,39 @@
     }
 }
 
-/// Runs an engine until the test ends.
+fn times(list: &[(Instant, String)], body: &str) -> Vec<Instant> {
+    let of_body = list.iter().filter(|(_, b)| b == body);
+    of_body.map(|(at, _)| *at).collect()
+}
+
+/// Runs an engine until the test ends. One that crashes comes back at its address
+/// under a new id, without layers.
 pub(crate) fn run(spec: Spec, world: Shared, controllers: Vec<SocketAddr>) {
-    let listener = std::net::TcpListener::bind(spec.address).expect("a free address");
-    listener.set_nonblocking(true).unwrap();
-    let (beating, beats) = (spec.clone(), Arc::clone(&world));
-    thread::spawn(move || beat(&beating, &beats, &controllers));
+    let mut listener = listen(spec.address);
     thread::spawn(move || {
-        let runtime = Builder::new_current_thread().enable_all().build().unwrap();
-        runtime.block_on(serve(listener, spec, world));
+        let mut start = spec.clone();
+        for number in 1.. {
+            let (beating, beats) = (start.clone(), Arc::clone(&world));
+            let controllers = controllers.clone();
+            thread::spawn(move || beat(&beating, &beats, &controllers));
+            let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(serve(listener, start.clone(), Arc::clone(&world)));
+            // Closes all connections.
+            drop(runtime);
+            world.lock().unwrap().kill(&start);
+            thread::sleep(DOWN);
+            listener = listen(spec.address);
+            start.id = format!("{}.{number}", spec.id);
+        }
     });
 }
 
+fn listen(address: SocketAddr) -> std::net::TcpListener {
+    let listener = std::net::TcpListener::bind(address).expect("a free address");
+    listener.set_nonblocking(true).unwrap();
+    listener
+}
+
 fn beat(spec: &Spec, world: &Shared, controllers: &[SocketAddr]) {
     let mut target = 0;
     for seq in 1_u64.. {
@@ -193,17 +253,22 @@
     false
 }
 
+/// Serves until the engine crashes.
 async fn serve(listener: std::net::TcpListener, spec: Spec, world: Shared) {
     let listener = TcpListener::from_std(listener).unwrap();
+    let crash = Arc::new(Notify::new());
     loop {
-        let (stream, _) = listener.accept().await.unwrap();
+        let (stream, _) = tokio::select! {
+            accepted = listener.accept() => accepted.unwrap(),
+            () = crash.notified() => return,
+        };
         if world.lock().unwrap().dead.contains(&spec.id) {
             continue;
         }
-        let (spec, world) = (spec.clone(), Arc::clone(&world));
+        let (spec, world, crash) = (spec.clone(), Arc::clone(&world), Arc::clone(&crash));
         let service = service_fn(move |request| {
-            let (spec, world) = (spec.clone(), Arc::clone(&world));
-            async move { Ok::<_, Infallible>(answer(&spec, &world, request).await) }
+            let (spec, world, crash) = (spec.clone(), Arc::clone(&world), Arc::clone(&crash));
+            async move { Ok::<_, Infallible>(answer(&spec, &world, &crash, request).await) }
         });
         tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
     }
@@ -217,7 +282,12 @@
     response.body(body.boxed_unsync()).unwrap()
 }
 
-async fn answer(spec: &Spec, world: &Shared, request: Request<Incoming>) -> Response<Body> {
+async fn answer(
+    spec: &Spec,
+    world: &Shared,
+    crash: &Arc<Notify>,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let header = |name: &str| {
         let value = request.headers().get(name);
         value.map(|v| v.to_str().unwrap().to_owned())
@@ -234,6 +304,14 @@
     let path = header("x-hop-count");
     assert!(header("x-credential").is_none(), "a key was passed on");
     assert!(header("x-tenant").is_some(), "an organisation is named");
+    let last: u64 = header("last-event-id").map_or(0, |l| l.parse().unwrap());
+    let organisation = header("x-tenant").unwrap_or_default();
+    let body = request.into_body().collect().await;
+    let Ok(body) = body.map(http_body_util::Collected::to_bytes) else {
+        return whole(400, "");
+    };
+    let crashes = (organisation, String::from_utf8_lossy(&body).into_owned());
+    let crashes = world.lock().unwrap().receive(crashes);
     let refused = path.and_then(|p| world.lock().unwrap().refuses(&p, spec.address));
     if let Some(culprit) = refused {
         let mut response = whole(503, "");
@@ -251,11 +329,19 @@
         let lasts = |f: &Fault| !again || *f == Fault::Deaf;
         fault.filter(lasts).unwrap_or(Fault::None)
     };
-    let last: u64 = header("last-event-id").map_or(0, |l| l.parse().unwrap());
     if matches!(fault, Fault::Mute | Fault::Deaf) {
         std::future::pending::<()>().await;
     }
+    if let Some(body) = &crashes {
+        let (crash, world, body) = (Arc::clone(crash), Arc::clone(world), body.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(CRASH_AFTER).await;
+            world.lock().unwrap().crashed.push((Instant::now(), body));
+            crash.notify_one();
+        });
+    }
     let mut response = match spec.service {
+        "models" if crashes.is_some() => Response::new(silence()),
         _ if fault == Fault::Error => whole(500, "the stock file is locked"),
         "models" => Response::new(events(last, fault)),
         _ => whole(200, &format!("done by {}", spec.id)),
@@ -269,6 +355,11 @@
     response
 }
 
+/// A stream without events.
+fn silence() -> Body {
+    StreamBody::new(stream::pending::<Result<Frame<Bytes>, _>>()).boxed_unsync()
+}
+
 /// The events behind `last`.
 fn events(last: u64, fault: Fault) -> Body {
     let next = move |id: u64| async move {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 
+mod crash;
 mod engine;
 mod faults;
 mod observe;
--- a/tests/platform/stage.rs
+++ b/tests/platform/stage.rs
@@ -7,6 +7,7 @@
 use std::process::Command;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, MutexGuard};
+use std::thread;
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -19,9 +20,17 @@
 
 pub(crate) const HOST: &str = "desk.example";
 pub(crate) const KEY: &str = "key-of-one";
+/// Key of another organisation.
+pub(crate) const OTHER_KEY: &str = "key-of-two";
 pub(crate) const DOMAINS: [&str; 2] = ["north", "south"];
 const CONTROLLERS: u8 = 3;
 
+/// Hosts of a deployment's address range from which entry instances count on.
+const FIRST_ENTRY: u16 = 256;
+
+/// Entry instances that are warmed up at once.
+const WARMED_AT_ONCE: usize = 30;
+
 /// Tests of one process use loopback addresses of their own.
 static NEXT: AtomicU8 = AtomicU8::new(1);
 
@@ -48,6 +57,12 @@
     /// Starts all, sends the first configuration, and waits until a request
     /// would be served.
     pub(crate) fn start() -> Self {
+        Self::sized(DOMAINS.len(), &[3, 2])
+    }
+
+    /// As [`Stage::start`], with so many entry instances, and so many engines of the
+    /// model in each domain.
+    pub(crate) fn sized(entries: usize, engines: &[u8]) -> Self {
         let port = || port::free().port();
         let mut stage = Self {
             controllers: Vec::new(),
@@ -68,62 +83,64 @@
             let process = stage.controller(i, true);
             stage.controllers.push(process);
         }
-        for i in 0..DOMAINS.len() {
+        for i in 0..entries {
             let process = stage.entry(i);
             stage.entries.push(process);
         }
         until("first configuration", || {
             stage.replace(1, &[KEY]).then_some(())
         });
-        let kinds = [
-            ("models", "north"),
-            ("models", "north"),
-            ("models", "north"),
-        ];
-        let south = [
-            ("models", "south"),
-            ("models", "south"),
-            ("desk", "north"),
-            ("desk", "south"),
-        ];
-        for (i, (service, domain)) in (1..).zip(kinds.into_iter().chain(south)) {
+        let models = DOMAINS.iter().zip(engines);
+        let models = models.flat_map(|(domain, count)| (0..*count).map(|_| ("models", *domain)));
+        let desks = DOMAINS.iter().map(|domain| ("desk", *domain));
+        for (i, (service, domain)) in (1..).zip(models.chain(desks)) {
             stage.engine(i, service, domain);
         }
         until("layers of both domains", || {
             let covered = |d: &&str| stage.world().covers(&stage.addresses(d));
             DOMAINS.iter().all(covered).then_some(())
         });
-        for i in 0..DOMAINS.len() {
+        for i in 0..entries {
             until("ready entry", || stage.is_ready(i).then_some(()));
         }
-        // Both entries must have heard of the last layers.
-        for i in 0..DOMAINS.len() {
-            until("served request", || {
-                let (status, _) = stage.ask(i, "/letters/x", &format!("warm-{i}"), KEY);
-                (status == 200).then_some(())
+        // All entries must have heard of the last layers.
+        for block in (0..entries).collect::<Vec<_>>().chunks(WARMED_AT_ONCE) {
+            thread::scope(|scope| {
+                for i in block {
+                    scope.spawn(|| stage.warm(*i));
+                }
             });
         }
         stage
     }
 
+    /// Waits until an entry instance serves a request.
+    fn warm(&self, entry: usize) {
+        until("served request", || {
+            let (status, _) = self.ask(entry, "/letters/x", &format!("warm-{entry}"), KEY);
+            (status == 200).then_some(())
+        });
+    }
+
     pub(crate) fn world(&self) -> MutexGuard<'_, World> {
         self.world.lock().unwrap()
     }
 
-    fn ip(&self, host: u8) -> Ipv4Addr {
-        Ipv4Addr::new(127, 0, self.net, host)
+    fn ip(&self, host: u16) -> Ipv4Addr {
+        let [high, low] = host.to_be_bytes();
+        Ipv4Addr::new(127, high, self.net, low)
     }
 
-    fn at(&self, host: u8, port: u16) -> SocketAddr {
+    fn at(&self, host: u16, port: u16) -> SocketAddr {
         SocketAddrV4::new(self.ip(host), port).into()
     }
 
     pub(crate) fn control(&self, i: u8) -> SocketAddr {
-        self.at(1 + i, self.ports.control)
+        self.at(1 + u16::from(i), self.ports.control)
     }
 
     pub(crate) fn callers(&self, entry: usize) -> SocketAddr {
-        self.at(11 + entry as u8, self.ports.callers)
+        self.at(entry_host(entry), self.ports.callers)
     }
 
     fn addresses(&self, domain: &str) -> Vec<SocketAddr> {
@@ -140,7 +157,7 @@
         let data = format!("dataDir = {data:?}");
         self.role(
             "controller",
-            1 + i,
+            1 + u16::from(i),
             DOMAINS[usize::from(i) % 2],
             founding,
             &data,
@@ -154,15 +171,18 @@
     }
 
     pub(crate) fn entry(&self, i: usize) -> Process {
-        let host = 11 + i as u8;
+        let host = entry_host(i);
         let (callers, readiness) = (self.callers(i), self.at(host, self.ports.readiness));
         let listen = format!("front = \"{callers}\"\nreadiness = \"{readiness}\"");
-        self.role("entry", host, DOMAINS[i], true, "", &listen)
+        self.role("entry", host, DOMAINS[i % 2], true, "", &listen)
     }
 
     /// Starts an entry instance whose output nobody reads.
     pub(crate) fn unread_entry(&self, i: usize) -> Process {
-        let file = self.folder.path().join(format!("entry-{}.toml", 11 + i));
+        let file = self
+            .folder
+            .path()
+            .join(format!("entry-{}.toml", entry_host(i)));
         let mut command = Command::new(env!("CARGO_BIN_EXE_laburnumquay"));
         command.arg("entry").arg("--boot-file").arg(file);
         Process::start("unread entry", &mut command)
@@ -171,7 +191,7 @@
     fn role(
         &self,
         role: &str,
-        host: u8,
+        host: u16,
         domain: &str,
         founding: bool,
         more: &str,
@@ -199,7 +219,7 @@
 
     /// Starts an engine.
     pub(crate) fn engine(&mut self, host: u8, service: &'static str, domain: &'static str) {
-        let address = self.at(100 + host, port::free().port());
+        let address = self.at(100 + u16::from(host), port::free().port());
         let spec = Spec {
             id: format!("i-{host}"),
             address,
@@ -229,7 +249,8 @@
 
     /// Metrics of all controllers and entry instances, in this order.
     pub(crate) fn metrics(&self) -> Vec<String> {
-        let hosts = (1..=CONTROLLERS).chain((0..DOMAINS.len()).map(|i| 11 + i as u8));
+        let entries = (0..self.entries.len()).map(entry_host);
+        let hosts = (1..=u16::from(CONTROLLERS)).chain(entries);
         let read = |host| {
             let uri = format!("http://{}/metrics", self.at(host, self.ports.metrics));
             let mut reply = agent().get(&uri).call().expect("metrics");
@@ -239,7 +260,7 @@
     }
 
     pub(crate) fn is_ready(&self, entry: usize) -> bool {
-        let address = self.at(11 + entry as u8, self.ports.readiness);
+        let address = self.at(entry_host(entry), self.ports.readiness);
         let reply = agent().get(format!("http://{address}/v1/readyz")).call();
         reply.is_ok_and(|r| r.status() == 200)
     }
@@ -247,6 +268,18 @@
     /// Status and body of a request; an error while reading the body counts
     /// as status 0.
     pub(crate) fn ask(&self, entry: usize, path: &str, attempt: &str, key: &str) -> (u16, String) {
+        self.ask_with(entry, path, attempt, key, "text")
+    }
+
+    /// As [`Stage::ask`], with a body.
+    pub(crate) fn ask_with(
+        &self,
+        entry: usize,
+        path: &str,
+        attempt: &str,
+        key: &str,
+        body: &str,
+    ) -> (u16, String) {
         let request = agent()
             .post(format!("http://{}{path}", self.callers(entry)))
             .header("host", HOST)
@@ -255,7 +288,7 @@
             .header("x-tenant", "forged")
             .header("x-token-usage", "20,30")
             .header("x-deadline-ms", "20000");
-        let Ok(mut reply) = request.send("text") else {
+        let Ok(mut reply) = request.send(body) else {
             return (0, String::new());
         };
         let status = reply.status().as_u16();
@@ -266,6 +299,10 @@
     }
 }
 
+fn entry_host(entry: usize) -> u16 {
+    FIRST_ENTRY + u16::try_from(entry).expect("few instances")
+}
+
 fn configuration(version: u64, keys: &[&str]) -> Value {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         json!({
@@ -290,7 +327,10 @@
             }},
             {"name": "desk"},
         ],
-        "tenants": [{"name": "one", "apiKeys": keys}],
+        "tenants": [
+            {"name": "one", "apiKeys": keys},
+            {"name": "two", "apiKeys": [OTHER_KEY]},
+        ],
     })
 }
 
