--- a/src/cli.rs
+++ b/src/cli.rs
@@ -30,6 +30,7 @@
         .subcommand(voters())
         .subcommand(state())
         .subcommand(explain())
+        .subcommand(quarantine())
         .subcommand(digest())
         .subcommand(completions())
 }
@@ -392,6 +393,35 @@
         )
 }
 
+fn quarantine() -> Command {
+    let controller = || {
+        address(setting(
+            "controller",
+            "LQ_CONTROLLER",
+            "Control address of a controller",
+        ))
+    };
+    Command::new("quarantine")
+        .about("List quarantined requests, or lift the quarantine of one")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("list")
+                .about("List quarantined requests as JSON")
+                .arg(controller()),
+        )
+        .subcommand(
+            Command::new("lift")
+                .about("Lift the quarantine of a request")
+                .arg(controller())
+                .arg(
+                    Arg::new("fingerprint")
+                        .required(true)
+                        .help("Fingerprint of the request, as shown by `list` and in the logs"),
+                ),
+        )
+}
+
 fn digest() -> Command {
     Command::new("digest")
         .about("Print the SHA-256 digest of a secret file, as catalogue entries hold it")
--- a/src/client.rs
+++ b/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -18,10 +19,14 @@
 use crate::error::{
     CatalogueFileSnafu, Error, OutputSnafu, ReadFileSnafu, RefusedSnafu, Result, UnreachableSnafu,
 };
+use crate::platform::call;
 
 /// Longest wait for an answer.
 const LIMIT: Duration = Duration::from_secs(15);
 
+/// Maximum number of controllers asked; each may redirect to the leader that it knows.
+const MOST_REDIRECTS: usize = 4;
+
 /// Largest answer, in bytes.
 const MAX_ANSWER: u64 = 256 << 20;
 
@@ -47,6 +52,8 @@
 /// An answer of an instance.
 struct Answer {
     status: u16,
+    /// `Location` header: where another instance answers the same call.
+    location: Option<String>,
     body: String,
 }
 
@@ -56,15 +63,24 @@
             .get_one::<PathBuf>("operator-key-file")
             .expect("the command line demands it");
         let key = fs::read_to_string(path).context(ReadFileSnafu { path })?;
+        Ok(Self {
+            key: key.trim().to_owned(),
+            ..Self::without_key(text(matches, "target").to_owned())
+        })
+    }
+
+    /// A client for calls to a controller, which require no key.
+    fn without_key(target: String) -> Self {
         let config = ureq::Agent::config_builder()
             .timeout_global(Some(LIMIT))
             .http_status_as_error(false)
+            .max_redirects(0)
             .build();
-        Ok(Self {
-            target: text(matches, "target").to_owned(),
-            key: key.trim().to_owned(),
+        Self {
+            target,
+            key: String::new(),
             agent: config.into(),
-        })
+        }
     }
 
     fn get(&self, path: &str) -> Result<Answer> {
@@ -114,13 +130,19 @@
         };
         let mut response = call.map_err(unreachable)?;
         let status = response.status().as_u16();
+        let location = response.headers().get("location");
+        let location = location.and_then(|l| Some(l.to_str().ok()?.to_owned()));
         let body = response
             .body_mut()
             .with_config()
             .limit(MAX_ANSWER)
             .read_to_string()
             .map_err(unreachable)?;
-        Ok(Answer { status, body })
+        Ok(Answer {
+            status,
+            location,
+            body,
+        })
     }
 
     fn fetch(&self, path: &str) -> Result<String> {
@@ -236,6 +258,37 @@
     print(out, client.fetch(path)?.trim_end())
 }
 
+/// Runs `laburnumquay quarantine ...`.
+///
+/// # Errors
+///
+/// When the controller can't be reached or refuses.
+pub(crate) fn quarantine(matches: &ArgMatches, out: &mut dyn Write) -> Result<()> {
+    let (name, matches) = matches.subcommand().expect("the command line demands one");
+    let controller = matches
+        .get_one::<SocketAddr>("controller")
+        .expect("the command line demands it");
+    let client = Client::without_key(controller.to_string());
+    if name == "list" {
+        return print(out, &client.fetch(call::QUARANTINE_LIST)?);
+    }
+    let path = call::lift_path(text(matches, "fingerprint"));
+    let mut target = format!("http://{controller}{path}");
+    for _ in 0..MOST_REDIRECTS {
+        let answer = client.answer(client.agent.post(&target).send_empty())?;
+        match answer.location {
+            Some(location) => target = location,
+            None if answer.status == 200 => return Ok(()),
+            None => return client.refused(&answer),
+        }
+    }
+    UnreachableSnafu {
+        target,
+        reason: "no controller answers as the leader; try again",
+    }
+    .fail()
+}
+
 /// Runs `laburnumquay digest`.
 ///
 /// # Errors
--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -11,11 +11,14 @@
 
 use super::reports::Reports;
 use crate::clock::Time;
-use crate::collections::HashMap;
+use crate::collections::{HashMap, HashSet};
 use crate::configuration::{Configuration, Model};
 use crate::decide::pace::Turns;
 use crate::decide::placement::{self, Worker};
-use crate::register::{Register, Versioned};
+use crate::decide::quarantine::{Crashes, CrashingRequest};
+use crate::decide::run_history::EngineStart;
+use crate::fingerprint::Fingerprint;
+use crate::register::{Quarantined, Register, Versioned};
 use crate::relay::Pulse;
 use crate::roster::{Announcement, Entry, Heard, LOST_BEATS, Range, Roster};
 use crate::sync::{RosterRecord, State, Sync, UpstreamRecord, address_key};
@@ -83,6 +86,8 @@
     pub(crate) pending: usize,
     /// Entry instances that report.
     pub(crate) entries: usize,
+    /// Requests suspected of crashing engines.
+    pub(crate) suspects: usize,
 }
 
 /// State of one term of leadership.
@@ -95,6 +100,7 @@
     departed: u64,
     reports: Reports,
     turns: Turns,
+    crashes: Crashes,
     /// Each change of it touches the upstream in the roster, since instances
     /// see what an engine keeps, not what it holds.
     pending: HashMap<Arc<str>, Pending>,
@@ -111,6 +117,7 @@
             departed: 0,
             reports: Reports::default(),
             turns: Turns::default(),
+            crashes: Crashes::default(),
             pending: HashMap::default(),
         }
     }
@@ -190,6 +197,7 @@
             && ask.complete == self.is_complete(now);
         let roster = (!known).then(|| self.record(now, &ask, register));
         let instance = ask.instance;
+        self.record_runs(now, &ask);
         self.reports.take(now, ask);
         State {
             age: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
@@ -200,9 +208,53 @@
             entries: self.reports.len() as u32,
             voters: Vec::new(),
             counted: now.since(self.since) >= COUNTED,
+            term: self.term,
+            suspects: self.crashes.suspects().map(Fingerprint::bytes).collect(),
+            quarantine: None,
+        }
+    }
+
+    /// Records the cut and harmless runs that an instance reports.
+    fn record_runs(&mut self, now: Time, ask: &Sync) {
+        let at = |age| now - Duration::from_micros(age);
+        for cut in &ask.cut {
+            let Ok(fingerprint) = Fingerprint::try_from(&*cut.fingerprint) else {
+                continue;
+            };
+            let engine = EngineStart {
+                id: cut.engine.as_str().into(),
+                born: cut.born,
+            };
+            let organisation = cut.organisation.as_str().into();
+            self.crashes
+                .record_crash(at(cut.age), engine, fingerprint, organisation);
+        }
+        for run in &ask.harmless {
+            if let Ok(fingerprint) = Fingerprint::try_from(&*run.fingerprint) {
+                self.crashes.record_harmless(at(run.age), fingerprint);
+            }
         }
     }
 
+    /// Returns requests that crash engines and are not quarantined yet.
+    pub(crate) fn crashing_requests(
+        &mut self,
+        now: Time,
+        register: &Register,
+    ) -> Vec<CrashingRequest> {
+        let refused = register.quarantined();
+        let refused: HashSet<Fingerprint> = refused
+            .iter()
+            .filter_map(Quarantined::fingerprint)
+            .collect();
+        self.crashes.tick(now, |f| refused.contains(f))
+    }
+
+    /// Removes a request from all recorded crashes.
+    pub(crate) fn forget_crashes(&mut self, fingerprint: &Fingerprint) {
+        self.crashes.forget(fingerprint);
+    }
+
     /// The next part of the roster that the asker misses.
     fn record(&self, now: Time, ask: &Sync, register: &Register) -> RosterRecord {
         let changes = self.roster.changes();
@@ -378,6 +430,7 @@
         let mut counts = Counts {
             pending: self.pending.len(),
             entries: self.reports.len(),
+            suspects: self.crashes.suspects().count(),
             ..Counts::default()
         };
         for entry in self.roster.list() {
--- a/src/controller/call.rs
+++ b/src/controller/call.rs
@@ -14,6 +14,7 @@
 use super::{Controller, GROUP, control_of};
 use crate::clock::{millis, wall_millis};
 use crate::event;
+use crate::fingerprint::Fingerprint;
 use crate::http::{self, Reply};
 use crate::platform::call::{self, Call};
 use crate::platform::{configuration, heartbeat};
@@ -77,6 +78,8 @@
             Call::Fetch => self.fetch().await,
             Call::Heartbeat(id) => self.heartbeat(path, id, &body).await,
             Call::Leave(id) => self.leave(path, id).await,
+            Call::ListQuarantined => json(StatusCode::OK, self.list_quarantined().into()),
+            Call::Lift(fingerprint) => self.lift(path, fingerprint).await,
         }
     }
 
@@ -165,6 +168,26 @@
         json(StatusCode::OK, call::next_heartbeat(self.control).into())
     }
 
+    /// Lifts the quarantine of a request.
+    async fn lift(&self, path: &str, fingerprint: &str) -> Response<Reply> {
+        let Some(fingerprint) = Fingerprint::parse(fingerprint) else {
+            return failure(StatusCode::BAD_REQUEST, "this is no fingerprint");
+        };
+        if let Err(refusal) = self.commit(register::lift(&fingerprint), path).await {
+            return refusal;
+        }
+        if let Some(mut board) = self.leading() {
+            board.forget_crashes(&fingerprint);
+        }
+        tracing::info!(
+            event = event::QUARANTINE_LIFTED.id,
+            %fingerprint,
+            cause = "operator",
+            "quarantine lifted"
+        );
+        empty(StatusCode::OK)
+    }
+
     /// Commits a command, or gives the answer to send instead.
     async fn commit(&self, command: Bytes, path: &str) -> Result<(), Response<Reply>> {
         if self.lead().term.is_none() {
--- a/src/controller/measure.rs
+++ b/src/controller/measure.rs
@@ -26,6 +26,8 @@
                 .set(valid * f64::from(count));
         }
         metrics::gauge!(metric::PENDING.name).set(valid * counts.pending as f64);
+        metrics::gauge!(metric::QUARANTINED.name).set(self.register.quarantined().len() as f64);
+        metrics::gauge!(metric::SUSPECTS.name).set(valid * counts.suspects as f64);
         metrics::gauge!(metric::ENTRIES.name).set(valid * counts.entries as f64);
         let models = table.iter().flat_map(|t| t.configuration.models());
         for (service, model) in models {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -41,6 +41,7 @@
 mod measure;
 mod pace;
 mod place;
+mod quarantine;
 pub(crate) mod reports;
 
 /// The only group of the replicated log.
@@ -360,6 +361,7 @@
             }
             self.tend_members();
             self.tend_upstreams();
+            self.tend_quarantine();
         }
     }
 
@@ -457,11 +459,13 @@
             return Answer::NotLeader(self.lead().leader.map_or(0, |l| l.0));
         };
         let current = self.packed();
+        let known_quarantine = ask.quarantine_checksum;
         let state = board.sync(self.now(), ask, age, current, &self.register);
         drop(board);
         let members = self.status().into_iter().flat_map(|s| s.members);
         Answer::State(State {
             voters: members.map(|m| m.id).collect(),
+            quarantine: self.quarantine(known_quarantine),
             ..state
         })
     }
--- /dev/null
+++ b/src/controller/quarantine.rs
@@ -0,0 +1,104 @@
+//! Quarantine of requests that crash engines: decided by the leader, committed to the
+//! replicated log and sent to the entry instances.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::{Controller, GROUP};
+use crate::clock::{millis, wall_millis};
+use crate::event;
+use crate::fingerprint::Fingerprint;
+use crate::register::{self, Quarantined};
+use crate::sync::{QuarantineRecord, RefusedRecord};
+
+/// Duration of a quarantine. It ends since the request may be harmless to a later engine
+/// release; otherwise it is quarantined again after a few more crashes.
+const QUARANTINE_DURATION: Duration = Duration::from_secs(3600);
+
+impl Controller {
+    /// Proposes new quarantines, and lifts those that have expired.
+    pub(super) fn tend_quarantine(&self) {
+        let Some(mut board) = self.leading() else {
+            return;
+        };
+        let requests = board.crashing_requests(self.now(), &self.register);
+        drop(board);
+        let now = wall_millis();
+        for request in requests {
+            let engines: Vec<&str> = request.engines.iter().map(|e| &*e.id).collect();
+            tracing::warn!(
+                event = event::REQUEST_QUARANTINED.id,
+                fingerprint = %request.fingerprint,
+                organisation = %request.organisation,
+                ?engines,
+                "request quarantined: engines crashed while running it"
+            );
+            let command = register::quarantine(Quarantined {
+                fingerprint: request.fingerprint.bytes(),
+                organisation: request.organisation.to_string(),
+                engines: u32::try_from(engines.len()).unwrap_or(u32::MAX),
+                since: now,
+                until: now + millis(QUARANTINE_DURATION),
+            });
+            self.propose(command);
+        }
+        let expired = self.register.quarantined().into_iter();
+        let expired = expired.filter(|q| q.until <= now);
+        for fingerprint in expired.filter_map(|q| q.fingerprint()) {
+            tracing::info!(
+                event = event::QUARANTINE_LIFTED.id,
+                %fingerprint,
+                cause = "expired",
+                "quarantine lifted"
+            );
+            self.propose(register::lift(&fingerprint));
+        }
+    }
+
+    /// Proposes a command. Uncommitted commands are proposed again by a later
+    /// [`Self::tend_quarantine`].
+    fn propose(&self, command: bytes::Bytes) {
+        let done = |outcome: Result<Vec<u8>, _>| {
+            if let Err(error) = outcome {
+                tracing::debug!("quarantine not committed: {error:?}");
+            }
+        };
+        self.voter.propose(GROUP, command, Box::new(done));
+    }
+
+    /// Returns the quarantine, unless its checksum is the `known` one of an instance.
+    pub(super) fn quarantine(&self, known: u64) -> Option<QuarantineRecord> {
+        let checksum = self.register.quarantine_checksum();
+        if checksum == known {
+            return None;
+        }
+        let now = wall_millis();
+        let requests = self.register.quarantined().into_iter();
+        let requests = requests.map(|q| RefusedRecord {
+            left: q.until.saturating_sub(now),
+            fingerprint: q.fingerprint,
+        });
+        Some(QuarantineRecord {
+            checksum,
+            requests: requests.collect(),
+        })
+    }
+
+    /// Returns the quarantined requests as JSON for operators.
+    pub(super) fn list_quarantined(&self) -> String {
+        let now = wall_millis();
+        let requests = self.register.quarantined().into_iter();
+        let requests = requests.map(|q| {
+            json!({
+                "fingerprint": q.fingerprint().map(|f: Fingerprint| f.to_string()),
+                "organisation": q.organisation,
+                "engines": q.engines,
+                "since_ms": now.saturating_sub(q.since),
+                "left_ms": q.until.saturating_sub(now),
+            })
+        });
+        let requests: Vec<_> = requests.collect();
+        json!({ "requests": requests }).to_string()
+    }
+}
--- a/src/decide/refusal.rs
+++ b/src/decide/refusal.rs
@@ -19,6 +19,8 @@
     Full,
     /// Each attempt was refused by an upstream, or found none.
     NotRun,
+    /// The request is quarantined for this remaining time, since it crashed engines.
+    Quarantined(Duration),
 }
 
 impl Reason {
@@ -29,6 +31,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Full => "full",
             Self::NotRun => "not_run",
+            Self::Quarantined(_) => "quarantined",
         }
     }
 }
@@ -100,6 +103,7 @@
         Reason::NoUpstream => (1.0, 3.0),
         Reason::Full => (0.6, FULL.0 + (FULL.1 - FULL.0) * refused),
         Reason::NotRun => (0.3, 1.0),
+        Reason::Quarantined(left) => (left.as_secs_f64(), left.as_secs_f64()),
     };
     Duration::from_secs_f64(least + (most - least) * draw)
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -11,10 +11,10 @@
 use super::Entry;
 use super::body::Body;
 use super::head;
-use super::listen::{failure, refuse};
+use super::listen::{failure, quarantined, refuse};
 use super::pool;
 use super::reroute::Silence;
-use super::select::Chosen;
+use super::select::{Chosen, Exclusions};
 use super::view::of_service;
 use crate::clock::{Time, millis};
 use crate::configuration::{Model, Repeat, Route, Table};
@@ -44,6 +44,9 @@
 /// Cause of a failure: an upstream takes no connection.
 const NO_CONNECTION: &str = "connect";
 
+/// Cause of a failure: an upstream closed the connection before the response head.
+const CUT: &str = "cut";
+
 /// Cause of a failure: an engine of the path is dead.
 pub(super) const DEAD_PART: &str = "dead_part";
 
@@ -55,6 +58,8 @@
     /// Id that the client gave this attempt of its own.
     pub(super) attempt: String,
     pub(super) fingerprint: Fingerprint,
+    /// Name of the caller's organisation; empty on a route without API keys.
+    pub(super) organisation: Arc<str>,
     pub(super) route: Route,
     pub(super) service: String,
     pub(super) method: Method,
@@ -184,6 +189,9 @@
             if left.is_zero() {
                 return Err(self.late());
             }
+            if let Some(reason) = self.quarantined() {
+                return Err(self.nowhere(reason));
+            }
             if self.model().is_some() {
                 self.entry.shared().loads.demand.ask();
             }
@@ -191,12 +199,17 @@
                 Ok(chosen) => Ok(chosen),
                 Err(reason) => self.wait(reason).await,
             };
+            // The request may have been quarantined while it waited.
+            if let Some(reason) = self.quarantined() {
+                return Err(self.nowhere(reason));
+            }
             let full = matches!(found, Err(Reason::Full));
             let long = self.is_long();
             self.entry.shared().refused.note(full, long);
             let chosen = found.map_err(|reason| self.nowhere(reason))?;
             let first = chosen.upstream.key;
             let alone = chosen.path.is_none();
+            let upstream = chosen.upstream.clone();
             self.events = 0;
             let outcome = match timeout(left, self.attempt(chosen)).await {
                 Ok(outcome) => outcome,
@@ -224,6 +237,9 @@
                     if alone && culprit.is_none() {
                         self.tried.push(first);
                     }
+                    if cause == CUT {
+                        self.record_cut(&upstream);
+                    }
                     self.blame(culprit, cause);
                     match self.fail(failure, cause) {
                         Next::Again => {}
@@ -253,8 +269,12 @@
             work.spare = load::spare(work.tokens(), model.usual_tokens(), waited);
             work.turns = true;
         }
+        let exclusions = Exclusions {
+            tried: &self.tried,
+            suspect: self.suspect(&view),
+        };
         self.entry
-            .choose(&view, &self.call.service, self.model(), work, &self.tried)
+            .choose(&view, &self.call.service, self.model(), work, exclusions)
     }
 
     /// Whether the request is longer than usual ones of its model.
@@ -300,6 +320,9 @@
         let route = &self.call.route;
         let left = self.left();
         let mut next = retry::next(route.repeat, route.attempts, self.tries, failure, left);
+        if next == Next::Again && self.may_crash_engine(cause) {
+            next = retry::give_up(self.tries, failure);
+        }
         if next == Next::Again {
             let now = self.entry.now();
             let entries = self.entry.view().entries();
@@ -374,7 +397,7 @@
         let answer = connection.send(request, &cutoff);
         match self.watch(answer, patience, &mut chosen).await {
             Ok(Ok(answer)) => self.judge(sent, Opened { answer, chosen }),
-            Ok(Err(_)) => failed(Failure::Unknown, "cut"),
+            Ok(Err(_)) => failed(Failure::Unknown, CUT),
             Err(Silence::Lost(culprit)) => Outcome::Failed {
                 failure: Failure::Unknown,
                 culprit: Some(culprit),
@@ -398,7 +421,11 @@
         let (code, response) = match end {
             Final::Refuse(reason) => {
                 let refused = self.entry.shared().refused.share();
-                (reason.code(), refuse(*reason, refused))
+                let mut response = refuse(*reason, refused);
+                if let Reason::Quarantined(_) = reason {
+                    *response.body_mut() = quarantined(&self.call.fingerprint);
+                }
+                (reason.code(), response)
             }
             Final::Fail => {
                 let reason = "the request may have run; no answer came";
@@ -413,6 +440,7 @@
         tracing::info!(
             event = event::REQUEST_ENDED.id,
             attempt = self.call.attempt,
+            fingerprint = %self.call.fingerprint,
             route = self.call.route.name,
             code,
             status = response.status().as_u16(),
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -103,8 +103,10 @@
             return false;
         };
         let sent = self.now();
+        let mut question = self.question();
+        let last_cut = self.add_run_reports(&mut question);
         let request = Request {
-            ask: Some(Ask::Sync(self.question())),
+            ask: Some(Ask::Sync(question)),
         };
         let answer = self.peers.call(target, request, ANSWER).await;
         match answer.map(|r| r.answer) {
@@ -114,6 +116,7 @@
                 if let Some(work) = &state.work {
                     self.take_in(work, state.counted);
                 }
+                self.acknowledge_runs(&state, last_cut);
                 let before = self.view().version();
                 let learnt = self.learn(sent, state);
                 let version = self.view().version();
@@ -170,6 +173,7 @@
             loads: shared.loads.report(),
             asking: shared.loads.demand.own(),
             suspects: shared.health.suspects(now, self.boot.heartbeat),
+            ..Sync::default()
         }
     }
 }
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -165,6 +165,7 @@
         Call {
             attempt: attempt.to_owned(),
             fingerprint,
+            organisation: organisation.unwrap_or_default().into(),
             route: route.clone(),
             service,
             method: head.method,
@@ -221,6 +222,11 @@
     response
 }
 
+/// Response body for a quarantined request.
+pub(super) fn quarantined(fingerprint: &Fingerprint) -> Body {
+    body::whole(call::quarantined(&fingerprint.to_string()).into())
+}
+
 /// An answer of this instance's own.
 pub(super) fn failure(status: StatusCode, reason: &str) -> Response<Body> {
     let mut response = Response::new(body::whole(call::failure(reason).into()));
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -17,6 +17,7 @@
 use crate::decide::link::LinkPart;
 use crate::decide::load::Loads;
 use crate::decide::refusal::Refused;
+use crate::decide::run_history::RunHistory;
 use crate::decide::waiting::Pace;
 use crate::error::Result;
 use crate::event;
@@ -31,6 +32,7 @@
 
 mod attempt;
 mod body;
+mod crash;
 mod exchange;
 mod follow;
 mod head;
@@ -72,6 +74,7 @@
     link: LinkPart,
     pace: Pace,
     refused: Refused,
+    run_history: RunHistory,
 }
 
 /// One running entry instance.
@@ -149,6 +152,7 @@
                 link: LinkPart::new(SystemClock.now()),
                 pace: Pace::default(),
                 refused: Refused::default(),
+                run_history: RunHistory::default(),
             }),
             gate: Arc::default(),
             started: SystemClock.now(),
@@ -203,8 +207,10 @@
 
     /// Takes in a leader's answer. Only the follower calls it.
     fn learn(&self, sent: Time, state: State) -> bool {
-        let mut view = View::clone(&self.view());
+        let before = self.view();
+        let mut view = View::clone(&before);
         let learnt = view.learn(sent, state, self.lease);
+        self.forget_lifted(&before, &view);
         self.view.store(Arc::new(view));
         self.news.notify_waiters();
         learnt
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -30,8 +30,12 @@
             }
             let upstream = opened.chosen.upstream.clone();
             match self.collect(opened).await {
-                Some((head, body)) => return self.deliver(head, body, &upstream.id),
+                Some((head, body)) => {
+                    self.record_harmless();
+                    return self.deliver(head, body, &upstream.id);
+                }
                 None => {
+                    self.record_cut(&upstream);
                     self.blame(Some(upstream.key), "cut_body");
                     match self.fail(Failure::Unknown, "cut_body") {
                         Next::Again => {}
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -82,6 +82,13 @@
         }
     }
 
+    /// Restricts the engines at which a path may begin to those that `may_enter` accepts.
+    pub(crate) fn restrict_entry(&mut self, may_enter: impl Fn(&Upstream) -> bool) {
+        for (engine, candidate) in self.engines.iter().zip(&mut self.candidates) {
+            candidate.enters &= may_enter(engine);
+        }
+    }
+
     /// Index of a failure domain; a domain without engines has none.
     pub(crate) fn domain(&self, name: &str) -> Option<usize> {
         self.domains.iter().position(|d| *d == name)
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -11,10 +11,28 @@
 use crate::configuration::Model;
 use crate::decide::path::{self, Hop, NoPath, Start, Work};
 use crate::decide::pick::{self, Offer};
+use crate::decide::quarantine::suspect_may_enter;
 use crate::decide::refusal::Reason;
+use crate::fingerprint::Fingerprint;
 use crate::roster::Range;
 use crate::sync::key_address;
 
+/// Restrictions on the upstreams of an attempt.
+#[derive(Clone, Copy)]
+pub(super) struct Exclusions<'a> {
+    /// Upstreams at which the request failed.
+    pub(super) tried: &'a [u64],
+    /// The request, if it is suspect: it may enter a subset of the upstreams only.
+    pub(super) suspect: Option<&'a Fingerprint>,
+}
+
+impl Exclusions<'_> {
+    /// Whether the request may begin at an upstream; only suspect requests are restricted.
+    fn may_enter(&self, upstream: u64) -> bool {
+        self.suspect.is_none_or(|f| suspect_may_enter(f, upstream))
+    }
+}
+
 /// Where an attempt goes. Dropping it ends the booking.
 pub(super) struct Chosen {
     entry: Arc<Entry>,
@@ -145,27 +163,35 @@
 };
 
 impl Entry {
-    /// Chooses an upstream or a path of `service`, and books it. `tried` are
-    /// upstreams at which this request failed.
+    /// Chooses an upstream or a path of `service`, and books it. Falls back to all upstreams
+    /// if a suspect request finds none in its subset.
     pub(super) fn choose(
         self: &Arc<Self>,
         view: &View,
         service: &str,
         model: Option<&Model>,
         work: Work,
-        tried: &[u64],
+        exclusions: Exclusions<'_>,
     ) -> Result<Chosen, Reason> {
-        match model {
-            Some(model) => self.choose_path(view, service, model, work, tried),
-            None => self.choose_one(view, service, tried),
+        let choose = |exclusions| match model {
+            Some(model) => self.choose_path(view, service, model, work, exclusions),
+            None => self.choose_one(view, service, exclusions),
+        };
+        let chosen = choose(exclusions);
+        if chosen.is_ok() || exclusions.suspect.is_none() {
+            return chosen;
         }
+        choose(Exclusions {
+            suspect: None,
+            ..exclusions
+        })
     }
 
     fn choose_one(
         self: &Arc<Self>,
         view: &View,
         service: &str,
-        tried: &[u64],
+        exclusions: Exclusions<'_>,
     ) -> Result<Chosen, Reason> {
         let upstreams = of_service(&view.services, service);
         let now = self.now();
@@ -178,7 +204,7 @@
                 near: u.domain == self.boot.domain,
                 late: u.late,
                 out: u.suspected || shared.health.is_out(now, u.key),
-                tried: tried.contains(&u.key),
+                tried: exclusions.tried.contains(&u.key) || !exclusions.may_enter(u.key),
             })
             .collect();
         drop(shared);
@@ -199,9 +225,9 @@
         service: &str,
         model: &Model,
         work: Work,
-        tried: &[u64],
+        exclusions: Exclusions<'_>,
     ) -> Result<Chosen, Reason> {
-        let over = |trust| self.path_over(view, service, model, work, tried, trust);
+        let over = |trust| self.path_over(view, service, model, work, exclusions, trust);
         match over(Trust::Sound) {
             Err(Reason::NoUpstream) => over(Trust::Living),
             found => found,
@@ -214,12 +240,13 @@
         service: &str,
         model: &Model,
         mut work: Work,
-        tried: &[u64],
+        exclusions: Exclusions<'_>,
         trust: Trust,
     ) -> Result<Chosen, Reason> {
         let now = self.now();
-        let usable = |u: &Upstream| !tried.contains(&u.key);
-        let pool = self.shared().pool(now, view, service, model, trust, usable);
+        let usable = |u: &Upstream| !exclusions.tried.contains(&u.key);
+        let mut pool = self.shared().pool(now, view, service, model, trust, usable);
+        pool.restrict_entry(|u| exclusions.may_enter(u.key));
         // A caller's domain without engines is none of theirs.
         work.home = pool.domain(&self.boot.domain).unwrap_or(usize::MAX);
         let mut rng = rand::rng();
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -18,6 +18,7 @@
 use crate::configuration::Repeat;
 use crate::decide::leave::Leave;
 use crate::decide::retry::{Failure, Next};
+use crate::decide::run_history::HARMLESS_EVENTS;
 use crate::decide::silence;
 use crate::event;
 use crate::gate::Running;
@@ -116,6 +117,7 @@
                     }
                 }
                 Input::End if self.buffer.is_empty() => {
+                    self.run.record_harmless();
                     self.finish("whole");
                     return None;
                 }
@@ -197,12 +199,18 @@
             self.run.last = Some(id);
             self.run.events += 1;
             self.total += 1;
+            if self.run.events == HARMLESS_EVENTS {
+                self.run.record_harmless();
+            }
         }
         Some(events)
     }
 
     /// Goes on behind the last event on another path, if that is allowed.
     async fn resume(&mut self, cause: &'static str) -> bool {
+        if matches!(cause, "cut_event" | "cut_stream") {
+            self.run.record_cut(&self.opened.chosen.upstream);
+        }
         if self.run.left().is_zero() {
             return false;
         }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -8,9 +8,12 @@
 use crate::clock::Time;
 use crate::collections::{HashMap, HashSet};
 use crate::configuration::Table;
+use crate::fingerprint::Fingerprint;
 use crate::platform::configuration;
 use crate::roster::Range;
-use crate::sync::{RosterRecord, State, UpstreamRecord, key_address, unpack};
+use crate::sync::{
+    QuarantineRecord, RefusedRecord, RosterRecord, State, UpstreamRecord, key_address, unpack,
+};
 
 /// One upstream as the leader tells of it.
 #[derive(Clone, Debug, PartialEq)]
@@ -67,6 +70,12 @@
     /// Upstreams in `services` that the leader hasn't told of since it began
     /// anew. Empty once the roster is complete.
     unheard: Arc<HashSet<Arc<str>>>,
+    /// Quarantined requests, with the end of each quarantine.
+    quarantine: Arc<HashMap<Fingerprint, Time>>,
+    /// The leader's checksum of `quarantine`.
+    quarantine_checksum: u64,
+    /// Requests that the leader suspects of crashing engines.
+    suspects: Arc<[Fingerprint]>,
 }
 
 impl View {
@@ -82,6 +91,9 @@
             complete: false,
             more: false,
             unheard: Arc::default(),
+            quarantine: Arc::default(),
+            quarantine_checksum: 0,
+            suspects: Arc::default(),
         }
     }
 
@@ -121,6 +133,32 @@
         self.table.is_some() && now < self.until
     }
 
+    /// Returns the remaining time of a request's quarantine, if it has not expired.
+    pub(crate) fn quarantined(&self, now: Time, fingerprint: &Fingerprint) -> Option<Duration> {
+        let until = self.quarantine.get(fingerprint)?;
+        Some(until.since(now)).filter(|left| !left.is_zero())
+    }
+
+    /// Whether the leader lists a request as quarantined, even if it has expired by now.
+    pub(crate) fn is_quarantined(&self, fingerprint: &Fingerprint) -> bool {
+        self.quarantine.contains_key(fingerprint)
+    }
+
+    /// The quarantined requests.
+    pub(crate) fn quarantine(&self) -> impl Iterator<Item = &Fingerprint> {
+        self.quarantine.keys()
+    }
+
+    /// The leader's checksum of the quarantined requests.
+    pub(crate) fn quarantine_checksum(&self) -> u64 {
+        self.quarantine_checksum
+    }
+
+    /// Requests that the leader suspects of crashing engines.
+    pub(crate) fn suspects(&self) -> &[Fingerprint] {
+        &self.suspects
+    }
+
     /// Takes in the answer to a question that was sent at `sent`. Returns
     /// whether it could be used.
     pub(crate) fn learn(&mut self, sent: Time, state: State, lease: Duration) -> bool {
@@ -147,6 +185,12 @@
         if state.counted {
             self.counted = Some(state.entries.max(1));
         }
+        let fingerprints = state.suspects.iter();
+        let fingerprints = fingerprints.filter_map(|f| Fingerprint::try_from(&**f).ok());
+        self.suspects = fingerprints.collect();
+        if let Some(record) = state.quarantine {
+            self.set_quarantine(sent, &record);
+        }
         // The leader confirmed `age` before the question reached it, and it
         // reached it after it was sent.
         let age = Duration::from_micros(state.age);
@@ -155,6 +199,17 @@
         true
     }
 
+    /// Replaces the quarantine. Remaining times count from when the sync request was sent,
+    /// so a quarantine may end slightly early, never late.
+    fn set_quarantine(&mut self, sent: Time, record: &QuarantineRecord) {
+        let request = |r: &RefusedRecord| {
+            let fingerprint = Fingerprint::try_from(&*r.fingerprint).ok()?;
+            Some((fingerprint, sent + Duration::from_millis(r.left)))
+        };
+        self.quarantine = Arc::new(record.requests.iter().filter_map(request).collect());
+        self.quarantine_checksum = record.checksum;
+    }
+
     /// Whether the roster comes from a deposed leader, or goes on after
     /// another part than this view has.
     fn is_unfit(&self, state: &State) -> bool {
--- a/src/event.rs
+++ b/src/event.rs
@@ -62,6 +62,10 @@
 pub(crate) const LAYERS_MISSING: Event = event(307, "layers_missing");
 /// An engine works faster or slower than instances were told.
 pub(crate) const PACE_CHANGED: Event = event(308, "pace_changed");
+/// A request was quarantined, since it crashes engines.
+pub(crate) const REQUEST_QUARANTINED: Event = event(309, "request_quarantined");
+/// The quarantine of a request was lifted or expired.
+pub(crate) const QUARANTINE_LIFTED: Event = event(310, "quarantine_lifted");
 /// A request got a refusal.
 pub(crate) const REQUEST_REFUSED: Event = event(401, "request_refused");
 /// An attempt failed and the request goes on over another path.
@@ -84,6 +88,8 @@
 pub(crate) const REQUEST_WAITED: Event = event(410, "request_waited");
 /// A request's caller left before its end.
 pub(crate) const REQUEST_ABANDONED: Event = event(411, "request_abandoned");
+/// An engine crashed shortly after it began to run a request.
+pub(crate) const RUN_CUT_EARLY: Event = event(412, "run_cut_early");
 /// This voter leads a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter leads a group no more.
@@ -133,6 +139,8 @@
     LAYERS_ORDERED,
     LAYERS_MISSING,
     PACE_CHANGED,
+    REQUEST_QUARANTINED,
+    QUARANTINE_LIFTED,
     REQUEST_REFUSED,
     REQUEST_RESUMED,
     REQUEST_FAILED,
@@ -144,6 +152,7 @@
     REQUEST_REROUTED,
     REQUEST_WAITED,
     REQUEST_ABANDONED,
+    RUN_CUT_EARLY,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -171,6 +171,7 @@
     if let Some(line) = find(event::REQUEST_ENDED) {
         let code = line.text("code").unwrap_or("unknown");
         return match (code, failed) {
+            ("quarantined", _) => quarantined(line, lines),
             ("full", _) => {
                 "no engine had room; see the orders and missing layers around".to_owned()
             }
@@ -194,6 +195,24 @@
     }
 }
 
+/// Explains a quarantine refusal, with the crashed engines that the logs show.
+fn quarantined(line: &Line, lines: &[Line]) -> String {
+    let fingerprint = line.text("fingerprint").unwrap_or("unknown");
+    let same = |l: &&Line| l.text("fingerprint") == Some(fingerprint);
+    let cut = lines.iter().filter(|l| l.is(event::RUN_CUT_EARLY));
+    let mut engines: Vec<&str> = cut
+        .filter(same)
+        .filter_map(|l| l.text("upstream"))
+        .collect();
+    engines.sort_unstable();
+    engines.dedup();
+    let seen = match engines.len() {
+        0 => "see event 309 of the leading controller".to_owned(),
+        count => format!("these logs show {count}: {}", engines.join(", ")),
+    };
+    format!("quarantined: engines ended under the same request, {fingerprint}; {seen}")
+}
+
 /// Why a request has no end but that its caller left, or none at all.
 fn abandoned(line: Option<&Line>, failed: Option<&str>, blamed: &str) -> String {
     let Some(line) = line else {
--- a/src/fingerprint.rs
+++ b/src/fingerprint.rs
@@ -32,6 +32,32 @@
         truncated.copy_from_slice(&digest[..FINGERPRINT_LEN]);
         Self(truncated)
     }
+
+    /// The bytes, as encoded in messages.
+    pub(crate) fn bytes(&self) -> Vec<u8> {
+        self.0.to_vec()
+    }
+
+    /// The first eight bytes as a big-endian number, for checksums over sets of fingerprints.
+    pub(crate) fn leading_u64(&self) -> u64 {
+        let (first, _) = self.0.split_first_chunk().expect("longer than a number");
+        u64::from_be_bytes(*first)
+    }
+
+    /// Parses the hexadecimal form.
+    pub(crate) fn parse(text: &str) -> Option<Self> {
+        let digits = text.len() == 2 * FINGERPRINT_LEN && text.is_ascii();
+        let number = digits.then(|| u128::from_str_radix(text, 16));
+        number?.ok().map(|n| Self(n.to_be_bytes()))
+    }
+}
+
+impl TryFrom<&[u8]> for Fingerprint {
+    type Error = std::array::TryFromSliceError;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, Self::Error> {
+        bytes.try_into().map(Self)
+    }
 }
 
 /// Formats the fingerprint as lower-case hexadecimal digits.
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -30,6 +30,8 @@
 pub(crate) const FAILURES: Metric = metric("entry_failed_attempts_total", &["cause", "next"]);
 /// Streams that were led around engines.
 pub(crate) const REROUTES: Metric = metric("entry_reroutes_total", &["cause", "taken"]);
+/// Runs that an engine crash cut off shortly after they began.
+pub(crate) const CUT_EARLY: Metric = metric("entry_runs_cut_early_total", &[]);
 /// Requests under way.
 pub(crate) const RUNNING: Metric = metric("entry_running", &[]);
 /// Requests that wait in line for room on the engines.
@@ -67,6 +69,10 @@
 pub(crate) const ORDERS: Metric = metric("controller_orders_total", &["status"]);
 /// Entry instances that report to the leader.
 pub(crate) const ENTRIES: Metric = metric("controller_entries", &[]);
+/// Quarantined requests.
+pub(crate) const QUARANTINED: Metric = metric("controller_quarantined_requests", &[]);
+/// Requests suspected of crashing engines and not quarantined.
+pub(crate) const SUSPECTS: Metric = metric("controller_suspect_requests", &[]);
 
 /// Heartbeats of upstreams that this controller took.
 pub(crate) const HEARTBEATS: Metric = metric("controller_heartbeats_total", &["way"]);
@@ -81,6 +87,7 @@
     REFUSALS,
     FAILURES,
     REROUTES,
+    CUT_EARLY,
     RUNNING,
     WAITING,
     SHARERS,
@@ -99,6 +106,8 @@
     PENDING,
     ORDERS,
     ENTRIES,
+    QUARANTINED,
+    SUSPECTS,
     HEARTBEATS,
 ];
 
--- a/src/program.rs
+++ b/src/program.rs
@@ -37,6 +37,7 @@
         "catalogue" => client::catalogue(matches, out),
         "voters" => client::voters(matches, out),
         "state" => client::state(matches, out),
+        "quarantine" => client::quarantine(matches, out),
         "explain" => explain::run(matches, out),
         "digest" => client::secret_digest(matches, out),
         "completions" => {
--- a/src/register.rs
+++ b/src/register.rs
@@ -11,16 +11,22 @@
 use bytes::Bytes;
 use prost::{Message, Oneof};
 
+use crate::fingerprint::Fingerprint;
 use crate::voter::Machine;
 
 /// Departures that are kept. A day brings some hundreds; each is forgotten
 /// long after its upstream has stopped calling.
 const MOST_DEPARTED: usize = 4096;
 
+/// Maximum number of quarantined requests, of all organisations and of one. The oldest is
+/// evicted first.
+const MOST_QUARANTINED: usize = 512;
+const MOST_QUARANTINED_PER_ORGANISATION: usize = 64;
+
 /// A command of the replicated log.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct Command {
-    #[prost(oneof = "Change", tags = "1, 2")]
+    #[prost(oneof = "Change", tags = "1, 2, 3, 4")]
     pub(crate) change: Option<Change>,
 }
 
@@ -31,6 +37,28 @@
     Replace(Versioned),
     #[prost(message, tag = "2")]
     Depart(Departed),
+    #[prost(message, tag = "3")]
+    Quarantine(Quarantined),
+    /// Lifts the quarantine of the request with this fingerprint.
+    #[prost(bytes = "vec", tag = "4")]
+    Lift(Vec<u8>),
+}
+
+/// A quarantined request.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Quarantined {
+    #[prost(bytes = "vec", tag = "1")]
+    pub(crate) fingerprint: Vec<u8>,
+    #[prost(string, tag = "2")]
+    pub(crate) organisation: String,
+    /// Number of engines that crashed while they ran it.
+    #[prost(uint32, tag = "3")]
+    pub(crate) engines: u32,
+    /// Start and end of the quarantine, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "4")]
+    pub(crate) since: u64,
+    #[prost(uint64, tag = "5")]
+    pub(crate) until: u64,
 }
 
 /// A configuration as the operator sent it, byte for byte.
@@ -51,6 +79,19 @@
     pub(crate) born: u64,
 }
 
+impl Quarantined {
+    /// The fingerprint; `None` if another release wrote one of a different length.
+    pub(crate) fn fingerprint(&self) -> Option<Fingerprint> {
+        Fingerprint::try_from(&*self.fingerprint).ok()
+    }
+
+    /// Contribution to the checksum; depends on the request and the start, and isn't 0.
+    fn checksum_part(&self) -> u64 {
+        let request = self.fingerprint().map_or(0, |f| f.leading_u64());
+        request.wrapping_add(self.since) | 1
+    }
+}
+
 /// The whole state, as a snapshot holds it.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct State {
@@ -60,6 +101,9 @@
     /// Oldest first.
     #[prost(message, repeated, tag = "2")]
     pub(crate) departed: Vec<Departed>,
+    /// Oldest first.
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) quarantined: Vec<Quarantined>,
 }
 
 /// The state behind the machine, for readers.
@@ -73,6 +117,10 @@
     departed: VecDeque<Departed>,
     /// Departures ever applied or restored here; tells readers of new ones.
     count: u64,
+    /// Oldest first; each fingerprint once.
+    quarantined: Vec<Quarantined>,
+    /// Checksum of `quarantined`, independent of its order; 0 while it is empty.
+    checksum: u64,
 }
 
 /// Applies commands to a [`Register`].
@@ -111,6 +159,16 @@
         (list, inner.count)
     }
 
+    /// The quarantined requests, oldest first.
+    pub(crate) fn quarantined(&self) -> Vec<Quarantined> {
+        self.lock().quarantined.clone()
+    }
+
+    /// Checksum of the quarantined requests; 0 while there are none.
+    pub(crate) fn quarantine_checksum(&self) -> u64 {
+        self.lock().checksum
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -138,6 +196,35 @@
     }
 }
 
+impl Inner {
+    /// Adds a request. At the limit of its organisation, evicts the organisation's oldest.
+    fn quarantine(&mut self, new: Quarantined) {
+        self.lift(&new.fingerprint);
+        let of_same = |q: &Quarantined| q.organisation == new.organisation;
+        if self.quarantined.iter().filter(|q| of_same(q)).count()
+            >= MOST_QUARANTINED_PER_ORGANISATION
+            && let Some(oldest) = self.quarantined.iter().position(of_same)
+        {
+            self.quarantined.remove(oldest);
+        }
+        if self.quarantined.len() >= MOST_QUARANTINED {
+            self.quarantined.remove(0);
+        }
+        self.quarantined.push(new);
+        self.update_checksum();
+    }
+
+    fn lift(&mut self, fingerprint: &[u8]) {
+        self.quarantined.retain(|q| q.fingerprint != fingerprint);
+        self.update_checksum();
+    }
+
+    fn update_checksum(&mut self) {
+        let parts = self.quarantined.iter().map(Quarantined::checksum_part);
+        self.checksum = parts.fold(0, u64::wrapping_add);
+    }
+}
+
 impl Machine for RegisterMachine {
     /// Replies with the version that is held afterwards, as eight bytes.
     fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
@@ -145,6 +232,8 @@
         match Command::decode(command).map(|c| c.change) {
             Ok(Some(Change::Replace(new))) => inner.replace(new),
             Ok(Some(Change::Depart(start))) => inner.depart(start),
+            Ok(Some(Change::Quarantine(new))) => inner.quarantine(new),
+            Ok(Some(Change::Lift(fingerprint))) => inner.lift(&fingerprint),
             // Of a later release. All stores skip it alike.
             Ok(None) | Err(_) => {}
         }
@@ -157,6 +246,7 @@
         let state = State {
             current: inner.current.clone(),
             departed: inner.departed.iter().cloned().collect(),
+            quarantined: inner.quarantined.clone(),
         };
         state.encode_to_vec()
     }
@@ -168,6 +258,8 @@
         // Readers see all of them as new, which at worst tells them twice.
         inner.count += state.departed.len() as u64;
         inner.departed = state.departed.into();
+        inner.quarantined = state.quarantined;
+        inner.update_checksum();
     }
 }
 
@@ -182,6 +274,16 @@
     encode(Change::Depart(Departed { id, born }))
 }
 
+/// The command that quarantines a request.
+pub(crate) fn quarantine(new: Quarantined) -> Bytes {
+    encode(Change::Quarantine(new))
+}
+
+/// The command that lifts the quarantine of a request.
+pub(crate) fn lift(fingerprint: &Fingerprint) -> Bytes {
+    encode(Change::Lift(fingerprint.bytes()))
+}
+
 fn encode(change: Change) -> Bytes {
     let command = Command {
         change: Some(change),
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -38,6 +38,42 @@
     /// doesn't know.
     #[prost(uint32, tag = "8")]
     pub(crate) asking: u32,
+    /// Runs that an engine crash cut off and that the leader hasn't acknowledged.
+    #[prost(message, repeated, tag = "9")]
+    pub(crate) cut: Vec<CutRecord>,
+    /// The leader's suspect requests that ran without harm.
+    #[prost(message, repeated, tag = "10")]
+    pub(crate) harmless: Vec<HarmlessRecord>,
+    /// Checksum of the quarantine that the instance has; 0 if it is empty.
+    #[prost(fixed64, tag = "11")]
+    pub(crate) quarantine_checksum: u64,
+}
+
+/// A run that an engine crash cut off shortly after it began.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct CutRecord {
+    /// Id of the engine, and its start.
+    #[prost(string, tag = "1")]
+    pub(crate) engine: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) born: u64,
+    #[prost(bytes = "vec", tag = "3")]
+    pub(crate) fingerprint: Vec<u8>,
+    #[prost(string, tag = "4")]
+    pub(crate) organisation: String,
+    /// Microseconds since the run was cut off.
+    #[prost(uint64, tag = "5")]
+    pub(crate) age: u64,
+}
+
+/// A request that ran without harm to its engine.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct HarmlessRecord {
+    #[prost(bytes = "vec", tag = "1")]
+    pub(crate) fingerprint: Vec<u8>,
+    /// Microseconds since the latest such run.
+    #[prost(uint64, tag = "2")]
+    pub(crate) age: u64,
 }
 
 /// Work on one engine.
@@ -84,6 +120,34 @@
     /// `entries` and the sums of the work are whole.
     #[prost(bool, tag = "8")]
     pub(crate) counted: bool,
+    /// Term of the leader.
+    #[prost(uint64, tag = "9")]
+    pub(crate) term: u64,
+    /// Fingerprints of suspect requests. The instance reports those that ran without harm.
+    #[prost(bytes = "vec", repeated, tag = "10")]
+    pub(crate) suspects: Vec<Vec<u8>>,
+    /// The quarantine, if the instance's checksum differs.
+    #[prost(message, optional, tag = "11")]
+    pub(crate) quarantine: Option<QuarantineRecord>,
+}
+
+/// All quarantined requests.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct QuarantineRecord {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) checksum: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) requests: Vec<RefusedRecord>,
+}
+
+/// A quarantined request.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct RefusedRecord {
+    #[prost(bytes = "vec", tag = "1")]
+    pub(crate) fingerprint: Vec<u8>,
+    /// Remaining milliseconds of the quarantine.
+    #[prost(uint64, tag = "2")]
+    pub(crate) left: u64,
 }
 
 /// Work on all engines.
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -26,6 +26,7 @@
 mod pace;
 mod path;
 mod placement;
+mod quarantine;
 mod suspicion;
 
 pub(super) fn model() -> Model {
--- a/src/tests/explain.rs
+++ b/src/tests/explain.rs
@@ -19,6 +19,10 @@
   edge-2 {"timestamp":"2026-04-25T18:43:38.000000Z","level":"INFO","message":"given up by its caller","event":411,"attempt":"ff","run":0,"took_ms":1998,"left_ms":2,"draining":false}
   edge-2 {"timestamp":"2026-04-25T18:43:38.000000Z","level":"INFO","message":"given up by its caller","event":411,"attempt":"gg","run":1,"took_ms":900,"left_ms":9100,"draining":false}
   edge-2 {"timestamp":"2026-04-25T18:43:38.000000Z","level":"INFO","message":"given up by its caller","event":411,"attempt":"hh","run":1,"took_ms":900,"left_ms":9100,"draining":true}
+  edge-1 {"timestamp":"2026-04-25T18:43:30.000000Z","level":"INFO","message":"engine ended","event":412,"upstream":"i-4","address":"10.1.64.11:8446","fingerprint":"f1","organisation":"one"}
+  edge-2 {"timestamp":"2026-04-25T18:43:31.000000Z","level":"INFO","message":"engine ended","event":412,"upstream":"i-5","address":"10.1.64.12:8446","fingerprint":"f1","organisation":"one"}
+  edge-2 {"timestamp":"2026-04-25T18:43:31.000000Z","level":"INFO","message":"engine ended","event":412,"upstream":"i-5","address":"10.1.64.12:8446","fingerprint":"f2","organisation":"one"}
+  edge-2 {"timestamp":"2026-04-25T18:43:38.000000Z","level":"INFO","message":"ended without an upstream's answer","event":407,"attempt":"ii","fingerprint":"f1","code":"quarantined","status":503}
 not a line at all
 "#;
 
@@ -35,6 +39,7 @@
 #[case::too_slow("ff", "its time was over after 1998 ms")]
 #[case::caller_left("gg", "its caller left after 900 ms, 9100 ms before")]
 #[case::drained("hh", "it drained too long")]
+#[case::quarantined("ii", "ended under the same request, f1; these logs show 2: i-4, i-5")]
 #[case::unknown("zz", "no line names zz")]
 fn explain_cause(#[case] attempt: &str, #[case] cause: &str) {
     let text = explain(attempt, &lines());
--- a/tests/platform/crash.rs
+++ b/tests/platform/crash.rs
@@ -9,35 +9,34 @@
 use crate::common::until;
 use crate::stage::{KEY, OTHER_KEY, Stage};
 
-/// A request that crashes each engine that runs it.
+/// Body of a request that crashes each engine that runs it.
 const CRASHING: &str = "a body that crashes engines";
 
-/// Crashes after which a request should be known to cause them.
+/// Number of crashes after which the request must be quarantined.
 const CRASHES: usize = 3;
 
-/// Time for all instances to hear of it, and the times that the request may reach an
-/// engine later than that.
-const CONTACT: Duration = Duration::from_secs(3);
-const LATER: usize = 3;
+/// Time for the quarantine to reach all instances, and how often the request may reach an
+/// engine after that.
+const PROPAGATION: Duration = Duration::from_secs(3);
+const MAX_LATE: usize = 3;
 
-/// Time for which the request is sent again and again after its third crash.
-const REPEATED: Duration = Duration::from_secs(10);
+/// Time for which the request is repeated after the quarantine should have propagated.
+const REPEAT_FOR: Duration = Duration::from_secs(10);
 
-/// Time between two attempts of its caller.
+/// Pause between two attempts of the crashing request.
 const PAUSE: Duration = Duration::from_millis(150);
 
-/// Pause of other callers before they try again.
-const RETURN: Duration = Duration::from_millis(50);
+/// Pause of other callers before they retry.
+const OTHERS_PAUSE: Duration = Duration::from_millis(50);
 
-/// Sends the crashing request once, as an attempt of its own at one of the instances.
+/// Sends the crashing request once, as a new attempt at one of the instances.
 fn ask_crashing(stage: &Stage, number: usize) -> (u16, String) {
     let entry = number * 7 % stage.entries.len();
     let attempt = format!("crashing-{number}");
     stage.ask_with(entry, "/letters/x", &attempt, KEY, CRASHING)
 }
 
-/// Sends other requests until `done`; returns how many were refused as the crashing
-/// one is.
+/// Sends other requests until `done`; returns how many were refused as quarantined.
 fn ask_others(stage: &Stage, caller: usize, done: &AtomicBool) -> usize {
     let mut refused = 0;
     for number in 0.. {
@@ -46,7 +45,7 @@
         }
         let entry = (caller * 31 + number) % stage.entries.len();
         let attempt = format!("other-{caller}-{number}");
-        // As a caller does that is cut off: the same request again.
+        // Retries like a caller whose response was cut off.
         for again in 0..2 {
             let (attempt, body) = (format!("{attempt}-{again}"), &attempt);
             let (status, reply) = stage.ask_with(entry, "/letters/x", &attempt, KEY, body);
@@ -54,14 +53,14 @@
             if status == 200 {
                 break;
             }
-            thread::sleep(RETURN);
+            thread::sleep(OTHERS_PAUSE);
         }
     }
     refused
 }
 
-/// Guards against a request that crashes the engines that run it being sent to one
-/// engine after the other by instances that don't know of each other's crashes.
+/// Guards against instances that each send a crashing request to further engines because
+/// they don't share the crashes they observed.
 #[rstest]
 #[case::nine_instances(9)]
 #[case::hundreds_of_instances(300)]
@@ -81,7 +80,7 @@
             ask_crashing(&stage, number);
             number += 1;
             let third = stage.world().crashed(CRASHING).get(CRASHES - 1).copied();
-            end = third.map(|at| at + CONTACT + REPEATED);
+            end = third.map(|at| at + PROPAGATION + REPEAT_FOR);
             thread::sleep(PAUSE);
         }
         done.store(true, Ordering::Relaxed);
@@ -89,15 +88,118 @@
     assert_eq!(refused.load(Ordering::Relaxed), 0, "other requests refused");
     let third = stage.world().crashed(CRASHING)[CRASHES - 1];
     let received = stage.world().received(CRASHING);
-    let late = received.iter().filter(|at| **at > third + CONTACT).count();
+    let late = received
+        .iter()
+        .filter(|at| **at > third + PROPAGATION)
+        .count();
     assert!(
-        late <= LATER,
+        late <= MAX_LATE,
         "{late} of {} arrivals came late",
         received.len()
     );
-    // The same bytes of another organisation are another request.
+    // An identical request of another organisation has another fingerprint.
     until("the other organisation's answer", || {
         let (status, _) = stage.ask_with(1, "/letters/x", "two", OTHER_KEY, CRASHING);
         (status == 200).then_some(())
     });
 }
+
+/// Sends the crashing request until it is refused as quarantined; returns the number of
+/// the next attempt.
+fn ask_until_refused(stage: &Stage, first: usize) -> usize {
+    let mut number = first;
+    until("a refusal of the crashing request", || {
+        let (status, reply) = ask_crashing(stage, number);
+        number += 1;
+        thread::sleep(PAUSE);
+        (status == 503 && reply.contains("quarantined")).then_some(number)
+    })
+}
+
+/// Index of the leading controller.
+fn leader(stage: &Stage) -> Option<usize> {
+    let metrics = stage.metrics();
+    let leads = |m: &String| m.lines().any(|l| l == "controller_leads 1");
+    metrics.iter().position(leads)
+}
+
+/// Guards against losing recorded crashes or a quarantine: a leader is killed and an
+/// instance frozen while engines crash, then all processes are killed.
+#[test]
+fn quarantine_survives_faults() {
+    let mut stage = Stage::sized(9, &[10, 10]);
+    stage.world().crash_on("one", CRASHING);
+    let mut number = 0;
+    while stage.world().crashed(CRASHING).len() < CRASHES - 1 {
+        ask_crashing(&stage, number);
+        number += 1;
+    }
+    let lead = until("a leader", || leader(&stage));
+    stage.controllers[lead].kill();
+    stage.entries[0].freeze();
+    stage.controllers[lead] = stage.controller(u8::try_from(lead).unwrap(), false);
+    // Skips the first instance while it is frozen.
+    number += stage.entries.len() - number % stage.entries.len() + 1;
+    until("a refusal of the crashing request", || {
+        number += usize::from(number % stage.entries.len() == 0);
+        let (status, reply) = ask_crashing(&stage, number);
+        number += 1;
+        thread::sleep(PAUSE);
+        (status == 503 && reply.contains("quarantined")).then_some(())
+    });
+    stage.entries[0].thaw();
+    thread::sleep(PROPAGATION);
+    let before = stage.world().received(CRASHING).len();
+    let third = stage.world().crashed(CRASHING)[CRASHES - 1];
+    let late = stage.world().received(CRASHING);
+    let late = late.iter().filter(|at| **at > third + PROPAGATION).count();
+    assert!(late <= MAX_LATE, "{late} arrivals came late");
+    for entry in 0..stage.entries.len() {
+        let attempt = format!("thawed-{entry}");
+        let (status, _) = stage.ask_with(entry, "/letters/x", &attempt, KEY, CRASHING);
+        assert_eq!(status, 503, "instance {entry}");
+    }
+    for process in stage.controllers.iter_mut().chain(&mut stage.entries) {
+        process.kill();
+    }
+    for i in 0..3 {
+        stage.controllers[usize::from(i)] = stage.controller(i, false);
+    }
+    for entry in 0..stage.entries.len() {
+        stage.entries[entry] = stage.entry(entry);
+    }
+    for entry in 0..stage.entries.len() {
+        until("ready entry", || stage.is_ready(entry).then_some(()));
+        let attempt = format!("restarted-{entry}");
+        let (status, reply) = stage.ask_with(entry, "/letters/x", &attempt, KEY, CRASHING);
+        assert!(
+            status == 503 && reply.contains("quarantined"),
+            "{status} {reply}"
+        );
+    }
+    assert_eq!(stage.world().received(CRASHING).len(), before);
+}
+
+/// Guards against a quarantine that operators can neither list nor lift.
+#[test]
+fn quarantine_lifted() {
+    let stage = Stage::sized(2, &[8, 8]);
+    stage.world().crash_on("one", CRASHING);
+    ask_until_refused(&stage, 0);
+    let list = || {
+        let reply = stage.quarantine_command("list", &[]);
+        serde_json::from_str::<serde_json::Value>(&reply).expect("JSON")
+    };
+    let listed = list();
+    let request = &listed["requests"][0];
+    assert_eq!(request["organisation"], "one");
+    assert!(request["engines"].as_u64() >= Some(3), "{listed}");
+    let fingerprint = request["fingerprint"].as_str().expect("a fingerprint");
+    let before = stage.world().received(CRASHING).len();
+    stage.quarantine_command("lift", &[fingerprint]);
+    assert_eq!(list()["requests"], serde_json::json!([]));
+    until("an arrival after the lift", || {
+        ask_crashing(&stage, 1000 + stage.world().received(CRASHING).len());
+        (stage.world().received(CRASHING).len() > before).then_some(())
+    });
+}
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -39,11 +39,11 @@
 /// Time between two events.
 const PACE: Duration = Duration::from_millis(40);
 
-/// Time from the begin of a run that crashes its engine to the crash.
+/// Time from the start of a crashing run to the crash.
 const CRASH_AFTER: Duration = Duration::from_millis(60);
 
-/// Time for which a crashed engine is down.
-const DOWN: Duration = Duration::from_millis(1500);
+/// Time until a crashed engine restarts.
+const DOWNTIME: Duration = Duration::from_millis(1500);
 
 /// How an engine misbehaves at the first run of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,7 +105,7 @@
         self.held.remove(&spec.address);
     }
 
-    /// Makes each engine crash that runs this request of an organisation.
+    /// Makes this request of an organisation crash each engine that runs it.
     pub(crate) fn crash_on(&mut self, organisation: &str, body: &str) {
         let request = (organisation.to_owned(), body.to_owned());
         self.crashing.push(request);
@@ -113,12 +113,12 @@
 
     /// When engines received a request of [`World::crash_on`].
     pub(crate) fn received(&self, body: &str) -> Vec<Instant> {
-        times(&self.received, body)
+        times_of(&self.received, body)
     }
 
     /// When engines crashed under a request of [`World::crash_on`].
     pub(crate) fn crashed(&self, body: &str) -> Vec<Instant> {
-        times(&self.crashed, body)
+        times_of(&self.crashed, body)
     }
 
     /// Makes all engines take their time over orders.
@@ -150,9 +150,8 @@
         (0..LAYERS).all(|l| ranges().any(|r| r.0 <= l && l < r.1))
     }
 
-    /// Notes that an engine received a request; returns its body if it crashes the
-    /// engines that run it.
-    fn receive(&mut self, request: (String, String)) -> Option<String> {
+    /// Returns the body of a request if it crashes engines, and records its arrival.
+    fn record_received(&mut self, request: (String, String)) -> Option<String> {
         if !self.crashing.contains(&request) {
             return None;
         }
@@ -184,12 +183,12 @@
     }
 }
 
-fn times(list: &[(Instant, String)], body: &str) -> Vec<Instant> {
+fn times_of(list: &[(Instant, String)], body: &str) -> Vec<Instant> {
     let of_body = list.iter().filter(|(_, b)| b == body);
     of_body.map(|(at, _)| *at).collect()
 }
 
-/// Runs an engine until the test ends. One that crashes comes back at its address
+/// Runs an engine until the test ends. After a crash it restarts at the same address
 /// under a new id, without layers.
 pub(crate) fn run(spec: Spec, world: Shared, controllers: Vec<SocketAddr>) {
     let mut listener = listen(spec.address);
@@ -204,7 +203,7 @@
             // Closes all connections.
             drop(runtime);
             world.lock().unwrap().kill(&start);
-            thread::sleep(DOWN);
+            thread::sleep(DOWNTIME);
             listener = listen(spec.address);
             start.id = format!("{}.{number}", spec.id);
         }
@@ -253,7 +252,7 @@
     false
 }
 
-/// Serves until the engine crashes.
+/// Serves requests until the engine crashes.
 async fn serve(listener: std::net::TcpListener, spec: Spec, world: Shared) {
     let listener = TcpListener::from_std(listener).unwrap();
     let crash = Arc::new(Notify::new());
@@ -310,8 +309,8 @@
     let Ok(body) = body.map(http_body_util::Collected::to_bytes) else {
         return whole(400, "");
     };
-    let crashes = (organisation, String::from_utf8_lossy(&body).into_owned());
-    let crashes = world.lock().unwrap().receive(crashes);
+    let sent = (organisation, String::from_utf8_lossy(&body).into_owned());
+    let crashes = world.lock().unwrap().record_received(sent);
     let refused = path.and_then(|p| world.lock().unwrap().refuses(&p, spec.address));
     if let Some(culprit) = refused {
         let mut response = whole(503, "");
@@ -341,7 +340,7 @@
         });
     }
     let mut response = match spec.service {
-        "models" if crashes.is_some() => Response::new(silence()),
+        "models" if crashes.is_some() => Response::new(pending_stream()),
         _ if fault == Fault::Error => whole(500, "the stock file is locked"),
         "models" => Response::new(events(last, fault)),
         _ => whole(200, &format!("done by {}", spec.id)),
@@ -355,8 +354,8 @@
     response
 }
 
-/// A stream without events.
-fn silence() -> Body {
+/// A stream that stays open without events.
+fn pending_stream() -> Body {
     StreamBody::new(stream::pending::<Result<Frame<Bytes>, _>>()).boxed_unsync()
 }
 
--- a/tests/platform/stage.rs
+++ b/tests/platform/stage.rs
@@ -25,11 +25,11 @@
 pub(crate) const DOMAINS: [&str; 2] = ["north", "south"];
 const CONTROLLERS: u8 = 3;
 
-/// Hosts of a deployment's address range from which entry instances count on.
-const FIRST_ENTRY: u16 = 256;
+/// Host number of the first entry instance in a deployment's address range.
+const FIRST_ENTRY_HOST: u16 = 256;
 
-/// Entry instances that are warmed up at once.
-const WARMED_AT_ONCE: usize = 30;
+/// Number of entry instances that are warmed up concurrently.
+const WARM_UP_BATCH: usize = 30;
 
 /// Tests of one process use loopback addresses of their own.
 static NEXT: AtomicU8 = AtomicU8::new(1);
@@ -60,8 +60,8 @@
         Self::sized(DOMAINS.len(), &[3, 2])
     }
 
-    /// As [`Stage::start`], with so many entry instances, and so many engines of the
-    /// model in each domain.
+    /// Like [`Stage::start`], with the given number of entry instances and of model engines
+    /// per domain.
     pub(crate) fn sized(entries: usize, engines: &[u8]) -> Self {
         let port = || port::free().port();
         let mut stage = Self {
@@ -103,10 +103,10 @@
         for i in 0..entries {
             until("ready entry", || stage.is_ready(i).then_some(()));
         }
-        // All entries must have heard of the last layers.
-        for block in (0..entries).collect::<Vec<_>>().chunks(WARMED_AT_ONCE) {
+        // All entries must know the last layers.
+        for batch in (0..entries).collect::<Vec<_>>().chunks(WARM_UP_BATCH) {
             thread::scope(|scope| {
-                for i in block {
+                for i in batch {
                     scope.spawn(|| stage.warm(*i));
                 }
             });
@@ -247,6 +247,17 @@
         serde_json::from_str::<Value>(&body).ok()?["version"].as_u64()
     }
 
+    /// Runs `laburnumquay quarantine`; returns its standard output.
+    pub(crate) fn quarantine_command(&self, verb: &str, arguments: &[&str]) -> String {
+        let target = self.control(0).to_string();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_laburnumquay"));
+        command.args(["quarantine", verb, "--controller", &target]);
+        let output = command.args(arguments).output().expect("run the command");
+        let shown = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{shown}");
+        String::from_utf8(output.stdout).expect("text")
+    }
+
     /// Metrics of all controllers and entry instances, in this order.
     pub(crate) fn metrics(&self) -> Vec<String> {
         let entries = (0..self.entries.len()).map(entry_host);
@@ -271,7 +282,7 @@
         self.ask_with(entry, path, attempt, key, "text")
     }
 
-    /// As [`Stage::ask`], with a body.
+    /// Like [`Stage::ask`], with a body.
     pub(crate) fn ask_with(
         &self,
         entry: usize,
@@ -300,7 +311,7 @@
 }
 
 fn entry_host(entry: usize) -> u16 {
-    FIRST_ENTRY + u16::try_from(entry).expect("few instances")
+    FIRST_ENTRY_HOST + u16::try_from(entry).expect("few instances")
 }
 
 fn configuration(version: u64, keys: &[&str]) -> Value {
