Test that the limit that an engine names is kept; it isn't

An engine names 1.5 requests a second in its answers while 16 callers ask; from 3 s on it may get 14 in any 4 s. Streams and lookups, at 9 and at 300 instances; afterwards the limit ends and the engine must be used as before.

--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -79,6 +79,10 @@
     crashing: Vec<(String, String)>,
     /// When engines received a request of `crashing`, by body.
     received: Vec<(Instant, String)>,
+    /// Requests a second that engines name in their answers, by engine.
+    limits: HashMap<String, f64>,
+    /// When requests reached engines, by engine.
+    arrivals: HashMap<String, Vec<Instant>>,
     /// When engines crashed under a request of `crashing`, by body.
     crashed: Vec<(Instant, String)>,
 }
@@ -105,6 +109,19 @@
         self.held.remove(&spec.address);
     }
 
+    /// Makes an engine name a limit in its answers, or none any more.
+    pub(crate) fn limit(&mut self, id: &str, limit: Option<f64>) {
+        match limit {
+            Some(limit) => self.limits.insert(id.to_owned(), limit),
+            None => self.limits.remove(id),
+        };
+    }
+
+    /// When requests reached an engine.
+    pub(crate) fn arrivals(&self, id: &str) -> Vec<Instant> {
+        self.arrivals.get(id).cloned().unwrap_or_default()
+    }
+
     /// Makes this request of an organisation crash each engine that runs it.
     pub(crate) fn crash_on(&mut self, organisation: &str, body: &str) {
         let request = (organisation.to_owned(), body.to_owned());
@@ -300,6 +317,12 @@
         _ => {}
     }
     let attempt = header("x-attempt-id").expect("an id");
+    let limit = {
+        let mut world = world.lock().unwrap();
+        let arrivals = world.arrivals.entry(spec.id.clone()).or_default();
+        arrivals.push(Instant::now());
+        world.limits.get(&spec.id).copied()
+    };
     let path = header("x-hop-count");
     assert!(header("x-credential").is_none(), "a key was passed on");
     assert!(header("x-tenant").is_some(), "an organisation is named");
@@ -350,6 +373,9 @@
         headers.insert("content-type", "text/event-stream".parse().unwrap());
     }
     headers.insert("x-attempt-id", attempt.parse().unwrap());
+    if let Some(limit) = limit {
+        headers.insert("server-limit", limit.to_string().parse().unwrap());
+    }
     headers.insert("x-server-signature", spec.id.parse().unwrap());
     response
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod crash;
 mod engine;
 mod faults;
+mod limit;
 mod observe;
 mod path;
 mod stage;
