Respect rate limits that upstreams announce in responses

An overloaded engine announces in its responses how many requests per second it accepts from all instances together. Cause: no process read the header, and no process knew the arrival rate of any upstream.

Sending a request requires no message from a controller. The latest limit update of each upstream is distributed to all instances through the leading controller, so that instances that rarely send to it also learn of a new, changed or lifted limit. A response without a limit lifts it if its request was sent after the latest update. Invalid rates are ignored. Other upstreams take the remaining requests immediately; a request that could begin only at limited upstreams is refused immediately (`limited`). Layer placement is unchanged, and middle engines of a path receive no requests of their own. Event 413, a metric and `explain` report limits.

--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -16,12 +16,13 @@
 use crate::decide::pace::Turns;
 use crate::decide::placement::{self, Worker};
 use crate::decide::quarantine::{Crashes, CrashingRequest};
+use crate::decide::rate::RateLimiter;
 use crate::decide::run_history::EngineStart;
 use crate::fingerprint::Fingerprint;
 use crate::register::{Quarantined, Register, Versioned};
 use crate::relay::Pulse;
 use crate::roster::{Announcement, Entry, Heard, LOST_BEATS, Range, Roster};
-use crate::sync::{RosterRecord, State, Sync, UpstreamRecord, address_key};
+use crate::sync::{LimitRecord, RosterRecord, State, Sync, UpstreamRecord, address_key};
 
 /// Heartbeat periods after which a new leader has heard every upstream that
 /// lives: an upstream whose call fails asks the next instance within a second.
@@ -101,6 +102,7 @@
     reports: Reports,
     turns: Turns,
     crashes: Crashes,
+    rate_limiter: RateLimiter,
     /// Each change of it touches the upstream in the roster, since instances
     /// see what an engine keeps, not what it holds.
     pending: HashMap<Arc<str>, Pending>,
@@ -118,6 +120,7 @@
             reports: Reports::default(),
             turns: Turns::default(),
             crashes: Crashes::default(),
+            rate_limiter: RateLimiter::default(),
             pending: HashMap::default(),
         }
     }
@@ -198,6 +201,12 @@
         let roster = (!known).then(|| self.record(now, &ask, register));
         let instance = ask.instance;
         self.record_runs(now, &ask);
+        let instances = self.reports.len() as u32;
+        for limit in &ask.limits {
+            let (address, update) = (limit.address, limit.update(now));
+            self.rate_limiter
+                .apply(now, address, update, instances, 0.0);
+        }
         self.reports.take(now, ask);
         State {
             age: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
@@ -211,9 +220,17 @@
             term: self.term,
             suspects: self.crashes.suspects().map(Fingerprint::bytes).collect(),
             quarantine: None,
+            limits: self.limit_records(now),
         }
     }
 
+    /// The latest limit updates that instances reported.
+    fn limit_records(&self, now: Time) -> Vec<LimitRecord> {
+        let updates = self.rate_limiter.updates();
+        let record = |(address, update)| LimitRecord::new(now, address, update);
+        updates.map(record).collect()
+    }
+
     /// Records the cut and harmless runs that an instance reports.
     fn record_runs(&mut self, now: Time, ask: &Sync) {
         let at = |age| now - Duration::from_micros(age);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -463,11 +463,11 @@
         let state = board.sync(self.now(), ask, age, current, &self.register);
         drop(board);
         let members = self.status().into_iter().flat_map(|s| s.members);
-        Answer::State(State {
+        Answer::State(Box::new(State {
             voters: members.map(|m| m.id).collect(),
             quarantine: self.quarantine(known_quarantine),
             ..state
-        })
+        }))
     }
 }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod pick;
 pub(crate) mod placement;
 pub(crate) mod quarantine;
+pub(crate) mod rate;
 pub(crate) mod refusal;
 pub(crate) mod retry;
 pub(crate) mod run_history;
--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -27,6 +27,8 @@
     pub(crate) out: bool,
     /// Whether this request has been there before.
     pub(crate) tried: bool,
+    /// Whether its rate limit allows no request now.
+    pub(crate) limited: bool,
 }
 
 /// Index of the best one that wasn't tried; ties are broken by `draw` in
@@ -42,6 +44,6 @@
     let count = offers.len();
     let start = (draw * count as f64) as usize;
     let turned = (0..count).map(|i| (start + i) % count);
-    let free = turned.filter(|&i| !offers[i].tried);
+    let free = turned.filter(|&i| !offers[i].tried && !offers[i].limited);
     free.min_by(|&a, &b| cost(&offers[a]).total_cmp(&cost(&offers[b])))
 }
--- a/src/decide/refusal.rs
+++ b/src/decide/refusal.rs
@@ -19,6 +19,8 @@
     Full,
     /// Each attempt was refused by an upstream, or found none.
     NotRun,
+    /// The rate limits of all upstreams at which it could begin allow no request now.
+    Limited,
     /// The request is quarantined for this remaining time, since it crashed engines.
     Quarantined(Duration),
 }
@@ -31,6 +33,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Full => "full",
             Self::NotRun => "not_run",
+            Self::Limited => "limited",
             Self::Quarantined(_) => "quarantined",
         }
     }
@@ -103,6 +106,7 @@
         Reason::NoUpstream => (1.0, 3.0),
         Reason::Full => (0.6, FULL.0 + (FULL.1 - FULL.0) * refused),
         Reason::NotRun => (0.3, 1.0),
+        Reason::Limited => (0.6, 3.0),
         Reason::Quarantined(left) => (left.as_secs_f64(), left.as_secs_f64()),
     };
     Duration::from_secs_f64(least + (most - least) * draw)
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -207,6 +207,9 @@
             let long = self.is_long();
             self.entry.shared().refused.note(full, long);
             let chosen = found.map_err(|reason| self.nowhere(reason))?;
+            if !self.acquire_send(&chosen.upstream) {
+                continue;
+            }
             let first = chosen.upstream.key;
             let alone = chosen.path.is_none();
             let upstream = chosen.upstream.clone();
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -44,6 +44,11 @@
         let status = response.status();
         let map = response.headers();
         let first = opened.chosen.upstream.key;
+        self.note_limit(
+            sent,
+            &opened.chosen.upstream,
+            head::text(map, headers::LIMIT),
+        );
         let not_run =
             map.contains_key(headers::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
         if not_run {
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -105,6 +105,7 @@
         let sent = self.now();
         let mut question = self.question();
         let last_cut = self.add_run_reports(&mut question);
+        question.limits = self.limit_records();
         let request = Request {
             ask: Some(Ask::Sync(question)),
         };
@@ -117,8 +118,9 @@
                     self.take_in(work, state.counted);
                 }
                 self.acknowledge_runs(&state, last_cut);
+                self.learn_limits(sent, &state.limits);
                 let before = self.view().version();
-                let learnt = self.learn(sent, state);
+                let learnt = self.learn(sent, *state);
                 let version = self.view().version();
                 if version != before {
                     tracing::info!(
--- /dev/null
+++ b/src/entry/limit.rs
@@ -0,0 +1,89 @@
+//! Applies the rate limits that upstreams announce in their responses.
+
+use rand::RngExt;
+
+use super::Entry;
+use super::attempt::Run;
+use super::view::Upstream;
+use crate::clock::Time;
+use crate::decide::rate::{self, LimitUpdate};
+use crate::decide::run_history::EngineStart;
+use crate::event;
+use crate::sync::{LimitRecord, key_address};
+
+impl Run {
+    /// Applies the limit header `text` of a response. A response without the header lifts
+    /// the limit only if its request was sent, at `sent`, after the latest update.
+    pub(super) fn note_limit(&self, sent: Time, upstream: &Upstream, text: Option<&str>) {
+        let limit = match rate::parse(text) {
+            Ok(limit) => limit,
+            Err(text) => {
+                tracing::debug!(upstream = %upstream.id, limit = text, "ignoring invalid rate limit");
+                return;
+            }
+        };
+        let now = self.entry.now();
+        let update = LimitUpdate {
+            upstream: EngineStart {
+                id: upstream.id.clone(),
+                born: upstream.born,
+            },
+            limit,
+            at: if limit.is_some() { now } else { sent },
+        };
+        self.entry.apply_limit(now, upstream.key, update, "answer");
+    }
+
+    /// Returns whether a request may be sent to an upstream now, and if so, counts it
+    /// against the upstream's rate limit.
+    pub(super) fn acquire_send(&self, upstream: &Upstream) -> bool {
+        let entry = &self.entry;
+        let (now, instances) = (entry.now(), entry.view().entries());
+        let limiter = &mut entry.shared().rate_limiter;
+        limiter.try_acquire(now, upstream.key, &upstream.id, upstream.born, instances)
+    }
+}
+
+impl Entry {
+    /// Whether an upstream's rate limit allows this instance a request now.
+    pub(super) fn may_send(&self, now: Time, upstream: &Upstream) -> bool {
+        let limiter = &self.shared().rate_limiter;
+        limiter.may_send(now, upstream.key, &upstream.id, upstream.born)
+    }
+
+    /// The latest limit updates of this instance, for the leader.
+    pub(super) fn limit_records(&self) -> Vec<LimitRecord> {
+        let now = self.now();
+        let shared = self.shared();
+        let updates = shared.rate_limiter.updates();
+        let record = |(address, update)| LimitRecord::new(now, address, update);
+        updates.map(record).collect()
+    }
+
+    /// Applies the leader's limit updates. Their ages are counted back from `sent`, when
+    /// the leader was asked, so that an update never replaces a newer one.
+    pub(super) fn learn_limits(&self, sent: Time, limits: &[LimitRecord]) {
+        let now = self.now();
+        for limit in limits {
+            self.apply_limit(now, limit.address, limit.update(sent), "leader");
+        }
+    }
+
+    fn apply_limit(&self, now: Time, address: u64, update: LimitUpdate, source: &'static str) {
+        let (id, limit) = (update.upstream.id.clone(), update.limit);
+        let instances = self.view().entries();
+        let draw = rand::rng().random();
+        let limiter = &mut self.shared().rate_limiter;
+        if limiter.apply(now, address, update, instances, draw) {
+            tracing::info!(
+                event = event::LIMIT_CHANGED.id,
+                upstream = %id,
+                address = %key_address(address),
+                limit,
+                instances,
+                source,
+                "rate limit changed"
+            );
+        }
+    }
+}
--- a/src/entry/measure.rs
+++ b/src/entry/measure.rs
@@ -21,6 +21,7 @@
         let complete = u8::from(view.is_complete());
         metrics::gauge!(metric::COMPLETE.name).set(complete);
         let mut shared = self.shared();
+        metrics::gauge!(metric::LIMITED.name).set(shared.rate_limiter.limited_count() as f64);
         for (service, upstreams) in &*view.services {
             let mut states = [("usable", 0), ("late", 0), ("left_out", 0)];
             let mut booked = 0.0;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 use crate::decide::hold;
 use crate::decide::link::LinkPart;
 use crate::decide::load::Loads;
+use crate::decide::rate::RateLimiter;
 use crate::decide::refusal::Refused;
 use crate::decide::run_history::RunHistory;
 use crate::decide::waiting::Pace;
@@ -36,6 +37,7 @@
 mod exchange;
 mod follow;
 mod head;
+mod limit;
 mod listen;
 mod measure;
 mod plain;
@@ -75,6 +77,7 @@
     pace: Pace,
     refused: Refused,
     run_history: RunHistory,
+    rate_limiter: RateLimiter,
 }
 
 /// One running entry instance.
@@ -153,6 +156,7 @@
                 pace: Pace::default(),
                 refused: Refused::default(),
                 run_history: RunHistory::default(),
+                rate_limiter: RateLimiter::default(),
             }),
             gate: Arc::default(),
             started: SystemClock.now(),
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -89,6 +89,15 @@
         }
     }
 
+    /// Like [`Pool::restrict_entry`], for rate limits. Returns whether the limits exclude
+    /// all engines at which a path could begin; false if there were none before.
+    pub(crate) fn limit_entry(&mut self, may_send: impl Fn(&Upstream) -> bool) -> bool {
+        let begins = |c: &Candidate| c.enters && c.range.first == 0;
+        let before = self.candidates.iter().any(begins);
+        self.restrict_entry(may_send);
+        before && !self.candidates.iter().any(begins)
+    }
+
     /// Index of a failure domain; a domain without engines has none.
     pub(crate) fn domain(&self, name: &str) -> Option<usize> {
         self.domains.iter().position(|d| *d == name)
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -205,11 +205,16 @@
                 late: u.late,
                 out: u.suspected || shared.health.is_out(now, u.key),
                 tried: exclusions.tried.contains(&u.key) || !exclusions.may_enter(u.key),
+                limited: !shared.rate_limiter.may_send(now, u.key, &u.id, u.born),
             })
             .collect();
         drop(shared);
         let found = pick::choose(&offers, rand::rng().random());
-        let upstream = upstreams[found.ok_or(Reason::NoUpstream)?].clone();
+        let upstream = match found {
+            Some(found) => upstreams[found].clone(),
+            None if offers.iter().any(|o| o.limited && !o.tried) => return Err(Reason::Limited),
+            None => return Err(Reason::NoUpstream),
+        };
         let hop = Hop {
             engine: 0,
             range: Range::new(0, 1),
@@ -247,6 +252,7 @@
         let usable = |u: &Upstream| !exclusions.tried.contains(&u.key);
         let mut pool = self.shared().pool(now, view, service, model, trust, usable);
         pool.restrict_entry(|u| exclusions.may_enter(u.key));
+        let limited = pool.limit_entry(|u| self.may_send(now, u));
         // A caller's domain without engines is none of theirs.
         work.home = pool.domain(&self.boot.domain).unwrap_or(usize::MAX);
         let mut rng = rand::rng();
@@ -272,6 +278,7 @@
         }
         let hops = found.map_err(|e| match e {
             NoPath::Missing(_) => Reason::NoUpstream,
+            NoPath::Full if limited => Reason::Limited,
             NoPath::Full => Reason::Full,
         })?;
         assert!(
--- a/src/event.rs
+++ b/src/event.rs
@@ -90,6 +90,8 @@
 pub(crate) const REQUEST_ABANDONED: Event = event(411, "request_abandoned");
 /// An engine crashed shortly after it began to run a request.
 pub(crate) const RUN_CUT_EARLY: Event = event(412, "run_cut_early");
+/// An upstream changed or lifted its rate limit.
+pub(crate) const LIMIT_CHANGED: Event = event(413, "limit_changed");
 /// This voter leads a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter leads a group no more.
@@ -153,6 +155,7 @@
     REQUEST_WAITED,
     REQUEST_ABANDONED,
     RUN_CUT_EARLY,
+    LIMIT_CHANGED,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -172,6 +172,10 @@
         let code = line.text("code").unwrap_or("unknown");
         return match (code, failed) {
             ("quarantined", _) => quarantined(line, lines),
+            ("limited", _) => {
+                "all engines at which it could begin were at their rate limits; see event 413"
+                    .to_owned()
+            }
             ("full", _) => {
                 "no engine had room; see the orders and missing layers around".to_owned()
             }
--- a/src/message.rs
+++ b/src/message.rs
@@ -179,7 +179,7 @@
     Group(GroupReply),
     /// What an entry instance missed.
     #[prost(message, tag = "9")]
-    State(crate::sync::State),
+    State(Box<crate::sync::State>),
     /// What became of heartbeats.
     #[prost(message, tag = "10")]
     Taken(crate::relay::Taken),
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -40,6 +40,8 @@
 pub(crate) const SHARERS: Metric = metric("entry_room_sharers", &[]);
 /// Upstreams as this instance uses them.
 pub(crate) const UPSTREAMS: Metric = metric("entry_upstreams", &["service", "state"]);
+/// Upstreams with a rate limit in force.
+pub(crate) const LIMITED: Metric = metric("entry_limited_upstreams", &[]);
 /// Memory for requests that is booked on the engines, of all instances.
 pub(crate) const BOOKED: Metric = metric("entry_booked_megabytes", &["service"]);
 /// Version of the configuration in force; 0 before the first.
@@ -92,6 +94,7 @@
     WAITING,
     SHARERS,
     UPSTREAMS,
+    LIMITED,
     BOOKED,
     VERSION,
     LEASE,
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use bytes::Bytes;
 use flate2::Compression;
@@ -9,6 +10,9 @@
 use flate2::write::ZlibEncoder;
 use prost::Message;
 
+use crate::clock::Time;
+use crate::decide::rate::LimitUpdate;
+use crate::decide::run_history::EngineStart;
 use crate::roster::{Announcement, Entry, Range};
 
 /// Asks for what the sender misses, and tells what it has at work.
@@ -47,6 +51,52 @@
     /// Checksum of the quarantine that the instance has; 0 if it is empty.
     #[prost(fixed64, tag = "11")]
     pub(crate) quarantine_checksum: u64,
+    /// The latest limit update that the instance has for each upstream.
+    #[prost(message, repeated, tag = "12")]
+    pub(crate) limits: Vec<LimitRecord>,
+}
+
+/// The latest update of an upstream's rate limit.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct LimitRecord {
+    /// See [`address_key`].
+    #[prost(fixed64, tag = "1")]
+    pub(crate) address: u64,
+    #[prost(string, tag = "2")]
+    pub(crate) id: String,
+    #[prost(uint64, tag = "3")]
+    pub(crate) born: u64,
+    /// Requests per second across all instances; `None` if the limit was lifted.
+    #[prost(double, optional, tag = "4")]
+    pub(crate) limit: Option<f64>,
+    /// Microseconds since the update.
+    #[prost(uint64, tag = "5")]
+    pub(crate) age: u64,
+}
+
+impl LimitRecord {
+    /// Encodes an update, with its age at `now`.
+    pub(crate) fn new(now: Time, address: u64, update: &LimitUpdate) -> Self {
+        Self {
+            address,
+            id: update.upstream.id.to_string(),
+            born: update.upstream.born,
+            limit: update.limit,
+            age: u64::try_from(now.since(update.at).as_micros()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Decodes the update, with its age counted back from `now`.
+    pub(crate) fn update(&self, now: Time) -> LimitUpdate {
+        LimitUpdate {
+            upstream: EngineStart {
+                id: self.id.as_str().into(),
+                born: self.born,
+            },
+            limit: self.limit.filter(|l| l.is_finite() && *l >= 0.0),
+            at: now - Duration::from_micros(self.age),
+        }
+    }
 }
 
 /// A run that an engine crash cut off shortly after it began.
@@ -129,6 +179,9 @@
     /// The quarantine, if the instance's checksum differs.
     #[prost(message, optional, tag = "11")]
     pub(crate) quarantine: Option<QuarantineRecord>,
+    /// The latest limit update of each upstream, from all instances.
+    #[prost(message, repeated, tag = "12")]
+    pub(crate) limits: Vec<LimitRecord>,
 }
 
 /// All quarantined requests.
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -27,6 +27,7 @@
 mod path;
 mod placement;
 mod quarantine;
+mod rate;
 mod suspicion;
 
 pub(super) fn model() -> Model {
@@ -212,6 +213,7 @@
 #[test]
 fn pick_free_place() {
     let offer = |requests, near| Offer {
+        limited: false,
         requests,
         slots: 6.0,
         near,
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -79,9 +79,9 @@
     crashing: Vec<(String, String)>,
     /// When engines received a request of `crashing`, by body.
     received: Vec<(Instant, String)>,
-    /// Requests a second that engines name in their answers, by engine.
+    /// Rate limits that engines announce, in requests per second, by engine.
     limits: HashMap<String, f64>,
-    /// When requests reached engines, by engine.
+    /// Arrival times of requests, by engine.
     arrivals: HashMap<String, Vec<Instant>>,
     /// When engines crashed under a request of `crashing`, by body.
     crashed: Vec<(Instant, String)>,
@@ -109,15 +109,15 @@
         self.held.remove(&spec.address);
     }
 
-    /// Makes an engine name a limit in its answers, or none any more.
-    pub(crate) fn limit(&mut self, id: &str, limit: Option<f64>) {
+    /// Sets or clears the rate limit that an engine announces in its responses.
+    pub(crate) fn set_limit(&mut self, id: &str, limit: Option<f64>) {
         match limit {
             Some(limit) => self.limits.insert(id.to_owned(), limit),
             None => self.limits.remove(id),
         };
     }
 
-    /// When requests reached an engine.
+    /// Arrival times of an engine's requests.
     pub(crate) fn arrivals(&self, id: &str) -> Vec<Instant> {
         self.arrivals.get(id).cloned().unwrap_or_default()
     }
--- a/tests/platform/limit.rs
+++ b/tests/platform/limit.rs
@@ -1,4 +1,4 @@
-//! Engines that name a limit in their answers.
+//! Engines that announce a rate limit in their responses.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -9,20 +9,20 @@
 use crate::common::until;
 use crate::stage::{KEY, Stage};
 
-/// Requests a second that an engine takes in need.
+/// Announced limit in requests per second.
 const LIMIT: f64 = 1.5;
 
-/// Time after which its limit must be kept to.
-const CONTACT: Duration = Duration::from_secs(3);
+/// Time after the announcement from which the limit must be respected.
+const GRACE_PERIOD: Duration = Duration::from_secs(3);
 
-/// Length of the windows in which its requests are counted.
+/// Length of the window in which arrivals are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 
-/// Time for which they are counted.
-const COUNTED: Duration = Duration::from_secs(12);
+/// Time for which arrivals are measured after the grace period.
+const MEASURE_TIME: Duration = Duration::from_secs(12);
 
-/// Sends requests until `done`; returns how many weren't answered.
-fn ask(stage: &Stage, path: &str, caller: usize, done: &AtomicBool) -> usize {
+/// Sends requests until `done`. Returns the number of failed requests.
+fn send_until_done(stage: &Stage, path: &str, caller: usize, done: &AtomicBool) -> usize {
     let mut failed = 0;
     for number in 0.. {
         if done.load(Ordering::Relaxed) {
@@ -36,8 +36,8 @@
     failed
 }
 
-/// The most arrivals in any window that begins at `from` or later.
-fn most(arrivals: &[Instant], from: Instant) -> usize {
+/// Maximum number of arrivals in any window that begins at `from` or later.
+fn max_per_window(arrivals: &[Instant], from: Instant) -> usize {
     let arrivals: Vec<_> = arrivals.iter().filter(|at| **at >= from).collect();
     let within = |first: &Instant| {
         let window = arrivals.iter().filter(|at| ***at >= *first);
@@ -50,8 +50,8 @@
         .unwrap_or(0)
 }
 
-/// Guards against engines being sent more than the limit that they name, by instances
-/// that each keep to it or to none; and against a limit that is kept to for good.
+/// Guards against instances that ignore an announced limit or each use the whole of it, and
+/// against a limit that stays in force after it was lifted.
 #[rstest]
 #[case::streams_of_nine("/letters/x", "models", 9)]
 #[case::streams_of_hundreds("/letters/x", "models", 300)]
@@ -63,32 +63,41 @@
     let failed: usize = thread::scope(|scope| {
         let (stage, done) = (&stage, &done);
         let callers: Vec<_> = (0..16)
-            .map(|caller| scope.spawn(move || ask(stage, path, caller, done)))
+            .map(|caller| scope.spawn(move || send_until_done(stage, path, caller, done)))
             .collect();
-        // The engine with most arrivals is the one that is missed most.
+        // A limit on the busiest engine displaces the most requests.
         thread::sleep(Duration::from_secs(2));
         let engines = stage.engines.iter().filter(|e| e.service == service);
         let busiest = engines.max_by_key(|e| stage.world().arrivals(&e.id).len());
         let busiest = busiest.expect("an engine").id.clone();
-        stage.world().limit(&busiest, Some(LIMIT));
-        let named = Instant::now();
-        thread::sleep(CONTACT + COUNTED);
+        stage.world().set_limit(&busiest, Some(LIMIT));
+        let announced = Instant::now();
+        thread::sleep(GRACE_PERIOD + MEASURE_TIME);
         let arrivals = stage.world().arrivals(&busiest);
-        let before = most(&arrivals, named - Duration::from_secs(2));
-        let most = most(&arrivals, named + CONTACT);
+        let before = max_per_window(&arrivals, announced - Duration::from_secs(2));
+        let limited = max_per_window(&arrivals, announced + GRACE_PERIOD);
         let allowed = (1.5 * LIMIT * WINDOW.as_secs_f64()) as usize + 5;
-        stage.world().limit(&busiest, None);
-        let counted = stage.world().arrivals(&busiest).len();
+        stage.world().set_limit(&busiest, None);
+        let arrived = stage.world().arrivals(&busiest).len();
         if entries == 9 {
-            until("more than the limit again", || {
-                let more = stage.world().arrivals(&busiest).len() - counted;
+            until("more requests than the limit after it was lifted", || {
+                let more = stage.world().arrivals(&busiest).len() - arrived;
                 (more > 4 * allowed).then_some(())
             });
         }
         done.store(true, Ordering::Relaxed);
-        assert!(before > allowed, "too few before: {before}");
-        assert!(most <= allowed, "{most} in a window, allowed {allowed}");
+        assert!(
+            before > allowed,
+            "too few arrivals before the limit: {before}"
+        );
+        assert!(
+            limited <= allowed,
+            "{limited} arrivals in a window, allowed {allowed}"
+        );
         callers.into_iter().map(|c| c.join().unwrap()).sum()
     });
-    assert_eq!(failed, 0, "requests that another engine could answer");
+    assert_eq!(
+        failed, 0,
+        "failed requests that another engine could answer"
+    );
 }
