Identify a crashing request while it keeps crashing engines

Cause: a request was identified only if its newest crash was older than the time in which all instances report (350 ms). A request that crashes an engine every 150 ms always has a newer crash. Crashes newer than that are now excluded, and identification uses the older ones.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -136,15 +136,17 @@
         self.proposed_at.remove(fingerprint);
     }
 
-    /// Returns the crashes that each request may have caused. Excludes crashes that involve
-    /// a request that `is_refused`, and crashes before a harmless run of the request.
+    /// Returns the crashes up to `until` that each request may have caused. Excludes crashes
+    /// that involve a request that `is_refused`, and crashes before a harmless run of the
+    /// request.
     fn crashes_by_request(
         &self,
+        until: Time,
         is_refused: impl Fn(&Fingerprint) -> bool,
     ) -> CrashesByRequest<'_> {
         let mut by_request = CrashesByRequest::default();
         for (start, crash) in &self.engines {
-            if crash.requests.keys().any(&is_refused) {
+            if crash.at > until || crash.requests.keys().any(&is_refused) {
                 continue;
             }
             for fingerprint in crash.requests.keys() {
@@ -172,7 +174,7 @@
         self.engines.retain(|_, e| now.since(e.at) < RETENTION);
         self.proposed_at
             .retain(|_, at| now.since(*at) < PROPOSAL_RETRY);
-        let by_request = self.crashes_by_request(&is_refused);
+        let by_request = self.crashes_by_request(now, &is_refused);
         let mut suspects: Vec<_> = by_request
             .iter()
             .filter(|(_, e)| e.len() >= MIN_SUSPECT_CRASHES)
@@ -190,8 +192,11 @@
                 .is_some_and(|at| now.since(*at) >= HARMLESS_REPORT_DELAY);
             is_settled && !self.proposed_at.contains_key(f)
         };
+        // Instances may still have to report the requests involved in newer crashes.
+        let reported_until = now - CRASH_REPORT_DELAY;
+        let reported = self.crashes_by_request(reported_until, &is_refused);
         let found = suspects.iter().filter(|(f, _)| due(f));
-        let found = found.filter_map(|(f, _)| self.identify(now, f, &by_request));
+        let found = found.filter_map(|(f, _)| self.identify(reported_until, f, &reported));
         let found: Vec<CrashingRequest> = found.collect();
         let engines = self.engines.values();
         let is_known = |f: &Fingerprint| engines.clone().any(|e| e.requests.contains_key(f));
@@ -203,21 +208,23 @@
         found
     }
 
-    /// Returns a request with its crashes if it is identified as their cause.
+    /// Returns a request with its crashes up to `until` if it is identified as their cause.
     fn identify(
         &self,
-        now: Time,
+        until: Time,
         request: &Fingerprint,
         by_request: &CrashesByRequest,
     ) -> Option<CrashingRequest> {
-        let engines = &by_request[request];
-        let crash = |start: &EngineStart| &self.engines[start];
-        let newest = engines.iter().map(|s| crash(s).at).max()?;
-        if engines.len() < MIN_CRASHES || now.since(newest) < CRASH_REPORT_DELAY {
+        let engines = by_request.get(request)?;
+        if engines.len() < MIN_CRASHES {
             return None;
         }
-        let is_near =
-            |e: &&Crash| newest.since(e.at) < RECENT_WINDOW && e.at.since(newest) < RECENT_WINDOW;
+        let crash = |start: &EngineStart| &self.engines[start];
+        let newest = engines.iter().map(|s| crash(s).at).max()?;
+        let is_near = |e: &&Crash| {
+            let is_close = newest.since(e.at) < RECENT_WINDOW && e.at.since(newest) < RECENT_WINDOW;
+            is_close && e.at <= until
+        };
         let recent = self.engines.values().filter(is_near);
         let recent = recent.filter(|e| e.requests.keys().any(|f| by_request.contains_key(f)));
         let has_unexplained = recent.count() > engines.len();
--- a/src/tests/decide/quarantine.rs
+++ b/src/tests/decide/quarantine.rs
@@ -128,6 +128,20 @@
     assert_eq!(history.unreported(at(700_000)).1.len(), 0);
 }
 
+/// Guards against a request that is never identified because it crashes another engine
+/// before all instances have reported its previous crash.
+#[test]
+fn tick_identifies_repeated() {
+    let mut crashes = Crashes::default();
+    let identified = (0..40).find(|step| {
+        let now = step * 150;
+        crashes.record_crash(at(now), engine(0, now), request(1), "one".into());
+        let found = crashes.tick(at(now), |_| false);
+        found.iter().any(|f| f.fingerprint == request(1))
+    });
+    assert_eq!(identified, Some(5));
+}
+
 /// Milliseconds between two events of a run.
 const EVENT_INTERVAL_MS: u64 = 37;
 
