Test crashing requests and limits under more faults

Adds tests of requests that crash plain services, idempotent and non-idempotent; of a leader that is frozen, in addition to one that is killed, while engines crash; and of an announced limit while the leader is killed, an instance is killed and restarted and another one is frozen.

Test engines of plain services no longer respond to a crashing request before they crash.

--- a/tests/platform/crash.rs
+++ b/tests/platform/crash.rs
@@ -6,9 +6,13 @@
 
 use rstest::rstest;
 
+use crate::common::process::Process;
 use crate::common::until;
 use crate::stage::{KEY, OTHER_KEY, Stage};
 
+/// Path of the stream route.
+const STREAM_PATH: &str = "/letters/x";
+
 /// Body of a request that crashes each engine that runs it.
 const CRASHING: &str = "a body that crashes engines";
 
@@ -30,10 +34,10 @@
 const OTHERS_PAUSE: Duration = Duration::from_millis(50);
 
 /// Sends the crashing request once, as a new attempt at one of the instances.
-fn ask_crashing(stage: &Stage, number: usize) -> (u16, String) {
+fn ask_crashing(stage: &Stage, path: &str, number: usize) -> (u16, String) {
     let entry = number * 7 % stage.entries.len();
     let attempt = format!("crashing-{number}");
-    stage.ask_with(entry, "/letters/x", &attempt, KEY, CRASHING)
+    stage.ask_with(entry, path, &attempt, KEY, CRASHING)
 }
 
 /// Sends other requests until `done`; returns how many were refused as quarantined.
@@ -48,7 +52,7 @@
         // Retries like a caller whose response was cut off.
         for again in 0..2 {
             let (attempt, body) = (format!("{attempt}-{again}"), &attempt);
-            let (status, reply) = stage.ask_with(entry, "/letters/x", &attempt, KEY, body);
+            let (status, reply) = stage.ask_with(entry, STREAM_PATH, &attempt, KEY, body);
             refused += usize::from(reply.contains("quarantined"));
             if status == 200 {
                 break;
@@ -62,9 +66,11 @@
 /// Guards against instances that each send a crashing request to further engines because
 /// they don't share the crashes they observed.
 #[rstest]
-#[case::nine_instances(9)]
-#[case::hundreds_of_instances(300)]
-fn crashing_request_stopped(#[case] entries: usize) {
+#[case::nine_instances(STREAM_PATH, 9)]
+#[case::hundreds_of_instances(STREAM_PATH, 300)]
+#[case::idempotent("/lookups/x", 9)]
+#[case::non_idempotent("/bookings/x", 9)]
+fn crashing_request_stopped(#[case] path: &str, #[case] entries: usize) {
     let stage = Stage::sized(entries, &[10, 10]);
     stage.world().crash_on("one", CRASHING);
     let (done, refused) = (AtomicBool::new(false), AtomicUsize::new(0));
@@ -77,7 +83,7 @@
         }
         let (mut number, mut end) = (0, None::<Instant>);
         while end.is_none_or(|end| Instant::now() < end) {
-            ask_crashing(&stage, number);
+            ask_crashing(&stage, path, number);
             number += 1;
             let third = stage.world().crashed(CRASHING).get(CRASHES - 1).copied();
             end = third.map(|at| at + PROPAGATION + REPEAT_FOR);
@@ -99,7 +105,7 @@
     );
     // An identical request of another organisation has another fingerprint.
     until("the other organisation's answer", || {
-        let (status, _) = stage.ask_with(1, "/letters/x", "two", OTHER_KEY, CRASHING);
+        let (status, _) = stage.ask_with(1, path, "two", OTHER_KEY, CRASHING);
         (status == 200).then_some(())
     });
 }
@@ -109,45 +115,45 @@
 fn ask_until_refused(stage: &Stage, first: usize) -> usize {
     let mut number = first;
     until("a refusal of the crashing request", || {
-        let (status, reply) = ask_crashing(stage, number);
+        let (status, reply) = ask_crashing(stage, STREAM_PATH, number);
         number += 1;
         thread::sleep(PAUSE);
         (status == 503 && reply.contains("quarantined")).then_some(number)
     })
 }
 
-/// Index of the leading controller.
-fn leader(stage: &Stage) -> Option<usize> {
-    let metrics = stage.metrics();
-    let leads = |m: &String| m.lines().any(|l| l == "controller_leads 1");
-    metrics.iter().position(leads)
-}
-
-/// Guards against losing recorded crashes or a quarantine: a leader is killed and an
-/// instance frozen while engines crash, then all processes are killed.
-#[test]
-fn quarantine_survives_faults() {
+/// Guards against losing recorded crashes or a quarantine: the leader is killed or frozen
+/// and an instance frozen while engines crash, then all processes are killed.
+#[rstest]
+#[case::leader_killed(Process::kill)]
+#[case::leader_frozen(|process: &mut Process| process.freeze())]
+fn quarantine_survives_faults(#[case] stop_leader: fn(&mut Process)) {
     let mut stage = Stage::sized(9, &[10, 10]);
     stage.world().crash_on("one", CRASHING);
     let mut number = 0;
     while stage.world().crashed(CRASHING).len() < CRASHES - 1 {
-        ask_crashing(&stage, number);
+        ask_crashing(&stage, STREAM_PATH, number);
         number += 1;
     }
-    let lead = until("a leader", || leader(&stage));
-    stage.controllers[lead].kill();
+    let lead = until("a leader", || stage.leader());
+    stop_leader(&mut stage.controllers[lead]);
+    if !stage.controllers[lead].is_running() {
+        stage.controllers[lead] = stage.controller(u8::try_from(lead).unwrap(), false);
+    }
     stage.entries[0].freeze();
-    stage.controllers[lead] = stage.controller(u8::try_from(lead).unwrap(), false);
     // Skips the first instance while it is frozen.
     number += stage.entries.len() - number % stage.entries.len() + 1;
     until("a refusal of the crashing request", || {
         number += usize::from(number % stage.entries.len() == 0);
-        let (status, reply) = ask_crashing(&stage, number);
+        let (status, reply) = ask_crashing(&stage, STREAM_PATH, number);
         number += 1;
         thread::sleep(PAUSE);
         (status == 503 && reply.contains("quarantined")).then_some(())
     });
     stage.entries[0].thaw();
+    if stage.controllers[lead].is_running() {
+        stage.controllers[lead].thaw();
+    }
     thread::sleep(PROPAGATION);
     let before = stage.world().received(CRASHING).len();
     let third = stage.world().crashed(CRASHING)[CRASHES - 1];
@@ -156,11 +162,13 @@
     assert!(late <= MAX_LATE, "{late} arrivals came late");
     for entry in 0..stage.entries.len() {
         let attempt = format!("thawed-{entry}");
-        let (status, _) = stage.ask_with(entry, "/letters/x", &attempt, KEY, CRASHING);
+        let (status, _) = stage.ask_with(entry, STREAM_PATH, &attempt, KEY, CRASHING);
         assert_eq!(status, 503, "instance {entry}");
     }
     for process in stage.controllers.iter_mut().chain(&mut stage.entries) {
-        process.kill();
+        if process.is_running() {
+            process.kill();
+        }
     }
     for i in 0..3 {
         stage.controllers[usize::from(i)] = stage.controller(i, false);
@@ -171,7 +179,7 @@
     for entry in 0..stage.entries.len() {
         until("ready entry", || stage.is_ready(entry).then_some(()));
         let attempt = format!("restarted-{entry}");
-        let (status, reply) = stage.ask_with(entry, "/letters/x", &attempt, KEY, CRASHING);
+        let (status, reply) = stage.ask_with(entry, STREAM_PATH, &attempt, KEY, CRASHING);
         assert!(
             status == 503 && reply.contains("quarantined"),
             "{status} {reply}"
@@ -199,7 +207,11 @@
     stage.quarantine_command("lift", &[fingerprint]);
     assert_eq!(list()["requests"], serde_json::json!([]));
     until("an arrival after the lift", || {
-        ask_crashing(&stage, 1000 + stage.world().received(CRASHING).len());
+        ask_crashing(
+            &stage,
+            STREAM_PATH,
+            1000 + stage.world().received(CRASHING).len(),
+        );
         (stage.world().received(CRASHING).len() > before).then_some(())
     });
 }
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -362,6 +362,10 @@
             crash.notify_one();
         });
     }
+    // Engines of plain services crash before they respond.
+    if crashes.is_some() && spec.service != "models" {
+        std::future::pending::<()>().await;
+    }
     let mut response = match spec.service {
         "models" if crashes.is_some() => Response::new(pending_stream()),
         _ if fault == Fault::Error => whole(500, "the stock file is locked"),
--- a/tests/platform/limit.rs
+++ b/tests/platform/limit.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use rustix::process::Signal;
 
 use crate::common::until;
 use crate::stage::{KEY, Stage};
@@ -50,6 +51,18 @@
         .unwrap_or(0)
 }
 
+/// Returns the maximum number of arrivals in a window that is accepted under the limit.
+fn allowed_per_window() -> usize {
+    (1.5 * LIMIT * WINDOW.as_secs_f64()) as usize + 5
+}
+
+/// Returns the ID of the service's engine that has received the most requests.
+fn busiest_engine(stage: &Stage, service: &str) -> String {
+    let engines = stage.engines.iter().filter(|e| e.service == service);
+    let busiest = engines.max_by_key(|e| stage.world().arrivals(&e.id).len());
+    busiest.expect("an engine").id.clone()
+}
+
 /// Guards against instances that ignore an announced limit or each use the whole of it, and
 /// against a limit that stays in force after it was lifted.
 #[rstest]
@@ -67,16 +80,14 @@
             .collect();
         // A limit on the busiest engine displaces the most requests.
         thread::sleep(Duration::from_secs(2));
-        let engines = stage.engines.iter().filter(|e| e.service == service);
-        let busiest = engines.max_by_key(|e| stage.world().arrivals(&e.id).len());
-        let busiest = busiest.expect("an engine").id.clone();
+        let busiest = busiest_engine(stage, service);
         stage.world().set_limit(&busiest, Some(LIMIT));
         let announced = Instant::now();
         thread::sleep(GRACE_PERIOD + MEASURE_TIME);
         let arrivals = stage.world().arrivals(&busiest);
         let before = max_per_window(&arrivals, announced - Duration::from_secs(2));
         let limited = max_per_window(&arrivals, announced + GRACE_PERIOD);
-        let allowed = (1.5 * LIMIT * WINDOW.as_secs_f64()) as usize + 5;
+        let allowed = allowed_per_window();
         stage.world().set_limit(&busiest, None);
         let arrived = stage.world().arrivals(&busiest).len();
         if entries == 9 {
@@ -101,3 +112,38 @@
         "failed requests that another engine could answer"
     );
 }
+
+/// Guards against instances that exceed an announced limit after faults: the leader is
+/// killed, one instance is restarted and another one frozen.
+#[test]
+fn announced_limit_survives_faults() {
+    let stage = Stage::sized(9, &[4, 4]);
+    let done = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let (stage, done) = (&stage, &done);
+        for caller in 0..16 {
+            scope.spawn(move || send_until_done(stage, "/lookups/x", caller, done));
+        }
+        thread::sleep(Duration::from_secs(1));
+        let limited_engine = busiest_engine(stage, "desk");
+        stage.world().set_limit(&limited_engine, Some(LIMIT));
+        let announced = Instant::now();
+        thread::sleep(GRACE_PERIOD);
+        let lead = until("a leader", || stage.leader());
+        stage.controllers[lead].signal(Signal::KILL);
+        stage.entries[1].signal(Signal::KILL);
+        stage.entries[0].freeze();
+        thread::sleep(Duration::from_secs(1));
+        let _restarted = stage.entry(1);
+        stage.entries[0].thaw();
+        thread::sleep(MEASURE_TIME);
+        done.store(true, Ordering::Relaxed);
+        let arrivals = stage.world().arrivals(&limited_engine);
+        let limited = max_per_window(&arrivals, announced + GRACE_PERIOD);
+        let allowed = allowed_per_window();
+        assert!(
+            (1..=allowed).contains(&limited),
+            "{limited} arrivals in a window, allowed {allowed}"
+        );
+    });
+}
--- a/tests/platform/stage.rs
+++ b/tests/platform/stage.rs
@@ -270,6 +270,13 @@
         hosts.map(read).collect()
     }
 
+    /// Index of the leading controller.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let metrics = self.metrics();
+        let leads = |m: &String| m.lines().any(|l| l == "controller_leads 1");
+        metrics.iter().position(leads)
+    }
+
     pub(crate) fn is_ready(&self, entry: usize) -> bool {
         let address = self.at(entry_host(entry), self.ports.readiness);
         let reply = agent().get(format!("http://{address}/v1/readyz")).call();
