--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -26,6 +26,7 @@
 mod platform;
 mod pool;
 mod queue;
+mod register;
 mod registry;
 mod relay;
 mod replica;
