--- a/src/clock.rs
+++ b/src/clock.rs
@@ -34,7 +34,8 @@
     }
 }
 
-fn micros(duration: Duration) -> u64 {
+/// A duration in whole microseconds.
+pub(crate) fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
--- a/src/controller/board.rs
+++ b/src/controller/board.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use super::reports::Reports;
-use crate::clock::Time;
+use crate::clock::{Time, micros};
 use crate::collections::{HashMap, HashSet};
 use crate::configuration::{Configuration, Model};
 use crate::decide::load::scatter;
@@ -210,7 +210,7 @@
         }
         self.reports.take(now, ask);
         State {
-            age: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
+            age: micros(age),
             version: current_version,
             body: newer.map(|c| c.body),
             roster,
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -10,6 +10,7 @@
 
 use super::Entry;
 use super::body::Body;
+use super::crash::is_cut;
 use super::head;
 use super::listen::{failure, quarantined, refuse};
 use super::pool;
@@ -45,7 +46,7 @@
 const NO_CONNECTION: &str = "connect";
 
 /// Cause of a failure: an upstream closed the connection before the response head.
-const CUT: &str = "cut";
+pub(super) const CUT: &str = "cut";
 
 /// Cause of a failure: an engine of the path is dead.
 pub(super) const DEAD_PART: &str = "dead_part";
@@ -240,7 +241,7 @@
                     if alone && culprit.is_none() {
                         self.tried.push(first);
                     }
-                    if cause == CUT {
+                    if is_cut(cause) {
                         self.record_cut(&upstream);
                     }
                     self.blame(culprit, cause);
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -8,8 +8,9 @@
 use tokio::time::{sleep, timeout};
 
 use super::Entry;
-use super::attempt::Run;
+use super::attempt::{CUT, Run};
 use super::view::{Upstream, View};
+use crate::clock::micros;
 use crate::decide::refusal::Reason;
 use crate::decide::run_history::{EngineStart, HARMLESS_EVENTS};
 use crate::event;
@@ -24,8 +25,10 @@
 /// Timeout for connecting to a probed engine.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Causes of failures where an upstream closed the connection during a run.
-const CUT_CAUSES: &[&str] = &["cut", "cut_body", "cut_event", "cut_stream"];
+/// Whether the cause of a failure is that an upstream closed the connection during a run.
+pub(super) fn is_cut(cause: &str) -> bool {
+    matches!(cause, CUT | "cut_body" | "cut_event" | "cut_stream")
+}
 
 impl Run {
     /// Returns the reason for refusal if the request is quarantined.
@@ -44,7 +47,7 @@
     /// Whether the request may crash the next upstream, too: it is suspect and was cut off
     /// again. It is not resumed, so that each attempt risks one upstream only.
     pub(super) fn may_crash_engine(&self, cause: &str) -> bool {
-        let cut = CUT_CAUSES.contains(&cause) && self.events < HARMLESS_EVENTS;
+        let cut = is_cut(cause) && self.events < HARMLESS_EVENTS;
         cut && self.suspect(&self.entry.view()).is_some()
     }
 
@@ -57,10 +60,7 @@
         if self.events >= HARMLESS_EVENTS {
             return;
         }
-        let engine = EngineStart {
-            id: Arc::clone(&upstream.id),
-            born: upstream.born,
-        };
+        let engine = upstream.start();
         let organisation = Arc::clone(&self.call.organisation);
         let fingerprint = self.call.fingerprint;
         let now = self.entry.now();
@@ -104,7 +104,7 @@
     /// sequence number of the last cut run, for [`Self::acknowledge_runs`].
     pub(super) fn add_run_reports(&self, question: &mut Sync) -> u64 {
         let (now, view) = (self.now(), self.view());
-        let age = |at| u64::try_from(now.since(at).as_micros()).unwrap_or(u64::MAX);
+        let age = |at| micros(now.since(at));
         let mut shared = self.shared();
         let (last, cut) = shared.run_history.unreported(now);
         let cut = cut.into_iter().map(|c| CutRecord {
--- a/src/entry/limit.rs
+++ b/src/entry/limit.rs
@@ -7,7 +7,6 @@
 use super::view::Upstream;
 use crate::clock::Time;
 use crate::decide::rate::{self, LimitUpdate};
-use crate::decide::run_history::EngineStart;
 use crate::event;
 use crate::sync::{LimitRecord, key_address};
 
@@ -24,10 +23,7 @@
         };
         let now = self.entry.now();
         let update = LimitUpdate {
-            upstream: EngineStart {
-                id: upstream.id.clone(),
-                born: upstream.born,
-            },
+            upstream: upstream.start(),
             limit,
             at: if limit.is_some() { now } else { sent },
         };
@@ -45,12 +41,6 @@
 }
 
 impl Entry {
-    /// Whether an upstream's rate limit allows this instance a request now.
-    pub(super) fn may_send(&self, now: Time, upstream: &Upstream) -> bool {
-        let limiter = &self.shared().rate_limiter;
-        limiter.may_send(now, upstream.key, &upstream.id, upstream.born)
-    }
-
     /// A subset of this instance's latest limit updates, for the leader.
     pub(super) fn limit_records(&self) -> Vec<LimitRecord> {
         let now = self.now();
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -252,7 +252,10 @@
         let usable = |u: &Upstream| !exclusions.tried.contains(&u.key);
         let mut pool = self.shared().pool(now, view, service, model, trust, usable);
         pool.restrict_entry(|u| exclusions.may_enter(u.key));
-        let limited = pool.limit_entry(|u| self.may_send(now, u));
+        let shared = self.shared();
+        let limiter = &shared.rate_limiter;
+        let limited = pool.limit_entry(|u| limiter.may_send(now, u.key, &u.id, u.born));
+        drop(shared);
         // A caller's domain without engines is none of theirs.
         work.home = pool.domain(&self.boot.domain).unwrap_or(usize::MAX);
         let mut rng = rand::rng();
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -12,6 +12,7 @@
 
 use super::attempt::{DEAD_PART, Opened, PATIENCE, Run};
 use super::body::{self, Body, BrokenOff};
+use super::crash::is_cut;
 use super::head;
 use super::reroute::Silence;
 use crate::clock::{Time, millis};
@@ -208,7 +209,7 @@
 
     /// Goes on behind the last event on another path, if that is allowed.
     async fn resume(&mut self, cause: &'static str) -> bool {
-        if matches!(cause, "cut_event" | "cut_stream") {
+        if is_cut(cause) {
             self.run.record_cut(&self.opened.chosen.upstream);
         }
         if self.run.left().is_zero() {
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -8,6 +8,7 @@
 use crate::clock::Time;
 use crate::collections::{HashMap, HashSet};
 use crate::configuration::Table;
+use crate::decide::run_history::EngineStart;
 use crate::fingerprint::Fingerprint;
 use crate::platform::configuration;
 use crate::roster::Range;
@@ -35,6 +36,16 @@
     pub(crate) suspected: bool,
 }
 
+impl Upstream {
+    /// The start of the upstream.
+    pub(crate) fn start(&self) -> EngineStart {
+        EngineStart {
+            id: Arc::clone(&self.id),
+            born: self.born,
+        }
+    }
+}
+
 /// Entry instances that are assumed until a leader has counted them.
 ///
 /// Guards against the herd after a restart of all processes: a new leader knows only
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -10,7 +10,7 @@
 use flate2::write::ZlibEncoder;
 use prost::Message;
 
-use crate::clock::Time;
+use crate::clock::{Time, micros};
 use crate::decide::rate::LimitUpdate;
 use crate::decide::run_history::EngineStart;
 use crate::roster::{Announcement, Entry, Range};
@@ -82,7 +82,7 @@
             id: update.upstream.id.to_string(),
             born: update.upstream.born,
             limit: update.limit,
-            age: u64::try_from(now.since(update.at).as_micros()).unwrap_or(u64::MAX),
+            age: micros(now.since(update.at)),
         }
     }
 
