Ask the other voters after a start what this store may have forgotten

Callers saw a change accepted that was gone after a change of leader, and controllers that ended with a panic.

Cause: a data folder put back from a copy of its latest run has forgotten entries that it acknowledged and votes that it gave, and no peer can tell the run apart. Only the leader that had counted them could bar it; its successor knows nothing of them. The copy then helps voters that missed the changes to elect one of them, which overwrites what was acknowledged. A damaged last frame is cut off like a torn write and does the same.

Fix: a store whose folder wasn't empty takes no part until enough other voters have answered its greeting with term, end of log and members. Every majority that counted it includes one of them: the entry is in an answer, or its other acknowledgements name the new run, and the leader counts the former run's no more. The same for votes.

A member that meets another entry than the committed one ends with an error that names the remedy (505), not with a panic.

--- a/src/event.rs
+++ b/src/event.rs
@@ -104,6 +104,10 @@
 pub(crate) const STORE_FAILED: Event = event(505, "store_failed");
 /// A controller opens its failed store again.
 pub(crate) const STORE_REOPENED: Event = event(506, "store_reopened");
+/// Other voters told a restarted store what it may have forgotten.
+pub(crate) const STORE_CONFIRMED: Event = event(507, "store_confirmed");
+/// Too few voters answered a restarted store; it trusts its folder.
+pub(crate) const STORE_UNCONFIRMED: Event = event(508, "store_unconfirmed");
 /// Another instance is held for something else than before.
 pub(crate) const MEMBER_CHANGED: Event = event(601, "member_changed");
 /// The process was suspended; views of before are dropped.
@@ -162,6 +166,8 @@
     STORE_BARRED,
     STORE_FAILED,
     STORE_REOPENED,
+    STORE_CONFIRMED,
+    STORE_UNCONFIRMED,
     MEMBER_CHANGED,
     SUSPENDED,
     DATAGRAMS_LOST,
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -24,6 +24,7 @@
 mod progress;
 mod read;
 mod reconfigure;
+mod rejoin;
 mod replication;
 mod snapshot;
 
@@ -31,15 +32,20 @@
 pub(crate) use self::member::Membership;
 pub use self::member::{Change, Member, Peer, Role};
 pub use self::message::Message;
+pub(crate) use self::message::Seen;
+#[cfg(test)]
+pub(crate) use self::message::Standing;
 #[cfg(test)]
 pub(crate) use self::message::{Append, AppendAck, Introduce, Vote, VoteAck};
 pub(crate) use self::message::{Ask, Body, Hello, Superseded};
 pub(crate) use self::outbox::{Cause, Effect, Hard, Persist};
+pub(crate) use self::rejoin::Outcome;
 
 use self::election::Campaign;
 use self::outbox::Outbox;
 use self::progress::Leadership;
 use self::read::Reads;
+use self::rejoin::Rejoin;
 use self::snapshot::Incoming;
 
 /// Election timeouts for which a store that greeted is remembered. It greets
@@ -50,6 +56,9 @@
 /// for a leader. Longer than the usual time between heartbeats, a fourth.
 const FIRST_PART: u32 = 3;
 
+/// Boot counter of a store whose folder was empty.
+const FIRST_BOOT: u64 = 1;
+
 /// Constants of one replica.
 #[derive(Clone, Debug)]
 pub(crate) struct Settings {
@@ -149,6 +158,10 @@
     incoming: Option<Incoming>,
     /// Stores that greeted without being members, by instance.
     strangers: BTreeMap<u64, (Peer, Time)>,
+    /// When this store began to ask the others.
+    asked: Time,
+    /// Whether this store may vote and acknowledge.
+    rejoin: Rejoin,
     /// Whether the peers were told of this run.
     greeted: bool,
     outbox: Outbox,
@@ -189,6 +202,8 @@
             reads: Reads::new(settings.run),
             incoming: None,
             strangers: BTreeMap::new(),
+            asked: now,
+            rejoin: Rejoin::new(settings.boot == FIRST_BOOT, now),
             greeted: false,
             outbox: Outbox::new(head),
             checked: (start.hard.term, start.hard.vote, 0, 0),
@@ -287,6 +302,7 @@
             self.greeted = true;
             self.greet();
         }
+        self.tick_rejoin();
         if self.is_leader() {
             return self.tick_leader();
         }
@@ -304,21 +320,25 @@
         let term = message.term;
         let boot = message.boot;
         let Some(body) = message.body else { return };
+        if self.is_asking() && !body.is_greeting() {
+            return;
+        }
         if !self.accept_term(from, term, &body) {
             return;
         }
         match body {
             Body::Vote(vote) => self.on_vote(from, term, vote),
-            Body::VoteAck(ack) => self.on_vote_ack(from, term, ack),
+            Body::VoteAck(ack) => self.on_vote_ack(from, boot, term, &ack),
             Body::Append(append) => self.on_append(from, append),
-            Body::AppendAck(ack) => self.on_append_ack(from, boot, ack),
+            Body::AppendAck(ack) => self.on_append_ack(from, boot, &ack),
             Body::Chunk(chunk) => self.on_chunk(from, chunk),
             Body::ChunkAck(ack) => self.on_chunk_ack(from, ack),
             Body::Read(read) => self.reads.queue_remote(from, read.ticket),
             Body::ReadAck(ack) => self.reads.on_ack(ack),
             Body::TimeoutNow(_) => self.on_timeout_now(),
-            Body::Hello(_) => self.on_hello(from),
+            Body::Hello(_) => self.on_hello(from, message.run),
             Body::Introduce(introduce) => self.on_introduce(introduce),
+            Body::Standing(standing) => self.on_standing(from, standing),
             // The driver handles it: it concerns all groups.
             Body::Superseded(_) | Body::Ask(_) => {}
         }
@@ -333,6 +353,7 @@
             | Body::ReadAck(_)
             | Body::Hello(_)
             | Body::Introduce(_)
+            | Body::Standing(_)
             | Body::Superseded(_)
             | Body::Ask(_) => return true,
             // The term asked for isn't in force yet.
--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -1,9 +1,9 @@
 //! Elections: pre-vote, vote, transfer of leadership.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::member::{Membership, Peer, Role};
-use super::message::{Body, Hello, Introduce, TimeoutNow, Vote, VoteAck};
+use super::message::{Body, Hello, Introduce, Seen, TimeoutNow, Vote, VoteAck};
 use super::progress::Leadership;
 use super::{Kind, Part, Replica};
 
@@ -14,16 +14,28 @@
     pre: bool,
     /// Whether the leader asked for it.
     transfer: bool,
-    /// Peers that support us.
-    votes: BTreeSet<Peer>,
+    /// Peers that support us, with the boot counter of the run that does.
+    votes: BTreeMap<Peer, u64>,
+    /// Highest boot counter that a voter has seen, by store.
+    seen: BTreeMap<u64, u64>,
 }
 
 impl Campaign {
     /// Whether `peer` supports us. Founders are known by instance only.
     fn has(&self, peer: Peer) -> bool {
-        match peer.store {
-            0 => self.votes.iter().any(|v| v.id == peer.id),
-            _ => self.votes.contains(&peer),
+        let mut votes = self.votes.iter();
+        votes.any(|(voter, boot)| {
+            let same = *voter == peer || (peer.store == 0 && voter.id == peer.id);
+            same && self.seen.get(&voter.store).is_none_or(|seen| boot >= seen)
+        })
+    }
+
+    /// Counts votes of runs before those that a voter has seen no more: the
+    /// later run may have voted for another candidate since.
+    pub(super) fn forget_earlier(&mut self, seen: &[Seen]) {
+        for seen in seen {
+            let boot = self.seen.entry(seen.store).or_default();
+            *boot = seen.boot.max(*boot);
         }
     }
 }
@@ -44,6 +56,9 @@
 
     fn can_campaign(&self) -> bool {
         let me = self.settings.me;
+        if self.is_asking() || self.end() < self.required_end() {
+            return false;
+        }
         let members = self.log.members().1;
         if members.is_founding() {
             return members.members.iter().any(|m| m.id == me.id);
@@ -53,6 +68,7 @@
 
     pub(super) fn on_timeout(&mut self) {
         self.greet();
+        self.renew_floor();
         if self.can_campaign() {
             return self.campaign(true, false);
         }
@@ -63,15 +79,20 @@
     /// Makes this store known, whatever its own log says of it: the entry that
     /// added it may have been overwritten elsewhere.
     pub(super) fn greet(&mut self) {
+        for id in self.known_instances() {
+            let hello = Body::Hello(Hello::default());
+            self.outbox.send(Peer { id, store: 0 }, self.term, hello);
+        }
+    }
+
+    /// Contacts and members but for this instance.
+    pub(super) fn known_instances(&self) -> BTreeSet<u64> {
         let members = &self.log.members().1.members;
         let members = members.iter().map(|m| m.id);
         let known = self.settings.contacts.iter().copied().chain(members);
         let mut ids: BTreeSet<u64> = known.collect();
         ids.remove(&self.settings.me.id);
-        for id in ids {
-            let hello = Body::Hello(Hello::default());
-            self.outbox.send(Peer { id, store: 0 }, self.term, hello);
-        }
+        ids
     }
 
     /// Remembers a store that greets, and tells the leader of it.
@@ -79,8 +100,9 @@
     /// A store that comes back with an empty disk knows only the contacts of
     /// its settings, and the leader may be none of them. It would wait for
     /// ever, and the next loss could cost the quorum.
-    pub(super) fn on_hello(&mut self, from: Peer) {
+    pub(super) fn on_hello(&mut self, from: Peer, run: u64) {
         self.strangers.insert(from.id, (from, self.now));
+        self.tell_standing(from, run);
         let member = self.log.members().1.role(from).is_some();
         let leader = self.leader.filter(|l| *l != self.settings.me && *l != from);
         if let Some(leader) = leader.filter(|_| !member) {
@@ -106,7 +128,8 @@
         self.part = Part::Candidate(Campaign {
             pre,
             transfer,
-            votes: BTreeSet::new(),
+            votes: BTreeMap::new(),
+            seen: BTreeMap::new(),
         });
         // A vote needs syncs, and those may be slow; a pre-vote needs none.
         if pre && self.heard.is_none() {
@@ -128,7 +151,11 @@
             }
         }
         // Our own vote counts once it's synced, like any other.
-        let ack = VoteAck { pre, granted: true };
+        let ack = VoteAck {
+            pre,
+            granted: true,
+            ..VoteAck::default()
+        };
         self.outbox.reply(me, term, Body::VoteAck(ack));
     }
 
@@ -145,14 +172,14 @@
         let ack = VoteAck {
             pre: vote.pre,
             granted,
+            ..VoteAck::default()
         };
         let term = if granted { term } else { self.term };
         self.outbox.reply(from, term, Body::VoteAck(ack));
     }
 
     fn grants(&self, from: Peer, term: u64, vote: Vote) -> bool {
-        let ours = (self.log.last_term(), self.log.last_index());
-        let current = (vote.last_term, vote.last_index) >= ours;
+        let current = (vote.last_term, vote.last_index) >= self.required_end();
         let free = self.vote.is_none_or(|v| v == from);
         let barred = self.log.members().1.role(self.settings.me) == Some(Role::Barred);
         if !current || barred {
@@ -164,7 +191,8 @@
         }
     }
 
-    pub(super) fn on_vote_ack(&mut self, from: Peer, term: u64, ack: VoteAck) {
+    pub(super) fn on_vote_ack(&mut self, from: Peer, boot: u64, term: u64, ack: &VoteAck) {
+        self.heed_seen(&ack.seen);
         let Part::Candidate(campaign) = &mut self.part else {
             return;
         };
@@ -172,7 +200,7 @@
         if !ack.granted || ack.pre != campaign.pre || term != expected {
             return;
         }
-        campaign.votes.insert(from);
+        campaign.votes.insert(from, boot);
         let members = self.log.members().1;
         if !members.quorum(|p| campaign.has(p)) {
             return;
@@ -198,7 +226,7 @@
         self.part = Part::Leader(Box::new(Leadership::new(first, self.now)));
         let members = self.log.members().1;
         if members.is_founding() {
-            let founded = found(&campaign.votes);
+            let founded = found(campaign.votes.keys());
             return self.append_members(&founded);
         }
         self.append(Kind::Noop, bytes::Bytes::new());
@@ -248,7 +276,7 @@
 }
 
 /// The first membership with stores, from the unanimous votes.
-fn found(votes: &BTreeSet<Peer>) -> Membership {
+fn found<'a>(votes: impl Iterator<Item = &'a Peer>) -> Membership {
     let mut members = Membership::default();
     for &peer in votes {
         let other = members.members.iter().find(|m| m.id == peer.id);
--- a/src/replica/message.rs
+++ b/src/replica/message.rs
@@ -35,7 +35,7 @@
     /// The content.
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
     )]
     pub body: Option<Body>,
 }
@@ -93,6 +93,60 @@
     /// A member tells the leader of a store that greeted it.
     #[prost(message, tag = "22")]
     Introduce(Introduce),
+    /// Answer to [`Body::Hello`]: what the sender's store may have forgotten.
+    #[prost(message, tag = "23")]
+    Standing(Standing),
+}
+
+impl Body {
+    /// Whether this makes stores known to each other, which also a store does
+    /// that takes no part yet.
+    pub(super) fn is_greeting(&self) -> bool {
+        matches!(
+            self,
+            Self::Hello(_) | Self::Introduce(_) | Self::Standing(_)
+        )
+    }
+}
+
+/// Term, log and members of a store that answers a greeting.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Standing {
+    /// Run that greeted.
+    #[prost(uint64, tag = "1")]
+    pub run: u64,
+    /// Term of the store that answers.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Term of the last entry that it can have acknowledged as a voter.
+    #[prost(uint64, tag = "3")]
+    pub last_term: u64,
+    /// Index of that entry.
+    #[prost(uint64, tag = "4")]
+    pub last_index: u64,
+    /// Whether it knows that it has forgotten nothing itself.
+    #[prost(bool, tag = "5")]
+    pub rejoined: bool,
+    /// Index of the entry that holds `members`.
+    #[prost(uint64, tag = "6")]
+    pub members_index: u64,
+    /// The latest members in its log.
+    #[prost(message, required, tag = "7")]
+    pub members: Membership,
+    /// Whether that entry is known to be committed.
+    #[prost(bool, tag = "8")]
+    pub members_commit: bool,
+}
+
+/// Latest run of a store that the sender remembers durably.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Seen {
+    /// The store.
+    #[prost(uint64, tag = "1")]
+    pub store: u64,
+    /// Boot counter of its run.
+    #[prost(uint64, tag = "2")]
+    pub boot: u64,
 }
 
 /// A store that is no member and greeted the sender.
@@ -121,7 +175,7 @@
 }
 
 /// Answer to a vote or pre-vote.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct VoteAck {
     /// As in the request.
     #[prost(bool, tag = "1")]
@@ -129,6 +183,9 @@
     /// Whether the vote was given.
     #[prost(bool, tag = "2")]
     pub granted: bool,
+    /// Runs that the sender knows.
+    #[prost(message, repeated, tag = "3")]
+    pub seen: Vec<Seen>,
 }
 
 /// Entries that follow `prev_index`.
@@ -152,7 +209,7 @@
 }
 
 /// Outcome of an append. A refusal is no loss: the leader sends earlier entries.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct AppendAck {
     /// Whether the entry before the first one matched.
     #[prost(bool, tag = "1")]
@@ -169,6 +226,9 @@
     /// Round of the append.
     #[prost(uint64, tag = "5")]
     pub round: u64,
+    /// Runs that the sender knows.
+    #[prost(message, repeated, tag = "6")]
+    pub seen: Vec<Seen>,
 }
 
 /// A piece of a snapshot.
--- a/src/replica/outbox.rs
+++ b/src/replica/outbox.rs
@@ -5,6 +5,7 @@
 use super::log::{Entry, Snapshot};
 use super::member::Peer;
 use super::message::{Body, Message};
+use super::rejoin::Outcome;
 
 /// State that must be durable besides the log.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
@@ -59,6 +60,11 @@
     Restore(Snapshot),
     /// A read may proceed at `index`.
     Readable { ticket: u64, index: u64 },
+    /// This store holds a committed entry at `index` that the leader doesn't
+    /// have. Nothing that it sends may count any more.
+    Diverged { index: u64 },
+    /// The questions after a restart have ended.
+    Rejoined(Outcome),
     /// A proposal, read or change failed.
     Failed { ticket: u64, cause: Cause },
 }
--- a/src/replica/progress.rs
+++ b/src/replica/progress.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::member::Peer;
+use super::message::Seen;
 use crate::clock::Time;
 
 /// How entries flow to a member.
@@ -33,6 +34,8 @@
     pub(super) told: u64,
     /// Boot counter at the time of `matched`.
     pub(super) boot: u64,
+    /// Highest boot counter that another member has seen of it.
+    pub(super) seen: u64,
     /// Whether it lost entries that it had acknowledged.
     pub(super) rolled: bool,
 }
@@ -47,6 +50,7 @@
             round: 0,
             told: 0,
             boot: 0,
+            seen: 0,
             rolled: false,
         }
     }
@@ -84,6 +88,17 @@
     /// Last index that `peer` has synced, zero for one that must not count.
     pub(super) fn matched(&self, peer: Peer) -> u64 {
         let progress = self.progress.get(&peer);
-        progress.filter(|p| !p.rolled).map_or(0, |p| p.matched)
+        let counts = |p: &&Progress| !p.rolled && p.boot >= p.seen;
+        progress.filter(counts).map_or(0, |p| p.matched)
+    }
+
+    /// Counts acknowledgements of runs before those that a member has seen no
+    /// more: the later run may run on a copy that lacks them.
+    pub(super) fn forget_earlier(&mut self, seen: &[Seen]) {
+        for (peer, progress) in &mut self.progress {
+            let boots = seen.iter().filter(|s| s.store == peer.store);
+            let boot = boots.map(|s| s.boot).max();
+            progress.seen = progress.seen.max(boot.unwrap_or(0));
+        }
     }
 }
--- a/src/store.rs
+++ b/src/store.rs
@@ -5,9 +5,9 @@
 //! start, and growth, write the next file and remove the one before. Each
 //! group's snapshot is a file of its own.
 //!
-//! What stays undetected here: damage to the very last frame looks like a torn
-//! write and is cut off. The leader notices when the store had acknowledged
-//! what was cut, see [`crate::replica`].
+//! Damage to the very last frame looks like a torn write and is cut off. The
+//! store has then forgotten what the frame held, and asks the other voters after
+//! its start, see [`crate::replica`].
 
 use std::collections::BTreeMap;
 use std::io;
@@ -94,6 +94,19 @@
          instance's new store as a member"
     ))]
     Superseded,
+    /// The leader has another entry than the one committed here.
+    #[snafu(display(
+        "entry {index} of group {group} is committed here, and the leader has another \
+         one: a store was put back from an old copy while too few others answered, and \
+         accepted changes are lost. Keep this folder to compare the catalogues; start \
+         with an empty one and add this instance's new store as a member"
+    ))]
+    Diverged {
+        /// Number of the group.
+        group: u32,
+        /// Position of the entry.
+        index: u64,
+    },
     /// An earlier operation failed.
     #[snafu(display("the store failed earlier; start the process again"))]
     Failed,
--- a/src/tests/simulation/disk.rs
+++ b/src/tests/simulation/disk.rs
@@ -49,6 +49,11 @@
         self.with(|s| s.broken = true);
     }
 
+    /// Takes back failures that are due.
+    pub(in crate::tests) fn mend(&self) {
+        self.with(|s| (s.fuse, s.broken) = (None, false));
+    }
+
     pub(in crate::tests) fn limit(&self, space: usize) {
         self.with(|s| s.space = Some(space));
     }
--- a/src/tests/simulation/ledger.rs
+++ b/src/tests/simulation/ledger.rs
@@ -28,6 +28,12 @@
         self.acked.len() + self.reads
     }
 
+    /// Highest index of a command that any store has applied.
+    pub(in crate::tests) fn applied(&self, group: u32) -> u64 {
+        let range = self.history.range((group, 0)..=(group, u64::MAX));
+        range.last().map_or(0, |((_, index), _)| *index)
+    }
+
     fn apply(&mut self, group: u32, index: u64, command: u64) {
         let first = *self.history.entry((group, index)).or_insert(command);
         assert_eq!(first, command, "stores disagree at {group}/{index}");
--- a/src/voter.rs
+++ b/src/voter.rs
@@ -104,6 +104,9 @@
     pub strangers: Vec<Peer>,
     /// Messages refused because they came from a superseded run of a store.
     pub refused: u64,
+    /// Whether other voters told this store what it may have forgotten; none
+    /// while it asks them, false if too few answered.
+    pub confirmed: Option<bool>,
     /// On the leader, milliseconds since each other member last answered.
     pub silences: Vec<(Peer, u64)>,
 }
--- a/src/voter/core.rs
+++ b/src/voter/core.rs
@@ -8,13 +8,13 @@
 use super::answer::Answer;
 use super::group::{Group, Pending};
 use super::sighting::Sightings;
-use super::{ChangeError, GroupStatus, Machine, ProposeError, ReadError};
+use super::{ChangeError, GroupStatus, Machine, ProposeError, ReadError, watch};
 use crate::clock::Time;
 use crate::disk::Disk;
 use crate::replica::{
     Body, Change, Effect, Event, Membership, Message, Peer, Replica, Settings, Start,
 };
-use crate::store::{Store, StoreError, UnusedSnafu};
+use crate::store::{DivergedSnafu, Store, StoreError, UnusedSnafu};
 
 /// A request or message for the core.
 pub(crate) enum Input {
@@ -304,15 +304,18 @@
         for effect in effects {
             match effect {
                 Effect::Send(mut message) => {
-                    if let Some(Body::Hello(hello)) = &mut message.body {
-                        hello.runs.clone_from(&self.runs);
-                    }
+                    complete(&mut message, &self.runs, &self.sightings);
                     send(message);
                 }
                 Effect::Persist(persist) => group.write(&persist, &mut self.store)?,
                 Effect::Apply { entry, ticket } => group.apply(&entry, ticket),
                 Effect::Restore(snapshot) => group.machine.restore(&snapshot.data),
                 Effect::Readable { ticket, index } => group.readable(ticket, index),
+                Effect::Diverged { index } => {
+                    let group = group.number;
+                    return DivergedSnafu { group, index }.fail();
+                }
+                Effect::Rejoined(outcome) => watch::report_rejoin(group.number, &outcome),
                 Effect::Failed { ticket, cause } => group.fail(ticket, cause),
             }
         }
@@ -320,6 +323,17 @@
     }
 }
 
+/// Adds what this store knows of runs, its own and others'.
+fn complete(message: &mut Message, runs: &[u64], sightings: &Sightings) {
+    let reader = message.to_store;
+    match &mut message.body {
+        Some(Body::Hello(hello)) => hello.runs = runs.to_vec(),
+        Some(Body::VoteAck(ack)) => ack.seen = sightings.seen(reader),
+        Some(Body::AppendAck(ack)) => ack.seen = sightings.seen(reader),
+        _ => {}
+    }
+}
+
 fn settings(config: &Config, me: Peer, boot: u64, group: u32) -> Settings {
     Settings {
         group,
--- a/src/voter/group.rs
+++ b/src/voter/group.rs
@@ -17,7 +17,7 @@
 }
 
 pub(super) struct Group {
-    number: u32,
+    pub(super) number: u32,
     pub(super) replica: Replica,
     pub(super) machine: Box<dyn Machine>,
     /// Requests by ticket.
@@ -117,6 +117,7 @@
             members: log.members().1.members.clone(),
             strangers: replica.strangers().collect(),
             refused,
+            confirmed: replica.confirmed(),
             silences: replica.silences(),
         }
     }
--- a/src/voter/sighting.rs
+++ b/src/voter/sighting.rs
@@ -7,13 +7,12 @@
 //! promised since. A boot counter alone isn't enough, since a copy that starts
 //! often enough overtakes the counter.
 //!
-//! Undetected remain a copy of the latest run itself, and runs that no peer
-//! in a later quorum saw. The leader detects the first when the store had
-//! acknowledged to it what the copy lacks.
+//! A copy of the latest run itself looks the same to all peers: what such a store
+//! has forgotten it asks them after its start, see [`crate::replica`].
 
 use std::collections::BTreeMap;
 
-use crate::replica::{Body, Message};
+use crate::replica::{Body, Message, Seen};
 
 /// What to do with a message, judged by the run that sent it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,6 +66,13 @@
         self.known.retain(|&store, _| keep(store));
     }
 
+    /// The latest runs of all stores but that of `reader`, who knows better.
+    pub(super) fn seen(&self, reader: u64) -> Vec<Seen> {
+        let others = self.known.iter().filter(|(store, _)| **store != reader);
+        let seen = others.map(|(&store, &(boot, _))| Seen { store, boot });
+        seen.collect()
+    }
+
     pub(super) fn known(&self) -> &BTreeMap<u64, (u64, u64)> {
         &self.known
     }
--- a/src/voter/watch.rs
+++ b/src/voter/watch.rs
@@ -1,8 +1,9 @@
 //! Log lines and metrics of what a voter's groups do.
 
 use super::GroupStatus;
+use crate::clock::millis;
 use crate::event;
-use crate::replica::{Member, Role};
+use crate::replica::{Member, Outcome, Role};
 
 /// Compares two states of all groups and reports what changed.
 pub(super) fn report(before: &[GroupStatus], after: &[GroupStatus]) {
@@ -51,6 +52,41 @@
     }
 }
 
+/// Reports how a store's questions after a restart ended.
+pub(super) fn report_rejoin(group: u32, outcome: &Outcome) {
+    let Outcome {
+        answers,
+        others,
+        end,
+        floor,
+        ..
+    } = *outcome;
+    let waited_ms = millis(outcome.waited);
+    if outcome.confirmed {
+        tracing::info!(
+            event = event::STORE_CONFIRMED.id,
+            group,
+            answers,
+            others,
+            waited_ms,
+            ?end,
+            ?floor,
+            "other voters told what this store may have forgotten"
+        );
+    } else {
+        tracing::warn!(
+            event = event::STORE_UNCONFIRMED.id,
+            group,
+            answers,
+            others,
+            waited_ms,
+            ?end,
+            ?floor,
+            "too few voters answer; this store trusts its folder"
+        );
+    }
+}
+
 /// Publishes the state of each group as gauges.
 pub(super) fn publish(groups: &[GroupStatus]) {
     for status in groups {
--- /dev/null
+++ b/tests/platform/copy.rs
@@ -0,0 +1,61 @@
+//! Controllers whose data folder is put back from a copy.
+
+use std::fs;
+use std::path::Path;
+
+use crate::common::until;
+use crate::stage::{KEY, Stage};
+
+/// Copies the files of a data folder into an empty one.
+fn copy(from: &Path, to: &Path) {
+    fs::create_dir_all(to).unwrap();
+    for entry in fs::read_dir(from).unwrap() {
+        let entry = entry.unwrap();
+        fs::copy(entry.path(), to.join(entry.file_name())).unwrap();
+    }
+}
+
+/// Guards against an acknowledged configuration that is replaced by the one
+/// before: a controller is put back on a copy of its folder, taken while it ran,
+/// and elects a leader with two controllers that were down meanwhile.
+#[test]
+fn copied_folder_keeps_configuration() {
+    let mut stage = Stage::founded(5);
+    until("first configuration", || {
+        stage.replace(1, &[KEY]).then_some(())
+    });
+    let leader = until("a leader", || stage.leader());
+    let [second, third, fourth, fifth] = [1, 2, 3, 4].map(|n| (leader + n) % 5);
+    for i in [second, third, fourth, fifth] {
+        let i = u8::try_from(i).unwrap();
+        until("first configuration everywhere", || {
+            stage.fetch(i).filter(|&v| v == 1)
+        });
+    }
+    let data = stage.data(u8::try_from(second).unwrap());
+    let kept = tempfile::tempdir().unwrap();
+    copy(&data, kept.path());
+    stage.controllers[fourth].kill();
+    stage.controllers[fifth].kill();
+    let at = u8::try_from(leader).unwrap();
+    for version in 2..=6 {
+        assert!(stage.replace_at(at, version), "configuration {version}");
+    }
+    stage.controllers[second].kill();
+    fs::remove_dir_all(&data).unwrap();
+    copy(kept.path(), &data);
+    stage.controllers[leader].freeze();
+    for i in [second, fourth, fifth] {
+        stage.controllers[i] = stage.controller(u8::try_from(i).unwrap(), false);
+    }
+    let third = u8::try_from(third).unwrap();
+    let read = until("a read after the change of leader", || stage.fetch(third));
+    assert_eq!(read, 6);
+    stage.controllers[leader].thaw();
+    for i in 0..5 {
+        until("the configuration everywhere", || {
+            stage.fetch(i).filter(|&v| v == 6)
+        });
+        assert!(stage.controllers[usize::from(i)].is_running());
+    }
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 
+mod copy;
 mod crash;
 mod engine;
 mod faults;
