Bar a copied store whose log is as long as what it had acknowledged

Operators saw a controller that stayed behind for good after its folder had been put back: the leader neither barred it nor sent what it lacked.

Cause: the leader compared lengths only. A copy that ends at or after the index acknowledged before, with entries of an earlier term, refuses every append up to that index, and such refusals were taken for late ones and dropped.

Fix: a refusal from a later run, at an index that an earlier run acknowledged, proves the loss.

--- a/src/replica/replication.rs
+++ b/src/replica/replication.rs
@@ -230,7 +230,9 @@
         // Synced entries survive a restart. A later boot whose log ends
         // before what was acknowledged runs on an old copy of its folder, and
         // has forgotten votes too. It shows as a refused append.
-        if boot > progress.boot && ack.last_index < progress.matched {
+        // One of an older term has no hint and says nothing of the entries.
+        let refused = !ack.matched && ack.hint > 0 && ack.index <= progress.matched;
+        if boot > progress.boot && (refused || ack.last_index < progress.matched) {
             progress.rolled = true;
             return;
         }
--- a/src/tests/replica.rs
+++ b/src/tests/replica.rs
@@ -7,8 +7,8 @@
 use crate::Time;
 use crate::replica::{
     Append, AppendAck, Body, Cause, Change, Effect, Entry, Event, Hard, Hello, Introduce, Kind,
-    Member, Membership, Message, Peer, Replica, Seen, Settings, Snapshot, Standing, Start, Vote,
-    VoteAck,
+    Member, Membership, Message, Peer, Replica, Role, Seen, Settings, Snapshot, Standing, Start,
+    Vote, VoteAck,
 };
 
 const ELECTION: Duration = Duration::from_millis(300);
@@ -560,3 +560,34 @@
     assert!(effects.iter().any(diverged));
     assert!(acks(&effects).is_empty());
 }
+
+/// Guards against a copy that is never barred nor brought up to date: its log is
+/// as long as what was acknowledged, with entries of an earlier term.
+#[test]
+fn ack_of_copy_other_entries() {
+    let mut bench = Bench::new(&[1, 1]);
+    let term = bench.lead();
+    bench.step(Event::Persisted(2));
+    bench.ack(2, term, 3);
+    bench.ack(3, term, 3);
+    let refusal = AppendAck {
+        index: 3,
+        hint: 3,
+        last_index: 4,
+        ..AppendAck::default()
+    };
+    let message = Message {
+        from: 3,
+        from_store: 3,
+        to: 1,
+        to_store: 1,
+        boot: 2,
+        run: 2,
+        term,
+        body: Some(Body::AppendAck(refusal)),
+        ..Message::default()
+    };
+    bench.step(Event::Message(message));
+    let members = bench.replica.log().members().1;
+    assert_eq!(members.role(peer(3)), Some(Role::Barred));
+}
