Don't wait for voters whose disk was lost

Callers waited 2.4 s for a leader after all controllers had been killed and two of five came back with empty disks.

Cause: a restarted store asks the other voters what it may have forgotten, and the stores on the lost disks never answer; it waited out its patience.

Fix: an instance with an empty folder answers, too. It has lost the voter it had for certain, so it is accounted for; it knows nothing, so it doesn't count among those that suffice when not all have answered. Until now it did where the founders are in the settings: its answer was taken for one of the former store.

--- a/src/replica/rejoin.rs
+++ b/src/replica/rejoin.rs
@@ -7,7 +7,8 @@
 //! it was part of includes one of those that answer once these are
 //!
 //! - as many as no majority can leave out, none of them asking itself, or
-//! - all.
+//! - all, but for those whose instance has an empty folder now: these have failed
+//!   for certain.
 //!
 //! Then it takes over the highest term, gives no vote in that term any more, and
 //! votes only for logs that reach the furthest end it was told of. Whoever
@@ -23,7 +24,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::member::{Membership, Peer, Role};
+use super::member::{Member, Membership, Peer, Role};
 use super::message::{Body, Hello, Seen, Standing};
 use super::outbox::Effect;
 use super::{Part, Replica};
@@ -160,8 +161,9 @@
     /// remembered here.
     pub(super) fn tell_standing(&mut self, to: Peer, run: u64) {
         let (members_index, members) = self.log.members();
-        let knows = |m: &super::Member| m.peer() == to || (m.store == 0 && m.id == to.id);
-        if !members.members.iter().any(knows) {
+        let knows = |m: &Member| m.peer() == to || (m.store == 0 && m.id == to.id);
+        let blank = members.members.is_empty();
+        if !blank && !members.members.iter().any(knows) {
             return;
         }
         let (last_term, last_index) = self.counted_end();
@@ -224,6 +226,7 @@
         let (at, own) = self.log.members();
         let own = (at, own, at <= self.commit);
         let told = inquiry.answers.values();
+        let told = told.filter(|s| !s.members.members.is_empty());
         let told = told.map(|s| (s.members_index, &s.members, s.members_commit));
         let known: Vec<_> = told.chain([own]).collect();
         let settled = known.iter().filter(|(_, _, commit)| *commit);
@@ -296,18 +299,20 @@
         // With two voters, one and a promoted learner would be a majority.
         let votes = |role| role == Role::Voter || (role == Role::Learner && total <= 2);
         let others = members.members.iter();
-        let others: Vec<u64> = others
+        let others: Vec<Peer> = others
             .filter(|m| m.id != me.id && votes(m.role()))
-            .map(|m| m.id)
+            .map(Member::peer)
             .collect();
-        let answers = others.iter().filter_map(|id| self.answer(*id));
-        let counted = answers.clone().filter(|s| counts(s)).count();
-        counted > total / 2 || answers.count() == others.len()
+        let told = others.iter().filter_map(|p| self.answer(*p));
+        let counted = told.filter(|s| counts(s)).count();
+        let accounted = |p: &Peer| self.answers.keys().any(|a| a.id == p.id);
+        counted > total / 2 || others.iter().all(accounted)
     }
 
-    /// What an instance answered, by whichever store it has now.
-    fn answer(&self, id: u64) -> Option<&Standing> {
+    /// What `peer` answered. Founders are known by instance only.
+    fn answer(&self, peer: Peer) -> Option<&Standing> {
+        let same = |p: &Peer| *p == peer || (peer.store == 0 && p.id == peer.id);
         let mut answers = self.answers.iter();
-        answers.find(|(p, _)| p.id == id).map(|(_, s)| s)
+        answers.find(|(p, _)| same(p)).map(|(_, s)| s)
     }
 }
--- a/src/tests/replica.rs
+++ b/src/tests/replica.rs
@@ -591,3 +591,29 @@
     let members = bench.replica.log().members().1;
     assert_eq!(members.role(peer(3)), Some(Role::Barred));
 }
+
+/// Guards against callers who wait after a power failure of all: a voter whose
+/// disk was lost says so, and need not be waited for.
+#[test]
+fn rejoin_beside_lost_disk() {
+    let mut bench = Bench::booted(2, &[1]);
+    bench.receive(2, 0, standing(1, (1, 1)));
+    assert_eq!(bench.replica.confirmed(), None);
+    let blank = Standing {
+        run: 1,
+        rejoined: true,
+        ..Standing::default()
+    };
+    let message = Message {
+        from: 3,
+        from_store: 33,
+        to: 1,
+        to_store: 1,
+        boot: 1,
+        run: 3,
+        body: Some(Body::Standing(blank)),
+        ..Message::default()
+    };
+    bench.step(Event::Message(message));
+    assert_eq!(bench.replica.confirmed(), Some(true));
+}
