--- a/src/replica.rs
+++ b/src/replica.rs
@@ -39,7 +39,7 @@
 pub(crate) use self::message::{Append, AppendAck, Introduce, Vote, VoteAck};
 pub(crate) use self::message::{Ask, Body, Hello, Superseded};
 pub(crate) use self::outbox::{Cause, Effect, Hard, Persist};
-pub(crate) use self::rejoin::Outcome;
+pub(crate) use self::rejoin::RejoinReport;
 
 use self::election::Campaign;
 use self::outbox::Outbox;
--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -102,7 +102,7 @@
     /// ever, and the next loss could cost the quorum.
     pub(super) fn on_hello(&mut self, from: Peer, run: u64) {
         self.strangers.insert(from.id, (from, self.now));
-        self.tell_standing(from, run);
+        self.send_standing(from, run);
         let member = self.log.members().1.role(from).is_some();
         let leader = self.leader.filter(|l| *l != self.settings.me && *l != from);
         if let Some(leader) = leader.filter(|_| !member) {
@@ -192,7 +192,7 @@
     }
 
     pub(super) fn on_vote_ack(&mut self, from: Peer, boot: u64, term: u64, ack: &VoteAck) {
-        self.heed_seen(&ack.seen);
+        self.forget_earlier_runs(&ack.seen);
         let Part::Candidate(campaign) = &mut self.part else {
             return;
         };
--- a/src/replica/outbox.rs
+++ b/src/replica/outbox.rs
@@ -5,7 +5,7 @@
 use super::log::{Entry, Snapshot};
 use super::member::Peer;
 use super::message::{Body, Message};
-use super::rejoin::Outcome;
+use super::rejoin::RejoinReport;
 
 /// State that must be durable besides the log.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
@@ -64,7 +64,7 @@
     /// have. Nothing that it sends may count any more.
     Diverged { index: u64 },
     /// The questions after a restart have ended.
-    Rejoined(Outcome),
+    Rejoined(RejoinReport),
     /// A proposal, read or change failed.
     Failed { ticket: u64, cause: Cause },
 }
--- a/src/replica/rejoin.rs
+++ b/src/replica/rejoin.rs
@@ -59,7 +59,7 @@
 
 /// How a store's questions ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Outcome {
+pub(crate) struct RejoinReport {
     /// Voters that answered.
     pub(crate) answers: usize,
     /// Voters besides this one.
@@ -159,7 +159,7 @@
 
     /// Answers a store that may have restarted. By now its run is durably
     /// remembered here.
-    pub(super) fn tell_standing(&mut self, to: Peer, run: u64) {
+    pub(super) fn send_standing(&mut self, to: Peer, run: u64) {
         let (members_index, members) = self.log.members();
         let knows = |m: &Member| m.peer() == to || (m.store == 0 && m.id == to.id);
         let blank = members.members.is_empty();
@@ -248,7 +248,7 @@
         let votes = |p: &Peer| known.iter().any(|m| m.is_voter(*p));
         let told = inquiry.answers.iter().filter(|(p, _)| votes(p));
         let floor = told.map(|(_, s)| (s.last_term, s.last_index)).max();
-        let outcome = Outcome {
+        let report = RejoinReport {
             answers: inquiry.answers.len(),
             others: others.len(),
             confirmed,
@@ -256,7 +256,7 @@
             end: self.end(),
             floor: floor.unwrap_or((0, 0)),
         };
-        let floor = outcome.floor;
+        let floor = report.floor;
         self.rejoin = Rejoin::Done { floor, confirmed };
         if let Some(term) = term.filter(|&t| t > self.term) {
             self.follow(term, None);
@@ -267,7 +267,7 @@
             self.hard_dirty = true;
         }
         self.wait_for_first();
-        self.outbox.effects.push(Effect::Rejoined(outcome));
+        self.outbox.effects.push(Effect::Rejoined(report));
     }
 
     /// Asks anew when no leader came up with the entries that this store lacks:
@@ -282,7 +282,7 @@
     }
 
     /// Drops what earlier runs of other stores told this candidate or leader.
-    pub(super) fn heed_seen(&mut self, seen: &[Seen]) {
+    pub(super) fn forget_earlier_runs(&mut self, seen: &[Seen]) {
         match &mut self.part {
             Part::Follower => {}
             Part::Candidate(campaign) => campaign.forget_earlier(seen),
--- a/src/replica/replication.rs
+++ b/src/replica/replication.rs
@@ -223,7 +223,7 @@
 
     pub(super) fn on_append_ack(&mut self, from: Peer, boot: u64, ack: &AppendAck) {
         let last = self.log.last_index();
-        self.heed_seen(&ack.seen);
+        self.forget_earlier_runs(&ack.seen);
         let Some(progress) = self.hear(from, ack.round) else {
             return;
         };
--- a/src/voter/core.rs
+++ b/src/voter/core.rs
@@ -315,7 +315,7 @@
                     let group = group.number;
                     return DivergedSnafu { group, index }.fail();
                 }
-                Effect::Rejoined(outcome) => watch::report_rejoin(group.number, &outcome),
+                Effect::Rejoined(report) => watch::report_rejoin(group.number, &report),
                 Effect::Failed { ticket, cause } => group.fail(ticket, cause),
             }
         }
--- a/src/voter/watch.rs
+++ b/src/voter/watch.rs
@@ -3,7 +3,7 @@
 use super::GroupStatus;
 use crate::clock::millis;
 use crate::event;
-use crate::replica::{Member, Outcome, Role};
+use crate::replica::{Member, RejoinReport, Role};
 
 /// Compares two states of all groups and reports what changed.
 pub(super) fn report(before: &[GroupStatus], after: &[GroupStatus]) {
@@ -53,16 +53,16 @@
 }
 
 /// Reports how a store's questions after a restart ended.
-pub(super) fn report_rejoin(group: u32, outcome: &Outcome) {
-    let Outcome {
+pub(super) fn report_rejoin(group: u32, report: &RejoinReport) {
+    let RejoinReport {
         answers,
         others,
         end,
         floor,
         ..
-    } = *outcome;
-    let waited_ms = millis(outcome.waited);
-    if outcome.confirmed {
+    } = *report;
+    let waited_ms = millis(report.waited);
+    if report.confirmed {
         tracing::info!(
             event = event::STORE_CONFIRMED.id,
             group,
