Connect to a restarted instance in staggered attempts

Cause: after all processes are killed, each controller's confirmation waited some 665 ms from its own start, whoever else was up (663, 666, 665, 612, 664 ms). A machine that is down drops the first packet of a connection; the attempt then hangs for 500 ms and is followed by a pause of 100 ms, although the machine is up a moment later. All others hold such an attempt to the machine that starts last, so its hellos are answered only when these have ended.

Change: a further attempt starts every 50 ms while the others are pending; the first that succeeds is used, and one that is refused still ends all.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -8,6 +8,8 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
@@ -28,7 +30,10 @@
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Delay before the next attempt to open a connection.
+/// Delay before a further attempt to open a connection is started while others are pending.
+const ATTEMPT_DELAY: Duration = Duration::from_millis(50);
+
+/// Delay before the next attempt to open a connection after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Timeout for receiving or sending a frame, after which a connection is closed.
@@ -205,10 +210,9 @@
 
     async fn connect(&self, peer: InstanceId) -> Option<TcpStream> {
         let addr = self.address(peer)?;
-        timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
+        timeout(CONNECT_TIMEOUT, connect_staggered(addr))
             .await
             .ok()?
-            .ok()
     }
 
     /// Exchanges frames until the connection fails. Returns true if this instance
@@ -277,6 +281,21 @@
     }
 }
 
+/// Opens a connection with staggered attempts and returns the first one that succeeds (RFC 8305,
+/// section 5). Returns `None` once the peer refuses one.
+///
+/// A machine that is down drops the first packet of an attempt, and the system resends it only
+/// after 1 s. With a single attempt, the peer would stay unreachable for that time after its start.
+async fn connect_staggered(addr: SocketAddr) -> Option<TcpStream> {
+    let mut attempts = FuturesUnordered::new();
+    loop {
+        attempts.push(TcpStream::connect(addr));
+        if let Ok(Some(outcome)) = timeout(ATTEMPT_DELAY, attempts.next()).await {
+            return outcome.ok();
+        }
+    }
+}
+
 /// Accepts connections from other instances until the runtime shuts down.
 pub(crate) async fn serve(listener: TcpListener, key: FleetKey, handler: Arc<dyn Handler>) {
     loop {
--- a/src/tests/peer.rs
+++ b/src/tests/peer.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::runtime::Handle;
 use tokio::time::{Instant, sleep};
 
@@ -106,3 +106,24 @@
     sleep(Duration::from_secs(3)).await;
     assert!(is_answered(&peers).await);
 }
+
+/// Guards against a peer that stays unreachable for a second after its start, since the first
+/// packet of an attempt to connect was dropped before it.
+#[tokio::test]
+async fn call_after_dropped_attempt() {
+    let key = FleetKey::new(b"a fleet");
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let addr = socket.local_addr().unwrap();
+    // A full queue of new connections drops further attempts.
+    let listener = socket.listen(0).unwrap();
+    let first = TcpStream::connect(addr).await.unwrap();
+    let peers = Peers::new(key.clone(), Handle::current());
+    peers.set_address(PEER, addr);
+    tokio::spawn(async move {
+        sleep(Duration::from_millis(120)).await;
+        drop(first);
+        peer::serve(listener, key, Arc::new(NotLeader)).await;
+    });
+    assert!(is_answered(&peers).await);
+}
