Campaign at once when all voters have restarted

Cause: after a restart of all voters each waits 200 to 400 ms for a leader that can't exist, and a request for a vote that reaches a store still in its query is dropped.

Change: a store whose query shows that a quorum has heard no leader since its start campaigns at once if none of those that answered has a longer log or, with an equal one, a lower id. Requests for votes that arrive during the query are held and, after another check of the sender's run, handled when it ends. The query itself is as strict as before: it ends only with the answers that it needed before.

--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -55,7 +55,7 @@
         self.leader.is_some() && self.leader_contact.is_some_and(recent)
     }
 
-    fn can_campaign(&self) -> bool {
+    pub(super) fn can_campaign(&self) -> bool {
         let me = self.settings.me;
         if self.is_querying() || self.end() < self.required_end() {
             return false;
@@ -126,7 +126,7 @@
         }
     }
 
-    fn campaign(&mut self, pre: bool, transfer: bool) {
+    pub(super) fn campaign(&mut self, pre: bool, transfer: bool) {
         let me = self.settings.me;
         self.leader = None;
         if !pre {
--- a/src/replica/message.rs
+++ b/src/replica/message.rs
@@ -136,6 +136,9 @@
     /// Whether that entry is known to be committed.
     #[prost(bool, tag = "8")]
     pub members_commit: bool,
+    /// Whether the answering store has neither led nor heard a leader since it started.
+    #[prost(bool, tag = "9")]
+    pub leaderless: bool,
 }
 
 /// Latest run of a store that the sender has durably recorded.
--- a/src/replica/rejoin.rs
+++ b/src/replica/rejoin.rs
@@ -21,6 +21,7 @@
 //! aren't enough either, the store trusts its directory. As many voters are then
 //! unreachable as the group tolerates, and an old copy would be one more fault.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -94,7 +95,7 @@
 }
 
 impl Replica {
-    pub(super) fn is_querying(&self) -> bool {
+    pub(crate) fn is_querying(&self) -> bool {
         matches!(self.rejoin, Rejoin::Querying(_))
     }
 
@@ -160,6 +161,7 @@
             members_index,
             members: members.clone(),
             members_commit: members_index <= self.commit,
+            leaderless: self.leader_contact.is_none() && !self.is_leader(),
         };
         self.outbox.reply(to, self.term, Body::HelloAck(ack));
     }
@@ -224,6 +226,7 @@
         let Rejoin::Querying(query) = &self.rejoin else {
             return;
         };
+        let is_first = self.is_first_candidate(query);
         let known = self.possible_memberships(query);
         let others = known.iter().flat_map(|m| m.voters());
         let others: BTreeSet<Peer> = others.filter(|p| p.id != me.id).collect();
@@ -252,6 +255,26 @@
         }
         self.reset_initial_deadline();
         self.outbox.effects.push(Effect::Rejoined(report));
+        if is_first && self.can_campaign() {
+            self.campaign(true, false);
+        }
+    }
+
+    /// Whether this store campaigns without waiting for a leader: a quorum has heard none since it
+    /// restarted, and no voter that answered has a longer log or, with an equal one, a lower id.
+    ///
+    /// If all of them campaigned at once, they would split the votes.
+    fn is_first_candidate(&self, query: &PeerQuery) -> bool {
+        let me = self.settings.me;
+        let members = self.log.members().1;
+        let same = |p: Peer, q: Peer| p == q || (p.store == 0 && p.id == q.id);
+        let leaderless = |p: Peer| same(p, me) || query.answer(p).is_some_and(|a| a.leaderless);
+        let rank = |end: LogEnd, id: u64| (end, Reverse(id));
+        let own = rank(self.end(), me.id);
+        let voters = members.voters().filter(|p| !same(*p, me));
+        let mut answers = voters.filter_map(|p| Some((p.id, query.answer(p)?)));
+        members.quorum(leaderless)
+            && answers.all(|(id, a)| rank((a.last_term, a.last_index), id) < own)
     }
 
     /// Repeats the query if no leader appears that holds the entries which this
--- a/src/tests/simulation/restored_copies.rs
+++ b/src/tests/simulation/restored_copies.rs
@@ -2,6 +2,7 @@
 
 use std::panic::catch_unwind;
 
+use rand::RngExt;
 use rstest::rstest;
 
 use super::disk::SimDisk;
@@ -150,6 +151,27 @@
     });
 }
 
+/// Guards against an election timeout in which nobody leads after all voters have returned from a
+/// power failure.
+#[rstest]
+#[case::three(3)]
+#[case::five(5)]
+fn power_failure_leader_at_once(#[case] size: u64) {
+    each_seed(|seed| {
+        let mut sim = settled(seed, size);
+        let begin = sim.now;
+        for at in 0..sim.nodes.len() {
+            sim.lose_power(at);
+            sim.nodes[at].restart_at = begin + sim.rng.random_range(0..SECOND / 2);
+        }
+        let last = sim.nodes.iter().map(|n| n.restart_at).max().unwrap();
+        sim.run_until("a leader", |s| s.leader(0).is_some());
+        let took = sim.now.saturating_sub(last) / 1000;
+        assert!(took < 150, "a leader {took} ms after the last start");
+        sim.finish();
+    });
+}
+
 /// All voters lose power and one disk is lost. The others must not wait for it
 /// indefinitely.
 #[rstest]
--- a/src/tests/simulation/runs.rs
+++ b/src/tests/simulation/runs.rs
@@ -120,6 +120,41 @@
         self.nodes.iter().for_each(|n| n.disk.clear_faults());
     }
 
+    /// Stops all instances at once. They return within half a second, but one may be late, on a
+    /// copy of its latest run, or have lost its disk.
+    fn restart_all(&mut self) {
+        if !self.is_settled() {
+            return;
+        }
+        let odd = self.pick();
+        let node = &mut self.nodes[odd];
+        let run_id = node.core.as_ref().map(Core::run_id);
+        let copy = node.live_copy.take().filter(|(id, _)| Some(*id) == run_id);
+        for at in 0..self.nodes.len() {
+            self.lose_power(at);
+            let restart_at = self.now + self.rng.random_range(0..SECOND / 2);
+            let node = &mut self.nodes[at];
+            (node.restart_at, node.paused_until) = (restart_at, 0);
+            node.disk.clear_faults();
+        }
+        match (self.rng.random_range(0..4), copy) {
+            (0, _) => self.nodes[odd].restart_at += 3 * SECOND,
+            (1, _) => {
+                self.disk_losses += 1;
+                self.replace(odd);
+            }
+            (_, Some((_, disk))) => {
+                self.disk_losses += 1;
+                self.blocked_links.clear();
+                self.loss_percent = 0;
+                let node = &mut self.nodes[odd];
+                node.disk = disk;
+                (node.on_copy, node.catching_up) = (true, true);
+            }
+            (_, None) => {}
+        }
+    }
+
     /// Number of instances that can't answer the query of the one at `at`.
     fn unavailable_peers(&self, at: usize) -> usize {
         let id = self.nodes[at].id;
@@ -198,6 +233,8 @@
     Usual,
     /// Also copies of the latest run and damaged last frames.
     Copies,
+    /// Also restarts of all instances at once.
+    Restarts,
 }
 
 fn random_run(seed: u64, size: u64, faults: Faults) -> (usize, usize) {
@@ -220,6 +257,14 @@
                 _ => {}
             }
         }
+        if faults == Faults::Restarts && !sim.is_recovering() {
+            let at = sim.pick();
+            match sim.rng.random_range(0..100) {
+                0..4 => sim.copy_disk(at),
+                4 => sim.restart_all(),
+                _ => {}
+            }
+        }
         if sim.chance(5) {
             sim.run_operator();
             sim.check_logs();
@@ -270,3 +315,16 @@
 fn random_runs_copies_five() {
     random_runs(5, Faults::Copies);
 }
+
+/// Guards against the loss of an acknowledged change when all voters return at once, one of them
+/// late, on a copy of its latest run, or with an empty disk.
+#[test]
+fn random_runs_restarts_three() {
+    random_runs(3, Faults::Restarts);
+}
+
+/// The same with five voters.
+#[test]
+fn random_runs_restarts_five() {
+    random_runs(5, Faults::Restarts);
+}
--- a/src/voter/core.rs
+++ b/src/voter/core.rs
@@ -299,6 +299,7 @@
         send: &mut dyn FnMut(Message),
     ) -> Result<(), StoreError> {
         let mut effects = Vec::new();
+        let mut vote_request = None;
         let group = &mut self.groups[at];
         group.replica.step(now, event, &mut effects);
         for effect in effects {
@@ -315,11 +316,15 @@
                     let group = group.number;
                     return DivergedSnafu { group, index }.fail();
                 }
-                Effect::Rejoined(report) => watch::report_rejoin(group.number, &report),
+                Effect::Rejoined(report) => {
+                    watch::report_rejoin(group.number, &report);
+                    vote_request = group.vote_request.take();
+                }
                 Effect::Failed { ticket, cause } => group.fail(ticket, cause),
             }
         }
-        Ok(())
+        // The sender may have restarted since, so its run is checked again.
+        vote_request.map_or(Ok(()), |request| self.deliver(now, request, send))
     }
 }
 
--- a/src/voter/group.rs
+++ b/src/voter/group.rs
@@ -6,7 +6,7 @@
 use super::{ChangeError, GroupStatus, ProposeError, ReadError, StateMachine};
 use crate::collections::HashMap;
 use crate::id::InstanceId;
-use crate::replica::{Cause, Entry, Kind, Persist, Replica};
+use crate::replica::{Cause, Entry, Kind, Message, Persist, Replica};
 use crate::store::{Store, StoreError};
 
 /// A request without an outcome yet.
@@ -26,6 +26,9 @@
     pub(super) proposals: Vec<(u64, Bytes)>,
     /// Number of the latest unsynced write.
     pub(super) written: Option<u64>,
+    /// Latest request for a vote that arrived during the peer query. Handled after it: otherwise,
+    /// the first campaign after a restart of all voters would fail, since some still query.
+    pub(super) vote_request: Option<Message>,
     /// Approximate bytes of the entries applied since the snapshot.
     applied_bytes: usize,
 }
@@ -42,6 +45,7 @@
             pending: HashMap::default(),
             proposals: Vec::new(),
             written: None,
+            vote_request: None,
             applied_bytes: 0,
         }
     }
--- a/src/voter/inbound.rs
+++ b/src/voter/inbound.rs
@@ -36,6 +36,10 @@
         if !self.check_run(&message, send) {
             return Ok(());
         }
+        if self.groups[at].replica.is_querying() && matches!(message.body, Some(Body::Vote(_))) {
+            self.groups[at].vote_request = Some(message);
+            return Ok(());
+        }
         // A vote or acknowledgement counts only once its run is recorded durably.
         if self
             .deferred
