Confirm a new leader's reads at once

Cause: a controller asks a quorum every 200 ms whether it still leads. A new leader answers no entry instance before the first answer, so up to 200 ms passed after each election.

Change: the voter notifies of each change of a leader; the confirmation follows at once, and heartbeats that wait for a leader no longer poll for it.

--- a/src/controller/call.rs
+++ b/src/controller/call.rs
@@ -9,7 +9,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue, LOCATION, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use tokio::sync::oneshot;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use super::{Controller, GROUP, control_address};
 use crate::clock::{millis, wall_millis};
@@ -39,9 +39,6 @@
 /// after a second without an answer, and follow one redirect within that time.
 const MAX_LEADER_WAIT: Duration = Duration::from_millis(700);
 
-/// Interval of polling for a leader.
-const LEADER_POLL_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Time after its start in which a controller lets heartbeats wait for a leader. Later, a
 /// controller that knows no leader may be cut off, and the upstream should try another one.
 const STARTUP_PHASE: Duration = Duration::from_secs(3);
@@ -229,13 +226,14 @@
     /// period later. Until then the new leader knows no complete pipeline: the layers were complete
     /// only 0.7 s after the election.
     async fn await_leader(&self) {
-        let began = self.now();
-        if began.since(self.started) >= STARTUP_PHASE {
+        if self.now().since(self.started) >= STARTUP_PHASE {
             return;
         }
-        while self.leader_info().leader.is_none() && self.now().since(began) < MAX_LEADER_WAIT {
-            sleep(LEADER_POLL_INTERVAL).await;
-        }
+        let mut changes = self.voter.leader_changes();
+        let known = async {
+            while self.leader_info().leader.is_none() && changes.changed().await.is_ok() {}
+        };
+        let _ = timeout(MAX_LEADER_WAIT, known).await;
     }
 
     /// Redirects the caller to the leader.
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -11,7 +11,7 @@
 use snafu::ResultExt;
 use tokio::runtime::Handle;
 use tokio::sync::{Notify, oneshot};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use self::leader::LeaderState;
 use crate::auth::FleetKey;
@@ -317,8 +317,10 @@
         Some(state)
     }
 
-    /// Periodically confirms that all committed entries are applied here.
+    /// Confirms that all committed entries are applied here, periodically and after each change
+    /// of the leader: until then, a new leader answers no entry instance.
     async fn confirm(self: Arc<Self>) {
+        let mut changes = self.voter.leader_changes();
         while !self.shutting_down.load(Ordering::Relaxed) {
             let at = self.now();
             let before = self.leader_info().term;
@@ -332,7 +334,7 @@
                     .lock()
                     .unwrap_or_else(PoisonError::into_inner) = confirmation;
             }
-            sleep(CONFIRM_INTERVAL).await;
+            let _ = timeout(CONFIRM_INTERVAL, changes.changed()).await;
         }
     }
 
--- a/src/voter.rs
+++ b/src/voter.rs
@@ -9,6 +9,7 @@
 use crossbeam::channel::{self, Receiver, RecvTimeoutError, Sender, TrySendError};
 use serde::Serialize;
 use snafu::ResultExt;
+use tokio::sync::watch::{self as notice, Receiver as NoticeReceiver};
 
 use self::core::{Config, Core, Input};
 pub use self::error::{ChangeError, ProposeError, ReadError};
@@ -131,6 +132,8 @@
 pub struct Voter {
     tasks: Sender<Task>,
     status: Arc<Mutex<Vec<GroupStatus>>>,
+    /// Notified after each change of a leader.
+    leader_changes: Arc<notice::Sender<()>>,
 }
 
 /// Sends a message to an instance. Must not block, and may drop the message.
@@ -172,12 +175,14 @@
         let core = Core::open(config(&settings), disk, machines, clock.now())?;
         let (tasks, inbox) = channel::bounded(QUEUE_CAPACITY);
         let status = Arc::new(Mutex::new(core.status()));
+        let leader_changes = Arc::new(notice::Sender::new(()));
         let worker = Worker {
             core,
             inbox,
             peers,
             clock,
             status: status.clone(),
+            leader_changes: leader_changes.clone(),
             tick: settings.heartbeat_interval / TICKS_PER_HEARTBEAT,
             stop_timeout: 2 * settings.election_timeout,
             stop_deadline: None,
@@ -189,7 +194,12 @@
                 action: "start a thread for",
                 name: "the log",
             })?;
-        Ok((Self { tasks, status }, handle))
+        let voter = Self {
+            tasks,
+            status,
+            leader_changes,
+        };
+        Ok((voter, handle))
     }
 
     /// Passes on a message from the network. Drops it when the queue is full.
@@ -229,6 +239,11 @@
         self.request(input);
     }
 
+    /// Notifies of each change of a leader.
+    pub(crate) fn leader_changes(&self) -> NoticeReceiver<()> {
+        self.leader_changes.subscribe()
+    }
+
     /// Leader of a group after the last batch.
     pub(crate) fn leader_info(&self, group: u32) -> LeaderInfo {
         let status = self.status.lock().unwrap_or_else(PoisonError::into_inner);
@@ -285,6 +300,7 @@
     peers: MessageSender,
     clock: Arc<dyn Clock>,
     status: Arc<Mutex<Vec<GroupStatus>>>,
+    leader_changes: Arc<notice::Sender<()>>,
     tick: Duration,
     /// Longest wait for a leadership transfer at shutdown.
     stop_timeout: Duration,
@@ -319,7 +335,15 @@
             }
             let mut shared = self.status.lock().unwrap_or_else(PoisonError::into_inner);
             watch::report(&shared, &status);
+            let same = |(a, b): (&GroupStatus, &GroupStatus)| {
+                (a.term, a.leader, a.leads) == (b.term, b.leader, b.leads)
+            };
+            let changed = !shared.iter().zip(&status).all(same);
             *shared = status;
+            drop(shared);
+            if changed {
+                self.leader_changes.send_replace(());
+            }
         }
         Ok(())
     }
