Refuse requests that wait for a limit share when the catalogue lease expires

Change: the wait for admission ends with the lease, and the request is refused as not run.

The new test sends a request every 50 ms from 700 ms after the last probe on.

--- a/src/serve/admit.rs
+++ b/src/serve/admit.rs
@@ -124,11 +124,17 @@
             tokens,
             deadline,
         };
-        let decision = self
-            .wait(lifecycle.id.sequence, |dispatcher, now, waiter, out| {
-                dispatcher.admit(now, admission, waiter, out);
-            })
-            .await;
+        let decision = self.wait(lifecycle.id.sequence, |dispatcher, now, waiter, out| {
+            dispatcher.admit(now, admission, waiter, out);
+        });
+        let decision = tokio::select! {
+            biased;
+            decision = decision => decision,
+            () = self.lease_lost() => {
+                let retry_after = Some(LEASE_RETRY_AFTER);
+                return Err(lifecycle.refuse(RefusalCode::CatalogueLease, retry_after));
+            }
+        };
         match decision {
             Some(Decision::Admitted(permit)) => Ok(lifecycle.admit(PermitGuard {
                 server: Arc::clone(self),
@@ -145,6 +151,18 @@
         }
     }
 
+    /// Waits until the catalogue lease has expired. From then on no limit shares are granted
+    /// either, so that a request that waits for one would do so until its deadline.
+    async fn lease_lost(&self) {
+        loop {
+            let left = self.deps.catalogue.remaining(self.now());
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left).await;
+        }
+    }
+
     /// Places a request on a path, waiting if necessary.
     pub(crate) async fn place(
         self: &Arc<Self>,
--- a/tests/e2e/catalogue.rs
+++ b/tests/e2e/catalogue.rs
@@ -1,7 +1,7 @@
 //! Changes and use of the catalogue while voters are killed, frozen, cut off or lose their disk.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use std::{fs, thread};
 
 use serde_json::{Value, json};
@@ -200,6 +200,39 @@
     }
 }
 
+/// Guards against requests that hang once the quorum is lost: limit shares expire before the
+/// catalogue lease, and a request that waited for one did so until its own deadline.
+#[test]
+fn serve_quorum_lost_while_waiting() {
+    let mut fleet = Fleet::with_instances(4);
+    let _engine = fleet.start_engine("eng-1", "0..32");
+    fleet.wait_until_serving();
+    // The shares then expire some time before the lease.
+    thread::sleep(Duration::from_millis(700));
+    for at in [0, 1] {
+        fleet.instance(at).process.freeze();
+    }
+    let address = fleet.caller_addr(3);
+    let call = move || {
+        let began = Instant::now();
+        let reply = CompletionRequest::new(KEY, "while cut off", 2).send(address);
+        (reply.is_ok(), began.elapsed())
+    };
+    let callers: Vec<_> = (0..120)
+        .map(|_| {
+            thread::sleep(Duration::from_millis(50));
+            thread::spawn(call)
+        })
+        .collect();
+    for caller in callers {
+        let (answered, took) = caller.join().expect("a caller");
+        assert!(answered && took < PAST_LEASE, "{answered} after {took:?}");
+    }
+    for at in [0, 1] {
+        fleet.instance(at).process.thaw();
+    }
+}
+
 /// A voter loses its disk and is added again with an empty one. Right after that, another voter
 /// is lost permanently. No accepted change may be lost, and changes must still be possible.
 #[test]
