Let begun responses wait for a path, and streams move on own evidence only

Change: it waits beside the queue for half of its remaining time, also while a layer has no holder. Several look for a path in turns, so that one that can't be placed holds up no other.

Cause of the loop of moves: an instance that was told by the leader that an engine is suspected recorded that as a failure of its own and reported it, so a few instances confirmed each other for as long as streams paused for 100 ms. It began with refusals just after the return: an instance that knows a part of the load takes a full engine for a dead one. Change: only what a stalled attempt learns from its first engine, or meets itself, counts as evidence; an instance that starts takes refusals for lack of room; a stream never returns to an engine that it was led around, which bounds its moves by the engines of its domain.

Tried and not kept: a heartbeat that refutes the witnesses for as long as they don't fall below four. suspicion_reaches_all holds that witnesses count again 0.6 s after a heartbeat; an engine that dies just after one would be told of too late.

--- a/src/decide/waiting.rs
+++ b/src/decide/waiting.rs
@@ -6,6 +6,9 @@
 //! last retry. But one that waits until it is late takes the slot of one that could be on time.
 //! The queue is therefore only as long as what will be on time, estimated from how fast it moved
 //! recently and how long a first event takes; other requests are refused at once.
+//!
+//! A response that has begun can't be refused any more, only cut off, and its caller has a part of
+//! it. It waits beside the queue, for as long as the rest of it can still arrive in time.
 
 use std::time::Duration;
 
@@ -17,6 +20,13 @@
 /// caller has a part of the response, or waits for a second attempt.
 const RETRY_WAIT: f64 = 0.8;
 
+/// Fraction of the remaining time for which a response that has begun waits for another path. The
+/// rest is for the work that is left.
+const RESUME_WAIT: f64 = 0.5;
+
+/// Time for which one of several begun responses looks for room before the next one does.
+pub(crate) const RESUME_TURN: Duration = Duration::from_millis(200);
+
 /// Fraction of the objective after which a request that finds no room is no longer fresh: an
 /// attempt of it has failed.
 const FRESH: f64 = 0.25;
@@ -84,6 +94,18 @@
     }
 }
 
+/// Returns how long a response that has begun may wait for another path, with time `left`.
+pub(crate) fn resume_limit(left: Duration) -> Duration {
+    left.mul_f64(RESUME_WAIT)
+}
+
+/// Returns the part of its usual wait for which a begun response has waited, at most 1. From then
+/// on it takes room without regard to others.
+pub(crate) fn resume_urgency(objective: Duration, waited: Duration) -> f64 {
+    let usual = objective.mul_f64(RETRY_WAIT).min(MAX_WAIT);
+    waited.div_duration_f64(usual).min(1.0)
+}
+
 /// Returns how long a request may wait behind `waiters` others, or `None` if it is refused at
 /// once. `spent` is the time since it arrived.
 pub(crate) fn limit(
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -47,9 +47,12 @@
 /// Failure cause: the upstream closed the connection before the response head.
 pub(super) const CUT: &str = "cut";
 
-/// Failure cause: an engine of the path is dead.
+/// Failure cause: the first engine reported another engine of the path as dead.
 pub(super) const DEAD_ENGINE: &str = "dead_part";
 
+/// Failure cause: the attempt waited for a dead engine, and no path leads around it.
+pub(super) const BLOCKED: &str = "blocked";
+
 /// Failure cause: the upstream refused at once.
 pub(super) const REFUSED: &str = "refused";
 
@@ -268,8 +271,7 @@
     pub(super) fn choose(&self, waited: f64) -> Result<Selection, Reason> {
         let view = self.entry.view();
         let mut work = self.call.work;
-        // The caller may already have a part of the response.
-        let begun = self.attempts.may_have_run > 0 || self.last_event.is_some();
+        let begun = self.has_begun();
         let starved = self.is_long() && self.entry.shared().refusals.starves_long();
         if begun {
             let starting = view_wait::is_starting(self.entry.started, self.entry.now());
@@ -286,6 +288,11 @@
             .choose(&view, &self.call.service, self.model(), work, exclusions)
     }
 
+    /// Whether the caller may already have a part of the response.
+    pub(super) fn has_begun(&self) -> bool {
+        self.attempts.may_have_run > 0 || self.last_event.is_some()
+    }
+
     /// Whether the request has more tokens than is usual for its model.
     fn is_long(&self) -> bool {
         let tokens = self.call.work.tokens();
@@ -296,9 +303,10 @@
     /// other requests.
     pub(super) fn exclude_upstream(&mut self, culprit: Option<u64>, cause: &'static str) {
         let Some(culprit) = culprit else { return };
-        self.failed_upstreams.push(culprit);
         let now = self.entry.now();
         match cause {
+            // The evidence, if it is this instance's own, was recorded when the attempt stalled.
+            BLOCKED => {}
             REFUSED if health::may_be_full(self.utilisation(culprit)) => {
                 self.entry.shared().health.record_refusal(now, culprit);
             }
@@ -307,6 +315,7 @@
             }
             _ => self.entry.shared().health.record_failure(now, culprit),
         }
+        self.failed_upstreams.push(culprit);
         tracing::info!(
             event = event::UPSTREAM_SUSPECTED.id,
             attempt = self.call.attempt,
@@ -317,8 +326,12 @@
         );
     }
 
-    /// Share of an engine's memory for requests that is booked.
+    /// Share of an engine's memory for requests that is booked; `None` while this instance starts,
+    /// since it knows only a part of the load then.
     fn utilisation(&self, engine: u64) -> Option<f64> {
+        if view_wait::is_starting(self.entry.started, self.entry.now()) {
+            return None;
+        }
         let view = self.entry.view();
         let upstreams = of_service(&view.services, &self.call.service);
         let upstream = upstreams.iter().find(|u| u.key == engine)?;
@@ -422,7 +435,7 @@
             Err(Stall::DeadEngine(culprit)) => Outcome::Failed {
                 failure: Failure::Unknown,
                 culprit: Some(culprit),
-                cause: DEAD_ENGINE,
+                cause: BLOCKED,
             },
             Err(Stall::Unknown) => Outcome::Failed {
                 failure: Failure::Unknown,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -104,6 +104,8 @@
     queue_lock: tokio::sync::Mutex<()>,
     /// Number of requests in the queue.
     queued: AtomicUsize,
+    /// Lock of the begun response that looks for another path.
+    resume_lock: tokio::sync::Mutex<()>,
 }
 
 /// Runs an entry instance until a signal, then lets running responses end.
@@ -163,6 +165,7 @@
             started: SystemClock.now(),
             view_changed: Notify::new(),
             queue_lock: tokio::sync::Mutex::default(),
+            resume_lock: tokio::sync::Mutex::default(),
             queued: AtomicUsize::new(0),
             boot,
         }
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -91,9 +91,17 @@
     /// Finds out which engine a stalled attempt waits for, and reroutes the attempt. Returns
     /// that engine if no path leads around it.
     async fn reroute_stalled(&self, selection: &mut Selection) -> Option<u64> {
-        let culprit = self.stalled_engine(selection).await?;
-        let now = self.entry.now();
-        self.entry.shared().health.record_unresponsive(now, culprit);
+        let culprit = match self.known_dead(selection) {
+            Some(dead) => dead,
+            None => {
+                let culprit = self.stalled_engine(selection).await?;
+                // Only own evidence counts: if an engine that is dead by hearsay were recorded and
+                // reported as well, the reports of a few instances would sustain each other.
+                let now = self.entry.now();
+                self.entry.shared().health.record_unresponsive(now, culprit);
+                culprit
+            }
+        };
         let done = self
             .reroute_around(&[culprit], selection, DEAD_ENGINE)
             .await;
@@ -135,11 +143,8 @@
         taken
     }
 
-    /// Returns the engine of the path that the attempt waits for.
+    /// Asks the first engine for the engine of the path that the attempt waits for.
     async fn stalled_engine(&self, selection: &Selection) -> Option<u64> {
-        if let Some(dead) = self.known_dead(selection) {
-            return Some(dead);
-        }
         let report = self.call_engine(selection, Request::get(order::REPORT), String::new());
         match report.await {
             Some((StatusCode::OK, report)) => {
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -10,7 +10,7 @@
 use hyper::body::Frame;
 use rand::RngExt;
 
-use super::attempt::{DEAD_ENGINE, FIRST_BYTE_FACTOR, OpenResponse, Run};
+use super::attempt::{BLOCKED, FIRST_BYTE_FACTOR, OpenResponse, Run};
 use super::body::{self, Body, Truncated};
 use super::crash::is_cut;
 use super::head;
@@ -125,8 +125,8 @@
                 Received::Broken => "cut_stream",
                 Received::Silent => "stalled",
                 Received::DeadEngine(culprit) => {
-                    self.run.exclude_upstream(Some(culprit), DEAD_ENGINE);
-                    DEAD_ENGINE
+                    self.run.exclude_upstream(Some(culprit), BLOCKED);
+                    BLOCKED
                 }
             };
             if !self.resume(cause).await {
@@ -230,7 +230,7 @@
             return false;
         }
         let first = self.opened.selection.upstream.key;
-        let first_failed = !matches!(cause, "stalled" | DEAD_ENGINE);
+        let first_failed = !matches!(cause, "stalled" | BLOCKED);
         self.run
             .exclude_upstream(first_failed.then_some(first), cause);
         if self.run.record_failure(Failure::Unknown, cause) != NextStep::Again {
--- a/src/entry/wait.rs
+++ b/src/entry/wait.rs
@@ -49,11 +49,49 @@
             found = self.choose(0.0);
         }
         match found {
+            Err(Reason::Full | Reason::NoUpstream) if self.has_begun() => {
+                self.wait_to_resume().await
+            }
             Err(Reason::Full) => self.wait_for_room().await,
             found => found,
         }
     }
 
+    /// Waits for another path for a response that has begun. Several of them look for one in turn,
+    /// since the first may need an engine that the others don't.
+    async fn wait_to_resume(&self) -> Result<Selection, Reason> {
+        let entry = &self.entry;
+        let objective = self.call.route.objective;
+        let began = entry.now();
+        let limit = waiting::resume_limit(self.left());
+        let search = async {
+            loop {
+                let _turn = entry.resume_lock.lock().await;
+                let turn = entry.now();
+                while entry.now().since(turn) < waiting::RESUME_TURN {
+                    let waited = entry.now().since(began);
+                    match self.choose(waiting::resume_urgency(objective, waited)) {
+                        Err(Reason::Full | Reason::NoUpstream) => {
+                            sleep(waiting::POLL_INTERVAL).await;
+                        }
+                        found => return found,
+                    }
+                }
+            }
+        };
+        let found = timeout(limit, search).await;
+        let found = found.unwrap_or(Err(Reason::Full));
+        tracing::info!(
+            event = event::RESUME_WAITED.id,
+            attempt = self.call.attempt,
+            waited_ms = millis(entry.now().since(began)),
+            limit_ms = millis(limit),
+            found = found.is_ok(),
+            "waited to resume"
+        );
+        found
+    }
+
     /// Waits in the queue for room on the engines.
     async fn wait_for_room(&self) -> Result<Selection, Reason> {
         let entry = &self.entry;
--- a/src/event.rs
+++ b/src/event.rs
@@ -91,6 +91,8 @@
 pub(crate) const RUN_CUT_EARLY: Event = event(412, "run_cut_early");
 /// An upstream changed or lifted its rate limit.
 pub(crate) const LIMIT_CHANGED: Event = event(413, "limit_changed");
+/// A response that had begun waited for another path.
+pub(crate) const RESUME_WAITED: Event = event(414, "resume_waited");
 /// This voter became the leader of a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter is no longer the leader of a group.
@@ -159,6 +161,7 @@
     REQUEST_ABANDONED,
     RUN_CUT_EARLY,
     LIMIT_CHANGED,
+    RESUME_WAITED,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -310,6 +310,19 @@
     );
 }
 
+/// Guards against a response that is cut off after 0.4 s without room although its caller has 15 s
+/// left: lost layers are loaded again in two to four seconds.
+#[test]
+fn resume_limit_outlasts_lost_layers() {
+    let limit = waiting::resume_limit(Duration::from_secs(15));
+    assert!(limit > Duration::from_secs(4));
+    assert!(limit < Duration::from_secs(10));
+    let urgency =
+        |ms| waiting::resume_urgency(Duration::from_millis(500), Duration::from_millis(ms));
+    assert!(urgency(100) < 0.5);
+    assert!((urgency(2_000) - 1.0).abs() < 1e-9);
+}
+
 /// The queue moves every 30 ms, and first events take 50 ms with a mean deviation of 20.
 #[rstest]
 #[case::first(0, 20_000, Some(370))]
