Let changes wait for a live leader instead of sending them to a dead one

Cause: a follower redirects a change to the leader that it last heard, for up to 1.2 s after that one was killed. The operator's client fails there and comes back after pauses that grow.

Change: a controller that has heard no leader within two heartbeats lets the change wait for one, for at most 0.7 s (clients try elsewhere after a second).

--- a/src/controller/call.rs
+++ b/src/controller/call.rs
@@ -19,6 +19,7 @@
 use crate::platform::call::{self, Call};
 use crate::platform::{configuration, heartbeat};
 use crate::register;
+use crate::voter::LeaderInfo;
 
 /// Maximum size of a request head.
 pub(super) const MAX_HEAD_BYTES: usize = 16 << 10;
@@ -35,8 +36,8 @@
 /// Timeout for committing a command. Callers try another instance after a second.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Maximum time for which a heartbeat waits for an election. Upstreams try another instance
-/// after a second without an answer, and follow one redirect within that time.
+/// Maximum time for which a call waits for an election. Callers try another instance after a
+/// second without an answer, and follow one redirect within that time.
 const MAX_LEADER_WAIT: Duration = Duration::from_millis(700);
 
 /// Time after its start in which a controller lets heartbeats wait for a leader. Later, a
@@ -70,6 +71,13 @@
         if self.shutting_down.load(Ordering::Relaxed) {
             return unavailable("this instance ends");
         }
+        let is_change = matches!(
+            decoded,
+            Call::Replace | Call::Deregister(_) | Call::LiftQuarantine(_)
+        );
+        if is_change {
+            self.await_live_leader().await;
+        }
         match decoded {
             Call::Replace => self.replace(path, body).await,
             Call::Fetch => self.fetch().await,
@@ -229,11 +237,21 @@
         if self.now().since(self.started) >= STARTUP_PHASE {
             return;
         }
+        self.await_leader_that(|info| info.leader.is_some()).await;
+    }
+
+    /// Waits for an election before a change is handled. If it were redirected to a dead leader,
+    /// its sender would come back only after a pause that grows with each failure.
+    async fn await_live_leader(&self) {
+        self.await_leader_that(|info| info.live).await;
+    }
+
+    /// Waits until the leader fulfils a condition, for at most [`MAX_LEADER_WAIT`].
+    async fn await_leader_that(&self, condition: impl Fn(LeaderInfo) -> bool) {
         let mut changes = self.voter.leader_changes();
-        let known = async {
-            while self.leader_info().leader.is_none() && changes.changed().await.is_ok() {}
-        };
-        let _ = timeout(MAX_LEADER_WAIT, known).await;
+        let fulfilled =
+            async { while !condition(self.leader_info()) && changes.changed().await.is_ok() {} };
+        let _ = timeout(MAX_LEADER_WAIT, fulfilled).await;
     }
 
     /// Redirects the caller to the leader.
--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -55,6 +55,14 @@
         self.leader.is_some() && self.leader_contact.is_some_and(recent)
     }
 
+    /// Whether this replica leads, or heard the leader within two heartbeats. Otherwise the leader
+    /// may be dead, though it isn't replaced yet.
+    pub(crate) fn has_live_leader(&self) -> bool {
+        let limit = 2 * self.settings.heartbeat_interval;
+        let heard = |at| self.now.since(at) < limit;
+        self.is_leader() || (self.leader.is_some() && self.leader_contact.is_some_and(heard))
+    }
+
     pub(super) fn can_campaign(&self) -> bool {
         let me = self.settings.me;
         if self.is_querying() || self.end() < self.required_end() {
--- a/src/voter.rs
+++ b/src/voter.rs
@@ -91,6 +91,8 @@
     pub leader: Option<InstanceId>,
     /// Whether this store leads.
     pub leads: bool,
+    /// Whether this store leads, or heard the leader within two heartbeats.
+    pub leader_live: bool,
     /// Last index in the log.
     pub last: u64,
     /// Commit index.
@@ -120,6 +122,8 @@
     pub(crate) term: Option<u64>,
     /// The leader, if known.
     pub(crate) leader: Option<InstanceId>,
+    /// See [`GroupStatus::leader_live`].
+    pub(crate) live: bool,
 }
 
 enum Task {
@@ -132,7 +136,7 @@
 pub struct Voter {
     tasks: Sender<Task>,
     status: Arc<Mutex<Vec<GroupStatus>>>,
-    /// Notified after each change of a leader.
+    /// Notified after each change of a leader, and when it falls silent or is heard again.
     leader_changes: Arc<notice::Sender<()>>,
 }
 
@@ -239,7 +243,7 @@
         self.request(input);
     }
 
-    /// Notifies of each change of a leader.
+    /// Notifies of each change of a leader, and when it falls silent or is heard again.
     pub(crate) fn leader_changes(&self) -> NoticeReceiver<()> {
         self.leader_changes.subscribe()
     }
@@ -251,6 +255,7 @@
         status.map_or(LeaderInfo::default(), |s| LeaderInfo {
             term: s.leads.then_some(s.term),
             leader: s.leader,
+            live: s.leader_live,
         })
     }
 
@@ -336,7 +341,8 @@
             let mut shared = self.status.lock().unwrap_or_else(PoisonError::into_inner);
             watch::report(&shared, &status);
             let same = |(a, b): (&GroupStatus, &GroupStatus)| {
-                (a.term, a.leader, a.leads) == (b.term, b.leader, b.leads)
+                let leader = |s: &GroupStatus| (s.term, s.leader, s.leads, s.leader_live);
+                leader(a) == leader(b)
             };
             let changed = !shared.iter().zip(&status).all(same);
             *shared = status;
--- a/src/voter/group.rs
+++ b/src/voter/group.rs
@@ -114,6 +114,7 @@
             term: replica.term(),
             leader: replica.leader().map(|l| InstanceId(l.id)),
             leads: replica.is_leader(),
+            leader_live: replica.has_live_leader(),
             last: log.last_index(),
             commit: replica.commit(),
             applied: replica.applied(),
