Try requests that may crash engines alone, on engines that can be spared

Cause: a request that crashes the engine that begins to run it took the head of a path in each failure domain in turn.

Change: - A run that was cut off without any event, by an engine that accepts no connection any more, makes its request suspect at its instance at once, and everywhere with the leader's next answer. - A suspect is tried again alone: one at a time at an instance, spread over 1.5 s, entering one slow engine whose layers others of its domain hold too. Each suspect prefers another such engine, so that the next crash tells them apart.

Tried and not kept: suspects spread over 0.5 s with a third of the engines each.

--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -248,6 +248,9 @@
                 born: cut.born,
             };
             let organisation = cut.organisation.as_str().into();
+            if cut.silent {
+                self.crashes.record_silent(at(cut.age), fingerprint);
+            }
             self.crashes
                 .record_crash(at(cut.age), engine, fingerprint, organisation);
         }
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -12,6 +12,7 @@
 
 use rustc_hash::FxHasher;
 
+use super::load::unit_hash;
 use super::run_history::{EngineStart, RETENTION};
 use crate::clock::Time;
 use crate::collections::HashMap;
@@ -52,6 +53,30 @@
 /// Maximum number of suspect requests sent to instances.
 const MAX_SUSPECTS: usize = 64;
 
+/// Maximum time for which a suspect request waits for an engine that can be spared, or for its
+/// turn: most suspects are harmless, and their callers wait.
+pub(crate) const MAX_SUSPECT_WAIT: Duration = Duration::from_secs(2);
+
+/// Time over which the suspects of one crash are spread. One that crashes engines does so within
+/// a few tenths of a second, so that few others run beside it.
+const SUSPECT_SPREAD: Duration = Duration::from_millis(1_500);
+
+/// Priority of an engine for a suspect request. Each suspect prefers another of the engines that
+/// can be spared (rendezvous hashing), so that few of them share one.
+pub(crate) fn suspect_priority(request: &Fingerprint, engine: u64) -> u64 {
+    let mut hasher = FxHasher::default();
+    (request, engine).hash(&mut hasher);
+    hasher.finish() >> 32
+}
+
+/// Delay of a suspect request before it is tried again. Instances know nothing of each other's
+/// suspects, so it is drawn from the request.
+pub(crate) fn suspect_delay(request: &Fingerprint) -> Duration {
+    let mut hasher = FxHasher::default();
+    request.hash(&mut hasher);
+    SUSPECT_SPREAD.mul_f64(unit_hash(hasher.finish()))
+}
+
 /// An engine crash, with the requests that the engine had just begun to run.
 #[derive(Debug)]
 struct Crash {
@@ -73,15 +98,15 @@
 /// number. Each suspect has its own subset of one in [`ENGINES_PER_ALLOWED`] engines, so
 /// that later crashes distinguish suspects that shared an engine.
 pub(crate) fn suspect_may_enter(request: &Fingerprint, engine: u64) -> bool {
-    let mut hasher = FxHasher::default();
-    (request, engine).hash(&mut hasher);
-    (hasher.finish() >> 32).is_multiple_of(ENGINES_PER_ALLOWED)
+    suspect_priority(request, engine).is_multiple_of(ENGINES_PER_ALLOWED)
 }
 
 /// Engine crashes that instances reported to a leader.
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
     engines: HashMap<EngineStart, Crash>,
+    /// When requests in `engines` were last cut off without any event.
+    silent: HashMap<Fingerprint, Time>,
     /// When requests in `engines` last ran without harm.
     harmless: HashMap<Fingerprint, Time>,
     /// Suspect requests, and since when instances are asked about them.
@@ -116,6 +141,16 @@
         }
     }
 
+    /// Records that a request was cut off at `at` without any event. It is suspect at once, for
+    /// [`RECENT_WINDOW`].
+    pub(crate) fn record_silent(&mut self, at: Time, fingerprint: Fingerprint) {
+        let last = self.silent.entry(fingerprint).or_insert(at);
+        *last = (*last).max(at);
+        if self.suspect_since.len() < MAX_SUSPECTS {
+            self.suspect_since.entry(fingerprint).or_insert(at);
+        }
+    }
+
     /// Records that a request ran without harm at `at`.
     pub(crate) fn record_harmless(&mut self, at: Time, fingerprint: Fingerprint) {
         let last = self.harmless.entry(fingerprint).or_insert(at);
@@ -174,10 +209,11 @@
         self.engines.retain(|_, e| now.since(e.at) < RETENTION);
         self.proposed_at
             .retain(|_, at| now.since(*at) < PROPOSAL_RETRY);
+        self.silent.retain(|_, at| now.since(*at) < RECENT_WINDOW);
         let by_request = self.crashes_by_request(now, &is_refused);
         let mut suspects: Vec<_> = by_request
             .iter()
-            .filter(|(_, e)| e.len() >= MIN_SUSPECT_CRASHES)
+            .filter(|(f, e)| e.len() >= MIN_SUSPECT_CRASHES || self.silent.contains_key(*f))
             .collect();
         suspects.sort_by_key(|(f, e)| (std::cmp::Reverse(e.len()), **f));
         suspects.truncate(MAX_SUSPECTS);
--- a/src/decide/run_history.rs
+++ b/src/decide/run_history.rs
@@ -44,6 +44,9 @@
     pub(crate) engine: EngineStart,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) organisation: Arc<str>,
+    /// Whether the request had no event of this run, and none of an earlier one that proved it
+    /// harmless. A request that crashes engines gets none.
+    pub(crate) silent: bool,
 }
 
 /// Cut and harmless runs at one entry instance.
@@ -73,6 +76,7 @@
         engine: &EngineStart,
         fingerprint: Fingerprint,
         organisation: &Arc<str>,
+        silent: bool,
     ) -> bool {
         let first = !self.unconfirmed.contains_key(engine);
         let runs = self.unconfirmed.entry(engine.clone()).or_default();
@@ -82,6 +86,7 @@
             engine: engine.clone(),
             fingerprint,
             organisation: Arc::clone(organisation),
+            silent,
         });
         first
     }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -110,6 +110,12 @@
     pub(super) last_event: Option<u64>,
     /// Number of events with an id received in the current attempt, on a stream.
     pub(super) events: u64,
+    /// Whether an engine crashed when it had just begun to run the request.
+    pub(super) cautious: bool,
+    /// Whether the request, though suspect, has waited for long enough to enter any engine.
+    pub(super) unrestricted: AtomicBool,
+    /// Turn among the suspects of this instance.
+    pub(super) turn: Option<tokio::sync::OwnedMutexGuard<()>>,
 }
 
 /// Records a request whose future was dropped: its caller disconnected, or the instance ended.
@@ -164,6 +170,9 @@
             ended: AtomicBool::new(false),
             last_event,
             events: 0,
+            cautious: false,
+            unrestricted: AtomicBool::new(false),
+            turn: None,
         }
     }
 
@@ -194,6 +203,7 @@
 
     async fn run_attempts(&mut self) -> Result<OpenResponse, RunError> {
         loop {
+            self.await_suspicion().await;
             let left = self.left();
             if left.is_zero() {
                 return Err(self.timed_out());
@@ -254,7 +264,7 @@
                     }
                     self.exclude_upstream(culprit, cause);
                     match self.record_failure(failure, cause) {
-                        NextStep::Again => {}
+                        NextStep::Again => self.check_crash(cause, &upstream).await,
                         NextStep::Refuse => return Err(RunError::NotRun(Reason::NotRun)),
                         NextStep::Pass | NextStep::Fail if self.left().is_zero() => {
                             return Err(RunError::TimedOut);
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::net::TcpStream;
@@ -11,6 +12,7 @@
 use super::attempt::{CUT, Run};
 use super::view::{Upstream, View};
 use crate::clock::micros;
+use crate::decide::quarantine;
 use crate::decide::refusal::Reason;
 use crate::decide::run_history::{EngineStart, HARMLESS_EVENTS};
 use crate::event;
@@ -22,6 +24,9 @@
 /// slightly later than its connections.
 const PROBE_DELAY: Duration = Duration::from_millis(20);
 
+/// Interval at which a request that is suspect for others' runs checks for their outcome.
+const SUSPECT_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Timeout for connecting to a probed engine.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -38,10 +43,64 @@
         Some(Reason::Quarantined(left))
     }
 
-    /// Returns the request's fingerprint if the leader suspects it of crashing engines.
+    /// Returns the request's fingerprint if it is suspected of crashing engines, by the leader or
+    /// after a crash under this request, and is still restricted for it.
     pub(super) fn suspect(&self, view: &View) -> Option<&Fingerprint> {
-        let suspect = view.suspects().contains(&self.call.fingerprint);
-        suspect.then_some(&self.call.fingerprint)
+        let suspect = self.cautious || view.suspects().contains(&self.call.fingerprint);
+        let restricted = suspect && !self.unrestricted.load(Ordering::Relaxed);
+        restricted.then_some(&self.call.fingerprint)
+    }
+
+    /// Makes the request suspect if it may have crashed `upstream`: the run was cut off without
+    /// any event, and the upstream accepts no connection any more. Then waits for a turn among
+    /// the suspects, so that at most one of this instance runs at a time.
+    pub(super) async fn check_crash(&mut self, cause: &str, upstream: &Upstream) {
+        if !is_cut(cause) || !self.is_silent() {
+            return;
+        }
+        if !has_crashed(upstream.address.into()).await {
+            return;
+        }
+        self.cautious = true;
+        self.entry.report_due.notify_one();
+        sleep(quarantine::suspect_delay(&self.call.fingerprint)).await;
+        self.take_turn().await;
+    }
+
+    /// Delays a suspect request. One whose run was cut off by a crash takes a turn. Others wait for
+    /// its outcome: each run of a request that crashes engines costs one.
+    pub(super) async fn await_suspicion(&mut self) {
+        let is_suspect = |run: &Self| run.suspect(&run.entry.view()).is_some();
+        if !self.cautious {
+            let began = self.entry.now();
+            let limit = quarantine::MAX_SUSPECT_WAIT.min(self.left() / 4);
+            while is_suspect(self)
+                && self.quarantined().is_none()
+                && self.entry.now().since(began) < limit
+            {
+                sleep(SUSPECT_POLL_INTERVAL).await;
+            }
+        }
+        if is_suspect(self) {
+            self.take_turn().await;
+        }
+    }
+
+    /// Waits until no other suspect of this instance runs, for at most
+    /// [`quarantine::MAX_SUSPECT_WAIT`].
+    async fn take_turn(&mut self) {
+        if self.turn.is_some() {
+            return;
+        }
+        let turn = Arc::clone(&self.entry.suspect_turn).lock_owned();
+        self.turn = timeout(quarantine::MAX_SUSPECT_WAIT, turn).await.ok();
+    }
+
+    /// Whether the caller has no event of the current run, and the request hasn't proven harmless
+    /// before.
+    fn is_silent(&self) -> bool {
+        let history = &self.entry.shared().run_history;
+        self.events == 0 && history.last_harmless(&self.call.fingerprint).is_none()
     }
 
     /// Whether the request may crash the next upstream, too: it is suspect and was cut off
@@ -63,9 +122,9 @@
         let engine = upstream.start();
         let organisation = Arc::clone(&self.call.organisation);
         let fingerprint = self.call.fingerprint;
-        let now = self.entry.now();
+        let (now, silent) = (self.entry.now(), self.is_silent());
         let history = &mut self.entry.shared().run_history;
-        if history.record_cut(now, &engine, fingerprint, &organisation) {
+        if history.record_cut(now, &engine, fingerprint, &organisation, silent) {
             let entry = Arc::clone(&self.entry);
             let address = upstream.address.into();
             tokio::spawn(async move { entry.probe_engine(engine, address).await });
@@ -73,20 +132,29 @@
     }
 
     /// Records that the request did no harm to its upstream.
-    pub(super) fn record_harmless(&self) {
+    pub(super) fn record_harmless(&mut self) {
+        self.turn = None;
         let now = self.entry.now();
         let history = &mut self.entry.shared().run_history;
         history.record_harmless(now, self.call.fingerprint);
     }
 }
 
+/// Whether an engine that closed a connection accepts no new one either.
+async fn has_crashed(address: SocketAddr) -> bool {
+    sleep(PROBE_DELAY).await;
+    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    !matches!(connected, Ok(Ok(_)))
+}
+
 impl Entry {
     /// Checks whether an engine that cut off runs has crashed.
     async fn probe_engine(&self, engine: EngineStart, address: SocketAddr) {
-        sleep(PROBE_DELAY).await;
-        let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
-        let crashed = !matches!(connected, Ok(Ok(_)));
+        let crashed = has_crashed(address).await;
         let runs = self.shared().run_history.confirm(&engine, crashed);
+        if !runs.is_empty() {
+            self.report_due.notify_one();
+        }
         metrics::counter!(metric::RUNS_CUT_EARLY.name).increment(runs.len() as u64);
         for run in runs {
             tracing::info!(
@@ -113,6 +181,7 @@
             fingerprint: c.fingerprint.bytes(),
             organisation: c.organisation.to_string(),
             age: age(c.at),
+            silent: c.silent,
         });
         request.cut = cut.collect();
         let harmless = view.suspects().iter().filter_map(|fingerprint| {
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::Entry;
 use crate::decide::view_wait;
@@ -68,7 +68,7 @@
         loop {
             if self.poll_controller(&mut targets).await {
                 failures = 0;
-                sleep(self.pause()).await;
+                let _ = timeout(self.pause(), self.report_due.notified()).await;
                 continue;
             }
             failures += 1;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -104,6 +104,10 @@
     queue_lock: tokio::sync::Mutex<()>,
     /// Number of requests in the queue.
     queued: AtomicUsize,
+    /// Held by the suspect request that runs.
+    suspect_turn: Arc<tokio::sync::Mutex<()>>,
+    /// Notified when the leader should learn something before the next poll is due.
+    report_due: Notify,
     /// Lock of the begun response that looks for another path.
     resume_lock: tokio::sync::Mutex<()>,
 }
@@ -165,6 +169,8 @@
             started: SystemClock.now(),
             view_changed: Notify::new(),
             queue_lock: tokio::sync::Mutex::default(),
+            suspect_turn: Arc::default(),
+            report_due: Notify::new(),
             resume_lock: tokio::sync::Mutex::default(),
             queued: AtomicUsize::new(0),
             boot,
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -14,6 +14,9 @@
 /// such engines, and then with as few of them as possible.
 const FAILING_PENALTY: f64 = 8.0;
 
+/// Step time, as a share of the slowest engine's, from which an engine counts as slow.
+const SLOW_SHARE: f64 = 0.5;
+
 /// Half the width of the random factor on an engine's cost.
 const JITTER: f64 = 0.1;
 
@@ -89,6 +92,37 @@
         }
     }
 
+    /// Restricts the engines at which a path may begin to one that can be spared: all its layers
+    /// have another holder in its domain. Of several, the one of highest `priority` among the slow
+    /// ones, with which the least is lost if the request crashes it.
+    pub(crate) fn restrict_to_spare(&mut self, priority: impl Fn(&Upstream) -> u64) {
+        let spare = |i: &usize| {
+            let candidate = &self.candidates[*i];
+            candidate.may_enter && candidate.range.first == 0 && self.is_spare(*i)
+        };
+        let spare: Vec<usize> = (0..self.candidates.len()).filter(spare).collect();
+        let step = |i: usize| self.candidates[i].step_ms;
+        let slowest = spare.iter().map(|&i| step(i)).fold(0.0, f64::max);
+        let slow = spare
+            .into_iter()
+            .filter(|&i| step(i) >= SLOW_SHARE * slowest);
+        let chosen = slow.max_by_key(|&i| priority(self.engines[i]));
+        for (i, candidate) in self.candidates.iter_mut().enumerate() {
+            candidate.may_enter = chosen == Some(i);
+        }
+    }
+
+    /// Whether all layers of a candidate have another holder in its domain.
+    fn is_spare(&self, at: usize) -> bool {
+        let own = &self.candidates[at];
+        let others = || {
+            let all = self.candidates.iter().enumerate();
+            all.filter(|(i, c)| *i != at && c.domain == own.domain)
+        };
+        let mut layers = own.range.first..own.range.end;
+        layers.all(|layer| others().any(|(_, c)| c.range.contains(layer)))
+    }
+
     /// Like [`Pool::restrict_entry`], for rate limits. Returns whether the limits exclude
     /// all engines at which a path could begin; false if there were none before.
     pub(crate) fn limit_entry(&mut self, may_send: impl Fn(&Upstream) -> bool) -> bool {
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -11,7 +11,7 @@
 use crate::configuration::Model;
 use crate::decide::path::{self, Hop, NoPath, Start, Work};
 use crate::decide::pick::{self, Candidate};
-use crate::decide::quarantine::suspect_may_enter;
+use crate::decide::quarantine::{suspect_may_enter, suspect_priority};
 use crate::decide::refusal::Reason;
 use crate::fingerprint::Fingerprint;
 use crate::roster::LayerRange;
@@ -22,7 +22,8 @@
 pub(super) struct Exclusions<'a> {
     /// Upstreams at which the request failed.
     pub(super) failed: &'a [u64],
-    /// The request, if it is suspect: it may enter a subset of the upstreams only.
+    /// The request, if it is suspect: it may enter one engine that can be spared, or a subset of
+    /// plain upstreams.
     pub(super) suspect: Option<&'a Fingerprint>,
 }
 
@@ -167,8 +168,8 @@
 };
 
 impl Entry {
-    /// Chooses an upstream or a path of `service`, and books it. Falls back to all upstreams
-    /// if a suspect request finds none in its subset.
+    /// Chooses an upstream or a path of `service`, and books it. Falls back to all upstreams of a
+    /// plain service if a suspect request finds none in its subset.
     pub(super) fn choose(
         self: &Arc<Self>,
         view: &View,
@@ -177,18 +178,18 @@
         work: Work,
         exclusions: Exclusions<'_>,
     ) -> Result<Selection, Reason> {
-        let choose = |exclusions| match model {
-            Some(model) => self.choose_path(view, service, model, work, exclusions),
-            None => self.choose_upstream(view, service, exclusions),
-        };
-        let selection = choose(exclusions);
+        if let Some(model) = model {
+            return self.choose_path(view, service, model, work, exclusions);
+        }
+        let selection = self.choose_upstream(view, service, exclusions);
         if selection.is_ok() || exclusions.suspect.is_none() {
             return selection;
         }
-        choose(Exclusions {
+        let any = Exclusions {
             suspect: None,
             ..exclusions
-        })
+        };
+        self.choose_upstream(view, service, any)
     }
 
     fn choose_upstream(
@@ -264,7 +265,9 @@
         let mut pool = self
             .shared()
             .pool(now, view, service, model, policy, usable);
-        pool.restrict_entry(|u| exclusions.may_enter(u.key));
+        if let Some(suspect) = exclusions.suspect {
+            pool.restrict_to_spare(|u| suspect_priority(suspect, u.key));
+        }
         let shared = self.shared();
         let limiter = &shared.rate_limiter;
         let limited = pool.limit_entry(|u| limiter.may_send(now, u.key, &u.id, u.born));
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -236,6 +236,8 @@
         if self.run.record_failure(Failure::Unknown, cause) != NextStep::Again {
             return false;
         }
+        let upstream = self.opened.selection.upstream.clone();
+        self.run.check_crash(cause, &upstream).await;
         match self.run.open().await {
             Ok(opened) => {
                 self.opened = opened;
--- a/src/entry/wait.rs
+++ b/src/entry/wait.rs
@@ -9,6 +9,7 @@
 use super::select::Selection;
 use super::view::View;
 use crate::clock::millis;
+use crate::decide::quarantine;
 use crate::decide::refusal::Reason;
 use crate::decide::waiting;
 use crate::event;
@@ -43,6 +44,12 @@
             return Err(reason);
         }
         let mut found = Err(reason);
+        if self.suspect(&self.entry.view()).is_some() {
+            found = self.wait_for_spare().await;
+        }
+        if found.is_ok() {
+            return found;
+        }
         if !self.entry.view().is_complete() {
             let ready = |_: &View, _| self.choose(0.0).is_ok();
             self.entry.wait_until(self.left(), ready).await;
@@ -57,6 +64,25 @@
         }
     }
 
+    /// Waits for an engine that can be spared, then lets the request enter any engine: suspects are
+    /// mostly harmless, and their callers wait.
+    async fn wait_for_spare(&self) -> Result<Selection, Reason> {
+        let limit = quarantine::MAX_SUSPECT_WAIT.min(self.left() / 4);
+        let search = async {
+            loop {
+                sleep(waiting::POLL_INTERVAL).await;
+                if let Ok(found) = self.choose(0.0) {
+                    return found;
+                }
+            }
+        };
+        if let Ok(found) = timeout(limit, search).await {
+            return Ok(found);
+        }
+        self.unrestricted.store(true, Ordering::Relaxed);
+        self.choose(0.0)
+    }
+
     /// Waits for another path for a response that has begun. Several of them look for one in turn,
     /// since the first may need an engine that the others don't.
     async fn wait_to_resume(&self) -> Result<Selection, Reason> {
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -120,6 +120,9 @@
     /// Microseconds since the run was cut off.
     #[prost(uint64, tag = "5")]
     pub(crate) age: u64,
+    /// See [`crate::decide::run_history::CutRun::silent`].
+    #[prost(bool, tag = "6")]
+    pub(crate) silent: bool,
 }
 
 /// A request that ran without harm to its engine.
--- a/src/tests/decide/quarantine.rs
+++ b/src/tests/decide/quarantine.rs
@@ -99,14 +99,34 @@
     assert_eq!(crashes.suspects().count(), 0);
 }
 
+/// Guards against a request that ends the entry engine of one domain after the other before any
+/// instance restricts it: it is suspect from its first crash on, until it runs without harm.
+#[test]
+fn suspects_first_silent_crash() {
+    let mut crashes = Crashes::default();
+    for (number, silent) in [(1, true), (2, true), (3, false)] {
+        if silent {
+            crashes.record_silent(at(1_000), request(number));
+        }
+        crashes.record_crash(at(1_000), engine(1, 0), request(number), "one".into());
+    }
+    assert_eq!(crashes.suspects().count(), 2);
+    crashes.record_harmless(at(1_200), request(2));
+    assert_eq!(crashes.tick(at(1_300), |_| false), []);
+    let suspects: Vec<_> = crashes.suspects().copied().collect();
+    assert_eq!(suspects, [request(1)]);
+    crashes.tick(at(12_000), |_| false);
+    assert_eq!(crashes.suspects().count(), 0);
+}
+
 /// Guards against losing reported runs when a leader is frozen or killed.
 #[test]
 fn unreported_repeated_for_each_leader() {
     let mut history = RunHistory::default();
     let organisation: Arc<str> = "one".into();
-    assert!(history.record_cut(at(0), &engine(1, 0), request(1), &organisation));
-    assert!(!history.record_cut(at(0), &engine(1, 0), request(2), &organisation));
-    assert!(history.record_cut(at(0), &engine(2, 0), request(3), &organisation));
+    assert!(history.record_cut(at(0), &engine(1, 0), request(1), &organisation, false));
+    assert!(!history.record_cut(at(0), &engine(1, 0), request(2), &organisation, false));
+    assert!(history.record_cut(at(0), &engine(2, 0), request(3), &organisation, false));
     assert_eq!(history.confirm(&engine(1, 0), true).len(), 2);
     assert_eq!(history.confirm(&engine(2, 0), false).len(), 0);
     let (last, reported) = history.unreported(at(10));
--- a/src/tests/pool.rs
+++ b/src/tests/pool.rs
@@ -38,6 +38,28 @@
     }
 }
 
+/// Guards against a suspect request that enters the only holder of a layer, or a fast engine where
+/// a slow one can be spared: it would take the whole domain along.
+#[test]
+fn restrict_to_spare_slow_copy() {
+    let mut fast = engine(1, "a", 0, 6);
+    let slow = engine(2, "a", 0, 3);
+    let rest = engine(3, "a", 6, 10);
+    let alone = engine(4, "b", 0, 10);
+    fast.pace = 0.1;
+    let upstreams = vec![fast, slow, rest, alone];
+    let services = Services::from_iter([("letters".to_owned(), upstreams)]);
+    let all = |_: &Upstream| Some(1.0);
+    let mut pool = Pool::new(&services, "letters", &model(), &Loads::default(), 1, all);
+    pool.restrict_to_spare(|u| u.key);
+    let open = pool.engines.iter().zip(&pool.candidates);
+    let open: Vec<&str> = open
+        .filter(|(_, c)| c.may_enter)
+        .map(|(u, _)| &*u.id)
+        .collect();
+    assert_eq!(open, ["i-2"]);
+}
+
 fn booked(engines: &[&Upstream]) -> Vec<(u64, Hop)> {
     let hop = |u: &&Upstream| {
         let range = u.layers.unwrap();
