--- a/src/decide/placement/layout.rs
+++ b/src/decide/placement/layout.rs
@@ -94,9 +94,8 @@
         // ranges fit best while no layer is placed.
         let slowness = |i: &usize| self.workers[*i].step_factor * self.workers[*i].read_factor;
         empty.sort_by(|a, b| slowness(a).total_cmp(&slowness(b)));
-        let slowest = empty.last().copied();
         for i in empty {
-            self.place(i, slowest == Some(i));
+            self.place(i);
         }
         self.fill_gaps();
         if self.gap().is_none() {
@@ -108,22 +107,18 @@
     /// Gives an empty engine the lowest layers without a holder, or else a copy of the layers with
     /// too little room, or else of the slowest ones.
     ///
-    /// The `last` one gets a copy of the first layers if these have a single holder. Requests enter
-    /// there, and one that is suspected of crashing engines needs an engine that can be spared.
-    ///
     /// Room comes before speed: the fastest engines hold many layers each and so have little room
     /// for requests, but copies chosen by speed alone go to other layers. In a domain of 33
     /// engines, 32 layers had one holder with room for 100 requests while 16 had eight holders, and
     /// a third of the requests of a burst were refused.
-    fn place(&mut self, worker: usize, last: bool) {
+    fn place(&mut self, worker: usize) {
         let most = self.max_layers(worker, self.requests);
         if most == 0 {
             return;
         }
         let gap = self.gap();
         let range = gap.map(|g| LayerRange::new(g.first, g.end.min(g.first + most)));
-        let entry = || (last && self.holders[0].len() == 1).then(|| LayerRange::new(0, most));
-        let range = range.or_else(entry).or_else(|| self.scarcest(most));
+        let range = range.or_else(|| self.scarcest(most));
         let range = range.unwrap_or_else(|| self.slowest(most));
         self.assign(worker, range);
     }
