Delay suspects of model engines only

By reading: a plain service answers once, so each of its requests that a crash cut off counted as suspect, and its retry waited for up to 1.5 s of a deadline of 1.5 s.

--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -55,7 +55,8 @@
     /// any event, and the upstream accepts no connection any more. Then waits for a turn among
     /// the suspects, so that at most one of this instance runs at a time.
     pub(super) async fn check_crash(&mut self, cause: &str, upstream: &Upstream) {
-        if !is_cut(cause) || !self.is_silent() {
+        // A plain upstream can be spared, and a short deadline leaves no time to wait.
+        if self.model().is_none() || !is_cut(cause) || !self.is_silent() {
             return;
         }
         if !has_crashed(upstream.address.into()).await {
@@ -70,6 +71,9 @@
     /// Delays a suspect request. One whose run was cut off by a crash takes a turn. Others wait for
     /// its outcome: each run of a request that crashes engines costs one.
     pub(super) async fn await_suspicion(&mut self) {
+        if self.model().is_none() {
+            return;
+        }
         let is_suspect = |run: &Self| run.suspect(&run.entry.view()).is_some();
         if !self.cautious {
             let began = self.entry.now();
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -43,7 +43,7 @@
     booked: Vec<(u64, Hop)>,
     /// Engines that the attempt was led around. It never returns to them, so that engines that
     /// are suspected in turn can't send it back and forth.
-    left: Vec<u64>,
+    avoided: Vec<u64>,
     work: Work,
     pub(super) selected_at: Time,
 }
@@ -98,8 +98,9 @@
         };
         for lost in lost {
             let passed: Vec<u64> = hops.iter().map(|(key, _)| *key).collect();
-            let usable =
-                |u: &Upstream| !u.late && !passed.contains(&u.key) && !self.left.contains(&u.key);
+            let usable = |u: &Upstream| {
+                !u.late && !passed.contains(&u.key) && !self.avoided.contains(&u.key)
+            };
             let pool = shared.pool(now, &view, service, model, policy, usable);
             hops = pool.replace(*lost, &hops, &work, rand::rng().random())?;
         }
@@ -119,8 +120,8 @@
         shared.loads.book(&detour.hops, &self.work);
         drop(shared);
         let stays = |key: &u64| detour.hops.iter().any(|(k, _)| k == key);
-        let left = self.booked.iter().map(|(key, _)| *key);
-        self.left.extend(left.filter(|key| !stays(key)));
+        let before = self.booked.iter().map(|(key, _)| *key);
+        self.avoided.extend(before.filter(|key| !stays(key)));
         self.booked = detour.hops;
         self.path = Some(detour.text);
     }
@@ -323,7 +324,7 @@
             upstream,
             path,
             booked,
-            left: Vec::new(),
+            avoided: Vec::new(),
             work,
             selected_at: self.now(),
         }
--- a/src/entry/wait.rs
+++ b/src/entry/wait.rs
@@ -44,7 +44,7 @@
             return Err(reason);
         }
         let mut found = Err(reason);
-        if self.suspect(&self.entry.view()).is_some() {
+        if self.model().is_some() && self.suspect(&self.entry.view()).is_some() {
             found = self.wait_for_spare().await;
         }
         if found.is_ok() {
