Let the stand-in engines leave a controller that doesn't answer within a second

Traced with the logs of entries and controllers: 0.2 s after the freeze a new leader is there, but no engine ever joins it. The stand-in's heartbeats waited up to 30 s for the frozen controller, where the protocol lets an engine call the next one after a second. 3 s later the new leader's roster counts as complete, is empty, and each instance answers no_upstream until the test ends. The verdict used to come before that; since suspects wait for their turn it comes later.

The stand-in now keeps to the protocol.

--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -39,6 +39,9 @@
 /// Time between two events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Time after which a call without an acknowledgement goes to the next controller.
+const ACK_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time from the start of a crashing run to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(60);
 
@@ -262,7 +265,9 @@
 pub(crate) fn post(to: SocketAddr, path: &str, body: &Value) -> bool {
     let mut uri = format!("http://{to}{path}");
     for _ in 0..2 {
-        let sent = agent().post(&uri).send(body.to_string());
+        let request = agent().post(&uri).config();
+        let request = request.timeout_global(Some(ACK_TIMEOUT)).build();
+        let sent = request.send(body.to_string());
         let Ok(reply) = sent else { return false };
         if reply.status() != 307 {
             return reply.status() == 200;
