--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -10,7 +10,7 @@
 
 use super::Entry;
 use super::body::Body;
-use super::crash::is_cut;
+use super::crash::{Suspicion, is_cut};
 use super::head;
 use super::listen::{error_response, quarantine_body, refuse};
 use super::pool;
@@ -110,12 +110,7 @@
     pub(super) last_event: Option<u64>,
     /// Number of events with an id received in the current attempt, on a stream.
     pub(super) events: u64,
-    /// Whether an engine crashed when it had just begun to run the request.
-    pub(super) cautious: bool,
-    /// Whether the request, though suspect, has waited for long enough to enter any engine.
-    pub(super) unrestricted: AtomicBool,
-    /// Turn among the suspects of this instance.
-    pub(super) turn: Option<tokio::sync::OwnedMutexGuard<()>>,
+    pub(super) suspicion: Suspicion,
 }
 
 /// Records a request whose future was dropped: its caller disconnected, or the instance ended.
@@ -170,9 +165,7 @@
             ended: AtomicBool::new(false),
             last_event,
             events: 0,
-            cautious: false,
-            unrestricted: AtomicBool::new(false),
-            turn: None,
+            suspicion: Suspicion::default(),
         }
     }
 
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::net::TcpStream;
+use tokio::sync::OwnedMutexGuard;
 use tokio::time::{sleep, timeout};
 
 use super::Entry;
@@ -30,6 +31,25 @@
 /// Timeout for connecting to a probed engine.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// What a request does differently because it may crash the engines that run it.
+#[derive(Default)]
+pub(super) struct Suspicion {
+    /// Whether an engine crashed when it had just begun to run the request. The leader may suspect
+    /// it for runs at other instances, too.
+    own: bool,
+    /// Whether the request has waited for long enough to enter any engine.
+    unrestricted: AtomicBool,
+    /// Turn among the suspects of this instance, until the request proves harmless.
+    turn: Option<OwnedMutexGuard<()>>,
+}
+
+impl Suspicion {
+    /// Lets the request enter any engine.
+    pub(super) fn lift_restriction(&self) {
+        self.unrestricted.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Whether the cause of a failure is that an upstream closed the connection during a run.
 pub(super) fn is_cut(cause: &str) -> bool {
     matches!(cause, CUT | "cut_body" | "cut_event" | "cut_stream")
@@ -46,8 +66,8 @@
     /// Returns the request's fingerprint if it is suspected of crashing engines, by the leader or
     /// after a crash under this request, and is still restricted for it.
     pub(super) fn suspect(&self, view: &View) -> Option<&Fingerprint> {
-        let suspect = self.cautious || view.suspects().contains(&self.call.fingerprint);
-        let restricted = suspect && !self.unrestricted.load(Ordering::Relaxed);
+        let suspect = self.suspicion.own || view.suspects().contains(&self.call.fingerprint);
+        let restricted = suspect && !self.suspicion.unrestricted.load(Ordering::Relaxed);
         restricted.then_some(&self.call.fingerprint)
     }
 
@@ -62,7 +82,7 @@
         if !has_crashed(upstream.address.into()).await {
             return;
         }
-        self.cautious = true;
+        self.suspicion.own = true;
         self.entry.report_due.notify_one();
         sleep(quarantine::suspect_delay(&self.call.fingerprint)).await;
         self.take_turn().await;
@@ -75,7 +95,7 @@
             return;
         }
         let is_suspect = |run: &Self| run.suspect(&run.entry.view()).is_some();
-        if !self.cautious {
+        if !self.suspicion.own {
             let began = self.entry.now();
             let limit = quarantine::MAX_SUSPECT_WAIT.min(self.left() / 4);
             while is_suspect(self)
@@ -93,11 +113,11 @@
     /// Waits until no other suspect of this instance runs, for at most
     /// [`quarantine::MAX_SUSPECT_WAIT`].
     async fn take_turn(&mut self) {
-        if self.turn.is_some() {
+        if self.suspicion.turn.is_some() {
             return;
         }
         let turn = Arc::clone(&self.entry.suspect_turn).lock_owned();
-        self.turn = timeout(quarantine::MAX_SUSPECT_WAIT, turn).await.ok();
+        self.suspicion.turn = timeout(quarantine::MAX_SUSPECT_WAIT, turn).await.ok();
     }
 
     /// Whether the caller has no event of the current run, and the request hasn't proven harmless
@@ -137,7 +157,7 @@
 
     /// Records that the request did no harm to its upstream.
     pub(super) fn record_harmless(&mut self) {
-        self.turn = None;
+        self.suspicion.turn = None;
         let now = self.entry.now();
         let history = &mut self.entry.shared().run_history;
         history.record_harmless(now, self.call.fingerprint);
--- a/src/entry/wait.rs
+++ b/src/entry/wait.rs
@@ -79,7 +79,7 @@
         if let Ok(found) = timeout(limit, search).await {
             return Ok(found);
         }
-        self.unrestricted.store(true, Ordering::Relaxed);
+        self.suspicion.lift_restriction();
         self.choose(0.0)
     }
 
