--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -94,9 +94,9 @@
     pub(crate) engines: Vec<EngineStart>,
 }
 
-/// Whether a suspect request may enter an engine, identified by its address or another
-/// number. Each suspect has its own subset of one in [`ENGINES_PER_ALLOWED`] engines, so
-/// that later crashes distinguish suspects that shared an engine.
+/// Whether a suspect request may enter a plain upstream, identified by its address or another
+/// number. Each suspect has its own subset of one in [`ENGINES_PER_ALLOWED`] upstreams, so
+/// that later crashes distinguish suspects that shared one.
 pub(crate) fn suspect_may_enter(request: &Fingerprint, engine: u64) -> bool {
     suspect_priority(request, engine).is_multiple_of(ENGINES_PER_ALLOWED)
 }
--- a/src/decide/waiting.rs
+++ b/src/decide/waiting.rs
@@ -16,8 +16,8 @@
 /// delay, and the wait under a long objective.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
-/// Maximum wait of a request that is late already or has run, as a fraction of the objective. Its
-/// caller has a part of the response, or waits for a second attempt.
+/// Maximum wait of a request that is late already, as a fraction of the objective. A response that
+/// has begun waits for longer, and is as urgent as can be after this time.
 const RETRY_WAIT: f64 = 0.8;
 
 /// Fraction of the remaining time for which a response that has begun waits for another path. The
