Log why placement orders end and which heartbeats are stale

Operators saw that an engine was ordered to hold layers (306) and how it answered, but not what became of the order: carried out as a poll or a heartbeat showed, ended by a restart of the engine, or expired. Nor did any line tell that a heartbeat was older than what the leader knew. So a stale heartbeat that clears a pending order looked like an order carried out.

Event 311 now names the cause and the age of each order that ends, event 312 the reason for which a heartbeat is stale, beside the known start and sequence. A stale heartbeat that ends an order leaves both lines, in this order. Counters by cause and by reason go with them, and `explain` shows 311 for the engines of a request. Two causes are those of an order that was refused or not answered, whose pause ran out; one is the end of the term in which it was issued, which is logged when the controller leads again.

312 gets the lower limit of lines, as delayed heartbeats come in bursts. Stale digests are not logged: `Roster::refresh` doesn't tell them apart.

What ends an order or makes a heartbeat stale is unchanged. Tests that compared `Stale` now also compare the reason.

--- a/src/controller/heartbeat.rs
+++ b/src/controller/heartbeat.rs
@@ -8,12 +8,12 @@
 use tokio::time::{sleep, timeout};
 
 use super::leader::LeaderState;
-use super::{Controller, TICK_INTERVAL};
+use super::{Controller, TICK_INTERVAL, place};
 use crate::event;
 use crate::message::{Answer, Ask, Request};
 use crate::metric;
 use crate::relay::{Heartbeats, HeartbeatsReply};
-use crate::roster::{AnnounceOutcome, Announcement};
+use crate::roster::{AnnounceOutcome, Announcement, StaleReason};
 
 /// Time for which heartbeats are collected before they are forwarded. With 3,000 engines a
 /// follower receives five in it. Changes reach the entry instances later by at most this time.
@@ -77,14 +77,19 @@
             announcement.address,
             announcement.layers,
         );
-        if state.announce(self.now(), announcement) == AnnounceOutcome::New {
-            tracing::info!(
+        let (born, sequence) = (announcement.born, announcement.sequence);
+        let outcome = state.announce(self.now(), announcement);
+        place::report_ended(state);
+        match outcome {
+            AnnounceOutcome::New => tracing::info!(
                 event = event::UPSTREAM_JOINED.id,
                 upstream = %id,
                 %address,
                 ?layers,
                 "upstream joined"
-            );
+            ),
+            AnnounceOutcome::Known => {}
+            AnnounceOutcome::Stale(reason) => report_stale(state, &id, (born, sequence), reason),
         }
     }
 
@@ -151,3 +156,20 @@
         Answer::Heartbeats(HeartbeatsReply { unknown })
     }
 }
+
+/// Logs and counts a stale heartbeat. `start` is its `born` and `sequence`.
+fn report_stale(state: &LeaderState, id: &str, start: (u64, u64), reason: StaleReason) {
+    let reason = reason.name();
+    let known = state.upstream(id).map(|e| &e.announcement);
+    metrics::counter!(metric::STALE_HEARTBEATS.name, "reason" => reason).increment(1);
+    tracing::info!(
+        event = event::HEARTBEAT_STALE.id,
+        upstream = id,
+        born = start.0,
+        sequence = start.1,
+        known_born = known.map(|k| k.born),
+        known_sequence = known.map(|k| k.sequence),
+        reason,
+        "stale heartbeat"
+    );
+}
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::order::{EndedOrder, OrderEnd};
 use super::reports::Reports;
 use crate::clock::{Time, micros};
 use crate::collections::{HashMap, HashSet};
@@ -72,13 +73,25 @@
     pub(crate) address: SocketAddrV4,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct PendingOrder {
-    born: u64,
-    range: LayerRange,
+    order: PlacementOrder,
+    issued: Time,
     until: Time,
     /// Whether the engine is expected to carry out the order.
     expected: bool,
+    /// Cause of its end if it is still pending at `until`.
+    lapse: OrderEnd,
+}
+
+impl PendingOrder {
+    fn end(self, now: Time, cause: OrderEnd) -> EndedOrder {
+        EndedOrder {
+            age: now.since(self.issued),
+            order: self.order,
+            cause,
+        }
+    }
 }
 
 /// Figures for the controller's metrics.
@@ -109,6 +122,8 @@
     /// Orders by engine. Each change marks the upstream as changed in the roster, since
     /// instances see the layers that an engine retains, not those that it holds.
     pending: HashMap<Arc<str>, PendingOrder>,
+    /// Orders that ended since the controller last took them.
+    ended: Vec<EndedOrder>,
 }
 
 impl LeaderState {
@@ -125,6 +140,7 @@
             crashes: Crashes::default(),
             rate_limiter: RateLimiter::default(),
             pending: HashMap::default(),
+            ended: Vec::new(),
         }
     }
 
@@ -132,7 +148,11 @@
     /// departures.
     pub(crate) fn enter_term(&mut self, now: Time, term: u64, register: &Register) {
         if self.term != term {
+            let pending = std::mem::take(&mut self.pending).into_values();
+            let mut ended = std::mem::take(&mut self.ended);
+            ended.extend(pending.map(|p| p.end(now, OrderEnd::Term)));
             *self = Self::new(self.heartbeat);
+            self.ended = ended;
             self.term = term;
             self.term_start = now;
         }
@@ -146,15 +166,31 @@
     /// Applies an announcement of an upstream that is not leaving.
     pub(crate) fn announce(&mut self, now: Time, announcement: Announcement) -> AnnounceOutcome {
         let pending = self.pending.get(&announcement.id);
-        let done =
-            |p: &PendingOrder| p.born != announcement.born || announcement.layers == Some(p.range);
-        if pending.is_some_and(done) {
-            self.pending.remove(&announcement.id);
-            self.roster.mark_changed(&announcement.id);
+        let cause = pending.and_then(|p| {
+            if p.order.born != announcement.born {
+                return Some(OrderEnd::Restarted);
+            }
+            (announcement.layers == Some(p.order.range)).then_some(OrderEnd::Heartbeat)
+        });
+        if let Some(cause) = cause {
+            self.end_order(now, &announcement.id, cause);
         }
         self.roster.announce(now, announcement)
     }
 
+    /// Ends the pending order of an engine.
+    fn end_order(&mut self, now: Time, engine: &Arc<str>, cause: OrderEnd) {
+        if let Some(pending) = self.pending.remove(engine) {
+            self.ended.push(pending.end(now, cause));
+            self.roster.mark_changed(engine);
+        }
+    }
+
+    /// Takes the orders that ended since the last call.
+    pub(crate) fn take_ended(&mut self) -> Vec<EndedOrder> {
+        std::mem::take(&mut self.ended)
+    }
+
     /// Applies a heartbeat digest; see [`Roster::refresh`].
     pub(crate) fn refresh(&mut self, now: Time, digest: &HeartbeatDigest) -> bool {
         self.roster.refresh(now, digest)
@@ -174,10 +210,9 @@
     pub(crate) fn tick(&mut self, now: Time) -> Vec<Arc<str>> {
         self.reports.tick(now);
         let expired = self.pending.iter().filter(|(_, p)| now >= p.until);
-        let expired: Vec<Arc<str>> = expired.map(|(id, _)| id.clone()).collect();
-        for id in expired {
-            self.pending.remove(&id);
-            self.roster.mark_changed(&id);
+        let expired: Vec<_> = expired.map(|(id, p)| (id.clone(), p.lapse)).collect();
+        for (id, cause) in expired {
+            self.end_order(now, &id, cause);
         }
         self.roster.tick(now, &self.reports.suspects())
     }
@@ -322,7 +357,7 @@
     /// it accepts no new requests for them.
     fn retained_layers(&self, announcement: &Announcement) -> Option<LayerRange> {
         match self.pending_of(announcement) {
-            Some(pending) => announcement.layers?.intersection(pending.range),
+            Some(pending) => announcement.layers?.intersection(pending.order.range),
             None => announcement.layers,
         }
     }
@@ -330,7 +365,7 @@
     /// Returns the pending order of an upstream.
     fn pending_of(&self, announcement: &Announcement) -> Option<&PendingOrder> {
         let pending = self.pending.get(&announcement.id);
-        pending.filter(|p| p.born == announcement.born)
+        pending.filter(|p| p.order.born == announcement.born)
     }
 
     /// Whether enough upstreams are known to issue orders.
@@ -362,10 +397,11 @@
             models.flat_map(|(s, m)| self.plan_orders(s, m)).collect();
         for order in &orders {
             let pending = PendingOrder {
-                born: order.born,
-                range: order.range,
+                order: order.clone(),
+                issued: now,
                 until: now + ORDER_TIMEOUT,
                 expected: true,
+                lapse: OrderEnd::Expired,
             };
             self.pending.insert(order.engine.clone(), pending);
             self.roster.mark_changed(&order.engine);
@@ -415,7 +451,7 @@
             read_factor: accelerator.read_factor,
             used_mb: f64::from(used.memory),
             held: match pending {
-                Some(pending) if pending.expected => Some(pending.range),
+                Some(pending) if pending.expected => Some(pending.order.range),
                 _ => self.retained_layers(announcement),
             },
             loaded: announcement.layers,
@@ -484,12 +520,11 @@
     }
 
     /// Records that an engine holds the layers that it was ordered to hold.
-    pub(crate) fn complete_order(&mut self, order: &PlacementOrder) {
+    pub(crate) fn complete_order(&mut self, now: Time, order: &PlacementOrder) {
         if !self.is_pending(order) {
             return;
         }
-        self.pending.remove(&order.engine);
-        self.roster.mark_changed(&order.engine);
+        self.end_order(now, &order.engine, OrderEnd::Poll);
         self.roster
             .set_layers(&order.engine, order.born, order.range);
     }
@@ -497,7 +532,7 @@
     /// Whether an order is still pending.
     pub(crate) fn is_pending(&self, order: &PlacementOrder) -> bool {
         let pending = self.pending.get(&order.engine);
-        pending.is_some_and(|p| p.born == order.born && p.range == order.range)
+        pending.is_some_and(|p| p.order.born == order.born && p.order.range == order.range)
     }
 
     /// Records that an engine did not answer an order.
@@ -509,6 +544,7 @@
         if let Some(pending) = self.pending.get_mut(engine) {
             pending.expected = false;
             pending.until = now + UNANSWERED_PAUSE;
+            pending.lapse = OrderEnd::Unanswered;
         }
     }
 
@@ -516,6 +552,7 @@
     pub(crate) fn record_refusal(&mut self, now: Time, engine: &str) {
         if let Some(pending) = self.pending.get_mut(engine) {
             pending.until = now + REFUSED_PAUSE;
+            pending.lapse = OrderEnd::Refused;
         }
     }
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -39,6 +39,7 @@
 mod heartbeat;
 pub(crate) mod leader;
 mod measure;
+pub(crate) mod order;
 mod pace;
 mod place;
 mod quarantine;
@@ -314,6 +315,7 @@
         let term = self.leader_info().term?;
         let mut state = self.leader_state();
         state.enter_term(self.now(), term, &self.register);
+        place::report_ended(&mut state);
         Some(state)
     }
 
@@ -403,6 +405,7 @@
         for id in state.tick(now) {
             tracing::warn!(event = event::UPSTREAM_LOST.id, upstream = %id, "no heartbeats");
         }
+        place::report_ended(&mut state);
         let Some(table) = self.routing_table() else {
             return;
         };
--- a/src/controller/place.rs
+++ b/src/controller/place.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::Controller;
-use super::leader::PlacementOrder;
+use super::leader::{LeaderState, PlacementOrder};
 use crate::engine::{call, fetch_report};
 use crate::event;
 use crate::metric;
@@ -119,8 +119,29 @@
                 continue;
             };
             if engine::reported_layers(&report) == Some(order.range) {
-                self.leader_state().complete_order(order);
+                let mut state = self.leader_state();
+                state.complete_order(self.now(), order);
+                report_ended(&mut state);
             }
         }
     }
 }
+
+/// Logs and counts the orders that ended since the last call.
+pub(super) fn report_ended(state: &mut LeaderState) {
+    for ended in state.take_ended() {
+        let cause = ended.cause.name();
+        metrics::counter!(metric::ENDED_ORDERS.name, "cause" => cause).increment(1);
+        tracing::info!(
+            event = event::ORDER_ENDED.id,
+            upstream = %ended.order.engine,
+            address = %ended.order.address,
+            first = ended.order.range.first,
+            end = ended.order.range.end,
+            fence = ended.order.fence,
+            cause,
+            age_ms = ended.age.as_millis() as u64,
+            "order ended"
+        );
+    }
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -65,6 +65,10 @@
 pub(crate) const REQUEST_QUARANTINED: Event = event(309, "request_quarantined");
 /// The quarantine of a request was lifted or expired.
 pub(crate) const QUARANTINE_LIFTED: Event = event(310, "quarantine_lifted");
+/// A layer placement order is no longer pending.
+pub(crate) const ORDER_ENDED: Event = event(311, "order_ended");
+/// A heartbeat was older than the known state.
+pub(crate) const HEARTBEAT_STALE: Event = event(312, "heartbeat_stale");
 /// A request was refused.
 pub(crate) const REQUEST_REFUSED: Event = event(401, "request_refused");
 /// An attempt failed and the request continues on another path.
@@ -148,6 +152,8 @@
     PACE_CHANGED,
     REQUEST_QUARANTINED,
     QUARANTINE_LIFTED,
+    ORDER_ENDED,
+    HEARTBEAT_STALE,
     REQUEST_REFUSED,
     REQUEST_RESUMED,
     REQUEST_FAILED,
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -146,6 +146,7 @@
         event::UPSTREAM_LOST,
         event::UPSTREAM_LEFT,
         event::LAYERS_ORDERED,
+        event::ORDER_ENDED,
         event::LAYERS_MISSING,
     ];
     if !upstream.iter().any(|e| line.has_event(*e)) {
--- a/src/log/rate_limit.rs
+++ b/src/log/rate_limit.rs
@@ -2,8 +2,8 @@
 //!
 //! A failure can make every request log several lines, just when CPU time is
 //! short. Each event therefore has a maximum number of lines per second, lower
-//! for successes than for failures, so that the lines that explain a failure are
-//! kept. Suppressed lines are counted, and the counts are logged.
+//! for routine events than for failures, so that the lines that explain a failure
+//! are kept. Suppressed lines are counted, and the counts are logged.
 
 use std::fmt;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -16,19 +16,20 @@
 use crate::collections::HashMap;
 use crate::event;
 
-/// Maximum lines per second of an event that logs a success. A busy entry instance of the users'
-/// deployments logs about 30.
-const MAX_SUCCESS_LINES: u32 = 200;
+/// Maximum lines per second of a routine event. A busy entry instance of the users' deployments
+/// logs about 30.
+const MAX_ROUTINE_LINES: u32 = 200;
 
 /// Maximum lines per second of any other event.
 const MAX_OTHER_LINES: u32 = 500;
 
-/// Events that log a success.
-const SUCCESS_EVENTS: &[event::Event] = &[
+/// Events that log a success, or a message that came too late.
+const ROUTINE_EVENTS: &[event::Event] = &[
     event::ATTEMPT_SENT,
     event::REQUEST_ANSWERED,
     event::REQUEST_WAITED,
     event::UPSTREAM_JOINED,
+    event::HEARTBEAT_STALE,
 ];
 
 #[derive(Clone, Copy, Debug)]
@@ -57,9 +58,9 @@
 
     /// Counts a line of an event in `second`. Returns whether it may be logged.
     pub(crate) fn allow(&self, event: u64, second: u64) -> bool {
-        let success = SUCCESS_EVENTS.iter().any(|e| u64::from(e.id) == event);
-        let limit = if success {
-            MAX_SUCCESS_LINES
+        let routine = ROUTINE_EVENTS.iter().any(|e| u64::from(e.id) == event);
+        let limit = if routine {
+            MAX_ROUTINE_LINES
         } else {
             MAX_OTHER_LINES
         };
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -71,6 +71,8 @@
 pub(crate) const PENDING_ORDERS: Metric = metric("controller_pending_orders", &[]);
 /// Layer placement orders that were sent.
 pub(crate) const ORDERS: Metric = metric("controller_orders_total", &["status"]);
+/// Layer placement orders that are no longer pending.
+pub(crate) const ENDED_ORDERS: Metric = metric("controller_orders_ended_total", &["cause"]);
 /// Entry instances that report to the leader.
 pub(crate) const ENTRY_INSTANCES: Metric = metric("controller_entries", &[]);
 /// Quarantined requests.
@@ -80,6 +82,9 @@
 
 /// Heartbeats of upstreams that this controller received.
 pub(crate) const HEARTBEATS: Metric = metric("controller_heartbeats_total", &["way"]);
+/// Heartbeats that the leader found older than the known state.
+pub(crate) const STALE_HEARTBEATS: Metric =
+    metric("controller_stale_heartbeats_total", &["reason"]);
 
 /// All metrics, in the order of docs/METRICS.md.
 #[cfg(test)]
@@ -110,10 +115,12 @@
     MISSING_LAYERS,
     PENDING_ORDERS,
     ORDERS,
+    ENDED_ORDERS,
     ENTRY_INSTANCES,
     QUARANTINED_REQUESTS,
     SUSPECT_REQUESTS,
     HEARTBEATS,
+    STALE_HEARTBEATS,
 ];
 
 /// Returns the value of the label `kind` for a retry policy.
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -128,7 +128,29 @@
     /// A heartbeat of a known one.
     Known,
     /// Older than the known state, which stays.
-    Stale,
+    Stale(StaleReason),
+}
+
+/// Why an announcement is older than the known state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StaleReason {
+    /// Its start or sequence number isn't later than the known one.
+    Older,
+    /// This incarnation has left or was replaced.
+    Retired,
+    /// Another upstream holds the address.
+    Superseded,
+}
+
+impl StaleReason {
+    /// Returns the name in log lines and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Older => "older",
+            Self::Retired => "retired",
+            Self::Superseded => "superseded",
+        }
+    }
 }
 
 /// All upstreams that may receive requests.
@@ -162,17 +184,18 @@
 
     /// Applies an announcement of an upstream that is not leaving.
     pub(crate) fn announce(&mut self, now: Time, announcement: Announcement) -> AnnounceOutcome {
-        if self.is_retired(&announcement.id, announcement.born)
-            || self.is_superseded(now, &announcement)
-        {
-            return AnnounceOutcome::Stale;
+        if self.is_retired(&announcement.id, announcement.born) {
+            return AnnounceOutcome::Stale(StaleReason::Retired);
+        }
+        if self.is_superseded(now, &announcement) {
+            return AnnounceOutcome::Stale(StaleReason::Superseded);
         }
         let entry = self.entries.get(&announcement.id);
         let known = entry.map(|e| &e.announcement);
         let fresh = known.is_none_or(|k| k.born < announcement.born);
         if known.is_some_and(|k| (k.born, k.sequence) >= (announcement.born, announcement.sequence))
         {
-            return AnnounceOutcome::Stale;
+            return AnnounceOutcome::Stale(StaleReason::Older);
         }
         let changed = known.is_none_or(|k| is_notable(k, &announcement));
         let pace = entry.filter(|_| !fresh).map_or(1.0, |e| e.pace);
--- a/src/tests/explain.rs
+++ b/src/tests/explain.rs
@@ -7,6 +7,7 @@
 const LINES: &str = r#"
   10.1 core-a {"timestamp":"2026-04-25T18:43:30.000000Z","level":"WARN","message":"no heartbeats","event":305,"upstream":"i-9"}
   10.2 core-a {"timestamp":"2026-04-25T18:43:30.100000Z","level":"INFO","message":"layers ordered","event":306,"upstream":"i-2","address":"10.1.64.22:8446","first":37,"end":53,"fence":2,"status":202}
+  10.2 core-a {"timestamp":"2026-04-25T18:43:31.100000Z","level":"INFO","message":"order ended","event":311,"upstream":"i-2","address":"10.1.64.22:8446","first":37,"end":53,"fence":2,"cause":"poll","age_ms":1010}
   edge-1 {"timestamp":"2026-04-25T18:43:35.450609Z","level":"INFO","message":"sent","event":404,"attempt":"aa","route":"r","upstream":"i-1","path":"10.1.64.11:8446=0-37,10.1.64.22:8446=37-80","left_ms":19999,"version":4}
   edge-1 {"timestamp":"2026-04-25T18:43:36.000000Z","level":"INFO","message":"upstream excluded","event":408,"attempt":"aa","address":"10.1.64.22:8446","cause":"dead_part","left_ms":19000}
   edge-1 {"timestamp":"2026-04-25T18:43:36.000001Z","level":"INFO","message":"attempt failed","event":405,"attempt":"aa","cause":"dead_part","failure":"Unknown","next":"Fail","run":2}
@@ -55,6 +56,10 @@
         rows[0].starts_with("*   -5350 ms  306 layers ordered"),
         "{text}"
     );
-    assert!(rows[1].starts_with("        0 ms  404 sent"), "{text}");
+    assert!(
+        rows[1].starts_with("*   -4350 ms  311 order ended"),
+        "{text}"
+    );
+    assert!(rows[2].starts_with("        0 ms  404 sent"), "{text}");
     assert!(!text.contains("i-9"));
 }
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -16,7 +16,7 @@
 use crate::controller::reports::Reports;
 use crate::entry::view::View;
 use crate::register::{self, Register};
-use crate::roster::{AnnounceOutcome, Announcement, LayerRange, Roster};
+use crate::roster::{AnnounceOutcome, Announcement, LayerRange, Roster, StaleReason};
 use crate::sync::{Load, SyncRequest};
 use crate::voter::StateMachine;
 
@@ -58,7 +58,7 @@
     );
     assert_eq!(
         roster.announce(at(1), announcement("i-1", 1)),
-        AnnounceOutcome::Stale
+        AnnounceOutcome::Stale(StaleReason::Older)
     );
     assert_eq!(
         roster.announce(at(2), announcement("i-1", 3)),
@@ -80,7 +80,10 @@
     assert_eq!(roster.announce(at(10), new), AnnounceOutcome::New);
     assert_eq!(roster.get("i-1").unwrap().announcement.layers, None);
     old.sequence = 41;
-    assert_eq!(roster.announce(at(20), old), AnnounceOutcome::Stale);
+    assert_eq!(
+        roster.announce(at(20), old),
+        AnnounceOutcome::Stale(StaleReason::Older)
+    );
 }
 
 #[test]
@@ -96,7 +99,7 @@
     );
     assert_eq!(
         roster.announce(at(1500), announcement("i-old", 10)),
-        AnnounceOutcome::Stale
+        AnnounceOutcome::Stale(StaleReason::Retired)
     );
     assert_eq!(ids(&roster), ["i-new"]);
 }
@@ -108,7 +111,7 @@
     roster.announce(at(1000), announcement("i-new", 1));
     assert_eq!(
         roster.announce(at(1500), announcement("i-old", 10)),
-        AnnounceOutcome::Stale
+        AnnounceOutcome::Stale(StaleReason::Superseded)
     );
     assert_eq!(ids(&roster), ["i-new"]);
 }
@@ -168,7 +171,7 @@
     leader.enter_term(at(0), 2, &register);
     assert_eq!(
         leader.announce(at(10), announcement("i-1", 12)),
-        AnnounceOutcome::Stale
+        AnnounceOutcome::Stale(StaleReason::Retired)
     );
 }
 
