Let only current heartbeats end an engine's order

What callers saw: while an engine carries out an order to hold other layers, a heartbeat that is older than what the leader knows ended the order. Entry instances were told again that the engine holds the layers that it gives up and sent requests there, which it refuses (421, 503); the planner took it for idle and ordered it again, in the forced order of events to a different range while it still loaded the first; and the end of the load was learned only from a heartbeat, up to 1.2 s later.

Cause: `LeaderState::announce` compared the announcement with the pending order before it asked the roster whether the announcement is stale. A start other than the order's, or the ordered layers, ended the order; the sequence, a retired start and an address that another engine has taken were looked at only afterwards.

Evidence: tests that force the order of events.

Fix: the check and its effects are separated by a type. `Roster::check` returns a `CurrentAnnouncement` or the reason for which an announcement is stale, and both the roster and the orders take only that type, so that an effect before the check doesn't compile. `Roster::refresh` uses the same check before it compares digests: a stale digest is no longer requested in full. It is logged and counted like a stale announcement (312), which it wasn't.

The tests' `refresh` comparisons now name the outcome instead of true or false.

--- a/src/controller/heartbeat.rs
+++ b/src/controller/heartbeat.rs
@@ -13,7 +13,7 @@
 use crate::message::{Answer, Ask, Request};
 use crate::metric;
 use crate::relay::{Heartbeats, HeartbeatsReply};
-use crate::roster::{AnnounceOutcome, Announcement, StaleReason};
+use crate::roster::{AnnounceOutcome, Announcement, RefreshOutcome, StaleReason};
 
 /// Time for which heartbeats are collected before they are forwarded. With 3,000 engines a
 /// follower receives five in it. Changes reach the entry instances later by at most this time.
@@ -77,7 +77,7 @@
             announcement.address,
             announcement.layers,
         );
-        let (born, sequence) = (announcement.born, announcement.sequence);
+        let position = announcement.position();
         let outcome = state.announce(self.now(), announcement);
         place::report_ended(state);
         match outcome {
@@ -89,7 +89,7 @@
                 "upstream joined"
             ),
             AnnounceOutcome::Known => {}
-            AnnounceOutcome::Stale(reason) => report_stale(state, &id, (born, sequence), reason),
+            AnnounceOutcome::Stale(reason) => report_stale(state, &id, position, reason),
         }
     }
 
@@ -145,8 +145,17 @@
             return Answer::NotLeader(self.leader_info().leader.map_or(0, |l| l.0));
         };
         let now = self.now();
-        let unknown = batch.digests.iter().filter(|p| !state.refresh(now, p));
-        let unknown = unknown.map(|p| p.id.clone()).collect();
+        let mut unknown = Vec::new();
+        for digest in &batch.digests {
+            match state.refresh(now, digest) {
+                RefreshOutcome::Applied => {}
+                RefreshOutcome::Unknown => unknown.push(digest.id.clone()),
+                RefreshOutcome::Stale(reason) => {
+                    let position = (digest.born, digest.sequence);
+                    report_stale(&state, &digest.id, position, reason);
+                }
+            }
+        }
         for announcement in batch.full {
             // Incomplete announcements were sent by another release and are ignored.
             if let Some(announcement) = announcement.announcement() {
@@ -157,16 +166,16 @@
     }
 }
 
-/// Logs and counts a stale heartbeat. `start` is its `born` and `sequence`.
-fn report_stale(state: &LeaderState, id: &str, start: (u64, u64), reason: StaleReason) {
+/// Logs and counts a stale heartbeat with this incarnation and sequence number.
+fn report_stale(state: &LeaderState, id: &str, (born, sequence): (u64, u64), reason: StaleReason) {
     let reason = reason.name();
     let known = state.upstream(id).map(|e| &e.announcement);
     metrics::counter!(metric::STALE_HEARTBEATS.name, "reason" => reason).increment(1);
     tracing::info!(
         event = event::HEARTBEAT_STALE.id,
         upstream = id,
-        born = start.0,
-        sequence = start.1,
+        born,
+        sequence,
         known_born = known.map(|k| k.born),
         known_sequence = known.map(|k| k.sequence),
         reason,
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -24,7 +24,8 @@
 use crate::register::{Quarantined, Register, VersionedConfiguration};
 use crate::relay::HeartbeatDigest;
 use crate::roster::{
-    AnnounceOutcome, Announcement, LOST_HEARTBEATS, LayerRange, Roster, RosterEntry,
+    AnnounceOutcome, Announcement, CurrentAnnouncement, LOST_HEARTBEATS, LayerRange,
+    RefreshOutcome, Roster, RosterEntry,
 };
 use crate::sync::{LimitRecord, RosterDelta, SyncReply, SyncRequest, UpstreamRecord, address_key};
 
@@ -163,19 +164,29 @@
         self.departures_seen = count;
     }
 
-    /// Applies an announcement of an upstream that is not leaving.
+    /// Applies an announcement of an upstream that is not leaving, unless it is stale.
     pub(crate) fn announce(&mut self, now: Time, announcement: Announcement) -> AnnounceOutcome {
-        let pending = self.pending.get(&announcement.id);
-        let cause = pending.and_then(|p| {
-            if p.order.born != announcement.born {
-                return Some(OrderEnd::Restarted);
+        match self.roster.check(now, announcement) {
+            Ok(current) => {
+                self.settle_order(now, &current);
+                self.roster.announce(now, current)
             }
-            (announcement.layers == Some(p.order.range)).then_some(OrderEnd::Heartbeat)
-        });
-        if let Some(cause) = cause {
-            self.end_order(now, &announcement.id, cause);
+            Err(reason) => AnnounceOutcome::Stale(reason),
+        }
+    }
+
+    /// Ends the pending order of an engine if its announcement shows that the order was carried
+    /// out, or that the engine has restarted.
+    fn settle_order(&mut self, now: Time, current: &CurrentAnnouncement) {
+        let announcement = current.announcement();
+        let Some(pending) = self.pending.get(&announcement.id) else {
+            return;
+        };
+        if pending.order.born != announcement.born {
+            self.end_order(now, &announcement.id, OrderEnd::Restarted);
+        } else if announcement.layers == Some(pending.order.range) {
+            self.end_order(now, &announcement.id, OrderEnd::Heartbeat);
         }
-        self.roster.announce(now, announcement)
     }
 
     /// Ends the pending order of an engine.
@@ -192,7 +203,7 @@
     }
 
     /// Applies a heartbeat digest; see [`Roster::refresh`].
-    pub(crate) fn refresh(&mut self, now: Time, digest: &HeartbeatDigest) -> bool {
+    pub(crate) fn refresh(&mut self, now: Time, digest: &HeartbeatDigest) -> RefreshOutcome {
         self.roster.refresh(now, digest)
     }
 
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -105,6 +105,26 @@
     pub(crate) layers: Option<LayerRange>,
 }
 
+impl Announcement {
+    /// Orders the heartbeats of an id: its incarnation and sequence number.
+    pub(crate) fn position(&self) -> (u64, u64) {
+        (self.born, self.sequence)
+    }
+}
+
+/// An announcement that [`Roster::check`] found newer than the known state.
+///
+/// Everything that an announcement changes takes this type, so that a stale one changes nothing.
+#[derive(Debug)]
+pub(crate) struct CurrentAnnouncement(Announcement);
+
+impl CurrentAnnouncement {
+    /// Returns the announcement.
+    pub(crate) fn announcement(&self) -> &Announcement {
+        &self.0
+    }
+}
+
 /// One upstream in the roster.
 #[derive(Clone, Debug)]
 pub(crate) struct RosterEntry {
@@ -131,7 +151,18 @@
     Stale(StaleReason),
 }
 
-/// Why an announcement is older than the known state.
+/// Result of applying a heartbeat digest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RefreshOutcome {
+    /// A heartbeat of a known upstream.
+    Applied,
+    /// It differs from the known announcement, so that the full one is needed.
+    Unknown,
+    /// Older than the known state, which stays.
+    Stale(StaleReason),
+}
+
+/// Why a heartbeat is older than the known state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StaleReason {
     /// Its start or sequence number isn't later than the known one.
@@ -182,21 +213,42 @@
         }
     }
 
-    /// Applies an announcement of an upstream that is not leaving.
-    pub(crate) fn announce(&mut self, now: Time, announcement: Announcement) -> AnnounceOutcome {
-        if self.is_retired(&announcement.id, announcement.born) {
-            return AnnounceOutcome::Stale(StaleReason::Retired);
+    /// Checks that an announcement of an upstream that is not leaving is newer than everything
+    /// known of that upstream and of its address.
+    ///
+    /// # Errors
+    ///
+    /// Why it is stale; then it must not have any effect.
+    pub(crate) fn check(
+        &self,
+        now: Time,
+        announcement: Announcement,
+    ) -> Result<CurrentAnnouncement, StaleReason> {
+        if let Some(reason) = self.staleness(&announcement.id, announcement.position()) {
+            return Err(reason);
         }
         if self.is_superseded(now, &announcement) {
-            return AnnounceOutcome::Stale(StaleReason::Superseded);
+            return Err(StaleReason::Superseded);
         }
+        Ok(CurrentAnnouncement(announcement))
+    }
+
+    /// Returns why a heartbeat with this incarnation and sequence number is stale, as far as they
+    /// tell.
+    fn staleness(&self, id: &str, (born, sequence): (u64, u64)) -> Option<StaleReason> {
+        if self.is_retired(id, born) {
+            return Some(StaleReason::Retired);
+        }
+        let known = self.entries.get(id)?.announcement.position();
+        (known >= (born, sequence)).then_some(StaleReason::Older)
+    }
+
+    /// Applies a checked announcement.
+    pub(crate) fn announce(&mut self, now: Time, current: CurrentAnnouncement) -> AnnounceOutcome {
+        let CurrentAnnouncement(announcement) = current;
         let entry = self.entries.get(&announcement.id);
         let known = entry.map(|e| &e.announcement);
         let fresh = known.is_none_or(|k| k.born < announcement.born);
-        if known.is_some_and(|k| (k.born, k.sequence) >= (announcement.born, announcement.sequence))
-        {
-            return AnnounceOutcome::Stale(StaleReason::Older);
-        }
         let changed = known.is_none_or(|k| is_notable(k, &announcement));
         let pace = entry.filter(|_| !fresh).map_or(1.0, |e| e.pace);
         self.evict_holder(&announcement);
@@ -227,21 +279,17 @@
         AnnounceOutcome::New
     }
 
-    /// Applies a heartbeat digest. Returns false if it differs from the known announcement, so
-    /// that the full one is needed.
-    pub(crate) fn refresh(&mut self, now: Time, digest: &HeartbeatDigest) -> bool {
-        if self.is_retired(&digest.id, digest.born) {
-            return true;
+    /// Applies a heartbeat digest.
+    pub(crate) fn refresh(&mut self, now: Time, digest: &HeartbeatDigest) -> RefreshOutcome {
+        if let Some(reason) = self.staleness(&digest.id, (digest.born, digest.sequence)) {
+            return RefreshOutcome::Stale(reason);
         }
         let Some(entry) = self.entries.get_mut(&*digest.id) else {
-            return false;
+            return RefreshOutcome::Unknown;
         };
         let known = &mut entry.announcement;
         if known.born != digest.born || relay::digest(known) != digest.digest {
-            return false;
-        }
-        if known.sequence >= digest.sequence {
-            return true;
+            return RefreshOutcome::Unknown;
         }
         known.sequence = digest.sequence;
         entry.last_heartbeat = now;
@@ -250,7 +298,7 @@
             let id = entry.announcement.id.clone();
             self.changes.note_change(&id);
         }
-        true
+        RefreshOutcome::Applied
     }
 
     /// Whether this incarnation has left or was replaced.
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 
 use super::platform::CONFIGURATION;
-use super::{at, leader};
+use super::{announce, at, leader};
 use crate::configuration::{Model, RetryPolicy};
 use crate::decide::health::{Health, HealthStatus};
 use crate::decide::members::{self, VoterStatus};
@@ -183,7 +183,7 @@
     let mut roster = Roster::new(heartbeat);
     let news = leader::announcement(1, 1, Some((0, 9)));
     let (id, address) = (news.id.clone(), news.address);
-    roster.announce(at(0), news);
+    announce(&mut roster, at(0), news);
     let key = address_key(address);
     let mut health = Health::default();
     let mut lost = None;
--- a/src/tests/decide/pace.rs
+++ b/src/tests/decide/pace.rs
@@ -1,7 +1,7 @@
 //! Tests of slow engines, from their reports to the choice of a path.
 
 use super::super::pool::{self, WORK};
-use super::super::{at, leader};
+use super::super::{announce, at, leader};
 use super::model;
 use crate::decide::load::Loads;
 use crate::decide::pace::{Rotation, significant_change};
@@ -111,14 +111,14 @@
 #[test]
 fn paced_until_new_start() {
     let mut roster = Roster::new(std::time::Duration::from_millis(1200));
-    roster.announce(at(0), announcement(1, 1));
+    announce(&mut roster, at(0), announcement(1, 1));
     assert!(roster.set_pace("i-1", 1, 4.5));
     assert!(!roster.set_pace("i-1", 1, 4.6));
-    roster.announce(at(1200), announcement(1, 2));
+    announce(&mut roster, at(1200), announcement(1, 2));
     let record = UpstreamRecord::new(roster.get("i-1").unwrap(), None);
     assert!((Upstream::from(&record).pace - 4.5).abs() < 1e-6);
     // A delayed report doesn't apply to the next start.
-    roster.announce(at(2400), announcement(2, 1));
+    announce(&mut roster, at(2400), announcement(2, 1));
     assert!(!roster.set_pace("i-1", 1, 9.0));
     let record = UpstreamRecord::new(roster.get("i-1").unwrap(), None);
     assert!((Upstream::from(&record).pace - 1.0).abs() < 1e-6);
--- a/src/tests/decide/suspicion.rs
+++ b/src/tests/decide/suspicion.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use super::super::{at, leader};
+use super::super::{announce, at, leader};
 use crate::collections::HashMap;
 use crate::decide::health::{Health, HealthStatus, may_be_full};
 use crate::decide::stall::{StallTimer, Step};
@@ -46,7 +46,7 @@
 #[test]
 fn suspicion_reaches_all() {
     let mut roster = Roster::new(BEAT);
-    roster.announce(at(0), announcement(1));
+    announce(&mut roster, at(0), announcement(1));
     let witnesses = |count: usize| -> HashMap<_, _> {
         [(announcement(1).address, count)].into_iter().collect()
     };
@@ -57,7 +57,7 @@
     assert!(is_suspected(&roster));
     assert!(roster.changes().revision() > before);
     // Its next heartbeat clears the suspicion.
-    roster.announce(at(1200), announcement(2));
+    announce(&mut roster, at(1200), announcement(2));
     roster.tick(at(1250), &witnesses(4));
     assert!(!is_suspected(&roster));
     // An engine that no instance suspects any longer may be tried again.
--- a/src/tests/leader.rs
+++ b/src/tests/leader.rs
@@ -12,9 +12,9 @@
 use crate::roster::{Announcement, LayerRange};
 use crate::voter::StateMachine;
 
-const HEARTBEAT: Duration = Duration::from_millis(1200);
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(1200);
 
-fn configuration() -> Configuration {
+pub(super) fn configuration() -> Configuration {
     decode(CONFIGURATION.as_bytes()).unwrap()
 }
 
@@ -34,7 +34,7 @@
 }
 
 /// Engines, by host, and their layers: all layers are held, the first two ranges twice.
-const ENGINES: [(u8, (u32, u32)); 5] = [
+pub(super) const ENGINES: [(u8, (u32, u32)); 5] = [
     (1, (0, 27)),
     (2, (27, 54)),
     (3, (54, 80)),
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Unit tests of the crate's modules, one file per module.
 
 use crate::clock::Time;
+use crate::roster::{AnnounceOutcome, Announcement, Roster};
 
 mod answer;
 mod auth;
@@ -22,6 +23,7 @@
 mod lifecycle;
 mod limit;
 mod metric;
+mod order;
 mod peer;
 mod platform;
 mod pool;
@@ -41,3 +43,11 @@
 fn at(millis: u64) -> Time {
     Time(millis * 1000)
 }
+
+/// Applies an announcement to a roster, unless it is stale.
+fn announce(roster: &mut Roster, now: Time, announcement: Announcement) -> AnnounceOutcome {
+    match roster.check(now, announcement) {
+        Ok(current) => roster.announce(now, current),
+        Err(reason) => AnnounceOutcome::Stale(reason),
+    }
+}
--- /dev/null
+++ b/src/tests/order.rs
@@ -0,0 +1,229 @@
+//! Tests of what heartbeats, polls and answers of engines change in the pending orders of the
+//! leading controller.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use super::at;
+use super::leader::{ENGINES, HEARTBEAT, announcement, configuration};
+use crate::controller::leader::{LeaderState, PlacementOrder};
+use crate::register::{self, Register, RegisterMachine};
+use crate::relay::{FullHeartbeat, HeartbeatDigest};
+use crate::roster::{AnnounceOutcome, Announcement, LayerRange, RefreshOutcome, StaleReason};
+use crate::sync::{SyncRequest, UpstreamRecord};
+use crate::voter::StateMachine;
+
+/// Start of all engines of an [`Ordered`].
+const BORN: u64 = 5;
+
+/// An engine that was just ordered to give up all its layers and to load others.
+struct Ordered {
+    leader: LeaderState,
+    register: Register,
+    machine: RegisterMachine,
+    order: PlacementOrder,
+    /// Latest announcement of the engine.
+    latest: Announcement,
+}
+
+impl Ordered {
+    /// Time of the order.
+    const START: u64 = 12_100;
+
+    fn new() -> Self {
+        let (register, mut machine) = Register::new();
+        let mut leader = LeaderState::new(HEARTBEAT);
+        leader.enter_term(at(0), 1, &register);
+        let mut latest = Vec::new();
+        for (sequence, now) in (1..).zip((0..=12_000).step_by(1200)) {
+            let heartbeat = |(host, layers)| Announcement {
+                born: BORN,
+                ..announcement(host, sequence, Some(layers))
+            };
+            latest = ENGINES.map(heartbeat).to_vec();
+            for announcement in &latest {
+                leader.announce(at(now), announcement.clone());
+            }
+            leader.tick(at(now));
+        }
+        machine.apply(1, &register::depart("i-3", BORN));
+        leader.enter_term(at(Self::START), 1, &register);
+        let orders = leader.orders(at(Self::START), &configuration());
+        let find = |o: &PlacementOrder| latest.iter().find(|a| a.id == o.engine).cloned();
+        let released = |(o, a): &(PlacementOrder, Announcement)| {
+            a.layers.is_some_and(|l| l.intersection(o.range).is_none())
+        };
+        let mut moved = orders
+            .into_iter()
+            .filter_map(|o| Some((o.clone(), find(&o)?)));
+        let (order, latest) = moved.find(released).unwrap();
+        Self {
+            leader,
+            register,
+            machine,
+            order,
+            latest,
+        }
+    }
+
+    /// Returns the latest announcement with the ordered layers.
+    fn loaded(&self) -> Announcement {
+        Announcement {
+            layers: Some(self.order.range),
+            ..self.latest.clone()
+        }
+    }
+
+    /// Returns the layers of the engine that entry instances are told.
+    fn shown(&mut self, now: u64) -> Option<LayerRange> {
+        let ask = SyncRequest::default();
+        let (leader, register) = (&mut self.leader, &self.register);
+        let reply = leader.sync(at(now), ask, Duration::ZERO, None, register);
+        let upstreams = reply.roster.unwrap().upstreams;
+        let of_engine = |u: &&UpstreamRecord| *u.id == *self.order.engine;
+        upstreams.iter().find(of_engine).unwrap().range()
+    }
+
+    /// Returns the orders to the engine that are due now.
+    fn further_orders(&mut self, now: u64) -> Vec<PlacementOrder> {
+        let mut orders = self.leader.orders(at(now), &configuration());
+        orders.retain(|o| o.engine == self.order.engine);
+        orders
+    }
+}
+
+#[rstest]
+#[case::older_sequence(|o: &Ordered| Announcement { sequence: 3, ..o.loaded() })]
+#[case::same_sequence(Ordered::loaded)]
+#[case::older_start(|o: &Ordered| Announcement { born: 4, sequence: 900, ..o.latest.clone() })]
+#[case::older_start_loaded(|o: &Ordered| Announcement { born: 4, sequence: 900, ..o.loaded() })]
+#[case::older_start_empty(|o: &Ordered| Announcement {
+    born: 4,
+    sequence: 900,
+    layers: None,
+    ..o.latest.clone()
+})]
+#[case::known(|o: &Ordered| o.latest.clone())]
+fn announce_stale_keeps_order(#[case] late: fn(&Ordered) -> Announcement) {
+    // Guards against a late heartbeat that ends the order of an engine: requests were sent to the
+    // layers that the engine releases, and it was ordered again while it loaded.
+    let mut o = Ordered::new();
+    let late = late(&o);
+    assert_eq!(
+        o.leader.announce(at(12_200), late),
+        AnnounceOutcome::Stale(StaleReason::Older)
+    );
+    assert_order_stands(&mut o);
+}
+
+/// Asserts that an order is in force 200 ms after it was issued.
+#[track_caller]
+fn assert_order_stands(o: &mut Ordered) {
+    let pending = o.leader.is_pending(&o.order);
+    let shown = o.shown(12_300);
+    let further = o.further_orders(12_300);
+    assert_eq!(
+        (pending, shown, further),
+        (true, None, vec![]),
+        "pending, layers shown, further orders to {}",
+        o.order.engine
+    );
+}
+
+#[test]
+fn announce_retired_keeps_order() {
+    // Guards against a late heartbeat of a start that has left, which ended the order of the next
+    // start with the same id.
+    let mut o = Ordered::new();
+    o.machine.apply(2, &register::depart(&o.order.engine, 4));
+    o.leader.enter_term(at(12_150), 1, &o.register);
+    let late = Announcement {
+        born: 4,
+        sequence: 900,
+        ..o.latest.clone()
+    };
+    assert_eq!(
+        o.leader.announce(at(12_200), late),
+        AnnounceOutcome::Stale(StaleReason::Retired)
+    );
+    assert_order_stands(&mut o);
+}
+
+#[rstest]
+#[case::established(BORN, 900)]
+#[case::older_than_holder(BORN + 1, 1)]
+fn announce_superseded_keeps_order(#[case] born: u64, #[case] sequence: u64) {
+    // Guards against a late heartbeat from an address that another engine has taken, which ended
+    // the order of an engine with the same id.
+    let mut o = Ordered::new();
+    let holder = Announcement {
+        born: BORN + 2,
+        ..announcement(9, 1, None)
+    };
+    o.leader.announce(at(12_150), holder.clone());
+    let late = Announcement {
+        born,
+        sequence,
+        address: holder.address,
+        ..o.loaded()
+    };
+    assert_eq!(
+        o.leader.announce(at(12_200), late),
+        AnnounceOutcome::Stale(StaleReason::Superseded)
+    );
+    assert_order_stands(&mut o);
+}
+
+#[test]
+fn refresh_stale_keeps_order() {
+    // Guards against a late forwarded heartbeat whose announcement the leader requests in full:
+    // it ended the order like one that the engine itself sends.
+    let mut o = Ordered::new();
+    let late = Announcement {
+        born: 4,
+        sequence: 900,
+        ..o.latest.clone()
+    };
+    let outcome = o.leader.refresh(at(12_180), &HeartbeatDigest::from(&late));
+    if outcome == RefreshOutcome::Unknown {
+        let full = FullHeartbeat::from(&late).announcement().unwrap();
+        o.leader.announce(at(12_200), full);
+    }
+    assert_order_stands(&mut o);
+}
+
+#[rstest]
+#[case::loaded(Ordered::loaded, AnnounceOutcome::Known)]
+#[case::restarted(|o: &Ordered| Announcement {
+    born: BORN + 1,
+    sequence: 0,
+    layers: None,
+    ..o.latest.clone()
+}, AnnounceOutcome::New)]
+fn announce_current_ends_order(
+    #[case] next: fn(&Ordered) -> Announcement,
+    #[case] outcome: AnnounceOutcome,
+) {
+    // Guards against an order that outlasts its execution or its engine's start: the engine
+    // would get no further order until it expires.
+    let mut o = Ordered::new();
+    let mut next = next(&o);
+    next.sequence += 1;
+    let layers = next.layers;
+    assert_eq!(o.leader.announce(at(12_200), next), outcome);
+    assert!(!o.leader.is_pending(&o.order));
+    assert_eq!(o.shown(12_300), layers);
+}
+
+#[test]
+fn announce_loading_keeps_order() {
+    // Guards against a second order to an engine that still loads for the first.
+    let mut o = Ordered::new();
+    let next = Announcement {
+        sequence: o.latest.sequence + 1,
+        ..o.latest.clone()
+    };
+    assert_eq!(o.leader.announce(at(12_200), next), AnnounceOutcome::Known);
+    assert_order_stands(&mut o);
+}
--- a/src/tests/relay.rs
+++ b/src/tests/relay.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use super::{at, leader};
+use super::{announce, at, leader};
 use crate::clock::Time;
 use crate::collections::HashMap;
 use crate::relay::{FullHeartbeat, HeartbeatDigest, Heartbeats, HeartbeatsReply, Relay, digest};
-use crate::roster::{AnnounceOutcome, Announcement, LayerRange, Roster};
+use crate::roster::{
+    AnnounceOutcome, Announcement, LayerRange, RefreshOutcome, Roster, StaleReason,
+};
 
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 
@@ -16,14 +18,15 @@
 
 /// Applies a batch as the leader does.
 fn apply_batch(roster: &mut Roster, now: Time, batch: Heartbeats) -> HeartbeatsReply {
-    let unknown = batch.digests.iter().filter(|p| !roster.refresh(now, p));
+    let mut unknown = |p: &&HeartbeatDigest| roster.refresh(now, p) == RefreshOutcome::Unknown;
+    let unknown = batch.digests.iter().filter(&mut unknown);
     let unknown = unknown.map(|p| p.id.clone()).collect();
     let announcements = batch
         .full
         .into_iter()
         .filter_map(FullHeartbeat::announcement);
     for announcement in announcements {
-        roster.announce(now, announcement);
+        announce(roster, now, announcement);
     }
     HeartbeatsReply { unknown }
 }
@@ -105,35 +108,42 @@
     // An engine releases layers. If the digest of its changed announcement matched the old one,
     // requests would still be sent to layers that it refuses.
     let mut roster = Roster::new(HEARTBEAT);
-    roster.announce(at(0), announcement(1, 1));
+    announce(&mut roster, at(0), announcement(1, 1));
     let mut changed = announcement(1, 2);
     changed.layers = Some(LayerRange::new(3, 5));
-    assert!(!roster.refresh(at(100), &HeartbeatDigest::from(&changed)));
+    let outcome = roster.refresh(at(100), &HeartbeatDigest::from(&changed));
+    assert_eq!(outcome, RefreshOutcome::Unknown);
     assert_eq!(roster.get("i-1").unwrap().last_heartbeat, at(0));
-    assert_eq!(roster.announce(at(100), changed), AnnounceOutcome::Known);
+    assert_eq!(
+        announce(&mut roster, at(100), changed),
+        AnnounceOutcome::Known
+    );
 }
 
 #[test]
 fn refresh_old_or_retired() {
     let mut roster = Roster::new(HEARTBEAT);
-    roster.announce(at(0), announcement(1, 4));
+    announce(&mut roster, at(0), announcement(1, 4));
     // A delayed heartbeat does not show that the upstream is live now.
-    assert!(roster.refresh(at(900), &HeartbeatDigest::from(&announcement(1, 3))));
+    let outcome = roster.refresh(at(900), &HeartbeatDigest::from(&announcement(1, 3)));
+    assert_eq!(outcome, RefreshOutcome::Stale(StaleReason::Older));
     assert_eq!(roster.get("i-1").unwrap().last_heartbeat, at(0));
     // An upstream that has left does not return.
     roster.retire(&"i-1".into(), 0);
-    assert!(roster.refresh(at(1000), &HeartbeatDigest::from(&announcement(1, 5))));
+    let outcome = roster.refresh(at(1000), &HeartbeatDigest::from(&announcement(1, 5)));
+    assert_eq!(outcome, RefreshOutcome::Stale(StaleReason::Retired));
     assert!(roster.get("i-1").is_none());
 }
 
 #[test]
 fn refresh_late() {
     let mut roster = Roster::new(HEARTBEAT);
-    roster.announce(at(0), announcement(1, 1));
+    announce(&mut roster, at(0), announcement(1, 1));
     roster.tick(at(3_000), &HashMap::default());
     assert!(roster.get("i-1").unwrap().late);
     let before = roster.changes().revision();
-    assert!(roster.refresh(at(3_100), &HeartbeatDigest::from(&announcement(1, 2))));
+    let outcome = roster.refresh(at(3_100), &HeartbeatDigest::from(&announcement(1, 2)));
+    assert_eq!(outcome, RefreshOutcome::Applied);
     assert!(!roster.get("i-1").unwrap().late);
     assert!(roster.changes().revision() > before);
 }
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::at;
+use super::{announce, at};
 use crate::clock::Time;
 use crate::collections::HashMap;
 use crate::controller::leader::LeaderState;
@@ -53,15 +53,15 @@
 fn announce_old_sequence() {
     let mut roster = Roster::new(HEARTBEAT);
     assert_eq!(
-        roster.announce(at(0), announcement("i-1", 2)),
+        announce(&mut roster, at(0), announcement("i-1", 2)),
         AnnounceOutcome::New
     );
     assert_eq!(
-        roster.announce(at(1), announcement("i-1", 1)),
+        announce(&mut roster, at(1), announcement("i-1", 1)),
         AnnounceOutcome::Stale(StaleReason::Older)
     );
     assert_eq!(
-        roster.announce(at(2), announcement("i-1", 3)),
+        announce(&mut roster, at(2), announcement("i-1", 3)),
         AnnounceOutcome::Known
     );
 }
@@ -74,14 +74,14 @@
     let mut old = announcement("i-1", 40);
     old.born = 1000;
     old.layers = Some(LayerRange::new(0, 7));
-    roster.announce(at(0), old.clone());
+    announce(&mut roster, at(0), old.clone());
     let mut new = announcement("i-1", 1);
     new.born = 2000;
-    assert_eq!(roster.announce(at(10), new), AnnounceOutcome::New);
+    assert_eq!(announce(&mut roster, at(10), new), AnnounceOutcome::New);
     assert_eq!(roster.get("i-1").unwrap().announcement.layers, None);
     old.sequence = 41;
     assert_eq!(
-        roster.announce(at(20), old),
+        announce(&mut roster, at(20), old),
         AnnounceOutcome::Stale(StaleReason::Older)
     );
 }
@@ -92,13 +92,13 @@
     // registered at its address. If it were applied, every request to the address would name the
     // wrong engine.
     let mut roster = Roster::new(HEARTBEAT);
-    roster.announce(at(0), announcement("i-old", 9));
+    announce(&mut roster, at(0), announcement("i-old", 9));
     assert_eq!(
-        roster.announce(at(1000), announcement("i-new", 1)),
+        announce(&mut roster, at(1000), announcement("i-new", 1)),
         AnnounceOutcome::New
     );
     assert_eq!(
-        roster.announce(at(1500), announcement("i-old", 10)),
+        announce(&mut roster, at(1500), announcement("i-old", 10)),
         AnnounceOutcome::Stale(StaleReason::Retired)
     );
     assert_eq!(ids(&roster), ["i-new"]);
@@ -108,9 +108,9 @@
 fn announce_delayed_unknown() {
     // The same, with a new leader that does not know the old engine.
     let mut roster = Roster::new(HEARTBEAT);
-    roster.announce(at(1000), announcement("i-new", 1));
+    announce(&mut roster, at(1000), announcement("i-new", 1));
     assert_eq!(
-        roster.announce(at(1500), announcement("i-old", 10)),
+        announce(&mut roster, at(1500), announcement("i-old", 10)),
         AnnounceOutcome::Stale(StaleReason::Superseded)
     );
     assert_eq!(ids(&roster), ["i-new"]);
@@ -119,12 +119,12 @@
 #[test]
 fn tick_silent() {
     let mut roster = Roster::new(HEARTBEAT);
-    roster.announce(at(0), announcement("i-1", 1));
+    announce(&mut roster, at(0), announcement("i-1", 1));
     assert!(roster.tick(at(2600), &no_suspects()).is_empty());
     assert!(!roster.get("i-1").unwrap().late);
     roster.tick(at(2700), &no_suspects());
     assert!(roster.get("i-1").unwrap().late);
-    roster.announce(at(2800), announcement("i-1", 2));
+    announce(&mut roster, at(2800), announcement("i-1", 2));
     assert!(!roster.get("i-1").unwrap().late);
     assert_eq!(roster.tick(at(7700), &no_suspects()).len(), 1);
     assert!(ids(&roster).is_empty());
@@ -229,7 +229,7 @@
     roster.retire(&id, 5);
     let mut again = announcement("i-1", 1);
     again.born = 6;
-    assert_eq!(roster.announce(at(0), again), AnnounceOutcome::New);
+    assert_eq!(announce(&mut roster, at(0), again), AnnounceOutcome::New);
 }
 
 #[test]
@@ -268,7 +268,7 @@
     // but if two instances suspect the engine, waiting that long would stall all requests to it
     // and leave its layers missing.
     let mut roster = Roster::new(HEARTBEAT);
-    roster.announce(at(0), announcement("i-1", 1));
+    announce(&mut roster, at(0), announcement("i-1", 1));
     let address = roster.get("i-1").unwrap().announcement.address;
     let one = HashMap::from_iter([(address, 1)]);
     let two = HashMap::from_iter([(address, 2)]);
