Keep reported layers over heartbeats that were sent before

What callers saw: the leader learns from an engine's report that an order is carried out. A heartbeat that the engine sent before that, but that arrives afterwards, took the layers back: instances sent requests to layers that the engine no longer holds (421) and not to those that it holds, the gap was open again, and the engine was ordered once more, to another range if the plan had changed meanwhile.

Cause: reports and heartbeats have no common order. The sequence number tells only heartbeats apart, and the late one has the highest so far. A heartbeat that is late by the report's age and a poll interval suffices: one that a controller forwards in two rounds, or of which a packet was lost.

Evidence: `announce_older_than_completion` forces the order of events. On the roster and the reply to instances go back from layers 64 to 80 to 0 to 27, and the engine is ordered to load 66 to 80. Moving the check for stale heartbeats up doesn't change that (trial): this one isn't stale by its sequence.

Fix: the roster keeps which layers a report replaced. A heartbeat that lists just these, or the part of them that was kept while loading, is taken with the reported layers, until one lists others or for as long as a heartbeat may be delayed before its engine counts as late. `Roster::check` does it, so that a pending order isn't ended by such layers either.

The cases of `announce_after_completion` bound this: a third range, a restart, a heartbeat after one that confirmed the report, and one that comes later are believed at once.

--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -537,7 +537,7 @@
         }
         self.end_order(now, &order.engine, OrderEnd::Poll);
         self.roster
-            .set_layers(&order.engine, order.born, order.range);
+            .set_layers(now, &order.engine, order.born, order.range);
     }
 
     /// Whether an order is still pending.
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -114,14 +114,19 @@
 
 /// An announcement that [`Roster::check`] found newer than the known state.
 ///
+/// Its layers are the known ones if the announcement was sent before the upstream reported them.
 /// Everything that an announcement changes takes this type, so that a stale one changes nothing.
 #[derive(Debug)]
-pub(crate) struct CurrentAnnouncement(Announcement);
+pub(crate) struct CurrentAnnouncement {
+    announcement: Announcement,
+    /// Kept until an announcement was sent after the report.
+    replaced: Option<ReplacedLayers>,
+}
 
 impl CurrentAnnouncement {
     /// Returns the announcement.
     pub(crate) fn announcement(&self) -> &Announcement {
-        &self.0
+        &self.announcement
     }
 }
 
@@ -138,6 +143,28 @@
     pub(crate) pace: f64,
     /// Whether several instances failed to reach it.
     pub(crate) suspected: bool,
+    /// Layers that the upstream has replaced by those in `announcement`, according to itself.
+    replaced: Option<ReplacedLayers>,
+}
+
+/// Layers that an upstream held before it reported others.
+///
+/// A heartbeat that it sent before may still arrive and list them, or those of them that it kept
+/// while it loaded. If that were believed, requests would be sent to layers that it no longer
+/// holds, and it would be ordered to load the others again.
+#[derive(Clone, Copy, Debug)]
+struct ReplacedLayers {
+    before: Option<LayerRange>,
+    kept: Option<LayerRange>,
+    /// Time until which a heartbeat sent before may arrive.
+    until: Time,
+}
+
+impl ReplacedLayers {
+    /// Whether a heartbeat that arrives at `now` with `layers` was sent before the report.
+    fn precede(&self, now: Time, layers: Option<LayerRange>) -> bool {
+        now < self.until && (layers == self.before || layers == self.kept)
+    }
 }
 
 /// Result of applying an announcement.
@@ -222,7 +249,7 @@
     pub(crate) fn check(
         &self,
         now: Time,
-        announcement: Announcement,
+        mut announcement: Announcement,
     ) -> Result<CurrentAnnouncement, StaleReason> {
         if let Some(reason) = self.staleness(&announcement.id, announcement.position()) {
             return Err(reason);
@@ -230,7 +257,18 @@
         if self.is_superseded(now, &announcement) {
             return Err(StaleReason::Superseded);
         }
-        Ok(CurrentAnnouncement(announcement))
+        let entry = self.entries.get(&announcement.id);
+        let entry = entry.filter(|e| e.announcement.born == announcement.born);
+        let replaced = entry
+            .and_then(|e| e.replaced)
+            .filter(|r| r.precede(now, announcement.layers));
+        if let Some(entry) = entry.filter(|_| replaced.is_some()) {
+            announcement.layers = entry.announcement.layers;
+        }
+        Ok(CurrentAnnouncement {
+            announcement,
+            replaced,
+        })
     }
 
     /// Returns why a heartbeat with this incarnation and sequence number is stale, as far as they
@@ -245,7 +283,10 @@
 
     /// Applies a checked announcement.
     pub(crate) fn announce(&mut self, now: Time, current: CurrentAnnouncement) -> AnnounceOutcome {
-        let CurrentAnnouncement(announcement) = current;
+        let CurrentAnnouncement {
+            announcement,
+            replaced,
+        } = current;
         let entry = self.entries.get(&announcement.id);
         let known = entry.map(|e| &e.announcement);
         let fresh = known.is_none_or(|k| k.born < announcement.born);
@@ -257,6 +298,7 @@
             late: false,
             suspected: false,
             pace,
+            replaced,
             announcement,
         };
         let id = entry.announcement.id.clone();
@@ -334,18 +376,26 @@
         }
     }
 
-    /// Sets the layers of an incarnation, learned from another source than its heartbeats.
-    pub(crate) fn set_layers(&mut self, id: &str, born: u64, range: LayerRange) {
+    /// Sets the layers that an incarnation reported at `now`, other than in a heartbeat.
+    pub(crate) fn set_layers(&mut self, now: Time, id: &str, born: u64, range: LayerRange) {
         let entry = self
             .entries
             .get_mut(id)
             .filter(|e| e.announcement.born == born);
         let Some(entry) = entry else { return };
-        if entry.announcement.layers != Some(range) {
-            entry.announcement.layers = Some(range);
-            let id = entry.announcement.id.clone();
-            self.changes.note_change(&id);
+        let before = entry.announcement.layers;
+        if before == Some(range) {
+            return;
         }
+        entry.announcement.layers = Some(range);
+        entry.replaced = Some(ReplacedLayers {
+            before,
+            kept: before.and_then(|b| b.intersection(range)),
+            // A heartbeat that is delayed for longer makes the upstream late.
+            until: now + self.heartbeat.mul_f64(LATE_HEARTBEATS),
+        });
+        let id = entry.announcement.id.clone();
+        self.changes.note_change(&id);
     }
 
     /// Sets the pace of an incarnation. Returns whether it changed enough to notify instances.
--- a/src/tests/order.rs
+++ b/src/tests/order.rs
@@ -227,3 +227,64 @@
     assert_eq!(o.leader.announce(at(12_200), next), AnnounceOutcome::Known);
     assert_order_stands(&mut o);
 }
+
+/// An engine that reported the layers that it was ordered to load at 14,000.
+fn completed() -> Ordered {
+    let mut o = Ordered::new();
+    o.leader.complete_order(at(14_000), &o.order);
+    assert_eq!(o.shown(14_000), Some(o.order.range));
+    o
+}
+
+#[test]
+fn announce_older_than_completion() {
+    // Guards against a heartbeat that was sent before the engine had loaded its layers, and that
+    // arrives after the leader learned that from the engine itself: requests were sent to layers
+    // that the engine no longer holds, and it was ordered again.
+    let mut o = completed();
+    let late = Announcement {
+        sequence: o.latest.sequence + 1,
+        ..o.latest.clone()
+    };
+    let wanted = o.leader.refresh(at(14_050), &HeartbeatDigest::from(&late));
+    let outcome = o.leader.announce(at(14_100), late);
+    let known = o.leader.upstream(&o.order.engine).unwrap();
+    let known = known.announcement.layers;
+    let shown = o.shown(14_100);
+    let further = o.further_orders(14_200);
+    assert_eq!(
+        (known, shown, further),
+        (Some(o.order.range), Some(o.order.range), vec![]),
+        "known, shown, further orders; digest {wanted:?}, {outcome:?}"
+    );
+}
+
+#[rstest]
+#[case::other_layers(14_100, 1, BORN, |_: &Ordered| Some(LayerRange::new(27, 40)))]
+#[case::restarted(14_100, 1, BORN + 1, |_: &Ordered| None)]
+#[case::confirmed_before(14_100, 2, BORN, |o: &Ordered| o.latest.layers)]
+#[case::much_later(17_000, 1, BORN, |o: &Ordered| o.latest.layers)]
+fn announce_after_completion(
+    #[case] now: u64,
+    #[case] sequence: u64,
+    #[case] born: u64,
+    #[case] layers: fn(&Ordered) -> Option<LayerRange>,
+) {
+    // Guards against a leader that stays with the layers that it learned from the engine itself.
+    // A former order may be carried out late, and an engine that restarts holds no layers.
+    let mut o = completed();
+    let next = |sequence, born, layers| Announcement {
+        sequence: o.latest.sequence + sequence,
+        born,
+        layers,
+        ..o.latest.clone()
+    };
+    let (layers, ordered) = (layers(&o), Some(o.order.range));
+    let confirming = next(1, BORN, ordered);
+    let next = next(sequence, born, layers);
+    if sequence > 1 {
+        o.leader.announce(at(14_050), confirming);
+    }
+    o.leader.announce(at(now), next);
+    assert_eq!(o.shown(now), layers);
+}
