Match answers and polls to the order that they belong to

What callers saw: an answer to an order that comes after the engine got its next one changed the wait of that one. A late refusal ended it after 0.7 s, so that the engine was ordered again while it loaded; a missing answer made the layers that it loads count as missing, so that another engine loaded them too, and its own order ended after 2 s. Callers wait for two loads, and for a path that is away for longer.

Cause: `record_refusal` and `record_unanswered` went by the engine's id alone, `is_pending` and `complete_order` by start and range. An answer may take 600 ms; an engine that restarts, or an order that expires while its controller is paused, gets the next order before that.

Evidence: tests that force the order of events. On `record_refusal_former_order`, `record_unanswered_former_order`, `record_refusal_expired_order` and `is_pending_former_term` fail: the present order no longer pending at 0.8 and 2.1 s, its range ordered from a second engine, and a former term's order taken for an equal one of this term. The third shows that start and range don't tell two orders apart.

Fix: an order has a number in its term, and everything that an answer or a poll changes goes through a comparison with the whole order.

The same elsewhere: the state of a deposed leader keeps its pending orders until it leads again, so its tasks polled their engines all that time, with permits that the next term's orders lack. They now end with the term (found by reading; no test forces it).

--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -64,6 +64,8 @@
     pub(crate) range: LayerRange,
     /// Term of the leader that issued the order.
     pub(crate) fence: u64,
+    /// Number of the order among those of its term, so that two equal ones are told apart.
+    pub(crate) number: u64,
 }
 
 /// An engine to query for its pace.
@@ -123,6 +125,8 @@
     /// Orders by engine. Each change marks the upstream as changed in the roster, since
     /// instances see the layers that an engine retains, not those that it holds.
     pending: HashMap<Arc<str>, PendingOrder>,
+    /// Number of the latest order of this term.
+    last_order: u64,
     /// Orders that ended since the controller last took them.
     ended: Vec<EndedOrder>,
 }
@@ -141,6 +145,7 @@
             crashes: Crashes::default(),
             rate_limiter: RateLimiter::default(),
             pending: HashMap::default(),
+            last_order: 0,
             ended: Vec::new(),
         }
     }
@@ -404,9 +409,11 @@
         // that belong on the fastest one.
         let models = configuration.models();
         let models = models.filter(|(s, _)| settled || self.holds_layers(s));
-        let orders: Vec<PlacementOrder> =
+        let mut orders: Vec<PlacementOrder> =
             models.flat_map(|(s, m)| self.plan_orders(s, m)).collect();
-        for order in &orders {
+        for order in &mut orders {
+            self.last_order += 1;
+            order.number = self.last_order;
             let pending = PendingOrder {
                 order: order.clone(),
                 issued: now,
@@ -445,6 +452,7 @@
                 address: announcement.address,
                 range: m.range,
                 fence: self.term,
+                number: 0,
             }
         });
         orders.collect()
@@ -543,7 +551,13 @@
     /// Whether an order is still pending.
     pub(crate) fn is_pending(&self, order: &PlacementOrder) -> bool {
         let pending = self.pending.get(&order.engine);
-        pending.is_some_and(|p| p.order.born == order.born && p.order.range == order.range)
+        pending.is_some_and(|p| p.order == *order)
+    }
+
+    /// Returns an order if it is still pending. An answer may come after its order was replaced.
+    fn pending_mut(&mut self, order: &PlacementOrder) -> Option<&mut PendingOrder> {
+        let pending = self.pending.get_mut(&order.engine);
+        pending.filter(|p| p.order == *order)
     }
 
     /// Records that an engine did not answer an order.
@@ -551,8 +565,8 @@
     /// It may still carry it out, so it gets no new requests for layers that it would release,
     /// and no other order for a while. The layers that it was to load count as missing, so
     /// another engine may load them.
-    pub(crate) fn record_unanswered(&mut self, now: Time, engine: &str) {
-        if let Some(pending) = self.pending.get_mut(engine) {
+    pub(crate) fn record_unanswered(&mut self, now: Time, order: &PlacementOrder) {
+        if let Some(pending) = self.pending_mut(order) {
             pending.expected = false;
             pending.until = now + UNANSWERED_PAUSE;
             pending.lapse = OrderEnd::Unanswered;
@@ -560,8 +574,8 @@
     }
 
     /// Records that an engine refused an order. It may get another one soon.
-    pub(crate) fn record_refusal(&mut self, now: Time, engine: &str) {
-        if let Some(pending) = self.pending.get_mut(engine) {
+    pub(crate) fn record_refusal(&mut self, now: Time, order: &PlacementOrder) {
+        if let Some(pending) = self.pending_mut(order) {
             pending.until = now + REFUSED_PAUSE;
             pending.lapse = OrderEnd::Refused;
         }
--- a/src/controller/place.rs
+++ b/src/controller/place.rs
@@ -55,10 +55,7 @@
         let Ok(permit) = self.engine_calls.orders.acquire().await else {
             return;
         };
-        // While it waited, the order or the term may have expired: a deposed leader would go on
-        // sending orders with an outdated fence.
-        let leads = self.leader_info().term == Some(order.fence);
-        if !leads || !self.leader_state().is_pending(&order) {
+        if !self.is_due(&order) {
             return;
         }
         let may_run = self.send_order(&order).await;
@@ -68,6 +65,14 @@
         }
     }
 
+    /// Whether an order is still pending in the term in which it was issued. The state of a deposed
+    /// leader keeps its orders until it leads again: it would send them with an outdated fence and
+    /// poll their engines without end.
+    fn is_due(&self, order: &PlacementOrder) -> bool {
+        let leads = self.leader_info().term == Some(order.fence);
+        leads && self.leader_state().is_pending(order)
+    }
+
     /// Sends an order and records the answer. Returns whether the engine may carry it out.
     async fn send_order(&self, order: &PlacementOrder) -> bool {
         let body = Bytes::from(engine::placement_order(order.range, order.fence));
@@ -84,12 +89,8 @@
         let accepted = engine::is_accepted(status);
         match status {
             Some(_) if accepted => {}
-            Some(_) => self
-                .leader_state()
-                .record_refusal(self.now(), &order.engine),
-            None => self
-                .leader_state()
-                .record_unanswered(self.now(), &order.engine),
+            Some(_) => self.leader_state().record_refusal(self.now(), order),
+            None => self.leader_state().record_unanswered(self.now(), order),
         }
         let label = status.map_or("none".to_owned(), |s| s.as_u16().to_string());
         metrics::counter!(metric::ORDERS.name, "status" => label).increment(1);
@@ -110,7 +111,7 @@
     async fn poll_order(&self, order: &PlacementOrder) {
         loop {
             sleep(POLL_INTERVAL).await;
-            if !self.leader_state().is_pending(order) {
+            if !self.is_due(order) {
                 return;
             }
             let Some(report) =
--- a/src/tests/leader.rs
+++ b/src/tests/leader.rs
@@ -111,7 +111,7 @@
     assert!(!orders.is_empty());
     assert_eq!(leader.orders(at(12_300), &configuration()), []);
     for order in &orders {
-        leader.record_unanswered(at(12_700), &order.engine);
+        leader.record_unanswered(at(12_700), order);
     }
     let next = leader.orders(at(12_800), &configuration());
     let again = |o: &&PlacementOrder| orders.iter().any(|before| before.engine == o.engine);
@@ -161,11 +161,11 @@
             leader.tick(at(18_100));
         }),
         (OrderEnd::Refused, 900, |leader, order| {
-            leader.record_refusal(at(12_200), &order.engine);
+            leader.record_refusal(at(12_200), order);
             leader.tick(at(13_000));
         }),
         (OrderEnd::Unanswered, 2_500, |leader, order| {
-            leader.record_unanswered(at(12_600), &order.engine);
+            leader.record_unanswered(at(12_600), order);
             leader.tick(at(14_600));
         }),
         (OrderEnd::Term, 900, |leader, _| {
--- a/src/tests/order.rs
+++ b/src/tests/order.rs
@@ -288,3 +288,102 @@
     o.leader.announce(at(now), next);
     assert_eq!(o.shown(now), layers);
 }
+
+/// Returns the order to the engine of `o` after it restarted, and the one before.
+fn order_restarted(o: &mut Ordered) -> (PlacementOrder, PlacementOrder) {
+    let restarted = Announcement {
+        born: BORN + 1,
+        sequence: 1,
+        layers: None,
+        ..o.latest.clone()
+    };
+    o.leader.announce(at(12_200), restarted);
+    let mut orders = o.further_orders(12_300);
+    let order = orders.pop().unwrap();
+    (std::mem::replace(&mut o.order, order.clone()), order)
+}
+
+#[test]
+fn record_refusal_former_order() {
+    // Guards against a late refusal of a former order that shortens the wait for the present one:
+    // the engine was ordered again while it loaded.
+    let mut o = Ordered::new();
+    let (former, present) = order_restarted(&mut o);
+    o.leader.record_refusal(at(12_400), &former);
+    o.leader.tick(at(13_200));
+    assert!(o.leader.is_pending(&present), "{former:?}, {present:?}");
+}
+
+#[test]
+fn record_unanswered_former_order() {
+    // Guards against a missing answer to a former order by which the layers that the engine loads
+    // for the present one count as missing: another engine loaded them, too.
+    let mut o = Ordered::new();
+    let (former, present) = order_restarted(&mut o);
+    o.leader.record_unanswered(at(12_400), &former);
+    let orders = o.leader.orders(at(12_500), &configuration());
+    o.leader.tick(at(14_500));
+    let pending = o.leader.is_pending(&present);
+    assert_eq!((orders, pending), (vec![], true), "{former:?}, {present:?}");
+}
+
+#[test]
+fn record_refusal_expired_order() {
+    // Guards against the same for two orders with equal start and layers: the controller was paused
+    // until the first had expired and was issued again, then received the answer to the first.
+    let mut o = Ordered::new();
+    o.leader.tick(at(18_200));
+    for (host, layers) in ENGINES.iter().filter(|(host, _)| *host != 3) {
+        let heartbeat = Announcement {
+            born: BORN,
+            ..announcement(*host, 20, Some(*layers))
+        };
+        o.leader.announce(at(18_250), heartbeat);
+    }
+    let again = o.further_orders(18_300);
+    let facts = |o: &PlacementOrder| (o.born, o.range, o.fence);
+    assert_eq!(facts(&again[0]), facts(&o.order));
+    o.leader.record_refusal(at(18_310), &o.order);
+    o.leader.tick(at(19_100));
+    assert!(o.leader.is_pending(&again[0]));
+}
+
+#[test]
+fn is_pending_former_term() {
+    // Guards against the task of a former term's order that goes on, and counts its poll as the
+    // completion of an equal order of this term.
+    let mut o = Ordered::new();
+    let former = o.order.clone();
+    for (sequence, now) in (20..).zip((12_400..=17_200).step_by(1200)) {
+        o.leader.enter_term(at(now), 2, &o.register);
+        for (host, layers) in ENGINES.iter().filter(|(host, _)| *host != 3) {
+            let heartbeat = Announcement {
+                born: BORN,
+                ..announcement(*host, sequence, Some(*layers))
+            };
+            o.leader.announce(at(now), heartbeat);
+        }
+    }
+    let present = o.further_orders(17_300).pop().unwrap();
+    assert_eq!((former.fence, present.fence), (1, 2));
+    assert_eq!((former.born, former.range), (present.born, present.range));
+    assert!(o.leader.is_pending(&present));
+    let pending = o.leader.is_pending(&former);
+    o.leader.complete_order(at(17_400), &former);
+    let known = o.leader.upstream(&former.engine).unwrap();
+    let known = known.announcement.layers;
+    assert_eq!((pending, known), (false, o.latest.layers));
+}
+
+#[test]
+fn record_refusal_present_order() {
+    // Guards against an engine that keeps a refused order: it refused, so it serves its layers and
+    // may get another order soon.
+    let mut o = Ordered::new();
+    o.leader.record_refusal(at(12_400), &o.order);
+    o.leader.tick(at(12_500));
+    assert!(o.leader.is_pending(&o.order));
+    o.leader.tick(at(13_200));
+    assert!(!o.leader.is_pending(&o.order));
+    assert_eq!(o.shown(13_200), o.latest.layers);
+}
