Remember the latest heartbeat of a removed upstream

What callers saw: an engine sends a heartbeat that is held up, sends later ones over another controller, and crashes. After its removal the first one arrives: the dead engine is "joined" again, offered for requests until its heartbeats are late, and its layers count as held until it is removed once more, up to 4.8 s in which the gap isn't closed. If another engine has its address by then, and the heartbeat has a low sequence number, the live engine was retired for the rest of the term.

Cause: the roster forgot a removed upstream's sequence number, so nothing told that the heartbeat is older than known ones.

Evidence: `announce_delayed_lost` and `announce_delayed_lost_other_holder` force the order of events. Without this change to the roster both fail: the digest is `Unknown`, so that it is requested in full and applied, and only i-old is left at the address that i-new had taken. Not seen on real processes.

Fix: the position of the latest heartbeat is kept for 30 s after the removal. A later heartbeat, of an engine that was only cut off, is applied as before.

Left: a heartbeat that is later than all that the leader knew of a dead engine looks like its return, and a new leader knows none of the earlier ones.

--- a/src/roster.rs
+++ b/src/roster.rs
@@ -39,6 +39,10 @@
 /// successor there. A new upstream begins at 1, and its first call or two may be lost.
 const ESTABLISHED_SEQUENCE: u64 = 4;
 
+/// Time for which the latest heartbeat of a removed upstream is kept. Heartbeats that it sent
+/// before may arrive seconds later and don't show that it is live.
+const LOST_RETENTION: Duration = Duration::from_secs(30);
+
 /// Layers `first` (inclusive) to `end` (exclusive). Never empty.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct LayerRange {
@@ -211,6 +215,14 @@
     }
 }
 
+/// An upstream that was removed for its silence.
+#[derive(Clone, Copy, Debug)]
+struct LostUpstream {
+    /// See [`Announcement::position`].
+    position: (u64, u64),
+    removed: Time,
+}
+
 /// All upstreams that may receive requests.
 #[derive(Debug)]
 pub(crate) struct Roster {
@@ -221,6 +233,8 @@
     /// Incarnations that must not return, since they left or were replaced at their address:
     /// the highest `born` by id.
     retired: HashMap<Arc<str>, u64>,
+    /// Upstreams that were removed for their silence, without those that returned.
+    lost: HashMap<Arc<str>, LostUpstream>,
     /// Changes to send to the entry instances.
     changes: Changes,
     /// Time at which the latest new incarnation appeared.
@@ -235,6 +249,7 @@
             entries: HashMap::default(),
             addresses: HashMap::default(),
             retired: HashMap::default(),
+            lost: HashMap::default(),
             changes: Changes::default(),
             last_join: None,
         }
@@ -277,7 +292,10 @@
         if self.is_retired(id, born) {
             return Some(StaleReason::Retired);
         }
-        let known = self.entries.get(id)?.announcement.position();
+        let known = match self.entries.get(id) {
+            Some(entry) => entry.announcement.position(),
+            None => self.lost.get(id)?.position,
+        };
         (known >= (born, sequence)).then_some(StaleReason::Older)
     }
 
@@ -311,6 +329,7 @@
             self.addresses.remove(&before.announcement.address);
         }
         self.addresses.insert(address, id.clone());
+        self.lost.remove(&id);
         if changed || before.is_some_and(|b| b.late || b.suspected) {
             self.changes.note_change(&id);
         }
@@ -361,6 +380,17 @@
         }
     }
 
+    /// Keeps the latest heartbeat of an upstream that is about to be removed for its silence.
+    fn remember(&mut self, now: Time, id: &Arc<str>) {
+        if let Some(entry) = self.entries.get(id) {
+            let lost = LostUpstream {
+                position: entry.announcement.position(),
+                removed: now,
+            };
+            self.lost.insert(id.clone(), lost);
+        }
+    }
+
     fn remove(&mut self, id: &Arc<str>) {
         if let Some(entry) = self.entries.remove(id) {
             self.addresses.remove(&entry.announcement.address);
@@ -449,8 +479,11 @@
             }
         }
         for id in &removed {
+            self.remember(now, id);
             self.remove(id);
         }
+        self.lost
+            .retain(|_, l| now.since(l.removed) < LOST_RETENTION);
         removed
     }
 
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -16,7 +16,10 @@
 use crate::controller::reports::Reports;
 use crate::entry::view::View;
 use crate::register::{self, Register};
-use crate::roster::{AnnounceOutcome, Announcement, LayerRange, Roster, StaleReason};
+use crate::relay::HeartbeatDigest;
+use crate::roster::{
+    AnnounceOutcome, Announcement, LayerRange, RefreshOutcome, Roster, StaleReason,
+};
 use crate::sync::{Load, SyncRequest};
 use crate::voter::StateMachine;
 
@@ -104,6 +107,38 @@
     assert_eq!(ids(&roster), ["i-new"]);
 }
 
+#[test]
+fn announce_delayed_lost() {
+    // Guards against a heartbeat that an engine sent before its crash and that arrives after its
+    // removal: it was offered for requests again and its layers weren't loaded elsewhere.
+    let mut roster = Roster::new(HEARTBEAT);
+    announce(&mut roster, at(0), announcement("i-1", 9));
+    assert_eq!(roster.tick(at(5_000), &HashMap::default()).len(), 1);
+    let stale = AnnounceOutcome::Stale(StaleReason::Older);
+    let late = announcement("i-1", 8);
+    let digest = HeartbeatDigest::from(&late);
+    let outcome = roster.refresh(at(5_100), &digest);
+    assert_eq!(outcome, RefreshOutcome::Stale(StaleReason::Older));
+    assert_eq!(announce(&mut roster, at(5_200), late), stale);
+    assert_eq!(ids(&roster), [""; 0]);
+    // It was only cut off and returns.
+    let next = announcement("i-1", 10);
+    assert_eq!(announce(&mut roster, at(5_300), next), AnnounceOutcome::New);
+    assert_eq!(ids(&roster), ["i-1"]);
+}
+
+#[test]
+fn announce_delayed_lost_other_holder() {
+    // Guards against the same heartbeat when another engine holds the address by then: the live
+    // one was retired for the rest of the term.
+    let mut roster = Roster::new(HEARTBEAT);
+    announce(&mut roster, at(0), announcement("i-old", 2));
+    roster.tick(at(5_000), &HashMap::default());
+    announce(&mut roster, at(5_100), announcement("i-new", 1));
+    announce(&mut roster, at(5_200), announcement("i-old", 1));
+    assert_eq!(ids(&roster), ["i-new"]);
+}
+
 #[test]
 fn announce_delayed_unknown() {
     // The same, with a new leader that does not know the old engine.
