Record sync requests of an instance in their order only

What callers saw: a report of an entry instance that its sender gave up can be handled after its successor, seconds later. It put back the instance's former load, so that others avoid free engines or crowd full ones; suspects that it no longer has, so that live engines are avoided or removed early; a rate limit that had been raised or lifted, passed on to all instances; a harmless run that seems later than the crash that followed it, so that a request that crashes engines is found later; and cut runs of a request whose quarantine was lifted.

Cause: `LeaderState::sync` recorded whatever arrived, identified by the instance alone. On one connection requests keep their order, but when one fails after 1.2 s of silence, the system still resends what it holds of it while the next one is in use, and the accepting side reads both.

How often it comes isn't known; not seen on real processes. Giving up after 500 ms alone doesn't reverse requests.

Fix: requests carry the start of their process and a sequence number. `Reports::check` returns a `CurrentRequest` only if none that is newer is recorded, and everything that a request changes takes this type. An outdated one is still answered, and logged (313, `sync_outdated`). Those of a release without these fields count as current. An instance whose clock was set back before its start is recorded again once its former report has expired (2 s).

Left: ages of runs and limits count from the arrival of a request, so that one that is merely late makes them seem newer than those of other instances.

--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use super::order::{EndedOrder, OrderEnd};
-use super::reports::Reports;
+use super::reports::{CurrentRequest, Reports};
 use crate::clock::{Time, micros};
 use crate::collections::{HashMap, HashSet};
 use crate::configuration::{Configuration, Model};
@@ -255,20 +255,20 @@
             && request.complete == self.is_complete(now);
         let roster = (!up_to_date).then(|| self.roster_delta(now, &request, register));
         let instance = request.instance;
-        self.record_runs(now, &request);
-        let instances = self.reports.len() as u32;
-        for limit in &request.limits {
-            let (address, update) = (limit.address, limit.update(now));
-            self.rate_limiter
-                .apply(now, address, update, instances, 0.0);
-        }
-        self.reports.record(now, request);
+        let work = match self.reports.check(request) {
+            Some(current) => {
+                self.record_sync(now, current);
+                self.reports.others_load(now, instance)
+            }
+            // Its sender has given it up and discards the reply.
+            None => None,
+        };
         SyncReply {
             age: micros(age),
             version: current_version,
             body: other_version.map(|c| c.body),
             roster,
-            work: self.reports.others_load(now, instance),
+            work,
             entries: self.reports.len() as u32,
             voters: Vec::new(),
             entries_known: now.since(self.term_start) >= ENTRIES_KNOWN_AFTER,
@@ -279,6 +279,23 @@
         }
     }
 
+    /// Whether a newer sync request of the same instance has been answered.
+    pub(crate) fn is_outdated(&self, request: &SyncRequest) -> bool {
+        self.reports.is_outdated(request)
+    }
+
+    /// Records what an instance reports.
+    fn record_sync(&mut self, now: Time, current: CurrentRequest) {
+        self.record_runs(now, &current);
+        let instances = self.reports.len() as u32;
+        for limit in &current.request().limits {
+            let (address, update) = (limit.address, limit.update(now));
+            self.rate_limiter
+                .apply(now, address, update, instances, 0.0);
+        }
+        self.reports.record(now, current);
+    }
+
     /// Returns a subset of the latest limit updates, for the reply to an instance.
     fn limit_records(&self, now: Time, instance: u64) -> Vec<LimitRecord> {
         let draw = unit_hash(now.0.wrapping_add(instance));
@@ -288,7 +305,8 @@
     }
 
     /// Records the cut and harmless runs that an instance reports.
-    fn record_runs(&mut self, now: Time, request: &SyncRequest) {
+    fn record_runs(&mut self, now: Time, current: &CurrentRequest) {
+        let request = current.request();
         let at = |age| now - Duration::from_micros(age);
         for cut in &request.cut {
             let Ok(fingerprint) = Fingerprint::try_from(&*cut.fingerprint) else {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -487,6 +487,15 @@
         };
         let current = self.compressed_configuration();
         let known_quarantine = request.quarantine_checksum;
+        if state.is_outdated(&request) {
+            tracing::info!(
+                event = event::SYNC_OUTDATED.id,
+                instance = request.instance,
+                born = request.born,
+                sequence = request.sequence,
+                "outdated sync request not recorded"
+            );
+        }
         let reply = state.sync(self.now(), request, age, current, &self.register);
         drop(state);
         let members = self.status().into_iter().flat_map(|s| s.members);
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -23,9 +23,27 @@
 /// Encoded size of one engine's load, in bytes.
 const LOAD_BYTES: f64 = 20.0;
 
+/// A sync request that [`Reports::check`] found no newer one of its sender to.
+///
+/// Everything that a request changes takes this type, so that a request that its sender gave up
+/// changes nothing when it arrives after its successor.
+#[derive(Debug)]
+pub(crate) struct CurrentRequest(SyncRequest);
+
+impl CurrentRequest {
+    /// Returns the request.
+    pub(crate) fn request(&self) -> &SyncRequest {
+        &self.0
+    }
+}
+
 /// Latest report of one instance.
 struct Report {
     at: Time,
+    /// See [`SyncRequest::born`].
+    born: u64,
+    /// See [`SyncRequest::sequence`].
+    sequence: u64,
     loads: Vec<Load>,
     /// Address keys of upstreams at which requests failed.
     suspects: Vec<u64>,
@@ -52,8 +70,25 @@
         self.latest.len()
     }
 
+    /// Checks that no newer request of the same instance has been recorded; returns `None` if one
+    /// has.
+    ///
+    /// The order of requests is lost when a connection fails: what the system still resends on it
+    /// may arrive after what was sent on the next one. A process whose clock was set back before
+    /// its start is accepted again after [`REPORT_LIFETIME`].
+    pub(crate) fn check(&self, request: SyncRequest) -> Option<CurrentRequest> {
+        (!self.is_outdated(&request)).then_some(CurrentRequest(request))
+    }
+
+    /// Whether a newer request of the same instance has been recorded.
+    pub(crate) fn is_outdated(&self, request: &SyncRequest) -> bool {
+        let latest = self.latest.get(&request.instance);
+        latest.is_some_and(|r| (r.born, r.sequence) > (request.born, request.sequence))
+    }
+
     /// Replaces the report of an instance.
-    pub(crate) fn record(&mut self, now: Time, request: SyncRequest) {
+    pub(crate) fn record(&mut self, now: Time, current: CurrentRequest) {
+        let CurrentRequest(request) = current;
         let mut loads = request.loads;
         // `sums` has no entries for engines without requests.
         loads.retain(|l| l.requests > 0);
@@ -73,6 +108,8 @@
         }
         let report = Report {
             at: now,
+            born: request.born,
+            sequence: request.sequence,
             loads,
             suspects: request.suspects,
             room_requests: request.room_requests,
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -65,8 +65,8 @@
             position: usize::try_from(self.id.0).unwrap_or(0) % 7,
         };
         let mut failures = 0;
-        loop {
-            if self.poll_controller(&mut targets).await {
+        for sequence in 1.. {
+            if self.poll_controller(&mut targets, sequence).await {
                 failures = 0;
                 let _ = timeout(self.pause(), self.report_due.notified()).await;
                 continue;
@@ -100,12 +100,12 @@
     }
 
     /// Polls one controller. Returns whether it confirmed the view.
-    async fn poll_controller(&self, targets: &mut Targets) -> bool {
+    async fn poll_controller(&self, targets: &mut Targets, sequence: u64) -> bool {
         let Some(target) = targets.next() else {
             return false;
         };
         let sent = self.now();
-        let mut sync = self.sync_request();
+        let mut sync = self.sync_request(sequence);
         let last_cut = self.add_run_reports(&mut sync);
         sync.limits = self.limit_records();
         let request = Request {
@@ -163,13 +163,15 @@
             .update(entries_known.then_some(load.room_requests), waiting as u32);
     }
 
-    fn sync_request(&self) -> SyncRequest {
+    fn sync_request(&self, sequence: u64) -> SyncRequest {
         let view = self.view();
         let (term, revision) = view.roster();
         let now = self.now();
         let shared = self.shared();
         SyncRequest {
             instance: self.id.0,
+            born: self.born,
+            sequence,
             version: view.version(),
             term,
             revision,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,7 +10,7 @@
 
 use self::view::View;
 use crate::auth::FleetKey;
-use crate::clock::{Clock, SystemClock, Time};
+use crate::clock::{Clock, SystemClock, Time, wall_millis};
 use crate::decide::health::Health;
 use crate::decide::link::LinkShare;
 use crate::decide::load::Loads;
@@ -97,6 +97,8 @@
     gate: Arc<Gate>,
     /// Start time of this process.
     started: Time,
+    /// Start of this process, in milliseconds since 1970.
+    born: u64,
     /// Notifies waiting requests of each new view.
     view_changed: Notify,
     /// Lock of the first request in the queue for room; it is fair, so that requests keep
@@ -167,6 +169,7 @@
             }),
             gate: Arc::default(),
             started: SystemClock.now(),
+            born: wall_millis(),
             view_changed: Notify::new(),
             queue_lock: tokio::sync::Mutex::default(),
             suspect_turn: Arc::default(),
--- a/src/event.rs
+++ b/src/event.rs
@@ -69,6 +69,8 @@
 pub(crate) const ORDER_ENDED: Event = event(311, "order_ended");
 /// A heartbeat was older than the known state.
 pub(crate) const HEARTBEAT_STALE: Event = event(312, "heartbeat_stale");
+/// A controller received a sync request after a newer one of the same entry instance.
+pub(crate) const SYNC_OUTDATED: Event = event(313, "sync_outdated");
 /// A request was refused.
 pub(crate) const REQUEST_REFUSED: Event = event(401, "request_refused");
 /// An attempt failed and the request continues on another path.
@@ -154,6 +156,7 @@
     QUARANTINE_LIFTED,
     ORDER_ENDED,
     HEARTBEAT_STALE,
+    SYNC_OUTDATED,
     REQUEST_REFUSED,
     REQUEST_RESUMED,
     REQUEST_FAILED,
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -55,6 +55,12 @@
     /// Latest rate-limit updates that the sender knows, at most one of each upstream.
     #[prost(message, repeated, tag = "12")]
     pub(crate) limits: Vec<LimitRecord>,
+    /// Start of the sender's process, in milliseconds since 1970.
+    #[prost(uint64, tag = "13")]
+    pub(crate) born: u64,
+    /// Increases with each request of one process.
+    #[prost(uint64, tag = "14")]
+    pub(crate) sequence: u64,
 }
 
 /// Latest update of an upstream's rate limit.
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -36,6 +36,7 @@
 mod route;
 mod simulation;
 mod store;
+mod sync;
 mod view;
 mod voter;
 
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -23,9 +23,9 @@
 use crate::sync::{Load, SyncRequest};
 use crate::voter::StateMachine;
 
-const HEARTBEAT: Duration = Duration::from_millis(1200);
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(1200);
 
-fn announcement(id: &str, sequence: u64) -> Announcement {
+pub(super) fn announcement(id: &str, sequence: u64) -> Announcement {
     Announcement {
         id: id.into(),
         born: 0,
@@ -210,7 +210,7 @@
     );
 }
 
-fn request(instance: u64, loads: Vec<Load>) -> SyncRequest {
+pub(super) fn request(instance: u64, loads: Vec<Load>) -> SyncRequest {
     SyncRequest {
         instance,
         loads,
@@ -218,6 +218,12 @@
     }
 }
 
+/// Records a request of which no newer one is known.
+fn record(reports: &mut Reports, now: Time, request: SyncRequest) {
+    let current = reports.check(request).expect("no newer request");
+    reports.record(now, current);
+}
+
 #[test]
 fn sync_sums_loads() {
     let (register, _) = Register::new();
@@ -461,7 +467,7 @@
     for now in (0..20_000).step_by(250) {
         for i in 0..300 {
             let own = loads(i).map(load).collect();
-            reports.record(at(now), request(i, own));
+            record(&mut reports, at(now), request(i, own));
             let told = reports.others_load(at(now), i);
             bytes += told.map_or(0, |w| w.encoded_len());
         }
@@ -481,10 +487,10 @@
             room_requests,
             ..request(instance, Vec::new())
         };
-        reports.record(at(0), ask);
+        record(&mut reports, at(0), ask);
     }
     assert_eq!(reports.others_load(at(1), 1).unwrap().room_requests, 5);
-    reports.record(at(2_500), request(3, Vec::new()));
+    record(&mut reports, at(2_500), request(3, Vec::new()));
     reports.tick(at(2_600));
     assert_eq!(reports.others_load(at(2_600), 3).unwrap().room_requests, 0);
 }
@@ -498,19 +504,19 @@
         requests,
         first_hops: 0,
     };
-    reports.record(at(0), request(1, vec![load(10, 1)]));
-    reports.record(at(0), request(2, vec![load(20, 2)]));
-    reports.record(at(1), request(1, vec![load(30, 3)]));
+    record(&mut reports, at(0), request(1, vec![load(10, 1)]));
+    record(&mut reports, at(0), request(2, vec![load(20, 2)]));
+    record(&mut reports, at(1), request(1, vec![load(30, 3)]));
     assert_eq!(
         (reports.load_of(7).memory, reports.load_of(7).requests),
         (50, 5)
     );
-    reports.record(at(2), request(1, Vec::new()));
+    record(&mut reports, at(2), request(1, Vec::new()));
     assert_eq!(
         (reports.load_of(7).memory, reports.load_of(7).requests),
         (20, 2)
     );
-    reports.record(at(2), request(2, vec![load(5, 0)]));
+    record(&mut reports, at(2), request(2, vec![load(5, 0)]));
     assert_eq!(
         (reports.load_of(7).memory, reports.load_of(7).requests),
         (0, 0)
