Use nothing of a controller's response before it is accepted

What callers saw: a deposed leader that doesn't know it yet answers a sync request. The instance rejected the response, but had already taken the load of the others from it, so that for one poll it crowds engines that are full or avoids free ones; rate limits; and the acknowledgement of cut runs, after which all of them were reported again. A response whose configuration has another version than it states was rejected as well, yet its routing table stayed in force under the running lease: an older one would restore revoked keys.

Cause: `poll_controller` used the parts of a response one after the other, and the view, which alone knows whether the response is current, came last; `View::apply` replaced the table before its last check.

The leader takes version and body from one value, so a response of the second kind isn't known to occur.

Fix: `View::check` decodes and checks the whole response and returns a `CurrentReply`; load, limits, acknowledgement and the view take only that type. The voters it lists are still used as contacts. A rejected response is logged (209, `sync_rejected`).

One thing is new: of a response whose configuration can't be decoded, which only another release sends, the load isn't used either.

The tests of the view call `check`, then `apply`; what they compare is the same.

--- a/src/decide/run_history.rs
+++ b/src/decide/run_history.rs
@@ -145,8 +145,12 @@
     }
 
     /// Records that the leader of `term` received all cut runs up to a sequence number.
-    /// On a new term all retained runs are reported again, since a new leader has none.
+    /// On a new term all retained runs are reported again, since a new leader has none. An
+    /// acknowledgement of a deposed leader has no effect.
     pub(crate) fn acknowledge(&mut self, term: u64, last: u64) {
+        if term < self.term {
+            return;
+        }
         self.acknowledged = if term == self.term { last } else { 0 };
         self.term = term;
     }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -8,12 +8,14 @@
 use tokio::time::{sleep, timeout};
 
 use super::Entry;
+use super::view::CurrentReply;
+use crate::clock::Time;
 use crate::decide::view_wait;
 use crate::event;
 use crate::id::InstanceId;
 use crate::message::{Answer, Ask, Request};
 use crate::role;
-use crate::sync::{FleetLoad, SyncRequest};
+use crate::sync::{FleetLoad, SyncReply, SyncRequest};
 
 /// Timeout for a controller's response. A lost packet is retransmitted after 200 ms.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -114,29 +116,15 @@
         let answer = self.peers.call(target, request, ANSWER_TIMEOUT).await;
         match answer.map(|r| r.answer) {
             Ok(Some(Answer::Sync(reply))) => {
+                // Contacts are useful even from a deposed leader.
                 targets.add(reply.voters.iter().copied().map(InstanceId));
-                targets.leader = Some(target);
-                if let Some(load) = &reply.work {
-                    self.apply_load(load, reply.entries_known);
-                }
-                self.acknowledge_runs(&reply, last_cut);
-                self.apply_leader_limits(sent, &reply.limits);
-                let before = self.view().version();
-                let applied = self.apply_reply(sent, *reply);
-                let version = self.view().version();
-                if version != before {
-                    tracing::info!(
-                        event = event::CONFIGURATION_APPLIED.id,
-                        version,
-                        before,
-                        leader = target.0,
-                        "configuration applied"
-                    );
-                }
-                if !applied {
-                    targets.leader = None;
-                }
-                applied
+                let current = self.check_reply(target, *reply);
+                targets.leader = current.is_some().then_some(target);
+                let Some(current) = current else {
+                    return false;
+                };
+                self.apply_reply(target, sent, last_cut, current);
+                true
             }
             Ok(Some(Answer::NotLeader(hint))) => {
                 let hint = InstanceId(hint);
@@ -152,6 +140,48 @@
         }
     }
 
+    /// Returns a response if it can be used.
+    fn check_reply(&self, leader: InstanceId, reply: SyncReply) -> Option<CurrentReply> {
+        let view = self.view();
+        let (term, version) = (reply.term, reply.version);
+        let current = view.check(reply);
+        if current.is_none() {
+            tracing::info!(
+                event = event::SYNC_REJECTED.id,
+                leader = leader.0,
+                term,
+                version,
+                known_term = view.roster().0,
+                known_version = view.version(),
+                "response of a controller rejected"
+            );
+        }
+        current
+    }
+
+    /// Applies a leader's response to a request that was sent at `sent` and reported the cut runs
+    /// up to `last_cut`.
+    fn apply_reply(&self, leader: InstanceId, sent: Time, last_cut: u64, current: CurrentReply) {
+        let reply = current.reply();
+        if let Some(load) = &reply.work {
+            self.apply_load(load, reply.entries_known);
+        }
+        self.acknowledge_runs(reply, last_cut);
+        self.apply_leader_limits(sent, &reply.limits);
+        let before = self.view().version();
+        self.update_view(sent, current);
+        let version = self.view().version();
+        if version != before {
+            tracing::info!(
+                event = event::CONFIGURATION_APPLIED.id,
+                version,
+                before,
+                leader = leader.0,
+                "configuration applied"
+            );
+        }
+    }
+
     /// Applies the load of the other instances. It is only a part of their load until the
     /// leader has counted them.
     fn apply_load(&self, load: &FleetLoad, entries_known: bool) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
 
-use self::view::View;
+use self::view::{CurrentReply, View};
 use crate::auth::FleetKey;
 use crate::clock::{Clock, SystemClock, Time, wall_millis};
 use crate::decide::health::Health;
@@ -29,7 +29,6 @@
 use crate::platform::boot::Boot;
 use crate::role::{self, RoleSettings};
 use crate::startup;
-use crate::sync::SyncReply;
 
 mod attempt;
 mod body;
@@ -222,15 +221,14 @@
         self.shared().loads.demand.sharers(instances)
     }
 
-    /// Applies a leader's response. Only the polling task calls it.
-    fn apply_reply(&self, sent: Time, reply: SyncReply) -> bool {
+    /// Applies a leader's response to the view. Only the polling task calls it.
+    fn update_view(&self, sent: Time, reply: CurrentReply) {
         let before = self.view();
         let mut view = View::clone(&before);
-        let applied = view.apply(sent, reply, self.lease);
+        view.apply(sent, reply, self.lease);
         self.forget_lifted(&before, &view);
         self.view.store(Arc::new(view));
         self.view_changed.notify_waiters();
-        applied
     }
 
     /// Waits for a limited time until `ready` holds for the view. Returns whether it does.
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -90,6 +90,23 @@
     suspects: Arc<[Fingerprint]>,
 }
 
+/// A response to a sync request that [`View::check`] found usable.
+///
+/// Everything that a response changes in an entry instance takes this type, so that a response of
+/// a deposed leader changes nothing.
+pub(crate) struct CurrentReply {
+    reply: SyncReply,
+    /// The configuration in the response. Its version is that of the response.
+    table: Option<Arc<RoutingTable>>,
+}
+
+impl CurrentReply {
+    /// Returns the response.
+    pub(crate) fn reply(&self) -> &SyncReply {
+        &self.reply
+    }
+}
+
 impl View {
     /// An empty view.
     pub(crate) fn new() -> Self {
@@ -171,24 +188,34 @@
         &self.suspects
     }
 
-    /// Applies the response to a sync request that was sent at `sent`. Returns whether it
-    /// could be used.
-    pub(crate) fn apply(&mut self, sent: Time, reply: SyncReply, lease: Duration) -> bool {
+    /// Checks whether a response to a sync request can be used. Returns `None` if it comes from a
+    /// deposed leader or doesn't fit this view; then no part of it may be used.
+    pub(crate) fn check(&self, reply: SyncReply) -> Option<CurrentReply> {
         // A deposed leader that doesn't know it yet may respond late. Versions never decrease.
         if reply.version < self.version() || self.is_out_of_sequence(&reply) {
-            return false;
+            return None;
         }
-        if let Some(body) = &reply.body {
+        let table = match &reply.body {
             // An undecodable configuration comes from another release: the current one stays
             // until its lease runs out.
-            let decoded = unpack(body).and_then(|b| configuration::decode(&b).ok());
-            let Some(decoded) = decoded else {
-                return false;
-            };
-            self.table = Some(RoutingTable::new(decoded));
-        }
-        if reply.version != self.version() {
-            return false;
+            Some(body) => {
+                let decoded = configuration::decode(&unpack(body)?).ok()?;
+                Some(RoutingTable::new(decoded))
+            }
+            None => None,
+        };
+        let version = match &table {
+            Some(table) => table.configuration.version,
+            None => self.version(),
+        };
+        (reply.version == version).then_some(CurrentReply { reply, table })
+    }
+
+    /// Applies a checked response to a sync request that was sent at `sent`.
+    pub(crate) fn apply(&mut self, sent: Time, current: CurrentReply, lease: Duration) {
+        let CurrentReply { reply, table } = current;
+        if table.is_some() {
+            self.table = table;
         }
         if let Some(record) = reply.roster {
             self.merge_roster(record);
@@ -207,7 +234,6 @@
         let age = Duration::from_micros(reply.age);
         let lease_end = (sent + lease) - age;
         self.lease_end = self.lease_end.max(lease_end);
-        true
     }
 
     /// Replaces the quarantine. Remaining times count from when the sync request was sent,
--- a/src/event.rs
+++ b/src/event.rs
@@ -45,6 +45,8 @@
 pub(crate) const CONFIGURATION_REFUSED: Event = event(207, "configuration_refused");
 /// An entry instance applied another configuration.
 pub(crate) const CONFIGURATION_APPLIED: Event = event(208, "configuration_applied");
+/// An entry instance rejected a controller's response to a sync request.
+pub(crate) const SYNC_REJECTED: Event = event(209, "sync_rejected");
 /// A connection from another instance was refused or violated the framing.
 pub(crate) const PEER_REFUSED: Event = event(301, "peer_refused");
 /// An upstream's announcement was refused.
@@ -144,6 +146,7 @@
     CONFIGURATION_DECIDED,
     CONFIGURATION_REFUSED,
     CONFIGURATION_APPLIED,
+    SYNC_REJECTED,
     PEER_REFUSED,
     ANNOUNCE_REFUSED,
     UPSTREAM_JOINED,
--- a/src/tests/decide/quarantine.rs
+++ b/src/tests/decide/quarantine.rs
@@ -148,6 +148,22 @@
     assert_eq!(history.unreported(at(700_000)).1.len(), 0);
 }
 
+/// Guards against a late reply of a deposed leader by which all runs are reported to its successor
+/// again.
+#[test]
+fn acknowledge_deposed_leader() {
+    let mut history = RunHistory::default();
+    history.record_cut(at(0), &engine(1, 0), request(1), &"one".into(), false);
+    history.confirm(&engine(1, 0), true);
+    for now in [10, 20] {
+        let (last, _) = history.unreported(at(now));
+        history.acknowledge(2, last);
+    }
+    assert_eq!(history.unreported(at(30)).1.len(), 0);
+    history.acknowledge(1, 1);
+    assert_eq!(history.unreported(at(40)).1.len(), 0);
+}
+
 /// Guards against a request that is never identified because it crashes another engine
 /// before all instances have reported its previous crash.
 #[test]
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -337,7 +337,8 @@
         };
         let state = leader.sync(now, ask, Duration::ZERO, None, register);
         most = most.max(state.encoded_len());
-        assert!(view.apply(now, state, HEARTBEAT));
+        let current = view.check(state).expect("a response that fits the view");
+        view.apply(now, current, HEARTBEAT);
         if !view.has_more() {
             return most;
         }
--- a/src/tests/view.rs
+++ b/src/tests/view.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
+
 use super::at;
 use super::platform::CONFIGURATION;
+use crate::clock::Time;
 use crate::controller::leader::LeaderState;
 use crate::entry::view::View;
 use crate::register::{Departed, Register};
@@ -44,6 +47,16 @@
     }
 }
 
+/// Applies a response sent at `sent` if the view finds it usable. Returns whether it did.
+fn apply(view: &mut View, sent: Time, reply: SyncReply) -> bool {
+    let current = view.check(reply);
+    let usable = current.is_some();
+    if let Some(current) = current {
+        view.apply(sent, current, LEASE);
+    }
+    usable
+}
+
 fn ids(view: &View) -> Vec<&str> {
     let upstreams = view.services.get("models").map_or(&[][..], Vec::as_slice);
     let mut ids: Vec<_> = upstreams.iter().map(|u| &*u.id).collect();
@@ -60,7 +73,7 @@
         age: 500_000,
         ..state(7)
     };
-    assert!(view.apply(at(1000), state, LEASE));
+    assert!(apply(&mut view, at(1000), state));
     assert!(view.is_confirmed(at(3999)));
     assert!(!view.is_confirmed(at(4000)));
 }
@@ -68,8 +81,8 @@
 #[test]
 fn apply_never_back() {
     let mut view = View::new();
-    view.apply(at(0), state(9), LEASE);
-    assert!(!view.apply(at(100), state(8), LEASE));
+    apply(&mut view, at(0), state(9));
+    assert!(!apply(&mut view, at(100), state(8)));
     assert_eq!(view.version(), 9);
     assert!(
         !view.is_confirmed(at(3550)),
@@ -80,13 +93,30 @@
 #[test]
 fn apply_undecodable() {
     let mut view = View::new();
-    view.apply(at(0), state(7), LEASE);
+    apply(&mut view, at(0), state(7));
     let broken = SyncReply {
         body: Some("{".into()),
         ..state(8)
     };
-    assert!(!view.apply(at(1000), broken, LEASE));
+    assert!(!apply(&mut view, at(1000), broken));
+    assert_eq!(view.version(), 7);
+}
+
+#[rstest]
+#[case::newer_body(9, 8)]
+#[case::older_body(9, 3)]
+fn apply_other_body(#[case] version: u64, #[case] body: u64) {
+    // Guards against a rejected response whose configuration is in force: an older one would
+    // restore revoked keys for the rest of the lease.
+    let mut view = View::new();
+    assert!(apply(&mut view, at(0), state(7)));
+    let other = SyncReply {
+        version,
+        ..state(body)
+    };
+    assert!(!apply(&mut view, at(100), other));
     assert_eq!(view.version(), 7);
+    assert!(view.is_confirmed(at(200)));
 }
 
 #[test]
@@ -94,17 +124,17 @@
     // A new leader knows only some engines when it is first polled. The others still serve: if
     // they were dropped, most requests would be refused for seconds.
     let mut view = View::new();
-    view.apply(at(0), with(roster(1, 5, true, &["a", "b", "c"])), LEASE);
+    apply(&mut view, at(0), with(roster(1, 5, true, &["a", "b", "c"])));
     let mut partial = roster(2, 2, false, &["a"]);
     partial.departed.push(Departed {
         id: "b".to_owned(),
         born: 0,
     });
-    view.apply(at(100), with(partial), LEASE);
+    apply(&mut view, at(100), with(partial));
     assert_eq!(ids(&view), ["a", "c"]);
     let mut rest = roster(2, 3, true, &[]);
     rest.since = 2;
-    view.apply(at(3000), with(rest), LEASE);
+    apply(&mut view, at(3000), with(rest));
     assert_eq!(ids(&view), ["a"]);
 }
 
@@ -113,15 +143,15 @@
     // A new leader reports a large fleet in several responses. Upstreams that it hasn't reported
     // yet still serve, and those of earlier parts stay when the last part doesn't name them.
     let mut view = View::new();
-    view.apply(at(0), with(roster(1, 9, true, &["a", "b", "c"])), LEASE);
+    apply(&mut view, at(0), with(roster(1, 9, true, &["a", "b", "c"])));
     let mut first = roster(2, 1, false, &["a"]);
     first.more = true;
-    assert!(view.apply(at(100), with(first), LEASE));
+    assert!(apply(&mut view, at(100), with(first)));
     assert!(view.has_more());
     assert_eq!(ids(&view), ["a", "b", "c"]);
     let mut last = roster(2, 2, true, &["b"]);
     last.since = 1;
-    assert!(view.apply(at(200), with(last), LEASE));
+    assert!(apply(&mut view, at(200), with(last)));
     assert_eq!(ids(&view), ["a", "b"]);
     assert!(view.is_complete() && !view.has_more());
 }
@@ -130,11 +160,11 @@
 fn apply_changes_only() {
     // One engine leaves and one joins: the response names only these two, and the others stay.
     let mut view = View::new();
-    view.apply(at(0), with(roster(1, 3, true, &["a", "b"])), LEASE);
+    apply(&mut view, at(0), with(roster(1, 3, true, &["a", "b"])));
     let mut change = roster(1, 5, true, &["c"]);
     change.since = 3;
     change.removed.push("a".to_owned());
-    view.apply(at(100), with(change), LEASE);
+    apply(&mut view, at(100), with(change));
     assert_eq!(ids(&view), ["b", "c"]);
 }
 
@@ -142,18 +172,22 @@
 fn apply_out_of_sequence() {
     // A part of the roster is lost in transit. Applying the next one would skip its changes.
     let mut view = View::new();
-    view.apply(at(0), with(roster(1, 3, true, &["a"])), LEASE);
+    apply(&mut view, at(0), with(roster(1, 3, true, &["a"])));
     let mut change = roster(1, 6, true, &["c"]);
     change.since = 5;
-    assert!(!view.apply(at(100), with(change), LEASE));
+    assert!(!apply(&mut view, at(100), with(change)));
     assert_eq!((ids(&view), view.roster()), (vec!["a"], (1, 3)));
 }
 
 #[test]
 fn apply_deposed_leader() {
     let mut view = View::new();
-    view.apply(at(0), with(roster(3, 2, true, &["a"])), LEASE);
-    assert!(!view.apply(at(100), with(roster(2, 90, true, &["a", "b"])), LEASE));
+    apply(&mut view, at(0), with(roster(3, 2, true, &["a"])));
+    assert!(!apply(
+        &mut view,
+        at(100),
+        with(roster(2, 90, true, &["a", "b"]))
+    ));
     assert_eq!(ids(&view), ["a"]);
 }
 
@@ -193,15 +227,15 @@
         leader.sync(at(now), ask, Duration::ZERO, None, &register)
     };
     let mut view = View::new();
-    assert!(view.apply(at(10), ask(&mut leader, 10, 1), LEASE));
+    assert!(apply(&mut view, at(10), ask(&mut leader, 10, 1)));
     assert_eq!(view.counted_entries(), None);
     assert!(view.entry_count() > 50);
     ask(&mut leader, 60, 2);
     ask(&mut leader, 90, 3);
-    assert!(view.apply(at(400), ask(&mut leader, 400, 1), LEASE));
+    assert!(apply(&mut view, at(400), ask(&mut leader, 400, 1)));
     assert_eq!((view.counted_entries(), view.entry_count()), (Some(3), 3));
     // The next leader doesn't know most of them yet.
     leader.enter_term(at(500), 2, &register);
-    assert!(view.apply(at(510), ask(&mut leader, 510, 1), LEASE));
+    assert!(apply(&mut view, at(510), ask(&mut leader, 510, 1)));
     assert_eq!(view.entry_count(), 3);
 }
