Test late heartbeats against orders on real processes

`order_survives_late_heartbeat` kills the only holder of some layers, waits for the order that replaces it, and sends a late heartbeat of the engine under order: of a former start, or with an old sequence number and the ordered layers.

The late heartbeats are forged.

The stand-in engines announce a start time, can take time to load, refuse orders (409) and requests for released layers meanwhile, and record their orders.

--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -48,6 +48,9 @@
 /// Time until a crashed engine restarts.
 const DOWNTIME: Duration = Duration::from_millis(1500);
 
+/// Start time that all engines announce.
+pub(crate) const BORN: u64 = 2;
+
 /// How an engine misbehaves at the first run of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -75,6 +78,11 @@
     killed: Vec<String>,
     /// Time that an engine takes to answer an order.
     order_delay: Duration,
+    /// Time that an engine takes to load the layers of an order.
+    load_time: Duration,
+    /// Ranges that engines are loading, by engine address.
+    loading: HashMap<SocketAddr, (u32, u32)>,
+    orders: Vec<Order>,
     /// Number of orders that are not yet answered, and its maximum so far.
     pending_orders: usize,
     max_pending: usize,
@@ -95,6 +103,17 @@
 
 pub(crate) type SharedState = Arc<Mutex<EngineState>>;
 
+/// An order to hold layers, as an engine received it.
+#[derive(Clone, Debug)]
+pub(crate) struct Order {
+    pub(crate) engine: String,
+    pub(crate) range: (u32, u32),
+    /// Term of the leader that sent it.
+    pub(crate) fence: u64,
+    /// Whether the engine was still loading the layers of an earlier order.
+    pub(crate) busy: bool,
+}
+
 /// Identity and placement of an engine.
 #[derive(Clone)]
 pub(crate) struct EngineSpec {
@@ -113,6 +132,7 @@
     pub(crate) fn kill(&mut self, spec: &EngineSpec) {
         self.killed.push(spec.id.clone());
         self.layers.remove(&spec.address);
+        self.loading.remove(&spec.address);
     }
 
     /// Sets or clears the rate limit that an engine announces in its responses.
@@ -148,6 +168,32 @@
         self.order_delay = delay;
     }
 
+    pub(crate) fn set_load_time(&mut self, time: Duration) {
+        self.load_time = time;
+    }
+
+    /// Orders that engines received so far.
+    pub(crate) fn orders(&self) -> &[Order] {
+        &self.orders
+    }
+
+    /// Range of layers that an engine holds.
+    pub(crate) fn layers_of(&self, spec: &EngineSpec) -> Option<(u32, u32)> {
+        self.layers.get(&spec.address).copied()
+    }
+
+    pub(crate) fn is_loading(&self, spec: &EngineSpec) -> bool {
+        self.loading.contains_key(&spec.address)
+    }
+
+    /// Whether an engine accepts requests for these layers: it holds them, and isn't about to
+    /// release them.
+    fn accepts(&self, address: SocketAddr, from: u32, to: u32) -> bool {
+        let covers = |r: &(u32, u32)| r.0 <= from && to <= r.1;
+        self.layers.get(&address).is_some_and(covers)
+            && self.loading.get(&address).is_none_or(covers)
+    }
+
     /// Maximum number of orders that were unanswered at the same time.
     pub(crate) fn max_pending_orders(&self) -> usize {
         self.max_pending
@@ -182,7 +228,7 @@
     }
 
     /// Records the path if it is invalid. Returns the first engine on it that doesn't
-    /// hold its layers.
+    /// accept requests for its layers.
     fn check_path(&mut self, path: &str, first: SocketAddr) -> Option<SocketAddr> {
         let mut next = 0;
         for (i, part) in path.split(',').enumerate() {
@@ -194,8 +240,7 @@
                 self.invalid_paths.push(path.to_owned());
             }
             next = to;
-            let holds = |h: &(u32, u32)| h.0 <= from && to <= h.1;
-            if !self.layers.get(&address).is_some_and(holds) {
+            if !self.accepts(address, from, to) {
                 return Some(address);
             }
         }
@@ -245,21 +290,32 @@
         if state.lock().unwrap().killed.contains(&spec.id) {
             return;
         }
-        let layers = state.lock().unwrap().layers.get(&spec.address).copied();
-        let layers = layers.map(|(from, to)| json!({"from": from, "to": to, "version": 1}));
-        let body = json!({
-            "service": spec.service, "addr": spec.address.to_string(), "zone": spec.domain,
-            "version": "v1", "slots": 8, "state": "ready", "seq": seq, "coldLeftMs": 0,
-            "type": "small", "layers": layers,
-        });
-        let path = format!("/v1/Instances.Heartbeat/{}", spec.id);
-        if !post(controllers[target % controllers.len()], &path, &body) {
+        let layers = state.lock().unwrap().layers_of(spec);
+        let to = controllers[target % controllers.len()];
+        if !post_heartbeat(to, spec, BORN, seq, layers) {
             target += 1;
         }
         thread::sleep(HEARTBEAT_PERIOD);
     }
 }
 
+/// Posts a heartbeat to a controller; returns whether it was acknowledged.
+pub(crate) fn post_heartbeat(
+    to: SocketAddr,
+    spec: &EngineSpec,
+    born: u64,
+    seq: u64,
+    layers: Option<(u32, u32)>,
+) -> bool {
+    let layers = layers.map(|(from, to)| json!({"from": from, "to": to, "version": 1}));
+    let body = json!({
+        "service": spec.service, "addr": spec.address.to_string(), "zone": spec.domain,
+        "version": "v1", "slots": 8, "state": "ready", "born": born, "seq": seq,
+        "coldLeftMs": 0, "type": "small", "layers": layers,
+    });
+    post(to, &format!("/v1/Instances.Heartbeat/{}", spec.id), &body)
+}
+
 /// Posts to a controller and follows one redirect; returns whether the request was
 /// acknowledged.
 pub(crate) fn post(to: SocketAddr, path: &str, body: &Value) -> bool {
@@ -442,14 +498,44 @@
         state.order_delay
     };
     tokio::time::sleep(delay).await;
-    let mut state = state.lock().unwrap();
-    state.pending_orders -= 1;
-    state.layers.insert(spec.address, range);
+    let mut locked = state.lock().unwrap();
+    locked.pending_orders -= 1;
+    let busy = locked.is_loading(spec);
+    locked.orders.push(Order {
+        engine: spec.id.clone(),
+        range,
+        fence: order["fence"].as_u64().unwrap(),
+        busy,
+    });
+    if busy {
+        return full_response(409, "");
+    }
+    if locked.layers_of(spec) == Some(range) {
+        return full_response(200, "");
+    }
+    if locked.load_time.is_zero() {
+        locked.layers.insert(spec.address, range);
+    } else {
+        locked.loading.insert(spec.address, range);
+        let time = locked.load_time;
+        tokio::spawn(load(spec.address, range, time, Arc::clone(state)));
+    }
     full_response(202, "")
 }
 
+async fn load(address: SocketAddr, range: (u32, u32), time: Duration, state: SharedState) {
+    tokio::time::sleep(time).await;
+    let mut state = state.lock().unwrap();
+    // Nothing is being loaded any more if the engine was killed.
+    if state.loading.remove(&address).is_some() {
+        state.layers.insert(address, range);
+    }
+}
+
 fn handle_report(spec: &EngineSpec, state: &SharedState) -> Response<Body> {
-    let layers = state.lock().unwrap().layers.get(&spec.address).copied();
+    let state = state.lock().unwrap();
+    let layers = state.layers_of(spec);
     let layers = layers.map(|(from, to)| json!({"from": from, "to": to, "version": 1}));
-    full_response(200, &json!({"layers": layers, "stalled": []}).to_string())
+    let report = json!({"layers": layers, "busy": state.is_loading(spec), "stalled": []});
+    full_response(200, &report.to_string())
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -11,4 +11,5 @@
 mod faults;
 mod limit;
 mod metrics;
+mod order;
 mod restore;
