End the priority of reported layers with a forwarded heartbeat too

A heartbeat that confirms the layers that an engine reported ends the time in which earlier ones are distrusted. Only a full announcement did: after a digest, the usual form of a forwarded heartbeat, an engine that went back to its former layers within 2.2 heartbeat periods was taken for holding the reported ones, and requests were sent to layers that it no longer held. Found by reading the code for the postmortem; `announce_after_completion::confirmed_by_digest` fails without the change.

--- a/src/roster.rs
+++ b/src/roster.rs
@@ -353,6 +353,7 @@
             return RefreshOutcome::Unknown;
         }
         known.sequence = digest.sequence;
+        entry.replaced = None;
         entry.last_heartbeat = now;
         let late = std::mem::take(&mut entry.late);
         if std::mem::take(&mut entry.suspected) || late {
--- a/src/tests/order.rs
+++ b/src/tests/order.rs
@@ -259,32 +259,51 @@
     );
 }
 
+/// How the leader receives a heartbeat that confirms the reported layers.
+#[derive(Clone, Copy, PartialEq)]
+enum Confirmed {
+    Never,
+    InFull,
+    ByDigest,
+}
+
 #[rstest]
-#[case::other_layers(14_100, 1, BORN, |_: &Ordered| Some(LayerRange::new(27, 40)))]
-#[case::restarted(14_100, 1, BORN + 1, |_: &Ordered| None)]
-#[case::confirmed_before(14_100, 2, BORN, |o: &Ordered| o.latest.layers)]
-#[case::much_later(17_000, 1, BORN, |o: &Ordered| o.latest.layers)]
+#[case::other_layers(14_100, BORN, |_: &Ordered| Some(LayerRange::new(27, 40)), Confirmed::Never)]
+#[case::restarted(14_100, BORN + 1, |_: &Ordered| None, Confirmed::Never)]
+#[case::much_later(17_000, BORN, |o: &Ordered| o.latest.layers, Confirmed::Never)]
+#[case::confirmed(14_100, BORN, |o: &Ordered| o.latest.layers, Confirmed::InFull)]
+#[case::confirmed_by_digest(14_100, BORN, |o: &Ordered| o.latest.layers, Confirmed::ByDigest)]
 fn announce_after_completion(
     #[case] now: u64,
-    #[case] sequence: u64,
     #[case] born: u64,
     #[case] layers: fn(&Ordered) -> Option<LayerRange>,
+    #[case] confirmed: Confirmed,
 ) {
     // Guards against a leader that stays with the layers that it learned from the engine itself.
     // A former order may be carried out late, and an engine that restarts holds no layers.
     let mut o = completed();
-    let next = |sequence, born, layers| Announcement {
-        sequence: o.latest.sequence + sequence,
+    let mut confirming = o.loaded();
+    confirming.sequence += 1;
+    match confirmed {
+        Confirmed::Never => {}
+        Confirmed::InFull => {
+            o.leader.announce(at(14_050), confirming);
+        }
+        Confirmed::ByDigest => {
+            let digest = HeartbeatDigest::from(&confirming);
+            assert_eq!(
+                o.leader.refresh(at(14_050), &digest),
+                RefreshOutcome::Applied
+            );
+        }
+    }
+    let layers = layers(&o);
+    let next = Announcement {
+        sequence: o.latest.sequence + 2,
         born,
         layers,
         ..o.latest.clone()
     };
-    let (layers, ordered) = (layers(&o), Some(o.order.range));
-    let confirming = next(1, BORN, ordered);
-    let next = next(sequence, born, layers);
-    if sequence > 1 {
-        o.leader.announce(at(14_050), confirming);
-    }
     o.leader.announce(at(now), next);
     assert_eq!(o.shown(now), layers);
 }
