--- a/src/controller/place.rs
+++ b/src/controller/place.rs
@@ -101,6 +101,7 @@
             first = order.range.first,
             end = order.range.end,
             fence = order.fence,
+            number = order.number,
             status = status.map(|s| s.as_u16()),
             "layers ordered"
         );
@@ -140,6 +141,7 @@
             first = ended.order.range.first,
             end = ended.order.range.end,
             fence = ended.order.fence,
+            number = ended.order.number,
             cause,
             age_ms = ended.age.as_millis() as u64,
             "order ended"
