End the priority of reported layers for an engine that only released some

The layers that an engine keeps while it carries out an order are all that it reports when the order only takes layers away. A heartbeat that confirmed them was then taken for one sent before the report, so heartbeats were distrusted for 2.2 periods. Found on reading the diff; `set_layers_until_confirmed::released` fails without the change.

--- a/src/roster.rs
+++ b/src/roster.rs
@@ -168,9 +168,10 @@
         }
         let entry = self.entries.get(&announcement.id);
         let entry = entry.filter(|e| e.announcement.born == announcement.born);
-        let replaced = entry
+        let changed = entry.filter(|e| e.announcement.layers != announcement.layers);
+        let replaced = changed
             .and_then(|e| e.replaced)
-            .filter(|r| r.precede(now, announcement.layers));
+            .filter(|r| r.predates(now, announcement.layers));
         if let Some(entry) = entry.filter(|_| replaced.is_some()) {
             announcement.layers = entry.announcement.layers;
         }
--- a/src/roster/announcement.rs
+++ b/src/roster/announcement.rs
@@ -67,8 +67,9 @@
 }
 
 impl ReplacedLayers {
-    /// Whether a heartbeat that arrives at `now` with `layers` was sent before the report.
-    pub(super) fn precede(&self, now: Time, layers: Option<LayerRange>) -> bool {
+    /// Whether a heartbeat that arrives at `now` with other layers than the reported ones was sent
+    /// before the report.
+    pub(super) fn predates(&self, now: Time, layers: Option<LayerRange>) -> bool {
         now < self.until && (layers == self.before || layers == self.kept)
     }
 }
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -8,6 +8,7 @@
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
 
 use super::{announce, at};
 use crate::clock::Time;
@@ -139,6 +140,32 @@
     assert_eq!(ids(&roster), ["i-new"]);
 }
 
+#[rstest]
+#[case::released((0, 9), (0, 4))]
+#[case::added((0, 4), (0, 9))]
+#[case::moved((0, 4), (4, 9))]
+fn set_layers_until_confirmed(#[case] before: (u32, u32), #[case] after: (u32, u32)) {
+    // Guards against a roster that distrusts heartbeats after one that confirmed the reported
+    // layers.
+    let range = |(first, end)| LayerRange::new(first, end);
+    let heartbeat = |sequence, layers| Announcement {
+        layers: Some(range(layers)),
+        ..announcement("i-1", sequence)
+    };
+    let mut roster = Roster::new(HEARTBEAT);
+    announce(&mut roster, at(0), heartbeat(1, before));
+    roster.set_layers(at(1_000), "i-1", 0, range(after));
+    for (sequence, listed, known) in [(2, before, after), (3, after, after), (4, before, before)] {
+        announce(
+            &mut roster,
+            at(1_000 + sequence),
+            heartbeat(sequence, listed),
+        );
+        let layers = roster.get("i-1").unwrap().announcement.layers;
+        assert_eq!(layers, Some(range(known)), "sequence {sequence}");
+    }
+}
+
 #[test]
 fn announce_delayed_unknown() {
     // The same, with a new leader that does not know the old engine.
