--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -279,7 +279,7 @@
         }
     }
 
-    /// Whether a newer sync request of the same instance has been answered.
+    /// Whether a newer sync request of the same instance has been recorded.
     pub(crate) fn is_outdated(&self, request: &SyncRequest) -> bool {
         self.reports.is_outdated(request)
     }
@@ -470,6 +470,7 @@
                 address: announcement.address,
                 range: m.range,
                 fence: self.term,
+                // Assigned once the order is issued.
                 number: 0,
             }
         });
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -23,7 +23,7 @@
 /// Encoded size of one engine's load, in bytes.
 const LOAD_BYTES: f64 = 20.0;
 
-/// A sync request that [`Reports::check`] found no newer one of its sender to.
+/// A sync request of which [`Reports::check`] found no newer one from the same instance.
 ///
 /// Everything that a request changes takes this type, so that a request that its sender gave up
 /// changes nothing when it arrives after its successor.
@@ -73,8 +73,8 @@
     /// Checks that no newer request of the same instance has been recorded; returns `None` if one
     /// has.
     ///
-    /// The order of requests is lost when a connection fails: what the system still resends on it
-    /// may arrive after what was sent on the next one. A process whose clock was set back before
+    /// The order of requests is lost when a connection fails: what the kernel still retransmits on
+    /// it may arrive after what was sent on the next one. A process whose clock was set back before
     /// its start is accepted again after [`REPORT_LIFETIME`].
     pub(crate) fn check(&self, request: SyncRequest) -> Option<CurrentRequest> {
         (!self.is_outdated(&request)).then_some(CurrentRequest(request))
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -11,7 +11,7 @@
 
 use super::Entry;
 use super::attempt::{CUT, Run};
-use super::view::{Upstream, View};
+use super::view::{CurrentReply, Upstream, View};
 use crate::clock::micros;
 use crate::decide::quarantine;
 use crate::decide::refusal::Reason;
@@ -19,7 +19,7 @@
 use crate::event;
 use crate::fingerprint::Fingerprint;
 use crate::metric;
-use crate::sync::{CutRecord, HarmlessRecord, SyncReply, SyncRequest};
+use crate::sync::{CutRecord, HarmlessRecord, SyncRequest};
 
 /// Delay before probing an engine that cut off a run, since its listener may be closed
 /// slightly later than its connections.
@@ -221,8 +221,9 @@
     }
 
     /// Records that a leader received the cut runs up to a sequence number.
-    pub(super) fn acknowledge_runs(&self, reply: &SyncReply, last: u64) {
-        self.shared().run_history.acknowledge(reply.term, last);
+    pub(super) fn acknowledge_runs(&self, current: &CurrentReply, last: u64) {
+        let term = current.reply().term;
+        self.shared().run_history.acknowledge(term, last);
     }
 
     /// Removes the cut runs of requests whose quarantine was lifted.
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -15,7 +15,7 @@
 use crate::id::InstanceId;
 use crate::message::{Answer, Ask, Request};
 use crate::role;
-use crate::sync::{FleetLoad, SyncReply, SyncRequest};
+use crate::sync::{SyncReply, SyncRequest};
 
 /// Timeout for a controller's response. A lost packet is retransmitted after 200 ms.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -162,12 +162,9 @@
     /// Applies a leader's response to a request that was sent at `sent` and reported the cut runs
     /// up to `last_cut`.
     fn apply_reply(&self, leader: InstanceId, sent: Time, last_cut: u64, current: CurrentReply) {
-        let reply = current.reply();
-        if let Some(load) = &reply.work {
-            self.apply_load(load, reply.entries_known);
-        }
-        self.acknowledge_runs(reply, last_cut);
-        self.apply_leader_limits(sent, &reply.limits);
+        self.apply_load(&current);
+        self.acknowledge_runs(&current, last_cut);
+        self.apply_leader_limits(sent, &current);
         let before = self.view().version();
         self.update_view(sent, current);
         let version = self.view().version();
@@ -182,15 +179,18 @@
         }
     }
 
-    /// Applies the load of the other instances. It is only a part of their load until the
-    /// leader has counted them.
-    fn apply_load(&self, load: &FleetLoad, entries_known: bool) {
+    /// Applies the load of the other instances, if the leader sent it. It is only a part of their
+    /// load until the leader has counted them.
+    fn apply_load(&self, current: &CurrentReply) {
+        let reply = current.reply();
+        let Some(load) = &reply.work else { return };
         let waiting = self.queued.load(Ordering::Relaxed);
         let loads = &mut self.shared().loads;
         loads.update(&load.loads, rand::rng().random());
-        loads
-            .demand
-            .update(entries_known.then_some(load.room_requests), waiting as u32);
+        loads.demand.update(
+            reply.entries_known.then_some(load.room_requests),
+            waiting as u32,
+        );
     }
 
     fn sync_request(&self, sequence: u64) -> SyncRequest {
--- a/src/entry/limit.rs
+++ b/src/entry/limit.rs
@@ -4,7 +4,7 @@
 
 use super::Entry;
 use super::attempt::Run;
-use super::view::Upstream;
+use super::view::{CurrentReply, Upstream};
 use crate::clock::Time;
 use crate::decide::rate::{self, LimitUpdate};
 use crate::event;
@@ -52,9 +52,9 @@
 
     /// Applies the leader's limit updates. Their ages are counted back from `sent`, when the
     /// leader was polled, so that an update never replaces a newer one.
-    pub(super) fn apply_leader_limits(&self, sent: Time, limits: &[LimitRecord]) {
+    pub(super) fn apply_leader_limits(&self, sent: Time, current: &CurrentReply) {
         let now = self.now();
-        for limit in limits {
+        for limit in &current.reply().limits {
             self.apply_limit(now, limit.address, limit.update(sent), "leader");
         }
     }
