Refuse outdated sync requests instead of answering them

A request that isn't recorded was answered like any other. Its sender has usually given it up, but not an instance that restarted with its clock set back, or that went back to a release without sequence numbers: it took the cut runs that it had reported for received, while the leader had none of them, so a request that crashes engines was found later or not at all. Shown in review by a forced order of events (a silent cut run reported by such an instance, 0 suspects where 1 is right).

--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -238,37 +238,36 @@
         now.since(self.term_start) >= self.heartbeat.mul_f64(COMPLETE_HEARTBEATS)
     }
 
+    /// See [`Reports::check`].
+    pub(crate) fn check_sync(&self, request: SyncRequest) -> Option<CurrentRequest> {
+        self.reports.check(request)
+    }
+
     /// Answers a sync request of an entry instance. `age` is the time since a quorum
     /// confirmed the register.
     pub(crate) fn sync(
         &mut self,
         now: Time,
-        request: SyncRequest,
+        current: CurrentRequest,
         age: Duration,
-        current: Option<VersionedConfiguration>,
+        configuration: Option<VersionedConfiguration>,
         register: &Register,
     ) -> SyncReply {
-        let current_version = current.as_ref().map_or(0, |c| c.version);
-        let other_version = current.filter(|c| c.version != request.version);
+        let request = current.request();
+        let current_version = configuration.as_ref().map_or(0, |c| c.version);
+        let other_version = configuration.filter(|c| c.version != request.version);
         let up_to_date = request.term == self.term
             && request.revision == self.roster.changes().revision()
             && request.complete == self.is_complete(now);
-        let roster = (!up_to_date).then(|| self.roster_delta(now, &request, register));
+        let roster = (!up_to_date).then(|| self.roster_delta(now, request, register));
         let instance = request.instance;
-        let work = match self.reports.check(request) {
-            Some(current) => {
-                self.record_sync(now, current);
-                self.reports.others_load(now, instance)
-            }
-            // Its sender has given it up and discards the reply.
-            None => None,
-        };
+        self.record_sync(now, current);
         SyncReply {
             age: micros(age),
             version: current_version,
             body: other_version.map(|c| c.body),
             roster,
-            work,
+            work: self.reports.others_load(now, instance),
             entries: self.reports.len() as u32,
             voters: Vec::new(),
             entries_known: now.since(self.term_start) >= ENTRIES_KNOWN_AFTER,
@@ -279,11 +278,6 @@
         }
     }
 
-    /// Whether a newer sync request of the same instance has been recorded.
-    pub(crate) fn is_outdated(&self, request: &SyncRequest) -> bool {
-        self.reports.is_outdated(request)
-    }
-
     /// Records what an instance reports.
     fn record_sync(&mut self, now: Time, current: CurrentRequest) {
         self.record_runs(now, &current);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -487,15 +487,17 @@
         };
         let current = self.compressed_configuration();
         let known_quarantine = request.quarantine_checksum;
-        if state.is_outdated(&request) {
+        let (instance, born, sequence) = (request.instance, request.born, request.sequence);
+        let Some(request) = state.check_sync(request) else {
             tracing::info!(
                 event = event::SYNC_OUTDATED.id,
-                instance = request.instance,
-                born = request.born,
-                sequence = request.sequence,
-                "outdated sync request not recorded"
+                instance,
+                born,
+                sequence,
+                "outdated sync request refused"
             );
-        }
+            return Answer::Unavailable(true);
+        };
         let reply = state.sync(self.now(), request, age, current, &self.register);
         drop(state);
         let members = self.status().into_iter().flat_map(|s| s.members);
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -31,7 +31,6 @@
 pub(crate) struct CurrentRequest(SyncRequest);
 
 impl CurrentRequest {
-    /// Returns the request.
     pub(crate) fn request(&self) -> &SyncRequest {
         &self.0
     }
@@ -77,13 +76,10 @@
     /// it may arrive after what was sent on the next one. A process whose clock was set back before
     /// its start is accepted again after [`REPORT_LIFETIME`].
     pub(crate) fn check(&self, request: SyncRequest) -> Option<CurrentRequest> {
-        (!self.is_outdated(&request)).then_some(CurrentRequest(request))
-    }
-
-    /// Whether a newer request of the same instance has been recorded.
-    pub(crate) fn is_outdated(&self, request: &SyncRequest) -> bool {
         let latest = self.latest.get(&request.instance);
-        latest.is_some_and(|r| (r.born, r.sequence) > (request.born, request.sequence))
+        let outdated =
+            latest.is_some_and(|r| (r.born, r.sequence) > (request.born, request.sequence));
+        (!outdated).then_some(CurrentRequest(request))
     }
 
     /// Replaces the report of an instance.
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,7 +1,12 @@
 //! Unit tests of the crate's modules, one file per module.
 
+use std::time::Duration;
+
 use crate::clock::Time;
+use crate::controller::leader::LeaderState;
+use crate::register::Register;
 use crate::roster::{AnnounceOutcome, Announcement, Roster};
+use crate::sync::{SyncReply, SyncRequest};
 
 mod answer;
 mod auth;
@@ -52,3 +57,14 @@
         Err(reason) => AnnounceOutcome::Stale(reason),
     }
 }
+
+/// Answers a sync request, unless it is outdated.
+fn handle_sync(
+    leader: &mut LeaderState,
+    now: Time,
+    request: SyncRequest,
+    register: &Register,
+) -> Option<SyncReply> {
+    let current = leader.check_sync(request)?;
+    Some(leader.sync(now, current, Duration::ZERO, None, register))
+}
