Log the latest heartbeat of a removed upstream beside a stale one

Event 312 lacked known_born and known_sequence for upstreams that had been removed. Roster::announce returns what its caller needs. No change of decisions.

--- a/src/controller/heartbeat.rs
+++ b/src/controller/heartbeat.rs
@@ -169,15 +169,15 @@
 /// Logs and counts a stale heartbeat with this incarnation and sequence number.
 fn report_stale(state: &LeaderState, id: &str, (born, sequence): (u64, u64), reason: StaleReason) {
     let reason = reason.name();
-    let known = state.upstream(id).map(|e| &e.announcement);
+    let known = state.known_position(id);
     metrics::counter!(metric::STALE_HEARTBEATS.name, "reason" => reason).increment(1);
     tracing::info!(
         event = event::HEARTBEAT_STALE.id,
         upstream = id,
         born,
         sequence,
-        known_born = known.map(|k| k.born),
-        known_sequence = known.map(|k| k.sequence),
+        known_born = known.map(|k| k.0),
+        known_sequence = known.map(|k| k.1),
         reason,
         "stale heartbeat"
     );
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -174,7 +174,10 @@
         match self.roster.check(now, announcement) {
             Ok(current) => {
                 self.settle_order(now, &current);
-                self.roster.announce(now, current)
+                match self.roster.announce(now, current) {
+                    true => AnnounceOutcome::New,
+                    false => AnnounceOutcome::Known,
+                }
             }
             Err(reason) => AnnounceOutcome::Stale(reason),
         }
@@ -212,6 +215,11 @@
         self.roster.refresh(now, digest)
     }
 
+    /// See [`Roster::known_position`].
+    pub(crate) fn known_position(&self, id: &str) -> Option<(u64, u64)> {
+        self.roster.known_position(id)
+    }
+
     /// Returns the upstream with this id.
     pub(crate) fn upstream(&self, id: &str) -> Option<&RosterEntry> {
         self.roster.get(id)
--- a/src/controller/place.rs
+++ b/src/controller/place.rs
@@ -65,9 +65,9 @@
         }
     }
 
-    /// Whether an order is still pending in the term in which it was issued. The state of a deposed
-    /// leader keeps its orders until it leads again: it would send them with an outdated fence and
-    /// poll their engines without end.
+    /// Whether an order is still pending in the term in which it was issued. A deposed leader keeps
+    /// its orders until it leads again; without the term, it would send them with an outdated fence
+    /// and poll their engines without end.
     fn is_due(&self, order: &PlacementOrder) -> bool {
         let leads = self.leader_info().term == Some(order.fence);
         leads && self.leader_state().is_pending(order)
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -101,7 +101,6 @@
 }
 
 impl CurrentReply {
-    /// Returns the response.
     pub(crate) fn reply(&self) -> &SyncReply {
         &self.reply
     }
--- a/src/log/rate_limit.rs
+++ b/src/log/rate_limit.rs
@@ -30,6 +30,8 @@
     event::REQUEST_WAITED,
     event::UPSTREAM_JOINED,
     event::HEARTBEAT_STALE,
+    event::SYNC_OUTDATED,
+    event::SYNC_REJECTED,
 ];
 
 #[derive(Clone, Copy, Debug)]
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -54,7 +54,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct HeartbeatsReply {
     /// Ids of the upstreams whose full announcement the leader needs, since it has none or a
-    /// different one. All other heartbeats have been applied.
+    /// different one. All other heartbeats have been applied or are stale.
     #[prost(string, repeated, tag = "1")]
     pub(crate) unknown: Vec<String>,
 }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -181,21 +181,25 @@
         })
     }
 
-    /// Returns why a heartbeat with this incarnation and sequence number is stale, as far as they
-    /// tell.
-    fn staleness(&self, id: &str, (born, sequence): (u64, u64)) -> Option<StaleReason> {
-        if self.is_retired(id, born) {
+    /// Returns why a heartbeat at this position is stale, as far as the position tells.
+    fn staleness(&self, id: &str, position: (u64, u64)) -> Option<StaleReason> {
+        if self.is_retired(id, position.0) {
             return Some(StaleReason::Retired);
         }
-        let known = match self.entries.get(id) {
-            Some(entry) => entry.announcement.position(),
-            None => self.lost.get(id)?.position,
-        };
-        (known >= (born, sequence)).then_some(StaleReason::Older)
+        let known = self.known_position(id)?;
+        (known >= position).then_some(StaleReason::Older)
+    }
+
+    /// Returns the position of the latest heartbeat with this id; see [`Announcement::position`].
+    pub(crate) fn known_position(&self, id: &str) -> Option<(u64, u64)> {
+        match self.entries.get(id) {
+            Some(entry) => Some(entry.announcement.position()),
+            None => self.lost.get(id).map(|l| l.position),
+        }
     }
 
-    /// Applies a checked announcement.
-    pub(crate) fn announce(&mut self, now: Time, current: CurrentAnnouncement) -> AnnounceOutcome {
+    /// Applies a checked announcement. Returns whether it is the first of its incarnation.
+    pub(crate) fn announce(&mut self, now: Time, current: CurrentAnnouncement) -> bool {
         let CurrentAnnouncement {
             announcement,
             replaced,
@@ -228,11 +232,10 @@
         if changed || before.is_some_and(|b| b.late || b.suspected) {
             self.changes.note_change(&id);
         }
-        if !fresh {
-            return AnnounceOutcome::Known;
+        if fresh {
+            self.last_join = Some(now);
         }
-        self.last_join = Some(now);
-        AnnounceOutcome::New
+        fresh
     }
 
     /// Applies a heartbeat digest.
--- a/src/roster/announcement.rs
+++ b/src/roster/announcement.rs
@@ -42,18 +42,17 @@
 #[derive(Debug)]
 pub(crate) struct CurrentAnnouncement {
     pub(super) announcement: Announcement,
-    /// Kept until an announcement was sent after the report.
+    /// The entry's replaced layers if the announcement was sent before a report, else none.
     pub(super) replaced: Option<ReplacedLayers>,
 }
 
 impl CurrentAnnouncement {
-    /// Returns the announcement.
     pub(crate) fn announcement(&self) -> &Announcement {
         &self.announcement
     }
 }
 
-/// Layers that an upstream held before it reported others.
+/// Layers that an upstream held before it reported others, until a heartbeat lists those.
 ///
 /// A heartbeat that it sent before may still arrive and list them, or those of them that it kept
 /// while it loaded. If that were believed, requests would be sent to layers that it no longer
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -53,7 +53,10 @@
 /// Applies an announcement to a roster, unless it is stale.
 fn announce(roster: &mut Roster, now: Time, announcement: Announcement) -> AnnounceOutcome {
     match roster.check(now, announcement) {
-        Ok(current) => roster.announce(now, current),
+        Ok(current) => match roster.announce(now, current) {
+            true => AnnounceOutcome::New,
+            false => AnnounceOutcome::Known,
+        },
         Err(reason) => AnnounceOutcome::Stale(reason),
     }
 }
