Remember all layers that reports replaced lately

When an engine reported twice within 2.2 heartbeat periods, a heartbeat that it sent before the first report was believed again, since only the layers of the second were kept. Shown in review; `set_layers_until_confirmed::moved_twice` fails without the change. The other cases of that test now also bound the time from below and include a heartbeat sent while the engine loads.

--- a/src/roster.rs
+++ b/src/roster.rs
@@ -106,7 +106,7 @@
     /// Whether several instances failed to reach it.
     pub(crate) suspected: bool,
     /// Layers that the upstream has replaced by those in `announcement`, according to itself.
-    replaced: Option<ReplacedLayers>,
+    replaced: Vec<ReplacedLayers>,
 }
 
 /// An upstream that was removed for its silence.
@@ -169,10 +169,10 @@
         let entry = self.entries.get(&announcement.id);
         let entry = entry.filter(|e| e.announcement.born == announcement.born);
         let changed = entry.filter(|e| e.announcement.layers != announcement.layers);
-        let replaced = changed
-            .and_then(|e| e.replaced)
-            .filter(|r| r.predates(now, announcement.layers));
-        if let Some(entry) = entry.filter(|_| replaced.is_some()) {
+        let predates = |r: &ReplacedLayers| r.predates(now, announcement.layers);
+        let older = changed.filter(|e| e.replaced.iter().any(predates));
+        let replaced = older.map_or(Vec::new(), |e| e.replaced.clone());
+        if let Some(entry) = older {
             announcement.layers = entry.announcement.layers;
         }
         Ok(CurrentAnnouncement {
@@ -251,7 +251,7 @@
             return RefreshOutcome::Unknown;
         }
         known.sequence = digest.sequence;
-        entry.replaced = None;
+        entry.replaced.clear();
         entry.last_heartbeat = now;
         let late = std::mem::take(&mut entry.late);
         if std::mem::take(&mut entry.suspected) || late {
@@ -317,7 +317,8 @@
             return;
         }
         entry.announcement.layers = Some(range);
-        entry.replaced = Some(ReplacedLayers {
+        entry.replaced.retain(|r| now < r.until);
+        entry.replaced.push(ReplacedLayers {
             before,
             kept: before.and_then(|b| b.intersection(range)),
             // A heartbeat that is delayed for longer makes the upstream late.
--- a/src/roster/announcement.rs
+++ b/src/roster/announcement.rs
@@ -43,7 +43,7 @@
 pub(crate) struct CurrentAnnouncement {
     pub(super) announcement: Announcement,
     /// The entry's replaced layers if the announcement was sent before a report, else none.
-    pub(super) replaced: Option<ReplacedLayers>,
+    pub(super) replaced: Vec<ReplacedLayers>,
 }
 
 impl CurrentAnnouncement {
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -108,6 +108,18 @@
     assert_eq!(ids(&roster), ["i-new"]);
 }
 
+#[test]
+fn announce_delayed_unknown() {
+    // The same, with a new leader that does not know the old engine.
+    let mut roster = Roster::new(HEARTBEAT);
+    announce(&mut roster, at(1000), announcement("i-new", 1));
+    assert_eq!(
+        announce(&mut roster, at(1500), announcement("i-old", 10)),
+        AnnounceOutcome::Stale(StaleReason::Superseded)
+    );
+    assert_eq!(ids(&roster), ["i-new"]);
+}
+
 #[test]
 fn announce_delayed_lost() {
     // Guards against a heartbeat that an engine sent before its crash and that arrives after its
@@ -141,43 +153,37 @@
 }
 
 #[rstest]
-#[case::released((0, 9), (0, 4))]
-#[case::added((0, 4), (0, 9))]
-#[case::moved((0, 4), (4, 9))]
-fn set_layers_until_confirmed(#[case] before: (u32, u32), #[case] after: (u32, u32)) {
-    // Guards against a roster that distrusts heartbeats after one that confirmed the reported
-    // layers.
+#[case::released(&[(0, 9), (0, 4)], (0, 9))]
+#[case::added(&[(0, 4), (0, 9)], (0, 4))]
+#[case::moved(&[(0, 4), (4, 9)], (0, 4))]
+#[case::moving(&[(0, 6), (3, 9)], (3, 6))]
+#[case::moved_twice(&[(0, 3), (3, 6), (6, 9)], (0, 3))]
+fn set_layers_until_confirmed(#[case] held: &[(u32, u32)], #[case] late: (u32, u32)) {
+    // Guards against a late heartbeat that takes back the layers that an engine reported, and
+    // against a roster that distrusts heartbeats after one that confirmed them.
     let range = |(first, end)| LayerRange::new(first, end);
     let heartbeat = |sequence, layers| Announcement {
         layers: Some(range(layers)),
         ..announcement("i-1", sequence)
     };
     let mut roster = Roster::new(HEARTBEAT);
-    announce(&mut roster, at(0), heartbeat(1, before));
-    roster.set_layers(at(1_000), "i-1", 0, range(after));
-    for (sequence, listed, known) in [(2, before, after), (3, after, after), (4, before, before)] {
-        announce(
-            &mut roster,
-            at(1_000 + sequence),
-            heartbeat(sequence, listed),
-        );
+    announce(&mut roster, at(0), heartbeat(1, held[0]));
+    for reported in &held[1..] {
+        roster.set_layers(at(1_000), "i-1", 0, range(*reported));
+    }
+    let reported = *held.last().unwrap();
+    for (sequence, listed, known) in [
+        (2, late, reported),
+        (3, reported, reported),
+        (4, late, late),
+    ] {
+        let now = at(3_500 + sequence);
+        announce(&mut roster, now, heartbeat(sequence, listed));
         let layers = roster.get("i-1").unwrap().announcement.layers;
         assert_eq!(layers, Some(range(known)), "sequence {sequence}");
     }
 }
 
-#[test]
-fn announce_delayed_unknown() {
-    // The same, with a new leader that does not know the old engine.
-    let mut roster = Roster::new(HEARTBEAT);
-    announce(&mut roster, at(1000), announcement("i-new", 1));
-    assert_eq!(
-        announce(&mut roster, at(1500), announcement("i-old", 10)),
-        AnnounceOutcome::Stale(StaleReason::Superseded)
-    );
-    assert_eq!(ids(&roster), ["i-new"]);
-}
-
 #[test]
 fn tick_silent() {
     let mut roster = Roster::new(HEARTBEAT);
