Keep an address's holder over a late heartbeat of a removed upstream

A heartbeat with a sequence number below 4 counts as that of a new upstream at its address. One that a removed upstream had sent, later than all that arrived before its removal, evicted the live upstream that had taken the address, for the rest of the term. Shown in review with sequence 3 after 2; the case `newest` of `announce_delayed_lost_other_holder` fails without the change.

--- a/src/roster.rs
+++ b/src/roster.rs
@@ -44,8 +44,8 @@
 /// successor there. A new upstream begins at 1, and its first call or two may be lost.
 const ESTABLISHED_SEQUENCE: u64 = 4;
 
-/// Time for which the latest heartbeat of a removed upstream is kept. Heartbeats that it sent
-/// before may arrive seconds later and don't show that it is live.
+/// Time for which the position of a removed upstream's latest heartbeat is kept. Heartbeats that it
+/// sent before that one may arrive seconds later and don't show that it is live.
 const LOST_RETENTION: Duration = Duration::from_secs(30);
 
 /// Layers `first` (inclusive) to `end` (exclusive). Never empty.
@@ -423,7 +423,9 @@
             return announcement.born < holder.announcement.born;
         }
         let silent = now.since(holder.last_heartbeat) >= self.heartbeat.mul_f64(LATE_HEARTBEATS);
-        announcement.sequence >= ESTABLISHED_SEQUENCE && !silent
+        let is_new = announcement.sequence < ESTABLISHED_SEQUENCE
+            && !self.lost.contains_key(&announcement.id);
+        !is_new && !silent
     }
 
     /// Retires the upstream that held the address before.
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -122,33 +122,42 @@
 
 #[test]
 fn announce_delayed_lost() {
-    // Guards against a heartbeat that an engine sent before its crash and that arrives after its
-    // removal: it was offered for requests again and its layers weren't loaded elsewhere.
+    // Guards against a heartbeat that an engine sent before others and before its crash, and that
+    // arrives after its removal: it was offered for requests again and its layers weren't loaded
+    // elsewhere.
     let mut roster = Roster::new(HEARTBEAT);
     announce(&mut roster, at(0), announcement("i-1", 9));
     assert_eq!(roster.tick(at(5_000), &HashMap::default()).len(), 1);
     let stale = AnnounceOutcome::Stale(StaleReason::Older);
     let late = announcement("i-1", 8);
     let digest = HeartbeatDigest::from(&late);
-    let outcome = roster.refresh(at(5_100), &digest);
-    assert_eq!(outcome, RefreshOutcome::Stale(StaleReason::Older));
-    assert_eq!(announce(&mut roster, at(5_200), late), stale);
+    for now in [5_100, 15_000] {
+        roster.tick(at(now), &HashMap::default());
+        let outcome = roster.refresh(at(now), &digest);
+        assert_eq!(outcome, RefreshOutcome::Stale(StaleReason::Older));
+        assert_eq!(announce(&mut roster, at(now), late.clone()), stale);
+    }
     assert_eq!(ids(&roster), [""; 0]);
     // It was only cut off and returns.
     let next = announcement("i-1", 10);
-    assert_eq!(announce(&mut roster, at(5_300), next), AnnounceOutcome::New);
+    assert_eq!(
+        announce(&mut roster, at(15_100), next),
+        AnnounceOutcome::New
+    );
     assert_eq!(ids(&roster), ["i-1"]);
 }
 
-#[test]
-fn announce_delayed_lost_other_holder() {
-    // Guards against the same heartbeat when another engine holds the address by then: the live
-    // one was retired for the rest of the term.
+#[rstest]
+#[case::older(1)]
+#[case::newest(3)]
+fn announce_delayed_lost_other_holder(#[case] sequence: u64) {
+    // Guards against a delayed heartbeat of a removed engine whose address another one has taken:
+    // the live one was retired for the rest of the term.
     let mut roster = Roster::new(HEARTBEAT);
     announce(&mut roster, at(0), announcement("i-old", 2));
     roster.tick(at(5_000), &HashMap::default());
     announce(&mut roster, at(5_100), announcement("i-new", 1));
-    announce(&mut roster, at(5_200), announcement("i-old", 1));
+    announce(&mut roster, at(5_200), announcement("i-old", sequence));
     assert_eq!(ids(&roster), ["i-new"]);
 }
 
