Reject responses of a former term without a roster too

`View::check` looked at the term of the roster that a response carries, so one without a roster was accepted from a deposed leader. By reading that can't happen today: a leader of another term than the sender's always sends its roster. Shown in review; the last check of `apply_deposed_leader` is new.

--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -246,14 +246,16 @@
         self.quarantine_checksum = record.checksum;
     }
 
-    /// Whether the roster comes from a deposed leader, or continues from another revision than
-    /// this view has.
+    /// Whether a response comes from a deposed leader, or its roster continues from another
+    /// revision than this view has.
     fn is_out_of_sequence(&self, reply: &SyncReply) -> bool {
+        if reply.term < self.term {
+            return true;
+        }
         let Some(roster) = &reply.roster else {
             return false;
         };
-        let fits = roster.since == 0 || (roster.term, roster.since) == self.roster();
-        roster.term < self.term || !fits
+        roster.since != 0 && (roster.term, roster.since) != self.roster()
     }
 
     /// Merges a part of the roster. Until the roster is complete, upstreams that the leader
--- a/src/tests/view.rs
+++ b/src/tests/view.rs
@@ -42,6 +42,7 @@
 
 fn with(roster: RosterDelta) -> SyncReply {
     SyncReply {
+        term: roster.term,
         roster: Some(roster),
         ..state(7)
     }
@@ -188,6 +189,11 @@
         at(100),
         with(roster(2, 90, true, &["a", "b"]))
     ));
+    let without_roster = SyncReply {
+        term: 2,
+        ..state(7)
+    };
+    assert!(!apply(&mut view, at(200), without_roster));
     assert_eq!(ids(&view), ["a"]);
 }
 
