Let stand-in engines announce a start only where a test asks for it

The engines of the users' deployments announce none, and no process test covered that since all stand-in engines did.

--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -48,9 +48,6 @@
 /// Time until a crashed engine restarts.
 const DOWNTIME: Duration = Duration::from_millis(1500);
 
-/// Start time that all engines announce.
-pub(crate) const BORN: u64 = 2;
-
 /// How an engine misbehaves at the first run of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -78,6 +75,8 @@
     killed: Vec<String>,
     /// Time that an engine takes to answer an order.
     order_delay: Duration,
+    /// Start time that all engines announce.
+    born: Option<u64>,
     /// Time that an engine takes to load the layers of an order.
     load_time: Duration,
     /// Ranges that engines are loading, by engine address.
@@ -168,6 +167,11 @@
         self.order_delay = delay;
     }
 
+    /// Sets the start time that all engines announce, as where IDs are reused.
+    pub(crate) fn set_born(&mut self, born: Option<u64>) {
+        self.born = born;
+    }
+
     pub(crate) fn set_load_time(&mut self, time: Duration) {
         self.load_time = time;
     }
@@ -290,9 +294,12 @@
         if state.lock().unwrap().killed.contains(&spec.id) {
             return;
         }
-        let layers = state.lock().unwrap().layers_of(spec);
+        let (born, layers) = {
+            let state = state.lock().unwrap();
+            (state.born, state.layers_of(spec))
+        };
         let to = controllers[target % controllers.len()];
-        if !post_heartbeat(to, spec, BORN, seq, layers) {
+        if !post_heartbeat(to, spec, born, seq, layers) {
             target += 1;
         }
         thread::sleep(HEARTBEAT_PERIOD);
@@ -303,16 +310,19 @@
 pub(crate) fn post_heartbeat(
     to: SocketAddr,
     spec: &EngineSpec,
-    born: u64,
+    born: Option<u64>,
     seq: u64,
     layers: Option<(u32, u32)>,
 ) -> bool {
     let layers = layers.map(|(from, to)| json!({"from": from, "to": to, "version": 1}));
-    let body = json!({
+    let mut body = json!({
         "service": spec.service, "addr": spec.address.to_string(), "zone": spec.domain,
-        "version": "v1", "slots": 8, "state": "ready", "born": born, "seq": seq,
-        "coldLeftMs": 0, "type": "small", "layers": layers,
+        "version": "v1", "slots": 8, "state": "ready", "seq": seq, "coldLeftMs": 0,
+        "type": "small", "layers": layers,
     });
+    if let Some(born) = born {
+        body["born"] = born.into();
+    }
     post(to, &format!("/v1/Instances.Heartbeat/{}", spec.id), &body)
 }
 
--- a/tests/platform/order.rs
+++ b/tests/platform/order.rs
@@ -6,7 +6,7 @@
 
 use crate::common::wait_for;
 use crate::deployment::Deployment;
-use crate::engine::{self, BORN, EngineSpec, Order};
+use crate::engine::{self, EngineSpec, Order};
 
 /// Shorter than the time after which an order counts as lost, also if it isn't answered in time.
 const LOAD_TIME: Duration = Duration::from_secs(2);
@@ -26,15 +26,17 @@
 
 /// Start, sequence number and layers of a late heartbeat, from the layers that the engine holds
 /// and those that it was ordered to hold.
-type LateHeartbeat = fn(Layers, Layers) -> (u64, u64, Layers);
+type LateHeartbeat = fn(Layers, Layers) -> (Option<u64>, u64, Layers);
 
 /// Guards against a second order to an engine that is carrying out the first, after a late
 /// heartbeat of its former start, or of a time at which it held the ordered layers.
 #[rstest]
-#[case::former_start(|held, _| (BORN - 1, 40, held))]
-#[case::older_sequence(|_, ordered| (BORN, 1, ordered))]
-fn order_survives_late_heartbeat(#[case] late: LateHeartbeat) {
+#[case::former_start(Some(2), |held, _| (Some(1), 40, held))]
+#[case::older_sequence(None, |_, ordered| (None, 1, ordered))]
+fn order_survives_late_heartbeat(#[case] born: Option<u64>, #[case] late: LateHeartbeat) {
     let deployment = Deployment::start();
+    // All engines announce it before the killed one counts as lost.
+    deployment.engine_state().set_born(born);
     let lost = only_holder(&deployment);
     let before = deployment.engine_state().orders().len();
     deployment.engine_state().set_load_time(LOAD_TIME);
