Confirm reported layers in full and by digest in one test

The cases of `announce_after_completion` that did so moved to `set_layers_until_confirmed`, which now confirms each of its moves both ways; its five cases by digest fail when `refresh` keeps the replaced layers.

--- a/src/tests/order.rs
+++ b/src/tests/order.rs
@@ -256,47 +256,21 @@
     );
 }
 
-/// How the leader receives a heartbeat that confirms the reported layers.
-#[derive(Clone, Copy, PartialEq)]
-enum Confirmed {
-    Never,
-    InFull,
-    ByDigest,
-}
-
 #[rstest]
-#[case::other_layers(14_100, BORN, |_: &Ordered| Some(LayerRange::new(27, 40)), Confirmed::Never)]
-#[case::restarted(14_100, BORN + 1, |_: &Ordered| None, Confirmed::Never)]
-#[case::much_later(17_000, BORN, |o: &Ordered| o.latest.layers, Confirmed::Never)]
-#[case::confirmed(14_100, BORN, |o: &Ordered| o.latest.layers, Confirmed::InFull)]
-#[case::confirmed_by_digest(14_100, BORN, |o: &Ordered| o.latest.layers, Confirmed::ByDigest)]
+#[case::other_layers(14_100, BORN, |_: &Ordered| Some(LayerRange::new(27, 40)))]
+#[case::restarted(14_100, BORN + 1, |_: &Ordered| None)]
+#[case::much_later(17_000, BORN, |o: &Ordered| o.latest.layers)]
 fn announce_after_completion(
     #[case] now: u64,
     #[case] born: u64,
     #[case] layers: fn(&Ordered) -> Option<LayerRange>,
-    #[case] confirmed: Confirmed,
 ) {
     // Guards against a leader that stays with the layers that it learned from the engine itself.
     // A former order may be carried out late, and an engine that restarts holds no layers.
     let mut o = completed();
-    let mut confirming = o.loaded();
-    confirming.sequence += 1;
-    match confirmed {
-        Confirmed::Never => {}
-        Confirmed::InFull => {
-            o.leader.announce(at(14_050), confirming);
-        }
-        Confirmed::ByDigest => {
-            let digest = HeartbeatDigest::from(&confirming);
-            assert_eq!(
-                o.leader.refresh(at(14_050), &digest),
-                RefreshOutcome::Applied
-            );
-        }
-    }
     let layers = layers(&o);
     let next = Announcement {
-        sequence: o.latest.sequence + 2,
+        sequence: o.latest.sequence + 1,
         born,
         layers,
         ..o.latest.clone()
@@ -345,8 +319,8 @@
 
 #[test]
 fn record_refusal_expired_order() {
-    // Guards against the same for two orders with equal start and layers: the controller was paused
-    // until the first had expired and was issued again, then received the answer to the first.
+    // Guards against a late refusal that shortens the wait for an equal order: the controller was
+    // paused until the first had expired and was issued again, then received its answer.
     let mut o = Ordered::new();
     o.leader.tick(at(18_200));
     for (host, layers) in ENGINES.iter().filter(|(host, _)| *host != 3) {
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -167,7 +167,11 @@
 #[case::moved(&[(0, 4), (4, 9)], (0, 4))]
 #[case::moving(&[(0, 6), (3, 9)], (3, 6))]
 #[case::moved_twice(&[(0, 3), (3, 6), (6, 9)], (0, 3))]
-fn set_layers_until_confirmed(#[case] held: &[(u32, u32)], #[case] late: (u32, u32)) {
+fn set_layers_until_confirmed(
+    #[case] held: &[(u32, u32)],
+    #[case] late: (u32, u32),
+    #[values(false, true)] by_digest: bool,
+) {
     // Guards against a late heartbeat that takes back the layers that an engine reported, and
     // against a roster that distrusts heartbeats after one that confirmed them.
     let range = |(first, end)| LayerRange::new(first, end);
@@ -181,16 +185,17 @@
         roster.set_layers(at(1_000), "i-1", 0, range(*reported));
     }
     let reported = *held.last().unwrap();
-    for (sequence, listed, known) in [
-        (2, late, reported),
-        (3, reported, reported),
-        (4, late, late),
-    ] {
-        let now = at(3_500 + sequence);
-        announce(&mut roster, now, heartbeat(sequence, listed));
-        let layers = roster.get("i-1").unwrap().announcement.layers;
-        assert_eq!(layers, Some(range(known)), "sequence {sequence}");
-    }
+    let mut receive = |sequence, listed, in_full| {
+        let (now, heartbeat) = (at(3_500 + sequence), heartbeat(sequence, listed));
+        match in_full {
+            true => _ = announce(&mut roster, now, heartbeat),
+            false => _ = roster.refresh(now, &HeartbeatDigest::from(&heartbeat)),
+        }
+        roster.get("i-1").unwrap().announcement.layers
+    };
+    assert_eq!(receive(2, late, true), Some(range(reported)));
+    assert_eq!(receive(3, reported, !by_digest), Some(range(reported)));
+    assert_eq!(receive(4, late, true), Some(range(late)));
 }
 
 #[test]
