Say once how long suspects and late requests wait, and remove upstreams once

The wait of a suspect stood in two places with the same figures, as did that of a late request. Removing an upstream looked it up twice, and whether it reported its layers after an announcement was spread over four bindings of Roster::check. Found on reading the change again; no change of behaviour.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -57,6 +57,11 @@
 /// turn: most suspects are harmless, and their callers wait.
 pub(crate) const MAX_SUSPECT_WAIT: Duration = Duration::from_secs(2);
 
+/// Returns how long a suspect request with time `left` waits before it runs like any other.
+pub(crate) fn suspect_limit(left: Duration) -> Duration {
+    MAX_SUSPECT_WAIT.min(left / 4)
+}
+
 /// Time over which the suspects of one crash are spread. One that crashes engines does so within
 /// a few tenths of a second, so that few others run beside it.
 const SUSPECT_SPREAD: Duration = Duration::from_millis(1_500);
--- a/src/decide/waiting.rs
+++ b/src/decide/waiting.rs
@@ -102,8 +102,12 @@
 /// Returns the part of its usual wait for which a begun response has waited, at most 1. From then
 /// on it takes room without regard to others.
 pub(crate) fn resume_urgency(objective: Duration, waited: Duration) -> f64 {
-    let usual = objective.mul_f64(RETRY_WAIT).min(MAX_WAIT);
-    waited.div_duration_f64(usual).min(1.0)
+    waited.div_duration_f64(retry_limit(objective)).min(1.0)
+}
+
+/// Returns how long a request that is late already may wait, apart from its deadline.
+fn retry_limit(objective: Duration) -> Duration {
+    objective.mul_f64(RETRY_WAIT).min(MAX_WAIT)
 }
 
 /// Returns how long a request may wait behind `waiters` others, or `None` if it is refused at
@@ -119,8 +123,7 @@
         return None;
     }
     if spent > objective.mul_f64(FRESH) {
-        let limit = objective.mul_f64(RETRY_WAIT);
-        return Some(limit.min(MAX_WAIT).min(left / 3)).filter(|l| *l > POLL_INTERVAL);
+        return Some(retry_limit(objective).min(left / 3)).filter(|l| *l > POLL_INTERVAL);
     }
     let limit = objective.saturating_sub(spent + timing.first_event());
     let limit = limit.min(MAX_WAIT).min(left / 3).max(POLL_INTERVAL * 2);
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -97,7 +97,7 @@
         let is_suspect = |run: &Self| run.suspect(&run.entry.view()).is_some();
         if !self.suspicion.own {
             let began = self.entry.now();
-            let limit = quarantine::MAX_SUSPECT_WAIT.min(self.left() / 4);
+            let limit = quarantine::suspect_limit(self.left());
             while is_suspect(self)
                 && self.quarantined().is_none()
                 && self.entry.now().since(began) < limit
--- a/src/entry/wait.rs
+++ b/src/entry/wait.rs
@@ -67,7 +67,7 @@
     /// Waits for an engine that can be spared, then lets the request enter any engine: suspects are
     /// mostly harmless, and their callers wait.
     async fn wait_for_spare(&self) -> Result<Selection, Reason> {
-        let limit = quarantine::MAX_SUSPECT_WAIT.min(self.left() / 4);
+        let limit = quarantine::suspect_limit(self.left());
         let search = async {
             loop {
                 sleep(waiting::POLL_INTERVAL).await;
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -109,6 +109,20 @@
     replaced: Vec<ReplacedLayers>,
 }
 
+impl RosterEntry {
+    /// Whether the upstream reported its layers after it had sent `announcement`, which lists
+    /// others.
+    fn reported_after(&self, now: Time, announcement: &Announcement) -> bool {
+        let known = &self.announcement;
+        known.born == announcement.born
+            && known.layers != announcement.layers
+            && self
+                .replaced
+                .iter()
+                .any(|r| r.predates(now, announcement.layers))
+    }
+}
+
 /// An upstream that was removed for its silence.
 #[derive(Clone, Copy, Debug)]
 struct LostUpstream {
@@ -166,14 +180,12 @@
         if self.is_superseded(now, &announcement) {
             return Err(StaleReason::Superseded);
         }
-        let entry = self.entries.get(&announcement.id);
-        let entry = entry.filter(|e| e.announcement.born == announcement.born);
-        let changed = entry.filter(|e| e.announcement.layers != announcement.layers);
-        let predates = |r: &ReplacedLayers| r.predates(now, announcement.layers);
-        let older = changed.filter(|e| e.replaced.iter().any(predates));
-        let replaced = older.map_or(Vec::new(), |e| e.replaced.clone());
-        if let Some(entry) = older {
+        let mut replaced = Vec::new();
+        if let Some(entry) = self.entries.get(&announcement.id)
+            && entry.reported_after(now, &announcement)
+        {
             announcement.layers = entry.announcement.layers;
+            replaced.clone_from(&entry.replaced);
         }
         Ok(CurrentAnnouncement {
             announcement,
@@ -279,22 +291,11 @@
         }
     }
 
-    /// Keeps the latest heartbeat of an upstream that is about to be removed for its silence.
-    fn remember(&mut self, now: Time, id: &Arc<str>) {
-        if let Some(entry) = self.entries.get(id) {
-            let lost = LostUpstream {
-                position: entry.announcement.position(),
-                removed: now,
-            };
-            self.lost.insert(id.clone(), lost);
-        }
-    }
-
-    fn remove(&mut self, id: &Arc<str>) {
-        if let Some(entry) = self.entries.remove(id) {
-            self.addresses.remove(&entry.announcement.address);
-            self.changes.note_removal(id);
-        }
+    fn remove(&mut self, id: &Arc<str>) -> Option<RosterEntry> {
+        let entry = self.entries.remove(id)?;
+        self.addresses.remove(&entry.announcement.address);
+        self.changes.note_removal(id);
+        Some(entry)
     }
 
     /// Marks an upstream as changed if it is in the roster. Used for changes that don't come from
@@ -379,8 +380,14 @@
             }
         }
         for id in &removed {
-            self.remember(now, id);
-            self.remove(id);
+            if let Some(entry) = self.remove(id) {
+                let position = entry.announcement.position();
+                let lost = LostUpstream {
+                    position,
+                    removed: now,
+                };
+                self.lost.insert(id.clone(), lost);
+            }
         }
         self.lost
             .retain(|_, l| now.since(l.removed) < LOST_RETENTION);
