Test all ends of an order with one fixture

The test of the logged causes had a leader with an order, and heartbeats of its engine, of its own beside those of tests::order. It moved there with its assertions as they were. Two loops that announced the remaining engines are one.

--- a/src/tests/leader.rs
+++ b/src/tests/leader.rs
@@ -6,7 +6,6 @@
 use super::platform::CONFIGURATION;
 use crate::configuration::Configuration;
 use crate::controller::leader::{LeaderState, PlacementOrder};
-use crate::controller::order::{EndedOrder, OrderEnd};
 use crate::platform::configuration::decode;
 use crate::register::{self, Register};
 use crate::roster::{Announcement, LayerRange};
@@ -128,59 +127,3 @@
     };
     assert!((0..54).all(held), "{orders:?}, then {next:?}");
 }
-
-/// Returns a leader that has just issued orders at 12,100, and one of them.
-fn leader_with_order(register: &Register) -> (LeaderState, PlacementOrder) {
-    let mut leader = leader_state(register, &[1, 2, 4, 5], 12_000);
-    let orders = leader.orders(at(12_100), &configuration());
-    (leader, orders[0].clone())
-}
-
-/// Returns a heartbeat of the engine that got an order.
-fn heartbeat_of(order: &PlacementOrder, born: u64, layers: Option<LayerRange>) -> Announcement {
-    let mut heartbeat = announcement(order.address.ip().octets()[3], 99, None);
-    (heartbeat.born, heartbeat.layers) = (born, layers);
-    heartbeat
-}
-
-#[test]
-fn take_ended_causes() {
-    // Guards against orders that end without a trace of the reason.
-    type Step = fn(&mut LeaderState, &PlacementOrder);
-    let cases: [(OrderEnd, u64, Step); 7] = [
-        (OrderEnd::Heartbeat, 400, |leader, order| {
-            leader.announce(at(12_500), heartbeat_of(order, 0, Some(order.range)));
-        }),
-        (OrderEnd::Restarted, 400, |leader, order| {
-            leader.announce(at(12_500), heartbeat_of(order, 7, None));
-        }),
-        (OrderEnd::Poll, 400, |leader, order| {
-            leader.complete_order(at(12_500), order);
-        }),
-        (OrderEnd::Expired, 6_000, |leader, _| {
-            leader.tick(at(18_100));
-        }),
-        (OrderEnd::Refused, 900, |leader, order| {
-            leader.record_refusal(at(12_200), order);
-            leader.tick(at(13_000));
-        }),
-        (OrderEnd::Unanswered, 2_500, |leader, order| {
-            leader.record_unanswered(at(12_600), order);
-            leader.tick(at(14_600));
-        }),
-        (OrderEnd::Term, 900, |leader, _| {
-            leader.enter_term(at(13_000), 2, &Register::new().0);
-        }),
-    ];
-    for (cause, age, step) in cases {
-        let (register, _machine) = Register::new();
-        let (mut leader, order) = leader_with_order(&register);
-        assert_eq!(leader.take_ended(), []);
-        step(&mut leader, &order);
-        let age = Duration::from_millis(age);
-        let ended = leader.take_ended();
-        let own: Vec<_> = ended.iter().filter(|e| e.order == order).collect();
-        assert_eq!(own, [&EndedOrder { order, cause, age }]);
-        assert_eq!(leader.take_ended(), []);
-    }
-}
--- a/src/tests/order.rs
+++ b/src/tests/order.rs
@@ -1,11 +1,14 @@
 //! Tests of what heartbeats, polls and answers of engines change in the pending orders of the
 //! leading controller.
 
+use std::time::Duration;
+
 use rstest::rstest;
 
 use super::leader::{ENGINES, HEARTBEAT, announcement, configuration};
 use super::{at, handle_sync};
 use crate::controller::leader::{LeaderState, PlacementOrder};
+use crate::controller::order::{EndedOrder, OrderEnd};
 use crate::register::{self, Register, RegisterMachine};
 use crate::relay::{FullHeartbeat, HeartbeatDigest};
 use crate::roster::{AnnounceOutcome, Announcement, LayerRange, RefreshOutcome, StaleReason};
@@ -73,6 +76,27 @@
         }
     }
 
+    /// Returns the first announcement of the engine's next start.
+    fn restarted(&self) -> Announcement {
+        Announcement {
+            born: BORN + 1,
+            sequence: 1,
+            layers: None,
+            ..self.latest.clone()
+        }
+    }
+
+    /// Sends the leader a heartbeat of each engine but the departed one, with its first layers.
+    fn announce_remaining(&mut self, now: u64, sequence: u64) {
+        for (host, layers) in ENGINES.iter().filter(|(host, _)| *host != 3) {
+            let heartbeat = Announcement {
+                born: BORN,
+                ..announcement(*host, sequence, Some(*layers))
+            };
+            self.leader.announce(at(now), heartbeat);
+        }
+    }
+
     /// Returns the layers of the engine that entry instances are told.
     fn shown(&mut self, now: u64) -> Option<LayerRange> {
         let ask = SyncRequest::default();
@@ -281,12 +305,7 @@
 
 /// Returns the order to the engine of `o` after it restarted, and the one before.
 fn order_restarted(o: &mut Ordered) -> (PlacementOrder, PlacementOrder) {
-    let restarted = Announcement {
-        born: BORN + 1,
-        sequence: 1,
-        layers: None,
-        ..o.latest.clone()
-    };
+    let restarted = o.restarted();
     o.leader.announce(at(12_200), restarted);
     let mut orders = o.further_orders(12_300);
     let order = orders.pop().unwrap();
@@ -323,13 +342,7 @@
     // paused until the first had expired and was issued again, then received its answer.
     let mut o = Ordered::new();
     o.leader.tick(at(18_200));
-    for (host, layers) in ENGINES.iter().filter(|(host, _)| *host != 3) {
-        let heartbeat = Announcement {
-            born: BORN,
-            ..announcement(*host, 20, Some(*layers))
-        };
-        o.leader.announce(at(18_250), heartbeat);
-    }
+    o.announce_remaining(18_250, 20);
     let again = o.further_orders(18_300);
     let facts = |o: &PlacementOrder| (o.born, o.range, o.fence);
     assert_eq!(facts(&again[0]), facts(&o.order));
@@ -346,13 +359,7 @@
     let former = o.order.clone();
     for (sequence, now) in (20..).zip((12_400..=17_200).step_by(1200)) {
         o.leader.enter_term(at(now), 2, &o.register);
-        for (host, layers) in ENGINES.iter().filter(|(host, _)| *host != 3) {
-            let heartbeat = Announcement {
-                born: BORN,
-                ..announcement(*host, sequence, Some(*layers))
-            };
-            o.leader.announce(at(now), heartbeat);
-        }
+        o.announce_remaining(now, sequence);
     }
     let present = o.further_orders(17_300).pop().unwrap();
     assert_eq!((former.fence, present.fence), (1, 2));
@@ -377,3 +384,47 @@
     assert!(!o.leader.is_pending(&o.order));
     assert_eq!(o.shown(13_200), o.latest.layers);
 }
+
+#[test]
+fn take_ended_causes() {
+    // Guards against orders that end without a trace of the reason.
+    type Step = fn(&mut Ordered);
+    let cases: [(OrderEnd, u64, Step); 7] = [
+        (OrderEnd::Heartbeat, 400, |o| {
+            let mut next = o.loaded();
+            next.sequence += 1;
+            o.leader.announce(at(12_500), next);
+        }),
+        (OrderEnd::Restarted, 400, |o| {
+            let next = o.restarted();
+            o.leader.announce(at(12_500), next);
+        }),
+        (OrderEnd::Poll, 400, |o| {
+            o.leader.complete_order(at(12_500), &o.order);
+        }),
+        (OrderEnd::Expired, 6_000, |o| {
+            o.leader.tick(at(18_100));
+        }),
+        (OrderEnd::Refused, 900, |o| {
+            o.leader.record_refusal(at(12_200), &o.order);
+            o.leader.tick(at(13_000));
+        }),
+        (OrderEnd::Unanswered, 2_500, |o| {
+            o.leader.record_unanswered(at(12_600), &o.order);
+            o.leader.tick(at(14_600));
+        }),
+        (OrderEnd::Term, 900, |o| {
+            o.leader.enter_term(at(13_000), 2, &o.register);
+        }),
+    ];
+    for (cause, age, step) in cases {
+        let mut o = Ordered::new();
+        assert_eq!(o.leader.take_ended(), []);
+        step(&mut o);
+        let age = Duration::from_millis(age);
+        let (ended, order) = (o.leader.take_ended(), o.order);
+        let own: Vec<_> = ended.iter().filter(|e| e.order == order).collect();
+        assert_eq!(own, [&EndedOrder { order, cause, age }]);
+        assert_eq!(o.leader.take_ended(), []);
+    }
+}
