--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod placement;
 pub(crate) mod quarantine;
 pub(crate) mod rate;
+pub(crate) mod reachability;
 pub(crate) mod refusal;
 pub(crate) mod retry;
 pub(crate) mod retry_budget;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -406,7 +406,9 @@
             cause,
         };
         let address = selection.upstream.address.into();
+        let service = &self.call.service;
         let Ok(connection) = Connection::open_within(address, CONNECT_TIMEOUT).await else {
+            self.entry.record_unreached(service, first);
             return failed(Failure::NotRun, NO_CONNECTION);
         };
         let request = self.request(&selection);
@@ -433,8 +435,14 @@
             .await_progress(answer, stall_timeout, &mut selection)
             .await
         {
-            Ok(Ok(answer)) => self.classify(sent, OpenResponse { answer, selection }),
-            Ok(Err(_)) => failed(Failure::Unknown, CUT),
+            Ok(Ok(answer)) => {
+                self.entry.record_reached(service, first, sent);
+                self.classify(sent, OpenResponse { answer, selection })
+            }
+            Ok(Err(_)) => {
+                self.entry.record_unreached(service, first);
+                failed(Failure::Unknown, CUT)
+            }
             Err(Stall::DeadEngine(culprit)) => Outcome::Failed {
                 failure: Failure::Unknown,
                 culprit: Some(culprit),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,6 +15,7 @@
 use crate::decide::link::LinkShare;
 use crate::decide::load::Loads;
 use crate::decide::rate::RateLimiter;
+use crate::decide::reachability::Reachability;
 use crate::decide::refusal::RefusalRates;
 use crate::decide::retry_budget::{RetryBudget, RetryLimit};
 use crate::decide::run_history::RunHistory;
@@ -41,6 +42,7 @@
 mod measure;
 mod plain;
 pub(crate) mod pool;
+mod reach;
 mod reroute;
 mod select;
 mod stream;
@@ -77,6 +79,7 @@
     refusals: RefusalRates,
     run_history: RunHistory,
     rate_limiter: RateLimiter,
+    reachability: Reachability,
 }
 
 /// A running entry instance.
@@ -165,6 +168,7 @@
                 refusals: RefusalRates::default(),
                 run_history: RunHistory::default(),
                 rate_limiter: RateLimiter::default(),
+                reachability: Reachability::default(),
             }),
             gate: Arc::default(),
             started: SystemClock.now(),
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -145,14 +145,21 @@
 
     /// Asks the first engine for the engine of the path that the attempt waits for.
     async fn stalled_engine(&self, selection: &Selection) -> Option<u64> {
+        let service = &self.call.service;
+        let (asked, first) = (self.entry.now(), selection.upstream.key);
         let report = self.call_engine(selection, Request::get(order::REPORT), String::new());
-        match report.await {
+        let report = report.await;
+        match report {
+            Some(_) => self.entry.record_reached(service, first, asked),
+            None => self.entry.record_unreached(service, first),
+        }
+        match report {
             Some((StatusCode::OK, report)) => {
                 let address = order::stalled_at(&report, &self.call.attempt)?;
                 Some(address_key(address)).filter(|c| selection.passes_through(*c))
             }
             // The first engine itself doesn't respond.
-            None => Some(selection.upstream.key),
+            None => Some(first),
             Some(_) => None,
         }
     }
--- a/src/event.rs
+++ b/src/event.rs
@@ -101,6 +101,10 @@
 pub(crate) const LIMIT_CHANGED: Event = event(413, "limit_changed");
 /// A response that had begun waited for another path.
 pub(crate) const RESUME_WAITED: Event = event(414, "resume_waited");
+/// This instance reaches no upstream of a service.
+pub(crate) const SERVICE_UNREACHABLE: Event = event(415, "service_unreachable");
+/// This instance reaches upstreams of a service again.
+pub(crate) const SERVICE_REACHABLE: Event = event(416, "service_reachable");
 /// This voter became the leader of a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter is no longer the leader of a group.
@@ -174,6 +178,8 @@
     RUN_CUT_EARLY,
     LIMIT_CHANGED,
     RESUME_WAITED,
+    SERVICE_UNREACHABLE,
+    SERVICE_REACHABLE,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -45,6 +45,8 @@
 pub(crate) const LIMITED_UPSTREAMS: Metric = metric("entry_limited_upstreams", &[]);
 /// Memory reserved on the engines for the requests of all instances.
 pub(crate) const BOOKED_MEMORY: Metric = metric("entry_booked_megabytes", &["service"]);
+/// Services of which this instance reaches no upstream.
+pub(crate) const UNREACHABLE_SERVICES: Metric = metric("entry_unreachable_services", &[]);
 /// Version of the configuration in force; 0 before the first.
 pub(crate) const CONFIGURATION_VERSION: Metric = metric("entry_configuration_version", &[]);
 /// Time for which keys may be used without another confirmation.
@@ -103,6 +105,7 @@
     UPSTREAMS,
     LIMITED_UPSTREAMS,
     BOOKED_MEMORY,
+    UNREACHABLE_SERVICES,
     CONFIGURATION_VERSION,
     LEASE_REMAINING,
     ROSTER_COMPLETE,
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -28,6 +28,7 @@
 mod placement;
 mod quarantine;
 mod rate;
+mod reachability;
 mod suspicion;
 
 pub(super) fn model() -> Model {
