--- a/src/engine.rs
+++ b/src/engine.rs
@@ -3,7 +3,7 @@
 //! docs/UPSTREAMS.md describes the protocol.
 
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -195,9 +195,27 @@
         limit: Duration,
     ) -> Result<Self, EngineError> {
         let connected = timeout(limit, TcpStream::connect(addr)).await;
-        let Ok(Ok(stream)) = connected else {
-            return ConnectSnafu.fail();
+        Self::over(connected.ok().and_then(Result::ok)).await
+    }
+
+    /// Same as [`Connection::open_within`], from the address `source` of this machine. An upstream
+    /// then sees the same address for all connections of an instance.
+    pub(crate) async fn open_from(
+        source: Ipv4Addr,
+        addr: SocketAddrV4,
+        limit: Duration,
+    ) -> Result<Self, EngineError> {
+        let connect = async {
+            let socket = TcpSocket::new_v4()?;
+            socket.bind(SocketAddrV4::new(source, 0).into())?;
+            socket.connect(addr.into()).await
         };
+        let connected = timeout(limit, connect).await;
+        Self::over(connected.ok().and_then(Result::ok)).await
+    }
+
+    async fn over(stream: Option<TcpStream>) -> Result<Self, EngineError> {
+        let stream = stream.ok_or(EngineError::Connect)?;
         // With Nagle's algorithm, small writes wait for delayed ACKs.
         let _ = stream.set_nodelay(true);
         let Ok((sender, connection)) = handshake(TokioIo::new(stream)).await else {
@@ -259,15 +277,23 @@
         .body(Full::from(body))
         .expect("the request head is valid");
     let exchange = async {
-        let mut connection = Connection::open(address).await.ok()?;
-        let response = connection.sender.send_request(request).await.ok()?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-        Some((status, body.collect().await.ok()?.to_bytes()))
+        let connection = Connection::open(address).await.ok()?;
+        exchange(connection, request).await
     };
     timeout(limit, exchange).await.ok().flatten()
 }
 
+/// Sends a request on a connection and reads the whole response.
+async fn exchange(
+    mut connection: Connection,
+    request: Request<Full<Bytes>>,
+) -> Option<(StatusCode, Bytes)> {
+    let response = connection.sender.send_request(request).await.ok()?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+    Some((status, body.collect().await.ok()?.to_bytes()))
+}
+
 /// Engines reached over HTTP.
 pub(crate) struct HttpEngine;
 
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -405,9 +405,11 @@
             culprit: Some(first),
             cause,
         };
-        let address = selection.upstream.address.into();
+        let address = selection.upstream.address;
         let service = &self.call.service;
-        let Ok(connection) = Connection::open_within(address, CONNECT_TIMEOUT).await else {
+        let source = self.entry.boot.ip;
+        let connected = Connection::open_from(source, address, CONNECT_TIMEOUT).await;
+        let Ok(connection) = connected else {
             self.entry.record_unreached(service, first);
             return failed(Failure::NotRun, NO_CONNECTION);
         };
