--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -152,6 +152,11 @@
         self.addr(entry_host(entry), self.ports.callers)
     }
 
+    /// Address from which an entry instance connects to engines.
+    pub(crate) fn entry_ip(&self, entry: usize) -> Ipv4Addr {
+        self.ip(entry_host(entry))
+    }
+
     fn model_addrs(&self, domain: &str) -> Vec<SocketAddr> {
         let engines = self.engines.iter();
         let models = engines.filter(|e| e.service == "models" && e.domain == domain);
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -23,6 +23,7 @@
 use tokio::sync::Notify;
 
 use crate::common::caller::agent;
+use crate::cut::{self, Cut, Link, Links};
 
 pub(crate) const HEARTBEAT_PERIOD: Duration = Duration::from_millis(300);
 /// Number of layers of the model.
@@ -98,6 +99,8 @@
     arrivals: HashMap<String, Vec<Instant>>,
     /// When engines crashed on a request of `crash_requests`, by body.
     crashes: Vec<(Instant, String)>,
+    /// Links from instances to engines.
+    pub(crate) links: Links,
 }
 
 pub(crate) type SharedState = Arc<Mutex<EngineState>>;
@@ -269,6 +272,7 @@
         for number in 1.. {
             let (heartbeat_spec, heartbeat_state) = (current.clone(), Arc::clone(&state));
             let controllers = controllers.clone();
+            state.lock().unwrap().links.add(&listener);
             thread::spawn(move || send_heartbeats(&heartbeat_spec, &heartbeat_state, &controllers));
             let runtime = Builder::new_current_thread().enable_all().build().unwrap();
             runtime.block_on(serve(listener, current.clone(), Arc::clone(&state)));
@@ -349,16 +353,25 @@
     let listener = TcpListener::from_std(listener).unwrap();
     let crash = Arc::new(Notify::new());
     loop {
-        let (stream, _) = tokio::select! {
+        let (stream, peer) = tokio::select! {
             accepted = listener.accept() => accepted.unwrap(),
             () = crash.notified() => return,
         };
         if state.lock().unwrap().killed.contains(&spec.id) {
             continue;
         }
+        let link = state.lock().unwrap().links.of(peer.ip());
+        if matches!(link, Some(Cut::Reset | Cut::RefuseNew)) {
+            cut::reset(&stream);
+            continue;
+        }
+        let stream = Link::new(stream, peer.ip(), Arc::clone(&state));
         let (spec, state, crash) = (spec.clone(), Arc::clone(&state), Arc::clone(&crash));
-        let service = service_fn(move |request| {
+        let service = service_fn(move |request: Request<Incoming>| {
             let (spec, state, crash) = (spec.clone(), Arc::clone(&state), Arc::clone(&crash));
+            if is_request(&request) {
+                state.lock().unwrap().links.record_run(peer.ip());
+            }
             async move { Ok::<_, Infallible>(handle(&spec, &state, &crash, request).await) }
         });
         tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
@@ -373,6 +386,11 @@
     response.body(body.boxed_unsync()).unwrap()
 }
 
+/// Whether a request is a caller's, not a report or an order.
+fn is_request(request: &Request<Incoming>) -> bool {
+    !request.uri().path().starts_with("/v1/")
+}
+
 async fn handle(
     spec: &EngineSpec,
     state: &SharedState,
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod common;
 
 mod crash;
+mod cut;
 mod deployment;
 mod end_to_end;
 mod engine;
@@ -12,4 +13,5 @@
 mod limit;
 mod metrics;
 mod order;
+mod reach;
 mod restore;
--- /dev/null
+++ b/tests/platform/reach.rs
@@ -0,0 +1,135 @@
+//! Instances that lose their links to all engines, while callers, controllers and the other
+//! instances still reach them.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use crate::common::wait_for;
+use crate::cut::Cut;
+use crate::deployment::{Deployment, KEY};
+use crate::engine::expected_stream;
+
+/// Time after the cut began from which the cut instances must serve again.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Time for which requests are counted.
+const MEASURE_TIME: Duration = Duration::from_secs(4);
+
+const CALLERS: usize = 24;
+
+/// First tries at instances of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    tried: usize,
+    served: usize,
+}
+
+impl Tally {
+    fn add(self, other: Self) -> Self {
+        Self {
+            tried: self.tried + other.tried,
+            served: self.served + other.served,
+        }
+    }
+
+    fn share(self) -> f64 {
+        self.served as f64 / self.tried.max(1) as f64
+    }
+}
+
+/// Sends requests in turn to all instances until `done`. Returns the tallies of those in `cut`
+/// and of the others, over requests that were sent later than [`CONTACT_TIME`] after `began`.
+fn send(
+    deployment: &Deployment,
+    caller: usize,
+    cut: usize,
+    began: Instant,
+    done: &AtomicBool,
+) -> [Tally; 2] {
+    let mut tallies = [Tally::default(); 2];
+    for number in 0.. {
+        if done.load(Ordering::Relaxed) {
+            break;
+        }
+        let entry = (caller * 31 + number) % deployment.entries.len();
+        let path = ["/letters/x", "/lookups/x", "/bookings/x"][number % 3];
+        let attempt = format!("{caller}-{number}");
+        let counts = began.elapsed() >= CONTACT_TIME;
+        let (status, body) = deployment.request(entry, path, &attempt, KEY);
+        let whole = path != "/letters/x" || body == expected_stream();
+        if counts {
+            let tally = &mut tallies[usize::from(entry >= cut)];
+            tally.tried += 1;
+            tally.served += usize::from(status == 200 && whole);
+        }
+        let runs = deployment.engine_state().runs(&attempt);
+        assert!(runs <= 1 || path != "/bookings/x", "{attempt}: {runs} runs");
+        assert!(
+            status != 503 || runs == 0,
+            "{attempt}: not run {runs} times"
+        );
+        thread::sleep(Duration::from_millis(5));
+    }
+    tallies
+}
+
+/// Addresses from which the first `count` entry instances connect.
+fn sources(deployment: &Deployment, count: usize) -> Vec<Ipv4Addr> {
+    (0..count).map(|i| deployment.entry_ip(i)).collect()
+}
+
+/// Guards against refusing the callers of instances that lost their links to all engines, while
+/// other instances could pass the requests on.
+#[rstest]
+#[case::hang_of_nine(Cut::Hang, 9, 6)]
+#[case::reset_of_nine(Cut::Reset, 9, 6)]
+#[case::refuse_new_of_nine(Cut::RefuseNew, 9, 2)]
+#[case::hang_of_hundreds(Cut::Hang, 300, 250)]
+fn callers_of_cut_instances_served(#[case] kind: Cut, #[case] entries: usize, #[case] cut: usize) {
+    let deployment = Deployment::with_size(entries, &[4, 4]);
+    let done = AtomicBool::new(false);
+    let [lost, others] = thread::scope(|scope| {
+        let (deployment, done) = (&deployment, &done);
+        let began = Instant::now();
+        deployment
+            .engine_state()
+            .links
+            .cut(kind, &sources(deployment, cut));
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|caller| scope.spawn(move || send(deployment, caller, cut, began, done)))
+            .collect();
+        thread::sleep(CONTACT_TIME + MEASURE_TIME);
+        done.store(true, Ordering::Relaxed);
+        let tallies = callers.into_iter().map(|c| c.join().unwrap());
+        let zero = [Tally::default(); 2];
+        tallies.fold(zero, |[a, b], [c, d]| [a.add(c), b.add(d)])
+    });
+    assert!(
+        lost.tried >= 30 && others.tried >= 30,
+        "{lost:?}, {others:?}"
+    );
+    assert!(others.share() > 0.9, "uncut instances: {others:?}");
+    let failed = lost.tried - lost.served;
+    let allowed = 10 + (lost.tried + others.tried) / 50;
+    assert!(
+        lost.share() >= others.share() * 2.0 / 3.0 && failed <= allowed,
+        "cut instances {lost:?}, others {others:?}"
+    );
+    deployment.engine_state().links.restore();
+    wait_for(
+        "a request to an engine from an instance whose links are back",
+        || {
+            deployment.request(0, "/letters/x", "back", KEY);
+            let source = IpAddr::V4(deployment.entry_ip(0));
+            deployment
+                .engine_state()
+                .links
+                .has_run(source)
+                .then_some(())
+        },
+    );
+}
