--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -283,6 +283,7 @@
             suspects: self.crashes.suspects().map(Fingerprint::bytes).collect(),
             quarantine: None,
             limits: self.limit_records(now, instance),
+            proxies: self.reports.proxies(instance),
         }
     }
 
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -1,11 +1,15 @@
 //! Loads that entry instances report to the leading controller, and the load of the other
 //! instances that each is sent in return.
 
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use rustc_hash::FxHasher;
+
 use crate::clock::Time;
 use crate::collections::HashMap;
+use crate::decide::proxies::MAX_PROXIES;
 use crate::sync::{FleetLoad, Load, SyncRequest, address_from_key};
 
 /// Time for which an entry instance's report is valid. It reports several times within it,
@@ -46,6 +50,8 @@
     loads: Vec<Load>,
     /// Address keys of upstreams at which requests failed.
     suspects: Vec<u64>,
+    /// See [`SyncRequest::carries`].
+    carries: bool,
     /// Number of requests that asked it for free memory on engines.
     room_requests: u32,
     /// When it was last sent the load of the others.
@@ -108,6 +114,7 @@
             sequence: request.sequence,
             loads,
             suspects: request.suspects,
+            carries: request.carries,
             room_requests: request.room_requests,
             last_sent: before.and_then(|b| b.last_sent),
         };
@@ -157,6 +164,26 @@
         suspects
     }
 
+    /// Returns the instances that may carry requests of `instance`: those that say that they can,
+    /// or any if there are none, since they may have lost their links to other services only. The
+    /// choice differs between instances, so that the load is spread.
+    pub(crate) fn proxies(&self, instance: u64) -> Vec<u64> {
+        let others = || self.latest.iter().filter(|(id, _)| **id != instance);
+        let some_can = others().any(|(_, report)| report.carries);
+        let asked = others().filter(|(_, report)| report.carries == some_can);
+        let rank = |id: u64| {
+            let mut hasher = FxHasher::default();
+            (id, instance).hash(&mut hasher);
+            (hasher.finish(), id)
+        };
+        let mut ranked: Vec<_> = asked.map(|(id, _)| rank(*id)).collect();
+        if ranked.len() > MAX_PROXIES {
+            ranked.select_nth_unstable(MAX_PROXIES);
+            ranked.truncate(MAX_PROXIES);
+        }
+        ranked.into_iter().map(|(_, id)| id).collect()
+    }
+
     /// Returns the load of all instances but `instance`, if it is due to be sent again.
     pub(crate) fn others_load(&mut self, now: Time, instance: u64) -> Option<FleetLoad> {
         let period = self.period();
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -156,6 +156,11 @@
         record.excluded_until = now + exclusion.min(MAX_EXCLUSION);
     }
 
+    /// Forgets the failures of an upstream, since they were this instance's own.
+    pub(crate) fn forget(&mut self, upstream: u64) {
+        self.0.remove(&upstream);
+    }
+
     /// Records that a request succeeded.
     pub(crate) fn record_success(&mut self, upstream: u64) {
         if let Some(record) = self.0.get_mut(&upstream) {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod path;
 pub(crate) mod pick;
 pub(crate) mod placement;
+pub(crate) mod proxies;
 pub(crate) mod quarantine;
 pub(crate) mod rate;
 pub(crate) mod reachability;
--- a/src/decide/refusal.rs
+++ b/src/decide/refusal.rs
@@ -16,6 +16,8 @@
     NoUpstream,
     /// Every upstream that could serve the request is full.
     Full,
+    /// This instance reaches no upstream of the service, and no other instance carries the request.
+    Unreachable,
     /// Each attempt was refused by an upstream, or found no upstream.
     NotRun,
     /// The rate limits of all upstreams that the request could enter allow none now.
@@ -31,6 +33,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NoUpstream => "no_upstream",
             Self::Full => "full",
+            Self::Unreachable => "unreachable",
             Self::NotRun => "not_run",
             Self::Limited => "limited",
             Self::Quarantined(_) => "quarantined",
@@ -113,7 +116,8 @@
             0.6,
             FULL_MAX_DELAY.0 + (FULL_MAX_DELAY.1 - FULL_MAX_DELAY.0) * refused,
         ),
-        Reason::NotRun => (0.3, 1.0),
+        // A client that returns reaches another instance.
+        Reason::Unreachable | Reason::NotRun => (0.3, 1.0),
         Reason::Limited => (0.6, 3.0),
         Reason::Quarantined(left) => (left.as_secs_f64(), left.as_secs_f64()),
     };
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::http::request::Builder;
+use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
@@ -230,6 +231,11 @@
         })
     }
 
+    /// Whether the upstream leaves the connection open for `time`.
+    pub(crate) async fn stays_open(mut self, time: Duration) -> bool {
+        timeout(time, &mut self.driver.0).await.is_err()
+    }
+
     /// Sends the request, unless the cutoff has passed. Once it is sent, it may
     /// run even if an error is returned.
     pub(crate) async fn send(
@@ -270,28 +276,39 @@
     body: Bytes,
     limit: Duration,
 ) -> Option<(StatusCode, Bytes)> {
-    let request = request
+    let request = call_request(address, id, request, body);
+    let answer = async {
+        let connection = Connection::open(address).await.ok()?;
+        exchange(connection, request).await
+    };
+    let (head, body) = timeout(limit, answer).await.ok().flatten()?;
+    Some((head.status, body))
+}
+
+/// Builds the request of a short call to an upstream, which checks that it is `id`.
+pub(crate) fn call_request(
+    address: SocketAddr,
+    id: &str,
+    request: Builder,
+    body: Bytes,
+) -> Request<Full<Bytes>> {
+    request
         .header(header::HOST, address.to_string())
         .header(header::CONTENT_TYPE, "application/json")
         .header(headers::EXPECTED_UPSTREAM, id)
         .body(Full::from(body))
-        .expect("the request head is valid");
-    let exchange = async {
-        let connection = Connection::open(address).await.ok()?;
-        exchange(connection, request).await
-    };
-    timeout(limit, exchange).await.ok().flatten()
+        .expect("the request head is valid")
 }
 
 /// Sends a request on a connection and reads the whole response.
-async fn exchange(
+pub(crate) async fn exchange(
     mut connection: Connection,
     request: Request<Full<Bytes>>,
-) -> Option<(StatusCode, Bytes)> {
+) -> Option<(Parts, Bytes)> {
     let response = connection.sender.send_request(request).await.ok()?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-    Some((status, body.collect().await.ok()?.to_bytes()))
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_RESPONSE_BYTES);
+    Some((head, body.collect().await.ok()?.to_bytes()))
 }
 
 /// Engines reached over HTTP.
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -14,18 +14,17 @@
 use super::head;
 use super::listen::{error_response, quarantine_body, refuse};
 use super::pool;
-use super::reroute::Stall;
 use super::select::{Exclusions, Selection};
 use super::view::of_service;
 use crate::clock::{Time, millis};
-use crate::configuration::{Model, RetryPolicy, Route, RoutingTable};
+use crate::configuration::{Model, Route, RoutingTable};
 use crate::decide::health;
 use crate::decide::load;
 use crate::decide::path::Work;
 use crate::decide::refusal::Reason;
 use crate::decide::retry::{self, AttemptCounts, Failure, NextStep};
 use crate::decide::view_wait;
-use crate::engine::{Connection, Cutoff, UpstreamResponse};
+use crate::engine::UpstreamResponse;
 use crate::event;
 use crate::fingerprint::Fingerprint;
 use crate::metric;
@@ -34,7 +33,7 @@
 
 /// Timeout for connecting to an upstream. Connecting takes 1 to 2 ms; a lost packet would be
 /// sent again only after 1 s, and another upstream can be tried sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Multiple of the route's objective to wait for the first sign of a response, if the request
 /// may be sent elsewhere. An engine that waits for a dead one behind it reports so only after
@@ -42,7 +41,13 @@
 pub(super) const FIRST_BYTE_FACTOR: u32 = 2;
 
 /// Failure cause: connecting to the upstream failed.
-const NO_CONNECTION: &str = "connect";
+pub(super) const NO_CONNECTION: &str = "connect";
+
+/// Failure cause: this instance reaches no upstream, and no other instance carried the request.
+pub(super) const NO_PROXY: &str = "no_proxy";
+
+/// Failure cause: the connection to the instance that carried the request was lost.
+pub(super) const PROXY_LOST: &str = "proxy_lost";
 
 /// Failure cause: the upstream closed the connection before the response head.
 pub(super) const CUT: &str = "cut";
@@ -102,6 +107,8 @@
     attempts: AttemptCounts,
     /// Upstreams at which the request failed; they are not tried again.
     failed_upstreams: Vec<u64>,
+    /// Those of `failed_upstreams` to which a connection of this instance failed.
+    unreached: Vec<u64>,
     /// The latest server error from an upstream.
     upstream_error: Option<Box<OpenResponse>>,
     /// See [`Run::is_ended`].
@@ -161,6 +168,7 @@
             call,
             attempts: AttemptCounts::default(),
             failed_upstreams: Vec::new(),
+            unreached: Vec::new(),
             upstream_error: None,
             ended: AtomicBool::new(false),
             last_event,
@@ -204,6 +212,7 @@
             if let Some(reason) = self.quarantined() {
                 return Err(self.unsent(reason));
             }
+            self.retry_unreached();
             if self.model().is_some() {
                 self.entry.shared().loads.demand.record_request();
             }
@@ -258,6 +267,9 @@
                     self.exclude_upstream(culprit, cause);
                     match self.record_failure(failure, cause) {
                         NextStep::Again => self.check_crash(cause, &upstream).await,
+                        NextStep::Refuse if cause == NO_PROXY => {
+                            return Err(RunError::NotRun(Reason::Unreachable));
+                        }
                         NextStep::Refuse => return Err(RunError::NotRun(Reason::NotRun)),
                         NextStep::Pass | NextStep::Fail if self.left().is_zero() => {
                             return Err(RunError::TimedOut);
@@ -269,6 +281,18 @@
         }
     }
 
+    /// Lets the request enter upstreams again to which connections failed, once they are reached
+    /// through other instances.
+    fn retry_unreached(&mut self) {
+        let (entry, service) = (&self.entry, &self.call.service);
+        let carried = self
+            .unreached
+            .extract_if(.., |u| entry.must_carry(service, *u));
+        for upstream in carried {
+            self.failed_upstreams.retain(|u| *u != upstream);
+        }
+    }
+
     /// Selects where the next attempt goes. `waited` is the elapsed share of the time that the
     /// request may wait.
     pub(super) fn choose(&self, waited: f64) -> Result<Selection, Reason> {
@@ -319,6 +343,9 @@
             _ => self.entry.shared().health.record_failure(now, culprit),
         }
         self.failed_upstreams.push(culprit);
+        if cause == NO_CONNECTION || is_cut(cause) {
+            self.unreached.push(culprit);
+        }
         tracing::info!(
             event = event::UPSTREAM_SUSPECTED.id,
             attempt = self.call.attempt,
@@ -354,7 +381,7 @@
             failure,
             left,
         );
-        if next == NextStep::Again && self.may_crash_engine(cause) {
+        if next == NextStep::Again && (self.may_crash_engine(cause) || cause == NO_PROXY) {
             next = retry::give_up(self.attempts, failure);
         }
         if next == NextStep::Again {
@@ -397,67 +424,6 @@
         }
     }
 
-    /// Makes one attempt, up to the response head.
-    async fn attempt(&self, selection: Selection) -> Outcome {
-        let first = selection.upstream.key;
-        let failed = |failure, cause| Outcome::Failed {
-            failure,
-            culprit: Some(first),
-            cause,
-        };
-        let address = selection.upstream.address;
-        let service = &self.call.service;
-        let source = self.entry.boot.ip;
-        let connected = Connection::open_from(source, address, CONNECT_TIMEOUT).await;
-        let Ok(connection) = connected else {
-            self.entry.record_unreached(service, first);
-            return failed(Failure::NotRun, NO_CONNECTION);
-        };
-        let request = self.request(&selection);
-        tracing::info!(
-            event = event::ATTEMPT_SENT.id,
-            attempt = self.call.attempt,
-            fingerprint = %self.call.fingerprint,
-            route = self.call.route.name,
-            upstream = %selection.upstream.id,
-            path = selection.path,
-            left_ms = millis(self.left()),
-            version = self.table.configuration.version,
-            "sent"
-        );
-        let cutoff = Cutoff::new(None, Arc::clone(&self.entry.clock));
-        let stall_timeout = match self.call.route.retry_policy {
-            RetryPolicy::Never => self.left(),
-            _ => self.call.route.objective * FIRST_BYTE_FACTOR,
-        };
-        let sent = self.entry.now();
-        let mut selection = selection;
-        let answer = connection.send(request, &cutoff);
-        match self
-            .await_progress(answer, stall_timeout, &mut selection)
-            .await
-        {
-            Ok(Ok(answer)) => {
-                self.entry.record_reached(service, first, sent);
-                self.classify(sent, OpenResponse { answer, selection })
-            }
-            Ok(Err(_)) => {
-                self.entry.record_unreached(service, first);
-                failed(Failure::Unknown, CUT)
-            }
-            Err(Stall::DeadEngine(culprit)) => Outcome::Failed {
-                failure: Failure::Unknown,
-                culprit: Some(culprit),
-                cause: BLOCKED,
-            },
-            Err(Stall::Unknown) => Outcome::Failed {
-                failure: Failure::Unknown,
-                culprit: None,
-                cause: "silent",
-            },
-        }
-    }
-
     /// The model that serves the request, if its service has one.
     pub(super) fn model(&self) -> Option<&Model> {
         self.table.service(&self.call.service)?.model.as_ref()
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -1,11 +1,9 @@
 //! Detects requests that were cut off by engine crashes, and refuses quarantined ones.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use tokio::net::TcpStream;
 use tokio::sync::OwnedMutexGuard;
 use tokio::time::{sleep, timeout};
 
@@ -15,7 +13,8 @@
 use crate::clock::micros;
 use crate::decide::quarantine;
 use crate::decide::refusal::Reason;
-use crate::decide::run_history::{EngineStart, HARMLESS_EVENTS};
+use crate::decide::run_history::HARMLESS_EVENTS;
+use crate::engine::Connection;
 use crate::event;
 use crate::fingerprint::Fingerprint;
 use crate::metric;
@@ -79,7 +78,7 @@
         if self.model().is_none() || !is_cut(cause) || !self.is_silent() {
             return;
         }
-        if !has_crashed(upstream.address.into()).await {
+        if !self.entry.has_crashed(&self.call.service, upstream).await {
             return;
         }
         self.suspicion.own = true;
@@ -150,8 +149,8 @@
         let history = &mut self.entry.shared().run_history;
         if history.record_cut(now, &engine, fingerprint, &organisation, silent) {
             let entry = Arc::clone(&self.entry);
-            let address = upstream.address.into();
-            tokio::spawn(async move { entry.probe_engine(engine, address).await });
+            let (service, upstream) = (self.call.service.clone(), upstream.clone());
+            tokio::spawn(async move { entry.probe_engine(&service, &upstream).await });
         }
     }
 
@@ -164,17 +163,20 @@
     }
 }
 
-/// Whether an engine that closed a connection accepts no new one either.
-async fn has_crashed(address: SocketAddr) -> bool {
-    sleep(PROBE_DELAY).await;
-    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
-    !matches!(connected, Ok(Ok(_)))
-}
-
 impl Entry {
+    /// Whether an engine that closed a connection accepts no new one either, while this instance
+    /// reaches others.
+    async fn has_crashed(self: &Arc<Self>, service: &str, upstream: &Upstream) -> bool {
+        sleep(PROBE_DELAY).await;
+        let source = self.boot.ip;
+        let connected = Connection::open_from(source, upstream.address, PROBE_TIMEOUT).await;
+        connected.is_err() && self.check_others(service, upstream.key).await != Some(false)
+    }
+
     /// Checks whether an engine that cut off runs has crashed.
-    async fn probe_engine(&self, engine: EngineStart, address: SocketAddr) {
-        let crashed = has_crashed(address).await;
+    async fn probe_engine(self: &Arc<Self>, service: &str, upstream: &Upstream) {
+        let engine = upstream.start();
+        let crashed = self.has_crashed(service, upstream).await;
         let runs = self.shared().run_history.confirm(&engine, crashed);
         if !runs.is_empty() {
             self.report_due.notify_one();
@@ -184,7 +186,7 @@
             tracing::info!(
                 event = event::RUN_CUT_EARLY.id,
                 upstream = %engine.id,
-                %address,
+                address = %upstream.address,
                 fingerprint = %run.fingerprint,
                 organisation = %run.organisation,
                 "engine crashed shortly after it began to run a request"
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -7,8 +7,8 @@
 use rand::RngExt;
 use tokio::time::{sleep, timeout};
 
-use super::Entry;
-use super::view::CurrentReply;
+use super::view::{CurrentReply, View, of_service};
+use super::{Entry, Shared};
 use crate::clock::Time;
 use crate::decide::view_wait;
 use crate::event;
@@ -165,6 +165,9 @@
         self.apply_load(&current);
         self.acknowledge_runs(&current, last_cut);
         self.apply_leader_limits(sent, &current);
+        let proxies = current.reply().proxies.iter().copied().map(InstanceId);
+        let others = proxies.filter(|id| *id != self.id);
+        self.shared().proxies.update(others);
         let before = self.view().version();
         self.update_view(sent, current);
         let version = self.view().version();
@@ -193,6 +196,18 @@
         );
     }
 
+    /// Upstreams that this instance suspects to be dead, without those of services of which it may
+    /// reach none.
+    fn witnessed(&self, view: &View, shared: &Shared, now: Time) -> Vec<u64> {
+        let mut suspects = shared.health.suspects(now, self.boot.heartbeat);
+        let doubtful = view.services.keys();
+        for service in doubtful.filter(|s| shared.reachability.is_doubtful(s)) {
+            let upstreams = of_service(&view.services, service);
+            suspects.retain(|s| upstreams.iter().all(|u| u.key != *s));
+        }
+        suspects
+    }
+
     fn sync_request(&self, sequence: u64) -> SyncRequest {
         let view = self.view();
         let (term, revision) = view.roster();
@@ -208,7 +223,8 @@
             complete: view.is_complete(),
             loads: shared.loads.report(),
             room_requests: shared.loads.demand.local(),
-            suspects: shared.health.suspects(now, self.boot.heartbeat),
+            suspects: self.witnessed(&view, &shared, now),
+            carries: !self.gate.is_closed() && shared.reachability.is_whole(),
             ..SyncRequest::default()
         }
     }
--- a/src/entry/head.rs
+++ b/src/entry/head.rs
@@ -5,6 +5,7 @@
 use hyper::HeaderMap;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue};
 
+use super::proxy::RESERVED_HEADERS;
 use crate::platform::headers;
 
 /// Headers that apply to a single connection.
@@ -52,6 +53,9 @@
     for name in RESERVED {
         map.remove(*name);
     }
+    for name in RESERVED_HEADERS {
+        map.remove(*name);
+    }
     // The body has been read in full by now.
     map.remove(EXPECT);
     map.remove(CONTENT_LENGTH);
@@ -64,6 +68,14 @@
 
 /// Response headers for callers.
 pub(super) fn to_caller(mut map: HeaderMap) -> HeaderMap {
+    for name in RESERVED_HEADERS {
+        map.remove(*name);
+    }
+    end_to_end(map)
+}
+
+/// The headers that concern both ends, not one connection.
+pub(super) fn end_to_end(mut map: HeaderMap) -> HeaderMap {
     strip_hop_by_hop(&mut map);
     map.remove(CONTENT_LENGTH);
     map
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry role: accepts requests from callers and forwards them to upstreams.
 
+use std::net::SocketAddr;
 use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -8,12 +9,15 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
 
+use self::proxy::Capacity;
 use self::view::{CurrentReply, View};
 use crate::auth::FleetKey;
 use crate::clock::{Clock, SystemClock, Time, wall_millis};
+use crate::collections::HashSet;
 use crate::decide::health::Health;
 use crate::decide::link::LinkShare;
 use crate::decide::load::Loads;
+use crate::decide::proxies::Proxies;
 use crate::decide::rate::RateLimiter;
 use crate::decide::reachability::Reachability;
 use crate::decide::refusal::RefusalRates;
@@ -42,9 +46,11 @@
 mod measure;
 mod plain;
 pub(crate) mod pool;
+pub(crate) mod proxy;
 mod reach;
 mod reroute;
 mod select;
+mod send;
 mod stream;
 pub(crate) mod view;
 mod wait;
@@ -80,6 +86,9 @@
     run_history: RunHistory,
     rate_limiter: RateLimiter,
     reachability: Reachability,
+    /// Services of which unreached upstreams are checked.
+    watched: HashSet<String>,
+    proxies: Proxies,
 }
 
 /// A running entry instance.
@@ -93,6 +102,10 @@
     /// which a revoked key must be refused everywhere.
     lease: Duration,
     clock: Arc<dyn Clock>,
+    /// Authenticates messages between instances.
+    key: FleetKey,
+    /// Bounds on what this instance carries for others.
+    capacity: Capacity,
     peers: Peers,
     view: ArcSwap<View>,
     shared: Mutex<Shared>,
@@ -151,9 +164,12 @@
             slack: bounds.retry_slack,
             window: bounds.retry_window,
         });
+        let key = FleetKey::new(role::FLEET_SECRET);
         Self {
             id: role::instance_id(boot.ip),
-            peers: Peers::on_port(FleetKey::new(role::FLEET_SECRET), runtime, boot.ports.0),
+            peers: Peers::on_port(key.clone(), runtime, boot.ports.0),
+            key,
+            capacity: Capacity::default(),
             poll_interval: settings.poll,
             lease: role::key_lease(&boot),
             settings: settings.clone(),
@@ -169,6 +185,8 @@
                 run_history: RunHistory::default(),
                 rate_limiter: RateLimiter::default(),
                 reachability: Reachability::default(),
+                watched: HashSet::default(),
+                proxies: Proxies::default(),
             }),
             gate: Arc::default(),
             started: SystemClock.now(),
@@ -196,6 +214,15 @@
             listener,
             bounds,
             move |request| Arc::clone(&entry).answer(request),
+            closing.clone(),
+        ));
+        let address = SocketAddr::new(self.boot.ip.into(), self.boot.ports.0);
+        let listener = startup::listen(address, "other instances")?;
+        let entry = Arc::clone(self);
+        tokio::spawn(http::accept_until(
+            listener,
+            bounds,
+            move |request| Arc::clone(&entry).carry(request),
             closing,
         ));
         let listener = startup::listen(readiness, "readiness")?;
@@ -254,7 +281,16 @@
 
     /// Whether the load balancer should send callers here.
     fn is_ready(&self) -> bool {
-        !self.gate.is_closed() && self.view().is_confirmed(self.now())
+        !self.gate.is_closed() && self.view().is_confirmed(self.now()) && !self.is_isolated()
+    }
+
+    /// Whether this instance reaches no upstream of any service, and no other instance carries its
+    /// requests.
+    fn is_isolated(&self) -> bool {
+        let (now, view) = (self.now(), self.view());
+        let shared = self.shared();
+        let lost = view.services.keys().all(|s| shared.reachability.is_lost(s));
+        lost && !view.services.is_empty() && !shared.proxies.any_usable(now)
     }
 
     /// Fails the readiness check, then waits for the last response.
--- /dev/null
+++ b/src/entry/proxy/carry.rs
@@ -0,0 +1,295 @@
+//! The carrier's side: connects to the upstream that a request names, and passes both on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Request, Response};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use super::super::attempt::CONNECT_TIMEOUT;
+use super::super::body::{self, Body, Truncated};
+use super::super::view::of_service;
+use super::super::{Entry, head};
+use super::message::{CHECK, Envelope, Refusal};
+use crate::clock::{Time, millis};
+use crate::configuration::Limits;
+use crate::engine::{Connection, Cutoff, UpstreamResponse};
+use crate::event;
+use crate::gate::RunningGuard;
+use crate::http;
+use crate::metric;
+use crate::platform::headers;
+use crate::sync::address_key;
+
+/// Maximum number of requests that an instance carries at a time. Each takes two file descriptors
+/// of 4,000, and the callers of the instance need some as well.
+const MAX_CARRIED: usize = 512;
+
+/// Maximum size of the bodies that an instance holds for others, in bytes.
+const MAX_BODY_BYTES: usize = 32 << 20;
+
+/// Timeout for receiving the body of a carried request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Bounds on what an instance carries for others.
+pub(in super::super) struct Capacity {
+    requests: Arc<Semaphore>,
+    bytes: Arc<Semaphore>,
+}
+
+impl Default for Capacity {
+    fn default() -> Self {
+        Self {
+            requests: Arc::new(Semaphore::new(MAX_CARRIED)),
+            bytes: Arc::new(Semaphore::new(MAX_BODY_BYTES)),
+        }
+    }
+}
+
+impl Capacity {
+    /// Number of requests that are carried now.
+    pub(in super::super) fn used(&self) -> usize {
+        MAX_CARRIED - self.requests.available_permits()
+    }
+
+    /// Takes a place for a request; `None` if there is none.
+    fn take_place(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.requests).try_acquire_owned().ok()
+    }
+
+    /// Takes memory for a body; `None` if there isn't enough.
+    fn take_bytes(&self, size: usize) -> Option<OwnedSemaphorePermit> {
+        let size = u32::try_from(size).ok()?;
+        Arc::clone(&self.bytes).try_acquire_many_owned(size).ok()
+    }
+}
+
+/// What a carried request holds until its last byte.
+struct Holdings {
+    _running: RunningGuard,
+    _place: OwnedSemaphorePermit,
+}
+
+/// A carried request that was verified.
+struct Carriage {
+    attempt: String,
+    envelope: Envelope,
+    received: Time,
+    head: Parts,
+}
+
+impl Entry {
+    /// Carries a request of another instance to its upstream.
+    pub(in super::super) async fn carry(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Response<Body> {
+        let received = self.now();
+        let (mut head, body) = request.into_parts();
+        let opened = Envelope::open(&self.key, &head.method, &head.uri, &mut head.headers);
+        let envelope = match opened {
+            Ok(envelope) => envelope,
+            Err(e) => {
+                tracing::warn!(event = event::PEER_REFUSED.id, "{e}");
+                return refuse(Refusal::Unverified);
+            }
+        };
+        let attempt = head::text(&head.headers, headers::ATTEMPT_ID).unwrap_or("-");
+        let carriage = Carriage {
+            attempt: attempt.to_owned(),
+            envelope,
+            received,
+            head,
+        };
+        if carriage.head.uri.path() == CHECK {
+            return self.check_for(&carriage.envelope).await;
+        }
+        match self.pass_on(&carriage, body).await {
+            Ok((upstream, holdings)) => {
+                let status = upstream.response.status();
+                count("carried");
+                tracing::info!(
+                    event = event::REQUEST_CARRIED.id,
+                    attempt = carriage.attempt,
+                    sender = carriage.envelope.sender.0,
+                    upstream = carriage.envelope.upstream,
+                    status = status.as_u16(),
+                    took_ms = millis(self.now().since(received)),
+                    "carried"
+                );
+                pass_back(upstream, holdings)
+            }
+            Err(refusal) => {
+                tracing::info!(
+                    event = event::CARRIAGE_REFUSED.id,
+                    attempt = carriage.attempt,
+                    sender = carriage.envelope.sender.0,
+                    upstream = carriage.envelope.upstream,
+                    reason = refusal.name(),
+                    "not carried"
+                );
+                refuse(refusal)
+            }
+        }
+    }
+
+    /// Checks for another instance whether an upstream accepts a connection.
+    async fn check_for(self: &Arc<Self>, envelope: &Envelope) -> Response<Body> {
+        let checked = match self.check_target(envelope) {
+            // Not recorded: what one instance doesn't reach would be checked by all.
+            Ok(()) => self.open(envelope).await.map(drop),
+            Err(refusal) => Err(refusal),
+        };
+        match checked {
+            Ok(()) => Response::new(body::full(Bytes::new())),
+            Err(refusal) => refuse(refusal),
+        }
+    }
+
+    /// Sends a request to its upstream; returns the head of the response.
+    async fn pass_on(
+        self: &Arc<Self>,
+        carriage: &Carriage,
+        body: Incoming,
+    ) -> Result<(UpstreamResponse, Holdings), Refusal> {
+        if self.gate.is_closed() {
+            return Err(Refusal::Draining);
+        }
+        let holdings = Holdings {
+            _place: self.capacity.take_place().ok_or(Refusal::Busy)?,
+            _running: self.gate.track(),
+        };
+        self.check_target(&carriage.envelope)?;
+        let (body, _memory) = self.receive(&carriage.head, body).await?;
+        let connection = self.connect(&carriage.envelope).await?;
+        let request = self.upstream_request(carriage, body)?;
+        let opened = self.now();
+        let cutoff = Cutoff::new(None, Arc::clone(&self.clock));
+        let Envelope {
+            service, target, ..
+        } = &carriage.envelope;
+        let upstream = address_key(*target);
+        match connection.send(request, &cutoff).await {
+            Ok(response) => {
+                self.record_reached(service, upstream, opened);
+                Ok((response, holdings))
+            }
+            Err(_) => Err(Refusal::Cut),
+        }
+    }
+
+    /// Checks that the target is an upstream that this instance knows, and reaches as far as it
+    /// knows.
+    fn check_target(&self, envelope: &Envelope) -> Result<(), Refusal> {
+        let view = self.view();
+        let key = address_key(envelope.target);
+        let mut known = of_service(&view.services, &envelope.service).iter();
+        if !known.any(|u| u.key == key && *u.id == *envelope.upstream) {
+            return Err(Refusal::UnknownUpstream);
+        }
+        if self.must_carry(&envelope.service, key) {
+            return Err(Refusal::Unreachable);
+        }
+        Ok(())
+    }
+
+    /// Receives the body of a request, whose length must be known.
+    async fn receive(
+        &self,
+        head: &Parts,
+        body: Incoming,
+    ) -> Result<(Bytes, OwnedSemaphorePermit), Refusal> {
+        let size = head::number(&head.headers, CONTENT_LENGTH.as_str()).unwrap_or(0);
+        let limit = self
+            .view()
+            .table
+            .as_ref()
+            .map(|t| t.configuration.limits.body);
+        let limit = limit.filter(|&l| l > 0).unwrap_or(Limits::default().body);
+        if size > limit {
+            return Err(Refusal::Busy);
+        }
+        let memory = self.capacity.take_bytes(size).ok_or(Refusal::Busy)?;
+        let body = http::read_body(body, size, BODY_TIMEOUT).await;
+        Ok((body.map_err(|_| Refusal::Unverified)?, memory))
+    }
+
+    async fn connect(self: &Arc<Self>, envelope: &Envelope) -> Result<Connection, Refusal> {
+        let opened = self.open(envelope).await;
+        if opened.is_err() {
+            self.record_unreached(&envelope.service, address_key(envelope.target));
+        }
+        opened
+    }
+
+    async fn open(&self, envelope: &Envelope) -> Result<Connection, Refusal> {
+        let opened = Connection::open_from(self.boot.ip, envelope.target, CONNECT_TIMEOUT).await;
+        opened.map_err(|_| Refusal::NotConnected)
+    }
+
+    /// Builds the upstream's request, with what is left of its deadline.
+    fn upstream_request(
+        &self,
+        carriage: &Carriage,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, Refusal> {
+        let Parts {
+            method,
+            uri,
+            headers: map,
+            ..
+        } = &carriage.head;
+        let mut map = head::end_to_end(map.clone());
+        map.insert(
+            HeaderName::from_static(headers::EXPECTED_UPSTREAM),
+            HeaderValue::try_from(&carriage.envelope.upstream).map_err(|_| Refusal::Unverified)?,
+        );
+        if let Some(deadline) = head::deadline(&map) {
+            let left = deadline.saturating_sub(self.now().since(carriage.received));
+            if left.is_zero() {
+                return Err(Refusal::TooLate);
+            }
+            let left = millis(left).max(1).into();
+            map.insert(HeaderName::from_static(headers::DEADLINE), left);
+        }
+        let mut request = Request::new(Full::from(body));
+        *request.method_mut() = method.clone();
+        *request.uri_mut() = uri.clone();
+        *request.headers_mut() = map;
+        Ok(request)
+    }
+}
+
+fn count(outcome: &'static str) {
+    metrics::counter!(metric::CARRIED_REQUESTS.name, "outcome" => outcome).increment(1);
+}
+
+fn refuse(refusal: Refusal) -> Response<Body> {
+    count(refusal.name());
+    refusal.response()
+}
+
+/// Passes the upstream's response on as it arrives. If it is cut off, so is the response to the
+/// sender.
+fn pass_back(upstream: UpstreamResponse, holdings: Holdings) -> Response<Body> {
+    let mut upstream = upstream;
+    let status = upstream.response.status();
+    let map = std::mem::take(upstream.response.headers_mut());
+    let frames = stream::unfold(
+        (upstream, holdings),
+        |(mut upstream, holdings)| async move {
+            let frame = upstream.response.body_mut().frame().await?;
+            Some((frame.map_err(|_| Truncated), (upstream, holdings)))
+        },
+    );
+    let mut response = Response::new(body::from_stream(frames));
+    *response.status_mut() = status;
+    *response.headers_mut() = head::to_caller(map);
+    response
+}
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -18,7 +18,7 @@
 use crate::configuration::RetryPolicy;
 use crate::decide::health::HealthStatus;
 use crate::decide::stall::{StallTimer, Step};
-use crate::engine::call;
+use crate::engine::{Connection, call_request, exchange};
 use crate::event;
 use crate::metric;
 use crate::platform::engine as order;
@@ -149,7 +149,8 @@
         let (asked, first) = (self.entry.now(), selection.upstream.key);
         let report = self.call_engine(selection, Request::get(order::REPORT), String::new());
         let report = report.await;
-        match report {
+        match &report {
+            _ if selection.via.is_some() => {}
             Some(_) => self.entry.record_reached(service, first, asked),
             None => self.entry.record_unreached(service, first),
         }
@@ -158,6 +159,8 @@
                 let address = order::stalled_at(&report, &self.call.attempt)?;
                 Some(address_key(address)).filter(|c| selection.passes_through(*c))
             }
+            // Nothing is known of the engine: the links of this instance are lost.
+            None if selection.via.is_none() && self.entry.must_carry(service, first) => None,
             // The first engine itself doesn't respond.
             None => Some(first),
             Some(_) => None,
@@ -180,13 +183,25 @@
             .find(|d| selection.passes_through(*d))
     }
 
+    /// Calls the first engine of the path, on the way that the attempt took.
     async fn call_engine(
         &self,
         selection: &Selection,
         request: hyper::http::request::Builder,
         body: String,
     ) -> Option<(StatusCode, Bytes)> {
-        let (address, id) = (selection.upstream.address.into(), &*selection.upstream.id);
-        call(address, id, request, body.into(), CALL_TIMEOUT).await
+        let (entry, first) = (&self.entry, &selection.upstream);
+        let request = call_request(first.address.into(), &first.id, request, body.into());
+        let call = async {
+            if let Some(via) = &selection.via {
+                let service = &self.call.service;
+                return entry.call_via(via, service, first, request).await;
+            }
+            let source = entry.boot.ip;
+            let opened = Connection::open_from(source, first.address, CALL_TIMEOUT).await;
+            let (head, body) = exchange(opened.ok()?, request).await?;
+            Some((head.status, body))
+        };
+        timeout(CALL_TIMEOUT, call).await.ok().flatten()
     }
 }
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -5,6 +5,7 @@
 use rand::RngExt;
 
 use super::pool::{self, HealthPolicy, Pool};
+use super::proxy::Via;
 use super::view::{Upstream, View, of_service};
 use super::{Entry, Shared};
 use crate::clock::Time;
@@ -40,6 +41,8 @@
     pub(super) upstream: Upstream,
     /// The path as encoded for engines; `None` for a plain service.
     pub(super) path: Option<String>,
+    /// The instance that carries the attempt, if one does.
+    pub(super) via: Option<Arc<Via>>,
     booked: Vec<(u64, Hop)>,
     /// Engines that the attempt was led around. It never returns to them, so that engines that
     /// are suspected in turn can't send it back and forth.
@@ -323,6 +326,7 @@
             entry: Arc::clone(self),
             upstream,
             path,
+            via: None,
             booked,
             avoided: Vec::new(),
             work,
--- /dev/null
+++ b/src/entry/send.rs
@@ -0,0 +1,151 @@
+//! Sends one attempt to its upstream: itself, or through another instance while this one doesn't
+//! reach the upstreams of the service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::attempt::{
+    BLOCKED, CONNECT_TIMEOUT, CUT, FIRST_BYTE_FACTOR, NO_CONNECTION, NO_PROXY, OpenResponse,
+    Outcome, PROXY_LOST, Run,
+};
+use super::proxy::{Carried, Refusal, Via};
+use super::reroute::Stall;
+use super::select::Selection;
+use crate::clock::millis;
+use crate::configuration::RetryPolicy;
+use crate::decide::retry::Failure;
+use crate::engine::{Connection, Cutoff};
+use crate::event;
+use crate::id::InstanceId;
+
+/// Maximum number of instances that an attempt asks to carry it. Each of them refuses at once or
+/// within [`CONNECT_TIMEOUT`].
+const MAX_ASKED: usize = 3;
+
+/// Number of instances that must fail to connect to an upstream before it counts as unresponsive.
+/// One alone may have lost its links as well.
+const MIN_WITNESSES: usize = 2;
+
+/// A failed attempt.
+fn failed(failure: Failure, culprit: Option<u64>, cause: &'static str) -> Outcome {
+    Outcome::Failed {
+        failure,
+        culprit,
+        cause,
+    }
+}
+
+fn stalled(stall: Stall) -> Outcome {
+    match stall {
+        Stall::DeadEngine(culprit) => failed(Failure::Unknown, Some(culprit), BLOCKED),
+        Stall::Unknown => failed(Failure::Unknown, None, "silent"),
+    }
+}
+
+impl Run {
+    /// Makes one attempt, up to the response head.
+    pub(super) async fn attempt(&self, selection: Selection) -> Outcome {
+        let (service, first) = (&self.call.service, selection.upstream.key);
+        if !self.entry.must_carry(service, first) {
+            let (source, address) = (self.entry.boot.ip, selection.upstream.address);
+            let opened = Connection::open_from(source, address, CONNECT_TIMEOUT).await;
+            if let Ok(connection) = opened {
+                return self.send(connection, selection).await;
+            }
+            self.entry.record_unreached(service, first);
+            if !self.entry.must_carry(service, first) {
+                return failed(Failure::NotRun, Some(first), NO_CONNECTION);
+            }
+        }
+        self.send_carried(selection).await
+    }
+
+    /// Sends the attempt on a connection to its upstream.
+    async fn send(&self, connection: Connection, mut selection: Selection) -> Outcome {
+        let (service, first) = (&self.call.service, selection.upstream.key);
+        let request = self.request(&selection);
+        self.log_sent(&selection, None);
+        let cutoff = Cutoff::new(None, Arc::clone(&self.entry.clock));
+        let sent = self.entry.now();
+        let answer = connection.send(request, &cutoff);
+        let progress = self.await_progress(answer, self.stall_timeout(), &mut selection);
+        match progress.await {
+            Ok(Ok(answer)) => {
+                self.entry.record_reached(service, first, sent);
+                self.classify(sent, OpenResponse { answer, selection })
+            }
+            Ok(Err(_)) => {
+                self.entry.record_unreached(service, first);
+                // An upstream that is out of reach isn't to blame.
+                let culprit = (!self.entry.must_carry(service, first)).then_some(first);
+                failed(Failure::Unknown, culprit, CUT)
+            }
+            Err(stall) => stalled(stall),
+        }
+    }
+
+    /// Sends the attempt through another instance; asks several in turn until one carries it.
+    async fn send_carried(&self, mut selection: Selection) -> Outcome {
+        let first = selection.upstream.key;
+        let mut asked: Vec<InstanceId> = Vec::new();
+        let mut witnesses = 0;
+        while asked.len() < MAX_ASKED {
+            let Some(via) = self.entry.take_proxy(&asked) else {
+                break;
+            };
+            asked.push(via.id);
+            let request = self.request(&selection);
+            self.log_sent(&selection, Some(via.id));
+            let sent = self.entry.now();
+            let upstream = selection.upstream.clone();
+            let via = selection.via.insert(Arc::new(via));
+            let via: Arc<Via> = Arc::clone(via);
+            let answer = self
+                .entry
+                .send_via(&via, &self.call.service, &upstream, request);
+            let progress = self.await_progress(answer, self.stall_timeout(), &mut selection);
+            match progress.await {
+                Ok(Carried::Answered(answer)) => {
+                    return self.classify(sent, OpenResponse { answer, selection });
+                }
+                Ok(Carried::NotSent(refusal)) => {
+                    selection.via = None;
+                    witnesses += usize::from(refusal == Some(Refusal::NotConnected));
+                }
+                Ok(Carried::Cut) => return failed(Failure::Unknown, Some(first), CUT),
+                Ok(Carried::Lost) => return failed(Failure::Unknown, None, PROXY_LOST),
+                Err(stall) => {
+                    self.entry.exclude_proxy(&via, "silent");
+                    return stalled(stall);
+                }
+            }
+        }
+        if witnesses >= MIN_WITNESSES {
+            return failed(Failure::NotRun, Some(first), NO_CONNECTION);
+        }
+        failed(Failure::NotRun, None, NO_PROXY)
+    }
+
+    /// Time to wait for the first sign of a response.
+    fn stall_timeout(&self) -> Duration {
+        match self.call.route.retry_policy {
+            RetryPolicy::Never => self.left(),
+            _ => self.call.route.objective * FIRST_BYTE_FACTOR,
+        }
+    }
+
+    fn log_sent(&self, selection: &Selection, via: Option<InstanceId>) {
+        tracing::info!(
+            event = event::ATTEMPT_SENT.id,
+            attempt = self.call.attempt,
+            fingerprint = %self.call.fingerprint,
+            route = self.call.route.name,
+            upstream = %selection.upstream.id,
+            path = selection.path,
+            via = via.map(|id| id.0),
+            left_ms = millis(self.left()),
+            version = self.table.configuration.version,
+            "sent"
+        );
+    }
+}
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -131,13 +131,12 @@
         table.map_or(0, |t| t.configuration.version)
     }
 
-    /// Number of upstreams of a service at which a request can begin.
-    pub(crate) fn entrances(&self, service: &str) -> usize {
+    /// Upstreams of a service at which a request can begin.
+    pub(crate) fn entrances<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Upstream> {
         let found = self.table.as_ref().and_then(|t| t.service(service));
         let has_model = found.is_some_and(|s| s.model.is_some());
         let upstreams = of_service(&self.services, service).iter();
-        let entrances = upstreams.filter(|u| !has_model || u.layers.is_some_and(|l| l.first == 0));
-        entrances.count()
+        upstreams.filter(move |u| !has_model || u.layers.is_some_and(|l| l.first == 0))
     }
 
     /// Term and revision of the roster.
--- a/src/event.rs
+++ b/src/event.rs
@@ -105,6 +105,12 @@
 pub(crate) const SERVICE_UNREACHABLE: Event = event(415, "service_unreachable");
 /// This instance reaches upstreams of a service again.
 pub(crate) const SERVICE_REACHABLE: Event = event(416, "service_reachable");
+/// This instance carried another one's request to its upstream.
+pub(crate) const REQUEST_CARRIED: Event = event(417, "request_carried");
+/// This instance refused to carry another one's request.
+pub(crate) const CARRIAGE_REFUSED: Event = event(418, "carriage_refused");
+/// Other instances reach an upstream that this one doesn't reach.
+pub(crate) const UPSTREAM_REMOTE: Event = event(419, "upstream_remote");
 /// This voter became the leader of a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter is no longer the leader of a group.
@@ -180,6 +186,9 @@
     RESUME_WAITED,
     SERVICE_UNREACHABLE,
     SERVICE_REACHABLE,
+    REQUEST_CARRIED,
+    CARRIAGE_REFUSED,
+    UPSTREAM_REMOTE,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -45,6 +45,14 @@
 pub(crate) const LIMITED_UPSTREAMS: Metric = metric("entry_limited_upstreams", &[]);
 /// Memory reserved on the engines for the requests of all instances.
 pub(crate) const BOOKED_MEMORY: Metric = metric("entry_booked_megabytes", &["service"]);
+/// Requests that this instance sent through others.
+pub(crate) const REQUESTS_VIA: Metric = metric("entry_requests_via_total", &["outcome"]);
+/// Requests of others that this instance carried or refused to carry.
+pub(crate) const CARRIED_REQUESTS: Metric = metric("entry_carried_requests_total", &["outcome"]);
+/// Requests of others that this instance carries now.
+pub(crate) const CARRYING: Metric = metric("entry_carrying", &[]);
+/// Requests of this instance that others carry now.
+pub(crate) const CARRIED: Metric = metric("entry_carried", &[]);
 /// Services of which this instance reaches no upstream.
 pub(crate) const UNREACHABLE_SERVICES: Metric = metric("entry_unreachable_services", &[]);
 /// Version of the configuration in force; 0 before the first.
@@ -105,6 +113,10 @@
     UPSTREAMS,
     LIMITED_UPSTREAMS,
     BOOKED_MEMORY,
+    REQUESTS_VIA,
+    CARRIED_REQUESTS,
+    CARRYING,
+    CARRIED,
     UNREACHABLE_SERVICES,
     CONFIGURATION_VERSION,
     LEASE_REMAINING,
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -61,6 +61,10 @@
     /// Increases with each request of one process.
     #[prost(uint64, tag = "14")]
     pub(crate) sequence: u64,
+    /// Whether the sender can carry requests of other instances: it isn't draining, and lost
+    /// no link to an upstream.
+    #[prost(bool, tag = "15")]
+    pub(crate) carries: bool,
 }
 
 /// Latest update of an upstream's rate limit.
@@ -199,6 +203,9 @@
     /// Latest rate-limit updates from all instances, at most one of each upstream.
     #[prost(message, repeated, tag = "12")]
     pub(crate) limits: Vec<LimitRecord>,
+    /// Ids of entry instances that may carry the instance's requests.
+    #[prost(uint64, repeated, tag = "13")]
+    pub(crate) proxies: Vec<u64>,
 }
 
 /// All quarantined requests.
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -32,6 +32,7 @@
 mod peer;
 mod platform;
 mod pool;
+mod proxy;
 mod queue;
 mod register;
 mod registry;
--- a/src/tests/sync.rs
+++ b/src/tests/sync.rs
@@ -220,3 +220,48 @@
     let reply = handle_sync(&mut leader, at(2_270), ask, &register).unwrap();
     assert_eq!(reply.work.unwrap().room_requests, 4);
 }
+
+/// Guards against naming an instance that lost its own links, or the asking one, to carry
+/// requests, and against naming the same few to all.
+#[test]
+fn sync_names_proxies() {
+    let (register, _) = Register::new();
+    let mut leader = LeaderState::new(HEARTBEAT);
+    let sync = |leader: &mut LeaderState, instance, carries| {
+        let request = SyncRequest {
+            instance,
+            carries,
+            ..request(1, Vec::new())
+        };
+        let reply = handle_sync(leader, at(5_000), request, &register);
+        reply.unwrap().proxies
+    };
+    for instance in 1..=300 {
+        sync(&mut leader, instance, instance > 250);
+    }
+    let mut named = crate::HashSet::default();
+    for instance in 1..=250 {
+        let proxies = sync(&mut leader, instance, false);
+        assert_eq!(proxies.len(), 8);
+        assert!(proxies.iter().all(|p| *p > 250));
+        named.extend(proxies);
+    }
+    assert_eq!(named.len(), 50);
+    assert!(!sync(&mut leader, 260, true).contains(&260));
+}
+
+/// Guards against naming nobody when all instances lost the links to one service only: they still
+/// carry requests to the others.
+#[test]
+fn sync_names_proxies_none_whole() {
+    let (register, _) = Register::new();
+    let mut leader = LeaderState::new(HEARTBEAT);
+    for (instance, named) in [(1, vec![]), (2, vec![1]), (1, vec![2])] {
+        let request = SyncRequest {
+            instance,
+            ..request(1, Vec::new())
+        };
+        let reply = handle_sync(&mut leader, at(5_000), request, &register);
+        assert_eq!(reply.unwrap().proxies, named);
+    }
+}
