--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -384,7 +384,8 @@
         if next == NextStep::Again && (self.may_crash_engine(cause) || cause == NO_PROXY) {
             next = retry::give_up(self.attempts, failure);
         }
-        if next == NextStep::Again {
+        // A request that reached no upstream adds nothing to their load.
+        if next == NextStep::Again && cause != NO_CONNECTION {
             let now = self.entry.now();
             let entries = self.entry.view().entry_count();
             let retry_budget = &mut self.entry.shared().retry_budget;
--- a/tests/platform/reach.rs
+++ b/tests/platform/reach.rs
@@ -133,3 +133,35 @@
         },
     );
 }
+
+/// Retries that an entry instance has left for the plain service.
+fn retries_left(deployment: &Deployment, entry: usize) -> f64 {
+    let metrics = deployment.metrics();
+    let of_entry = &metrics[deployment.controllers.len() + entry];
+    let mut lines = of_entry.lines();
+    let value = lines.find_map(|l| l.strip_prefix("entry_retries_left{service=\"desk\"} "));
+    value.expect("the metric").parse().expect("a number")
+}
+
+/// Guards against spending the retries that the operator allows on connections that reached no
+/// upstream: an instance that lost its links had none left for its callers after half a second.
+#[test]
+fn failed_connects_spend_no_retries() {
+    // Alone, so that no other instance carries the requests.
+    let deployment = Deployment::with_size(1, &[4, 4]);
+    let before = retries_left(&deployment, 0);
+    deployment
+        .engine_state()
+        .links
+        .cut(Cut::Hang, &sources(&deployment, 1));
+    thread::scope(|scope| {
+        for i in 0..CALLERS {
+            let deployment = &deployment;
+            scope.spawn(move || deployment.request(0, "/lookups/x", &format!("s-{i}"), KEY));
+        }
+    });
+    let after = retries_left(&deployment, 0);
+    // Each request adds a share of a retry.
+    let gained = (after - before) / CALLERS as f64;
+    assert!(gained > 0.14, "{before} retries left before, {after} after");
+}
