--- a/tests/platform/cut.rs
+++ b/tests/platform/cut.rs
@@ -1,9 +1,9 @@
 //! Cuts between some instances and all engines. The instances are told apart by the address from
 //! which they connect.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::io::{Error, ErrorKind, Result};
-use std::net::{IpAddr, Ipv4Addr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -33,23 +33,28 @@
 #[derive(Default)]
 pub(crate) struct Links {
     cut: Option<(Cut, HashSet<IpAddr>)>,
-    listeners: Vec<TcpListener>,
+    listeners: HashMap<SocketAddr, TcpListener>,
     /// Addresses from which requests came since the links were restored.
     sources: HashSet<IpAddr>,
 }
 
 impl Links {
     /// Adds the listener of an engine.
-    pub(crate) fn add(&mut self, listener: &TcpListener) {
+    pub(crate) fn add(&mut self, address: SocketAddr, listener: &TcpListener) {
         let listener = listener.try_clone().expect("duplicate the listener");
-        self.listeners.push(listener);
+        self.listeners.insert(address, listener);
+    }
+
+    /// Closes the listener of an engine that ended.
+    pub(crate) fn remove(&mut self, address: SocketAddr) {
+        self.listeners.remove(&address);
     }
 
     /// Cuts the links from these instances to all engines.
     pub(crate) fn cut(&mut self, cut: Cut, sources: &[Ipv4Addr]) {
         if cut == Cut::Hang {
             let filter = drop_packets(sources);
-            for listener in &self.listeners {
+            for listener in self.listeners.values() {
                 let attached = SockRef::from(listener).attach_filter(&filter);
                 attached.expect("attach the packet filter");
             }
@@ -62,7 +67,7 @@
     pub(crate) fn restore(&mut self) {
         self.cut = None;
         self.sources.clear();
-        for listener in &self.listeners {
+        for listener in self.listeners.values() {
             let _ = SockRef::from(listener).detach_filter();
         }
     }
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -272,12 +272,13 @@
         for number in 1.. {
             let (heartbeat_spec, heartbeat_state) = (current.clone(), Arc::clone(&state));
             let controllers = controllers.clone();
-            state.lock().unwrap().links.add(&listener);
+            state.lock().unwrap().links.add(spec.address, &listener);
             thread::spawn(move || send_heartbeats(&heartbeat_spec, &heartbeat_state, &controllers));
             let runtime = Builder::new_current_thread().enable_all().build().unwrap();
             runtime.block_on(serve(listener, current.clone(), Arc::clone(&state)));
             // Closes all connections.
             drop(runtime);
+            state.lock().unwrap().links.remove(spec.address);
             state.lock().unwrap().kill(&current);
             thread::sleep(DOWNTIME);
             listener = listen(spec.address);
