--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -101,6 +101,23 @@
     crashes: Vec<(Instant, String)>,
     /// Links from instances to engines.
     pub(crate) links: Links,
+    /// Engines that turn requests away, with the value of `Retry-After`.
+    sheds: HashMap<String, String>,
+    /// Engines that say that they are leaving.
+    leaving: Vec<String>,
+    /// Requests that reached engines, in order.
+    visits: Vec<Visit>,
+}
+
+/// A request that reached an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Visit {
+    pub(crate) engine: String,
+    /// Address of the instance that sent it.
+    pub(crate) source: IpAddr,
+    pub(crate) at: Instant,
+    /// Whether it was turned away.
+    pub(crate) shed: bool,
 }
 
 pub(crate) type SharedState = Arc<Mutex<EngineState>>;
@@ -137,6 +154,24 @@
         self.loading.remove(&spec.address);
     }
 
+    /// Lets an engine turn all requests away with this `Retry-After`, or serve them again.
+    pub(crate) fn set_shed(&mut self, id: &str, after: Option<&str>) {
+        match after {
+            Some(after) => self.sheds.insert(id.to_owned(), after.to_owned()),
+            None => self.sheds.remove(id),
+        };
+    }
+
+    /// Lets an engine say in its answers that it is leaving.
+    pub(crate) fn set_leaving(&mut self, id: &str) {
+        self.leaving.push(id.to_owned());
+    }
+
+    /// Requests that reached engines so far, in order.
+    pub(crate) fn visits(&self) -> &[Visit] {
+        &self.visits
+    }
+
     /// Sets or clears the rate limit that an engine announces in its responses.
     pub(crate) fn set_limit(&mut self, id: &str, limit: Option<f64>) {
         match limit {
@@ -370,10 +405,10 @@
         let (spec, state, crash) = (spec.clone(), Arc::clone(&state), Arc::clone(&crash));
         let service = service_fn(move |request: Request<Incoming>| {
             let (spec, state, crash) = (spec.clone(), Arc::clone(&state), Arc::clone(&crash));
-            if is_request(&request) {
-                state.lock().unwrap().links.record_run(peer.ip());
+            async move {
+                let response = serve_request(&spec, &state, &crash, peer.ip(), request);
+                Ok::<_, Infallible>(response.await)
             }
-            async move { Ok::<_, Infallible>(handle(&spec, &state, &crash, request).await) }
         });
         tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
     }
@@ -387,9 +422,44 @@
     response.body(body.boxed_unsync()).unwrap()
 }
 
-/// Whether a request is a caller's, not a report or an order.
-fn is_request(request: &Request<Incoming>) -> bool {
-    !request.uri().path().starts_with("/v1/")
+/// Records a caller's request, and turns it away if the engine sheds load.
+async fn serve_request(
+    spec: &EngineSpec,
+    state: &SharedState,
+    crash: &Arc<Notify>,
+    source: IpAddr,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let is_call = request.uri().path().starts_with("/v1/");
+    let mut shed = None;
+    if !is_call {
+        let mut state = state.lock().unwrap();
+        shed = state.sheds.get(&spec.id).cloned();
+        state.links.record_run(source);
+        state.visits.push(Visit {
+            engine: spec.id.clone(),
+            source,
+            at: Instant::now(),
+            shed: shed.is_some(),
+        });
+    }
+    let mut response = match shed {
+        Some(after) => shed_response(&after),
+        None => handle(spec, state, crash, request).await,
+    };
+    if state.lock().unwrap().leaving.contains(&spec.id) {
+        let headers = response.headers_mut();
+        headers.insert("server-leaving", "1".parse().unwrap());
+    }
+    response
+}
+
+fn shed_response(after: &str) -> Response<Body> {
+    let mut response = full_response(503, "");
+    let headers = response.headers_mut();
+    headers.insert("x-not-executed", "1".parse().unwrap());
+    headers.insert("retry-after", after.parse().unwrap());
+    response
 }
 
 async fn handle(
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod faults;
 mod limit;
 mod metrics;
+mod notice;
 mod order;
 mod reach;
 mod restore;
