--- a/src/decide/refusal.rs
+++ b/src/decide/refusal.rs
@@ -22,6 +22,8 @@
     NotRun,
     /// The rate limits of all upstreams that the request could enter allow none now.
     Limited,
+    /// All upstreams that the request could enter asked for a pause; the first ends after this time.
+    Paused(Duration),
     /// The request is quarantined for this remaining time, since it crashed engines.
     Quarantined(Duration),
 }
@@ -36,6 +38,7 @@
             Self::Unreachable => "unreachable",
             Self::NotRun => "not_run",
             Self::Limited => "limited",
+            Self::Paused(_) => "paused",
             Self::Quarantined(_) => "quarantined",
         }
     }
@@ -53,6 +56,9 @@
 /// remaining time.
 const FULL_MAX_DELAY: (f64, f64) = (2.4, 6.6);
 
+/// Time over which clients return after a pause of all upstreams, in seconds.
+const PAUSE_SPREAD: f64 = 1.0;
+
 /// Weight of the newest request in the refusal rates. They reflect some twenty requests, which
 /// arrive within a second at a busy instance.
 const WEIGHT: f64 = 0.05;
@@ -119,6 +125,8 @@
         // A client that returns reaches another instance.
         Reason::Unreachable | Reason::NotRun => (0.3, 1.0),
         Reason::Limited => (0.6, 3.0),
+        // Spread, since all of them return to the one whose pause ends first.
+        Reason::Paused(left) => (left.as_secs_f64(), left.as_secs_f64() + PAUSE_SPREAD),
         Reason::Quarantined(left) => (left.as_secs_f64(), left.as_secs_f64()),
     };
     Duration::from_secs_f64(least + (most - least) * draw)
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -58,6 +58,9 @@
 /// Failure cause: the attempt waited for a dead engine, and no path leads around it.
 pub(super) const BLOCKED: &str = "blocked";
 
+/// Failure cause: the upstream refused and wants no requests for a while.
+pub(super) const PAUSED: &str = "paused";
+
 /// Failure cause: the upstream refused at once.
 pub(super) const REFUSED: &str = "refused";
 
@@ -334,6 +337,8 @@
         match cause {
             // The evidence, if it is this instance's own, was recorded when the attempt stalled.
             BLOCKED => {}
+            // The pause that it asked for was recorded with the response.
+            PAUSED => {}
             REFUSED if health::may_be_full(self.utilisation(culprit)) => {
                 self.entry.shared().health.record_refusal(now, culprit);
             }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -7,10 +7,12 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Request, StatusCode};
 
-use super::attempt::{DEAD_ENGINE, OpenResponse, Outcome, REFUSED, Run};
+use super::attempt::{DEAD_ENGINE, OpenResponse, Outcome, PAUSED, REFUSED, Run};
 use super::head;
+use super::notice::pause_asked;
 use super::select::Selection;
 use crate::clock::{Time, millis};
+use crate::decide::backoff;
 use crate::decide::retry::Failure;
 use crate::platform::headers;
 use crate::sync::address_key;
@@ -47,11 +49,8 @@
         let status = response.status();
         let map = response.headers();
         let first = opened.selection.upstream.key;
-        self.note_limit(
-            sent,
-            &opened.selection.upstream,
-            head::text(map, headers::RATE_LIMIT),
-        );
+        let upstream = &opened.selection.upstream;
+        self.entry.note_response(sent, upstream, status, map);
         let not_run =
             map.contains_key(headers::NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST;
         if not_run {
@@ -60,6 +59,14 @@
             // A live engine refuses at once; a dead engine in the path shows only after a
             // stall.
             let stalled = self.entry.now().since(sent) >= self.entry.boot.bounds.stall_timeout / 2;
+            // The pause says enough: the upstream is neither dead nor failing.
+            if pause_asked(status, map).is_some_and(|t| backoff::parse(t).is_some()) {
+                return Outcome::Failed {
+                    failure: Failure::NotRun,
+                    culprit: Some(first),
+                    cause: PAUSED,
+                };
+            }
             return Outcome::Failed {
                 failure: Failure::NotRun,
                 culprit: Some(named.unwrap_or(first)),
--- a/src/entry/limit.rs
+++ b/src/entry/limit.rs
@@ -11,6 +11,21 @@
 use crate::sync::{LimitRecord, address_from_key};
 
 impl Run {
+    /// Returns whether a request may be sent to an upstream now, and if so, counts it against the
+    /// upstream's rate limit.
+    pub(super) fn acquire_send(&self, upstream: &Upstream) -> bool {
+        let entry = &self.entry;
+        // The upstream may have asked for a pause since it was chosen.
+        if !entry.may_send(upstream) {
+            return false;
+        }
+        let (now, instances) = (entry.now(), entry.view().entry_count());
+        let limiter = &mut entry.shared().rate_limiter;
+        limiter.try_acquire(now, upstream.key, &upstream.id, upstream.born, instances)
+    }
+}
+
+impl Entry {
     /// Applies the limit header `text` of a response. A response without the header lifts
     /// the limit only if its request was sent, at `sent`, after the latest update.
     pub(super) fn note_limit(&self, sent: Time, upstream: &Upstream, text: Option<&str>) {
@@ -21,26 +36,15 @@
                 return;
             }
         };
-        let now = self.entry.now();
+        let now = self.now();
         let update = LimitUpdate {
             upstream: upstream.start(),
             limit,
             at: if limit.is_some() { now } else { sent },
         };
-        self.entry.apply_limit(now, upstream.key, update, "answer");
-    }
-
-    /// Returns whether a request may be sent to an upstream now, and if so, counts it
-    /// against the upstream's rate limit.
-    pub(super) fn acquire_send(&self, upstream: &Upstream) -> bool {
-        let entry = &self.entry;
-        let (now, instances) = (entry.now(), entry.view().entry_count());
-        let limiter = &mut entry.shared().rate_limiter;
-        limiter.try_acquire(now, upstream.key, &upstream.id, upstream.born, instances)
+        self.apply_limit(now, upstream.key, update, "answer");
     }
-}
 
-impl Entry {
     /// A subset of this instance's latest limit updates, for the leader.
     pub(super) fn limit_records(&self) -> Vec<LimitRecord> {
         let now = self.now();
--- a/src/entry/measure.rs
+++ b/src/entry/measure.rs
@@ -28,6 +28,7 @@
         metrics::gauge!(metric::CARRYING.name).set(self.capacity.used() as f64);
         let unreachable = shared.reachability.lost().count();
         metrics::gauge!(metric::UNREACHABLE_SERVICES.name).set(unreachable as f64);
+        metrics::gauge!(metric::PAUSED_UPSTREAMS.name).set(shared.backoffs.len(now) as f64);
         for (service, upstreams) in &*view.services {
             let mut states = [("usable", 0), ("late", 0), ("left_out", 0)];
             let mut booked = 0.0;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,6 +14,7 @@
 use crate::auth::FleetKey;
 use crate::clock::{Clock, SystemClock, Time, wall_millis};
 use crate::collections::HashSet;
+use crate::decide::backoff::Backoffs;
 use crate::decide::health::Health;
 use crate::decide::link::LinkShare;
 use crate::decide::load::Loads;
@@ -44,6 +45,7 @@
 mod limit;
 mod listen;
 mod measure;
+mod notice;
 mod plain;
 pub(crate) mod pool;
 pub(crate) mod proxy;
@@ -85,6 +87,7 @@
     refusals: RefusalRates,
     run_history: RunHistory,
     rate_limiter: RateLimiter,
+    backoffs: Backoffs,
     reachability: Reachability,
     /// Services of which unreached upstreams are checked.
     watched: HashSet<String>,
@@ -184,6 +187,7 @@
                 refusals: RefusalRates::default(),
                 run_history: RunHistory::default(),
                 rate_limiter: RateLimiter::default(),
+                backoffs: Backoffs::new(bounds.drain_time),
                 reachability: Reachability::default(),
                 watched: HashSet::default(),
                 proxies: Proxies::default(),
--- a/src/entry/proxy/carry.rs
+++ b/src/entry/proxy/carry.rs
@@ -14,7 +14,7 @@
 
 use super::super::attempt::CONNECT_TIMEOUT;
 use super::super::body::{self, Body, Truncated};
-use super::super::view::of_service;
+use super::super::view::{Upstream, of_service};
 use super::super::{Entry, head};
 use super::message::{CHECK, Envelope, Refusal};
 use crate::clock::{Time, millis};
@@ -143,7 +143,7 @@
     async fn check_for(self: &Arc<Self>, envelope: &Envelope) -> Response<Body> {
         let checked = match self.check_target(envelope) {
             // Not recorded: what one instance doesn't reach would be checked by all.
-            Ok(()) => self.open(envelope).await.map(drop),
+            Ok(_) => self.open(envelope).await.map(drop),
             Err(refusal) => Err(refusal),
         };
         match checked {
@@ -165,20 +165,22 @@
             _place: self.capacity.take_place().ok_or(Refusal::Busy)?,
             _running: self.gate.track(),
         };
-        self.check_target(&carriage.envelope)?;
+        let target = self.check_target(&carriage.envelope)?;
+        if !self.may_send(&target) {
+            return Err(Refusal::Paused);
+        }
         let (body, _memory) = self.receive(&carriage.head, body).await?;
         let connection = self.connect(&carriage.envelope).await?;
         let request = self.upstream_request(carriage, body)?;
         let opened = self.now();
         let cutoff = Cutoff::new(None, Arc::clone(&self.clock));
-        let Envelope {
-            service, target, ..
-        } = &carriage.envelope;
-        let upstream = address_key(*target);
+        let service = &carriage.envelope.service;
         match connection.send(request, &cutoff).await {
-            Ok(response) => {
-                self.record_reached(service, upstream, opened);
-                Ok((response, holdings))
+            Ok(answer) => {
+                self.record_reached(service, target.key, opened);
+                let response = &answer.response;
+                self.note_response(opened, &target, response.status(), response.headers());
+                Ok((answer, holdings))
             }
             Err(_) => Err(Refusal::Cut),
         }
@@ -186,17 +188,16 @@
 
     /// Checks that the target is an upstream that this instance knows, and reaches as far as it
     /// knows.
-    fn check_target(&self, envelope: &Envelope) -> Result<(), Refusal> {
+    fn check_target(&self, envelope: &Envelope) -> Result<Upstream, Refusal> {
         let view = self.view();
         let key = address_key(envelope.target);
         let mut known = of_service(&view.services, &envelope.service).iter();
-        if !known.any(|u| u.key == key && *u.id == *envelope.upstream) {
-            return Err(Refusal::UnknownUpstream);
-        }
+        let found = known.find(|u| u.key == key && *u.id == *envelope.upstream);
+        let found = found.ok_or(Refusal::UnknownUpstream)?;
         if self.must_carry(&envelope.service, key) {
             return Err(Refusal::Unreachable);
         }
-        Ok(())
+        Ok(found.clone())
     }
 
     /// Receives the body of a request, whose length must be known.
--- a/src/entry/proxy/message.rs
+++ b/src/entry/proxy/message.rs
@@ -54,6 +54,8 @@
     UnknownUpstream,
     /// The carrier doesn't reach the upstream either.
     Unreachable,
+    /// The upstream asked the carrier for a pause, or is leaving.
+    Paused,
     /// The upstream accepted no connection.
     NotConnected,
     /// The deadline has passed.
@@ -63,12 +65,13 @@
 }
 
 impl Refusal {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 9] = [
         Self::Unverified,
         Self::Draining,
         Self::Busy,
         Self::UnknownUpstream,
         Self::Unreachable,
+        Self::Paused,
         Self::NotConnected,
         Self::TooLate,
         Self::Cut,
@@ -82,6 +85,7 @@
             Self::Busy => "busy",
             Self::UnknownUpstream => "unknown_upstream",
             Self::Unreachable => "unreachable",
+            Self::Paused => "paused",
             Self::NotConnected => "not_connected",
             Self::TooLate => "too_late",
             Self::Cut => "cut",
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -150,7 +150,7 @@
         let report = self.call_engine(selection, Request::get(order::REPORT), String::new());
         let report = report.await;
         match &report {
-            _ if selection.via.is_some() => {}
+            _ if selection.via.is_some() || !self.entry.may_send(&selection.upstream) => {}
             Some(_) => self.entry.record_reached(service, first, asked),
             None => self.entry.record_unreached(service, first),
         }
@@ -161,6 +161,7 @@
             }
             // Nothing is known of the engine: the links of this instance are lost.
             None if selection.via.is_none() && self.entry.must_carry(service, first) => None,
+            None if !self.entry.may_send(&selection.upstream) => None,
             // The first engine itself doesn't respond.
             None => Some(first),
             Some(_) => None,
@@ -191,6 +192,9 @@
         body: String,
     ) -> Option<(StatusCode, Bytes)> {
         let (entry, first) = (&self.entry, &selection.upstream);
+        if !entry.may_send(first) {
+            return None;
+        }
         let request = call_request(first.address.into(), &first.id, request, body.into());
         let call = async {
             if let Some(via) = &selection.via {
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -138,7 +138,17 @@
     }
 }
 
+/// Cost factor of an engine that is leaving.
+const LEAVING_PENALTY: f64 = 8.0;
+
 impl Shared {
+    /// Whether a request may be sent to an upstream, as far as it has asked for less.
+    fn may_send(&self, now: Time, upstream: &Upstream) -> bool {
+        let Upstream { key, id, born, .. } = upstream;
+        self.rate_limiter.may_send(now, *key, id, *born)
+            && self.backoffs.may_send(now, *key, id, *born)
+    }
+
     /// Engines of `service` that `policy` allows by their health, and that are `usable`.
     fn pool<'a>(
         &self,
@@ -152,7 +162,12 @@
         let factor = |u: &Upstream| {
             let status = self.health.status(now, u.key, u.late);
             let status = status.with_suspicion(u.suspected);
-            policy.factor(status).filter(|_| usable(u))
+            let leaving = self.backoffs.is_leaving(u.key, &u.id, u.born);
+            let penalty = if leaving { LEAVING_PENALTY } else { 1.0 };
+            policy
+                .factor(status)
+                .filter(|_| usable(u))
+                .map(|factor| factor * penalty)
         };
         let (services, instances) = (&view.services, view.entry_count());
         Pool::new(services, service, model, &self.loads, instances, factor)
@@ -182,9 +197,33 @@
         work: Work,
         exclusions: Exclusions<'_>,
     ) -> Result<Selection, Reason> {
-        if let Some(model) = model {
-            return self.choose_path(view, service, model, work, exclusions);
-        }
+        let selection = match model {
+            Some(model) => self.choose_path(view, service, model, work, exclusions),
+            None => self.choose_plain(view, service, exclusions),
+        };
+        selection.map_err(|reason| match reason {
+            Reason::Limited => self.limit_reason(view, service, exclusions),
+            reason => reason,
+        })
+    }
+
+    /// Why all upstreams of a service are limited: with the time to the end of the first pause, if
+    /// one of them asked for a pause.
+    fn limit_reason(&self, view: &View, service: &str, exclusions: Exclusions<'_>) -> Reason {
+        let now = self.now();
+        let backoffs = &self.shared().backoffs;
+        let open = view.entrances(service);
+        let open = open.filter(|u| !exclusions.failed.contains(&u.key));
+        let left = open.filter_map(|u| backoffs.remaining(now, u.key, &u.id, u.born));
+        left.min().map_or(Reason::Limited, Reason::Paused)
+    }
+
+    fn choose_plain(
+        self: &Arc<Self>,
+        view: &View,
+        service: &str,
+        exclusions: Exclusions<'_>,
+    ) -> Result<Selection, Reason> {
         let selection = self.choose_upstream(view, service, exclusions);
         if selection.is_ok() || exclusions.suspect.is_none() {
             return selection;
@@ -211,10 +250,10 @@
                 requests: shared.loads.at(u.key).requests,
                 slots: u.slots.into(),
                 same_domain: u.domain == self.boot.domain,
-                late: u.late,
+                late: u.late || shared.backoffs.is_leaving(u.key, &u.id, u.born),
                 excluded: u.suspected || shared.health.is_excluded(now, u.key),
                 tried: exclusions.failed.contains(&u.key) || !exclusions.may_enter(u.key),
-                limited: !shared.rate_limiter.may_send(now, u.key, &u.id, u.born),
+                limited: !shared.may_send(now, u),
             })
             .collect();
         drop(shared);
@@ -273,8 +312,7 @@
             pool.restrict_to_spare(|u| suspect_priority(suspect, u.key));
         }
         let shared = self.shared();
-        let limiter = &shared.rate_limiter;
-        let limited = pool.limit_entry(|u| limiter.may_send(now, u.key, &u.id, u.born));
+        let limited = pool.limit_entry(|u| shared.may_send(now, u));
         drop(shared);
         // A domain without engines gets an index that no candidate has.
         work.caller_domain = pool.domain(&self.boot.domain).unwrap_or(usize::MAX);
--- a/src/event.rs
+++ b/src/event.rs
@@ -111,6 +111,10 @@
 pub(crate) const CARRIAGE_REFUSED: Event = event(418, "carriage_refused");
 /// Other instances reach an upstream that this one doesn't reach.
 pub(crate) const UPSTREAM_REMOTE: Event = event(419, "upstream_remote");
+/// An upstream wants no requests of this instance for a while.
+pub(crate) const PAUSE_REQUESTED: Event = event(420, "pause_requested");
+/// An upstream says that it is leaving.
+pub(crate) const UPSTREAM_LEAVING: Event = event(421, "upstream_leaving");
 /// This voter became the leader of a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter is no longer the leader of a group.
@@ -189,6 +193,8 @@
     REQUEST_CARRIED,
     CARRIAGE_REFUSED,
     UPSTREAM_REMOTE,
+    PAUSE_REQUESTED,
+    UPSTREAM_LEAVING,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -43,6 +43,8 @@
 pub(crate) const UPSTREAMS: Metric = metric("entry_upstreams", &["service", "state"]);
 /// Upstreams with a rate limit in force.
 pub(crate) const LIMITED_UPSTREAMS: Metric = metric("entry_limited_upstreams", &[]);
+/// Upstreams that get no requests since they asked for a pause or are leaving.
+pub(crate) const PAUSED_UPSTREAMS: Metric = metric("entry_paused_upstreams", &[]);
 /// Memory reserved on the engines for the requests of all instances.
 pub(crate) const BOOKED_MEMORY: Metric = metric("entry_booked_megabytes", &["service"]);
 /// Requests that this instance sent through others.
@@ -112,6 +114,7 @@
     CAPACITY_SHARERS,
     UPSTREAMS,
     LIMITED_UPSTREAMS,
+    PAUSED_UPSTREAMS,
     BOOKED_MEMORY,
     REQUESTS_VIA,
     CARRIED_REQUESTS,
