--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -164,13 +164,19 @@
 }
 
 impl Entry {
-    /// Whether an engine that closed a connection accepts no new one either, while this instance
-    /// reaches others.
+    /// Whether an engine that closed a connection accepts no new one either, and not only because
+    /// this instance lost its links: other instances don't reach it, or this one reaches others.
     async fn has_crashed(self: &Arc<Self>, service: &str, upstream: &Upstream) -> bool {
         sleep(PROBE_DELAY).await;
         let source = self.boot.ip;
         let connected = Connection::open_from(source, upstream.address, PROBE_TIMEOUT).await;
-        connected.is_err() && self.check_others(service, upstream.key).await != Some(false)
+        if connected.is_ok() {
+            return false;
+        }
+        match self.check_via(service, upstream.key).await {
+            Some(reached) => !reached,
+            None => self.check_others(service, upstream.key).await != Some(false),
+        }
     }
 
     /// Checks whether an engine that cut off runs has crashed.
--- a/src/entry/proxy/link.rs
+++ b/src/entry/proxy/link.rs
@@ -118,37 +118,16 @@
         }
     }
 
-    /// Makes a short call to an upstream through another instance. Returns `None` if its outcome
-    /// is unknown.
-    pub(in super::super) async fn call_via(
-        &self,
-        via: &Via,
-        service: &str,
-        upstream: &Upstream,
-        mut request: Request<Full<Bytes>>,
-    ) -> Option<(StatusCode, Bytes)> {
-        self.envelope(service, upstream)
-            .seal(&self.key, &mut request);
-        let connection = self.connect_to(via).await?;
-        let (head, body) = exchange(connection, request).await?;
-        match Refusal::of_response(&head.headers) {
-            None => Some((head.status, body)),
-            Some(_) => None,
-        }
-    }
-
-    /// Whether one of a few other instances reaches an upstream.
+    /// Whether one of a few other instances reaches an upstream; `None` if none of them can tell.
     pub(in super::super) async fn check_via(
         self: &Arc<Self>,
         service: &str,
         upstream: u64,
-    ) -> bool {
+    ) -> Option<bool> {
         let view = self.view();
         let mut upstreams = of_service(&view.services, service).iter();
-        let Some(upstream) = upstreams.find(|u| u.key == upstream) else {
-            return false;
-        };
-        let mut asked = Vec::new();
+        let upstream = upstreams.find(|u| u.key == upstream)?;
+        let (mut asked, mut refused) = (Vec::new(), None);
         while asked.len() < MAX_CHECKS {
             let Some(via) = self.take_proxy(&asked) else {
                 break;
@@ -156,12 +135,44 @@
             asked.push(via.id);
             let request = Request::get(CHECK).header(HOST, upstream.address.to_string());
             let request = request.body(Full::default()).expect("a valid head");
-            let answer = self.call_via(&via, service, upstream, request);
-            if let Ok(Some((StatusCode::OK, _))) = timeout(CHECK_TIMEOUT, answer).await {
-                return true;
+            let answer = self.exchange_via(&via, service, upstream, request);
+            match timeout(CHECK_TIMEOUT, answer).await {
+                Ok(Some(Ok((StatusCode::OK, _)))) => return Some(true),
+                Ok(Some(Err(Refusal::NotConnected))) => refused = Some(false),
+                _ => {}
             }
         }
-        false
+        refused
+    }
+
+    /// Makes a short call to an upstream through another instance. Returns `None` if its outcome
+    /// is unknown.
+    pub(in super::super) async fn call_via(
+        &self,
+        via: &Via,
+        service: &str,
+        upstream: &Upstream,
+        request: Request<Full<Bytes>>,
+    ) -> Option<(StatusCode, Bytes)> {
+        let answer = self.exchange_via(via, service, upstream, request).await?;
+        answer.ok()
+    }
+
+    async fn exchange_via(
+        &self,
+        via: &Via,
+        service: &str,
+        upstream: &Upstream,
+        mut request: Request<Full<Bytes>>,
+    ) -> Option<Result<(StatusCode, Bytes), Refusal>> {
+        self.envelope(service, upstream)
+            .seal(&self.key, &mut request);
+        let connection = self.connect_to(via).await?;
+        let (head, body) = exchange(connection, request).await?;
+        match Refusal::of_response(&head.headers) {
+            None => Some(Ok((head.status, body))),
+            Some(refusal) => Some(Err(refusal)),
+        }
     }
 
     /// Leaves an instance out for a while, since it didn't carry a request.
--- a/src/entry/reach.rs
+++ b/src/entry/reach.rs
@@ -53,6 +53,14 @@
         }
     }
 
+    /// Checks in the background whether an upstream that closed a connection takes another: it may
+    /// have failed one request, or the link to it is lost.
+    pub(super) fn check_link(self: &Arc<Self>, service: &str, upstream: &Upstream) {
+        let (entry, service) = (Arc::clone(self), service.to_owned());
+        let upstream = upstream.clone();
+        tokio::spawn(async move { entry.check(&service, &upstream).await });
+    }
+
     /// Records that an upstream responded on a connection that this instance opened at `opened`.
     pub(super) fn record_reached(&self, service: &str, upstream: u64, opened: Time) {
         let now = self.now();
@@ -74,7 +82,7 @@
     /// lets other instances check this one.
     async fn verify(self: &Arc<Self>, service: &str, upstream: u64) {
         let via = async {
-            if self.check_via(service, upstream).await {
+            if self.check_via(service, upstream).await == Some(true) {
                 self.record_remote(service, upstream);
             }
         };
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, StatusCode};
 use tokio::time::timeout;
 
-use super::attempt::{DEAD_ENGINE, Run};
+use super::attempt::{CONNECT_TIMEOUT, DEAD_ENGINE, Run};
 use super::select::Selection;
 use super::view::of_service;
 use crate::configuration::RetryPolicy;
@@ -145,16 +145,9 @@
 
     /// Asks the first engine for the engine of the path that the attempt waits for.
     async fn stalled_engine(&self, selection: &Selection) -> Option<u64> {
-        let service = &self.call.service;
-        let (asked, first) = (self.entry.now(), selection.upstream.key);
+        let (service, first) = (&self.call.service, selection.upstream.key);
         let report = self.call_engine(selection, Request::get(order::REPORT), String::new());
-        let report = report.await;
-        match &report {
-            _ if selection.via.is_some() || !self.entry.may_send(&selection.upstream) => {}
-            Some(_) => self.entry.record_reached(service, first, asked),
-            None => self.entry.record_unreached(service, first),
-        }
-        match report {
+        match report.await {
             Some((StatusCode::OK, report)) => {
                 let address = order::stalled_at(&report, &self.call.attempt)?;
                 Some(address_key(address)).filter(|c| selection.passes_through(*c))
@@ -201,9 +194,15 @@
                 let service = &self.call.service;
                 return entry.call_via(via, service, first, request).await;
             }
-            let source = entry.boot.ip;
-            let opened = Connection::open_from(source, first.address, CALL_TIMEOUT).await;
-            let (head, body) = exchange(opened.ok()?, request).await?;
+            let (source, service) = (entry.boot.ip, &self.call.service);
+            let opened = Connection::open_from(source, first.address, CONNECT_TIMEOUT).await;
+            let Ok(connection) = opened else {
+                entry.record_unreached(service, first.key);
+                return None;
+            };
+            let at = entry.now();
+            let (head, body) = exchange(connection, request).await?;
+            entry.record_reached(service, first.key, at);
             Some((head.status, body))
         };
         timeout(CALL_TIMEOUT, call).await.ok().flatten()
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -47,22 +47,39 @@
     pub(super) async fn attempt(&self, selection: Selection) -> Outcome {
         let (service, first) = (&self.call.service, selection.upstream.key);
         if !self.entry.must_carry(service, first) {
-            let (source, address) = (self.entry.boot.ip, selection.upstream.address);
-            let opened = Connection::open_from(source, address, CONNECT_TIMEOUT).await;
-            if let Ok(connection) = opened {
+            if let Some(connection) = self.connect(&selection).await {
                 return self.send(connection, selection).await;
             }
-            self.entry.record_unreached(service, first);
             if !self.entry.must_carry(service, first) {
                 return failed(Failure::NotRun, Some(first), NO_CONNECTION);
             }
         }
-        self.send_carried(selection).await
+        let selection = match self.send_carried(selection).await {
+            Ok(outcome) => return outcome,
+            Err(selection) => selection,
+        };
+        // Where no other instance carries it, what failed may not have been the links.
+        match self.connect(&selection).await {
+            Some(connection) => self.send(connection, *selection).await,
+            None => failed(Failure::NotRun, None, NO_PROXY),
+        }
+    }
+
+    /// Connects to the upstream of an attempt.
+    async fn connect(&self, selection: &Selection) -> Option<Connection> {
+        let (source, upstream) = (self.entry.boot.ip, &selection.upstream);
+        let opened = Connection::open_from(source, upstream.address, CONNECT_TIMEOUT).await;
+        if opened.is_err() {
+            self.entry
+                .record_unreached(&self.call.service, upstream.key);
+        }
+        opened.ok()
     }
 
     /// Sends the attempt on a connection to its upstream.
     async fn send(&self, connection: Connection, mut selection: Selection) -> Outcome {
         let (service, first) = (&self.call.service, selection.upstream.key);
+        let upstream = selection.upstream.clone();
         let request = self.request(&selection);
         self.log_sent(&selection, None);
         let cutoff = Cutoff::new(None, Arc::clone(&self.entry.clock));
@@ -75,7 +92,7 @@
                 self.classify(sent, OpenResponse { answer, selection })
             }
             Ok(Err(_)) => {
-                self.entry.record_unreached(service, first);
+                self.entry.check_link(service, &upstream);
                 // An upstream that is out of reach isn't to blame.
                 let culprit = (!self.entry.must_carry(service, first)).then_some(first);
                 failed(Failure::Unknown, culprit, CUT)
@@ -85,7 +102,8 @@
     }
 
     /// Sends the attempt through another instance; asks several in turn until one carries it.
-    async fn send_carried(&self, mut selection: Selection) -> Outcome {
+    /// Returns the selection if none does.
+    async fn send_carried(&self, mut selection: Selection) -> Result<Outcome, Box<Selection>> {
         let first = selection.upstream.key;
         let mut asked: Vec<InstanceId> = Vec::new();
         let mut witnesses = 0;
@@ -106,24 +124,24 @@
             let progress = self.await_progress(answer, self.stall_timeout(), &mut selection);
             match progress.await {
                 Ok(Carried::Answered(answer)) => {
-                    return self.classify(sent, OpenResponse { answer, selection });
+                    return Ok(self.classify(sent, OpenResponse { answer, selection }));
                 }
                 Ok(Carried::NotSent(refusal)) => {
                     selection.via = None;
                     witnesses += usize::from(refusal == Some(Refusal::NotConnected));
                 }
-                Ok(Carried::Cut) => return failed(Failure::Unknown, Some(first), CUT),
-                Ok(Carried::Lost) => return failed(Failure::Unknown, None, PROXY_LOST),
+                Ok(Carried::Cut) => return Ok(failed(Failure::Unknown, Some(first), CUT)),
+                Ok(Carried::Lost) => return Ok(failed(Failure::Unknown, None, PROXY_LOST)),
                 Err(stall) => {
                     self.entry.exclude_proxy(&via, "silent");
-                    return stalled(stall);
+                    return Ok(stalled(stall));
                 }
             }
         }
         if witnesses >= MIN_WITNESSES {
-            return failed(Failure::NotRun, Some(first), NO_CONNECTION);
+            return Ok(failed(Failure::NotRun, Some(first), NO_CONNECTION));
         }
-        failed(Failure::NotRun, None, NO_PROXY)
+        Err(Box::new(selection))
     }
 
     /// Time to wait for the first sign of a response.
