--- a/tests/platform/reach.rs
+++ b/tests/platform/reach.rs
@@ -134,6 +134,38 @@
     );
 }
 
+/// Guards against running a request twice, or refusing one that has run, when instances that carry
+/// it are killed, frozen or stopped.
+#[test]
+fn carriers_fail() {
+    const CUT: usize = 5;
+    let mut deployment = Deployment::with_size(9, &[4, 4]);
+    let done = AtomicBool::new(false);
+    let mut carriers = deployment.entries.split_off(CUT);
+    let lost = thread::scope(|scope| {
+        let (deployment, done) = (&deployment, &done);
+        let began = Instant::now();
+        let cut = sources(deployment, CUT);
+        deployment.engine_state().links.cut(Cut::Hang, &cut);
+        // Only the cut instances have callers: `send` turns to the entries that are left.
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|caller| scope.spawn(move || send(deployment, caller, CUT, began, done)[0]))
+            .collect();
+        thread::sleep(Duration::from_secs(1));
+        carriers[0].kill();
+        carriers[1].freeze();
+        carriers[2].terminate();
+        thread::sleep(Duration::from_secs(2));
+        carriers[1].thaw();
+        thread::sleep(CONTACT_TIME + MEASURE_TIME);
+        done.store(true, Ordering::Relaxed);
+        let tallies = callers.into_iter().map(|c| c.join().unwrap());
+        tallies.fold(Tally::default(), Tally::add)
+    });
+    assert!(lost.tried >= 30, "{lost:?}");
+    assert!(lost.share() >= 2.0 / 3.0, "cut instances {lost:?}");
+}
+
 /// Retries that an entry instance has left for the plain service.
 fn retries_left(deployment: &Deployment, entry: usize) -> f64 {
     let metrics = deployment.metrics();
