--- a/src/decide/reachability.rs
+++ b/src/decide/reachability.rs
@@ -100,10 +100,7 @@
         upstream: u64,
         entrances: usize,
     ) -> Option<Change> {
-        if !self.0.contains_key(service) {
-            self.0.insert(service.to_owned(), Evidence::default());
-        }
-        let evidence = self.0.get_mut(service)?;
+        let evidence = self.evidence(service);
         if evidence.lost_at.is_none() && now.since(evidence.last_failure) >= RETENTION {
             evidence.failed.clear();
         }
@@ -135,10 +132,7 @@
         upstream: u64,
         opened: Time,
     ) -> Option<Change> {
-        if !self.0.contains_key(service) {
-            self.0.insert(service.to_owned(), Evidence::default());
-        }
-        let evidence = self.0.get_mut(service)?;
+        let evidence = self.evidence(service);
         if !evidence.failed.is_empty() && opened <= evidence.since {
             return None;
         }
@@ -177,4 +171,12 @@
             evidence.remote.retain(|u| exists(*u));
         }
     }
+
+    fn evidence(&mut self, service: &str) -> &mut Evidence {
+        // Without an allocation for a service that is known.
+        if !self.0.contains_key(service) {
+            self.0.insert(service.to_owned(), Evidence::default());
+        }
+        self.0.get_mut(service).expect("it was inserted")
+    }
 }
