--- a/src/explain.rs
+++ b/src/explain.rs
@@ -148,11 +148,19 @@
         event::LAYERS_ORDERED,
         event::ORDER_ENDED,
         event::LAYERS_MISSING,
+        event::SERVICE_UNREACHABLE,
+        event::SERVICE_REACHABLE,
+        event::UPSTREAM_REMOTE,
+    ];
+    let of_all = [
+        event::LAYERS_MISSING,
+        event::SERVICE_UNREACHABLE,
+        event::SERVICE_REACHABLE,
     ];
     if !upstream.iter().any(|e| line.has_event(*e)) {
         return false;
     }
-    if line.has_event(event::LAYERS_MISSING) {
+    if of_all.iter().any(|e| line.has_event(*e)) {
         return true;
     }
     let named = |l: &&&Line| {
@@ -181,6 +189,11 @@
                 "all engines at which it could begin were at their rate limits; see event 413"
                     .to_owned()
             }
+            ("unreachable", _) => {
+                "its instance reached no upstream, and no other instance carried \
+                                   it; see events 415 and 418"
+                    .to_owned()
+            }
             ("full", _) => {
                 "no engine had room; see the orders and missing layers around".to_owned()
             }
--- a/src/tests/explain.rs
+++ b/src/tests/explain.rs
@@ -24,6 +24,11 @@
   edge-2 {"timestamp":"2026-04-25T18:43:31.000000Z","level":"INFO","message":"engine ended","event":412,"upstream":"i-5","address":"10.1.64.12:8446","fingerprint":"f1","organisation":"one"}
   edge-2 {"timestamp":"2026-04-25T18:43:31.000000Z","level":"INFO","message":"engine ended","event":412,"upstream":"i-5","address":"10.1.64.12:8446","fingerprint":"f2","organisation":"one"}
   edge-2 {"timestamp":"2026-04-25T18:43:38.000000Z","level":"INFO","message":"ended without an upstream response","event":407,"attempt":"ii","fingerprint":"f1","code":"quarantined","status":503}
+  edge-3 {"timestamp":"2026-04-25T18:44:00.000000Z","level":"WARN","message":"no upstream of the service is reachable","event":415,"service":"desk","failed":2,"entrances":2}
+  edge-3 {"timestamp":"2026-04-25T18:44:00.100000Z","level":"INFO","message":"ended without an upstream response","event":407,"attempt":"jj","code":"unreachable","status":503}
+  edge-3 {"timestamp":"2026-04-25T18:44:01.000000Z","level":"INFO","message":"sent","event":404,"attempt":"kk","route":"r","upstream":"i-1","via":2130772224,"left_ms":1999}
+  edge-4 {"timestamp":"2026-04-25T18:44:01.004000Z","level":"INFO","message":"carried","event":417,"attempt":"kk","sender":2130772226,"upstream":"i-1","status":200,"took_ms":3}
+  edge-3 {"timestamp":"2026-04-25T18:44:01.005000Z","level":"INFO","message":"answered","event":406,"attempt":"kk","status":200,"took_ms":6}
 not a line at all
 "#;
 
@@ -41,6 +46,8 @@
 #[case::caller_left("gg", "its caller left after 900 ms, 9100 ms before")]
 #[case::drained("hh", "it drained too long")]
 #[case::quarantined("ii", "ended under the same request, f1; these logs show 2: i-4, i-5")]
+#[case::unreachable("jj", "reached no upstream, and no other instance carried it")]
+#[case::carried("kk", "417 carried: sender=2130772226")]
 #[case::unknown("zz", "no line names zz")]
 fn explain_cause(#[case] attempt: &str, #[case] cause: &str) {
     let text = explain(attempt, &lines());
