--- a/src/explain.rs
+++ b/src/explain.rs
@@ -151,6 +151,8 @@
         event::SERVICE_UNREACHABLE,
         event::SERVICE_REACHABLE,
         event::UPSTREAM_REMOTE,
+        event::PAUSE_REQUESTED,
+        event::UPSTREAM_LEAVING,
     ];
     let of_all = [
         event::LAYERS_MISSING,
@@ -185,6 +187,10 @@
         let code = line.text("code").unwrap_or("unknown");
         return match (code, failed) {
             ("quarantined", _) => quarantine_cause(line, lines),
+            ("paused", _) => {
+                "all engines at which it could begin had asked for a pause; see event 420"
+                    .to_owned()
+            }
             ("limited", _) => {
                 "all engines at which it could begin were at their rate limits; see event 413"
                     .to_owned()
--- a/src/tests/explain.rs
+++ b/src/tests/explain.rs
@@ -29,6 +29,7 @@
   edge-3 {"timestamp":"2026-04-25T18:44:01.000000Z","level":"INFO","message":"sent","event":404,"attempt":"kk","route":"r","upstream":"i-1","via":2130772224,"left_ms":1999}
   edge-4 {"timestamp":"2026-04-25T18:44:01.004000Z","level":"INFO","message":"carried","event":417,"attempt":"kk","sender":2130772226,"upstream":"i-1","status":200,"took_ms":3}
   edge-3 {"timestamp":"2026-04-25T18:44:01.005000Z","level":"INFO","message":"answered","event":406,"attempt":"kk","status":200,"took_ms":6}
+  edge-3 {"timestamp":"2026-04-25T18:45:00.000000Z","level":"INFO","message":"ended without an upstream response","event":407,"attempt":"ll","code":"paused","status":503}
 not a line at all
 "#;
 
@@ -48,6 +49,7 @@
 #[case::quarantined("ii", "ended under the same request, f1; these logs show 2: i-4, i-5")]
 #[case::unreachable("jj", "reached no upstream, and no other instance carried it")]
 #[case::carried("kk", "417 carried: sender=2130772226")]
+#[case::paused("ll", "had asked for a pause")]
 #[case::unknown("zz", "no line names zz")]
 fn explain_cause(#[case] attempt: &str, #[case] cause: &str) {
     let text = explain(attempt, &lines());
