--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -107,6 +107,23 @@
     leaving: Vec<String>,
     /// Requests that reached engines, in order.
     visits: Vec<Visit>,
+    /// Number of streams that engines were to break off before their last event, since nobody
+    /// reads them any more.
+    abandoned: u32,
+}
+
+/// A stream that an engine sends; counted as abandoned if it is dropped before its end.
+struct Sending {
+    state: SharedState,
+    done: bool,
+}
+
+impl Drop for Sending {
+    fn drop(&mut self) {
+        if !self.done {
+            self.state.lock().unwrap().abandoned += 1;
+        }
+    }
 }
 
 /// A request that reached an engine.
@@ -167,6 +184,11 @@
         self.leaving.push(id.to_owned());
     }
 
+    /// Number of streams that were abandoned so far.
+    pub(crate) fn abandoned(&self) -> u32 {
+        self.abandoned
+    }
+
     /// Requests that reached engines so far, in order.
     pub(crate) fn visits(&self) -> &[Visit] {
         &self.visits
@@ -539,7 +561,7 @@
     let mut response = match spec.service {
         "models" if crash_body.is_some() => Response::new(pending_stream()),
         _ if fault == Fault::Error => full_response(500, "the stock file is locked"),
-        "models" => Response::new(event_stream(last, fault)),
+        "models" => Response::new(event_stream(last, fault, Arc::clone(state))),
         _ => full_response(200, &format!("done by {}", spec.id)),
     };
     let headers = response.headers_mut();
@@ -560,22 +582,25 @@
 }
 
 /// Stream of the events after `last`.
-fn event_stream(last: u64, fault: Fault) -> Body {
-    let next = move |id: u64| async move {
+fn event_stream(last: u64, fault: Fault, state: SharedState) -> Body {
+    let sending = Sending { state, done: false };
+    let next = move |(id, mut sending): (u64, Sending)| async move {
         tokio::time::sleep(EVENT_INTERVAL).await;
         let reset = matches!(fault, Fault::ResetAfter(limit) if id > limit);
         let event = format!("id: {id}\ndata: token {id}\n\n");
+        sending.done = id >= STREAM_EVENTS || reset;
         match (id > STREAM_EVENTS, reset) {
             (true, _) => None,
             // A part of an event, as a crashing engine sends it.
             (_, true) if id.is_multiple_of(2) => {
-                Some((Ok(Frame::data(event[..7].to_owned().into())), id + 1))
+                let part = event[..7].to_owned();
+                Some((Ok(Frame::data(part.into())), (id + 1, sending)))
             }
-            (_, true) => Some((Err("cut"), id)),
-            _ => Some((Ok(Frame::data(event.into())), id + 1)),
+            (_, true) => Some((Err("cut"), (id, sending))),
+            _ => Some((Ok(Frame::data(event.into())), (id + 1, sending))),
         }
     };
-    StreamBody::new(stream::unfold(last + 1, next)).boxed_unsync()
+    StreamBody::new(stream::unfold((last + 1, sending), next)).boxed_unsync()
 }
 
 async fn handle_order(
--- a/tests/platform/reach.rs
+++ b/tests/platform/reach.rs
@@ -1,7 +1,8 @@
 //! Instances that lose their links to all engines, while callers, controllers and the other
 //! instances still reach them.
 
-use std::net::{IpAddr, Ipv4Addr};
+use std::io::{Read, Write};
+use std::net::{IpAddr, Ipv4Addr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -10,7 +11,7 @@
 
 use crate::common::wait_for;
 use crate::cut::Cut;
-use crate::deployment::{Deployment, KEY};
+use crate::deployment::{Deployment, HOST, KEY};
 use crate::engine::expected_stream;
 
 /// Time after the cut began from which the cut instances must serve again.
@@ -166,6 +167,34 @@
     assert!(lost.share() >= 2.0 / 3.0, "cut instances {lost:?}");
 }
 
+/// Guards against an engine that works on for a caller that has left, where another instance
+/// carries the request: both connections must be closed.
+#[test]
+fn caller_leaves_carried_stream() {
+    let deployment = Deployment::with_size(2, &[4, 4]);
+    let cut = sources(&deployment, 1);
+    deployment.engine_state().links.cut(Cut::Hang, &cut);
+    wait_for("a carried stream", || {
+        let (status, body) = deployment.request(0, "/letters/x", "carried", KEY);
+        (status == 200 && body == expected_stream()).then_some(())
+    });
+    let before = deployment.engine_state().abandoned();
+    wait_for("an abandoned stream", || {
+        let mut caller = TcpStream::connect(deployment.caller_addr(0)).unwrap();
+        let head = format!(
+            "POST /letters/x HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: left\r\n\
+             x-credential: {KEY}\r\nx-token-usage: 20,30\r\nx-deadline-ms: 20000\r\n\
+             content-length: 0\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).unwrap();
+        let mut part = [0; 256];
+        assert!(caller.read(&mut part).unwrap() > 0, "no response");
+        drop(caller);
+        thread::sleep(Duration::from_millis(300));
+        (deployment.engine_state().abandoned() > before).then_some(())
+    });
+}
+
 /// Retries that an entry instance has left for the plain service.
 fn retries_left(deployment: &Deployment, entry: usize) -> f64 {
     let metrics = deployment.metrics();
