--- a/tests/platform/notice.rs
+++ b/tests/platform/notice.rs
@@ -39,9 +39,12 @@
                 }
                 let entry = (caller * 31 + number) % deployment.entries.len();
                 let attempt = format!("{caller}-{number}");
-                let status = deployment.request(entry, path, &attempt, KEY).0;
+                let (status, body) = deployment.request(entry, path, &attempt, KEY);
                 counts.0 += 1;
-                counts.1 += usize::from(status != 200);
+                if status != 200 {
+                    counts.1 += 1;
+                    println!("{attempt} at entry {entry}: {status} {body}");
+                }
                 thread::sleep(Duration::from_millis(10));
             }
             counts
