--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -12,7 +12,6 @@
 use super::notice::pause_asked;
 use super::select::Selection;
 use crate::clock::{Time, millis};
-use crate::decide::backoff;
 use crate::decide::retry::Failure;
 use crate::platform::headers;
 use crate::sync::address_key;
@@ -60,7 +59,7 @@
             // stall.
             let stalled = self.entry.now().since(sent) >= self.entry.boot.bounds.stall_timeout / 2;
             // The pause says enough: the upstream is neither dead nor failing.
-            if pause_asked(status, map).is_some_and(|t| backoff::parse(t).is_some()) {
+            if pause_asked(status, map).is_some() {
                 return Outcome::Failed {
                     failure: Failure::NotRun,
                     culprit: Some(first),
--- a/src/entry/notice.rs
+++ b/src/entry/notice.rs
@@ -1,6 +1,8 @@
 //! Reads what upstreams ask for in the heads of their responses: rate limits, pauses, and that they
 //! are leaving.
 
+use std::time::Duration;
+
 use hyper::{HeaderMap, StatusCode};
 use rand::RngExt;
 
@@ -22,20 +24,15 @@
         map: &HeaderMap,
     ) {
         self.note_limit(sent, upstream, head::text(map, headers::RATE_LIMIT));
-        if pause_asked(status, map).is_some() {
-            self.note_pause(upstream, map);
+        if let Some(pause) = pause_asked(status, map) {
+            self.note_pause(upstream, pause);
         }
         if head::text(map, headers::LEAVING).is_some_and(is_set) {
             self.note_leaving(upstream);
         }
     }
 
-    fn note_pause(&self, upstream: &Upstream, map: &HeaderMap) {
-        let text = head::text(map, headers::RETRY_AFTER).unwrap_or_default();
-        let Some(pause) = backoff::parse(text) else {
-            tracing::debug!(upstream = %upstream.id, after = text, "ignoring invalid pause");
-            return;
-        };
+    fn note_pause(&self, upstream: &Upstream, pause: Duration) {
         let (now, draw) = (self.now(), rand::rng().random());
         let backoffs = &mut self.shared().backoffs;
         let kept = backoffs.record_pause(now, upstream.key, &upstream.start(), pause, draw);
@@ -69,15 +66,21 @@
     }
 }
 
-/// The pause that a response asks for, as its text.
-pub(super) fn pause_asked(status: StatusCode, map: &HeaderMap) -> Option<&str> {
+/// The pause that a response asks for.
+pub(super) fn pause_asked(status: StatusCode, map: &HeaderMap) -> Option<Duration> {
     let refuses = [
         StatusCode::SERVICE_UNAVAILABLE,
         StatusCode::TOO_MANY_REQUESTS,
     ];
-    refuses
-        .contains(&status)
-        .then(|| head::text(map, headers::RETRY_AFTER))?
+    if !refuses.contains(&status) {
+        return None;
+    }
+    let text = head::text(map, headers::RETRY_AFTER)?;
+    let pause = backoff::parse(text);
+    if pause.is_none() {
+        tracing::debug!(after = text, "ignoring invalid pause");
+    }
+    pause
 }
 
 fn is_set(value: &str) -> bool {
