--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -16,7 +16,7 @@
 use super::head;
 use super::select::PLAIN_WORK;
 use super::view::View;
-use crate::configuration::{Limits, Model, RouteMatch, RoutingTable};
+use crate::configuration::{Model, RouteMatch, RoutingTable};
 use crate::decide::path::Work;
 use crate::decide::refusal::{self, Reason};
 use crate::event;
@@ -68,9 +68,7 @@
     ) -> Response<Body> {
         let (head, body) = request.into_parts();
         let view = self.view();
-        let limit = view.table.as_ref().map(|t| t.configuration.limits.body);
-        let limit = limit.filter(|&l| l > 0);
-        let limit = limit.unwrap_or(Limits::default().body);
+        let limit = view.body_limit();
         let body = match http::read_body(body, limit, RECEIVE_TIMEOUT).await {
             Ok(body) => body,
             Err(ReceiveError::TooLarge) => {
--- a/src/entry/proxy/carry.rs
+++ b/src/entry/proxy/carry.rs
@@ -12,13 +12,11 @@
 use hyper::{Request, Response};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use super::super::attempt::CONNECT_TIMEOUT;
 use super::super::body::{self, Body, Truncated};
 use super::super::view::{Upstream, of_service};
 use super::super::{Entry, head};
 use super::message::{CHECK, Envelope, Refusal};
 use crate::clock::{Time, millis};
-use crate::configuration::Limits;
 use crate::engine::{Connection, Cutoff, UpstreamResponse};
 use crate::event;
 use crate::gate::RunningGuard;
@@ -207,12 +205,7 @@
         body: Incoming,
     ) -> Result<(Bytes, OwnedSemaphorePermit), Refusal> {
         let size = head::number(&head.headers, CONTENT_LENGTH.as_str()).unwrap_or(0);
-        let limit = self
-            .view()
-            .table
-            .as_ref()
-            .map(|t| t.configuration.limits.body);
-        let limit = limit.filter(|&l| l > 0).unwrap_or(Limits::default().body);
+        let limit = self.view().body_limit();
         if size > limit {
             return Err(Refusal::Busy);
         }
@@ -230,7 +223,7 @@
     }
 
     async fn open(&self, envelope: &Envelope) -> Result<Connection, Refusal> {
-        let opened = Connection::open_from(self.boot.ip, envelope.target, CONNECT_TIMEOUT).await;
+        let opened = self.dial(envelope.target).await;
         opened.map_err(|_| Refusal::NotConnected)
     }
 
@@ -247,6 +240,7 @@
             ..
         } = &carriage.head;
         let mut map = head::end_to_end(map.clone());
+        // `Connection` isn't signed and could have named this header.
         map.insert(
             HeaderName::from_static(headers::EXPECTED_UPSTREAM),
             HeaderValue::try_from(&carriage.envelope.upstream).map_err(|_| Refusal::Unverified)?,
--- a/src/entry/proxy/link.rs
+++ b/src/entry/proxy/link.rs
@@ -12,7 +12,6 @@
 use tokio::time::timeout;
 
 use super::super::Entry;
-use super::super::attempt::CONNECT_TIMEOUT;
 use super::super::view::{Upstream, of_service};
 use super::message::{CHECK, Envelope, Refusal};
 use crate::engine::{Connection, Cutoff, UpstreamResponse, exchange};
@@ -79,7 +78,7 @@
     /// Connects to an instance. An error proves that nothing was sent.
     async fn connect_to(&self, via: &Via) -> Option<Connection> {
         let address = self.proxy_address(via.id)?;
-        let opened = Connection::open_from(self.boot.ip, address, CONNECT_TIMEOUT).await;
+        let opened = self.dial(address).await;
         opened.ok()
     }
 
--- a/src/entry/reach.rs
+++ b/src/entry/reach.rs
@@ -1,5 +1,6 @@
 //! Finds out whether this instance itself reaches the upstreams of each service.
 
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use super::view::{Upstream, of_service};
 use crate::clock::{Time, millis};
 use crate::decide::reachability::Change;
-use crate::engine::Connection;
+use crate::engine::{Connection, EngineError};
 use crate::event;
 use crate::sync::address_from_key;
 
@@ -31,6 +32,12 @@
 const CHECKED: usize = 2;
 
 impl Entry {
+    /// Connects to an upstream or another instance from this instance's address. An error proves
+    /// that nothing was sent.
+    pub(super) async fn dial(&self, address: SocketAddrV4) -> Result<Connection, EngineError> {
+        Connection::open_from(self.boot.ip, address, CONNECT_TIMEOUT).await
+    }
+
     /// Whether requests to an upstream must go through another instance.
     pub(super) fn must_carry(&self, service: &str, upstream: u64) -> bool {
         self.shared().reachability.must_carry(service, upstream)
@@ -207,8 +214,7 @@
 
     /// Checks whether an upstream accepts a connection, and records the result.
     async fn check(self: &Arc<Self>, service: &str, upstream: &Upstream) -> bool {
-        let source = self.boot.ip;
-        let opened = Connection::open_from(source, upstream.address, CONNECT_TIMEOUT).await;
+        let opened = self.dial(upstream.address).await;
         let at = self.now();
         let reached = match opened {
             Ok(connection) => connection.stays_open(SETTLE_TIME).await,
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -12,13 +12,13 @@
 use hyper::{Request, StatusCode};
 use tokio::time::timeout;
 
-use super::attempt::{CONNECT_TIMEOUT, DEAD_ENGINE, Run};
+use super::attempt::{DEAD_ENGINE, Run};
 use super::select::Selection;
 use super::view::of_service;
 use crate::configuration::RetryPolicy;
 use crate::decide::health::HealthStatus;
 use crate::decide::stall::{StallTimer, Step};
-use crate::engine::{Connection, call_request, exchange};
+use crate::engine::{call_request, exchange};
 use crate::event;
 use crate::metric;
 use crate::platform::engine as order;
@@ -194,9 +194,8 @@
                 let service = &self.call.service;
                 return entry.call_via(via, service, first, request).await;
             }
-            let (source, service) = (entry.boot.ip, &self.call.service);
-            let opened = Connection::open_from(source, first.address, CONNECT_TIMEOUT).await;
-            let Ok(connection) = opened else {
+            let service = &self.call.service;
+            let Ok(connection) = entry.dial(first.address).await else {
                 entry.record_unreached(service, first.key);
                 return None;
             };
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use super::attempt::{
-    BLOCKED, CONNECT_TIMEOUT, CUT, FIRST_BYTE_FACTOR, NO_CONNECTION, NO_PROXY, OpenResponse,
-    Outcome, PROXY_LOST, Run,
+    BLOCKED, CUT, FIRST_BYTE_FACTOR, NO_CONNECTION, NO_PROXY, OpenResponse, Outcome, PROXY_LOST,
+    Run,
 };
 use super::proxy::{Carried, Refusal, Via};
 use super::reroute::Stall;
@@ -19,7 +19,7 @@
 use crate::id::InstanceId;
 
 /// Maximum number of instances that an attempt asks to carry it. Each of them refuses at once or
-/// within [`CONNECT_TIMEOUT`].
+/// within [`super::attempt::CONNECT_TIMEOUT`].
 const MAX_ASKED: usize = 3;
 
 /// Number of instances that must fail to connect to an upstream before it counts as unresponsive.
@@ -67,8 +67,8 @@
 
     /// Connects to the upstream of an attempt.
     async fn connect(&self, selection: &Selection) -> Option<Connection> {
-        let (source, upstream) = (self.entry.boot.ip, &selection.upstream);
-        let opened = Connection::open_from(source, upstream.address, CONNECT_TIMEOUT).await;
+        let upstream = &selection.upstream;
+        let opened = self.entry.dial(upstream.address).await;
         if opened.is_err() {
             self.entry
                 .record_unreached(&self.call.service, upstream.key);
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::Time;
 use crate::collections::{HashMap, HashSet};
-use crate::configuration::RoutingTable;
+use crate::configuration::{Limits, RoutingTable};
 use crate::decide::run_history::EngineStart;
 use crate::fingerprint::Fingerprint;
 use crate::platform::configuration;
@@ -131,6 +131,13 @@
         table.map_or(0, |t| t.configuration.version)
     }
 
+    /// Maximum size of a request body, in bytes.
+    pub(crate) fn body_limit(&self) -> usize {
+        let limit = self.table.as_ref().map(|t| t.configuration.limits.body);
+        let limit = limit.filter(|&l| l > 0);
+        limit.unwrap_or(Limits::default().body)
+    }
+
     /// Upstreams of a service at which a request can begin.
     pub(crate) fn entrances<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Upstream> {
         let found = self.table.as_ref().and_then(|t| t.service(service));
