Rank requests by the priorities of organisations and routes

Cause: the priorities of routes and organisations were decoded and read by no decision, and engines were never told a priority class. Change: the routing table ranks requests to model services whose routes differ in priority, by the organisation's priority first, then the route's. The rank is sent as X-Priority-Class. Messages between instances get the fields for demand by rank and organisation, not filled yet. Elsewhere nothing changes; a test says so.

--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -51,8 +51,8 @@
     pub(crate) objective: Duration,
     /// Latency objective for the gap between two events.
     pub(crate) pause: Duration,
-    /// 0 is the highest.
-    pub(crate) priority: u8,
+    /// 0 is the most urgent.
+    pub(crate) priority: Option<u8>,
     /// Not empty; the sum of the weights is above zero.
     pub(crate) targets: Vec<Target>,
     /// Maximum number of upstreams that may run one attempt of a client.
@@ -158,7 +158,7 @@
 pub(crate) struct Organisation {
     pub(crate) name: String,
     pub(crate) keys: Vec<String>,
-    /// Overrides the priority of the route.
+    /// Takes precedence over the priority of the route; 0 is the most urgent.
     pub(crate) priority: Option<u8>,
 }
 
--- a/src/configuration/table.rs
+++ b/src/configuration/table.rs
@@ -1,9 +1,11 @@
 //! Lookup of routes, organisations and services in a configuration.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use super::{Configuration, Organisation, Route, Service, Target};
 use crate::collections::HashMap;
+use crate::decide::rank::{Rank, RankTable};
 
 /// A valid configuration with its indexes.
 #[derive(Debug)]
@@ -14,6 +16,8 @@
     /// Organisations by key.
     keys: HashMap<String, usize>,
     services: HashMap<String, usize>,
+    /// Ranks of the requests to each model service whose routes differ in priority.
+    ranks: HashMap<String, RankTable>,
 }
 
 /// Result of [`RoutingTable::find_route`].
@@ -43,8 +47,10 @@
         }
         let services = configuration.services.iter().enumerate();
         let services = services.map(|(i, s)| (s.name.clone(), i)).collect();
+        let ranks = rank_tables(&configuration);
         Arc::new(Self {
             configuration,
+            ranks,
             hosts,
             keys,
             services,
@@ -71,6 +77,18 @@
         })
     }
 
+    /// Returns the rank of a request; `None` if the service is plain or its routes don't differ in
+    /// priority.
+    pub(crate) fn rank(
+        &self,
+        service: &str,
+        route: &Route,
+        organisation: Option<&Organisation>,
+    ) -> Option<Rank> {
+        let table = self.ranks.get(service)?;
+        Some(table.rank(organisation.and_then(|o| o.priority), route.priority))
+    }
+
     /// Returns the service with this name.
     pub(crate) fn service(&self, name: &str) -> Option<&Service> {
         let index = self.services.get(name)?;
@@ -78,6 +96,24 @@
     }
 }
 
+fn rank_tables(configuration: &Configuration) -> HashMap<String, RankTable> {
+    let organisations = configuration.organisations.iter().flatten();
+    let mut priorities: BTreeSet<Option<u8>> = organisations.map(|o| o.priority).collect();
+    // Requests on public routes have no organisation.
+    priorities.insert(None);
+    let table = |(service, _): (&str, _)| {
+        let leads = |r: &&Route| {
+            r.targets
+                .iter()
+                .any(|t| t.service == service && t.weight > 0.0)
+        };
+        let routes = configuration.routes.iter().filter(leads);
+        let routes = routes.map(|r| r.priority).collect();
+        Some((service.to_owned(), RankTable::new(&priorities, &routes)?))
+    };
+    configuration.models().filter_map(table).collect()
+}
+
 impl Route {
     /// Selects a target by weight. `draw` is a random number in [0, 1).
     pub(crate) fn target(&self, draw: f64) -> &Target {
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -206,6 +206,7 @@
         Some(FleetLoad {
             loads: others.collect(),
             room_requests: self.room_requests,
+            ..FleetLoad::default()
         })
     }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod placement;
 pub(crate) mod proxies;
 pub(crate) mod quarantine;
+pub(crate) mod rank;
 pub(crate) mod rate;
 pub(crate) mod reachability;
 pub(crate) mod refusal;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -21,6 +21,7 @@
 use crate::decide::health;
 use crate::decide::load;
 use crate::decide::path::Work;
+use crate::decide::rank::Rank;
 use crate::decide::refusal::Reason;
 use crate::decide::retry::{self, AttemptCounts, Failure, NextStep};
 use crate::decide::view_wait;
@@ -71,6 +72,8 @@
     pub(super) fingerprint: Fingerprint,
     /// Name of the caller's organisation; empty on a route without API keys.
     pub(super) organisation: Arc<str>,
+    /// `None` if its service doesn't rank requests.
+    pub(super) rank: Option<Rank>,
     pub(super) route: Route,
     pub(super) service: String,
     pub(super) method: Method,
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -32,6 +32,9 @@
             headers::EXPECTED_UPSTREAM,
             selection.upstream.id.to_string(),
         );
+        if let Some(rank) = self.call.rank {
+            set(headers::PRIORITY_CLASS, rank.index().to_string());
+        }
         if let Some(path) = &selection.path {
             set(headers::PATH, path.clone());
         }
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -164,6 +164,7 @@
             attempt: attempt.to_owned(),
             fingerprint,
             organisation: organisation.unwrap_or_default().into(),
+            rank: table.rank(&service, route, found.organisation),
             route: route.clone(),
             service,
             method: head.method,
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -28,6 +28,7 @@
 mod path;
 mod placement;
 mod quarantine;
+mod rank;
 mod rate;
 mod reachability;
 mod suspicion;
