Share each rank fairly between organisations

Under overload, an organisation that sends half of all requests of a rank takes most of the room, and the others wait as long as it does.

Entries report tokens in progress and requests that asked and were short, by service, rank and organisation. The leader sums the latest reports and names the organisations above their max-min fair share while others below it are short. Without ranks nothing is counted or sent.

--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -7,10 +7,12 @@
 
 use rustc_hash::FxHasher;
 
+use super::organisations::OrganisationSums;
 use crate::clock::Time;
 use crate::collections::HashMap;
+use crate::decide::fair_share::{Excess, OrganisationUse};
 use crate::decide::proxies::MAX_PROXIES;
-use crate::sync::{FleetLoad, Load, SyncRequest, address_from_key};
+use crate::sync::{FleetLoad, HeavyOrganisation, Load, SyncRequest, address_from_key};
 
 /// Time for which an entry instance's report is valid. It reports several times within it,
 /// so an instance that is silent for longer has lost its requests, too.
@@ -54,6 +56,8 @@
     carries: bool,
     /// Number of requests that asked it for free memory on engines.
     room_requests: u32,
+    /// See [`SyncRequest::organisations`].
+    organisations: Vec<OrganisationUse>,
     /// When it was last sent the load of the others.
     last_sent: Option<Time>,
 }
@@ -67,6 +71,8 @@
     sums: HashMap<u64, Load>,
     /// Sum of `room_requests` in `latest`.
     room_requests: u32,
+    /// Sums of `organisations` in `latest`.
+    organisations: OrganisationSums,
 }
 
 impl Reports {
@@ -104,6 +110,9 @@
             sum.first_hops += load.first_hops;
         }
         self.room_requests += request.room_requests;
+        let organisations = request.organisations.into_iter();
+        let organisations: Vec<_> = organisations.map(OrganisationUse::from).collect();
+        self.organisations.add(&organisations);
         let before = self.latest.remove(&request.instance);
         if let Some(before) = &before {
             self.subtract(before);
@@ -116,6 +125,7 @@
             suspects: request.suspects,
             carries: request.carries,
             room_requests: request.room_requests,
+            organisations,
             last_sent: before.and_then(|b| b.last_sent),
         };
         self.latest.insert(request.instance, report);
@@ -123,6 +133,7 @@
 
     fn subtract(&mut self, report: &Report) {
         self.room_requests -= report.room_requests;
+        self.organisations.subtract(&report.organisations);
         for load in &report.loads {
             let Some(sum) = self.sums.get_mut(&load.engine) else {
                 continue;
@@ -203,13 +214,20 @@
             };
             (remaining.requests > 0).then_some(remaining)
         });
+        let heavy = self.organisations.heavy(now).iter();
         Some(FleetLoad {
             loads: others.collect(),
             room_requests: self.room_requests,
+            heavy: heavy.map(HeavyOrganisation::from).collect(),
             ..FleetLoad::default()
         })
     }
 
+    /// Takes the organisations that became heavy since the last call.
+    pub(crate) fn take_became_heavy(&mut self) -> Vec<Excess> {
+        self.organisations.take_became_heavy()
+    }
+
     /// Returns the period at which one instance is sent the load of the others.
     fn period(&self) -> Duration {
         let bytes = self.latest.len() as f64 * self.sums.len() as f64 * LOAD_BYTES;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -124,6 +124,8 @@
     /// Number of events with an id received in the current attempt, on a stream.
     pub(super) events: u64,
     pub(super) suspicion: Suspicion,
+    /// See [`Run::count_asked`].
+    pub(super) share_counted: bool,
 }
 
 /// Records a request whose future was dropped: its caller disconnected, or the instance ended.
@@ -180,6 +182,7 @@
             last_event,
             events: 0,
             suspicion: Suspicion::default(),
+            share_counted: false,
         }
     }
 
@@ -222,7 +225,9 @@
             if self.model().is_some() {
                 self.entry.shared().loads.demand.record_request();
             }
-            let found = match self.choose(0.0) {
+            let found = self.choose(0.0);
+            self.count_asked(matches!(found, Err(Reason::Full)));
+            let found = match found {
                 Ok(selection) => Ok(selection),
                 Err(reason) => self.wait(reason).await,
             };
@@ -310,15 +315,18 @@
             let starting = view_wait::is_starting(self.entry.started, self.entry.now());
             work.obeys_quota = load::retry_obeys_quota(starting, waited);
         } else if !starved && let Some(model) = self.model() {
-            work.headroom = load::headroom(work.tokens(), model.usual_tokens(), waited);
+            work.headroom = load::headroom(work.tokens(), model.usual_tokens(), waited)
+                + self.share_reserve(0.0, None);
             work.obeys_quota = true;
         }
         let exclusions = Exclusions {
             failed: &self.failed_upstreams,
             suspect: self.suspect(&view),
         };
-        self.entry
-            .choose(&view, &self.call.service, self.model(), work, exclusions)
+        let selection =
+            self.entry
+                .choose(&view, &self.call.service, self.model(), work, exclusions)?;
+        Ok(selection.hold(self.token_use()))
     }
 
     /// Whether the caller may already have a part of the response.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,6 +15,7 @@
 use crate::clock::{Clock, SystemClock, Time, wall_millis};
 use crate::collections::HashSet;
 use crate::decide::backoff::Backoffs;
+use crate::decide::fair_share::FairShares;
 use crate::decide::health::Health;
 use crate::decide::link::LinkShare;
 use crate::decide::load::Loads;
@@ -53,6 +54,7 @@
 mod reroute;
 mod select;
 mod send;
+mod share;
 mod stream;
 pub(crate) mod view;
 mod wait;
@@ -80,6 +82,7 @@
 /// Mutable state that requests share.
 struct Shared {
     loads: Loads,
+    fair_shares: FairShares,
     health: Health,
     retry_budget: RetryBudget,
     link: LinkShare,
@@ -180,6 +183,7 @@
             view: ArcSwap::from_pointee(View::new()),
             shared: Mutex::new(Shared {
                 loads: Loads::default(),
+                fair_shares: FairShares::default(),
                 health: Health::default(),
                 retry_budget,
                 link: LinkShare::new(SystemClock.now()),
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -39,6 +39,8 @@
 pub(crate) const WAITING_REQUESTS: Metric = metric("entry_waiting", &[]);
 /// Number of shares into which the capacity of the engines is divided.
 pub(crate) const CAPACITY_SHARERS: Metric = metric("entry_room_sharers", &[]);
+/// Organisations that use more than their fair share while others are short of room.
+pub(crate) const HEAVY_ORGANISATIONS: Metric = metric("entry_heavy_organisations", &[]);
 /// Upstreams, by whether this instance uses them.
 pub(crate) const UPSTREAMS: Metric = metric("entry_upstreams", &["service", "state"]);
 /// Upstreams with a rate limit in force.
@@ -112,6 +114,7 @@
     RUNNING_REQUESTS,
     WAITING_REQUESTS,
     CAPACITY_SHARERS,
+    HEAVY_ORGANISATIONS,
     UPSTREAMS,
     LIMITED_UPSTREAMS,
     PAUSED_UPSTREAMS,
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -22,6 +22,7 @@
 
 mod backoff;
 mod demand;
+mod fair_share;
 mod migration;
 mod overload;
 mod pace;
