Serve equal organisations by arrival

Cause: of organisations with the same virtual time, the one that was known first was served first, also before requests that came earlier. All idle organisations start at the same virtual time, so this is frequent. Change: ties go to the organisation whose oldest item has waited longest. This also holds for the queue of `laburnumquay serve`, which shares the code.

--- a/src/queue/tenant.rs
+++ b/src/queue/tenant.rs
@@ -32,6 +32,17 @@
     cost: f64,
 }
 
+/// Position of an organisation in the order of service. Of several with the same virtual time, the
+/// one whose oldest item has waited longest comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Position {
+    time: VirtualTime,
+    /// Sequence number of the push of the oldest item.
+    push: u64,
+    /// Index in the slab.
+    index: usize,
+}
+
 /// Queue of one organisation.
 #[derive(Debug)]
 struct Tenant {
@@ -50,7 +61,7 @@
     index: HashMap<OrganisationId, usize>,
     slab: Vec<Tenant>,
     /// Precisely the organisations with waiting items, by virtual time.
-    order: BTreeSet<(VirtualTime, usize)>,
+    order: BTreeSet<Position>,
     /// Virtual time of the class: that of the organisation served last. An
     /// organisation that was idle starts here, so that idle time earns no
     /// credit.
@@ -90,17 +101,16 @@
         if idle {
             tenant.virtual_time = tenant.virtual_time.max(clock);
             self.weights += tenant.weight;
-            self.order.insert((VirtualTime(tenant.virtual_time), i));
+            self.order.extend(self.position(i));
         }
     }
 
     /// Removes the oldest item of the organisation with the smallest virtual
     /// time and returns its id.
     pub(crate) fn pop(&mut self) -> Option<u64> {
-        let &(virtual_time, i) = self.order.first()?;
-        self.clock = self.clock.max(virtual_time.0);
-        let (_, waiting) = self.slab[i].queue.pop_first()?;
-        self.on_removed(i, waiting.cost);
+        let &Position { time, push, index } = self.order.first()?;
+        self.clock = self.clock.max(time.0);
+        let waiting = self.take(index, push)?;
         Some(waiting.id)
     }
 
@@ -110,48 +120,57 @@
         let Some(&i) = self.index.get(organisation) else {
             return;
         };
+        if let Some(before) = self.position(i) {
+            self.order.remove(&before);
+        }
         let tenant = &mut self.slab[i];
-        let before = VirtualTime(tenant.virtual_time);
         tenant.virtual_time += cost / tenant.weight;
-        if !tenant.queue.is_empty() {
-            self.order.remove(&(before, i));
-            self.order.insert((VirtualTime(tenant.virtual_time), i));
-        }
+        self.order.extend(self.position(i));
     }
 
     /// Removes an item that won't be served.
     pub(crate) fn remove(&mut self, organisation: &OrganisationId, push: u64) {
-        let Some(&i) = self.index.get(organisation) else {
-            return;
-        };
-        if let Some(waiting) = self.slab[i].queue.remove(&push) {
-            self.on_removed(i, waiting.cost);
+        if let Some(&i) = self.index.get(organisation) {
+            self.take(i, push);
         }
     }
 
-    /// Updates the sums after an item of `cost` was removed from a queue.
-    fn on_removed(&mut self, i: usize, cost: f64) {
+    /// Position in `order` of an organisation; `None` if it has no waiting items.
+    fn position(&self, index: usize) -> Option<Position> {
+        let tenant = &self.slab[index];
+        let (&push, _) = tenant.queue.first_key_value()?;
+        let time = VirtualTime(tenant.virtual_time);
+        Some(Position { time, push, index })
+    }
+
+    /// Removes an item from the queue of its organisation, and updates the order and the sums.
+    fn take(&mut self, i: usize, push: u64) -> Option<Waiting> {
+        let before = self.position(i)?;
         let tenant = &mut self.slab[i];
-        tenant.backlog -= cost;
-        self.backlog -= cost;
-        if !tenant.queue.is_empty() {
-            return;
+        let waiting = tenant.queue.remove(&push)?;
+        tenant.backlog -= waiting.cost;
+        self.backlog -= waiting.cost;
+        self.order.remove(&before);
+        if let Some(after) = self.position(i) {
+            self.order.insert(after);
+            return Some(waiting);
         }
-        self.order.remove(&(VirtualTime(tenant.virtual_time), i));
+        let tenant = &mut self.slab[i];
         tenant.backlog = 0.0;
         self.weights -= tenant.weight;
         if self.order.is_empty() {
             self.weights = 0.0;
             self.backlog = 0.0;
         }
+        Some(waiting)
     }
 
     /// Cost of the next item; zero if none waits.
     pub(crate) fn head_cost(&self) -> f64 {
-        let Some(&(_, i)) = self.order.first() else {
+        let Some(first) = self.order.first() else {
             return 0.0;
         };
-        self.slab[i]
+        self.slab[first.index]
             .queue
             .first_key_value()
             .map_or(0.0, |(_, w)| w.cost)
@@ -210,7 +229,11 @@
             *i = indices[*i];
             *i != usize::MAX
         });
-        let order = std::mem::take(&mut self.order);
-        self.order = order.into_iter().map(|(v, i)| (v, indices[i])).collect();
+        let order = std::mem::take(&mut self.order).into_iter();
+        let moved = order.map(|p| Position {
+            index: indices[p.index],
+            ..p
+        });
+        self.order = moved.collect();
     }
 }
--- a/src/tests/queue.rs
+++ b/src/tests/queue.rs
@@ -128,6 +128,19 @@
     assert!(counts[1] >= 160 && counts[2] >= 80, "{counts:?}");
 }
 
+/// Guards against an organisation that goes before others because it was known first: of equal ones,
+/// the item that came first is served first.
+#[test]
+fn pop_equal_by_arrival() {
+    let mut queue = Queue::new(Discipline::Cost);
+    queue.push(Time(0), item(1, "known", 1.0)).unwrap();
+    queue.remove(1).unwrap();
+    queue.push(Time(0), item(2, "new", 1.0)).unwrap();
+    queue.push(Time(0), item(3, "known", 1.0)).unwrap();
+    let ids = [2, 3].map(|_| queue.pop(Time(0)).unwrap().id);
+    assert_eq!(ids, [2, 3]);
+}
+
 #[test]
 fn push_route_full() {
     let mut queue = Queue::new(Discipline::Cost);
