Order the wait queue of an entry by rank and organisation

Cause: an entry queued at most 12 requests in order of arrival, and requests with a long objective wait longest, so that they got the room before the most urgent ones. Change: requests with a rank wait in one queue per service, by rank, then by the organisation with the lowest virtual time, then by arrival. In a full queue, a more urgent request displaces the last one of its service (event 422), unless it couldn't be on time itself. Requests without a rank wait as before, in order of arrival over all services. The first of a queue polls for room; the others wait for a notification instead of a lock. Events 407 and 410 state the rank.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -25,4 +25,5 @@
 pub(crate) mod run_history;
 pub(crate) mod stall;
 pub(crate) mod view_wait;
+pub(crate) mod wait_queue;
 pub(crate) mod waiting;
--- a/src/decide/waiting.rs
+++ b/src/decide/waiting.rs
@@ -32,7 +32,7 @@
 const FRESH: f64 = 0.25;
 
 /// Maximum number of queued requests at one instance, however fast the queue moves.
-const MAX_WAITERS: usize = 12;
+pub(crate) const MAX_WAITERS: usize = 12;
 
 /// Interval at which the first request in the queue checks for room.
 pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(10);
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -464,6 +464,7 @@
             attempt = self.call.attempt,
             fingerprint = %self.call.fingerprint,
             route = self.call.route.name,
+            rank = self.call.rank.map(Rank::index),
             code,
             status = response.status().as_u16(),
             run = self.attempts.may_have_run,
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -1,7 +1,6 @@
 //! Polls the leading controller for changes.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -187,7 +186,7 @@
     fn apply_load(&self, current: &CurrentReply) {
         let reply = current.reply();
         let Some(load) = &reply.work else { return };
-        let waiting = self.queued.load(Ordering::Relaxed);
+        let waiting = self.waiters.len();
         let loads = &mut self.shared().loads;
         loads.update(&load.loads, rand::rng().random());
         loads.demand.update(
--- a/src/entry/measure.rs
+++ b/src/entry/measure.rs
@@ -13,7 +13,7 @@
     pub(super) fn measure(&self) {
         let (now, view) = (self.now(), self.view());
         metrics::gauge!(metric::RUNNING_REQUESTS.name).set(self.gate.running() as f64);
-        let waiting = self.queued.load(Ordering::Relaxed);
+        let waiting = self.waiters.len();
         metrics::gauge!(metric::WAITING_REQUESTS.name).set(waiting as f64);
         metrics::gauge!(metric::CAPACITY_SHARERS.name).set(self.sharers());
         metrics::gauge!(metric::CONFIGURATION_VERSION.name).set(view.version() as f64);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,7 +1,6 @@
 //! The entry role: accepts requests from callers and forwards them to upstreams.
 
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -11,6 +10,7 @@
 
 use self::proxy::Capacity;
 use self::view::{CurrentReply, View};
+use self::waiters::Waiters;
 use crate::auth::FleetKey;
 use crate::clock::{Clock, SystemClock, Time, wall_millis};
 use crate::collections::HashSet;
@@ -56,6 +56,7 @@
 mod stream;
 pub(crate) mod view;
 mod wait;
+pub(crate) mod waiters;
 
 /// Maximum length of a request head in bytes: the operator's limit, with space for the request
 /// line.
@@ -119,11 +120,8 @@
     born: u64,
     /// Notifies waiting requests of each new view.
     view_changed: Notify,
-    /// Lock of the first request in the queue for room; it is fair, so that requests keep
-    /// their order.
-    queue_lock: tokio::sync::Mutex<()>,
-    /// Number of requests in the queue.
-    queued: AtomicUsize,
+    /// Requests in the queue for room.
+    waiters: Waiters,
     /// Held by the suspect request that runs.
     suspect_turn: Arc<tokio::sync::Mutex<()>>,
     /// Notified when the leader should learn something before the next poll is due.
@@ -196,11 +194,10 @@
             started: SystemClock.now(),
             born: wall_millis(),
             view_changed: Notify::new(),
-            queue_lock: tokio::sync::Mutex::default(),
+            waiters: Waiters::default(),
             suspect_turn: Arc::default(),
             report_due: Notify::new(),
             resume_lock: tokio::sync::Mutex::default(),
-            queued: AtomicUsize::new(0),
             boot,
         }
     }
--- a/src/entry/wait.rs
+++ b/src/entry/wait.rs
@@ -1,39 +1,19 @@
 //! Requests that wait for upstreams: for unknown ones to become known, and in a queue for
 //! room.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
-
 use tokio::time::{sleep, timeout};
 
 use super::attempt::Run;
 use super::select::Selection;
 use super::view::View;
+use super::waiters::Search;
 use crate::clock::millis;
 use crate::decide::quarantine;
+use crate::decide::rank::Rank;
 use crate::decide::refusal::Reason;
 use crate::decide::waiting;
 use crate::event;
 
-/// A place in the queue, given up on drop.
-struct Waiter<'a> {
-    count: &'a AtomicUsize,
-    /// Number of requests that were in the queue before.
-    ahead: usize,
-}
-
-impl<'a> Waiter<'a> {
-    fn new(count: &'a AtomicUsize) -> Self {
-        let ahead = count.fetch_add(1, Ordering::Relaxed);
-        Self { count, ahead }
-    }
-}
-
-impl Drop for Waiter<'_> {
-    fn drop(&mut self) {
-        self.count.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 impl Run {
     /// Waits for more upstreams to become known, if some may be unknown yet.
     ///
@@ -120,42 +100,47 @@
 
     /// Waits in the queue for room on the engines.
     async fn wait_for_room(&self) -> Result<Selection, Reason> {
-        let entry = &self.entry;
-        let waiter = Waiter::new(&entry.queued);
-        let objective = self.call.route.objective;
+        let (entry, call) = (&self.entry, &self.call);
         let timing = entry.shared().queue_timing;
-        let began = entry.now();
-        let spent = began.since(self.call.began);
-        let limit = waiting::limit(objective, spent, self.left(), waiter.ahead, &timing);
-        let Some(limit) = limit else {
+        let spent = entry.now().since(call.began);
+        let (objective, left) = (call.route.objective, self.left());
+        let limit = |ahead| waiting::limit(objective, spent, left, ahead, &timing);
+        let tokens = call.work.tokens();
+        let waiter =
+            entry
+                .waiters
+                .join(&call.service, call.rank, &call.organisation, tokens, limit);
+        let Some(waiter) = waiter else {
             return Err(Reason::Full);
         };
-        let mut reached_front = None;
-        let search = async {
-            let _front = entry.queue_lock.lock().await;
-            reached_front = Some(entry.now());
-            loop {
-                let waited = entry.now().since(began).div_duration_f64(limit);
-                match self.choose(waited) {
-                    Err(Reason::Full) => sleep(waiting::POLL_INTERVAL).await,
-                    found => return found,
-                }
-            }
-        };
-        let found = timeout(limit, search).await;
-        let found = found.unwrap_or(Err(Reason::Full));
-        if let Some(reached) = reached_front {
-            let at_front = entry.now().since(reached);
-            entry
-                .shared()
-                .queue_timing
-                .record_front_time(at_front, found.is_ok());
+        let (ahead, limit) = (waiter.ahead, waiter.limit);
+        let search = waiter.search(&*entry.clock, |waited| self.choose(waited));
+        let Search {
+            found,
+            waited,
+            at_front,
+            displaced,
+        } = search.await;
+        if let Some(at_front) = at_front {
+            let timing = &mut entry.shared().queue_timing;
+            timing.record_front_time(at_front, found.is_ok());
+        }
+        let rank = call.rank.map(Rank::index);
+        if displaced {
+            tracing::info!(
+                event = event::RANK_DISPLACED.id,
+                attempt = call.attempt,
+                rank,
+                waited_ms = millis(waited),
+                "displaced by a more urgent request"
+            );
         }
         tracing::info!(
             event = event::REQUEST_WAITED.id,
-            attempt = self.call.attempt,
-            before = waiter.ahead,
-            waited_ms = millis(entry.now().since(began)),
+            attempt = call.attempt,
+            rank,
+            before = ahead,
+            waited_ms = millis(waited),
             limit_ms = millis(limit),
             found = found.is_ok(),
             sharers = entry.sharers(),
--- a/src/event.rs
+++ b/src/event.rs
@@ -115,6 +115,8 @@
 pub(crate) const PAUSE_REQUESTED: Event = event(420, "pause_requested");
 /// An upstream says that it is leaving.
 pub(crate) const UPSTREAM_LEAVING: Event = event(421, "upstream_leaving");
+/// A request in the queue for capacity was displaced by a more urgent one.
+pub(crate) const RANK_DISPLACED: Event = event(422, "rank_displaced");
 /// This voter became the leader of a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter is no longer the leader of a group.
@@ -195,6 +197,7 @@
     UPSTREAM_REMOTE,
     PAUSE_REQUESTED,
     UPSTREAM_LEAVING,
+    RANK_DISPLACED,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -8,7 +8,7 @@
 
 mod item;
 mod rate;
-mod tenant;
+pub(crate) mod tenant;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
--- a/src/queue/tenant.rs
+++ b/src/queue/tenant.rs
@@ -43,6 +43,15 @@
     index: usize,
 }
 
+/// Position of an item in the order of service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Start {
+    /// Virtual time at which its service would start.
+    time: VirtualTime,
+    push: u64,
+    id: u64,
+}
+
 /// Queue of one organisation.
 #[derive(Debug)]
 struct Tenant {
@@ -55,6 +64,28 @@
     backlog: f64,
 }
 
+impl Tenant {
+    /// Waiting items with the virtual times at which they would be served, if no others come.
+    fn starts(&self) -> impl Iterator<Item = Start> {
+        let queue = self.queue.iter();
+        queue.scan(self.virtual_time, |next, (&push, waiting)| {
+            let time = VirtualTime(*next);
+            *next += waiting.cost / self.weight;
+            let id = waiting.id;
+            Some(Start { time, push, id })
+        })
+    }
+
+    /// Virtual time at which an item would be served that is pushed when the class is at `clock`.
+    fn next_start(&self, clock: f64) -> VirtualTime {
+        if self.queue.is_empty() {
+            return VirtualTime(self.virtual_time.max(clock));
+        }
+        let costs = self.queue.values().map(|w| w.cost / self.weight);
+        VirtualTime(costs.fold(self.virtual_time, |time, cost| time + cost))
+    }
+}
+
 /// All organisations of a class.
 #[derive(Debug, Default)]
 pub(crate) struct Tenants {
@@ -165,6 +196,38 @@
         Some(waiting)
     }
 
+    /// Id of the item that `pop` would return.
+    pub(crate) fn first(&self) -> Option<u64> {
+        let first = self.order.first()?;
+        let (_, waiting) = self.slab[first.index].queue.first_key_value()?;
+        Some(waiting.id)
+    }
+
+    /// Id of the item that would be served last, if no others come.
+    pub(crate) fn last(&self) -> Option<u64> {
+        let starts = self.active().flat_map(Tenant::starts);
+        starts.max().map(|start| start.id)
+    }
+
+    /// Number of waiting items that would be served before a new one of the organisation, if no
+    /// others come.
+    pub(crate) fn items_ahead(&self, organisation: &OrganisationId) -> usize {
+        let tenant = self.index.get(organisation).map(|&i| &self.slab[i]);
+        let next = tenant.map_or(VirtualTime(self.clock), |t| t.next_start(self.clock));
+        let starts = self.active().flat_map(Tenant::starts);
+        starts.filter(|start| start.time <= next).count()
+    }
+
+    /// Number of waiting items.
+    pub(crate) fn len(&self) -> usize {
+        self.active().map(|t| t.queue.len()).sum()
+    }
+
+    /// Organisations with waiting items.
+    fn active(&self) -> impl Iterator<Item = &Tenant> {
+        self.order.iter().map(|p| &self.slab[p.index])
+    }
+
     /// Cost of the next item; zero if none waits.
     pub(crate) fn head_cost(&self) -> f64 {
         let Some(first) = self.order.first() else {
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -32,6 +32,7 @@
 mod rate;
 mod reachability;
 mod suspicion;
+mod wait_queue;
 
 pub(super) fn model() -> Model {
     let decoded = decode(CONFIGURATION.as_bytes()).unwrap();
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -45,6 +45,7 @@
 mod sync;
 mod view;
 mod voter;
+mod waiters;
 
 /// Returns the time `millis` milliseconds after zero.
 fn at(millis: u64) -> Time {
