Explain the rank of a request

Cause: the timeline of a refused request didn't say whether it waited, or that a more urgent one took its place. Change: `laburnumquay explain` shows the rank with the wait for room, and names displacement as the cause. Nothing changes for requests without a rank.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -137,9 +137,27 @@
         let (after, fields) = (line.at_ms - begin, line.own_fields());
         text += &format!("{mark} {after:>7} ms  {} {message}: {fields}\n", line.event);
     }
+    text += &rank_line(&own);
     text + &format!("cause: {}\n", cause(&own, &lines, end))
 }
 
+/// Formats the rank of the request, and what it waited for room in its last attempt. Empty if no
+/// line gives a rank.
+fn rank_line(own: &[&Line]) -> String {
+    let rank = |l: &&Line| l.fields.get("rank")?.as_u64();
+    let Some(rank) = own.iter().rev().find_map(rank) else {
+        return String::new();
+    };
+    let find = |e: event::Event| own.iter().rev().find(|l| l.has_event(e));
+    let found = |l: &Line| l.fields.get("found") == Some(&Value::Bool(true));
+    let waited = match find(event::REQUEST_WAITED) {
+        None => "didn't wait for room".to_owned(),
+        Some(line) if found(line) => format!("found room after {} ms", line.number("waited_ms")),
+        Some(line) => format!("found no room in {} ms", line.number("waited_ms")),
+    };
+    format!("rank: {rank}, {waited}\n")
+}
+
 /// Whether a line is about an upstream of the request.
 fn is_related(line: &Line, own: &[&Line]) -> bool {
     let upstream = [
@@ -200,6 +218,10 @@
                                    it; see events 415 and 418"
                     .to_owned()
             }
+            ("full", _) if find(event::RANK_DISPLACED).is_some() => {
+                "a more urgent request took its place in the full queue for room; see event 422"
+                    .to_owned()
+            }
             ("full", _) => {
                 "no engine had room; see the orders and missing layers around".to_owned()
             }
