--- a/src/queue/tenant.rs
+++ b/src/queue/tenant.rs
@@ -32,6 +32,26 @@
     cost: f64,
 }
 
+/// Position of an organisation in the order of service. Of several with the same virtual time, the
+/// one whose oldest item has waited longest comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Position {
+    time: VirtualTime,
+    /// Sequence number of the push of the oldest item.
+    push: u64,
+    /// Index in the slab.
+    index: usize,
+}
+
+/// Position of an item in the order of service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Start {
+    /// Virtual time at which its service would start.
+    time: VirtualTime,
+    push: u64,
+    id: u64,
+}
+
 /// Queue of one organisation.
 #[derive(Debug)]
 struct Tenant {
@@ -44,13 +64,35 @@
     backlog: f64,
 }
 
+impl Tenant {
+    /// Waiting items with the virtual times at which they would be served, if no others come.
+    fn starts(&self) -> impl Iterator<Item = Start> {
+        let queue = self.queue.iter();
+        queue.scan(self.virtual_time, |next, (&push, waiting)| {
+            let time = VirtualTime(*next);
+            *next += waiting.cost / self.weight;
+            let id = waiting.id;
+            Some(Start { time, push, id })
+        })
+    }
+
+    /// Virtual time at which an item would be served that is pushed when the class is at `clock`.
+    fn next_start(&self, clock: f64) -> VirtualTime {
+        if self.queue.is_empty() {
+            return VirtualTime(self.virtual_time.max(clock));
+        }
+        let costs = self.queue.values().map(|w| w.cost / self.weight);
+        VirtualTime(costs.fold(self.virtual_time, |time, cost| time + cost))
+    }
+}
+
 /// All organisations of a class.
 #[derive(Debug, Default)]
 pub(crate) struct Tenants {
     index: HashMap<OrganisationId, usize>,
     slab: Vec<Tenant>,
     /// Precisely the organisations with waiting items, by virtual time.
-    order: BTreeSet<(VirtualTime, usize)>,
+    order: BTreeSet<Position>,
     /// Virtual time of the class: that of the organisation served last. An
     /// organisation that was idle starts here, so that idle time earns no
     /// credit.
@@ -90,17 +132,16 @@
         if idle {
             tenant.virtual_time = tenant.virtual_time.max(clock);
             self.weights += tenant.weight;
-            self.order.insert((VirtualTime(tenant.virtual_time), i));
+            self.order.extend(self.position(i));
         }
     }
 
     /// Removes the oldest item of the organisation with the smallest virtual
     /// time and returns its id.
     pub(crate) fn pop(&mut self) -> Option<u64> {
-        let &(virtual_time, i) = self.order.first()?;
-        self.clock = self.clock.max(virtual_time.0);
-        let (_, waiting) = self.slab[i].queue.pop_first()?;
-        self.on_removed(i, waiting.cost);
+        let &Position { time, push, index } = self.order.first()?;
+        self.clock = self.clock.max(time.0);
+        let waiting = self.take(index, push)?;
         Some(waiting.id)
     }
 
@@ -110,48 +151,89 @@
         let Some(&i) = self.index.get(organisation) else {
             return;
         };
+        if let Some(before) = self.position(i) {
+            self.order.remove(&before);
+        }
         let tenant = &mut self.slab[i];
-        let before = VirtualTime(tenant.virtual_time);
         tenant.virtual_time += cost / tenant.weight;
-        if !tenant.queue.is_empty() {
-            self.order.remove(&(before, i));
-            self.order.insert((VirtualTime(tenant.virtual_time), i));
-        }
+        self.order.extend(self.position(i));
     }
 
     /// Removes an item that won't be served.
     pub(crate) fn remove(&mut self, organisation: &OrganisationId, push: u64) {
-        let Some(&i) = self.index.get(organisation) else {
-            return;
-        };
-        if let Some(waiting) = self.slab[i].queue.remove(&push) {
-            self.on_removed(i, waiting.cost);
+        if let Some(&i) = self.index.get(organisation) {
+            self.take(i, push);
         }
     }
 
-    /// Updates the sums after an item of `cost` was removed from a queue.
-    fn on_removed(&mut self, i: usize, cost: f64) {
+    /// Position in `order` of an organisation; `None` if it has no waiting items.
+    fn position(&self, index: usize) -> Option<Position> {
+        let tenant = &self.slab[index];
+        let (&push, _) = tenant.queue.first_key_value()?;
+        let time = VirtualTime(tenant.virtual_time);
+        Some(Position { time, push, index })
+    }
+
+    /// Removes an item from the queue of its organisation, and updates the order and the sums.
+    fn take(&mut self, i: usize, push: u64) -> Option<Waiting> {
+        let before = self.position(i)?;
         let tenant = &mut self.slab[i];
-        tenant.backlog -= cost;
-        self.backlog -= cost;
-        if !tenant.queue.is_empty() {
-            return;
+        let waiting = tenant.queue.remove(&push)?;
+        tenant.backlog -= waiting.cost;
+        self.backlog -= waiting.cost;
+        self.order.remove(&before);
+        if let Some(after) = self.position(i) {
+            self.order.insert(after);
+            return Some(waiting);
         }
-        self.order.remove(&(VirtualTime(tenant.virtual_time), i));
+        let tenant = &mut self.slab[i];
         tenant.backlog = 0.0;
         self.weights -= tenant.weight;
         if self.order.is_empty() {
             self.weights = 0.0;
             self.backlog = 0.0;
         }
+        Some(waiting)
+    }
+
+    /// Id of the item that `pop` would return.
+    pub(crate) fn first(&self) -> Option<u64> {
+        let first = self.order.first()?;
+        let (_, waiting) = self.slab[first.index].queue.first_key_value()?;
+        Some(waiting.id)
+    }
+
+    /// Id of the item that would be served last, if no others come.
+    pub(crate) fn last(&self) -> Option<u64> {
+        let starts = self.active().flat_map(Tenant::starts);
+        starts.max().map(|start| start.id)
+    }
+
+    /// Number of waiting items that would be served before a new one of the organisation, if no
+    /// others come.
+    pub(crate) fn items_ahead(&self, organisation: &OrganisationId) -> usize {
+        let tenant = self.index.get(organisation).map(|&i| &self.slab[i]);
+        let next = tenant.map_or(VirtualTime(self.clock), |t| t.next_start(self.clock));
+        let starts = self.active().flat_map(Tenant::starts);
+        starts.filter(|start| start.time <= next).count()
+    }
+
+    /// Number of waiting items.
+    pub(crate) fn len(&self) -> usize {
+        self.active().map(|t| t.queue.len()).sum()
+    }
+
+    /// Organisations with waiting items.
+    fn active(&self) -> impl Iterator<Item = &Tenant> {
+        self.order.iter().map(|p| &self.slab[p.index])
     }
 
     /// Cost of the next item; zero if none waits.
     pub(crate) fn head_cost(&self) -> f64 {
-        let Some(&(_, i)) = self.order.first() else {
+        let Some(first) = self.order.first() else {
             return 0.0;
         };
-        self.slab[i]
+        self.slab[first.index]
             .queue
             .first_key_value()
             .map_or(0.0, |(_, w)| w.cost)
@@ -210,7 +292,11 @@
             *i = indices[*i];
             *i != usize::MAX
         });
-        let order = std::mem::take(&mut self.order);
-        self.order = order.into_iter().map(|(v, i)| (v, indices[i])).collect();
+        let order = std::mem::take(&mut self.order).into_iter();
+        let moved = order.map(|p| Position {
+            index: indices[p.index],
+            ..p
+        });
+        self.order = moved.collect();
     }
 }
