End stand-in engines with their test, and hold their state for no request

Cause: in a whole run of the platform tests beside other load, engines were lost (305) and layers missing (307) although nothing had stopped them, so callers got 503 `no_upstream`; 909 of 13,005 lookups in requested_pause_kept::case_1. Heartbeats of the stand-in engines came late, for three reasons in the harness: engines went on after their test (after half of the tests 750 threads and 2,200 open files, posting to controllers that had ended); quarantine_lifted held the state of its engines during a request, for 10.4 s in one run; and starting an engine duplicated its listener under that lock. Change: engines end when their deployment is dropped; the test reads the number before it sends; listeners are duplicated before the lock is taken. Checks and bounds are as before. The failures themselves weren't reproduced without the change.

--- a/tests/platform/crash.rs
+++ b/tests/platform/crash.rs
@@ -223,11 +223,9 @@
     deployment.run_quarantine("lift", &[fingerprint]);
     assert_eq!(list()["requests"], serde_json::json!([]));
     wait_for("an arrival after the lift", || {
-        send_crashing(
-            &deployment,
-            STREAM_PATH,
-            1000 + deployment.engine_state().received(CRASHING_BODY).len(),
-        );
+        // Not in the call: the engines would send no heartbeats while it holds their state.
+        let received = deployment.engine_state().received(CRASHING_BODY).len();
+        send_crashing(&deployment, STREAM_PATH, 1000 + received);
         (deployment.engine_state().received(CRASHING_BODY).len() > before).then_some(())
     });
 }
--- a/tests/platform/cut.rs
+++ b/tests/platform/cut.rs
@@ -39,9 +39,8 @@
 }
 
 impl Links {
-    /// Adds the listener of an engine.
-    pub(crate) fn add(&mut self, address: SocketAddr, listener: &TcpListener) {
-        let listener = listener.try_clone().expect("duplicate the listener");
+    /// Adds a duplicate of the listener of an engine.
+    pub(crate) fn add(&mut self, address: SocketAddr, listener: TcpListener) {
         self.listeners.insert(address, listener);
     }
 
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::sync::{Arc, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+use std::sync::{MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 use std::thread;
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 use crate::common::caller::agent;
 use crate::common::process::Process;
 use crate::common::{port, wait_for};
-use crate::engine::{self, EngineSpec, EngineState, HEARTBEAT_PERIOD, LAYERS, SharedState};
+use crate::engine::{self, EngineSpec, EngineState, HEARTBEAT_PERIOD, LAYERS, RunningEngines};
 
 pub(crate) const HOST: &str = "desk.example";
 pub(crate) const KEY: &str = "key-of-one";
@@ -50,7 +50,8 @@
     pub(crate) engines: Vec<EngineSpec>,
     /// Number of controllers.
     voters: u8,
-    engine_state: SharedState,
+    /// Dropped after the processes, whose logs would otherwise end with the loss of all engines.
+    engine_state: RunningEngines,
     subnet: u8,
     ports: Ports,
     directory: TempDir,
@@ -140,7 +141,7 @@
             entries: Vec::new(),
             engines: Vec::new(),
             voters,
-            engine_state: SharedState::default(),
+            engine_state: RunningEngines::default(),
             subnet: NEXT_SUBNET.fetch_add(1, Ordering::Relaxed),
             ports: Ports {
                 callers: port(),
@@ -168,7 +169,7 @@
     }
 
     pub(crate) fn engine_state(&self) -> MutexGuard<'_, EngineState> {
-        self.engine_state.lock().unwrap()
+        self.engine_state.state()
     }
 
     fn ip(&self, host: u16) -> Ipv4Addr {
@@ -276,7 +277,7 @@
             service,
         };
         let controllers = (0..self.voters).map(|i| self.control_addr(i)).collect();
-        engine::spawn(spec.clone(), Arc::clone(&self.engine_state), controllers);
+        self.engine_state.start(spec.clone(), controllers);
         self.engines.push(spec);
     }
 
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -20,7 +20,7 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::common::caller::agent;
 use crate::cut::{self, Cut, Link, Links};
@@ -110,6 +110,32 @@
     /// Number of streams that engines were to break off before their last event, since nobody
     /// reads them any more.
     abandoned: u32,
+    /// Whether the engines are to end.
+    ended: watch::Sender<bool>,
+}
+
+/// State of the engines of a deployment, which end when this is dropped. Engines that outlived
+/// their test went on sending heartbeats: after half of this binary's tests there were 750
+/// threads and 2,200 open files, and heartbeats of the tests that still ran came late.
+#[derive(Default)]
+pub(crate) struct RunningEngines(SharedState);
+
+impl RunningEngines {
+    pub(crate) fn state(&self) -> MutexGuard<'_, EngineState> {
+        self.0.lock().unwrap()
+    }
+
+    /// Starts an engine.
+    pub(crate) fn start(&self, spec: EngineSpec, controllers: Vec<SocketAddr>) {
+        spawn(spec, Arc::clone(&self.0), controllers);
+    }
+}
+
+impl Drop for RunningEngines {
+    fn drop(&mut self) {
+        let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        state.ended.send_replace(true);
+    }
 }
 
 /// A stream that an engine sends; counted as abandoned if it is dropped before its end.
@@ -320,23 +346,34 @@
     of_body.map(|(at, _)| *at).collect()
 }
 
-/// Runs an engine until the test ends. After a crash it restarts at the same address
+/// Runs an engine until its deployment ends. After a crash it restarts at the same address
 /// under a new ID, without layers.
-pub(crate) fn spawn(spec: EngineSpec, state: SharedState, controllers: Vec<SocketAddr>) {
+fn spawn(spec: EngineSpec, state: SharedState, controllers: Vec<SocketAddr>) {
     let mut listener = listen(spec.address);
     thread::spawn(move || {
         let mut current = spec.clone();
+        let mut ended = state.lock().unwrap().ended.subscribe();
         for number in 1.. {
             let (heartbeat_spec, heartbeat_state) = (current.clone(), Arc::clone(&state));
             let controllers = controllers.clone();
-            state.lock().unwrap().links.add(spec.address, &listener);
+            // Duplicating it may wait for the kernel to enlarge the table of open files.
+            let duplicate = listener.try_clone().expect("duplicate the listener");
+            state.lock().unwrap().links.add(spec.address, duplicate);
             thread::spawn(move || send_heartbeats(&heartbeat_spec, &heartbeat_state, &controllers));
             let runtime = Builder::new_current_thread().enable_all().build().unwrap();
-            runtime.block_on(serve(listener, current.clone(), Arc::clone(&state)));
+            runtime.block_on(async {
+                tokio::select! {
+                    () = serve(listener, current.clone(), Arc::clone(&state)) => {}
+                    _ = ended.wait_for(|e| *e) => {}
+                }
+            });
             // Closes all connections.
             drop(runtime);
             state.lock().unwrap().links.remove(spec.address);
             state.lock().unwrap().kill(&current);
+            if *ended.borrow() {
+                return;
+            }
             thread::sleep(DOWNTIME);
             listener = listen(spec.address);
             current.id = format!("{}.{number}", spec.id);
