Test that engines are told the rank of a request

Cause: the rank in X-Priority-Class was tested in the routing table only, not as engines receive it. Change: tests with real processes: engines of a service with two priorities are told the rank, by the organisation first, whatever the caller sent, also where another instance carries the request; engines of other services receive what the caller sent. The deployment can state priorities; its configuration is otherwise as before.

--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -12,6 +12,7 @@
 
 use serde_json::{Value, json};
 use tempfile::TempDir;
+use ureq::typestate::WithBody;
 
 use crate::common::caller::agent;
 use crate::common::process::Process;
@@ -281,6 +282,16 @@
         self.engines.push(spec);
     }
 
+    /// Replaces the configuration by one with these priorities, and waits until it is in force
+    /// everywhere.
+    pub(crate) fn set_priorities(&self, version: u64, priorities: &Priorities) {
+        let body = prioritise(configuration(version, &[KEY]), priorities);
+        wait_for("configuration with priorities", || {
+            self.send_configuration(&body).then_some(())
+        });
+        thread::sleep(APPLY_TIME);
+    }
+
     /// Sends a configuration to one controller; returns whether it was acknowledged.
     pub(crate) fn replace_configuration_at(&self, i: u8, version: u64) -> bool {
         let body = configuration(version, &[KEY]);
@@ -290,8 +301,11 @@
     /// Sends a configuration to the controllers in turn until one acknowledges it;
     /// returns whether one did.
     pub(crate) fn replace_configuration(&self, version: u64, keys: &[&str]) -> bool {
-        let body = configuration(version, keys);
-        (0..self.voters).any(|i| engine::post(self.control_addr(i), "/v1/Config.Replace", &body))
+        self.send_configuration(&configuration(version, keys))
+    }
+
+    fn send_configuration(&self, body: &Value) -> bool {
+        (0..self.voters).any(|i| engine::post(self.control_addr(i), "/v1/Config.Replace", body))
     }
 
     /// Version of the configuration that a controller returns, if it can confirm one.
@@ -360,22 +374,52 @@
         key: &str,
         body: &str,
     ) -> (u16, String) {
-        let request = agent()
+        send(self.post(entry, path, attempt, key), body)
+    }
+
+    /// Like [`Deployment::request`], with `X-Priority-Class` if there is a class.
+    pub(crate) fn request_with_class(
+        &self,
+        entry: usize,
+        path: &str,
+        attempt: &str,
+        key: &str,
+        class: Option<&str>,
+    ) -> (u16, String) {
+        let request = self.post(entry, path, attempt, key);
+        match class {
+            Some(class) => send(request.header("x-priority-class", class), "text"),
+            None => send(request, "text"),
+        }
+    }
+
+    fn post(
+        &self,
+        entry: usize,
+        path: &str,
+        attempt: &str,
+        key: &str,
+    ) -> ureq::RequestBuilder<WithBody> {
+        agent()
             .post(format!("http://{}{path}", self.caller_addr(entry)))
             .header("host", HOST)
             .header("x-attempt-id", attempt)
             .header("x-credential", key)
             .header("x-tenant", "forged")
             .header("x-token-usage", "20,30")
-            .header("x-deadline-ms", "20000");
-        let Ok(mut reply) = request.send(body) else {
-            return (0, String::new());
-        };
-        let status = reply.status().as_u16();
-        match reply.body_mut().read_to_string() {
-            Ok(body) => (status, body),
-            Err(_) => (0, String::new()),
-        }
+            .header("x-deadline-ms", "20000")
+    }
+}
+
+/// Sends a request; returns status and body. The status is 0 if sending or reading the body fails.
+fn send(request: ureq::RequestBuilder<WithBody>, body: &str) -> (u16, String) {
+    let Ok(mut reply) = request.send(body) else {
+        return (0, String::new());
+    };
+    let status = reply.status().as_u16();
+    match reply.body_mut().read_to_string() {
+        Ok(body) => (status, body),
+        Err(_) => (0, String::new()),
     }
 }
 
@@ -383,6 +427,34 @@
     FIRST_ENTRY_HOST + u16::try_from(entry).expect("few instances")
 }
 
+/// Priorities in a configuration.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Priorities {
+    /// Of the route with the prefix `/letters/`, to model engines.
+    pub(crate) letters: Option<u8>,
+    /// Of a further route, with the prefix `/urgent/`, to the same engines.
+    pub(crate) urgent: Option<u8>,
+    /// Of the organisation with [`KEY`].
+    pub(crate) one: Option<u8>,
+    /// Of the organisation with [`OTHER_KEY`].
+    pub(crate) two: Option<u8>,
+}
+
+/// Adds the route with the prefix `/urgent/` to a configuration, and states priorities.
+fn prioritise(mut configuration: Value, priorities: &Priorities) -> Value {
+    let mut urgent = configuration["routes"][0].clone();
+    urgent["name"] = "urgent".into();
+    urgent["pathPrefix"] = "/urgent/".into();
+    let routes = configuration["routes"].as_array_mut().expect("routes");
+    routes.push(urgent);
+    let last = routes.len() - 1;
+    routes[0]["priority"] = priorities.letters.into();
+    routes[last]["priority"] = priorities.urgent.into();
+    configuration["tenants"][0]["priority"] = priorities.one.into();
+    configuration["tenants"][1]["priority"] = priorities.two.into();
+    configuration
+}
+
 fn configuration(version: u64, keys: &[&str]) -> Value {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         json!({
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -107,6 +107,8 @@
     leaving: Vec<String>,
     /// Requests that reached engines, in order.
     visits: Vec<Visit>,
+    /// Values of `X-Priority-Class` with which requests arrived, by the caller's attempt ID.
+    classes: HashMap<String, Vec<Option<String>>>,
     /// Number of streams that engines were to break off before their last event, since nobody
     /// reads them any more.
     abandoned: u32,
@@ -215,6 +217,11 @@
         self.abandoned
     }
 
+    /// Values of `X-Priority-Class` with which the requests of an attempt arrived, in order.
+    pub(crate) fn classes(&self, attempt: &str) -> Vec<Option<String>> {
+        self.classes.get(attempt).cloned().unwrap_or_default()
+    }
+
     /// Requests that reached engines so far, in order.
     pub(crate) fn visits(&self) -> &[Visit] {
         &self.visits
@@ -540,8 +547,14 @@
         _ => {}
     }
     let attempt = header("x-attempt-id").expect("an id");
+    let class = header("x-priority-class");
     let limit = {
         let mut state = state.lock().unwrap();
+        state
+            .classes
+            .entry(attempt.clone())
+            .or_default()
+            .push(class);
         let arrivals = state.arrivals.entry(spec.id.clone()).or_default();
         arrivals.push(Instant::now());
         state.limits.get(&spec.id).copied()
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -14,5 +14,6 @@
 mod metrics;
 mod notice;
 mod order;
+mod priority;
 mod reach;
 mod restore;
