List quarantined requests as a quorum confirms them

Cause: `GET /v1/Quarantine.List` was answered from the controller's own state, so a follower that hadn't applied an acknowledged lift still listed the request. quarantine_lifted failed of it once, at a load average of 45: the list, 504 ms after the quarantine, followed the logged lift (310). Change: the list is confirmed as the configuration is; 503 if no quorum confirms it in time.

--- a/src/controller/call.rs
+++ b/src/controller/call.rs
@@ -83,7 +83,7 @@
             Call::Fetch => self.fetch().await,
             Call::Heartbeat(id) => self.heartbeat(path, id, &body).await,
             Call::Deregister(id) => self.leave(path, id).await,
-            Call::ListQuarantined => json(StatusCode::OK, self.list_quarantined().into()),
+            Call::ListQuarantined => self.list().await,
             Call::LiftQuarantine(fingerprint) => self.lift(path, fingerprint).await,
         }
     }
@@ -125,7 +125,7 @@
 
     /// Returns the latest configuration, or 503 if no quorum confirms which one that is.
     async fn fetch(&self) -> Response<ResponseBody> {
-        if !matches!(timeout(COMMIT_TIMEOUT, self.confirm_read()).await, Ok(true)) {
+        if !self.has_latest().await {
             return unavailable("no quorum confirms the configuration");
         }
         match self.register.current() {
@@ -187,6 +187,20 @@
         )
     }
 
+    /// Lists the quarantined requests, or returns 503 if no quorum confirms which they are: a
+    /// follower may not have applied an acknowledged lift yet.
+    async fn list(&self) -> Response<ResponseBody> {
+        if !self.has_latest().await {
+            return unavailable("no quorum confirms the quarantine");
+        }
+        json(StatusCode::OK, self.list_quarantined().into())
+    }
+
+    /// Whether a quorum confirms in time that all that was committed before is applied here.
+    async fn has_latest(&self) -> bool {
+        matches!(timeout(COMMIT_TIMEOUT, self.confirm_read()).await, Ok(true))
+    }
+
     /// Lifts the quarantine of a request.
     async fn lift(&self, path: &str, fingerprint: &str) -> Response<ResponseBody> {
         let Some(fingerprint) = Fingerprint::parse(fingerprint) else {
--- a/tests/platform/crash.rs
+++ b/tests/platform/crash.rs
@@ -229,3 +229,33 @@
         (deployment.engine_state().received(CRASHING_BODY).len() > before).then_some(())
     });
 }
+
+/// Guards against a list that names a request whose quarantine was lifted before: a follower that
+/// hadn't applied the acknowledged lift answered from its own state.
+#[test]
+fn quarantine_list_includes_lift() {
+    let deployment = Deployment::with_size(2, &[8, 8]);
+    deployment.engine_state().crash_on("one", CRASHING_BODY);
+    send_until_refused(&deployment, 0);
+    let leader = wait_for("a leader", || deployment.leader());
+    let follower = (leader + 1) % deployment.controllers.len();
+    let list = |i: usize| {
+        let reply = deployment.run_quarantine_at(u8::try_from(i).unwrap(), "list", &[]);
+        serde_json::from_str::<serde_json::Value>(&reply).expect("JSON")
+    };
+    let quarantined = wait_for("the quarantine at the follower", || {
+        let listed = list(follower)["requests"][0]["fingerprint"].clone();
+        listed.as_str().map(str::to_owned)
+    });
+    deployment.controllers[follower].freeze();
+    let leader_id = u8::try_from(leader).unwrap();
+    deployment.run_quarantine_at(leader_id, "lift", &[&quarantined]);
+    let listed = thread::scope(|scope| {
+        let listed = scope.spawn(|| list(follower));
+        // The request waits at the follower, next to what the leader sent.
+        thread::sleep(Duration::from_millis(300));
+        deployment.controllers[follower].thaw();
+        listed.join().unwrap()
+    });
+    assert_eq!(listed["requests"], serde_json::json!([]));
+}
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -317,9 +317,14 @@
         serde_json::from_str::<Value>(&body).ok()?["version"].as_u64()
     }
 
-    /// Runs `laburnumquay quarantine`; returns its standard output.
+    /// Runs `laburnumquay quarantine` with the first controller; returns its standard output.
     pub(crate) fn run_quarantine(&self, verb: &str, arguments: &[&str]) -> String {
-        let target = self.control_addr(0).to_string();
+        self.run_quarantine_at(0, verb, arguments)
+    }
+
+    /// Like [`Deployment::run_quarantine`], with a given controller.
+    pub(crate) fn run_quarantine_at(&self, i: u8, verb: &str, arguments: &[&str]) -> String {
+        let target = self.control_addr(i).to_string();
         let mut command = Command::new(env!("CARGO_BIN_EXE_laburnumquay"));
         command.args(["quarantine", verb, "--controller", &target]);
         let output = command.args(arguments).output().expect("run the command");
