--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -6,17 +6,18 @@
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::sync::{Arc, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+use std::sync::{MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 use std::thread;
 use std::time::Duration;
 
 use serde_json::{Value, json};
 use tempfile::TempDir;
+use ureq::typestate::WithBody;
 
 use crate::common::caller::agent;
 use crate::common::process::Process;
 use crate::common::{port, wait_for};
-use crate::engine::{self, EngineSpec, EngineState, HEARTBEAT_PERIOD, LAYERS, SharedState};
+use crate::engine::{self, EngineSpec, EngineState, HEARTBEAT_PERIOD, LAYERS, RunningEngines};
 
 pub(crate) const HOST: &str = "desk.example";
 pub(crate) const KEY: &str = "key-of-one";
@@ -50,7 +51,8 @@
     pub(crate) engines: Vec<EngineSpec>,
     /// Number of controllers.
     voters: u8,
-    engine_state: SharedState,
+    /// Dropped after the processes, whose logs would otherwise end with the loss of all engines.
+    engine_state: RunningEngines,
     subnet: u8,
     ports: Ports,
     directory: TempDir,
@@ -140,7 +142,7 @@
             entries: Vec::new(),
             engines: Vec::new(),
             voters,
-            engine_state: SharedState::default(),
+            engine_state: RunningEngines::default(),
             subnet: NEXT_SUBNET.fetch_add(1, Ordering::Relaxed),
             ports: Ports {
                 callers: port(),
@@ -168,7 +170,7 @@
     }
 
     pub(crate) fn engine_state(&self) -> MutexGuard<'_, EngineState> {
-        self.engine_state.lock().unwrap()
+        self.engine_state.state()
     }
 
     fn ip(&self, host: u16) -> Ipv4Addr {
@@ -276,10 +278,20 @@
             service,
         };
         let controllers = (0..self.voters).map(|i| self.control_addr(i)).collect();
-        engine::spawn(spec.clone(), Arc::clone(&self.engine_state), controllers);
+        self.engine_state.start(spec.clone(), controllers);
         self.engines.push(spec);
     }
 
+    /// Replaces the configuration by one with these priorities, and waits until it is in force
+    /// everywhere.
+    pub(crate) fn set_priorities(&self, version: u64, priorities: &Priorities) {
+        let body = prioritise(configuration(version, &[KEY]), priorities);
+        wait_for("configuration with priorities", || {
+            self.send_configuration(&body).then_some(())
+        });
+        thread::sleep(APPLY_TIME);
+    }
+
     /// Sends a configuration to one controller; returns whether it was acknowledged.
     pub(crate) fn replace_configuration_at(&self, i: u8, version: u64) -> bool {
         let body = configuration(version, &[KEY]);
@@ -289,8 +301,11 @@
     /// Sends a configuration to the controllers in turn until one acknowledges it;
     /// returns whether one did.
     pub(crate) fn replace_configuration(&self, version: u64, keys: &[&str]) -> bool {
-        let body = configuration(version, keys);
-        (0..self.voters).any(|i| engine::post(self.control_addr(i), "/v1/Config.Replace", &body))
+        self.send_configuration(&configuration(version, keys))
+    }
+
+    fn send_configuration(&self, body: &Value) -> bool {
+        (0..self.voters).any(|i| engine::post(self.control_addr(i), "/v1/Config.Replace", body))
     }
 
     /// Version of the configuration that a controller returns, if it can confirm one.
@@ -302,9 +317,14 @@
         serde_json::from_str::<Value>(&body).ok()?["version"].as_u64()
     }
 
-    /// Runs `laburnumquay quarantine`; returns its standard output.
+    /// Runs `laburnumquay quarantine` with the first controller; returns its standard output.
     pub(crate) fn run_quarantine(&self, verb: &str, arguments: &[&str]) -> String {
-        let target = self.control_addr(0).to_string();
+        self.run_quarantine_at(0, verb, arguments)
+    }
+
+    /// Like [`Deployment::run_quarantine`], with a given controller.
+    pub(crate) fn run_quarantine_at(&self, i: u8, verb: &str, arguments: &[&str]) -> String {
+        let target = self.control_addr(i).to_string();
         let mut command = Command::new(env!("CARGO_BIN_EXE_laburnumquay"));
         command.args(["quarantine", verb, "--controller", &target]);
         let output = command.args(arguments).output().expect("run the command");
@@ -359,22 +379,52 @@
         key: &str,
         body: &str,
     ) -> (u16, String) {
-        let request = agent()
+        send(self.post(entry, path, attempt, key), body)
+    }
+
+    /// Like [`Deployment::request`], with `X-Priority-Class` if there is a class.
+    pub(crate) fn request_with_class(
+        &self,
+        entry: usize,
+        path: &str,
+        attempt: &str,
+        key: &str,
+        class: Option<&str>,
+    ) -> (u16, String) {
+        let request = self.post(entry, path, attempt, key);
+        match class {
+            Some(class) => send(request.header("x-priority-class", class), "text"),
+            None => send(request, "text"),
+        }
+    }
+
+    fn post(
+        &self,
+        entry: usize,
+        path: &str,
+        attempt: &str,
+        key: &str,
+    ) -> ureq::RequestBuilder<WithBody> {
+        agent()
             .post(format!("http://{}{path}", self.caller_addr(entry)))
             .header("host", HOST)
             .header("x-attempt-id", attempt)
             .header("x-credential", key)
             .header("x-tenant", "forged")
             .header("x-token-usage", "20,30")
-            .header("x-deadline-ms", "20000");
-        let Ok(mut reply) = request.send(body) else {
-            return (0, String::new());
-        };
-        let status = reply.status().as_u16();
-        match reply.body_mut().read_to_string() {
-            Ok(body) => (status, body),
-            Err(_) => (0, String::new()),
-        }
+            .header("x-deadline-ms", "20000")
+    }
+}
+
+/// Sends a request; returns status and body. The status is 0 if sending or reading the body fails.
+fn send(request: ureq::RequestBuilder<WithBody>, body: &str) -> (u16, String) {
+    let Ok(mut reply) = request.send(body) else {
+        return (0, String::new());
+    };
+    let status = reply.status().as_u16();
+    match reply.body_mut().read_to_string() {
+        Ok(body) => (status, body),
+        Err(_) => (0, String::new()),
     }
 }
 
@@ -382,6 +432,34 @@
     FIRST_ENTRY_HOST + u16::try_from(entry).expect("few instances")
 }
 
+/// Priorities in a configuration.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Priorities {
+    /// Of the route with the prefix `/letters/`, to model engines.
+    pub(crate) letters: Option<u8>,
+    /// Of a further route, with the prefix `/urgent/`, to the same engines.
+    pub(crate) urgent: Option<u8>,
+    /// Of the organisation with [`KEY`].
+    pub(crate) one: Option<u8>,
+    /// Of the organisation with [`OTHER_KEY`].
+    pub(crate) two: Option<u8>,
+}
+
+/// Adds the route with the prefix `/urgent/` to a configuration, and states priorities.
+fn prioritise(mut configuration: Value, priorities: &Priorities) -> Value {
+    let mut urgent = configuration["routes"][0].clone();
+    urgent["name"] = "urgent".into();
+    urgent["pathPrefix"] = "/urgent/".into();
+    let routes = configuration["routes"].as_array_mut().expect("routes");
+    routes.push(urgent);
+    let last = routes.len() - 1;
+    routes[0]["priority"] = priorities.letters.into();
+    routes[last]["priority"] = priorities.urgent.into();
+    configuration["tenants"][0]["priority"] = priorities.one.into();
+    configuration["tenants"][1]["priority"] = priorities.two.into();
+    configuration
+}
+
 fn configuration(version: u64, keys: &[&str]) -> Value {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         json!({
