Merge admission by rank into the fair shares

The reserve of a heavy organisation is added to that of its rank, bounded by the step to the next rank. One method counts a request that asks for room for both.

--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -10,9 +10,10 @@
 use super::organisations::OrganisationSums;
 use crate::clock::Time;
 use crate::collections::HashMap;
+use crate::decide::admission::RankCounts;
 use crate::decide::fair_share::{Excess, OrganisationUse};
 use crate::decide::proxies::MAX_PROXIES;
-use crate::sync::{FleetLoad, HeavyOrganisation, Load, SyncRequest, address_from_key};
+use crate::sync::{FleetLoad, HeavyOrganisation, Load, RankDemand, SyncRequest, address_from_key};
 
 /// Time for which an entry instance's report is valid. It reports several times within it,
 /// so an instance that is silent for longer has lost its requests, too.
@@ -58,6 +59,8 @@
     room_requests: u32,
     /// See [`SyncRequest::organisations`].
     organisations: Vec<OrganisationUse>,
+    /// Demand by rank.
+    ranks: RankSums,
     /// When it was last sent the load of the others.
     last_sent: Option<Time>,
 }
@@ -73,6 +76,44 @@
     room_requests: u32,
     /// Sums of `organisations` in `latest`.
     organisations: OrganisationSums,
+    /// Sums of `ranks` in `latest`.
+    ranks: RankSums,
+}
+
+/// Demand by rank, by service. It has no entries for services without demand.
+#[derive(Default)]
+struct RankSums(HashMap<String, RankCounts>);
+
+impl RankSums {
+    fn new(demand: &[RankDemand]) -> Self {
+        let mut sums = Self::default();
+        for demand in demand {
+            let sum = sums.0.entry(demand.service.clone()).or_default();
+            sum.add(&RankCounts::from(demand));
+        }
+        sums
+    }
+
+    fn add(&mut self, other: &Self) {
+        for (service, counts) in &other.0 {
+            self.0.entry(service.clone()).or_default().add(counts);
+        }
+    }
+
+    fn subtract(&mut self, other: &Self) {
+        for (service, counts) in &other.0 {
+            if let Some(sum) = self.0.get_mut(service) {
+                sum.subtract(counts);
+            }
+        }
+        self.0.retain(|_, counts| !counts.is_empty());
+    }
+
+    fn encode(&self) -> Vec<RankDemand> {
+        let sums = self.0.iter();
+        sums.map(|(service, counts)| counts.demand(service))
+            .collect()
+    }
 }
 
 impl Reports {
@@ -113,6 +154,8 @@
         let organisations = request.organisations.into_iter();
         let organisations: Vec<_> = organisations.map(OrganisationUse::from).collect();
         self.organisations.add(&organisations);
+        let ranks = RankSums::new(&request.ranks);
+        self.ranks.add(&ranks);
         let before = self.latest.remove(&request.instance);
         if let Some(before) = &before {
             self.subtract(before);
@@ -126,6 +169,7 @@
             carries: request.carries,
             room_requests: request.room_requests,
             organisations,
+            ranks,
             last_sent: before.and_then(|b| b.last_sent),
         };
         self.latest.insert(request.instance, report);
@@ -134,6 +178,7 @@
     fn subtract(&mut self, report: &Report) {
         self.room_requests -= report.room_requests;
         self.organisations.subtract(&report.organisations);
+        self.ranks.subtract(&report.ranks);
         for load in &report.loads {
             let Some(sum) = self.sums.get_mut(&load.engine) else {
                 continue;
@@ -219,7 +264,7 @@
             loads: others.collect(),
             room_requests: self.room_requests,
             heavy: heavy.map(HeavyOrganisation::from).collect(),
-            ..FleetLoad::default()
+            ranks: self.ranks.encode(),
         })
     }
 
--- a/src/decide/fair_share.rs
+++ b/src/decide/fair_share.rs
@@ -9,12 +9,10 @@
 use std::time::Duration;
 
 use crate::clock::Time;
+use crate::decide::admission::MAX_RESERVE;
 use crate::decide::rank::Rank;
 use crate::sync::{HeavyOrganisation, OrganisationDemand, SyncReply};
 
-/// Maximum reserve, as a fraction of an engine's memory for requests.
-pub(crate) const MAX_RESERVE: f64 = 0.4;
-
 /// Fraction of short requests of other organisations from which the reserve is [`MAX_RESERVE`].
 /// It must be well below a tenth: with a tenth of their requests short, the 90th percentile of
 /// their waits is no longer 0.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 //! The documentation of each module describes the load or failure pattern that it handles
 //! and gives the reasons for its limits.
 
+pub(crate) mod admission;
 pub(crate) mod backoff;
 pub(crate) mod demand;
 pub(crate) mod fair_share;
@@ -26,4 +27,5 @@
 pub(crate) mod run_history;
 pub(crate) mod stall;
 pub(crate) mod view_wait;
+pub(crate) mod wait_queue;
 pub(crate) mod waiting;
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -1,7 +1,6 @@
 //! Polls the leading controller for changes.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -10,13 +9,14 @@
 use super::view::{CurrentReply, View, of_service};
 use super::{Entry, Shared};
 use crate::clock::Time;
+use crate::decide::admission::RankCounts;
 use crate::decide::fair_share;
 use crate::decide::view_wait;
 use crate::event;
 use crate::id::InstanceId;
 use crate::message::{Answer, Ask, Request};
 use crate::role;
-use crate::sync::{SyncReply, SyncRequest};
+use crate::sync::{RankDemand, SyncReply, SyncRequest};
 
 /// Timeout for a controller's response. A lost packet is retransmitted after 200 ms.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -189,13 +189,33 @@
     fn apply_load(&self, current: &CurrentReply) {
         let reply = current.reply();
         let Some(load) = &reply.work else { return };
-        let waiting = self.queued.load(Ordering::Relaxed);
-        let loads = &mut self.shared().loads;
+        let waiting = self.waiters.len();
+        let mut shared = self.shared();
+        let loads = &mut shared.loads;
         loads.update(&load.loads, rand::rng().random());
         loads.demand.update(
             reply.entries_known.then_some(load.room_requests),
             waiting as u32,
         );
+        drop(shared);
+        // Partial sums would understate how many urgent requests are short of room.
+        if reply.entries_known {
+            self.apply_ranks(&load.ranks);
+        }
+    }
+
+    /// Applies the demand by rank at all instances.
+    fn apply_ranks(&self, ranks: &[RankDemand]) {
+        let decode = |d: &RankDemand| (d.service.clone(), RankCounts::from(d));
+        let fleet: Vec<_> = ranks.iter().map(decode).collect();
+        self.shared().admission.update(self.now(), &fleet);
+    }
+
+    /// Closes the interval of the counts by rank and encodes them.
+    fn rank_demand(&self) -> Vec<RankDemand> {
+        let counts = self.shared().admission.report(self.now());
+        let encode = |(service, counts): &(String, RankCounts)| counts.demand(service);
+        counts.iter().map(encode).collect()
     }
 
     /// Applies the heavy organisations that the leader names, if it has counted the instances.
@@ -222,6 +242,7 @@
         let view = self.view();
         let (term, revision) = view.roster();
         let now = self.now();
+        let ranks = self.rank_demand();
         let mut shared = self.shared();
         let organisations = shared.fair_shares.report().into_iter();
         SyncRequest {
@@ -237,6 +258,7 @@
             suspects: self.witnessed(&view, &shared, now),
             organisations: organisations.map(Into::into).collect(),
             carries: !self.gate.is_closed() && shared.reachability.is_whole(),
+            ranks,
             ..SyncRequest::default()
         }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,7 +1,6 @@
 //! The entry role: accepts requests from callers and forwards them to upstreams.
 
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -11,9 +10,11 @@
 
 use self::proxy::Capacity;
 use self::view::{CurrentReply, View};
+use self::waiters::Waiters;
 use crate::auth::FleetKey;
 use crate::clock::{Clock, SystemClock, Time, wall_millis};
 use crate::collections::HashSet;
+use crate::decide::admission::Admission;
 use crate::decide::backoff::Backoffs;
 use crate::decide::fair_share::FairShares;
 use crate::decide::health::Health;
@@ -58,6 +59,7 @@
 mod stream;
 pub(crate) mod view;
 mod wait;
+pub(crate) mod waiters;
 
 /// Maximum length of a request head in bytes: the operator's limit, with space for the request
 /// line.
@@ -83,6 +85,7 @@
 struct Shared {
     loads: Loads,
     fair_shares: FairShares,
+    admission: Admission,
     health: Health,
     retry_budget: RetryBudget,
     link: LinkShare,
@@ -122,11 +125,8 @@
     born: u64,
     /// Notifies waiting requests of each new view.
     view_changed: Notify,
-    /// Lock of the first request in the queue for room; it is fair, so that requests keep
-    /// their order.
-    queue_lock: tokio::sync::Mutex<()>,
-    /// Number of requests in the queue.
-    queued: AtomicUsize,
+    /// Requests in the queue for room.
+    waiters: Waiters,
     /// Held by the suspect request that runs.
     suspect_turn: Arc<tokio::sync::Mutex<()>>,
     /// Notified when the leader should learn something before the next poll is due.
@@ -184,6 +184,7 @@
             shared: Mutex::new(Shared {
                 loads: Loads::default(),
                 fair_shares: FairShares::default(),
+                admission: Admission::default(),
                 health: Health::default(),
                 retry_budget,
                 link: LinkShare::new(SystemClock.now()),
@@ -200,11 +201,10 @@
             started: SystemClock.now(),
             born: wall_millis(),
             view_changed: Notify::new(),
-            queue_lock: tokio::sync::Mutex::default(),
+            waiters: Waiters::default(),
             suspect_turn: Arc::default(),
             report_due: Notify::new(),
             resume_lock: tokio::sync::Mutex::default(),
-            queued: AtomicUsize::new(0),
             boot,
         }
     }
@@ -254,10 +254,11 @@
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Number of shares into which the room on the engines is divided.
+    /// Number of shares into which the room on the engines is divided, for a request without
+    /// rank.
     fn sharers(&self) -> f64 {
         let instances = self.view().entry_count();
-        self.shared().loads.demand.sharers(instances)
+        self.shared().loads.demand.sharers(instances, 1.0)
     }
 
     /// Applies a leader's response to the view. Only the polling task calls it.
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -41,6 +41,10 @@
 pub(crate) const CAPACITY_SHARERS: Metric = metric("entry_room_sharers", &[]);
 /// Organisations that use more than their fair share while others are short of room.
 pub(crate) const HEAVY_ORGANISATIONS: Metric = metric("entry_heavy_organisations", &[]);
+/// Requests with a rank, by how they found capacity at first.
+pub(crate) const RANK_REQUESTS: Metric = metric("entry_rank_requests_total", &["rank", "outcome"]);
+/// Fraction of the engines' memory that requests of a rank leave free for more urgent ones.
+pub(crate) const RANK_RESERVE: Metric = metric("entry_rank_reserve", &["service", "rank"]);
 /// Upstreams, by whether this instance uses them.
 pub(crate) const UPSTREAMS: Metric = metric("entry_upstreams", &["service", "state"]);
 /// Upstreams with a rate limit in force.
@@ -115,6 +119,8 @@
     WAITING_REQUESTS,
     CAPACITY_SHARERS,
     HEAVY_ORGANISATIONS,
+    RANK_REQUESTS,
+    RANK_RESERVE,
     UPSTREAMS,
     LIMITED_UPSTREAMS,
     PAUSED_UPSTREAMS,
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -20,6 +20,7 @@
 use crate::roster::Roster;
 use crate::sync::address_key;
 
+mod admission;
 mod backoff;
 mod demand;
 mod fair_share;
@@ -33,6 +34,7 @@
 mod rate;
 mod reachability;
 mod suspicion;
+mod wait_queue;
 
 pub(super) fn model() -> Model {
     let decoded = decode(CONFIGURATION.as_bytes()).unwrap();
--- a/src/tests/decide/fair_share.rs
+++ b/src/tests/decide/fair_share.rs
@@ -10,9 +10,8 @@
 use super::super::at;
 use super::overload::{ENGINE, LAYERS, USUAL, USUAL_TOKENS, one_replica, work};
 use crate::controller::reports::Reports;
-use crate::decide::fair_share::{
-    FairShares, Heavy, MAX_RESERVE, OrganisationUse, bound, heavy, known_heavy,
-};
+use crate::decide::admission::MAX_RESERVE;
+use crate::decide::fair_share::{FairShares, Heavy, OrganisationUse, bound, heavy, known_heavy};
 use crate::decide::load::{Loads, headroom};
 use crate::decide::path::Hop;
 use crate::decide::rank::Rank;
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -20,7 +20,11 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
+use ureq::config::Config;
+use ureq::http::Uri;
+use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
+use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
 
 use crate::common::caller::agent;
 use crate::cut::{self, Cut, Link, Links};
@@ -107,9 +111,37 @@
     leaving: Vec<String>,
     /// Requests that reached engines, in order.
     visits: Vec<Visit>,
+    /// Values of `X-Priority-Class` with which requests arrived, by the caller's attempt ID.
+    classes: HashMap<String, Vec<Option<String>>>,
     /// Number of streams that engines were to break off before their last event, since nobody
     /// reads them any more.
     abandoned: u32,
+    /// Whether the engines are to end.
+    ended: watch::Sender<bool>,
+}
+
+/// State of the engines of a deployment, which end when this is dropped. Engines that outlived
+/// their test went on sending heartbeats: after half of this binary's tests there were 750
+/// threads and 2,200 open files, and heartbeats of the tests that still ran came late.
+#[derive(Default)]
+pub(crate) struct RunningEngines(SharedState);
+
+impl RunningEngines {
+    pub(crate) fn state(&self) -> MutexGuard<'_, EngineState> {
+        self.0.lock().unwrap()
+    }
+
+    /// Starts an engine.
+    pub(crate) fn start(&self, spec: EngineSpec, controllers: Vec<SocketAddr>) {
+        spawn(spec, Arc::clone(&self.0), controllers);
+    }
+}
+
+impl Drop for RunningEngines {
+    fn drop(&mut self) {
+        let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        state.ended.send_replace(true);
+    }
 }
 
 /// A stream that an engine sends; counted as abandoned if it is dropped before its end.
@@ -189,6 +221,11 @@
         self.abandoned
     }
 
+    /// Values of `X-Priority-Class` with which the requests of an attempt arrived, in order.
+    pub(crate) fn classes(&self, attempt: &str) -> Vec<Option<String>> {
+        self.classes.get(attempt).cloned().unwrap_or_default()
+    }
+
     /// Requests that reached engines so far, in order.
     pub(crate) fn visits(&self) -> &[Visit] {
         &self.visits
@@ -320,23 +357,34 @@
     of_body.map(|(at, _)| *at).collect()
 }
 
-/// Runs an engine until the test ends. After a crash it restarts at the same address
+/// Runs an engine until its deployment ends. After a crash it restarts at the same address
 /// under a new ID, without layers.
-pub(crate) fn spawn(spec: EngineSpec, state: SharedState, controllers: Vec<SocketAddr>) {
+fn spawn(spec: EngineSpec, state: SharedState, controllers: Vec<SocketAddr>) {
     let mut listener = listen(spec.address);
     thread::spawn(move || {
         let mut current = spec.clone();
+        let mut ended = state.lock().unwrap().ended.subscribe();
         for number in 1.. {
             let (heartbeat_spec, heartbeat_state) = (current.clone(), Arc::clone(&state));
             let controllers = controllers.clone();
-            state.lock().unwrap().links.add(spec.address, &listener);
+            // Duplicating it may wait for the kernel to enlarge the table of open files.
+            let duplicate = listener.try_clone().expect("duplicate the listener");
+            state.lock().unwrap().links.add(spec.address, duplicate);
             thread::spawn(move || send_heartbeats(&heartbeat_spec, &heartbeat_state, &controllers));
             let runtime = Builder::new_current_thread().enable_all().build().unwrap();
-            runtime.block_on(serve(listener, current.clone(), Arc::clone(&state)));
+            runtime.block_on(async {
+                tokio::select! {
+                    () = serve(listener, current.clone(), Arc::clone(&state)) => {}
+                    _ = ended.wait_for(|e| *e) => {}
+                }
+            });
             // Closes all connections.
             drop(runtime);
             state.lock().unwrap().links.remove(spec.address);
             state.lock().unwrap().kill(&current);
+            if *ended.borrow() {
+                return;
+            }
             thread::sleep(DOWNTIME);
             listener = listen(spec.address);
             current.id = format!("{}.{number}", spec.id);
@@ -388,12 +436,33 @@
     post(to, &format!("/v1/Instances.Heartbeat/{}", spec.id), &body)
 }
 
+/// Takes addresses as they are. With a timeout, the default resolver starts a thread for each call,
+/// which comes late on a busy machine.
+#[derive(Debug)]
+struct AddressResolver;
+
+impl Resolver for AddressResolver {
+    fn resolve(
+        &self,
+        uri: &Uri,
+        _: &Config,
+        _: NextTimeout,
+    ) -> Result<ResolvedSocketAddrs, ureq::Error> {
+        let address = uri.authority().and_then(|a| a.as_str().parse().ok());
+        let mut resolved = self.empty();
+        resolved.push(address.ok_or(ureq::Error::HostNotFound)?);
+        Ok(resolved)
+    }
+}
+
 /// Posts to a controller and follows one redirect; returns whether the request was
 /// acknowledged.
 pub(crate) fn post(to: SocketAddr, path: &str, body: &Value) -> bool {
     let mut uri = format!("http://{to}{path}");
+    let config = agent().config().clone();
+    let agent = ureq::Agent::with_parts(config, DefaultConnector::default(), AddressResolver);
     for _ in 0..2 {
-        let request = agent().post(&uri).config();
+        let request = agent.post(&uri).config();
         let request = request.timeout_global(Some(ACK_TIMEOUT)).build();
         let sent = request.send(body.to_string());
         let Ok(reply) = sent else { return false };
@@ -503,8 +572,14 @@
         _ => {}
     }
     let attempt = header("x-attempt-id").expect("an id");
+    let class = header("x-priority-class");
     let limit = {
         let mut state = state.lock().unwrap();
+        state
+            .classes
+            .entry(attempt.clone())
+            .or_default()
+            .push(class);
         let arrivals = state.arrivals.entry(spec.id.clone()).or_default();
         arrivals.push(Instant::now());
         state.limits.get(&spec.id).copied()
