Keep new requests behind more urgent ones that wait at the instance

Cause: a new request looked for room before it joined the queue, so a less urgent one took room between two polls of a more urgent one that waited. Change: a request with a rank joins the queue at once if a more urgent one of its service waits.

--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -106,6 +106,13 @@
         Some(queue.map_or(0, |q| q.ahead(rank, &organisation.into())))
     }
 
+    /// Whether a more urgent request of the service waits, so that a new one may not look for room
+    /// before it.
+    pub(crate) fn has_more_urgent(&self, service: &str, rank: Rank) -> bool {
+        let queue = self.services.get(service);
+        queue.is_some_and(|q| q.ranks.iter().take(rank.index()).any(|t| !t.is_empty()))
+    }
+
     /// Adds a request. If all places are taken, it takes that of the last request of its service,
     /// if that is of a lower rank.
     pub(crate) fn push(
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -224,7 +224,7 @@
             if self.model().is_some() {
                 self.entry.shared().loads.demand.record_request();
             }
-            let at_once = self.choose(0.0);
+            let at_once = self.choose_at_once();
             let is_short = matches!(at_once, Err(Reason::Full));
             if asks_first {
                 self.record_asked(is_short);
@@ -308,6 +308,17 @@
         }
     }
 
+    /// Like [`Run::choose`], for a request that hasn't waited: it doesn't go before a more urgent one
+    /// that waits here.
+    fn choose_at_once(&self) -> Result<Selection, Reason> {
+        let (waiters, service) = (&self.entry.waiters, &self.call.service);
+        let rank = self.competing_rank();
+        match rank.is_some_and(|r| waiters.has_more_urgent(service, r)) {
+            true => Err(Reason::Full),
+            false => self.choose(0.0),
+        }
+    }
+
     /// Selects where the next attempt goes. `waited` is the elapsed share of the time that the
     /// request may wait.
     pub(super) fn choose(&self, waited: f64) -> Result<Selection, Reason> {
--- a/src/entry/waiters.rs
+++ b/src/entry/waiters.rs
@@ -94,6 +94,11 @@
         self.lock().queue.len()
     }
 
+    /// See [`WaitQueue::has_more_urgent`].
+    pub(crate) fn has_more_urgent(&self, service: &str, rank: Rank) -> bool {
+        self.lock().queue.has_more_urgent(service, rank)
+    }
+
     /// Adds a request that costs `tokens`, unless it is refused at once: if the queue is full, or
     /// `limit` gives no maximum wait for the number of requests before it. It may displace a less
     /// urgent request, but not if it is refused itself.
--- a/src/tests/decide/wait_queue.rs
+++ b/src/tests/decide/wait_queue.rs
@@ -223,6 +223,21 @@
 }
 
 /// Guards against ranks that affect requests of other services: they aren't comparable.
+/// Guards against a new request that takes the room for which a more urgent one waits at the same
+/// instance.
+#[test]
+fn more_urgent_waits() {
+    let mut queue = WaitQueue::default();
+    let waiting = push(&mut queue, 1, "one", 1.0).unwrap();
+    let waits = |queue: &WaitQueue, rank| queue.has_more_urgent(SERVICE, Rank::new(rank));
+    assert!(!waits(&queue, 0));
+    assert!(!waits(&queue, 1));
+    assert!(waits(&queue, 2));
+    assert!(!queue.has_more_urgent("another", Rank::new(2)));
+    queue.remove(waiting.place, true);
+    assert!(!waits(&queue, 2));
+}
+
 #[test]
 fn push_other_service() {
     let mut queue = WaitQueue::default();
