--- a/src/tests/decide/wait_queue.rs
+++ b/src/tests/decide/wait_queue.rs
@@ -222,7 +222,6 @@
     assert_eq!(queue.len(), MAX_WAITERS);
 }
 
-/// Guards against ranks that affect requests of other services: they aren't comparable.
 /// Guards against a new request that takes the room for which a more urgent one waits at the same
 /// instance.
 #[test]
@@ -238,6 +237,7 @@
     assert!(!waits(&queue, 2));
 }
 
+/// Guards against ranks that affect requests of other services: they aren't comparable.
 #[test]
 fn push_other_service() {
     let mut queue = WaitQueue::default();
