--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -25,6 +25,11 @@
 /// Reserve for a rank per fraction of its requests that are short.
 const GAIN: f64 = 1.5;
 
+/// Part of all requests from which a rank has the whole of [`MAX_STEP`]. A rank with fewer requests
+/// needs less room until the next report; with a whole step for each of many small ranks, most
+/// requests would leave [`MAX_RESERVE`] free.
+const FULL_PART: f64 = 1.0 / 3.0;
+
 /// Minimum reserve. A smaller one has no effect, and would last long after a shortage.
 const MIN_RESERVE: f64 = 0.01;
 
@@ -143,12 +148,15 @@
     }
 
     /// Reserves by rank: for each more urgent rank a part, in proportion to the fraction of its
-    /// requests that were short.
+    /// requests that were short, and at most to its part of all requests.
     fn reserves(&self) -> [f64; RANKS] {
         let mut reserves = [0.0_f64; RANKS];
+        let all: f64 = self.asked.iter().sum();
         for rank in 1..RANKS {
-            let short = self.short[rank - 1] / (self.asked[rank - 1] + PRIOR_REQUESTS);
-            let step = (GAIN * short).min(MAX_STEP);
+            let asked = self.asked[rank - 1];
+            let short = self.short[rank - 1] / (asked + PRIOR_REQUESTS);
+            let part = (asked / all.max(f64::MIN_POSITIVE)).min(FULL_PART) / FULL_PART;
+            let step = (GAIN * short).min(MAX_STEP) * part;
             reserves[rank] = (reserves[rank - 1] + step).min(MAX_RESERVE);
         }
         reserves
