--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -19,6 +19,7 @@
 use super::view::of_service;
 use crate::clock::{Time, millis};
 use crate::configuration::{Model, Route, RoutingTable};
+use crate::decide::fair_share;
 use crate::decide::health;
 use crate::decide::load;
 use crate::decide::path::Work;
@@ -342,17 +343,26 @@
             suspect: self.suspect(&view),
             rank: self.call.rank,
         };
-        self.entry
-            .choose(&view, &self.call.service, self.model(), work, exclusions)
+        let selection =
+            self.entry
+                .choose(&view, &self.call.service, self.model(), work, exclusions)?;
+        Ok(selection.hold(self.token_use()))
     }
 
-    /// Fraction of an engine's memory for requests that must stay free for more urgent requests, in
-    /// addition to the usual headroom.
+    /// Fraction of an engine's memory for requests that must stay free for more urgent requests, or
+    /// for organisations that use less than their share, in addition to the usual headroom.
     pub(super) fn reserve(&self) -> f64 {
-        let now = self.entry.now();
-        let admission = &self.entry.shared().admission;
-        let rank = self.call.rank;
-        rank.map_or(0.0, |r| admission.reserve(now, &self.call.service, r))
+        let Some(rank) = self.call.rank else {
+            return 0.0;
+        };
+        let (now, call, shared) = (self.entry.now(), &self.call, self.entry.shared());
+        let of_rank = shared.admission.reserve(now, &call.service, rank);
+        let next = rank.next();
+        let of_next = next.map(|r| shared.admission.reserve(now, &call.service, r));
+        let of_share = shared
+            .fair_shares
+            .reserve(now, &call.service, rank, &call.organisation);
+        of_rank + fair_share::bound(of_share, of_rank, of_next)
     }
 
     /// Time since the leader's sums that [`Run::reserve`] is derived from were received.
@@ -375,11 +385,18 @@
             return;
         };
         let service = &self.call.service;
-        let admission = &mut self.entry.shared().admission;
+        let mut shared = self.entry.shared();
+        let admission = &mut shared.admission;
         admission.record_asked(service, rank);
         if is_short {
             admission.record_short(service, rank);
         }
+        let shares = &mut shared.fair_shares;
+        let organisation = &self.call.organisation;
+        shares.record_asked(service, rank, organisation);
+        if is_short {
+            shares.record_short(service, rank, organisation);
+        }
     }
 
     /// Counts the result of a search for room, and in the metrics that of the `first` one.
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -23,6 +23,7 @@
 mod admission;
 mod backoff;
 mod demand;
+mod fair_share;
 mod migration;
 mod overload;
 mod pace;
