--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -14,7 +14,6 @@
 use crate::clock::{Time, micros};
 use crate::collections::{HashMap, HashSet};
 use crate::configuration::{Configuration, Model};
-use crate::decide::fair_share::Excess;
 use crate::decide::load::unit_hash;
 use crate::decide::pace::Rotation;
 use crate::decide::placement::{self, Worker};
@@ -288,11 +287,6 @@
         }
     }
 
-    /// See [`Reports::take_became_heavy`].
-    pub(crate) fn take_became_heavy(&mut self) -> Vec<Excess> {
-        self.reports.take_became_heavy()
-    }
-
     /// Records what an instance reports.
     fn record_sync(&mut self, now: Time, current: CurrentRequest) {
         self.record_runs(now, &current);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -40,7 +40,6 @@
 pub(crate) mod leader;
 mod measure;
 pub(crate) mod order;
-mod organisations;
 mod pace;
 mod place;
 mod quarantine;
@@ -500,9 +499,7 @@
             return Answer::Unavailable(true);
         };
         let reply = state.sync(self.now(), request, age, current, &self.register);
-        let became_heavy = state.take_became_heavy();
         drop(state);
-        organisations::log_heavy(&became_heavy);
         let members = self.status().into_iter().flat_map(|s| s.members);
         Answer::Sync(Box::new(SyncReply {
             voters: members.map(|m| m.id).collect(),
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -7,13 +7,11 @@
 
 use rustc_hash::FxHasher;
 
-use super::organisations::OrganisationSums;
 use crate::clock::Time;
 use crate::collections::HashMap;
 use crate::decide::admission::RankCounts;
-use crate::decide::fair_share::{Excess, OrganisationUse};
 use crate::decide::proxies::MAX_PROXIES;
-use crate::sync::{FleetLoad, HeavyOrganisation, Load, RankDemand, SyncRequest, address_from_key};
+use crate::sync::{FleetLoad, Load, RankDemand, SyncRequest, address_from_key};
 
 /// Time for which an entry instance's report is valid. It reports several times within it,
 /// so an instance that is silent for longer has lost its requests, too.
@@ -57,8 +55,6 @@
     carries: bool,
     /// Number of requests that asked it for free memory on engines.
     room_requests: u32,
-    /// See [`SyncRequest::organisations`].
-    organisations: Vec<OrganisationUse>,
     /// Demand by rank.
     ranks: RankSums,
     /// When it was last sent the load of the others.
@@ -74,8 +70,6 @@
     sums: HashMap<u64, Load>,
     /// Sum of `room_requests` in `latest`.
     room_requests: u32,
-    /// Sums of `organisations` in `latest`.
-    organisations: OrganisationSums,
     /// Sums of `ranks` in `latest`.
     ranks: RankSums,
 }
@@ -151,9 +145,6 @@
             sum.first_hops += load.first_hops;
         }
         self.room_requests += request.room_requests;
-        let organisations = request.organisations.into_iter();
-        let organisations: Vec<_> = organisations.map(OrganisationUse::from).collect();
-        self.organisations.add(&organisations);
         let ranks = RankSums::new(&request.ranks);
         self.ranks.add(&ranks);
         let before = self.latest.remove(&request.instance);
@@ -168,7 +159,6 @@
             suspects: request.suspects,
             carries: request.carries,
             room_requests: request.room_requests,
-            organisations,
             ranks,
             last_sent: before.and_then(|b| b.last_sent),
         };
@@ -177,7 +167,6 @@
 
     fn subtract(&mut self, report: &Report) {
         self.room_requests -= report.room_requests;
-        self.organisations.subtract(&report.organisations);
         self.ranks.subtract(&report.ranks);
         for load in &report.loads {
             let Some(sum) = self.sums.get_mut(&load.engine) else {
@@ -259,20 +248,14 @@
             };
             (remaining.requests > 0).then_some(remaining)
         });
-        let heavy = self.organisations.heavy(now).iter();
         Some(FleetLoad {
             loads: others.collect(),
             room_requests: self.room_requests,
-            heavy: heavy.map(HeavyOrganisation::from).collect(),
             ranks: self.ranks.encode(),
+            ..FleetLoad::default()
         })
     }
 
-    /// Takes the organisations that became heavy since the last call.
-    pub(crate) fn take_became_heavy(&mut self) -> Vec<Excess> {
-        self.organisations.take_became_heavy()
-    }
-
     /// Returns the period at which one instance is sent the load of the others.
     fn period(&self) -> Duration {
         let bytes = self.latest.len() as f64 * self.sums.len() as f64 * LOAD_BYTES;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,7 +6,6 @@
 pub(crate) mod admission;
 pub(crate) mod backoff;
 pub(crate) mod demand;
-pub(crate) mod fair_share;
 pub(crate) mod health;
 pub(crate) mod link;
 pub(crate) mod load;
--- a/src/decide/rank.rs
+++ b/src/decide/rank.rs
@@ -25,11 +25,6 @@
         Self(index.min(RANKS - 1) as u8)
     }
 
-    /// Returns the next less urgent rank.
-    pub(crate) fn next(self) -> Option<Self> {
-        Some(Self(self.0 + 1)).filter(|r| r.index() < RANKS)
-    }
-
     /// Position among the ranks; 0 is the most urgent.
     pub(crate) fn index(self) -> usize {
         usize::from(self.0)
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -19,7 +19,6 @@
 use super::view::of_service;
 use crate::clock::{Time, millis};
 use crate::configuration::{Model, Route, RoutingTable};
-use crate::decide::fair_share;
 use crate::decide::health;
 use crate::decide::load;
 use crate::decide::path::Work;
@@ -343,26 +342,17 @@
             suspect: self.suspect(&view),
             rank: self.call.rank,
         };
-        let selection =
-            self.entry
-                .choose(&view, &self.call.service, self.model(), work, exclusions)?;
-        Ok(selection.hold(self.token_use()))
+        self.entry
+            .choose(&view, &self.call.service, self.model(), work, exclusions)
     }
 
-    /// Fraction of an engine's memory for requests that must stay free for more urgent requests, or
-    /// for organisations that use less than their share, in addition to the usual headroom.
+    /// Fraction of an engine's memory for requests that must stay free for more urgent requests, in
+    /// addition to the usual headroom.
     pub(super) fn reserve(&self) -> f64 {
-        let Some(rank) = self.call.rank else {
-            return 0.0;
-        };
-        let (now, call, shared) = (self.entry.now(), &self.call, self.entry.shared());
-        let of_rank = shared.admission.reserve(now, &call.service, rank);
-        let next = rank.next();
-        let of_next = next.map(|r| shared.admission.reserve(now, &call.service, r));
-        let of_share = shared
-            .fair_shares
-            .reserve(now, &call.service, rank, &call.organisation);
-        of_rank + fair_share::bound(of_share, of_rank, of_next)
+        let now = self.entry.now();
+        let admission = &self.entry.shared().admission;
+        let rank = self.call.rank;
+        rank.map_or(0.0, |r| admission.reserve(now, &self.call.service, r))
     }
 
     /// Time since the leader's sums that [`Run::reserve`] is derived from were received.
@@ -385,18 +375,11 @@
             return;
         };
         let service = &self.call.service;
-        let mut shared = self.entry.shared();
-        let admission = &mut shared.admission;
+        let admission = &mut self.entry.shared().admission;
         admission.record_asked(service, rank);
         if is_short {
             admission.record_short(service, rank);
         }
-        let shares = &mut shared.fair_shares;
-        let organisation = &self.call.organisation;
-        shares.record_asked(service, rank, organisation);
-        if is_short {
-            shares.record_short(service, rank, organisation);
-        }
     }
 
     /// Counts the result of a search for room, and in the metrics that of the `first` one.
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -10,7 +10,6 @@
 use super::{Entry, Shared};
 use crate::clock::Time;
 use crate::decide::admission::RankCounts;
-use crate::decide::fair_share;
 use crate::decide::view_wait;
 use crate::event;
 use crate::id::InstanceId;
@@ -164,7 +163,6 @@
     /// up to `last_cut`.
     fn apply_reply(&self, leader: InstanceId, sent: Time, last_cut: u64, current: CurrentReply) {
         self.apply_load(&current);
-        self.apply_heavy(&current);
         self.acknowledge_runs(&current, last_cut);
         self.apply_leader_limits(sent, &current);
         let proxies = current.reply().proxies.iter().copied().map(InstanceId);
@@ -218,14 +216,6 @@
         counts.iter().map(encode).collect()
     }
 
-    /// Applies the heavy organisations that the leader names, if it has counted the instances.
-    fn apply_heavy(&self, current: &CurrentReply) {
-        if let Some(heavy) = fair_share::known_heavy(current.reply()) {
-            let now = self.now();
-            self.shared().fair_shares.update(now, &heavy);
-        }
-    }
-
     /// Upstreams that this instance suspects to be dead, without those of services of which it may
     /// reach none.
     fn witnessed(&self, view: &View, shared: &Shared, now: Time) -> Vec<u64> {
@@ -243,8 +233,7 @@
         let (term, revision) = view.roster();
         let now = self.now();
         let ranks = self.rank_demand();
-        let mut shared = self.shared();
-        let organisations = shared.fair_shares.report().into_iter();
+        let shared = self.shared();
         SyncRequest {
             instance: self.id.0,
             born: self.born,
@@ -256,7 +245,6 @@
             loads: shared.loads.report(),
             room_requests: shared.loads.demand.local(),
             suspects: self.witnessed(&view, &shared, now),
-            organisations: organisations.map(Into::into).collect(),
             carries: !self.gate.is_closed() && shared.reachability.is_whole(),
             ranks,
             ..SyncRequest::default()
--- a/src/entry/measure.rs
+++ b/src/entry/measure.rs
@@ -25,8 +25,6 @@
         let mut shared = self.shared();
         metrics::gauge!(metric::LIMITED_UPSTREAMS.name)
             .set(shared.rate_limiter.limited_count() as f64);
-        metrics::gauge!(metric::HEAVY_ORGANISATIONS.name)
-            .set(shared.fair_shares.heavy_count(now) as f64);
         metrics::gauge!(metric::CARRIED.name).set(shared.proxies.carried());
         metrics::gauge!(metric::CARRYING.name).set(self.capacity.used() as f64);
         let unreachable = shared.reachability.lost().count();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,7 +16,6 @@
 use crate::collections::HashSet;
 use crate::decide::admission::Admission;
 use crate::decide::backoff::Backoffs;
-use crate::decide::fair_share::FairShares;
 use crate::decide::health::Health;
 use crate::decide::link::LinkShare;
 use crate::decide::load::Loads;
@@ -55,7 +54,6 @@
 mod reroute;
 mod select;
 mod send;
-mod share;
 mod stream;
 pub(crate) mod view;
 mod wait;
@@ -84,7 +82,6 @@
 /// Mutable state that requests share.
 struct Shared {
     loads: Loads,
-    fair_shares: FairShares,
     admission: Admission,
     health: Health,
     retry_budget: RetryBudget,
@@ -183,7 +180,6 @@
             view: ArcSwap::from_pointee(View::new()),
             shared: Mutex::new(Shared {
                 loads: Loads::default(),
-                fair_shares: FairShares::default(),
                 admission: Admission::default(),
                 health: Health::default(),
                 retry_budget,
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -6,7 +6,6 @@
 
 use super::pool::{self, HealthPolicy, Pool};
 use super::proxy::Via;
-use super::share::TokenUse;
 use super::view::{Upstream, View, of_service};
 use super::{Entry, Shared};
 use crate::clock::Time;
@@ -54,8 +53,6 @@
     avoided: Vec<u64>,
     work: Work,
     pub(super) selected_at: Time,
-    /// Held until the end of the attempt.
-    _tokens: Option<TokenUse>,
 }
 
 impl Drop for Selection {
@@ -72,12 +69,6 @@
 }
 
 impl Selection {
-    /// Counts the tokens of the attempt until the selection is dropped.
-    pub(super) fn hold(mut self, tokens: Option<TokenUse>) -> Self {
-        self._tokens = tokens;
-        self
-    }
-
     /// Whether the attempt passes through an upstream.
     pub(super) fn passes_through(&self, upstream: u64) -> bool {
         self.booked.iter().any(|(key, _)| *key == upstream)
@@ -412,7 +403,6 @@
             avoided: Vec::new(),
             work,
             selected_at: self.now(),
-            _tokens: None,
         }
     }
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -73,8 +73,6 @@
 pub(crate) const HEARTBEAT_STALE: Event = event(312, "heartbeat_stale");
 /// A controller received a sync request after a newer one of the same entry instance.
 pub(crate) const SYNC_OUTDATED: Event = event(313, "sync_outdated");
-/// An organisation uses more than its fair share while others are short of room.
-pub(crate) const ORGANISATION_HEAVY: Event = event(314, "organisation_heavy");
 /// A request was refused.
 pub(crate) const REQUEST_REFUSED: Event = event(401, "request_refused");
 /// An attempt failed and the request continues on another path.
@@ -178,7 +176,6 @@
     ORDER_ENDED,
     HEARTBEAT_STALE,
     SYNC_OUTDATED,
-    ORGANISATION_HEAVY,
     REQUEST_REFUSED,
     REQUEST_RESUMED,
     REQUEST_FAILED,
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -39,8 +39,6 @@
 pub(crate) const WAITING_REQUESTS: Metric = metric("entry_waiting", &[]);
 /// Number of shares into which the capacity of the engines is divided.
 pub(crate) const CAPACITY_SHARERS: Metric = metric("entry_room_sharers", &[]);
-/// Organisations that use more than their fair share while others are short of room.
-pub(crate) const HEAVY_ORGANISATIONS: Metric = metric("entry_heavy_organisations", &[]);
 /// Requests with a rank, by how they found capacity at first.
 pub(crate) const RANK_REQUESTS: Metric = metric("entry_rank_requests_total", &["rank", "outcome"]);
 /// Fraction of the engines' memory that requests of a rank leave free for more urgent ones.
@@ -118,7 +116,6 @@
     RUNNING_REQUESTS,
     WAITING_REQUESTS,
     CAPACITY_SHARERS,
-    HEAVY_ORGANISATIONS,
     RANK_REQUESTS,
     RANK_RESERVE,
     UPSTREAMS,
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -23,7 +23,6 @@
 mod admission;
 mod backoff;
 mod demand;
-mod fair_share;
 mod migration;
 mod overload;
 mod pace;
