--- a/src/sync.rs
+++ b/src/sync.rs
@@ -68,9 +68,6 @@
     /// Demand of the sender's requests by rank, at services that rank them.
     #[prost(message, repeated, tag = "16")]
     pub(crate) ranks: Vec<RankDemand>,
-    /// Demand of the sender's requests by rank and organisation, at services that rank them.
-    #[prost(message, repeated, tag = "17")]
-    pub(crate) organisations: Vec<OrganisationDemand>,
 }
 
 /// Number of requests to a service by rank, between two reports.
@@ -89,40 +86,6 @@
     pub(crate) refused: Vec<u32>,
 }
 
-/// Demand of one organisation's requests of one rank to a service.
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct OrganisationDemand {
-    #[prost(string, tag = "1")]
-    pub(crate) service: String,
-    #[prost(uint32, tag = "2")]
-    pub(crate) rank: u32,
-    #[prost(string, tag = "3")]
-    pub(crate) organisation: String,
-    /// Tokens of the requests in flight.
-    #[prost(uint32, tag = "4")]
-    pub(crate) tokens: u32,
-    /// Requests that asked for room between two reports.
-    #[prost(uint32, tag = "5")]
-    pub(crate) asked: u32,
-    /// Requests that found no room at once between two reports.
-    #[prost(uint32, tag = "6")]
-    pub(crate) short: u32,
-}
-
-/// An organisation that uses more than its fair share in a rank while others are short of room.
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct HeavyOrganisation {
-    #[prost(string, tag = "1")]
-    pub(crate) service: String,
-    #[prost(uint32, tag = "2")]
-    pub(crate) rank: u32,
-    #[prost(string, tag = "3")]
-    pub(crate) organisation: String,
-    /// Fraction of the requests of the organisations below their share that found no room at once.
-    #[prost(float, tag = "4")]
-    pub(crate) short: f32,
-}
-
 /// Latest update of an upstream's rate limit.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct LimitRecord {
@@ -296,8 +259,6 @@
     /// Sums of the demand by rank of all instances.
     #[prost(message, repeated, tag = "3")]
     pub(crate) ranks: Vec<RankDemand>,
-    #[prost(message, repeated, tag = "4")]
-    pub(crate) heavy: Vec<HeavyOrganisation>,
 }
 
 /// Changes of the leader's roster after a revision.
