--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -252,7 +252,6 @@
             loads: others.collect(),
             room_requests: self.room_requests,
             ranks: self.ranks.encode(),
-            ..FleetLoad::default()
         })
     }
 
