--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -50,6 +50,7 @@
 mod plain;
 pub(crate) mod pool;
 pub(crate) mod proxy;
+mod rank;
 mod reach;
 mod reroute;
 mod select;
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -155,7 +155,10 @@
         Some(line) if found(line) => format!("found room after {} ms", line.number("waited_ms")),
         Some(line) => format!("found no room in {} ms", line.number("waited_ms")),
     };
-    format!("rank: {rank}, {waited}\n")
+    let reserve = |l: &&Line| l.fields.get("reserve")?.as_f64();
+    let reserve = find(event::REQUEST_WAITED).and_then(reserve);
+    let reserve = reserve.map_or(String::new(), |r| format!(", with a reserve of {r:.2}"));
+    format!("rank: {rank}, {waited}{reserve}\n")
 }
 
 /// Whether a line is about an upstream of the request.
