Look services up in one place, and lock the shared state once a poll

The admission inserted a missing service in two places, each answer and each poll took the lock of the shared state twice, and explain searched for the same line twice. Behaviour is unchanged.

--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -301,11 +301,14 @@
     }
 
     fn counted(&mut self, service: &str) -> &mut RankCounts {
-        if !self.services.contains_key(service) {
-            self.services.insert(service.to_owned(), Service::default());
+        &mut self.service(service).counted
+    }
+
+    fn service(&mut self, name: &str) -> &mut Service {
+        if !self.services.contains_key(name) {
+            self.services.insert(name.to_owned(), Service::default());
         }
-        let service = self.services.get_mut(service).expect("inserted above");
-        &mut service.counted
+        self.services.get_mut(name).expect("inserted above")
     }
 
     /// Closes the present interval and returns its counts, for the leader. Services without any
@@ -326,11 +329,7 @@
     /// Applies the sums over the latest reports of all instances.
     pub(crate) fn update(&mut self, now: Time, fleet: &[(String, RankCounts)]) {
         for (name, counts) in fleet {
-            if !self.services.contains_key(name) {
-                self.services.insert(name.clone(), Service::default());
-            }
-            let service = self.services.get_mut(name).expect("inserted above");
-            service.fleet.apply_sums(now, counts);
+            self.service(name).fleet.apply_sums(now, counts);
         }
         let none = RankCounts::default();
         for (name, service) in &mut self.services {
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -195,27 +195,14 @@
             reply.entries_known.then_some(load.room_requests),
             waiting as u32,
         );
-        drop(shared);
         // Partial sums would understate how many urgent requests are short of room.
         if reply.entries_known {
-            self.apply_ranks(&load.ranks);
+            let decode = |d: &RankDemand| (d.service.clone(), RankCounts::from(d));
+            let ranks: Vec<_> = load.ranks.iter().map(decode).collect();
+            shared.admission.update(self.now(), &ranks);
         }
     }
 
-    /// Applies the demand by rank at all instances.
-    fn apply_ranks(&self, ranks: &[RankDemand]) {
-        let decode = |d: &RankDemand| (d.service.clone(), RankCounts::from(d));
-        let fleet: Vec<_> = ranks.iter().map(decode).collect();
-        self.shared().admission.update(self.now(), &fleet);
-    }
-
-    /// Closes the interval of the counts by rank and encodes them.
-    fn rank_demand(&self) -> Vec<RankDemand> {
-        let counts = self.shared().admission.report(self.now());
-        let encode = |(service, counts): &(String, RankCounts)| counts.demand(service);
-        counts.iter().map(encode).collect()
-    }
-
     /// Upstreams that this instance suspects to be dead, without those of services of which it may
     /// reach none.
     fn witnessed(&self, view: &View, shared: &Shared, now: Time) -> Vec<u64> {
@@ -232,8 +219,11 @@
         let view = self.view();
         let (term, revision) = view.roster();
         let now = self.now();
-        let ranks = self.rank_demand();
-        let shared = self.shared();
+        let mut shared = self.shared();
+        let counts = shared.admission.report(now);
+        let ranks = counts
+            .iter()
+            .map(|(service, counts)| counts.demand(service));
         SyncRequest {
             instance: self.id.0,
             born: self.born,
@@ -246,7 +236,7 @@
             room_requests: shared.loads.demand.local(),
             suspects: self.witnessed(&view, &shared, now),
             carries: !self.gate.is_closed() && shared.reachability.is_whole(),
-            ranks,
+            ranks: ranks.collect(),
             ..SyncRequest::default()
         }
     }
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -148,15 +148,16 @@
     let Some(rank) = own.iter().rev().find_map(rank) else {
         return String::new();
     };
-    let find = |e: event::Event| own.iter().rev().find(|l| l.has_event(e));
+    let mut lines = own.iter().rev();
+    let wait = lines.find(|l| l.has_event(event::REQUEST_WAITED));
     let found = |l: &Line| l.fields.get("found") == Some(&Value::Bool(true));
-    let waited = match find(event::REQUEST_WAITED) {
+    let waited = match wait {
         None => "didn't wait for room".to_owned(),
         Some(line) if found(line) => format!("found room after {} ms", line.number("waited_ms")),
         Some(line) => format!("found no room in {} ms", line.number("waited_ms")),
     };
     let reserve = |l: &&Line| l.fields.get("reserve")?.as_f64();
-    let reserve = find(event::REQUEST_WAITED).and_then(reserve);
+    let reserve = wait.and_then(reserve);
     let reserve = reserve.map_or(String::new(), |r| format!(", with a reserve of {r:.2}"));
     format!("rank: {rank}, {waited}{reserve}\n")
 }
