Log and count each decision of the retry budget

An attempt that the budget forbade looked in event 405 like any other that isn't made, and no line showed by how many instances the limit was divided or how long the process had run. So a restart that forgets, a count that is too low and a charge at the wrong time could not be told apart. Event 423 and entry_retries_total show each decision with its inputs.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -406,13 +406,8 @@
             next = retry::give_up(self.attempts, failure);
         }
         // A request that reached no upstream adds nothing to their load.
-        if next == NextStep::Again && cause != NO_CONNECTION {
-            let now = self.entry.now();
-            let entries = self.entry.view().entry_count();
-            let retry_budget = &mut self.entry.shared().retry_budget;
-            if !retry_budget.try_acquire(now, &self.call.service, entries) {
-                next = retry::give_up(self.attempts, failure);
-            }
+        if next == NextStep::Again && cause != NO_CONNECTION && !self.acquire_retry() {
+            next = retry::give_up(self.attempts, failure);
         }
         let failures = metric::FAILED_ATTEMPTS.name;
         metrics::counter!(failures, "cause" => cause, "next" => next.name()).increment(1);
@@ -432,6 +427,30 @@
         next
     }
 
+    /// Returns whether the retry budget allows another attempt, and if so, takes it.
+    fn acquire_retry(&self) -> bool {
+        let (now, service) = (self.entry.now(), &self.call.service);
+        let instances = self.entry.view().entry_count();
+        let mut shared = self.entry.shared();
+        let granted = shared.retry_budget.try_acquire(now, service, instances);
+        let left = shared.retry_budget.remaining(now, service, instances);
+        drop(shared);
+        let outcome = if granted { "granted" } else { "denied" };
+        metrics::counter!(metric::RETRIES.name, "service" => service.clone(), "outcome" => outcome)
+            .increment(1);
+        tracing::info!(
+            event = event::RETRY_DECIDED.id,
+            attempt = self.call.attempt,
+            service,
+            outcome,
+            left,
+            instances,
+            up_ms = millis(now.since(self.entry.started)),
+            "retry decided"
+        );
+        granted
+    }
+
     fn timed_out(&self) -> RunError {
         match self.attempts.may_have_run {
             0 => RunError::NotRun(Reason::NotRun),
--- a/src/event.rs
+++ b/src/event.rs
@@ -117,6 +117,8 @@
 pub(crate) const UPSTREAM_LEAVING: Event = event(421, "upstream_leaving");
 /// A request in the queue for capacity was displaced by a more urgent one.
 pub(crate) const RANK_DISPLACED: Event = event(422, "rank_displaced");
+/// The retry budget granted or denied another attempt.
+pub(crate) const RETRY_DECIDED: Event = event(423, "retry_decided");
 /// This voter became the leader of a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter is no longer the leader of a group.
@@ -198,6 +200,7 @@
     PAUSE_REQUESTED,
     UPSTREAM_LEAVING,
     RANK_DISPLACED,
+    RETRY_DECIDED,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -29,6 +29,8 @@
 /// Attempts that failed.
 pub(crate) const FAILED_ATTEMPTS: Metric =
     metric("entry_failed_attempts_total", &["cause", "next"]);
+/// Retries that the budget was asked for.
+pub(crate) const RETRIES: Metric = metric("entry_retries_total", &["service", "outcome"]);
 /// Streams that were rerouted around engines.
 pub(crate) const REROUTES: Metric = metric("entry_reroutes_total", &["cause", "taken"]);
 /// Runs that were cut off by an engine crash shortly after they started.
@@ -111,6 +113,7 @@
     STREAM_PAUSE,
     REFUSALS,
     FAILED_ATTEMPTS,
+    RETRIES,
     REROUTES,
     RUNS_CUT_EARLY,
     RUNNING_REQUESTS,
