Add failing tests of the retry limit

Retries of all instances together exceed retryRatio x requests + retrySlack

- after a new leader's first count (entry_count_new_leader: 10 for 73).

--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -12,7 +12,6 @@
 use crate::decide::pick::{self, Candidate};
 use crate::decide::refusal::{self, Reason};
 use crate::decide::retry::{AttemptCounts, Failure, NextStep, next_step};
-use crate::decide::retry_budget::{RetryBudget, RetryLimit};
 use crate::decide::view_wait;
 use crate::decide::waiting::{self, QueueTiming};
 use crate::platform::configuration::decode;
@@ -32,6 +31,7 @@
 mod rank;
 mod rate;
 mod reachability;
+mod retry_budget;
 mod suspicion;
 mod wait_queue;
 
@@ -75,43 +75,6 @@
     assert_eq!(step, NextStep::Fail);
 }
 
-/// Guards against exceeding the limit when many engines fail at once and each instance sees only
-/// its own requests.
-#[test]
-fn try_acquire_bounded() {
-    let limit = RetryLimit {
-        ratio: 0.2,
-        slack: 200.0,
-        window: Duration::from_secs(10),
-    };
-    let mut taken = 0;
-    for _ in 0..10 {
-        let mut budget = RetryBudget::new(limit);
-        for i in 0..100 {
-            budget.record_request(at(i), "models");
-            taken += u32::from(budget.try_acquire(at(i), "models", 10));
-            taken += u32::from(budget.try_acquire(at(i), "models", 10));
-        }
-    }
-    assert!(
-        taken > 200 && f64::from(taken) <= 0.2 * 1000.0 + 200.0,
-        "{taken}"
-    );
-}
-
-#[test]
-fn try_acquire_window_slides() {
-    let limit = RetryLimit {
-        ratio: 0.0,
-        slack: 4.0,
-        window: Duration::from_secs(10),
-    };
-    let mut budget = RetryBudget::new(limit);
-    assert!((0..3).all(|_| budget.try_acquire(at(0), "s", 1)));
-    assert!(!budget.try_acquire(at(9_999), "s", 1));
-    assert!(budget.try_acquire(at(10_000), "s", 1));
-}
-
 #[test]
 fn record_failure_doubles() {
     let mut health = Health::default();
--- /dev/null
+++ b/src/tests/decide/retry_budget.rs
@@ -0,0 +1,129 @@
+//! Tests of [`crate::decide::retry_budget`].
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use super::super::at;
+use crate::clock::Time;
+use crate::decide::retry_budget::{RetryBudget, RetryLimit};
+
+const LIMIT: RetryLimit = RetryLimit {
+    ratio: 0.2,
+    slack: 330.0,
+    window: Duration::from_secs(10),
+};
+
+const INSTANCES: u32 = 73;
+
+/// Requests and retries that a service received from all instances, in order of time.
+#[derive(Default)]
+struct Arrivals {
+    requests: Vec<Time>,
+    retries: Vec<Time>,
+}
+
+impl Arrivals {
+    /// Asserts that the retries of each window are within [`LIMIT`].
+    fn assert_bounded(&self) {
+        for &start in &self.retries {
+            let count = |times: &[Time]| {
+                let until = start + LIMIT.window;
+                times.iter().filter(|&&t| t >= start && t < until).count() as f64
+            };
+            let (retries, requests) = (count(&self.retries), count(&self.requests));
+            let allowed = LIMIT.ratio * requests + LIMIT.slack;
+            assert!(
+                retries <= allowed,
+                "{retries} retries from {start:?} on for {requests} requests, {allowed} allowed"
+            );
+        }
+    }
+}
+
+/// Guards against exceeding the limit when instances restart in series while most attempts fail:
+/// a new process knows nothing of the retries that the previous one sent.
+#[rstest]
+#[case::most_in_series(44, &[4_000, 6_500, 9_000, 11_500])]
+#[case::all_once(INSTANCES, &[8_000])]
+#[case::all_in_short_series(INSTANCES, &[8_000, 9_000, 10_000, 11_000, 12_000])]
+fn try_acquire_restarts(#[case] killed: u32, #[case] kills: &[u64]) {
+    let start = || RetryBudget::new(LIMIT);
+    let mut budgets: Vec<_> = (0..INSTANCES).map(|_| start()).collect();
+    let mut arrivals = Arrivals::default();
+    for now in (0..25_000).step_by(20) {
+        for (i, budget) in (0..).zip(&mut budgets) {
+            if kills.contains(&now) && i < killed {
+                *budget = start();
+            }
+            // Each instance receives 3.1 requests a second, and 9 in 10 attempts fail.
+            if (now / 20 + i as u64) % 16 != 0 {
+                continue;
+            }
+            budget.record_request(at(now), "models");
+            arrivals.requests.push(at(now));
+            let fails = (now / 320 + i as u64) % 10 != 0;
+            if fails && budget.try_acquire(at(now), "models", INSTANCES) {
+                arrivals.retries.push(at(now));
+            }
+        }
+    }
+    assert!(arrivals.retries.len() > 500, "{}", arrivals.retries.len());
+    arrivals.assert_bounded();
+}
+
+/// Guards against exceeding the limit when retries that waited for room arrive together with those
+/// of the next window.
+#[test]
+fn try_acquire_delayed() {
+    const ROOM_AT: u64 = 10_000;
+    let mut budget = RetryBudget::new(LIMIT);
+    let mut arrivals = Arrivals::default();
+    for now in 0..20_000 {
+        if now % 5 == 0 {
+            budget.record_request(at(now), "models");
+            arrivals.requests.push(at(now));
+        }
+        if budget.try_acquire(at(now), "models", 1) {
+            arrivals.retries.push(at(now.max(ROOM_AT)));
+        }
+    }
+    arrivals.assert_bounded();
+}
+
+/// Guards against exceeding the limit when many engines fail at once and each instance sees only
+/// its own requests.
+#[test]
+fn try_acquire_bounded() {
+    let limit = RetryLimit {
+        ratio: 0.2,
+        slack: 200.0,
+        window: Duration::from_secs(10),
+    };
+    let mut taken = 0;
+    for _ in 0..10 {
+        let mut budget = RetryBudget::new(limit);
+        for i in 0..100 {
+            budget.record_request(at(i), "models");
+            taken += u32::from(budget.try_acquire(at(i), "models", 10));
+            taken += u32::from(budget.try_acquire(at(i), "models", 10));
+        }
+    }
+    assert!(
+        taken > 200 && f64::from(taken) <= 0.2 * 1000.0 + 200.0,
+        "{taken}"
+    );
+}
+
+#[test]
+fn try_acquire_window_slides() {
+    let limit = RetryLimit {
+        ratio: 0.0,
+        slack: 4.0,
+        window: Duration::from_secs(10),
+    };
+    let mut budget = RetryBudget::new(limit);
+    assert!((0..3).all(|_| budget.try_acquire(at(0), "s", 1)));
+    assert!(!budget.try_acquire(at(9_999), "s", 1));
+    assert!(budget.try_acquire(at(10_000), "s", 1));
+}
--- a/src/tests/view.rs
+++ b/src/tests/view.rs
@@ -245,3 +245,22 @@
     assert!(apply(&mut view, at(510), ask(&mut leader, 510, 1)));
     assert_eq!(view.entry_count(), 3);
 }
+
+/// Guards against dividing the retry limit by the count of a new leader that only a few instances
+/// have polled: each of those would use the part of several.
+#[test]
+fn entry_count_new_leader() {
+    let counted = |term, entries| SyncReply {
+        entries_known: true,
+        entries,
+        ..with(roster(term, 1, true, &[]))
+    };
+    let mut view = View::new();
+    assert!(apply(&mut view, at(0), counted(1, 73)));
+    assert!(apply(&mut view, at(1_000), counted(2, 10)));
+    assert_eq!(view.entry_count(), 73);
+    assert!(apply(&mut view, at(10_900), counted(2, 10)));
+    assert_eq!(view.entry_count(), 73);
+    assert!(apply(&mut view, at(11_100), counted(2, 10)));
+    assert_eq!(view.entry_count(), 10);
+}
