Use the fixed number of retries gradually after a start

Cause: each process began with empty windows and its whole part of the fixed number, although its predecessor's retries count for a window more. A series of restarts multiplied the number; the quarter that was kept back covers one restart of a third of the instances.

Change: within the window after its start a process uses only what an established one leaves, in proportion to the time since. Any series of restarts then sums to the fixed number at most. The share of the requests isn't touched: each process knows the requests that it received.

Evidence: try_acquire_restarts failed before (796, 904 and 920 retries, 786 allowed) and passes. The tests start at 20 s of the simulated clock now, since instances that start at 0 would not be established; their checks are unchanged.

--- a/src/decide/retry_budget.rs
+++ b/src/decide/retry_budget.rs
@@ -4,6 +4,11 @@
 //! overload the engines that are left. The operator limits the retries of all instances
 //! together over a sliding window, to a share of the requests plus a fixed number. Each
 //! instance uses its own part, so requests need no coordination between instances.
+//!
+//! An instance that restarts doesn't know what its predecessor sent. Retries of both count
+//! within the same window, so for the length of one window a new process uses only the part of
+//! the fixed number that an established one leaves, and uses it gradually: then any series of
+//! restarts uses it once.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -11,10 +16,13 @@
 use crate::clock::Time;
 use crate::collections::HashMap;
 
-/// Fraction of the limit that is used. The rest covers instances that restart and lose
-/// their counts.
+/// Fraction of the limit that an established instance uses.
 const UTILISATION: f64 = 0.75;
 
+/// Fraction of the fixed number that an instance uses within the window after its start, in
+/// proportion to the time since then.
+const START_UTILISATION: f64 = 1.0 - UTILISATION;
+
 /// Limit on the retries of all instances together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct RetryLimit {
@@ -36,13 +44,16 @@
 #[derive(Debug)]
 pub(crate) struct RetryBudget {
     limit: RetryLimit,
+    /// Start of this process.
+    started: Time,
     services: HashMap<String, Window>,
 }
 
 impl RetryBudget {
-    pub(crate) fn new(limit: RetryLimit) -> Self {
+    pub(crate) fn new(limit: RetryLimit, started: Time) -> Self {
         Self {
             limit,
+            started,
             services: HashMap::default(),
         }
     }
@@ -68,14 +79,24 @@
     /// Number of retries to a service that are left at `now`.
     pub(crate) fn remaining(&mut self, now: Time, service: &str, instances: u32) -> f64 {
         let limit = self.limit;
+        let slack = self.slack_utilisation(now) * limit.slack / f64::from(instances.max(1));
         let window = self.window(service);
         evict(&mut window.requests, now, limit.window);
         evict(&mut window.retries, now, limit.window);
-        let slack = limit.slack / f64::from(instances.max(1));
-        UTILISATION * (limit.ratio * window.requests.len() as f64 + slack)
+        UTILISATION * limit.ratio * window.requests.len() as f64 + slack
             - window.retries.len() as f64
     }
 
+    /// Fraction of the fixed number that may be used at `now`.
+    fn slack_utilisation(&self, now: Time) -> f64 {
+        let up = now.since(self.started).div_duration_f64(self.limit.window);
+        if up < 1.0 {
+            START_UTILISATION * up
+        } else {
+            UTILISATION
+        }
+    }
+
     fn window(&mut self, service: &str) -> &mut Window {
         if !self.services.contains_key(service) {
             self.services.insert(service.to_owned(), Window::default());
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -163,11 +163,12 @@
 impl Entry {
     fn new(settings: &RoleSettings, boot: Boot, runtime: tokio::runtime::Handle) -> Self {
         let bounds = boot.bounds;
-        let retry_budget = RetryBudget::new(RetryLimit {
+        let started = SystemClock.now();
+        let retry_limit = RetryLimit {
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack,
             window: bounds.retry_window,
-        });
+        };
         let key = FleetKey::new(role::FLEET_SECRET);
         Self {
             id: role::instance_id(boot.ip),
@@ -183,8 +184,8 @@
                 loads: Loads::default(),
                 admission: Admission::default(),
                 health: Health::default(),
-                retry_budget,
-                link: LinkShare::new(SystemClock.now()),
+                retry_budget: RetryBudget::new(retry_limit, started),
+                link: LinkShare::new(started),
                 queue_timing: QueueTiming::default(),
                 refusals: RefusalRates::default(),
                 run_history: RunHistory::default(),
@@ -195,7 +196,7 @@
                 proxies: Proxies::default(),
             }),
             gate: Arc::default(),
-            started: SystemClock.now(),
+            started,
             born: wall_millis(),
             view_changed: Notify::new(),
             waiters: Waiters::default(),
--- a/src/tests/decide/retry_budget.rs
+++ b/src/tests/decide/retry_budget.rs
@@ -16,6 +16,9 @@
 
 const INSTANCES: u32 = 73;
 
+/// Milliseconds after which an instance that started at 0 is established.
+const ESTABLISHED: u64 = 20_000;
+
 /// Requests and retries that a service received from all instances, in order of time.
 #[derive(Default)]
 struct Arrivals {
@@ -48,13 +51,15 @@
 #[case::all_once(INSTANCES, &[8_000])]
 #[case::all_in_short_series(INSTANCES, &[8_000, 9_000, 10_000, 11_000, 12_000])]
 fn try_acquire_restarts(#[case] killed: u32, #[case] kills: &[u64]) {
-    let start = || RetryBudget::new(LIMIT);
-    let mut budgets: Vec<_> = (0..INSTANCES).map(|_| start()).collect();
+    let start = |now| RetryBudget::new(LIMIT, at(now));
+    let mut budgets: Vec<_> = (0..INSTANCES).map(|_| start(0)).collect();
     let mut arrivals = Arrivals::default();
-    for now in (0..25_000).step_by(20) {
+    let kills = kills.iter().map(|kill| kill + ESTABLISHED);
+    let kills: Vec<_> = kills.collect();
+    for now in (ESTABLISHED..ESTABLISHED + 25_000).step_by(20) {
         for (i, budget) in (0..).zip(&mut budgets) {
             if kills.contains(&now) && i < killed {
-                *budget = start();
+                *budget = start(now);
             }
             // Each instance receives 3.1 requests a second, and 9 in 10 attempts fail.
             if (now / 20 + i as u64) % 16 != 0 {
@@ -76,10 +81,10 @@
 /// of the next window.
 #[test]
 fn try_acquire_delayed() {
-    const ROOM_AT: u64 = 10_000;
-    let mut budget = RetryBudget::new(LIMIT);
+    const ROOM_AT: u64 = ESTABLISHED + 10_000;
+    let mut budget = RetryBudget::new(LIMIT, at(0));
     let mut arrivals = Arrivals::default();
-    for now in 0..20_000 {
+    for now in ESTABLISHED..ESTABLISHED + 20_000 {
         if now % 5 == 0 {
             budget.record_request(at(now), "models");
             arrivals.requests.push(at(now));
@@ -102,8 +107,8 @@
     };
     let mut taken = 0;
     for _ in 0..10 {
-        let mut budget = RetryBudget::new(limit);
-        for i in 0..100 {
+        let mut budget = RetryBudget::new(limit, at(0));
+        for i in ESTABLISHED..ESTABLISHED + 100 {
             budget.record_request(at(i), "models");
             taken += u32::from(budget.try_acquire(at(i), "models", 10));
             taken += u32::from(budget.try_acquire(at(i), "models", 10));
@@ -122,8 +127,8 @@
         slack: 4.0,
         window: Duration::from_secs(10),
     };
-    let mut budget = RetryBudget::new(limit);
-    assert!((0..3).all(|_| budget.try_acquire(at(0), "s", 1)));
-    assert!(!budget.try_acquire(at(9_999), "s", 1));
-    assert!(budget.try_acquire(at(10_000), "s", 1));
+    let mut budget = RetryBudget::new(limit, at(0));
+    assert!((0..3).all(|_| budget.try_acquire(at(ESTABLISHED), "s", 1)));
+    assert!(!budget.try_acquire(at(ESTABLISHED + 9_999), "s", 1));
+    assert!(budget.try_acquire(at(ESTABLISHED + 10_000), "s", 1));
 }
