Divide limits by the largest count of instances within the window

Cause: a new leader counts the instances that have polled it within 300 ms, and a leader drops one after 2 s of silence. Each instance divided the limit on retries, and each upstream's rate limit, by the latest such count, while the retries of those that were not counted still count for the window, and while these still send.

Change: limits are divided by the largest count that was in force within the window of the limits (retryWindowS). Room on the engines and on links goes by the latest count as before: its parts are no bound over a window, and the instances that are left need the room of lost ones.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod backoff;
 pub(crate) mod demand;
 pub(crate) mod health;
+pub(crate) mod instance_count;
 pub(crate) mod link;
 pub(crate) mod load;
 pub(crate) mod members;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -179,7 +179,7 @@
             lease: role::key_lease(&boot),
             settings: settings.clone(),
             clock: Arc::new(SystemClock),
-            view: ArcSwap::from_pointee(View::new()),
+            view: ArcSwap::from_pointee(View::new(bounds.retry_window)),
             shared: Mutex::new(Shared {
                 loads: Loads::default(),
                 admission: Admission::default(),
@@ -255,7 +255,7 @@
     /// Number of shares into which the room on the engines is divided, for a request without
     /// rank.
     fn sharers(&self) -> f64 {
-        let instances = self.view().entry_count();
+        let instances = self.view().active_entries();
         self.shared().loads.demand.sharers(instances, 1.0)
     }
 
--- a/src/entry/reach.rs
+++ b/src/entry/reach.rs
@@ -154,7 +154,7 @@
         let (entry, service) = (Arc::clone(self), service.to_owned());
         tokio::spawn(async move {
             while entry.must_watch(&service) {
-                let instances = entry.view().entry_count().max(CHECK_INSTANCES);
+                let instances = entry.view().active_entries().max(CHECK_INSTANCES);
                 sleep(CHECK_INTERVAL * instances / CHECK_INSTANCES).await;
                 entry.check_unreached(&service).await;
             }
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -191,7 +191,7 @@
                 .filter(|_| usable(u))
                 .map(|factor| factor * penalty)
         };
-        let (services, instances) = (&view.services, view.entry_count());
+        let (services, instances) = (&view.services, view.active_entries());
         let share = share.unwrap_or(1.0);
         Pool::new(
             services,
@@ -367,7 +367,7 @@
                 let crossings = path::crossings(&pool.candidates, &hops) as f64;
                 let occupied = crossings * work.link_ms();
                 let link = &mut self.shared().link;
-                let free = link.try_acquire(now, view.entry_count(), occupied);
+                let free = link.try_acquire(now, view.active_entries(), occupied);
                 if free { Ok(hops) } else { Err(NoPath::Full) }
             });
         }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -8,6 +8,7 @@
 use crate::clock::Time;
 use crate::collections::{HashMap, HashSet};
 use crate::configuration::{Limits, RoutingTable};
+use crate::decide::instance_count::InstanceCounts;
 use crate::decide::run_history::EngineStart;
 use crate::fingerprint::Fingerprint;
 use crate::platform::configuration;
@@ -71,8 +72,8 @@
     pub(crate) services: Arc<Services>,
     /// Time until which keys may be used.
     pub(crate) lease_end: Time,
-    /// Number of entry instances in a leader's latest count.
-    counted: Option<u32>,
+    /// Number of entry instances, as counted by leaders.
+    counts: InstanceCounts,
     term: u64,
     revision: u64,
     /// Whether `services` holds every live upstream.
@@ -107,13 +108,13 @@
 }
 
 impl View {
-    /// An empty view.
-    pub(crate) fn new() -> Self {
+    /// An empty view. Limits hold over windows of at most `window`.
+    pub(crate) fn new(window: Duration) -> Self {
         Self {
             table: None,
             services: Arc::default(),
             lease_end: Time::default(),
-            counted: None,
+            counts: InstanceCounts::new(window),
             term: 0,
             revision: 0,
             complete: false,
@@ -151,14 +152,19 @@
         (self.term, self.revision)
     }
 
-    /// Number of entry instances that share the limits.
+    /// Number of entry instances that share the limits over a window.
     pub(crate) fn entry_count(&self) -> u32 {
-        self.counted.unwrap_or(ASSUMED_ENTRIES)
+        self.counts.largest().unwrap_or(ASSUMED_ENTRIES)
     }
 
-    /// Number of entry instances as counted by a leader; `None` before the first count.
+    /// Number of entry instances that share the room on the engines.
+    pub(crate) fn active_entries(&self) -> u32 {
+        self.counted_entries().unwrap_or(ASSUMED_ENTRIES)
+    }
+
+    /// Number of entry instances in a leader's latest count; `None` before the first count.
     pub(crate) fn counted_entries(&self) -> Option<u32> {
-        self.counted
+        self.counts.latest()
     }
 
     /// Whether the roster holds every live upstream.
@@ -235,7 +241,7 @@
             self.merge_roster(record);
         }
         if reply.entries_known {
-            self.counted = Some(reply.entries.max(1));
+            self.counts.record(sent, reply.entries.max(1));
         }
         let fingerprints = reply.suspects.iter();
         let fingerprints = fingerprints.filter_map(|f| Fingerprint::try_from(&**f).ok());
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -22,6 +22,7 @@
 mod admission;
 mod backoff;
 mod demand;
+mod instance_count;
 mod migration;
 mod overload;
 mod pace;
--- a/src/tests/decide/retry_budget.rs
+++ b/src/tests/decide/retry_budget.rs
@@ -62,12 +62,12 @@
                 *budget = start(now);
             }
             // Each instance receives 3.1 requests a second, and 9 in 10 attempts fail.
-            if (now / 20 + i as u64) % 16 != 0 {
+            if !(now / 20 + i as u64).is_multiple_of(16) {
                 continue;
             }
             budget.record_request(at(now), "models");
             arrivals.requests.push(at(now));
-            let fails = (now / 320 + i as u64) % 10 != 0;
+            let fails = !(now / 320 + i as u64).is_multiple_of(10);
             if fails && budget.try_acquire(at(now), "models", INSTANCES) {
                 arrivals.retries.push(at(now));
             }
@@ -85,7 +85,7 @@
     let mut budget = RetryBudget::new(LIMIT, at(0));
     let mut arrivals = Arrivals::default();
     for now in ESTABLISHED..ESTABLISHED + 20_000 {
-        if now % 5 == 0 {
+        if now.is_multiple_of(5) {
             budget.record_request(at(now), "models");
             arrivals.requests.push(at(now));
         }
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -411,7 +411,7 @@
     for i in 0..3000 {
         leader.announce(at(1), member(i, 1));
     }
-    let mut view = View::new();
+    let mut view = View::new(Duration::from_secs(10));
     let most = sync_fully(&mut leader, at(10), &mut view, &register);
     assert_eq!(known_ids(&view).len(), 3000);
     assert!(most < 16_000, "{most} bytes in one answer");
@@ -429,7 +429,10 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let (register, _) = Register::new();
         let mut leader = LeaderState::new(HEARTBEAT);
-        let mut views = [View::new(), View::new()];
+        let mut views = [
+            View::new(Duration::from_secs(10)),
+            View::new(Duration::from_secs(10)),
+        ];
         let (mut term, mut now) = (1, 0);
         leader.enter_term(at(now), term, &register);
         for step in 1..600 {
@@ -481,7 +484,7 @@
     let mut leader = LeaderState::new(HEARTBEAT);
     leader.enter_term(at(0), 1, &register);
     leader.announce(at(1), member(0, 1));
-    let mut view = View::new();
+    let mut view = View::new(Duration::from_secs(10));
     sync_fully(&mut leader, at(4000), &mut view, &register);
     assert_eq!(known_ids(&view), ["i-0000"]);
     leader.tick(at(5000));
--- a/src/tests/view.rs
+++ b/src/tests/view.rs
@@ -12,6 +12,9 @@
 use crate::register::{Departed, Register};
 use crate::sync::{RosterDelta, SyncReply, SyncRequest, UpstreamRecord, pack, unpack};
 
+/// Window of the limits.
+const WINDOW: Duration = Duration::from_secs(10);
+
 const LEASE: Duration = Duration::from_millis(3500);
 
 fn state(version: u64) -> SyncReply {
@@ -69,7 +72,7 @@
 fn apply_lease_from_sending() {
     // The response comes late, and the leader's confirmation was already old. A key may be
     // revoked meanwhile, so the lease counts from the confirmation.
-    let mut view = View::new();
+    let mut view = View::new(WINDOW);
     let state = SyncReply {
         age: 500_000,
         ..state(7)
@@ -81,7 +84,7 @@
 
 #[test]
 fn apply_never_back() {
-    let mut view = View::new();
+    let mut view = View::new(WINDOW);
     apply(&mut view, at(0), state(9));
     assert!(!apply(&mut view, at(100), state(8)));
     assert_eq!(view.version(), 9);
@@ -93,7 +96,7 @@
 
 #[test]
 fn apply_undecodable() {
-    let mut view = View::new();
+    let mut view = View::new(WINDOW);
     apply(&mut view, at(0), state(7));
     let broken = SyncReply {
         body: Some("{".into()),
@@ -109,7 +112,7 @@
 fn apply_other_body(#[case] version: u64, #[case] body: u64) {
     // Guards against a rejected response whose configuration is in force: an older one would
     // restore revoked keys for the rest of the lease.
-    let mut view = View::new();
+    let mut view = View::new(WINDOW);
     assert!(apply(&mut view, at(0), state(7)));
     let other = SyncReply {
         version,
@@ -124,7 +127,7 @@
 fn apply_new_leader_keeps() {
     // A new leader knows only some engines when it is first polled. The others still serve: if
     // they were dropped, most requests would be refused for seconds.
-    let mut view = View::new();
+    let mut view = View::new(WINDOW);
     apply(&mut view, at(0), with(roster(1, 5, true, &["a", "b", "c"])));
     let mut partial = roster(2, 2, false, &["a"]);
     partial.departed.push(Departed {
@@ -143,7 +146,7 @@
 fn apply_part_by_part() {
     // A new leader reports a large fleet in several responses. Upstreams that it hasn't reported
     // yet still serve, and those of earlier parts stay when the last part doesn't name them.
-    let mut view = View::new();
+    let mut view = View::new(WINDOW);
     apply(&mut view, at(0), with(roster(1, 9, true, &["a", "b", "c"])));
     let mut first = roster(2, 1, false, &["a"]);
     first.more = true;
@@ -160,7 +163,7 @@
 #[test]
 fn apply_changes_only() {
     // One engine leaves and one joins: the response names only these two, and the others stay.
-    let mut view = View::new();
+    let mut view = View::new(WINDOW);
     apply(&mut view, at(0), with(roster(1, 3, true, &["a", "b"])));
     let mut change = roster(1, 5, true, &["c"]);
     change.since = 3;
@@ -172,7 +175,7 @@
 #[test]
 fn apply_out_of_sequence() {
     // A part of the roster is lost in transit. Applying the next one would skip its changes.
-    let mut view = View::new();
+    let mut view = View::new(WINDOW);
     apply(&mut view, at(0), with(roster(1, 3, true, &["a"])));
     let mut change = roster(1, 6, true, &["c"]);
     change.since = 5;
@@ -182,7 +185,7 @@
 
 #[test]
 fn apply_deposed_leader() {
-    let mut view = View::new();
+    let mut view = View::new(WINDOW);
     apply(&mut view, at(0), with(roster(3, 2, true, &["a"])));
     assert!(!apply(
         &mut view,
@@ -232,7 +235,7 @@
         };
         handle_sync(leader, at(now), ask, &register).unwrap()
     };
-    let mut view = View::new();
+    let mut view = View::new(WINDOW);
     assert!(apply(&mut view, at(10), ask(&mut leader, 10, 1)));
     assert_eq!(view.counted_entries(), None);
     assert!(view.entry_count() > 50);
@@ -255,7 +258,7 @@
         entries,
         ..with(roster(term, 1, true, &[]))
     };
-    let mut view = View::new();
+    let mut view = View::new(WINDOW);
     assert!(apply(&mut view, at(0), counted(1, 73)));
     assert!(apply(&mut view, at(1_000), counted(2, 10)));
     assert_eq!(view.entry_count(), 73);
