Count a retry from when it is sent

What users saw: more retries than the limit allows in some window.

Those charged in one window arrived together with those of the next.

Change: a granted retry counts against the limit until it is sent, and for one window from then on. One that isn't sent is taken back when its request ends; after a failed connection it is used by the next attempt.

Evidence: try_acquire_delayed failed before (1,094 retries in 10 s, 730 allowed) and passes.

--- a/src/decide/retry_budget.rs
+++ b/src/decide/retry_budget.rs
@@ -33,11 +33,21 @@
     pub(crate) window: Duration,
 }
 
-/// Times of one service's requests and retries in the window.
+/// One service's requests and retries in the window.
 #[derive(Debug, Default)]
 struct Window {
     requests: VecDeque<Time>,
+    /// Times at which retries were sent.
     retries: VecDeque<Time>,
+    /// Number of granted retries that were not sent yet.
+    pending: u32,
+}
+
+impl Window {
+    /// Number of retries that count against the limit.
+    fn spent(&self) -> f64 {
+        self.retries.len() as f64 + f64::from(self.pending)
+    }
 }
 
 /// Requests and retries of this instance by service.
@@ -66,16 +76,32 @@
         evict(&mut window.requests, now, length);
     }
 
-    /// Returns whether a retry is left, and if so, counts it against the limit, which
-    /// `instances` share.
+    /// Returns whether a retry is left, and if so, grants it. It counts against the limit, which
+    /// `instances` share, until [`Self::cancel`], or for a window after [`Self::record_sent`].
+    ///
+    /// A retry may wait for room for seconds. If it counted from its grant on, those of one window
+    /// could arrive together with those of the next.
     pub(crate) fn try_acquire(&mut self, now: Time, service: &str, instances: u32) -> bool {
         if self.remaining(now, service, instances) < 1.0 {
             return false;
         }
-        self.window(service).retries.push_back(now);
+        self.window(service).pending += 1;
         true
     }
 
+    /// Records that a granted retry is sent.
+    pub(crate) fn record_sent(&mut self, now: Time, service: &str) {
+        let window = self.window(service);
+        window.pending = window.pending.saturating_sub(1);
+        window.retries.push_back(now);
+    }
+
+    /// Takes back a granted retry that is not sent.
+    pub(crate) fn cancel(&mut self, service: &str) {
+        let window = self.window(service);
+        window.pending = window.pending.saturating_sub(1);
+    }
+
     /// Number of retries to a service that are left at `now`.
     pub(crate) fn remaining(&mut self, now: Time, service: &str, instances: u32) -> f64 {
         let limit = self.limit;
@@ -83,8 +109,7 @@
         let window = self.window(service);
         evict(&mut window.requests, now, limit.window);
         evict(&mut window.retries, now, limit.window);
-        UTILISATION * limit.ratio * window.requests.len() as f64 + slack
-            - window.retries.len() as f64
+        UTILISATION * limit.ratio * window.requests.len() as f64 + slack - window.spent()
     }
 
     /// Fraction of the fixed number that may be used at `now`.
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -14,6 +14,7 @@
 use super::head;
 use super::listen::{error_response, quarantine_body, refuse};
 use super::pool;
+use super::retry::GrantedRetry;
 use super::select::{Exclusions, Selection};
 use super::view::of_service;
 use crate::clock::{Time, millis};
@@ -124,6 +125,8 @@
     /// Number of events with an id received in the current attempt, on a stream.
     pub(super) events: u64,
     pub(super) suspicion: Suspicion,
+    /// The latest retry; `None` in the first attempt.
+    pub(super) retry: Option<GrantedRetry>,
 }
 
 /// Records a request whose future was dropped: its caller disconnected, or the instance ended.
@@ -180,6 +183,7 @@
             last_event,
             events: 0,
             suspicion: Suspicion::default(),
+            retry: None,
         }
     }
 
@@ -427,30 +431,6 @@
         next
     }
 
-    /// Returns whether the retry budget allows another attempt, and if so, takes it.
-    fn acquire_retry(&self) -> bool {
-        let (now, service) = (self.entry.now(), &self.call.service);
-        let instances = self.entry.view().entry_count();
-        let mut shared = self.entry.shared();
-        let granted = shared.retry_budget.try_acquire(now, service, instances);
-        let left = shared.retry_budget.remaining(now, service, instances);
-        drop(shared);
-        let outcome = if granted { "granted" } else { "denied" };
-        metrics::counter!(metric::RETRIES.name, "service" => service.clone(), "outcome" => outcome)
-            .increment(1);
-        tracing::info!(
-            event = event::RETRY_DECIDED.id,
-            attempt = self.call.attempt,
-            service,
-            outcome,
-            left,
-            instances,
-            up_ms = millis(now.since(self.entry.started)),
-            "retry decided"
-        );
-        granted
-    }
-
     fn timed_out(&self) -> RunError {
         match self.attempts.may_have_run {
             0 => RunError::NotRun(Reason::NotRun),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -53,6 +53,7 @@
 mod rank;
 mod reach;
 mod reroute;
+mod retry;
 mod select;
 mod send;
 mod stream;
--- /dev/null
+++ b/src/entry/retry.rs
@@ -0,0 +1,85 @@
+//! Retries that the budget of this instance granted.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use super::Entry;
+use super::attempt::Run;
+use crate::clock::millis;
+use crate::event;
+use crate::metric;
+
+/// A granted retry. It counts against the limit from the grant on, and for a window after it was
+/// sent; one that is dropped unsent no longer counts.
+pub(super) struct GrantedRetry {
+    entry: Arc<Entry>,
+    service: String,
+    sent: AtomicBool,
+}
+
+impl GrantedRetry {
+    /// Whether the retry was sent.
+    fn is_sent(&self) -> bool {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Records that the retry is sent. Only the first call has an effect: a carried attempt is
+    /// offered to several instances, of which one passes it on.
+    fn record_sent(&self) {
+        if !self.sent.swap(true, Ordering::Relaxed) {
+            let now = self.entry.now();
+            let mut shared = self.entry.shared();
+            shared.retry_budget.record_sent(now, &self.service);
+        }
+    }
+}
+
+impl Drop for GrantedRetry {
+    fn drop(&mut self) {
+        if !self.is_sent() {
+            self.entry.shared().retry_budget.cancel(&self.service);
+        }
+    }
+}
+
+impl Run {
+    /// Records that the current attempt is sent, if it is a retry.
+    pub(super) fn record_retry_sent(&self) {
+        if let Some(retry) = &self.retry {
+            retry.record_sent();
+        }
+    }
+
+    /// Returns whether the request may be sent again, and if so, counts a retry unless it has one
+    /// that was not sent.
+    pub(super) fn acquire_retry(&mut self) -> bool {
+        if self.retry.as_ref().is_some_and(|r| !r.is_sent()) {
+            return true;
+        }
+        let (now, service) = (self.entry.now(), &self.call.service);
+        let instances = self.entry.view().entry_count();
+        let mut shared = self.entry.shared();
+        let granted = shared.retry_budget.try_acquire(now, service, instances);
+        let left = shared.retry_budget.remaining(now, service, instances);
+        drop(shared);
+        let outcome = if granted { "granted" } else { "denied" };
+        metrics::counter!(metric::RETRIES.name, "service" => service.clone(), "outcome" => outcome)
+            .increment(1);
+        tracing::info!(
+            event = event::RETRY_DECIDED.id,
+            attempt = self.call.attempt,
+            service,
+            outcome,
+            left,
+            instances,
+            up_ms = millis(now.since(self.entry.started)),
+            "retry decided"
+        );
+        self.retry = granted.then(|| GrantedRetry {
+            entry: Arc::clone(&self.entry),
+            service: service.clone(),
+            sent: AtomicBool::new(false),
+        });
+        granted
+    }
+}
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -81,6 +81,7 @@
         let (service, first) = (&self.call.service, selection.upstream.key);
         let upstream = selection.upstream.clone();
         let request = self.request(&selection);
+        self.record_retry_sent();
         self.log_sent(&selection, None);
         let cutoff = Cutoff::new(None, Arc::clone(&self.entry.clock));
         let sent = self.entry.now();
@@ -113,6 +114,7 @@
             };
             asked.push(via.id);
             let request = self.request(&selection);
+            self.record_retry_sent();
             self.log_sent(&selection, Some(via.id));
             let sent = self.entry.now();
             let upstream = selection.upstream.clone();
--- a/src/tests/decide/retry_budget.rs
+++ b/src/tests/decide/retry_budget.rs
@@ -44,6 +44,15 @@
     }
 }
 
+/// Sends a retry at once if one is left. Returns whether it was sent.
+fn send_retry(budget: &mut RetryBudget, now: u64, service: &str, instances: u32) -> bool {
+    let granted = budget.try_acquire(at(now), service, instances);
+    if granted {
+        budget.record_sent(at(now), service);
+    }
+    granted
+}
+
 /// Guards against exceeding the limit when instances restart in series while most attempts fail:
 /// a new process knows nothing of the retries that the previous one sent.
 #[rstest]
@@ -68,7 +77,7 @@
             budget.record_request(at(now), "models");
             arrivals.requests.push(at(now));
             let fails = !(now / 320 + i as u64).is_multiple_of(10);
-            if fails && budget.try_acquire(at(now), "models", INSTANCES) {
+            if fails && send_retry(budget, now, "models", INSTANCES) {
                 arrivals.retries.push(at(now));
             }
         }
@@ -84,13 +93,18 @@
     const ROOM_AT: u64 = ESTABLISHED + 10_000;
     let mut budget = RetryBudget::new(LIMIT, at(0));
     let mut arrivals = Arrivals::default();
+    let mut waiting = 0;
     for now in ESTABLISHED..ESTABLISHED + 20_000 {
         if now.is_multiple_of(5) {
             budget.record_request(at(now), "models");
             arrivals.requests.push(at(now));
         }
-        if budget.try_acquire(at(now), "models", 1) {
-            arrivals.retries.push(at(now.max(ROOM_AT)));
+        waiting += u32::from(budget.try_acquire(at(now), "models", 1));
+        if now >= ROOM_AT {
+            for _ in 0..std::mem::take(&mut waiting) {
+                budget.record_sent(at(now), "models");
+                arrivals.retries.push(at(now));
+            }
         }
     }
     arrivals.assert_bounded();
@@ -110,8 +124,8 @@
         let mut budget = RetryBudget::new(limit, at(0));
         for i in ESTABLISHED..ESTABLISHED + 100 {
             budget.record_request(at(i), "models");
-            taken += u32::from(budget.try_acquire(at(i), "models", 10));
-            taken += u32::from(budget.try_acquire(at(i), "models", 10));
+            taken += u32::from(send_retry(&mut budget, i, "models", 10));
+            taken += u32::from(send_retry(&mut budget, i, "models", 10));
         }
     }
     assert!(
@@ -128,7 +142,21 @@
         window: Duration::from_secs(10),
     };
     let mut budget = RetryBudget::new(limit, at(0));
-    assert!((0..3).all(|_| budget.try_acquire(at(ESTABLISHED), "s", 1)));
+    assert!((0..3).all(|_| send_retry(&mut budget, ESTABLISHED, "s", 1)));
     assert!(!budget.try_acquire(at(ESTABLISHED + 9_999), "s", 1));
     assert!(budget.try_acquire(at(ESTABLISHED + 10_000), "s", 1));
 }
+
+#[test]
+fn cancel_returns_retry() {
+    let limit = RetryLimit {
+        ratio: 0.0,
+        slack: 2.0,
+        window: Duration::from_secs(10),
+    };
+    let mut budget = RetryBudget::new(limit, at(0));
+    assert!(budget.try_acquire(at(ESTABLISHED), "s", 1));
+    assert!(!budget.try_acquire(at(ESTABLISHED), "s", 1));
+    budget.cancel("s");
+    assert!(budget.try_acquire(at(ESTABLISHED), "s", 1));
+}
