--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -71,6 +71,8 @@
     /// Attempt id from the client.
     pub(super) attempt: String,
     pub(super) fingerprint: Fingerprint,
+    /// Ids of the parts of the prompt that other requests may share.
+    pub(super) parts: Vec<String>,
     /// Name of the caller's organisation; empty on a route without API keys.
     pub(super) organisation: Arc<str>,
     /// `None` if its service doesn't rank requests.
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -24,7 +24,7 @@
 use crate::gate::RunningGuard;
 use crate::http::{self, ReceiveError, ResponseBody};
 use crate::metric;
-use crate::platform::{call, headers};
+use crate::platform::{call, headers, prompt};
 
 /// Timeout for receiving a request body.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -163,6 +163,7 @@
         Call {
             attempt: attempt.to_owned(),
             fingerprint,
+            parts: prompt::shared_parts(&head.headers),
             organisation: organisation.unwrap_or_default().into(),
             rank: table.rank(&service, route, found.organisation),
             route: route.clone(),
--- a/src/tests/platform.rs
+++ b/src/tests/platform.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
+use hyper::HeaderMap;
+use hyper::header::HeaderValue;
 use rstest::rstest;
 
 use crate::configuration::{ConfigurationError, RetryPolicy};
 use crate::decide::path::Hop;
 use crate::platform::boot::Boot;
 use crate::platform::call::Call;
-use crate::platform::{configuration, engine, heartbeat};
+use crate::platform::{configuration, engine, heartbeat, prompt};
 use crate::roster::LayerRange;
 
 const BOOT: &str = r#"
@@ -181,3 +183,28 @@
     let text = engine::encode_path(&hops);
     assert_eq!(text, "10.1.64.9:8080=0-20,10.2.64.3:8080=20-80");
 }
+
+#[rstest]
+#[case::usual(&["5c1e07a2:800,91bd3f06:410,e4402b7d:250"], &["5c1e07a2", "91bd3f06"])]
+#[case::upper_case(&["5C1E07A2:800, 91bd3f06:41 ,e4402b7d:250"], &["5c1e07a2", "91bd3f06"])]
+#[case::only_last(&["e4402b7d:250"], &[])]
+#[case::missing(&[], &[])]
+#[case::empty(&[""], &[])]
+#[case::trailing_comma(&["5c1e07a2:800,e4402b7d:250,"], &["5c1e07a2"])]
+#[case::repeated(&["5c1e07a2:800", "91bd3f06:410,e4402b7d:250"], &["5c1e07a2", "91bd3f06"])]
+#[case::malformed(&["5c1e07a2,:3,xyz:4,91bd3f06:410,e4402b7d:250"], &["91bd3f06"])]
+fn shared_parts_listed(#[case] values: &[&str], #[case] expected: &[&str]) {
+    let mut headers = HeaderMap::new();
+    for value in values {
+        headers.append("x-prefix-hash", HeaderValue::from_str(value).unwrap());
+    }
+    assert_eq!(prompt::shared_parts(&headers), expected);
+}
+
+#[test]
+fn shared_parts_bounded() {
+    let parts: Vec<_> = (0..1_000).map(|i| format!("{i:x}:1")).collect();
+    let mut headers = HeaderMap::new();
+    headers.insert("x-prefix-hash", parts.join(",").parse().unwrap());
+    assert_eq!(prompt::shared_parts(&headers).len(), 64);
+}
