Add a failing test of a prompt part that crashes engines

crashing_part_stopped: requests of which no two are alike share one part that crashes each engine that runs them.

--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -382,6 +382,19 @@
         send(self.post(entry, path, attempt, key), body)
     }
 
+    /// Like [`Deployment::request`], with a body and the parts of the prompt.
+    pub(crate) fn request_with_prompt(
+        &self,
+        entry: usize,
+        path: &str,
+        attempt: &str,
+        body: &str,
+        prompt: &str,
+    ) -> (u16, String) {
+        let request = self.post(entry, path, attempt, KEY);
+        send(request.header("x-prefix-hash", prompt), body)
+    }
+
     /// Like [`Deployment::request`], with `X-Priority-Class` if there is a class.
     pub(crate) fn request_with_class(
         &self,
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -95,13 +95,16 @@
     invalid_paths: Vec<String>,
     /// Organisation and body of requests that crash the engines that run them.
     crash_requests: Vec<(String, String)>,
-    /// When engines received a request of `crash_requests`, by body.
+    /// Parts of prompts that crash the engines that run them.
+    crash_parts: Vec<String>,
+    /// When engines received a request of `crash_requests`, by body, or with one of `crash_parts`,
+    /// by part.
     received: Vec<(Instant, String)>,
     /// Rate limits that engines announce, in requests per second, by engine.
     limits: HashMap<String, f64>,
     /// Arrival times of requests, by engine.
     arrivals: HashMap<String, Vec<Instant>>,
-    /// When engines crashed on a request of `crash_requests`, by body.
+    /// When engines crashed, by the same as in `received`.
     crashes: Vec<(Instant, String)>,
     /// Links from instances to engines.
     pub(crate) links: Links,
@@ -250,6 +253,12 @@
         self.crash_requests.push(request);
     }
 
+    /// Makes each request with this part in its prompt, but not as the last, crash each engine that
+    /// runs it.
+    pub(crate) fn crash_on_part(&mut self, part: &str) {
+        self.crash_parts.push(part.to_owned());
+    }
+
     /// When engines received a request of [`EngineState::crash_on`].
     pub(crate) fn received(&self, body: &str) -> Vec<Instant> {
         times_of(&self.received, body)
@@ -319,13 +328,21 @@
         (0..LAYERS).all(|l| ranges().any(|r| r.0 <= l && l < r.1))
     }
 
-    /// Returns the body of a request if it crashes engines, and records its arrival.
-    fn record_received(&mut self, request: (String, String)) -> Option<String> {
-        if !self.crash_requests.contains(&request) {
-            return None;
-        }
-        self.received.push((Instant::now(), request.1.clone()));
-        Some(request.1)
+    /// Returns the body of a request or the part of its prompt that crashes engines, and records its
+    /// arrival.
+    fn record_received(&mut self, request: (String, String), prompt: &str) -> Option<String> {
+        let (shared, _) = prompt.rsplit_once(',').unwrap_or_default();
+        let ids = shared.split(',').filter_map(|p| Some(p.split_once(':')?.0));
+        let part = ids
+            .into_iter()
+            .find(|id| self.crash_parts.iter().any(|p| p == id));
+        let cause = match part {
+            Some(part) => part.to_owned(),
+            None if self.crash_requests.contains(&request) => request.1,
+            None => return None,
+        };
+        self.received.push((Instant::now(), cause.clone()));
+        Some(cause)
     }
 
     /// Records the path if it is invalid. Returns the first engine on it that doesn't
@@ -595,12 +612,13 @@
     );
     let last: u64 = header("last-event-id").map_or(0, |l| l.parse().unwrap());
     let organisation = header("x-tenant").unwrap_or_default();
+    let prompt = header("x-prefix-hash").unwrap_or_default();
     let body = request.into_body().collect().await;
     let Ok(body) = body.map(http_body_util::Collected::to_bytes) else {
         return full_response(400, "");
     };
     let sent = (organisation, String::from_utf8_lossy(&body).into_owned());
-    let crash_body = state.lock().unwrap().record_received(sent);
+    let crash_body = state.lock().unwrap().record_received(sent, &prompt);
     let refused = path.and_then(|p| state.lock().unwrap().check_path(&p, spec.address));
     if let Some(address) = refused {
         let mut response = full_response(503, "");
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod common;
 
 mod crash;
+mod crash_part;
 mod cut;
 mod deployment;
 mod end_to_end;
