Quarantine parts of prompts that crash engines

Cause: a request was identified by organisation, host, path, query and body, so requests that share only a part of their prompts were all new; none reached the three crashes of a verdict. Class of fault: evidence is collected by an identity that is narrower than the cause.

Change: instances report the parts of the prompts of runs that a crash cut off, all but the last one, and when parts last ran without harm. The leader quarantines a part after three crashes, at two instants at least, that no single request explains and that come after its last harmless run; one more if other engines crashed nearby, and four instants if it ever ran without harm. Of parts that always met it takes the last. As long as one organisation sent it, only that one's prompts are refused; a crash under another's makes it hold for all. The verdict goes the way of those on requests: replicated log, entry instances, lift by operators. Event 314, parts in 412 and in quarantine list.

--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -14,13 +14,15 @@
 use crate::clock::{Time, micros};
 use crate::collections::{HashMap, HashSet};
 use crate::configuration::{Configuration, Model};
+use crate::decide::crashing_parts::{CrashingPart, PartCrashes};
 use crate::decide::load::unit_hash;
 use crate::decide::pace::Rotation;
 use crate::decide::placement::{self, Worker};
 use crate::decide::quarantine::{Crashes, CrashingRequest};
 use crate::decide::rate::RateLimiter;
-use crate::decide::run_history::EngineStart;
+use crate::decide::run_history::{CutRequest, EngineStart};
 use crate::fingerprint::Fingerprint;
+use crate::prompt::Prompt;
 use crate::register::{Quarantined, Register, VersionedConfiguration};
 use crate::relay::HeartbeatDigest;
 use crate::roster::{
@@ -121,6 +123,7 @@
     reports: Reports,
     rotation: Rotation,
     crashes: Crashes,
+    part_crashes: PartCrashes,
     rate_limiter: RateLimiter,
     /// Orders by engine. Each change marks the upstream as changed in the roster, since
     /// instances see the layers that an engine retains, not those that it holds.
@@ -143,6 +146,7 @@
             reports: Reports::default(),
             rotation: Rotation::default(),
             crashes: Crashes::default(),
+            part_crashes: PartCrashes::default(),
             rate_limiter: RateLimiter::default(),
             pending: HashMap::default(),
             last_order: 0,
@@ -280,7 +284,7 @@
             voters: Vec::new(),
             entries_known: now.since(self.term_start) >= ENTRIES_KNOWN_AFTER,
             term: self.term,
-            suspects: self.crashes.suspects().map(Fingerprint::bytes).collect(),
+            suspects: self.suspects().map(Fingerprint::bytes).collect(),
             quarantine: None,
             limits: self.limit_records(now, instance),
             proxies: self.reports.proxies(instance),
@@ -320,36 +324,57 @@
                 born: cut.born,
             };
             let organisation = cut.organisation.as_str().into();
+            let request = CutRequest {
+                fingerprint,
+                organisation,
+                prompt: Prompt::new(cut.model.clone(), cut.parts.iter().cloned()).into(),
+            };
+            self.part_crashes
+                .record_crash(at(cut.age), engine.clone(), &request);
             if cut.silent {
                 self.crashes.record_silent(at(cut.age), fingerprint);
             }
             self.crashes
-                .record_crash(at(cut.age), engine, fingerprint, organisation);
+                .record_crash(at(cut.age), engine, fingerprint, request.organisation);
         }
         for run in &request.harmless {
             if let Ok(fingerprint) = Fingerprint::try_from(&*run.fingerprint) {
                 self.crashes.record_harmless(at(run.age), fingerprint);
+                self.part_crashes.record_harmless(at(run.age), fingerprint);
             }
         }
     }
 
-    /// Returns requests that crash engines and are not quarantined yet.
-    pub(crate) fn crashing_requests(
+    /// Requests and parts of prompts that instances are asked about.
+    fn suspects(&self) -> impl Iterator<Item = &Fingerprint> {
+        self.crashes.suspects().chain(self.part_crashes.suspects())
+    }
+
+    /// Returns requests and parts of prompts that crash engines and are not quarantined yet.
+    pub(crate) fn crash_causes(
         &mut self,
         now: Time,
         register: &Register,
-    ) -> Vec<CrashingRequest> {
+    ) -> (Vec<CrashingRequest>, Vec<CrashingPart>) {
         let quarantined = register.quarantined();
         let quarantined: HashSet<Fingerprint> = quarantined
             .iter()
             .filter_map(Quarantined::fingerprint)
             .collect();
-        self.crashes.tick(now, |f| quarantined.contains(f))
+        let parts = self.part_crashes.tick(now, |f| quarantined.contains(f));
+        let is_refused =
+            |f: &Fingerprint| quarantined.contains(f) || parts.iter().any(|p| p.fingerprint == *f);
+        for engine in self.part_crashes.explained(is_refused) {
+            self.crashes.forget_engine(&engine);
+        }
+        let requests = self.crashes.tick(now, |f| quarantined.contains(f));
+        (requests, parts)
     }
 
-    /// Removes a request from all recorded crashes.
+    /// Removes a request or a part of prompts from all recorded crashes.
     pub(crate) fn forget_crashes(&mut self, fingerprint: &Fingerprint) {
         self.crashes.forget(fingerprint);
+        self.part_crashes.forget(fingerprint);
     }
 
     /// Returns the next page of roster changes that the sender of `request` lacks.
@@ -545,7 +570,7 @@
         let mut counts = LeaderCounts {
             pending: self.pending.len(),
             entries: self.reports.len(),
-            suspects: self.crashes.suspects().count(),
+            suspects: self.suspects().count(),
             ..LeaderCounts::default()
         };
         for entry in self.roster.list() {
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -168,6 +168,11 @@
         self.engines.len()
     }
 
+    /// Removes a crash that something else explains.
+    pub(crate) fn forget_engine(&mut self, engine: &EngineStart) {
+        self.engines.remove(engine);
+    }
+
     /// Removes a request from all crashes.
     pub(crate) fn forget(&mut self, fingerprint: &Fingerprint) {
         for crash in self.engines.values_mut() {
--- a/src/decide/refusal.rs
+++ b/src/decide/refusal.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use crate::fingerprint::Fingerprint;
+
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Reason {
@@ -24,8 +26,9 @@
     Limited,
     /// All upstreams that the request could enter asked for a pause; the first ends after this time.
     Paused(Duration),
-    /// The request is quarantined for this remaining time, since it crashed engines.
-    Quarantined(Duration),
+    /// The request or a part of its prompt, with this fingerprint, is quarantined for this remaining
+    /// time, since it crashed engines.
+    Quarantined { cause: Fingerprint, left: Duration },
 }
 
 impl Reason {
@@ -39,7 +42,7 @@
             Self::NotRun => "not_run",
             Self::Limited => "limited",
             Self::Paused(_) => "paused",
-            Self::Quarantined(_) => "quarantined",
+            Self::Quarantined { .. } => "quarantined",
         }
     }
 }
@@ -127,7 +130,7 @@
         Reason::Limited => (0.6, 3.0),
         // Spread, since all of them return to the one whose pause ends first.
         Reason::Paused(left) => (left.as_secs_f64(), left.as_secs_f64() + PAUSE_SPREAD),
-        Reason::Quarantined(left) => (left.as_secs_f64(), left.as_secs_f64()),
+        Reason::Quarantined { left, .. } => (left.as_secs_f64(), left.as_secs_f64()),
     };
     Duration::from_secs_f64(least + (most - least) * draw)
 }
--- a/src/decide/run_history.rs
+++ b/src/decide/run_history.rs
@@ -12,6 +12,7 @@
 use crate::clock::Time;
 use crate::collections::HashMap;
 use crate::fingerprint::Fingerprint;
+use crate::prompt::Prompt;
 
 /// Number of events after which a run counts as harmless to its engine.
 pub(crate) const HARMLESS_EVENTS: u64 = 4;
@@ -22,7 +23,8 @@
 /// Maximum number of retained cut runs. The oldest are evicted first.
 const MAX_CUT: usize = 1024;
 
-/// Maximum number of retained requests with harmless runs. The oldest are evicted first.
+/// Maximum number of retained harmless runs of requests, and of parts of prompts. The oldest are
+/// evicted first.
 const MAX_HARMLESS: usize = 4096;
 
 /// Maximum number of cut runs in one report.
@@ -35,6 +37,22 @@
     pub(crate) born: u64,
 }
 
+/// A request whose run was cut off.
+#[derive(Clone, Debug)]
+pub(crate) struct CutRequest {
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) organisation: Arc<str>,
+    pub(crate) prompt: Arc<Prompt>,
+}
+
+impl CutRequest {
+    /// Whether a quarantine of `fingerprint` concerns the request.
+    fn is_quarantined_by(&self, fingerprint: &Fingerprint) -> bool {
+        let mut parts = self.prompt.fingerprints(&self.organisation);
+        self.fingerprint == *fingerprint || parts.any(|p| p == *fingerprint)
+    }
+}
+
 /// A run that an engine crash cut off before its first [`HARMLESS_EVENTS`] events.
 #[derive(Clone, Debug)]
 pub(crate) struct CutRun {
@@ -42,8 +60,7 @@
     sequence: u64,
     pub(crate) at: Time,
     pub(crate) engine: EngineStart,
-    pub(crate) fingerprint: Fingerprint,
-    pub(crate) organisation: Arc<str>,
+    pub(crate) request: CutRequest,
     /// Whether the request had no event of this run, and none of an earlier one that proved it
     /// harmless. A request that crashes engines gets none.
     pub(crate) silent: bool,
@@ -61,10 +78,33 @@
     /// Highest sequence number acknowledged by the leader of `term`.
     acknowledged: u64,
     term: u64,
-    /// When each request last ran without harm.
-    harmless: HashMap<Fingerprint, Time>,
-    /// Entries of `harmless`, oldest first. Entries with an outdated time are stale.
-    harmless_order: VecDeque<(Time, Fingerprint)>,
+    /// Requests that ran without harm.
+    harmless: HarmlessRuns,
+    /// Parts of prompts that did.
+    harmless_parts: HarmlessRuns,
+}
+
+/// When requests or parts of prompts last ran without harm.
+#[derive(Debug, Default)]
+struct HarmlessRuns {
+    last: HashMap<Fingerprint, Time>,
+    /// Entries of `last`, oldest first. Entries with an outdated time are stale.
+    order: VecDeque<(Time, Fingerprint)>,
+}
+
+impl HarmlessRuns {
+    fn record(&mut self, now: Time, fingerprint: Fingerprint) {
+        self.last.insert(fingerprint, now);
+        self.order.push_back((now, fingerprint));
+        while let Some(&(at, oldest)) = self.order.front()
+            && (self.order.len() > MAX_HARMLESS || now.since(at) >= RETENTION)
+        {
+            self.order.pop_front();
+            if self.last.get(&oldest) == Some(&at) {
+                self.last.remove(&oldest);
+            }
+        }
+    }
 }
 
 impl RunHistory {
@@ -74,8 +114,7 @@
         &mut self,
         now: Time,
         engine: &EngineStart,
-        fingerprint: Fingerprint,
-        organisation: &Arc<str>,
+        request: CutRequest,
         silent: bool,
     ) -> bool {
         let first = !self.unconfirmed.contains_key(engine);
@@ -84,8 +123,7 @@
             sequence: 0,
             at: now,
             engine: engine.clone(),
-            fingerprint,
-            organisation: Arc::clone(organisation),
+            request,
             silent,
         });
         first
@@ -111,22 +149,23 @@
     }
 
     /// Records a run that did no harm to its engine.
-    pub(crate) fn record_harmless(&mut self, now: Time, fingerprint: Fingerprint) {
-        self.harmless.insert(fingerprint, now);
-        self.harmless_order.push_back((now, fingerprint));
-        while let Some(&(at, oldest)) = self.harmless_order.front()
-            && (self.harmless_order.len() > MAX_HARMLESS || now.since(at) >= RETENTION)
-        {
-            self.harmless_order.pop_front();
-            if self.harmless.get(&oldest) == Some(&at) {
-                self.harmless.remove(&oldest);
-            }
+    pub(crate) fn record_harmless(&mut self, now: Time, fingerprint: Fingerprint, prompt: &Prompt) {
+        self.harmless.record(now, fingerprint);
+        for part in &prompt.parts {
+            self.harmless_parts.record(now, part.fingerprint);
         }
     }
 
     /// Returns when a request last ran without harm.
-    pub(crate) fn last_harmless(&self, fingerprint: &Fingerprint) -> Option<Time> {
-        self.harmless.get(fingerprint).copied()
+    pub(crate) fn last_harmless(&self, request: &Fingerprint) -> Option<Time> {
+        self.harmless.last.get(request).copied()
+    }
+
+    /// Returns when a request, or a request with a part in its prompt, last ran without harm.
+    pub(crate) fn last_harmless_of_any(&self, fingerprint: &Fingerprint) -> Option<Time> {
+        let parts = &self.harmless_parts.last;
+        let of_part = || parts.get(fingerprint).copied();
+        self.last_harmless(fingerprint).or_else(of_part)
     }
 
     /// Returns the next unacknowledged cut runs and the sequence number of the last one.
@@ -155,8 +194,9 @@
         self.term = term;
     }
 
-    /// Removes the cut runs of a request.
+    /// Removes the cut runs of a request, or of the requests with a part.
     pub(crate) fn forget(&mut self, fingerprint: &Fingerprint) {
-        self.cut.retain(|c| c.fingerprint != *fingerprint);
+        self.cut
+            .retain(|c| !c.request.is_quarantined_by(fingerprint));
     }
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -31,6 +31,7 @@
 use crate::fingerprint::Fingerprint;
 use crate::metric;
 use crate::platform::headers;
+use crate::prompt::Prompt;
 use crate::sync::address_from_key;
 
 /// Timeout for connecting to an upstream. Connecting takes 1 to 2 ms; a lost packet would be
@@ -71,8 +72,7 @@
     /// Attempt id from the client.
     pub(super) attempt: String,
     pub(super) fingerprint: Fingerprint,
-    /// Ids of the parts of the prompt that other requests may share.
-    pub(super) parts: Vec<String>,
+    pub(super) prompt: Arc<Prompt>,
     /// Name of the caller's organisation; empty on a route without API keys.
     pub(super) organisation: Arc<str>,
     /// `None` if its service doesn't rank requests.
@@ -454,11 +454,13 @@
 
     /// Builds this instance's response to a request that ended without an upstream's.
     pub(super) fn final_response(&self, end: &RunError) -> Response<Body> {
+        let mut quarantine = None;
         let (code, response) = match end {
             RunError::NotRun(reason) => {
                 let mut response = refuse(*reason, self.refused_fraction());
-                if let Reason::Quarantined(_) = reason {
-                    *response.body_mut() = quarantine_body(&self.call.fingerprint);
+                if let Reason::Quarantined { cause, .. } = reason {
+                    quarantine = Some(cause);
+                    *response.body_mut() = quarantine_body(cause);
                 }
                 (reason.code(), response)
             }
@@ -476,6 +478,7 @@
             event = event::REQUEST_ENDED.id,
             attempt = self.call.attempt,
             fingerprint = %self.call.fingerprint,
+            quarantine = quarantine.map(tracing::field::display),
             route = self.call.route.name,
             rank = self.call.rank.map(Rank::index),
             code,
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -13,7 +13,7 @@
 use crate::clock::micros;
 use crate::decide::quarantine;
 use crate::decide::refusal::Reason;
-use crate::decide::run_history::HARMLESS_EVENTS;
+use crate::decide::run_history::{CutRequest, HARMLESS_EVENTS};
 use crate::engine::Connection;
 use crate::event;
 use crate::fingerprint::Fingerprint;
@@ -55,11 +55,19 @@
 }
 
 impl Run {
-    /// Returns the reason for refusal if the request is quarantined.
+    /// Returns the reason for refusal if the request or a part of its prompt is quarantined.
     pub(super) fn quarantined(&self) -> Option<Reason> {
         let view = self.entry.view();
-        let left = view.quarantined(self.entry.now(), &self.call.fingerprint)?;
-        Some(Reason::Quarantined(left))
+        // Saves the fingerprints of the parts.
+        if view.quarantine_checksum() == 0 {
+            return None;
+        }
+        let call = &self.call;
+        let parts = call.prompt.fingerprints(&call.organisation);
+        let quarantined = |f| Some((f, view.quarantined(self.entry.now(), &f)?));
+        let all = std::iter::once(call.fingerprint).chain(parts);
+        let found = all.filter_map(quarantined).max_by_key(|(_, left)| *left);
+        found.map(|(cause, left)| Reason::Quarantined { cause, left })
     }
 
     /// Returns the request's fingerprint if it is suspected of crashing engines, by the leader or
@@ -143,11 +151,14 @@
             return;
         }
         let engine = upstream.start();
-        let organisation = Arc::clone(&self.call.organisation);
-        let fingerprint = self.call.fingerprint;
+        let request = CutRequest {
+            fingerprint: self.call.fingerprint,
+            organisation: Arc::clone(&self.call.organisation),
+            prompt: Arc::clone(&self.call.prompt),
+        };
         let (now, silent) = (self.entry.now(), self.is_silent());
         let history = &mut self.entry.shared().run_history;
-        if history.record_cut(now, &engine, fingerprint, &organisation, silent) {
+        if history.record_cut(now, &engine, request, silent) {
             let entry = Arc::clone(&self.entry);
             let (service, upstream) = (self.call.service.clone(), upstream.clone());
             tokio::spawn(async move { entry.probe_engine(&service, &upstream).await });
@@ -159,7 +170,7 @@
         self.suspicion.turn = None;
         let now = self.entry.now();
         let history = &mut self.entry.shared().run_history;
-        history.record_harmless(now, self.call.fingerprint);
+        history.record_harmless(now, self.call.fingerprint, &self.call.prompt);
     }
 }
 
@@ -193,8 +204,9 @@
                 event = event::RUN_CUT_EARLY.id,
                 upstream = %engine.id,
                 address = %upstream.address,
-                fingerprint = %run.fingerprint,
-                organisation = %run.organisation,
+                fingerprint = %run.request.fingerprint,
+                parts = run.request.prompt.ids(),
+                organisation = %run.request.organisation,
                 "engine crashed shortly after it began to run a request"
             );
         }
@@ -210,14 +222,22 @@
         let cut = cut.into_iter().map(|c| CutRecord {
             engine: c.engine.id.to_string(),
             born: c.engine.born,
-            fingerprint: c.fingerprint.bytes(),
-            organisation: c.organisation.to_string(),
+            fingerprint: c.request.fingerprint.bytes(),
+            organisation: c.request.organisation.to_string(),
             age: age(c.at),
             silent: c.silent,
+            model: c.request.prompt.model.clone(),
+            parts: c
+                .request
+                .prompt
+                .parts
+                .iter()
+                .map(|p| p.id.to_string())
+                .collect(),
         });
         request.cut = cut.collect();
         let harmless = view.suspects().iter().filter_map(|fingerprint| {
-            let at = shared.run_history.last_harmless(fingerprint)?;
+            let at = shared.run_history.last_harmless_of_any(fingerprint)?;
             Some(HarmlessRecord {
                 fingerprint: fingerprint.bytes(),
                 age: age(at),
@@ -234,7 +254,7 @@
         self.shared().run_history.acknowledge(term, last);
     }
 
-    /// Removes the cut runs of requests whose quarantine was lifted.
+    /// Removes the cut runs of requests and parts whose quarantine was lifted.
     pub(super) fn forget_lifted(&self, before: &View, after: &View) {
         if before.quarantine_checksum() == after.quarantine_checksum() {
             return;
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -163,7 +163,7 @@
         Call {
             attempt: attempt.to_owned(),
             fingerprint,
-            parts: prompt::shared_parts(&head.headers),
+            prompt: prompt::decode(&head.headers).into(),
             organisation: organisation.unwrap_or_default().into(),
             rank: table.rank(&service, route, found.organisation),
             route: route.clone(),
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -159,7 +159,7 @@
             event = event::ATTEMPT_SENT.id,
             attempt = self.call.attempt,
             fingerprint = %self.call.fingerprint,
-            parts = self.call.parts.join(","),
+            parts = self.call.prompt.ids(),
             route = self.call.route.name,
             upstream = %selection.upstream.id,
             path = selection.path,
--- a/src/event.rs
+++ b/src/event.rs
@@ -73,6 +73,8 @@
 pub(crate) const HEARTBEAT_STALE: Event = event(312, "heartbeat_stale");
 /// A controller received a sync request after a newer one of the same entry instance.
 pub(crate) const SYNC_OUTDATED: Event = event(313, "sync_outdated");
+/// Requests with a part in their prompts crash engines.
+pub(crate) const PART_QUARANTINED: Event = event(314, "part_quarantined");
 /// A request was refused.
 pub(crate) const REQUEST_REFUSED: Event = event(401, "request_refused");
 /// An attempt failed and the request continues on another path.
@@ -178,6 +180,7 @@
     ORDER_ENDED,
     HEARTBEAT_STALE,
     SYNC_OUTDATED,
+    PART_QUARANTINED,
     REQUEST_REFUSED,
     REQUEST_RESUMED,
     REQUEST_FAILED,
--- a/src/fingerprint.rs
+++ b/src/fingerprint.rs
@@ -1,4 +1,5 @@
-//! Fingerprints that identify the same request across attempts.
+//! Fingerprints that identify the same request across attempts, and the same part of prompts
+//! across requests.
 
 use std::fmt;
 
@@ -7,7 +8,12 @@
 /// Length of a fingerprint in bytes.
 const FINGERPRINT_LEN: usize = 16;
 
-/// Truncated SHA-256 of a request's organisation, host, path, query and body.
+/// First byte of what is hashed for a part. For a request it is 0 or 1.
+const PART_TAG: u8 = 2;
+const PART_OF_ORGANISATION_TAG: u8 = 3;
+
+/// Truncated SHA-256 of a request's organisation, host, path, query and body, or of a part of
+/// prompts.
 ///
 /// Attempts with the same request have equal fingerprints. The organisation is
 /// hashed so that identical requests of two organisations have different ones.
@@ -27,6 +33,30 @@
             hasher.update(part);
         }
         hasher.update(body);
+        Self::truncate(hasher)
+    }
+
+    /// Computes the fingerprint of a part of prompts for a model.
+    pub(crate) fn of_part(model: &str, id: &str) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update([PART_TAG]);
+        hasher.update((model.len() as u64).to_be_bytes());
+        hasher.update(model);
+        hasher.update(id);
+        Self::truncate(hasher)
+    }
+
+    /// Computes the fingerprint of a part in the prompts of one organisation from that in all
+    /// prompts.
+    pub(crate) fn within(&self, organisation: &str) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update([PART_OF_ORGANISATION_TAG]);
+        hasher.update(self.0);
+        hasher.update(organisation);
+        Self::truncate(hasher)
+    }
+
+    fn truncate(hasher: Sha256) -> Self {
         let digest = hasher.finalize();
         let mut truncated = [0; FINGERPRINT_LEN];
         truncated.copy_from_slice(&digest[..FINGERPRINT_LEN]);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 mod platform;
 mod poll;
 mod program;
+mod prompt;
 mod propose;
 mod queue;
 mod register;
--- a/src/register.rs
+++ b/src/register.rs
@@ -43,11 +43,12 @@
     Lift(Vec<u8>),
 }
 
-/// A quarantined request.
+/// A quarantined request or part of prompts.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct Quarantined {
     #[prost(bytes = "vec", tag = "1")]
     pub(crate) fingerprint: Vec<u8>,
+    /// Organisation whose requests are refused; empty for a part that is refused for all.
     #[prost(string, tag = "2")]
     pub(crate) organisation: String,
     /// Number of engines that crashed while they ran it.
@@ -58,6 +59,9 @@
     pub(crate) since: u64,
     #[prost(uint64, tag = "5")]
     pub(crate) until: u64,
+    /// Id of the part, if the fingerprint is that of a part of prompts; else empty.
+    #[prost(string, tag = "6")]
+    pub(crate) part: String,
 }
 
 /// A configuration as the operator sent it, byte for byte.
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -152,9 +152,15 @@
     /// See [`crate::decide::run_history::CutRun::silent`].
     #[prost(bool, tag = "6")]
     pub(crate) silent: bool,
+    /// Model that the request names.
+    #[prost(string, tag = "7")]
+    pub(crate) model: String,
+    /// Ids of the parts of its prompt that other requests may share, in order.
+    #[prost(string, repeated, tag = "8")]
+    pub(crate) parts: Vec<String>,
 }
 
-/// A request that ran without harm to its engine.
+/// A request, or a part of prompts, that ran without harm to its engine.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct HarmlessRecord {
     #[prost(bytes = "vec", tag = "1")]
@@ -212,8 +218,8 @@
     /// Term of the leader.
     #[prost(uint64, tag = "9")]
     pub(crate) term: u64,
-    /// Fingerprints of requests suspected of crashing engines. The instance reports those that
-    /// ran without harm.
+    /// Fingerprints of requests and parts of prompts suspected of crashing engines. The instance
+    /// reports those that ran without harm.
     #[prost(bytes = "vec", repeated, tag = "10")]
     pub(crate) suspects: Vec<Vec<u8>>,
     /// Quarantined requests, if the checksum in the request differs.
--- a/src/tests/decide/quarantine.rs
+++ b/src/tests/decide/quarantine.rs
@@ -10,7 +10,7 @@
 use crate::clock::Time;
 use crate::collections::{HashMap, HashSet};
 use crate::decide::quarantine::{Crashes, CrashingRequest, suspect_may_enter};
-use crate::decide::run_history::{EngineStart, HARMLESS_EVENTS, RunHistory};
+use crate::decide::run_history::{CutRequest, EngineStart, HARMLESS_EVENTS, RunHistory};
 use crate::fingerprint::Fingerprint;
 use crate::tests::at;
 
@@ -23,6 +23,14 @@
     )
 }
 
+fn cut_request(number: usize) -> CutRequest {
+    CutRequest {
+        fingerprint: request(number),
+        organisation: "one".into(),
+        prompt: Arc::default(),
+    }
+}
+
 fn engine(id: usize, born: u64) -> EngineStart {
     EngineStart {
         id: format!("i-{id}").into(),
@@ -123,10 +131,9 @@
 #[test]
 fn unreported_repeated_for_each_leader() {
     let mut history = RunHistory::default();
-    let organisation: Arc<str> = "one".into();
-    assert!(history.record_cut(at(0), &engine(1, 0), request(1), &organisation, false));
-    assert!(!history.record_cut(at(0), &engine(1, 0), request(2), &organisation, false));
-    assert!(history.record_cut(at(0), &engine(2, 0), request(3), &organisation, false));
+    assert!(history.record_cut(at(0), &engine(1, 0), cut_request(1), false));
+    assert!(!history.record_cut(at(0), &engine(1, 0), cut_request(2), false));
+    assert!(history.record_cut(at(0), &engine(2, 0), cut_request(3), false));
     assert_eq!(history.confirm(&engine(1, 0), true).len(), 2);
     assert_eq!(history.confirm(&engine(2, 0), false).len(), 0);
     let (last, reported) = history.unreported(at(10));
@@ -153,7 +160,7 @@
 #[test]
 fn acknowledge_deposed_leader() {
     let mut history = RunHistory::default();
-    history.record_cut(at(0), &engine(1, 0), request(1), &"one".into(), false);
+    history.record_cut(at(0), &engine(1, 0), cut_request(1), false);
     history.confirm(&engine(1, 0), true);
     for now in [10, 20] {
         let (last, _) = history.unreported(at(now));
--- a/src/tests/platform.rs
+++ b/src/tests/platform.rs
@@ -198,7 +198,9 @@
     for value in values {
         headers.append("x-prefix-hash", HeaderValue::from_str(value).unwrap());
     }
-    assert_eq!(prompt::shared_parts(&headers), expected);
+    let prompt = prompt::decode(&headers);
+    let ids: Vec<&str> = prompt.parts.iter().map(|p| &*p.id).collect();
+    assert_eq!(ids, expected);
 }
 
 #[test]
@@ -206,5 +208,5 @@
     let parts: Vec<_> = (0..1_000).map(|i| format!("{i:x}:1")).collect();
     let mut headers = HeaderMap::new();
     headers.insert("x-prefix-hash", parts.join(",").parse().unwrap());
-    assert_eq!(prompt::shared_parts(&headers).len(), 64);
+    assert_eq!(prompt::decode(&headers).parts.len(), 64);
 }
--- a/src/tests/register.rs
+++ b/src/tests/register.rs
@@ -20,6 +20,7 @@
         engines: 3,
         since: number,
         until: number + 1,
+        ..Quarantined::default()
     });
     machine.apply(1, &command);
 }
--- a/src/tests/sync.rs
+++ b/src/tests/sync.rs
@@ -133,11 +133,11 @@
     sync(5_000, numbered(1, older.clone()));
     sync(5_050, numbered(2, request(1, Vec::new())));
     leader.forget_crashes(&fingerprint);
-    leader.crashing_requests(at(5_100), &register);
+    leader.crash_causes(at(5_100), &register);
     assert_eq!(leader.counts().suspects, 0);
     let again = numbered(1, older);
     handle_sync(&mut leader, at(5_200), again, &register);
-    leader.crashing_requests(at(5_300), &register);
+    leader.crash_causes(at(5_300), &register);
     assert_eq!(leader.counts().suspects, 0);
 }
 
@@ -168,7 +168,7 @@
     };
     let (mut leader, _) = sync_reversed(older, newer);
     let (register, _) = Register::new();
-    leader.crashing_requests(at(5_200), &register);
+    leader.crash_causes(at(5_200), &register);
     assert_eq!(leader.counts().suspects, 1);
 }
 
--- a/tests/platform/crash_part.rs
+++ b/tests/platform/crash_part.rs
@@ -105,7 +105,7 @@
             sent.push(scope.spawn(move || send_crashing(deployment, number)));
             number += 1;
             let crashes = deployment.engine_state().crashes(CRASHING_PART);
-            let last = crashes.iter().take(MAX_CRASHES).last();
+            let last = crashes.iter().take(MAX_CRASHES).next_back();
             let is_settled = last.is_some_and(|at| at.elapsed() > 2 * PROPAGATION);
             settled.store(is_settled, Ordering::Relaxed);
             thread::sleep(Duration::from_millis(pause_ms));
@@ -115,7 +115,12 @@
     });
     let crashes = deployment.engine_state().crashes(CRASHING_PART);
     let received = deployment.engine_state().received(CRASHING_PART);
-    let deadline = *crashes.iter().take(MAX_CRASHES).last().expect("a crash") + PROPAGATION;
+    let deadline = *crashes
+        .iter()
+        .take(MAX_CRASHES)
+        .next_back()
+        .expect("a crash")
+        + PROPAGATION;
     let late = received.iter().filter(|at| **at > deadline).count();
     assert!(
         late <= MAX_LATE_ARRIVALS,
