Add tests of answers with neither a length nor chunks

Whole, reset midway, closed within an event and before the first one; plain ones too, and each also through another instance.

--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -28,6 +28,7 @@
 
 use crate::common::caller::agent;
 use crate::cut::{self, Cut, Link, Links};
+use crate::unframed::{self, Ending};
 
 pub(crate) const HEARTBEAT_PERIOD: Duration = Duration::from_millis(300);
 /// Number of layers of the model.
@@ -42,7 +43,7 @@
 }
 
 /// Time between two events.
-const EVENT_INTERVAL: Duration = Duration::from_millis(40);
+pub(crate) const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Time after which a call without an acknowledgement goes to the next controller.
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
@@ -116,6 +117,8 @@
     visits: Vec<Visit>,
     /// Values of `X-Priority-Class` with which requests arrived, by the caller's attempt ID.
     classes: HashMap<String, Vec<Option<String>>>,
+    /// How engines end answers that have neither a length nor chunks, if they send such ones.
+    pub(crate) unframed: Option<Ending>,
     /// Number of streams that engines were to break off before their last event, since nobody
     /// reads them any more.
     abandoned: u32,
@@ -345,6 +348,13 @@
         Some(cause)
     }
 
+    /// Records a run of an attempt. Returns the number of its runs so far.
+    pub(crate) fn record_run(&mut self, attempt: &str) -> u32 {
+        let runs = self.runs.entry(attempt.to_owned()).or_default();
+        *runs += 1;
+        *runs
+    }
+
     /// Records the path if it is invalid. Returns the first engine on it that doesn't
     /// accept requests for its layers.
     fn check_path(&mut self, path: &str, first: SocketAddr) -> Option<SocketAddr> {
@@ -509,6 +519,14 @@
             cut::reset(&stream);
             continue;
         }
+        let unframed = state.lock().unwrap().unframed;
+        if let Some(ending) = unframed
+            && !unframed::is_call(&stream).await
+        {
+            let (spec, state) = (spec.clone(), Arc::clone(&state));
+            tokio::spawn(unframed::answer(stream, spec, state, ending));
+            continue;
+        }
         let stream = Link::new(stream, peer.ip(), Arc::clone(&state));
         let (spec, state, crash) = (spec.clone(), Arc::clone(&state), Arc::clone(&crash));
         let service = service_fn(move |request: Request<Incoming>| {
@@ -629,9 +647,7 @@
     }
     let fault = {
         let mut state = state.lock().unwrap();
-        let runs = state.runs.entry(attempt.clone()).or_default();
-        *runs += 1;
-        let repeated = *runs > 1;
+        let repeated = state.record_run(&attempt) > 1;
         let fault = state.faults.get(&spec.id).copied();
         let applies = |f: &Fault| !repeated || *f == Fault::Hang;
         fault.filter(applies).unwrap_or(Fault::None)
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -18,3 +18,4 @@
 mod priority;
 mod reach;
 mod restore;
+mod unframed;
