Take a stream that ends before its first event for broken off

What callers saw: a stream whose engine crashed before its first event, and whose answer has neither a length nor chunks, was shown as whole and empty, and not resumed. It also counted as a harmless run of a request, or now of a part, that had just crashed its engine.

Cause: the end of the connection was taken for the end of the answer if no event had begun.

Change: a run that gave no event is broken off, unless it resumes one and its body has a length or chunks, which prove that nothing was left. Such an end is no harmless run.

Answers that end within an event or with a reset passed before, through another instance as well.

--- a/src/entry/head.rs
+++ b/src/entry/head.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
-use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
 
 use super::proxy::RESERVED_HEADERS;
 use crate::platform::headers;
@@ -74,6 +76,11 @@
     end_to_end(map)
 }
 
+/// Whether a body has a length or chunks, so that its end is known from its bytes.
+pub(super) fn is_framed(map: &HeaderMap) -> bool {
+    map.contains_key(CONTENT_LENGTH) || map.contains_key(TRANSFER_ENCODING)
+}
+
 /// The headers that concern both ends, not one connection.
 pub(super) fn end_to_end(mut map: HeaderMap) -> HeaderMap {
     strip_hop_by_hop(&mut map);
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -42,6 +42,9 @@
 struct EventStream {
     run: Run,
     opened: OpenResponse,
+    /// Whether the body of `opened` has a length or chunks. One that has neither ends with its
+    /// connection, also if its engine crashes.
+    is_framed: bool,
     /// Bytes of an incomplete event.
     buffer: BytesMut,
     event_count: u64,
@@ -57,10 +60,12 @@
 pub(super) fn answer(run: Run, mut opened: OpenResponse, running: RunningGuard) -> Response<Body> {
     let status = opened.answer.response.status();
     let headers = std::mem::take(opened.answer.response.headers_mut());
+    let is_framed = head::is_framed(&headers);
     let last_at = run.entry.now();
     let state = EventStream {
         run,
         opened,
+        is_framed,
         buffer: BytesMut::new(),
         event_count: 0,
         first: None,
@@ -116,12 +121,15 @@
                         None => "long_event",
                     }
                 }
-                Received::End if self.buffer.is_empty() => {
-                    self.run.record_harmless();
+                Received::End if !self.buffer.is_empty() => "cut_event",
+                Received::End if self.lacks_events() => "cut_stream",
+                Received::End => {
+                    if self.run.events > 0 {
+                        self.run.record_harmless();
+                    }
                     self.finish("whole");
                     return None;
                 }
-                Received::End => "cut_event",
                 Received::Broken => "cut_stream",
                 Received::Silent => "stalled",
                 Received::DeadEngine(culprit) => {
@@ -136,6 +144,13 @@
         }
     }
 
+    /// Whether the current run ended without an event although it can't be complete. One that
+    /// resumes may have had nothing left to send, but only a framed body proves that it ended.
+    fn lacks_events(&self) -> bool {
+        let resumes = self.run.last_event.is_some();
+        self.run.events == 0 && !(resumes && self.is_framed)
+    }
+
     /// Reroutes the stream away from engines that get no new work.
     async fn leave_withdrawn(&mut self) {
         let Self { run, opened, .. } = self;
@@ -240,6 +255,7 @@
         self.run.check_crash(cause, &upstream).await;
         match self.run.open().await {
             Ok(opened) => {
+                self.is_framed = head::is_framed(opened.answer.response.headers());
                 self.opened = opened;
                 true
             }
