Close new connections unread at a crowded, overloaded instance

What callers would see when the platform hands most new connections of a region to one instance: everything there late, the callers that it served before included, while the others are idle. Nothing bounded what an instance reads.

Change: an instance whose timers fire late for three intervals in a row, and that has at least twice the mean number of requests, resets a growing share of its new connections without reading them, until it keeps up. Their callers try another instance at once, whatever the request. It stays ready: failing the readiness check would hand the crowd to the next one. If all instances are overloaded nothing is closed.

Tests: decide::shedding replays a crowd of 2.5 and 15 times the capacity, a common overload and a process that was frozen; accept_admitted_resets_unread; crowd_at_one_instance_served with 9 and 300 real instances, which passed before too, since its processors aren't limited.

--- a/src/decide/demand.rs
+++ b/src/decide/demand.rs
@@ -37,6 +37,16 @@
         self.local.unwrap_or(1)
     }
 
+    /// Ratio of the requests at this instance to the mean of all `instances`; 1 while it is unknown.
+    pub(crate) fn crowding(&self, instances: u32) -> f64 {
+        match (self.local, self.total) {
+            (Some(local), Some(total)) if total > 0 => {
+                f64::from(local) * f64::from(instances) / f64::from(total)
+            }
+            _ => 1.0,
+        }
+    }
+
     /// Number of parts into which room is divided: the `instances`, or the requests if these
     /// are fewer. Of the requests only the part `share` counts, from 0 to 1.
     pub(crate) fn sharers(&self, instances: u32, share: f64) -> f64 {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,6 +25,7 @@
 use crate::decide::refusal::RefusalRates;
 use crate::decide::retry_budget::{RetryBudget, RetryLimit};
 use crate::decide::run_history::RunHistory;
+use crate::decide::shedding::Shedding;
 use crate::decide::view_wait;
 use crate::decide::waiting::QueueTiming;
 use crate::error::Result;
@@ -56,6 +57,7 @@
 mod retry;
 mod select;
 mod send;
+mod shed;
 mod stream;
 pub(crate) mod view;
 mod wait;
@@ -87,6 +89,7 @@
     admission: Admission,
     health: Health,
     retry_budget: RetryBudget,
+    shedding: Shedding,
     link: LinkShare,
     queue_timing: QueueTiming,
     refusals: RefusalRates,
@@ -151,6 +154,7 @@
     let _guard = runtime.enter();
     entry.listen(closing)?;
     runtime.spawn(Arc::clone(&entry).follow());
+    runtime.spawn(Arc::clone(&entry).measure_lag());
     role::log_start("entry", &entry.boot);
     runtime.block_on(async {
         stop.wait().await;
@@ -186,6 +190,7 @@
                 admission: Admission::default(),
                 health: Health::default(),
                 retry_budget: RetryBudget::new(retry_limit, started),
+                shedding: Shedding::default(),
                 link: LinkShare::new(started),
                 queue_timing: QueueTiming::default(),
                 refusals: RefusalRates::default(),
@@ -216,10 +221,11 @@
             max_head: MAX_HEAD,
             receive_timeout: IDLE_TIMEOUT,
         };
-        let entry = Arc::clone(self);
-        tokio::spawn(http::accept_until(
+        let (entry, admitting) = (Arc::clone(self), Arc::clone(self));
+        tokio::spawn(http::accept_admitted(
             listener,
             bounds,
+            move || admitting.admit_connection(),
             move |request| Arc::clone(&entry).answer(request),
             closing.clone(),
         ));
--- a/src/event.rs
+++ b/src/event.rs
@@ -121,6 +121,8 @@
 pub(crate) const RANK_DISPLACED: Event = event(422, "rank_displaced");
 /// The retry budget granted or denied another attempt.
 pub(crate) const RETRY_DECIDED: Event = event(423, "retry_decided");
+/// This instance begins or ends to close new connections unread.
+pub(crate) const SHEDDING_CHANGED: Event = event(424, "shedding_changed");
 /// This voter became the leader of a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter is no longer the leader of a group.
@@ -204,6 +206,7 @@
     UPSTREAM_LEAVING,
     RANK_DISPLACED,
     RETRY_DECIDED,
+    SHEDDING_CHANGED,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/http.rs
+++ b/src/http.rs
@@ -57,6 +57,22 @@
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    accept_admitted(listener, limits, || true, handler, closing).await;
+}
+
+/// Same as [`accept_until`], but resets each new connection that `admit` refuses, unread.
+pub(crate) async fn accept_admitted<H, F, B>(
+    listener: StdListener,
+    limits: ReceiveLimits,
+    admit: impl Fn() -> bool,
+    handler: H,
+    closing: watch::Receiver<bool>,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let listener = TcpListener::from_std(listener).expect("the listener doesn't block");
     let mut shutdown = closing.clone();
@@ -69,6 +85,11 @@
             () = wait_closing(&mut shutdown) => return,
         };
         match accepted {
+            Ok((stream, _)) if !admit() => {
+                // A closed connection could still accept the request's bytes, so that its caller
+                // would wait for an answer.
+                let _ = stream.set_zero_linger();
+            }
             Ok((stream, _)) => {
                 tokio::spawn(serve(stream, limits, handler.clone(), closing.clone()));
             }
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -69,6 +69,10 @@
 pub(crate) const LEASE_REMAINING: Metric = metric("entry_lease_seconds", &[]);
 /// Whether the roster contains every live upstream.
 pub(crate) const ROSTER_COMPLETE: Metric = metric("entry_roster_complete", &[]);
+/// Time by which timers fire late.
+pub(crate) const TIMER_LAG: Metric = metric("entry_timer_lag_seconds", &[]);
+/// New connections that were closed unread.
+pub(crate) const CONNECTIONS_SHED: Metric = metric("entry_connections_shed_total", &[]);
 /// Retries left in the current window.
 pub(crate) const RETRIES_LEFT: Metric = metric("entry_retries_left", &["service"]);
 
@@ -133,6 +137,8 @@
     CONFIGURATION_VERSION,
     LEASE_REMAINING,
     ROSTER_COMPLETE,
+    TIMER_LAG,
+    CONNECTIONS_SHED,
     RETRIES_LEFT,
     IS_LEADER,
     QUORUM_AGE,
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -34,6 +34,7 @@
 mod rate;
 mod reachability;
 mod retry_budget;
+mod shedding;
 mod suspicion;
 mod wait_queue;
 
--- a/src/tests/http.rs
+++ b/src/tests/http.rs
@@ -1,5 +1,7 @@
 //! Tests of [`crate::http`].
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use crate::http::{ReceiveLimits, accept_until};
+use crate::http::{ReceiveLimits, ResponseBody, accept_admitted, accept_until};
 
 const LIMITS: ReceiveLimits = ReceiveLimits {
     max_head: 16 << 10,
@@ -64,3 +66,38 @@
     let _: Result<usize, std::io::Error> = timeout(HANDLER_TIME, read).await.expect("it closes");
     assert!(rest.is_empty());
 }
+
+/// Guards against a connection that is refused after its request was read: its caller couldn't tell
+/// whether the request has run.
+#[tokio::test]
+async fn accept_admitted_resets_unread() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let address = listener.local_addr().unwrap();
+    let handled = Arc::new(AtomicUsize::new(0));
+    let (admitted, counted) = (AtomicUsize::new(0), Arc::clone(&handled));
+    let (_open, closing) = watch::channel(false);
+    tokio::spawn(accept_admitted(
+        listener,
+        LIMITS,
+        move || admitted.fetch_add(1, Ordering::Relaxed) % 2 == 1,
+        move |_| {
+            counted.fetch_add(1, Ordering::Relaxed);
+            async { Response::new(ResponseBody::from("ok".to_owned())) }
+        },
+        closing,
+    ));
+    for number in 0..4 {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let sent = stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+        let _ = sent.await;
+        let mut reply = String::new();
+        let read = stream.read_to_string(&mut reply).await;
+        if number % 2 == 0 {
+            assert!(read.is_err() && reply.is_empty(), "{read:?} {reply}");
+        } else {
+            assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+        }
+    }
+    assert_eq!(handled.load(Ordering::Relaxed), 2);
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -6,6 +6,7 @@
 
 mod crash;
 mod crash_part;
+mod crowd;
 mod cut;
 mod deployment;
 mod end_to_end;
