--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -454,13 +454,14 @@
 
     /// Builds this instance's response to a request that ended without an upstream's.
     pub(super) fn final_response(&self, end: &RunError) -> Response<Body> {
-        let mut quarantine = None;
+        let mut part = None;
         let (code, response) = match end {
             RunError::NotRun(reason) => {
                 let mut response = refuse(*reason, self.refused_fraction());
                 if let Reason::Quarantined { cause, .. } = reason {
-                    quarantine = Some(cause);
-                    *response.body_mut() = quarantine_body(cause);
+                    let found = self.call.prompt.part(cause, &self.call.organisation);
+                    part = found.map(|p| &*p.id);
+                    *response.body_mut() = quarantine_body(cause, part);
                 }
                 (reason.code(), response)
             }
@@ -478,7 +479,7 @@
             event = event::REQUEST_ENDED.id,
             attempt = self.call.attempt,
             fingerprint = %self.call.fingerprint,
-            quarantine = quarantine.map(tracing::field::display),
+            part,
             route = self.call.route.name,
             rank = self.call.rank.map(Rank::index),
             code,
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -222,9 +222,9 @@
     response
 }
 
-/// Response body for a quarantined request.
-pub(super) fn quarantine_body(fingerprint: &Fingerprint) -> Body {
-    body::full(call::quarantined_body(&fingerprint.to_string()).into())
+/// Response body for a quarantined request, or one with a quarantined part in its prompt.
+pub(super) fn quarantine_body(fingerprint: &Fingerprint, part: Option<&str>) -> Body {
+    body::full(call::quarantined_body(&fingerprint.to_string(), part).into())
 }
 
 /// An error response of this instance.
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -252,19 +252,30 @@
 /// Explains a quarantine refusal, with the crashed engines that the logs show.
 fn quarantine_cause(line: &Line, lines: &[Line]) -> String {
     let fingerprint = line.text("fingerprint").unwrap_or("unknown");
-    let same = |l: &&Line| l.text("fingerprint") == Some(fingerprint);
+    let part = line.text("part");
+    let concerns = |l: &&Line| match part {
+        Some(part) => l
+            .text("parts")
+            .is_some_and(|p| p.split(',').any(|p| p == part)),
+        None => l.text("fingerprint") == Some(fingerprint),
+    };
     let cut = lines.iter().filter(|l| l.has_event(event::RUN_CUT_EARLY));
     let mut engines: Vec<&str> = cut
-        .filter(same)
+        .filter(concerns)
         .filter_map(|l| l.text("upstream"))
         .collect();
     engines.sort_unstable();
     engines.dedup();
     let seen = match engines.len() {
-        0 => "see event 309 of the leading controller".to_owned(),
+        0 => "see events 309 and 314 of the leading controller".to_owned(),
         count => format!("these logs show {count}: {}", engines.join(", ")),
     };
-    format!("quarantined: engines ended under the same request, {fingerprint}; {seen}")
+    match part {
+        Some(part) => {
+            format!("quarantined: engines ended under prompts with the same part, {part}; {seen}")
+        }
+        None => format!("quarantined: engines ended under the same request, {fingerprint}; {seen}"),
+    }
 }
 
 /// Explains why a request has no logged end, or none but that its caller left.
--- a/src/prompt.rs
+++ b/src/prompt.rs
@@ -39,6 +39,14 @@
         all.flat_map(move |f| [f, f.within(organisation)])
     }
 
+    /// Returns the part that a quarantine of `fingerprint` concerns, for all organisations or for one.
+    pub(crate) fn part(&self, fingerprint: &Fingerprint, organisation: &str) -> Option<&Part> {
+        let mut parts = self.parts.iter();
+        parts.find(|p| {
+            p.fingerprint == *fingerprint || p.fingerprint.within(organisation) == *fingerprint
+        })
+    }
+
     /// The ids of the parts, separated by commas.
     pub(crate) fn ids(&self) -> String {
         let ids: Vec<&str> = self.parts.iter().map(|p| &*p.id).collect();
--- a/src/tests/explain.rs
+++ b/src/tests/explain.rs
@@ -24,6 +24,8 @@
   edge-2 {"timestamp":"2026-04-25T18:43:31.000000Z","level":"INFO","message":"engine ended","event":412,"upstream":"i-5","address":"10.1.64.12:8446","fingerprint":"f1","organisation":"one"}
   edge-2 {"timestamp":"2026-04-25T18:43:31.000000Z","level":"INFO","message":"engine ended","event":412,"upstream":"i-5","address":"10.1.64.12:8446","fingerprint":"f2","organisation":"one"}
   edge-2 {"timestamp":"2026-04-25T18:43:38.000000Z","level":"INFO","message":"ended without an upstream response","event":407,"attempt":"ii","fingerprint":"f1","code":"quarantined","status":503}
+  edge-2 {"timestamp":"2026-04-25T18:43:39.000000Z","level":"INFO","message":"engine ended","event":412,"upstream":"i-6","address":"10.1.64.13:8446","fingerprint":"f3","parts":"5c1e,91bd","organisation":"one"}
+  edge-2 {"timestamp":"2026-04-25T18:43:40.000000Z","level":"INFO","message":"ended without an upstream response","event":407,"attempt":"pp","fingerprint":"f4","part":"91bd","code":"quarantined","status":503}
   edge-3 {"timestamp":"2026-04-25T18:44:00.000000Z","level":"WARN","message":"no upstream of the service is reachable","event":415,"service":"desk","failed":2,"entrances":2}
   edge-3 {"timestamp":"2026-04-25T18:44:00.100000Z","level":"INFO","message":"ended without an upstream response","event":407,"attempt":"jj","code":"unreachable","status":503}
   edge-3 {"timestamp":"2026-04-25T18:44:01.000000Z","level":"INFO","message":"sent","event":404,"attempt":"kk","route":"r","upstream":"i-1","via":2130772224,"left_ms":1999}
@@ -53,6 +55,7 @@
 #[case::caller_left("gg", "its caller left after 900 ms, 9100 ms before")]
 #[case::drained("hh", "it drained too long")]
 #[case::quarantined("ii", "ended under the same request, f1; these logs show 2: i-4, i-5")]
+#[case::quarantined_part("pp", "under prompts with the same part, 91bd; these logs show 1: i-6")]
 #[case::unreachable("jj", "reached no upstream, and no other instance carried it")]
 #[case::carried("kk", "417 carried: sender=2130772226")]
 #[case::paused("ll", "had asked for a pause")]
--- a/tests/platform/crash_part.rs
+++ b/tests/platform/crash_part.rs
@@ -6,6 +6,8 @@
 
 use rstest::rstest;
 
+use crate::common::process::Process;
+use crate::common::wait_for;
 use crate::deployment::Deployment;
 
 /// Path of the stream route.
@@ -79,6 +81,22 @@
     deployment.request_with_prompt(entry, STREAM_PATH, &attempt, &attempt, &prompt)
 }
 
+/// Asserts that few requests with the crashing part came later than [`PROPAGATION`] after the last of
+/// the crashes that it may cause.
+fn assert_few_late(deployment: &Deployment) {
+    let crashes = deployment.engine_state().crashes(CRASHING_PART);
+    let received = deployment.engine_state().received(CRASHING_PART);
+    let last = crashes.iter().take(MAX_CRASHES).next_back();
+    let deadline = *last.expect("a crash") + PROPAGATION;
+    let late = received.iter().filter(|at| **at > deadline).count();
+    assert!(
+        late <= MAX_LATE_ARRIVALS,
+        "{late} of {} arrivals came late, {} engines crashed",
+        received.len(),
+        crashes.len()
+    );
+}
+
 /// Guards against judging each request by itself: requests that share one part of their prompts
 /// crash one engine after the other, though no two are alike.
 #[rstest]
@@ -113,21 +131,7 @@
         done.store(true, Ordering::Relaxed);
         sent.pop().expect("a request").join().unwrap()
     });
-    let crashes = deployment.engine_state().crashes(CRASHING_PART);
-    let received = deployment.engine_state().received(CRASHING_PART);
-    let deadline = *crashes
-        .iter()
-        .take(MAX_CRASHES)
-        .next_back()
-        .expect("a crash")
-        + PROPAGATION;
-    let late = received.iter().filter(|at| **at > deadline).count();
-    assert!(
-        late <= MAX_LATE_ARRIVALS,
-        "{late} of {} arrivals came late, {} engines crashed",
-        received.len(),
-        crashes.len()
-    );
+    assert_few_late(&deployment);
     assert!(last.0 == 503 && last.1.contains("quarantined"), "{last:?}");
     assert_eq!(sound.refused.into_inner(), 0, "sound requests refused");
     let (sent, served) = (sound.late_sent.into_inner(), sound.late_served.into_inner());
@@ -136,3 +140,87 @@
         "{served} of {sent} sound requests served"
     );
 }
+
+/// Sends requests with the crashing part until one is refused for it. Returns the number of the
+/// next one.
+fn send_until_refused(deployment: &Deployment, first: usize) -> usize {
+    let mut number = first;
+    wait_for("a refusal of the crashing part", || {
+        let (status, reply) = send_crashing(deployment, number);
+        number += 1;
+        (status == 503 && reply.contains("quarantined")).then_some(number)
+    })
+}
+
+/// Guards against losing recorded crashes or the verdict on a part: the leader is killed or frozen
+/// between two crashes, then all processes are killed.
+#[rstest]
+#[case::leader_killed(Process::kill)]
+#[case::leader_frozen(|process: &mut Process| process.freeze())]
+fn part_quarantine_survives_faults(#[case] stop_leader: fn(&mut Process)) {
+    let mut deployment = Deployment::with_size(9, &[10, 10]);
+    deployment.engine_state().crash_on_part(CRASHING_PART);
+    let mut number = 0;
+    while deployment.engine_state().crashes(CRASHING_PART).len() < 2 {
+        send_crashing(&deployment, number);
+        number += 1;
+    }
+    let leader = wait_for("a leader", || deployment.leader());
+    stop_leader(&mut deployment.controllers[leader]);
+    send_until_refused(&deployment, number);
+    assert_few_late(&deployment);
+    thread::sleep(PROPAGATION);
+    let before = deployment.engine_state().received(CRASHING_PART).len();
+    let processes = deployment.controllers.iter_mut();
+    for process in processes.chain(&mut deployment.entries) {
+        if process.is_running() {
+            process.kill();
+        }
+    }
+    for i in 0..deployment.controllers.len() {
+        let id = u8::try_from(i).unwrap();
+        deployment.controllers[i] = deployment.start_controller(id, false);
+    }
+    for entry in 0..deployment.entries.len() {
+        deployment.entries[entry] = deployment.start_entry(entry);
+    }
+    for entry in 0..deployment.entries.len() {
+        wait_for("ready entry", || deployment.is_ready(entry).then_some(()));
+        // Sends to each instance once, whatever the number.
+        let (status, reply) = send_crashing(&deployment, entry * 4);
+        assert!(
+            status == 503 && reply.contains("quarantined"),
+            "{status} {reply}"
+        );
+    }
+    assert_eq!(
+        deployment.engine_state().received(CRASHING_PART).len(),
+        before
+    );
+}
+
+/// Guards against a quarantined part that operators can neither list nor lift, and that is refused
+/// again for the crashes before.
+#[test]
+fn part_quarantine_lifted() {
+    let deployment = Deployment::with_size(2, &[8, 8]);
+    deployment.engine_state().crash_on_part(CRASHING_PART);
+    let next = send_until_refused(&deployment, 0);
+    let list = || {
+        let reply = deployment.run_quarantine("list", &[]);
+        serde_json::from_str::<serde_json::Value>(&reply).expect("JSON")
+    };
+    let listed = list();
+    let listed = &listed["requests"][0];
+    assert_eq!(listed["part"], CRASHING_PART);
+    assert_eq!(listed["organisation"], "one");
+    let fingerprint = listed["fingerprint"].as_str().expect("a fingerprint");
+    let before = deployment.engine_state().received(CRASHING_PART).len();
+    deployment.run_quarantine("lift", &[fingerprint]);
+    assert_eq!(list()["requests"], serde_json::json!([]));
+    wait_for("an arrival after the lift", || {
+        let received = deployment.engine_state().received(CRASHING_PART).len();
+        send_crashing(&deployment, next + received);
+        (deployment.engine_state().received(CRASHING_PART).len() > before).then_some(())
+    });
+}
