--- a/tests/platform/restore.rs
+++ b/tests/platform/restore.rs
@@ -3,6 +3,8 @@
 use std::fs;
 use std::path::Path;
 
+use rstest::rstest;
+
 use crate::common::wait_for;
 use crate::deployment::{Deployment, KEY};
 
@@ -64,3 +66,41 @@
         assert!(deployment.controllers[usize::from(i)].is_running());
     }
 }
+
+/// Guards against losing an acknowledged configuration when all processes end right after it was
+/// acknowledged and the disks of two controllers are lost, that of the leader among them or not.
+#[rstest]
+#[case::of_leader(&[0])]
+#[case::of_leader_and_follower(&[0, 1])]
+#[case::of_followers(&[2, 3])]
+fn lost_disks_keep_configuration(#[case] lost: &[usize]) {
+    let mut deployment = Deployment::controllers_only(5);
+    wait_for("first configuration", || {
+        deployment.replace_configuration(1, &[KEY]).then_some(())
+    });
+    let mut version = 1;
+    for _ in 0..3 {
+        let leader = wait_for("a leader", || deployment.leader());
+        let leader_id = u8::try_from(leader).unwrap();
+        wait_for("the next configuration", || {
+            version += 1;
+            deployment
+                .replace_configuration_at(leader_id, version)
+                .then_some(())
+        });
+        for controller in &mut deployment.controllers {
+            controller.kill();
+        }
+        for n in lost {
+            let i = u8::try_from((leader + n) % 5).unwrap();
+            fs::remove_dir_all(deployment.data_dir(i)).unwrap();
+        }
+        for i in 0..5 {
+            deployment.controllers[usize::from(i)] = deployment.start_controller(i, false);
+        }
+        for i in 0..5 {
+            let read = wait_for("a read after the return", || deployment.fetch_version(i));
+            assert_eq!(read, version, "controller {i}");
+        }
+    }
+}
