--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -9,21 +9,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::crash_evidence::{CrashCauses, CrashEvidence};
 use super::order::{EndedOrder, OrderEnd};
 use super::reports::{CurrentRequest, Reports};
 use crate::clock::{Time, micros};
-use crate::collections::{HashMap, HashSet};
+use crate::collections::HashMap;
 use crate::configuration::{Configuration, Model};
-use crate::decide::crashing_parts::{CrashingPart, PartCrashes};
 use crate::decide::load::unit_hash;
 use crate::decide::pace::Rotation;
 use crate::decide::placement::{self, Worker};
-use crate::decide::quarantine::{Crashes, CrashingRequest};
 use crate::decide::rate::RateLimiter;
-use crate::decide::run_history::{CutRequest, EngineStart};
 use crate::fingerprint::Fingerprint;
-use crate::prompt::Prompt;
-use crate::register::{Quarantined, Register, VersionedConfiguration};
+use crate::register::{Register, VersionedConfiguration};
 use crate::relay::HeartbeatDigest;
 use crate::roster::{
     AnnounceOutcome, Announcement, CurrentAnnouncement, LOST_HEARTBEATS, LayerRange,
@@ -122,8 +119,7 @@
     departures_seen: u64,
     reports: Reports,
     rotation: Rotation,
-    crashes: Crashes,
-    part_crashes: PartCrashes,
+    crashes: CrashEvidence,
     rate_limiter: RateLimiter,
     /// Orders by engine. Each change marks the upstream as changed in the roster, since
     /// instances see the layers that an engine retains, not those that it holds.
@@ -145,8 +141,7 @@
             departures_seen: 0,
             reports: Reports::default(),
             rotation: Rotation::default(),
-            crashes: Crashes::default(),
-            part_crashes: PartCrashes::default(),
+            crashes: CrashEvidence::default(),
             rate_limiter: RateLimiter::default(),
             pending: HashMap::default(),
             last_order: 0,
@@ -284,7 +279,7 @@
             voters: Vec::new(),
             entries_known: now.since(self.term_start) >= ENTRIES_KNOWN_AFTER,
             term: self.term,
-            suspects: self.suspects().map(Fingerprint::bytes).collect(),
+            suspects: self.crashes.suspects().map(Fingerprint::bytes).collect(),
             quarantine: None,
             limits: self.limit_records(now, instance),
             proxies: self.reports.proxies(instance),
@@ -293,7 +288,7 @@
 
     /// Records what an instance reports.
     fn record_sync(&mut self, now: Time, current: CurrentRequest) {
-        self.record_runs(now, &current);
+        self.crashes.record(now, &current);
         let instances = self.reports.len() as u32;
         for limit in &current.request().limits {
             let (address, update) = (limit.address, limit.update(now));
@@ -311,70 +306,14 @@
         updates.map(record).collect()
     }
 
-    /// Records the cut and harmless runs that an instance reports.
-    fn record_runs(&mut self, now: Time, current: &CurrentRequest) {
-        let request = current.request();
-        let at = |age| now - Duration::from_micros(age);
-        for cut in &request.cut {
-            let Ok(fingerprint) = Fingerprint::try_from(&*cut.fingerprint) else {
-                continue;
-            };
-            let engine = EngineStart {
-                id: cut.engine.as_str().into(),
-                born: cut.born,
-            };
-            let organisation = cut.organisation.as_str().into();
-            let request = CutRequest {
-                fingerprint,
-                organisation,
-                prompt: Prompt::new(cut.model.clone(), cut.parts.iter().cloned()).into(),
-            };
-            self.part_crashes
-                .record_crash(at(cut.age), engine.clone(), &request);
-            if cut.silent {
-                self.crashes.record_silent(at(cut.age), fingerprint);
-            }
-            self.crashes
-                .record_crash(at(cut.age), engine, fingerprint, request.organisation);
-        }
-        for run in &request.harmless {
-            if let Ok(fingerprint) = Fingerprint::try_from(&*run.fingerprint) {
-                self.crashes.record_harmless(at(run.age), fingerprint);
-                self.part_crashes.record_harmless(at(run.age), fingerprint);
-            }
-        }
-    }
-
-    /// Requests and parts of prompts that instances are asked about.
-    fn suspects(&self) -> impl Iterator<Item = &Fingerprint> {
-        self.crashes.suspects().chain(self.part_crashes.suspects())
-    }
-
-    /// Returns requests and parts of prompts that crash engines and are not quarantined yet.
-    pub(crate) fn crash_causes(
-        &mut self,
-        now: Time,
-        register: &Register,
-    ) -> (Vec<CrashingRequest>, Vec<CrashingPart>) {
-        let quarantined = register.quarantined();
-        let quarantined: HashSet<Fingerprint> = quarantined
-            .iter()
-            .filter_map(Quarantined::fingerprint)
-            .collect();
-        let parts = self.part_crashes.tick(now, |f| quarantined.contains(f));
-        let is_refused =
-            |f: &Fingerprint| quarantined.contains(f) || parts.iter().any(|p| p.fingerprint == *f);
-        for engine in self.part_crashes.explained(is_refused) {
-            self.crashes.forget_engine(&engine);
-        }
-        let requests = self.crashes.tick(now, |f| quarantined.contains(f));
-        (requests, parts)
+    /// Returns what crashes engines and is not quarantined yet.
+    pub(crate) fn crash_causes(&mut self, now: Time, register: &Register) -> CrashCauses {
+        self.crashes.tick(now, register)
     }
 
     /// Removes a request or a part of prompts from all recorded crashes.
     pub(crate) fn forget_crashes(&mut self, fingerprint: &Fingerprint) {
         self.crashes.forget(fingerprint);
-        self.part_crashes.forget(fingerprint);
     }
 
     /// Returns the next page of roster changes that the sender of `request` lacks.
@@ -570,7 +509,7 @@
         let mut counts = LeaderCounts {
             pending: self.pending.len(),
             entries: self.reports.len(),
-            suspects: self.suspects().count(),
+            suspects: self.crashes.suspects().count(),
             ..LeaderCounts::default()
         };
         for entry in self.roster.list() {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -36,6 +36,7 @@
 use crate::voter::{GroupStatus, LeaderInfo, Voter, VoterSettings};
 
 mod call;
+mod crash_evidence;
 mod heartbeat;
 pub(crate) mod leader;
 mod measure;
--- a/src/controller/quarantine.rs
+++ b/src/controller/quarantine.rs
@@ -31,10 +31,10 @@
         let Some(mut state) = self.state_if_leading() else {
             return;
         };
-        let (requests, parts) = state.crash_causes(self.now(), &self.register);
+        let causes = state.crash_causes(self.now(), &self.register);
         drop(state);
         let now = wall_millis();
-        for request in &requests {
+        for request in &causes.requests {
             tracing::warn!(
                 event = event::REQUEST_QUARANTINED.id,
                 fingerprint = %request.fingerprint,
@@ -50,7 +50,7 @@
                 ..Quarantined::default()
             });
         }
-        for part in &parts {
+        for part in &causes.parts {
             let organisation = part.organisation.as_deref().unwrap_or_default();
             tracing::warn!(
                 event = event::PART_QUARANTINED.id,
--- a/src/decide/crashing_parts.rs
+++ b/src/decide/crashing_parts.rs
@@ -14,6 +14,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::quarantine::{
+    CRASH_REPORT_DELAY, HARMLESS_REPORT_DELAY, MIN_SUSPECT_CRASHES, PROPOSAL_RETRY, RECENT_WINDOW,
+    evict_oldest,
+};
 use super::run_history::{CutRequest, EngineStart, RETENTION};
 use crate::clock::Time;
 use crate::collections::{HashMap, HashSet};
@@ -35,25 +39,7 @@
 /// Crashes within this time count as one instant.
 const INSTANT: Duration = Duration::from_millis(100);
 
-/// Maximum time between a part's newest crash and the crashes it is compared with. If it wasn't
-/// involved in all of these, one more crash is required: engines also crash for other reasons.
-const RECENT_WINDOW: Duration = Duration::from_secs(10);
-
-/// Number of crashes from which instances are asked whether a part ran without harm.
-const MIN_SUSPECT_CRASHES: usize = 2;
-
-/// Time for instances to report harmless runs: two report intervals and their transit.
-const HARMLESS_REPORT_DELAY: Duration = Duration::from_millis(600);
-
-/// Time for all instances to report the runs that one engine crash cut off.
-const CRASH_REPORT_DELAY: Duration = Duration::from_millis(350);
-
-/// Time after which an uncommitted quarantine is proposed again.
-const PROPOSAL_RETRY: Duration = Duration::from_secs(1);
-
-/// Maximum number of retained crashes, and of parts and requests per crash. The oldest crash is
-/// evicted first.
-const MAX_ENGINES: usize = 256;
+/// Maximum number of retained parts and requests per crash.
 const MAX_PARTS: usize = 256;
 const MAX_REQUESTS: usize = 64;
 
@@ -195,12 +181,7 @@
         for (position, part) in request.prompt.parts.iter().enumerate() {
             crash.record_part(position, part, request);
         }
-        if self.engines.len() > MAX_ENGINES {
-            let oldest = self.engines.iter().min_by_key(|(_, e)| e.at);
-            if let Some(oldest) = oldest.map(|(start, _)| start.clone()) {
-                self.engines.remove(&oldest);
-            }
-        }
+        evict_oldest(&mut self.engines, |c| c.at);
     }
 
     /// Records that a part ran without harm at `at`.
@@ -344,6 +325,7 @@
         if evidence.instants() < min_instants {
             return false;
         }
+        // Engines also crash for other reasons.
         let newest = evidence.newest();
         let is_near = |c: &&Crash| {
             let is_recent =
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -24,27 +24,27 @@
 /// Maximum time between a request's newest crash and the crashes it is compared with. If
 /// these outnumber the request's own, one more crash is required, since a request may run
 /// by chance on engines that crash for another reason.
-const RECENT_WINDOW: Duration = Duration::from_secs(10);
+pub(super) const RECENT_WINDOW: Duration = Duration::from_secs(10);
 
 /// Number of crashes that suffices even if the same other requests were always involved.
 const MIN_AMBIGUOUS_CRASHES: usize = 6;
 
 /// Number of crashes from which a request is suspect, so that instances are asked
 /// whether it ran without harm.
-const MIN_SUSPECT_CRASHES: usize = 2;
+pub(super) const MIN_SUSPECT_CRASHES: usize = 2;
 
 /// Time for instances to report harmless runs: two report intervals and their transit.
-const HARMLESS_REPORT_DELAY: Duration = Duration::from_millis(600);
+pub(super) const HARMLESS_REPORT_DELAY: Duration = Duration::from_millis(600);
 
 /// Time for all instances to report the runs that one engine crash cut off.
-const CRASH_REPORT_DELAY: Duration = Duration::from_millis(350);
+pub(super) const CRASH_REPORT_DELAY: Duration = Duration::from_millis(350);
 
 /// Time after which an uncommitted quarantine is proposed again.
-const PROPOSAL_RETRY: Duration = Duration::from_secs(1);
+pub(super) const PROPOSAL_RETRY: Duration = Duration::from_secs(1);
 
 /// Maximum number of retained crashes, and of requests per crash. The oldest crash is
 /// evicted first.
-const MAX_ENGINES: usize = 256;
+pub(super) const MAX_ENGINES: usize = 256;
 const MAX_REQUESTS: usize = 256;
 
 /// A suspect request may enter one in this many engines.
@@ -106,6 +106,17 @@
     suspect_priority(request, engine).is_multiple_of(ENGINES_PER_ALLOWED)
 }
 
+/// Evicts the oldest crash if more than [`MAX_ENGINES`] are retained.
+pub(super) fn evict_oldest<C>(crashes: &mut HashMap<EngineStart, C>, at: impl Fn(&C) -> Time) {
+    if crashes.len() <= MAX_ENGINES {
+        return;
+    }
+    let oldest = crashes.iter().min_by_key(|(_, crash)| at(crash));
+    if let Some(oldest) = oldest.map(|(start, _)| start.clone()) {
+        crashes.remove(&oldest);
+    }
+}
+
 /// Engine crashes that instances reported to a leader.
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
@@ -138,12 +149,7 @@
         if crash.requests.len() < MAX_REQUESTS {
             crash.requests.insert(fingerprint, organisation);
         }
-        if self.engines.len() > MAX_ENGINES {
-            let oldest = self.engines.iter().min_by_key(|(_, e)| e.at);
-            if let Some(oldest) = oldest.map(|(start, _)| start.clone()) {
-                self.engines.remove(&oldest);
-            }
-        }
+        evict_oldest(&mut self.engines, |c| c.at);
     }
 
     /// Records that a request was cut off at `at` without any event. It is suspect at once, for
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -222,7 +222,7 @@
             receive_timeout: IDLE_TIMEOUT,
         };
         let (entry, admitting) = (Arc::clone(self), Arc::clone(self));
-        tokio::spawn(http::accept_admitted(
+        tokio::spawn(http::accept_until(
             listener,
             bounds,
             move || admitting.admit_connection(),
@@ -235,6 +235,7 @@
         tokio::spawn(http::accept_until(
             listener,
             bounds,
+            || true,
             move |request| Arc::clone(&entry).carry(request),
             closing,
         ));
--- a/src/http.rs
+++ b/src/http.rs
@@ -42,27 +42,13 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let (_open, closing) = watch::channel(false);
-    accept_until(listener, limits, handler, closing).await;
+    accept_until(listener, limits, || true, handler, closing).await;
 }
 
 /// Same as [`accept`], until `closing` becomes true. The listener is then closed,
-/// and each open connection after its current response.
+/// and each open connection after its current response. Each new connection that `admit` refuses
+/// is reset unread.
 pub(crate) async fn accept_until<H, F, B>(
-    listener: StdListener,
-    limits: ReceiveLimits,
-    handler: H,
-    closing: watch::Receiver<bool>,
-) where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
-    F: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    accept_admitted(listener, limits, || true, handler, closing).await;
-}
-
-/// Same as [`accept_until`], but resets each new connection that `admit` refuses, unread.
-pub(crate) async fn accept_admitted<H, F, B>(
     listener: StdListener,
     limits: ReceiveLimits,
     admit: impl Fn() -> bool,
--- a/src/tests/http.rs
+++ b/src/tests/http.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use crate::http::{ReceiveLimits, ResponseBody, accept_admitted, accept_until};
+use crate::http::{ReceiveLimits, ResponseBody, accept_until};
 
 const LIMITS: ReceiveLimits = ReceiveLimits {
     max_head: 16 << 10,
@@ -37,6 +37,7 @@
     tokio::spawn(accept_until(
         listener,
         LIMITS,
+        || true,
         |_| async {
             sleep(HANDLER_TIME).await;
             let body: Full<Bytes> = Full::from(Bytes::from_static(b"whole"));
@@ -70,14 +71,14 @@
 /// Guards against a connection that is refused after its request was read: its caller couldn't tell
 /// whether the request has run.
 #[tokio::test]
-async fn accept_admitted_resets_unread() {
+async fn accept_until_resets_unadmitted() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     listener.set_nonblocking(true).unwrap();
     let address = listener.local_addr().unwrap();
     let handled = Arc::new(AtomicUsize::new(0));
     let (admitted, counted) = (AtomicUsize::new(0), Arc::clone(&handled));
     let (_open, closing) = watch::channel(false);
-    tokio::spawn(accept_admitted(
+    tokio::spawn(accept_until(
         listener,
         LIMITS,
         move || admitted.fetch_add(1, Ordering::Relaxed) % 2 == 1,
