Keep the leader's evidence on parts cheap when parts are invented

Found on reading: whether something that is refused explains a crash was worked out for each part of each crash, with a hash for each organisation. It is worked out once a crash, and the fingerprint within an organisation once when the part is recorded. Verdicts are the same.

--- a/src/decide/crashing_parts.rs
+++ b/src/decide/crashing_parts.rs
@@ -43,8 +43,8 @@
 const MAX_PARTS: usize = 256;
 const MAX_REQUESTS: usize = 64;
 
-/// Maximum number of retained organisations of a part in one crash.
-const MAX_ORGANISATIONS: usize = 4;
+/// Maximum number of retained senders of a part in one crash.
+const MAX_SENDERS: usize = 4;
 
 /// Maximum number of parts that instances are asked about.
 const MAX_SUSPECTS: usize = 32;
@@ -55,10 +55,18 @@
     id: Arc<str>,
     /// Position in the prompt; the highest if requests differ.
     position: usize,
-    organisations: Vec<Arc<str>>,
+    senders: Vec<Sender>,
     requests: HashSet<Fingerprint>,
 }
 
+/// An organisation that sent a part.
+#[derive(Debug)]
+struct Sender {
+    organisation: Arc<str>,
+    /// The part [within](Fingerprint::within) the organisation.
+    part: Fingerprint,
+}
+
 /// An engine crash, with the parts of the prompts that the engine had just begun to run.
 #[derive(Debug)]
 struct Crash {
@@ -97,22 +105,42 @@
 impl<F: Fn(&Fingerprint) -> bool> Refused for F {}
 
 impl Sighting {
-    /// Whether each organisation's prompts with the part are refused.
+    /// Whether each sender's prompts with the part are refused.
     fn is_covered(&self, part: &Fingerprint, is_refused: &impl Refused) -> bool {
-        let mut organisations = self.organisations.iter();
-        is_refused(part) || organisations.all(|o| is_refused(&part.within(o)))
+        is_refused(part) || self.senders.iter().all(|s| is_refused(&s.part))
+    }
+
+    /// Whether some sender's prompts with the part are refused.
+    fn is_refused(&self, part: &Fingerprint, is_refused: &impl Refused) -> bool {
+        is_refused(part) || self.senders.iter().any(|s| is_refused(&s.part))
+    }
+}
+
+/// What is refused already and explains a crash.
+struct Explanation<'a> {
+    has_request: bool,
+    parts: Vec<&'a Fingerprint>,
+}
+
+impl Explanation<'_> {
+    fn is_any(&self) -> bool {
+        self.has_request || !self.parts.is_empty()
+    }
+
+    /// Whether something other than `part` explains the crash.
+    fn is_without(&self, part: &Fingerprint) -> bool {
+        self.has_request || self.parts.iter().any(|p| *p != part)
     }
 }
 
 impl Crash {
-    /// Whether something that is refused caused the crash, other than `part`.
-    fn is_explained_without(&self, part: Option<&Fingerprint>, is_refused: &impl Refused) -> bool {
-        let others = self.parts.iter().filter(|(p, _)| Some(*p) != part);
-        let is_refused_part = |(p, s): (&Fingerprint, &Sighting)| {
-            let mut organisations = s.organisations.iter();
-            is_refused(p) || organisations.any(|o| is_refused(&p.within(o)))
-        };
-        self.requests.iter().any(is_refused) || others.into_iter().any(is_refused_part)
+    fn explanation(&self, is_refused: &impl Refused) -> Explanation<'_> {
+        let parts = self.parts.iter();
+        let parts = parts.filter(|(p, sighting)| sighting.is_refused(p, is_refused));
+        Explanation {
+            has_request: self.requests.iter().any(is_refused),
+            parts: parts.map(|(p, _)| p).collect(),
+        }
     }
 }
 
@@ -161,7 +189,8 @@
     }
 
     fn organisations(&self) -> HashSet<&'a Arc<str>> {
-        self.sightings().flat_map(|s| &s.organisations).collect()
+        let senders = self.sightings().flat_map(|s| &s.senders);
+        senders.map(|s| &s.organisation).collect()
     }
 }
 
@@ -199,8 +228,8 @@
     pub(crate) fn forget(&mut self, fingerprint: &Fingerprint) {
         for crash in self.engines.values_mut() {
             crash.parts.retain(|part, sighting| {
-                let mut organisations = sighting.organisations.iter();
-                part != fingerprint && organisations.all(|o| part.within(o) != *fingerprint)
+                let mut senders = sighting.senders.iter();
+                part != fingerprint && senders.all(|s| s.part != *fingerprint)
             });
         }
         self.proposed_at.remove(fingerprint);
@@ -209,7 +238,7 @@
     /// Engines whose crashes a refused part explains.
     pub(crate) fn explained(&self, is_refused: impl Fn(&Fingerprint) -> bool) -> Vec<EngineStart> {
         let engines = self.engines.iter();
-        let explained = engines.filter(|(_, c)| c.is_explained_without(None, &is_refused));
+        let explained = engines.filter(|(_, c)| c.explanation(&is_refused).is_any());
         explained.map(|(start, _)| start.clone()).collect()
     }
 
@@ -260,11 +289,10 @@
     fn evidence(&self, until: Time, is_refused: &impl Refused) -> Vec<Evidence<'_>> {
         let mut crashes: HashMap<Fingerprint, Vec<_>> = HashMap::default();
         for (start, crash) in self.engines.iter().filter(|(_, c)| c.at <= until) {
+            let explanation = crash.explanation(is_refused);
             for part in crash.parts.keys() {
                 let harmless = self.harmless.get(part);
-                if harmless.is_none_or(|&at| at < crash.at)
-                    && !crash.is_explained_without(Some(part), is_refused)
-                {
+                if harmless.is_none_or(|&at| at < crash.at) && !explanation.is_without(part) {
                     crashes.entry(*part).or_default().push((start, crash));
                 }
             }
@@ -326,14 +354,26 @@
             return false;
         }
         // Engines also crash for other reasons.
+        count > MIN_CRASHES || self.explains_recent(until, evidence, is_refused)
+    }
+
+    /// Whether a part was involved in all crashes near its newest one that nothing else explains.
+    fn explains_recent(
+        &self,
+        until: Time,
+        evidence: &Evidence<'_>,
+        is_refused: &impl Refused,
+    ) -> bool {
         let newest = evidence.newest();
-        let is_near = |c: &&Crash| {
-            let is_recent =
-                newest.since(c.at) < RECENT_WINDOW && c.at.since(newest) < RECENT_WINDOW;
-            is_recent && c.at <= until && !c.is_explained_without(Some(&evidence.part), is_refused)
+        let is_recent = |c: &&Crash| {
+            let is_near = newest.since(c.at) < RECENT_WINDOW && c.at.since(newest) < RECENT_WINDOW;
+            is_near && c.at <= until
         };
-        let mut near = self.engines.values().filter(is_near);
-        count > MIN_CRASHES || near.all(|c| c.parts.contains_key(&evidence.part))
+        let mut recent = self.engines.values().filter(is_recent);
+        recent.all(|c| {
+            let explanation = || c.explanation(is_refused);
+            c.parts.contains_key(&evidence.part) || explanation().is_without(&evidence.part)
+        })
     }
 }
 
@@ -348,16 +388,21 @@
             .or_insert_with(|| Sighting {
                 id: Arc::clone(&part.id),
                 position,
-                organisations: Vec::new(),
+                senders: Vec::new(),
                 requests: HashSet::default(),
             });
         sighting.position = sighting.position.max(position);
         sighting.requests.insert(request.fingerprint);
         let organisation = &request.organisation;
-        if !sighting.organisations.contains(organisation)
-            && sighting.organisations.len() < MAX_ORGANISATIONS
-        {
-            sighting.organisations.push(Arc::clone(organisation));
+        let is_known = sighting
+            .senders
+            .iter()
+            .any(|s| s.organisation == *organisation);
+        if !is_known && sighting.senders.len() < MAX_SENDERS {
+            sighting.senders.push(Sender {
+                organisation: Arc::clone(organisation),
+                part: part.fingerprint.within(organisation),
+            });
         }
     }
 }
--- a/src/tests/decide/crashing_parts.rs
+++ b/src/tests/decide/crashing_parts.rs
@@ -149,30 +149,32 @@
     assert_eq!(identified(&mut crashes, 6_000), "");
 }
 
-/// Guards against unbounded memory use and against losing the crashes of a part when an
-/// organisation invents parts by the thousand.
+/// Guards against a leader that is busy for seconds, or loses the crashes of a part, when an
+/// organisation invents parts by the thousand while engines crash.
 #[test]
 fn tick_among_invented_parts() {
+    const CRASHES: u64 = 300;
     let mut crashes = PartCrashes::default();
-    for second in 0..6 {
+    for number in 0..CRASHES {
         let engine = EngineStart {
             id: "i-1".into(),
-            born: second,
+            born: number,
         };
-        for number in 0..100 {
-            let ids = (0..64).map(|i| format!("{second:x}{number:x}f{i:x}"));
+        let at = at(number * 1_000);
+        for run in 0..10 {
+            let ids = (0..64).map(|i| format!("{number:x}{run:x}f{i:x}"));
             let invented = CutRequest {
                 prompt: Prompt::new(MODEL.to_owned(), ids).into(),
-                ..request(1_000 + number, "two", "")
+                ..request(1_000 + run, "two", "")
             };
-            if number == 3 {
-                let bad = request(second as usize, "one", "b");
-                crashes.record_crash(at(second * 1_000), engine.clone(), &bad);
+            if run == 3 {
+                let bad = request(number as usize, "one", "b");
+                crashes.record_crash(at, engine.clone(), &bad);
             }
-            crashes.record_crash(at(second * 1_000), engine.clone(), &invented);
+            crashes.record_crash(at, engine.clone(), &invented);
         }
     }
-    let found = identified(&mut crashes, 10_000);
+    let found = identified(&mut crashes, CRASHES * 1_000);
     assert_eq!(found, "b");
     assert!(crashes.suspects().count() <= 32);
 }
