Judge by averages whether an instance is crowded

Found on reading: with one request or none between two reports at most instances, one that got two counted as crowded. While all instances were overloaded, each would have closed connections now and then. The requests are averaged over some ten reports now, and an instance is crowded at 2.5 times the mean: balancers that choose by a hash give some twice as much.

--- a/src/decide/demand.rs
+++ b/src/decide/demand.rs
@@ -6,6 +6,10 @@
 //! refused. Room is therefore divided among the requests that ask for it, as long as they
 //! are fewer than the instances.
 
+/// Factor on the averages at each report. Between two reports most instances get one request or
+/// none, so a single report doesn't tell whether one gets more than others.
+const AVERAGE_DECAY: f64 = 0.9;
+
 /// Requests that asked for room, at this instance and at all instances together.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Demand {
@@ -15,6 +19,9 @@
     local: Option<u32>,
     /// At all instances between two reports; `None` until the leader reported it.
     total: Option<u32>,
+    /// Decaying sums of `local` and `total`.
+    recent_local: f64,
+    recent_total: f64,
 }
 
 impl Demand {
@@ -28,6 +35,10 @@
     pub(crate) fn update(&mut self, total: Option<u32>, waiting: u32) {
         self.local = self.asked.replace(waiting);
         self.total = total;
+        if let (Some(local), Some(total)) = (self.local, total) {
+            self.recent_local = self.recent_local * AVERAGE_DECAY + f64::from(local);
+            self.recent_total = self.recent_total * AVERAGE_DECAY + f64::from(total);
+        }
     }
 
     /// Number of requests at this instance between two reports, as reported to the leader.
@@ -37,14 +48,12 @@
         self.local.unwrap_or(1)
     }
 
-    /// Ratio of the requests at this instance to the mean of all `instances`; 1 while it is unknown.
+    /// Ratio of the recent requests at this instance to the mean of all `instances`; 1 without any.
     pub(crate) fn crowding(&self, instances: u32) -> f64 {
-        match (self.local, self.total) {
-            (Some(local), Some(total)) if total > 0 => {
-                f64::from(local) * f64::from(instances) / f64::from(total)
-            }
-            _ => 1.0,
+        if self.recent_total < 1.0 {
+            return 1.0;
         }
+        self.recent_local * f64::from(instances) / self.recent_total
     }
 
     /// Number of parts into which room is divided: the `instances`, or the requests if these
--- a/src/decide/shedding.rs
+++ b/src/decide/shedding.rs
@@ -21,8 +21,9 @@
 /// Number of lags in a row that count as an overload. A process that was frozen lags once.
 const MIN_LAGS: u32 = 3;
 
-/// Multiple of the mean number of requests from which an instance is crowded.
-const CROWDED: f64 = 2.0;
+/// Multiple of the mean number of requests from which an instance is crowded. Balancers that choose
+/// by a hash give some instances twice as many as others.
+const CROWDED: f64 = 2.5;
 
 /// Factors on the admitted share of new connections at each interval with and without an overload.
 /// The increase is a factor, too: a fixed amount would be too much at a crowd of many times what
