--- a/src/controller/quarantine.rs
+++ b/src/controller/quarantine.rs
@@ -1,5 +1,5 @@
-//! Quarantine of requests and parts of prompts that crash engines: decided by the leader, committed to the
-//! replicated log and sent to the entry instances.
+//! Quarantine of requests and parts of prompts that crash engines: decided by the leader,
+//! committed to the replicated log and sent to the entry instances.
 
 use std::time::Duration;
 
--- a/src/decide/refusal.rs
+++ b/src/decide/refusal.rs
@@ -24,10 +24,11 @@
     NotRun,
     /// The rate limits of all upstreams that the request could enter allow none now.
     Limited,
-    /// All upstreams that the request could enter asked for a pause; the first ends after this time.
+    /// All upstreams that the request could enter asked for a pause; the first ends after this
+    /// time.
     Paused(Duration),
-    /// The request or a part of its prompt, with this fingerprint, is quarantined for this remaining
-    /// time, since it crashed engines.
+    /// The request or a part of its prompt, with this fingerprint, is quarantined for this
+    /// remaining time, since it crashed engines.
     Quarantined { cause: Fingerprint, left: Duration },
 }
 
--- a/src/prompt.rs
+++ b/src/prompt.rs
@@ -39,7 +39,8 @@
         all.flat_map(move |f| [f, f.within(organisation)])
     }
 
-    /// Returns the part that a quarantine of `fingerprint` concerns, for all organisations or for one.
+    /// Returns the part that a quarantine of `fingerprint` concerns, for all organisations or for
+    /// one.
     pub(crate) fn part(&self, fingerprint: &Fingerprint, organisation: &str) -> Option<&Part> {
         let mut parts = self.parts.iter();
         parts.find(|p| {
--- a/tests/platform/crash_part.rs
+++ b/tests/platform/crash_part.rs
@@ -186,7 +186,7 @@
     }
     for entry in 0..deployment.entries.len() {
         wait_for("ready entry", || deployment.is_ready(entry).then_some(()));
-        // Sends to each instance once, whatever the number.
+        // `send_crashing` chooses the instance by seven times the number: this reaches each once.
         let (status, reply) = send_crashing(&deployment, entry * 4);
         assert!(
             status == 503 && reply.contains("quarantined"),
