Log how long a stream was silent, and what was left of its time

The line that ends a stream named the cause but neither how long its upstream had sent nothing nor how much of the request's time was left.

--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -265,6 +265,7 @@
 
     fn finish(&mut self, how: &'static str) {
         let run = &self.run;
+        let now = run.entry.now();
         run.count(how);
         run.record_pauses(self.first, self.longest_pause);
         tracing::info!(
@@ -276,7 +277,9 @@
             events = self.event_count,
             first_ms = self.first.map(millis),
             pause_ms = millis(self.longest_pause),
-            took_ms = millis(run.entry.now().since(run.call.began)),
+            silent_ms = millis(now.since(self.last_at)),
+            left_ms = millis(run.left()),
+            took_ms = millis(now.since(run.call.began)),
             "stream ended"
         );
     }
