Let stand-in engines of tests pause, and record what each run sent

An engine that is paused reads and writes nothing on its connections, which stay open, and goes on where it was; its heartbeats go on unless the pause is mute. Each run records its Last-Event-Id, when it sent each event, and when its caller cancelled it. No test uses it yet.

--- a/tests/platform/cut.rs
+++ b/tests/platform/cut.rs
@@ -109,32 +109,46 @@
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-/// A connection to an engine that is subject to cuts.
+/// A connection to an engine that is subject to cuts and to the engine's pauses.
 pub(crate) struct Link {
     stream: TcpStream,
     source: IpAddr,
+    engine: String,
     state: SharedState,
     pause: Option<Pin<Box<Sleep>>>,
 }
 
 impl Link {
-    pub(crate) fn new(stream: TcpStream, source: IpAddr, state: SharedState) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        source: IpAddr,
+        engine: String,
+        state: SharedState,
+    ) -> Self {
         Self {
             stream,
             source,
+            engine,
             state,
             pause: None,
         }
     }
 
-    /// Ready once the cut, if any, lets bytes pass.
+    /// Ready once the cut and the pause, if any, let bytes pass.
     fn poll_open(&mut self, cx: &mut Context<'_>) -> Poll<Result<()>> {
         loop {
             if let Some(pause) = &mut self.pause {
                 ready!(pause.as_mut().poll(cx));
                 self.pause = None;
             }
-            let cut = self.state.lock().unwrap().links.of(self.source);
+            let (cut, paused) = {
+                let state = self.state.lock().unwrap();
+                (state.links.of(self.source), state.pauses.left(&self.engine))
+            };
+            if let Some(left) = paused {
+                self.pause = Some(Box::pin(sleep(left)));
+                continue;
+            }
             match cut {
                 Some(Cut::Hang) => self.pause = Some(Box::pin(sleep(POLL_INTERVAL))),
                 Some(Cut::Reset) => {
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -28,6 +28,7 @@
 
 use crate::common::caller::agent;
 use crate::cut::{self, Cut, Link, Links};
+use crate::pause::{EngineRun, Pauses, Running};
 use crate::unframed::{self, Ending};
 
 pub(crate) const HEARTBEAT_PERIOD: Duration = Duration::from_millis(300);
@@ -54,6 +55,9 @@
 /// Time until a crashed engine restarts.
 const DOWNTIME: Duration = Duration::from_millis(1500);
 
+/// Interval at which a mute engine checks whether its pause has ended.
+const MUTE_INTERVAL: Duration = Duration::from_millis(20);
+
 /// How an engine misbehaves at the first run of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -119,9 +123,11 @@
     classes: HashMap<String, Vec<Option<String>>>,
     /// How engines end answers that have neither a length nor chunks, if they send such ones.
     pub(crate) unframed: Option<Ending>,
-    /// Number of streams that engines were to break off before their last event, since nobody
-    /// reads them any more.
-    abandoned: u32,
+    pub(crate) pauses: Pauses,
+    /// Runs of attempts, in order of their start.
+    pub(crate) engine_runs: Vec<EngineRun>,
+    /// Time that engines of plain services work on a request.
+    pub(crate) work_time: Duration,
     /// Whether the engines are to end.
     ended: watch::Sender<bool>,
 }
@@ -150,20 +156,6 @@
     }
 }
 
-/// A stream that an engine sends; counted as abandoned if it is dropped before its end.
-struct Sending {
-    state: SharedState,
-    done: bool,
-}
-
-impl Drop for Sending {
-    fn drop(&mut self) {
-        if !self.done {
-            self.state.lock().unwrap().abandoned += 1;
-        }
-    }
-}
-
 /// A request that reached an engine.
 #[derive(Clone, Debug)]
 pub(crate) struct Visit {
@@ -222,9 +214,18 @@
         self.leaving.push(id.to_owned());
     }
 
-    /// Number of streams that were abandoned so far.
-    pub(crate) fn abandoned(&self) -> u32 {
-        self.abandoned
+    /// Number of runs so far that were dropped before their end, since nobody reads their answers
+    /// any more.
+    pub(crate) fn abandoned(&self) -> usize {
+        let runs = self.engine_runs.iter();
+        runs.filter(|r| r.cancelled.is_some()).count()
+    }
+
+    #[allow(dead_code)]
+    /// Runs of an attempt, in order of their start.
+    pub(crate) fn runs_of(&self, attempt: &str) -> Vec<EngineRun> {
+        let runs = self.engine_runs.iter();
+        runs.filter(|r| r.attempt == attempt).cloned().collect()
     }
 
     /// Values of `X-Priority-Class` with which the requests of an attempt arrived, in order.
@@ -431,10 +432,15 @@
         if state.lock().unwrap().killed.contains(&spec.id) {
             return;
         }
-        let (born, layers) = {
+        let (born, layers, mute) = {
             let state = state.lock().unwrap();
-            (state.born, state.layers_of(spec))
+            let mute = state.pauses.is_mute(&spec.id);
+            (state.born, state.layers_of(spec), mute)
         };
+        if mute {
+            thread::sleep(MUTE_INTERVAL);
+            continue;
+        }
         let to = controllers[target % controllers.len()];
         if !post_heartbeat(to, spec, born, seq, layers) {
             target += 1;
@@ -527,7 +533,7 @@
             tokio::spawn(unframed::answer(stream, spec, state, ending));
             continue;
         }
-        let stream = Link::new(stream, peer.ip(), Arc::clone(&state));
+        let stream = Link::new(stream, peer.ip(), spec.id.clone(), Arc::clone(&state));
         let (spec, state, crash) = (spec.clone(), Arc::clone(&state), Arc::clone(&crash));
         let service = service_fn(move |request: Request<Incoming>| {
             let (spec, state, crash) = (spec.clone(), Arc::clone(&state), Arc::clone(&crash));
@@ -667,10 +673,16 @@
     if crash_body.is_some() && spec.service != "models" {
         std::future::pending::<()>().await;
     }
+    let mut running = Running::begin(state, &spec.id, &attempt, last);
+    if spec.service != "models" {
+        let time = state.lock().unwrap().work_time;
+        running.work(time).await;
+    }
+    running.done = spec.service != "models" || crash_body.is_some() || fault == Fault::Error;
     let mut response = match spec.service {
         "models" if crash_body.is_some() => Response::new(pending_stream()),
         _ if fault == Fault::Error => full_response(500, "the stock file is locked"),
-        "models" => Response::new(event_stream(last, fault, Arc::clone(state))),
+        "models" => Response::new(event_stream(last, fault, running)),
         _ => full_response(200, &format!("done by {}", spec.id)),
     };
     let headers = response.headers_mut();
@@ -691,25 +703,27 @@
 }
 
 /// Stream of the events after `last`.
-fn event_stream(last: u64, fault: Fault, state: SharedState) -> Body {
-    let sending = Sending { state, done: false };
-    let next = move |(id, mut sending): (u64, Sending)| async move {
-        tokio::time::sleep(EVENT_INTERVAL).await;
+fn event_stream(last: u64, fault: Fault, running: Running) -> Body {
+    let next = move |(id, mut running): (u64, Running)| async move {
+        running.work(EVENT_INTERVAL).await;
         let reset = matches!(fault, Fault::ResetAfter(limit) if id > limit);
         let event = format!("id: {id}\ndata: token {id}\n\n");
-        sending.done = id >= STREAM_EVENTS || reset;
+        running.done = id >= STREAM_EVENTS || reset;
         match (id > STREAM_EVENTS, reset) {
             (true, _) => None,
             // A part of an event, as a crashing engine sends it.
             (_, true) if id.is_multiple_of(2) => {
                 let part = event[..7].to_owned();
-                Some((Ok(Frame::data(part.into())), (id + 1, sending)))
+                Some((Ok(Frame::data(part.into())), (id + 1, running)))
+            }
+            (_, true) => Some((Err("cut"), (id, running))),
+            _ => {
+                running.record_event();
+                Some((Ok(Frame::data(event.into())), (id + 1, running)))
             }
-            (_, true) => Some((Err("cut"), (id, sending))),
-            _ => Some((Ok(Frame::data(event.into())), (id + 1, sending))),
         }
     };
-    StreamBody::new(stream::unfold((last + 1, sending), next)).boxed_unsync()
+    StreamBody::new(stream::unfold((last + 1, running), next)).boxed_unsync()
 }
 
 async fn handle_order(
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod notice;
 mod order;
+mod pause;
 mod priority;
 mod reach;
 mod restore;
--- /dev/null
+++ b/tests/platform/pause.rs
@@ -0,0 +1,123 @@
+//! Engines that make no progress for a while, and the record of what their runs sent.
+#![allow(dead_code)] // until the tests of silent engines use all of it
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::engine::{EngineSpec, SharedState};
+
+/// A time in which an engine reads and writes nothing. Its connections stay open, new ones open,
+/// and it goes on where it was.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pause {
+    pub(crate) until: Instant,
+    /// Whether its heartbeats stop as well.
+    pub(crate) mute: bool,
+}
+
+/// The latest pause of each engine, by engine ID.
+#[derive(Default)]
+pub(crate) struct Pauses(HashMap<String, Pause>);
+
+impl Pauses {
+    /// Pauses these engines from now on.
+    pub(crate) fn begin<'a>(
+        &mut self,
+        engines: impl IntoIterator<Item = &'a EngineSpec>,
+        pause: Pause,
+    ) {
+        let ids = engines.into_iter().map(|e| e.id.clone());
+        self.0.extend(ids.map(|id| (id, pause)));
+    }
+
+    /// Time left of an engine's pause, if it pauses now.
+    pub(crate) fn left(&self, id: &str) -> Option<Duration> {
+        let left = self
+            .0
+            .get(id)?
+            .until
+            .saturating_duration_since(Instant::now());
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Whether an engine pauses now and sends no heartbeats.
+    pub(crate) fn is_mute(&self, id: &str) -> bool {
+        self.left(id).is_some() && self.0[id].mute
+    }
+}
+
+/// Waits for the end of an engine's pause.
+pub(crate) async fn await_end(state: &SharedState, id: &str) {
+    loop {
+        let left = state.lock().unwrap().pauses.left(id);
+        let Some(left) = left else { return };
+        tokio::time::sleep(left).await;
+    }
+}
+
+/// A run of an attempt at an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct EngineRun {
+    pub(crate) engine: String,
+    pub(crate) attempt: String,
+    pub(crate) began: Instant,
+    /// `Last-Event-Id` with which it arrived; 0 without one.
+    pub(crate) last: u64,
+    /// When it sent each event from the one after `last` on.
+    pub(crate) sent: Vec<Instant>,
+    /// When it was dropped before its end, since its caller closed the connection.
+    pub(crate) cancelled: Option<Instant>,
+}
+
+/// A run that is going on; cancelled if it is dropped before its end.
+pub(crate) struct Running {
+    state: SharedState,
+    index: usize,
+    engine: String,
+    pub(crate) done: bool,
+}
+
+impl Running {
+    /// Records the start of a run.
+    pub(crate) fn begin(state: &SharedState, engine: &str, attempt: &str, last: u64) -> Self {
+        let run = EngineRun {
+            engine: engine.to_owned(),
+            attempt: attempt.to_owned(),
+            began: Instant::now(),
+            last,
+            sent: Vec::new(),
+            cancelled: None,
+        };
+        let mut locked = state.lock().unwrap();
+        let index = locked.engine_runs.len();
+        locked.engine_runs.push(run);
+        drop(locked);
+        Self {
+            state: SharedState::clone(state),
+            index,
+            engine: engine.to_owned(),
+            done: false,
+        }
+    }
+
+    /// Works for a time, and waits while the engine is paused.
+    pub(crate) async fn work(&self, time: Duration) {
+        tokio::time::sleep(time).await;
+        await_end(&self.state, &self.engine).await;
+    }
+
+    /// Records that the next event is sent.
+    pub(crate) fn record_event(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.engine_runs[self.index].sent.push(Instant::now());
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if !self.done {
+            let mut state = self.state.lock().unwrap();
+            state.engine_runs[self.index].cancelled = Some(Instant::now());
+        }
+    }
+}
