--- a/tests/platform/cut.rs
+++ b/tests/platform/cut.rs
@@ -15,7 +15,7 @@
 
 use crate::engine::SharedState;
 
-/// Interval at which a held connection checks whether its cut has ended.
+/// Interval at which a held connection checks whether its cut or pause has ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What happens to the connections of a cut instance.
@@ -143,13 +143,11 @@
             }
             let (cut, paused) = {
                 let state = self.state.lock().unwrap();
-                (state.links.of(self.source), state.pauses.left(&self.engine))
+                let paused = state.pauses.is_paused(&self.engine);
+                (state.links.of(self.source), paused)
             };
-            if let Some(left) = paused {
-                self.pause = Some(Box::pin(sleep(left)));
-                continue;
-            }
             match cut {
+                _ if paused => self.pause = Some(Box::pin(sleep(POLL_INTERVAL))),
                 Some(Cut::Hang) => self.pause = Some(Box::pin(sleep(POLL_INTERVAL))),
                 Some(Cut::Reset) => {
                     reset(&self.stream);
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -221,7 +221,6 @@
         runs.filter(|r| r.cancelled.is_some()).count()
     }
 
-    #[allow(dead_code)]
     /// Runs of an attempt, in order of their start.
     pub(crate) fn runs_of(&self, attempt: &str) -> Vec<EngineRun> {
         let runs = self.engine_runs.iter();
--- a/tests/platform/pause.rs
+++ b/tests/platform/pause.rs
@@ -1,5 +1,4 @@
 //! Engines that make no progress for a while, and the record of what their runs sent.
-#![allow(dead_code)] // until the tests of silent engines use all of it
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -20,7 +19,7 @@
 pub(crate) struct Pauses(HashMap<String, Pause>);
 
 impl Pauses {
-    /// Pauses these engines from now on.
+    /// Pauses these engines, and ends their earlier pauses.
     pub(crate) fn begin<'a>(
         &mut self,
         engines: impl IntoIterator<Item = &'a EngineSpec>,
@@ -30,28 +29,24 @@
         self.0.extend(ids.map(|id| (id, pause)));
     }
 
-    /// Time left of an engine's pause, if it pauses now.
-    pub(crate) fn left(&self, id: &str) -> Option<Duration> {
-        let left = self
-            .0
-            .get(id)?
-            .until
-            .saturating_duration_since(Instant::now());
-        (!left.is_zero()).then_some(left)
+    /// Whether an engine pauses now.
+    pub(crate) fn is_paused(&self, id: &str) -> bool {
+        self.0.get(id).is_some_and(|p| Instant::now() < p.until)
     }
 
     /// Whether an engine pauses now and sends no heartbeats.
     pub(crate) fn is_mute(&self, id: &str) -> bool {
-        self.left(id).is_some() && self.0[id].mute
+        self.is_paused(id) && self.0[id].mute
     }
 }
 
+/// Interval at which a paused engine checks whether its pause has ended.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Waits for the end of an engine's pause.
-pub(crate) async fn await_end(state: &SharedState, id: &str) {
-    loop {
-        let left = state.lock().unwrap().pauses.left(id);
-        let Some(left) = left else { return };
-        tokio::time::sleep(left).await;
+async fn await_end(state: &SharedState, id: &str) {
+    while state.lock().unwrap().pauses.is_paused(id) {
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
@@ -60,7 +55,6 @@
 pub(crate) struct EngineRun {
     pub(crate) engine: String,
     pub(crate) attempt: String,
-    pub(crate) began: Instant,
     /// `Last-Event-Id` with which it arrived; 0 without one.
     pub(crate) last: u64,
     /// When it sent each event from the one after `last` on.
@@ -83,7 +77,6 @@
         let run = EngineRun {
             engine: engine.to_owned(),
             attempt: attempt.to_owned(),
-            began: Instant::now(),
             last,
             sent: Vec::new(),
             cancelled: None,
