--- a/tests/platform/cut.rs
+++ b/tests/platform/cut.rs
@@ -15,7 +15,7 @@
 
 use crate::engine::SharedState;
 
-/// Interval at which a held connection checks whether its cut has ended.
+/// Interval at which a held connection checks whether its cut or pause has ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What happens to the connections of a cut instance.
@@ -109,33 +109,45 @@
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-/// A connection to an engine that is subject to cuts.
+/// A connection to an engine that is subject to cuts and to the engine's pauses.
 pub(crate) struct Link {
     stream: TcpStream,
     source: IpAddr,
+    engine: String,
     state: SharedState,
     pause: Option<Pin<Box<Sleep>>>,
 }
 
 impl Link {
-    pub(crate) fn new(stream: TcpStream, source: IpAddr, state: SharedState) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        source: IpAddr,
+        engine: String,
+        state: SharedState,
+    ) -> Self {
         Self {
             stream,
             source,
+            engine,
             state,
             pause: None,
         }
     }
 
-    /// Ready once the cut, if any, lets bytes pass.
+    /// Ready once the cut and the pause, if any, let bytes pass.
     fn poll_open(&mut self, cx: &mut Context<'_>) -> Poll<Result<()>> {
         loop {
             if let Some(pause) = &mut self.pause {
                 ready!(pause.as_mut().poll(cx));
                 self.pause = None;
             }
-            let cut = self.state.lock().unwrap().links.of(self.source);
+            let (cut, paused) = {
+                let state = self.state.lock().unwrap();
+                let paused = state.pauses.is_paused(&self.engine);
+                (state.links.of(self.source), paused)
+            };
             match cut {
+                _ if paused => self.pause = Some(Box::pin(sleep(POLL_INTERVAL))),
                 Some(Cut::Hang) => self.pause = Some(Box::pin(sleep(POLL_INTERVAL))),
                 Some(Cut::Reset) => {
                     reset(&self.stream);
