--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -28,21 +28,26 @@
     Answered,
 }
 
-/// Number of attempts so far, including the failed one.
+/// Number of attempts so far, including those that still run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct AttemptCounts {
-    /// Attempts that may have run.
+    /// Attempts that may have run, or still run.
     pub(crate) may_have_run: u32,
     /// Attempts that were not run.
     pub(crate) not_run: u32,
 }
 
 impl AttemptCounts {
-    /// Counts a failed attempt.
-    pub(crate) fn record(&mut self, failure: Failure) {
-        match failure {
-            Failure::NotRun => self.not_run += 1,
-            Failure::Unknown | Failure::Answered => self.may_have_run += 1,
+    /// Counts an attempt that begins.
+    pub(crate) fn record_start(&mut self) {
+        self.may_have_run += 1;
+    }
+
+    /// Records the failure of an attempt that was counted when it began.
+    pub(crate) fn record_failure(&mut self, failure: Failure) {
+        if failure == Failure::NotRun {
+            self.may_have_run -= 1;
+            self.not_run += 1;
         }
     }
 }
@@ -72,7 +77,8 @@
     }
 }
 
-/// Returns what follows `failure`, which `counts` already includes.
+/// Returns what follows `failure`, which `counts` already includes. For an attempt that is silent
+/// and still runs, [`Failure::Unknown`] tells whether another may start beside it.
 pub(crate) fn next_step(
     repeat: RetryPolicy,
     attempts: u32,
--- a/src/decide/retry_budget.rs
+++ b/src/decide/retry_budget.rs
@@ -23,6 +23,10 @@
 /// proportion to the time since then.
 const START_UTILISATION: f64 = 1.0 - UTILISATION;
 
+/// Fraction of the limit that attempts beside silent ones leave to those after failures. A silent
+/// attempt may still succeed; a failed one can't.
+const HEDGE_RESERVE: f64 = 0.5;
+
 /// Limit on the retries of all instances together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct RetryLimit {
@@ -89,6 +93,13 @@
         true
     }
 
+    /// Like [`Self::try_acquire`], for an attempt beside a silent one.
+    pub(crate) fn try_acquire_hedge(&mut self, now: Time, service: &str, instances: u32) -> bool {
+        let remaining = self.remaining(now, service, instances);
+        let limit = remaining + self.window(service).spent();
+        remaining >= 1.0 + HEDGE_RESERVE * limit && self.try_acquire(now, service, instances)
+    }
+
     /// Records that a granted retry is sent.
     pub(crate) fn record_sent(&mut self, now: Time, service: &str) {
         let window = self.window(service);
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -4,7 +4,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use hyper::header::CONTENT_TYPE;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
 use tokio::time::timeout;
 
@@ -12,10 +13,12 @@
 use super::body::Body;
 use super::crash::{Suspicion, is_cut};
 use super::head;
+use super::hedge::{Ended, Progress, Running};
 use super::listen::{error_response, quarantine_body, refuse};
 use super::pool;
-use super::retry::GrantedRetry;
+use super::retry::{GrantedRetry, RetryReason};
 use super::select::{Exclusions, Selection};
+use super::send::Attempt;
 use super::view::of_service;
 use crate::clock::{Time, millis};
 use crate::configuration::{Model, Route, RoutingTable};
@@ -38,9 +41,9 @@
 /// sent again only after 1 s, and another upstream can be tried sooner.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Multiple of the route's objective to wait for the first sign of a response, if the request
-/// may be sent elsewhere. An engine that waits for a dead one behind it reports so only after
-/// seconds.
+/// Multiple of the route's objective after which an attempt without any sign of a response is
+/// hedged, if the request may be sent elsewhere. An engine that waits for a dead one behind it
+/// reports so only after seconds.
 pub(super) const FIRST_BYTE_FACTOR: u32 = 2;
 
 /// Failure cause: connecting to the upstream failed.
@@ -58,7 +61,7 @@
 /// Failure cause: the first engine reported another engine of the path as dead.
 pub(super) const DEAD_ENGINE: &str = "dead_part";
 
-/// Failure cause: the attempt waited for a dead engine, and no path leads around it.
+/// Cause of a hedge: the attempt waits for an engine that seems dead, and no path leads around it.
 pub(super) const BLOCKED: &str = "blocked";
 
 /// Failure cause: the upstream refused and wants no requests for a while.
@@ -90,10 +93,56 @@
     pub(super) time_limit: Duration,
 }
 
+impl Call {
+    /// Time left until the deadline.
+    pub(super) fn left(&self, now: Time) -> Duration {
+        self.time_limit.saturating_sub(now.since(self.began))
+    }
+}
+
+/// What all attempts for a request share.
+#[derive(Clone)]
+pub(super) struct Context {
+    pub(super) entry: Arc<Entry>,
+    pub(super) table: Arc<RoutingTable>,
+    pub(super) call: Arc<Call>,
+}
+
+impl Context {
+    /// The model that serves the request, if its service has one.
+    pub(super) fn model(&self) -> Option<&Model> {
+        self.table.service(&self.call.service)?.model.as_ref()
+    }
+
+    /// Time left until the deadline.
+    pub(super) fn left(&self) -> Duration {
+        self.call.left(self.entry.now())
+    }
+}
+
 /// A response whose head was received and whose body is still to be read.
 pub(super) struct OpenResponse {
     pub(super) answer: UpstreamResponse,
     pub(super) selection: Selection,
+    /// Start of the body, as far as it was read to see the first event.
+    pub(super) buffer: BytesMut,
+}
+
+impl OpenResponse {
+    pub(super) fn new(answer: UpstreamResponse, selection: Selection) -> Self {
+        Self {
+            answer,
+            selection,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Whether the body is a stream of events.
+    pub(super) fn is_stream(&self) -> bool {
+        let kind = head::text(self.answer.response.headers(), CONTENT_TYPE.as_str());
+        let events = kind.is_some_and(|k| k.starts_with("text/event-stream"));
+        events && self.answer.response.status().is_success()
+    }
 }
 
 /// Reason that a request ends without an upstream's response.
@@ -112,10 +161,10 @@
 pub(super) struct Run {
     pub(super) entry: Arc<Entry>,
     pub(super) table: Arc<RoutingTable>,
-    pub(super) call: Call,
+    pub(super) call: Arc<Call>,
     attempts: AttemptCounts,
-    /// Upstreams at which the request failed; they are not tried again.
-    failed_upstreams: Vec<u64>,
+    /// Upstreams at which the request failed or is silent; they are not tried again.
+    pub(super) failed_upstreams: Vec<u64>,
     /// Those of `failed_upstreams` to which a connection of this instance failed.
     unreached: Vec<u64>,
     /// The latest server error from an upstream.
@@ -128,7 +177,7 @@
     pub(super) events: u64,
     pub(super) suspicion: Suspicion,
     /// The latest retry; `None` in the first attempt.
-    pub(super) retry: Option<GrantedRetry>,
+    pub(super) retry: Option<Arc<GrantedRetry>>,
 }
 
 /// Records a request whose future was dropped: its caller disconnected, or the instance ended.
@@ -153,11 +202,20 @@
     }
 }
 
+/// What follows the end of an attempt.
+enum Settled {
+    Answered(Box<OpenResponse>),
+    /// Another attempt may start.
+    Again,
+    /// The request ends, unless another attempt still runs.
+    End(RunError),
+}
+
 /// Result of one attempt.
 pub(super) enum Outcome {
-    Answered(OpenResponse),
+    Answered(Box<OpenResponse>),
     /// A server error of the upstream; the request may be tried elsewhere.
-    UpstreamError(OpenResponse),
+    UpstreamError(Box<OpenResponse>),
     Failed {
         failure: Failure,
         /// Upstream at fault, if known.
@@ -176,7 +234,7 @@
         Self {
             entry,
             table,
-            call,
+            call: Arc::new(call),
             attempts: AttemptCounts::default(),
             failed_upstreams: Vec::new(),
             unreached: Vec::new(),
@@ -194,16 +252,24 @@
         self.ended.load(Ordering::Relaxed)
     }
 
+    /// What all attempts for the request share.
+    pub(super) fn context(&self) -> Context {
+        Context {
+            entry: Arc::clone(&self.entry),
+            table: Arc::clone(&self.table),
+            call: Arc::clone(&self.call),
+        }
+    }
+
     /// Time left until the deadline.
     pub(super) fn left(&self) -> Duration {
-        let passed = self.entry.now().since(self.call.began);
-        self.call.time_limit.saturating_sub(passed)
+        self.call.left(self.entry.now())
     }
 
-    /// Makes attempts until one returns a usable response head. If all fail, returns the
-    /// latest server error of an upstream, if any: it tells the caller more than a generic
-    /// failure.
-    pub(super) async fn open(&mut self) -> Result<OpenResponse, RunError> {
+    /// Makes attempts until one returns a usable response: its head, and the first event of a
+    /// stream that may be resumed. If all fail, returns the latest server error of an upstream, if
+    /// any: it tells the caller more than a generic failure.
+    pub(super) async fn open(&mut self) -> Result<Box<OpenResponse>, RunError> {
         let end = match self.run_attempts().await {
             Ok(opened) => return Ok(opened),
             Err(end) => end,
@@ -214,12 +280,50 @@
             .map_or(end, RunError::UpstreamError))
     }
 
-    async fn run_attempts(&mut self) -> Result<OpenResponse, RunError> {
+    async fn run_attempts(&mut self) -> Result<Box<OpenResponse>, RunError> {
+        let mut running = Running::default();
         let mut asks_first = true;
+        let mut may_start = true;
+        loop {
+            let progress = if may_start {
+                may_start = false;
+                tokio::select! {
+                    biased;
+                    ended = running.next_end() => Progress::Ended(Box::new(ended)),
+                    found = self.find_upstream(&mut asks_first) => {
+                        match found {
+                            Ok(selection) => running.start(self.begin(&running), selection),
+                            Err(end) if running.is_empty() => return Err(end),
+                            // A retry that isn't sent doesn't count against the limit.
+                            Err(_) => self.retry = None,
+                        }
+                        continue;
+                    }
+                }
+            } else {
+                let Ok(progress) = timeout(self.left(), running.next()).await else {
+                    return Err(RunError::TimedOut);
+                };
+                progress
+            };
+            may_start = match progress {
+                Progress::Stalled(stalled) => self.may_hedge(&stalled),
+                Progress::Ended(ended) => match self.settle(*ended).await {
+                    Settled::Answered(opened) => return Ok(opened),
+                    Settled::Again => running.all_stalled(),
+                    // Another attempt goes on.
+                    Settled::End(_) if !running.is_empty() => false,
+                    Settled::End(end) => return Err(end),
+                },
+            };
+        }
+    }
+
+    /// Selects where the next attempt goes, as soon as the request may be sent.
+    async fn find_upstream(&mut self, asks_first: &mut bool) -> Result<Selection, RunError> {
         loop {
             self.await_suspicion().await;
-            let left = self.left();
-            if left.is_zero() {
+            if self.left().is_zero() {
                 return Err(self.timed_out());
             }
             if let Some(reason) = self.quarantined() {
@@ -231,7 +335,7 @@
             }
             let at_once = self.choose_at_once();
             let is_short = matches!(at_once, Err(Reason::Full));
-            if asks_first {
+            if *asks_first {
                 self.record_asked(is_short);
             }
             let found = match at_once {
@@ -245,60 +349,65 @@
             let full = matches!(found, Err(Reason::Full));
             let long = self.is_long();
             self.entry.shared().refusals.record(full, long);
-            self.record_search(asks_first, is_short, full);
-            asks_first = false;
+            self.record_search(*asks_first, is_short, full);
+            *asks_first = false;
             let selection = found.map_err(|reason| self.unsent(reason))?;
-            if !self.acquire_send(&selection.upstream) {
-                continue;
+            if self.acquire_send(&selection.upstream) {
+                return Ok(selection);
             }
-            let first = selection.upstream.key;
-            let single = selection.path.is_none();
-            let upstream = selection.upstream.clone();
-            self.events = 0;
-            let outcome = match timeout(left, self.attempt(selection)).await {
-                Ok(outcome) => outcome,
-                Err(_) => {
-                    self.attempts.record(Failure::Unknown);
-                    return Err(RunError::TimedOut);
-                }
-            };
-            match outcome {
-                Outcome::Answered(opened) => return Ok(opened),
-                Outcome::UpstreamError(opened) => {
-                    self.failed_upstreams.push(first);
-                    self.upstream_error = Some(Box::new(opened));
-                    if self.record_failure(Failure::Answered, "upstream_error") != NextStep::Again {
-                        return Err(RunError::MayHaveRun);
-                    }
-                }
-                Outcome::Failed {
-                    failure,
-                    culprit,
-                    cause,
-                } => {
-                    // No upstream is known to be at fault, but a plain service has other
-                    // upstreams to try next.
-                    if single && culprit.is_none() {
-                        self.failed_upstreams.push(first);
-                    }
-                    if is_cut(cause) {
-                        self.record_cut(&upstream);
-                    }
-                    self.exclude_upstream(culprit, cause);
-                    match self.record_failure(failure, cause) {
-                        NextStep::Again => self.check_crash(cause, &upstream).await,
-                        NextStep::Refuse if cause == NO_PROXY => {
-                            return Err(RunError::NotRun(Reason::Unreachable));
-                        }
-                        NextStep::Refuse => return Err(RunError::NotRun(Reason::NotRun)),
-                        NextStep::Pass | NextStep::Fail if self.left().is_zero() => {
-                            return Err(RunError::TimedOut);
-                        }
-                        NextStep::Pass | NextStep::Fail => return Err(RunError::MayHaveRun),
-                    }
-                }
+        }
+    }
+
+    /// Counts an attempt that begins.
+    fn begin(&mut self, running: &Running) -> Attempt {
+        self.attempts.record_start();
+        self.events = 0;
+        Attempt::new(self, running.stalls())
+    }
+
+    /// Decides what follows the end of an attempt.
+    async fn settle(&mut self, ended: Ended) -> Settled {
+        let Ended {
+            upstream,
+            is_path,
+            outcome,
+        } = ended;
+        let (failure, culprit, cause) = match outcome {
+            Outcome::Answered(opened) => return Settled::Answered(opened),
+            Outcome::UpstreamError(opened) => {
+                self.failed_upstreams.push(upstream.key);
+                self.upstream_error = Some(opened);
+                return match self.record_failure(Failure::Answered, "upstream_error") {
+                    NextStep::Again => Settled::Again,
+                    _ => Settled::End(RunError::MayHaveRun),
+                };
             }
+            Outcome::Failed {
+                failure,
+                culprit,
+                cause,
+            } => (failure, culprit, cause),
+        };
+        // No upstream is known to be at fault, but a plain service has other upstreams to try
+        // next.
+        if !is_path && culprit.is_none() {
+            self.failed_upstreams.push(upstream.key);
         }
+        if is_cut(cause) {
+            self.record_cut(&upstream);
+        }
+        self.exclude_upstream(culprit, cause);
+        let end = match self.record_failure(failure, cause) {
+            NextStep::Again => {
+                self.check_crash(cause, &upstream).await;
+                return Settled::Again;
+            }
+            NextStep::Refuse if cause == NO_PROXY => RunError::NotRun(Reason::Unreachable),
+            NextStep::Refuse => RunError::NotRun(Reason::NotRun),
+            NextStep::Pass | NextStep::Fail if self.left().is_zero() => RunError::TimedOut,
+            NextStep::Pass | NextStep::Fail => RunError::MayHaveRun,
+        };
+        Settled::End(end)
     }
 
     /// Lets the request enter upstreams again to which connections failed, once they are reached
@@ -396,23 +505,31 @@
         Some(speed?.utilisation)
     }
 
-    /// Counts a failed attempt and decides on the next step.
-    pub(super) fn record_failure(&mut self, failure: Failure, cause: &'static str) -> NextStep {
-        self.attempts.record(failure);
-        let route = &self.call.route;
-        let left = self.left();
-        let mut next = retry::next_step(
+    /// Returns what may follow a failed or silent attempt, apart from the retry budget.
+    pub(super) fn next_step(&self, failure: Failure) -> NextStep {
+        let (route, left) = (&self.call.route, self.left());
+        retry::next_step(
             route.retry_policy,
             route.attempts,
             self.attempts,
             failure,
             left,
-        );
+        )
+    }
+
+    /// Records a failed attempt and decides on the next step.
+    pub(super) fn record_failure(&mut self, failure: Failure, cause: &'static str) -> NextStep {
+        self.attempts.record_failure(failure);
+        let left = self.left();
+        let mut next = self.next_step(failure);
         if next == NextStep::Again && (self.may_crash_engine(cause) || cause == NO_PROXY) {
             next = retry::give_up(self.attempts, failure);
         }
         // A request that reached no upstream adds nothing to their load.
-        if next == NextStep::Again && cause != NO_CONNECTION && !self.acquire_retry() {
+        if next == NextStep::Again
+            && cause != NO_CONNECTION
+            && !self.acquire_retry(RetryReason::Failed)
+        {
             next = retry::give_up(self.attempts, failure);
         }
         let failures = metric::FAILED_ATTEMPTS.name;
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -7,32 +7,41 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Request, StatusCode};
 
-use super::attempt::{DEAD_ENGINE, OpenResponse, Outcome, PAUSED, REFUSED, Run};
+use super::attempt::{DEAD_ENGINE, OpenResponse, Outcome, PAUSED, REFUSED};
 use super::head;
 use super::notice::pause_asked;
 use super::select::Selection;
+use super::send::Attempt;
 use crate::clock::{Time, millis};
 use crate::decide::retry::Failure;
 use crate::platform::headers;
 use crate::sync::address_key;
 
-impl Run {
+impl Attempt {
     pub(super) fn request(&self, selection: &Selection) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::from(self.call.body.clone()));
-        *request.method_mut() = self.call.method.clone();
-        let target = self.call.uri.path_and_query().map_or("/", |p| p.as_str());
+        let mut request = Request::new(Full::from(self.context.call.body.clone()));
+        *request.method_mut() = self.context.call.method.clone();
+        let target = self
+            .context
+            .call
+            .uri
+            .path_and_query()
+            .map_or("/", |p| p.as_str());
         *request.uri_mut() = target.parse().expect("target was parsed on receipt");
-        let mut map = self.call.headers.clone();
+        let mut map = self.context.call.headers.clone();
         let mut set = |name: &'static str, value: String| {
             let value = HeaderValue::try_from(value).expect("visible characters");
             map.insert(HeaderName::from_static(name), value);
         };
-        set(headers::DEADLINE, millis(self.left()).max(1).to_string());
+        set(
+            headers::DEADLINE,
+            millis(self.context.left()).max(1).to_string(),
+        );
         set(
             headers::EXPECTED_UPSTREAM,
             selection.upstream.id.to_string(),
         );
-        if let Some(rank) = self.call.rank {
+        if let Some(rank) = self.context.call.rank {
             set(headers::PRIORITY_CLASS, rank.index().to_string());
         }
         if let Some(path) = &selection.path {
@@ -52,7 +61,9 @@
         let map = response.headers();
         let first = opened.selection.upstream.key;
         let upstream = &opened.selection.upstream;
-        self.entry.note_response(sent, upstream, status, map);
+        self.context
+            .entry
+            .note_response(sent, upstream, status, map);
         let not_run =
             map.contains_key(headers::NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST;
         if not_run {
@@ -60,7 +71,8 @@
             let named = named.map(|a: SocketAddrV4| address_key(a));
             // A live engine refuses at once; a dead engine in the path shows only after a
             // stall.
-            let stalled = self.entry.now().since(sent) >= self.entry.boot.bounds.stall_timeout / 2;
+            let stalled = self.context.entry.now().since(sent)
+                >= self.context.entry.boot.bounds.stall_timeout / 2;
             // The pause says enough: the upstream is neither dead nor failing.
             if pause_asked(status, map).is_some() {
                 return Outcome::Failed {
@@ -77,7 +89,7 @@
         }
         let signed = map.contains_key(headers::SIGNATURE);
         let echoed = head::text(map, headers::ATTEMPT_ID);
-        let ours = echoed.is_none_or(|id| id == self.call.attempt);
+        let ours = echoed.is_none_or(|id| id == self.context.call.attempt);
         if !signed || !ours {
             return Outcome::Failed {
                 failure: Failure::Unknown,
@@ -86,8 +98,8 @@
             };
         }
         if status.is_server_error() {
-            return Outcome::UpstreamError(opened);
+            return Outcome::UpstreamError(Box::new(opened));
         }
-        Outcome::Answered(opened)
+        Outcome::Answered(Box::new(opened))
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -44,6 +44,7 @@
 mod exchange;
 mod follow;
 mod head;
+mod hedge;
 mod limit;
 mod listen;
 mod measure;
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::header::{CONTENT_ENCODING, CONTENT_TYPE};
+use hyper::header::CONTENT_ENCODING;
 use hyper::http::response::Parts;
 use tokio::time::timeout;
 
@@ -21,11 +21,10 @@
     pub(super) async fn answer(mut self, running: RunningGuard) -> Response<Body> {
         loop {
             let opened = match self.open().await {
-                Ok(opened) => opened,
-                Err(RunError::UpstreamError(opened)) => *opened,
+                Ok(opened) | Err(RunError::UpstreamError(opened)) => *opened,
                 Err(end) => return self.final_response(&end),
             };
-            if is_stream(&opened) {
+            if opened.is_stream() {
                 return stream::answer(self, opened, running);
             }
             let upstream = opened.selection.upstream.clone();
@@ -83,10 +82,3 @@
         response
     }
 }
-
-fn is_stream(opened: &OpenResponse) -> bool {
-    let map = opened.answer.response.headers();
-    let kind = head::text(map, CONTENT_TYPE.as_str());
-    let events = kind.is_some_and(|k| k.starts_with("text/event-stream"));
-    events && opened.answer.response.status().is_success()
-}
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -5,19 +5,19 @@
 //! waits for. If another engine of the domain holds the same layers, the attempt continues
 //! there, and only that part of the prompt processing is repeated.
 
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
 use tokio::time::timeout;
 
-use super::attempt::{DEAD_ENGINE, Run};
+use super::attempt::{Context, DEAD_ENGINE};
 use super::select::Selection;
 use super::view::of_service;
 use crate::configuration::RetryPolicy;
 use crate::decide::health::HealthStatus;
-use crate::decide::stall::{StallTimer, Step};
+use crate::decide::stall::{Silence, Step};
 use crate::engine::{call_request, exchange};
 use crate::event;
 use crate::metric;
@@ -36,44 +36,58 @@
     DeadEngine(u64),
 }
 
-impl Run {
-    /// Awaits the progress of an attempt for at most `stall_timeout`, and reroutes the attempt
-    /// around an engine that blocks it.
+/// What was learnt about a silent attempt.
+enum Inquiry<T> {
+    /// It has made progress.
+    Progress(T),
+    /// It waits for this engine.
+    Culprit(u64),
+    Nothing,
+}
+
+impl Context {
+    /// Awaits the progress of an attempt, and reroutes the attempt around an engine that blocks it.
+    /// Returns an error each time that it is stalled; it may still make progress after that.
     pub(super) async fn await_progress<F: Future>(
         &self,
         progress: F,
-        stall_timeout: Duration,
+        silence: &mut Silence,
         selection: &mut Selection,
     ) -> Result<F::Output, Stall> {
         let mut progress = pin!(progress);
-        let since = self.entry.now();
-        // A request that may not be repeated, or that has a single upstream, can't be
-        // rerouted.
-        let can_reroute =
-            self.call.route.retry_policy != RetryPolicy::Never && selection.path.is_some();
-        let mut timer = StallTimer::new(stall_timeout, can_reroute);
-        let mut wait = timer.next_wait(Duration::ZERO).unwrap_or_default();
         loop {
+            let Some(wait) = silence.next_wait() else {
+                silence.record_stall();
+                return Err(Stall::Unknown);
+            };
+            let began = self.entry.now();
             if let Ok(output) = timeout(wait, progress.as_mut()).await {
                 return Ok(output);
             }
-            let waited = self.entry.now().since(since);
-            match timer.step(waited) {
-                Step::Avoid if self.avoid_known_dead(selection).await => timer.record_reroute(),
-                Step::Ask => {
-                    if let Some(culprit) = self.reroute_stalled(selection).await {
+            let asked = self.entry.now();
+            silence.record_wait(wait, asked.since(began));
+            match silence.step() {
+                Step::Avoid if self.avoid_known_dead(selection).await => silence.record_reroute(),
+                Step::Ask => match self.find_culprit(progress.as_mut(), selection).await {
+                    Inquiry::Progress(output) => return Ok(output),
+                    Inquiry::Culprit(culprit) if !self.leave(culprit, selection).await => {
+                        silence.record_stall();
                         return Err(Stall::DeadEngine(culprit));
                     }
-                }
+                    Inquiry::Culprit(_) | Inquiry::Nothing => {}
+                },
                 Step::Avoid | Step::Wait => {}
             }
-            let Some(next) = timer.next_wait(waited) else {
-                return Err(Stall::Unknown);
-            };
-            wait = next;
+            silence.record_wait(CALL_TIMEOUT, self.entry.now().since(asked));
         }
     }
 
+    /// Whether an attempt can be rerouted: not one that may not be repeated, or that has a single
+    /// upstream.
+    pub(super) fn can_reroute(&self, selection: &Selection) -> bool {
+        self.call.route.retry_policy != RetryPolicy::Never && selection.path.is_some()
+    }
+
     /// Reroutes an attempt around an engine that is known to be dead before the first engine can
     /// report it. Returns whether it tried.
     ///
@@ -88,24 +102,34 @@
         true
     }
 
-    /// Finds out which engine a stalled attempt waits for, and reroutes the attempt. Returns
-    /// that engine if no path leads around it.
-    async fn reroute_stalled(&self, selection: &mut Selection) -> Option<u64> {
-        let culprit = match self.known_dead(selection) {
-            Some(dead) => dead,
-            None => {
-                let culprit = self.stalled_engine(selection).await?;
-                // Only own evidence counts: if an engine that is dead by hearsay were recorded and
-                // reported as well, the reports of a few instances would sustain each other.
-                let now = self.entry.now();
-                self.entry.shared().health.record_unresponsive(now, culprit);
-                culprit
-            }
+    /// Finds out which engine a silent attempt waits for, unless the attempt makes progress first.
+    async fn find_culprit<F: Future>(
+        &self,
+        progress: Pin<&mut F>,
+        selection: &Selection,
+    ) -> Inquiry<F::Output> {
+        if let Some(dead) = self.known_dead(selection) {
+            return Inquiry::Culprit(dead);
+        }
+        let found = tokio::select! {
+            biased;
+            output = progress => return Inquiry::Progress(output),
+            found = self.stalled_engine(selection) => found,
         };
-        let done = self
-            .reroute_around(&[culprit], selection, DEAD_ENGINE)
-            .await;
-        (!done).then_some(culprit)
+        let Some(culprit) = found else {
+            return Inquiry::Nothing;
+        };
+        // Only own evidence counts: if an engine that is dead by hearsay were recorded and
+        // reported as well, the reports of a few instances would sustain each other.
+        let now = self.entry.now();
+        self.entry.shared().health.record_unresponsive(now, culprit);
+        Inquiry::Culprit(culprit)
+    }
+
+    /// Reroutes an attempt around the engine that it waits for. Returns whether it succeeded.
+    async fn leave(&self, culprit: u64, selection: &mut Selection) -> bool {
+        self.reroute_around(&[culprit], selection, DEAD_ENGINE)
+            .await
     }
 
     /// Orders an attempt to continue without some of its engines. Returns whether the order
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -25,7 +25,7 @@
 
     /// Records that the retry is sent. Only the first call has an effect: a carried attempt is
     /// offered to several instances, of which one passes it on.
-    fn record_sent(&self) {
+    pub(super) fn record_sent(&self) {
         if !self.sent.swap(true, Ordering::Relaxed) {
             let now = self.entry.now();
             let mut shared = self.entry.shared();
@@ -42,24 +42,30 @@
     }
 }
 
-impl Run {
-    /// Records that the current attempt is sent, if it is a retry.
-    pub(super) fn record_retry_sent(&self) {
-        if let Some(retry) = &self.retry {
-            retry.record_sent();
-        }
-    }
+/// Why a request is to be sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RetryReason {
+    /// An attempt failed.
+    Failed,
+    /// An attempt is silent, and goes on.
+    Silent,
+}
 
+impl Run {
     /// Returns whether the request may be sent again, and if so, counts a retry unless it has one
     /// that was not sent.
-    pub(super) fn acquire_retry(&mut self) -> bool {
+    pub(super) fn acquire_retry(&mut self, reason: RetryReason) -> bool {
         if self.retry.as_ref().is_some_and(|r| !r.is_sent()) {
             return true;
         }
         let (now, service) = (self.entry.now(), &self.call.service);
         let instances = self.entry.view().entry_count();
         let mut shared = self.entry.shared();
-        let granted = shared.retry_budget.try_acquire(now, service, instances);
+        let budget = &mut shared.retry_budget;
+        let granted = match reason {
+            RetryReason::Failed => budget.try_acquire(now, service, instances),
+            RetryReason::Silent => budget.try_acquire_hedge(now, service, instances),
+        };
         let left = shared.retry_budget.remaining(now, service, instances);
         drop(shared);
         let outcome = if granted { "granted" } else { "denied" };
@@ -69,17 +75,19 @@
             event = event::RETRY_DECIDED.id,
             attempt = self.call.attempt,
             service,
+            ?reason,
             outcome,
             left,
             instances,
             up_ms = millis(now.since(self.entry.started)),
             "retry decided"
         );
-        self.retry = granted.then(|| GrantedRetry {
+        let retry = granted.then(|| GrantedRetry {
             entry: Arc::clone(&self.entry),
             service: service.clone(),
             sent: AtomicBool::new(false),
         });
+        self.retry = retry.map(Arc::new);
         granted
     }
 }
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -1,19 +1,27 @@
 //! Sends one attempt to its upstream: itself, or through another instance while this one doesn't
 //! reach the upstreams of the service.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use http_body_util::BodyExt;
+use tokio::sync::mpsc;
+
 use super::attempt::{
-    BLOCKED, CUT, FIRST_BYTE_FACTOR, NO_CONNECTION, NO_PROXY, OpenResponse, Outcome, PROXY_LOST,
+    CUT, Context, FIRST_BYTE_FACTOR, NO_CONNECTION, NO_PROXY, OpenResponse, Outcome, PROXY_LOST,
     Run,
 };
+use super::hedge::{Ended, Stalled};
 use super::proxy::{Carried, Refusal, Via};
 use super::reroute::Stall;
+use super::retry::GrantedRetry;
 use super::select::Selection;
+use super::{head, stream};
 use crate::clock::millis;
 use crate::configuration::RetryPolicy;
 use crate::decide::retry::Failure;
+use crate::decide::stall::Silence;
 use crate::engine::{Connection, Cutoff};
 use crate::event;
 use crate::id::InstanceId;
@@ -35,22 +43,53 @@
     }
 }
 
-fn stalled(stall: Stall) -> Outcome {
-    match stall {
-        Stall::DeadEngine(culprit) => failed(Failure::Unknown, Some(culprit), BLOCKED),
-        Stall::Unknown => failed(Failure::Unknown, None, "silent"),
-    }
+/// One attempt. Others may run beside it, so it shares nothing that changes with [`Run`].
+pub(super) struct Attempt {
+    pub(super) context: Context,
+    /// Id of the last event that the caller had when the attempt began, on a stream.
+    pub(super) last_event: Option<u64>,
+    /// The retry that granted the attempt; `None` for the first.
+    retry: Option<Arc<GrantedRetry>>,
+    /// Receives each stall of the attempt. Nobody listens once its response was chosen.
+    stalls: mpsc::UnboundedSender<Stalled>,
 }
 
-impl Run {
-    /// Makes one attempt, up to the response head.
-    pub(super) async fn attempt(&self, selection: Selection) -> Outcome {
-        let (service, first) = (&self.call.service, selection.upstream.key);
-        if !self.entry.must_carry(service, first) {
+impl Attempt {
+    pub(super) fn new(run: &Run, stalls: mpsc::UnboundedSender<Stalled>) -> Self {
+        Self {
+            context: run.context(),
+            last_event: run.last_event,
+            retry: run.retry.clone(),
+            stalls,
+        }
+    }
+
+    /// Makes the attempt, up to the first event of a stream that may be resumed, or else up to the
+    /// response head.
+    pub(super) async fn make(self, selection: Selection) -> Ended {
+        let upstream = selection.upstream.clone();
+        let is_path = selection.path.is_some();
+        let outcome = match self.send_to(selection).await {
+            Outcome::Answered(opened) if self.awaits_event(&opened) => {
+                self.await_first_event(opened).await
+            }
+            outcome => outcome,
+        };
+        Ended {
+            upstream,
+            is_path,
+            outcome,
+        }
+    }
+
+    /// Makes the attempt, up to the response head.
+    async fn send_to(&self, selection: Selection) -> Outcome {
+        let (service, first) = (&self.context.call.service, selection.upstream.key);
+        if !self.context.entry.must_carry(service, first) {
             if let Some(connection) = self.connect(&selection).await {
                 return self.send(connection, selection).await;
             }
-            if !self.entry.must_carry(service, first) {
+            if !self.context.entry.must_carry(service, first) {
                 return failed(Failure::NotRun, Some(first), NO_CONNECTION);
             }
         }
@@ -68,37 +107,115 @@
     /// Connects to the upstream of an attempt.
     async fn connect(&self, selection: &Selection) -> Option<Connection> {
         let upstream = &selection.upstream;
-        let opened = self.entry.dial(upstream.address).await;
+        let opened = self.context.entry.dial(upstream.address).await;
         if opened.is_err() {
-            self.entry
-                .record_unreached(&self.call.service, upstream.key);
+            self.context
+                .entry
+                .record_unreached(&self.context.call.service, upstream.key);
         }
         opened.ok()
     }
 
     /// Sends the attempt on a connection to its upstream.
     async fn send(&self, connection: Connection, mut selection: Selection) -> Outcome {
-        let (service, first) = (&self.call.service, selection.upstream.key);
+        let (service, first) = (&self.context.call.service, selection.upstream.key);
         let upstream = selection.upstream.clone();
         let request = self.request(&selection);
-        self.record_retry_sent();
+        self.record_sent();
         self.log_sent(&selection, None);
-        let cutoff = Cutoff::new(None, Arc::clone(&self.entry.clock));
-        let sent = self.entry.now();
+        let cutoff = Cutoff::new(None, Arc::clone(&self.context.entry.clock));
+        let sent = self.context.entry.now();
         let answer = connection.send(request, &cutoff);
-        let progress = self.await_progress(answer, self.stall_timeout(), &mut selection);
-        match progress.await {
-            Ok(Ok(answer)) => {
-                self.entry.record_reached(service, first, sent);
-                self.classify(sent, OpenResponse { answer, selection })
+        match self.await_answer(answer, &mut selection, |_| ()).await {
+            Ok(answer) => {
+                self.context.entry.record_reached(service, first, sent);
+                self.classify(sent, OpenResponse::new(answer, selection))
             }
-            Ok(Err(_)) => {
-                self.entry.check_link(service, &upstream);
+            Err(_) => {
+                self.context.entry.check_link(service, &upstream);
                 // An upstream that is out of reach isn't to blame.
-                let culprit = (!self.entry.must_carry(service, first)).then_some(first);
+                let culprit = (!self.context.entry.must_carry(service, first)).then_some(first);
                 failed(Failure::Unknown, culprit, CUT)
             }
-            Err(stall) => stalled(stall),
+        }
+    }
+
+    /// Awaits the first sign of a response, and reports each stall until then.
+    async fn await_answer<F: Future>(
+        &self,
+        answer: F,
+        selection: &mut Selection,
+        on_stall: impl Fn(Stall),
+    ) -> F::Output {
+        let mut answer = pin!(answer);
+        let mut silence = self.silence(selection);
+        loop {
+            let progress = self
+                .context
+                .await_progress(answer.as_mut(), &mut silence, selection);
+            match progress.await {
+                Ok(answer) => return answer,
+                Err(stall) => {
+                    on_stall(stall);
+                    self.report(stall, selection);
+                }
+            }
+        }
+    }
+
+    /// Whether the response is a stream that may be resumed, so that another attempt can take its
+    /// place until it gives an event.
+    fn awaits_event(&self, opened: &OpenResponse) -> bool {
+        self.context.call.route.retry_policy != RetryPolicy::Never && opened.is_stream()
+    }
+
+    /// Reads a stream up to its first event.
+    async fn await_first_event(&self, mut opened: Box<OpenResponse>) -> Outcome {
+        let first = opened.selection.upstream.key;
+        let mut silence = self.silence(&opened.selection);
+        let is_framed = head::is_framed(opened.answer.response.headers());
+        let may_be_empty = self.last_event.is_some() && is_framed;
+        while !stream::has_event(&opened.buffer) {
+            let OpenResponse {
+                answer,
+                selection,
+                buffer,
+                ..
+            } = &mut *opened;
+            let frame = answer.response.body_mut().frame();
+            match self
+                .context
+                .await_progress(frame, &mut silence, selection)
+                .await
+            {
+                Ok(Some(Ok(frame))) => {
+                    buffer.extend_from_slice(&frame.into_data().unwrap_or_default());
+                }
+                Ok(None) if may_be_empty && buffer.is_empty() => break,
+                Ok(_) => return failed(Failure::Unknown, Some(first), "cut_stream"),
+                Err(stall) => self.report(stall, selection),
+            }
+            if buffer.len() > stream::MAX_EVENT {
+                return failed(Failure::Unknown, Some(first), "long_event");
+            }
+        }
+        Outcome::Answered(opened)
+    }
+
+    /// Silence of an attempt that has just begun, or that has just given a sign.
+    fn silence(&self, selection: &Selection) -> Silence {
+        Silence::new(self.stall_timeout(), self.context.can_reroute(selection))
+    }
+
+    fn report(&self, stall: Stall, selection: &Selection) {
+        let first = selection.upstream.key;
+        let _ = self.stalls.send(Stalled { first, stall });
+    }
+
+    /// Records that the attempt is sent, if it is a retry.
+    fn record_sent(&self) {
+        if let Some(retry) = &self.retry {
+            retry.record_sent();
         }
     }
 
@@ -109,35 +226,33 @@
         let mut asked: Vec<InstanceId> = Vec::new();
         let mut witnesses = 0;
         while asked.len() < MAX_ASKED {
-            let Some(via) = self.entry.take_proxy(&asked) else {
+            let Some(via) = self.context.entry.take_proxy(&asked) else {
                 break;
             };
             asked.push(via.id);
             let request = self.request(&selection);
-            self.record_retry_sent();
+            self.record_sent();
             self.log_sent(&selection, Some(via.id));
-            let sent = self.entry.now();
+            let sent = self.context.entry.now();
             let upstream = selection.upstream.clone();
             let via = selection.via.insert(Arc::new(via));
             let via: Arc<Via> = Arc::clone(via);
-            let answer = self
-                .entry
-                .send_via(&via, &self.call.service, &upstream, request);
-            let progress = self.await_progress(answer, self.stall_timeout(), &mut selection);
-            match progress.await {
-                Ok(Carried::Answered(answer)) => {
-                    return Ok(self.classify(sent, OpenResponse { answer, selection }));
+            let answer =
+                self.context
+                    .entry
+                    .send_via(&via, &self.context.call.service, &upstream, request);
+            // New requests ask another instance, since this one may have ended.
+            let exclude = |_| self.context.entry.exclude_proxy(&via, "silent");
+            match self.await_answer(answer, &mut selection, exclude).await {
+                Carried::Answered(answer) => {
+                    return Ok(self.classify(sent, OpenResponse::new(answer, selection)));
                 }
-                Ok(Carried::NotSent(refusal)) => {
+                Carried::NotSent(refusal) => {
                     selection.via = None;
                     witnesses += usize::from(refusal == Some(Refusal::NotConnected));
                 }
-                Ok(Carried::Cut) => return Ok(failed(Failure::Unknown, Some(first), CUT)),
-                Ok(Carried::Lost) => return Ok(failed(Failure::Unknown, None, PROXY_LOST)),
-                Err(stall) => {
-                    self.entry.exclude_proxy(&via, "silent");
-                    return Ok(stalled(stall));
-                }
+                Carried::Cut => return Ok(failed(Failure::Unknown, Some(first), CUT)),
+                Carried::Lost => return Ok(failed(Failure::Unknown, None, PROXY_LOST)),
             }
         }
         if witnesses >= MIN_WITNESSES {
@@ -146,26 +261,26 @@
         Err(Box::new(selection))
     }
 
-    /// Time to wait for the first sign of a response.
+    /// Silence after which the attempt counts as stalled before its first event.
     fn stall_timeout(&self) -> Duration {
-        match self.call.route.retry_policy {
-            RetryPolicy::Never => self.left(),
-            _ => self.call.route.objective * FIRST_BYTE_FACTOR,
+        match self.context.call.route.retry_policy {
+            RetryPolicy::Never => self.context.left(),
+            _ => self.context.call.route.objective * FIRST_BYTE_FACTOR,
         }
     }
 
     fn log_sent(&self, selection: &Selection, via: Option<InstanceId>) {
         tracing::info!(
             event = event::ATTEMPT_SENT.id,
-            attempt = self.call.attempt,
-            fingerprint = %self.call.fingerprint,
-            parts = self.call.prompt.ids(),
-            route = self.call.route.name,
+            attempt = self.context.call.attempt,
+            fingerprint = %self.context.call.fingerprint,
+            parts = self.context.call.prompt.ids(),
+            route = self.context.call.route.name,
             upstream = %selection.upstream.id,
             path = selection.path,
             via = via.map(|id| id.0),
-            left_ms = millis(self.left()),
-            version = self.table.configuration.version,
+            left_ms = millis(self.context.left()),
+            version = self.context.table.configuration.version,
             "sent"
         );
     }
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -1,6 +1,7 @@
 //! Event streams. Events are forwarded as they arrive; where the route allows it, an
 //! interrupted stream is resumed on another path within the same response.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -9,44 +10,48 @@
 use hyper::Response;
 use hyper::body::Frame;
 use rand::RngExt;
+use tokio::time::timeout;
 
-use super::attempt::{BLOCKED, FIRST_BYTE_FACTOR, OpenResponse, Run};
+use super::attempt::{Context, FIRST_BYTE_FACTOR, OpenResponse, Run};
 use super::body::{self, Body, Truncated};
 use super::crash::is_cut;
 use super::head;
+use super::hedge::Stalled;
 use super::reroute::Stall;
 use crate::clock::{Time, millis};
 use crate::configuration::RetryPolicy;
 use crate::decide::migration::Migration;
 use crate::decide::retry::{Failure, NextStep};
 use crate::decide::run_history::HARMLESS_EVENTS;
-use crate::decide::stall;
+use crate::decide::stall::{self, Silence};
 use crate::event;
 use crate::gate::RunningGuard;
 
-/// Multiple of the route's allowed pause after which a silent stream is resumed elsewhere.
+/// Multiple of the route's allowed pause after which a silent stream is hedged.
 /// Clients disconnect after eight pauses; processing the prompt again takes one or two.
 const STALL_FACTOR: u32 = 4;
 
-/// Minimum silence after which a stream is resumed elsewhere, even if its route allows only
-/// shorter pauses: the time after which its first engine is asked.
+/// Minimum silence after which a stream is hedged, even if its route allows only shorter pauses:
+/// the time after which its first engine is asked.
 const MIN_STALL: Duration = stall::QUERY_AFTER;
 
 /// Cause of rerouting a stream away from an engine that still serves it.
 const WITHDRAWN: &str = "given_up";
 
 /// Maximum size of an incomplete event in the buffer, in bytes.
-const MAX_EVENT: usize = 256 << 10;
+pub(super) const MAX_EVENT: usize = 256 << 10;
 
 /// State of a stream to a caller.
 struct EventStream {
     run: Run,
+    context: Context,
+    /// The response that serves the caller. Its buffer holds what wasn't forwarded yet.
     opened: OpenResponse,
     /// Whether the body of `opened` has a length or chunks. One that has neither ends with its
     /// connection, also if its engine crashes.
     is_framed: bool,
-    /// Bytes of an incomplete event.
-    buffer: BytesMut,
+    /// Silence since the last bytes; `None` if it wasn't observed yet.
+    silence: Option<Silence>,
     event_count: u64,
     /// Time from the request's arrival to the first event.
     first: Option<Duration>,
@@ -63,10 +68,11 @@
     let is_framed = head::is_framed(&headers);
     let last_at = run.entry.now();
     let state = EventStream {
+        context: run.context(),
         run,
         opened,
         is_framed,
-        buffer: BytesMut::new(),
+        silence: None,
         event_count: 0,
         first: None,
         longest_pause: Duration::ZERO,
@@ -84,24 +90,70 @@
     response
 }
 
-/// What was read from the upstream.
-enum Received {
-    Bytes(Bytes),
-    End,
-    Broken,
-    Silent,
-    /// The stream waits for this engine, and no path leads around it.
-    DeadEngine(u64),
+/// Whether the buffer holds a complete event.
+pub(super) fn has_event(buffer: &BytesMut) -> bool {
+    last_event_end(buffer).is_some()
 }
 
-fn received(frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Received {
-    match frame {
-        Some(Ok(frame)) => {
-            let data = frame.into_data();
-            Received::Bytes(data.unwrap_or_default())
+/// End of the last complete event.
+fn last_event_end(buffer: &BytesMut) -> Option<usize> {
+    Some(buffer.windows(2).rposition(|w| w == b"\n\n")? + 2)
+}
+
+/// What happened to a stream while its next event was awaited.
+enum Step {
+    /// There may be more to forward.
+    Continue,
+    /// It is complete.
+    Whole,
+    /// Its upstream broke it off.
+    Cut(&'static str),
+    /// It can't go on.
+    Lost(&'static str),
+    /// Its upstream is silent.
+    Stalled(Stall),
+}
+
+type Received = Option<Result<Frame<Bytes>, hyper::Error>>;
+
+/// Which of two attempts serves a stream.
+enum Winner {
+    /// The silent one went on with this.
+    First(Received),
+    Other(Box<OpenResponse>),
+    /// The other one failed, and the first is still silent.
+    Pending,
+    Neither,
+}
+
+impl Winner {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::First(_) => "first",
+            Self::Other(_) => "other",
+            Self::Pending => "pending",
+            Self::Neither => "neither",
+        }
+    }
+}
+
+/// Awaits the next bytes of a silent response, or its end; `None` at the deadline.
+async fn await_bytes(
+    context: &Context,
+    opened: &mut OpenResponse,
+    silence: &mut Silence,
+) -> Option<Received> {
+    loop {
+        let OpenResponse {
+            answer, selection, ..
+        } = &mut *opened;
+        let frame = answer.response.body_mut().frame();
+        let progress = context.await_progress(frame, silence, selection);
+        match timeout(context.left(), progress).await {
+            Ok(Ok(received)) => return Some(received),
+            Ok(Err(_)) => {}
+            Err(_) => return None,
         }
-        Some(Err(_)) => Received::Broken,
-        None => Received::End,
     }
 }
 
@@ -112,38 +164,50 @@
             return None;
         }
         loop {
-            let cause = match self.read().await {
-                Received::Bytes(bytes) => {
-                    self.buffer.extend_from_slice(&bytes);
-                    match self.take_events() {
-                        Some(events) => return Some(Ok(Frame::data(events))),
-                        None if self.buffer.len() <= MAX_EVENT => continue,
-                        None => "long_event",
-                    }
-                }
-                Received::End if !self.buffer.is_empty() => "cut_event",
-                Received::End if self.lacks_events() => "cut_stream",
-                Received::End => {
+            if let Some(events) = self.take_events() {
+                return Some(Ok(Frame::data(events)));
+            }
+            let mut step = self.read().await;
+            if let Step::Stalled(stall) = step {
+                step = self.hedge(stall).await;
+            }
+            match step {
+                Step::Continue | Step::Stalled(_) => {}
+                Step::Whole => {
                     if self.run.events > 0 {
                         self.run.record_harmless();
                     }
                     self.finish("whole");
                     return None;
                 }
-                Received::Broken => "cut_stream",
-                Received::Silent => "stalled",
-                Received::DeadEngine(culprit) => {
-                    self.run.exclude_upstream(Some(culprit), BLOCKED);
-                    BLOCKED
+                Step::Cut(cause) if self.resume(cause).await => {}
+                Step::Cut(cause) | Step::Lost(cause) => {
+                    self.finish(cause);
+                    return Some(Err(Truncated));
                 }
-            };
-            if !self.resume(cause).await {
-                self.finish(cause);
-                return Some(Err(Truncated));
             }
         }
     }
 
+    /// Adds what was read to the buffer.
+    fn accept(&mut self, received: Received) -> Step {
+        self.silence = None;
+        match received {
+            Some(Ok(frame)) => {
+                let buffer = &mut self.opened.buffer;
+                buffer.extend_from_slice(&frame.into_data().unwrap_or_default());
+                match buffer.len() > MAX_EVENT && !has_event(buffer) {
+                    true => Step::Cut("long_event"),
+                    false => Step::Continue,
+                }
+            }
+            Some(Err(_)) => Step::Cut("cut_stream"),
+            None if !self.opened.buffer.is_empty() => Step::Cut("cut_event"),
+            None if self.lacks_events() => Step::Cut("cut_stream"),
+            None => Step::Whole,
+        }
+    }
+
     /// Whether the current run ended without an event although it can't be complete. One that
     /// resumes may have had nothing left to send, but only a framed body proves that it ended.
     fn lacks_events(&self) -> bool {
@@ -153,9 +217,11 @@
 
     /// Reroutes the stream away from engines that get no new work.
     async fn leave_withdrawn(&mut self) {
-        let Self { run, opened, .. } = self;
-        let (now, service) = (run.entry.now(), &run.call.service);
-        let roster = run.entry.view().roster();
+        let Self {
+            context, opened, ..
+        } = self;
+        let (now, service) = (context.entry.now(), &context.call.service);
+        let roster = context.entry.view().roster();
         let selection = &mut opened.selection;
         let must = || !selection.withdrawn(service).is_empty();
         if !self
@@ -165,44 +231,118 @@
             return;
         }
         let engines = selection.withdrawn(service);
-        let done = engines.is_empty() || run.reroute_around(&engines, selection, WITHDRAWN).await;
+        let done =
+            engines.is_empty() || context.reroute_around(&engines, selection, WITHDRAWN).await;
         self.migration.record_attempt(now, done);
     }
 
-    async fn read(&mut self) -> Received {
+    async fn read(&mut self) -> Step {
         if self.run.call.route.retry_policy != RetryPolicy::Never {
             self.leave_withdrawn().await;
         }
-        let left = self.run.left();
-        if left.is_zero() {
-            return Received::Broken;
+        let mut silence = self.silence.unwrap_or_else(|| self.start_silence());
+        let OpenResponse {
+            answer, selection, ..
+        } = &mut self.opened;
+        let frame = answer.response.body_mut().frame();
+        let progress = self.context.await_progress(frame, &mut silence, selection);
+        match timeout(self.run.left(), progress).await {
+            Ok(Ok(received)) => self.accept(received),
+            Ok(Err(stall)) => {
+                self.silence = Some(silence);
+                Step::Stalled(stall)
+            }
+            Err(_) => Step::Lost("deadline"),
         }
+    }
+
+    /// Starts to observe how long the stream is silent.
+    fn start_silence(&self) -> Silence {
         let route = &self.run.call.route;
         let stall_timeout = match (route.retry_policy, self.run.events) {
-            (RetryPolicy::Never, _) => left,
+            (RetryPolicy::Never, _) => self.run.left(),
             (_, 0) => route.objective * FIRST_BYTE_FACTOR,
             _ => route.pause * STALL_FACTOR,
         };
-        let OpenResponse { answer, selection } = &mut self.opened;
-        let frame = answer.response.body_mut().frame();
-        let stall_timeout = stall_timeout.max(MIN_STALL).min(left);
-        match self
-            .run
-            .await_progress(frame, stall_timeout, selection)
-            .await
-        {
-            Ok(frame) => received(frame),
-            Err(Stall::Unknown) => Received::Silent,
-            Err(Stall::DeadEngine(culprit)) => Received::DeadEngine(culprit),
+        let can_reroute = self.context.can_reroute(&self.opened.selection);
+        Silence::new(stall_timeout.max(MIN_STALL), can_reroute)
+    }
+
+    /// Starts another attempt beside the silent one, if that is allowed. The first of them to give
+    /// an event serves the stream from then on, and the other is cancelled: events of two runs are
+    /// never mixed.
+    async fn hedge(&mut self, stall: Stall) -> Step {
+        let upstream = self.opened.selection.upstream.clone();
+        let first = upstream.key;
+        if !self.run.may_hedge(&Stalled { first, stall }) {
+            return Step::Continue;
+        }
+        let events = self.run.events;
+        let may_end = self.opened.buffer.is_empty() && !self.lacks_events();
+        let mut silence = self.start_silence();
+        let mut cut = false;
+        let winner = {
+            let mut other = pin!(self.run.open());
+            let first = await_bytes(&self.context, &mut self.opened, &mut silence);
+            tokio::select! {
+                biased;
+                received = first => match received {
+                    None => Winner::Neither,
+                    Some(Some(Ok(frame))) => Winner::First(Some(Ok(frame))),
+                    Some(None) if may_end => Winner::First(None),
+                    // The other attempt is the only one left.
+                    Some(_) => {
+                        cut = true;
+                        other.await.map_or(Winner::Neither, Winner::Other)
+                    }
+                },
+                opened = other.as_mut() => opened.map_or(Winner::Pending, Winner::Other),
+            }
+        };
+        // The other attempt has reset it.
+        self.run.events = events;
+        if cut {
+            self.run.record_cut(&upstream);
+            self.run.exclude_upstream(Some(first), "cut_stream");
+        }
+        tracing::info!(
+            event = event::HEDGE_ENDED.id,
+            attempt = self.run.call.attempt,
+            winner = winner.name(),
+            cut,
+            silent_ms = millis(self.run.entry.now().since(self.last_at)),
+            left_ms = millis(self.run.left()),
+            "hedge ended"
+        );
+        match winner {
+            Winner::First(received) => self.accept(received),
+            Winner::Other(opened) => {
+                self.adopt(opened);
+                Step::Continue
+            }
+            Winner::Pending => {
+                self.silence = Some(silence);
+                Step::Continue
+            }
+            Winner::Neither if cut => Step::Lost("cut_stream"),
+            Winner::Neither => Step::Lost("deadline"),
         }
     }
 
+    /// Continues the stream with another response.
+    fn adopt(&mut self, opened: Box<OpenResponse>) {
+        self.run.events = 0;
+        self.silence = None;
+        self.is_framed = head::is_framed(opened.answer.response.headers());
+        self.opened = *opened;
+    }
+
     /// Takes the complete events out of the buffer. An engine may stop in the middle of an
     /// event; a fragment followed by an event of the next run would reach the caller as one
     /// event.
     fn take_events(&mut self) -> Option<Bytes> {
-        let end = self.buffer.windows(2).rposition(|w| w == b"\n\n")? + 2;
-        let events = self.buffer.split_to(end).freeze();
+        let end = last_event_end(&self.opened.buffer)?;
+        let events = self.opened.buffer.split_to(end).freeze();
         let now = self.run.entry.now();
         if self.run.events == 0 {
             self.opened.selection.record_success();
@@ -232,31 +372,23 @@
         Some(events)
     }
 
-    /// Resumes the stream after the last event on another path, if allowed.
+    /// Resumes a stream that was cut off after its last event on another path, if allowed.
     async fn resume(&mut self, cause: &'static str) -> bool {
+        let upstream = self.opened.selection.upstream.clone();
         if is_cut(cause) {
-            self.run.record_cut(&self.opened.selection.upstream);
+            self.run.record_cut(&upstream);
         }
-        if self.run.left().is_zero() {
+        if self.run.call.route.retry_policy == RetryPolicy::Never || self.run.left().is_zero() {
             return false;
         }
-        self.buffer.clear();
-        if self.run.call.route.retry_policy == RetryPolicy::Never {
-            return false;
-        }
-        let first = self.opened.selection.upstream.key;
-        let first_failed = !matches!(cause, "stalled" | BLOCKED);
-        self.run
-            .exclude_upstream(first_failed.then_some(first), cause);
+        self.run.exclude_upstream(Some(upstream.key), cause);
         if self.run.record_failure(Failure::Unknown, cause) != NextStep::Again {
             return false;
         }
-        let upstream = self.opened.selection.upstream.clone();
         self.run.check_crash(cause, &upstream).await;
         match self.run.open().await {
             Ok(opened) => {
-                self.is_framed = head::is_framed(opened.answer.response.headers());
-                self.opened = opened;
+                self.adopt(opened);
                 true
             }
             Err(_) => false,
--- a/src/event.rs
+++ b/src/event.rs
@@ -123,6 +123,10 @@
 pub(crate) const RETRY_DECIDED: Event = event(423, "retry_decided");
 /// This instance begins or ends to close new connections unread.
 pub(crate) const SHEDDING_CHANGED: Event = event(424, "shedding_changed");
+/// An attempt gave no sign for its stall timeout.
+pub(crate) const ATTEMPT_STALLED: Event = event(425, "attempt_stalled");
+/// One of two attempts for a stream that had begun was cancelled.
+pub(crate) const HEDGE_ENDED: Event = event(426, "hedge_ended");
 /// This voter became the leader of a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter is no longer the leader of a group.
@@ -207,6 +211,8 @@
     RANK_DISPLACED,
     RETRY_DECIDED,
     SHEDDING_CHANGED,
+    ATTEMPT_STALLED,
+    HEDGE_ENDED,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -31,6 +31,10 @@
     metric("entry_failed_attempts_total", &["cause", "next"]);
 /// Retries that the budget was asked for.
 pub(crate) const RETRIES: Metric = metric("entry_retries_total", &["service", "outcome"]);
+/// Times that an attempt was silent for its stall timeout, by whether another was started beside
+/// it.
+pub(crate) const STALLED_ATTEMPTS: Metric =
+    metric("entry_stalled_attempts_total", &["cause", "outcome"]);
 /// Streams that were rerouted around engines.
 pub(crate) const REROUTES: Metric = metric("entry_reroutes_total", &["cause", "taken"]);
 /// Runs that were cut off by an engine crash shortly after they started.
@@ -118,6 +122,7 @@
     REFUSALS,
     FAILED_ATTEMPTS,
     RETRIES,
+    STALLED_ATTEMPTS,
     REROUTES,
     RUNS_CUT_EARLY,
     RUNNING_REQUESTS,
--- a/src/tests/decide/retry_budget.rs
+++ b/src/tests/decide/retry_budget.rs
@@ -160,3 +160,22 @@
     budget.cancel("s");
     assert!(budget.try_acquire(at(ESTABLISHED), "s", 1));
 }
+
+/// Guards against silent attempts that use up the retries that failed ones need: a pause of many
+/// engines makes thousands of streams silent at once, and those whose engines really ended couldn't
+/// be resumed.
+#[test]
+fn try_acquire_hedge_leaves_half() {
+    let mut budget = RetryBudget::new(LIMIT, at(0));
+    let (now, instances) = (at(ESTABLISHED), 1);
+    let limit = budget.remaining(now, "models", instances);
+    while budget.try_acquire_hedge(now, "models", instances) {
+        budget.record_sent(now, "models");
+    }
+    let left = budget.remaining(now, "models", instances);
+    assert!(
+        (limit / 2.0..limit / 2.0 + 1.0).contains(&left),
+        "{left} of {limit}"
+    );
+    assert!(budget.try_acquire(now, "models", instances));
+}
--- a/src/tests/decide/suspicion.rs
+++ b/src/tests/decide/suspicion.rs
@@ -6,7 +6,7 @@
 use super::super::{announce, at, leader};
 use crate::collections::HashMap;
 use crate::decide::health::{Health, HealthStatus, may_be_full};
-use crate::decide::stall::{StallTimer, Step};
+use crate::decide::stall::{Silence, StallTimer, Step};
 use crate::entry::view::Upstream;
 use crate::roster::{Announcement, Roster};
 use crate::sync::UpstreamRecord;
@@ -133,3 +133,37 @@
     let steps = steps(timer, None);
     assert_eq!(steps.last(), Some(&(150, Step::Ask)));
 }
+
+/// Guards against holding an upstream for silent while this process itself didn't run: what the
+/// upstream sent meanwhile is read only after the late timer.
+#[test]
+fn silence_excludes_own_pause() {
+    let mut silence = Silence::new(Duration::from_millis(1000), false);
+    silence.record_wait(Duration::from_millis(100), Duration::from_millis(1500));
+    let left = silence.next_wait();
+    assert_eq!(left, Some(Duration::from_millis(880)));
+}
+
+/// Guards against querying engines again and again while many attempts are silent.
+#[test]
+fn silence_stalls_again() {
+    let mut silence = Silence::new(Duration::from_millis(1000), true);
+    let mut stalls = Vec::new();
+    let mut queries = 0;
+    let mut waited = Duration::ZERO;
+    while stalls.len() < 3 {
+        match silence.next_wait() {
+            Some(wait) => {
+                waited += wait;
+                silence.record_wait(wait, wait);
+                queries += u32::from(!stalls.is_empty() && silence.step() == Step::Ask);
+            }
+            None => {
+                stalls.push(waited.as_millis());
+                silence.record_stall();
+            }
+        }
+    }
+    assert_eq!(stalls, [1000, 2000, 3000]);
+    assert_eq!(queries, 2);
+}
