Don't take engines for dead by silence when many are silent at once

Cause: an engine that sends nothing in time (no answer to a question within 0.3 s, named by its neighbour as silent, no sign of a connection within 0.25 s) was recorded as one that refuses connections. Nothing bounded how many could be held for dead that way, and instances told the leader, which halves its own patience for engines that two instances suspect. On machines where many engines pause at once, living engines were excluded, their load moved to the rest, and streams were led away and retried.

Change: `decide/silence.rs` decides whether silence is evidence. As long as at most a quarter of a service's upstreams are silent within 1.5 s, silence excludes as before. With more, it says nothing about each of them (the panic threshold of load balancers): exclusions that rest on silence alone are taken back, and until 1.5 s after the last such report silence excludes none. They are used at four times the cost, so others are preferred, and aren't reported to the leader. Evidence that isn't silence (refused and reset connections, refusals by neighbours, cut runs) isn't bounded, and outweighs silence. `EngineError::ConnectTimeout` tells a connection without a sign from one that was refused; `Entry::check` uses it.

`Health::record_unresponsive` keeps its name and sense. Callers whose evidence is silence call `Entry::record_silent`.

Price, by reading only: where more than a quarter of a service's engines die at once without resetting connections, the leader hears of them by their missing heartbeats only (4.8 s instead of 2.4 s until it drops them), and requests may try them meanwhile.

--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -7,9 +7,13 @@
 //!
 //! Engines that fail only a part of their requests are excluded as well. If all holders of a
 //! layer are excluded, those that still respond are used anyway.
+//!
+//! Silence within a time is weaker evidence than a refusal or a lost connection, and excludes only
+//! a bounded part of a service; see [`crate::decide::silence`].
 
 use std::time::Duration;
 
+use super::silence::{Silences, Verdict};
 use crate::clock::Time;
 use crate::collections::HashMap;
 
@@ -60,6 +64,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum HealthStatus {
     Healthy,
+    /// Silent, as are many others: used, but others are preferred.
+    Silent,
     /// Excluded but alive: used only where no other upstream can serve.
     Failing,
     /// Excluded, and it looks dead.
@@ -70,7 +76,7 @@
     /// Downgrades a healthy upstream that several instances suspect to be dead.
     pub(crate) fn with_suspicion(self, suspected: bool) -> Self {
         match self {
-            Self::Healthy if suspected => Self::Failing,
+            Self::Healthy | Self::Silent if suspected => Self::Failing,
             other => other,
         }
     }
@@ -85,16 +91,37 @@
     excluded_until: Time,
     /// When it first looked dead since the last success.
     dead_since: Option<Time>,
+    /// Whether only silence speaks against it since the last success.
+    only_silent: bool,
+    /// Time until which others are preferred, since it was silent as were many others.
+    silent_until: Time,
+}
+
+impl Record {
+    /// Takes back what followed from silence alone.
+    fn acquit(&mut self, now: Time) {
+        if self.only_silent {
+            self.only_silent = false;
+            self.dead_since = None;
+            self.failures = self.failures.saturating_sub(1);
+            self.silent_until = self.excluded_until;
+            self.excluded_until = self.excluded_until.min(now);
+        }
+    }
 }
 
 /// Failures of upstreams, by address key.
 #[derive(Debug, Default)]
-pub(crate) struct Health(HashMap<u64, Record>);
+pub(crate) struct Health {
+    records: HashMap<u64, Record>,
+    /// Silent upstreams, by service.
+    silences: HashMap<String, Silences>,
+}
 
 impl Health {
     /// Whether an upstream is excluded now.
     pub(crate) fn is_excluded(&self, now: Time, upstream: u64) -> bool {
-        self.0
+        self.records
             .get(&upstream)
             .is_some_and(|r| now < r.excluded_until)
     }
@@ -106,9 +133,15 @@
     /// once; without this, an instance refused every request for up to 8 s, although two of three
     /// would have been answered.
     pub(crate) fn status(&self, now: Time, upstream: u64, late: bool) -> HealthStatus {
-        let Some(record) = self.0.get(&upstream).filter(|r| now < r.excluded_until) else {
+        let Some(record) = self.records.get(&upstream) else {
             return HealthStatus::Healthy;
         };
+        if now >= record.excluded_until {
+            return match now < record.silent_until {
+                true => HealthStatus::Silent,
+                false => HealthStatus::Healthy,
+            };
+        }
         // The heartbeats of a dead upstream are late within `PROOF_OF_LIFE`. If they are still on
         // time then, it is unresponsive to some instances only.
         let is_alive = |since| !late && now.since(since) >= PROOF_OF_LIFE;
@@ -119,15 +152,69 @@
         }
     }
 
-    /// Records that an upstream accepted no connection or sent nothing.
+    /// Records that an upstream refused connections, or that another one refused on its behalf.
+    /// For one that only sent nothing in time, use [`Health::record_silent`].
     pub(crate) fn record_unresponsive(&mut self, now: Time, upstream: u64) {
         self.record_failure(now, upstream);
         let record = self.record(now, upstream);
         record.dead_since.get_or_insert(now);
     }
 
+    /// Records that an upstream of `service`, one of `known`, sent nothing in time: no answer to a
+    /// question, nothing to its neighbour, or no sign of a connection. Excludes it like
+    /// [`Health::record_unresponsive`], unless so many are silent that this says nothing about it.
+    pub(crate) fn record_silent(
+        &mut self,
+        now: Time,
+        service: &str,
+        upstream: u64,
+        known: usize,
+    ) -> Verdict {
+        let verdict = self.silences(service).record(now, upstream, known);
+        match verdict {
+            Verdict::Evidence => self.exclude_silent(now, upstream),
+            Verdict::Shared { .. } => {
+                self.acquit_silent(now, service);
+                self.record(now, upstream).silent_until = now + FAILURE_EXCLUSION;
+            }
+        }
+        verdict
+    }
+
+    fn silences(&mut self, service: &str) -> &mut Silences {
+        // Without an allocation for a service that is known.
+        if !self.silences.contains_key(service) {
+            let new = Silences::default();
+            self.silences.insert(service.to_owned(), new);
+        }
+        self.silences.get_mut(service).expect("it was inserted")
+    }
+
+    fn exclude_silent(&mut self, now: Time, upstream: u64) {
+        let record = self.record(now, upstream);
+        let unblamed = now >= record.excluded_until && record.dead_since.is_none();
+        record.only_silent |= unblamed;
+        record.dead_since.get_or_insert(now);
+        self.exclude(now, upstream);
+    }
+
+    /// Takes back what followed from the silence of the upstreams of a service.
+    fn acquit_silent(&mut self, now: Time, service: &str) {
+        let silences = self.silences.get(service);
+        for upstream in silences.into_iter().flat_map(Silences::upstreams) {
+            if let Some(record) = self.records.get_mut(&upstream) {
+                record.acquit(now);
+            }
+        }
+    }
+
     /// Records a failure.
     pub(crate) fn record_failure(&mut self, now: Time, upstream: u64) {
+        self.record(now, upstream).only_silent = false;
+        self.exclude(now, upstream);
+    }
+
+    fn exclude(&mut self, now: Time, upstream: u64) {
         let record = self.record(now, upstream);
         // Requests that were in flight when it was excluded fail late and add no information.
         if now < record.excluded_until {
@@ -145,6 +232,7 @@
     /// Records that an upstream refused a request immediately.
     pub(crate) fn record_refusal(&mut self, now: Time, upstream: u64) {
         let record = self.record(now, upstream);
+        record.only_silent = false;
         if now < record.excluded_until {
             return;
         }
@@ -158,24 +246,27 @@
 
     /// Forgets the failures of an upstream, since they were this instance's own.
     pub(crate) fn forget(&mut self, upstream: u64) {
-        self.0.remove(&upstream);
+        self.records.remove(&upstream);
     }
 
     /// Records that a request succeeded.
     pub(crate) fn record_success(&mut self, upstream: u64) {
-        if let Some(record) = self.0.get_mut(&upstream) {
+        if let Some(record) = self.records.get_mut(&upstream) {
             record.refusals = 0;
             record.dead_since = None;
+            record.silent_until = Time::default();
         }
     }
 
     fn record(&mut self, now: Time, upstream: u64) -> &mut Record {
-        let record = self.0.entry(upstream).or_insert(Record {
+        let record = self.records.entry(upstream).or_insert(Record {
             failures: 0,
             refusals: 0,
             last_failure: now,
             excluded_until: now,
             dead_since: None,
+            only_silent: false,
+            silent_until: now,
         });
         if now.since(record.excluded_until) >= RETENTION {
             record.dead_since = None;
@@ -198,7 +289,7 @@
             r.dead_since
                 .is_some_and(|since| now.since(since) < retention)
         };
-        let unresponsive = self.0.iter().filter(|(_, r)| unresponsive(r));
+        let unresponsive = self.records.iter().filter(|(_, r)| unresponsive(r));
         let mut suspects = self.dead(now);
         suspects.extend(unresponsive.map(|(&upstream, _)| upstream));
         suspects.sort_unstable();
@@ -211,7 +302,7 @@
     pub(crate) fn dead(&self, now: Time) -> Vec<u64> {
         let dead = |r: &Record| r.failures > 0 || r.refusals >= DEAD_REFUSALS;
         let excluded = self
-            .0
+            .records
             .iter()
             .filter(|(_, r)| now < r.excluded_until && dead(r));
         excluded.map(|(&upstream, _)| upstream).collect()
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -27,6 +27,7 @@
 pub(crate) mod retry_budget;
 pub(crate) mod run_history;
 pub(crate) mod shedding;
+pub(crate) mod silence;
 pub(crate) mod stall;
 pub(crate) mod view_wait;
 pub(crate) mod wait_queue;
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -19,6 +19,7 @@
 use snafu::Snafu;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
 use crate::clock::{Clock, Time};
@@ -104,6 +105,11 @@
     /// No connection: no byte of the request was sent.
     #[snafu(display("can't connect to the engine; it may have stopped"))]
     Connect,
+    /// No sign of a connection in time: no byte of the request was sent.
+    #[snafu(display(
+        "no connection to the engine in time; it, its machine or the link may be down"
+    ))]
+    ConnectTimeout,
     /// The engine reports that it didn't run the request.
     #[snafu(display("the engine is busy"))]
     Busy,
@@ -195,8 +201,7 @@
         addr: SocketAddr,
         limit: Duration,
     ) -> Result<Self, EngineError> {
-        let connected = timeout(limit, TcpStream::connect(addr)).await;
-        Self::over(connected.ok().and_then(Result::ok)).await
+        Self::over(timeout(limit, TcpStream::connect(addr)).await).await
     }
 
     /// Same as [`Connection::open_within`], from the address `source` of this machine. An upstream
@@ -211,12 +216,14 @@
             socket.bind(SocketAddrV4::new(source, 0).into())?;
             socket.connect(addr.into()).await
         };
-        let connected = timeout(limit, connect).await;
-        Self::over(connected.ok().and_then(Result::ok)).await
+        Self::over(timeout(limit, connect).await).await
     }
 
-    async fn over(stream: Option<TcpStream>) -> Result<Self, EngineError> {
-        let stream = stream.ok_or(EngineError::Connect)?;
+    async fn over(
+        connected: Result<std::io::Result<TcpStream>, Elapsed>,
+    ) -> Result<Self, EngineError> {
+        let connected = connected.map_err(|_| EngineError::ConnectTimeout)?;
+        let stream = connected.map_err(|_| EngineError::Connect)?;
         // With Nagle's algorithm, small writes wait for delayed ACKs.
         let _ = stream.set_nodelay(true);
         let Ok((sender, connection)) = handshake(TokioIo::new(stream)).await else {
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -14,6 +14,10 @@
 /// such engines, and then with as few of them as possible.
 const FAILING_PENALTY: f64 = 8.0;
 
+/// Cost factor of an engine that is silent as are many others. It probably lives, but answers late
+/// if at all.
+const SILENT_PENALTY: f64 = 4.0;
+
 /// Step time, as a share of the slowest engine's, from which an engine counts as slow.
 const SLOW_SHARE: f64 = 0.5;
 
@@ -34,6 +38,7 @@
     pub(crate) fn factor(self, status: HealthStatus) -> Option<f64> {
         match (self, status) {
             (_, HealthStatus::Healthy) => Some(1.0),
+            (_, HealthStatus::Silent) => Some(SILENT_PENALTY),
             (Self::AllowFailing, HealthStatus::Failing) => Some(FAILING_PENALTY),
             _ => None,
         }
--- a/src/entry/reach.rs
+++ b/src/entry/reach.rs
@@ -13,6 +13,7 @@
 use super::view::{Upstream, of_service};
 use crate::clock::{Time, millis};
 use crate::decide::reachability::Change;
+use crate::decide::silence::Verdict;
 use crate::engine::{Connection, EngineError};
 use crate::event;
 use crate::sync::address_from_key;
@@ -216,6 +217,7 @@
     async fn check(self: &Arc<Self>, service: &str, upstream: &Upstream) -> bool {
         let opened = self.dial(upstream.address).await;
         let at = self.now();
+        let is_silent = matches!(opened, Err(EngineError::ConnectTimeout));
         let reached = match opened {
             Ok(connection) => connection.stays_open(SETTLE_TIME).await,
             Err(_) => false,
@@ -224,10 +226,35 @@
             self.record_reached(service, upstream.key, at);
             return true;
         }
-        if !self.must_carry(service, upstream.key) {
-            self.shared().health.record_unresponsive(at, upstream.key);
+        match self.must_carry(service, upstream.key) {
+            true => {}
+            false if is_silent => self.record_silent(service, upstream.key),
+            false => self.shared().health.record_unresponsive(at, upstream.key),
         }
         self.record_unreached(service, upstream.key);
         false
     }
+
+    /// Records that an upstream sent nothing in time: no answer, nothing to its neighbour, or no
+    /// sign of a connection.
+    pub(super) fn record_silent(&self, service: &str, upstream: u64) {
+        let known = of_service(&self.view().services, service).len();
+        let now = self.now();
+        let mut shared = self.shared();
+        let verdict = shared.health.record_silent(now, service, upstream, known);
+        drop(shared);
+        if let Verdict::Shared {
+            silent,
+            began: true,
+        } = verdict
+        {
+            tracing::warn!(
+                event = event::SILENCE_SHARED.id,
+                service,
+                silent,
+                known,
+                "many upstreams are silent at once; none is excluded for it"
+            );
+        }
+    }
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -123,6 +123,8 @@
 pub(crate) const RETRY_DECIDED: Event = event(423, "retry_decided");
 /// This instance begins or ends to close new connections unread.
 pub(crate) const SHEDDING_CHANGED: Event = event(424, "shedding_changed");
+/// Many upstreams of a service are silent at once, so that none is excluded for it.
+pub(crate) const SILENCE_SHARED: Event = event(425, "silence_shared");
 /// This voter became the leader of a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter is no longer the leader of a group.
@@ -207,6 +209,7 @@
     RANK_DISPLACED,
     RETRY_DECIDED,
     SHEDDING_CHANGED,
+    SILENCE_SHARED,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
--- a/src/serve/service.rs
+++ b/src/serve/service.rs
@@ -184,7 +184,9 @@
                     Err(Event::Busy { attempt, not_run })
                 }
                 Ok(response) => Ok(response),
-                Err(EngineError::Connect) => Err(failed(AttemptError::Refused)),
+                Err(EngineError::Connect | EngineError::ConnectTimeout) => {
+                    Err(failed(AttemptError::Refused))
+                }
                 Err(_) => Err(failed(AttemptError::ConnectionLost)),
             }
         }
--- a/src/serve/stream.rs
+++ b/src/serve/stream.rs
@@ -83,7 +83,7 @@
             let not_run = true;
             return Event::Busy { attempt, not_run };
         }
-        EngineError::Connect => AttemptError::Refused,
+        EngineError::Connect | EngineError::ConnectTimeout => AttemptError::Refused,
         EngineError::ConnectionLost => AttemptError::ConnectionLost,
         EngineError::Status { .. } | EngineError::InvalidEvent => AttemptError::InvalidData,
     };
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -35,6 +35,7 @@
 mod reachability;
 mod retry_budget;
 mod shedding;
+mod silence;
 mod suspicion;
 mod wait_queue;
 
--- a/src/tests/engine.rs
+++ b/src/tests/engine.rs
@@ -1,13 +1,14 @@
 //! Tests of [`crate::engine`].
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 use crate::engine::{Connection, Cutoff, EngineError};
 use crate::{Clock, Time};
@@ -42,3 +43,25 @@
     assert_eq!(matches!(error, EngineError::Connect), passed);
     assert_eq!(server.await.expect("no panic") == 0, passed);
 }
+
+/// Guards against taking a connection without a sign in time for one that was refused: only the
+/// latter shows that nothing listens there.
+#[tokio::test]
+async fn open_refused_or_silent() {
+    let limit = Duration::from_millis(100);
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    let refused = Connection::open_within(address, limit).await;
+    assert!(matches!(refused, Err(EngineError::Connect)));
+    // The system drops the packets of connections that don't fit into the queue.
+    let _listener = socket.listen(1).unwrap();
+    let mut open = Vec::new();
+    let silent = loop {
+        match Connection::open_within(address, limit).await {
+            Ok(connection) if open.len() < 20 => open.push(connection),
+            ended => break ended,
+        }
+    };
+    assert!(matches!(silent, Err(EngineError::ConnectTimeout)));
+}
