Keep a connection with unread bytes until its caller has the answer

Cause: when hyper's connection ended, the socket was closed at once. The kernel resets a connection that is closed with unread bytes and drops what it hasn't sent yet. So an answer that came before the end of the body (413, 408, a carrier's refusal before it had read) broke the caller's sending, and an answer with `Connection: close` lost its end if further requests had been sent behind it.

Change: `http::serve` shuts down its writing side. If a part of the last body is unread, it reads and drops the rest, for at most 2 s. If requests behind the last answer are unread, they stay unread (a caller may send only unread ones again) and the connection is kept until the caller has closed its side, for at most 2 s. Otherwise it is closed at once, as before. `RequestBody` tells whether the end of a body was read.

Not run: such a caller at a real instance.

--- a/src/control.rs
+++ b/src/control.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, header};
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -20,7 +19,7 @@
 use crate::event;
 use crate::gate::Gate;
 use crate::gossip::Fleet;
-use crate::http::{self, ReceiveError, ReceiveLimits, ResponseBody};
+use crate::http::{self, ReceiveError, ReceiveLimits, RequestBody, ResponseBody};
 use crate::lease::LeasedCatalogue;
 use crate::poll::Poller;
 use crate::propose::{NotCommitted, Proposer};
@@ -91,7 +90,7 @@
 }
 
 impl Control {
-    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn answer(self: Arc<Self>, request: Request<RequestBody>) -> Response<ResponseBody> {
         self.route(request).await.unwrap_or_else(|problem| {
             let body = serde_json::json!({
                 "error": {"code": problem.code, "message": problem.message}
@@ -100,7 +99,7 @@
         })
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Answer {
+    async fn route(&self, request: Request<RequestBody>) -> Answer {
         let (head, body) = request.into_parts();
         let path = head.uri.path().trim_matches('/');
         let parts: Vec<&str> = path.split('/').collect();
@@ -117,7 +116,7 @@
         }
     }
 
-    async fn route_operator(&self, head: &Parts, path: &[&str], body: Incoming) -> Answer {
+    async fn route_operator(&self, head: &Parts, path: &[&str], body: RequestBody) -> Answer {
         match (&head.method, path) {
             (&Method::GET, ["state"]) => Ok(self.state(head)),
             (&Method::GET, ["catalogue"]) => self.list().await,
@@ -149,7 +148,7 @@
         ))
     }
 
-    async fn read_body(&self, body: Incoming, max: usize) -> Result<Bytes, Problem> {
+    async fn read_body(&self, body: RequestBody, max: usize) -> Result<Bytes, Problem> {
         let body = http::read_body(body, max, self.settings.receive_timeout).await;
         body.map_err(|e| match e {
             ReceiveError::TooLarge => problem(
@@ -226,7 +225,7 @@
         Ok(json(StatusCode::OK, &self.poller.history(MAX_HISTORY)))
     }
 
-    async fn change(&self, head: &Parts, body: Incoming) -> Answer {
+    async fn change(&self, head: &Parts, body: RequestBody) -> Answer {
         let body = self.read_body(body, MAX_BODY).await?;
         let mut change: Change = serde_json::from_slice(&body).map_err(|e| {
             problem(
@@ -256,7 +255,7 @@
         Ok(json(outcome_status(&outcome), &outcome))
     }
 
-    async fn announce(&self, head: &Parts, body: Incoming) -> Answer {
+    async fn announce(&self, head: &Parts, body: RequestBody) -> Answer {
         let Ok(catalogue) = self.catalogue.get(self.clock.now()) else {
             return Err(problem(
                 StatusCode::SERVICE_UNAVAILABLE,
--- a/src/controller/call.rs
+++ b/src/controller/call.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue, LOCATION, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use tokio::sync::oneshot;
@@ -15,7 +14,7 @@
 use crate::clock::{millis, wall_millis};
 use crate::event;
 use crate::fingerprint::Fingerprint;
-use crate::http::{self, ResponseBody};
+use crate::http::{self, RequestBody, ResponseBody};
 use crate::platform::call::{self, Call};
 use crate::platform::{configuration, heartbeat};
 use crate::register;
@@ -50,7 +49,7 @@
 /// Answers a request; with 503 while no controller is running.
 pub(super) async fn answer(
     controller: Option<Arc<Controller>>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<ResponseBody> {
     match controller {
         Some(controller) => controller.answer(request).await,
@@ -59,7 +58,7 @@
 }
 
 impl Controller {
-    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn answer(self: Arc<Self>, request: Request<RequestBody>) -> Response<ResponseBody> {
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         let Some(decoded) = Call::decode(head.method.as_str(), path) else {
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
@@ -22,7 +21,7 @@
 use crate::event;
 use crate::fingerprint::Fingerprint;
 use crate::gate::RunningGuard;
-use crate::http::{self, ReceiveError, ResponseBody};
+use crate::http::{self, ReceiveError, RequestBody, ResponseBody};
 use crate::metric;
 use crate::platform::{call, headers, prompt};
 
@@ -50,7 +49,7 @@
 impl Entry {
     /// Answers a request. While draining, the connection is closed after the response: if it
     /// were kept open, the next request could arrive just as the process ends.
-    pub(super) async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+    pub(super) async fn answer(self: Arc<Self>, request: Request<RequestBody>) -> Response<Body> {
         let entry = Arc::clone(&self);
         let running = self.gate.track();
         let mut response = self.respond(request, running).await;
@@ -63,7 +62,7 @@
 
     async fn respond(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
         running: RunningGuard,
     ) -> Response<Body> {
         let (head, body) = request.into_parts();
--- a/src/entry/proxy/carry.rs
+++ b/src/entry/proxy/carry.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
@@ -20,7 +19,7 @@
 use crate::engine::{Connection, Cutoff, UpstreamResponse};
 use crate::event;
 use crate::gate::RunningGuard;
-use crate::http;
+use crate::http::{self, RequestBody};
 use crate::metric;
 use crate::platform::headers;
 use crate::sync::address_key;
@@ -86,7 +85,7 @@
     /// Carries a request of another instance to its upstream.
     pub(in super::super) async fn carry(
         self: Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
     ) -> Response<Body> {
         let received = self.now();
         let (mut head, body) = request.into_parts();
@@ -154,7 +153,7 @@
     async fn pass_on(
         self: &Arc<Self>,
         carriage: &Carriage,
-        body: Incoming,
+        body: RequestBody,
     ) -> Result<(UpstreamResponse, Holdings), Refusal> {
         if self.gate.is_closed() {
             return Err(Refusal::Draining);
@@ -202,7 +201,7 @@
     async fn receive(
         &self,
         head: &Parts,
-        body: Incoming,
+        body: RequestBody,
     ) -> Result<(Bytes, OwnedSemaphorePermit), Refusal> {
         let size = head::number(&head.headers, CONTENT_LENGTH.as_str()).unwrap_or(0);
         let limit = self.view().body_limit();
--- a/src/http.rs
+++ b/src/http.rs
@@ -4,25 +4,36 @@
 //! small chunks; see docs/TRIALS.md.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::net::TcpListener as StdListener;
-use std::pin::{Pin, pin};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncWriteExt, Interest, Ready, copy, sink};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Maximum time for which a connection is kept after its last answer because of unread bytes.
+const LINGER: Duration = Duration::from_secs(2);
+
+/// Interval of checks whether a client has closed a connection with unread bytes.
+const LINGER_POLL: Duration = Duration::from_millis(20);
+
 /// Limits on the requests of a client.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReceiveLimits {
@@ -36,7 +47,7 @@
 /// `handler`.
 pub(crate) async fn accept<H, F, B>(listener: StdListener, limits: ReceiveLimits, handler: H)
 where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<RequestBody>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -55,7 +66,7 @@
     handler: H,
     closing: watch::Receiver<bool>,
 ) where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<RequestBody>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -79,7 +90,7 @@
             Ok((stream, _)) => {
                 tokio::spawn(serve(stream, limits, handler.clone(), closing.clone()));
             }
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
 }
@@ -90,7 +101,7 @@
     handler: H,
     mut closing: watch::Receiver<bool>,
 ) where
-    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    H: Fn(Request<RequestBody>) -> F + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -98,26 +109,62 @@
     // With Nagle's algorithm, each token waits for the delayed ACK of the one
     // before.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
-        let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
+    // `poll_without_shutdown` needs a service that can be moved.
+    let handler = Box::new(handler);
+    let unread = Arc::new(AtomicBool::new(false));
+    let body_unread = Arc::clone(&unread);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let response = handler(request.map(|body| RequestBody::new(body, &unread)));
+        Box::pin(async move { Ok::<_, Infallible>(response.await) })
     });
-    let connection = Builder::new()
+    let mut connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.receive_timeout)
         .max_buf_size(limits.max_head)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
     let served = tokio::select! {
-        served = connection.as_mut() => served,
-        () = wait_closing(&mut closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        served = poll_fn(|cx| connection.poll_without_shutdown(cx)) => Some(served),
+        () = wait_closing(&mut closing) => None,
+    };
+    let served = match served {
+        Some(served) => served,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            poll_fn(|cx| connection.poll_without_shutdown(cx)).await
         }
     };
     if let Err(e) = served {
         tracing::debug!("client connection failed: {e}");
     }
+    let stream = connection.into_parts().io.into_inner();
+    close(stream, body_unread.load(Ordering::Relaxed)).await;
+}
+
+/// Closes a connection after its last answer. `body_unread` tells whether a part of the body of its
+/// last request is unread.
+///
+/// The kernel resets a connection that is closed with unread bytes, and what its client hasn't
+/// received yet is lost. So the rest of a body is read, for clients that send it before they read
+/// the answer. Further requests stay unread, since a client may repeat only those, and the
+/// connection is kept until the client has closed its side.
+async fn close(mut stream: TcpStream, body_unread: bool) {
+    // An error means that the client has reset the connection.
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    if body_unread {
+        let _ = timeout(LINGER, copy(&mut stream, &mut sink())).await;
+    } else if let Some(Ok(1)) = stream.peek(&mut [0]).now_or_never() {
+        let _ = timeout(LINGER, closed_by_client(&stream)).await;
+    }
+}
+
+async fn closed_by_client(stream: &TcpStream) {
+    let is_open = |ready: std::io::Result<Ready>| ready.is_ok_and(|r| !r.is_read_closed());
+    // Unread bytes keep the connection readable, so that waiting for that returns at once.
+    while is_open(stream.ready(Interest::READABLE).await) {
+        sleep(LINGER_POLL).await;
+    }
 }
 
 /// Waits until `closing` becomes true.
@@ -158,6 +205,44 @@
     }
 }
 
+/// Body of a request. Tells its connection when its end was read.
+pub(crate) struct RequestBody {
+    body: Incoming,
+    unread: Arc<AtomicBool>,
+}
+
+impl RequestBody {
+    fn new(body: Incoming, unread: &Arc<AtomicBool>) -> Self {
+        unread.store(!body.is_end_stream(), Ordering::Relaxed);
+        let unread = Arc::clone(unread);
+        Self { body, unread }
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if matches!(polled, Poll::Ready(None)) || self.body.is_end_stream() {
+            self.unread.store(false, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A response body.
 pub(crate) enum ResponseBody {
     /// The complete body; `None` once it was sent.
--- a/src/serve/listen.rs
+++ b/src/serve/listen.rs
@@ -4,13 +4,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 
 use super::Server;
 use super::respond;
-use crate::http::{self, ReceiveError, ReceiveLimits, ResponseBody};
+use crate::http::{self, ReceiveError, ReceiveLimits, RequestBody, ResponseBody};
 use crate::openai::Endpoint;
 use crate::request::{Answer, RefusalCode};
 
@@ -39,7 +38,7 @@
     /// Handles a request. While draining, the connection is closed afterwards: on
     /// an open one, the caller could send its next request just as the process
     /// exits, and would get no response.
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn handle(self: Arc<Self>, request: Request<RequestBody>) -> Response<ResponseBody> {
         let gate = Arc::clone(&self.deps.gate);
         let mut response = self.route_request(request).await;
         if gate.is_closed() {
@@ -49,7 +48,10 @@
         response
     }
 
-    async fn route_request(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn route_request(
+        self: Arc<Self>,
+        request: Request<RequestBody>,
+    ) -> Response<ResponseBody> {
         let path = request.uri().path();
         match (request.method(), path) {
             (&Method::GET, "/healthz") => respond::plain_text(StatusCode::OK, "ok\n"),
@@ -80,7 +82,7 @@
     async fn handle_completion(
         self: Arc<Self>,
         endpoint: Endpoint,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
     ) -> Response<ResponseBody> {
         match self.read_request(request).await {
             Ok(received) => self.complete(endpoint, received).await,
@@ -88,7 +90,7 @@
         }
     }
 
-    async fn handle_call(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn handle_call(self: Arc<Self>, request: Request<RequestBody>) -> Response<ResponseBody> {
         match self.read_request(request).await {
             Ok(received) => self.call(received).await,
             Err(code) => refuse_unidentified(code),
@@ -98,7 +100,7 @@
     /// Reads the complete body, within the limits of size and time.
     async fn read_request(
         &self,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
     ) -> Result<ReceivedRequest, RefusalCode> {
         let settings = &self.deps.settings;
         let (head, body) = request.into_parts();
--- a/src/tests/http.rs
+++ b/src/tests/http.rs
@@ -1,18 +1,19 @@
 //! Tests of [`crate::http`].
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Response;
+use hyper::{Request, Response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use crate::http::{ReceiveLimits, ResponseBody, accept_until};
+use crate::http::{ReceiveLimits, RequestBody, ResponseBody, accept_until};
 
 const LIMITS: ReceiveLimits = ReceiveLimits {
     max_head: 16 << 10,
@@ -102,3 +103,76 @@
     }
     assert_eq!(handled.load(Ordering::Relaxed), 2);
 }
+
+/// Serves each request with `handler` until the sender is dropped.
+fn serve<H, F>(handler: H) -> (SocketAddr, watch::Sender<bool>)
+where
+    H: Fn(Request<RequestBody>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (close, closing) = watch::channel(false);
+    tokio::spawn(accept_until(listener, LIMITS, || true, handler, closing));
+    (address, close)
+}
+
+/// Reads until the server closes the connection.
+async fn read_all(mut stream: TcpStream) -> std::io::Result<Vec<u8>> {
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    timeout(Duration::from_secs(5), read)
+        .await
+        .expect("it closes")?;
+    Ok(answer)
+}
+
+/// Guards against losing an answer that comes before the end of the caller's body: closing with
+/// unread bytes resets the connection, and the caller fails to send the rest before it reads.
+#[tokio::test]
+async fn early_answer_read() {
+    let (address, _close) = serve(|_| async { Response::new(Full::from("whole")) });
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let body = vec![b'x'; 4 << 20];
+    let head = format!(
+        "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    for part in body.chunks(64 << 10) {
+        stream
+            .write_all(part)
+            .await
+            .expect("the connection is open");
+        sleep(Duration::from_millis(1)).await;
+    }
+    let answer = read_all(stream).await.expect("no reset");
+    assert!(answer.ends_with(b"whole"), "{answer:?}");
+}
+
+/// Guards against losing the end of an answer that the caller hasn't read yet, since it has sent
+/// further requests that won't be read.
+#[tokio::test]
+async fn last_answer_before_unread_requests() {
+    const LENGTH: usize = 60_000;
+    let (address, _close) = serve(|_| async {
+        sleep(HANDLER_TIME).await;
+        let mut response = Response::new(Full::from(vec![b'x'; LENGTH]));
+        let close = hyper::header::HeaderValue::from_static("close");
+        let headers = response.headers_mut();
+        headers.insert(hyper::header::CONNECTION, close);
+        response
+    });
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4 << 10).unwrap();
+    let mut stream = socket.connect(address).await.unwrap();
+    for _ in 0..3 {
+        stream.write_all(REQUEST).await.unwrap();
+        sleep(HANDLER_TIME / 8).await;
+    }
+    sleep(2 * HANDLER_TIME).await;
+    let answer = read_all(stream).await.expect("no reset");
+    let body = answer.iter().rev().take_while(|b| **b == b'x').count();
+    assert_eq!(body, LENGTH);
+}
