Say and test that a caller who half-closes counts as gone

hyper's server closes a connection whose caller has shut down its writing side, also while an answer is running (`half_close` is off). Two ways were weighed. Without it, a caller that half-closes gets nothing.

--- a/src/http.rs
+++ b/src/http.rs
@@ -117,6 +117,8 @@
         let response = handler(request.map(|body| RequestBody::new(body, &unread)));
         Box::pin(async move { Ok::<_, Infallible>(response.await) })
     });
+    // A client that shuts down its writing side looks like one that has left, until a byte is
+    // sent to it. So its request is cancelled, which hyper does without `half_close`.
     let mut connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.receive_timeout)
--- a/src/tests/http.rs
+++ b/src/tests/http.rs
@@ -176,3 +176,36 @@
     let body = answer.iter().rev().take_while(|b| **b == b'x').count();
     assert_eq!(body, LENGTH);
 }
+
+/// Sets a flag when it is dropped.
+struct Dropped(Arc<AtomicUsize>);
+
+impl Drop for Dropped {
+    fn drop(&mut self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Guards against work for a caller who has left: one that closes its connection and one that shuts
+/// down its writing side look the same until the next byte is sent.
+#[tokio::test]
+async fn half_closed_caller_cancelled() {
+    let cancelled = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&cancelled);
+    let (address, _close) = serve(move |_| {
+        let running = Dropped(Arc::clone(&counted));
+        async move {
+            sleep(20 * HANDLER_TIME).await;
+            drop(running);
+            Response::new(Full::from("late"))
+        }
+    });
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(REQUEST).await.unwrap();
+    sleep(HANDLER_TIME / 4).await;
+    assert_eq!(cancelled.load(Ordering::Relaxed), 0);
+    stream.shutdown().await.unwrap();
+    sleep(HANDLER_TIME / 4).await;
+    assert_eq!(cancelled.load(Ordering::Relaxed), 1);
+    assert_eq!(read_all(stream).await.unwrap(), b"");
+}
