--- a/src/event.rs
+++ b/src/event.rs
@@ -127,6 +127,8 @@
 pub(crate) const ATTEMPT_STALLED: Event = event(425, "attempt_stalled");
 /// One of two attempts for a stream that had begun was cancelled.
 pub(crate) const HEDGE_ENDED: Event = event(426, "hedge_ended");
+/// Many upstreams of a service are silent at once, so that none is excluded for it.
+pub(crate) const SILENCE_SHARED: Event = event(427, "silence_shared");
 /// This voter became the leader of a group of the replicated log.
 pub(crate) const LEADS: Event = event(501, "leads");
 /// This voter is no longer the leader of a group.
@@ -213,6 +215,7 @@
     SHEDDING_CHANGED,
     ATTEMPT_STALLED,
     HEDGE_ENDED,
+    SILENCE_SHARED,
     LEADS,
     LEADS_NO_MORE,
     STORE_UNKNOWN,
