Take engines that send nothing in time for silent, not for dead

Attempts recorded a first engine that didn't answer a report within 300 ms, an engine that its neighbour names as silent, and a connection without a sign within 250 ms like one that was refused.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -46,9 +46,17 @@
 /// reports so only after seconds.
 pub(super) const FIRST_BYTE_FACTOR: u32 = 2;
 
-/// Failure cause: connecting to the upstream failed.
+/// Failure cause: the upstream refused the connection.
 pub(super) const NO_CONNECTION: &str = "connect";
 
+/// Failure cause: connecting to the upstream took too long.
+pub(super) const CONNECT_TIMED_OUT: &str = "connect_timeout";
+
+/// Whether an attempt failed since this instance didn't connect to the upstream.
+fn is_unconnected(cause: &str) -> bool {
+    matches!(cause, NO_CONNECTION | CONNECT_TIMED_OUT)
+}
+
 /// Failure cause: this instance reaches no upstream, and no other instance carried the request.
 pub(super) const NO_PROXY: &str = "no_proxy";
 
@@ -473,13 +481,16 @@
             REFUSED if health::may_be_full(self.utilisation(culprit)) => {
                 self.entry.shared().health.record_refusal(now, culprit);
             }
+            CONNECT_TIMED_OUT => {
+                self.entry.record_silent(&self.call.service, culprit);
+            }
             REFUSED | NO_CONNECTION | DEAD_ENGINE => {
                 self.entry.shared().health.record_unresponsive(now, culprit)
             }
             _ => self.entry.shared().health.record_failure(now, culprit),
         }
         self.failed_upstreams.push(culprit);
-        if cause == NO_CONNECTION || is_cut(cause) {
+        if is_unconnected(cause) || is_cut(cause) {
             self.unreached.push(culprit);
         }
         tracing::info!(
@@ -527,7 +538,7 @@
         }
         // A request that reached no upstream adds nothing to their load.
         if next == NextStep::Again
-            && cause != NO_CONNECTION
+            && !is_unconnected(cause)
             && !self.acquire_retry(RetryReason::Failed)
         {
             next = retry::give_up(self.attempts, failure);
--- a/src/entry/reach.rs
+++ b/src/entry/reach.rs
@@ -228,7 +228,9 @@
         }
         match self.must_carry(service, upstream.key) {
             true => {}
-            false if is_silent => self.record_silent(service, upstream.key),
+            false if is_silent => {
+                self.record_silent(service, upstream.key);
+            }
             false => self.shared().health.record_unresponsive(at, upstream.key),
         }
         self.record_unreached(service, upstream.key);
@@ -236,8 +238,8 @@
     }
 
     /// Records that an upstream sent nothing in time: no answer, nothing to its neighbour, or no
-    /// sign of a connection.
-    pub(super) fn record_silent(&self, service: &str, upstream: u64) {
+    /// sign of a connection. Returns what that tells about it.
+    pub(super) fn record_silent(&self, service: &str, upstream: u64) -> Verdict {
         let known = of_service(&self.view().services, service).len();
         let now = self.now();
         let mut shared = self.shared();
@@ -256,5 +258,6 @@
                 "many upstreams are silent at once; none is excluded for it"
             );
         }
+        verdict
     }
 }
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -17,6 +17,7 @@
 use super::view::of_service;
 use crate::configuration::RetryPolicy;
 use crate::decide::health::HealthStatus;
+use crate::decide::silence::Verdict;
 use crate::decide::stall::{Silence, Step};
 use crate::engine::{call_request, exchange};
 use crate::event;
@@ -121,9 +122,10 @@
         };
         // Only own evidence counts: if an engine that is dead by hearsay were recorded and
         // reported as well, the reports of a few instances would sustain each other.
-        let now = self.entry.now();
-        self.entry.shared().health.record_unresponsive(now, culprit);
-        Inquiry::Culprit(culprit)
+        match self.entry.record_silent(&self.call.service, culprit) {
+            Verdict::Evidence => Inquiry::Culprit(culprit),
+            Verdict::Shared { .. } => Inquiry::Nothing,
+        }
     }
 
     /// Reroutes an attempt around the engine that it waits for. Returns whether it succeeded.
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -9,8 +9,8 @@
 use tokio::sync::mpsc;
 
 use super::attempt::{
-    CUT, Context, FIRST_BYTE_FACTOR, NO_CONNECTION, NO_PROXY, OpenResponse, Outcome, PROXY_LOST,
-    Run,
+    CONNECT_TIMED_OUT, CUT, Context, FIRST_BYTE_FACTOR, NO_CONNECTION, NO_PROXY, OpenResponse,
+    Outcome, PROXY_LOST, Run,
 };
 use super::hedge::{Ended, Stalled};
 use super::proxy::{Carried, Refusal, Via};
@@ -22,7 +22,7 @@
 use crate::configuration::RetryPolicy;
 use crate::decide::retry::Failure;
 use crate::decide::stall::Silence;
-use crate::engine::{Connection, Cutoff};
+use crate::engine::{Connection, Cutoff, EngineError};
 use crate::event;
 use crate::id::InstanceId;
 
@@ -86,11 +86,18 @@
     async fn send_to(&self, selection: Selection) -> Outcome {
         let (service, first) = (&self.context.call.service, selection.upstream.key);
         if !self.context.entry.must_carry(service, first) {
-            if let Some(connection) = self.connect(&selection).await {
-                return self.send(connection, selection).await;
-            }
+            let error = match self.connect(&selection).await {
+                Ok(connection) => return self.send(connection, selection).await,
+                Err(error) => error,
+            };
             if !self.context.entry.must_carry(service, first) {
-                return failed(Failure::NotRun, Some(first), NO_CONNECTION);
+                let timed_out = matches!(error, EngineError::ConnectTimeout);
+                let cause = if timed_out {
+                    CONNECT_TIMED_OUT
+                } else {
+                    NO_CONNECTION
+                };
+                return failed(Failure::NotRun, Some(first), cause);
             }
         }
         let selection = match self.send_carried(selection).await {
@@ -99,13 +106,13 @@
         };
         // Where no other instance carries it, what failed may not have been the links.
         match self.connect(&selection).await {
-            Some(connection) => self.send(connection, *selection).await,
-            None => failed(Failure::NotRun, None, NO_PROXY),
+            Ok(connection) => self.send(connection, *selection).await,
+            Err(_) => failed(Failure::NotRun, None, NO_PROXY),
         }
     }
 
     /// Connects to the upstream of an attempt.
-    async fn connect(&self, selection: &Selection) -> Option<Connection> {
+    async fn connect(&self, selection: &Selection) -> Result<Connection, EngineError> {
         let upstream = &selection.upstream;
         let opened = self.context.entry.dial(upstream.address).await;
         if opened.is_err() {
@@ -113,7 +120,7 @@
                 .entry
                 .record_unreached(&self.context.call.service, upstream.key);
         }
-        opened.ok()
+        opened
     }
 
     /// Sends the attempt on a connection to its upstream.
