Ask a silent carrier after others instead of not at all

Cause: an instance that carries requests for this one was left out for 0.5 s when it sent nothing in time. It may wait for a slow engine, or be paused like everything else. With all known carriers left out that way, the requests that need one were refused as unreachable, and the instance called itself isolated and failed its readiness check.

Change: `Proxies::record_silent` only lets others be preferred for that time. A refusal, a lost connection, and a connection that doesn't open still leave an instance out. `exclude_proxy` maps its outcome `silent` to it, so that its callers stay as they are.

What happens to a request that is given up at a carrier, by reading: its connection is dropped, the carrier drops its own to the engine.

--- a/src/decide/proxies.rs
+++ b/src/decide/proxies.rs
@@ -4,6 +4,8 @@
 //! Load pattern: most instances lose their links at once, and the few others carry all requests.
 //! Each sender knows a few of them, prefers the one that carries fewest of its own requests, and
 //! leaves out for a short time each that refused, so that a full one isn't asked by every request.
+//! One that only sent nothing in time may wait for a slow upstream, or may be paused like all the
+//! others: it is asked after the others, but asked.
 
 use std::time::Duration;
 
@@ -23,6 +25,8 @@
     /// Requests of this instance that it carries.
     carried: u32,
     excluded_until: Time,
+    /// Time until which others are preferred, since it sent nothing in time.
+    silent_until: Time,
 }
 
 /// Instances that may carry requests of this one.
@@ -48,13 +52,17 @@
     }
 
     /// Returns the known instance that carries fewest requests of this one, without those in
-    /// `tried` and those that are left out now. `draw` in [0, 1) breaks ties.
+    /// `tried` and those that are left out now. One that was silent is chosen only if all others
+    /// are left out or were silent too. `draw` in [0, 1) breaks ties.
     pub(crate) fn choose(&self, now: Time, tried: &[InstanceId], draw: f64) -> Option<InstanceId> {
         let count = self.known.len();
         let start = (draw * count as f64) as usize;
         let rotated = (0..count).map(|i| self.known[(start + i) % count]);
         let usable = rotated.filter(|id| !tried.contains(id) && self.is_usable(now, *id));
-        usable.min_by_key(|id| self.record(*id).carried)
+        usable.min_by_key(|id| {
+            let record = self.record(*id);
+            (now < record.silent_until, record.carried)
+        })
     }
 
     /// Whether some instance may be asked now.
@@ -69,6 +77,13 @@
         }
     }
 
+    /// Records that an instance sent nothing in time.
+    pub(crate) fn record_silent(&mut self, now: Time, id: InstanceId) {
+        if self.known.contains(&id) {
+            self.records.entry(id).or_default().silent_until = now + EXCLUSION;
+        }
+    }
+
     /// Counts a request that an instance begins to carry.
     pub(crate) fn begin(&mut self, id: InstanceId) {
         self.records.entry(id).or_default().carried += 1;
--- a/src/entry/proxy/link.rs
+++ b/src/entry/proxy/link.rs
@@ -24,6 +24,9 @@
 /// Timeout of such a question: the time of two connections.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Outcome: the instance sent nothing in time. The request may run.
+const SILENT: &str = "silent";
+
 /// The instance that carries a request, counted until the request ends.
 pub(in super::super) struct Via {
     entry: Arc<Entry>,
@@ -174,10 +177,16 @@
         }
     }
 
-    /// Leaves an instance out for a while, since it didn't carry a request.
+    /// Leaves an instance out for a while, since it didn't carry a request; one that was only
+    /// [`SILENT`] is asked after others.
     pub(in super::super) fn exclude_proxy(&self, via: &Via, outcome: &'static str) {
         count(outcome);
-        self.shared().proxies.exclude(self.now(), via.id);
+        let now = self.now();
+        let proxies = &mut self.shared().proxies;
+        match outcome {
+            SILENT => proxies.record_silent(now, via.id),
+            _ => proxies.exclude(now, via.id),
+        }
     }
 }
 
--- a/src/tests/proxy.rs
+++ b/src/tests/proxy.rs
@@ -134,6 +134,25 @@
     assert!(proxies.any_usable(at(600)));
 }
 
+/// Guards against refusing requests as unreachable, and calling the instance isolated, since all
+/// carriers were silent at once.
+#[test]
+fn choose_silent_last() {
+    let mut proxies = known(2);
+    proxies.record_silent(at(0), InstanceId(1));
+    for _ in 0..3 {
+        let id = proxies.choose(at(100), &[], 0.0).unwrap();
+        assert_eq!(id, InstanceId(2), "the other carries more, but responds");
+        proxies.begin(id);
+    }
+    proxies.record_silent(at(100), InstanceId(2));
+    assert_eq!(proxies.choose(at(200), &[], 0.0), Some(InstanceId(1)));
+    assert!(proxies.any_usable(at(200)));
+    // A refusal counts also where the others are silent.
+    proxies.exclude(at(200), InstanceId(1));
+    assert_eq!(proxies.choose(at(300), &[], 0.0), Some(InstanceId(2)));
+}
+
 /// Guards against unbounded memory, and against losing all carriers to a new leader that knows no
 /// instance yet.
 #[test]
