Don't count the leader's own pause as silence of others

Cause: upstreams are removed after 4 heartbeat periods of silence (2 with witnesses), reports of instances after 2 s, voters are replaced after 3 s. If the leader's process, its host or the whole rig was paused for longer, its first tick afterwards found all of them silent at once, before it had read what waited in its sockets: all engines were removed, their layers missing, and instances told so.

Change: the leader measures how late its tick is. From 0.5 s on it moves the latest signs of upstreams and instances forward by the pause, convicts nobody in this tick, and says so (event 315, leader_paused).

Not run: a real leader that is stopped by SIGSTOP and remains leader.

--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -229,6 +229,13 @@
         self.roster.is_retired(id, born)
     }
 
+    /// Doesn't count a pause of this process, of length `paused` and until `now`, as silence of
+    /// upstreams and instances.
+    pub(crate) fn excuse_silence(&mut self, now: Time, paused: Duration) {
+        self.roster.excuse_silence(now, paused);
+        self.reports.excuse_silence(now, paused);
+    }
+
     /// Advances time. Returns the upstreams that were removed for their silence.
     pub(crate) fn tick(&mut self, now: Time) -> Vec<Arc<str>> {
         self.reports.tick(now);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -15,7 +15,7 @@
 
 use self::leader::LeaderState;
 use crate::auth::FleetKey;
-use crate::clock::{Clock, SystemClock, Time};
+use crate::clock::{Clock, SystemClock, Time, millis};
 use crate::configuration::RoutingTable;
 use crate::decide::members::{self, VoterStatus};
 use crate::error::{ListenSnafu, Result};
@@ -69,6 +69,10 @@
 /// Interval at which voters, upstreams, placement and quarantine are maintained.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Lag of a tick from which this process was paused, with its host or alone. What was sent to it
+/// meanwhile is only read after the tick.
+const MIN_PAUSE: Duration = Duration::from_millis(500);
+
 /// Delay before a failed store is reopened.
 const REOPEN_DELAY: Duration = Duration::from_millis(500);
 
@@ -366,16 +370,37 @@
     /// Maintains voters, upstreams, placement and quarantine while leading.
     async fn maintain(self: Arc<Self>) {
         while !self.shutting_down.load(Ordering::Relaxed) {
+            let began = self.now();
             sleep(TICK_INTERVAL).await;
             if self.leader_info().term.is_none() {
                 continue;
             }
+            let now = self.now();
+            let paused = now.since(began).saturating_sub(TICK_INTERVAL);
+            if paused >= MIN_PAUSE {
+                self.excuse_silence(now, paused);
+                continue;
+            }
             self.maintain_voters();
             self.maintain_upstreams();
             self.maintain_quarantine();
         }
     }
 
+    /// Convicts no voter, upstream or instance of silence while this process was paused.
+    fn excuse_silence(&self, now: Time, paused: Duration) {
+        let Some(mut state) = self.state_if_leading() else {
+            return;
+        };
+        state.excuse_silence(now, paused);
+        drop(state);
+        tracing::warn!(
+            event = event::LEADER_PAUSED.id,
+            paused_ms = millis(paused),
+            "the leader was paused"
+        );
+    }
+
     fn maintain_voters(&self) {
         let Some(status) = self.status() else {
             return;
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -181,6 +181,14 @@
         }
     }
 
+    /// Doesn't count the last `paused` before `now` as silence of the instances, since this process
+    /// could receive nothing.
+    pub(crate) fn excuse_silence(&mut self, now: Time, paused: Duration) {
+        for report in self.latest.values_mut() {
+            report.at = (report.at + paused).min(now);
+        }
+    }
+
     /// Removes the reports of instances that have become silent.
     pub(crate) fn tick(&mut self, now: Time) {
         let silent = self
--- a/src/event.rs
+++ b/src/event.rs
@@ -75,6 +75,8 @@
 pub(crate) const SYNC_OUTDATED: Event = event(313, "sync_outdated");
 /// Requests with a part in their prompts crash engines.
 pub(crate) const PART_QUARANTINED: Event = event(314, "part_quarantined");
+/// The leader was paused; what it missed doesn't count as silence of others.
+pub(crate) const LEADER_PAUSED: Event = event(315, "leader_paused");
 /// A request was refused.
 pub(crate) const REQUEST_REFUSED: Event = event(401, "request_refused");
 /// An attempt failed and the request continues on another path.
@@ -185,6 +187,7 @@
     HEARTBEAT_STALE,
     SYNC_OUTDATED,
     PART_QUARANTINED,
+    LEADER_PAUSED,
     REQUEST_REFUSED,
     REQUEST_RESUMED,
     REQUEST_FAILED,
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -345,6 +345,14 @@
         true
     }
 
+    /// Doesn't count the last `paused` before `now` as silence of the upstreams, since this process
+    /// could receive nothing.
+    pub(crate) fn excuse_silence(&mut self, now: Time, paused: Duration) {
+        for entry in self.entries.values_mut() {
+            entry.last_heartbeat = (entry.last_heartbeat + paused).min(now);
+        }
+    }
+
     /// Marks silent upstreams as late, then removes them. Returns the removed ones.
     ///
     /// `suspects` is the number of instances whose requests failed at each address.
--- a/src/tests/leader.rs
+++ b/src/tests/leader.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
-use super::at;
 use super::platform::CONFIGURATION;
+use super::{at, handle_sync};
 use crate::configuration::Configuration;
 use crate::controller::leader::{LeaderState, PlacementOrder};
 use crate::platform::configuration::decode;
 use crate::register::{self, Register};
 use crate::roster::{Announcement, LayerRange};
+use crate::sync::SyncRequest;
 use crate::voter::StateMachine;
 
 pub(super) const HEARTBEAT: Duration = Duration::from_millis(1200);
@@ -127,3 +128,23 @@
     };
     assert!((0..54).all(held), "{orders:?}, then {next:?}");
 }
+
+/// Guards against removing all upstreams, and forgetting all instances, at the first tick after the
+/// leader itself was paused: what they sent meanwhile is read only after it.
+#[test]
+fn tick_after_own_pause() {
+    let (register, _) = Register::new();
+    let mut leader = leader_state(&register, &[1, 2, 3, 4, 5], 6_000);
+    let request = SyncRequest {
+        instance: 7,
+        ..SyncRequest::default()
+    };
+    handle_sync(&mut leader, at(6_000), request, &register).unwrap();
+    leader.excuse_silence(at(12_250), Duration::from_secs(6));
+    assert!(leader.tick(at(12_250)).is_empty());
+    assert_eq!(leader.counts().entries, 1);
+    // The time before the pause and after it counts.
+    assert!(leader.tick(at(16_799)).is_empty());
+    assert_eq!(leader.counts().entries, 0);
+    assert_eq!(leader.tick(at(16_800)).len(), 5);
+}
