Send the last bytes of answers before the process ends

Cause: a request counts as running until its answer is handed to the HTTP library (plain answers) or its last event is (streams). What the caller's buffers don't take yet waits in the process. The drain ended as soon as no request counted as running, and the process with it: the caller's connection was closed within the answer, without a line in the log.

Change: after the last request the drain also waits, within the same limit, until no connection is open. Each holds a receiver of the closing signal until its bytes are sent; idle ones are closed by that signal.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -308,7 +308,7 @@
         lost && !view.services.is_empty() && !shared.proxies.any_usable(now)
     }
 
-    /// Fails the readiness check, then waits for the last response.
+    /// Fails the readiness check, then waits for the last byte of the last response.
     async fn drain(&self, close: &watch::Sender<bool>) {
         self.gate.close();
         let running = self.gate.running();
@@ -320,9 +320,18 @@
         while self.gate.running() > 0 && began.elapsed() < limit {
             sleep(DRAIN_POLL).await;
         }
-        let running = self.gate.running();
-        if running > 0 {
-            tracing::warn!(event = event::DRAIN_LIMIT.id, running, "answers cut off");
+        // The last bytes of an answer that isn't running any more may still wait for its caller to
+        // read. Each connection holds a receiver until it has sent them.
+        let left = limit.saturating_sub(began.elapsed());
+        let _ = timeout(left, close.closed()).await;
+        let (running, unsent) = (self.gate.running(), close.receiver_count());
+        if running > 0 || unsent > 0 {
+            tracing::warn!(
+                event = event::DRAIN_LIMIT.id,
+                running,
+                unsent,
+                "answers cut off"
+            );
         }
     }
 }
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -36,6 +36,11 @@
 /// Number of events of a complete stream.
 pub(crate) const STREAM_EVENTS: u64 = 12;
 
+/// Path of a plain service whose answer has [`LONG_ANSWER`] bytes: more than the buffers of a
+/// connection hold.
+pub(crate) const LONG_PATH: &str = "/lookups/long";
+pub(crate) const LONG_ANSWER: usize = 12 << 20;
+
 /// Body that a caller must receive for a complete stream.
 pub(crate) fn expected_stream() -> String {
     let event = |id| format!("id: {id}\ndata: token {id}\n\n");
@@ -631,6 +636,7 @@
     let last: u64 = header("last-event-id").map_or(0, |l| l.parse().unwrap());
     let organisation = header("x-tenant").unwrap_or_default();
     let prompt = header("x-prefix-hash").unwrap_or_default();
+    let is_long = request.uri().path() == LONG_PATH;
     let body = request.into_body().collect().await;
     let Ok(body) = body.map(http_body_util::Collected::to_bytes) else {
         return full_response(400, "");
@@ -671,6 +677,7 @@
         "models" if crash_body.is_some() => Response::new(pending_stream()),
         _ if fault == Fault::Error => full_response(500, "the stock file is locked"),
         "models" => Response::new(event_stream(last, fault, Arc::clone(state))),
+        _ if is_long => full_response(200, &"x".repeat(LONG_ANSWER)),
         _ => full_response(200, &format!("done by {}", spec.id)),
     };
     let headers = response.headers_mut();
--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -1,12 +1,14 @@
 //! Failures of engines and instances while requests run.
 
 use std::fs;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::common::wait_for;
-use crate::deployment::{Deployment, KEY};
-use crate::engine::{Fault, expected_stream};
+use crate::deployment::{Deployment, HOST, KEY};
+use crate::engine::{Fault, LONG_ANSWER, LONG_PATH, expected_stream};
 
 /// Guards against lost, repeated or reordered events when engines break off their streams
 /// in the middle of an event: the stream is resumed within the same response.
@@ -167,6 +169,30 @@
     assert!(deployment.entries[0].wait_for_exit().success());
 }
 
+/// Guards against cutting off an answer that counts as ended when its instance stops, while its
+/// caller still reads it.
+#[test]
+fn entry_drains_slow_reader() {
+    let mut deployment = Deployment::start();
+    let mut caller = TcpStream::connect(deployment.caller_addr(0)).unwrap();
+    let head = format!(
+        "POST {LONG_PATH} HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: long\r\n\
+         x-credential: {KEY}\r\nx-deadline-ms: 20000\r\ncontent-length: 0\r\n\r\n"
+    );
+    caller.write_all(head.as_bytes()).unwrap();
+    let mut answer = vec![0; 1 << 10];
+    caller.read_exact(&mut answer).unwrap();
+    assert!(answer.starts_with(b"HTTP/1.1 200 "));
+    deployment.entries[0].terminate();
+    // Longer than new connections are accepted.
+    thread::sleep(Duration::from_secs(4));
+    caller.read_to_end(&mut answer).expect("no reset");
+    let body = answer.iter().rev().take_while(|b| **b == b'x').count();
+    assert_eq!(body, LONG_ANSWER);
+    drop(caller);
+    assert!(deployment.entries[0].wait_for_exit().success());
+}
+
 /// Guards against logs that contain a key, valid or not.
 #[test]
 fn logs_hold_no_key() {
