--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -126,6 +126,8 @@
     pub(crate) pauses: Pauses,
     /// Runs of attempts, in order of their start.
     pub(crate) engine_runs: Vec<EngineRun>,
+    /// Whether engines send the start of each event with the end of the one before.
+    pub(crate) splits_events: bool,
     /// Time that engines of plain services work on a request.
     pub(crate) work_time: Duration,
     /// Whether the engines are to end.
@@ -682,7 +684,10 @@
     let mut response = match spec.service {
         "models" if crash_body.is_some() => Response::new(pending_stream()),
         _ if fault == Fault::Error => full_response(500, "the stock file is locked"),
-        "models" => Response::new(event_stream(last, fault, running)),
+        "models" => {
+            let splits = state.lock().unwrap().splits_events;
+            Response::new(event_stream(last, fault, splits, running))
+        }
         _ => full_response(200, &format!("done by {}", spec.id)),
     };
     let headers = response.headers_mut();
@@ -702,18 +707,28 @@
     StreamBody::new(stream::pending::<Result<Frame<Bytes>, _>>()).boxed_unsync()
 }
 
+/// Length of the part of an event that an engine sends before the rest.
+const EVENT_START: usize = 7;
+
 /// Stream of the events after `last`.
-fn event_stream(last: u64, fault: Fault, running: Running) -> Body {
+fn event_stream(last: u64, fault: Fault, splits: bool, running: Running) -> Body {
+    let text = |id| format!("id: {id}\ndata: token {id}\n\n");
     let next = move |(id, mut running): (u64, Running)| async move {
         running.work(EVENT_INTERVAL).await;
         let reset = matches!(fault, Fault::ResetAfter(limit) if id > limit);
-        let event = format!("id: {id}\ndata: token {id}\n\n");
+        let mut event = text(id);
+        if splits && id > last + 1 {
+            event.drain(..EVENT_START);
+        }
+        if splits && id < STREAM_EVENTS {
+            event += &text(id + 1)[..EVENT_START];
+        }
         running.done = id >= STREAM_EVENTS || reset;
         match (id > STREAM_EVENTS, reset) {
             (true, _) => None,
             // A part of an event, as a crashing engine sends it.
             (_, true) if id.is_multiple_of(2) => {
-                let part = event[..7].to_owned();
+                let part = event[..EVENT_START].to_owned();
                 Some((Ok(Frame::data(part.into())), (id + 1, running)))
             }
             (_, true) => Some((Err("cut"), (id, running))),
--- a/tests/platform/silence.rs
+++ b/tests/platform/silence.rs
@@ -29,6 +29,7 @@
 /// Sends a stream, calls `act` with its first run once that has sent some events, and returns the
 /// answer and all runs, when those that were given up must have been cancelled.
 fn send_stream(rig: &Rig, act: impl FnOnce(&EngineRun) -> Instant) -> (Answer, Vec<EngineRun>) {
+    rig.deployment.engine_state().splits_events = true;
     let (answer, woken) = thread::scope(|scope| {
         let caller = scope.spawn(|| rig.send(0, STREAM, "s"));
         let first = wait_for("events", || {
@@ -193,6 +194,54 @@
     }
 }
 
+/// Guards against losing a stream whose engine falls silent and then breaks it off, also within an
+/// event, while another engine has its next run.
+#[rstest]
+#[case::between_events(4)]
+#[case::within_event(5)]
+fn silent_run_cut(#[case] events: u64, #[values(false, true)] carried: bool) {
+    let rig = Rig::start(2, PLENTY, carried);
+    for engine in &rig.deployment.engines {
+        let mut state = rig.deployment.engine_state();
+        state.set_fault(&engine.id, Fault::ResetAfter(events));
+    }
+    let answer = thread::scope(|scope| {
+        let caller = scope.spawn(|| rig.send(0, STREAM, "s"));
+        let first = wait_for("events", || {
+            let first = rig.runs("s").into_iter().next()?;
+            (first.sent.len() as u64 == events).then_some(first)
+        });
+        let engines = &rig.deployment.engines;
+        let (old, others): (Vec<_>, Vec<_>) = engines.iter().partition(|e| e.id == first.engine);
+        rig.pause(Silent::AllRuns, engines, Instant::now() + LONG_SILENCE);
+        thread::sleep(HEDGE_TIME);
+        rig.pause(Silent::AllRuns, old, Instant::now());
+        thread::sleep(Duration::from_millis(150));
+        rig.pause(Silent::AllRuns, others, Instant::now());
+        caller.join().unwrap()
+    });
+    assert!(answer.is_whole(), "{answer:?}, {:?}", rig.runs("s"));
+}
+
+/// Guards against ending the stream of a silent engine because the others refuse its next run.
+#[rstest]
+fn silent_run_outlasts_refusals(#[values(false, true)] carried: bool) {
+    let rig = Rig::start(2, PLENTY, carried);
+    let (answer, runs) = send_stream(&rig, |first| {
+        let engines = rig.deployment.engines.iter();
+        let (old, others): (Vec<_>, Vec<_>) = engines.partition(|e| e.id == first.engine);
+        for engine in others {
+            let mut state = rig.deployment.engine_state();
+            state.set_shed(&engine.id, Some("0.2"));
+        }
+        let woken = Instant::now() + 2 * HEDGE_TIME;
+        rig.pause(Silent::All, old, woken);
+        woken
+    });
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(runs.len(), 1, "{runs:?}");
+}
+
 /// Guards against engines that work on for a caller that left while they were silent: each run of
 /// its stream must be cancelled.
 #[rstest]
