Let only whole events decide a hedge

A silent run that sent a part of an event and was then cut off won against the other run, which was cancelled; no attempt was left, and the stream was truncated (silent_run_cut, 2 of 2 cases where the engine breaks off within an event). A part of an event stays in the buffer now, and the first run wins with its next whole event or its proper end.

--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -118,8 +118,8 @@
 
 /// Which of two attempts serves a stream.
 enum Winner {
-    /// The silent one went on with this.
-    First(Received),
+    /// The silent one: it gave an event or its proper end.
+    First(Step),
     Other(Box<OpenResponse>),
     /// The other one failed, and the first is still silent.
     Pending,
@@ -137,22 +137,43 @@
     }
 }
 
-/// Awaits the next bytes of a silent response, or its end; `None` at the deadline.
-async fn await_bytes(
-    context: &Context,
-    opened: &mut OpenResponse,
-    silence: &mut Silence,
-) -> Option<Received> {
+/// What a silent response gave next.
+enum Next {
+    /// An event, which is in the buffer.
+    Event,
+    /// Its end.
+    End,
+    /// The end of its connection.
+    Cut,
+    /// Nothing before the deadline.
+    Nothing,
+}
+
+/// Reads a silent response up to its next event or its end. A part of an event stays in the buffer.
+async fn await_event(context: &Context, opened: &mut OpenResponse, silence: &mut Silence) -> Next {
     loop {
         let OpenResponse {
-            answer, selection, ..
+            answer,
+            selection,
+            buffer,
         } = &mut *opened;
         let frame = answer.response.body_mut().frame();
         let progress = context.await_progress(frame, silence, selection);
         match timeout(context.left(), progress).await {
-            Ok(Ok(received)) => return Some(received),
+            Ok(Ok(Some(Ok(frame)))) => {
+                let bytes = frame.into_data().unwrap_or_default();
+                buffer.extend_from_slice(&bytes);
+                if has_event(buffer) {
+                    return Next::Event;
+                }
+                if buffer.len() > MAX_EVENT {
+                    return Next::Cut;
+                }
+            }
+            Ok(Ok(Some(Err(_)))) => return Next::Cut,
+            Ok(Ok(None)) => return Next::End,
             Ok(Err(_)) => {}
-            Err(_) => return None,
+            Err(_) => return Next::Nothing,
         }
     }
 }
@@ -278,20 +299,22 @@
             return Step::Continue;
         }
         let events = self.run.events;
-        let may_end = self.opened.buffer.is_empty() && !self.lacks_events();
+        let may_end = !self.lacks_events();
         let mut silence = self.start_silence();
         let mut cut = false;
         let winner = {
             let mut other = pin!(self.run.open());
-            let first = await_bytes(&self.context, &mut self.opened, &mut silence);
+            let first = await_event(&self.context, &mut self.opened, &mut silence);
             tokio::select! {
                 biased;
-                received = first => match received {
-                    None => Winner::Neither,
-                    Some(Some(Ok(frame))) => Winner::First(Some(Ok(frame))),
-                    Some(None) if may_end => Winner::First(None),
+                next = first => match next {
+                    Next::Nothing => Winner::Neither,
+                    Next::Event => Winner::First(Step::Continue),
+                    Next::End if may_end && self.opened.buffer.is_empty() => {
+                        Winner::First(Step::Whole)
+                    }
                     // The other attempt is the only one left.
-                    Some(_) => {
+                    Next::End | Next::Cut => {
                         cut = true;
                         other.await.map_or(Winner::Neither, Winner::Other)
                     }
@@ -315,7 +338,10 @@
             "hedge ended"
         );
         match winner {
-            Winner::First(received) => self.accept(received),
+            Winner::First(step) => {
+                self.silence = None;
+                step
+            }
             Winner::Other(opened) => {
                 self.adopt(opened);
                 Step::Continue
