--- a/src/entry/hedge.rs
+++ b/src/entry/hedge.rs
@@ -120,16 +120,16 @@
     /// Whether another attempt may start beside one that is stalled.
     pub(super) fn may_hedge(&mut self, stalled: &Stalled) -> bool {
         let Stalled { first, stall } = *stalled;
-        let cause = match stall {
+        let (cause, reason) = match stall {
             Stall::DeadEngine(culprit) => {
                 if !self.has_failed_at(culprit) {
                     self.exclude_upstream(Some(culprit), BLOCKED);
                 }
-                BLOCKED
+                (BLOCKED, RetryReason::Blocked)
             }
-            Stall::Unknown => "silent",
+            Stall::Unknown => ("silent", RetryReason::Silent),
         };
-        let outcome = self.hedge_outcome();
+        let outcome = self.hedge_outcome(reason);
         let stalled = metric::STALLED_ATTEMPTS.name;
         metrics::counter!(stalled, "cause" => cause, "outcome" => outcome).increment(1);
         tracing::info!(
@@ -154,13 +154,13 @@
         self.failed_upstreams.contains(&upstream)
     }
 
-    fn hedge_outcome(&mut self) -> &'static str {
+    fn hedge_outcome(&mut self, reason: RetryReason) -> &'static str {
         // A request that may crash engines runs on one at a time.
         if self.suspect(&self.entry.view()).is_some() {
             return "suspect";
         }
         match self.next_step(Failure::Unknown) {
-            NextStep::Again if self.acquire_retry(RetryReason::Silent) => "hedged",
+            NextStep::Again if self.acquire_retry(reason) => "hedged",
             NextStep::Again => "denied",
             _ => "no_attempts",
         }
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -47,6 +47,8 @@
 pub(super) enum RetryReason {
     /// An attempt failed.
     Failed,
+    /// An attempt waits for an engine that seems dead, and goes on.
+    Blocked,
     /// An attempt is silent, and goes on.
     Silent,
 }
@@ -63,7 +65,9 @@
         let mut shared = self.entry.shared();
         let budget = &mut shared.retry_budget;
         let granted = match reason {
-            RetryReason::Failed => budget.try_acquire(now, service, instances),
+            RetryReason::Failed | RetryReason::Blocked => {
+                budget.try_acquire(now, service, instances)
+            }
             RetryReason::Silent => budget.try_acquire_hedge(now, service, instances),
         };
         let left = shared.retry_budget.remaining(now, service, instances);
