Wait before an attempt counts as stalled

With a stall timeout of 0 (a route without an objective, or a deadline that passed before the request was sent) the attempt reported a stall again and again without awaiting anything; the instance used a whole core and grew by about 310 MB a second. One request was enough.

Change: an attempt counts as stalled after 100 ms at the earliest, the time after which silence is acted on at all.

--- a/src/decide/stall.rs
+++ b/src/decide/stall.rs
@@ -25,6 +25,10 @@
 /// Interval of further queries.
 const QUERY_INTERVAL: Duration = Duration::from_millis(160);
 
+/// Minimum time until an attempt counts as stalled. A route may state no objective, and the time left
+/// may be over.
+const MIN_TIMEOUT: Duration = REROUTE_AFTER;
+
 /// Maximum lateness of a timer that counts as silence. While this process didn't run, it read
 /// nothing of what upstreams sent.
 const MAX_LAG: Duration = Duration::from_millis(20);
@@ -113,7 +117,7 @@
     /// Starts to observe an attempt that counts as stalled after silence for `timeout`.
     pub(crate) fn new(timeout: Duration, reroutable: bool) -> Self {
         Self {
-            timer: StallTimer::new(timeout, reroutable),
+            timer: StallTimer::new(timeout.max(MIN_TIMEOUT), reroutable),
             observed: Duration::ZERO,
         }
     }
--- a/src/tests/decide/suspicion.rs
+++ b/src/tests/decide/suspicion.rs
@@ -167,3 +167,17 @@
     assert_eq!(stalls, [1000, 2000, 3000]);
     assert_eq!(queries, 2);
 }
+
+/// Guards against an instance that reports a stall again and again without awaiting anything, on a
+/// route without an objective, or when the deadline has passed.
+#[test]
+fn silence_without_timeout() {
+    let mut silence = Silence::new(Duration::ZERO, false);
+    for _ in 0..2 {
+        let wait = silence.next_wait().expect("no stall before a wait");
+        assert!(!wait.is_zero());
+        silence.record_wait(wait, wait);
+        assert_eq!(silence.next_wait(), None);
+        silence.record_stall();
+    }
+}
--- a/tests/platform/silence.rs
+++ b/tests/platform/silence.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 
 use crate::common::wait_for;
-use crate::deployment::KEY;
+use crate::deployment::{APPLY_TIME, Deployment, KEY, configuration};
 use crate::engine::{Fault, STREAM_EVENTS};
 use crate::pause::EngineRun;
 use rig::{Answer, IDEMPOTENT, NO_RETRIES, NON_IDEMPOTENT, PLENTY, REQUESTS, Rig, STREAM, Silent};
@@ -284,3 +284,25 @@
         assert!(answer.longest_pause < RESUME_TIME, "{answer:?}");
     }
 }
+
+/// Guards against an instance that spins when an attempt is stalled from its start, since its route
+/// states no objective.
+#[test]
+fn route_without_objective_answered() {
+    let deployment = Deployment::with_retries(1, &[6, 6], PLENTY);
+    wait_for("a configuration", || {
+        let mut body = configuration(2, &[KEY]);
+        for route in body["routes"].as_array_mut().unwrap() {
+            route["sloMs"] = 0.into();
+        }
+        deployment.send_configuration(&body).then_some(())
+    });
+    thread::sleep(APPLY_TIME);
+    for n in 0..3 {
+        let request = deployment.post(0, IDEMPOTENT, &format!("n-{n}"), KEY);
+        let limit = Some(Duration::from_secs(2));
+        let request = request.config().timeout_global(limit).build();
+        let answer = request.send("text").expect("an answer");
+        assert_eq!(answer.status(), 200);
+    }
+}
