Don't blame an upstream for a body that is late at the deadline

A plain answer whose body wasn't complete at the deadline was taken for one that was cut off: the upstream was excluded for all requests, probed for a crash, and the caller got 502. The deadline is no sign of the upstream's end. The caller gets 504 now, and nothing is recorded. Found by reading, in the list of places where a missing sign convicts; no test of its own.

--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -28,12 +28,14 @@
                 return stream::answer(self, opened, running);
             }
             let upstream = opened.selection.upstream.clone();
-            match self.collect(opened).await {
-                Some((head, body)) => {
+            match timeout(self.left(), collect(opened)).await {
+                Ok(Some((head, body))) => {
                     self.record_harmless();
                     return self.deliver(head, body, &upstream.id);
                 }
-                None => {
+                // An answer that is late at the deadline says nothing against its upstream.
+                Err(_) => return self.final_response(&RunError::TimedOut),
+                Ok(None) => {
                     self.record_cut(&upstream);
                     self.exclude_upstream(Some(upstream.key), "cut_body");
                     match self.record_failure(Failure::Unknown, "cut_body") {
@@ -50,16 +52,6 @@
         }
     }
 
-    /// Reads the whole body, or returns `None` if it was cut off.
-    async fn collect(&self, opened: OpenResponse) -> Option<(Parts, Bytes)> {
-        let OpenResponse { mut answer, .. } = opened;
-        let collected = timeout(self.left(), answer.response.body_mut().collect()).await;
-        let body = collected.ok()?.ok()?.to_bytes();
-        let (head, _) = answer.response.into_parts();
-        // No request asks for a content encoding, so an encoded body isn't the upstream's.
-        (!head.headers.contains_key(CONTENT_ENCODING)).then_some((head, body))
-    }
-
     fn deliver(&self, head: Parts, bytes: Bytes, upstream: &str) -> Response<Body> {
         self.count(if head.status.is_server_error() {
             "upstream_error"
@@ -82,3 +74,13 @@
         response
     }
 }
+
+/// Reads the whole body, or returns `None` if it was cut off.
+async fn collect(opened: OpenResponse) -> Option<(Parts, Bytes)> {
+    let OpenResponse { mut answer, .. } = opened;
+    let collected = answer.response.body_mut().collect().await;
+    let body = collected.ok()?.to_bytes();
+    let (head, _) = answer.response.into_parts();
+    // No request asks for a content encoding, so an encoded body isn't the upstream's.
+    (!head.headers.contains_key(CONTENT_ENCODING)).then_some((head, body))
+}
