Keep hedges out of the way of other attempts

Found in a review of the hedge, by reading but for the third: - A retry granted for a hedge that found no room, or whose silent run went on, counted against the limit until the request ended. It is given back when the hedge ends; a retry belongs to the attempt that it granted, and one whose connection failed returns it. - While an upstream that cut off an attempt was checked for a crash, a silent attempt beside it wasn't read, and another could start beside it before the verdict.

Tests: 51 of 51 tests of tests/platform/silence.rs pass (one run, load 35 on 8 cores), 33 unit tests of silence and retries. The grants and the crash check have no test of their own.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -19,7 +19,7 @@
 use super::retry::{GrantedRetry, RetryReason};
 use super::select::{Exclusions, Selection};
 use super::send::Attempt;
-use super::view::of_service;
+use super::view::{Upstream, of_service};
 use crate::clock::{Time, millis};
 use crate::configuration::{Model, Route, RoutingTable};
 use crate::decide::health;
@@ -184,8 +184,8 @@
     /// Number of events with an id received in the current attempt, on a stream.
     pub(super) events: u64,
     pub(super) suspicion: Suspicion,
-    /// The latest retry; `None` in the first attempt.
-    pub(super) retry: Option<Arc<GrantedRetry>>,
+    /// A granted retry for the next attempt.
+    pub(super) retry: Option<GrantedRetry>,
 }
 
 /// Records a request whose future was dropped: its caller disconnected, or the instance ended.
@@ -213,10 +213,15 @@
 /// What follows the end of an attempt.
 enum Settled {
     Answered(Box<OpenResponse>),
-    /// Another attempt may start.
-    Again,
+    /// Another attempt may start after the failure at `upstream`.
+    Again {
+        cause: &'static str,
+        upstream: Upstream,
+    },
     /// The request ends, unless another attempt still runs.
     End(RunError),
+    /// The request ends.
+    Final(RunError),
 }
 
 /// Result of one attempt.
@@ -278,7 +283,7 @@
     /// stream that may be resumed. If all fail, returns the latest server error of an upstream, if
     /// any: it tells the caller more than a generic failure.
     pub(super) async fn open(&mut self) -> Result<Box<OpenResponse>, RunError> {
-        let end = match self.run_attempts().await {
+        let end = match self.run_attempts(false).await {
             Ok(opened) => return Ok(opened),
             Err(end) => end,
         };
@@ -288,49 +293,87 @@
             .map_or(end, RunError::UpstreamError))
     }
 
-    async fn run_attempts(&mut self) -> Result<Box<OpenResponse>, RunError> {
+    /// Like [`Run::open`], beside an attempt that is silent and goes on.
+    pub(super) async fn open_beside(&mut self) -> Result<Box<OpenResponse>, RunError> {
+        self.run_attempts(true).await
+    }
+
+    /// Makes attempts. `beside` tells whether another one runs already, which is silent.
+    async fn run_attempts(&mut self, beside: bool) -> Result<Box<OpenResponse>, RunError> {
         let mut running = Running::default();
         let mut asks_first = true;
         let mut may_start = true;
         loop {
+            let left = self.left();
             let progress = if may_start {
                 may_start = false;
-                tokio::select! {
+                let beside = beside || !running.is_empty();
+                let found = tokio::select! {
                     biased;
-                    ended = running.next_end() => Progress::Ended(Box::new(ended)),
-                    found = self.find_upstream(&mut asks_first) => {
-                        match found {
-                            Ok(selection) => running.start(self.begin(&running), selection),
-                            Err(end) if running.is_empty() => return Err(end),
-                            // A retry that isn't sent doesn't count against the limit.
-                            Err(_) => self.retry = None,
-                        }
+                    ended = running.next_end() => Err(ended),
+                    found = timeout(left, self.find_upstream(&mut asks_first, beside)) => Ok(found),
+                };
+                match found {
+                    Err(ended) => Progress::Ended(Box::new(ended)),
+                    Ok(Ok(Ok(selection))) => {
+                        running.start(self.begin(&running), selection);
+                        continue;
+                    }
+                    Ok(Ok(Err(end))) if running.is_empty() => return Err(end),
+                    Ok(Err(_)) if running.is_empty() => return Err(self.timed_out()),
+                    Ok(_) => {
+                        // A retry that isn't sent doesn't count against the limit.
+                        self.retry = None;
                         continue;
                     }
                 }
             } else {
-                let Ok(progress) = timeout(self.left(), running.next()).await else {
-                    return Err(RunError::TimedOut);
-                };
-                progress
+                let progress = timeout(left, running.next()).await;
+                progress.map_err(|_| RunError::TimedOut)?
             };
-            may_start = match progress {
-                Progress::Stalled(stalled) => self.may_hedge(&stalled),
-                Progress::Ended(ended) => match self.settle(*ended).await {
-                    Settled::Answered(opened) => return Ok(opened),
-                    Settled::Again => running.all_stalled(),
-                    // Another attempt goes on.
-                    Settled::End(_) if !running.is_empty() => false,
-                    Settled::End(end) => return Err(end),
-                },
+            let settled = match progress {
+                Progress::Stalled(stalled) => {
+                    may_start = self.may_hedge(&stalled);
+                    continue;
+                }
+                Progress::Ended(ended) => self.settle(*ended),
             };
+            match settled {
+                Settled::Answered(opened) => return Ok(opened),
+                Settled::Final(end) => return Err(end),
+                Settled::Again { cause, upstream } if !beside && running.is_empty() => {
+                    let checked = self.check_crash(cause, &upstream);
+                    let _ = timeout(left, checked).await;
+                    may_start = true;
+                }
+                Settled::Again { cause, .. } if is_cut(cause) => {
+                    // The request itself may have ended the upstream.
+                    self.suspect_unproven();
+                    if running.is_empty() {
+                        return Err(RunError::MayHaveRun);
+                    }
+                }
+                Settled::Again { .. } => may_start = running.all_stalled(),
+                Settled::End(end) if running.is_empty() => return Err(end),
+                // Another attempt goes on.
+                Settled::End(_) => {}
+            }
         }
     }
 
-    /// Selects where the next attempt goes, as soon as the request may be sent.
-    async fn find_upstream(&mut self, asks_first: &mut bool) -> Result<Selection, RunError> {
+    /// Selects where the next attempt goes, as soon as the request may be sent. One `beside` a silent
+    /// attempt doesn't wait, as others in the queue have none.
+    async fn find_upstream(
+        &mut self,
+        asks_first: &mut bool,
+        beside: bool,
+    ) -> Result<Selection, RunError> {
         loop {
-            self.await_suspicion().await;
+            if !beside {
+                self.await_suspicion().await;
+            } else if self.suspect(&self.entry.view()).is_some() {
+                return Err(self.unsent(Reason::NoUpstream));
+            }
             if self.left().is_zero() {
                 return Err(self.timed_out());
             }
@@ -348,6 +391,7 @@
             }
             let found = match at_once {
                 Ok(selection) => Ok(selection),
+                Err(reason) if beside => return Err(self.unsent(reason)),
                 Err(reason) => self.wait(reason).await,
             };
             // The request may have been quarantined while it waited.
@@ -370,24 +414,28 @@
     fn begin(&mut self, running: &Running) -> Attempt {
         self.attempts.record_start();
         self.events = 0;
-        Attempt::new(self, running.stalls())
+        let retry = self.retry.take();
+        Attempt::new(self, retry, running.stalls())
     }
 
     /// Decides what follows the end of an attempt.
-    async fn settle(&mut self, ended: Ended) -> Settled {
+    fn settle(&mut self, ended: Ended) -> Settled {
         let Ended {
             upstream,
             is_path,
             outcome,
+            retry,
         } = ended;
         let (failure, culprit, cause) = match outcome {
             Outcome::Answered(opened) => return Settled::Answered(opened),
             Outcome::UpstreamError(opened) => {
                 self.failed_upstreams.push(upstream.key);
                 self.upstream_error = Some(opened);
-                return match self.record_failure(Failure::Answered, "upstream_error") {
-                    NextStep::Again => Settled::Again,
-                    _ => Settled::End(RunError::MayHaveRun),
+                let cause = "upstream_error";
+                return match self.record_failure(Failure::Answered, cause) {
+                    NextStep::Again => Settled::Again { cause, upstream },
+                    // An answer of an upstream isn't held back for one that may not come.
+                    _ => Settled::Final(RunError::MayHaveRun),
                 };
             }
             Outcome::Failed {
@@ -405,11 +453,12 @@
             self.record_cut(&upstream);
         }
         self.exclude_upstream(culprit, cause);
+        // Nothing was sent, so the next attempt may use the same retry.
+        if is_unconnected(cause) {
+            self.retry = self.retry.take().or(retry);
+        }
         let end = match self.record_failure(failure, cause) {
-            NextStep::Again => {
-                self.check_crash(cause, &upstream).await;
-                return Settled::Again;
-            }
+            NextStep::Again => return Settled::Again { cause, upstream },
             NextStep::Refuse if cause == NO_PROXY => RunError::NotRun(Reason::Unreachable),
             NextStep::Refuse => RunError::NotRun(Reason::NotRun),
             NextStep::Pass | NextStep::Fail if self.left().is_zero() => RunError::TimedOut,
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -95,6 +95,12 @@
         self.take_turn().await;
     }
 
+    /// Makes a request suspect that was cut off without any event beside another attempt, which can't
+    /// be interrupted for a check of the upstream.
+    pub(super) fn suspect_unproven(&mut self) {
+        self.suspicion.own |= self.model().is_some() && self.is_silent();
+    }
+
     /// Delays a suspect request. One whose run was cut off by a crash takes a turn. Others wait for
     /// its outcome: each run of a request that crashes engines costs one.
     pub(super) async fn await_suspicion(&mut self) {
--- a/src/entry/hedge.rs
+++ b/src/entry/hedge.rs
@@ -13,7 +13,7 @@
 
 use super::attempt::{BLOCKED, Outcome, Run};
 use super::reroute::Stall;
-use super::retry::RetryReason;
+use super::retry::{GrantedRetry, RetryReason};
 use super::select::Selection;
 use super::send::Attempt;
 use super::view::Upstream;
@@ -31,12 +31,38 @@
     pub(super) stall: Stall,
 }
 
+/// Whether another attempt may start beside one that is stalled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Hedge {
+    Granted,
+    /// The retry budget is used up.
+    Denied,
+    /// The route allows no more attempts, or too little time is left.
+    NoAttempts,
+    /// The request may crash engines.
+    Suspect,
+}
+
+impl Hedge {
+    /// Label in metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Granted => "hedged",
+            Self::Denied => "denied",
+            Self::NoAttempts => "no_attempts",
+            Self::Suspect => "suspect",
+        }
+    }
+}
+
 /// An attempt that has ended.
 pub(super) struct Ended {
     pub(super) upstream: Upstream,
     /// Whether it passed through a path of engines.
     pub(super) is_path: bool,
     pub(super) outcome: Outcome,
+    /// The retry that granted it.
+    pub(super) retry: Option<GrantedRetry>,
 }
 
 /// News of the running attempts.
@@ -51,8 +77,8 @@
     attempts: FuturesUnordered<BoxFuture<'static, Ended>>,
     sender: mpsc::UnboundedSender<Stalled>,
     receiver: mpsc::UnboundedReceiver<Stalled>,
-    /// Upstreams of the running attempts that are stalled, each once.
-    stalled: Vec<u64>,
+    /// Upstreams of the running attempts, each once, and whether the attempt is stalled.
+    upstreams: Vec<(u64, bool)>,
 }
 
 impl Default for Running {
@@ -62,7 +88,7 @@
             attempts: FuturesUnordered::new(),
             sender,
             receiver,
-            stalled: Vec::new(),
+            upstreams: Vec::new(),
         }
     }
 }
@@ -74,7 +100,7 @@
 
     /// Whether every running attempt is stalled; true if none runs.
     pub(super) fn all_stalled(&self) -> bool {
-        self.stalled.len() >= self.attempts.len()
+        self.upstreams.iter().all(|(_, stalled)| *stalled)
     }
 
     /// Where attempts report that they are stalled.
@@ -84,34 +110,49 @@
 
     pub(super) fn start(&mut self, attempt: Attempt, selection: Selection) {
         // What was reported before led to this attempt.
-        while self.receiver.try_recv().is_ok() {}
+        while let Ok(stalled) = self.receiver.try_recv() {
+            self.record_stall(stalled.first);
+        }
+        self.upstreams.push((selection.upstream.key, false));
         self.attempts.push(Box::pin(attempt.make(selection)));
     }
 
+    /// Returns whether an attempt at `upstream` runs.
+    fn record_stall(&mut self, upstream: u64) -> bool {
+        let found = self.upstreams.iter_mut().find(|(key, _)| *key == upstream);
+        found.map(|(_, stalled)| *stalled = true).is_some()
+    }
+
+    fn record_end(&mut self, ended: &Ended) {
+        self.upstreams.retain(|(key, _)| *key != ended.upstream.key);
+    }
+
     /// Waits until an attempt has ended; forever if none runs.
     pub(super) async fn next_end(&mut self) -> Ended {
         let Some(ended) = self.attempts.next().await else {
             return std::future::pending().await;
         };
-        self.stalled.retain(|first| *first != ended.upstream.key);
+        self.record_end(&ended);
         ended
     }
 
     /// Waits until an attempt has ended or is stalled.
     pub(super) async fn next(&mut self) -> Progress {
-        tokio::select! {
-            biased;
-            Some(ended) = self.attempts.next() => {
-                self.stalled.retain(|first| *first != ended.upstream.key);
-                Progress::Ended(Box::new(ended))
-            }
-            Some(stalled) = self.receiver.recv() => {
-                if !self.stalled.contains(&stalled.first) {
-                    self.stalled.push(stalled.first);
+        loop {
+            tokio::select! {
+                biased;
+                Some(ended) = self.attempts.next() => {
+                    self.record_end(&ended);
+                    return Progress::Ended(Box::new(ended));
+                }
+                Some(stalled) = self.receiver.recv() => {
+                    // The attempt may have ended since.
+                    if self.record_stall(stalled.first) {
+                        return Progress::Stalled(stalled);
+                    }
                 }
-                Progress::Stalled(stalled)
+                else => std::future::pending().await,
             }
-            else => std::future::pending().await,
         }
     }
 }
@@ -129,15 +170,15 @@
             }
             Stall::Unknown => ("silent", RetryReason::Silent),
         };
-        let outcome = self.hedge_outcome(reason);
+        let outcome = self.decide_hedge(reason);
         let stalled = metric::STALLED_ATTEMPTS.name;
-        metrics::counter!(stalled, "cause" => cause, "outcome" => outcome).increment(1);
+        metrics::counter!(stalled, "cause" => cause, "outcome" => outcome.name()).increment(1);
         tracing::info!(
             event = event::ATTEMPT_STALLED.id,
             attempt = self.call.attempt,
             address = %address_from_key(first),
             cause,
-            outcome,
+            outcome = outcome.name(),
             events = self.events,
             last = self.last_event,
             left_ms = millis(self.left()),
@@ -147,22 +188,22 @@
         if !self.has_failed_at(first) {
             self.failed_upstreams.push(first);
         }
-        outcome == "hedged"
+        outcome == Hedge::Granted
     }
 
     fn has_failed_at(&self, upstream: u64) -> bool {
         self.failed_upstreams.contains(&upstream)
     }
 
-    fn hedge_outcome(&mut self, reason: RetryReason) -> &'static str {
+    fn decide_hedge(&mut self, reason: RetryReason) -> Hedge {
         // A request that may crash engines runs on one at a time.
         if self.suspect(&self.entry.view()).is_some() {
-            return "suspect";
+            return Hedge::Suspect;
         }
         match self.next_step(Failure::Unknown) {
-            NextStep::Again if self.acquire_retry(reason) => "hedged",
-            NextStep::Again => "denied",
-            _ => "no_attempts",
+            NextStep::Again if self.acquire_retry(reason) => Hedge::Granted,
+            NextStep::Again => Hedge::Denied,
+            _ => Hedge::NoAttempts,
         }
     }
 }
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -57,7 +57,7 @@
     /// Returns whether the request may be sent again, and if so, counts a retry unless it has one
     /// that was not sent.
     pub(super) fn acquire_retry(&mut self, reason: RetryReason) -> bool {
-        if self.retry.as_ref().is_some_and(|r| !r.is_sent()) {
+        if self.retry.is_some() {
             return true;
         }
         let (now, service) = (self.entry.now(), &self.call.service);
@@ -86,12 +86,11 @@
             up_ms = millis(now.since(self.entry.started)),
             "retry decided"
         );
-        let retry = granted.then(|| GrantedRetry {
+        self.retry = granted.then(|| GrantedRetry {
             entry: Arc::clone(&self.entry),
             service: service.clone(),
             sent: AtomicBool::new(false),
         });
-        self.retry = retry.map(Arc::new);
         granted
     }
 }
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -49,17 +49,21 @@
     /// Id of the last event that the caller had when the attempt began, on a stream.
     pub(super) last_event: Option<u64>,
     /// The retry that granted the attempt; `None` for the first.
-    retry: Option<Arc<GrantedRetry>>,
+    retry: Option<GrantedRetry>,
     /// Receives each stall of the attempt. Nobody listens once its response was chosen.
     stalls: mpsc::UnboundedSender<Stalled>,
 }
 
 impl Attempt {
-    pub(super) fn new(run: &Run, stalls: mpsc::UnboundedSender<Stalled>) -> Self {
+    pub(super) fn new(
+        run: &Run,
+        retry: Option<GrantedRetry>,
+        stalls: mpsc::UnboundedSender<Stalled>,
+    ) -> Self {
         Self {
             context: run.context(),
             last_event: run.last_event,
-            retry: run.retry.clone(),
+            retry,
             stalls,
         }
     }
@@ -79,6 +83,7 @@
             upstream,
             is_path,
             outcome,
+            retry: self.retry,
         }
     }
 
@@ -202,7 +207,7 @@
                 Ok(_) => return failed(Failure::Unknown, Some(first), "cut_stream"),
                 Err(stall) => self.report(stall, selection),
             }
-            if buffer.len() > stream::MAX_EVENT {
+            if buffer.len() > stream::MAX_EVENT && !stream::has_event(buffer) {
                 return failed(Failure::Unknown, Some(first), "long_event");
             }
         }
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -303,7 +303,7 @@
         let mut silence = self.start_silence();
         let mut cut = false;
         let winner = {
-            let mut other = pin!(self.run.open());
+            let mut other = pin!(self.run.open_beside());
             let first = await_event(&self.context, &mut self.opened, &mut silence);
             tokio::select! {
                 biased;
@@ -322,12 +322,9 @@
                 opened = other.as_mut() => opened.map_or(Winner::Pending, Winner::Other),
             }
         };
-        // The other attempt has reset it.
+        // The other attempt has reset it, and may not have used the retry.
         self.run.events = events;
-        if cut {
-            self.run.record_cut(&upstream);
-            self.run.exclude_upstream(Some(first), "cut_stream");
-        }
+        self.run.retry = None;
         tracing::info!(
             event = event::HEDGE_ENDED.id,
             attempt = self.run.call.attempt,
@@ -343,6 +340,10 @@
                 step
             }
             Winner::Other(opened) => {
+                if cut {
+                    self.run.record_cut(&upstream);
+                    self.run.exclude_upstream(Some(first), "cut_stream");
+                }
                 self.adopt(opened);
                 Step::Continue
             }
@@ -350,7 +351,7 @@
                 self.silence = Some(silence);
                 Step::Continue
             }
-            Winner::Neither if cut => Step::Lost("cut_stream"),
+            Winner::Neither if cut => Step::Cut("cut_stream"),
             Winner::Neither => Step::Lost("deadline"),
         }
     }
