Replace a member whose disk is lost again before it votes

A new store replaces the former one of its instance in steps: it is added as a learner, the former store is removed, the learner is promoted. The leader recognised a replacement only by the id of a voter. When all processes ended between the second and the third step and the learner's disk was lost too, no voter had the instance's id any more. If the group had at least as many voters as the tolerated failures ask for (four of five, three required), the instance's next store was never added: its controller answered 503 for good, and the group stayed at four voters. The same holds for a barred store whose instance returns with an empty disk.

Now any member with the instance's id makes a waiting store a replacement.

LQ_RUNS and LQ_SEED hold for the cases of each seed too.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -17,7 +17,7 @@
 use crate::auth::FleetKey;
 use crate::clock::{Clock, SystemClock, Time};
 use crate::configuration::RoutingTable;
-use crate::decide::members::{self, VoterStatus};
+use crate::decide::members;
 use crate::error::{ListenSnafu, Result};
 use crate::event;
 use crate::http::{self, ReceiveLimits};
@@ -27,7 +27,7 @@
 use crate::platform::boot::Boot;
 use crate::register::{Register, VersionedConfiguration};
 use crate::relay::Relay;
-use crate::replica::{Message, Role};
+use crate::replica::Message;
 use crate::role::{self, RoleSettings, VoterExit};
 use crate::roster::LayerRange;
 use crate::startup;
@@ -380,16 +380,9 @@
         let Some(status) = self.status() else {
             return;
         };
-        let silence = |peer| status.silences.iter().find(|(p, _)| *p == peer);
-        let voting = status.members.iter().filter(|m| m.role() == Role::Voter);
-        let voters: Vec<VoterStatus> = voting
-            .map(|m| VoterStatus {
-                peer: m.peer(),
-                silence: silence(m.peer()).map_or(Duration::ZERO, |s| Duration::from_millis(s.1)),
-            })
-            .collect();
         let wanted = members::required_voters(self.boot.fault_tolerance);
-        if let Some(change) = members::next_change(&voters, &status.non_members, wanted) {
+        let members = members::statuses(&status);
+        if let Some(change) = members::next_change(&members, &status.non_members, wanted) {
             let done = move |outcome: std::result::Result<(), _>| match outcome {
                 Ok(()) => tracing::info!(event = event::VOTER_CHANGED.id, ?change, "voter changed"),
                 Err(e) => tracing::debug!(?change, "voter not changed: {e}"),
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -8,7 +8,7 @@
 use super::{announce, at, leader};
 use crate::configuration::{Model, RetryPolicy};
 use crate::decide::health::{Health, HealthStatus};
-use crate::decide::members::{self, VoterStatus};
+use crate::decide::members::{self, MemberStatus};
 use crate::decide::pick::{self, Candidate};
 use crate::decide::refusal::{self, Reason};
 use crate::decide::retry::{AttemptCounts, Failure, NextStep, next_step};
@@ -212,9 +212,10 @@
     assert_eq!(pick::choose(&[tried], 0.5), None);
 }
 
-fn voter(id: u64, silence: u64) -> VoterStatus {
-    VoterStatus {
+fn voter(id: u64, silence: u64) -> MemberStatus {
+    MemberStatus {
         peer: Peer { id, store: id },
+        votes: true,
         silence: Duration::from_secs(silence),
     }
 }
@@ -239,6 +240,19 @@
     assert_eq!(change, Some(Change::Add(WAITING[0])));
 }
 
+/// Guards against a machine that stays outside of the group for good since it lost its disk again
+/// while its new store was catching up, or after that store was barred.
+#[test]
+fn next_change_disk_wiped_again() {
+    let learner = MemberStatus {
+        votes: false,
+        ..voter(9, 9)
+    };
+    let members = [voter(1, 0), voter(2, 0), voter(3, 0), voter(4, 0), learner];
+    let change = members::next_change(&members, &WAITING, members::required_voters(1));
+    assert_eq!(change, Some(Change::Add(WAITING[0])));
+}
+
 #[test]
 fn next_change_replaced_machine() {
     let voters = [voter(1, 0), voter(2, 9), voter(3, 5)];
--- a/src/tests/simulation/mod.rs
+++ b/src/tests/simulation/mod.rs
@@ -10,12 +10,14 @@
 use self::checker::{RecordingMachine, SharedChecker};
 use self::disk::SimDisk;
 use crate::clock::Time;
+use crate::decide::members;
 use crate::voter::core::{Config, Core, Input};
 use crate::voter::responder::Responder;
 use crate::{Change, ChangeError, Message, Peer, ProposeError, ReadError, Role, StoreError};
 
 pub(super) mod checker;
 pub(super) mod disk;
+mod replacements;
 mod restored_copies;
 mod runs;
 mod scenarios;
@@ -71,6 +73,8 @@
     command: u64,
     /// Number of disks lost or restored from a copy so far.
     disk_losses: u32,
+    /// Number of voters below which any store is added.
+    required: usize,
 }
 
 impl Sim {
@@ -87,6 +91,7 @@
             leaders: BTreeMap::new(),
             command: 0,
             disk_losses: 0,
+            required: usize::try_from(size).unwrap(),
         };
         for id in 1..=size {
             let rate = sim.rng.random_range(950..=1050);
@@ -341,20 +346,22 @@
             .max_by_key(term)
     }
 
-    /// Acts as the operator: adds the new stores of replaced disks, and replaces
-    /// the disks of barred stores.
+    /// Adds the new stores of replaced disks as a controller does, and replaces the
+    /// disks of barred stores as an operator does.
     fn run_operator(&mut self) {
         for group in 0..GROUPS {
             let Some(at) = self.leader(group) else {
                 continue;
             };
             self.replace_barred(at, group);
-            let core = self.nodes[at].core.as_ref().unwrap();
-            let non_members: Vec<Peer> = core.replica(group as usize).non_members().collect();
-            for peer in non_members {
-                if self.store(peer.id) == peer.store {
-                    self.change(at, group, Change::Add(peer));
-                }
+            let mut status = self.nodes[at].core.as_ref().unwrap().status();
+            let mut status = status.swap_remove(group as usize);
+            let is_current = |p: &Peer| self.store(p.id) == p.store;
+            status.non_members.retain(is_current);
+            let members = members::statuses(&status);
+            let change = members::next_change(&members, &status.non_members, self.required);
+            if let Some(change @ Change::Add(_)) = change {
+                self.change(at, group, change);
             }
         }
     }
--- a/src/tests/simulation/restored_copies.rs
+++ b/src/tests/simulation/restored_copies.rs
@@ -6,25 +6,27 @@
 use rstest::rstest;
 
 use super::disk::SimDisk;
+use super::runs::{RUNS_VARIABLE, SEED_VARIABLE, number};
 use super::scenarios::{advance, commit_commands, isolate};
 use super::{SECOND, Sim};
 
-/// Number of seeds of each case.
+/// Number of seeds of each case unless the environment names another.
 const SEEDS: u64 = 40;
 
 /// Runs a case for each seed, and reports the seeds that fail.
-fn each_seed(case: impl Fn(u64) + std::panic::RefUnwindSafe) {
+pub(super) fn each_seed(case: impl Fn(u64) + std::panic::RefUnwindSafe) {
     let fails = |seed: &u64| catch_unwind(|| case(*seed)).is_err();
-    let failed: Vec<u64> = (1..=SEEDS).filter(fails).collect();
+    let (first, count) = (number(SEED_VARIABLE, 1), number(RUNS_VARIABLE, SEEDS));
+    let failed: Vec<u64> = (first..first + count).filter(fails).collect();
     assert!(
         failed.is_empty(),
-        "{} of {SEEDS} seeds fail: {failed:?}",
+        "{} of {count} seeds fail: {failed:?}",
         failed.len()
     );
 }
 
 /// Starts instances that have committed some commands.
-fn settled(seed: u64, size: u64) -> Sim {
+pub(super) fn settled(seed: u64, size: u64) -> Sim {
     let mut sim = Sim::new(seed, size);
     sim.run_until("healthy", Sim::is_healthy);
     commit_commands(&mut sim, 20);
--- a/src/tests/simulation/runs.rs
+++ b/src/tests/simulation/runs.rs
@@ -10,9 +10,9 @@
 /// Default number of random runs of each size.
 const RUNS: u64 = 40;
 /// Environment variable with another number of runs.
-const RUNS_VARIABLE: &str = "LQ_RUNS";
+pub(super) const RUNS_VARIABLE: &str = "LQ_RUNS";
 /// Environment variable with the first seed.
-const SEED_VARIABLE: &str = "LQ_SEED";
+pub(super) const SEED_VARIABLE: &str = "LQ_SEED";
 /// Simulated duration of the faults.
 const LENGTH: u64 = 20 * SECOND;
 
@@ -275,7 +275,7 @@
     (checker.acknowledged(), checker.reads)
 }
 
-fn number(variable: &str, default: u64) -> u64 {
+pub(super) fn number(variable: &str, default: u64) -> u64 {
     let text = std::env::var(variable).ok();
     text.map_or(default, |t| t.parse().expect("a number"))
 }
