Count the stores of controllers that don't vote yet

`controller_voters` counts a voter that is lost and not yet replaced, and is the same before and after the replacement, so neither an operator nor a test could tell whether the group tolerates its full number of failures. `controller_nonvoters` counts members that catch up or are barred and stores that ask to join.

--- a/src/controller/measure.rs
+++ b/src/controller/measure.rs
@@ -2,7 +2,7 @@
 
 use super::Controller;
 use crate::metric;
-use crate::replica::Role;
+use crate::replica::{Member, Role};
 
 impl Controller {
     /// Sets the gauges. Those of the leader's state are 0 on other controllers.
@@ -11,9 +11,7 @@
         metrics::gauge!(metric::IS_LEADER.name).set(u8::from(leads));
         let age = self.confirmation_age().unwrap_or_default();
         metrics::gauge!(metric::QUORUM_AGE.name).set(age.as_secs_f64());
-        let members = self.status().into_iter().flat_map(|s| s.members);
-        let voters = members.filter(|m| m.role() == Role::Voter).count();
-        metrics::gauge!(metric::VOTERS.name).set(voters as f64);
+        self.measure_stores();
         metrics::gauge!(metric::COMMITTED_VERSION.name).set(self.register.version() as f64);
         let table = self.routing_table();
         let state = self.leader_state();
@@ -39,4 +37,15 @@
             }
         }
     }
+
+    fn measure_stores(&self) {
+        let Some(status) = self.status() else {
+            return;
+        };
+        let votes = |m: &&Member| m.role() == Role::Voter;
+        let voters = status.members.iter().filter(votes).count();
+        let others = status.members.len() - voters + status.non_members.len();
+        metrics::gauge!(metric::VOTERS.name).set(voters as f64);
+        metrics::gauge!(metric::NON_VOTERS.name).set(others as f64);
+    }
 }
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -86,6 +86,8 @@
 pub(crate) const QUORUM_AGE: Metric = metric("controller_quorum_age_seconds", &[]);
 /// Voters of the replicated log.
 pub(crate) const VOTERS: Metric = metric("controller_voters", &[]);
+/// Stores that don't vote on the replicated log: they ask to join, catch up or are barred.
+pub(crate) const NON_VOTERS: Metric = metric("controller_nonvoters", &[]);
 /// Version of the configuration committed on this controller.
 pub(crate) const COMMITTED_VERSION: Metric = metric("controller_configuration_version", &[]);
 /// Upstreams known to the leader.
@@ -148,6 +150,7 @@
     IS_LEADER,
     QUORUM_AGE,
     VOTERS,
+    NON_VOTERS,
     COMMITTED_VERSION,
     KNOWN_UPSTREAMS,
     MISSING_LAYERS,
--- a/tests/platform/metrics.rs
+++ b/tests/platform/metrics.rs
@@ -31,6 +31,7 @@
         .find(|c| value(c, "controller_leads") > 0.0);
     let leader = leader.unwrap();
     assert_eq!(value(leader, "controller_voters"), 3.0);
+    assert!(leader.contains("controller_nonvoters 0\n"), "{leader}");
     let known = "controller_upstreams{service=\"models\",state=\"sound\"}";
     assert_eq!(value(leader, known), 5.0);
     for domain in crate::deployment::DOMAINS {
