Resume cut streams over engines that only cut off others

Symptom: `dead_engine_resumed_at_once::carried` failed at times: streams that were cut off were resumed only after 0.79 s, while others went on at once.

Cause: not the carriers. Each cut stream excludes its first engine for 1.5 s for all requests of the instance. Paths are chosen over engines that aren't excluded, and over excluded ones only where a layer has no other holder (`NoUpstream`), not where the others are full (`Full`). When the first engines of all but one path have cut off a stream, the rest of the streams wait for the eight slots of the one that is left, in rounds of as long as a resumed stream lasts (0.33 s here): two rounds and the cut itself are 0.79 s. Five engines that are alive and idle get nothing meanwhile. With no engine left, all of them would have been used at once.

Evidence: logs of both entry instances in failing runs: no refusal of a carrier (418), no stall (425, 426); each late stream has a line 414 (waited 335 and 665 ms, found) and is then sent to the same engine, the only one without a 408. Whether a run fails depends on how many engines had got streams. The same comes without any carrying: the new test has all callers at one instance that reaches all engines, and one engine of four that cuts off nothing.

Change: a response that has begun and isn't suspect also takes a path over engines that are excluded only for responses they broke off, where the healthy ones are full: not those that refused, that are suspected, whose heartbeats are late or that are dead by another sign. A dead one refuses the connection, which excludes it as before. Fresh requests are placed as before.

--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -119,6 +119,14 @@
         }
     }
 
+    /// Whether an upstream is excluded now only because it broke off responses: it refused nothing
+    /// since its last success, and nothing else says that it is dead.
+    pub(crate) fn is_only_cut(&self, now: Time, upstream: u64) -> bool {
+        let only_cut = |r: &Record| r.failures > 0 && r.refusals == 0 && r.dead_since.is_none();
+        let excluded = self.0.get(&upstream).filter(|r| now < r.excluded_until);
+        excluded.is_some_and(only_cut)
+    }
+
     /// Records that an upstream accepted no connection or sent nothing.
     pub(crate) fn record_unresponsive(&mut self, now: Time, upstream: u64) {
         self.record_failure(now, upstream);
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -444,6 +444,7 @@
             failed: &self.failed_upstreams,
             suspect: self.suspect(&view),
             rank: self.call.rank,
+            begun,
         };
         self.entry
             .choose(&view, &self.call.service, self.model(), work, exclusions)
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -25,6 +25,8 @@
 pub(crate) enum HealthPolicy {
     /// Only engines that are not excluded.
     HealthyOnly,
+    /// Also engines that are excluded only because they broke off responses.
+    AllowCut,
     /// Also engines that are excluded but alive.
     AllowFailing,
 }
@@ -34,7 +36,7 @@
     pub(crate) fn factor(self, status: HealthStatus) -> Option<f64> {
         match (self, status) {
             (_, HealthStatus::Healthy) => Some(1.0),
-            (Self::AllowFailing, HealthStatus::Failing) => Some(FAILING_PENALTY),
+            (Self::AllowCut | Self::AllowFailing, HealthStatus::Failing) => Some(FAILING_PENALTY),
             _ => None,
         }
     }
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -10,6 +10,7 @@
 use super::{Entry, Shared};
 use crate::clock::Time;
 use crate::configuration::Model;
+use crate::decide::health::HealthStatus;
 use crate::decide::path::{self, Hop, NoPath, Start, Work};
 use crate::decide::pick::{self, Candidate};
 use crate::decide::quarantine::{suspect_may_enter, suspect_priority};
@@ -30,6 +31,8 @@
     /// Rank of the request. With one, it shares room only with requests that are at least as
     /// urgent.
     pub(super) rank: Option<Rank>,
+    /// Whether the caller may already have a part of the response.
+    pub(super) begun: bool,
 }
 
 impl Exclusions<'_> {
@@ -184,11 +187,17 @@
         let factor = |u: &Upstream| {
             let status = self.health.status(now, u.key, u.late);
             let status = status.with_suspicion(u.suspected);
+            let is_allowed = match (policy, status) {
+                (HealthPolicy::AllowCut, HealthStatus::Failing) => {
+                    !u.late && !u.suspected && self.health.is_only_cut(now, u.key)
+                }
+                _ => true,
+            };
             let leaving = self.backoffs.is_leaving(u.key, &u.id, u.born);
             let penalty = if leaving { LEAVING_PENALTY } else { 1.0 };
             policy
                 .factor(status)
-                .filter(|_| usable(u))
+                .filter(|_| is_allowed && usable(u))
                 .map(|factor| factor * penalty)
         };
         let (services, instances) = (&view.services, view.active_entries());
@@ -309,7 +318,8 @@
     }
 
     /// Books a path over healthy engines, or also over failing ones if a layer has no other
-    /// holder.
+    /// holder. A response that has begun also takes one over engines that broke off others, if the
+    /// healthy ones are full: its caller waits, and one reset doesn't show that an engine is dead.
     fn choose_path(
         self: &Arc<Self>,
         view: &View,
@@ -321,6 +331,9 @@
         let choose = |policy| self.path_with_policy(view, service, model, work, exclusions, policy);
         match choose(HealthPolicy::HealthyOnly) {
             Err(Reason::NoUpstream) => choose(HealthPolicy::AllowFailing),
+            Err(Reason::Full) if exclusions.begun && exclusions.suspect.is_none() => {
+                choose(HealthPolicy::AllowCut)
+            }
             found => found,
         }
     }
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -123,6 +123,24 @@
     assert!(asked.count() <= 6);
 }
 
+/// Guards against sending resumed responses to engines that refuse, or that seem dead, as if they
+/// had only broken off other responses.
+#[test]
+fn only_cut_without_refusal_or_silence() {
+    let mut health = Health::default();
+    assert!(!health.is_only_cut(at(0), 1));
+    health.record_failure(at(0), 1);
+    assert!(health.is_only_cut(at(1_499), 1));
+    assert!(!health.is_only_cut(at(1_500), 1));
+    health.record_refusal(at(0), 2);
+    assert!(!health.is_only_cut(at(1), 2));
+    health.record_failure(at(300), 2);
+    assert!(!health.is_only_cut(at(301), 2));
+    health.record_failure(at(0), 3);
+    health.record_unresponsive(at(1), 3);
+    assert!(!health.is_only_cut(at(2), 3));
+}
+
 /// Guards against refusing requests that failing engines could serve, and against sending requests
 /// to an engine that has just stopped. Engine 1 resets some of its streams, responses of engine 2
 /// are lost; the heartbeats of both arrive.
--- a/tests/platform/silence.rs
+++ b/tests/platform/silence.rs
@@ -86,7 +86,12 @@
 impl Rig {
     /// If `carried`, all callers are at an instance whose requests another one carries.
     fn start(attempts: u64, retries: &'static str, carried: bool) -> Self {
-        let deployment = Deployment::with_retries(2, &[6, 6], retries);
+        Self::with_engines(&[6, 6], attempts, retries, carried)
+    }
+
+    /// Like [`Rig::start`], with so many engines in each domain.
+    fn with_engines(engines: &[u8], attempts: u64, retries: &'static str, carried: bool) -> Self {
+        let deployment = Deployment::with_retries(2, engines, retries);
         let entries = if carried { 1 } else { 2 };
         let rig = Self {
             deployment,
@@ -404,3 +409,24 @@
         assert!(answer.longest_pause < RESUME_TIME, "{answer:?}");
     }
 }
+
+/// Guards against making cut streams wait for room at the only engine that has broken off none,
+/// while the others are idle and serve streams.
+#[test]
+fn cut_streams_spread_over_cut_engines() {
+    let mut rig = Rig::with_engines(&[6, 2], 2, PLENTY, false);
+    rig.entries = 1;
+    for engine in rig
+        .deployment
+        .engines
+        .iter()
+        .filter(|e| e.domain == "north")
+    {
+        let mut state = rig.deployment.engine_state();
+        state.set_fault(&engine.id, Fault::ResetAfter(5));
+    }
+    let answers = rig.check(&[STREAM], 2, || {});
+    let mut pauses: Vec<_> = answers.iter().map(|a| a.longest_pause).collect();
+    pauses.sort_unstable();
+    assert!(pauses.iter().all(|p| *p < RESUME_TIME), "{pauses:?}");
+}
