--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -152,6 +152,14 @@
         }
     }
 
+    /// Whether an upstream is excluded now only because it broke off responses: it refused nothing
+    /// since its last success, and nothing else says that it is dead.
+    pub(crate) fn is_only_cut(&self, now: Time, upstream: u64) -> bool {
+        let only_cut = |r: &Record| r.failures > 0 && r.refusals == 0 && r.dead_since.is_none();
+        let excluded = self.records.get(&upstream);
+        excluded.is_some_and(|r| now < r.excluded_until && only_cut(r))
+    }
+
     /// Records that an upstream refused connections, or that another one refused on its behalf.
     /// For one that only sent nothing in time, use [`Health::record_silent`].
     pub(crate) fn record_unresponsive(&mut self, now: Time, upstream: u64) {
--- a/tests/platform/silence.rs
+++ b/tests/platform/silence.rs
@@ -306,3 +306,24 @@
         assert_eq!(answer.status(), 200);
     }
 }
+
+/// Guards against making cut streams wait for room at the only engine that has broken off none,
+/// while the others are idle and serve streams.
+#[test]
+fn cut_streams_spread_over_cut_engines() {
+    let mut rig = Rig::with_engines(&[6, 2], 2, PLENTY, false);
+    rig.entries = 1;
+    for engine in rig
+        .deployment
+        .engines
+        .iter()
+        .filter(|e| e.domain == "north")
+    {
+        let mut state = rig.deployment.engine_state();
+        state.set_fault(&engine.id, Fault::ResetAfter(5));
+    }
+    let answers = rig.check(&[STREAM], 2, || {});
+    let mut pauses: Vec<_> = answers.iter().map(|a| a.longest_pause).collect();
+    pauses.sort_unstable();
+    assert!(pauses.iter().all(|p| *p < RESUME_TIME), "{pauses:?}");
+}
--- a/tests/platform/silence/rig.rs
+++ b/tests/platform/silence/rig.rs
@@ -73,13 +73,23 @@
     /// Attempts that the routes allow.
     attempts: u64,
     /// Number of instances that have callers.
-    entries: usize,
+    pub(super) entries: usize,
 }
 
 impl Rig {
     /// If `carried`, all callers are at an instance whose requests another one carries.
     pub(super) fn start(attempts: u64, retries: &'static str, carried: bool) -> Self {
-        let deployment = Deployment::with_retries(2, &[6, 6], retries);
+        Self::with_engines(&[6, 6], attempts, retries, carried)
+    }
+
+    /// Like [`Rig::start`], with so many engines in each domain.
+    pub(super) fn with_engines(
+        engines: &[u8],
+        attempts: u64,
+        retries: &'static str,
+        carried: bool,
+    ) -> Self {
+        let deployment = Deployment::with_retries(2, engines, retries);
         let entries = if carried { 1 } else { 2 };
         let rig = Self {
             deployment,
