--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -173,8 +173,10 @@
         let verdict = self.silences(service).record(now, upstream, known);
         match verdict {
             Verdict::Evidence => self.exclude_silent(now, upstream),
-            Verdict::Shared { .. } => {
-                self.acquit_silent(now, service);
+            Verdict::Shared { began, .. } => {
+                if began {
+                    self.acquit_silent(now, service);
+                }
                 self.record(now, upstream).silent_until = now + FAILURE_EXCLUSION;
             }
         }
