Maintain upstreams also in the tick after the leader's pause

Cause: the tick after a pause of the leader maintained nothing. A leader that is short of processor time all the while would have removed no dead engine, given no orders and quarantined nothing.

Change: with the pause excused, upstreams and quarantine are maintained as usual. Only voters wait for the next tick, since their silence is measured by the voter's thread and is refreshed by their answers.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -69,8 +69,8 @@
 /// Interval at which voters, upstreams, placement and quarantine are maintained.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Lag of a tick from which this process was paused, with its host or alone. What was sent to it
-/// meanwhile is only read after the tick.
+/// Lag of a tick from which this process counts as paused, with its host or alone. What was sent to
+/// it meanwhile may be read after the tick only.
 const MIN_PAUSE: Duration = Duration::from_millis(500);
 
 /// Delay before a failed store is reopened.
@@ -377,17 +377,17 @@
             }
             let now = self.now();
             let paused = now.since(began).saturating_sub(TICK_INTERVAL);
-            if paused >= MIN_PAUSE {
-                self.excuse_silence(now, paused);
-                continue;
+            // The silence of voters is measured elsewhere, so their answers are awaited first.
+            match paused >= MIN_PAUSE {
+                true => self.excuse_silence(now, paused),
+                false => self.maintain_voters(),
             }
-            self.maintain_voters();
             self.maintain_upstreams();
             self.maintain_quarantine();
         }
     }
 
-    /// Convicts no voter, upstream or instance of silence while this process was paused.
+    /// Doesn't count a pause of this process as silence of upstreams and instances.
     fn excuse_silence(&self, now: Time, paused: Duration) {
         let Some(mut state) = self.state_if_leading() else {
             return;
