Test on real processes that paused controllers keep their engines

All three controllers are stopped by SIGSTOP for six heartbeat periods (1.8 s), as on a machine where everything pauses.

--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -8,7 +8,7 @@
 
 use crate::common::wait_for;
 use crate::deployment::{Deployment, HOST, KEY};
-use crate::engine::{Fault, LONG_ANSWER, LONG_PATH, expected_stream};
+use crate::engine::{Fault, HEARTBEAT_PERIOD, LONG_ANSWER, LONG_PATH, expected_stream};
 
 /// Guards against lost, repeated or reordered events when engines break off their streams
 /// in the middle of an event: the stream is resumed within the same response.
@@ -271,3 +271,26 @@
         }
     });
 }
+
+/// Guards against removing all engines since the controllers were paused, together, for longer than
+/// an engine may be silent.
+#[test]
+fn paused_controllers_keep_engines() {
+    let deployment = Deployment::start();
+    for controller in &deployment.controllers {
+        controller.freeze();
+    }
+    thread::sleep(HEARTBEAT_PERIOD * 6);
+    for controller in &deployment.controllers {
+        controller.thaw();
+    }
+    wait_for("a stream after the pause", || {
+        let (status, _) = deployment.request(0, "/letters/x", "paused", KEY);
+        (status == 200).then_some(())
+    });
+    // Log lines are written by a separate thread.
+    thread::sleep(HEARTBEAT_PERIOD);
+    let logs = deployment.controllers.iter().map(|p| p.log());
+    let removed = logs.map(|log| log.matches("no heartbeats").count());
+    assert_eq!(removed.sum::<usize>(), 0, "engines were removed");
+}
