Add a soak of real processes with faults drawn from a seed

Controllers, entry instances and stand-in engines on one machine; pauses, breaks and crashes of engines, cut links, SIGSTOP, SIGTERM with restart, SIGKILL of controllers, SIGHUP and a configuration each 0.5 to 1 s, in series that overlap. Answers are judged by what callers and engines saw, each allowance by its rule.

--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -99,7 +99,12 @@
     /// Like [`Deployment::start`], with the given number of entry instances and of model engines
     /// per domain.
     pub(crate) fn with_size(entries: usize, engines: &[u8]) -> Self {
-        let mut deployment = Self::of_controllers(CONTROLLERS, Turn::wait(entries));
+        Self::with_controllers(CONTROLLERS, entries, engines)
+    }
+
+    /// Like [`Deployment::with_size`], with the given number of controllers.
+    pub(crate) fn with_controllers(controllers: u8, entries: usize, engines: &[u8]) -> Self {
+        let mut deployment = Self::of_controllers(controllers, Turn::wait(entries));
         for i in 0..entries {
             let process = deployment.start_entry(i);
             deployment.entries.push(process);
@@ -473,7 +478,7 @@
     configuration
 }
 
-fn configuration(version: u64, keys: &[&str]) -> Value {
+pub(crate) fn configuration(version: u64, keys: &[&str]) -> Value {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         json!({
             "name": name, "host": HOST, "pathPrefix": prefix, "type": kind, "service": service,
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -83,6 +83,8 @@
     faults: HashMap<String, Fault>,
     /// IDs of killed engines.
     killed: Vec<String>,
+    /// Signals that end engines, by engine address.
+    crash_signals: HashMap<SocketAddr, Arc<Notify>>,
     /// Time that an engine takes to answer an order.
     order_delay: Duration,
     /// Start time that all engines announce.
@@ -201,6 +203,13 @@
         self.loading.remove(&spec.address);
     }
 
+    /// Ends an engine; it starts again under a new ID.
+    pub(crate) fn crash(&self, address: SocketAddr) {
+        if let Some(signal) = self.crash_signals.get(&address) {
+            signal.notify_one();
+        }
+    }
+
     /// Lets an engine turn all requests away with this `Retry-After`, or serve them again.
     pub(crate) fn set_shed(&mut self, id: &str, after: Option<&str>) {
         match after {
@@ -512,6 +521,12 @@
 async fn serve(listener: std::net::TcpListener, spec: EngineSpec, state: SharedState) {
     let listener = TcpListener::from_std(listener).unwrap();
     let crash = Arc::new(Notify::new());
+    let signal = Arc::clone(&crash);
+    state
+        .lock()
+        .unwrap()
+        .crash_signals
+        .insert(spec.address, signal);
     loop {
         let (stream, peer) = tokio::select! {
             accepted = listener.accept() => accepted.unwrap(),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -20,4 +20,5 @@
 mod priority;
 mod reach;
 mod restore;
+mod soak;
 mod unframed;
