--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -26,6 +26,8 @@
 pub(crate) const DOMAINS: [&str; 2] = ["north", "south"];
 const CONTROLLERS: u8 = 3;
 
+const DEFAULT_RETRIES: &str = "retrySlack = 200";
+
 /// Host number of the first entry instance in a deployment's address range.
 const FIRST_ENTRY_HOST: u16 = 256;
 
@@ -51,6 +53,8 @@
     pub(crate) engines: Vec<EngineSpec>,
     /// Number of controllers.
     voters: u8,
+    /// Limits on retries, as in the settings of entry instances.
+    retries: &'static str,
     /// Dropped after the processes, whose logs would otherwise end with the loss of all engines.
     engine_state: RunningEngines,
     subnet: u8,
@@ -99,12 +103,22 @@
     /// Like [`Deployment::start`], with the given number of entry instances and of model engines
     /// per domain.
     pub(crate) fn with_size(entries: usize, engines: &[u8]) -> Self {
-        Self::with_controllers(CONTROLLERS, entries, engines)
+        Self::with_retries(entries, engines, DEFAULT_RETRIES)
+    }
+
+    /// Like [`Deployment::with_size`], with limits on retries.
+    pub(crate) fn with_retries(entries: usize, engines: &[u8], retries: &'static str) -> Self {
+        Self::with_all(CONTROLLERS, entries, engines, retries)
     }
 
     /// Like [`Deployment::with_size`], with the given number of controllers.
     pub(crate) fn with_controllers(controllers: u8, entries: usize, engines: &[u8]) -> Self {
+        Self::with_all(controllers, entries, engines, DEFAULT_RETRIES)
+    }
+
+    fn with_all(controllers: u8, entries: usize, engines: &[u8], retries: &'static str) -> Self {
         let mut deployment = Self::of_controllers(controllers, Turn::wait(entries));
+        deployment.retries = retries;
         for i in 0..entries {
             let process = deployment.start_entry(i);
             deployment.entries.push(process);
@@ -147,6 +161,7 @@
             entries: Vec::new(),
             engines: Vec::new(),
             voters,
+            retries: DEFAULT_RETRIES,
             engine_state: RunningEngines::default(),
             subnet: NEXT_SUBNET.fetch_add(1, Ordering::Relaxed),
             ports: Ports {
@@ -257,12 +272,12 @@
         let seeds: Vec<_> = (0..self.voters)
             .map(|i| self.control_addr(i).to_string())
             .collect();
-        let (ip, peers) = (self.ip(host), self.ports.peers);
+        let (ip, peers, retries) = (self.ip(host), self.ports.peers, self.retries);
         let text = format!(
             "node = \"{role}-{host}\"\nip = \"{ip}\"\nzone = \"{domain}\"\n\
              portRange = [{peers},{peers}]\nseeds = {seeds:?}\nfirstStart = {first_start}\n\
              beatMs = {}\n{settings}\n[faultTolerance]\nmachines = 1\n[listen]\n{listen}\n\
-             [bounds]\ngraceS = 8\nrevokeMs = 5000\nretrySlack = 200\nstall_ms = 2500\n",
+             [bounds]\ngraceS = 8\nrevokeMs = 5000\n{retries}\nstall_ms = 2500\n",
             HEARTBEAT_PERIOD.as_millis()
         );
         let file = self.directory.path().join(format!("{role}-{host}.toml"));
@@ -309,7 +324,7 @@
         self.send_configuration(&configuration(version, keys))
     }
 
-    fn send_configuration(&self, body: &Value) -> bool {
+    pub(crate) fn send_configuration(&self, body: &Value) -> bool {
         (0..self.voters).any(|i| engine::post(self.control_addr(i), "/v1/Config.Replace", body))
     }
 
@@ -416,7 +431,7 @@
         }
     }
 
-    fn post(
+    pub(crate) fn post(
         &self,
         entry: usize,
         path: &str,
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -20,5 +20,6 @@
 mod priority;
 mod reach;
 mod restore;
+mod silence;
 mod soak;
 mod unframed;
