--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -108,7 +108,16 @@
 
     /// Like [`Deployment::with_size`], with limits on retries.
     pub(crate) fn with_retries(entries: usize, engines: &[u8], retries: &'static str) -> Self {
-        let mut deployment = Self::of_controllers(CONTROLLERS, Turn::wait(entries));
+        Self::with_all(CONTROLLERS, entries, engines, retries)
+    }
+
+    /// Like [`Deployment::with_size`], with the given number of controllers.
+    pub(crate) fn with_controllers(controllers: u8, entries: usize, engines: &[u8]) -> Self {
+        Self::with_all(controllers, entries, engines, DEFAULT_RETRIES)
+    }
+
+    fn with_all(controllers: u8, entries: usize, engines: &[u8], retries: &'static str) -> Self {
+        let mut deployment = Self::of_controllers(controllers, Turn::wait(entries));
         deployment.retries = retries;
         for i in 0..entries {
             let process = deployment.start_entry(i);
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -21,4 +21,5 @@
 mod reach;
 mod restore;
 mod silence;
+mod soak;
 mod unframed;
--- a/tests/platform/pause.rs
+++ b/tests/platform/pause.rs
@@ -71,6 +71,7 @@
 pub(crate) struct EngineRun {
     pub(crate) engine: String,
     pub(crate) attempt: String,
+    pub(crate) began: Instant,
     /// `Last-Event-Id` with which it arrived; 0 without one.
     pub(crate) last: u64,
     /// When it sent each event from the one after `last` on.
@@ -93,6 +94,7 @@
         let run = EngineRun {
             engine: engine.to_owned(),
             attempt: attempt.to_owned(),
+            began: Instant::now(),
             last,
             sent: Vec::new(),
             cancelled: None,
