Prefer plain upstreams that answer to silent ones

Since silence excludes at most a quarter of a service's upstreams, two of six dark plain upstreams were chosen like sound ones, and each try took 250 ms until the roster dropped them (by reading, in a review). A silent one now ranks with those whose heartbeats are late. Test: record_silent_plain of what the choice goes by; the choice itself has no test of its own.

--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -152,6 +152,11 @@
         }
     }
 
+    /// Whether others are preferred to an upstream, since it was silent as were many others.
+    pub(crate) fn is_silent(&self, now: Time, upstream: u64) -> bool {
+        self.status(now, upstream, false) == HealthStatus::Silent
+    }
+
     /// Whether an upstream is excluded now only because it broke off responses: it refused nothing
     /// since its last success, and nothing else says that it is dead.
     pub(crate) fn is_only_cut(&self, now: Time, upstream: u64) -> bool {
--- a/src/entry/select.rs
+++ b/src/entry/select.rs
@@ -290,7 +290,9 @@
                 requests: shared.loads.at(u.key).requests,
                 slots: u.slots.into(),
                 same_domain: u.domain == self.boot.domain,
-                late: u.late || shared.backoffs.is_leaving(u.key, &u.id, u.born),
+                late: u.late
+                    || shared.health.is_silent(now, u.key)
+                    || shared.backoffs.is_leaving(u.key, &u.id, u.born),
                 excluded: u.suspected || shared.health.is_excluded(now, u.key),
                 tried: exclusions.failed.contains(&u.key) || !exclusions.may_enter(u.key),
                 limited: !shared.may_send(now, u),
--- a/src/tests/decide/silence.rs
+++ b/src/tests/decide/silence.rs
@@ -118,3 +118,18 @@
     health.record_success(1);
     assert_eq!(health.status(at(2), 1, false), HealthStatus::Healthy);
 }
+
+/// Guards against preferring a plain upstream that sends nothing to one that answers, since too many
+/// are silent for any of them to be excluded.
+#[test]
+fn record_silent_plain() {
+    let mut health = Health::default();
+    for upstream in [1, 2] {
+        health.record_silent(at(0), "desk", upstream, 3);
+    }
+    assert!(!health.is_excluded(at(1), 1));
+    assert!(health.is_silent(at(1), 1) && health.is_silent(at(1), 2));
+    assert!(!health.is_silent(at(1), 3));
+    health.record_success(1);
+    assert!(!health.is_silent(at(1), 1));
+}
