Move the series of attempts to a module of its own, and name the upstream in 405

`series` makes the attempts of a request, one after another or beside a silent one; `attempt` keeps what an attempt and its failures are. Since two attempts may run at once, a line 405 can no longer be joined with the latest 404 of its request, so it names its upstream. No change of behaviour otherwise.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -7,18 +7,15 @@
 use bytes::{Bytes, BytesMut};
 use hyper::header::CONTENT_TYPE;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
-use tokio::time::timeout;
 
 use super::Entry;
 use super::body::Body;
 use super::crash::{Suspicion, is_cut};
 use super::head;
-use super::hedge::{Ended, Progress, Running};
 use super::listen::{error_response, quarantine_body, refuse};
 use super::pool;
 use super::retry::{GrantedRetry, RetryReason};
 use super::select::{Exclusions, Selection};
-use super::send::Attempt;
 use super::view::{Upstream, of_service};
 use crate::clock::{Time, millis};
 use crate::configuration::{Model, Route, RoutingTable};
@@ -53,7 +50,7 @@
 pub(super) const CONNECT_TIMED_OUT: &str = "connect_timeout";
 
 /// Whether an attempt failed since this instance didn't connect to the upstream.
-fn is_unconnected(cause: &str) -> bool {
+pub(super) fn is_unconnected(cause: &str) -> bool {
     matches!(cause, NO_CONNECTION | CONNECT_TIMED_OUT)
 }
 
@@ -170,13 +167,13 @@
     pub(super) entry: Arc<Entry>,
     pub(super) table: Arc<RoutingTable>,
     pub(super) call: Arc<Call>,
-    attempts: AttemptCounts,
+    pub(super) attempts: AttemptCounts,
     /// Upstreams at which the request failed or is silent; they are not tried again.
     pub(super) failed_upstreams: Vec<u64>,
     /// Those of `failed_upstreams` to which a connection of this instance failed.
-    unreached: Vec<u64>,
+    pub(super) unreached: Vec<u64>,
     /// The latest server error from an upstream.
-    upstream_error: Option<Box<OpenResponse>>,
+    pub(super) upstream_error: Option<Box<OpenResponse>>,
     /// See [`Run::is_ended`].
     pub(super) ended: AtomicBool,
     /// Id of the last event that the caller has, on a stream.
@@ -210,20 +207,6 @@
     }
 }
 
-/// What follows the end of an attempt.
-enum Settled {
-    Answered(Box<OpenResponse>),
-    /// Another attempt may start after the failure at `upstream`.
-    Again {
-        cause: &'static str,
-        upstream: Upstream,
-    },
-    /// The request ends, unless another attempt still runs.
-    End(RunError),
-    /// The request ends.
-    Final(RunError),
-}
-
 /// Result of one attempt.
 pub(super) enum Outcome {
     Answered(Box<OpenResponse>),
@@ -279,197 +262,9 @@
         self.call.left(self.entry.now())
     }
 
-    /// Makes attempts until one returns a usable response: its head, and the first event of a
-    /// stream that may be resumed. If all fail, returns the latest server error of an upstream, if
-    /// any: it tells the caller more than a generic failure.
-    pub(super) async fn open(&mut self) -> Result<Box<OpenResponse>, RunError> {
-        let end = match self.run_attempts(false).await {
-            Ok(opened) => return Ok(opened),
-            Err(end) => end,
-        };
-        Err(self
-            .upstream_error
-            .take()
-            .map_or(end, RunError::UpstreamError))
-    }
-
-    /// Like [`Run::open`], beside an attempt that is silent and goes on.
-    pub(super) async fn open_beside(&mut self) -> Result<Box<OpenResponse>, RunError> {
-        self.run_attempts(true).await
-    }
-
-    /// Makes attempts. `beside` tells whether another one runs already, which is silent.
-    async fn run_attempts(&mut self, beside: bool) -> Result<Box<OpenResponse>, RunError> {
-        let mut running = Running::default();
-        let mut asks_first = true;
-        let mut may_start = true;
-        loop {
-            let left = self.left();
-            let progress = if may_start {
-                may_start = false;
-                let beside = beside || !running.is_empty();
-                let found = tokio::select! {
-                    biased;
-                    ended = running.next_end() => Err(ended),
-                    found = timeout(left, self.find_upstream(&mut asks_first, beside)) => Ok(found),
-                };
-                match found {
-                    Err(ended) => Progress::Ended(Box::new(ended)),
-                    Ok(Ok(Ok(selection))) => {
-                        running.start(self.begin(&running), selection);
-                        continue;
-                    }
-                    Ok(Ok(Err(end))) if running.is_empty() => return Err(end),
-                    Ok(Err(_)) if running.is_empty() => return Err(self.timed_out()),
-                    Ok(_) => {
-                        // A retry that isn't sent doesn't count against the limit.
-                        self.retry = None;
-                        continue;
-                    }
-                }
-            } else {
-                let progress = timeout(left, running.next()).await;
-                progress.map_err(|_| RunError::TimedOut)?
-            };
-            let settled = match progress {
-                Progress::Stalled(stalled) => {
-                    may_start = self.may_hedge(&stalled);
-                    continue;
-                }
-                Progress::Ended(ended) => self.settle(*ended),
-            };
-            match settled {
-                Settled::Answered(opened) => return Ok(opened),
-                Settled::Final(end) => return Err(end),
-                Settled::Again { cause, upstream } if !beside && running.is_empty() => {
-                    let checked = self.check_crash(cause, &upstream);
-                    let _ = timeout(left, checked).await;
-                    may_start = true;
-                }
-                Settled::Again { cause, .. } if is_cut(cause) => {
-                    // The request itself may have ended the upstream.
-                    self.suspect_unproven();
-                    if running.is_empty() {
-                        return Err(RunError::MayHaveRun);
-                    }
-                }
-                Settled::Again { .. } => may_start = running.all_stalled(),
-                Settled::End(end) if running.is_empty() => return Err(end),
-                // Another attempt goes on.
-                Settled::End(_) => {}
-            }
-        }
-    }
-
-    /// Selects where the next attempt goes, as soon as the request may be sent. One `beside` a silent
-    /// attempt doesn't wait, as others in the queue have none.
-    async fn find_upstream(
-        &mut self,
-        asks_first: &mut bool,
-        beside: bool,
-    ) -> Result<Selection, RunError> {
-        loop {
-            if !beside {
-                self.await_suspicion().await;
-            } else if self.suspect(&self.entry.view()).is_some() {
-                return Err(self.unsent(Reason::NoUpstream));
-            }
-            if self.left().is_zero() {
-                return Err(self.timed_out());
-            }
-            if let Some(reason) = self.quarantined() {
-                return Err(self.unsent(reason));
-            }
-            self.retry_unreached();
-            if self.model().is_some() {
-                self.entry.shared().loads.demand.record_request();
-            }
-            let at_once = self.choose_at_once();
-            let is_short = matches!(at_once, Err(Reason::Full));
-            if *asks_first {
-                self.record_asked(is_short);
-            }
-            let found = match at_once {
-                Ok(selection) => Ok(selection),
-                Err(reason) if beside => return Err(self.unsent(reason)),
-                Err(reason) => self.wait(reason).await,
-            };
-            // The request may have been quarantined while it waited.
-            if let Some(reason) = self.quarantined() {
-                return Err(self.unsent(reason));
-            }
-            let full = matches!(found, Err(Reason::Full));
-            let long = self.is_long();
-            self.entry.shared().refusals.record(full, long);
-            self.record_search(*asks_first, is_short, full);
-            *asks_first = false;
-            let selection = found.map_err(|reason| self.unsent(reason))?;
-            if self.acquire_send(&selection.upstream) {
-                return Ok(selection);
-            }
-        }
-    }
-
-    /// Counts an attempt that begins.
-    fn begin(&mut self, running: &Running) -> Attempt {
-        self.attempts.record_start();
-        self.events = 0;
-        let retry = self.retry.take();
-        Attempt::new(self, retry, running.stalls())
-    }
-
-    /// Decides what follows the end of an attempt.
-    fn settle(&mut self, ended: Ended) -> Settled {
-        let Ended {
-            upstream,
-            is_path,
-            outcome,
-            retry,
-        } = ended;
-        let (failure, culprit, cause) = match outcome {
-            Outcome::Answered(opened) => return Settled::Answered(opened),
-            Outcome::UpstreamError(opened) => {
-                self.failed_upstreams.push(upstream.key);
-                self.upstream_error = Some(opened);
-                let cause = "upstream_error";
-                return match self.record_failure(Failure::Answered, cause) {
-                    NextStep::Again => Settled::Again { cause, upstream },
-                    // An answer of an upstream isn't held back for one that may not come.
-                    _ => Settled::Final(RunError::MayHaveRun),
-                };
-            }
-            Outcome::Failed {
-                failure,
-                culprit,
-                cause,
-            } => (failure, culprit, cause),
-        };
-        // No upstream is known to be at fault, but a plain service has other upstreams to try
-        // next.
-        if !is_path && culprit.is_none() {
-            self.failed_upstreams.push(upstream.key);
-        }
-        if is_cut(cause) {
-            self.record_cut(&upstream);
-        }
-        self.exclude_upstream(culprit, cause);
-        // Nothing was sent, so the next attempt may use the same retry.
-        if is_unconnected(cause) {
-            self.retry = self.retry.take().or(retry);
-        }
-        let end = match self.record_failure(failure, cause) {
-            NextStep::Again => return Settled::Again { cause, upstream },
-            NextStep::Refuse if cause == NO_PROXY => RunError::NotRun(Reason::Unreachable),
-            NextStep::Refuse => RunError::NotRun(Reason::NotRun),
-            NextStep::Pass | NextStep::Fail if self.left().is_zero() => RunError::TimedOut,
-            NextStep::Pass | NextStep::Fail => RunError::MayHaveRun,
-        };
-        Settled::End(end)
-    }
-
     /// Lets the request enter upstreams again to which connections failed, once they are reached
     /// through other instances.
-    fn retry_unreached(&mut self) {
+    pub(super) fn retry_unreached(&mut self) {
         let (entry, service) = (&self.entry, &self.call.service);
         let carried = self
             .unreached
@@ -513,7 +308,7 @@
     }
 
     /// Whether the request has more tokens than is usual for its model.
-    fn is_long(&self) -> bool {
+    pub(super) fn is_long(&self) -> bool {
         let tokens = self.call.work.tokens();
         self.model().is_some_and(|m| tokens > m.usual_tokens())
     }
@@ -579,7 +374,12 @@
     }
 
     /// Records a failed attempt and decides on the next step.
-    pub(super) fn record_failure(&mut self, failure: Failure, cause: &'static str) -> NextStep {
+    pub(super) fn record_failure(
+        &mut self,
+        failure: Failure,
+        cause: &'static str,
+        upstream: &Upstream,
+    ) -> NextStep {
         self.attempts.record_failure(failure);
         let left = self.left();
         let mut next = self.next_step(failure);
@@ -598,6 +398,7 @@
         tracing::info!(
             event = event::ATTEMPT_FAILED.id,
             attempt = self.call.attempt,
+            upstream = %upstream.id,
             cause,
             ?failure,
             ?next,
@@ -611,14 +412,14 @@
         next
     }
 
-    fn timed_out(&self) -> RunError {
+    pub(super) fn timed_out(&self) -> RunError {
         match self.attempts.may_have_run {
             0 => RunError::NotRun(Reason::NotRun),
             _ => RunError::TimedOut,
         }
     }
 
-    fn unsent(&self, reason: Reason) -> RunError {
+    pub(super) fn unsent(&self, reason: Reason) -> RunError {
         match self.attempts.may_have_run {
             0 => RunError::NotRun(reason),
             _ => RunError::MayHaveRun,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -58,6 +58,7 @@
 mod retry;
 mod select;
 mod send;
+mod series;
 mod shed;
 mod stream;
 pub(crate) mod view;
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -38,7 +38,7 @@
                 Ok(None) => {
                     self.record_cut(&upstream);
                     self.exclude_upstream(Some(upstream.key), "cut_body");
-                    match self.record_failure(Failure::Unknown, "cut_body") {
+                    match self.record_failure(Failure::Unknown, "cut_body", &upstream) {
                         NextStep::Again => {}
                         NextStep::Refuse => {
                             return self.final_response(&RunError::NotRun(Reason::NotRun));
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -409,7 +409,7 @@
             return false;
         }
         self.run.exclude_upstream(Some(upstream.key), cause);
-        if self.run.record_failure(Failure::Unknown, cause) != NextStep::Again {
+        if self.run.record_failure(Failure::Unknown, cause, &upstream) != NextStep::Again {
             return false;
         }
         self.run.check_crash(cause, &upstream).await;
