--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -15,9 +15,9 @@
 
 use self::leader::LeaderState;
 use crate::auth::FleetKey;
-use crate::clock::{Clock, SystemClock, Time};
+use crate::clock::{Clock, SystemClock, Time, millis};
 use crate::configuration::RoutingTable;
-use crate::decide::members::{self, VoterStatus};
+use crate::decide::members;
 use crate::error::{ListenSnafu, Result};
 use crate::event;
 use crate::http::{self, ReceiveLimits};
@@ -27,7 +27,7 @@
 use crate::platform::boot::Boot;
 use crate::register::{Register, VersionedConfiguration};
 use crate::relay::Relay;
-use crate::replica::{Message, Role};
+use crate::replica::Message;
 use crate::role::{self, RoleSettings, VoterExit};
 use crate::roster::LayerRange;
 use crate::startup;
@@ -69,6 +69,10 @@
 /// Interval at which voters, upstreams, placement and quarantine are maintained.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Lag of a tick from which this process counts as paused, with its host or alone. What was sent to
+/// it meanwhile may be read after the tick only.
+const MIN_PAUSE: Duration = Duration::from_millis(500);
+
 /// Delay before a failed store is reopened.
 const REOPEN_DELAY: Duration = Duration::from_millis(500);
 
@@ -366,30 +370,44 @@
     /// Maintains voters, upstreams, placement and quarantine while leading.
     async fn maintain(self: Arc<Self>) {
         while !self.shutting_down.load(Ordering::Relaxed) {
+            let began = self.now();
             sleep(TICK_INTERVAL).await;
             if self.leader_info().term.is_none() {
                 continue;
             }
-            self.maintain_voters();
+            let now = self.now();
+            let paused = now.since(began).saturating_sub(TICK_INTERVAL);
+            // The silence of voters is measured elsewhere, so their answers are awaited first.
+            match paused >= MIN_PAUSE {
+                true => self.excuse_silence(now, paused),
+                false => self.maintain_voters(),
+            }
             self.maintain_upstreams();
             self.maintain_quarantine();
         }
     }
 
+    /// Doesn't count a pause of this process as silence of upstreams and instances.
+    fn excuse_silence(&self, now: Time, paused: Duration) {
+        let Some(mut state) = self.state_if_leading() else {
+            return;
+        };
+        state.excuse_silence(now, paused);
+        drop(state);
+        tracing::warn!(
+            event = event::LEADER_PAUSED.id,
+            paused_ms = millis(paused),
+            "the leader was paused"
+        );
+    }
+
     fn maintain_voters(&self) {
         let Some(status) = self.status() else {
             return;
         };
-        let silence = |peer| status.silences.iter().find(|(p, _)| *p == peer);
-        let voting = status.members.iter().filter(|m| m.role() == Role::Voter);
-        let voters: Vec<VoterStatus> = voting
-            .map(|m| VoterStatus {
-                peer: m.peer(),
-                silence: silence(m.peer()).map_or(Duration::ZERO, |s| Duration::from_millis(s.1)),
-            })
-            .collect();
         let wanted = members::required_voters(self.boot.fault_tolerance);
-        if let Some(change) = members::next_change(&voters, &status.non_members, wanted) {
+        let members = members::statuses(&status);
+        if let Some(change) = members::next_change(&members, &status.non_members, wanted) {
             let done = move |outcome: std::result::Result<(), _>| match outcome {
                 Ok(()) => tracing::info!(event = event::VOTER_CHANGED.id, ?change, "voter changed"),
                 Err(e) => tracing::debug!(?change, "voter not changed: {e}"),
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -29,6 +29,8 @@
 pub(crate) enum HealthPolicy {
     /// Only engines that are not excluded.
     HealthyOnly,
+    /// Also engines that are excluded only because they broke off responses.
+    AllowCut,
     /// Also engines that are excluded but alive.
     AllowFailing,
 }
@@ -39,7 +41,7 @@
         match (self, status) {
             (_, HealthStatus::Healthy) => Some(1.0),
             (_, HealthStatus::Silent) => Some(SILENT_PENALTY),
-            (Self::AllowFailing, HealthStatus::Failing) => Some(FAILING_PENALTY),
+            (Self::AllowCut | Self::AllowFailing, HealthStatus::Failing) => Some(FAILING_PENALTY),
             _ => None,
         }
     }
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -47,6 +47,8 @@
 pub(super) enum RetryReason {
     /// An attempt failed.
     Failed,
+    /// An attempt waits for an engine that seems dead, and goes on.
+    Blocked,
     /// An attempt is silent, and goes on.
     Silent,
 }
@@ -55,7 +57,7 @@
     /// Returns whether the request may be sent again, and if so, counts a retry unless it has one
     /// that was not sent.
     pub(super) fn acquire_retry(&mut self, reason: RetryReason) -> bool {
-        if self.retry.as_ref().is_some_and(|r| !r.is_sent()) {
+        if self.retry.is_some() {
             return true;
         }
         let (now, service) = (self.entry.now(), &self.call.service);
@@ -63,7 +65,9 @@
         let mut shared = self.entry.shared();
         let budget = &mut shared.retry_budget;
         let granted = match reason {
-            RetryReason::Failed => budget.try_acquire(now, service, instances),
+            RetryReason::Failed | RetryReason::Blocked => {
+                budget.try_acquire(now, service, instances)
+            }
             RetryReason::Silent => budget.try_acquire_hedge(now, service, instances),
         };
         let left = shared.retry_budget.remaining(now, service, instances);
@@ -82,12 +86,11 @@
             up_ms = millis(now.since(self.entry.started)),
             "retry decided"
         );
-        let retry = granted.then(|| GrantedRetry {
+        self.retry = granted.then(|| GrantedRetry {
             entry: Arc::clone(&self.entry),
             service: service.clone(),
             sent: AtomicBool::new(false),
         });
-        self.retry = retry.map(Arc::new);
         granted
     }
 }
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -8,7 +8,7 @@
 use super::{announce, at, leader};
 use crate::configuration::{Model, RetryPolicy};
 use crate::decide::health::{Health, HealthStatus};
-use crate::decide::members::{self, VoterStatus};
+use crate::decide::members::{self, MemberStatus};
 use crate::decide::pick::{self, Candidate};
 use crate::decide::refusal::{self, Reason};
 use crate::decide::retry::{AttemptCounts, Failure, NextStep, next_step};
@@ -124,6 +124,24 @@
     assert!(asked.count() <= 6);
 }
 
+/// Guards against sending resumed responses to engines that refuse, or that seem dead, as if they
+/// had only broken off other responses.
+#[test]
+fn only_cut_without_refusal_or_silence() {
+    let mut health = Health::default();
+    assert!(!health.is_only_cut(at(0), 1));
+    health.record_failure(at(0), 1);
+    assert!(health.is_only_cut(at(1_499), 1));
+    assert!(!health.is_only_cut(at(1_500), 1));
+    health.record_refusal(at(0), 2);
+    assert!(!health.is_only_cut(at(1), 2));
+    health.record_failure(at(300), 2);
+    assert!(!health.is_only_cut(at(301), 2));
+    health.record_failure(at(0), 3);
+    health.record_unresponsive(at(1), 3);
+    assert!(!health.is_only_cut(at(2), 3));
+}
+
 /// Guards against refusing requests that failing engines could serve, and against sending requests
 /// to an engine that has just stopped. Engine 1 resets some of its streams, responses of engine 2
 /// are lost; the heartbeats of both arrive.
@@ -213,9 +231,10 @@
     assert_eq!(pick::choose(&[tried], 0.5), None);
 }
 
-fn voter(id: u64, silence: u64) -> VoterStatus {
-    VoterStatus {
+fn voter(id: u64, silence: u64) -> MemberStatus {
+    MemberStatus {
         peer: Peer { id, store: id },
+        votes: true,
         silence: Duration::from_secs(silence),
     }
 }
@@ -240,6 +259,19 @@
     assert_eq!(change, Some(Change::Add(WAITING[0])));
 }
 
+/// Guards against a machine that stays outside of the group for good since it lost its disk again
+/// while its new store was catching up, or after that store was barred.
+#[test]
+fn next_change_disk_wiped_again() {
+    let learner = MemberStatus {
+        votes: false,
+        ..voter(9, 9)
+    };
+    let members = [voter(1, 0), voter(2, 0), voter(3, 0), voter(4, 0), learner];
+    let change = members::next_change(&members, &WAITING, members::required_voters(1));
+    assert_eq!(change, Some(Change::Add(WAITING[0])));
+}
+
 #[test]
 fn next_change_replaced_machine() {
     let voters = [voter(1, 0), voter(2, 9), voter(3, 5)];
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -37,6 +37,11 @@
 /// Number of events of a complete stream.
 pub(crate) const STREAM_EVENTS: u64 = 12;
 
+/// Path of a plain service whose answer has [`LONG_ANSWER`] bytes: more than the buffers of a
+/// connection hold.
+pub(crate) const LONG_PATH: &str = "/lookups/long";
+pub(crate) const LONG_ANSWER: usize = 12 << 20;
+
 /// Body that a caller must receive for a complete stream.
 pub(crate) fn expected_stream() -> String {
     let event = |id| format!("id: {id}\ndata: token {id}\n\n");
@@ -128,6 +133,8 @@
     pub(crate) pauses: Pauses,
     /// Runs of attempts, in order of their start.
     pub(crate) engine_runs: Vec<EngineRun>,
+    /// Whether engines send the start of each event with the end of the one before.
+    pub(crate) splits_events: bool,
     /// Time that engines of plain services work on a request.
     pub(crate) work_time: Duration,
     /// Whether the engines are to end.
@@ -651,6 +658,7 @@
     let last: u64 = header("last-event-id").map_or(0, |l| l.parse().unwrap());
     let organisation = header("x-tenant").unwrap_or_default();
     let prompt = header("x-prefix-hash").unwrap_or_default();
+    let is_long = request.uri().path() == LONG_PATH;
     let body = request.into_body().collect().await;
     let Ok(body) = body.map(http_body_util::Collected::to_bytes) else {
         return full_response(400, "");
@@ -688,15 +696,20 @@
         std::future::pending::<()>().await;
     }
     let mut running = Running::begin(state, &spec.id, &attempt, last);
-    if spec.service != "models" {
-        let time = state.lock().unwrap().work_time;
-        running.work(time).await;
-    }
+    let work_time = match spec.service {
+        "models" => Duration::ZERO,
+        _ => state.lock().unwrap().work_time,
+    };
+    running.work(work_time).await;
     running.done = spec.service != "models" || crash_body.is_some() || fault == Fault::Error;
     let mut response = match spec.service {
         "models" if crash_body.is_some() => Response::new(pending_stream()),
         _ if fault == Fault::Error => full_response(500, "the stock file is locked"),
-        "models" => Response::new(event_stream(last, fault, running)),
+        "models" => {
+            let splits = state.lock().unwrap().splits_events;
+            Response::new(event_stream(last, fault, splits, running))
+        }
+        _ if is_long => full_response(200, &"x".repeat(LONG_ANSWER)),
         _ => full_response(200, &format!("done by {}", spec.id)),
     };
     let headers = response.headers_mut();
@@ -716,18 +729,28 @@
     StreamBody::new(stream::pending::<Result<Frame<Bytes>, _>>()).boxed_unsync()
 }
 
+/// Length of the part of an event that an engine sends before the rest.
+const EVENT_START: usize = 7;
+
 /// Stream of the events after `last`.
-fn event_stream(last: u64, fault: Fault, running: Running) -> Body {
+fn event_stream(last: u64, fault: Fault, splits: bool, running: Running) -> Body {
+    let text = |id| format!("id: {id}\ndata: token {id}\n\n");
     let next = move |(id, mut running): (u64, Running)| async move {
         running.work(EVENT_INTERVAL).await;
         let reset = matches!(fault, Fault::ResetAfter(limit) if id > limit);
-        let event = format!("id: {id}\ndata: token {id}\n\n");
+        let mut event = text(id);
+        if splits && id > last + 1 {
+            event.drain(..EVENT_START);
+        }
+        if splits && id < STREAM_EVENTS {
+            event += &text(id + 1)[..EVENT_START];
+        }
         running.done = id >= STREAM_EVENTS || reset;
         match (id > STREAM_EVENTS, reset) {
             (true, _) => None,
             // A part of an event, as a crashing engine sends it.
             (_, true) if id.is_multiple_of(2) => {
-                let part = event[..7].to_owned();
+                let part = event[..EVENT_START].to_owned();
                 Some((Ok(Frame::data(part.into())), (id + 1, running)))
             }
             (_, true) => Some((Err("cut"), (id, running))),
