--- a/src/entry/series.rs
+++ b/src/entry/series.rs
@@ -86,7 +86,10 @@
                 Progress::Ended(ended) => self.settle(*ended),
             };
             match settled {
-                Settled::Answered(opened) => return Ok(opened),
+                Settled::Answered(opened) => {
+                    self.retry = None;
+                    return Ok(opened);
+                }
                 Settled::Final(end) => return Err(end),
                 Settled::Again { cause, upstream } if !beside && running.is_empty() => {
                     let checked = self.check_crash(cause, &upstream);
@@ -96,6 +99,7 @@
                 Settled::Again { cause, .. } if is_cut(cause) => {
                     // The request itself may have ended the upstream.
                     self.suspect_unproven();
+                    self.retry = None;
                     if running.is_empty() {
                         return Err(RunError::MayHaveRun);
                     }
