--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -1,7 +1,6 @@
 //! Event streams. Events are forwarded as they arrive; where the route allows it, an
 //! interrupted stream is resumed on another path within the same response.
 
-use std::pin::pin;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -16,7 +15,6 @@
 use super::body::{self, Body, Truncated};
 use super::crash::is_cut;
 use super::head;
-use super::hedge::Stalled;
 use super::reroute::Stall;
 use crate::clock::{Time, millis};
 use crate::configuration::RetryPolicy;
@@ -27,6 +25,8 @@
 use crate::event;
 use crate::gate::RunningGuard;
 
+mod hedge;
+
 /// Multiple of the route's allowed pause after which a silent stream is hedged.
 /// Clients disconnect after eight pauses; processing the prompt again takes one or two.
 const STALL_FACTOR: u32 = 4;
@@ -116,68 +116,6 @@
 
 type Received = Option<Result<Frame<Bytes>, hyper::Error>>;
 
-/// Which of two attempts serves a stream.
-enum Winner {
-    /// The silent one: it gave an event or its proper end.
-    First(Step),
-    Other(Box<OpenResponse>),
-    /// The other one failed, and the first is still silent.
-    Pending,
-    Neither,
-}
-
-impl Winner {
-    fn name(&self) -> &'static str {
-        match self {
-            Self::First(_) => "first",
-            Self::Other(_) => "other",
-            Self::Pending => "pending",
-            Self::Neither => "neither",
-        }
-    }
-}
-
-/// What a silent response gave next.
-enum Next {
-    /// An event, which is in the buffer.
-    Event,
-    /// Its end.
-    End,
-    /// The end of its connection.
-    Cut,
-    /// Nothing before the deadline.
-    Nothing,
-}
-
-/// Reads a silent response up to its next event or its end. A part of an event stays in the buffer.
-async fn await_event(context: &Context, opened: &mut OpenResponse, silence: &mut Silence) -> Next {
-    loop {
-        let OpenResponse {
-            answer,
-            selection,
-            buffer,
-        } = &mut *opened;
-        let frame = answer.response.body_mut().frame();
-        let progress = context.await_progress(frame, silence, selection);
-        match timeout(context.left(), progress).await {
-            Ok(Ok(Some(Ok(frame)))) => {
-                let bytes = frame.into_data().unwrap_or_default();
-                buffer.extend_from_slice(&bytes);
-                if has_event(buffer) {
-                    return Next::Event;
-                }
-                if buffer.len() > MAX_EVENT {
-                    return Next::Cut;
-                }
-            }
-            Ok(Ok(Some(Err(_)))) => return Next::Cut,
-            Ok(Ok(None)) => return Next::End,
-            Ok(Err(_)) => {}
-            Err(_) => return Next::Nothing,
-        }
-    }
-}
-
 impl EventStream {
     /// Returns the next complete events, the end, or an error if the stream was cut off.
     async fn next(&mut self) -> Option<Result<Frame<Bytes>, Truncated>> {
@@ -289,73 +227,6 @@
         Silence::new(stall_timeout.max(MIN_STALL), can_reroute)
     }
 
-    /// Starts another attempt beside the silent one, if that is allowed. The first of them to give
-    /// an event serves the stream from then on, and the other is cancelled: events of two runs are
-    /// never mixed.
-    async fn hedge(&mut self, stall: Stall) -> Step {
-        let upstream = self.opened.selection.upstream.clone();
-        let first = upstream.key;
-        if !self.run.may_hedge(&Stalled { first, stall }) {
-            return Step::Continue;
-        }
-        let events = self.run.events;
-        let may_end = !self.lacks_events();
-        let mut silence = self.start_silence();
-        let mut cut = false;
-        let winner = {
-            let mut other = pin!(self.run.open_beside());
-            let first = await_event(&self.context, &mut self.opened, &mut silence);
-            tokio::select! {
-                biased;
-                next = first => match next {
-                    Next::Nothing => Winner::Neither,
-                    Next::Event => Winner::First(Step::Continue),
-                    Next::End if may_end && self.opened.buffer.is_empty() => {
-                        Winner::First(Step::Whole)
-                    }
-                    // The other attempt is the only one left.
-                    Next::End | Next::Cut => {
-                        cut = true;
-                        other.await.map_or(Winner::Neither, Winner::Other)
-                    }
-                },
-                opened = other.as_mut() => opened.map_or(Winner::Pending, Winner::Other),
-            }
-        };
-        // The other attempt has reset it, and may not have used the retry.
-        self.run.events = events;
-        self.run.retry = None;
-        tracing::info!(
-            event = event::HEDGE_ENDED.id,
-            attempt = self.run.call.attempt,
-            winner = winner.name(),
-            cut,
-            silent_ms = millis(self.run.entry.now().since(self.last_at)),
-            left_ms = millis(self.run.left()),
-            "hedge ended"
-        );
-        match winner {
-            Winner::First(step) => {
-                self.silence = None;
-                step
-            }
-            Winner::Other(opened) => {
-                if cut {
-                    self.run.record_cut(&upstream);
-                    self.run.exclude_upstream(Some(first), "cut_stream");
-                }
-                self.adopt(opened);
-                Step::Continue
-            }
-            Winner::Pending => {
-                self.silence = Some(silence);
-                Step::Continue
-            }
-            Winner::Neither if cut => Step::Cut("cut_stream"),
-            Winner::Neither => Step::Lost("deadline"),
-        }
-    }
-
     /// Continues the stream with another response.
     fn adopt(&mut self, opened: Box<OpenResponse>) {
         self.run.events = 0;
