Read the body of a stream in one place

The first event, a running stream and a silent one that is hedged each took the next frame, appended it to the buffer and checked for an event that is too long, in three variants of the same match. `OpenResponse::read` and `is_too_long` serve all three. No change of behaviour.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::header::CONTENT_TYPE;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
 
@@ -14,6 +15,7 @@
 use super::head;
 use super::listen::{error_response, quarantine_body, refuse};
 use super::pool;
+use super::reroute::Stall;
 use super::retry::{GrantedRetry, RetryReason};
 use super::select::{Exclusions, Selection};
 use super::view::{Upstream, of_service};
@@ -25,6 +27,7 @@
 use crate::decide::rank::Rank;
 use crate::decide::refusal::Reason;
 use crate::decide::retry::{self, AttemptCounts, Failure, NextStep};
+use crate::decide::stall::Silence;
 use crate::decide::view_wait;
 use crate::engine::UpstreamResponse;
 use crate::event;
@@ -125,6 +128,15 @@
     }
 }
 
+/// What was read of a response's body.
+pub(super) enum Received {
+    Bytes,
+    /// The end of the body.
+    End,
+    /// The end of the connection within the body.
+    Cut,
+}
+
 /// A response whose head was received and whose body is still to be read.
 pub(super) struct OpenResponse {
     pub(super) answer: UpstreamResponse,
@@ -142,6 +154,26 @@
         }
     }
 
+    /// Reads the next bytes of the body into the buffer, and reroutes the attempt around an engine
+    /// that blocks it. Returns an error each time that the attempt is stalled.
+    pub(super) async fn read(
+        &mut self,
+        context: &Context,
+        silence: &mut Silence,
+    ) -> Result<Received, Stall> {
+        let frame = self.answer.response.body_mut().frame();
+        let progress = context.await_progress(frame, silence, &mut self.selection);
+        Ok(match progress.await? {
+            Some(Ok(frame)) => {
+                let bytes = frame.into_data().unwrap_or_default();
+                self.buffer.extend_from_slice(&bytes);
+                Received::Bytes
+            }
+            Some(Err(_)) => Received::Cut,
+            None => Received::End,
+        })
+    }
+
     /// Whether the body is a stream of events.
     pub(super) fn is_stream(&self) -> bool {
         let kind = head::text(self.answer.response.headers(), CONTENT_TYPE.as_str());
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -5,12 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 
 use super::attempt::{
     CONNECT_TIMED_OUT, CUT, Context, FIRST_BYTE_FACTOR, NO_CONNECTION, NO_PROXY, OpenResponse,
-    Outcome, PROXY_LOST, Run,
+    Outcome, PROXY_LOST, Received, Run,
 };
 use super::hedge::{Ended, Stalled};
 use super::proxy::{Carried, Refusal, Via};
@@ -50,7 +49,7 @@
     pub(super) last_event: Option<u64>,
     /// The retry that granted the attempt; `None` for the first.
     retry: Option<GrantedRetry>,
-    /// Receives each stall of the attempt. Nobody listens once its response was chosen.
+    /// Reports each stall of the attempt. The receiver is dropped once a response is chosen.
     stalls: mpsc::UnboundedSender<Stalled>,
 }
 
@@ -188,27 +187,14 @@
         let is_framed = head::is_framed(opened.answer.response.headers());
         let may_be_empty = self.last_event.is_some() && is_framed;
         while !stream::has_event(&opened.buffer) {
-            let OpenResponse {
-                answer,
-                selection,
-                buffer,
-                ..
-            } = &mut *opened;
-            let frame = answer.response.body_mut().frame();
-            match self
-                .context
-                .await_progress(frame, &mut silence, selection)
-                .await
-            {
-                Ok(Some(Ok(frame))) => {
-                    buffer.extend_from_slice(&frame.into_data().unwrap_or_default());
+            match opened.read(&self.context, &mut silence).await {
+                Ok(Received::Bytes) if stream::is_too_long(&opened.buffer) => {
+                    return failed(Failure::Unknown, Some(first), "long_event");
                 }
-                Ok(None) if may_be_empty && buffer.is_empty() => break,
+                Ok(Received::Bytes) => {}
+                Ok(Received::End) if may_be_empty && opened.buffer.is_empty() => break,
                 Ok(_) => return failed(Failure::Unknown, Some(first), "cut_stream"),
-                Err(stall) => self.report(stall, selection),
-            }
-            if buffer.len() > stream::MAX_EVENT && !stream::has_event(buffer) {
-                return failed(Failure::Unknown, Some(first), "long_event");
+                Err(stall) => self.report(stall, &opened.selection),
             }
         }
         Outcome::Answered(opened)
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -5,13 +5,12 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
-use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Frame;
 use rand::RngExt;
 use tokio::time::timeout;
 
-use super::attempt::{Context, FIRST_BYTE_FACTOR, OpenResponse, Run};
+use super::attempt::{Context, FIRST_BYTE_FACTOR, OpenResponse, Received, Run};
 use super::body::{self, Body, Truncated};
 use super::crash::is_cut;
 use super::head;
@@ -39,7 +38,7 @@
 const WITHDRAWN: &str = "given_up";
 
 /// Maximum size of an incomplete event in the buffer, in bytes.
-pub(super) const MAX_EVENT: usize = 256 << 10;
+const MAX_EVENT: usize = 256 << 10;
 
 /// State of a stream to a caller.
 struct EventStream {
@@ -95,6 +94,11 @@
     last_event_end(buffer).is_some()
 }
 
+/// Whether the buffer holds more than any event may have, and no complete one.
+pub(super) fn is_too_long(buffer: &BytesMut) -> bool {
+    buffer.len() > MAX_EVENT && !has_event(buffer)
+}
+
 /// End of the last complete event.
 fn last_event_end(buffer: &BytesMut) -> Option<usize> {
     Some(buffer.windows(2).rposition(|w| w == b"\n\n")? + 2)
@@ -114,8 +118,6 @@
     Stalled(Stall),
 }
 
-type Received = Option<Result<Frame<Bytes>, hyper::Error>>;
-
 impl EventStream {
     /// Returns the next complete events, the end, or an error if the stream was cut off.
     async fn next(&mut self) -> Option<Result<Frame<Bytes>, Truncated>> {
@@ -148,22 +150,16 @@
         }
     }
 
-    /// Adds what was read to the buffer.
+    /// Returns what follows from what was read.
     fn accept(&mut self, received: Received) -> Step {
         self.silence = None;
         match received {
-            Some(Ok(frame)) => {
-                let buffer = &mut self.opened.buffer;
-                buffer.extend_from_slice(&frame.into_data().unwrap_or_default());
-                match buffer.len() > MAX_EVENT && !has_event(buffer) {
-                    true => Step::Cut("long_event"),
-                    false => Step::Continue,
-                }
-            }
-            Some(Err(_)) => Step::Cut("cut_stream"),
-            None if !self.opened.buffer.is_empty() => Step::Cut("cut_event"),
-            None if self.lacks_events() => Step::Cut("cut_stream"),
-            None => Step::Whole,
+            Received::Bytes if is_too_long(&self.opened.buffer) => Step::Cut("long_event"),
+            Received::Bytes => Step::Continue,
+            Received::Cut => Step::Cut("cut_stream"),
+            Received::End if !self.opened.buffer.is_empty() => Step::Cut("cut_event"),
+            Received::End if self.lacks_events() => Step::Cut("cut_stream"),
+            Received::End => Step::Whole,
         }
     }
 
@@ -200,12 +196,8 @@
             self.leave_withdrawn().await;
         }
         let mut silence = self.silence.unwrap_or_else(|| self.start_silence());
-        let OpenResponse {
-            answer, selection, ..
-        } = &mut self.opened;
-        let frame = answer.response.body_mut().frame();
-        let progress = self.context.await_progress(frame, &mut silence, selection);
-        match timeout(self.run.left(), progress).await {
+        let received = self.opened.read(&self.context, &mut silence);
+        match timeout(self.run.left(), received).await {
             Ok(Ok(received)) => self.accept(received),
             Ok(Err(stall)) => {
                 self.silence = Some(silence);
--- a/src/entry/stream/hedge.rs
+++ b/src/entry/stream/hedge.rs
@@ -3,13 +3,12 @@
 
 use std::pin::pin;
 
-use http_body_util::BodyExt;
 use tokio::time::timeout;
 
-use super::{EventStream, MAX_EVENT, Step, has_event};
+use super::{EventStream, Step, has_event, is_too_long};
 use crate::clock::millis;
 use crate::decide::stall::Silence;
-use crate::entry::attempt::{Context, OpenResponse};
+use crate::entry::attempt::{Context, OpenResponse, Received};
 use crate::entry::hedge::Stalled;
 use crate::entry::reroute::Stall;
 use crate::event;
@@ -50,26 +49,12 @@
 /// Reads a silent response up to its next event or its end. A part of an event stays in the buffer.
 async fn await_event(context: &Context, opened: &mut OpenResponse, silence: &mut Silence) -> Next {
     loop {
-        let OpenResponse {
-            answer,
-            selection,
-            buffer,
-        } = &mut *opened;
-        let frame = answer.response.body_mut().frame();
-        let progress = context.await_progress(frame, silence, selection);
-        match timeout(context.left(), progress).await {
-            Ok(Ok(Some(Ok(frame)))) => {
-                let bytes = frame.into_data().unwrap_or_default();
-                buffer.extend_from_slice(&bytes);
-                if has_event(buffer) {
-                    return Next::Event;
-                }
-                if buffer.len() > MAX_EVENT {
-                    return Next::Cut;
-                }
-            }
-            Ok(Ok(Some(Err(_)))) => return Next::Cut,
-            Ok(Ok(None)) => return Next::End,
+        match timeout(context.left(), opened.read(context, silence)).await {
+            Ok(Ok(Received::Bytes)) if has_event(&opened.buffer) => return Next::Event,
+            Ok(Ok(Received::Bytes)) if is_too_long(&opened.buffer) => return Next::Cut,
+            Ok(Ok(Received::Bytes)) => {}
+            Ok(Ok(Received::Cut)) => return Next::Cut,
+            Ok(Ok(Received::End)) => return Next::End,
             Ok(Err(_)) => {}
             Err(_) => return Next::Nothing,
         }
