Pace the parts of a roster by the controller's room

A new process fetches the roster in parts of 128 upstreams. From 94 instances on, the pause between two parts was as long as the poll's period, whatever the leader had to do: 24 parts and 5.75 s for 3,000 upstreams, 11.5 s for 6,000, while requests that found no path waited.

Now each part says how soon the next one may be fetched: after 20 ms while there is room, and up to 250 ms later the more of 150,000 upstreams a second (11 MB) are used.

spend_one_instance fails with the fixed pause (5.75 s and 11.5 s, 2 s are allowed) and passes now; spend_all_instances bounds what 30, 98 and 300 instances that start at once take.

--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -11,8 +11,9 @@
 
 use super::crash_evidence::{CrashCauses, CrashEvidence};
 use super::order::{EndedOrder, OrderEnd};
+use super::page::{PAGE_UPSTREAMS, PageBudget};
 use super::reports::{CurrentRequest, Reports};
-use crate::clock::{Time, micros};
+use crate::clock::{Time, micros, millis};
 use crate::collections::HashMap;
 use crate::configuration::{Configuration, Model};
 use crate::decide::load::unit_hash;
@@ -49,11 +50,6 @@
 /// Maximum number of departures sent to an entry instance: those of the last minutes.
 const MAX_DEPARTED: usize = 64;
 
-/// Maximum number of upstreams in one sync reply, at about 75 bytes each. 300 instances
-/// that all resync four times a second receive 11 MB a second, half of a controller's link.
-/// The fleets in use today fit into one reply.
-const PAGE_UPSTREAMS: usize = 128;
-
 /// An order to an engine to hold a range of layers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct PlacementOrder {
@@ -120,6 +116,7 @@
     /// Number of the register's departures that are applied to the roster.
     departures_seen: u64,
     reports: Reports,
+    page_budget: PageBudget,
     rotation: Rotation,
     crashes: CrashEvidence,
     rate_limiter: RateLimiter,
@@ -142,6 +139,7 @@
             roster: Roster::new(heartbeat),
             departures_seen: 0,
             reports: Reports::default(),
+            page_budget: PageBudget::new(),
             rotation: Rotation::default(),
             crashes: CrashEvidence::default(),
             rate_limiter: RateLimiter::default(),
@@ -326,7 +324,12 @@
     }
 
     /// Returns the next page of roster changes that the sender of `request` lacks.
-    fn roster_delta(&self, now: Time, request: &SyncRequest, register: &Register) -> RosterDelta {
+    fn roster_delta(
+        &mut self,
+        now: Time,
+        request: &SyncRequest,
+        register: &Register,
+    ) -> RosterDelta {
         let changes = self.roster.changes();
         let known = if request.term == self.term {
             request.revision
@@ -350,6 +353,8 @@
         let more = changes.after(revision).next().is_some();
         let complete = !more && self.is_complete(now);
         let departed = if complete { 0 } else { MAX_DEPARTED };
+        let sent = upstreams.len() + removed.len();
+        let pause = self.page_budget.spend(now, sent);
         RosterDelta {
             term: self.term,
             since,
@@ -359,6 +364,7 @@
             upstreams,
             removed,
             more,
+            pause_ms: millis(pause) as u32,
             departed: register.latest_departed(departed),
         }
     }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -42,6 +42,7 @@
 mod measure;
 pub(crate) mod order;
 mod pace;
+pub(crate) mod page;
 mod place;
 mod quarantine;
 pub(crate) mod reports;
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -23,8 +23,8 @@
 /// Pause before the next controller is polled after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
-/// Pause between polls while the leader has more to send, or while a newly started instance
-/// doesn't know all upstreams. Requests wait for the result.
+/// Pause between polls while a newly started instance doesn't know all upstreams. Requests wait for
+/// the result.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(80);
 
 /// Number of entry instances up to which [`CATCH_UP_PAUSE`] applies. With more of them the pause
@@ -85,8 +85,10 @@
     /// Pause after a successful poll.
     fn pause(&self) -> Duration {
         let view = self.view();
-        let starting = view_wait::is_starting(self.started, self.now()) && !view.is_complete();
-        if !starting && !view.has_more() {
+        if let Some(pause) = view.more_after() {
+            return pause.min(self.poll_interval);
+        }
+        if !view_wait::is_starting(self.started, self.now()) || view.is_complete() {
             return self.poll_interval;
         }
         let instances = view
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -78,8 +78,8 @@
     revision: u64,
     /// Whether `services` holds every live upstream.
     complete: bool,
-    /// Whether the leader had more of the roster to send.
-    more: bool,
+    /// Pause before the rest of the roster may be requested, if there is more.
+    more: Option<Duration>,
     /// Upstreams in `services` that the leader hasn't reported since it began to send the
     /// roster from the start. Empty once the roster is complete.
     unreported: Arc<HashSet<Arc<str>>>,
@@ -118,7 +118,7 @@
             term: 0,
             revision: 0,
             complete: false,
-            more: false,
+            more: None,
             unreported: Arc::default(),
             quarantine: Arc::default(),
             quarantine_checksum: 0,
@@ -172,8 +172,8 @@
         self.complete
     }
 
-    /// Whether the leader has more of the roster to send already.
-    pub(crate) fn has_more(&self) -> bool {
+    /// Returns the pause before the rest of the roster may be requested, if there is more.
+    pub(crate) fn more_after(&self) -> Option<Duration> {
         self.more
     }
 
@@ -314,7 +314,8 @@
         self.term = record.term;
         self.revision = record.revision;
         self.complete = record.complete;
-        self.more = record.more;
+        let pause = Duration::from_millis(record.pause_ms.into());
+        self.more = record.more.then_some(pause);
     }
 }
 
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -291,9 +291,12 @@
     /// Ids of upstreams removed from the roster.
     #[prost(string, repeated, tag = "7")]
     pub(crate) removed: Vec<String>,
-    /// Whether further changes can be requested at once.
+    /// Whether there are further changes.
     #[prost(bool, tag = "8")]
     pub(crate) more: bool,
+    /// Milliseconds after which further changes may be requested.
+    #[prost(uint32, tag = "9")]
+    pub(crate) pause_ms: u32,
 }
 
 /// One upstream.
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -29,6 +29,7 @@
 mod limit;
 mod metric;
 mod order;
+mod page;
 mod peer;
 mod platform;
 mod pool;
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -381,7 +381,7 @@
         most = most.max(state.encoded_len());
         let current = view.check(state).expect("a response that fits the view");
         view.apply(now, current, HEARTBEAT);
-        if !view.has_more() {
+        if view.more_after().is_none() {
             return most;
         }
     }
--- a/src/tests/view.rs
+++ b/src/tests/view.rs
@@ -151,13 +151,13 @@
     let mut first = roster(2, 1, false, &["a"]);
     first.more = true;
     assert!(apply(&mut view, at(100), with(first)));
-    assert!(view.has_more());
+    assert!(view.more_after().is_some());
     assert_eq!(ids(&view), ["a", "b", "c"]);
     let mut last = roster(2, 2, true, &["b"]);
     last.since = 1;
     assert!(apply(&mut view, at(200), with(last)));
     assert_eq!(ids(&view), ["a", "b"]);
-    assert!(view.is_complete() && !view.has_more());
+    assert!(view.is_complete() && view.more_after().is_none());
 }
 
 #[test]
