Let followers answer entry instances

Cause: all 984 instances polled one process. Its messages grow with the instances and its bytes with instances times engines, while nine controllers that hold the same log answered NotLeader.

Now each follower holds a copy of what the leader tells, asks for changes every 100 ms with the sums of its instances' reports, and answers instances as the leader would have when a quorum last confirmed it. The leader names the followers that hold everything; each instance polls one of its failure domain. Up to 100 instances nothing changes.

--- /dev/null
+++ b/src/controller/follow.rs
@@ -0,0 +1,89 @@
+//! Follows the leader, so that this controller can answer entry instances.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use super::Controller;
+use crate::event;
+use crate::id::InstanceId;
+use crate::message::{Answer, Ask, Request};
+use crate::role;
+
+/// Interval between two requests to the leader while followers answer entry instances. What they
+/// tell is older by at most this time than what the leader would tell.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Interval while the leader answers all entry instances itself.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval while the leader has more of the roster to send.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Timeout for the leader's reply. A lost packet is retransmitted after 200 ms.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+impl Controller {
+    /// Follows the leader for as long as the controller runs.
+    pub(super) async fn follow_leader(self: Arc<Self>) {
+        let mut changes = self.voter.leader_changes();
+        let seeds = role::seeds(&self.boot);
+        let mut hint = None;
+        for round in 0.. {
+            if self.shutting_down.load(Ordering::Relaxed) {
+                return;
+            }
+            let known = self.leader_info().leader.or(hint);
+            let fallback = seeds.get(round % seeds.len().max(1)).copied();
+            let target = known.or(fallback).filter(|id| *id != self.id());
+            let interval = match target {
+                Some(leader) if self.leader_info().term.is_none() => {
+                    hint = self.poll_leader(leader).await;
+                    self.poll_interval()
+                }
+                _ => POLL_INTERVAL,
+            };
+            let _ = timeout(interval, changes.changed()).await;
+        }
+    }
+
+    fn poll_interval(&self) -> Duration {
+        let follower = self.follower();
+        match (follower.delegated(), follower.has_more()) {
+            (_, true) => CATCH_UP_INTERVAL,
+            (true, false) => POLL_INTERVAL,
+            (false, false) => IDLE_INTERVAL,
+        }
+    }
+
+    /// Sends the leader a request and applies the reply. Returns the leader to ask next, if known.
+    async fn poll_leader(&self, leader: InstanceId) -> Option<InstanceId> {
+        let (request, report) = self.follower().request(self.now());
+        let request = Request {
+            ask: Some(Ask::Sync(Box::new(request))),
+        };
+        let reply = self.peers.call(leader, request, ANSWER_TIMEOUT).await;
+        match reply.ok()?.answer? {
+            Answer::Sync(reply) => {
+                let now = self.now();
+                let mut follower = self.follower();
+                let (term, version) = (reply.term, reply.version);
+                match follower.check(*reply) {
+                    Some(current) => follower.apply(now, &report, current),
+                    None => tracing::info!(
+                        event = event::SYNC_REJECTED.id,
+                        leader = leader.0,
+                        term,
+                        version,
+                        "response of a controller rejected"
+                    ),
+                }
+                Some(leader)
+            }
+            Answer::NotLeader(hint) if hint != 0 => Some(InstanceId(hint)),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/follower.rs
@@ -0,0 +1,281 @@
+//! State of a following controller: what the leader last sent, and the reports of the entry
+//! instances that this controller answers. Does no I/O.
+//!
+//! A follower answers as the leader would have when it was last confirmed. It answers nobody once
+//! that confirmation is too old: it may be cut off, paused, or follow a deposed leader.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use self::evidence::HeldEvidence;
+use self::roster_copy::RosterCopy;
+use super::page::{PAGE_UPSTREAMS, PageBudget};
+use super::reports::{CurrentRequest, Reports};
+use crate::clock::{Time, micros, millis};
+use crate::decide::load::unit_hash;
+use crate::decide::rate::RateLimiter;
+use crate::sync::{
+    ControllerRecord, LimitRecord, QuarantineRecord, RosterDelta, SyncReply, SyncRequest,
+};
+
+mod evidence;
+mod roster_copy;
+
+/// Who a follower is.
+#[derive(Clone, Debug)]
+pub(crate) struct Identity {
+    pub(crate) instance: u64,
+    pub(crate) domain: String,
+    /// Start of the process, in milliseconds since 1970.
+    pub(crate) born: u64,
+    /// Random number that identifies its change log of the roster; see [`RosterDelta::source`].
+    pub(crate) source: u64,
+}
+
+/// What a request to the leader contained, for its reply.
+#[derive(Debug)]
+pub(crate) struct SentReport {
+    sent: Time,
+    runs: Vec<(u64, u64, u64)>,
+}
+
+/// A reply of the leader that [`Follower::check`] found usable.
+///
+/// Everything that a reply changes takes this type, so that one of a deposed leader changes
+/// nothing.
+#[derive(Debug)]
+pub(crate) struct CurrentLeaderReply(SyncReply);
+
+/// Latest state of the leader.
+#[derive(Debug, Default)]
+struct LeaderCopy {
+    term: u64,
+    /// A quorum confirmed at this time, or later, that the state was current.
+    confirmed: Option<Time>,
+    version: u64,
+    /// Compressed configuration.
+    body: Option<Bytes>,
+    entries: u32,
+    /// See [`SyncReply::entries_known`].
+    counted: bool,
+    voters: Vec<u64>,
+    suspects: Vec<Vec<u8>>,
+    controllers: Vec<ControllerRecord>,
+    quarantine: QuarantineRecord,
+    /// When `quarantine` was requested: its remaining times count from then.
+    quarantine_at: Time,
+}
+
+/// State of a following controller.
+pub(crate) struct Follower {
+    identity: Identity,
+    /// Number of the latest request to the leader.
+    sequence: u64,
+    leader: LeaderCopy,
+    roster: RosterCopy,
+    page_budget: PageBudget,
+    reports: Reports,
+    evidence: HeldEvidence,
+    rate_limiter: RateLimiter,
+}
+
+impl Follower {
+    /// Creates a state without anything from a leader.
+    pub(crate) fn new(identity: Identity) -> Self {
+        Self {
+            identity,
+            sequence: 0,
+            leader: LeaderCopy::default(),
+            roster: RosterCopy::default(),
+            page_budget: PageBudget::new(),
+            reports: Reports::default(),
+            evidence: HeldEvidence::default(),
+            rate_limiter: RateLimiter::default(),
+        }
+    }
+
+    /// Returns the next request to the leader, and what [`Self::apply`] needs of it.
+    pub(crate) fn request(&mut self, now: Time) -> (SyncRequest, SentReport) {
+        self.reports.tick(now);
+        self.sequence += 1;
+        let (source, revision) = self.roster.position();
+        let mut request = SyncRequest {
+            instance: self.identity.instance,
+            born: self.identity.born,
+            sequence: self.sequence,
+            version: self.leader.version,
+            source,
+            revision,
+            complete: self.roster.is_complete(),
+            quarantine_checksum: self.leader.quarantine.checksum,
+            ..SyncRequest::default()
+        };
+        let ready = self.is_ready();
+        self.reports
+            .add_sums(&self.identity.domain, ready, &mut request);
+        request.limits = self.limit_records(now, self.identity.instance);
+        let runs = self.evidence.add_to(now, &mut request);
+        (request, SentReport { sent: now, runs })
+    }
+
+    /// Checks whether a reply of the leader can be used. Returns `None` if it comes from a deposed
+    /// leader or doesn't fit this state.
+    pub(crate) fn check(&self, reply: SyncReply) -> Option<CurrentLeaderReply> {
+        let deposed = reply.term < self.leader.term || reply.version < self.leader.version;
+        let unknown = reply.version > self.leader.version && reply.body.is_none();
+        let fits = reply.roster.as_ref().is_none_or(|r| self.roster.fits(r));
+        (!deposed && !unknown && fits).then_some(CurrentLeaderReply(reply))
+    }
+
+    /// Applies a checked reply to the request that `report` describes.
+    pub(crate) fn apply(&mut self, now: Time, report: &SentReport, current: CurrentLeaderReply) {
+        let CurrentLeaderReply(reply) = current;
+        if reply.term != self.leader.term {
+            self.evidence.enter_term();
+        }
+        self.evidence.acknowledge(&report.runs);
+        self.evidence.retain_suspects(&reply.suspects);
+        for limit in &reply.limits {
+            self.apply_limit(now, limit);
+        }
+        if let Some(roster) = reply.roster {
+            self.roster.merge(roster);
+        }
+        if let Some(load) = &reply.work {
+            self.reports.set_remote(load);
+        }
+        self.reports.set_remote_carriers(&reply.proxies);
+        let leader = &mut self.leader;
+        if let Some(body) = reply.body {
+            leader.body = Some(body);
+        }
+        if let Some(quarantine) = reply.quarantine {
+            leader.quarantine = quarantine;
+            leader.quarantine_at = report.sent;
+        }
+        leader.term = reply.term;
+        leader.version = reply.version;
+        leader.entries = reply.entries;
+        leader.counted = reply.entries_known;
+        leader.voters = reply.voters;
+        leader.suspects = reply.suspects;
+        leader.controllers = reply.controllers;
+        leader.confirmed = Some(report.sent - Duration::from_micros(reply.age));
+    }
+
+    /// Whether this state holds all that the leader had to send.
+    fn is_ready(&self) -> bool {
+        self.leader.confirmed.is_some() && !self.roster.has_more()
+    }
+
+    /// Whether the leader refers entry instances to its followers.
+    pub(crate) fn delegated(&self) -> bool {
+        !self.leader.controllers.is_empty()
+    }
+
+    /// Whether the leader has more of the roster to send.
+    pub(crate) fn has_more(&self) -> bool {
+        self.roster.has_more()
+    }
+
+    /// Answers a sync request of an entry instance, if the state of the leader was confirmed less
+    /// than `max_age` ago and it refers instances to its followers.
+    pub(crate) fn answer(
+        &mut self,
+        now: Time,
+        request: SyncRequest,
+        max_age: Duration,
+    ) -> Option<SyncReply> {
+        let age = now.since(self.leader.confirmed?);
+        if age >= max_age || !self.delegated() || !self.is_ready() {
+            return None;
+        }
+        let current = self.reports.check(request)?;
+        let roster = self.roster_delta(now, current.request());
+        let request = current.request();
+        let instance = request.instance;
+        let version = self.leader.version;
+        let body = self.leader.body.clone();
+        let quarantine = (request.quarantine_checksum != self.leader.quarantine.checksum)
+            .then(|| self.quarantine(now));
+        let body = body.filter(|_| request.version != version);
+        let cut_received = self.record(now, current);
+        Some(SyncReply {
+            age: micros(age),
+            version,
+            body,
+            roster,
+            work: self.reports.others_load(now, instance),
+            entries: self.leader.entries,
+            voters: self.leader.voters.clone(),
+            entries_known: self.leader.counted,
+            term: self.leader.term,
+            suspects: self.leader.suspects.clone(),
+            quarantine,
+            limits: self.limit_records(now, instance),
+            proxies: self.reports.proxies(instance),
+            controllers: self.leader.controllers.clone(),
+            cut_received,
+        })
+    }
+
+    /// Records what an instance reports. Returns what the leader has of its cut runs.
+    fn record(&mut self, now: Time, current: CurrentRequest) -> Option<u64> {
+        let request = current.request();
+        self.evidence.record(now, request);
+        let received = self.evidence.unreceived(request);
+        let limits = request.limits.clone();
+        for limit in &limits {
+            self.apply_limit(now, limit);
+        }
+        self.reports.record(now, current);
+        received
+    }
+
+    fn apply_limit(&mut self, now: Time, limit: &LimitRecord) {
+        let (address, update) = (limit.address, limit.update(now));
+        let instances = self.leader.entries;
+        self.rate_limiter
+            .apply(now, address, update, instances, 0.0);
+    }
+
+    /// Returns a subset of the latest limit updates, for a message to `instance`.
+    fn limit_records(&self, now: Time, instance: u64) -> Vec<LimitRecord> {
+        let draw = unit_hash(now.0.wrapping_add(instance));
+        let updates = self.rate_limiter.message_updates(draw);
+        let record = |(address, update)| LimitRecord::new(now, address, update);
+        updates.map(record).collect()
+    }
+
+    /// Returns the next page of roster changes that an instance lacks, if it lacks any.
+    fn roster_delta(&mut self, now: Time, request: &SyncRequest) -> Option<RosterDelta> {
+        let source = self.identity.source;
+        let known = match request.source == source {
+            true => request.revision,
+            false => 0,
+        };
+        let up_to_date = request.source == source
+            && request.revision == self.roster.last_change()
+            && request.complete == self.roster.is_complete();
+        if up_to_date {
+            return None;
+        }
+        let page = self.roster.page(known, PAGE_UPSTREAMS);
+        let pause = self.page_budget.spend(now, page.ids.len());
+        Some(RosterDelta {
+            pause_ms: millis(pause) as u32,
+            ..self.roster.delta(source, &page)
+        })
+    }
+
+    /// Returns the quarantine, with the remaining times as of `now`.
+    fn quarantine(&self, now: Time) -> QuarantineRecord {
+        let mut record = self.leader.quarantine.clone();
+        let passed = now.since(self.leader.quarantine_at).as_millis() as u64;
+        for request in &mut record.requests {
+            request.remaining_ms = request.remaining_ms.saturating_sub(passed);
+        }
+        record
+    }
+}
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -27,7 +27,9 @@
     AnnounceOutcome, Announcement, CurrentAnnouncement, LOST_HEARTBEATS, LayerRange,
     RefreshOutcome, Roster, RosterEntry,
 };
-use crate::sync::{LimitRecord, RosterDelta, SyncReply, SyncRequest, UpstreamRecord, address_key};
+use crate::sync::{
+    ControllerRecord, LimitRecord, RosterDelta, SyncReply, SyncRequest, UpstreamRecord, address_key,
+};
 
 /// Heartbeat periods after which a new leader has received a heartbeat of every live
 /// upstream: an upstream whose call fails tries the next instance within a second.
@@ -50,6 +52,10 @@
 /// Maximum number of departures sent to an entry instance: those of the last minutes.
 const MAX_DEPARTED: usize = 64;
 
+/// Number of entry instances up to which the leader answers all of them itself. With more, it
+/// refers them to its followers, so that its own work doesn't grow with their number.
+const MAX_DIRECT_ENTRIES: usize = 100;
+
 /// An order to an engine to hold a range of layers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct PlacementOrder {
@@ -270,7 +276,7 @@
         let request = current.request();
         let current_version = configuration.as_ref().map_or(0, |c| c.version);
         let other_version = configuration.filter(|c| c.version != request.version);
-        let up_to_date = request.term == self.term
+        let up_to_date = request.source == self.term
             && request.revision == self.roster.changes().revision()
             && request.complete == self.is_complete(now);
         let roster = (!up_to_date).then(|| self.roster_delta(now, request, register));
@@ -284,15 +290,35 @@
             work: self.reports.others_load(now, instance),
             entries: self.reports.len() as u32,
             voters: Vec::new(),
-            entries_known: now.since(self.term_start) >= ENTRIES_KNOWN_AFTER,
+            entries_known: self.entries_known(now),
             term: self.term,
             suspects: self.crashes.suspects().map(Fingerprint::bytes).collect(),
             quarantine: None,
             limits: self.limit_records(now, instance),
             proxies: self.reports.proxies(instance),
+            controllers: self.delegates(now),
+            cut_received: None,
         }
     }
 
+    /// Returns the followers that answer entry instances; none while the leader answers all itself.
+    fn delegates(&self, now: Time) -> Vec<ControllerRecord> {
+        if !self.entries_known(now) || self.reports.len() <= MAX_DIRECT_ENTRIES {
+            return Vec::new();
+        }
+        let followers = self.reports.followers().into_iter();
+        let record = |(id, domain): (u64, &str)| ControllerRecord {
+            id,
+            domain: domain.to_owned(),
+        };
+        followers.map(record).collect()
+    }
+
+    /// Whether every entry instance has reported in this term, directly or to a follower.
+    fn entries_known(&self, now: Time) -> bool {
+        now.since(self.term_start) >= ENTRIES_KNOWN_AFTER
+    }
+
     /// Records what an instance reports.
     fn record_sync(&mut self, now: Time, current: CurrentRequest) {
         self.crashes.record(now, &current);
@@ -330,42 +356,26 @@
         request: &SyncRequest,
         register: &Register,
     ) -> RosterDelta {
-        let changes = self.roster.changes();
-        let known = if request.term == self.term {
-            request.revision
-        } else {
-            0
+        let known = match request.source == self.term {
+            true => request.revision,
+            false => 0,
         };
-        let since = changes.resume_point(known);
-        let page = changes.after(since).take(PAGE_UPSTREAMS);
-        let (mut upstreams, mut removed) = (Vec::new(), Vec::new());
-        let mut revision = since;
-        for (changed, id) in page {
-            revision = changed;
-            match self.roster.get(id) {
-                Some(e) => upstreams.push(UpstreamRecord::new(
-                    e,
-                    self.retained_layers(&e.announcement),
-                )),
-                None => removed.push(id.to_string()),
-            }
-        }
-        let more = changes.after(revision).next().is_some();
-        let complete = !more && self.is_complete(now);
+        let page = self.roster.changes().page(known, PAGE_UPSTREAMS);
+        let pause = self.page_budget.spend(now, page.ids.len());
+        let record = |id: &str| {
+            let entry = self.roster.get(id)?;
+            Some(UpstreamRecord::new(
+                entry,
+                self.retained_layers(&entry.announcement),
+            ))
+        };
+        let complete = !page.more && self.is_complete(now);
         let departed = if complete { 0 } else { MAX_DEPARTED };
-        let sent = upstreams.len() + removed.len();
-        let pause = self.page_budget.spend(now, sent);
         RosterDelta {
-            term: self.term,
-            since,
-            // Changes that were superseded by later ones are no longer listed.
-            revision: if more { revision } else { changes.revision() },
             complete,
-            upstreams,
-            removed,
-            more,
             pause_ms: millis(pause) as u32,
             departed: register.latest_departed(departed),
+            ..RosterDelta::from_page(self.term, &page, record)
         }
     }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -13,9 +13,10 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
+use self::follower::{Follower, Identity};
 use self::leader::LeaderState;
 use crate::auth::FleetKey;
-use crate::clock::{Clock, SystemClock, Time, millis};
+use crate::clock::{Clock, SystemClock, Time, millis, wall_millis};
 use crate::configuration::RoutingTable;
 use crate::decide::members;
 use crate::error::{ListenSnafu, Result};
@@ -37,6 +38,8 @@
 
 mod call;
 mod crash_evidence;
+mod follow;
+pub(crate) mod follower;
 mod heartbeat;
 pub(crate) mod leader;
 mod measure;
@@ -100,6 +103,8 @@
     peers: Peers,
     register: Register,
     leader_state: Mutex<LeaderState>,
+    /// State while another controller leads. Locked before `leader_state` where both are.
+    follower: Mutex<Follower>,
     /// Heartbeats to forward to the leader.
     relay: Mutex<Relay<heartbeat::AckSender>>,
     /// Notified when a heartbeat is added to `relay`.
@@ -224,6 +229,12 @@
         peers: peers.clone(),
         register,
         leader_state: Mutex::new(LeaderState::new(boot.heartbeat)),
+        follower: Mutex::new(Follower::new(Identity {
+            instance: role::instance_id(boot.ip).0,
+            domain: boot.domain.clone(),
+            born: wall_millis(),
+            source: rand::random(),
+        })),
         relay: Mutex::default(),
         relay_notify: Notify::new(),
         confirmation: Mutex::default(),
@@ -237,6 +248,7 @@
     tokio::spawn(Arc::clone(&controller).confirm());
     tokio::spawn(Arc::clone(&controller).maintain());
     tokio::spawn(Arc::clone(&controller).forward_heartbeats());
+    tokio::spawn(Arc::clone(&controller).follow_leader());
     Ok(Ok((controller, thread)))
 }
 
@@ -316,6 +328,10 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn follower(&self) -> MutexGuard<'_, Follower> {
+        self.follower.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the state of the current term, if this controller leads.
     fn state_if_leading(&self) -> Option<MutexGuard<'_, LeaderState>> {
         let term = self.leader_info().term?;
@@ -503,7 +519,7 @@
     fn sync(&self, request: SyncRequest) -> Answer {
         let (Some(age), Some(mut state)) = (self.confirmation_age(), self.state_if_leading())
         else {
-            return Answer::NotLeader(self.leader_info().leader.map_or(0, |l| l.0));
+            return self.sync_as_follower(request);
         };
         let current = self.compressed_configuration();
         let known_quarantine = request.quarantine_checksum;
@@ -529,6 +545,22 @@
     }
 }
 
+impl Controller {
+    /// Answers a sync request of an entry instance if this controller follows the leader closely,
+    /// or returns the leader.
+    fn sync_as_follower(&self, request: SyncRequest) -> Answer {
+        let leads = self.leader_info().term.is_some();
+        if !leads && request.follower.is_none() {
+            let now = self.now();
+            let reply = self.follower().answer(now, request, MAX_CONFIRMATION_AGE);
+            if let Some(reply) = reply {
+                return Answer::Sync(Box::new(reply));
+            }
+        }
+        Answer::NotLeader(self.leader_info().leader.map_or(0, |l| l.0))
+    }
+}
+
 impl Handler for ControllerSlot {
     fn deliver(&self, message: Message) {
         if let Some(controller) = self.0.load_full() {
@@ -538,7 +570,7 @@
 
     fn request(&self, request: Request, reply: ReplySink) {
         let answer = match (request.ask, self.0.load_full()) {
-            (Some(Ask::Sync(request)), Some(controller)) => controller.sync(request),
+            (Some(Ask::Sync(request)), Some(controller)) => controller.sync(*request),
             (Some(Ask::Heartbeats(batch)), Some(controller)) => {
                 controller.receive_heartbeats(batch)
             }
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -1,5 +1,8 @@
-//! Loads that entry instances report to the leading controller, and the load of the other
-//! instances that each is sent in return.
+//! Loads that entry instances report to a controller, and the load of the other instances that
+//! each is sent in return.
+//!
+//! The leader also receives the sums of its followers. A follower adds what the leader sends of
+//! the instances that it doesn't answer itself.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -9,7 +12,10 @@
 use crate::collections::HashMap;
 use crate::decide::admission::RankCounts;
 use crate::decide::proxies::MAX_PROXIES;
-use crate::sync::{FleetLoad, Load, RankDemand, SyncRequest, address_from_key};
+use crate::sync::{
+    FleetLoad, FollowerReport, Load, RankDemand, SuspectCount, SyncRequest, address_from_key,
+    address_key,
+};
 
 mod carriers;
 
@@ -28,6 +34,13 @@
 /// Encoded size of one engine's load, in bytes.
 const LOAD_BYTES: f64 = 20.0;
 
+/// Minimum period at which a follower is sent the load of the others. It polls several times
+/// within it, but sends loads on to an instance no more often.
+const FOLLOWER_LOAD_PERIOD: Duration = Duration::from_millis(250);
+
+/// Maximum number of instances that a follower names as able to carry requests.
+const MAX_CARRIERS: usize = 32;
+
 /// A sync request of which [`Reports::check`] found no newer one from the same instance.
 ///
 /// Everything that a request changes takes this type, so that a request that its sender gave up
@@ -41,7 +54,7 @@
     }
 }
 
-/// Latest report of one instance.
+/// Latest report of one entry instance or follower.
 struct Report {
     at: Time,
     /// See [`SyncRequest::born`].
@@ -49,8 +62,10 @@
     /// See [`SyncRequest::sequence`].
     sequence: u64,
     loads: Vec<Load>,
-    /// Address keys of upstreams at which requests failed.
-    suspects: Vec<u64>,
+    /// Upstreams at which requests failed.
+    suspects: Vec<SuspectCount>,
+    /// Instances that the report covers, in the follower's case.
+    follower: Option<FollowerReport>,
     /// Number of requests that asked it for free memory on engines.
     room_requests: u32,
     /// Demand by rank.
@@ -59,10 +74,25 @@
     last_sent: Option<Time>,
 }
 
+impl Report {
+    /// Number of entry instances that the report covers.
+    fn entries(&self) -> u32 {
+        self.follower.as_ref().map_or(1, |f| f.entries)
+    }
+}
+
 /// Latest reports and their sums.
 #[derive(Default)]
 pub(crate) struct Reports {
     latest: HashMap<u64, Report>,
+    /// Number of entry instances that `latest` covers.
+    entries: u32,
+    /// Load of the instances that other controllers answer; none at the leader.
+    remote: HashMap<u64, Load>,
+    /// The other sums of those instances.
+    remote_demand: Demand,
+    /// Some of those instances that can carry requests.
+    remote_carriers: Vec<u64>,
     /// Sums of the loads in `latest`, by engine. Updated with each report: summing up for each
     /// reply takes time quadratic in the number of instances.
     sums: HashMap<u64, Load>,
@@ -70,12 +100,19 @@
     room_requests: u32,
     /// Sums of `ranks` in `latest`.
     ranks: RankSums,
-    /// Instances in `latest`, by whether they can carry requests of others.
+    /// Instances that may carry requests of others.
     carriers: Carriers,
     /// Number of loads that were read to answer instances.
     loads_read: u64,
 }
 
+/// Demand of the instances that other controllers answer.
+#[derive(Default)]
+struct Demand {
+    room_requests: u32,
+    ranks: RankSums,
+}
+
 /// Demand by rank, by service. It has no entries for services without demand.
 #[derive(Default)]
 struct RankSums(HashMap<String, RankCounts>);
@@ -113,9 +150,21 @@
 }
 
 impl Reports {
-    /// Returns the number of instances with a valid report.
+    /// Returns the number of entry instances that valid reports cover.
     pub(crate) fn len(&self) -> usize {
-        self.latest.len()
+        self.entries as usize
+    }
+
+    /// Returns the followers with a valid report that can answer instances, and their failure
+    /// domains, ordered by id.
+    pub(crate) fn followers(&self) -> Vec<(u64, &str)> {
+        let followers = self.latest.iter().filter_map(|(id, report)| {
+            let follower = report.follower.as_ref().filter(|f| f.ready)?;
+            Some((*id, follower.domain.as_str()))
+        });
+        let mut followers: Vec<(u64, &str)> = followers.collect();
+        followers.sort_unstable();
+        followers
     }
 
     /// Checks that no newer request of the same instance has been recorded; returns `None` if one
@@ -153,21 +202,47 @@
         if let Some(before) = &before {
             self.subtract(before);
         }
+        let single = |address| SuspectCount {
+            address,
+            instances: 1,
+        };
+        let mut suspects: Vec<_> = request.suspects.into_iter().map(single).collect();
+        match &request.follower {
+            Some(follower) => {
+                suspects.extend(&follower.suspects);
+                let known = before.as_ref().and_then(|b| b.follower.as_ref());
+                self.replace_carriers(known, follower);
+            }
+            None => self.carriers.set(request.instance, request.carries),
+        }
         let report = Report {
             at: now,
             born: request.born,
             sequence: request.sequence,
             loads,
-            suspects: request.suspects,
+            suspects,
+            follower: request.follower,
             room_requests: request.room_requests,
             ranks,
             last_sent: before.and_then(|b| b.last_sent),
         };
-        self.carriers.set(request.instance, request.carries);
+        self.entries += report.entries();
         self.latest.insert(request.instance, report);
     }
 
+    /// Replaces the instances that a follower named as able to carry requests.
+    fn replace_carriers(&mut self, before: Option<&FollowerReport>, now: &FollowerReport) {
+        let gone = before.into_iter().flat_map(|b| &b.carriers);
+        for instance in gone.filter(|id| !now.carriers.contains(id)) {
+            self.carriers.remove(*instance);
+        }
+        for instance in &now.carriers {
+            self.carriers.set(*instance, true);
+        }
+    }
+
     fn subtract(&mut self, report: &Report) {
+        self.entries -= report.entries();
         self.room_requests -= report.room_requests;
         self.ranks.subtract(&report.ranks);
         for load in &report.loads {
@@ -201,8 +276,11 @@
         for instance in silent {
             if let Some(report) = self.latest.remove(&instance) {
                 self.subtract(&report);
+                let named = report.follower.iter().flat_map(|f| &f.carriers);
+                for carrier in named.chain([&instance]) {
+                    self.carriers.remove(*carrier);
+                }
             }
-            self.carriers.remove(instance);
         }
     }
 
@@ -215,20 +293,61 @@
     pub(crate) fn suspects(&self) -> HashMap<SocketAddrV4, usize> {
         let mut suspects = HashMap::default();
         for suspect in self.latest.values().flat_map(|r| &r.suspects) {
-            *suspects.entry(address_from_key(*suspect)).or_default() += 1;
+            let address = address_from_key(suspect.address);
+            *suspects.entry(address).or_default() += suspect.instances as usize;
         }
         suspects
     }
 
+    /// Replaces the load of the instances that other controllers answer, as the leader sent it.
+    pub(crate) fn set_remote(&mut self, load: &FleetLoad) {
+        self.remote = load.loads.iter().map(|l| (l.engine, *l)).collect();
+        self.remote_demand = Demand {
+            room_requests: load.room_requests,
+            ranks: RankSums::new(&load.ranks),
+        };
+    }
+
+    /// Replaces the instances of other controllers that can carry requests.
+    pub(crate) fn set_remote_carriers(&mut self, carriers: &[u64]) {
+        self.remote_carriers = carriers.to_vec();
+    }
+
+    /// Adds the sums of all reports to a follower's request. `ready` tells whether it can answer
+    /// instances.
+    pub(crate) fn add_sums(&mut self, domain: &str, ready: bool, request: &mut SyncRequest) {
+        request.loads = self.sums.values().copied().collect();
+        request.room_requests = self.room_requests;
+        request.ranks = self.ranks.encode();
+        let suspects = self.suspects().into_iter();
+        let suspects = suspects.map(|(address, instances)| SuspectCount {
+            address: address_key(address),
+            instances: u32::try_from(instances).unwrap_or(u32::MAX),
+        });
+        request.follower = Some(FollowerReport {
+            domain: domain.to_owned(),
+            entries: self.entries,
+            suspects: suspects.collect(),
+            carriers: self.carriers.able(request.instance, MAX_CARRIERS),
+            ready,
+        });
+    }
+
     /// Returns the instances that may carry requests of `instance`, at most [`MAX_PROXIES`]: those
     /// that say that they can, or any if there are none, since they may have lost their links to
     /// other services only.
     pub(crate) fn proxies(&mut self, instance: u64) -> Vec<u64> {
-        let named = self.carriers.able(instance, MAX_PROXIES);
-        match named.is_empty() {
-            true => self.carriers.any(instance, MAX_PROXIES),
-            false => named,
+        let mut named = self.carriers.able(instance, MAX_PROXIES);
+        let remote = self.remote_carriers.iter().copied();
+        let remote: Vec<u64> = remote
+            .filter(|id| *id != instance && !named.contains(id))
+            .take(MAX_PROXIES - named.len())
+            .collect();
+        named.extend(remote);
+        if named.is_empty() {
+            named = self.carriers.any(instance, MAX_PROXIES);
         }
+        named
     }
 
     /// Number of records that were read to answer instances, by purpose.
@@ -239,36 +358,60 @@
         ]
     }
 
-    /// Returns the load of all instances but `instance`, if it is due to be sent again.
+    /// Returns the load of all instances but those of `instance`, if it is due to be sent again.
     pub(crate) fn others_load(&mut self, now: Time, instance: u64) -> Option<FleetLoad> {
         let period = self.period();
         let report = self.latest.get_mut(&instance)?;
+        let period = match report.follower {
+            Some(_) => period.max(FOLLOWER_LOAD_PERIOD),
+            None => period,
+        };
         if report.last_sent.is_some_and(|at| now.since(at) < period) {
             return None;
         }
         report.last_sent = Some(now);
-        self.loads_read += self.sums.len() as u64;
+        // A leader's sums contain the follower's own, which it adds itself.
+        let (room_requests, ranks) = match report.follower {
+            Some(_) => {
+                let mut ranks = RankSums::default();
+                ranks.add(&self.ranks);
+                ranks.subtract(&report.ranks);
+                (self.room_requests - report.room_requests, ranks.encode())
+            }
+            None => {
+                let mut ranks = RankSums::default();
+                ranks.add(&self.ranks);
+                ranks.add(&self.remote_demand.ranks);
+                let room_requests = self.room_requests + self.remote_demand.room_requests;
+                (room_requests, ranks.encode())
+            }
+        };
+        self.loads_read += (self.sums.len() + self.remote.len()) as u64;
         let own: HashMap<u64, Load> = report.loads.iter().map(|l| (l.engine, *l)).collect();
-        let others = self.sums.values().filter_map(|sum| {
+        let local = self.sums.values().map(|sum| {
+            let remote = self.remote.get(&sum.engine).copied().unwrap_or_default();
             let own = own.get(&sum.engine).copied().unwrap_or_default();
-            let remaining = Load {
+            Load {
                 engine: sum.engine,
-                memory: sum.memory - own.memory,
-                requests: sum.requests - own.requests,
-                first_hops: sum.first_hops - own.first_hops,
-            };
-            (remaining.requests > 0).then_some(remaining)
+                memory: sum.memory + remote.memory - own.memory,
+                requests: sum.requests + remote.requests - own.requests,
+                first_hops: sum.first_hops + remote.first_hops - own.first_hops,
+            }
         });
+        let only_remote = self.remote.values();
+        let only_remote = only_remote.filter(|l| !self.sums.contains_key(&l.engine));
+        let loads = local.chain(only_remote.copied());
         Some(FleetLoad {
-            loads: others.collect(),
-            room_requests: self.room_requests,
-            ranks: self.ranks.encode(),
+            loads: loads.filter(|l| l.requests > 0).collect(),
+            room_requests,
+            ranks,
         })
     }
 
     /// Returns the period at which one instance is sent the load of the others.
     fn period(&self) -> Duration {
-        let bytes = self.latest.len() as f64 * self.sums.len() as f64 * LOAD_BYTES;
+        let engines = self.sums.len().max(self.remote.len());
+        let bytes = self.latest.len() as f64 * engines as f64 * LOAD_BYTES;
         Duration::from_secs_f64(bytes / MAX_BYTES_PER_S)
     }
 }
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -242,6 +242,7 @@
                 .collect(),
         });
         request.cut = cut.collect();
+        request.last_cut = last;
         let harmless = view.suspects().iter().filter_map(|fingerprint| {
             let at = shared.run_history.last_harmless_of_any(fingerprint)?;
             Some(HarmlessRecord {
@@ -256,8 +257,9 @@
 
     /// Records that a leader received the cut runs up to a sequence number.
     pub(super) fn acknowledge_runs(&self, current: &CurrentReply, last: u64) {
-        let term = current.reply().term;
-        self.shared().run_history.acknowledge(term, last);
+        let reply = current.reply();
+        let last = reply.cut_received.unwrap_or(last);
+        self.shared().run_history.acknowledge(reply.term, last);
     }
 
     /// Removes the cut runs of requests and parts whose quarantine was lifted.
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -1,4 +1,4 @@
-//! Polls the leading controller for changes.
+//! Polls a controller for changes.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -6,6 +6,7 @@
 use rand::RngExt;
 use tokio::time::{sleep, timeout};
 
+use super::targets::Targets;
 use super::view::{CurrentReply, View, of_service};
 use super::{Entry, Shared};
 use crate::clock::Time;
@@ -31,41 +32,10 @@
 /// grows in proportion, so that the leader's total rate stays the same.
 const CATCH_UP_ENTRIES: u32 = 30;
 
-/// Controllers to poll: the leader if known, otherwise all in turn.
-struct Targets {
-    known: Vec<InstanceId>,
-    leader: Option<InstanceId>,
-    position: usize,
-}
-
-impl Targets {
-    fn next(&mut self) -> Option<InstanceId> {
-        if self.leader.is_some() {
-            return self.leader;
-        }
-        self.position += 1;
-        let at = self.position.checked_rem(self.known.len())?;
-        Some(self.known[at])
-    }
-
-    /// Adds controllers that aren't known yet.
-    fn add(&mut self, more: impl Iterator<Item = InstanceId>) {
-        for id in more {
-            if !self.known.contains(&id) {
-                self.known.push(id);
-            }
-        }
-    }
-}
-
 impl Entry {
     /// Keeps the view up to date for the lifetime of the instance.
     pub(super) async fn follow(self: Arc<Self>) {
-        let mut targets = Targets {
-            known: role::seeds(&self.boot),
-            leader: None,
-            position: usize::try_from(self.id.0).unwrap_or(0) % 7,
-        };
+        let mut targets = Targets::new(self.id, &self.boot.domain, role::seeds(&self.boot));
         let mut failures = 0;
         for sequence in 1.. {
             if self.poll_controller(&mut targets, sequence).await {
@@ -75,7 +45,7 @@
             }
             failures += 1;
             // No known controller responds; the settings file may list others by now.
-            if failures % (targets.known.len().max(1) * 2) == 0 {
+            if failures % (targets.count().max(1) * 2) == 0 {
                 targets.add(self.reread_seeds().into_iter());
             }
             sleep(RETRY_PAUSE).await;
@@ -105,38 +75,36 @@
 
     /// Polls one controller. Returns whether it confirmed the view.
     async fn poll_controller(&self, targets: &mut Targets, sequence: u64) -> bool {
-        let Some(target) = targets.next() else {
+        let sent = self.now();
+        let Some(target) = targets.next(sent) else {
             return false;
         };
-        let sent = self.now();
         let mut sync = self.sync_request(sequence);
         let last_cut = self.add_run_reports(&mut sync);
         sync.limits = self.limit_records();
         let request = Request {
-            ask: Some(Ask::Sync(sync)),
+            ask: Some(Ask::Sync(Box::new(sync))),
         };
         let answer = self.peers.call(target, request, ANSWER_TIMEOUT).await;
         match answer.map(|r| r.answer) {
             Ok(Some(Answer::Sync(reply))) => {
                 // Contacts are useful even from a deposed leader.
                 targets.add(reply.voters.iter().copied().map(InstanceId));
-                let current = self.check_reply(target, *reply);
-                targets.leader = current.is_some().then_some(target);
-                let Some(current) = current else {
+                let Some(current) = self.check_reply(target, *reply) else {
+                    targets.fail(self.now(), target, None);
                     return false;
                 };
+                targets.succeed(self.now(), target, &current.reply().controllers);
                 self.apply_reply(target, sent, last_cut, current);
                 true
             }
             Ok(Some(Answer::NotLeader(hint))) => {
-                let hint = InstanceId(hint);
-                let useful = hint.0 != 0 && hint != target;
-                targets.add(useful.then_some(hint).into_iter());
-                targets.leader = useful.then_some(hint);
+                let leader = (hint != 0).then_some(InstanceId(hint));
+                targets.fail(self.now(), target, leader);
                 false
             }
             _ => {
-                targets.leader = None;
+                targets.fail(self.now(), target, None);
                 false
             }
         }
@@ -153,7 +121,7 @@
                 leader = leader.0,
                 term,
                 version,
-                known_term = view.roster().0,
+                known_term = view.term(),
                 known_version = view.version(),
                 "response of a controller rejected"
             );
@@ -219,7 +187,7 @@
 
     fn sync_request(&self, sequence: u64) -> SyncRequest {
         let view = self.view();
-        let (term, revision) = view.roster();
+        let (source, revision) = view.roster();
         let now = self.now();
         let mut shared = self.shared();
         let counts = shared.admission.report(now);
@@ -231,7 +199,7 @@
             born: self.born,
             sequence,
             version: view.version(),
-            term,
+            source,
             revision,
             complete: view.is_complete(),
             loads: shared.loads.report(),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -61,6 +61,7 @@
 mod series;
 mod shed;
 mod stream;
+pub(crate) mod targets;
 pub(crate) mod view;
 mod wait;
 pub(crate) mod waiters;
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -74,7 +74,10 @@
     pub(crate) lease_end: Time,
     /// Number of entry instances, as counted by leaders.
     counts: InstanceCounts,
+    /// Highest term of a leader.
     term: u64,
+    /// Change log that `revision` refers to; see [`RosterDelta::source`].
+    source: u64,
     revision: u64,
     /// Whether `services` holds every live upstream.
     complete: bool,
@@ -116,6 +119,7 @@
             lease_end: Time::default(),
             counts: InstanceCounts::new(window),
             term: 0,
+            source: 0,
             revision: 0,
             complete: false,
             more: None,
@@ -147,9 +151,14 @@
         upstreams.filter(move |u| !has_model || u.layers.is_some_and(|l| l.first == 0))
     }
 
-    /// Term and revision of the roster.
+    /// Highest term of a leader.
+    pub(crate) fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Source and revision of the roster.
     pub(crate) fn roster(&self) -> (u64, u64) {
-        (self.term, self.revision)
+        (self.source, self.revision)
     }
 
     /// Number of entry instances that share the limits over a window.
@@ -237,6 +246,7 @@
         if table.is_some() {
             self.table = table;
         }
+        self.term = self.term.max(reply.term);
         if let Some(record) = reply.roster {
             self.merge_roster(record);
         }
@@ -276,7 +286,7 @@
         let Some(roster) = &reply.roster else {
             return false;
         };
-        roster.since != 0 && (roster.term, roster.since) != self.roster()
+        roster.since != 0 && (roster.source, roster.since) != self.roster()
     }
 
     /// Merges a part of the roster. Until the roster is complete, upstreams that the leader
@@ -311,7 +321,7 @@
         }
         self.services = Arc::new(services);
         self.unreported = Arc::new(unreported);
-        self.term = record.term;
+        self.source = record.source;
         self.revision = record.revision;
         self.complete = record.complete;
         let pause = Duration::from_millis(record.pause_ms.into());
--- a/src/message.rs
+++ b/src/message.rs
@@ -61,7 +61,7 @@
     GroupStatus(GroupStatusRequest),
     /// Fetch the state that an entry instance lacks.
     #[prost(message, tag = "6")]
-    Sync(crate::sync::SyncRequest),
+    Sync(Box<crate::sync::SyncRequest>),
     /// Process heartbeats of upstreams.
     #[prost(message, tag = "7")]
     Heartbeats(crate::relay::Heartbeats),
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -12,7 +12,7 @@
 
 use crate::collections::HashSet;
 use crate::roster::Announcement;
-use crate::sync::{UpstreamRecord, address_from_key, address_key};
+use crate::sync::{UpstreamRecord, address_key};
 
 /// A batch of forwarded heartbeats.
 #[derive(Clone, PartialEq, Message)]
@@ -83,18 +83,7 @@
     /// Returns the announcement, or `None` if the message is incomplete.
     pub(crate) fn announcement(self) -> Option<Announcement> {
         let upstream = self.upstream?;
-        Some(Announcement {
-            layers: upstream.range(),
-            id: upstream.id.as_str().into(),
-            born: upstream.born,
-            sequence: self.sequence,
-            service: upstream.service,
-            address: address_from_key(upstream.address),
-            domain: upstream.domain,
-            slots: upstream.slots,
-            leaving: false,
-            kind: upstream.kind,
-        })
+        Some(upstream.announcement(self.sequence))
     }
 }
 
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -8,7 +8,7 @@
 pub(crate) use self::announcement::{
     AnnounceOutcome, Announcement, CurrentAnnouncement, RefreshOutcome, StaleReason,
 };
-use self::changes::Changes;
+pub(crate) use self::changes::{Changes, Page};
 use crate::clock::Time;
 use crate::collections::HashMap;
 use crate::decide::pace;
--- a/src/roster/changes.rs
+++ b/src/roster/changes.rs
@@ -12,6 +12,18 @@
 /// is replaced. An instance that missed more is sent the full roster.
 const MAX_REMOVED: usize = 4096;
 
+/// A part of the changes.
+pub(crate) struct Page<'a> {
+    /// Revision to which the changes apply; 0 if they begin with an empty roster.
+    pub(crate) since: u64,
+    /// Revision after the changes.
+    pub(crate) revision: u64,
+    /// Whether further changes follow.
+    pub(crate) more: bool,
+    /// Upstreams that changed or were removed, in the order of their latest changes.
+    pub(crate) ids: Vec<&'a Arc<str>>,
+}
+
 /// The latest change of each upstream.
 #[derive(Debug, Default)]
 pub(crate) struct Changes {
@@ -63,13 +75,28 @@
 
     /// Returns the revision from which an instance at revision `known` is updated: `known`,
     /// or 0 if removals after it are no longer kept.
-    pub(crate) fn resume_point(&self, known: u64) -> u64 {
+    fn resume_point(&self, known: u64) -> u64 {
         let usable = known >= self.last_forgotten && known <= self.revision;
         if usable { known } else { 0 }
     }
 
+    /// Returns the next changes that an instance at revision `known` lacks, at most `limit`.
+    pub(crate) fn page(&self, known: u64, limit: usize) -> Page<'_> {
+        let since = self.resume_point(known);
+        let changed: Vec<_> = self.after(since).take(limit).collect();
+        let last = changed.last().map_or(since, |(revision, _)| *revision);
+        let more = self.after(last).next().is_some();
+        Page {
+            since,
+            // Changes that were superseded by later ones are no longer listed.
+            revision: if more { last } else { self.revision },
+            more,
+            ids: changed.into_iter().map(|(_, id)| id).collect(),
+        }
+    }
+
     /// Returns the ids that changed after `revision`, in the order of their changes.
-    pub(crate) fn after(&self, revision: u64) -> impl Iterator<Item = (u64, &Arc<str>)> {
+    fn after(&self, revision: u64) -> impl Iterator<Item = (u64, &Arc<str>)> {
         let later = self.by_revision.range(revision + 1..);
         later.map(|(changed, id)| (*changed, id))
     }
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -1,4 +1,5 @@
-//! Messages by which an entry instance synchronises with the leading controller.
+//! Messages by which entry instances synchronise with a controller, and following controllers
+//! with the leading one.
 
 use std::io::{Read, Write};
 use std::net::SocketAddrV4;
@@ -13,9 +14,10 @@
 use crate::clock::{Time, micros};
 use crate::decide::rate::LimitUpdate;
 use crate::decide::run_history::EngineStart;
-use crate::roster::{Announcement, LayerRange, RosterEntry};
+use crate::roster::{Announcement, LayerRange, Page, RosterEntry};
 
-/// Requests the changes that the sending entry instance lacks, and reports its load.
+/// Requests the changes that the sender lacks, and reports the load of an entry instance, or the
+/// sums of the reports that a following controller received.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct SyncRequest {
     /// Id of the sender.
@@ -24,10 +26,10 @@
     /// Version of the sender's configuration; 0 if it has none.
     #[prost(uint64, tag = "2")]
     pub(crate) version: u64,
-    /// Term of the leader that the sender's roster comes from.
+    /// See [`RosterDelta::source`]; that of the sender's roster.
     #[prost(uint64, tag = "3")]
-    pub(crate) term: u64,
-    /// Revision of the sender's roster in `term`.
+    pub(crate) source: u64,
+    /// Revision of the sender's roster at `source`.
     #[prost(uint64, tag = "4")]
     pub(crate) revision: u64,
     /// Load that the sender's requests put on each engine.
@@ -68,6 +70,52 @@
     /// Demand of the sender's requests by rank, at services that rank them.
     #[prost(message, repeated, tag = "16")]
     pub(crate) ranks: Vec<RankDemand>,
+    /// Sequence number of the last run in `cut`.
+    #[prost(uint64, tag = "17")]
+    pub(crate) last_cut: u64,
+    /// Set by following controllers only.
+    #[prost(message, optional, tag = "18")]
+    pub(crate) follower: Option<FollowerReport>,
+}
+
+/// What a following controller reports in addition, of the entry instances that it answers.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct FollowerReport {
+    /// Failure domain of the controller.
+    #[prost(string, tag = "1")]
+    pub(crate) domain: String,
+    /// Number of the instances.
+    #[prost(uint32, tag = "2")]
+    pub(crate) entries: u32,
+    /// Upstreams that some of them suspect to be dead.
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) suspects: Vec<SuspectCount>,
+    /// Some of those that can carry requests of others.
+    #[prost(uint64, repeated, tag = "4")]
+    pub(crate) carriers: Vec<u64>,
+    /// Whether the controller holds all that the leader had to send, and can answer instances.
+    #[prost(bool, tag = "5")]
+    pub(crate) ready: bool,
+}
+
+/// Number of instances that suspect an upstream to be dead.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(crate) struct SuspectCount {
+    /// Address key of the upstream.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) address: u64,
+    #[prost(uint32, tag = "2")]
+    pub(crate) instances: u32,
+}
+
+/// A controller that answers entry instances.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ControllerRecord {
+    #[prost(uint64, tag = "1")]
+    pub(crate) id: u64,
+    /// Its failure domain.
+    #[prost(string, tag = "2")]
+    pub(crate) domain: String,
 }
 
 /// Number of requests to a service by rank, between two reports.
@@ -205,7 +253,7 @@
     /// Load of the other instances; sent only with some replies.
     #[prost(message, optional, tag = "5")]
     pub(crate) work: Option<FleetLoad>,
-    /// Number of entry instances that sent a recent request.
+    /// Number of all entry instances that sent a recent request.
     #[prost(uint32, tag = "6")]
     pub(crate) entries: u32,
     /// Ids of the controllers that are members of the voter group.
@@ -231,6 +279,14 @@
     /// Ids of entry instances that may carry the instance's requests.
     #[prost(uint64, repeated, tag = "13")]
     pub(crate) proxies: Vec<u64>,
+    /// Controllers that entry instances should poll instead of the leader; empty while the leader
+    /// answers all of them itself.
+    #[prost(message, repeated, tag = "14")]
+    pub(crate) controllers: Vec<ControllerRecord>,
+    /// Sequence number up to which the leader received the sender's cut runs; `None` if it
+    /// received all in the request.
+    #[prost(uint64, optional, tag = "15")]
+    pub(crate) cut_received: Option<u64>,
 }
 
 /// All quarantined requests.
@@ -267,12 +323,13 @@
     pub(crate) ranks: Vec<RankDemand>,
 }
 
-/// Changes of the leader's roster after a revision.
+/// Changes of a controller's roster after a revision.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct RosterDelta {
-    /// Term of the leader.
+    /// Identifies the change log that the revisions refer to: the term of a leader, or a random
+    /// number of a following controller.
     #[prost(uint64, tag = "1")]
-    pub(crate) term: u64,
+    pub(crate) source: u64,
     /// Revision that the instance's roster has after the changes.
     #[prost(uint64, tag = "2")]
     pub(crate) revision: u64,
@@ -299,6 +356,31 @@
     pub(crate) pause_ms: u32,
 }
 
+impl RosterDelta {
+    /// Encodes a page of changes, with the present record of each upstream that isn't removed.
+    /// `complete` is false, and no departures are listed.
+    pub(crate) fn from_page(
+        source: u64,
+        page: &Page<'_>,
+        record: impl Fn(&str) -> Option<UpstreamRecord>,
+    ) -> Self {
+        let mut delta = Self {
+            source,
+            since: page.since,
+            revision: page.revision,
+            more: page.more,
+            ..Self::default()
+        };
+        for id in &page.ids {
+            match record(id) {
+                Some(record) => delta.upstreams.push(record),
+                None => delta.removed.push(id.to_string()),
+            }
+        }
+        delta
+    }
+}
+
 /// One upstream.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct UpstreamRecord {
@@ -373,6 +455,22 @@
         }
     }
 
+    /// Returns the announcement that it describes, as that of its heartbeat `sequence`.
+    pub(crate) fn announcement(&self, sequence: u64) -> Announcement {
+        Announcement {
+            id: self.id.as_str().into(),
+            born: self.born,
+            sequence,
+            service: self.service.clone(),
+            address: address_from_key(self.address),
+            domain: self.domain.clone(),
+            slots: self.slots,
+            leaving: false,
+            kind: self.kind.clone(),
+            layers: self.range(),
+        }
+    }
+
     /// Returns its layers.
     pub(crate) fn range(&self) -> Option<LayerRange> {
         (self.first < self.end).then(|| LayerRange::new(self.first, self.end))
--- a/src/tests/peer.rs
+++ b/src/tests/peer.rs
@@ -16,7 +16,6 @@
 use crate::message::{Answer, Ask, Frame, Payload, Reply, Request};
 use crate::peer::{self, Handler, Peers, ReplySink};
 use crate::replica::Message;
-use crate::sync::SyncRequest;
 
 const PEER: InstanceId = InstanceId(7);
 const LIMIT: Duration = Duration::from_millis(300);
@@ -77,7 +76,7 @@
 
 async fn is_answered(peers: &Peers) -> bool {
     let request = Request {
-        ask: Some(Ask::Sync(SyncRequest::default())),
+        ask: Some(Ask::Sync(Box::default())),
     };
     let reply = peers.call(PEER, request, LIMIT).await;
     reply.is_ok_and(|r| r.answer == Some(Answer::NotLeader(9)))
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -302,7 +302,7 @@
     let first = handle_sync(&mut leader, at(2), ask.clone(), &register).unwrap();
     let roster = first.roster.unwrap();
     assert!(!roster.complete);
-    (ask.term, ask.revision) = (roster.term, roster.revision);
+    (ask.source, ask.revision) = (roster.source, roster.revision);
     let again = handle_sync(&mut leader, at(3), ask.clone(), &register).unwrap();
     assert!(again.roster.is_none());
     // It is sent again once every upstream has had the time to send a heartbeat.
@@ -369,10 +369,10 @@
 fn sync_fully(leader: &mut LeaderState, now: Time, view: &mut View, register: &Register) -> usize {
     let mut most = 0;
     loop {
-        let (term, revision) = view.roster();
+        let (source, revision) = view.roster();
         let ask = SyncRequest {
             instance: 1,
-            term,
+            source,
             revision,
             complete: view.is_complete(),
             ..SyncRequest::default()
--- a/src/tests/view.rs
+++ b/src/tests/view.rs
@@ -35,7 +35,7 @@
         ..UpstreamRecord::default()
     };
     RosterDelta {
-        term,
+        source: term,
         revision,
         complete,
         upstreams: ids.iter().enumerate().map(upstream).collect(),
@@ -45,7 +45,7 @@
 
 fn with(roster: RosterDelta) -> SyncReply {
     SyncReply {
-        term: roster.term,
+        term: roster.source,
         roster: Some(roster),
         ..state(7)
     }
