--- /dev/null
+++ b/src/controller/leader/answer.rs
@@ -0,0 +1,142 @@
+//! Answers of the leader to entry instances and followers.
+
+use std::time::Duration;
+
+use super::LeaderState;
+use crate::clock::{Time, micros, millis};
+use crate::controller::page::PAGE_UPSTREAMS;
+use crate::controller::reports::CurrentRequest;
+use crate::decide::load::unit_hash;
+use crate::fingerprint::Fingerprint;
+use crate::register::{Register, VersionedConfiguration};
+use crate::sync::{
+    ControllerRecord, LimitRecord, RosterDelta, SyncReply, SyncRequest, UpstreamRecord,
+};
+
+/// Time after which every entry instance has sent a sync request to a new leader: an
+/// instance that knows no leader asks the controllers in turn, a few per second.
+const ENTRIES_KNOWN_AFTER: Duration = Duration::from_millis(300);
+
+/// Maximum number of departures sent to an entry instance: those of the last minutes.
+const MAX_DEPARTED: usize = 64;
+
+/// Number of entry instances up to which the leader answers all of them itself. With more, it
+/// refers them to its followers, so that its own work doesn't grow with their number.
+const MAX_DIRECT_ENTRIES: usize = 100;
+
+impl LeaderState {
+    /// See [`Reports::check`].
+    pub(crate) fn check_sync(&self, request: SyncRequest) -> Option<CurrentRequest> {
+        self.reports.check(request)
+    }
+
+    /// Answers a sync request of an entry instance. `age` is the time since a quorum
+    /// confirmed the register.
+    pub(crate) fn sync(
+        &mut self,
+        now: Time,
+        current: CurrentRequest,
+        age: Duration,
+        configuration: Option<VersionedConfiguration>,
+        register: &Register,
+    ) -> SyncReply {
+        let request = current.request();
+        let current_version = configuration.as_ref().map_or(0, |c| c.version);
+        let other_version = configuration.filter(|c| c.version != request.version);
+        let up_to_date = request.source == self.term
+            && request.revision == self.roster.changes().revision()
+            && request.complete == self.is_complete(now);
+        let roster = (!up_to_date).then(|| self.roster_delta(now, request, register));
+        let instance = request.instance;
+        self.record_sync(now, current);
+        SyncReply {
+            age: micros(age),
+            version: current_version,
+            body: other_version.map(|c| c.body),
+            roster,
+            work: self.reports.others_load(now, instance),
+            entries: self.reports.len() as u32,
+            voters: Vec::new(),
+            entries_known: self.entries_known(now),
+            term: self.term,
+            suspects: self.crashes.suspects().map(Fingerprint::bytes).collect(),
+            quarantine: None,
+            limits: self.limit_records(now, instance),
+            proxies: self.reports.proxies(instance),
+            controllers: self.delegates(now),
+            cut_received: None,
+        }
+    }
+
+    /// Returns the followers that answer entry instances; none while the leader answers all itself.
+    pub(super) fn delegates(&mut self, now: Time) -> Vec<ControllerRecord> {
+        // Until all instances are counted, a new leader does as the one before.
+        if self.entries_known(now) {
+            self.delegates = self.reports.len() > MAX_DIRECT_ENTRIES;
+        }
+        if !self.delegates {
+            return Vec::new();
+        }
+        let followers = self.reports.followers().into_iter();
+        let record = |(id, domain): (u64, &str)| ControllerRecord {
+            id,
+            domain: domain.to_owned(),
+        };
+        followers.map(record).collect()
+    }
+
+    /// Whether every entry instance has reported in this term, directly or to a follower.
+    pub(super) fn entries_known(&self, now: Time) -> bool {
+        now.since(self.term_start) >= ENTRIES_KNOWN_AFTER
+    }
+
+    /// Records what an instance reports.
+    pub(super) fn record_sync(&mut self, now: Time, current: CurrentRequest) {
+        self.crashes.record(now, &current);
+        let instances = self.reports.len() as u32;
+        for limit in &current.request().limits {
+            let (address, update) = (limit.address, limit.update(now));
+            self.rate_limiter
+                .apply(now, address, update, instances, 0.0);
+        }
+        self.reports.record(now, current);
+    }
+
+    /// Returns a subset of the latest limit updates, for the reply to an instance.
+    pub(super) fn limit_records(&self, now: Time, instance: u64) -> Vec<LimitRecord> {
+        let draw = unit_hash(now.0.wrapping_add(instance));
+        let updates = self.rate_limiter.message_updates(draw);
+        let record = |(address, update)| LimitRecord::new(now, address, update);
+        updates.map(record).collect()
+    }
+
+    /// Returns the next page of roster changes that the sender of `request` lacks.
+    pub(super) fn roster_delta(
+        &mut self,
+        now: Time,
+        request: &SyncRequest,
+        register: &Register,
+    ) -> RosterDelta {
+        let known = match request.source == self.term {
+            true => request.revision,
+            false => 0,
+        };
+        let page = self.roster.changes().page(known, PAGE_UPSTREAMS);
+        let pause = self.page_budget.spend(now, page.ids.len());
+        let record = |id: &str| {
+            let entry = self.roster.get(id)?;
+            Some(UpstreamRecord::new(
+                entry,
+                self.retained_layers(&entry.announcement),
+            ))
+        };
+        let complete = !page.more && self.is_complete(now);
+        let departed = if complete { 0 } else { MAX_DEPARTED };
+        RosterDelta {
+            complete,
+            pause_ms: millis(pause) as u32,
+            departed: register.latest_departed(departed),
+            ..RosterDelta::from_page(self.term, &page, record)
+        }
+    }
+}
