Let controllers that don't vote name the leader

Cause: with a tolerance of two failures, five stores vote. The others aren't members of the replicated log and are told of no leader by it. On all earlier deployments each controller is a member.

Since controllers follow the leader they know it by its replies: one that replied within 0.3 s (1.5 s while it is polled once a second) is named to callers, and gets the heartbeats that arrive here.

calls_at_non_members fails without it (no acknowledgement within 30 s) and passes now in 2 s.

--- a/src/controller/call.rs
+++ b/src/controller/call.rs
@@ -18,7 +18,6 @@
 use crate::platform::call::{self, Call};
 use crate::platform::{configuration, heartbeat};
 use crate::register;
-use crate::voter::LeaderInfo;
 
 /// Maximum size of a request head.
 pub(super) const MAX_HEAD_BYTES: usize = 16 << 10;
@@ -250,26 +249,27 @@
         if self.now().since(self.started) >= STARTUP_PHASE {
             return;
         }
-        self.await_leader_that(|info| info.leader.is_some()).await;
+        self.await_leader_that(|c| c.known_leader().is_some()).await;
     }
 
     /// Waits for an election before a change is handled. If it were redirected to a dead leader,
     /// its sender would come back only after a pause that grows with each failure.
     async fn await_live_leader(&self) {
-        self.await_leader_that(|info| info.live).await;
+        let is_followed = |c: &Self| c.follower().live_leader(c.now()).is_some();
+        self.await_leader_that(|c| c.leader_info().live || is_followed(c))
+            .await;
     }
 
     /// Waits until the leader fulfils a condition, for at most [`MAX_LEADER_WAIT`].
-    async fn await_leader_that(&self, condition: impl Fn(LeaderInfo) -> bool) {
+    async fn await_leader_that(&self, condition: impl Fn(&Self) -> bool) {
         let mut changes = self.voter.leader_changes();
-        let fulfilled =
-            async { while !condition(self.leader_info()) && changes.changed().await.is_ok() {} };
+        let fulfilled = async { while !condition(self) && changes.changed().await.is_ok() {} };
         let _ = timeout(MAX_LEADER_WAIT, fulfilled).await;
     }
 
     /// Redirects the caller to the leader.
     fn redirect(&self, path: &str) -> Response<ResponseBody> {
-        let leader = self.leader_info().leader;
+        let leader = self.known_leader();
         let control = leader.and_then(|l| control_address(l, self.control.port()));
         let Some(control) = control.filter(|c| *c != self.control) else {
             return unavailable("no leader is known; try another instance");
--- a/src/controller/follow.rs
+++ b/src/controller/follow.rs
@@ -60,7 +60,7 @@
 
     /// Sends the leader a request and applies the reply. Returns the leader to ask next, if known.
     async fn poll_leader(&self, leader: InstanceId) -> Option<InstanceId> {
-        let (request, report) = self.follower().request(self.now());
+        let (request, report) = self.follower().request(self.now(), leader);
         let request = Request {
             ask: Some(Ask::Sync(Box::new(request))),
         };
--- a/src/controller/follower.rs
+++ b/src/controller/follower.rs
@@ -15,6 +15,7 @@
 use crate::clock::{Time, micros, millis};
 use crate::decide::load::unit_hash;
 use crate::decide::rate::RateLimiter;
+use crate::id::InstanceId;
 use crate::sync::{
     ControllerRecord, LimitRecord, QuarantineRecord, RosterDelta, SyncReply, SyncRequest,
 };
@@ -37,9 +38,15 @@
     pub(crate) source: u64,
 }
 
+/// Time after the leader's last reply from which it may have ended, while it is polled often and
+/// while it is polled rarely. A few polls, so that one lost packet doesn't count.
+const MAX_LEADER_SILENCE: Duration = Duration::from_millis(300);
+const MAX_IDLE_LEADER_SILENCE: Duration = Duration::from_millis(1_500);
+
 /// What a request to the leader contained, for its reply.
 #[derive(Debug)]
 pub(crate) struct SentReport {
+    leader: InstanceId,
     sent: Time,
     runs: Vec<(u64, u64, u64)>,
 }
@@ -54,6 +61,8 @@
 /// Latest state of the leader.
 #[derive(Debug, Default)]
 struct LeaderCopy {
+    /// The leader of `term`, and when it last replied.
+    heard: Option<(InstanceId, Time)>,
     term: u64,
     /// A quorum confirmed at this time, or later, that the state was current.
     confirmed: Option<Time>,
@@ -109,7 +118,7 @@
     }
 
     /// Returns the next request to the leader, and what [`Self::apply`] needs of it.
-    pub(crate) fn request(&mut self, now: Time) -> (SyncRequest, SentReport) {
+    pub(crate) fn request(&mut self, now: Time, leader: InstanceId) -> (SyncRequest, SentReport) {
         self.reports.tick(now);
         self.sequence += 1;
         let (source, revision) = self.roster.position();
@@ -129,7 +138,12 @@
             .add_sums(&self.identity.domain, ready, &mut request);
         request.limits = self.limit_records(now, self.identity.instance);
         let runs = self.evidence.add_to(now, &mut request);
-        (request, SentReport { sent: now, runs })
+        let report = SentReport {
+            leader,
+            sent: now,
+            runs,
+        };
+        (request, report)
     }
 
     /// Checks whether a reply of the leader can be used. Returns `None` if it comes from a deposed
@@ -167,6 +181,7 @@
             leader.quarantine = quarantine;
             leader.quarantine_at = report.sent;
         }
+        leader.heard = Some((report.leader, now));
         leader.term = reply.term;
         leader.version = reply.version;
         leader.entries = reply.entries;
@@ -187,6 +202,16 @@
         !self.leader.controllers.is_empty()
     }
 
+    /// Returns the leader, if it replied lately.
+    pub(crate) fn live_leader(&self, now: Time) -> Option<InstanceId> {
+        let (leader, heard) = self.leader.heard?;
+        let limit = match self.delegated() {
+            true => MAX_LEADER_SILENCE,
+            false => MAX_IDLE_LEADER_SILENCE,
+        };
+        (now.since(heard) < limit).then_some(leader)
+    }
+
     /// Whether the leader has more of the roster to send.
     pub(crate) fn has_more(&self) -> bool {
         self.roster.has_more()
--- a/src/controller/heartbeat.rs
+++ b/src/controller/heartbeat.rs
@@ -123,7 +123,7 @@
     }
 
     async fn send_to_leader(&self, batch: Heartbeats) -> Option<HeartbeatsReply> {
-        let leader = self.leader_info().leader.filter(|l| *l != self.id())?;
+        let leader = self.known_leader().filter(|l| *l != self.id())?;
         let request = Request {
             ask: Some(Ask::Heartbeats(batch)),
         };
@@ -142,7 +142,7 @@
     /// Applies heartbeats that another controller forwarded, or returns the leader.
     pub(super) fn receive_heartbeats(&self, batch: Heartbeats) -> Answer {
         let Some(mut state) = self.state_if_leading() else {
-            return Answer::NotLeader(self.leader_info().leader.map_or(0, |l| l.0));
+            return Answer::NotLeader(self.known_leader().map_or(0, |l| l.0));
         };
         let now = self.now();
         let mut unknown = Vec::new();
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -308,6 +308,13 @@
         self.voter.leader_info(GROUP)
     }
 
+    /// Returns the leader: as the replicated log names it to its members, otherwise the one that
+    /// this controller follows.
+    fn known_leader(&self) -> Option<InstanceId> {
+        let known = self.leader_info().leader;
+        known.or_else(|| self.follower().live_leader(self.now()))
+    }
+
     /// Returns the voter's status of the replicated log.
     fn status(&self) -> Option<GroupStatus> {
         let mut groups = self.voter.status().into_iter();
@@ -568,7 +575,7 @@
                 return Answer::Sync(Box::new(reply));
             }
         }
-        Answer::NotLeader(self.leader_info().leader.map_or(0, |l| l.0))
+        Answer::NotLeader(self.known_leader().map_or(0, |l| l.0))
     }
 }
 
--- a/src/tests/follower.rs
+++ b/src/tests/follower.rs
@@ -14,11 +14,14 @@
 use crate::controller::follower::{Follower, Identity};
 use crate::controller::leader::LeaderState;
 use crate::entry::view::View;
+use crate::id::InstanceId;
 use crate::register::{self, Register, RegisterMachine, VersionedConfiguration};
 use crate::roster::Announcement;
 use crate::sync::{CutRecord, Load, SyncReply, SyncRequest, pack};
 use crate::voter::StateMachine;
 
+const LEADER: InstanceId = InstanceId(90_000);
+
 /// Age of a confirmation from which a follower answers nobody.
 const MAX_AGE: Duration = Duration::from_millis(800);
 
@@ -114,7 +117,7 @@
 
     fn poll(&mut self, follower: &mut Follower) {
         loop {
-            let (request, report) = follower.request(at(self.now));
+            let (request, report) = follower.request(at(self.now), LEADER);
             let reply = self.ask_leader(request).unwrap();
             let current = follower.check(reply).unwrap();
             follower.apply(at(self.now), &report, current);
@@ -245,7 +248,7 @@
 #[test]
 fn check_deposed_leader() {
     let mut fleet = Fleet::new(1, 3, MANY);
-    let (ask, _) = fleet.followers[0].request(at(fleet.now));
+    let (ask, _) = fleet.followers[0].request(at(fleet.now), LEADER);
     let old = fleet.ask_leader(ask).unwrap();
     fleet.elect(0);
     fleet.follow();
@@ -390,7 +393,7 @@
                 1..12 => {
                     let which = rng.random_range(0..3);
                     let mut polling = std::mem::replace(&mut fleet.followers[which], follower(1));
-                    let (ask, report) = polling.request(at(fleet.now));
+                    let (ask, report) = polling.request(at(fleet.now), LEADER);
                     let reply = fleet.ask_leader(ask).unwrap();
                     // A reply may be lost.
                     if rng.random_bool(0.8)
@@ -471,3 +474,16 @@
     let (register, _) = Register::new();
     assert!(handle_sync(&mut fleet.leader, at(3_100), numbered(1), &register).is_some());
 }
+
+/// Guards against a controller that sends operators and upstreams away, or to a leader that has
+/// ended, since it isn't a member of the replicated log and is told of no leader.
+#[test]
+fn live_leader_heard() {
+    let mut fleet = Fleet::new(1, 3, MANY);
+    let leader = |fleet: &Fleet| fleet.followers[0].live_leader(at(fleet.now));
+    assert_eq!(leader(&fleet), Some(LEADER));
+    fleet.now += 299;
+    assert_eq!(leader(&fleet), Some(LEADER));
+    fleet.now += 1;
+    assert_eq!(leader(&fleet), None);
+}
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -51,6 +51,8 @@
     pub(crate) controllers: Vec<Process>,
     pub(crate) entries: Vec<Process>,
     pub(crate) engines: Vec<EngineSpec>,
+    /// Number of controllers that found the replicated log and that all are told of.
+    seeds: u8,
     /// Number of controllers.
     voters: u8,
     /// Limits on retries, as in the settings of entry instances.
@@ -116,9 +118,21 @@
         Self::with_all(controllers, entries, engines, DEFAULT_RETRIES)
     }
 
+    /// Like [`Deployment::start`], with two controllers that aren't members of the replicated log.
+    pub(crate) fn with_non_members() -> Self {
+        Self::of_controllers(CONTROLLERS + 2, CONTROLLERS, Turn::wait(DOMAINS.len()))
+            .with_instances(DOMAINS.len(), &[3, 2])
+    }
+
     fn with_all(controllers: u8, entries: usize, engines: &[u8], retries: &'static str) -> Self {
-        let mut deployment = Self::of_controllers(controllers, Turn::wait(entries));
+        let mut deployment = Self::of_controllers(controllers, controllers, Turn::wait(entries));
         deployment.retries = retries;
+        deployment.with_instances(entries, engines)
+    }
+
+    /// Starts entry instances and engines, and waits until all requests are served.
+    fn with_instances(self, entries: usize, engines: &[u8]) -> Self {
+        let mut deployment = self;
         for i in 0..entries {
             let process = deployment.start_entry(i);
             deployment.entries.push(process);
@@ -151,16 +165,17 @@
     }
 
     pub(crate) fn controllers_only(voters: u8) -> Self {
-        Self::of_controllers(voters, Turn::wait(0))
+        Self::of_controllers(voters, voters, Turn::wait(0))
     }
 
-    fn of_controllers(voters: u8, turn: Turn) -> Self {
+    fn of_controllers(voters: u8, seeds: u8, turn: Turn) -> Self {
         let port = || port::free().port();
         let mut deployment = Self {
             controllers: Vec::new(),
             entries: Vec::new(),
             engines: Vec::new(),
             voters,
+            seeds,
             retries: DEFAULT_RETRIES,
             engine_state: RunningEngines::default(),
             subnet: NEXT_SUBNET.fetch_add(1, Ordering::Relaxed),
@@ -269,7 +284,7 @@
         settings: &str,
         listen: &str,
     ) -> Process {
-        let seeds: Vec<_> = (0..self.voters)
+        let seeds: Vec<_> = (0..self.seeds)
             .map(|i| self.control_addr(i).to_string())
             .collect();
         let (ip, peers, retries) = (self.ip(host), self.ports.peers, self.retries);
--- a/tests/platform/end_to_end.rs
+++ b/tests/platform/end_to_end.rs
@@ -4,7 +4,7 @@
 
 use crate::common::wait_for;
 use crate::deployment::{APPLY_TIME, Deployment, KEY};
-use crate::engine::expected_stream;
+use crate::engine::{expected_stream, post_heartbeat};
 
 /// Guards against responses that aren't the engine's own, requests that reach an engine
 /// without a valid key or route, and paths that don't cover each layer once and in order.
@@ -82,3 +82,24 @@
         });
     }
 }
+
+/// Guards against controllers that send operators and upstreams away: those that aren't members of
+/// the replicated log knew no leader, so half of ten controllers answered 503.
+#[test]
+fn calls_at_non_members() {
+    let deployment = Deployment::with_non_members();
+    let mut spec = deployment.engines[0].clone();
+    for i in 0..5 {
+        let version = 5 + u64::from(i);
+        wait_for("an acknowledged configuration", || {
+            deployment
+                .replace_configuration_at(i, version)
+                .then_some(())
+        });
+        spec.id = format!("i-new-{i}");
+        spec.address.set_port(9_000 + u16::from(i));
+        wait_for("an acknowledged heartbeat", || {
+            post_heartbeat(deployment.control_addr(i), &spec, None, version, None).then_some(())
+        });
+    }
+}
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -511,7 +511,11 @@
     let agent = ureq::Agent::with_parts(config, DefaultConnector::default(), AddressResolver);
     for _ in 0..2 {
         let request = agent.post(&uri).config();
-        let request = request.timeout_global(Some(ACK_TIMEOUT)).build();
+        let request = request
+            .max_redirects(0)
+            .max_redirects_will_error(false)
+            .timeout_global(Some(ACK_TIMEOUT))
+            .build();
         let sent = request.send(body.to_string());
         let Ok(reply) = sent else { return false };
         if reply.status() != 307 {
