Make the number of instances that the leader answers itself a setting

followers_answer runs four instances that are all referred to followers: they learn of configurations from a controller that doesn't lead, and each removed key is refused everywhere while the leader and the followers end in turn.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -70,10 +70,18 @@
             setting(
                 "poll-ms",
                 "LQ_POLL_MS",
-                "Period at which an entry instance asks the leading controller",
+                "Period at which an entry instance asks a controller",
             ),
             "250",
         ),
+        size(
+            setting(
+                "direct-entries",
+                "LQ_DIRECT_ENTRIES",
+                "Entry instances up to which the leading controller answers all of them itself",
+            ),
+            "300",
+        ),
         setting(
             "metrics-port",
             "LQ_METRICS_PORT",
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -26,7 +26,7 @@
 use crate::roster::{AnnounceOutcome, Announcement, RefreshOutcome, Roster, RosterEntry};
 use crate::sync::address_key;
 
-pub(crate) mod answer;
+mod answer;
 mod placing;
 
 /// Heartbeat periods after which a new leader has received a heartbeat of every live
@@ -59,6 +59,8 @@
 /// State of the leader during one term.
 pub(crate) struct LeaderState {
     heartbeat: Duration,
+    /// Number of entry instances up to which none is referred to followers.
+    direct: usize,
     term: u64,
     term_start: Time,
     /// Whether the term began with a complete roster.
@@ -83,10 +85,17 @@
 }
 
 impl LeaderState {
-    /// Creates an empty state. `heartbeat` is the heartbeat period of the upstreams.
-    pub(crate) fn new(heartbeat: Duration) -> Self {
+    /// Creates an empty state. `heartbeat` is the heartbeat period of the upstreams; up to `direct`
+    /// entry instances are answered by the leader alone.
+    ///
+    /// A leader takes about half of a processor for 300 instances. With more, it refers them to its
+    /// followers, so that its own work doesn't grow with their number. Over followers, what an
+    /// instance knows of the load of the others is up to 350 ms older, and more requests choose the
+    /// same engines.
+    pub(crate) fn new(heartbeat: Duration, direct: usize) -> Self {
         Self {
             heartbeat,
+            direct,
             term: 0,
             term_start: Time::default(),
             inherited: false,
@@ -117,7 +126,7 @@
             let pending = std::mem::take(&mut self.pending).into_values();
             let mut ended = std::mem::take(&mut self.ended);
             ended.extend(pending.map(|p| p.end(now, OrderEnd::Term)));
-            *self = Self::new(self.heartbeat);
+            *self = Self::new(self.heartbeat, self.direct);
             self.ended = ended;
             self.term = term;
             self.term_start = now;
--- a/src/controller/leader/answer.rs
+++ b/src/controller/leader/answer.rs
@@ -20,12 +20,6 @@
 /// Maximum number of departures sent to an entry instance: those of the last minutes.
 const MAX_DEPARTED: usize = 64;
 
-/// Number of entry instances up to which the leader answers all of them itself, which takes about
-/// half of its processor. With more, it refers them to its followers, so that its own work doesn't
-/// grow with their number. Over followers, what an instance knows of the load of the others is up
-/// to 350 ms older, and more requests choose the same engines.
-pub(crate) const MAX_DIRECT_ENTRIES: usize = 300;
-
 impl LeaderState {
     /// See [`Reports::check`].
     pub(crate) fn check_sync(&self, request: SyncRequest) -> Option<CurrentRequest> {
@@ -74,7 +68,7 @@
     pub(super) fn delegates(&mut self, now: Time) -> Vec<ControllerRecord> {
         // Until all instances are counted, a new leader does as the one before.
         if self.entries_known(now) {
-            self.delegates = self.reports.len() > MAX_DIRECT_ENTRIES;
+            self.delegates = self.reports.len() > self.direct;
         }
         if !self.delegates {
             return Vec::new();
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -228,7 +228,7 @@
         voter,
         peers: peers.clone(),
         register,
-        leader_state: Mutex::new(LeaderState::new(boot.heartbeat)),
+        leader_state: Mutex::new(LeaderState::new(boot.heartbeat, settings.direct)),
         follower: Mutex::new(Follower::new(Identity {
             instance: role::instance_id(boot.ip).0,
             domain: boot.domain.clone(),
--- a/src/role.rs
+++ b/src/role.rs
@@ -41,8 +41,10 @@
     pub(crate) file: PathBuf,
     /// Minimum election timeout of the voters.
     pub(crate) election: Duration,
-    /// Interval at which an entry instance polls the leader.
+    /// Interval at which an entry instance polls a controller.
     pub(crate) poll: Duration,
+    /// Number of entry instances up to which the leading controller answers all of them itself.
+    pub(crate) direct: usize,
     /// Port for metrics; `None` if they are not served.
     pub(crate) metrics: Option<u16>,
 }
@@ -65,6 +67,10 @@
                 .unwrap_or_default(),
             election: millis("election-ms"),
             poll: millis("poll-ms"),
+            direct: matches
+                .get_one::<usize>("direct-entries")
+                .copied()
+                .unwrap_or_default(),
             metrics: matches.get_one::<u16>("metrics-port").copied(),
         };
         let mut faults = Vec::new();
--- a/src/tests/follower.rs
+++ b/src/tests/follower.rs
@@ -9,11 +9,10 @@
 
 use super::platform::CONFIGURATION;
 use super::roster::{HEARTBEAT, announcement, request};
-use super::{at, handle_sync};
+use super::{DIRECT, at, handle_sync};
 use crate::clock::Time;
 use crate::controller::follower::{Follower, Identity};
 use crate::controller::leader::LeaderState;
-use crate::controller::leader::answer::MAX_DIRECT_ENTRIES;
 use crate::entry::view::View;
 use crate::id::InstanceId;
 use crate::register::{self, Register, RegisterMachine, VersionedConfiguration};
@@ -29,7 +28,7 @@
 const LEASE: Duration = Duration::from_millis(3500);
 
 /// Number of entry instances from which the leader refers them to its followers.
-const MANY: u64 = MAX_DIRECT_ENTRIES as u64 + 1;
+const MANY: u64 = DIRECT as u64 + 1;
 
 fn upstream(number: u32, sequence: u64) -> Announcement {
     let mut announcement = announcement(&format!("i-{number:04}"), sequence);
@@ -71,7 +70,7 @@
     /// A fleet whose leader has heard of `upstreams` and of `entries` instances.
     fn new(followers: u64, upstreams: u32, entries: u64) -> Self {
         let (register, machine) = Register::new();
-        let mut leader = LeaderState::new(HEARTBEAT);
+        let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
         leader.enter_term(at(0), 1, &register);
         for number in 0..upstreams {
             leader.announce(at(3_000), upstream(number, 1));
@@ -136,7 +135,7 @@
     fn elect(&mut self, follower: usize) {
         self.term += 1;
         let now = at(self.now);
-        self.leader = LeaderState::new(HEARTBEAT);
+        self.leader = LeaderState::new(HEARTBEAT, DIRECT);
         self.leader.enter_term(now, self.term, &self.register);
         if let Some(inheritance) = self.followers[follower].hand_over(now) {
             self.leader.inherit(now, inheritance);
@@ -188,7 +187,7 @@
 /// Guards against a leader whose work grows with the number of instances: at 984 its processor was
 /// used up, while its nine followers answered nobody.
 #[rstest]
-#[case::instances_500(500, 700)]
+#[case::instances_300(300, 400)]
 #[case::instances_1000(1_000, 1_500)]
 #[case::instances_2000(2_000, 3_000)]
 fn leader_load_constant(#[case] entries: u64, #[case] upstreams: u32) {
--- a/src/tests/leader.rs
+++ b/src/tests/leader.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::platform::CONFIGURATION;
-use super::{at, handle_sync};
+use super::{DIRECT, at, handle_sync};
 use crate::configuration::Configuration;
 use crate::controller::leader::{LeaderState, PlacementOrder};
 use crate::platform::configuration::decode;
@@ -45,7 +45,7 @@
 /// Returns the state of a leader whose term began at 0, and which received a heartbeat of all
 /// `hosts` in each period until `end`.
 fn leader_state(register: &Register, hosts: &[u8], end: u64) -> LeaderState {
-    let mut leader = LeaderState::new(HEARTBEAT);
+    let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
     leader.enter_term(at(0), 1, register);
     for (sequence, now) in (1..).zip((0..=end).step_by(1200)) {
         leader.enter_term(at(now), 1, register);
@@ -78,7 +78,7 @@
     // All engines start at once and announce themselves within a heartbeat period. The fastest
     // get their layers first, so all must be known before.
     let (register, _machine) = Register::new();
-    let mut leader = LeaderState::new(HEARTBEAT);
+    let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
     leader.enter_term(at(0), 1, &register);
     for host in 1..=9 {
         let now = 5_000 + 150 * u64::from(host);
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -50,6 +50,9 @@
 mod voter;
 mod waiters;
 
+/// Entry instances up to which the leader of a test answers all of them itself.
+const DIRECT: usize = 100;
+
 /// Returns the time `millis` milliseconds after zero.
 fn at(millis: u64) -> Time {
     Time(millis * 1000)
--- a/src/tests/order.rs
+++ b/src/tests/order.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 
 use super::leader::{ENGINES, HEARTBEAT, announcement, configuration};
-use super::{at, handle_sync};
+use super::{DIRECT, at, handle_sync};
 use crate::controller::leader::{LeaderState, PlacementOrder};
 use crate::controller::order::{EndedOrder, OrderEnd};
 use crate::register::{self, Register, RegisterMachine};
@@ -34,7 +34,7 @@
 
     fn new() -> Self {
         let (register, mut machine) = Register::new();
-        let mut leader = LeaderState::new(HEARTBEAT);
+        let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
         leader.enter_term(at(0), 1, &register);
         let mut latest = Vec::new();
         for (sequence, now) in (1..).zip((0..=12_000).step_by(1200)) {
--- a/src/tests/roster.rs
+++ b/src/tests/roster.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
-use super::{announce, at, handle_sync};
+use super::{DIRECT, announce, at, handle_sync};
 use crate::clock::Time;
 use crate::collections::HashMap;
 use crate::controller::leader::LeaderState;
@@ -249,7 +249,7 @@
     // engine reaches the next leader, which must not offer the engine again.
     let (register, mut machine) = Register::new();
     machine.apply(1, &register::depart("i-1", 0));
-    let mut leader = LeaderState::new(HEARTBEAT);
+    let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
     leader.enter_term(at(0), 2, &register);
     assert_eq!(
         leader.announce(at(10), announcement("i-1", 12)),
@@ -274,7 +274,7 @@
 #[test]
 fn sync_sums_loads() {
     let (register, _) = Register::new();
-    let mut leader = LeaderState::new(HEARTBEAT);
+    let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
     leader.enter_term(at(0), 1, &register);
     let load = |memory| Load {
         engine: 7,
@@ -295,7 +295,7 @@
 #[test]
 fn sync_roster_once() {
     let (register, _) = Register::new();
-    let mut leader = LeaderState::new(HEARTBEAT);
+    let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
     leader.enter_term(at(0), 1, &register);
     leader.announce(at(1), announcement("i-1", 1));
     let mut ask = request(1, Vec::new());
@@ -324,7 +324,7 @@
 fn sync_hides_released_layers() {
     // An engine is ordered to hold other layers. It accepts no new requests for those that it
     // releases, so requests sent to them meanwhile would be refused.
-    let mut leader = LeaderState::new(HEARTBEAT);
+    let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
     let (register, _) = Register::new();
     leader.enter_term(at(0), 1, &register);
     let decoded = crate::platform::configuration::decode(super::platform::CONFIGURATION.as_bytes());
@@ -406,7 +406,7 @@
     // each change sent 230 KB to each instance: the leader's link was saturated for seconds,
     // queued replies took 257 MB, and the process was killed for its memory.
     let (register, _) = Register::new();
-    let mut leader = LeaderState::new(HEARTBEAT);
+    let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
     leader.enter_term(at(0), 1, &register);
     for i in 0..3000 {
         leader.announce(at(1), member(i, 1));
@@ -428,7 +428,7 @@
     for seed in 0..40 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let (register, _) = Register::new();
-        let mut leader = LeaderState::new(HEARTBEAT);
+        let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
         let mut views = [
             View::new(Duration::from_secs(10)),
             View::new(Duration::from_secs(10)),
@@ -481,7 +481,7 @@
     // An instance is cut off while more upstreams are removed than the change log keeps. If it
     // were sent only the logged removals, it would still use the other upstreams.
     let (register, _) = Register::new();
-    let mut leader = LeaderState::new(HEARTBEAT);
+    let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
     leader.enter_term(at(0), 1, &register);
     leader.announce(at(1), member(0, 1));
     let mut view = View::new(Duration::from_secs(10));
--- a/src/tests/sync.rs
+++ b/src/tests/sync.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 
 use super::roster::{HEARTBEAT, announcement, request};
-use super::{at, handle_sync};
+use super::{DIRECT, at, handle_sync};
 use crate::controller::leader::LeaderState;
 use crate::controller::reports::Reports;
 use crate::fingerprint::Fingerprint;
@@ -18,7 +18,7 @@
 fn sync_reversed(older: SyncRequest, newer: SyncRequest) -> (LeaderState, SyncReply) {
     let (older, newer) = (numbered(1, older), numbered(2, newer));
     let (register, _) = Register::new();
-    let mut leader = LeaderState::new(HEARTBEAT);
+    let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
     leader.enter_term(at(0), 1, &register);
     let mut held = announcement("i-1", 1);
     held.layers = Some(LayerRange::new(0, 7));
@@ -128,7 +128,7 @@
         ..request(1, Vec::new())
     };
     let (register, _) = Register::new();
-    let mut leader = LeaderState::new(HEARTBEAT);
+    let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
     leader.enter_term(at(0), 1, &register);
     let mut sync = |now, request| handle_sync(&mut leader, at(now), request, &register);
     sync(5_000, numbered(1, older.clone()));
@@ -182,7 +182,7 @@
 fn sync_records_current(#[case] born: u64, #[case] sequence: u64, #[case] recorded: bool) {
     // Guards against an instance whose reports are ignored after it restarted.
     let (register, _) = Register::new();
-    let mut leader = LeaderState::new(HEARTBEAT);
+    let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
     leader.enter_term(at(0), 1, &register);
     let report = |born, sequence, room_requests| SyncRequest {
         born,
@@ -202,7 +202,7 @@
     // Guards against an instance whose clock was set back before its restart, and whose reports
     // are ignored for good.
     let (register, _) = Register::new();
-    let mut leader = LeaderState::new(HEARTBEAT);
+    let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
     leader.enter_term(at(0), 1, &register);
     let report = |born| SyncRequest {
         born,
@@ -227,7 +227,7 @@
 #[test]
 fn sync_names_proxies() {
     let (register, _) = Register::new();
-    let mut leader = LeaderState::new(HEARTBEAT);
+    let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
     let sync = |leader: &mut LeaderState, instance, carries| {
         let request = SyncRequest {
             instance,
@@ -256,7 +256,7 @@
 #[test]
 fn sync_names_proxies_none_whole() {
     let (register, _) = Register::new();
-    let mut leader = LeaderState::new(HEARTBEAT);
+    let mut leader = LeaderState::new(HEARTBEAT, DIRECT);
     for (instance, named) in [(1, vec![]), (2, vec![1]), (1, vec![2])] {
         let request = SyncRequest {
             instance,
--- a/src/tests/view.rs
+++ b/src/tests/view.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 
 use super::platform::CONFIGURATION;
-use super::{at, handle_sync};
+use super::{DIRECT, at, handle_sync};
 use crate::clock::Time;
 use crate::controller::leader::LeaderState;
 use crate::entry::view::View;
@@ -226,7 +226,7 @@
     // was the only one and took all the room of the engines, and so did each of the next. Until
     // the leader has counted the instances, many are assumed.
     let (register, _machine) = Register::new();
-    let mut leader = LeaderState::new(LEASE);
+    let mut leader = LeaderState::new(LEASE, DIRECT);
     leader.enter_term(at(0), 1, &register);
     let ask = |leader: &mut LeaderState, now, instance| {
         let ask = SyncRequest {
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -26,6 +26,9 @@
 pub(crate) const DOMAINS: [&str; 2] = ["north", "south"];
 const CONTROLLERS: u8 = 3;
 
+/// Default of `--direct-entries`.
+const DIRECT_ENTRIES: usize = 300;
+
 const DEFAULT_RETRIES: &str = "retrySlack = 200";
 
 /// Host number of the first entry instance in a deployment's address range.
@@ -51,6 +54,8 @@
     pub(crate) controllers: Vec<Process>,
     pub(crate) entries: Vec<Process>,
     pub(crate) engines: Vec<EngineSpec>,
+    /// Number of entry instances that the leader answers itself.
+    direct: usize,
     /// Number of controllers that found the replicated log and that all are told of.
     seeds: u8,
     /// Number of controllers.
@@ -124,6 +129,14 @@
             .with_instances(DOMAINS.len(), &[3, 2])
     }
 
+    /// Like [`Deployment::with_size`], but the leader refers all entry instances to its followers.
+    pub(crate) fn with_followers(entries: usize, engines: &[u8]) -> Self {
+        let mut deployment = Self::new(CONTROLLERS, CONTROLLERS, Turn::wait(entries));
+        deployment.direct = 0;
+        deployment.start_controllers();
+        deployment.with_instances(entries, engines)
+    }
+
     fn with_all(controllers: u8, entries: usize, engines: &[u8], retries: &'static str) -> Self {
         let mut deployment = Self::of_controllers(controllers, controllers, Turn::wait(entries));
         deployment.retries = retries;
@@ -169,13 +182,21 @@
     }
 
     fn of_controllers(voters: u8, seeds: u8, turn: Turn) -> Self {
+        let mut deployment = Self::new(voters, seeds, turn);
+        deployment.start_controllers();
+        deployment
+    }
+
+    /// A deployment of which nothing is started.
+    fn new(voters: u8, seeds: u8, turn: Turn) -> Self {
         let port = || port::free().port();
-        let mut deployment = Self {
+        Self {
             controllers: Vec::new(),
             entries: Vec::new(),
             engines: Vec::new(),
             voters,
             seeds,
+            direct: DIRECT_ENTRIES,
             retries: DEFAULT_RETRIES,
             engine_state: RunningEngines::default(),
             subnet: NEXT_SUBNET.fetch_add(1, Ordering::Relaxed),
@@ -188,12 +209,14 @@
             },
             directory: tempfile::tempdir().unwrap(),
             _turn: turn,
-        };
-        for i in 0..voters {
-            let process = deployment.start_controller(i, true);
-            deployment.controllers.push(process);
         }
-        deployment
+    }
+
+    fn start_controllers(&mut self) {
+        for i in 0..self.voters {
+            let process = self.start_controller(i, true);
+            self.controllers.push(process);
+        }
     }
 
     /// Waits until an entry instance serves a request.
@@ -301,6 +324,7 @@
         command.arg(role).arg("--boot-file").arg(&file);
         let port = self.ports.metrics.to_string();
         command.args(["--metrics-port", &port]);
+        command.args(["--direct-entries", &self.direct.to_string()]);
         Process::start_logged(&format!("{role} {host}"), &mut command)
     }
 
--- a/tests/platform/end_to_end.rs
+++ b/tests/platform/end_to_end.rs
@@ -1,5 +1,6 @@
 //! Configuration, keys, plain requests and streams from caller to engine.
 
+use std::net::IpAddr;
 use std::thread;
 
 use crate::common::wait_for;
@@ -103,3 +104,45 @@
         });
     }
 }
+
+/// Guards against instances that miss a configuration, or refuse callers, when the follower that
+/// answers them or the leader ends.
+#[test]
+fn followers_answer() {
+    let mut deployment = Deployment::with_followers(4, &[3, 2]);
+    let leader = wait_for("a leader", || deployment.leader());
+    let ip = match deployment.control_addr(leader as u8).ip() {
+        IpAddr::V4(ip) => u32::from(ip),
+        IpAddr::V6(_) => unreachable!("the addresses are of IPv4"),
+    };
+    let told_by_follower = |log: String| {
+        let applied = log.lines().rfind(|l| l.contains("\"event\":208"));
+        applied.is_some_and(|l| !l.contains(&format!("\"leader\":{ip}")))
+    };
+    let mut version = 1;
+    wait_for("configurations that followers told", || {
+        version += 1;
+        assert!(deployment.replace_configuration(version, &[KEY]));
+        thread::sleep(APPLY_TIME);
+        let all = deployment.entries.iter().all(|e| told_by_follower(e.log()));
+        all.then_some(())
+    });
+    for i in 0..3 {
+        deployment.controllers[usize::from(i)].kill();
+        let (version, key) = (version + 1 + u64::from(i), format!("key-{i}"));
+        wait_for("an acknowledgement", || {
+            let acknowledged = deployment.replace_configuration(version, &[&key]);
+            acknowledged.then_some(())
+        });
+        thread::sleep(APPLY_TIME);
+        for entry in 0..4 {
+            let attempt = format!("f-{i}-{entry}");
+            let status = |key: &str| deployment.request(entry, "/lookups/x", &attempt, key).0;
+            assert_eq!((status(&key), status(KEY)), (200, 401), "entry {entry}");
+        }
+        deployment.controllers[usize::from(i)] = deployment.start_controller(i, false);
+        wait_for("a read by the restarted controller", || {
+            (deployment.fetch_version(i) == Some(version)).then_some(())
+        });
+    }
+}
