--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -34,8 +34,8 @@
 /// Encoded size of one engine's load, in bytes.
 const LOAD_BYTES: f64 = 20.0;
 
-/// Minimum period at which a follower is sent the load of the others. It polls several times
-/// within it, but sends loads on to an instance no more often.
+/// Minimum period at which a follower is sent the load of the others. It polls more often, but the
+/// instances that it answers poll it no more often than this.
 const FOLLOWER_LOAD_PERIOD: Duration = Duration::from_millis(250);
 
 /// Maximum number of instances that a follower names as able to carry requests.
--- a/src/controller/reports/carriers.rs
+++ b/src/controller/reports/carriers.rs
@@ -1,7 +1,7 @@
 //! Chooses the instances that may carry requests of another.
 //!
-//! Each reply to an instance names some, so the choice must not visit all instances: with 984
-//! instances that poll four times a second, that was 3.9 million visits a second.
+//! Each reply to an instance names some, so the choice must not visit all instances: for a thousand
+//! instances that poll four times a second, that would be four million visits a second.
 
 use std::collections::BTreeSet;
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -45,8 +45,8 @@
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Interval between keepalives. None is sent if the peer was heard since the last one was due:
-/// replies to polls show as much, and keepalives were two fifths of all frames at a leader that 984
-/// instances poll.
+/// replies to polls show as much. Beside four polls a second, keepalives would be two fifths of the
+/// frames.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Handler of messages and requests from peers.
