Time a broken stream of the soak by its reset

Trace: both attempts were used; the second ran at an engine that breaks streams off after five events. It had sent a part of the sixth when all engines paused, and reset the connection when the last pause ended (the schedule has that end at 10.03 s, the answer ended at 10.038 s; the instance logged two stalls without attempts left, then `cut_stream`). The engine broke off, which the rule allows.

The latest record counts now.

--- a/tests/platform/pause.rs
+++ b/tests/platform/pause.rs
@@ -122,12 +122,11 @@
         }
     }
 
-    /// Records that the engine breaks the run off.
+    /// Records that the engine breaks the run off. An engine that sends a part of an event first may
+    /// pause before it resets the connection, so the latest time counts.
     pub(crate) fn record_break(&self) {
         let mut state = self.state.lock().unwrap();
-        state.engine_runs[self.index]
-            .broken
-            .get_or_insert_with(Instant::now);
+        state.engine_runs[self.index].broken = Some(Instant::now());
     }
 
     /// Records that the next event is sent.
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -25,8 +25,8 @@
 
 use crate::common::process::Process;
 use crate::deployment::{Deployment, KEY};
-use crate::engine::{Fault as EngineFault, expected_stream};
-use crate::pause::Pause;
+use crate::engine::{Fault as EngineFault, SharedState, expected_stream};
+use crate::pause::{Pause, Running};
 use caller::{Answer, Attempt};
 use check::{Disruptions, Verdict, describe, judge};
 use operator::Operator;
@@ -424,3 +424,17 @@
     let text = env::var(name).ok();
     text.and_then(|t| t.parse().ok()).unwrap_or(default)
 }
+
+/// Guards against blaming an instance for a stream that its engine broke off: the engine sends a
+/// part of an event, pauses, and resets the connection only then.
+#[test]
+fn break_timed_by_reset() {
+    let state = SharedState::default();
+    let mut run = Running::begin(&state, "i-1", "s", 0);
+    run.record_break();
+    let reset = Instant::now();
+    run.record_break();
+    run.done = true;
+    let broken = state.lock().unwrap().runs_of("s")[0].broken;
+    assert!(broken >= Some(reset), "{broken:?}, reset at {reset:?}");
+}
