Share what the leader and its followers do alike, and lock once

No change of behaviour. Limit updates are encoded for a message in one place instead of three; whether a sender's roster is current, and its revision in a change log, are asked of the request by both. state_if_leading entered the term twice and let go of its lock in between; a follower copied the limits of each request and the configuration's handle for nothing, and wrapped two calls of its change log. The whole script passes.

--- a/src/controller/follower.rs
+++ b/src/controller/follower.rs
@@ -163,9 +163,7 @@
         }
         self.evidence.acknowledge(&report.runs);
         self.evidence.retain_suspects(&reply.suspects);
-        for limit in &reply.limits {
-            self.apply_limit(now, limit);
-        }
+        self.apply_limits(now, &reply.limits);
         if let Some(roster) = reply.roster {
             self.roster.merge(roster);
         }
@@ -234,10 +232,10 @@
         let request = current.request();
         let instance = request.instance;
         let version = self.leader.version;
-        let body = self.leader.body.clone();
+        let body = self.leader.body.as_ref();
+        let body = body.filter(|_| request.version != version).cloned();
         let quarantine = (request.quarantine_checksum != self.leader.quarantine.checksum)
             .then(|| self.quarantine(now));
-        let body = body.filter(|_| request.version != version);
         let cut_received = self.record(now, current);
         Some(SyncReply {
             age: micros(age),
@@ -263,43 +261,34 @@
         let request = current.request();
         self.evidence.record(now, request);
         let received = self.evidence.unreceived(request);
-        let limits = request.limits.clone();
-        for limit in &limits {
-            self.apply_limit(now, limit);
-        }
+        self.apply_limits(now, &request.limits);
         self.reports.record(now, current);
         received
     }
 
-    fn apply_limit(&mut self, now: Time, limit: &LimitRecord) {
-        let (address, update) = (limit.address, limit.update(now));
+    fn apply_limits(&mut self, now: Time, limits: &[LimitRecord]) {
         let instances = self.leader.entries;
-        self.rate_limiter
-            .apply(now, address, update, instances, 0.0);
+        for limit in limits {
+            let (address, update) = (limit.address, limit.update(now));
+            self.rate_limiter
+                .apply(now, address, update, instances, 0.0);
+        }
     }
 
     /// Returns a subset of the latest limit updates, for a message to `instance`.
     fn limit_records(&self, now: Time, instance: u64) -> Vec<LimitRecord> {
         let draw = unit_hash(now.0.wrapping_add(instance));
-        let updates = self.rate_limiter.message_updates(draw);
-        let record = |(address, update)| LimitRecord::new(now, address, update);
-        updates.map(record).collect()
+        LimitRecord::latest(now, &self.rate_limiter, draw)
     }
 
     /// Returns the next page of roster changes that an instance lacks, if it lacks any.
     fn roster_delta(&mut self, now: Time, request: &SyncRequest) -> Option<RosterDelta> {
         let source = self.identity.source;
-        let known = match request.source == source {
-            true => request.revision,
-            false => 0,
-        };
-        let up_to_date = request.source == source
-            && request.revision == self.roster.last_change()
-            && request.complete == self.roster.is_complete();
-        if up_to_date {
+        let changes = self.roster.changes();
+        if request.has_roster(source, changes.revision(), self.roster.is_complete()) {
             return None;
         }
-        let page = self.roster.page(known, PAGE_UPSTREAMS);
+        let page = changes.page(request.revision_of(source), PAGE_UPSTREAMS);
         let pause = self.page_budget.spend(now, page.ids.len());
         Some(RosterDelta {
             pause_ms: millis(pause) as u32,
--- a/src/controller/follower/roster_copy.rs
+++ b/src/controller/follower/roster_copy.rs
@@ -47,9 +47,9 @@
         self.more
     }
 
-    /// Number of the latest change.
-    pub(crate) fn last_change(&self) -> u64 {
-        self.changes.revision()
+    /// Returns the change log of this copy.
+    pub(crate) fn changes(&self) -> &Changes {
+        &self.changes
     }
 
     /// The upstreams, in no particular order.
@@ -124,12 +124,6 @@
         }
     }
 
-    /// Returns the next changes that an instance at revision `known` of this copy lacks, at most
-    /// `limit`.
-    pub(crate) fn page(&self, known: u64, limit: usize) -> Page<'_> {
-        self.changes.page(known, limit)
-    }
-
     /// Encodes a page for an instance. `source` identifies this copy.
     pub(crate) fn delta(&self, source: u64, page: &Page<'_>) -> RosterDelta {
         let complete = !page.more && self.complete;
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -113,11 +113,6 @@
         }
     }
 
-    /// Number of the term.
-    pub(crate) fn term(&self) -> u64 {
-        self.term
-    }
-
     /// Clears the state if `term` is a new one, and applies the register's latest
     /// departures. Returns whether it is a new one.
     pub(crate) fn enter_term(&mut self, now: Time, term: u64, register: &Register) -> bool {
--- a/src/controller/leader/answer.rs
+++ b/src/controller/leader/answer.rs
@@ -39,9 +39,8 @@
         let request = current.request();
         let current_version = configuration.as_ref().map_or(0, |c| c.version);
         let other_version = configuration.filter(|c| c.version != request.version);
-        let up_to_date = request.source == self.term
-            && request.revision == self.roster.changes().revision()
-            && request.complete == self.is_complete(now);
+        let revision = self.roster.changes().revision();
+        let up_to_date = request.has_roster(self.term, revision, self.is_complete(now));
         let roster = (!up_to_date).then(|| self.roster_delta(now, request, register));
         let instance = request.instance;
         self.record_sync(now, current);
@@ -101,9 +100,7 @@
     /// Returns a subset of the latest limit updates, for the reply to an instance.
     pub(super) fn limit_records(&self, now: Time, instance: u64) -> Vec<LimitRecord> {
         let draw = unit_hash(now.0.wrapping_add(instance));
-        let updates = self.rate_limiter.message_updates(draw);
-        let record = |(address, update)| LimitRecord::new(now, address, update);
-        updates.map(record).collect()
+        LimitRecord::latest(now, &self.rate_limiter, draw)
     }
 
     /// Returns the next page of roster changes that the sender of `request` lacks.
@@ -113,10 +110,7 @@
         request: &SyncRequest,
         register: &Register,
     ) -> RosterDelta {
-        let known = match request.source == self.term {
-            true => request.revision,
-            false => 0,
-        };
+        let known = request.revision_of(self.term);
         let page = self.roster.changes().page(known, PAGE_UPSTREAMS);
         let pause = self.page_budget.spend(now, page.ids.len());
         let record = |id: &str| {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -103,7 +103,7 @@
     peers: Peers,
     register: Register,
     leader_state: Mutex<LeaderState>,
-    /// State while another controller leads. Locked before `leader_state` where both are.
+    /// State while another controller leads. Locked after `leader_state` where both are.
     follower: Mutex<Follower>,
     /// Heartbeats to forward to the leader.
     relay: Mutex<Relay<heartbeat::AckSender>>,
@@ -343,18 +343,12 @@
     fn state_if_leading(&self) -> Option<MutexGuard<'_, LeaderState>> {
         let term = self.leader_info().term?;
         let mut state = self.leader_state();
-        if state.term() != term {
-            drop(state);
-            let mut follower = self.follower();
-            state = self.leader_state();
-            let now = self.now();
-            if state.enter_term(now, term, &self.register)
-                && let Some(inheritance) = follower.hand_over(now)
-            {
-                state.inherit(now, inheritance);
-            }
+        let now = self.now();
+        if state.enter_term(now, term, &self.register)
+            && let Some(inheritance) = self.follower().hand_over(now)
+        {
+            state.inherit(now, inheritance);
         }
-        state.enter_term(self.now(), term, &self.register);
         place::report_ended(&mut state);
         Some(state)
     }
@@ -561,9 +555,7 @@
             ..reply
         }))
     }
-}
 
-impl Controller {
     /// Answers a sync request of an entry instance if this controller follows the leader closely,
     /// or returns the leader.
     fn sync_as_follower(&self, request: SyncRequest) -> Answer {
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -114,7 +114,7 @@
 }
 
 /// Demand by rank, by service. It has no entries for services without demand.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct RankSums(HashMap<String, RankCounts>);
 
 impl RankSums {
@@ -378,19 +378,15 @@
         }
         report.last_sent = Some(now);
         // A leader's sums contain the follower's own, which it adds itself.
-        let (room_requests, ranks) = match report.follower {
+        let mut ranks = self.ranks.clone();
+        let room_requests = match report.follower {
             Some(_) => {
-                let mut ranks = RankSums::default();
-                ranks.add(&self.ranks);
                 ranks.subtract(&report.ranks);
-                (self.room_requests - report.room_requests, ranks.encode())
+                self.room_requests - report.room_requests
             }
             None => {
-                let mut ranks = RankSums::default();
-                ranks.add(&self.ranks);
                 ranks.add(&self.remote_demand.ranks);
-                let room_requests = self.room_requests + self.remote_demand.room_requests;
-                (room_requests, ranks.encode())
+                self.room_requests + self.remote_demand.room_requests
             }
         };
         self.loads_read += (self.sums.len() + self.remote.len()) as u64;
@@ -411,7 +407,7 @@
         Some(FleetLoad {
             loads: loads.filter(|l| l.requests > 0).collect(),
             room_requests,
-            ranks,
+            ranks: ranks.encode(),
         })
     }
 
--- a/src/entry/limit.rs
+++ b/src/entry/limit.rs
@@ -48,10 +48,8 @@
     /// A subset of this instance's latest limit updates, for the leader.
     pub(super) fn limit_records(&self) -> Vec<LimitRecord> {
         let now = self.now();
-        let shared = self.shared();
-        let updates = shared.rate_limiter.message_updates(rand::rng().random());
-        let record = |(address, update)| LimitRecord::new(now, address, update);
-        updates.map(record).collect()
+        let limiter = &self.shared().rate_limiter;
+        LimitRecord::latest(now, limiter, rand::rng().random())
     }
 
     /// Applies the leader's limit updates. Their ages are counted back from `sent`, when the
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -12,7 +12,7 @@
 use prost::Message;
 
 use crate::clock::{Time, micros};
-use crate::decide::rate::LimitUpdate;
+use crate::decide::rate::{LimitUpdate, RateLimiter};
 use crate::decide::run_history::EngineStart;
 use crate::roster::{Announcement, LayerRange, Page, RosterEntry};
 
@@ -78,6 +78,22 @@
     pub(crate) follower: Option<FollowerReport>,
 }
 
+impl SyncRequest {
+    /// Revision of the sender's roster in the change log of `source`; 0 if it follows another one.
+    pub(crate) fn revision_of(&self, source: u64) -> u64 {
+        match self.source == source {
+            true => self.revision,
+            false => 0,
+        }
+    }
+
+    /// Whether the sender's roster is the one at `revision` in the change log of `source`, and is
+    /// known to it to be as complete.
+    pub(crate) fn has_roster(&self, source: u64, revision: u64, complete: bool) -> bool {
+        (self.source, self.revision, self.complete) == (source, revision, complete)
+    }
+}
+
 /// What a following controller reports in addition, of the entry instances that it answers.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct FollowerReport {
@@ -166,6 +182,14 @@
         }
     }
 
+    /// Encodes a subset of a limiter's latest updates for one message. `draw` in [0, 1) selects it.
+    pub(crate) fn latest(now: Time, limiter: &RateLimiter, draw: f64) -> Vec<Self> {
+        let updates = limiter.message_updates(draw);
+        updates
+            .map(|(address, update)| Self::new(now, address, update))
+            .collect()
+    }
+
     /// Decodes the update, with its age counted back from `now`.
     pub(crate) fn update(&self, now: Time) -> LimitUpdate {
         LimitUpdate {
