Count ages of limits that the leader sends back from the request

A follower counted the age of a limit in the leader's reply back from the reply's arrival. The reply travels for up to 0.5 s, so a limit that an instance reported to the follower meanwhile could be replaced by an older one. An entry instance counts from its request, so that a late reply never replaces a newer limit; a follower now does the same.

Found by reading. late_reply_keeps_newer_limit failed before: a limit of 40, reported 0.2 s after the request, was replaced by the reply's 2.

--- a/src/controller/follower.rs
+++ b/src/controller/follower.rs
@@ -163,7 +163,8 @@
         }
         self.evidence.acknowledge(&report.runs);
         self.evidence.retain_suspects(&reply.suspects);
-        self.apply_limits(now, &reply.limits);
+        // Counted back from `sent`, so that an update never replaces a newer one.
+        self.apply_limits(now, report.sent, &reply.limits);
         if let Some(roster) = reply.roster {
             self.roster.merge(roster);
         }
@@ -261,15 +262,16 @@
         let request = current.request();
         self.evidence.record(now, request);
         let received = self.evidence.unreceived(request);
-        self.apply_limits(now, &request.limits);
+        self.apply_limits(now, now, &request.limits);
         self.reports.record(now, current);
         received
     }
 
-    fn apply_limits(&mut self, now: Time, limits: &[LimitRecord]) {
+    /// Applies limit updates, with their ages counted back from `sent`.
+    fn apply_limits(&mut self, now: Time, sent: Time, limits: &[LimitRecord]) {
         let instances = self.leader.entries;
         for limit in limits {
-            let (address, update) = (limit.address, limit.update(now));
+            let (address, update) = (limit.address, limit.update(sent));
             self.rate_limiter
                 .apply(now, address, update, instances, 0.0);
         }
--- a/src/tests/follower.rs
+++ b/src/tests/follower.rs
@@ -17,7 +17,7 @@
 use crate::id::InstanceId;
 use crate::register::{self, Register, RegisterMachine, VersionedConfiguration};
 use crate::roster::Announcement;
-use crate::sync::{CutRecord, Load, SyncReply, SyncRequest, pack};
+use crate::sync::{CutRecord, LimitRecord, Load, SyncReply, SyncRequest, pack};
 use crate::voter::StateMachine;
 
 const LEADER: InstanceId = InstanceId(90_000);
@@ -291,6 +291,37 @@
     assert_eq!(told(&mut fleet, third), [(7, 5, 50), (8, 2, 20)]);
 }
 
+/// Guards against a reply of the leader that is late, and replaces the newer limit that an instance
+/// reported to its follower meanwhile.
+#[test]
+fn late_reply_keeps_newer_limit() {
+    let mut fleet = Fleet::new(1, 3, MANY);
+    let limited = |limit, age| SyncRequest {
+        limits: vec![LimitRecord {
+            address: 7,
+            id: "i-1".to_owned(),
+            born: 1,
+            limit: Some(limit),
+            age,
+        }],
+        ..request(1, Vec::new())
+    };
+    fleet.ask_leader(limited(2.0, 0)).unwrap();
+    let (ask, report) = fleet.followers[0].request(at(fleet.now), LEADER);
+    let late = fleet.ask_leader(ask).unwrap();
+    fleet.now += 300;
+    let known = |fleet: &mut Fleet, request| {
+        let reply = fleet.ask(0, request).unwrap();
+        reply.limits.iter().map(|l| l.limit).collect::<Vec<_>>()
+    };
+    assert_eq!(known(&mut fleet, limited(40.0, 100_000)), [Some(40.0)]);
+    fleet.now += 100;
+    let current = fleet.followers[0].check(late).unwrap();
+    fleet.followers[0].apply(at(fleet.now), &report, current);
+    let ask = request(2, Vec::new());
+    assert_eq!(known(&mut fleet, ask), [Some(40.0)]);
+}
+
 /// Guards against an election after which each instance fetches the whole roster again: 984 of them
 /// fetched 221 MB from one process.
 #[rstest]
