Lead the imports of the entry's attempts one way

attempt, crash, listen, reroute and retry imported one another in a circle. What several of them use now stands in files that import none of them: the admitted request and its context (call), causes of failures (cause), the instance's own responses (respond) and the state of suspects (suspicion); retry builds a granted retry from the context instead of extending Run. Code is moved; behaviour and log lines stay.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -4,26 +4,30 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::header::CONTENT_TYPE;
-use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
+use hyper::{Response, StatusCode};
 
 use super::Entry;
 use super::body::Body;
-use super::crash::{Suspicion, is_cut};
+use super::call::{Call, Context};
+use super::cause::{
+    BLOCKED, CONNECT_TIMED_OUT, DEAD_ENGINE, NO_CONNECTION, NO_PROXY, PAUSED, REFUSED, is_cut,
+    is_unconnected,
+};
 use super::head;
-use super::listen::{error_response, quarantine_body, refuse};
 use super::pool;
 use super::reroute::Stall;
+use super::respond::{error_response, quarantine_body, refuse};
 use super::retry::{GrantedRetry, RetryReason};
 use super::select::{Exclusions, Selection};
+use super::suspicion::Suspicion;
 use super::view::{Upstream, of_service};
-use crate::clock::{Time, millis};
-use crate::configuration::{Model, Route, RoutingTable};
+use crate::clock::millis;
+use crate::configuration::{Model, RoutingTable};
 use crate::decide::health;
 use crate::decide::load;
-use crate::decide::path::Work;
 use crate::decide::rank::Rank;
 use crate::decide::refusal::Reason;
 use crate::decide::retry::{self, AttemptCounts, Failure, NextStep};
@@ -31,10 +35,8 @@
 use crate::decide::view_wait;
 use crate::engine::UpstreamResponse;
 use crate::event;
-use crate::fingerprint::Fingerprint;
 use crate::metric;
 use crate::platform::headers;
-use crate::prompt::Prompt;
 use crate::sync::address_from_key;
 
 /// Timeout for connecting to an upstream. Connecting takes 1 to 2 ms; a lost packet would be
@@ -46,88 +48,6 @@
 /// reports so only after seconds.
 pub(super) const FIRST_BYTE_FACTOR: u32 = 2;
 
-/// Failure cause: the upstream refused the connection.
-pub(super) const NO_CONNECTION: &str = "connect";
-
-/// Failure cause: connecting to the upstream took too long.
-pub(super) const CONNECT_TIMED_OUT: &str = "connect_timeout";
-
-/// Whether an attempt failed since this instance didn't connect to the upstream.
-pub(super) fn is_unconnected(cause: &str) -> bool {
-    matches!(cause, NO_CONNECTION | CONNECT_TIMED_OUT)
-}
-
-/// Failure cause: this instance reaches no upstream, and no other instance carried the request.
-pub(super) const NO_PROXY: &str = "no_proxy";
-
-/// Failure cause: the connection to the instance that carried the request was lost.
-pub(super) const PROXY_LOST: &str = "proxy_lost";
-
-/// Failure cause: the upstream closed the connection before the response head.
-pub(super) const CUT: &str = "cut";
-
-/// Failure cause: the first engine reported another engine of the path as dead.
-pub(super) const DEAD_ENGINE: &str = "dead_part";
-
-/// Cause of a hedge: the attempt waits for an engine that seems dead, and no path leads around it.
-pub(super) const BLOCKED: &str = "blocked";
-
-/// Failure cause: the upstream refused and wants no requests for a while.
-pub(super) const PAUSED: &str = "paused";
-
-/// Failure cause: the upstream refused at once.
-pub(super) const REFUSED: &str = "refused";
-
-/// An admitted request and its route.
-pub(super) struct Call {
-    /// Attempt id from the client.
-    pub(super) attempt: String,
-    pub(super) fingerprint: Fingerprint,
-    pub(super) prompt: Arc<Prompt>,
-    /// Name of the caller's organisation; empty on a route without API keys.
-    pub(super) organisation: Arc<str>,
-    /// `None` if its service doesn't rank requests.
-    pub(super) rank: Option<Rank>,
-    pub(super) route: Route,
-    pub(super) service: String,
-    pub(super) method: Method,
-    pub(super) uri: Uri,
-    /// Headers for upstreams, without those that differ between attempts.
-    pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
-    pub(super) work: Work,
-    pub(super) began: Time,
-    /// Time from `began` by which the response must be complete.
-    pub(super) time_limit: Duration,
-}
-
-impl Call {
-    /// Time left until the deadline.
-    pub(super) fn left(&self, now: Time) -> Duration {
-        self.time_limit.saturating_sub(now.since(self.began))
-    }
-}
-
-/// What all attempts for a request share.
-#[derive(Clone)]
-pub(super) struct Context {
-    pub(super) entry: Arc<Entry>,
-    pub(super) table: Arc<RoutingTable>,
-    pub(super) call: Arc<Call>,
-}
-
-impl Context {
-    /// The model that serves the request, if its service has one.
-    pub(super) fn model(&self) -> Option<&Model> {
-        self.table.service(&self.call.service)?.model.as_ref()
-    }
-
-    /// Time left until the deadline.
-    pub(super) fn left(&self) -> Duration {
-        self.call.left(self.entry.now())
-    }
-}
-
 /// What was read of a response's body.
 pub(super) enum Received {
     Bytes,
@@ -294,6 +214,15 @@
         self.call.left(self.entry.now())
     }
 
+    /// Returns whether the request may be sent again, and if so, counts a retry unless it has one
+    /// that was not sent.
+    pub(super) fn acquire_retry(&mut self, reason: RetryReason) -> bool {
+        if self.retry.is_none() {
+            self.retry = GrantedRetry::acquire(&self.context(), reason);
+        }
+        self.retry.is_some()
+    }
+
     /// Lets the request enter upstreams again to which connections failed, once they are reached
     /// through other instances.
     pub(super) fn retry_unreached(&mut self) {
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -1,14 +1,14 @@
 //! Detects requests that were cut off by engine crashes, and refuses quarantined ones.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use tokio::sync::OwnedMutexGuard;
 use tokio::time::{sleep, timeout};
 
 use super::Entry;
-use super::attempt::{CUT, Run};
+use super::attempt::Run;
+use super::cause::is_cut;
 use super::view::{CurrentReply, Upstream, View};
 use crate::clock::micros;
 use crate::decide::quarantine;
@@ -30,30 +30,6 @@
 /// Timeout for connecting to a probed engine.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// What a request does differently because it may crash the engines that run it.
-#[derive(Default)]
-pub(super) struct Suspicion {
-    /// Whether an engine crashed when it had just begun to run the request. The leader may suspect
-    /// it for runs at other instances, too.
-    own: bool,
-    /// Whether the request has waited for long enough to enter any engine.
-    unrestricted: AtomicBool,
-    /// Turn among the suspects of this instance, until the request proves harmless.
-    turn: Option<OwnedMutexGuard<()>>,
-}
-
-impl Suspicion {
-    /// Lets the request enter any engine.
-    pub(super) fn lift_restriction(&self) {
-        self.unrestricted.store(true, Ordering::Relaxed);
-    }
-}
-
-/// Whether the cause of a failure is that an upstream closed the connection during a run.
-pub(super) fn is_cut(cause: &str) -> bool {
-    matches!(cause, CUT | "cut_body" | "cut_event" | "cut_stream")
-}
-
 impl Run {
     /// Returns the reason for refusal if the request or a part of its prompt is quarantined.
     pub(super) fn quarantined(&self) -> Option<Reason> {
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -7,7 +7,8 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Request, StatusCode};
 
-use super::attempt::{DEAD_ENGINE, OpenResponse, Outcome, PAUSED, REFUSED};
+use super::attempt::{OpenResponse, Outcome};
+use super::cause::{DEAD_ENGINE, PAUSED, REFUSED};
 use super::head;
 use super::notice::pause_asked;
 use super::select::Selection;
--- a/src/entry/hedge.rs
+++ b/src/entry/hedge.rs
@@ -11,7 +11,8 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::mpsc;
 
-use super::attempt::{BLOCKED, Outcome, Run};
+use super::attempt::{Outcome, Run};
+use super::cause::BLOCKED;
 use super::reroute::Stall;
 use super::retry::{GrantedRetry, RetryReason};
 use super::select::Selection;
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -1,29 +1,30 @@
-//! Admits requests, and builds this instance's own responses.
+//! Admits requests.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderName, HeaderValue};
+use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use rand::RngExt;
 
 use super::Entry;
-use super::attempt::{Call, Run};
-use super::body::{self, Body};
+use super::attempt::Run;
+use super::body::Body;
+use super::call::Call;
 use super::head;
+use super::respond::{error_response, refuse};
 use super::select::PLAIN_WORK;
 use super::view::View;
 use crate::configuration::{Model, RouteMatch, RoutingTable};
 use crate::decide::path::Work;
-use crate::decide::refusal::{self, Reason};
+use crate::decide::refusal::Reason;
 use crate::event;
 use crate::fingerprint::Fingerprint;
 use crate::gate::RunningGuard;
 use crate::http::{self, ReceiveError, RequestBody, ResponseBody};
-use crate::metric;
-use crate::platform::{call, headers, prompt};
+use crate::platform::{headers, prompt};
 
 /// Timeout for receiving a request body.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -207,30 +208,3 @@
         "refused"
     );
 }
-
-/// Builds the response to a request that did not run and never will, with a retry delay.
-pub(super) fn refuse(reason: Reason, refused: f64) -> Response<Body> {
-    metrics::counter!(metric::REFUSALS.name, "reason" => reason.code()).increment(1);
-    let mut response = error_response(StatusCode::SERVICE_UNAVAILABLE, reason.code());
-    let after = refusal::retry_after(reason, refused, rand::rng().random());
-    let after = HeaderValue::try_from(format!("{:.2}", after.as_secs_f64()));
-    let name = HeaderName::from_static(headers::RETRY_AFTER);
-    response
-        .headers_mut()
-        .insert(name, after.expect("digits and a dot"));
-    response
-}
-
-/// Response body for a quarantined request, or one with a quarantined part in its prompt.
-pub(super) fn quarantine_body(fingerprint: &Fingerprint, part: Option<&str>) -> Body {
-    body::full(call::quarantined_body(&fingerprint.to_string(), part).into())
-}
-
-/// An error response of this instance.
-pub(super) fn error_response(status: StatusCode, reason: &str) -> Response<Body> {
-    let mut response = Response::new(body::full(call::error_body(reason).into()));
-    *response.status_mut() = status;
-    let kind = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(CONTENT_TYPE, kind);
-    response
-}
--- a/src/entry/reroute.rs
+++ b/src/entry/reroute.rs
@@ -12,7 +12,8 @@
 use hyper::{Request, StatusCode};
 use tokio::time::timeout;
 
-use super::attempt::{Context, DEAD_ENGINE};
+use super::call::Context;
+use super::cause::DEAD_ENGINE;
 use super::select::Selection;
 use super::view::of_service;
 use crate::configuration::RetryPolicy;
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use super::Entry;
-use super::attempt::Run;
+use super::call::Context;
 use crate::clock::millis;
 use crate::event;
 use crate::metric;
@@ -18,6 +18,42 @@
 }
 
 impl GrantedRetry {
+    /// Counts a retry of a request if the limit allows it, for the instance and its service.
+    pub(super) fn acquire(context: &Context, reason: RetryReason) -> Option<Self> {
+        let Context { entry, call, .. } = context;
+        let (now, service) = (entry.now(), &call.service);
+        let instances = entry.view().entry_count();
+        let mut shared = entry.shared();
+        let budget = &mut shared.retry_budget;
+        let granted = match reason {
+            RetryReason::Failed | RetryReason::Blocked => {
+                budget.try_acquire(now, service, instances)
+            }
+            RetryReason::Silent => budget.try_acquire_hedge(now, service, instances),
+        };
+        let left = shared.retry_budget.remaining(now, service, instances);
+        drop(shared);
+        let outcome = if granted { "granted" } else { "denied" };
+        metrics::counter!(metric::RETRIES.name, "service" => service.clone(), "outcome" => outcome)
+            .increment(1);
+        tracing::info!(
+            event = event::RETRY_DECIDED.id,
+            attempt = call.attempt,
+            service,
+            ?reason,
+            outcome,
+            left,
+            instances,
+            up_ms = millis(now.since(entry.started)),
+            "retry decided"
+        );
+        granted.then(|| Self {
+            entry: Arc::clone(entry),
+            service: service.clone(),
+            sent: AtomicBool::new(false),
+        })
+    }
+
     /// Whether the retry was sent.
     fn is_sent(&self) -> bool {
         self.sent.load(Ordering::Relaxed)
@@ -52,45 +88,3 @@
     /// An attempt is silent, and goes on.
     Silent,
 }
-
-impl Run {
-    /// Returns whether the request may be sent again, and if so, counts a retry unless it has one
-    /// that was not sent.
-    pub(super) fn acquire_retry(&mut self, reason: RetryReason) -> bool {
-        if self.retry.is_some() {
-            return true;
-        }
-        let (now, service) = (self.entry.now(), &self.call.service);
-        let instances = self.entry.view().entry_count();
-        let mut shared = self.entry.shared();
-        let budget = &mut shared.retry_budget;
-        let granted = match reason {
-            RetryReason::Failed | RetryReason::Blocked => {
-                budget.try_acquire(now, service, instances)
-            }
-            RetryReason::Silent => budget.try_acquire_hedge(now, service, instances),
-        };
-        let left = shared.retry_budget.remaining(now, service, instances);
-        drop(shared);
-        let outcome = if granted { "granted" } else { "denied" };
-        metrics::counter!(metric::RETRIES.name, "service" => service.clone(), "outcome" => outcome)
-            .increment(1);
-        tracing::info!(
-            event = event::RETRY_DECIDED.id,
-            attempt = self.call.attempt,
-            service,
-            ?reason,
-            outcome,
-            left,
-            instances,
-            up_ms = millis(now.since(self.entry.started)),
-            "retry decided"
-        );
-        self.retry = granted.then(|| GrantedRetry {
-            entry: Arc::clone(&self.entry),
-            service: service.clone(),
-            sent: AtomicBool::new(false),
-        });
-        granted
-    }
-}
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -7,10 +7,9 @@
 
 use tokio::sync::mpsc;
 
-use super::attempt::{
-    CONNECT_TIMED_OUT, CUT, Context, FIRST_BYTE_FACTOR, NO_CONNECTION, NO_PROXY, OpenResponse,
-    Outcome, PROXY_LOST, Received, Run,
-};
+use super::attempt::{FIRST_BYTE_FACTOR, OpenResponse, Outcome, Received, Run};
+use super::call::Context;
+use super::cause::{CONNECT_TIMED_OUT, CUT, NO_CONNECTION, NO_PROXY, PROXY_LOST};
 use super::hedge::{Ended, Stalled};
 use super::proxy::{Carried, Refusal, Via};
 use super::reroute::Stall;
--- a/src/entry/series.rs
+++ b/src/entry/series.rs
@@ -2,8 +2,8 @@
 
 use tokio::time::timeout;
 
-use super::attempt::{NO_PROXY, OpenResponse, Outcome, Run, RunError, is_unconnected};
-use super::crash::is_cut;
+use super::attempt::{OpenResponse, Outcome, Run, RunError};
+use super::cause::{NO_PROXY, is_cut, is_unconnected};
 use super::hedge::{Ended, Progress, Running};
 use super::select::Selection;
 use super::send::Attempt;
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -10,9 +10,10 @@
 use rand::RngExt;
 use tokio::time::timeout;
 
-use super::attempt::{Context, FIRST_BYTE_FACTOR, OpenResponse, Received, Run};
+use super::attempt::{FIRST_BYTE_FACTOR, OpenResponse, Received, Run};
 use super::body::{self, Body, Truncated};
-use super::crash::is_cut;
+use super::call::Context;
+use super::cause::is_cut;
 use super::head;
 use super::reroute::Stall;
 use crate::clock::{Time, millis};
