Play controllers that fail while followers answer

Of the bad cases of the whole fleet none was played with real processes and followers: the leader paused for 3 s, which wakes and believes that it leads, and two of five controllers killed for good, the leader among them. A changed configuration must be in force at each instance 2 s after its acknowledgement, and the revoked key must stay refused after the leader woke.

--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -129,9 +129,9 @@
             .with_instances(DOMAINS.len(), &[3, 2])
     }
 
-    /// Like [`Deployment::with_size`], but the leader refers all entry instances to its followers.
-    pub(crate) fn with_followers(entries: usize, engines: &[u8]) -> Self {
-        let mut deployment = Self::new(CONTROLLERS, CONTROLLERS, Turn::wait(entries));
+    /// Like [`Deployment::with_controllers`], but the leader refers all entry instances to its followers.
+    pub(crate) fn with_followers(controllers: u8, entries: usize, engines: &[u8]) -> Self {
+        let mut deployment = Self::new(controllers, controllers, Turn::wait(entries));
         deployment.direct = 0;
         deployment.start_controllers();
         deployment.with_instances(entries, engines)
--- a/tests/platform/end_to_end.rs
+++ b/tests/platform/end_to_end.rs
@@ -109,7 +109,7 @@
 /// answers them or the leader ends.
 #[test]
 fn followers_answer() {
-    let mut deployment = Deployment::with_followers(4, &[3, 2]);
+    let mut deployment = Deployment::with_followers(3, 4, &[3, 2]);
     let leader = wait_for("a leader", || deployment.leader());
     let ip = match deployment.control_addr(leader as u8).ip() {
         IpAddr::V4(ip) => u32::from(ip),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod end_to_end;
 mod engine;
 mod faults;
+mod followers;
 mod limit;
 mod metrics;
 mod notice;
