--- a/src/controller/follow.rs
+++ b/src/controller/follow.rs
@@ -13,7 +13,8 @@
 use crate::role;
 
 /// Interval between two requests to the leader while followers answer entry instances. What they
-/// tell is older by at most this time than what the leader would tell.
+/// tell is older by at most this time than what the leader would tell. With loads that were older by
+/// 0.3 s, requests crowded engines that seemed free, and one in 200 more was late on a busy day.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Interval while the leader answers all entry instances itself.
--- a/tests/platform/crowd.rs
+++ b/tests/platform/crowd.rs
@@ -56,6 +56,9 @@
         let attempt = format!("crowd-{caller}-{number}");
         let (status, body) = deployment.request(entry, path, &attempt, KEY);
         let whole = path != "/letters/x" || body == expected_stream();
+        if status != 0 && !(status == 200 && whole) {
+            eprintln!("{attempt} in phase {now} not served: {status} {body}");
+        }
         let tally = match now {
             BEFORE => &mut tallies[0],
             CROWDED => &mut tallies[1],
