--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -90,8 +90,7 @@
     ///
     /// A leader takes about half of a processor for 300 instances. With more, it refers them to its
     /// followers, so that its own work doesn't grow with their number. Over followers, what an
-    /// instance knows of the load of the others is up to 350 ms older, and more requests choose the
-    /// same engines.
+    /// instance knows of the load of the others is up to 100 ms older.
     pub(crate) fn new(heartbeat: Duration, direct: usize) -> Self {
         Self {
             heartbeat,
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -18,7 +18,7 @@
 }
 
 impl GrantedRetry {
-    /// Counts a retry of a request if the limit allows it, for the instance and its service.
+    /// Counts a retry of a request, if the limit on retries to its service allows one.
     pub(super) fn acquire(context: &Context, reason: RetryReason) -> Option<Self> {
         let Context { entry, call, .. } = context;
         let (now, service) = (entry.now(), &call.service);
--- a/src/roster/changes.rs
+++ b/src/roster/changes.rs
@@ -16,17 +16,17 @@
 
 /// A part of the changes.
 pub(crate) struct Page<'a, K = Arc<str>> {
-    /// Revision to which the changes apply; 0 if they begin with an empty roster.
+    /// Revision to which the changes apply; 0 if they begin with nothing.
     pub(crate) since: u64,
     /// Revision after the changes.
     pub(crate) revision: u64,
     /// Whether further changes follow.
     pub(crate) more: bool,
-    /// Upstreams that changed or were removed, in the order of their latest changes.
+    /// Records that changed or were removed, in the order of their latest changes.
     pub(crate) ids: Vec<&'a K>,
 }
 
-/// The latest change of each upstream, identified by `K`.
+/// The latest change of each record. `K` identifies it.
 #[derive(Debug)]
 pub(crate) struct Changes<K = Arc<str>> {
     /// Number of the latest change; increases by one with each.
