Take a failed poll of a follower for granted until its reply is applied

A request takes the revision that the leader has, and the applied reply puts the new one back, so the next request after a failed one contains all loads without note_failure at each way out of poll_leader. Polls follow one another, so behaviour is the same; loads_right_after_failures covers it.

--- a/src/controller/follow.rs
+++ b/src/controller/follow.rs
@@ -66,34 +66,25 @@
             ask: Some(Ask::Sync(Box::new(request))),
         };
         let reply = self.peers.call(leader, request, ANSWER_TIMEOUT).await;
-        let answer = reply.ok().and_then(|r| r.answer);
-        let now = self.now();
-        let mut follower = self.follower();
-        match answer {
-            Some(Answer::Sync(reply)) => {
+        match reply.ok()?.answer? {
+            Answer::Sync(reply) => {
+                let now = self.now();
+                let mut follower = self.follower();
                 let (term, version) = (reply.term, reply.version);
                 match follower.check(*reply) {
                     Some(current) => follower.apply(now, &report, current),
-                    None => {
-                        follower.note_failure();
-                        tracing::info!(
-                            event = event::SYNC_REJECTED.id,
-                            leader = leader.0,
-                            term,
-                            version,
-                            "response of a controller rejected"
-                        );
-                    }
+                    None => tracing::info!(
+                        event = event::SYNC_REJECTED.id,
+                        leader = leader.0,
+                        term,
+                        version,
+                        "response of a controller rejected"
+                    ),
                 }
                 Some(leader)
             }
-            answer => {
-                follower.note_failure();
-                match answer {
-                    Some(Answer::NotLeader(hint)) if hint != 0 => Some(InstanceId(hint)),
-                    _ => None,
-                }
-            }
+            Answer::NotLeader(hint) if hint != 0 => Some(InstanceId(hint)),
+            _ => None,
         }
     }
 }
--- a/src/controller/follower.rs
+++ b/src/controller/follower.rs
@@ -199,11 +199,6 @@
         leader.confirmed = Some(report.sent - Duration::from_micros(reply.age));
     }
 
-    /// Records that a request got no usable reply: the leader may lack what an earlier one contained.
-    pub(crate) fn note_failure(&mut self) {
-        self.reports.set_received(0);
-    }
-
     /// Whether this state holds all that the leader had to send.
     fn is_ready(&self) -> bool {
         self.leader.confirmed.is_some() && !self.roster.has_more()
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -98,7 +98,8 @@
     /// Sums of the loads in `latest`. Updated with each report: summing up for each reply takes
     /// time quadratic in the number of instances.
     sums: LoadSums,
-    /// Revision of `sums` that the leader has.
+    /// Revision of `sums` that the leader has; 0 if that isn't known, as from each request until
+    /// its reply is applied.
     received: u64,
     /// Sum of `room_requests` in `latest`.
     room_requests: u32,
@@ -363,7 +364,9 @@
     /// Adds the sums of all reports to a follower's request. `ready` tells whether it can answer
     /// instances.
     pub(crate) fn add_sums(&mut self, domain: &str, ready: bool, request: &mut SyncRequest) {
-        let (since, loads) = self.sums.changed_since(self.received);
+        // Without a usable reply, the next request contains all loads.
+        let known = std::mem::take(&mut self.received);
+        let (since, loads) = self.sums.changed_since(known);
         request.loads = loads;
         request.room_requests = self.room_requests;
         request.ranks = self.ranks.encode();
--- a/src/tests/follower/loads.rs
+++ b/src/tests/follower/loads.rs
@@ -125,9 +125,8 @@
             false => None,
         };
         let current = reply.filter(|_| fate.answered);
-        match current.and_then(|r| polling.check(r)) {
-            Some(current) => polling.apply(now, &report, current),
-            None => polling.note_failure(),
+        if let Some(current) = current.and_then(|r| polling.check(r)) {
+            polling.apply(now, &report, current);
         }
         self.fleet.followers[which] = polling;
     }
