--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -81,6 +81,12 @@
         self.follower.as_ref().map_or(1, |f| f.entries)
     }
 
+    /// Subtracts the load in this report from a sum that contains it.
+    fn without_own(&self, sum: Load) -> Load {
+        let own = self.loads.get(&sum.engine);
+        own.map_or(sum, |own| sum.minus(own))
+    }
+
     /// See [`FollowerReport::revision`].
     fn revision(&self) -> u64 {
         self.follower.as_ref().map_or(0, |f| f.revision)
@@ -419,7 +425,7 @@
         let remote = &self.remote;
         let local = self.sums.values().map(|sum| {
             let others = remote.loads.get(&sum.engine);
-            without(others.map_or(*sum, |r| with(*sum, r)), report)
+            report.without_own(others.map_or(*sum, |r| sum.plus(r)))
         });
         let only_remote = remote.loads.values();
         let only_remote = only_remote.filter(|l| self.sums.get(l.engine).requests == 0);
@@ -457,7 +463,7 @@
         let mut ranks = self.ranks.clone();
         ranks.subtract(&report.ranks);
         let load = FleetLoad {
-            loads: changed.into_iter().map(|l| without(l, report)).collect(),
+            loads: changed.into_iter().map(|l| report.without_own(l)).collect(),
             room_requests: self.room_requests - report.room_requests,
             ranks: ranks.encode(),
             source,
@@ -489,25 +495,3 @@
         Duration::from_secs_f64(bytes / MAX_BYTES_PER_S)
     }
 }
-
-fn with(sum: Load, other: &Load) -> Load {
-    Load {
-        engine: sum.engine,
-        memory: sum.memory + other.memory,
-        requests: sum.requests + other.requests,
-        first_hops: sum.first_hops + other.first_hops,
-    }
-}
-
-/// Subtracts an instance's own load from a sum that contains it.
-fn without(sum: Load, report: &Report) -> Load {
-    let Some(own) = report.loads.get(&sum.engine) else {
-        return sum;
-    };
-    Load {
-        engine: sum.engine,
-        memory: sum.memory - own.memory,
-        requests: sum.requests - own.requests,
-        first_hops: sum.first_hops - own.first_hops,
-    }
-}
--- a/src/controller/reports/sums.rs
+++ b/src/controller/reports/sums.rs
@@ -45,14 +45,10 @@
         }
         let mut sum = self.get(engine);
         if let Some(after) = after {
-            sum.memory += after.memory;
-            sum.requests += after.requests;
-            sum.first_hops += after.first_hops;
+            sum = sum.plus(after);
         }
         if let Some(before) = before {
-            sum.memory -= before.memory;
-            sum.requests -= before.requests;
-            sum.first_hops -= before.first_hops;
+            sum = sum.minus(before);
         }
         if sum.requests > 0 {
             self.sums.insert(engine, sum);
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -271,6 +271,28 @@
     pub(crate) first_hops: u32,
 }
 
+impl Load {
+    /// Adds the load of other requests on the same engine.
+    pub(crate) fn plus(self, other: &Self) -> Self {
+        Self {
+            engine: self.engine,
+            memory: self.memory + other.memory,
+            requests: self.requests + other.requests,
+            first_hops: self.first_hops + other.first_hops,
+        }
+    }
+
+    /// Subtracts a part of this load.
+    pub(crate) fn minus(self, part: &Self) -> Self {
+        Self {
+            engine: self.engine,
+            memory: self.memory - part.memory,
+            requests: self.requests - part.requests,
+            first_hops: self.first_hops - part.first_hops,
+        }
+    }
+}
+
 /// Reply to a [`SyncRequest`], with the changes that the instance lacks.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct SyncReply {
