Let the leader and its followers pass on limit updates by the same code

Both applied the updates of a message and chose a subset for the next one in the same way; LimitUpdates does it for both. It stays with each caller from when the ages count.

--- a/src/controller/follower.rs
+++ b/src/controller/follower.rs
@@ -10,15 +10,12 @@
 
 use self::evidence::HeldEvidence;
 use self::roster_copy::RosterCopy;
+use super::limits::LimitUpdates;
 use super::page::{PAGE_UPSTREAMS, PageBudget};
 use super::reports::{CurrentRequest, Reports};
 use crate::clock::{Time, micros, millis};
-use crate::decide::load::unit_hash;
-use crate::decide::rate::RateLimiter;
 use crate::id::InstanceId;
-use crate::sync::{
-    ControllerRecord, LimitRecord, QuarantineRecord, RosterDelta, SyncReply, SyncRequest,
-};
+use crate::sync::{ControllerRecord, QuarantineRecord, RosterDelta, SyncReply, SyncRequest};
 
 mod evidence;
 mod roster_copy;
@@ -101,7 +98,7 @@
     page_budget: PageBudget,
     reports: Reports,
     evidence: HeldEvidence,
-    rate_limiter: RateLimiter,
+    limits: LimitUpdates,
 }
 
 impl Follower {
@@ -115,7 +112,7 @@
             page_budget: PageBudget::new(),
             reports: Reports::default(),
             evidence: HeldEvidence::default(),
-            rate_limiter: RateLimiter::default(),
+            limits: LimitUpdates::default(),
         }
     }
 
@@ -141,7 +138,7 @@
         let ready = self.is_ready();
         self.reports
             .add_sums(&self.identity.domain, ready, &mut request);
-        request.limits = self.limit_records(now, self.identity.instance);
+        request.limits = self.limits.for_instance(now, self.identity.instance);
         let runs = self.evidence.add_to(now, &mut request);
         let report = SentReport {
             leader,
@@ -172,7 +169,8 @@
         self.reports.set_received(report.revision);
         self.evidence.retain_suspects(&reply.suspects);
         // Counted back from `sent`, so that an update never replaces a newer one.
-        self.apply_limits(now, report.sent, &reply.limits);
+        let (sent, instances) = (report.sent, self.leader.entries);
+        self.limits.record(now, sent, instances, &reply.limits);
         if let Some(roster) = reply.roster {
             self.roster.merge(roster);
         }
@@ -258,7 +256,7 @@
             term: self.leader.term,
             suspects: self.leader.suspects.clone(),
             quarantine,
-            limits: self.limit_records(now, instance),
+            limits: self.limits.for_instance(now, instance),
             proxies: self.reports.proxies(instance),
             controllers: self.leader.controllers.clone(),
             cut_received,
@@ -270,27 +268,12 @@
         let request = current.request();
         self.evidence.record(now, request);
         let received = self.evidence.unreceived(request);
-        self.apply_limits(now, now, &request.limits);
+        let instances = self.leader.entries;
+        self.limits.record(now, now, instances, &request.limits);
         self.reports.record(now, current);
         received
     }
 
-    /// Applies limit updates, with their ages counted back from `sent`.
-    fn apply_limits(&mut self, now: Time, sent: Time, limits: &[LimitRecord]) {
-        let instances = self.leader.entries;
-        for limit in limits {
-            let (address, update) = (limit.address, limit.update(sent));
-            self.rate_limiter
-                .apply(now, address, update, instances, 0.0);
-        }
-    }
-
-    /// Returns a subset of the latest limit updates, for a message to `instance`.
-    fn limit_records(&self, now: Time, instance: u64) -> Vec<LimitRecord> {
-        let draw = unit_hash(now.0.wrapping_add(instance));
-        LimitRecord::latest(now, &self.rate_limiter, draw)
-    }
-
     /// Returns the next page of roster changes that an instance lacks, if it lacks any.
     fn roster_delta(&mut self, now: Time, request: &SyncRequest) -> Option<RosterDelta> {
         let source = self.identity.source;
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -13,13 +13,13 @@
 pub(crate) use self::placing::PlacementOrder;
 use super::crash_evidence::{CrashCauses, CrashEvidence};
 use super::follower::Inheritance;
+use super::limits::LimitUpdates;
 use super::order::{EndedOrder, OrderEnd};
 use super::page::PageBudget;
 use super::reports::Reports;
 use crate::clock::Time;
 use crate::collections::HashMap;
 use crate::decide::pace::Rotation;
-use crate::decide::rate::RateLimiter;
 use crate::fingerprint::Fingerprint;
 use crate::register::Register;
 use crate::relay::HeartbeatDigest;
@@ -74,7 +74,7 @@
     page_budget: PageBudget,
     rotation: Rotation,
     crashes: CrashEvidence,
-    rate_limiter: RateLimiter,
+    limits: LimitUpdates,
     /// Orders by engine. Each change marks the upstream as changed in the roster, since
     /// instances see the layers that an engine retains, not those that it holds.
     pending: HashMap<Arc<str>, PendingOrder>,
@@ -105,7 +105,7 @@
             page_budget: PageBudget::new(),
             rotation: Rotation::default(),
             crashes: CrashEvidence::default(),
-            rate_limiter: RateLimiter::default(),
+            limits: LimitUpdates::default(),
             pending: HashMap::default(),
             last_order: 0,
             ended: Vec::new(),
--- a/src/controller/leader/answer.rs
+++ b/src/controller/leader/answer.rs
@@ -6,12 +6,9 @@
 use crate::clock::{Time, micros, millis};
 use crate::controller::page::PAGE_UPSTREAMS;
 use crate::controller::reports::CurrentRequest;
-use crate::decide::load::unit_hash;
 use crate::fingerprint::Fingerprint;
 use crate::register::{Register, VersionedConfiguration};
-use crate::sync::{
-    ControllerRecord, LimitRecord, RosterDelta, SyncReply, SyncRequest, UpstreamRecord,
-};
+use crate::sync::{ControllerRecord, RosterDelta, SyncReply, SyncRequest, UpstreamRecord};
 
 /// Time after which every entry instance has sent a sync request to a new leader: an
 /// instance that knows no leader asks the controllers in turn, a few per second.
@@ -61,7 +58,7 @@
             term: self.term,
             suspects: self.crashes.suspects().map(Fingerprint::bytes).collect(),
             quarantine: None,
-            limits: self.limit_records(now, instance),
+            limits: self.limits.for_instance(now, instance),
             proxies: self.reports.proxies(instance),
             controllers: self.delegates(now),
             cut_received: None,
@@ -94,20 +91,11 @@
     pub(super) fn record_sync(&mut self, now: Time, current: CurrentRequest) {
         self.crashes.record(now, &current);
         let instances = self.reports.len() as u32;
-        for limit in &current.request().limits {
-            let (address, update) = (limit.address, limit.update(now));
-            self.rate_limiter
-                .apply(now, address, update, instances, 0.0);
-        }
+        let limits = &current.request().limits;
+        self.limits.record(now, now, instances, limits);
         self.reports.record(now, current);
     }
 
-    /// Returns a subset of the latest limit updates, for the reply to an instance.
-    pub(super) fn limit_records(&self, now: Time, instance: u64) -> Vec<LimitRecord> {
-        let draw = unit_hash(now.0.wrapping_add(instance));
-        LimitRecord::latest(now, &self.rate_limiter, draw)
-    }
-
     /// Returns the next page of roster changes that the sender of `request` lacks.
     pub(super) fn roster_delta(
         &mut self,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -42,6 +42,7 @@
 pub(crate) mod follower;
 mod heartbeat;
 pub(crate) mod leader;
+mod limits;
 mod measure;
 pub(crate) mod order;
 mod pace;
