--- a/src/tests/follower.rs
+++ b/src/tests/follower.rs
@@ -40,10 +40,15 @@
 }
 
 fn follower(instance: u64) -> Follower {
+    restarted(instance, 1)
+}
+
+/// A follower whose process started at `born`.
+fn restarted(instance: u64, born: u64) -> Follower {
     Follower::new(Identity {
         instance,
         domain: format!("d{}", instance % 5),
-        born: 1,
+        born,
         source: instance << 32,
     })
 }
--- a/src/tests/follower/loads.rs
+++ b/src/tests/follower/loads.rs
@@ -4,9 +4,8 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
-use super::{Fleet, LEADER, MANY, follower};
+use super::{Fleet, LEADER, MANY, follower, restarted};
 use crate::collections::HashMap;
-use crate::controller::follower::{Follower, Identity};
 use crate::sync::{Load, SyncRequest};
 use crate::tests::at;
 use crate::tests::roster::request;
@@ -145,7 +144,7 @@
                 self.fleet.elect(which);
                 self.report_idle();
             }
-            1 => self.fleet.followers[which] = restarted(which, self.fleet.now),
+            1 => self.fleet.followers[which] = restarted(90_001 + which as u64, self.fleet.now),
             2 => self.fleet.now += 2_100,
             3..6 => {
                 let instance = self.rng.random_range(0..6);
@@ -199,16 +198,6 @@
     }
 }
 
-fn restarted(which: usize, born: u64) -> Follower {
-    let instance = 90_001 + which as u64;
-    Follower::new(Identity {
-        instance,
-        domain: format!("d{}", instance % 5),
-        born,
-        source: instance << 32,
-    })
-}
-
 /// Guards against sums that stay wrong after polls were lost, late or doubled, after followers
 /// restarted or fell silent, instances changed their follower, and leaders followed one another.
 #[test]
