Review case 2: a foreign heartbeat retires a live engine for good

Cause: a heartbeat that names an unknown service wins over the holder of its address, which is retired and never taken back.

Change: a script that shows it, with a stand-in for engines.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,3 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
+rustc --edition 2021 -O -o target/review/engine review/standins/engine.rs
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -161,3 +161,36 @@
 metric() {
     curl -s --max-time 1 "http://$NET.$1:$METRICS_PORT/metrics" | sed -n "s/^$2 //p" | head -n 1
 }
+
+# start_engine HOST ID SERVICE ZONE WORK_MS CONTROL_HOST...
+ENGINE_PORT=21080
+start_engine() {
+    local host=$1 id=$2 service=$3 zone=$4 work=$5 controls="" control
+    shift 5
+    for control in "$@"; do
+        controls+="${controls:+,}$NET.$control:$CONTROL_PORT"
+    done
+    "$ROOT/target/review/engine" "listen=$NET.$host:$ENGINE_PORT" "id=$id" "service=$service" \
+        "zone=$zone" "controls=$controls" "log=$WORK/engine-$host.txt" "work_ms=$work" \
+        "fault=$WORK/fault-$host" > "$WORK/engine-$host.log" 2>&1 &
+    PIDS[engine-$host]=$!
+    record "engine $NET.$host starts: $id of $service in $zone"
+}
+
+# Waits until an entry instance is ready, for 30 s at most. wait_ready HOST
+wait_ready() {
+    local tries status
+    for ((tries = 0; tries < 150; tries++)); do
+        status=$(curl -s -o /dev/null -w '%{http_code}' --max-time 1 "http://$NET.$1:$READY_PORT/v1/readyz")
+        [ "$status" = 200 ] && return 0
+        sleep 0.2
+    done
+    return 1
+}
+
+# kill_machine HOST: SIGKILL, as when a machine loses power.
+kill_machine() {
+    kill -KILL "${PIDS[$1]}"
+    wait "${PIDS[$1]}" 2>/dev/null
+    record "$NET.$1 was killed with SIGKILL"
+}
