Review case 2: a cut stream looks complete when another instance carries it

Cause: the carrier passes an answer without a length on in chunks, so the sender takes the end of its connection for the end of the stream.

--- a/review/lib.sh
+++ b/review/lib.sh
@@ -163,6 +163,8 @@
 }
 
 # start_engine HOST ID SERVICE ZONE WORK_MS CONTROL_HOST...
+# ENGINE_OPTIONS: further arguments of the stand-in.
+ENGINE_OPTIONS=()
 ENGINE_PORT=21080
 start_engine() {
     local host=$1 id=$2 service=$3 zone=$4 work=$5 controls="" control
@@ -172,7 +174,7 @@
     done
     "$ROOT/target/review/engine" "listen=$NET.$host:$ENGINE_PORT" "id=$id" "service=$service" \
         "zone=$zone" "controls=$controls" "log=$WORK/engine-$host.txt" "work_ms=$work" \
-        "fault=$WORK/fault-$host" > "$WORK/engine-$host.log" 2>&1 &
+        "${ENGINE_OPTIONS[@]}" > "$WORK/engine-$host.log" 2>&1 &
     PIDS[engine-$host]=$!
     record "engine $NET.$host starts: $id of $service in $zone"
 }
--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -3,8 +3,12 @@
 //! runs. It uses the standard library alone.
 //!
 //! Arguments, as NAME=VALUE: `listen`, `id`, `service`, `zone`, `controls` (separated by commas),
-//! `log` (file), `work_ms` (duration of a run), `fault` (file: while it exists, its first word tells
-//! how requests fail).
+//! `log` (file), `work_ms` (duration of a run), `lost` (file: while it exists, its one line is
+//! the address from which nothing reaches the engine, which closes connections from there unread), `stream`
+//! (how streams under `/stream/` end: `whole`, or `crash`: it crashes within the sixth event of a new stream,
+//! and before the first event of a resumed one).
+//!
+//! A stream has twelve events, 40 ms apart, and neither a length nor chunks: it ends with its connection.
 
 use std::collections::HashMap;
 use std::fs::OpenOptions;
@@ -14,6 +18,9 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Number of events of a stream.
+const EVENTS: u32 = 12;
+
 const BEAT: Duration = Duration::from_millis(1200);
 
 struct Engine {
@@ -24,7 +31,8 @@
     controls: Vec<String>,
     log: String,
     work: Duration,
-    fault: String,
+    lost: String,
+    stream: String,
     born: u128,
 }
 
@@ -85,7 +93,46 @@
         }
     }
 
+    /// Sends a stream after its event `last`, up to its end or a crash.
+    fn send_events(
+        &self,
+        stream: &mut TcpStream,
+        attempt: &str,
+        signature: &str,
+        last: u32,
+    ) -> std::io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n{signature}\
+             Content-Type: text/event-stream\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes())?;
+        for id in last + 1..=EVENTS {
+            thread::sleep(Duration::from_millis(40));
+            let event = format!("id: {id}\ndata: token {id}\n\n");
+            let crashes = self.stream == "crash";
+            if crashes && last > 0 {
+                self.record(&format!("crashes attempt={attempt} before the first event"));
+                std::process::abort();
+            }
+            if crashes && id == 6 {
+                stream.write_all(&event.as_bytes()[..7])?;
+                thread::sleep(Duration::from_millis(40));
+                self.record(&format!("crashes attempt={attempt} within event {id}"));
+                std::process::abort();
+            }
+            stream.write_all(event.as_bytes())?;
+            self.record(&format!("sends attempt={attempt} event={id}"));
+        }
+        self.record(&format!("ends attempt={attempt}, whole"));
+        Ok(())
+    }
+
     fn serve(&self, mut stream: TcpStream) {
+        let source = stream.peer_addr().map(|a| a.ip().to_string());
+        let lost = std::fs::read_to_string(&self.lost).unwrap_or_default();
+        if source.is_ok_and(|s| s == lost.trim()) {
+            return;
+        }
         let Ok(clone) = stream.try_clone() else { return };
         let mut reader = BufReader::new(clone);
         while let Some((line, head, _body)) = read_message(&mut reader) {
@@ -107,12 +154,12 @@
             let tenant = head.get("x-tenant").map_or("(none)", String::as_str);
             self.record(&format!("runs attempt={attempt} tenant={tenant} request={line}"));
             thread::sleep(self.work);
-            let fault = std::fs::read_to_string(&self.fault).unwrap_or_default();
-            if fault.starts_with("cut") {
-                self.record(&format!("cuts attempt={attempt}"));
+            let signature = format!("X-Server-Signature: {}.{attempt}\r\n", self.id);
+            if line.contains(" /stream/") {
+                let last = head.get("last-event-id").and_then(|l| l.parse().ok());
+                let _ = self.send_events(&mut stream, &attempt, &signature, last.unwrap_or(0));
                 return;
             }
-            let signature = format!("X-Server-Signature: {}.{attempt}\r\n", self.id);
             let body = format!("{{\"engine\":\"{}\",\"attempt\":\"{attempt}\"}}", self.id);
             if stream.write_all(answer("200 OK", &signature, &body).as_bytes()).is_err() {
                 return;
@@ -190,7 +237,8 @@
         controls: get("controls").split(',').map(str::to_owned).collect(),
         log: get("log"),
         work: Duration::from_millis(get("work_ms").parse().unwrap_or(30)),
-        fault: get("fault"),
+        lost: get("lost"),
+        stream: get("stream"),
         born: millis(),
     });
     let listener = TcpListener::bind(&engine.listen).expect("listen");
