--- a/review/lib.sh
+++ b/review/lib.sh
@@ -28,6 +28,8 @@
 # Ends all processes that the script started.
 finish() {
     local pid
+    # Not the notices of the shell about the processes that it ends.
+    exec 2>/dev/null
     for pid in "${PIDS[@]}"; do
         kill -CONT "$pid" 2>/dev/null
         kill -KILL "$pid" 2>/dev/null
@@ -36,6 +38,7 @@
     rm -rf "$WORK"
 }
 trap finish EXIT
+trap 'exit 2' INT TERM
 
 # The case couldn't run.
 unable() {
