Record in a store's folder whether it may found the replicated log

What callers saw: after three control machines had been added and the settings had named them as seeds, the restart of one of them made them found a second replicated log. Both logs acknowledged configurations; reads at the older controllers gave the older one. Where the older controllers restarted too, their stores failed one after the other and the acknowledged configuration could not be read any more.

Every store's folder isn't empty from its first start on, so this doesn't show that it was one of the founders. An added store that restarted after the exchange took itself and the two other added ones for the founders; these knew no members and gave it their votes.

Change: the founders are recorded in the first frame of the log file when the folder is created, and only the first start of the fleet names any. Settings of later starts name contacts only. The first log file is used although its rename was cut off, and the parent folder is synced later, so that founders killed in their first milliseconds still know it. Events 509 to 511 tell what a store knows when it opens, that a group was founded, and that one can't be.

Weighed and not taken: asking all known controllers for an existing log before founding one, which fails while the voters are down (case voters_down); an identity of the log in messages, which stores without entries don't have.

--- a/examples/commit.rs
+++ b/examples/commit.rs
@@ -81,13 +81,14 @@
     }
 
     fn start_voter(&mut self, folder: &Path, index: usize) {
+        let all: Vec<_> = (1..=self.isolated.len() as u64).map(InstanceId).collect();
         let settings = VoterSettings {
             instance: InstanceId(index as u64 + 1),
             data_dir: folder.join(index.to_string()),
-            initial_voters: (1..=self.isolated.len() as u64).map(InstanceId).collect(),
+            founders: all.clone(),
             election_timeout: ELECTION,
             heartbeat_interval: HEARTBEAT,
-            contacts: Vec::new(),
+            contacts: all,
             retained_entries: 256,
             snapshot_interval: 1000,
             seed: index as u64,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -275,22 +275,19 @@
     Ok(())
 }
 
-/// The seeds bootstrap the group only at the first start of the fleet. A store
-/// that later comes back empty must not bootstrap again: it has lost its votes
-/// and acknowledgements.
+/// The seeds found the group only at the first start of the fleet. Whether a store takes part in
+/// that is recorded when its data directory is created: seeds that are named later, or a directory
+/// that comes back empty, found nothing.
 fn voter_settings(settings: &RoleSettings, boot: &Boot) -> Result<VoterSettings> {
-    let data_dir = role::required(boot.data_dir.clone(), "a data folder")?;
-    let used = std::fs::read_dir(&data_dir).is_ok_and(|mut names| names.next().is_some());
     let seeds = role::seeds(boot);
-    let initial_voters = if boot.first_start || used {
-        seeds.clone()
-    } else {
-        Vec::new()
-    };
     Ok(VoterSettings {
         instance: role::instance_id(boot.ip),
-        data_dir,
-        initial_voters,
+        data_dir: role::required(boot.data_dir.clone(), "a data folder")?,
+        founders: if boot.first_start {
+            seeds.clone()
+        } else {
+            Vec::new()
+        },
         contacts: seeds,
         election_timeout: settings.election,
         heartbeat_interval: settings.election / HEARTBEATS_PER_ELECTION,
--- a/src/disk.rs
+++ b/src/disk.rs
@@ -36,6 +36,8 @@
 #[derive(Debug)]
 pub(crate) struct DataDir {
     path: PathBuf,
+    /// Directory that contains `path`, until its entry for `path` is durable.
+    unsynced_parent: Option<PathBuf>,
     /// Files open for writing.
     open: HashMap<String, File>,
     /// Lock file, locked while it is open.
@@ -54,11 +56,9 @@
             .write(true)
             .open(path.join(LOCK))?;
         flock(&lock, FlockOperation::NonBlockingLockExclusive)?;
-        if let Some(parent) = path.canonicalize()?.parent() {
-            File::open(parent)?.sync_all()?;
-        }
         Ok(Self {
             path: path.to_owned(),
+            unsynced_parent: path.canonicalize()?.parent().map(Path::to_owned),
             open: HashMap::default(),
             _lock: lock,
         })
@@ -110,6 +110,10 @@
     }
 
     fn sync_names(&mut self) -> io::Result<()> {
+        if let Some(parent) = &self.unsynced_parent {
+            File::open(parent)?.sync_all()?;
+            self.unsynced_parent = None;
+        }
         File::open(&self.path)?.sync_all()
     }
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -148,6 +148,12 @@
 pub(crate) const STORE_CONFIRMED: Event = event(507, "store_confirmed");
 /// Too few voters answered a restarted store; it continues with its local state.
 pub(crate) const STORE_UNCONFIRMED: Event = event(508, "store_unconfirmed");
+/// A store was opened, as a member, as a founder, or to wait until it is added.
+pub(crate) const STORE_OPENED: Event = event(509, "store_opened");
+/// This voter founded a group of the replicated log.
+pub(crate) const GROUP_FOUNDED: Event = event(510, "group_founded");
+/// This voter can't found a group, since most of the founders' stores are lost.
+pub(crate) const FOUNDING_REFUSED: Event = event(511, "founding_refused");
 /// The state of another instance changed, as seen by this instance.
 pub(crate) const MEMBER_CHANGED: Event = event(601, "member_changed");
 /// The process was suspended; its view of the fleet is discarded.
@@ -228,6 +234,9 @@
     STORE_REOPENED,
     STORE_CONFIRMED,
     STORE_UNCONFIRMED,
+    STORE_OPENED,
+    GROUP_FOUNDED,
+    FOUNDING_REFUSED,
     MEMBER_CHANGED,
     SUSPENDED,
     DATAGRAMS_LOST,
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -262,13 +262,14 @@
         return Ok(None);
     };
     let (machine, catalogue) = CatalogueMachine::new();
+    let voters: Vec<_> = settings.voters.keys().copied().collect();
     let voter_settings = VoterSettings {
         instance: settings.instance,
         data_dir: dir,
-        initial_voters: settings.voters.keys().copied().collect(),
+        founders: voters.clone(),
+        contacts: voters,
         election_timeout: settings.election_timeout,
         heartbeat_interval: settings.election_timeout / HEARTBEATS_PER_ELECTION,
-        contacts: Vec::new(),
         snapshot_interval: SNAPSHOT_INTERVAL,
         retained_entries: RETAINED_ENTRIES,
         seed: rand::random(),
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -166,6 +166,9 @@
     rejoin: Rejoin,
     /// Whether this process has sent its first hellos.
     hello_sent: bool,
+    /// Whether all initial voters agreed to found the group, but too few of their stores
+    /// are founders.
+    founding_refused: bool,
     outbox: Outbox,
     /// Values of `term`, `vote`, `commit` and `applied` after the last step.
     last_checked: (u64, Option<Peer>, u64, u64),
@@ -207,6 +210,7 @@
             query_started: now,
             rejoin: Rejoin::new(settings.boot == FIRST_BOOT, now),
             hello_sent: false,
+            founding_refused: false,
             outbox: Outbox::new(header),
             last_checked: (start.hard.term, start.hard.vote, 0, 0),
             log,
@@ -254,6 +258,12 @@
         self.applied
     }
 
+    /// Whether all initial voters agreed to found the group, but too few of their stores are
+    /// founders.
+    pub(crate) fn founding_refused(&self) -> bool {
+        self.founding_refused
+    }
+
     pub(crate) fn leader(&self) -> Option<Peer> {
         self.leader
     }
--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -14,23 +14,55 @@
     pre: bool,
     /// Whether the leader requested the campaign to transfer its leadership.
     transfer: bool,
-    /// Peers that granted their vote, each with its boot counter at that time.
-    votes: BTreeMap<Peer, u64>,
+    /// Peers that granted their vote.
+    votes: BTreeMap<Peer, Ballot>,
     /// Highest boot counter of each store that any voter has reported.
     seen: BTreeMap<u64, u64>,
 }
 
+/// A granted vote.
+#[derive(Clone, Copy, Debug)]
+struct Ballot {
+    /// Boot counter of the voter at that time.
+    boot: u64,
+    /// Whether the voter's directory was created to found the group with the same
+    /// instances, and holds no entry.
+    founds: bool,
+}
+
 impl Campaign {
-    /// Whether `peer` has granted a vote that counts. Initial voters have no store
-    /// id in the membership and are identified by instance.
-    fn has_vote(&self, peer: Peer) -> bool {
+    /// Whether `peer` has granted a vote that counts and for which `counts` holds.
+    /// Initial voters have no store id in the membership and are identified by
+    /// instance.
+    fn has_vote(&self, peer: Peer, counts: impl Fn(&Ballot) -> bool) -> bool {
         let mut votes = self.votes.iter();
-        votes.any(|(voter, boot)| {
+        votes.any(|(voter, ballot)| {
             let same = *voter == peer || (peer.store == 0 && voter.id == peer.id);
-            same && self.seen.get(&voter.store).is_none_or(|seen| boot >= seen)
+            let seen = self.seen.get(&voter.store);
+            same && seen.is_none_or(|seen| ballot.boot >= *seen) && counts(ballot)
         })
     }
 
+    /// Whether the votes elect this candidate.
+    ///
+    /// All initial voters must agree to found a group, and a majority of them by
+    /// stores that were created for it and hold no entry. A committed first entry is
+    /// held by a majority, so at most a minority of these stores can lack it, however
+    /// many others were added, wiped or named by later settings. Such others may only
+    /// complete the votes, so that a founder which lost its disk early holds up
+    /// nothing.
+    fn result(&self, members: &Membership) -> CampaignResult {
+        if !members.quorum(|p| self.has_vote(p, |_| true)) {
+            return CampaignResult::Pending;
+        }
+        let founds = |p: &Peer| self.has_vote(*p, |b| b.founds);
+        let total = members.voters().count();
+        if members.is_bootstrapping() && members.voters().filter(founds).count() <= total / 2 {
+            return CampaignResult::NoFounders;
+        }
+        CampaignResult::Elected
+    }
+
     /// Records the latest runs of stores that a voter has reported. Votes of earlier
     /// runs no longer count, since the later run may have voted for another candidate.
     pub(super) fn record_seen_runs(&mut self, seen: &[SeenRun]) {
@@ -41,6 +73,17 @@
     }
 }
 
+/// What the votes of a campaign decide so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CampaignResult {
+    /// More votes are needed.
+    Pending,
+    /// All initial voters agree, but too few of their stores are founders.
+    NoFounders,
+    /// The candidate is elected.
+    Elected,
+}
+
 impl Replica {
     /// Whether this replica leads, or received a message from the leader within
     /// the election timeout.
@@ -168,12 +211,17 @@
             }
         }
         // This replica's own vote counts only once it is synced, like the others.
-        let ack = VoteAck {
+        let ack = self.vote_ack(pre, true);
+        self.outbox.reply(me, term, ack);
+    }
+
+    fn vote_ack(&self, pre: bool, granted: bool) -> Body {
+        Body::VoteAck(VoteAck {
             pre,
-            granted: true,
+            granted,
+            founders: self.log.members().1.founders(),
             ..VoteAck::default()
-        };
-        self.outbox.reply(me, term, Body::VoteAck(ack));
+        })
     }
 
     pub(super) fn on_vote(&mut self, from: Peer, term: u64, vote: Vote) {
@@ -186,13 +234,9 @@
             self.hard_state_dirty = true;
             self.reset_deadline();
         }
-        let ack = VoteAck {
-            pre: vote.pre,
-            granted,
-            ..VoteAck::default()
-        };
+        let ack = self.vote_ack(vote.pre, granted);
         let term = if granted { term } else { self.term };
-        self.outbox.reply(from, term, Body::VoteAck(ack));
+        self.outbox.reply(from, term, ack);
     }
 
     fn grants(&self, from: Peer, term: u64, vote: Vote) -> bool {
@@ -217,17 +261,17 @@
         if !ack.granted || ack.pre != campaign.pre || term != expected {
             return;
         }
-        campaign.votes.insert(from, boot);
         let members = self.log.members().1;
-        if !members.quorum(|p| campaign.has_vote(p)) {
-            return;
-        }
-        match campaign.pre {
-            true => {
+        let founds = !ack.founders.is_empty() && ack.founders == members.founders();
+        campaign.votes.insert(from, Ballot { boot, founds });
+        match (campaign.result(members), campaign.pre) {
+            (CampaignResult::Pending, _) => {}
+            (CampaignResult::NoFounders, _) => self.founding_refused = true,
+            (CampaignResult::Elected, true) => {
                 let transfer = campaign.transfer;
                 self.campaign(false, transfer);
             }
-            false => self.become_leader(),
+            (CampaignResult::Elected, false) => self.become_leader(),
         }
     }
 
--- a/src/replica/member.rs
+++ b/src/replica/member.rs
@@ -88,6 +88,15 @@
         self.members.iter().any(|m| m.store == 0)
     }
 
+    /// Instances that found the group, in ascending order; empty if it was founded, or
+    /// isn't known.
+    pub(crate) fn founders(&self) -> Vec<u64> {
+        if !self.is_bootstrapping() {
+            return Vec::new();
+        }
+        self.members.iter().map(|m| m.id).collect()
+    }
+
     /// Role of `peer`, if it is a member.
     pub(crate) fn role(&self, peer: Peer) -> Option<Role> {
         let member = self.members.iter().find(|m| m.peer() == peer)?;
@@ -115,8 +124,8 @@
         // With a majority, a voter wiped during bootstrap could help to elect
         // two first leaders whose memberships name different stores, and
         // majorities of the two need not intersect. A store that holds a first
-        // entry refuses to bootstrap again, so there is one membership unless a
-        // majority was wiped.
+        // entry refuses to bootstrap again. That the stores without one aren't
+        // just wiped or new is checked with their votes.
         if self.is_bootstrapping() {
             return total > 0 && yes == total;
         }
--- a/src/replica/message.rs
+++ b/src/replica/message.rs
@@ -189,6 +189,10 @@
     /// Runs of other stores that the sender has recorded.
     #[prost(message, repeated, tag = "3")]
     pub seen: Vec<SeenRun>,
+    /// Instances that found the group, as recorded when the sender's directory was created. Empty
+    /// if its log isn't.
+    #[prost(uint64, repeated, tag = "4")]
+    pub founders: Vec<u64>,
 }
 
 /// Entries that follow `prev_index`.
--- a/src/store.rs
+++ b/src/store.rs
@@ -121,12 +121,24 @@
     pub(crate) boot: u64,
     /// Random numbers of the latest runs in order, this one last.
     pub(crate) runs: Vec<u64>,
+    /// Instances that found the groups, recorded when the directory was created. Empty in a
+    /// directory that was created later, or by a release that didn't record them.
+    pub(crate) founders: Vec<u64>,
     /// State by group.
     pub(crate) groups: BTreeMap<u32, DurableState>,
     /// Boot counter and run last seen, by store.
     pub(crate) known_runs: BTreeMap<u64, (u64, u64)>,
 }
 
+/// What is recorded in a directory when it is created, and never changes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Creation<'a> {
+    /// Random id of the directory.
+    pub(crate) store: u64,
+    /// Instances that found the groups; empty if the groups may exist already.
+    pub(crate) founders: &'a [u64],
+}
+
 /// The files of one data directory.
 pub(crate) struct Store {
     disk: Box<dyn Disk>,
@@ -154,11 +166,15 @@
 }
 
 impl Store {
-    /// Opens the directory and records the start. `new_store` is the id for an
-    /// empty directory, `run` the random number of this start.
+    /// Opens the directory and records the start. `creation` is recorded in an empty
+    /// directory, `run` is the random number of this start.
+    ///
+    /// A directory that was created before keeps what was recorded then. Otherwise a
+    /// restart with other settings could turn a store that waits to be added into a
+    /// founder, and it would found a second log.
     pub(crate) fn open(
         disk: Box<dyn Disk>,
-        new_store: u64,
+        creation: Creation<'_>,
         run: u64,
     ) -> Result<(Self, Contents), StoreError> {
         let names = disk.list().context(IoSnafu {
@@ -167,17 +183,19 @@
         })?;
         let mut content = load::load(&*disk, &names)?;
         if content.store == 0 {
-            content.store = new_store;
+            content.store = creation.store;
+            content.founders = creation.founders.to_vec();
         }
         content.boot += 1;
         content.runs.push(run);
         let excess = content.runs.len().saturating_sub(MAX_RUNS);
         content.runs.drain(..excess);
-        let number = names.iter().filter_map(|n| log_number(n)).max();
+        let number = names.iter().filter_map(|n| part_number(n)).max();
         let identity = Identity {
             store: content.store,
             boot: content.boot,
             runs: content.runs.clone(),
+            founders: content.founders.clone(),
         };
         let snapshots = content
             .groups
@@ -337,6 +355,11 @@
     name.strip_prefix(LOG_PREFIX)?.parse().ok()
 }
 
+/// Number of a log file, complete or not.
+fn part_number(name: &str) -> Option<u64> {
+    log_number(name.strip_suffix(PART_SUFFIX).unwrap_or(name))
+}
+
 fn snapshot_name(group: u32, index: u64) -> String {
     format!("{SNAPSHOT_PREFIX}{group}-{index}")
 }
--- a/src/store/load.rs
+++ b/src/store/load.rs
@@ -9,14 +9,13 @@
 use super::record::{Batch, Content, Entries, Record, SnapshotRef};
 use super::{
     Contents, DamagedSnafu, IoSnafu, MissingSnafu, PART_SUFFIX, SNAPSHOT_PREFIX, StoreError, frame,
-    log_number, snapshot_name,
+    log_number, part_number, snapshot_name,
 };
 use crate::disk::Disk;
 use crate::replica::{DurableState, Snapshot};
 
 /// Reads the newest log file and the snapshots it names.
 pub(super) fn load(disk: &dyn Disk, names: &[String]) -> Result<Contents, StoreError> {
-    let mut content = Contents::default();
     let Some(name) = names.iter().filter(|n| log_number(n).is_some()).max() else {
         let snapshot = |n: &&String| n.starts_with(SNAPSHOT_PREFIX) && !n.ends_with(PART_SUFFIX);
         let orphan = names.iter().find(snapshot);
@@ -26,22 +25,55 @@
                 name: "the log file"
             }
         );
-        return Ok(content);
+        return load_first_part(disk, names);
     };
-    let file = disk.read(name).context(IoSnafu {
+    let file = read(disk, name)?;
+    let mut content = replay_log(name, log_number(name).unwrap_or(0), &file)?;
+    for (&group, start) in &mut content.groups {
+        load_snapshot(disk, group, &mut start.snapshot)?;
+    }
+    Ok(content)
+}
+
+/// Reads the first log file of a directory whose creation ended before the file was renamed.
+///
+/// Without it, a founder that is killed during its first start would forget that it is one, and the
+/// group might never be founded. Other files are ignored: an incomplete one, since its store has
+/// sent nothing, and one with a group's state, since its log file was removed by hand.
+fn load_first_part(disk: &dyn Disk, names: &[String]) -> Result<Contents, StoreError> {
+    let mut parts: Vec<_> = names
+        .iter()
+        .filter_map(|n| Some((part_number(n)?, n)))
+        .collect();
+    parts.sort_unstable();
+    for (number, name) in parts {
+        let content = replay_log(name, number, &read(disk, name)?);
+        if let Some(content) = content.ok().filter(|c| c.groups.is_empty()) {
+            return Ok(content);
+        }
+    }
+    Ok(Contents::default())
+}
+
+fn read(disk: &dyn Disk, name: &str) -> Result<Vec<u8>, StoreError> {
+    disk.read(name).context(IoSnafu {
         action: "read",
         name,
-    })?;
+    })
+}
+
+/// Reads all frames of a log file, the first of which has `number`.
+fn replay_log(name: &str, mut number: u64, file: &[u8]) -> Result<Contents, StoreError> {
+    let mut content = Contents::default();
     let mut at = 0;
-    let mut number = log_number(name).unwrap_or(0);
     while at < file.len() {
         let damaged = || DamagedSnafu { name, offset: at };
-        let frame = frame::decode(&file, at).filter(|f| f.number == number);
+        let frame = frame::decode(file, at).filter(|f| f.number == number);
         let Some(frame) = frame else {
             // Each frame is synced before the next one is written. So a later
             // valid frame proves that this one was durable and acknowledged; only
             // the last one may be a torn write.
-            ensure!(at > 0 && !frame::any_frame_after(&file, at), damaged());
+            ensure!(at > 0 && !frame::any_frame_after(file, at), damaged());
             break;
         };
         let batch = Batch::decode(frame.payload).ok();
@@ -60,9 +92,6 @@
             offset: 0usize
         }
     );
-    for (&group, start) in &mut content.groups {
-        load_snapshot(disk, group, &mut start.snapshot)?;
-    }
     Ok(content)
 }
 
@@ -73,6 +102,7 @@
             content.store = identity.store;
             content.boot = identity.boot;
             content.runs = identity.runs;
+            content.founders = identity.founders;
         }
         Content::KnownRun(s) => {
             content.known_runs.insert(s.store, (s.boot, s.run));
--- a/src/store/record.rs
+++ b/src/store/record.rs
@@ -47,6 +47,10 @@
     /// Random numbers of the latest runs in order.
     #[prost(uint64, repeated, tag = "3")]
     pub(super) runs: Vec<u64>,
+    /// Instances that found the groups, if the directory was created to found them with these.
+    /// Never changes.
+    #[prost(uint64, repeated, tag = "4")]
+    pub(super) founders: Vec<u64>,
 }
 
 /// Term, vote and commit of a group.
--- a/src/tests/replica.rs
+++ b/src/tests/replica.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rstest::rstest;
 
 use crate::Time;
 use crate::replica::{
@@ -40,13 +41,17 @@
     /// Replica 1 with the boot counter `boot`.
     fn with_boot(boot: u64, terms: &[u64]) -> Self {
         let members = (1..=3).map(|id| Member::voter(peer(id))).collect();
+        Self::start(boot, Membership { members }, terms)
+    }
+
+    fn start(boot: u64, members: Membership, terms: &[u64]) -> Self {
         let start = DurableState {
             hard: HardState {
                 term: terms.last().copied().unwrap_or(0),
                 ..HardState::default()
             },
             snapshot: Snapshot {
-                members: Membership { members },
+                members,
                 ..Snapshot::default()
             },
             entries: (1..).zip(terms).map(|(i, &t)| entry(i, t)).collect(),
@@ -536,7 +541,14 @@
     harness.now = harness.now + 3 * ELECTION;
     harness.step(Event::Tick);
     let term = harness.replica.term() + 1;
-    let ack = |pre, granted, seen| Body::VoteAck(VoteAck { pre, granted, seen });
+    let ack = |pre, granted, seen| {
+        Body::VoteAck(VoteAck {
+            pre,
+            granted,
+            seen,
+            founders: Vec::new(),
+        })
+    };
     let effects = harness.receive(2, term, ack(true, true, Vec::new()));
     let later = vec![SeenRun { store: 2, boot: 2 }];
     harness.receive(3, term, ack(false, false, later));
@@ -620,3 +632,60 @@
     harness.step(Event::Message(message));
     assert_eq!(harness.replica.confirmed(), Some(true));
 }
+
+/// Replica 1 of a new group of three with an empty directory, created to found it or not.
+fn blank(founders: &[u64]) -> Harness {
+    let members = Membership::initial(founders.iter().copied());
+    Harness::start(1, members, &[])
+}
+
+fn founding_vote(pre: bool, founders: &[u64]) -> Body {
+    Body::VoteAck(VoteAck {
+        pre,
+        granted: true,
+        founders: founders.to_vec(),
+        ..VoteAck::default()
+    })
+}
+
+/// Guards against a second log founded with the votes of stores that were added, or wiped, after
+/// the first one was founded: only founders with an empty log can show that there is none.
+#[rstest]
+#[case::two_founders(&[1, 2, 3], &[], true)]
+#[case::all_founders(&[1, 2, 3], &[1, 2, 3], true)]
+#[case::one_founder(&[], &[], false)]
+#[case::other_founders(&[1, 2, 4], &[1, 2, 4], false)]
+fn found_with_votes(#[case] second: &[u64], #[case] third: &[u64], #[case] founded: bool) {
+    let mut harness = blank(&[1, 2, 3]);
+    harness.now = harness.now + 3 * ELECTION;
+    harness.step(Event::Tick);
+    let mut effects = Vec::new();
+    for pre in [true, false] {
+        for (id, founders) in [(2, second), (3, third)] {
+            effects.extend(harness.receive(id, 1, founding_vote(pre, founders)));
+        }
+        if let Some(seq) = written(&effects) {
+            harness.step(Event::Persisted(seq));
+        }
+    }
+    assert_eq!(harness.replica.is_leader(), founded);
+    assert_eq!(harness.replica.founding_refused(), !founded);
+}
+
+/// Guards against a vote that hides whether its store was created to found the group.
+#[rstest]
+#[case::founder(&[1, 2, 3])]
+#[case::added(&[])]
+fn vote_tells_founders(#[case] founders: &[u64]) {
+    let mut harness = blank(founders);
+    let effects = harness.vote(2, 1);
+    let effects = harness.step(Event::Persisted(written(&effects).unwrap()));
+    let told = effects.iter().find_map(|e| match e {
+        Effect::Send(message) => match &message.body {
+            Some(Body::VoteAck(ack)) if ack.granted => Some(ack.founders.clone()),
+            _ => None,
+        },
+        _ => None,
+    });
+    assert_eq!(told.as_deref(), Some(founders));
+}
--- a/src/tests/simulation/disk.rs
+++ b/src/tests/simulation/disk.rs
@@ -54,6 +54,11 @@
         self.with(|s| (s.ops_until_failure, s.fail_sync) = (None, false));
     }
 
+    /// Ends a power failure. The disk is as the process left it, as after a kill.
+    pub(in crate::tests) fn restore_power(&self) {
+        self.with(|s| (s.ops_until_failure, s.off) = (None, false));
+    }
+
     pub(in crate::tests) fn limit(&self, space: usize) {
         self.with(|s| s.space = Some(space));
     }
--- a/src/tests/simulation/mod.rs
+++ b/src/tests/simulation/mod.rs
@@ -122,11 +122,11 @@
     /// Starts a stopped instance on its disk.
     fn boot(&mut self, at: usize) {
         let now = self.local(at);
-        let initial_voters: Vec<u64> = (1..=self.nodes.len() as u64).collect();
+        let all: Vec<u64> = (1..=self.nodes.len() as u64).collect();
         let config = Config {
             instance: self.nodes[at].id,
-            contacts: initial_voters.clone(),
-            initial_voters,
+            contacts: all.clone(),
+            founders: all,
             election_timeout: Duration::from_millis(300),
             heartbeat_interval: Duration::from_millis(50),
             snapshot_interval: 40,
--- a/src/tests/store.rs
+++ b/src/tests/store.rs
@@ -7,10 +7,18 @@
 
 use super::simulation::disk::SimDisk;
 use crate::replica::{Entry, HardState, Kind, Persist, Snapshot};
-use crate::store::{Contents, Store, StoreError};
+use crate::store::{Contents, Creation, Store, StoreError};
+
+/// Instances that found the groups.
+const FOUNDERS: &[u64] = &[1, 2, 3];
 
 fn open(disk: &SimDisk) -> Result<(Store, Contents), StoreError> {
-    Store::open(Box::new(disk.clone()), 7, 1)
+    open_with(disk, FOUNDERS)
+}
+
+fn open_with(disk: &SimDisk, founders: &[u64]) -> Result<(Store, Contents), StoreError> {
+    let creation = Creation { store: 7, founders };
+    Store::open(Box::new(disk.clone()), creation, 1)
 }
 
 fn entry(index: u64) -> Entry {
@@ -37,8 +45,12 @@
 
 /// A disk with three synced batches of one entry each.
 fn filled() -> (SimDisk, Store) {
+    filled_by(FOUNDERS)
+}
+
+fn filled_by(founders: &[u64]) -> (SimDisk, Store) {
     let disk = SimDisk::default();
-    let (mut store, _) = open(&disk).unwrap();
+    let (mut store, _) = open_with(&disk, founders).unwrap();
     for index in 1..=3 {
         store.write(0, &persist(&[index])).unwrap();
         store.sync().unwrap();
@@ -181,3 +193,54 @@
     store.sync().unwrap();
     assert_eq!(last(&open(&disk).unwrap().1), 4);
 }
+
+/// Guards against a store that becomes a founder, or another group's, by the settings of a later
+/// start, and against a founder that forgets that it is one.
+#[rstest]
+#[case::founder(FOUNDERS, &[])]
+#[case::founder_of_others(FOUNDERS, &[4, 5, 6])]
+#[case::added(&[], &[4, 5, 6])]
+fn open_keeps_founders(#[case] first: &[u64], #[case] later: &[u64]) {
+    let disk = SimDisk::default();
+    open_with(&disk, first).unwrap();
+    for _ in 0..2 {
+        let (mut store, contents) = open_with(&disk, later).unwrap();
+        assert_eq!(contents.founders, first);
+        store
+            .rewrite(&contents.groups, &contents.known_runs)
+            .unwrap();
+    }
+}
+
+/// Guards against a group that is never founded since its founders were killed, or lost power,
+/// while their first start wrote the log file. `recorded` is the number of operations of the disk
+/// after which a founder must know that it is one.
+#[rstest]
+#[case::killed(false, 2)]
+#[case::power_lost(true, 5)]
+fn open_founder_again(#[case] power_lost: bool, #[case] recorded: u32) {
+    for (operations, seed) in (0..8).flat_map(|o| (0..8).map(move |s| (o, s))) {
+        let disk = SimDisk::default();
+        disk.fail_power_after(operations);
+        let _ = open(&disk);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let disk = match power_lost {
+            true => disk.after_crash(&mut rng),
+            false => disk.copy(),
+        };
+        disk.restore_power();
+        let (_, contents) = open_with(&disk, &[]).unwrap();
+        let founders = contents.founders;
+        assert!(founders == FOUNDERS || founders.is_empty() && operations < recorded);
+    }
+}
+
+/// Guards against a directory of an earlier release, which recorded no founders, that can't be
+/// opened, or that founds a group.
+#[test]
+fn open_without_founders() {
+    let (disk, _) = filled_by(&[]);
+    let (_, contents) = open(&disk).unwrap();
+    assert_eq!(last(&contents), 3);
+    assert!(contents.founders.is_empty());
+}
--- a/src/tests/voter.rs
+++ b/src/tests/voter.rs
@@ -67,10 +67,10 @@
         let settings = VoterSettings {
             instance: InstanceId(at as u64 + 1),
             data_dir: dir.join(at.to_string()),
-            initial_voters: (1..=size).map(InstanceId).collect(),
+            founders: (1..=size).map(InstanceId).collect(),
             election_timeout: Duration::from_millis(400),
             heartbeat_interval: Duration::from_millis(50),
-            contacts: Vec::new(),
+            contacts: (1..=size).map(InstanceId).collect(),
             snapshot_interval: 20,
             retained_entries: 256,
             seed: 7,
--- a/src/voter.rs
+++ b/src/voter.rs
@@ -57,12 +57,13 @@
     pub instance: InstanceId,
     /// Data directory, used by this voter alone.
     pub data_dir: PathBuf,
-    /// Instances that bootstrap the groups; the same list on every voter. All of
-    /// them must be up once so that their stores are recorded; afterwards the
-    /// list only serves to find the leader. An instance outside the list waits
-    /// until it is added with [`Change::Add`].
-    pub initial_voters: Vec<InstanceId>,
-    /// Further instances that may know the leader.
+    /// Instances that found the groups; the same list on every founder. All of them
+    /// must be up once so that their stores are recorded. The list is recorded in an
+    /// empty data directory and ignored afterwards, so a later list founds nothing.
+    /// Empty if the groups may exist already: this instance then waits until it is
+    /// added with [`Change::Add`].
+    pub founders: Vec<InstanceId>,
+    /// Instances that may know the leader.
     pub contacts: Vec<InstanceId>,
     /// Shortest election timeout. Must exceed a slow sync plus a round trip.
     pub election_timeout: Duration,
@@ -113,6 +114,9 @@
     pub confirmed: Option<bool>,
     /// Milliseconds since each other member last answered, on the leader.
     pub silences: Vec<(Peer, u64)>,
+    /// Whether all initial voters agreed to found the group, but too few of their stores
+    /// were created for it. Never reset.
+    pub founding_refused: bool,
 }
 
 /// Leader of a group as known to one voter.
@@ -177,6 +181,7 @@
         clock: Arc<dyn Clock>,
     ) -> Result<(Self, JoinHandle<Result<(), StoreError>>), StoreError> {
         let core = Core::open(config(&settings), disk, machines, clock.now())?;
+        watch::report_opened(&core.status(), core.founders());
         let (tasks, inbox) = channel::bounded(QUEUE_CAPACITY);
         let status = Arc::new(Mutex::new(core.status()));
         let leader_changes = Arc::new(notice::Sender::new(()));
@@ -281,12 +286,10 @@
 }
 
 fn config(settings: &VoterSettings) -> Config {
-    let initial_voters: Vec<u64> = settings.initial_voters.iter().map(|i| i.0).collect();
-    let contacts = settings.contacts.iter().map(|i| i.0);
     Config {
         instance: settings.instance.0,
-        contacts: initial_voters.iter().copied().chain(contacts).collect(),
-        initial_voters,
+        founders: settings.founders.iter().map(|i| i.0).collect(),
+        contacts: settings.contacts.iter().map(|i| i.0).collect(),
         election_timeout: settings.election_timeout,
         heartbeat_interval: settings.heartbeat_interval,
         snapshot_interval: settings.snapshot_interval,
--- a/src/voter/core.rs
+++ b/src/voter/core.rs
@@ -15,7 +15,7 @@
 use crate::replica::{
     Body, Change, DurableState, Effect, Event, Membership, Message, Peer, Replica, Settings,
 };
-use crate::store::{DivergedSnafu, Store, StoreError, UnknownGroupSnafu};
+use crate::store::{Creation, DivergedSnafu, Store, StoreError, UnknownGroupSnafu};
 
 /// A request or message for the core.
 pub(crate) enum Input {
@@ -53,8 +53,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Config {
     pub(crate) instance: u64,
-    /// Instances that bootstrap the groups.
-    pub(crate) initial_voters: Vec<u64>,
+    /// Instances that found the groups, recorded in an empty directory; empty if this
+    /// instance joins groups that may exist. Ignored if the directory isn't empty.
+    pub(crate) founders: Vec<u64>,
     /// Instances that may know the leaders.
     pub(crate) contacts: Vec<u64>,
     pub(crate) election_timeout: Duration,
@@ -79,6 +80,8 @@
     pub(super) groups: Vec<Group>,
     /// Random numbers of this store's runs.
     pub(super) runs: Vec<u64>,
+    /// Instances that found the groups, as recorded in the directory.
+    founders: Vec<u64>,
     pub(super) known_runs: KnownRuns,
     /// Messages of runs that aren't recorded durably yet.
     pub(super) deferred: Vec<Message>,
@@ -95,7 +98,11 @@
         machines: Vec<Box<dyn StateMachine>>,
         now: Time,
     ) -> Result<Self, StoreError> {
-        let (store, mut contents) = Store::open(disk, config.new_store, config.run)?;
+        let creation = Creation {
+            store: config.new_store,
+            founders: &config.founders,
+        };
+        let (store, mut contents) = Store::open(disk, creation, config.run)?;
         let me = Peer {
             id: config.instance,
             store: contents.store,
@@ -105,7 +112,7 @@
             let settings = settings(&config, me, contents.boot, group);
             let mut start = contents.groups.remove(&group).unwrap_or_default();
             if start.snapshot.index == 0 {
-                start.snapshot.members = Membership::initial(config.initial_voters.iter().copied());
+                start.snapshot.members = Membership::initial(contents.founders.iter().copied());
             }
             let replica = Replica::new(settings, start, now);
             groups.push(Group::new(group, replica, machine));
@@ -120,6 +127,7 @@
             store,
             groups,
             runs: contents.runs,
+            founders: contents.founders,
             known_runs: KnownRuns::new(contents.known_runs),
             deferred: Vec::new(),
             refused: 0,
@@ -160,6 +168,11 @@
         self.groups.iter().any(|g| g.replica.is_leader())
     }
 
+    /// Instances that found the groups, as recorded when the directory was created.
+    pub(super) fn founders(&self) -> &[u64] {
+        &self.founders
+    }
+
     pub(crate) fn status(&self) -> Vec<GroupStatus> {
         let groups = self.groups.iter();
         groups.map(|g| g.status(self.boot, self.refused)).collect()
--- a/src/voter/group.rs
+++ b/src/voter/group.rs
@@ -124,6 +124,7 @@
             refused,
             confirmed: replica.confirmed(),
             silences: replica.silences(),
+            founding_refused: replica.founding_refused(),
         }
     }
 }
--- a/src/voter/watch.rs
+++ b/src/voter/watch.rs
@@ -5,14 +5,65 @@
 use crate::event;
 use crate::replica::{Member, RejoinReport, Role};
 
+/// Logs what an opened store knows of the first group: whether it is a member, may found the group,
+/// or waits to be added.
+pub(super) fn report_opened(groups: &[GroupStatus], founders: &[u64]) {
+    let Some(status) = groups.first() else {
+        return;
+    };
+    let (id, store, boot) = (status.me.id, status.me.store, status.boot);
+    let members: Vec<u64> = status.members.iter().map(|m| m.id).collect();
+    let state = match status.last {
+        0 if founders.contains(&id) => "founder",
+        0 => "waiting",
+        _ => "member",
+    };
+    tracing::info!(
+        event = event::STORE_OPENED.id,
+        group = status.group,
+        store,
+        boot,
+        state,
+        ?founders,
+        ?members,
+        last = status.last,
+        "store opened"
+    );
+}
+
 /// Logs the differences between two states of all groups.
 pub(super) fn report(before: &[GroupStatus], after: &[GroupStatus]) {
     for (old, new) in before.iter().zip(after) {
         report_leadership(old, new);
+        report_founding(old, new);
         report_members(old, new);
     }
 }
 
+fn report_founding(old: &GroupStatus, new: &GroupStatus) {
+    let group = new.group;
+    let unknown = |m: &Member| m.store == 0;
+    let members = &new.members;
+    if new.leads && old.members.iter().any(unknown) && !members.iter().any(unknown) {
+        tracing::info!(
+            event = event::GROUP_FOUNDED.id,
+            group,
+            term = new.term,
+            ?members,
+            "founded the group"
+        );
+    }
+    if new.founding_refused && !old.founding_refused {
+        tracing::warn!(
+            event = event::FOUNDING_REFUSED.id,
+            group,
+            ?members,
+            "can't found the group: most of its founders have lost their stores; if the fleet \
+             never started, start it anew with empty folders, otherwise bring its voters back"
+        );
+    }
+}
+
 fn report_leadership(old: &GroupStatus, new: &GroupStatus) {
     let (group, term) = (new.group, new.term);
     if new.leads && (!old.leads || old.term != term) {
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -56,8 +56,9 @@
     pub(crate) engines: Vec<EngineSpec>,
     /// Number of entry instances that the leader answers itself.
     direct: usize,
-    /// Number of controllers that found the replicated log and that all are told of.
-    seeds: u8,
+    /// Controllers in the settings of the processes that are started next. At the first start they
+    /// found the replicated log.
+    seeds: Vec<u8>,
     /// Number of controllers.
     voters: u8,
     /// Limits on retries, as in the settings of entry instances.
@@ -195,7 +196,7 @@
             entries: Vec::new(),
             engines: Vec::new(),
             voters,
-            seeds,
+            seeds: (0..seeds).collect(),
             direct: DIRECT_ENTRIES,
             retries: DEFAULT_RETRIES,
             engine_state: RunningEngines::default(),
@@ -275,6 +276,26 @@
         )
     }
 
+    /// Starts further controllers with empty disks, after the first start of the deployment.
+    pub(crate) fn add_controllers(&mut self, count: u8) {
+        for i in self.voters..self.voters + count {
+            let process = self.start_controller(i, false);
+            self.controllers.push(process);
+        }
+        self.voters += count;
+    }
+
+    /// Names other seeds in the settings of all processes that are started from now on.
+    pub(crate) fn set_seeds(&mut self, seeds: &[u8]) {
+        self.seeds = seeds.to_vec();
+    }
+
+    /// Kills a controller, and starts it again with its data directory.
+    pub(crate) fn restart_controller(&mut self, i: u8) {
+        self.controllers[usize::from(i)].kill();
+        self.controllers[usize::from(i)] = self.start_controller(i, false);
+    }
+
     /// Data directory of a controller.
     pub(crate) fn data_dir(&self, i: u8) -> PathBuf {
         self.directory.path().join(format!("data-{i}"))
@@ -307,9 +328,8 @@
         settings: &str,
         listen: &str,
     ) -> Process {
-        let seeds: Vec<_> = (0..self.seeds)
-            .map(|i| self.control_addr(i).to_string())
-            .collect();
+        let seeds = self.seeds.iter().map(|i| self.control_addr(*i).to_string());
+        let seeds: Vec<_> = seeds.collect();
         let (ip, peers, retries) = (self.ip(host), self.ports.peers, self.retries);
         let text = format!(
             "node = \"{role}-{host}\"\nip = \"{ip}\"\nzone = \"{domain}\"\n\
@@ -396,12 +416,22 @@
     pub(crate) fn metrics(&self) -> Vec<String> {
         let entries = (0..self.entries.len()).map(entry_host);
         let hosts = (1..=u16::from(self.voters)).chain(entries);
-        let read = |host| {
-            let uri = format!("http://{}/metrics", self.addr(host, self.ports.metrics));
-            let mut reply = agent().get(&uri).call().expect("metrics");
-            reply.body_mut().read_to_string().expect("text")
-        };
-        hosts.map(read).collect()
+        hosts
+            .map(|h| self.read_metrics(h).expect("metrics"))
+            .collect()
+    }
+
+    fn read_metrics(&self, host: u16) -> Option<String> {
+        let uri = format!("http://{}/metrics", self.addr(host, self.ports.metrics));
+        let mut reply = agent().get(&uri).call().ok()?;
+        reply.body_mut().read_to_string().ok()
+    }
+
+    /// Number of running controllers that lead a replicated log.
+    pub(crate) fn count_leaders(&self) -> usize {
+        let metrics = (1..=u16::from(self.voters)).filter_map(|h| self.read_metrics(h));
+        let leads = |m: &String| m.lines().any(|l| l == "controller_leads 1");
+        metrics.filter(leads).count()
     }
 
     /// Index of the leading controller.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod engine;
 mod faults;
 mod followers;
+mod founding;
 mod limit;
 mod metrics;
 mod notice;
