Tell stores outside of the group its members, and remember them

What callers saw: nothing at first. After three control machines had been added and the settings had named them as seeds, those three no longer knew of any member once they had restarted. None of them took the place of a voter that was lost for good, and a voter that lost its disk never voted again: the next loss would have cost the quorum.

Cause: a store without entries knew nobody but the seeds in the settings of its latest start, the same trust in settings that let it found a second log. Members don't answer hellos of non-members, and a running controller never read the seeds again, though the settings are said to change without a signal.

Change: a member answers the hello of a non-member with the instances of the latest membership and its index; the non-member keeps the newest durably, greets these too and passes them on. Stores greet whoever greeted them, and a leader greets contacts of which it knows no store. Controllers read the seeds every 5 s.

The simulation draws added instances with empty disks, exchanged seeds, and restarts of those that wait or of all.

--- a/src/controller/follow.rs
+++ b/src/controller/follow.rs
@@ -4,13 +4,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::Controller;
 use crate::event;
 use crate::id::InstanceId;
 use crate::message::{Answer, Ask, Request};
-use crate::role;
+use crate::role::{self, RoleSettings};
 
 /// Interval between two requests to the leader while followers answer entry instances. What they
 /// tell is older by at most this time than what the leader would tell. With loads that were older by
@@ -23,6 +23,9 @@
 /// Interval while the leader has more of the roster to send.
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Interval at which the seeds in the settings are read.
+const SEEDS_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Timeout for the leader's reply. A lost packet is retransmitted after 200 ms.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -30,15 +33,14 @@
     /// Follows the leader for as long as the controller runs.
     pub(super) async fn follow_leader(self: Arc<Self>) {
         let mut changes = self.voter.leader_changes();
-        let seeds = role::seeds(&self.boot);
         let mut hint = None;
         for round in 0.. {
             if self.shutting_down.load(Ordering::Relaxed) {
                 return;
             }
             let known = self.leader_info().leader.or(hint);
-            let fallback = seeds.get(round % seeds.len().max(1)).copied();
-            let target = known.or(fallback).filter(|id| *id != self.id());
+            let target = known.or_else(|| self.contact(round));
+            let target = target.filter(|id| *id != self.id());
             let interval = match target {
                 Some(leader) if self.leader_info().term.is_none() => {
                     hint = self.poll_leader(leader).await;
@@ -50,6 +52,33 @@
         }
     }
 
+    /// Reads the seeds in the settings again and again. The file may change without a signal, and
+    /// controllers that were added may know none but the seeds that it names.
+    pub(super) async fn follow_seeds(self: Arc<Self>, settings: RoleSettings) {
+        while !self.shutting_down.load(Ordering::Relaxed) {
+            sleep(SEEDS_INTERVAL).await;
+            match settings.boot() {
+                Ok(boot) => {
+                    let seeds = role::seeds(&boot);
+                    self.voter.set_contacts(&seeds);
+                    self.seeds.store(Arc::new(seeds));
+                }
+                // The signal that tells of a change is logged with the reason.
+                Err(e) => tracing::debug!("settings not read: {e}"),
+            }
+        }
+    }
+
+    /// Returns an instance that may know the leader, another one each round: a seed, or a member
+    /// that this controller was told of. Later settings may name seeds that know no leader.
+    fn contact(&self, round: usize) -> Option<InstanceId> {
+        let members = self.status().map(|s| s.known_members);
+        let members = members.into_iter().flatten().map(InstanceId);
+        let seeds = self.seeds.load();
+        let contacts: Vec<_> = seeds.iter().copied().chain(members).collect();
+        contacts.get(round.checked_rem(contacts.len())?).copied()
+    }
+
     fn poll_interval(&self) -> Duration {
         let follower = self.follower();
         match (follower.delegated(), follower.has_more()) {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use snafu::ResultExt;
 use tokio::runtime::Handle;
 use tokio::sync::{Notify, oneshot};
@@ -118,6 +118,8 @@
     /// Layers that no engine holds, by model and failure domain, as last logged.
     last_coverage: Mutex<Vec<BTreeMap<String, Vec<LayerRange>>>>,
     engine_calls: place::EngineCalls,
+    /// Seeds in the settings as last read.
+    seeds: ArcSwap<Vec<InstanceId>>,
     shutting_down: AtomicBool,
 }
 
@@ -243,6 +245,7 @@
         compressed_configuration: Mutex::default(),
         last_coverage: Mutex::default(),
         engine_calls: place::EngineCalls::default(),
+        seeds: ArcSwap::from_pointee(role::seeds(boot)),
         shutting_down: AtomicBool::new(false),
         boot: boot.clone(),
     });
@@ -250,6 +253,7 @@
     tokio::spawn(Arc::clone(&controller).maintain());
     tokio::spawn(Arc::clone(&controller).forward_heartbeats());
     tokio::spawn(Arc::clone(&controller).follow_leader());
+    tokio::spawn(Arc::clone(&controller).follow_seeds(settings.clone()));
     Ok(Ok((controller, thread)))
 }
 
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -37,7 +37,7 @@
 pub(crate) use self::message::SeenRun;
 #[cfg(test)]
 pub(crate) use self::message::{Append, AppendAck, ForwardHello, Vote, VoteAck};
-pub(crate) use self::message::{Body, Hello, HelloRequest, Superseded};
+pub(crate) use self::message::{Body, Hello, HelloRequest, KnownMembers, Superseded};
 pub(crate) use self::outbox::{Cause, Effect, HardState, Persist};
 pub(crate) use self::rejoin::RejoinReport;
 
@@ -88,6 +88,8 @@
     pub(crate) hard: HardState,
     pub(crate) snapshot: Snapshot,
     pub(crate) entries: Vec<Entry>,
+    /// Latest membership that another store told this one of.
+    pub(crate) known_members: KnownMembers,
 }
 
 /// An input to a replica.
@@ -107,6 +109,8 @@
     Persisted(u64),
     /// A snapshot of the state machine after the applied entry at `index`.
     Compact { index: u64, data: Bytes },
+    /// Other instances may know the leader, see [`Settings::contacts`].
+    Contacts(Vec<u64>),
     /// A request to transfer leadership.
     Transfer,
 }
@@ -148,8 +152,13 @@
     /// Numbers of the writes that aren't synced, each with the last index of the log
     /// at that write.
     unsynced_writes: VecDeque<(u64, u64)>,
+    /// Latest membership that other stores told this one of, while it is in none
+    /// itself. Its index never decreases.
+    known_members: KnownMembers,
     /// Whether the term or the vote changed in this step.
     hard_state_dirty: bool,
+    /// Whether `known_members` changed in this step.
+    known_members_dirty: bool,
     /// Whether a snapshot was taken or received in this step.
     snapshot_dirty: bool,
     /// First index of the log that changed in this step.
@@ -200,7 +209,9 @@
             leader_contact: None,
             deadline: now,
             unsynced_writes: VecDeque::new(),
+            known_members: start.known_members,
             hard_state_dirty: false,
+            known_members_dirty: false,
             snapshot_dirty: false,
             first_unsaved: None,
             tickets: BTreeMap::new(),
@@ -231,6 +242,7 @@
             Event::Change(ticket, change) => self.on_change(ticket, change),
             Event::Persisted(seq) => self.on_persisted(seq),
             Event::Compact { index, data } => self.on_compact(index, data),
+            Event::Contacts(contacts) => self.settings.contacts = contacts,
             Event::Transfer => self.on_transfer(),
         }
         self.run_leader();
@@ -276,8 +288,21 @@
         &self.log
     }
 
-    /// Non-members that sent a recent hello. Empty during bootstrap, when the
-    /// membership doesn't contain the stores of the initial voters yet.
+    /// Instances of the latest membership that this store knows, its own or one that it
+    /// was told of.
+    pub(crate) fn latest_members(&self) -> KnownMembers {
+        let (index, members) = self.log.members();
+        if index <= self.known_members.index {
+            return self.known_members.clone();
+        }
+        KnownMembers {
+            index,
+            instances: members.members.iter().map(|m| m.id).collect(),
+        }
+    }
+
+    /// Non-members that sent a recent hello. Empty while the stores of all members
+    /// aren't known: during bootstrap, and on a store that waits to be added.
     pub(crate) fn non_members(&self) -> impl Iterator<Item = Peer> + '_ {
         let members = self.log.members().1;
         let limit = NON_MEMBER_TIMEOUTS * self.settings.election_timeout;
@@ -285,7 +310,7 @@
             .values()
             .filter(move |(_, at)| self.now.since(*at) < limit)
             .map(|(peer, _)| *peer)
-            .filter(|&p| !members.is_bootstrapping() && members.role(p).is_none())
+            .filter(|&p| members.is_founded() && members.role(p).is_none())
     }
 
     /// Milliseconds since each other member last answered. Empty unless this replica leads.
@@ -305,6 +330,7 @@
             hard: self.hard_state(),
             snapshot: self.log.snapshot().clone(),
             entries: self.log.tail(),
+            known_members: self.known_members.clone(),
         }
     }
 
@@ -351,6 +377,7 @@
             Body::Hello(_) => self.on_hello(from, message.run),
             Body::ForwardHello(hello) => self.on_forward_hello(hello),
             Body::HelloAck(ack) => self.on_hello_ack(from, ack),
+            Body::KnownMembers(known) => self.on_known_members(known),
             // Handled by the voter's core, since they concern all groups.
             Body::Superseded(_) | Body::HelloRequest(_) => {}
         }
@@ -368,6 +395,7 @@
             | Body::Hello(_)
             | Body::ForwardHello(_)
             | Body::HelloAck(_)
+            | Body::KnownMembers(_)
             | Body::Superseded(_)
             | Body::HelloRequest(_) => return true,
             // A pre-vote contains the term of a possible later election, which must
--- a/src/replica/durable.rs
+++ b/src/replica/durable.rs
@@ -90,7 +90,12 @@
     /// Issues a write of the state changed in this step, and queues replies
     /// behind it.
     pub(super) fn save(&mut self) {
-        if self.hard_state_dirty || self.snapshot_dirty || self.first_unsaved.is_some() {
+        let known_members_dirty = std::mem::take(&mut self.known_members_dirty);
+        if self.hard_state_dirty
+            || self.snapshot_dirty
+            || known_members_dirty
+            || self.first_unsaved.is_some()
+        {
             let seq = self.outbox.next_seq();
             let snapshot = self.log.snapshot();
             let first = self
@@ -104,6 +109,7 @@
                 hard: self.hard_state(),
                 snapshot: self.snapshot_dirty.then(|| snapshot.clone()),
                 entries,
+                known_members: known_members_dirty.then(|| self.known_members.clone()),
             };
             self.hard_state_dirty = false;
             self.snapshot_dirty = false;
--- a/src/replica/member.rs
+++ b/src/replica/member.rs
@@ -88,6 +88,11 @@
         self.members.iter().any(|m| m.store == 0)
     }
 
+    /// Whether the group was founded and the stores of all members are known.
+    pub(crate) fn is_founded(&self) -> bool {
+        !self.members.is_empty() && !self.is_bootstrapping()
+    }
+
     /// Instances that found the group, in ascending order; empty if it was founded, or
     /// isn't known.
     pub(crate) fn founders(&self) -> Vec<u64> {
--- a/src/replica/message.rs
+++ b/src/replica/message.rs
@@ -35,7 +35,7 @@
     /// The content.
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
     )]
     pub body: Option<Body>,
 }
@@ -96,6 +96,9 @@
     /// Answer to [`Body::Hello`] with the state that the store may have lost.
     #[prost(message, tag = "23")]
     HelloAck(HelloAck),
+    /// Answer to the [`Body::Hello`] of a non-member.
+    #[prost(message, tag = "24")]
+    KnownMembers(KnownMembers),
 }
 
 impl Body {
@@ -104,7 +107,7 @@
     pub(super) fn is_hello_exchange(&self) -> bool {
         matches!(
             self,
-            Self::Hello(_) | Self::ForwardHello(_) | Self::HelloAck(_)
+            Self::Hello(_) | Self::ForwardHello(_) | Self::HelloAck(_) | Self::KnownMembers(_)
         )
     }
 }
@@ -160,6 +163,17 @@
     pub peer: Option<Peer>,
 }
 
+/// Instances of a membership, as passed on to stores outside of it.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct KnownMembers {
+    /// Index of the entry that holds the membership, zero if none is known.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// Its instances.
+    #[prost(uint64, repeated, tag = "2")]
+    pub instances: Vec<u64>,
+}
+
 /// Request for a vote or a pre-vote.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct Vote {
--- a/src/replica/outbox.rs
+++ b/src/replica/outbox.rs
@@ -4,7 +4,7 @@
 
 use super::log::{Entry, Snapshot};
 use super::member::Peer;
-use super::message::{Body, Message};
+use super::message::{Body, KnownMembers, Message};
 use super::rejoin::RejoinReport;
 
 /// Raft's hard state: the durable state besides the log.
@@ -32,6 +32,8 @@
     pub(crate) snapshot: Option<Snapshot>,
     /// Entries that replace the log from the first one's index on.
     pub(crate) entries: Vec<Entry>,
+    /// The membership that this store was told of, if it changed.
+    pub(crate) known_members: Option<KnownMembers>,
 }
 
 /// Reason why a proposal, read or change failed.
--- a/src/replica/progress.rs
+++ b/src/replica/progress.rs
@@ -67,6 +67,8 @@
     pub(super) round: u64,
     /// When the last heartbeat was sent.
     pub(super) last_heartbeat: Time,
+    /// When unknown contacts were last sent a hello.
+    pub(super) last_greeting: Time,
     /// Target of a leadership transfer, and when the attempt ends.
     pub(super) transfer: Option<(Peer, Time)>,
     /// Whether the target was told to campaign.
@@ -80,6 +82,7 @@
             progress: BTreeMap::new(),
             round: 0,
             last_heartbeat: now,
+            last_greeting: now,
             transfer: None,
             transfer_sent: false,
         }
--- a/src/replica/replication.rs
+++ b/src/replica/replication.rs
@@ -70,6 +70,13 @@
         if !quorum {
             return self.become_follower(self.term, None);
         }
+        if now.since(lead.last_greeting) >= limit {
+            lead.last_greeting = now;
+            self.greet_contacts();
+        }
+        let RaftState::Leader(lead) = &self.state else {
+            return;
+        };
         if now.since(lead.last_heartbeat) >= self.settings.heartbeat_interval {
             self.broadcast_heartbeat();
         }
--- a/src/store.rs
+++ b/src/store.rs
@@ -226,9 +226,11 @@
         if let Some(snapshot) = &persist.snapshot {
             self.write_snapshot(group, snapshot)?;
         }
-        let hard = persist.hard;
-        self.pending
-            .push(record(Content::State(State { group, hard })));
+        self.pending.push(record(Content::State(State {
+            group,
+            hard: persist.hard,
+            known_members: persist.known_members.clone(),
+        })));
         if !persist.entries.is_empty() {
             let entries = persist.entries.clone();
             let entries = Entries { group, entries };
@@ -396,8 +398,11 @@
                 &start.snapshot,
             ))));
         }
-        let hard = start.hard;
-        records.push(record(Content::State(State { group, hard })));
+        records.push(record(Content::State(State {
+            group,
+            hard: start.hard,
+            known_members: Some(start.known_members.clone()),
+        })));
         let entries = start.entries.clone();
         records.push(record(Content::Entries(Entries { group, entries })));
     }
--- a/src/store/load.rs
+++ b/src/store/load.rs
@@ -107,7 +107,13 @@
         Content::KnownRun(s) => {
             content.known_runs.insert(s.store, (s.boot, s.run));
         }
-        Content::State(state) => content.groups.entry(state.group).or_default().hard = state.hard,
+        Content::State(state) => {
+            let start = content.groups.entry(state.group).or_default();
+            start.hard = state.hard;
+            if let Some(known) = state.known_members {
+                start.known_members = known;
+            }
+        }
         Content::SnapshotRef(snapshot_ref) => replay_snapshot(
             content.groups.entry(snapshot_ref.group).or_default(),
             snapshot_ref,
--- a/src/store/record.rs
+++ b/src/store/record.rs
@@ -1,6 +1,6 @@
 //! Records in the payload of log frames.
 
-use crate::replica::{Entry, HardState, Membership};
+use crate::replica::{Entry, HardState, KnownMembers, Membership};
 
 /// Payload of one frame: the records that one sync makes durable.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -54,12 +54,15 @@
 }
 
 /// Term, vote and commit of a group.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub(super) struct State {
     #[prost(uint32, tag = "1")]
     pub(super) group: u32,
     #[prost(message, required, tag = "2")]
     pub(super) hard: HardState,
+    /// Latest membership that the store was told of, if it changed.
+    #[prost(message, optional, tag = "3")]
+    pub(super) known_members: Option<KnownMembers>,
 }
 
 /// Entries that replace a group's log from the first one's index on.
--- a/src/tests/replica.rs
+++ b/src/tests/replica.rs
@@ -8,8 +8,8 @@
 use crate::Time;
 use crate::replica::{
     Append, AppendAck, Body, Cause, Change, DurableState, Effect, Entry, Event, ForwardHello,
-    HardState, Hello, HelloAck, Kind, Member, Membership, Message, Peer, Replica, Role, SeenRun,
-    Settings, Snapshot, Vote, VoteAck,
+    HardState, Hello, HelloAck, Kind, KnownMembers, Member, Membership, Message, Peer, Replica,
+    Role, SeenRun, Settings, Snapshot, Vote, VoteAck,
 };
 
 const ELECTION: Duration = Duration::from_millis(300);
@@ -55,6 +55,7 @@
                 ..Snapshot::default()
             },
             entries: (1..).zip(terms).map(|(i, &t)| entry(i, t)).collect(),
+            ..DurableState::default()
         };
         let settings = Settings {
             group: 0,
@@ -689,3 +690,59 @@
     });
     assert_eq!(told.as_deref(), Some(founders));
 }
+
+/// Instances to which the effects send hellos.
+fn greeted(effects: &[Effect]) -> Vec<u64> {
+    let hellos = effects.iter().filter_map(|e| match e {
+        Effect::Send(Message {
+            to,
+            body: Some(Body::Hello(_)),
+            ..
+        }) => Some(*to),
+        _ => None,
+    });
+    hellos.collect()
+}
+
+fn known_members(index: u64, instances: &[u64]) -> KnownMembers {
+    let instances = instances.to_vec();
+    KnownMembers { index, instances }
+}
+
+/// Guards against a store that waits to be added and forgets whom to ask, or goes back to members
+/// of former times.
+#[test]
+fn known_members_kept() {
+    let mut harness = blank(&[]);
+    harness.step(Event::Tick);
+    for (index, instances) in [(7, &[4, 5]), (6, &[8, 9])] {
+        harness.receive(2, 1, Body::KnownMembers(known_members(index, instances)));
+    }
+    assert_eq!(
+        harness.replica.durable_state().known_members.instances,
+        [4, 5]
+    );
+    harness.now = harness.now + 3 * ELECTION;
+    assert_eq!(greeted(&harness.step(Event::Tick)), [2, 3, 4, 5]);
+    // It passes on what it was told.
+    let effects = harness.receive(6, 0, Body::Hello(Hello::default()));
+    let told = effects.iter().any(|e| match e {
+        Effect::Send(m) => m.body == Some(Body::KnownMembers(known_members(7, &[4, 5]))),
+        _ => false,
+    });
+    assert!(told, "{effects:?}");
+}
+
+/// Guards against an added instance that no leader hears of: it knows only the seeds in its
+/// settings, and these know no member.
+#[test]
+fn greet_unknown_contacts() {
+    let mut harness = Harness::new(&[1]);
+    harness.elect();
+    harness.step(Event::Contacts(vec![1, 2, 6]));
+    harness.now = harness.now + ELECTION;
+    for id in [2, 3] {
+        harness.ack(id, harness.replica.term(), 1);
+    }
+    assert_eq!(greeted(&harness.step(Event::Tick)), [6]);
+}
--- a/src/tests/simulation/mod.rs
+++ b/src/tests/simulation/mod.rs
@@ -11,6 +11,7 @@
 use self::disk::SimDisk;
 use crate::clock::Time;
 use crate::decide::members;
+use crate::voter::GroupStatus;
 use crate::voter::core::{Config, Core, Input};
 use crate::voter::responder::Responder;
 use crate::{Change, ChangeError, Message, Peer, ProposeError, ReadError, Role, StoreError};
@@ -53,6 +54,8 @@
     paused_until: u64,
     /// When it restarts after it was stopped.
     restart_at: u64,
+    /// Whether its next start is the first one, at the start of the fleet.
+    first_start: bool,
 }
 
 /// A simulation of several instances.
@@ -75,6 +78,17 @@
     disk_losses: u32,
     /// Number of voters below which any store is added.
     required: usize,
+    /// What the settings of the instances name.
+    seeding: Seeding,
+}
+
+/// Instances that the settings name as founders and contacts.
+enum Seeding {
+    /// All instances, at each start.
+    All,
+    /// A few instances. They are founders at the first start of the fleet only, and
+    /// contacts until others are named. Stores beyond the required voters wait.
+    Seeds(Vec<u64>),
 }
 
 impl Sim {
@@ -92,29 +106,57 @@
             command: 0,
             disk_losses: 0,
             required: usize::try_from(size).unwrap(),
+            seeding: Seeding::All,
         };
-        for id in 1..=size {
-            let rate = sim.rng.random_range(950..=1050);
-            sim.nodes.push(Node {
-                id,
-                disk: SimDisk::default(),
-                core: None,
-                machines: Vec::new(),
-                inbox: Vec::new(),
-                store: 0,
-                old_copy: None,
-                on_old_copy: false,
-                on_copy: false,
-                catching_up: false,
-                live_copy: None,
-                rate,
-                paused_until: 0,
-                restart_at: 0,
-            });
+        for _ in 0..size {
+            sim.add_node(true);
         }
         sim
     }
 
+    /// Instances of which the first three are the seeds, and `required` vote.
+    fn with_seeds(seed: u64, size: u64, required: usize) -> Self {
+        let mut sim = Self::new(seed, size);
+        sim.required = required;
+        sim.seeding = Seeding::Seeds(vec![1, 2, 3]);
+        sim
+    }
+
+    /// Adds an instance with an empty disk.
+    fn add_node(&mut self, first_start: bool) {
+        let rate = self.rng.random_range(950..=1050);
+        self.nodes.push(Node {
+            id: self.nodes.len() as u64 + 1,
+            disk: SimDisk::default(),
+            core: None,
+            machines: Vec::new(),
+            inbox: Vec::new(),
+            store: 0,
+            old_copy: None,
+            on_old_copy: false,
+            on_copy: false,
+            catching_up: false,
+            live_copy: None,
+            rate,
+            paused_until: 0,
+            restart_at: 0,
+            first_start,
+        });
+    }
+
+    /// Founders and contacts in the settings of the next start of an instance.
+    fn settings(&mut self, at: usize) -> (Vec<u64>, Vec<u64>) {
+        let first_start = std::mem::take(&mut self.nodes[at].first_start);
+        match &self.seeding {
+            Seeding::All => {
+                let all: Vec<u64> = self.nodes.iter().map(|n| n.id).collect();
+                (all.clone(), all)
+            }
+            Seeding::Seeds(seeds) if first_start => (seeds.clone(), seeds.clone()),
+            Seeding::Seeds(seeds) => (Vec::new(), seeds.clone()),
+        }
+    }
+
     fn local(&self, at: usize) -> Time {
         Time(self.now * self.nodes[at].rate / 1000)
     }
@@ -122,11 +164,11 @@
     /// Starts a stopped instance on its disk.
     fn boot(&mut self, at: usize) {
         let now = self.local(at);
-        let all: Vec<u64> = (1..=self.nodes.len() as u64).collect();
+        let (founders, contacts) = self.settings(at);
         let config = Config {
             instance: self.nodes[at].id,
-            contacts: all.clone(),
-            founders: all,
+            founders,
+            contacts,
             election_timeout: Duration::from_millis(300),
             heartbeat_interval: Duration::from_millis(50),
             snapshot_interval: 40,
@@ -259,6 +301,7 @@
             }
         }
         self.now = end;
+        self.read_settings();
         for at in 0..self.nodes.len() {
             let node = &self.nodes[at];
             if node.paused_until > self.now {
@@ -272,6 +315,18 @@
         }
     }
 
+    /// Lets an instance read the seeds in its settings now and then.
+    fn read_settings(&mut self) {
+        let Seeding::Seeds(seeds) = &self.seeding else {
+            return;
+        };
+        let seeds = seeds.clone();
+        let at = self.rng.random_range(0..100 * self.nodes.len());
+        if at < self.nodes.len() && self.nodes[at].paused_until <= self.now {
+            self.run(at, vec![Input::Contacts(seeds)]);
+        }
+    }
+
     /// Advances time until `done` holds. Fails after a minute.
     fn run_until(&mut self, what: &str, done: impl Fn(&Sim) -> bool) {
         let limit = self.now + 60 * SECOND;
@@ -429,9 +484,30 @@
         let status = &core.status()[group as usize];
         let voters = status.members.iter().filter(|m| m.role() == Role::Voter);
         let current = voters.filter(|m| self.store(m.id) == m.store).count();
-        status.commit == status.last
-            && current == self.nodes.len()
-            && status.members.len() == current
+        let complete = match self.seeding {
+            Seeding::All => current == self.nodes.len(),
+            Seeding::Seeds(_) => {
+                let known = current + self.count_waiting(status);
+                current >= self.required && known == self.nodes.len()
+            }
+        };
+        complete && status.commit == status.last && status.members.len() == current
+    }
+
+    /// Number of instances whose current store the leader could add.
+    fn count_waiting(&self, status: &GroupStatus) -> usize {
+        let waiting = status.non_members.iter();
+        waiting.filter(|p| self.store(p.id) == p.store).count()
+    }
+
+    /// Whether an instance is a member of a group, as its leader knows it.
+    fn is_member(&self, at: usize, group: u32) -> bool {
+        let members = self.leader(group).map(|leader| {
+            let core = self.nodes[leader].core.as_ref().unwrap();
+            core.status().swap_remove(group as usize).members
+        });
+        let id = self.nodes[at].id;
+        members.is_some_and(|m| m.iter().any(|m| m.id == id))
     }
 
     /// Asserts the invariants over all instances after a run of one.
@@ -484,6 +560,9 @@
         }
         for at in 0..self.nodes.len() {
             for group in 0..GROUPS {
+                if !self.is_member(at, group) {
+                    continue;
+                }
                 self.retry_until_success("confirms reads", |s| {
                     let before = s.checker.lock().done();
                     s.read(at, group);
--- a/src/tests/simulation/runs.rs
+++ b/src/tests/simulation/runs.rs
@@ -2,7 +2,7 @@
 
 use rand::RngExt;
 
-use super::{GROUPS, Node, SECOND, Sim};
+use super::{GROUPS, Node, SECOND, Seeding, Sim};
 use crate::voter::GroupStatus;
 use crate::voter::core::Core;
 use crate::{Change, Peer};
@@ -155,6 +155,21 @@
         }
     }
 
+    /// Names three random instances as seeds from now on.
+    fn exchange_seeds(&mut self) {
+        let seeds = [(); 3].map(|()| self.pick() as u64 + 1);
+        self.seeding = Seeding::Seeds(seeds.to_vec());
+    }
+
+    /// Stops all instances outside of the memberships at once.
+    fn restart_waiting(&mut self) {
+        for at in 0..self.nodes.len() {
+            if (0..GROUPS).all(|g| !self.is_member(at, g)) {
+                self.lose_power(at);
+            }
+        }
+    }
+
     /// Number of instances that can't answer the query of the one at `at`.
     fn unavailable_peers(&self, at: usize) -> usize {
         let id = self.nodes[at].id;
@@ -235,10 +250,19 @@
     Copies,
     /// Also restarts of all instances at once.
     Restarts,
+    /// Also added instances, other seeds in the settings, and restarts of some or all.
+    Seeds,
 }
 
+/// Instances that are added in a run with [`Faults::Seeds`].
+const ADDED: usize = 3;
+
 fn random_run(seed: u64, size: u64, faults: Faults) -> (usize, usize) {
-    let mut sim = Sim::new(seed, size);
+    let mut sim = match faults {
+        Faults::Seeds => Sim::with_seeds(seed, size, size.try_into().unwrap()),
+        _ => Sim::new(seed, size),
+    };
+    let first = sim.nodes.len();
     while sim.now < LENGTH {
         sim.tick();
         if sim.chance(50) {
@@ -265,6 +289,15 @@
                 _ => {}
             }
         }
+        if faults == Faults::Seeds {
+            match sim.rng.random_range(0..200) {
+                0..4 if sim.nodes.len() < first + ADDED => sim.add_node(false),
+                4..8 => sim.exchange_seeds(),
+                8..11 => sim.restart_waiting(),
+                11..13 => sim.restart_all(),
+                _ => {}
+            }
+        }
         if sim.chance(5) {
             sim.run_operator();
             sim.check_logs();
@@ -328,3 +361,16 @@
 fn random_runs_restarts_five() {
     random_runs(5, Faults::Restarts);
 }
+
+/// Guards against a second log, and against stores that no leader ever hears of, when instances are
+/// added with empty disks and the settings name others as seeds.
+#[test]
+fn random_runs_seeds_three() {
+    random_runs(3, Faults::Seeds);
+}
+
+/// The same with five voters, three of which found the groups.
+#[test]
+fn random_runs_seeds_five() {
+    random_runs(5, Faults::Seeds);
+}
--- a/src/tests/store.rs
+++ b/src/tests/store.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 
 use super::simulation::disk::SimDisk;
-use crate::replica::{Entry, HardState, Kind, Persist, Snapshot};
+use crate::replica::{Entry, HardState, Kind, KnownMembers, Persist, Snapshot};
 use crate::store::{Contents, Creation, Store, StoreError};
 
 /// Instances that found the groups.
@@ -40,6 +40,7 @@
         },
         snapshot: None,
         entries: entries.iter().copied().map(entry).collect(),
+        known_members: None,
     }
 }
 
@@ -244,3 +245,23 @@
     assert_eq!(last(&contents), 3);
     assert!(contents.founders.is_empty());
 }
+
+/// Guards against a restarted store that forgets the members that it was told of, also after its
+/// log file was rewritten.
+#[test]
+fn open_known_members() {
+    let (disk, mut store) = filled();
+    let mut told = persist(&[]);
+    told.known_members = Some(KnownMembers {
+        index: 7,
+        instances: vec![4, 5],
+    });
+    store.write(0, &told).unwrap();
+    store.write(0, &persist(&[4])).unwrap();
+    store.sync().unwrap();
+    for _ in 0..2 {
+        let (_, contents) = open(&disk).unwrap();
+        let known = Some(&contents.groups[&0].known_members);
+        assert_eq!(known, told.known_members.as_ref());
+    }
+}
--- a/src/voter.rs
+++ b/src/voter.rs
@@ -114,6 +114,9 @@
     pub confirmed: Option<bool>,
     /// Milliseconds since each other member last answered, on the leader.
     pub silences: Vec<(Peer, u64)>,
+    /// Instances of the latest membership that this store knows, its own or one that it
+    /// was told of.
+    pub known_members: Vec<u64>,
     /// Whether all initial voters agreed to found the group, but too few of their stores
     /// were created for it. Never reset.
     pub founding_refused: bool,
@@ -248,6 +251,13 @@
         self.request(input);
     }
 
+    /// Names other instances that may know the leader, in place of
+    /// [`VoterSettings::contacts`].
+    pub(crate) fn set_contacts(&self, contacts: &[InstanceId]) {
+        let contacts = contacts.iter().map(|i| i.0).collect();
+        self.request(Input::Contacts(contacts));
+    }
+
     /// Notifies of each change of a leader, and when it falls silent or is heard again.
     pub(crate) fn leader_changes(&self) -> NoticeReceiver<()> {
         self.leader_changes.subscribe()
--- a/src/voter/core.rs
+++ b/src/voter/core.rs
@@ -34,6 +34,8 @@
         change: Change,
         responder: Responder<(), ChangeError>,
     },
+    /// Instances that may know the leaders from now on.
+    Contacts(Vec<u64>),
     Transfer,
 }
 
@@ -44,7 +46,7 @@
             Self::Propose { responder, .. } => responder.send(Err(ProposeError::Busy)),
             Self::Read { responder, .. } => responder.send(Err(ReadError::Busy)),
             Self::Change { responder, .. } => responder.send(Err(ChangeError::Busy)),
-            Self::Message(_) | Self::Transfer => {}
+            Self::Message(_) | Self::Contacts(_) | Self::Transfer => {}
         }
     }
 }
@@ -235,6 +237,12 @@
                 let ticket = self.add_pending(at, Pending::Change(responder));
                 self.step(at, now, Event::Change(ticket, change), send)
             }
+            Input::Contacts(contacts) => {
+                for at in 0..self.groups.len() {
+                    self.step(at, now, Event::Contacts(contacts.clone()), send)?;
+                }
+                Ok(())
+            }
             Input::Transfer => {
                 for at in 0..self.groups.len() {
                     self.step(at, now, Event::Transfer, send)?;
--- a/src/voter/group.rs
+++ b/src/voter/group.rs
@@ -124,6 +124,7 @@
             refused,
             confirmed: replica.confirmed(),
             silences: replica.silences(),
+            known_members: replica.latest_members().instances,
             founding_refused: replica.founding_refused(),
         }
     }
--- a/tests/platform/founding.rs
+++ b/tests/platform/founding.rs
@@ -160,3 +160,44 @@
         });
     }
 }
+
+/// Three voters and three added controllers, all restarted after the settings have named the added
+/// ones as the only seeds.
+fn exchanged() -> Deployment {
+    let mut deployment = founded();
+    deployment.add_controllers(3);
+    assert_one_log(&deployment);
+    deployment.set_seeds(&ADDED);
+    for i in 0..6 {
+        deployment.restart_controller(i);
+    }
+    wait_for("a leader", || {
+        (deployment.count_leaders() == 1).then_some(())
+    });
+    deployment
+}
+
+/// Guards against added controllers that no longer know of any voter once the settings name only
+/// them: none took the place of a voter that was lost.
+#[test]
+fn exchanged_seeds_replace_voter() {
+    let mut deployment = exchanged();
+    deployment.controllers[0].kill();
+    wait_for("a read at an added controller", || {
+        let mut reads = ADDED.iter().filter_map(|&i| deployment.fetch_version(i));
+        reads.next().filter(|&v| v == 1)
+    });
+}
+
+/// Guards against a voter that loses its disk after the exchange and never votes again, since its
+/// seeds don't know the leader.
+#[test]
+fn exchanged_seeds_wiped_voter() {
+    let mut deployment = exchanged();
+    deployment.controllers[0].kill();
+    fs::remove_dir_all(deployment.data_dir(0)).unwrap();
+    deployment.controllers[0] = deployment.start_controller(0, false);
+    wait_for("a read at the wiped controller", || {
+        deployment.fetch_version(0).filter(|&v| v == 1)
+    });
+}
