Cut off upstreams that send bytes without end

What callers saw: where an upstream answered with a body or interim heads without end, they waited to their deadline for a 504. While interim heads came without end it answered others seconds late.

Cause: entry/plain.rs read bodies whole without a bound. hyper limits the size of a head but not the number of interim heads before the final one.

The first 128 KiB of a connection to an upstream must hold the whole head. What is too long counts as a failure of the upstream (long_head, long_body), which is left out for a while; it isn't evidence for a crash. For want of memory (no_memory) no upstream is blamed. The request is sent elsewhere where that is safe, else the caller gets 502 at once. Calls to engines for reports and orders, health checks and carried requests use the same connections.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -3,8 +3,12 @@
 //! docs/UPSTREAMS.md describes the protocol.
 
 use std::future::Future;
+use std::io::{self, IoSlice};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -17,6 +21,7 @@
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::error::Elapsed;
@@ -29,6 +34,10 @@
 /// Timeout for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(750);
 
+/// Maximum size of a response head and of the interim ones before it, in bytes, with the start of
+/// the body that is read along with it.
+const MAX_HEAD_BYTES: usize = 128 << 10;
+
 /// Maximum size of an event of a token stream, in bytes.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
 
@@ -116,6 +125,9 @@
     /// The engine answered with another error status.
     #[snafu(display("the engine answered with status {status}"))]
     Status { status: u16 },
+    /// The engine sent more than any response head has, and no complete one.
+    #[snafu(display("the engine sent a response head without end"))]
+    LongHead,
     /// The connection was lost, or the stream ended without its final event.
     #[snafu(display("the token stream was interrupted"))]
     ConnectionLost,
@@ -172,6 +184,89 @@
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: Driver,
+    head_limit: Arc<HeadLimit>,
+}
+
+/// Number of bytes that a connection may still receive before its response head is complete.
+///
+/// hyper limits each head, but not the number of interim responses before the final one: a
+/// connection that receives them without end takes all processor time, and its call never ends.
+#[derive(Debug)]
+struct HeadLimit(AtomicUsize);
+
+impl HeadLimit {
+    /// Ends the limit: the head is complete.
+    fn lift(&self) {
+        self.0.store(usize::MAX, Ordering::Relaxed);
+    }
+
+    /// Counts received bytes. Returns whether they are within the limit.
+    fn count(&self, received: usize) -> bool {
+        match self.0.load(Ordering::Relaxed) {
+            usize::MAX => true,
+            left => {
+                self.0
+                    .store(left.saturating_sub(received), Ordering::Relaxed);
+                received <= left
+            }
+        }
+    }
+
+    fn is_exceeded(&self) -> bool {
+        self.0.load(Ordering::Relaxed) == 0
+    }
+}
+
+/// A connection whose reads fail once its [`HeadLimit`] is exceeded.
+struct LimitedStream {
+    stream: TcpStream,
+    limit: Arc<HeadLimit>,
+}
+
+impl AsyncRead for LimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let received = buf.filled().len() - before;
+        Poll::Ready(match self.limit.count(received) {
+            true => Ok(()),
+            false => Err(io::ErrorKind::InvalidData.into()),
+        })
+    }
+}
+
+impl AsyncWrite for LimitedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
 }
 
 /// Task that drives a connection. Dropping it closes the connection, which
@@ -226,7 +321,10 @@
         let stream = connected.map_err(|_| EngineError::Connect)?;
         // With Nagle's algorithm, small writes wait for delayed ACKs.
         let _ = stream.set_nodelay(true);
-        let Ok((sender, connection)) = handshake(TokioIo::new(stream)).await else {
+        let head_limit = Arc::new(HeadLimit(AtomicUsize::new(MAX_HEAD_BYTES)));
+        let limit = Arc::clone(&head_limit);
+        let stream = TokioIo::new(LimitedStream { stream, limit });
+        let Ok((sender, connection)) = handshake(stream).await else {
             return ConnectSnafu.fail();
         };
         let task = tokio::spawn(async move {
@@ -235,6 +333,7 @@
         Ok(Self {
             sender,
             driver: Driver(task),
+            head_limit,
         })
     }
 
@@ -255,13 +354,28 @@
         if cutoff.passed() {
             return ConnectSnafu.fail();
         }
-        let sent = self.sender.send_request(request).await;
-        let response = sent.map_err(|_| EngineError::ConnectionLost)?;
+        let response = self.request(request).await?;
         Ok(UpstreamResponse {
             response,
             _driver: self.driver,
         })
     }
+
+    /// Sends a request; returns the response once its head is complete.
+    async fn request(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, EngineError> {
+        let sent = self.sender.send_request(request).await;
+        match sent {
+            Ok(response) => {
+                self.head_limit.lift();
+                Ok(response)
+            }
+            Err(_) if self.head_limit.is_exceeded() => LongHeadSnafu.fail(),
+            Err(_) => ConnectionLostSnafu.fail(),
+        }
+    }
 }
 
 /// Maximum body size of a response to [`call`], in bytes.
@@ -312,7 +426,7 @@
     mut connection: Connection,
     request: Request<Full<Bytes>>,
 ) -> Option<(Parts, Bytes)> {
-    let response = connection.sender.send_request(request).await.ok()?;
+    let response = connection.request(request).await.ok()?;
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_RESPONSE_BYTES);
     Some((head, body.collect().await.ok()?.to_bytes()))
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -11,10 +11,10 @@
 /// so that the part that was sent can't be taken for the whole.
 #[derive(Debug, Snafu)]
 #[snafu(display("the response was cut off"))]
-pub(super) struct Truncated;
+pub(crate) struct Truncated;
 
 /// Body of a response to a caller.
-pub(super) type Body = UnsyncBoxBody<Bytes, Truncated>;
+pub(crate) type Body = UnsyncBoxBody<Bytes, Truncated>;
 
 /// A body that is known in full.
 pub(super) fn full(bytes: Bytes) -> Body {
--- a/src/entry/cause.rs
+++ b/src/entry/cause.rs
@@ -20,6 +20,9 @@
 /// Failure cause: the upstream closed the connection before the response head.
 pub(super) const CUT: &str = "cut";
 
+/// Failure cause: the upstream sent more than any response head has.
+pub(super) const LONG_HEAD: &str = "long_head";
+
 /// Failure cause: the first engine reported another engine of the path as dead.
 pub(super) const DEAD_ENGINE: &str = "dead_part";
 
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -1,14 +1,14 @@
 //! Responses that are read in full before they are forwarded.
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::header::CONTENT_ENCODING;
+use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH};
 use hyper::http::response::Parts;
 use tokio::time::timeout;
 
 use super::attempt::{OpenResponse, Run, RunError};
-use super::body::{self, Body};
+use super::body::Body;
+use super::view::Upstream;
+use super::whole::{BodyError, WholeBody};
 use super::{head, stream};
 use crate::clock::millis;
 use crate::decide::refusal::Reason;
@@ -28,31 +28,60 @@
                 return stream::answer(self, opened, running);
             }
             let upstream = opened.selection.upstream.clone();
-            match timeout(self.left(), collect(opened)).await {
-                Ok(Some((head, body))) => {
+            let read = self.read_whole(opened);
+            let error = match timeout(self.left(), read).await {
+                Ok(Ok((head, body))) => {
                     self.record_harmless();
                     return self.deliver(head, body, &upstream.id);
                 }
                 // An answer that is late at the deadline says nothing against its upstream.
                 Err(_) => return self.final_response(&RunError::TimedOut),
-                Ok(None) => {
-                    self.record_cut(&upstream);
-                    self.exclude_upstream(Some(upstream.key), "cut_body");
-                    match self.record_failure(Failure::Unknown, "cut_body", &upstream) {
-                        NextStep::Again => {}
-                        NextStep::Refuse => {
-                            return self.final_response(&RunError::NotRun(Reason::NotRun));
-                        }
-                        NextStep::Pass | NextStep::Fail => {
-                            return self.final_response(&RunError::MayHaveRun);
-                        }
-                    }
-                }
+                Ok(Err(error)) => error,
+            };
+            if let Some(response) = self.next_after(error, &upstream) {
+                return response;
             }
         }
     }
 
-    fn deliver(&self, head: Parts, bytes: Bytes, upstream: &str) -> Response<Body> {
+    /// Records that a body wasn't read. Returns the response to the caller, unless the request is
+    /// sent again.
+    fn next_after(&mut self, error: BodyError, upstream: &Upstream) -> Option<Response<Body>> {
+        let cause = match error {
+            BodyError::Cut => "cut_body",
+            BodyError::TooLong => "long_body",
+            BodyError::NoMemory => "no_memory",
+        };
+        if error == BodyError::Cut {
+            self.record_cut(upstream);
+        }
+        // Others use up the memory.
+        if error != BodyError::NoMemory {
+            self.exclude_upstream(Some(upstream.key), cause);
+        }
+        let end = match self.record_failure(Failure::Unknown, cause, upstream) {
+            NextStep::Again => return None,
+            NextStep::Refuse => RunError::NotRun(Reason::NotRun),
+            NextStep::Pass | NextStep::Fail => RunError::MayHaveRun,
+        };
+        Some(self.final_response(&end))
+    }
+
+    /// Reads the whole body.
+    async fn read_whole(&self, opened: OpenResponse) -> Result<(Parts, WholeBody), BodyError> {
+        let OpenResponse { mut answer, .. } = opened;
+        let body = answer.response.body_mut();
+        let body = WholeBody::read(body, &self.entry.body_memory).await?;
+        let (head, _) = answer.response.into_parts();
+        // No request asks for a content encoding, so an encoded body isn't the upstream's.
+        match head.headers.contains_key(CONTENT_ENCODING) {
+            true => Err(BodyError::Cut),
+            false => Ok((head, body)),
+        }
+    }
+
+    fn deliver(&self, head: Parts, body: WholeBody, upstream: &str) -> Response<Body> {
+        let bytes = body.len();
         self.count(if head.status.is_server_error() {
             "upstream_error"
         } else {
@@ -64,23 +93,16 @@
             route = self.call.route.name,
             upstream,
             status = head.status.as_u16(),
-            bytes = bytes.len(),
+            bytes,
             took_ms = millis(self.entry.now().since(self.call.began)),
             "answered"
         );
-        let mut response = Response::new(body::full(bytes));
+        let mut response = Response::new(body.into_body());
         *response.status_mut() = head.status;
         *response.headers_mut() = head::to_caller(head.headers);
+        if bytes > 0 {
+            response.headers_mut().insert(CONTENT_LENGTH, bytes.into());
+        }
         response
     }
 }
-
-/// Reads the whole body, or returns `None` if it was cut off.
-async fn collect(opened: OpenResponse) -> Option<(Parts, Bytes)> {
-    let OpenResponse { mut answer, .. } = opened;
-    let collected = answer.response.body_mut().collect().await;
-    let body = collected.ok()?.to_bytes();
-    let (head, _) = answer.response.into_parts();
-    // No request asks for a content encoding, so an encoded body isn't the upstream's.
-    (!head.headers.contains_key(CONTENT_ENCODING)).then_some((head, body))
-}
--- a/src/serve/stream.rs
+++ b/src/serve/stream.rs
@@ -85,7 +85,9 @@
         }
         EngineError::Connect | EngineError::ConnectTimeout => AttemptError::Refused,
         EngineError::ConnectionLost => AttemptError::ConnectionLost,
-        EngineError::Status { .. } | EngineError::InvalidEvent => AttemptError::InvalidData,
+        EngineError::Status { .. } | EngineError::InvalidEvent | EngineError::LongHead => {
+            AttemptError::InvalidData
+        }
     };
     Event::Failed {
         attempt,
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -49,6 +49,7 @@
 mod view;
 mod voter;
 mod waiters;
+mod whole;
 
 /// Entry instances up to which the leader of a test answers all of them itself.
 const DIRECT: usize = 100;
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -107,6 +107,15 @@
         self.child.try_wait().expect("poll the child").is_none()
     }
 
+    /// Most memory that the process has had resident so far, in bytes.
+    pub(crate) fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).expect("the process runs");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let size = line.and_then(|l| l.trim().strip_suffix(" kB"));
+        1024 * size.expect("a size").parse::<u64>().expect("a number")
+    }
+
     pub(crate) fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -29,6 +29,9 @@
 /// Default of `--direct-entries`.
 const DIRECT_ENTRIES: usize = 300;
 
+/// Memory of an instance, as on the smallest machines.
+pub(crate) const MEMORY_MB: u64 = 112;
+
 const DEFAULT_RETRIES: &str = "retrySlack = 200";
 
 /// Host number of the first entry instance in a deployment's address range.
@@ -334,7 +337,8 @@
         let text = format!(
             "node = \"{role}-{host}\"\nip = \"{ip}\"\nzone = \"{domain}\"\n\
              portRange = [{peers},{peers}]\nseeds = {seeds:?}\nfirstStart = {first_start}\n\
-             beatMs = {}\n{settings}\n[faultTolerance]\nmachines = 1\n[listen]\n{listen}\n\
+             beatMs = {}\n{settings}\n[faultTolerance]\nmachines = 1\n\
+             [limits]\nmemoryMb = {MEMORY_MB}\n[listen]\n{listen}\n\
              [bounds]\ngraceS = 8\nrevokeMs = 5000\n{retries}\nstall_ms = 2500\n",
             HEARTBEAT_PERIOD.as_millis()
         );
--- /dev/null
+++ b/tests/platform/endless.rs
@@ -0,0 +1,207 @@
+//! Upstreams that send bytes without end.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::common::process::Process;
+use crate::common::wait_for;
+use crate::cut::Cut;
+use crate::deployment::{Deployment, KEY, MEMORY_MB};
+use crate::engine::{EngineSpec, SharedState, expected_stream};
+
+/// What an engine sends without end in answer to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Endless {
+    /// A body that would end with its connection.
+    Body,
+    /// The body of a failure.
+    ErrorBody,
+    /// A body of large chunks.
+    Chunks,
+    /// A body of chunks of one byte.
+    SmallChunks,
+    /// A body with a length that no instance can hold.
+    Length,
+    /// The value of a header.
+    Header,
+    /// Heads of interim responses.
+    InterimHeads,
+}
+
+/// Time within which a request must be answered, far below its deadline of 20 s.
+const ANSWER_TIME: Duration = Duration::from_secs(8);
+
+/// Size of one write, in bytes.
+const WRITE_BYTES: usize = 64 << 10;
+
+/// Maximum size of a request's head, in bytes.
+const MAX_HEAD: usize = 16 << 10;
+
+/// Answers the request on a new connection until the instance closes it.
+pub(crate) async fn answer(
+    mut stream: TcpStream,
+    spec: EngineSpec,
+    state: SharedState,
+    kind: Endless,
+) -> std::io::Result<()> {
+    let mut received = vec![0; MAX_HEAD];
+    let mut length = 0;
+    let head = loop {
+        length += stream.read(&mut received[length..]).await?;
+        let text = String::from_utf8_lossy(&received[..length]).to_ascii_lowercase();
+        if let Some((head, _)) = text.split_once("\r\n\r\n") {
+            break head.to_owned();
+        }
+    };
+    let mut lines = head.lines().filter_map(|l| l.split_once(": "));
+    let attempt = lines.find(|(name, _)| *name == "x-attempt-id");
+    let attempt = attempt.map_or_else(String::new, |(_, id)| id.to_owned());
+    state.lock().unwrap().record_run(&attempt);
+    let status = match kind {
+        Endless::ErrorBody => "500 Internal Server Error",
+        _ => "200 OK",
+    };
+    let head = format!(
+        "HTTP/1.1 {status}\r\nx-attempt-id: {attempt}\r\nx-server-signature: {}\r\n",
+        spec.id
+    );
+    let (start, repeated) = match kind {
+        Endless::Body | Endless::ErrorBody => (head + "\r\n", "x".repeat(WRITE_BYTES)),
+        Endless::Chunks => (
+            head + "transfer-encoding: chunked\r\n\r\n",
+            format!("{WRITE_BYTES:x}\r\n{}\r\n", "x".repeat(WRITE_BYTES)),
+        ),
+        Endless::SmallChunks => (
+            head + "transfer-encoding: chunked\r\n\r\n",
+            "1\r\nx\r\n".repeat(WRITE_BYTES / 6),
+        ),
+        Endless::Length => (
+            format!("{head}content-length: {}\r\n\r\n", 1_u64 << 40),
+            "x".repeat(WRITE_BYTES),
+        ),
+        Endless::Header => (head + "x-note: ", "x".repeat(WRITE_BYTES)),
+        Endless::InterimHeads => {
+            let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+            (String::new(), interim.repeat(WRITE_BYTES / interim.len()))
+        }
+    };
+    stream.write_all(start.as_bytes()).await?;
+    loop {
+        stream.write_all(repeated.as_bytes()).await?;
+    }
+}
+
+fn desks(deployment: &Deployment) -> Vec<EngineSpec> {
+    let engines = deployment.engines.iter();
+    engines.filter(|e| e.service == "desk").cloned().collect()
+}
+
+/// Sends requests to endless engines at the same time, and streams beside them.
+fn send_many(deployment: &Deployment) {
+    thread::scope(|scope| {
+        for i in 0..6 {
+            for path in ["/lookups/x", "/bookings/x"] {
+                scope.spawn(move || {
+                    let began = Instant::now();
+                    let attempt = format!("{path}-{i}");
+                    let (status, _) = deployment.request(0, path, &attempt, KEY);
+                    let took = began.elapsed();
+                    assert!(took < ANSWER_TIME, "{attempt} took {took:?}");
+                    // 503 promises that the request hasn't run.
+                    let runs = deployment.engine_state().runs(&attempt);
+                    let expected = if runs > 0 { 502 } else { 503 };
+                    assert_eq!(status, expected, "{attempt}");
+                });
+            }
+        }
+        for i in 0..3 {
+            let attempt = format!("stream-{i}");
+            let answer = deployment.request(0, "/letters/x", &attempt, KEY);
+            assert_eq!(answer, (200, expected_stream()), "{attempt}");
+        }
+    });
+}
+
+/// Asserts that an instance has stayed below the memory of the smallest machines.
+fn check_memory(entry: &Process) {
+    let peak = entry.peak_memory();
+    println!("peak memory {} MB", peak >> 20);
+    assert!(peak < MEMORY_MB << 20, "{} MB", peak >> 20);
+}
+
+/// Guards against an instance that is killed for its memory, or that answers nobody any more, since
+/// upstreams send bytes without end: it cuts them off at once, and its memory stays below the limit
+/// of the smallest machines.
+#[rstest]
+fn endless_answer_cut_off(
+    #[values(
+        Endless::Body,
+        Endless::ErrorBody,
+        Endless::Chunks,
+        Endless::SmallChunks,
+        Endless::Length,
+        Endless::Header,
+        Endless::InterimHeads
+    )]
+    kind: Endless,
+) {
+    let deployment = Deployment::with_size(2, &[3, 3]);
+    for desk in desks(&deployment) {
+        deployment.engine_state().endless.insert(desk.id, kind);
+    }
+    send_many(&deployment);
+    check_memory(&deployment.entries[0]);
+}
+
+/// Guards against the same in an instance that carries requests of another one, and in that one.
+#[rstest]
+fn endless_answer_carried(
+    #[values(Endless::Body, Endless::SmallChunks, Endless::InterimHeads)] kind: Endless,
+) {
+    let deployment = Deployment::with_size(2, &[3, 3]);
+    let source = [deployment.entry_ip(0)];
+    deployment.engine_state().links.cut(Cut::RefuseNew, &source);
+    wait_for("a carried request", || {
+        let (status, _) = deployment.request(0, "/lookups/x", "warm-up", KEY);
+        (status == 200).then_some(())
+    });
+    for desk in desks(&deployment) {
+        deployment.engine_state().endless.insert(desk.id, kind);
+    }
+    send_many(&deployment);
+    deployment.entries.iter().for_each(check_memory);
+}
+
+/// Guards against an upstream that goes on getting requests although its answers have no end, and
+/// against a failure where another one can answer.
+#[rstest]
+fn endless_answer_elsewhere(
+    #[values(Endless::Body, Endless::Chunks, Endless::InterimHeads)] kind: Endless,
+) {
+    const REQUESTS: u32 = 12;
+    let deployment = Deployment::with_size(1, &[3, 3]);
+    let [endless, _] = &desks(&deployment)[..] else {
+        panic!("two desks");
+    };
+    let id = endless.id.clone();
+    deployment.engine_state().endless.insert(id, kind);
+    let attempts = (0..REQUESTS).map(|i| format!("elsewhere-{i}"));
+    let attempts: Vec<_> = attempts.collect();
+    for attempt in &attempts {
+        let (status, body) = deployment.request(0, "/lookups/x", attempt, KEY);
+        assert!(
+            status == 200 && body.starts_with("done by "),
+            "{status} {body}"
+        );
+    }
+    let runs = attempts.iter().map(|a| deployment.engine_state().runs(a));
+    let repeated = runs.sum::<u32>() - REQUESTS;
+    assert!(
+        repeated <= REQUESTS / 3,
+        "{repeated} requests at the endless upstream"
+    );
+}
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -28,6 +28,7 @@
 
 use crate::common::caller::agent;
 use crate::cut::{self, Cut, Link, Links};
+use crate::endless::{self, Endless};
 use crate::pause::{EngineRun, Pauses, Running};
 use crate::unframed::{self, Ending};
 
@@ -130,6 +131,8 @@
     classes: HashMap<String, Vec<Option<String>>>,
     /// How engines end answers that have neither a length nor chunks, if they send such ones.
     pub(crate) unframed: Option<Ending>,
+    /// Engines that send bytes without end, by ID.
+    pub(crate) endless: HashMap<String, Endless>,
     pub(crate) pauses: Pauses,
     /// Runs of attempts, in order of their start.
     pub(crate) engine_runs: Vec<EngineRun>,
@@ -550,6 +553,14 @@
             cut::reset(&stream);
             continue;
         }
+        let endless = state.lock().unwrap().endless.get(&spec.id).copied();
+        if let Some(kind) = endless
+            && !unframed::is_call(&stream).await
+        {
+            let (spec, state) = (spec.clone(), Arc::clone(&state));
+            tokio::spawn(endless::answer(stream, spec, state, kind));
+            continue;
+        }
         let unframed = state.lock().unwrap().unframed;
         if let Some(ending) = unframed
             && !unframed::is_call(&stream).await
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod cut;
 mod deployment;
 mod end_to_end;
+mod endless;
 mod engine;
 mod faults;
 mod followers;
