--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use crate::common::process::Process;
@@ -12,6 +12,7 @@
 use crate::cut::Cut;
 use crate::deployment::{Deployment, KEY, MEMORY_MB};
 use crate::engine::{EngineSpec, SharedState, expected_stream};
+use crate::unframed;
 
 /// What an engine sends without end in answer to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,9 +39,6 @@
 /// Size of one write, in bytes.
 const WRITE_BYTES: usize = 64 << 10;
 
-/// Maximum size of a request's head, in bytes.
-const MAX_HEAD: usize = 16 << 10;
-
 /// Answers the request on a new connection until the instance closes it.
 pub(crate) async fn answer(
     mut stream: TcpStream,
@@ -48,18 +46,8 @@
     state: SharedState,
     kind: Endless,
 ) -> std::io::Result<()> {
-    let mut received = vec![0; MAX_HEAD];
-    let mut length = 0;
-    let head = loop {
-        length += stream.read(&mut received[length..]).await?;
-        let text = String::from_utf8_lossy(&received[..length]).to_ascii_lowercase();
-        if let Some((head, _)) = text.split_once("\r\n\r\n") {
-            break head.to_owned();
-        }
-    };
-    let mut lines = head.lines().filter_map(|l| l.split_once(": "));
-    let attempt = lines.find(|(name, _)| *name == "x-attempt-id");
-    let attempt = attempt.map_or_else(String::new, |(_, id)| id.to_owned());
+    let head = unframed::read_head(&mut stream).await?;
+    let attempt = unframed::header(&head, "x-attempt-id").expect("an id");
     state.lock().unwrap().record_run(&attempt);
     let status = match kind {
         Endless::ErrorBody => "500 Internal Server Error",
--- a/tests/platform/unframed.rs
+++ b/tests/platform/unframed.rs
@@ -44,6 +44,25 @@
     start.starts_with("GET /v1") || start.starts_with("POST /v1")
 }
 
+/// Reads the head of a request, in lower case.
+pub(crate) async fn read_head(stream: &mut TcpStream) -> std::io::Result<String> {
+    let mut received = vec![0; MAX_HEAD];
+    let mut length = 0;
+    loop {
+        length += stream.read(&mut received[length..]).await?;
+        let text = String::from_utf8_lossy(&received[..length]).to_ascii_lowercase();
+        if let Some((head, _)) = text.split_once("\r\n\r\n") {
+            return Ok(head.to_owned());
+        }
+    }
+}
+
+/// Value of a header in such a head.
+pub(crate) fn header(head: &str, name: &str) -> Option<String> {
+    let mut lines = head.lines().filter_map(|l| l.split_once(": "));
+    lines.find(|(n, _)| *n == name).map(|(_, v)| v.to_owned())
+}
+
 /// Answers the request on a new connection.
 pub(crate) async fn answer(
     mut stream: TcpStream,
@@ -51,19 +70,8 @@
     state: SharedState,
     ending: Ending,
 ) -> std::io::Result<()> {
-    let mut received = vec![0; MAX_HEAD];
-    let mut length = 0;
-    let head = loop {
-        length += stream.read(&mut received[length..]).await?;
-        let text = String::from_utf8_lossy(&received[..length]).to_ascii_lowercase();
-        if let Some((head, _)) = text.split_once("\r\n\r\n") {
-            break head.to_owned();
-        }
-    };
-    let header = |name: &str| {
-        let mut lines = head.lines().filter_map(|l| l.split_once(": "));
-        lines.find(|(n, _)| *n == name).map(|(_, v)| v.to_owned())
-    };
+    let head = read_head(&mut stream).await?;
+    let header = |name: &str| header(&head, name);
     let attempt = header("x-attempt-id").expect("an id");
     let repeated = state.lock().unwrap().record_run(&attempt) > 1;
     let ending = if repeated { Ending::Whole } else { ending };
