Note the later runs of stores that were members once

What callers saw: a voter stays out of its group though it runs and is reached, so one more loss costs the quorum.

Cause: a store records the latest run only of stores that it knows as members, but compares each message with any record that it has. Once a member is removed and starts again, its later run is never recorded, and all its messages but hellos are dropped as unproven. A store that is behind so drops everything from such a leader, also the entries that would make it a member again.

Evidence: random_runs_seeds with three voters, seed 1477 of 1,000 from 1001: not healthy within a minute; instance 1 drops 2,545 messages of the leader of group 1, known with boot 12, now 15, and no member in its own logs (trial with a line for each).

Change: later runs of stores with a record are recorded as well. The number of records doesn't grow by it.

--- a/src/tests/simulation/runs.rs
+++ b/src/tests/simulation/runs.rs
@@ -369,6 +369,13 @@
     random_runs(3, Faults::Seeds);
 }
 
+/// Guards against a store that drops all messages of a leader: it knows an earlier run of the leader's
+/// store, which was a member of another group then and isn't now.
+#[test]
+fn random_run_former_member_leads() {
+    random_run(1477, 3, Faults::Seeds);
+}
+
 /// The same with five voters, three of which found the groups.
 #[test]
 fn random_runs_seeds_five() {
--- a/src/voter/inbound.rs
+++ b/src/voter/inbound.rs
@@ -56,7 +56,7 @@
     fn check_run(&mut self, message: &Message, send: &mut dyn FnMut(Message)) -> bool {
         match self.known_runs.classify(message) {
             RunStatus::Current => return true,
-            RunStatus::Later if !self.is_member(message.sender()) => return true,
+            RunStatus::Later if !self.records_run(message.sender()) => return true,
             RunStatus::Later => {
                 self.known_runs.insert(message);
                 let (store, boot, run) = (message.from_store, message.boot, message.run);
@@ -94,8 +94,16 @@
         Body::Hello(Hello { runs })
     }
 
-    /// Whether `peer` is a member of any group. Only their runs are recorded, which
-    /// bounds the records.
+    /// Whether to record the latest run of `peer`. Only those of members are, which bounds
+    /// the records, and those of stores that were members when an earlier one was.
+    ///
+    /// Otherwise, all later messages of such a store would be dropped as unproven. It may
+    /// lead a group whose entries, which would make it a member here, are still to come.
+    fn records_run(&self, peer: Peer) -> bool {
+        self.known_runs.known().contains_key(&peer.store) || self.is_member(peer)
+    }
+
+    /// Whether `peer` is a member of any group.
     fn is_member(&self, peer: Peer) -> bool {
         self.groups.iter().any(|g| {
             let members = &g.replica.log().members().1.members;
