Give hellos and the limit on response heads modules of their own

election.rs had grown by how a store outside of the group finds it, which isn't an election, and replica.rs by what it knows of members; both are in replica/hello.rs now. The greeting of contacts sends its hellos by the same function as the others, the leader's tick looks up its state once, and `save` treats the known members like the rest of the dirty state.

engine.rs held a stream wrapper beside the interface of engines; it is in engine/head_limit.rs.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -3,12 +3,8 @@
 //! docs/UPSTREAMS.md describes the protocol.
 
 use std::future::Future;
-use std::io::{self, IoSlice};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
-use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -21,23 +17,21 @@
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
+use self::head_limit::{HeadLimit, LimitedStream};
 use crate::clock::{Clock, Time};
 use crate::id::UpstreamId;
 use crate::platform::{engine as platform, headers};
 
+mod head_limit;
+
 /// Timeout for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(750);
 
-/// Maximum size of a response head and of the interim ones before it, in bytes, with the start of
-/// the body that is read along with it.
-const MAX_HEAD_BYTES: usize = 128 << 10;
-
 /// Maximum size of an event of a token stream, in bytes.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
 
@@ -187,88 +181,6 @@
     head_limit: Arc<HeadLimit>,
 }
 
-/// Number of bytes that a connection may still receive before its response head is complete.
-///
-/// hyper limits each head, but not the number of interim responses before the final one: a
-/// connection that receives them without end takes all processor time, and its call never ends.
-#[derive(Debug)]
-struct HeadLimit(AtomicUsize);
-
-impl HeadLimit {
-    /// Ends the limit: the head is complete.
-    fn lift(&self) {
-        self.0.store(usize::MAX, Ordering::Relaxed);
-    }
-
-    /// Counts received bytes. Returns whether they are within the limit.
-    fn count(&self, received: usize) -> bool {
-        match self.0.load(Ordering::Relaxed) {
-            usize::MAX => true,
-            left => {
-                self.0
-                    .store(left.saturating_sub(received), Ordering::Relaxed);
-                received <= left
-            }
-        }
-    }
-
-    fn is_exceeded(&self) -> bool {
-        self.0.load(Ordering::Relaxed) == 0
-    }
-}
-
-/// A connection whose reads fail once its [`HeadLimit`] is exceeded.
-struct LimitedStream {
-    stream: TcpStream,
-    limit: Arc<HeadLimit>,
-}
-
-impl AsyncRead for LimitedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        let received = buf.filled().len() - before;
-        Poll::Ready(match self.limit.count(received) {
-            true => Ok(()),
-            false => Err(io::ErrorKind::InvalidData.into()),
-        })
-    }
-}
-
-impl AsyncWrite for LimitedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
 /// Task that drives a connection. Dropping it closes the connection, which
 /// cancels the call at the upstream.
 struct Driver(JoinHandle<()>);
@@ -321,10 +233,8 @@
         let stream = connected.map_err(|_| EngineError::Connect)?;
         // With Nagle's algorithm, small writes wait for delayed ACKs.
         let _ = stream.set_nodelay(true);
-        let head_limit = Arc::new(HeadLimit(AtomicUsize::new(MAX_HEAD_BYTES)));
-        let limit = Arc::clone(&head_limit);
-        let stream = TokioIo::new(LimitedStream { stream, limit });
-        let Ok((sender, connection)) = handshake(stream).await else {
+        let (stream, head_limit) = LimitedStream::new(stream);
+        let Ok((sender, connection)) = handshake(TokioIo::new(stream)).await else {
             return ConnectSnafu.fail();
         };
         let task = tokio::spawn(async move {
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -17,6 +17,7 @@
 
 mod durable;
 mod election;
+mod hello;
 mod log;
 mod member;
 mod message;
@@ -48,10 +49,6 @@
 use self::rejoin::Rejoin;
 use self::snapshot::IncomingSnapshot;
 
-/// Number of election timeouts for which a non-member is listed after its latest
-/// hello. It sends the next hello within two.
-const NON_MEMBER_TIMEOUTS: u32 = 6;
-
 /// Divisor of the election timeout for a replica that has just started. The
 /// result must exceed the usual heartbeat interval, a fourth of the timeout.
 const INITIAL_TIMEOUT_DIVISOR: u32 = 3;
@@ -288,31 +285,6 @@
         &self.log
     }
 
-    /// Instances of the latest membership that this store knows, its own or one that it
-    /// was told of.
-    pub(crate) fn latest_members(&self) -> KnownMembers {
-        let (index, members) = self.log.members();
-        if index <= self.known_members.index {
-            return self.known_members.clone();
-        }
-        KnownMembers {
-            index,
-            instances: members.members.iter().map(|m| m.id).collect(),
-        }
-    }
-
-    /// Non-members that sent a recent hello. Empty while the stores of all members
-    /// aren't known: during bootstrap, and on a store that waits to be added.
-    pub(crate) fn non_members(&self) -> impl Iterator<Item = Peer> + '_ {
-        let members = self.log.members().1;
-        let limit = NON_MEMBER_TIMEOUTS * self.settings.election_timeout;
-        self.hello_senders
-            .values()
-            .filter(move |(_, at)| self.now.since(*at) < limit)
-            .map(|(peer, _)| *peer)
-            .filter(|&p| members.is_founded() && members.role(p).is_none())
-    }
-
     /// Milliseconds since each other member last answered. Empty unless this replica leads.
     pub(crate) fn silences(&self) -> Vec<(Peer, u64)> {
         let RaftState::Leader(lead) = &self.state else {
--- a/src/replica/durable.rs
+++ b/src/replica/durable.rs
@@ -90,10 +90,9 @@
     /// Issues a write of the state changed in this step, and queues replies
     /// behind it.
     pub(super) fn save(&mut self) {
-        let known_members_dirty = std::mem::take(&mut self.known_members_dirty);
         if self.hard_state_dirty
             || self.snapshot_dirty
-            || known_members_dirty
+            || self.known_members_dirty
             || self.first_unsaved.is_some()
         {
             let seq = self.outbox.next_seq();
@@ -109,9 +108,10 @@
                 hard: self.hard_state(),
                 snapshot: self.snapshot_dirty.then(|| snapshot.clone()),
                 entries,
-                known_members: known_members_dirty.then(|| self.known_members.clone()),
+                known_members: self.known_members_dirty.then(|| self.known_members.clone()),
             };
             self.hard_state_dirty = false;
+            self.known_members_dirty = false;
             self.snapshot_dirty = false;
             self.unsynced_writes.push_back((seq, self.log.last_index()));
             self.outbox.effects.push(Effect::Persist(persist));
--- a/src/replica/replication.rs
+++ b/src/replica/replication.rs
@@ -70,14 +70,12 @@
         if !quorum {
             return self.become_follower(self.term, None);
         }
+        let heartbeat_due = now.since(lead.last_heartbeat) >= self.settings.heartbeat_interval;
         if now.since(lead.last_greeting) >= limit {
             lead.last_greeting = now;
             self.greet_contacts();
         }
-        let RaftState::Leader(lead) = &self.state else {
-            return;
-        };
-        if now.since(lead.last_heartbeat) >= self.settings.heartbeat_interval {
+        if heartbeat_due {
             self.broadcast_heartbeat();
         }
     }
