Remove repetitions in the tests of founding and of endless answers

The cases of exchanged seeds share how controllers are added and then named. What the simulation's settings name has a module; `with_seeds` no longer takes a number of voters that was always that of the instances. The doc comment "the same with five voters" follows the run that it refers to again.

No assertion, seed or bound changes.

--- a/src/tests/simulation/mod.rs
+++ b/src/tests/simulation/mod.rs
@@ -9,9 +9,9 @@
 
 use self::checker::{RecordingMachine, SharedChecker};
 use self::disk::SimDisk;
+use self::seeding::Seeding;
 use crate::clock::Time;
 use crate::decide::members;
-use crate::voter::GroupStatus;
 use crate::voter::core::{Config, Core, Input};
 use crate::voter::responder::Responder;
 use crate::{Change, ChangeError, Message, Peer, ProposeError, ReadError, Role, StoreError};
@@ -22,6 +22,7 @@
 mod restored_copies;
 mod runs;
 mod scenarios;
+mod seeding;
 
 /// Groups on each store.
 const GROUPS: u32 = 2;
@@ -82,15 +83,6 @@
     seeding: Seeding,
 }
 
-/// Instances that the settings name as founders and contacts.
-enum Seeding {
-    /// All instances, at each start.
-    All,
-    /// A few instances. They are founders at the first start of the fleet only, and
-    /// contacts until others are named. Stores beyond the required voters wait.
-    Seeds(Vec<u64>),
-}
-
 impl Sim {
     fn new(seed: u64, size: u64) -> Self {
         let mut sim = Self {
@@ -114,14 +106,6 @@
         sim
     }
 
-    /// Instances of which the first three are the seeds, and `required` vote.
-    fn with_seeds(seed: u64, size: u64, required: usize) -> Self {
-        let mut sim = Self::new(seed, size);
-        sim.required = required;
-        sim.seeding = Seeding::Seeds(vec![1, 2, 3]);
-        sim
-    }
-
     /// Adds an instance with an empty disk.
     fn add_node(&mut self, first_start: bool) {
         let rate = self.rng.random_range(950..=1050);
@@ -144,19 +128,6 @@
         });
     }
 
-    /// Founders and contacts in the settings of the next start of an instance.
-    fn settings(&mut self, at: usize) -> (Vec<u64>, Vec<u64>) {
-        let first_start = std::mem::take(&mut self.nodes[at].first_start);
-        match &self.seeding {
-            Seeding::All => {
-                let all: Vec<u64> = self.nodes.iter().map(|n| n.id).collect();
-                (all.clone(), all)
-            }
-            Seeding::Seeds(seeds) if first_start => (seeds.clone(), seeds.clone()),
-            Seeding::Seeds(seeds) => (Vec::new(), seeds.clone()),
-        }
-    }
-
     fn local(&self, at: usize) -> Time {
         Time(self.now * self.nodes[at].rate / 1000)
     }
@@ -315,18 +286,6 @@
         }
     }
 
-    /// Lets an instance read the seeds in its settings now and then.
-    fn read_settings(&mut self) {
-        let Seeding::Seeds(seeds) = &self.seeding else {
-            return;
-        };
-        let seeds = seeds.clone();
-        let at = self.rng.random_range(0..100 * self.nodes.len());
-        if at < self.nodes.len() && self.nodes[at].paused_until <= self.now {
-            self.run(at, vec![Input::Contacts(seeds)]);
-        }
-    }
-
     /// Advances time until `done` holds. Fails after a minute.
     fn run_until(&mut self, what: &str, done: impl Fn(&Sim) -> bool) {
         let limit = self.now + 60 * SECOND;
@@ -494,12 +453,6 @@
         complete && status.commit == status.last && status.members.len() == current
     }
 
-    /// Number of instances whose current store the leader could add.
-    fn count_waiting(&self, status: &GroupStatus) -> usize {
-        let waiting = status.non_members.iter();
-        waiting.filter(|p| self.store(p.id) == p.store).count()
-    }
-
     /// Whether an instance is a member of a group, as its leader knows it.
     fn is_member(&self, at: usize, group: u32) -> bool {
         let members = self.leader(group).map(|leader| {
--- a/src/tests/simulation/runs.rs
+++ b/src/tests/simulation/runs.rs
@@ -2,7 +2,7 @@
 
 use rand::RngExt;
 
-use super::{GROUPS, Node, SECOND, Seeding, Sim};
+use super::{GROUPS, Node, SECOND, Sim};
 use crate::voter::GroupStatus;
 use crate::voter::core::Core;
 use crate::{Change, Peer};
@@ -155,21 +155,6 @@
         }
     }
 
-    /// Names three random instances as seeds from now on.
-    fn exchange_seeds(&mut self) {
-        let seeds = [(); 3].map(|()| self.pick() as u64 + 1);
-        self.seeding = Seeding::Seeds(seeds.to_vec());
-    }
-
-    /// Stops all instances outside of the memberships at once.
-    fn restart_waiting(&mut self) {
-        for at in 0..self.nodes.len() {
-            if (0..GROUPS).all(|g| !self.is_member(at, g)) {
-                self.lose_power(at);
-            }
-        }
-    }
-
     /// Number of instances that can't answer the query of the one at `at`.
     fn unavailable_peers(&self, at: usize) -> usize {
         let id = self.nodes[at].id;
@@ -259,7 +244,7 @@
 
 fn random_run(seed: u64, size: u64, faults: Faults) -> (usize, usize) {
     let mut sim = match faults {
-        Faults::Seeds => Sim::with_seeds(seed, size, size.try_into().unwrap()),
+        Faults::Seeds => Sim::with_seeds(seed, size),
         _ => Sim::new(seed, size),
     };
     let first = sim.nodes.len();
@@ -369,15 +354,15 @@
     random_runs(3, Faults::Seeds);
 }
 
+/// The same with five voters, three of which found the groups.
+#[test]
+fn random_runs_seeds_five() {
+    random_runs(5, Faults::Seeds);
+}
+
 /// Guards against a store that drops all messages of a leader: it knows an earlier run of the leader's
 /// store, which was a member of another group then and isn't now.
 #[test]
 fn random_run_former_member_leads() {
     random_run(1477, 3, Faults::Seeds);
 }
-
-/// The same with five voters, three of which found the groups.
-#[test]
-fn random_runs_seeds_five() {
-    random_runs(5, Faults::Seeds);
-}
--- a/tests/platform/crash.rs
+++ b/tests/platform/crash.rs
@@ -144,8 +144,7 @@
     let leader = wait_for("a leader", || deployment.leader());
     stop_leader(&mut deployment.controllers[leader]);
     if !deployment.controllers[leader].is_running() {
-        deployment.controllers[leader] =
-            deployment.start_controller(u8::try_from(leader).unwrap(), false);
+        deployment.return_controller(u8::try_from(leader).unwrap());
     }
     deployment.entries[0].freeze();
     // Skips the first instance while it is frozen.
@@ -183,7 +182,7 @@
         }
     }
     for i in 0..3 {
-        deployment.controllers[usize::from(i)] = deployment.start_controller(i, false);
+        deployment.return_controller(i);
     }
     for entry in 0..deployment.entries.len() {
         deployment.entries[entry] = deployment.start_entry(entry);
--- a/tests/platform/crash_part.rs
+++ b/tests/platform/crash_part.rs
@@ -178,8 +178,7 @@
         }
     }
     for i in 0..deployment.controllers.len() {
-        let id = u8::try_from(i).unwrap();
-        deployment.controllers[i] = deployment.start_controller(id, false);
+        deployment.return_controller(u8::try_from(i).unwrap());
     }
     for entry in 0..deployment.entries.len() {
         deployment.entries[entry] = deployment.start_entry(entry);
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -17,6 +17,7 @@
 use crate::common::caller::agent;
 use crate::common::process::Process;
 use crate::common::{port, wait_for};
+use crate::cut::Cut;
 use crate::engine::{self, EngineSpec, EngineState, HEARTBEAT_PERIOD, LAYERS, RunningEngines};
 
 pub(crate) const HOST: &str = "desk.example";
@@ -29,6 +30,9 @@
 /// Default of `--direct-entries`.
 const DIRECT_ENTRIES: usize = 300;
 
+/// Line in the metrics of the leading controller.
+const LEADS: &str = "controller_leads 1";
+
 /// Memory of an instance, as on the smallest machines.
 pub(crate) const MEMORY_MB: u64 = 112;
 
@@ -231,6 +235,16 @@
         });
     }
 
+    /// Cuts an entry instance off from all engines, and waits until another one carries its requests.
+    pub(crate) fn carry_requests(&self, entry: usize) {
+        let source = [self.entry_ip(entry)];
+        self.engine_state().links.cut(Cut::RefuseNew, &source);
+        wait_for("a carried request", || {
+            let (status, _) = self.request(entry, "/lookups/x", "warm-up", KEY);
+            (status == 200).then_some(())
+        });
+    }
+
     pub(crate) fn engine_state(&self) -> MutexGuard<'_, EngineState> {
         self.engine_state.state()
     }
@@ -293,10 +307,15 @@
         self.seeds = seeds.to_vec();
     }
 
+    /// Starts a controller again that has ended, with what is left of its data directory.
+    pub(crate) fn return_controller(&mut self, i: u8) {
+        self.controllers[usize::from(i)] = self.start_controller(i, false);
+    }
+
     /// Kills a controller, and starts it again with its data directory.
     pub(crate) fn restart_controller(&mut self, i: u8) {
         self.controllers[usize::from(i)].kill();
-        self.controllers[usize::from(i)] = self.start_controller(i, false);
+        self.return_controller(i);
     }
 
     /// Data directory of a controller.
@@ -434,15 +453,13 @@
     /// Number of running controllers that lead a replicated log.
     pub(crate) fn count_leaders(&self) -> usize {
         let metrics = (1..=u16::from(self.voters)).filter_map(|h| self.read_metrics(h));
-        let leads = |m: &String| m.lines().any(|l| l == "controller_leads 1");
-        metrics.filter(leads).count()
+        metrics.filter(|m| has_line(m, LEADS)).count()
     }
 
     /// Index of the leading controller.
     pub(crate) fn leader(&self) -> Option<usize> {
         let metrics = self.metrics();
-        let leads = |m: &String| m.lines().any(|l| l == "controller_leads 1");
-        metrics.iter().position(leads)
+        metrics.iter().position(|m| has_line(m, LEADS))
     }
 
     /// Whether the leader knows no store that doesn't vote, and as many voters as there are
@@ -450,9 +467,8 @@
     pub(crate) fn all_vote(&self) -> bool {
         let all = format!("controller_voters {}", self.voters);
         let metrics = self.metrics();
-        let has = |m: &String, line: &str| m.lines().any(|l| l == line);
-        let leader = metrics.iter().find(|m| has(m, "controller_leads 1"));
-        leader.is_some_and(|m| has(m, &all) && has(m, "controller_nonvoters 0"))
+        let leader = metrics.iter().find(|m| has_line(m, LEADS));
+        leader.is_some_and(|m| has_line(m, &all) && has_line(m, "controller_nonvoters 0"))
     }
 
     /// Metrics of all controllers that tell who leads and who votes, for messages.
@@ -559,6 +575,11 @@
     }
 }
 
+/// Whether metrics have this line.
+fn has_line(metrics: &str, line: &str) -> bool {
+    metrics.lines().any(|l| l == line)
+}
+
 fn entry_host(entry: usize) -> u16 {
     FIRST_ENTRY_HOST + u16::try_from(entry).expect("few instances")
 }
--- a/tests/platform/end_to_end.rs
+++ b/tests/platform/end_to_end.rs
@@ -77,7 +77,7 @@
             wait_for("a read", || deployment.fetch_version(other)),
             version
         );
-        deployment.controllers[usize::from(i)] = deployment.start_controller(i, false);
+        deployment.return_controller(i);
         wait_for("a read by the restarted controller", || {
             deployment.fetch_version(i).filter(|&v| v == version)
         });
@@ -140,7 +140,7 @@
             let status = |key: &str| deployment.request(entry, "/lookups/x", &attempt, key).0;
             assert_eq!((status(&key), status(KEY)), (200, 401), "entry {entry}");
         }
-        deployment.controllers[usize::from(i)] = deployment.start_controller(i, false);
+        deployment.return_controller(i);
         wait_for("a read by the restarted controller", || {
             (deployment.fetch_version(i) == Some(version)).then_some(())
         });
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -8,8 +8,6 @@
 use tokio::net::TcpStream;
 
 use crate::common::process::Process;
-use crate::common::wait_for;
-use crate::cut::Cut;
 use crate::deployment::{Deployment, KEY, MEMORY_MB};
 use crate::engine::{EngineSpec, SharedState, expected_stream};
 use crate::unframed;
@@ -151,12 +149,7 @@
     #[values(Endless::Body, Endless::SmallChunks, Endless::InterimHeads)] kind: Endless,
 ) {
     let deployment = Deployment::with_size(2, &[3, 3]);
-    let source = [deployment.entry_ip(0)];
-    deployment.engine_state().links.cut(Cut::RefuseNew, &source);
-    wait_for("a carried request", || {
-        let (status, _) = deployment.request(0, "/lookups/x", "warm-up", KEY);
-        (status == 200).then_some(())
-    });
+    deployment.carry_requests(0);
     for desk in desks(&deployment) {
         deployment.engine_state().endless.insert(desk.id, kind);
     }
--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -127,7 +127,7 @@
     for i in [0, 1, 2] {
         deployment.controllers[usize::from(i)].kill();
         fs::remove_dir_all(deployment.data_dir(i)).unwrap();
-        deployment.controllers[usize::from(i)] = deployment.start_controller(i, false);
+        deployment.return_controller(i);
         wait_for("a read by the wiped controller", || {
             deployment.fetch_version(i).filter(|&v| v == 9)
         });
--- a/tests/platform/founding.rs
+++ b/tests/platform/founding.rs
@@ -34,24 +34,25 @@
     }
 }
 
-fn one_restarts(deployment: &mut Deployment) {
+/// Adds controllers, and later names them as the only seeds.
+fn add_then_name(deployment: &mut Deployment) {
     deployment.add_controllers(3);
     assert_one_log(deployment);
     deployment.set_seeds(&ADDED);
+}
+
+fn one_restarts(deployment: &mut Deployment) {
+    add_then_name(deployment);
     deployment.restart_controller(3);
 }
 
 fn all_restart(deployment: &mut Deployment) {
-    deployment.add_controllers(3);
-    assert_one_log(deployment);
-    deployment.set_seeds(&ADDED);
+    add_then_name(deployment);
     ADDED.iter().for_each(|&i| deployment.restart_controller(i));
 }
 
 fn disk_lost(deployment: &mut Deployment) {
-    deployment.add_controllers(3);
-    assert_one_log(deployment);
-    deployment.set_seeds(&ADDED);
+    add_then_name(deployment);
     fs::remove_dir_all(deployment.data_dir(4)).unwrap();
     for i in [4, 3, 5, 4] {
         deployment.restart_controller(i);
@@ -67,9 +68,7 @@
 }
 
 fn voters_down(deployment: &mut Deployment) {
-    deployment.add_controllers(3);
-    assert_one_log(deployment);
-    deployment.set_seeds(&ADDED);
+    add_then_name(deployment);
     for i in 0..3 {
         deployment.controllers[i].kill();
     }
@@ -81,19 +80,17 @@
         thread::sleep(Duration::from_millis(200));
     }
     for i in 0..3 {
-        deployment.controllers[usize::from(i)] = deployment.start_controller(i, false);
+        deployment.return_controller(i);
     }
 }
 
 fn all_killed(deployment: &mut Deployment) {
-    deployment.add_controllers(3);
-    assert_one_log(deployment);
-    deployment.set_seeds(&ADDED);
+    add_then_name(deployment);
     for controller in &mut deployment.controllers {
         controller.kill();
     }
     for i in [3, 4, 5, 0, 1, 2] {
-        deployment.controllers[usize::from(i)] = deployment.start_controller(i, false);
+        deployment.return_controller(i);
     }
 }
 
@@ -153,7 +150,7 @@
             fs::remove_dir_all(deployment.data_dir(1)).unwrap();
         }
         for i in 0..3 {
-            deployment.controllers[usize::from(i)] = deployment.start_controller(i, false);
+            deployment.return_controller(i);
         }
         wait_for("first configuration", || {
             deployment.replace_configuration(1, &[KEY]).then_some(())
@@ -165,9 +162,7 @@
 /// ones as the only seeds.
 fn exchanged() -> Deployment {
     let mut deployment = founded();
-    deployment.add_controllers(3);
-    assert_one_log(&deployment);
-    deployment.set_seeds(&ADDED);
+    add_then_name(&mut deployment);
     for i in 0..6 {
         deployment.restart_controller(i);
     }
@@ -196,7 +191,7 @@
     let mut deployment = exchanged();
     deployment.controllers[0].kill();
     fs::remove_dir_all(deployment.data_dir(0)).unwrap();
-    deployment.controllers[0] = deployment.start_controller(0, false);
+    deployment.return_controller(0);
     wait_for("a read at the wiped controller", || {
         deployment.fetch_version(0).filter(|&v| v == 1)
     });
--- a/tests/platform/restore.rs
+++ b/tests/platform/restore.rs
@@ -51,7 +51,7 @@
     copy(backup.path(), &data);
     deployment.controllers[leader].freeze();
     for i in [second, fourth, fifth] {
-        deployment.controllers[i] = deployment.start_controller(u8::try_from(i).unwrap(), false);
+        deployment.return_controller(u8::try_from(i).unwrap());
     }
     let third = u8::try_from(third).unwrap();
     let read = wait_for("a read after the change of leader", || {
@@ -102,7 +102,7 @@
             fs::remove_dir_all(deployment.data_dir(i)).unwrap();
         }
         for i in 0..5 {
-            deployment.controllers[usize::from(i)] = deployment.start_controller(i, false);
+            deployment.return_controller(i);
         }
         for i in 0..5 {
             let read = wait_or_describe(
@@ -138,7 +138,7 @@
         }
         fs::remove_dir_all(deployment.data_dir(lost)).unwrap();
         for i in 0..5 {
-            deployment.controllers[usize::from(i)] = deployment.start_controller(i, false);
+            deployment.return_controller(i);
         }
         for i in [0, 1, 3, 4, lost] {
             let read = wait_or_describe(
--- a/tests/platform/unframed.rs
+++ b/tests/platform/unframed.rs
@@ -6,8 +6,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::common::wait_for;
-use crate::cut::{self, Cut};
+use crate::cut;
 use crate::deployment::{Deployment, KEY};
 use crate::engine::{EVENT_INTERVAL, EngineSpec, STREAM_EVENTS, SharedState, expected_stream};
 
@@ -123,14 +122,7 @@
 fn deployment(ending: Ending, carried: bool) -> Deployment {
     let deployment = Deployment::with_size(2, &[3, 3]);
     if carried {
-        let source = [deployment.entry_ip(0)];
-        let mut state = deployment.engine_state();
-        state.links.cut(Cut::RefuseNew, &source);
-        drop(state);
-        wait_for("a carried request", || {
-            let (status, _) = deployment.request(0, "/lookups/x", "warm-up", KEY);
-            (status == 200).then_some(())
-        });
+        deployment.carry_requests(0);
     }
     deployment.engine_state().unframed = Some(ending);
     deployment
