Bound the memory of request bodies from their first byte

Callers saw the instance end: clients that sent many large bodies at once and did not end them had it killed for its memory, and with it all its callers' requests were lost.

Cause: each body was under its limit and their sum under none. Bodies were collected by their frames and then joined, so that a frame of one byte kept its buffer and a body was held twice for a moment. What was counted for answers and for carried requests were two further budgets.

Evidence: tests/platform/misbehaving.rs on, run alone, one test at a time; the bound is the 112 MB of the smallest machines, unread bytes in the kernel included.

Change: BodyMemory counts the bodies of requests, carried ones too, and of answers from the first byte to the end of their calls, by the size of the buffers to which their bytes are copied. It is a quarter of the instance's memory. decide::body_budget decides, apart from I/O, who gives way: a body that hasn't grown for a second, else a longer one; never a complete one. Long requests leave room for short ones, all requests for answers. A refused body gets 503 no_memory: it was not run, as no engine sees a part of it. A body whose length is over the limit gets 413 at once. Bodies may take as long as their deadlines allow, since waiting ones make room; 5 s was a limit that an honest client with many small chunks on a slow link met.

The tests of whole bodies change with the budget: memory is now counted from the first byte instead of the second segment; what they guard against is the same, and freed memory is checked at each segment.

--- a/src/decide/refusal.rs
+++ b/src/decide/refusal.rs
@@ -18,6 +18,8 @@
     NoUpstream,
     /// Every upstream that could serve the request is full.
     Full,
+    /// The memory for bodies is used up, or was needed for others while this body was received.
+    NoMemory,
     /// This instance reaches no upstream of the service, and no other instance carries the request.
     Unreachable,
     /// Each attempt was refused by an upstream, or found no upstream.
@@ -39,6 +41,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NoUpstream => "no_upstream",
             Self::Full => "full",
+            Self::NoMemory => "no_memory",
             Self::Unreachable => "unreachable",
             Self::NotRun => "not_run",
             Self::Limited => "limited",
@@ -127,7 +130,7 @@
             FULL_MAX_DELAY.0 + (FULL_MAX_DELAY.1 - FULL_MAX_DELAY.0) * refused,
         ),
         // A client that returns reaches another instance.
-        Reason::Unreachable | Reason::NotRun => (0.3, 1.0),
+        Reason::Unreachable | Reason::NotRun | Reason::NoMemory => (0.3, 1.0),
         Reason::Limited => (0.6, 3.0),
         // Spread, since all of them return to the one whose pause ends first.
         Reason::Paused(left) => (left.as_secs_f64(), left.as_secs_f64() + PAUSE_SPREAD),
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::http::request::Builder;
@@ -26,6 +26,7 @@
 use crate::clock::{Clock, Time};
 use crate::id::UpstreamId;
 use crate::platform::{engine as platform, headers};
+use crate::whole::Payload;
 
 mod head_limit;
 
@@ -176,7 +177,7 @@
 /// its use. Whether the call ran is then unknown, and a non-idempotent call would
 /// needlessly end with an unknown outcome.
 pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Payload>,
     driver: Driver,
     head_limit: Arc<HeadLimit>,
 }
@@ -256,7 +257,7 @@
     /// run even if an error is returned.
     pub(crate) async fn send(
         mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Payload>,
         cutoff: &Cutoff,
     ) -> Result<UpstreamResponse, EngineError> {
         // Checked between connecting and the first byte, so that only the write
@@ -274,7 +275,7 @@
     /// Sends a request; returns the response once its head is complete.
     async fn request(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Payload>,
     ) -> Result<Response<Incoming>, EngineError> {
         let sent = self.sender.send_request(request).await;
         match sent {
@@ -322,19 +323,19 @@
     id: &str,
     request: Builder,
     body: Bytes,
-) -> Request<Full<Bytes>> {
+) -> Request<Payload> {
     request
         .header(header::HOST, address.to_string())
         .header(header::CONTENT_TYPE, "application/json")
         .header(headers::EXPECTED_UPSTREAM, id)
-        .body(Full::from(body))
+        .body(Payload::from(body))
         .expect("the request head is valid")
 }
 
 /// Sends a request on a connection and reads the whole response.
 pub(crate) async fn exchange(
     mut connection: Connection,
-    request: Request<Full<Bytes>>,
+    request: Request<Payload>,
 ) -> Option<(Parts, Bytes)> {
     let response = connection.request(request).await.ok()?;
     let (head, body) = response.into_parts();
@@ -359,7 +360,7 @@
         let request = Request::post("/v1/pipeline")
             .header(header::HOST, first.address.to_string())
             .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::from(body))
+            .body(Payload::from(Bytes::from(body)))
             .expect("the request head is valid");
         let response = connection.send(request, cutoff).await?;
         match response.response.status() {
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
 
 use super::Entry;
@@ -13,6 +12,7 @@
 use crate::decide::rank::Rank;
 use crate::fingerprint::Fingerprint;
 use crate::prompt::Prompt;
+use crate::whole::WholeBody;
 
 /// An admitted request and its route.
 pub(super) struct Call {
@@ -30,7 +30,8 @@
     pub(super) uri: Uri,
     /// Headers for upstreams, without those that differ between attempts.
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    /// Counted until the call ends.
+    pub(super) body: Arc<WholeBody>,
     pub(super) work: Work,
     pub(super) began: Time,
     /// Time from `began` by which the response must be complete.
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -1,9 +1,8 @@
 //! Builds the requests to upstreams and classifies the heads of their responses.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Request, StatusCode};
 
@@ -17,10 +16,11 @@
 use crate::decide::retry::Failure;
 use crate::platform::headers;
 use crate::sync::address_key;
+use crate::whole::Payload;
 
 impl Attempt {
-    pub(super) fn request(&self, selection: &Selection) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::from(self.context.call.body.clone()));
+    pub(super) fn request(&self, selection: &Selection) -> Request<Payload> {
+        let mut request = Request::new(Payload::from(Arc::clone(&self.context.call.body)));
         *request.method_mut() = self.context.call.method.clone();
         let target = self
             .context
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -8,6 +8,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use rand::RngExt;
+use tokio::time::timeout;
 
 use super::Entry;
 use super::attempt::Run;
@@ -18,20 +19,22 @@
 use super::select::PLAIN_WORK;
 use super::view::View;
 use crate::configuration::{Model, RouteMatch, RoutingTable};
+use crate::decide::body_budget::Kind;
 use crate::decide::path::Work;
 use crate::decide::refusal::Reason;
 use crate::event;
 use crate::fingerprint::Fingerprint;
 use crate::gate::RunningGuard;
-use crate::http::{self, ReceiveError, RequestBody, ResponseBody};
+use crate::http::{RequestBody, ResponseBody};
 use crate::platform::{headers, prompt};
-
-/// Timeout for receiving a request body.
-const RECEIVE_TIMEOUT: Duration = Duration::from_secs(5);
+use crate::whole::{BodyBounds, BodyError, WholeBody};
 
 /// Deadline of a request that sets none, if its route's timeout allows it.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
+/// Maximum time for receiving a request body, which may also take no longer than its deadline.
+const RECEIVE_TIMEOUT: Duration = DEFAULT_DEADLINE;
+
 /// Response to the load balancer's readiness check.
 pub(super) fn readiness(ready: bool) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::Full(Some(Bytes::new())));
@@ -67,19 +70,9 @@
         running: RunningGuard,
     ) -> Response<Body> {
         let (head, body) = request.into_parts();
-        let view = self.view();
-        let limit = view.body_limit();
-        let body = match http::read_body(body, limit, RECEIVE_TIMEOUT).await {
+        let body = match self.receive(&head, body).await {
             Ok(body) => body,
-            Err(ReceiveError::TooLarge) => {
-                return error_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-            }
-            Err(ReceiveError::Timeout) => {
-                return error_response(StatusCode::REQUEST_TIMEOUT, "the body came too slowly");
-            }
-            Err(ReceiveError::Incomplete) => {
-                return error_response(StatusCode::BAD_REQUEST, "the body was cut off");
-            }
+            Err(response) => return *response,
         };
         let left = head::deadline(&head.headers).unwrap_or(DEFAULT_DEADLINE);
         self.wait_until(left, View::is_confirmed).await;
@@ -96,13 +89,41 @@
         }
     }
 
+    /// Receives the body of a request, or returns the response that refuses it.
+    async fn receive(
+        &self,
+        head: &Parts,
+        mut body: RequestBody,
+    ) -> Result<WholeBody, Box<Response<Body>>> {
+        let bounds = BodyBounds::request(self.view().body_limit());
+        let share = self.body_memory.share(Kind::Request);
+        let deadline = head::deadline(&head.headers).unwrap_or(RECEIVE_TIMEOUT);
+        let read = WholeBody::read(&mut body, bounds, share);
+        let response = match timeout(deadline.min(RECEIVE_TIMEOUT), read).await {
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(BodyError::TooLong)) => {
+                error_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+            }
+            Ok(Err(BodyError::NoMemory)) => {
+                let attempt = head::text(&head.headers, headers::ATTEMPT_ID).unwrap_or("-");
+                log_refusal(attempt, Reason::NoMemory.code(), self.view().version());
+                refuse(Reason::NoMemory, 0.0)
+            }
+            Ok(Err(BodyError::Cut)) => {
+                error_response(StatusCode::BAD_REQUEST, "the body was cut off")
+            }
+            Err(_) => error_response(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"),
+        };
+        Err(Box::new(response))
+    }
+
     /// Looks up the route and organisation of a request, or returns the response that refuses
     /// it.
     fn admit(
         &self,
         view: &View,
         head: Parts,
-        body: Bytes,
+        body: WholeBody,
     ) -> Result<Admitted, Box<Response<Body>>> {
         let attempt = head::text(&head.headers, headers::ATTEMPT_ID)
             .unwrap_or("-")
@@ -138,7 +159,7 @@
         }
         let organisation = found.organisation.map(|o| o.name.as_str());
         let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
-        let fingerprint = Fingerprint::of(organisation, host, target, &body);
+        let fingerprint = Fingerprint::of(organisation, host, target, body.segments());
         let call = self.call(&table, found, &attempt, fingerprint, head, body);
         Ok(Admitted { table, call })
     }
@@ -150,7 +171,7 @@
         attempt: &str,
         fingerprint: Fingerprint,
         head: Parts,
-        body: Bytes,
+        body: WholeBody,
     ) -> Call {
         let route = found.route;
         let service = route.target(rand::rng().random()).service.clone();
@@ -171,7 +192,7 @@
             method: head.method,
             uri: head.uri,
             headers: head::to_upstream(head.headers, organisation),
-            body,
+            body: Arc::new(body),
             work,
             began: self.now(),
             time_limit,
--- a/src/entry/measure.rs
+++ b/src/entry/measure.rs
@@ -18,6 +18,8 @@
         metrics::gauge!(metric::WAITING_REQUESTS.name).set(waiting as f64);
         metrics::gauge!(metric::CAPACITY_SHARERS.name).set(self.sharers());
         metrics::gauge!(metric::CONFIGURATION_VERSION.name).set(view.version() as f64);
+        let bodies = self.body_memory.held();
+        metrics::gauge!(metric::BODY_BYTES.name).set(bodies as f64);
         let lease = view.lease_end.since(now);
         metrics::gauge!(metric::LEASE_REMAINING.name).set(lease.as_secs_f64());
         let complete = u8::from(view.is_complete());
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,8 +11,8 @@
 use self::proxy::Capacity;
 use self::view::{CurrentReply, View};
 use self::waiters::Waiters;
-use self::whole::BodyMemory;
 use crate::auth::FleetKey;
+use crate::body_memory::BodyMemory;
 use crate::clock::{Clock, SystemClock, Time, wall_millis};
 use crate::collections::HashSet;
 use crate::decide::admission::Admission;
@@ -70,7 +70,6 @@
 pub(crate) mod view;
 mod wait;
 pub(crate) mod waiters;
-pub(crate) mod whole;
 
 /// Maximum length of a request head in bytes: the operator's limit, with space for the request
 /// line.
@@ -126,7 +125,7 @@
     key: FleetKey,
     /// Bounds on what this instance carries for others.
     capacity: Capacity,
-    /// Memory for responses that are read whole.
+    /// Memory for the bodies of requests and of responses that are read whole.
     body_memory: BodyMemory,
     peers: Peers,
     view: ArcSwap<View>,
@@ -192,7 +191,7 @@
             peers: Peers::on_port(key.clone(), runtime, boot.ports.0),
             key,
             capacity: Capacity::default(),
-            body_memory: BodyMemory::new(boot.memory),
+            body_memory: BodyMemory::of_process(boot.memory),
             poll_interval: settings.poll,
             lease: role::key_lease(&boot),
             settings: settings.clone(),
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -6,15 +6,16 @@
 use tokio::time::timeout;
 
 use super::attempt::{OpenResponse, Run, RunError};
-use super::body::Body;
+use super::body::{self, Body};
 use super::view::Upstream;
-use super::whole::{BodyError, WholeBody};
 use super::{head, stream};
 use crate::clock::millis;
+use crate::decide::body_budget::Kind;
 use crate::decide::refusal::Reason;
 use crate::decide::retry::{Failure, NextStep};
 use crate::event;
 use crate::gate::RunningGuard;
+use crate::whole::{BodyBounds, BodyError, WholeBody};
 
 impl Run {
     /// Answers the request. `running` counts it until its last byte.
@@ -71,7 +72,8 @@
     async fn read_whole(&self, opened: OpenResponse) -> Result<(Parts, WholeBody), BodyError> {
         let OpenResponse { mut answer, .. } = opened;
         let body = answer.response.body_mut();
-        let body = WholeBody::read(body, &self.entry.body_memory).await?;
+        let share = self.entry.body_memory.share(Kind::Response);
+        let body = WholeBody::read(body, BodyBounds::RESPONSE, share).await?;
         let (head, _) = answer.response.into_parts();
         // No request asks for a content encoding, so an encoded body isn't the upstream's.
         match head.headers.contains_key(CONTENT_ENCODING) {
@@ -97,7 +99,7 @@
             took_ms = millis(self.entry.now().since(self.call.began)),
             "answered"
         );
-        let mut response = Response::new(body.into_body());
+        let mut response = Response::new(body::whole(body));
         *response.status_mut() = head.status;
         *response.headers_mut() = head::to_caller(head.headers);
         if bytes > 0 {
--- a/src/entry/proxy/carry.rs
+++ b/src/entry/proxy/carry.rs
@@ -5,46 +5,45 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
 
 use super::super::body::{self, Body, Truncated};
 use super::super::view::{Upstream, of_service};
 use super::super::{Entry, head};
 use super::message::{CHECK, Envelope, Refusal};
 use crate::clock::{Time, millis};
+use crate::decide::body_budget::Kind;
 use crate::engine::{Connection, Cutoff, UpstreamResponse};
 use crate::event;
 use crate::gate::RunningGuard;
-use crate::http::{self, RequestBody};
+use crate::http::RequestBody;
 use crate::metric;
 use crate::platform::headers;
 use crate::sync::address_key;
+use crate::whole::{BodyBounds, BodyError, Payload, WholeBody};
 
 /// Maximum number of requests that an instance carries at a time. Each takes two file descriptors
 /// of 4,000, and the callers of the instance need some as well.
 const MAX_CARRIED: usize = 512;
 
-/// Maximum size of the bodies that an instance holds for others, in bytes.
-const MAX_BODY_BYTES: usize = 32 << 20;
-
 /// Timeout for receiving the body of a carried request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Bounds on what an instance carries for others.
+/// Bounds on the number of requests that an instance carries for others. Their bodies are counted
+/// like those of its own callers.
 pub(in super::super) struct Capacity {
     requests: Arc<Semaphore>,
-    bytes: Arc<Semaphore>,
 }
 
 impl Default for Capacity {
     fn default() -> Self {
         Self {
             requests: Arc::new(Semaphore::new(MAX_CARRIED)),
-            bytes: Arc::new(Semaphore::new(MAX_BODY_BYTES)),
         }
     }
 }
@@ -59,12 +58,6 @@
     fn take_place(&self) -> Option<OwnedSemaphorePermit> {
         Arc::clone(&self.requests).try_acquire_owned().ok()
     }
-
-    /// Takes memory for a body; `None` if there isn't enough.
-    fn take_bytes(&self, size: usize) -> Option<OwnedSemaphorePermit> {
-        let size = u32::try_from(size).ok()?;
-        Arc::clone(&self.bytes).try_acquire_many_owned(size).ok()
-    }
 }
 
 /// What a carried request holds until its last byte.
@@ -166,9 +159,9 @@
         if !self.may_send(&target) {
             return Err(Refusal::Paused);
         }
-        let (body, _memory) = self.receive(&carriage.head, body).await?;
+        let body = Arc::new(self.receive_carried(&carriage.head, body).await?);
         let connection = self.connect(&carriage.envelope).await?;
-        let request = self.upstream_request(carriage, body)?;
+        let request = self.upstream_request(carriage, Arc::clone(&body))?;
         let opened = self.now();
         let cutoff = Cutoff::new(None, Arc::clone(&self.clock));
         let service = &carriage.envelope.service;
@@ -198,19 +191,23 @@
     }
 
     /// Receives the body of a request, whose length must be known.
-    async fn receive(
+    async fn receive_carried(
         &self,
         head: &Parts,
-        body: RequestBody,
-    ) -> Result<(Bytes, OwnedSemaphorePermit), Refusal> {
+        mut body: RequestBody,
+    ) -> Result<WholeBody, Refusal> {
         let size = head::number(&head.headers, CONTENT_LENGTH.as_str()).unwrap_or(0);
         let limit = self.view().body_limit();
         if size > limit {
             return Err(Refusal::Busy);
         }
-        let memory = self.capacity.take_bytes(size).ok_or(Refusal::Busy)?;
-        let body = http::read_body(body, size, BODY_TIMEOUT).await;
-        Ok((body.map_err(|_| Refusal::Unverified)?, memory))
+        let share = self.body_memory.share(Kind::Request);
+        let read = WholeBody::read(&mut body, BodyBounds::request(size), share);
+        match timeout(BODY_TIMEOUT, read).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(BodyError::NoMemory)) => Err(Refusal::Busy),
+            _ => Err(Refusal::Unverified),
+        }
     }
 
     async fn connect(self: &Arc<Self>, envelope: &Envelope) -> Result<Connection, Refusal> {
@@ -230,8 +227,8 @@
     fn upstream_request(
         &self,
         carriage: &Carriage,
-        body: Bytes,
-    ) -> Result<Request<Full<Bytes>>, Refusal> {
+        body: Arc<WholeBody>,
+    ) -> Result<Request<Payload>, Refusal> {
         let Parts {
             method,
             uri,
@@ -252,7 +249,7 @@
             let left = millis(left).max(1).into();
             map.insert(HeaderName::from_static(headers::DEADLINE), left);
         }
-        let mut request = Request::new(Full::from(body));
+        let mut request = Request::new(Payload::from(body));
         *request.method_mut() = method.clone();
         *request.uri_mut() = uri.clone();
         *request.headers_mut() = map;
--- a/src/entry/proxy/link.rs
+++ b/src/entry/proxy/link.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use rand::RngExt;
@@ -17,6 +16,7 @@
 use crate::engine::{Connection, Cutoff, UpstreamResponse, exchange};
 use crate::id::InstanceId;
 use crate::metric;
+use crate::whole::Payload;
 
 /// Maximum number of instances that are asked whether they reach an upstream.
 const MAX_CHECKS: usize = 3;
@@ -91,7 +91,7 @@
         via: &Via,
         service: &str,
         upstream: &Upstream,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<Payload>,
     ) -> Carried {
         let Some(connection) = self.connect_to(via).await else {
             self.exclude_proxy(via, "no_connection");
@@ -136,7 +136,9 @@
             };
             asked.push(via.id);
             let request = Request::get(CHECK).header(HOST, upstream.address.to_string());
-            let request = request.body(Full::default()).expect("a valid head");
+            let request = request
+                .body(Payload::from(Bytes::new()))
+                .expect("a valid head");
             let answer = self.exchange_via(&via, service, upstream, request);
             match timeout(CHECK_TIMEOUT, answer).await {
                 Ok(Some(Ok((StatusCode::OK, _)))) => return Some(true),
@@ -154,7 +156,7 @@
         via: &Via,
         service: &str,
         upstream: &Upstream,
-        request: Request<Full<Bytes>>,
+        request: Request<Payload>,
     ) -> Option<(StatusCode, Bytes)> {
         let answer = self.exchange_via(via, service, upstream, request).await?;
         answer.ok()
@@ -165,7 +167,7 @@
         via: &Via,
         service: &str,
         upstream: &Upstream,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<Payload>,
     ) -> Option<Result<(StatusCode, Bytes), Refusal>> {
         self.envelope(service, upstream)
             .seal(&self.key, &mut request);
--- a/src/fingerprint.rs
+++ b/src/fingerprint.rs
@@ -21,8 +21,14 @@
 pub(crate) struct Fingerprint([u8; FINGERPRINT_LEN]);
 
 impl Fingerprint {
-    /// Computes the fingerprint of a request; `target` is its path and query.
-    pub(crate) fn of(organisation: Option<&str>, host: &str, target: &str, body: &[u8]) -> Self {
+    /// Computes the fingerprint of a request; `target` is its path and query, and `body` the pieces
+    /// of its body.
+    pub(crate) fn of<'a>(
+        organisation: Option<&str>,
+        host: &str,
+        target: &str,
+        body: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Self {
         let mut hasher = Sha256::new();
         hasher.update([u8::from(organisation.is_some())]);
         let organisation = organisation.unwrap_or_default();
@@ -32,7 +38,9 @@
             hasher.update((part.len() as u64).to_be_bytes());
             hasher.update(part);
         }
-        hasher.update(body);
+        for piece in body {
+            hasher.update(piece);
+        }
         Self::truncate(hasher)
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod allocate;
 mod auth;
+mod body_memory;
 mod budget;
 mod catalogue;
 mod claim;
@@ -70,6 +71,7 @@
 mod sync;
 mod upstream;
 mod voter;
+mod whole;
 
 pub use auth::FleetKey;
 pub use catalogue::{
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -75,6 +75,8 @@
 pub(crate) const ROSTER_COMPLETE: Metric = metric("entry_roster_complete", &[]);
 /// Time by which timers fire late.
 pub(crate) const TIMER_LAG: Metric = metric("entry_timer_lag_seconds", &[]);
+/// Memory of the bodies of requests and responses.
+pub(crate) const BODY_BYTES: Metric = metric("entry_body_bytes", &[]);
 /// New connections that were closed unread.
 pub(crate) const CONNECTIONS_SHED: Metric = metric("entry_connections_shed_total", &[]);
 /// Retries left in the current window.
@@ -147,6 +149,7 @@
     LEASE_REMAINING,
     ROSTER_COMPLETE,
     TIMER_LAG,
+    BODY_BYTES,
     CONNECTIONS_SHED,
     RETRIES_LEFT,
     IS_LEADER,
--- a/src/serve/service.rs
+++ b/src/serve/service.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::mpsc;
@@ -24,6 +24,7 @@
 use crate::engine::{Connection, Cutoff, EngineError, Stage};
 use crate::http::ResponseBody;
 use crate::request::{Answer, AttemptError, Event, Frame, Hop, RefusalCode, RequestId};
+use crate::whole::Payload;
 
 /// Maximum body size of a plain service's response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -292,7 +293,7 @@
 }
 
 impl Call {
-    fn request(&self, host: &str, id: &str) -> Request<Full<Bytes>> {
+    fn request(&self, host: &str, id: &str) -> Request<Payload> {
         let mut builder = Request::builder()
             .method(self.method.clone())
             .uri(&self.path_and_query)
@@ -305,14 +306,14 @@
             builder = builder.header(IDEMPOTENCY_KEY, key);
         }
         builder
-            .body(Full::from(self.body.clone()))
+            .body(Payload::from(self.body.clone()))
             .expect("the parts came from a valid request")
     }
 }
 
 async fn exchange(
     connection: Connection,
-    request: Request<Full<Bytes>>,
+    request: Request<Payload>,
     cutoff: &Cutoff,
 ) -> Result<ServiceResponse, EngineError> {
     let mut response = connection.send(request, cutoff).await?;
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -21,6 +21,7 @@
 
 mod admission;
 mod backoff;
+mod body_budget;
 mod crashing_parts;
 mod demand;
 mod instance_count;
--- a/src/tests/decide/crashing_parts.rs
+++ b/src/tests/decide/crashing_parts.rs
@@ -22,7 +22,7 @@
 /// A request `number` of an organisation with the parts in its prompt.
 fn request(number: usize, organisation: &str, parts: &str) -> CutRequest {
     CutRequest {
-        fingerprint: Fingerprint::of(None, "desk.example", "/", &number.to_be_bytes()),
+        fingerprint: Fingerprint::of(None, "desk.example", "/", [&number.to_be_bytes()[..]]),
         organisation: organisation.into(),
         prompt: prompt(parts).into(),
     }
--- a/src/tests/decide/quarantine.rs
+++ b/src/tests/decide/quarantine.rs
@@ -19,7 +19,7 @@
         Some("one"),
         "desk.example",
         "/letters",
-        &number.to_be_bytes(),
+        [&number.to_be_bytes()[..]],
     )
 }
 
--- a/src/tests/engine.rs
+++ b/src/tests/engine.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::Request;
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket};
 
 use crate::engine::{Connection, Cutoff, EngineError};
+use crate::whole::Payload;
 use crate::{Clock, Time};
 
 struct FixedClock(Time);
@@ -37,7 +37,7 @@
     });
     let connection = Connection::open(addr).await.expect("a listener");
     let cutoff = Cutoff::new(Some(Time(10)), Arc::new(FixedClock(now)));
-    let request = Request::post("/letters").body(Full::new(Bytes::new()));
+    let request = Request::post("/letters").body(Payload::from(Bytes::new()));
     let sent = connection.send(request.expect("valid"), &cutoff).await;
     let error = sent.err().expect("the server answers nothing");
     assert_eq!(matches!(error, EngineError::Connect), passed);
--- a/src/tests/fingerprint.rs
+++ b/src/tests/fingerprint.rs
@@ -8,7 +8,7 @@
 
 #[test]
 fn of_same_request_equal() {
-    let fingerprint = || Fingerprint::of(Some("one"), "desk.example", "/letters/x?a=1", BODY);
+    let fingerprint = || Fingerprint::of(Some("one"), "desk.example", "/letters/x?a=1", [BODY]);
     assert_eq!(fingerprint(), fingerprint());
     assert_eq!(fingerprint().to_string().len(), 32);
 }
@@ -26,6 +26,9 @@
     #[case] target: &str,
     #[case] body: &[u8],
 ) {
-    let original = Fingerprint::of(Some("one"), "desk.example", "/letters/x?a=1", BODY);
-    assert_ne!(original, Fingerprint::of(organisation, host, target, body));
+    let original = Fingerprint::of(Some("one"), "desk.example", "/letters/x?a=1", [BODY]);
+    assert_ne!(
+        original,
+        Fingerprint::of(organisation, host, target, [body])
+    );
 }
--- a/src/tests/register.rs
+++ b/src/tests/register.rs
@@ -9,7 +9,7 @@
         Some(organisation),
         "desk.example",
         "/letters",
-        &number.to_be_bytes(),
+        [&number.to_be_bytes()[..]],
     )
 }
 
--- a/src/tests/sync.rs
+++ b/src/tests/sync.rs
@@ -115,7 +115,7 @@
 fn sync_given_up_cut() {
     // Guards against cut runs in a request that its sender has given up: a request was suspect
     // again after its quarantine was lifted.
-    let fingerprint = Fingerprint::of(None, "a.example", "/l/", b"");
+    let fingerprint = Fingerprint::of(None, "a.example", "/l/", []);
     let cut = CutRecord {
         engine: "i-7".to_owned(),
         fingerprint: fingerprint.bytes(),
@@ -146,7 +146,7 @@
 fn sync_given_up_harmless() {
     // Guards against a harmless run in a request that is handled late: it seemed to have ended
     // after the crash that followed it, which then wasn't attributed to the request.
-    let fingerprint = Fingerprint::of(None, "a.example", "/l/", b"");
+    let fingerprint = Fingerprint::of(None, "a.example", "/l/", []);
     // It ran without harm at 4,350 and was cut off at 4,600.
     let older = SyncRequest {
         harmless: vec![HarmlessRecord {
--- a/src/whole.rs
+++ b/src/whole.rs
@@ -1,137 +1,265 @@
-//! Bodies that are read whole before any of it is forwarded, within bounds: an upstream may send
-//! bytes without end.
+//! Bodies that are read whole before any of it is forwarded, within bounds on their size and on the
+//! memory of all of them: clients and upstreams may send bytes without end.
 
+use std::convert::Infallible;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::task::{Context, Poll};
 
-use bytes::{Bytes, BytesMut};
-use futures_util::stream;
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Frame;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
-use super::body::{self, Body};
+use crate::body_memory::{BodyShare, NoMemory};
 
-/// Maximum size of a body, in bytes.
+/// Maximum size of the body of a response, in bytes.
 pub(crate) const MAX_BODY_BYTES: usize = 16 << 20;
 
-/// Maximum number of pieces in which a body arrives, 1 KiB each for the longest one. Without this
-/// bound, chunks of one byte take seconds of processor time before they exceed [`MAX_BODY_BYTES`].
+/// Maximum number of pieces in which a response arrives, 1 KiB each for the longest one. Without
+/// this bound, chunks of one byte take seconds of processor time before they exceed
+/// [`MAX_BODY_BYTES`].
 pub(crate) const MAX_PIECES: usize = 16 << 10;
 
-/// Size of a segment of a body, in bytes. The last one of each body isn't counted, so that usual
-/// bodies, which are shorter, are read also while long ones use up the memory.
+/// Maximum size of a segment of a body, in bytes.
 pub(crate) const SEGMENT_BYTES: usize = 64 << 10;
 
-/// Fraction of the instance's memory for bodies that are longer than a segment.
-const MEMORY_FRACTION: u64 = 4;
+/// Size of the buffer for the first bytes of a body whose length isn't known. It doubles up to
+/// [`SEGMENT_BYTES`].
+const FIRST_BYTES: usize = 4 << 10;
 
-/// Memory of an instance whose settings name none, in bytes.
-const DEFAULT_MEMORY: u64 = 256 << 20;
+/// Bounds on a body.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyBounds {
+    pub(crate) bytes: usize,
+    /// Maximum number of pieces in which it arrives.
+    pub(crate) pieces: usize,
+}
+
+impl BodyBounds {
+    /// Bounds on the body of a response.
+    pub(crate) const RESPONSE: Self = Self {
+        bytes: MAX_BODY_BYTES,
+        pieces: MAX_PIECES,
+    };
+
+    /// Bounds on the body of a request of at most `bytes`. Its pieces may be as small as its client
+    /// likes.
+    pub(crate) fn request(bytes: usize) -> Self {
+        let pieces = usize::MAX;
+        Self { bytes, pieces }
+    }
+}
 
 /// Why a body wasn't read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BodyError {
     /// It ended early.
     Cut,
-    /// It has more than [`MAX_BODY_BYTES`] or [`MAX_PIECES`].
+    /// It exceeds its bounds.
     TooLong,
     /// Other bodies use up the memory.
     NoMemory,
 }
 
-/// Memory for the bodies that an instance holds at the same time.
-pub(crate) struct BodyMemory(Arc<Semaphore>);
-
-impl BodyMemory {
-    /// A part of the instance's memory in bytes, if its settings name it.
-    pub(crate) fn new(memory: Option<u64>) -> Self {
-        let bytes = memory.unwrap_or(DEFAULT_MEMORY) / MEMORY_FRACTION;
-        let segments = bytes / SEGMENT_BYTES as u64;
-        let segments = usize::try_from(segments).unwrap_or(usize::MAX);
-        Self(Arc::new(Semaphore::new(
-            segments.min(Semaphore::MAX_PERMITS),
-        )))
+impl From<NoMemory> for BodyError {
+    fn from(_: NoMemory) -> Self {
+        Self::NoMemory
     }
+}
+
+/// A body that is received. Bytes are copied from the pieces in which they arrive, since many small
+/// pieces, each of which keeps a buffer, would take far more memory than their bytes.
+struct Received {
+    segments: Vec<Bytes>,
+    /// What follows the segments.
+    rest: Vec<u8>,
+    /// Size of the buffer of `rest`, at most [`SEGMENT_BYTES`].
+    buffer: usize,
+    /// Length that the body declares, in bytes.
+    declared: Option<usize>,
+    share: BodyShare,
+}
 
-    /// Number of segments that can still be taken.
-    #[cfg(test)]
-    pub(crate) fn free(&self) -> usize {
-        self.0.available_permits()
+impl Received {
+    fn len(&self) -> usize {
+        self.segments.len() * SEGMENT_BYTES + self.rest.len()
     }
 
-    fn take(&self) -> Result<OwnedSemaphorePermit, BodyError> {
-        let permit = Arc::clone(&self.0).try_acquire_owned();
-        permit.map_err(|_| BodyError::NoMemory)
+    async fn push(&mut self, mut bytes: &[u8]) -> Result<(), NoMemory> {
+        while !bytes.is_empty() {
+            if self.rest.len() == self.buffer {
+                self.enlarge().await?;
+            }
+            let room = self.buffer - self.rest.len();
+            let (now, later) = bytes.split_at(room.min(bytes.len()));
+            self.rest.extend_from_slice(now);
+            bytes = later;
+        }
+        Ok(())
+    }
+
+    /// Makes room behind a full buffer.
+    async fn enlarge(&mut self) -> Result<(), NoMemory> {
+        if self.buffer == SEGMENT_BYTES {
+            self.segments.push(std::mem::take(&mut self.rest).into());
+            self.buffer = 0;
+        }
+        let left = self.declared.map(|d| d.saturating_sub(self.len()));
+        let doubled = match self.segments.is_empty() {
+            true => (2 * self.buffer).clamp(FIRST_BYTES, SEGMENT_BYTES),
+            false => SEGMENT_BYTES,
+        };
+        let more = left.filter(|&l| l > 0).unwrap_or(doubled);
+        let buffer = doubled.min(self.buffer + more);
+        self.share.grow(buffer - self.buffer).await?;
+        self.rest.reserve_exact(buffer - self.rest.len());
+        self.buffer = buffer;
+        Ok(())
     }
-}
 
-/// A full segment, counted until it is dropped.
-struct Segment {
-    bytes: Bytes,
-    _permit: OwnedSemaphorePermit,
+    fn finish(mut self) -> Result<WholeBody, NoMemory> {
+        self.share.complete()?;
+        let length = self.len();
+        if !self.rest.is_empty() {
+            self.segments.push(self.rest.into());
+        }
+        Ok(WholeBody {
+            segments: self.segments,
+            length,
+            share: Some(self.share),
+        })
+    }
 }
 
 /// A body that was read whole.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct WholeBody {
-    segments: Vec<Segment>,
-    /// What follows the segments, at most [`SEGMENT_BYTES`].
-    rest: BytesMut,
+    segments: Vec<Bytes>,
+    length: usize,
+    /// `None` if the body isn't counted.
+    share: Option<BodyShare>,
 }
 
 impl WholeBody {
-    /// Reads a body to its end.
-    pub(crate) async fn read<B>(body: &mut B, memory: &BodyMemory) -> Result<Self, BodyError>
+    /// Reads a body to its end. Memory is taken from `share` before bytes are copied to it.
+    pub(crate) async fn read<B>(
+        body: &mut B,
+        bounds: BodyBounds,
+        share: BodyShare,
+    ) -> Result<Self, BodyError>
     where
-        B: hyper::body::Body<Data = Bytes> + Unpin,
+        B: HttpBody<Data = Bytes> + Unpin,
     {
-        if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
+        let hint = body.size_hint();
+        if hint.lower() > bounds.bytes as u64 {
             return Err(BodyError::TooLong);
         }
-        let mut whole = Self::default();
-        for _ in 0..=MAX_PIECES {
-            let Some(frame) = body.frame().await else {
-                return Ok(whole);
+        let notify = share.given_up();
+        let mut given_up = pin!(notify.notified());
+        let mut received = Received {
+            segments: Vec::new(),
+            rest: Vec::new(),
+            buffer: 0,
+            declared: hint.exact().and_then(|n| n.try_into().ok()),
+            share,
+        };
+        for _ in 0..=bounds.pieces {
+            let frame = tokio::select! {
+                biased;
+                frame = body.frame() => frame,
+                () = &mut given_up => return Err(BodyError::NoMemory),
+            };
+            let Some(frame) = frame else {
+                return Ok(received.finish()?);
             };
-            let frame = frame.map_err(|_| BodyError::Cut)?;
-            whole.push(&frame.into_data().unwrap_or_default(), memory)?;
+            let data = frame.map_err(|_| BodyError::Cut)?.into_data();
+            let data = data.unwrap_or_default();
+            if received.len() + data.len() > bounds.bytes {
+                return Err(BodyError::TooLong);
+            }
+            received.push(&data).await?;
         }
         Err(BodyError::TooLong)
     }
 
-    /// Appends bytes. They are copied, since many small pieces, each of which keeps a buffer, would
-    /// take far more memory than their bytes.
-    fn push(&mut self, mut bytes: &[u8], memory: &BodyMemory) -> Result<(), BodyError> {
-        if self.len() + bytes.len() > MAX_BODY_BYTES {
-            return Err(BodyError::TooLong);
-        }
-        while !bytes.is_empty() {
-            if self.rest.len() == SEGMENT_BYTES {
-                let _permit = memory.take()?;
-                let bytes = self.rest.split().freeze();
-                self.segments.push(Segment { bytes, _permit });
+    /// Length in bytes.
+    pub(crate) fn len(&self) -> usize {
+        self.length
+    }
+
+    /// The pieces of the body in order.
+    pub(crate) fn segments(&self) -> impl Iterator<Item = &[u8]> {
+        self.segments.iter().map(|s| &**s)
+    }
+
+    /// Takes the pieces of the body in order. The memory of each is free once it was taken.
+    pub(crate) fn into_segments(self) -> impl Iterator<Item = Bytes> + Send + 'static {
+        let Self {
+            segments, share, ..
+        } = self;
+        segments.into_iter().inspect(move |segment| {
+            if let Some(share) = &share {
+                share.shrink(segment.len());
             }
-            let room = SEGMENT_BYTES - self.rest.len();
-            let (now, later) = bytes.split_at(room.min(bytes.len()));
-            self.rest.extend_from_slice(now);
-            bytes = later;
+        })
+    }
+}
+
+/// The body of a request to an upstream. Clones share its bytes.
+#[derive(Clone, Debug)]
+pub(crate) struct Payload {
+    whole: Arc<WholeBody>,
+    /// Index of the next segment.
+    next: usize,
+    /// Bytes from there on.
+    left: usize,
+}
+
+impl From<Arc<WholeBody>> for Payload {
+    fn from(whole: Arc<WholeBody>) -> Self {
+        let left = whole.len();
+        Self {
+            whole,
+            next: 0,
+            left,
         }
-        Ok(())
     }
+}
 
-    /// Length in bytes.
-    pub(crate) fn len(&self) -> usize {
-        self.segments.len() * SEGMENT_BYTES + self.rest.len()
+impl From<Bytes> for Payload {
+    fn from(bytes: Bytes) -> Self {
+        let length = bytes.len();
+        let whole = WholeBody {
+            segments: vec![bytes],
+            length,
+            share: None,
+        };
+        Arc::new(whole).into()
     }
+}
+
+impl HttpBody for Payload {
+    type Data = Bytes;
+    type Error = Infallible;
 
-    /// The body of the response to a caller. Each segment's memory is free once it was sent.
-    pub(crate) fn into_body(self) -> Body {
-        let rest = self.rest.freeze();
-        if self.segments.is_empty() {
-            return body::full(rest);
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.is_end_stream() {
+            return Poll::Ready(None);
         }
-        let segments = self.segments.into_iter().map(|s| s.bytes);
-        let frames = segments.chain([rest]).map(|b| Ok(Frame::data(b)));
-        body::from_stream(stream::iter(frames))
+        let segment = self.whole.segments[self.next].clone();
+        self.next += 1;
+        self.left -= segment.len();
+        Poll::Ready(Some(Ok(Frame::data(segment))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left == 0
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left as u64)
     }
 }
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -107,11 +107,32 @@
         self.child.try_wait().expect("poll the child").is_none()
     }
 
+    /// Memory that the process has resident now, in bytes.
+    pub(crate) fn memory(&self) -> u64 {
+        self.read_status("VmRSS:")
+    }
+
+    /// Number of open file descriptors, and of sockets among them.
+    pub(crate) fn descriptors(&self) -> (usize, usize) {
+        let path = format!("/proc/{}/fd", self.child.id());
+        let entries = fs::read_dir(path).expect("the process runs").flatten();
+        let links: Vec<_> = entries
+            .filter_map(|e| fs::read_link(e.path()).ok())
+            .collect();
+        let is_socket = |l: &&PathBuf| l.to_string_lossy().starts_with("socket:");
+        (links.len(), links.iter().filter(is_socket).count())
+    }
+
     /// Most memory that the process has had resident so far, in bytes.
     pub(crate) fn peak_memory(&self) -> u64 {
+        self.read_status("VmHWM:")
+    }
+
+    /// A size in the status of the process, in bytes.
+    fn read_status(&self, name: &str) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
         let status = fs::read_to_string(path).expect("the process runs");
-        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let line = status.lines().find_map(|l| l.strip_prefix(name));
         let size = line.and_then(|l| l.trim().strip_suffix(" kB"));
         1024 * size.expect("a size").parse::<u64>().expect("a number")
     }
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -36,6 +36,9 @@
 /// Memory of an instance, as on the smallest machines.
 pub(crate) const MEMORY_MB: u64 = 112;
 
+/// File descriptors of a process, as on the smallest machines.
+pub(crate) const DESCRIPTORS: usize = 2_870;
+
 const DEFAULT_RETRIES: &str = "retrySlack = 200";
 
 /// Host number of the first entry instance in a deployment's address range.
@@ -70,6 +73,8 @@
     voters: u8,
     /// Limits on retries, as in the settings of entry instances.
     retries: &'static str,
+    /// File descriptors of each process, as in its settings.
+    descriptors: usize,
     /// Dropped after the processes, whose logs would otherwise end with the loss of all engines.
     engine_state: RunningEngines,
     subnet: u8,
@@ -206,6 +211,7 @@
             seeds: (0..seeds).collect(),
             direct: DIRECT_ENTRIES,
             retries: DEFAULT_RETRIES,
+            descriptors: DESCRIPTORS,
             engine_state: RunningEngines::default(),
             subnet: NEXT_SUBNET.fetch_add(1, Ordering::Relaxed),
             ports: Ports {
@@ -353,11 +359,12 @@
         let seeds = self.seeds.iter().map(|i| self.control_addr(*i).to_string());
         let seeds: Vec<_> = seeds.collect();
         let (ip, peers, retries) = (self.ip(host), self.ports.peers, self.retries);
+        let descriptors = self.descriptors;
         let text = format!(
             "node = \"{role}-{host}\"\nip = \"{ip}\"\nzone = \"{domain}\"\n\
              portRange = [{peers},{peers}]\nseeds = {seeds:?}\nfirstStart = {first_start}\n\
              beatMs = {}\n{settings}\n[faultTolerance]\nmachines = 1\n\
-             [limits]\nmemoryMb = {MEMORY_MB}\n[listen]\n{listen}\n\
+             [limits]\nmemoryMb = {MEMORY_MB}\nmaxFds = {descriptors}\n[listen]\n{listen}\n\
              [bounds]\ngraceS = 8\nrevokeMs = 5000\n{retries}\nstall_ms = 2500\n",
             HEARTBEAT_PERIOD.as_millis()
         );
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -17,6 +17,7 @@
 mod founding;
 mod limit;
 mod metrics;
+mod misbehaving;
 mod notice;
 mod order;
 mod pause;
