Bound the connections of clients by memory and descriptors

Callers saw an instance that accepted nobody: clients that held connections without sending a request used up all its descriptors, links to controllers and engines included. With the start of a large head on each, they had it killed for its memory.

Cause: nothing bounded the number of connections, and each could hold a head of 64 KiB and receive buffers that grow to megabytes unread.

Receive buffers of listeners are 16 KiB (Linux reserves 32), heads at most 32 KiB, where the operator's limit is 16.

--- a/src/body_memory.rs
+++ b/src/body_memory.rs
@@ -9,12 +9,6 @@
 use crate::collections::HashMap;
 use crate::decide::body_budget::{BodyBudget, Growth, Kind};
 
-/// Fraction of a process's memory for bodies.
-const MEMORY_FRACTION: u64 = 4;
-
-/// Memory of a process whose settings name none, in bytes.
-const DEFAULT_MEMORY: u64 = 256 << 20;
-
 /// There is no memory for a body. Of a request, nothing was passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct NoMemory;
@@ -43,12 +37,6 @@
 pub(crate) struct BodyMemory(Arc<Inner>);
 
 impl BodyMemory {
-    /// A part of the process's memory in bytes, if its settings name it.
-    pub(crate) fn of_process(memory: Option<u64>) -> Self {
-        let bytes = memory.unwrap_or(DEFAULT_MEMORY) / MEMORY_FRACTION;
-        Self::new(bytes.try_into().unwrap_or(usize::MAX))
-    }
-
     /// Memory of `capacity` bytes.
     pub(crate) fn new(capacity: usize) -> Self {
         let state = State {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -82,6 +82,18 @@
             ),
             "300",
         ),
+        setting(
+            "max-connections",
+            "LQ_MAX_CONNECTIONS",
+            "Connections of clients at a time; unset, what memory and descriptors allow",
+        )
+        .value_parser(value_parser!(usize)),
+        setting(
+            "body-memory-mb",
+            "LQ_BODY_MEMORY_MB",
+            "Memory for bodies in MB; unset, a quarter of the memory",
+        )
+        .value_parser(value_parser!(usize)),
         setting(
             "metrics-port",
             "LQ_METRICS_PORT",
--- a/src/control.rs
+++ b/src/control.rs
@@ -82,6 +82,7 @@
     let bounds = ReceiveLimits {
         max_head: control.settings.max_head,
         receive_timeout: control.settings.receive_timeout,
+        connections: usize::MAX,
     };
     http::accept(listener, bounds, move |request| {
         Arc::clone(&control).answer(request)
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -272,6 +272,7 @@
     let bounds = ReceiveLimits {
         max_head: call::MAX_HEAD_BYTES,
         receive_timeout: call::IDLE_TIMEOUT,
+        connections: usize::MAX,
     };
     runtime.spawn(http::accept(control, bounds, move |request| {
         call::answer(slot.0.load_full(), request)
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod admission;
 pub(crate) mod backoff;
 pub(crate) mod body_budget;
+pub(crate) mod connections;
 pub(crate) mod crashing_parts;
 pub(crate) mod demand;
 pub(crate) mod health;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 use self::waiters::Waiters;
 use crate::auth::FleetKey;
 use crate::body_memory::BodyMemory;
+use crate::client_limits::{ClientLimits, Resources};
 use crate::clock::{Clock, SystemClock, Time, wall_millis};
 use crate::collections::HashSet;
 use crate::decide::admission::Admission;
@@ -71,9 +72,15 @@
 mod wait;
 pub(crate) mod waiters;
 
-/// Maximum length of a request head in bytes: the operator's limit, with space for the request
+/// Maximum length of a request head in bytes: the operator's limit, with as much for the request
 /// line.
-const MAX_HEAD: usize = 64 << 10;
+const MAX_HEAD: usize = 32 << 10;
+
+/// Maximum number of connections of the load balancer, which checks readiness.
+const MAX_PROBES: usize = 16;
+
+/// Connections of other instances beyond those of carried requests, for checks.
+const CHECK_CONNECTIONS: usize = 16;
 
 /// Time after which an idle connection is closed. Callers reuse one for up to four fifths of
 /// the 15 s that the operator's limits allow.
@@ -123,6 +130,7 @@
     clock: Arc<dyn Clock>,
     /// Authenticates messages between instances.
     key: FleetKey,
+    limits: ClientLimits,
     /// Bounds on what this instance carries for others.
     capacity: Capacity,
     /// Memory for the bodies of requests and of responses that are read whole.
@@ -158,7 +166,13 @@
     let stop = role::handle_signals(&runtime, settings)?;
     let ip = boot.ip;
     let (close, closing) = watch::channel(false);
-    let entry = Arc::new(Entry::new(settings, boot, runtime.handle().clone()));
+    let limits = ClientLimits::new(&Resources {
+        memory: boot.memory,
+        descriptors: boot.descriptors,
+        connections: settings.connections,
+        bodies: settings.body_memory,
+    })?;
+    let entry = Arc::new(Entry::new(settings, boot, limits, runtime.handle().clone()));
     let measured = Arc::clone(&entry);
     role::serve_metrics(settings, ip, &runtime, move || measured.measure())?;
     let _guard = runtime.enter();
@@ -176,7 +190,12 @@
 }
 
 impl Entry {
-    fn new(settings: &RoleSettings, boot: Boot, runtime: tokio::runtime::Handle) -> Self {
+    fn new(
+        settings: &RoleSettings,
+        boot: Boot,
+        limits: ClientLimits,
+        runtime: tokio::runtime::Handle,
+    ) -> Self {
         let bounds = boot.bounds;
         let started = SystemClock.now();
         let retry_limit = RetryLimit {
@@ -190,8 +209,9 @@
             id,
             peers: Peers::on_port(key.clone(), runtime, boot.ports.0),
             key,
-            capacity: Capacity::default(),
-            body_memory: BodyMemory::of_process(boot.memory),
+            capacity: Capacity::new(limits.carried),
+            limits,
+            body_memory: BodyMemory::new(limits.bodies),
             poll_interval: settings.poll,
             lease: role::key_lease(&boot),
             settings: settings.clone(),
@@ -232,6 +252,7 @@
         let bounds = ReceiveLimits {
             max_head: MAX_HEAD,
             receive_timeout: IDLE_TIMEOUT,
+            connections: self.limits.connections,
         };
         let (entry, admitting) = (Arc::clone(self), Arc::clone(self));
         tokio::spawn(http::accept_until(
@@ -246,13 +267,20 @@
         let entry = Arc::clone(self);
         tokio::spawn(http::accept_until(
             listener,
-            bounds,
+            ReceiveLimits {
+                connections: self.limits.carried + CHECK_CONNECTIONS,
+                ..bounds
+            },
             || true,
             move |request| Arc::clone(&entry).carry(request),
             closing,
         ));
         let listener = startup::listen(readiness, "readiness")?;
         let entry = Arc::clone(self);
+        let bounds = ReceiveLimits {
+            connections: MAX_PROBES,
+            ..bounds
+        };
         tokio::spawn(http::accept(listener, bounds, move |_| {
             let ready = entry.is_ready();
             async move { listen::readiness(ready) }
--- a/src/entry/proxy/carry.rs
+++ b/src/entry/proxy/carry.rs
@@ -27,31 +27,28 @@
 use crate::sync::address_key;
 use crate::whole::{BodyBounds, BodyError, Payload, WholeBody};
 
-/// Maximum number of requests that an instance carries at a time. Each takes two file descriptors
-/// of 4,000, and the callers of the instance need some as well.
-const MAX_CARRIED: usize = 512;
-
 /// Timeout for receiving the body of a carried request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Bounds on the number of requests that an instance carries for others. Their bodies are counted
 /// like those of its own callers.
 pub(in super::super) struct Capacity {
+    limit: usize,
     requests: Arc<Semaphore>,
 }
 
-impl Default for Capacity {
-    fn default() -> Self {
+impl Capacity {
+    /// Allows `limit` requests at a time.
+    pub(in super::super) fn new(limit: usize) -> Self {
         Self {
-            requests: Arc::new(Semaphore::new(MAX_CARRIED)),
+            limit,
+            requests: Arc::new(Semaphore::new(limit)),
         }
     }
-}
 
-impl Capacity {
     /// Number of requests that are carried now.
     pub(in super::super) fn used(&self) -> usize {
-        MAX_CARRIED - self.requests.available_permits()
+        self.limit - self.requests.available_permits()
     }
 
     /// Takes a place for a request; `None` if there is none.
--- a/src/http.rs
+++ b/src/http.rs
@@ -20,11 +20,15 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use tokio::io::{AsyncWriteExt, Interest, Ready, copy, sink};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
+use crate::connection::{AnswerBody, Place, Places};
+use crate::metric;
+
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -34,6 +38,10 @@
 /// Interval of checks whether a client has closed a connection with unread bytes.
 const LINGER_POLL: Duration = Duration::from_millis(20);
 
+/// Size of a connection's buffer for bytes that have arrived and weren't read. Linux reserves twice
+/// as much.
+const RECEIVE_BUFFER: usize = 16 << 10;
+
 /// Limits on the requests of a client.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReceiveLimits {
@@ -41,6 +49,9 @@
     pub(crate) max_head: usize,
     /// Timeout for receiving the head, and again for the body.
     pub(crate) receive_timeout: Duration,
+    /// Maximum number of connections. A further one takes the place of one that waits for its
+    /// client, or is reset unread.
+    pub(crate) connections: usize,
 }
 
 /// Accepts connections until the runtime stops, and answers each request with
@@ -49,7 +60,7 @@
 where
     H: Fn(Request<RequestBody>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let (_open, closing) = watch::channel(false);
@@ -68,10 +79,15 @@
 ) where
     H: Fn(Request<RequestBody>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    // Accepted connections inherit the size.
+    if let Err(e) = set_socket_recv_buffer_size(&listener, RECEIVE_BUFFER) {
+        tracing::debug!("the size of receive buffers isn't set: {e}");
+    }
     let listener = TcpListener::from_std(listener).expect("the listener doesn't block");
+    let places = Places::new(limits.connections);
     let mut shutdown = closing.clone();
     loop {
         let accepted = tokio::select! {
@@ -87,23 +103,59 @@
                 // would wait for an answer.
                 let _ = stream.set_zero_linger();
             }
-            Ok((stream, _)) => {
-                tokio::spawn(serve(stream, limits, handler.clone(), closing.clone()));
-            }
+            Ok((stream, _)) => match places.take().await {
+                Some(place) => {
+                    let handler = handler.clone();
+                    tokio::spawn(serve_placed(
+                        stream,
+                        place,
+                        limits,
+                        handler,
+                        closing.clone(),
+                    ));
+                }
+                None => {
+                    metrics::counter!(metric::CONNECTIONS_REFUSED.name).increment(1);
+                    let _ = stream.set_zero_linger();
+                }
+            },
             Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
 }
 
+/// Serves a connection until it is closed, or must give its place to another one.
+async fn serve_placed<H, F, B>(
+    stream: TcpStream,
+    place: Place,
+    limits: ReceiveLimits,
+    handler: H,
+    closing: watch::Receiver<bool>,
+) where
+    H: Fn(Request<RequestBody>) -> F + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let place = Arc::new(place);
+    // The order ensures that no request is read once the place is given away.
+    tokio::select! {
+        biased;
+        () = place.wait_displaced() => {}
+        () = serve(stream, &place, limits, handler, closing) => {}
+    }
+}
+
 async fn serve<H, F, B>(
     stream: TcpStream,
+    place: &Arc<Place>,
     limits: ReceiveLimits,
     handler: H,
     mut closing: watch::Receiver<bool>,
 ) where
     H: Fn(Request<RequestBody>) -> F + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     // With Nagle's algorithm, each token waits for the delayed ACK of the one
@@ -113,9 +165,14 @@
     let handler = Box::new(handler);
     let unread = Arc::new(AtomicBool::new(false));
     let body_unread = Arc::clone(&unread);
+    let place = Arc::clone(place);
     let service = service_fn(move |request: Request<Incoming>| {
-        let response = handler(request.map(|body| RequestBody::new(body, &unread)));
-        Box::pin(async move { Ok::<_, Infallible>(response.await) })
+        let response = handler(request.map(|body| RequestBody::new(body, &unread, &place)));
+        let place = Arc::clone(&place);
+        Box::pin(async move {
+            let answer = |body| AnswerBody::new(body, place);
+            Ok::<_, Infallible>(response.await.map(answer))
+        })
     });
     // A client that shuts down its writing side looks like one that has left, until a byte is
     // sent to it. So its request is cancelled, which hyper does without `half_close`.
@@ -211,13 +268,27 @@
 pub(crate) struct RequestBody {
     body: Incoming,
     unread: Arc<AtomicBool>,
+    place: Arc<Place>,
 }
 
 impl RequestBody {
-    fn new(body: Incoming, unread: &Arc<AtomicBool>) -> Self {
-        unread.store(!body.is_end_stream(), Ordering::Relaxed);
-        let unread = Arc::clone(unread);
-        Self { body, unread }
+    fn new(body: Incoming, unread: &Arc<AtomicBool>, place: &Arc<Place>) -> Self {
+        let received = Self {
+            body,
+            unread: Arc::clone(unread),
+            place: Arc::clone(place),
+        };
+        unread.store(true, Ordering::Relaxed);
+        if received.body.is_end_stream() {
+            received.finish();
+        }
+        received
+    }
+
+    /// Records that the request is complete.
+    fn finish(&self) {
+        self.unread.store(false, Ordering::Relaxed);
+        self.place.begin();
     }
 }
 
@@ -231,7 +302,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(cx);
         if matches!(polled, Poll::Ready(None)) || self.body.is_end_stream() {
-            self.unread.store(false, Ordering::Relaxed);
+            self.finish();
         }
         polled
     }
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -77,6 +77,10 @@
 pub(crate) const TIMER_LAG: Metric = metric("entry_timer_lag_seconds", &[]);
 /// Memory of the bodies of requests and responses.
 pub(crate) const BODY_BYTES: Metric = metric("entry_body_bytes", &[]);
+/// Connections that were closed without a request, since others needed their places.
+pub(crate) const CONNECTIONS_DISPLACED: Metric = metric("connections_displaced_total", &[]);
+/// New connections that were reset, since all others had running requests.
+pub(crate) const CONNECTIONS_REFUSED: Metric = metric("connections_refused_total", &[]);
 /// New connections that were closed unread.
 pub(crate) const CONNECTIONS_SHED: Metric = metric("entry_connections_shed_total", &[]);
 /// Retries left in the current window.
@@ -150,6 +154,8 @@
     ROSTER_COMPLETE,
     TIMER_LAG,
     BODY_BYTES,
+    CONNECTIONS_DISPLACED,
+    CONNECTIONS_REFUSED,
     CONNECTIONS_SHED,
     RETRIES_LEFT,
     IS_LEADER,
--- a/src/role.rs
+++ b/src/role.rs
@@ -24,6 +24,9 @@
 /// inside the network.
 pub(crate) const FLEET_SECRET: &[u8] = b"laburnumquay on the users' platform";
 
+/// Maximum number of connections to the metrics port.
+const MAX_METRICS_READERS: usize = 8;
+
 /// Maximum size of the head of a metrics request.
 const MAX_METRICS_HEAD: usize = 8 << 10;
 
@@ -45,6 +48,10 @@
     pub(crate) poll: Duration,
     /// Number of entry instances up to which the leading controller answers all of them itself.
     pub(crate) direct: usize,
+    /// Maximum number of connections of clients, if it is set.
+    pub(crate) connections: Option<usize>,
+    /// Memory for bodies in bytes, if it is set.
+    pub(crate) body_memory: Option<usize>,
     /// Port for metrics; `None` if they are not served.
     pub(crate) metrics: Option<u16>,
 }
@@ -71,6 +78,10 @@
                 .get_one::<usize>("direct-entries")
                 .copied()
                 .unwrap_or_default(),
+            connections: matches.get_one::<usize>("max-connections").copied(),
+            body_memory: matches
+                .get_one::<usize>("body-memory-mb")
+                .map(|mb| mb.saturating_mul(1 << 20)),
             metrics: matches.get_one::<u16>("metrics-port").copied(),
         };
         let mut faults = Vec::new();
@@ -231,6 +242,7 @@
     let bounds = ReceiveLimits {
         max_head: MAX_METRICS_HEAD,
         receive_timeout: METRICS_IDLE_TIMEOUT,
+        connections: MAX_METRICS_READERS,
     };
     runtime.spawn(http::accept(listener, bounds, move |_| {
         measure();
--- a/src/serve/listen.rs
+++ b/src/serve/listen.rs
@@ -28,6 +28,7 @@
         let limits = ReceiveLimits {
             max_head: self.deps.settings.max_head,
             receive_timeout: self.deps.settings.receive_timeout,
+            connections: usize::MAX,
         };
         http::accept(listener, limits, move |request| {
             Arc::clone(&self).handle(request)
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -22,6 +22,7 @@
 mod admission;
 mod backoff;
 mod body_budget;
+mod connections;
 mod crashing_parts;
 mod demand;
 mod instance_count;
--- a/src/tests/http.rs
+++ b/src/tests/http.rs
@@ -18,6 +18,7 @@
 const LIMITS: ReceiveLimits = ReceiveLimits {
     max_head: 16 << 10,
     receive_timeout: Duration::from_secs(5),
+    connections: 64,
 };
 
 /// Duration of the handler.
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -13,6 +13,7 @@
 mod budget;
 mod claim;
 mod cli;
+mod client_limits;
 mod configuration;
 mod decide;
 mod dispatch;
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -150,6 +150,14 @@
         deployment.with_instances(entries, engines)
     }
 
+    /// Like [`Deployment::with_size`], with the given number of file descriptors of each process.
+    pub(crate) fn with_descriptors(descriptors: usize, entries: usize, engines: &[u8]) -> Self {
+        let mut deployment = Self::new(CONTROLLERS, CONTROLLERS, Turn::wait(entries));
+        deployment.descriptors = descriptors;
+        deployment.start_controllers();
+        deployment.with_instances(entries, engines)
+    }
+
     fn with_all(controllers: u8, entries: usize, engines: &[u8], retries: &'static str) -> Self {
         let mut deployment = Self::of_controllers(controllers, controllers, Turn::wait(entries));
         deployment.retries = retries;
--- a/tests/platform/misbehaving.rs
+++ b/tests/platform/misbehaving.rs
@@ -33,7 +33,14 @@
 const SMALL_CHUNK_CLIENTS: usize = 8;
 const SMALL_CHUNK_BODY: usize = 1 << 20;
 
-/// Descriptors that are reserved for files.
+/// Number of connections of each client that holds many.
+const CONNECTIONS: usize = 50;
+
+/// Number of clients that together open more connections than few descriptors allow.
+const FEW_CLIENTS: usize = 12;
+
+/// Descriptors of the instance that gets them, of which 200 are for files.
+const FEW_DESCRIPTORS: usize = 500;
 const FILE_DESCRIPTORS: usize = 200;
 
 /// Number of times that a client connects again when its connection was closed.
@@ -307,6 +314,42 @@
     check_crowd(&mut deployment, size, |stream, id| crowd.send(stream, id));
 }
 
+/// Guards against an instance that is killed for its memory, since many clients hold connections
+/// with the start of a head.
+#[rstest]
+fn crowd_of_heads_bounded(#[values(60 << 10, 30 << 10)] head: usize) {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut deployment = Deployment::with_size(1, &[3, 3]);
+    let size = Size {
+        clients: CLIENTS,
+        connections: CONNECTIONS,
+        descriptors: DESCRIPTORS,
+    };
+    let start = format!(
+        "POST /lookups/x HTTP/1.1\r\nhost: {HOST}\r\nx-note: {}",
+        "x".repeat(head)
+    );
+    check_crowd(&mut deployment, size, |stream, _| {
+        stream.write_all(start.as_bytes())
+    });
+}
+
+/// Guards against an instance that runs out of descriptors, since many clients hold connections
+/// without sending a request.
+#[test]
+fn crowd_of_connections_bounded() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut deployment = Deployment::with_descriptors(FEW_DESCRIPTORS, 1, &[3, 3]);
+    let size = Size {
+        clients: FEW_CLIENTS,
+        connections: CONNECTIONS,
+        descriptors: FEW_DESCRIPTORS,
+    };
+    check_crowd(&mut deployment, size, |stream, _| {
+        stream.write_all(b"POST /lookups/x HTTP/1.1\r\nhost: ")
+    });
+}
+
 /// Guards against memory that grows with the number of chunks: a body within the limits is served
 /// in the smallest chunks, too.
 #[test]
