Bound the memory and the connections at the control address of controllers

An operator would have seen the leading controller end: clients that sent it large bodies and did not end them had it killed for its memory.

Cause: the same as at the callers' address. Each body was under the limit of 8 MiB, and their sum and the number of connections under none.

Change: controllers divide their memory and descriptors as entry instances do (ClientLimits), and count the bodies of calls with the same BodyMemory until the calls end. A body that finds no memory gets 503, after which operators and engines try another controller, where 400 would end an operator's call.

Crowds now run as deployments of hundreds of instances do, while no other deployment of the test binary runs, instead of one after the other beside others.

--- a/src/client_limits.rs
+++ b/src/client_limits.rs
@@ -7,6 +7,8 @@
 //! upstreams at the same time.
 
 use crate::error::{Error, Result};
+use crate::platform::boot::Boot;
+use crate::role::RoleSettings;
 
 /// Memory of a process whose settings name none, in bytes.
 const DEFAULT_MEMORY: u64 = 256 << 20;
@@ -62,6 +64,20 @@
 }
 
 impl ClientLimits {
+    /// Divides the resources of a process of the platform.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Settings`] with all settings that exceed them.
+    pub(crate) fn of_role(boot: &Boot, settings: &RoleSettings) -> Result<Self> {
+        Self::new(&Resources {
+            memory: boot.memory,
+            descriptors: boot.descriptors,
+            connections: settings.connections,
+            bodies: settings.body_memory,
+        })
+    }
+
     /// Divides the resources.
     ///
     /// # Errors
--- a/src/controller/call.rs
+++ b/src/controller/call.rs
@@ -11,13 +11,15 @@
 use tokio::time::timeout;
 
 use super::{Controller, GROUP, control_address};
+use crate::body_memory::BodyShare;
 use crate::clock::{millis, wall_millis};
 use crate::event;
 use crate::fingerprint::Fingerprint;
-use crate::http::{self, RequestBody, ResponseBody};
+use crate::http::{RequestBody, ResponseBody};
 use crate::platform::call::{self, Call};
 use crate::platform::{configuration, heartbeat};
 use crate::register;
+use crate::whole::{BodyBounds, BodyError, WholeBody};
 
 /// Maximum size of a request head.
 pub(super) const MAX_HEAD_BYTES: usize = 16 << 10;
@@ -49,22 +51,28 @@
 pub(super) async fn answer(
     controller: Option<Arc<Controller>>,
     request: Request<RequestBody>,
+    share: BodyShare,
 ) -> Response<ResponseBody> {
     match controller {
-        Some(controller) => controller.answer(request).await,
+        Some(controller) => controller.answer(request, share).await,
         None => unavailable("this instance opens its store"),
     }
 }
 
 impl Controller {
-    async fn answer(self: Arc<Self>, request: Request<RequestBody>) -> Response<ResponseBody> {
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<RequestBody>,
+        share: BodyShare,
+    ) -> Response<ResponseBody> {
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         let Some(decoded) = Call::decode(head.method.as_str(), path) else {
             return failure(StatusCode::NOT_FOUND, "there is no such call");
         };
-        let Ok(body) = http::read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await else {
-            return failure(StatusCode::BAD_REQUEST, "the body can't be read in full");
+        let (body, _share) = match receive(body, share).await {
+            Ok(whole) => whole.join(),
+            Err(response) => return response,
         };
         if self.shutting_down.load(Ordering::Relaxed) {
             return unavailable("this instance ends");
@@ -283,6 +291,30 @@
     }
 }
 
+/// Receives the body of a call.
+///
+/// # Errors
+///
+/// The response if it isn't received.
+async fn receive(
+    mut body: RequestBody,
+    share: BodyShare,
+) -> Result<WholeBody, Response<ResponseBody>> {
+    let read = WholeBody::read(&mut body, BodyBounds::request(MAX_BODY_BYTES), share);
+    match timeout(BODY_TIMEOUT, read).await {
+        Ok(Ok(whole)) => Ok(whole),
+        Ok(Err(BodyError::TooLong)) => Err(failure(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body is too large",
+        )),
+        Ok(Err(BodyError::NoMemory)) => Err(unavailable("other bodies use up the memory")),
+        Ok(Err(BodyError::Cut)) | Err(_) => Err(failure(
+            StatusCode::BAD_REQUEST,
+            "the body can't be read in full",
+        )),
+    }
+}
+
 fn empty(status: StatusCode) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::Full(Some(Bytes::new())));
     *response.status_mut() = status;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -16,8 +16,11 @@
 use self::follower::{Follower, Identity};
 use self::leader::LeaderState;
 use crate::auth::FleetKey;
+use crate::body_memory::BodyMemory;
+use crate::client_limits::ClientLimits;
 use crate::clock::{Clock, SystemClock, Time, millis, wall_millis};
 use crate::configuration::RoutingTable;
+use crate::decide::body_budget::Kind;
 use crate::decide::members;
 use crate::error::{ListenSnafu, Result};
 use crate::event;
@@ -138,6 +141,7 @@
 /// If the settings are invalid, or the files of the log cannot be used.
 pub(crate) fn run(settings: &RoleSettings) -> Result<()> {
     let boot = settings.boot()?;
+    let limits = ClientLimits::of_role(&boot, settings)?;
     let runtime = role::runtime()?;
     let stop = role::handle_signals(&runtime, settings)?;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
@@ -150,7 +154,7 @@
             controller.measure();
         }
     })?;
-    listen(&slot, &boot, key, runtime.handle())?;
+    listen(&slot, &boot, &limits, key, runtime.handle())?;
     role::log_start("controller", &boot);
     let ended = runtime.block_on(async {
         tokio::select! {
@@ -258,7 +262,13 @@
 }
 
 /// Listens for connections of other instances, operators and upstreams.
-fn listen(slot: &Arc<ControllerSlot>, boot: &Boot, key: FleetKey, runtime: &Handle) -> Result<()> {
+fn listen(
+    slot: &Arc<ControllerSlot>,
+    boot: &Boot,
+    limits: &ClientLimits,
+    key: FleetKey,
+    runtime: &Handle,
+) -> Result<()> {
     let addr = SocketAddrV4::new(boot.ip, boot.ports.0).into();
     let role = "instances";
     let peers = startup::listen(addr, role)?;
@@ -272,10 +282,11 @@
     let bounds = ReceiveLimits {
         max_head: call::MAX_HEAD_BYTES,
         receive_timeout: call::IDLE_TIMEOUT,
-        connections: usize::MAX,
+        connections: limits.connections,
     };
+    let bodies = BodyMemory::new(limits.bodies);
     runtime.spawn(http::accept(control, bounds, move |request| {
-        call::answer(slot.0.load_full(), request)
+        call::answer(slot.0.load_full(), request, bodies.share(Kind::Request))
     }));
     Ok(())
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,7 +13,7 @@
 use self::waiters::Waiters;
 use crate::auth::FleetKey;
 use crate::body_memory::BodyMemory;
-use crate::client_limits::{ClientLimits, Resources};
+use crate::client_limits::ClientLimits;
 use crate::clock::{Clock, SystemClock, Time, wall_millis};
 use crate::collections::HashSet;
 use crate::decide::admission::Admission;
@@ -166,12 +166,7 @@
     let stop = role::handle_signals(&runtime, settings)?;
     let ip = boot.ip;
     let (close, closing) = watch::channel(false);
-    let limits = ClientLimits::new(&Resources {
-        memory: boot.memory,
-        descriptors: boot.descriptors,
-        connections: settings.connections,
-        bodies: settings.body_memory,
-    })?;
+    let limits = ClientLimits::of_role(&boot, settings)?;
     let entry = Arc::new(Entry::new(settings, boot, limits, runtime.handle().clone()));
     let measured = Arc::clone(&entry);
     role::serve_metrics(settings, ip, &runtime, move || measured.measure())?;
--- a/src/whole.rs
+++ b/src/whole.rs
@@ -192,6 +192,24 @@
         self.segments.iter().map(|s| &**s)
     }
 
+    /// Joins the pieces. What they hold is counted until the share is dropped.
+    pub(crate) fn join(self) -> (Bytes, Option<BodyShare>) {
+        let Self {
+            mut segments,
+            length,
+            share,
+        } = self;
+        if segments.len() <= 1 {
+            return (segments.pop().unwrap_or_default(), share);
+        }
+        let mut joined = Vec::with_capacity(length);
+        // Each piece is freed once it was copied.
+        segments
+            .into_iter()
+            .for_each(|s| joined.extend_from_slice(&s));
+        (joined.into(), share)
+    }
+
     /// Takes the pieces of the body in order. The memory of each is free once it was taken.
     pub(crate) fn into_segments(self) -> impl Iterator<Item = Bytes> + Send + 'static {
         let Self {
--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -87,8 +87,9 @@
 /// Number of instances from which a deployment runs alone.
 const LARGE: usize = 100;
 
-/// Held for writing by a deployment of hundreds of instances, and for reading by others: beside a
-/// large one, the heartbeats of all engines come seconds late, since they share the machine.
+/// Held for writing by a deployment of hundreds of instances or one with a crowd of clients, and for
+/// reading by others: beside a large one, the heartbeats of all engines come seconds late, since they
+/// share the machine.
 static TURNS: RwLock<()> = RwLock::new(());
 
 /// Turn of a deployment on this machine.
@@ -105,12 +106,16 @@
     /// Waits for the turn of a deployment with this number of entry instances.
     fn wait(entries: usize) -> Self {
         if entries >= LARGE {
-            let _guard = TURNS.write().unwrap_or_else(PoisonError::into_inner);
-            return Self::Alone { _guard };
+            return Self::alone();
         }
         let _guard = TURNS.read().unwrap_or_else(PoisonError::into_inner);
         Self::Shared { _guard }
     }
+
+    fn alone() -> Self {
+        let _guard = TURNS.write().unwrap_or_else(PoisonError::into_inner);
+        Self::Alone { _guard }
+    }
 }
 
 impl Deployment {
@@ -150,12 +155,13 @@
         deployment.with_instances(entries, engines)
     }
 
-    /// Like [`Deployment::with_size`], with the given number of file descriptors of each process.
-    pub(crate) fn with_descriptors(descriptors: usize, entries: usize, engines: &[u8]) -> Self {
-        let mut deployment = Self::new(CONTROLLERS, CONTROLLERS, Turn::wait(entries));
+    /// A deployment with one entry instance that runs while no other one does, with the given number
+    /// of file descriptors of each process.
+    pub(crate) fn alone(descriptors: usize) -> Self {
+        let mut deployment = Self::new(CONTROLLERS, CONTROLLERS, Turn::alone());
         deployment.descriptors = descriptors;
         deployment.start_controllers();
-        deployment.with_instances(entries, engines)
+        deployment.with_instances(1, &[3, 3])
     }
 
     fn with_all(controllers: u8, entries: usize, engines: &[u8], retries: &'static str) -> Self {
--- a/tests/platform/misbehaving.rs
+++ b/tests/platform/misbehaving.rs
@@ -5,8 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Mutex, PoisonError};
-use std::thread::{self, Scope};
+use std::thread;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -51,9 +50,6 @@
 
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Held by a test while it runs: the crowds of two tests would add up on this machine.
-static TURN: Mutex<()> = Mutex::new(());
-
 /// What the clients of a crowd send, each on a connection that it keeps open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Crowd {
@@ -236,39 +232,59 @@
     descriptors: usize,
 }
 
-/// Runs a crowd against an entry instance. Checks that ordinary requests are answered while the
-/// crowd is there and after it has left, and what the instance used.
-fn check_crowd<'a>(
-    deployment: &'a mut Deployment,
+/// Runs a crowd against a process until `beside` has returned.
+fn run_crowd(
+    process: &Process,
+    address: SocketAddr,
     size: Size,
-    send: impl Fn(&mut TcpStream, usize) -> std::io::Result<()> + Copy + Send + Sync + 'a,
-) {
+    send: impl Fn(&mut TcpStream, usize) -> std::io::Result<()> + Copy + Send + Sync,
+    beside: impl FnOnce(),
+) -> Peaks {
     let (done, settled, peaks) = (
         AtomicBool::new(false),
         AtomicUsize::new(0),
         Peaks::default(),
     );
-    let watched = AtomicBool::new(false);
-    let fleet = &*deployment;
-    let address = fleet.caller_addr(0);
     let IpAddr::V4(ip) = address.ip() else {
         panic!("an IPv4 address");
     };
-    thread::scope(|scope: &Scope<'_, '_>| {
-        scope.spawn(|| peaks.watch(&fleet.entries[0], ip, &watched));
+    thread::scope(|scope| {
+        scope.spawn(|| peaks.watch(process, ip, &done));
         for id in 0..size.clients {
             let (done, settled) = (&done, &settled);
             let send = move |stream: &mut TcpStream| send(stream, id);
             scope.spawn(move || misbehave(address, size.connections, done, settled, send));
         }
+        // Ends the crowd also if an assertion fails.
+        let _end = EndOnDrop(&done);
         wait_for("settled crowd", || {
             (settled.load(Ordering::Relaxed) == size.clients).then_some(())
         });
-        serve_ordinary(fleet, "beside");
-        done.store(true, Ordering::Relaxed);
-        serve_ordinary(fleet, "after");
-        watched.store(true, Ordering::Relaxed);
+        beside();
+    });
+    peaks
+}
+
+struct EndOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for EndOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Runs a crowd against an entry instance. Checks that ordinary requests are answered while the
+/// crowd is there and after it has left, and what the instance used.
+fn check_crowd(
+    deployment: &mut Deployment,
+    size: Size,
+    send: impl Fn(&mut TcpStream, usize) -> std::io::Result<()> + Copy + Send + Sync,
+) {
+    let address = deployment.caller_addr(0);
+    let peaks = run_crowd(&deployment.entries[0], address, size, send, || {
+        serve_ordinary(deployment, "beside");
     });
+    serve_ordinary(deployment, "after");
     assert!(deployment.entries[0].is_running());
     peaks.check(&deployment.entries[0], size.descriptors);
     // No engine has seen a request of the crowd, as none was complete.
@@ -304,8 +320,7 @@
     )]
     crowd: Crowd,
 ) {
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
-    let mut deployment = Deployment::with_size(1, &[3, 3]);
+    let mut deployment = Deployment::alone(DESCRIPTORS);
     let size = Size {
         clients: crowd.clients(),
         connections: 1,
@@ -318,8 +333,7 @@
 /// with the start of a head.
 #[rstest]
 fn crowd_of_heads_bounded(#[values(60 << 10, 30 << 10)] head: usize) {
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
-    let mut deployment = Deployment::with_size(1, &[3, 3]);
+    let mut deployment = Deployment::alone(DESCRIPTORS);
     let size = Size {
         clients: CLIENTS,
         connections: CONNECTIONS,
@@ -338,8 +352,7 @@
 /// without sending a request.
 #[test]
 fn crowd_of_connections_bounded() {
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
-    let mut deployment = Deployment::with_descriptors(FEW_DESCRIPTORS, 1, &[3, 3]);
+    let mut deployment = Deployment::alone(FEW_DESCRIPTORS);
     let size = Size {
         clients: FEW_CLIENTS,
         connections: CONNECTIONS,
@@ -350,12 +363,51 @@
     });
 }
 
+/// Guards against a leading controller that is killed for its memory, or that answers no operator any
+/// more, since many clients send it large bodies and don't end them.
+#[test]
+fn crowd_at_controller_bounded() {
+    let mut deployment = Deployment::alone(DESCRIPTORS);
+    let leader = wait_for("leader", || deployment.leader());
+    let member = u8::try_from(leader).expect("few controllers");
+    let address = deployment.control_addr(member);
+    let head = format!(
+        "POST /v1/Config.Replace HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n",
+        2 * MAX_BODY
+    );
+    let send = |stream: &mut TcpStream| {
+        stream.write_all(head.as_bytes())?;
+        for _ in 1..2 * MAX_BODY / WRITE_BYTES {
+            stream.write_all(&[b'x'; WRITE_BYTES])?;
+        }
+        stream.write_all(&[b'x'; WRITE_BYTES - 1])
+    };
+    let size = Size {
+        clients: CLIENTS,
+        connections: 1,
+        descriptors: DESCRIPTORS,
+    };
+    let peaks = run_crowd(
+        &deployment.controllers[leader],
+        address,
+        size,
+        |stream, _| send(stream),
+        || {
+            wait_for("acknowledged change", || {
+                deployment.replace_configuration_at(member, 2).then_some(())
+            });
+            assert_eq!(deployment.leader(), Some(leader));
+        },
+    );
+    assert!(deployment.controllers[leader].is_running());
+    peaks.check(&deployment.controllers[leader], size.descriptors);
+}
+
 /// Guards against memory that grows with the number of chunks: a body within the limits is served
 /// in the smallest chunks, too.
 #[test]
 fn body_of_small_chunks_served() {
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
-    let deployment = Deployment::with_size(1, &[3, 3]);
+    let deployment = Deployment::alone(DESCRIPTORS);
     let mut stream = TcpStream::connect(deployment.caller_addr(0)).unwrap();
     let head = head(
         "small-chunks",
