Count the time that a body takes against its request's deadline

Engines were handed more time than was left: a client that takes 2 s for its body had its engine work for up to 20 s, 2 s after it had stopped waiting.

Cause: the time of a request began when its body was complete.

Evidence: body_time_counts, a body sent 2 s after its head with a deadline of 20 s: the engine got 19.999 s. It doesn't depend on the machine's speed, as a slow one leaves less.

Change: the time begins with the complete head.

--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -18,6 +18,7 @@
 use super::respond::{error_response, refuse};
 use super::select::PLAIN_WORK;
 use super::view::View;
+use crate::clock::Time;
 use crate::configuration::{Model, RouteMatch, RoutingTable};
 use crate::decide::body_budget::Kind;
 use crate::decide::path::Work;
@@ -44,6 +45,14 @@
     response
 }
 
+/// A request that was received in full.
+struct Received {
+    /// When its head was complete. Its deadline counts from there.
+    began: Time,
+    head: Parts,
+    body: WholeBody,
+}
+
 /// A request with the configuration in which its route was found.
 struct Admitted {
     table: Arc<RoutingTable>,
@@ -69,17 +78,19 @@
         request: Request<RequestBody>,
         running: RunningGuard,
     ) -> Response<Body> {
+        let began = self.now();
         let (head, body) = request.into_parts();
         let body = match self.receive(&head, body).await {
             Ok(body) => body,
             Err(response) => return *response,
         };
-        let left = head::deadline(&head.headers).unwrap_or(DEFAULT_DEADLINE);
+        let time_limit = head::deadline(&head.headers).unwrap_or(DEFAULT_DEADLINE);
+        let left = time_limit.saturating_sub(self.now().since(began));
         self.wait_until(left, View::is_confirmed).await;
         // The lookup comes after the body was read, since the configuration may have changed
         // meanwhile.
         let view = self.view();
-        match self.admit(&view, head, body) {
+        match self.admit(&view, Received { began, head, body }) {
             Ok(admitted) => {
                 let Admitted { table, call } = admitted;
                 let run = Run::new(self, table, call);
@@ -119,12 +130,8 @@
 
     /// Looks up the route and organisation of a request, or returns the response that refuses
     /// it.
-    fn admit(
-        &self,
-        view: &View,
-        head: Parts,
-        body: WholeBody,
-    ) -> Result<Admitted, Box<Response<Body>>> {
+    fn admit(&self, view: &View, received: Received) -> Result<Admitted, Box<Response<Body>>> {
+        let head = &received.head;
         let attempt = head::text(&head.headers, headers::ATTEMPT_ID)
             .unwrap_or("-")
             .to_owned();
@@ -159,8 +166,8 @@
         }
         let organisation = found.organisation.map(|o| o.name.as_str());
         let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
-        let fingerprint = Fingerprint::of(organisation, host, target, body.segments());
-        let call = self.call(&table, found, &attempt, fingerprint, head, body);
+        let fingerprint = Fingerprint::of(organisation, host, target, received.body.segments());
+        let call = self.call(&table, found, &attempt, fingerprint, received);
         Ok(Admitted { table, call })
     }
 
@@ -170,9 +177,9 @@
         found: RouteMatch<'_>,
         attempt: &str,
         fingerprint: Fingerprint,
-        head: Parts,
-        body: WholeBody,
+        received: Received,
     ) -> Call {
+        let Received { began, head, body } = received;
         let route = found.route;
         let service = route.target(rand::rng().random()).service.clone();
         let model = table.service(&service).and_then(|s| s.model.as_ref());
@@ -194,7 +201,7 @@
             headers: head::to_upstream(head.headers, organisation),
             body: Arc::new(body),
             work,
-            began: self.now(),
+            began,
             time_limit,
         }
     }
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -129,6 +129,8 @@
     visits: Vec<Visit>,
     /// Values of `X-Priority-Class` with which requests arrived, by the caller's attempt ID.
     classes: HashMap<String, Vec<Option<String>>>,
+    /// Time in milliseconds that requests arrived with, by the caller's attempt ID.
+    deadlines: HashMap<String, u64>,
     /// How engines end answers that have neither a length nor chunks, if they send such ones.
     pub(crate) unframed: Option<Ending>,
     /// Engines that send bytes without end, by ID.
@@ -251,6 +253,11 @@
         self.classes.get(attempt).cloned().unwrap_or_default()
     }
 
+    /// Time in milliseconds that the last request of an attempt arrived with.
+    pub(crate) fn deadline(&self, attempt: &str) -> Option<u64> {
+        self.deadlines.get(attempt).copied()
+    }
+
     /// Requests that reached engines so far, in order.
     pub(crate) fn visits(&self) -> &[Visit] {
         &self.visits
@@ -650,8 +657,11 @@
     }
     let attempt = header("x-attempt-id").expect("an id");
     let class = header("x-priority-class");
+    let deadline = header("x-deadline-ms").expect("a deadline");
     let limit = {
         let mut state = state.lock().unwrap();
+        let deadline = deadline.parse().expect("a number");
+        state.deadlines.insert(attempt.clone(), deadline);
         state
             .classes
             .entry(attempt.clone())
--- a/tests/platform/misbehaving.rs
+++ b/tests/platform/misbehaving.rs
@@ -42,6 +42,9 @@
 const FEW_DESCRIPTORS: usize = 500;
 const FILE_DESCRIPTORS: usize = 200;
 
+/// Time that clients allow for an answer.
+const DEADLINE: Duration = Duration::from_secs(20);
+
 /// Number of times that a client connects again when its connection was closed.
 const RECONNECTS: usize = 3;
 
@@ -126,7 +129,8 @@
 fn head(attempt: &str, framing: &str) -> String {
     format!(
         "POST /lookups/x HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: {attempt}\r\n\
-         x-credential: {KEY}\r\nx-deadline-ms: 20000\r\n{framing}\r\n\r\n"
+         x-credential: {KEY}\r\nx-deadline-ms: {}\r\n{framing}\r\n\r\n",
+        DEADLINE.as_millis()
     )
 }
 
@@ -403,6 +407,24 @@
     peaks.check(&deployment.controllers[leader], size.descriptors);
 }
 
+/// Guards against an engine that is handed the time that the body of its request took to arrive.
+#[test]
+fn body_time_counts() {
+    const PAUSE: Duration = Duration::from_secs(2);
+    let deployment = Deployment::with_size(1, &[3, 3]);
+    let mut stream = TcpStream::connect(deployment.caller_addr(0)).unwrap();
+    let head = head("slow-body", "content-length: 4\r\nconnection: close");
+    stream.write_all(head.as_bytes()).unwrap();
+    thread::sleep(PAUSE);
+    stream.write_all(b"text").unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    let left = deployment.engine_state().deadline("slow-body");
+    let left = Duration::from_millis(left.expect("a request"));
+    assert!(left <= DEADLINE - PAUSE, "{left:?}");
+}
+
 /// Guards against memory that grows with the number of chunks: a body within the limits is served
 /// in the smallest chunks, too.
 #[test]
