--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -29,6 +29,10 @@
 /// Time between two heartbeats of an engine: `beatMs`.
 const BEAT: Duration = Duration::from_millis(1_200);
 
+/// Time for which a leaving engine serves on, and after which it starts again.
+const DRAIN: Duration = Duration::from_millis(2_200);
+const DOWNTIME: Duration = Duration::from_millis(500);
+
 /// Port for metrics in the commands of the deploy file.
 const METRICS_PORT: u16 = 7_355;
 
@@ -188,6 +192,8 @@
     pub(crate) id: String,
     pub(crate) service: String,
     pub(crate) address: SocketAddrV4,
+    /// Set to let the engine leave, and start again under its id.
+    pub(crate) restart: Arc<AtomicBool>,
 }
 
 /// The whole answer of a sound engine.
@@ -359,12 +365,24 @@
 
     /// Starts an engine that answers each request with `answer`, and announces it.
     pub(crate) fn start_engine(&self, host: u8, service: &str, answer: Arc<Answer>) -> Result<EngineSpec> {
+        self.start_engine_behind(host, service, answer, Duration::ZERO)
+    }
+
+    /// Like [`Deployment::start_engine`], on a machine whose time of day is `behind` the others'.
+    pub(crate) fn start_engine_behind(
+        &self,
+        host: u8,
+        service: &str,
+        answer: Arc<Answer>,
+        behind: Duration,
+    ) -> Result<EngineSpec> {
         let listener = TcpListener::bind((self.ip(host), 0))?;
         let address = SocketAddrV4::new(self.ip(host), listener.local_addr()?.port());
         let spec = EngineSpec {
             id: format!("i-{host:04x}"),
             service: service.to_owned(),
             address,
+            restart: Arc::default(),
         };
         let (served, record) = (spec.clone(), Arc::clone(&self.record));
         thread::spawn(move || {
@@ -374,12 +392,30 @@
                 thread::spawn(move || serve(&spec, stream, &record, &*answer));
             }
         });
-        let (beating, controllers, ended) =
-            (spec.clone(), self.controllers(), Arc::clone(&self.ended));
-        thread::spawn(move || send_beats(&beating, controllers, &ended));
+        let beats = Beats {
+            spec: spec.clone(),
+            controllers: self.controllers(),
+            record: Arc::clone(&self.record),
+            behind: behind.as_millis(),
+        };
+        let ended = Arc::clone(&self.ended);
+        thread::spawn(move || beats.run(&ended));
         Ok(spec)
     }
 
+    /// Sends one heartbeat for an engine. Returns the status of the answer.
+    pub(crate) fn beat(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddrV4,
+        sequence: u64,
+    ) -> Result<u16> {
+        let path = format!("/v1/Instances.Heartbeat/{id}");
+        let body = beat_body(service, address, sequence, unix_millis());
+        Ok(control(self.controller(0), "POST", &path, &body)?.status())
+    }
+
     /// Waits until all entries are ready, and a GET on each path succeeds at each entry.
     pub(crate) fn wait_until_serving(&self, host: &str, paths: &[&str], key: &str) -> Result<()> {
         let limit = Instant::now() + Duration::from_secs(30);
@@ -487,23 +523,63 @@
     }
 }
 
-/// Sends heartbeats until the deployment ends.
-fn send_beats(spec: &EngineSpec, controllers: Vec<SocketAddrV4>, ended: &AtomicBool) {
-    let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis());
-    let path = format!("/v1/Instances.Heartbeat/{}", spec.id);
-    let (mut sequence, mut target) = (0, 0);
-    while !ended.load(Ordering::Relaxed) {
-        sequence += 1;
-        let body = format!(
-            "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"peristeri\",\"version\":\"v1\",\
-             \"slots\":192,\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":{sequence},\"born\":{born}}}",
-            spec.service, spec.address
-        );
-        let answer = control(controllers[target], "POST", &path, &body);
-        if answer.is_ok_and(|a| a.status() == 200) {
-            thread::sleep(BEAT);
-        } else {
-            target = (target + 1) % controllers.len();
+fn unix_millis() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis())
+}
+
+fn beat_body(service: &str, address: SocketAddrV4, sequence: u64, born: u128) -> String {
+    format!(
+        "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"peristeri\",\
+         \"version\":\"v1\",\"slots\":192,\"state\":\"ready\",\"coldLeftMs\":0,\
+         \"seq\":{sequence},\"born\":{born}}}"
+    )
+}
+
+/// Announces an engine.
+struct Beats {
+    spec: EngineSpec,
+    controllers: Vec<SocketAddrV4>,
+    record: Arc<Record>,
+    /// By how much the time of day of its machine is behind that of the others, in ms.
+    behind: u128,
+}
+
+impl Beats {
+    fn run(&self, ended: &AtomicBool) {
+        let (mut sequence, mut born) = (0, unix_millis() - self.behind);
+        while !ended.load(Ordering::Relaxed) {
+            sequence += 1;
+            self.send_beat("ready", sequence, born);
+            let until = Instant::now() + BEAT;
+            while Instant::now() < until && !self.spec.restart.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_millis(20));
+            }
+            if self.spec.restart.swap(false, Ordering::Relaxed) {
+                self.send_beat("draining", sequence + 1, born);
+                thread::sleep(DRAIN);
+                self.send("/v1/Instances.Deregister", "");
+                thread::sleep(DOWNTIME);
+                (sequence, born) = (0, unix_millis() - self.behind);
+                let id = &self.spec.id;
+                self.record.line(format!("engine {id} starts again under its id, born {born}"));
+            }
+        }
+    }
+
+    fn send_beat(&self, state: &str, sequence: u64, born: u128) {
+        let EngineSpec { service, address, .. } = &self.spec;
+        let body = beat_body(service, *address, sequence, born).replace("ready", state);
+        self.send("/v1/Instances.Heartbeat", &body);
+    }
+
+    /// Sends a call to the controllers in turn until one acknowledges it.
+    fn send(&self, path: &str, body: &str) {
+        let path = format!("{path}/{}", self.spec.id);
+        for controller in self.controllers.iter().cycle().take(20) {
+            let answer = control(*controller, "POST", &path, body);
+            if answer.is_ok_and(|a| a.status() == 200) {
+                return;
+            }
             thread::sleep(Duration::from_millis(100));
         }
     }
--- a/review/standins-2/scenarios.rs
+++ b/review/standins-2/scenarios.rs
@@ -11,7 +11,9 @@
 
 pub(crate) type Scenario = fn(&mut Deployment, bool) -> Result<Verdict>;
 
-pub(crate) const ALL: [(&str, Scenario); 2] = [
+pub(crate) const ALL: [(&str, Scenario); 4] = [
+    ("restart", engines_restart),
+    ("writer", other_writer),
     ("garbage", garbage),
     ("events", endless_events),
 ];
@@ -240,3 +242,87 @@
     }
     Ok((began.elapsed(), bytes, false))
 }
+
+/// Another writer announces a service that the configuration doesn't name, at the addresses of
+/// running engines.
+fn other_writer(deployment: &mut Deployment, trouble: bool) -> Result<Verdict> {
+    let first = route("orders", "idempotent", 1_200, "orders", "");
+    let later = route("lookups", "idempotent", 1_200, "lookups", "");
+    let services = ["orders", "lookups"];
+    deployment.configure(&first, &services, &tenant("t1", KEY))?;
+    for host in 100..103 {
+        deployment.start_engine(host, "orders", sound())?;
+    }
+    let mut lookups = Vec::new();
+    for host in 110..113 {
+        lookups.push(deployment.start_engine(host, "lookups", sound())?);
+    }
+    deployment.wait_until_serving(HOST, &["/orders/1"], KEY)?;
+    deployment.configure(&[first, later].join(","), &services, &tenant("t1", KEY))?;
+    deployment.wait_until_serving(HOST, &["/lookups/1"], KEY)?;
+    thread::sleep(Duration::from_secs(4));
+
+    for engine in lookups.iter().filter(|_| trouble) {
+        let (id, addr) = (format!("x-{}", engine.id), engine.address);
+        let status = deployment.beat(&id, "elsewhere", addr, 1)?;
+        deployment.record.line(format!(
+            "other writer: heartbeat of {id} for the service elsewhere at {addr}: {status}"
+        ));
+    }
+    // Five heartbeat periods of the engines, and more than contactMs.
+    thread::sleep(Duration::from_secs(6));
+    compare_routes(deployment)
+}
+
+/// The engines of a service leave and start again in turn, each under its id. The time of day of
+/// their machines is behind that of the others.
+fn engines_restart(deployment: &mut Deployment, trouble: bool) -> Result<Verdict> {
+    let behind = Duration::from_secs(if trouble { 2 } else { 0 });
+    let first = route("orders", "idempotent", 1_200, "orders", "");
+    let later = route("lookups", "idempotent", 1_200, "lookups", "");
+    let services = ["orders", "lookups"];
+    deployment.configure(&first, &services, &tenant("t1", KEY))?;
+    for host in 100..103 {
+        deployment.start_engine(host, "orders", sound())?;
+    }
+    let mut lookups = Vec::new();
+    for host in 110..113 {
+        lookups.push(deployment.start_engine_behind(host, "lookups", sound(), behind)?);
+    }
+    deployment.wait_until_serving(HOST, &["/orders/1"], KEY)?;
+    deployment.configure(&[first, later].join(","), &services, &tenant("t1", KEY))?;
+    deployment.wait_until_serving(HOST, &["/lookups/1"], KEY)?;
+    thread::sleep(Duration::from_secs(4));
+    for engine in &lookups {
+        deployment.record.line(format!("operator: restarts engine {}", engine.id));
+        engine.restart.store(true, Ordering::Relaxed);
+        thread::sleep(Duration::from_secs(5));
+    }
+    // Five heartbeat periods of the engines, and more than contactMs.
+    thread::sleep(Duration::from_secs(6));
+    compare_routes(deployment)
+}
+
+/// Compares how many requests are served on the first route and on the one that was added later.
+fn compare_routes(deployment: &Deployment) -> Result<Verdict> {
+    const REQUESTS: usize = 40;
+    let mut served = [0; 2];
+    for i in 0..REQUESTS {
+        for (path, served) in ["/orders/1", "/lookups/1"].iter().zip(&mut served) {
+            let deadline = Duration::from_millis(2_500);
+            let (attempt, answer) =
+                deployment.request((i % 2) as u8, "GET", HOST, path, KEY, deadline)?;
+            let first = &answer.first;
+            deployment.record.line(format!("client: {attempt} GET {path}: {first}"));
+            *served += usize::from(answer.status() == 200);
+        }
+    }
+    let [on_first, on_later] = served;
+    Ok(match 4 * on_later < on_first {
+        true => Verdict::Broken(format!(
+            "CONFIG: {on_first} of {REQUESTS} requests on the first route were served, and \
+             {on_later} of {REQUESTS} on the one that was added later"
+        )),
+        false => Verdict::Held,
+    })
+}
