--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -36,13 +36,46 @@
 /// Port for metrics in the commands of the deploy file.
 const METRICS_PORT: u16 = 7_355;
 
+/// Memory that the platform gives a process, in MiB: `memoryMb`.
+const CONTROLLER_MEMORY: u64 = 256;
+const ENTRY_MEMORY: u64 = 260;
+
+/// Time from the end of a process until the platform starts it again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+
+/// A process of the system.
+struct Process {
+    role: &'static str,
+    number: u8,
+    child: Child,
+}
+
+impl Process {
+    fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Memory in use that isn't backed by a file, in MiB.
+    fn memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find(|l| l.starts_with("RssAnon:"));
+        let kilobytes = line.and_then(|l| l.split_whitespace().nth(1)?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) >> 10
+    }
+}
+
 /// Processes that were started and haven't been ended.
-static PROCESSES: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+static PROCESSES: Mutex<Vec<Process>> = Mutex::new(Vec::new());
+
+/// Set once no process may be started any more.
+static ENDING: AtomicBool = AtomicBool::new(false);
 
 fn end_processes() {
-    for mut child in PROCESSES.lock().unwrap().drain(..) {
-        let _ = child.kill();
-        let _ = child.wait();
+    ENDING.store(true, Ordering::Relaxed);
+    for mut process in PROCESSES.lock().unwrap().drain(..) {
+        process.kill();
     }
 }
 
@@ -218,7 +251,7 @@
     ports: [u16; 4],
     directory: PathBuf,
     ended: Arc<AtomicBool>,
-    version: u64,
+    version: AtomicU64,
     attempts: AtomicU64,
 }
 
@@ -240,21 +273,21 @@
     pub(crate) fn start(record: Arc<Record>) -> Result<Self> {
         let seed = std::process::id();
         let subnet = (64 + (seed % 64) as u8, (seed / 64 % 250) as u8);
-        let mut deployment = Self {
+        let deployment = Self {
             record,
             subnet,
             ports: [free_port()?, free_port()?, free_port()?, free_port()?],
             directory: std::env::temp_dir().join(format!("rig-{seed}")),
             ended: Arc::default(),
-            version: 0,
+            version: AtomicU64::new(0),
             attempts: AtomicU64::new(0),
         };
         fs::create_dir_all(&deployment.directory)?;
         for i in 0..CONTROLLERS {
-            deployment.start_process("controller", i)?;
+            deployment.start_process("controller", i, true)?;
         }
         for i in 0..ENTRIES {
-            deployment.start_process("entry", i)?;
+            deployment.start_process("entry", i, true)?;
         }
         Ok(deployment)
     }
@@ -285,7 +318,8 @@
     }
 
     /// Starts a process with the command of the deploy file and settings of a small deployment.
-    fn start_process(&mut self, role: &str, i: u8) -> Result<()> {
+    /// `first` tells whether the whole system starts for the first time.
+    fn start_process(&self, role: &'static str, i: u8, first: bool) -> Result<()> {
         let is_entry = role == "entry";
         let ip = if is_entry {
             self.entry_ip(i)
@@ -321,10 +355,10 @@
         let text = format!(
             "node = \"{class}-{zone}-{i}\"\nrole = \"{role}\"\nmachineClass = \"{class}\"\n\
              serves = [\"{serves}\"]\nip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"attiki\"\n\
-             portRange = [{port},{port}]\nseeds = [{}]\nfirstStart = true\n\
+             portRange = [{port},{port}]\nseeds = [{}]\nfirstStart = {first}\n\
              failureCounted = {}\n{disk}discovery = \"self_register\"\nentry = \"vip\"\n\
              beatMs = 1200\nconfigMode = \"highest\"\n[listen]\n{listen}\n[limits]\n\
-             cpuQuota = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = 4100\n\
+             cpuQuota = 0.25\ncores = 1\nmemoryMb = {memory}\nmaxFds = 4100\ndiskMb = {disk_mb}\n\
              [faultTolerance]\nmachines = 1\nzones = 0\nregions = 0\n[bounds]\n\
              seedLagS = 3\nreuseAfterS = 2\ncontactMs = 3000\nackMs = 4000\ncatchUpS = 4\n\
              drainMs = 2000\ngraceS = 8\nlossSlackMs = 200\nconfigApplyMs = 2000\n\
@@ -333,11 +367,18 @@
              eventLagMs = 120\nretryAfterS = 0\nstall_ms = 2500\nfencing = true\n",
             seeds.join(","),
             !is_entry,
+            memory = if is_entry {
+                ENTRY_MEMORY
+            } else {
+                CONTROLLER_MEMORY
+            },
+            disk_mb = if is_entry { 0 } else { 128 },
             port = self.ports[3],
         );
         let settings = self.directory.join(format!("{role}-{i}.toml"));
         fs::write(&settings, text)?;
-        let log = File::create(self.directory.join(format!("{role}-{i}.log")))?;
+        let log = self.directory.join(format!("{role}-{i}.log"));
+        let log = File::options().create(true).append(true).open(log)?;
         let mut command = Command::new("target/release/laburnumquay");
         command.args([role, "--metrics-port", &METRICS_PORT.to_string()]);
         if !is_entry {
@@ -348,18 +389,88 @@
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log);
-        PROCESSES.lock().unwrap().push(command.spawn()?);
+        let mut processes = PROCESSES.lock().unwrap();
+        if ENDING.load(Ordering::Relaxed) {
+            return Err("the case ends".into());
+        }
+        processes.push(Process {
+            role,
+            number: i,
+            child: command.spawn()?,
+        });
         Ok(())
     }
 
+    /// Kills processes that use more memory than their machine has, and starts them again, as the
+    /// platform does, until `ended`. Returns how often each controller was killed.
+    pub(crate) fn bound_memory(&self, ended: &AtomicBool) -> Result<[usize; CONTROLLERS as usize]> {
+        let mut kills = [0; CONTROLLERS as usize];
+        let mut due: Vec<(Instant, &'static str, u8)> = Vec::new();
+        while !ended.load(Ordering::Relaxed) {
+            for process in PROCESSES.lock().unwrap().extract_if(.., |p| {
+                let is_controller = p.role == "controller";
+                let limit = [ENTRY_MEMORY, CONTROLLER_MEMORY][usize::from(is_controller)];
+                let memory = p.memory();
+                if memory > limit {
+                    p.kill();
+                    self.record.line(format!(
+                        "platform: {} {} uses {memory} MiB and is killed",
+                        p.role, p.number
+                    ));
+                }
+                memory > limit
+            }) {
+                if process.role == "controller" {
+                    kills[usize::from(process.number)] += 1;
+                }
+                due.push((Instant::now() + RESTART_DELAY, process.role, process.number));
+            }
+            let now = Instant::now();
+            for (_, role, i) in due.extract_if(.., |(at, ..)| *at <= now) {
+                self.start_process(role, i, false)?;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        Ok(kills)
+    }
+
+    /// Memory that the controllers use, in MiB, and the size of their data in MiB.
+    pub(crate) fn controller_sizes(&self) -> String {
+        let processes = PROCESSES.lock().unwrap();
+        let controllers = processes.iter().filter(|p| p.role == "controller");
+        let memory: Vec<_> = controllers.map(Process::memory).collect();
+        let data = |i| fs::read_dir(self.directory.join(format!("controller-{i}")));
+        let size = |i| {
+            let files = data(i).into_iter().flatten().flatten();
+            let sizes = files.filter_map(|f| Some(f.metadata().ok()?.len()));
+            sizes.sum::<u64>() >> 20
+        };
+        let data: Vec<u64> = (0..CONTROLLERS).map(size).collect();
+        format!("controllers use {memory:?} MiB and hold {data:?} MiB of data")
+    }
+
+    /// Reads the configuration at a controller. Returns the status and the version.
+    pub(crate) fn read_back(&self, i: u8) -> (u16, Option<u64>) {
+        let answer = control(self.controller(i), "GET", "/v1/Config.Fetch", "");
+        let Ok(answer) = answer else {
+            return (0, None);
+        };
+        let text = String::from_utf8_lossy(&answer.body);
+        let version = text.split_once("\"version\":").and_then(|(_, rest)| {
+            let digits = rest.split(|c: char| !c.is_ascii_digit()).next()?;
+            digits.parse().ok()
+        });
+        (answer.status(), version)
+    }
+
+    /// Version of the newest configuration that was sent.
+    pub(crate) fn version(&self) -> u64 {
+        self.version.load(Ordering::Relaxed)
+    }
+
     /// Sends a configuration until it is acknowledged.
-    pub(crate) fn configure(
-        &mut self,
-        routes: &str,
-        services: &[&str],
-        tenants: &str,
-    ) -> Result<()> {
-        self.version += 1;
+    pub(crate) fn configure(&self, routes: &str, services: &[&str], tenants: &str) -> Result<()> {
+        let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
         let services: Vec<String> = services
             .iter()
             .map(|s| {
@@ -373,7 +484,7 @@
             "{{\"version\":{},\"routes\":[{routes}],\"services\":[{}],\"limits\":{{\
              \"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
              \"idleTimeoutMs\":15000}},\"tenants\":[{tenants}]}}",
-            self.version,
+            version,
             services.join(",")
         );
         let limit = Instant::now() + Duration::from_secs(20);
@@ -382,7 +493,7 @@
             let status = answer.map_or(0, |a| a.status());
             if status == 200 {
                 self.record
-                    .line(format!("operator: version {} acknowledged", self.version));
+                    .line(format!("operator: version {version} acknowledged"));
                 return Ok(());
             }
             if status == 400 || Instant::now() > limit {
@@ -627,10 +738,10 @@
 }
 
 fn play(scenario: &str, record: &Arc<Record>, trouble: bool) -> Result<Verdict> {
-    let mut deployment = Deployment::start(Arc::clone(record))?;
+    let deployment = Deployment::start(Arc::clone(record))?;
     let known: HashMap<&str, scenarios::Scenario> = scenarios::ALL.into_iter().collect();
     let scenario = known.get(scenario).ok_or("no such scenario")?;
-    scenario(&mut deployment, trouble)
+    scenario(&deployment, trouble)
 }
 
 /// Time after which a case is given up, so that it ends within 120 seconds.
--- a/review/standins-2/scenarios.rs
+++ b/review/standins-2/scenarios.rs
@@ -9,9 +9,10 @@
 
 use crate::{Answer, Deployment, Result, Verdict, request_text, sound_answer};
 
-pub(crate) type Scenario = fn(&mut Deployment, bool) -> Result<Verdict>;
+pub(crate) type Scenario = fn(&Deployment, bool) -> Result<Verdict>;
 
-pub(crate) const ALL: [(&str, Scenario); 3] = [
+pub(crate) const ALL: [(&str, Scenario); 4] = [
+    ("growth", growth),
     ("restart", engines_restart),
     ("garbage", garbage),
     ("events", endless_events),
@@ -53,7 +54,7 @@
 }
 
 /// One engine of another service answers one request with bytes without end.
-fn garbage(deployment: &mut Deployment, trouble: bool) -> Result<Verdict> {
+fn garbage(deployment: &Deployment, trouble: bool) -> Result<Verdict> {
     let routes = [
         route("notes", "streaming", 20_000, "notes", ",\"gapSloMs\":200"),
         route("orders", "idempotent", 1_200, "orders", ""),
@@ -82,7 +83,6 @@
     thread::sleep(Duration::from_secs(3));
 
     armed.store(trouble, Ordering::Relaxed);
-    let deployment = &*deployment;
     measure_beside(deployment, || {
         let deadline = Duration::from_secs(20);
         deployment.record.line("client: POST /notes/1");
@@ -137,7 +137,7 @@
 }
 
 /// An engine sends events without end in answer to streams.
-fn endless_events(deployment: &mut Deployment, trouble: bool) -> Result<Verdict> {
+fn endless_events(deployment: &Deployment, trouble: bool) -> Result<Verdict> {
     const REQUESTS: usize = 10;
     const TIMEOUT: Duration = Duration::from_secs(5);
     const SLACK: Duration = Duration::from_millis(500);
@@ -180,7 +180,6 @@
     }
     deployment.wait_until_serving(HOST, &["/notes/1"], KEY)?;
 
-    let deployment = &*deployment;
     let held = Mutex::new(0);
     thread::scope(|scope| {
         for i in 0..REQUESTS {
@@ -253,7 +252,7 @@
 
 /// The engines of a service leave and start again in turn, each under its id. The time of day of
 /// their machines is behind that of the others.
-fn engines_restart(deployment: &mut Deployment, trouble: bool) -> Result<Verdict> {
+fn engines_restart(deployment: &Deployment, trouble: bool) -> Result<Verdict> {
     let behind = Duration::from_secs(if trouble { 2 } else { 0 });
     let first = route("orders", "idempotent", 1_200, "orders", "");
     let later = route("lookups", "idempotent", 1_200, "lookups", "");
@@ -307,3 +306,96 @@
         false => Verdict::Held,
     })
 }
+
+/// The configuration grows by many routes, step by step, and changes some more times. Without trouble it
+/// changes as often and doesn't grow.
+fn growth(deployment: &Deployment, trouble: bool) -> Result<Verdict> {
+    /// Changes that each add [`ADDED`] routes, and further changes.
+    const GROWING: usize = 60;
+    const FURTHER: usize = 30;
+    const ADDED: usize = 420;
+    /// Time between the starts of two changes.
+    const GAP: Duration = Duration::from_millis(330);
+    /// Time for which the processes are watched after the last change.
+    const WATCHED: Duration = Duration::from_secs(12);
+    /// Number of own ends from which a process counts.
+    const ENDS: usize = 3;
+    let tenants = tenant("t1", KEY);
+    let first = route("orders", "idempotent", 1_200, "orders", "");
+    deployment.configure(&first, &["orders"], &tenants)?;
+    for host in 100..103 {
+        deployment.start_engine(host, "orders", sound())?;
+    }
+    deployment.wait_until_serving(HOST, &["/orders/1"], KEY)?;
+    let ended = AtomicBool::new(false);
+    let change_all = || -> Result<()> {
+        for change in 1..=GROWING + FURTHER {
+            let began = Instant::now();
+            let extra = ",\"gapSloMs\":200,\"resumable\":true";
+            let steps = if trouble { change.min(GROWING) } else { 0 };
+            let added = (0..ADDED * steps).map(|i| {
+                // Other time-outs than in the version before.
+                let timeout_ms = 20_000 + ((change + i) % 1_000) as u32;
+                route(
+                    &format!("r{i:05}"),
+                    "streaming",
+                    timeout_ms,
+                    "orders",
+                    extra,
+                )
+            });
+            let routes: Vec<String> = [first.clone()].into_iter().chain(added).collect();
+            let routes = routes.join(",");
+            deployment.configure(&routes, &["orders"], &tenants)?;
+            let sizes = deployment.controller_sizes();
+            deployment
+                .record
+                .line(format!("{} bytes of routes; {sizes}", routes.len()));
+            thread::sleep(GAP.saturating_sub(began.elapsed()));
+        }
+        Ok(())
+    };
+    let (changed, kills) = thread::scope(|scope| {
+        let platform = scope.spawn(|| deployment.bound_memory(&ended));
+        let changed = change_all();
+        thread::sleep(WATCHED);
+        record_service(deployment);
+        ended.store(true, Ordering::Relaxed);
+        (changed, platform.join())
+    });
+    let kills = kills.map_err(|_| "the platform's thread panicked")??;
+    deployment.record.line(format!(
+        "platform: the controllers were killed {kills:?} times for their memory"
+    ));
+    let often = kills.iter().filter(|k| **k >= ENDS).count();
+    if 2 * often >= kills.len() {
+        return Ok(Verdict::Broken(format!(
+            "Fault: {often} of {} controllers ended by themselves {ENDS} times or more, with no \
+             disruption there: {kills:?}",
+            kills.len()
+        )));
+    }
+    // An acknowledgement that didn't come is no part of the rule.
+    changed.map(|()| Verdict::Held)
+}
+
+/// Writes into the record which requests are served, and which configuration is read back.
+fn record_service(deployment: &Deployment) {
+    for i in 0..10 {
+        let deadline = Duration::from_millis(2_500);
+        let answer = deployment.request(i % 2, "GET", HOST, "/orders/1", KEY, deadline);
+        let text = match answer {
+            Ok((attempt, answer)) => format!("{attempt} GET /orders/1: {}", answer.first),
+            Err(e) => format!("GET /orders/1: {e}"),
+        };
+        deployment.record.line(format!("client: {text}"));
+    }
+    for i in 0..3 {
+        let (status, version) = deployment.read_back(i);
+        deployment.record.line(format!(
+            "operator: reads back at controller {i}: status {status}, version {version:?}; the \
+             newest is {}",
+            deployment.version()
+        ));
+    }
+}
