Review case 4: a slow machine plays it too

Cause: the changes took as long as they needed, so that a machine a third as fast wouldn't have ended the case within its time.

Change: no further change begins after 55 s.

--- a/review/standins-2/scenarios.rs
+++ b/review/standins-2/scenarios.rs
@@ -316,6 +316,8 @@
     const ADDED: usize = 420;
     /// Time between the starts of two changes.
     const GAP: Duration = Duration::from_millis(330);
+    /// Time after which no further change begins, so that a slow machine plays the case as well.
+    const CHANGING: Duration = Duration::from_secs(55);
     /// Time for which the processes are watched after the last change.
     const WATCHED: Duration = Duration::from_secs(12);
     /// Number of own ends from which a process counts.
@@ -329,7 +331,11 @@
     deployment.wait_until_serving(HOST, &["/orders/1"], KEY)?;
     let ended = AtomicBool::new(false);
     let change_all = || -> Result<()> {
+        let first_change = Instant::now();
         for change in 1..=GROWING + FURTHER {
+            if first_change.elapsed() > CHANGING {
+                break;
+            }
             let began = Instant::now();
             let extra = ",\"gapSloMs\":200,\"resumable\":true";
             let steps = if trouble { change.min(GROWING) } else { 0 };
