--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -391,6 +391,12 @@
         self.machine(role, index).child = child;
     }
 
+    /// Sends SIGTERM to a process.
+    pub fn terminate(&mut self, role: Role, index: u8) {
+        let id = self.id(role, index).to_string();
+        let _ = Command::new("kill").args(["-TERM", &id]).status();
+    }
+
     /// Whether all processes run.
     pub fn all_run(&mut self) -> bool {
         let mut all = self.machines.iter_mut();
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+mod drained;
 mod encoded;
 mod engine;
 mod fleet;
@@ -38,6 +39,7 @@
         "refused" => refused::play(&record, trouble),
         "silent" => silent::play(&record, trouble),
         "encoded" => encoded::play(&record, trouble),
+        "drained" => drained::play(&record, trouble),
         "memory" => memory::play(&record, trouble),
         _ => Outcome::NotRun("there is no such case"),
     };
