--- a/review/part-one/encoded/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/usr/bin/env bash
-# Plays the case; claim.txt tells what it shows. TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")/../.." && exec target/review-3/rig encoded "review/part-one/encoded"
