Answer 502 where an upstream ran a request and failed it with a promise

Callers: a booking that an engine had run and failed with 503 was answered 503.

Cause: only `X-Not-Executed` or 421 state that an engine didn't run a request. The entry used this for its own retries, but passed the engine's status on unchanged, and made the promise itself by it.

Change: a `Rejection` is made only from an `Unsent` request or from `AttemptCounts` without an attempt that may have run; responses of upstreams are built by `pass_on` alone, which replaces statuses that promise; errors of the entry's own are an `ErrorKind`, none of which promises. An engine's 408 or 429 is retried like its 503 where that is safe. A statement that a request wasn't run counts only if it bears no other request's id.

--- a/src/decide/refusal.rs
+++ b/src/decide/refusal.rs
@@ -20,6 +20,8 @@
     Full,
     /// The memory for bodies is used up, or was needed for others while this body was received.
     NoMemory,
+    /// The body of the request didn't arrive in time.
+    SlowBody,
     /// This instance reaches no upstream of the service, and no other instance carries the request.
     Unreachable,
     /// Each attempt was refused by an upstream, or found no upstream.
@@ -34,6 +36,45 @@
     Quarantined { cause: Fingerprint, left: Duration },
 }
 
+/// A request that was sent to no upstream yet.
+///
+/// Neither copied nor cloned: [`AttemptCounts::new`](super::retry::AttemptCounts::new) consumes it
+/// before the first attempt.
+#[derive(Debug)]
+pub(crate) struct Unsent(());
+
+impl Unsent {
+    /// A request that has just arrived.
+    pub(crate) fn on_arrival() -> Self {
+        Self(())
+    }
+
+    /// Rejects the request.
+    pub(crate) fn reject(&self, reason: Reason) -> Rejection {
+        Rejection::new(reason)
+    }
+}
+
+/// Rejection of a request. It promises the client that no upstream has run the request and none
+/// will.
+///
+/// Only an [`Unsent`] request and [`AttemptCounts::reject`](super::retry::AttemptCounts::reject)
+/// make one, so that there is none once an attempt may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Rejection {
+    reason: Reason,
+}
+
+impl Rejection {
+    pub(super) fn new(reason: Reason) -> Self {
+        Self { reason }
+    }
+
+    pub(crate) fn reason(self) -> Reason {
+        self.reason
+    }
+}
+
 impl Reason {
     /// Stable code in logs and response bodies.
     pub(crate) fn code(self) -> &'static str {
@@ -42,6 +83,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Full => "full",
             Self::NoMemory => "no_memory",
+            Self::SlowBody => "slow_body",
             Self::Unreachable => "unreachable",
             Self::NotRun => "not_run",
             Self::Limited => "limited",
@@ -130,7 +172,7 @@
             FULL_MAX_DELAY.0 + (FULL_MAX_DELAY.1 - FULL_MAX_DELAY.0) * refused,
         ),
         // A client that returns reaches another instance.
-        Reason::Unreachable | Reason::NotRun | Reason::NoMemory => (0.3, 1.0),
+        Reason::Unreachable | Reason::NotRun | Reason::NoMemory | Reason::SlowBody => (0.3, 1.0),
         Reason::Limited => (0.6, 3.0),
         // Spread, since all of them return to the one whose pause ends first.
         Reason::Paused(left) => (left.as_secs_f64(), left.as_secs_f64() + PAUSE_SPREAD),
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use super::refusal::{Reason, Rejection, Unsent};
 use crate::configuration::RetryPolicy;
 
 /// Number of attempts that no upstream ran after which the request is refused. Each of them met
@@ -29,15 +30,36 @@
 }
 
 /// Number of attempts so far, including those that still run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct AttemptCounts {
-    /// Attempts that may have run, or still run.
-    pub(crate) may_have_run: u32,
+    /// Attempts that may have run, or still run. Falls only for an attempt of which
+    /// [`Failure::NotRun`] is proved.
+    may_have_run: u32,
     /// Attempts that were not run.
-    pub(crate) not_run: u32,
+    not_run: u32,
 }
 
 impl AttemptCounts {
+    pub(crate) fn new(_: Unsent) -> Self {
+        Self {
+            may_have_run: 0,
+            not_run: 0,
+        }
+    }
+
+    pub(crate) fn may_have_run(self) -> u32 {
+        self.may_have_run
+    }
+
+    pub(crate) fn not_run(self) -> u32 {
+        self.not_run
+    }
+
+    /// Rejects the request; `None` once an attempt may have run.
+    pub(crate) fn reject(self, reason: Reason) -> Option<Rejection> {
+        (self.may_have_run == 0).then(|| Rejection::new(reason))
+    }
+
     /// Counts an attempt that begins.
     pub(crate) fn record_start(&mut self) {
         self.may_have_run += 1;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -6,8 +6,8 @@
 
 use bytes::BytesMut;
 use http_body_util::BodyExt;
+use hyper::Response;
 use hyper::header::CONTENT_TYPE;
-use hyper::{Response, StatusCode};
 
 use super::Entry;
 use super::body::Body;
@@ -19,7 +19,7 @@
 use super::head;
 use super::pool;
 use super::reroute::Stall;
-use super::respond::{error_response, quarantine_body, refuse};
+use super::respond::{ErrorKind, error_response, quarantine_body, reject};
 use super::retry::{GrantedRetry, RetryReason};
 use super::select::{Exclusions, Selection};
 use super::suspicion::Suspicion;
@@ -29,7 +29,7 @@
 use crate::decide::health;
 use crate::decide::load;
 use crate::decide::rank::Rank;
-use crate::decide::refusal::Reason;
+use crate::decide::refusal::{Reason, Rejection, Unsent};
 use crate::decide::retry::{self, AttemptCounts, Failure, NextStep};
 use crate::decide::stall::Silence;
 use crate::decide::view_wait;
@@ -105,7 +105,7 @@
 /// Reason that a request ends without an upstream's response.
 pub(super) enum RunError {
     /// No upstream ran the request.
-    NotRun(Reason),
+    Rejected(Rejection),
     /// An upstream may have run the request.
     MayHaveRun,
     /// The deadline has passed; an upstream may have run the request.
@@ -148,8 +148,8 @@
             event = event::REQUEST_ABANDONED.id,
             attempt = self.call.attempt,
             route = self.call.route.name,
-            run = self.attempts.may_have_run,
-            idle = self.attempts.not_run,
+            run = self.attempts.may_have_run(),
+            idle = self.attempts.not_run(),
             last = self.last_event,
             draining = self.entry.gate.is_closed(),
             took_ms = millis(self.entry.now().since(self.call.began)),
@@ -173,7 +173,12 @@
 }
 
 impl Run {
-    pub(super) fn new(entry: Arc<Entry>, table: Arc<RoutingTable>, call: Call) -> Self {
+    pub(super) fn new(
+        entry: Arc<Entry>,
+        table: Arc<RoutingTable>,
+        call: Call,
+        unsent: Unsent,
+    ) -> Self {
         entry
             .shared()
             .retry_budget
@@ -183,7 +188,7 @@
             entry,
             table,
             call: Arc::new(call),
-            attempts: AttemptCounts::default(),
+            attempts: AttemptCounts::new(unsent),
             failed_upstreams: Vec::new(),
             unreached: Vec::new(),
             upstream_error: None,
@@ -265,7 +270,7 @@
 
     /// Whether the caller may already have a part of the response.
     pub(super) fn has_begun(&self) -> bool {
-        self.attempts.may_have_run > 0 || self.last_event.is_some()
+        self.attempts.may_have_run() > 0 || self.last_event.is_some()
     }
 
     /// Whether the request has more tokens than is usual for its model.
@@ -364,8 +369,8 @@
             ?failure,
             ?next,
             events = self.events,
-            run = self.attempts.may_have_run,
-            idle = self.attempts.not_run,
+            run = self.attempts.may_have_run(),
+            idle = self.attempts.not_run(),
             left_ms = millis(left),
             last = self.last_event,
             "attempt failed"
@@ -374,17 +379,17 @@
     }
 
     pub(super) fn timed_out(&self) -> RunError {
-        match self.attempts.may_have_run {
-            0 => RunError::NotRun(Reason::NotRun),
-            _ => RunError::TimedOut,
-        }
+        self.reject_or(Reason::NotRun, RunError::TimedOut)
     }
 
     pub(super) fn unsent(&self, reason: Reason) -> RunError {
-        match self.attempts.may_have_run {
-            0 => RunError::NotRun(reason),
-            _ => RunError::MayHaveRun,
-        }
+        self.reject_or(reason, RunError::MayHaveRun)
+    }
+
+    /// Rejects the request, or ends it with `end` if an attempt may have run.
+    fn reject_or(&self, reason: Reason, end: RunError) -> RunError {
+        let rejection = self.attempts.reject(reason);
+        rejection.map_or(end, RunError::Rejected)
     }
 
     /// The model that serves the request, if its service has one.
@@ -396,22 +401,23 @@
     pub(super) fn final_response(&self, end: &RunError) -> Response<Body> {
         let mut part = None;
         let (code, response) = match end {
-            RunError::NotRun(reason) => {
-                let mut response = refuse(*reason, self.refused_fraction());
+            RunError::Rejected(rejection) => {
+                let reason = rejection.reason();
+                let mut response = reject(*rejection, self.refused_fraction());
                 if let Reason::Quarantined { cause, .. } = reason {
-                    let found = self.call.prompt.part(cause, &self.call.organisation);
+                    let found = self.call.prompt.part(&cause, &self.call.organisation);
                     part = found.map(|p| &*p.id);
-                    *response.body_mut() = quarantine_body(cause, part);
+                    *response.body_mut() = quarantine_body(&cause, part);
                 }
                 (reason.code(), response)
             }
             RunError::MayHaveRun => {
                 let reason = "the request may have run; no answer came";
-                ("failed", error_response(StatusCode::BAD_GATEWAY, reason))
+                ("failed", error_response(ErrorKind::BadGateway, reason))
             }
             RunError::TimedOut | RunError::UpstreamError(_) => {
                 let reason = "the request may have run; its time is over";
-                ("late", error_response(StatusCode::GATEWAY_TIMEOUT, reason))
+                ("late", error_response(ErrorKind::GatewayTimeout, reason))
             }
         };
         self.count(code);
@@ -424,8 +430,8 @@
             rank = self.call.rank.map(Rank::index),
             code,
             status = response.status().as_u16(),
-            run = self.attempts.may_have_run,
-            idle = self.attempts.not_run,
+            run = self.attempts.may_have_run(),
+            idle = self.attempts.not_run(),
             took_ms = millis(self.entry.now().since(self.call.began)),
             "ended without an upstream response"
         );
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -14,7 +14,7 @@
 use super::send::Attempt;
 use crate::clock::{Time, millis};
 use crate::decide::retry::Failure;
-use crate::platform::headers;
+use crate::platform::{call, headers};
 use crate::sync::address_key;
 use crate::whole::Payload;
 
@@ -65,9 +65,11 @@
         self.context
             .entry
             .note_response(sent, upstream, status, map);
+        let echoed = head::text(map, headers::ATTEMPT_ID);
+        let ours = echoed.is_none_or(|id| id == self.context.call.attempt);
         let not_run =
             map.contains_key(headers::NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST;
-        if not_run {
+        if not_run && ours {
             let named = head::text(map, headers::FAILED_ENGINE).and_then(|a| a.parse().ok());
             let named = named.map(|a: SocketAddrV4| address_key(a));
             // A live engine refuses at once; a dead engine in the path shows only after a
@@ -89,8 +91,6 @@
             };
         }
         let signed = map.contains_key(headers::SIGNATURE);
-        let echoed = head::text(map, headers::ATTEMPT_ID);
-        let ours = echoed.is_none_or(|id| id == self.context.call.attempt);
         if !signed || !ours {
             return Outcome::Failed {
                 failure: Failure::Unknown,
@@ -98,7 +98,7 @@
                 cause: "garbage",
             };
         }
-        if status.is_server_error() {
+        if status.is_server_error() || call::PROMISES.contains(&status) {
             return Outcome::UpstreamError(Box::new(opened));
         }
         Outcome::Answered(Box::new(opened))
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -15,14 +15,14 @@
 use super::body::Body;
 use super::call::Call;
 use super::head;
-use super::respond::{error_response, refuse};
+use super::respond::{ErrorKind, error_response, reject};
 use super::select::PLAIN_WORK;
 use super::view::View;
 use crate::clock::Time;
 use crate::configuration::{Model, RouteMatch, RoutingTable};
 use crate::decide::body_budget::Kind;
 use crate::decide::path::Work;
-use crate::decide::refusal::Reason;
+use crate::decide::refusal::{Reason, Unsent};
 use crate::event;
 use crate::fingerprint::Fingerprint;
 use crate::gate::RunningGuard;
@@ -51,12 +51,14 @@
     began: Time,
     head: Parts,
     body: WholeBody,
+    unsent: Unsent,
 }
 
 /// A request with the configuration in which its route was found.
 struct Admitted {
     table: Arc<RoutingTable>,
     call: Call,
+    unsent: Unsent,
 }
 
 impl Entry {
@@ -80,7 +82,8 @@
     ) -> Response<Body> {
         let began = self.now();
         let (head, body) = request.into_parts();
-        let body = match self.receive(&head, body).await {
+        let unsent = Unsent::on_arrival();
+        let body = match self.receive(&unsent, &head, body).await {
             Ok(body) => body,
             Err(response) => return *response,
         };
@@ -90,10 +93,20 @@
         // The lookup comes after the body was read, since the configuration may have changed
         // meanwhile.
         let view = self.view();
-        match self.admit(&view, Received { began, head, body }) {
+        let received = Received {
+            began,
+            head,
+            body,
+            unsent,
+        };
+        match self.admit(&view, received) {
             Ok(admitted) => {
-                let Admitted { table, call } = admitted;
-                let run = Run::new(self, table, call);
+                let Admitted {
+                    table,
+                    call,
+                    unsent,
+                } = admitted;
+                let run = Run::new(self, table, call, unsent);
                 run.answer(running).await
             }
             Err(response) => *response,
@@ -103,6 +116,7 @@
     /// Receives the body of a request, or returns the response that refuses it.
     async fn receive(
         &self,
+        unsent: &Unsent,
         head: &Parts,
         mut body: RequestBody,
     ) -> Result<WholeBody, Box<Response<Body>>> {
@@ -113,17 +127,17 @@
         let response = match timeout(deadline.min(RECEIVE_TIMEOUT), read).await {
             Ok(Ok(body)) => return Ok(body),
             Ok(Err(BodyError::TooLong)) => {
-                error_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+                error_response(ErrorKind::LongBody, "the body is too large")
             }
             Ok(Err(BodyError::NoMemory)) => {
                 let attempt = head::text(&head.headers, headers::ATTEMPT_ID).unwrap_or("-");
                 log_refusal(attempt, Reason::NoMemory.code(), self.view().version());
-                refuse(Reason::NoMemory, 0.0)
+                reject(unsent.reject(Reason::NoMemory), 0.0)
             }
             Ok(Err(BodyError::Cut)) => {
-                error_response(StatusCode::BAD_REQUEST, "the body was cut off")
+                error_response(ErrorKind::BadRequest, "the body was cut off")
             }
-            Err(_) => error_response(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"),
+            Err(_) => reject(unsent.reject(Reason::SlowBody), 0.0),
         };
         Err(Box::new(response))
     }
@@ -137,7 +151,7 @@
             .to_owned();
         let refused = |reason: Reason| {
             log_refusal(&attempt, reason.code(), view.version());
-            Box::new(refuse(reason, 0.0))
+            Box::new(reject(received.unsent.reject(reason), 0.0))
         };
         let Some(table) = view.table.clone() else {
             return Err(refused(Reason::NoConfiguration));
@@ -155,20 +169,24 @@
         let Some(found) = found else {
             log_refusal(&attempt, "unknown_route", view.version());
             return Err(Box::new(error_response(
-                StatusCode::NOT_FOUND,
+                ErrorKind::UnknownRoute,
                 "there is no such route",
             )));
         };
         if !found.public && found.organisation.is_none() {
             log_refusal(&attempt, "unknown_key", view.version());
             let reason = "the key is missing or unknown";
-            return Err(Box::new(error_response(StatusCode::UNAUTHORIZED, reason)));
+            return Err(Box::new(error_response(ErrorKind::UnknownKey, reason)));
         }
         let organisation = found.organisation.map(|o| o.name.as_str());
         let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
         let fingerprint = Fingerprint::of(organisation, host, target, received.body.segments());
-        let call = self.call(&table, found, &attempt, fingerprint, received);
-        Ok(Admitted { table, call })
+        let (call, unsent) = self.call(&table, found, &attempt, fingerprint, received);
+        Ok(Admitted {
+            table,
+            call,
+            unsent,
+        })
     }
 
     fn call(
@@ -178,8 +196,13 @@
         attempt: &str,
         fingerprint: Fingerprint,
         received: Received,
-    ) -> Call {
-        let Received { began, head, body } = received;
+    ) -> (Call, Unsent) {
+        let Received {
+            began,
+            head,
+            body,
+            unsent,
+        } = received;
         let route = found.route;
         let service = route.target(rand::rng().random()).service.clone();
         let model = table.service(&service).and_then(|s| s.model.as_ref());
@@ -188,7 +211,7 @@
         let time_limit = requested.min(route.timeout);
         let organisation = found.organisation.map(|o| o.name.as_str());
         tracing::debug!(attempt, route = route.name, service, "admitted");
-        Call {
+        let call = Call {
             attempt: attempt.to_owned(),
             fingerprint,
             prompt: prompt::decode(&head.headers).into(),
@@ -203,7 +226,8 @@
             work,
             began,
             time_limit,
-        }
+        };
+        (call, unsent)
     }
 }
 
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -1,14 +1,15 @@
 //! Responses that are read in full before they are forwarded.
 
 use hyper::Response;
-use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH};
+use hyper::header::CONTENT_ENCODING;
 use hyper::http::response::Parts;
 use tokio::time::timeout;
 
 use super::attempt::{OpenResponse, Run, RunError};
-use super::body::{self, Body};
+use super::body::Body;
+use super::respond::pass_on;
+use super::stream;
 use super::view::Upstream;
-use super::{head, stream};
 use crate::clock::millis;
 use crate::decide::body_budget::Kind;
 use crate::decide::refusal::Reason;
@@ -62,7 +63,7 @@
         }
         let end = match self.record_failure(Failure::Unknown, cause, upstream) {
             NextStep::Again => return None,
-            NextStep::Refuse => RunError::NotRun(Reason::NotRun),
+            NextStep::Refuse => self.unsent(Reason::NotRun),
             NextStep::Pass | NextStep::Fail => RunError::MayHaveRun,
         };
         Some(self.final_response(&end))
@@ -83,28 +84,24 @@
     }
 
     fn deliver(&self, head: Parts, body: WholeBody, upstream: &str) -> Response<Body> {
-        let bytes = body.len();
-        self.count(if head.status.is_server_error() {
+        let (status, bytes) = (head.status, body.len());
+        self.count(if status.is_server_error() {
             "upstream_error"
         } else {
             "answered"
         });
+        let response = pass_on(head, body);
         tracing::info!(
             event = event::REQUEST_ANSWERED.id,
             attempt = self.call.attempt,
             route = self.call.route.name,
             upstream,
-            status = head.status.as_u16(),
+            status = response.status().as_u16(),
+            upstream_status = status.as_u16(),
             bytes,
             took_ms = millis(self.entry.now().since(self.call.began)),
             "answered"
         );
-        let mut response = Response::new(body::whole(body));
-        *response.status_mut() = head.status;
-        *response.headers_mut() = head::to_caller(head.headers);
-        if bytes > 0 {
-            response.headers_mut().insert(CONTENT_LENGTH, bytes.into());
-        }
         response
     }
 }
--- a/src/entry/series.rs
+++ b/src/entry/series.rs
@@ -210,8 +210,8 @@
         }
         let end = match self.record_failure(failure, cause, &upstream) {
             NextStep::Again => return Settled::Again { cause, upstream },
-            NextStep::Refuse if cause == NO_PROXY => RunError::NotRun(Reason::Unreachable),
-            NextStep::Refuse => RunError::NotRun(Reason::NotRun),
+            NextStep::Refuse if cause == NO_PROXY => self.unsent(Reason::Unreachable),
+            NextStep::Refuse => self.unsent(Reason::NotRun),
             NextStep::Pass | NextStep::Fail if self.left().is_zero() => RunError::TimedOut,
             NextStep::Pass | NextStep::Fail => RunError::MayHaveRun,
         };
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 use super::platform::CONFIGURATION;
@@ -10,7 +12,7 @@
 use crate::decide::health::{Health, HealthStatus};
 use crate::decide::members::{self, MemberStatus};
 use crate::decide::pick::{self, Candidate};
-use crate::decide::refusal::{self, Reason};
+use crate::decide::refusal::{self, Reason, Unsent};
 use crate::decide::retry::{AttemptCounts, Failure, NextStep, next_step};
 use crate::decide::view_wait;
 use crate::decide::waiting::{self, QueueTiming};
@@ -46,6 +48,43 @@
     decoded.services[0].model.clone().unwrap()
 }
 
+/// Counts after failed attempts.
+fn attempt_counts(may_have_run: u32, not_run: u32) -> AttemptCounts {
+    let mut counts = AttemptCounts::new(Unsent::on_arrival());
+    for failure in std::iter::repeat_n(Failure::Unknown, may_have_run as usize)
+        .chain(std::iter::repeat_n(Failure::NotRun, not_run as usize))
+    {
+        counts.record_start();
+        counts.record_failure(failure);
+    }
+    counts
+}
+
+/// Guards against the promise that nothing has run while an attempt may have run or still runs,
+/// over seeded series of attempts that run beside each other.
+#[rstest]
+fn reject_after_run_impossible(#[values(1, 2, 3)] seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    for _ in 0..500 {
+        let mut counts = AttemptCounts::new(Unsent::on_arrival());
+        let (mut running, mut ran) = (0, 0);
+        for _ in 0..rng.random_range(0..12) {
+            if running == 0 || rng.random_bool(0.5) {
+                counts.record_start();
+                running += 1;
+            } else {
+                let failures = [Failure::NotRun, Failure::Unknown, Failure::Answered];
+                let failure = failures[rng.random_range(0..3)];
+                counts.record_failure(failure);
+                running -= 1;
+                ran += u32::from(failure != Failure::NotRun);
+            }
+            let rejected = counts.reject(Reason::Full).is_some();
+            assert_eq!(rejected, running + ran == 0);
+        }
+    }
+}
+
 #[rstest]
 #[case::idempotent(RetryPolicy::Always, 1, 0, Failure::Unknown, NextStep::Again)]
 #[case::attempts_used(RetryPolicy::Always, 2, 0, Failure::Unknown, NextStep::Fail)]
@@ -62,20 +101,14 @@
     #[case] failure: Failure,
     #[case] step: NextStep,
 ) {
-    let counts = AttemptCounts {
-        may_have_run,
-        not_run,
-    };
+    let counts = attempt_counts(may_have_run, not_run);
     let left = Duration::from_secs(1);
     assert_eq!(next_step(repeat, 2, counts, failure, left), step);
 }
 
 #[test]
 fn next_step_no_time() {
-    let counts = AttemptCounts {
-        may_have_run: 1,
-        not_run: 0,
-    };
+    let counts = attempt_counts(1, 0);
     let left = Duration::from_millis(10);
     let step = next_step(RetryPolicy::Always, 2, counts, Failure::Unknown, left);
     assert_eq!(step, NextStep::Fail);
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -74,8 +74,8 @@
     HangOnce,
     /// Like [`Fault::HangOnce`], but at every run of an attempt.
     Hang,
-    /// Runs requests and responds with status 500.
-    Error,
+    /// Runs requests and responds with this status.
+    Error(u16),
 }
 
 /// State that all engines of a test share, and the record of what they received.
@@ -726,16 +726,19 @@
         _ => state.lock().unwrap().work_time,
     };
     running.work(work_time).await;
-    running.done = spec.service != "models" || crash_body.is_some() || fault == Fault::Error;
+    let is_error = matches!(fault, Fault::Error(_));
+    running.done = spec.service != "models" || crash_body.is_some() || is_error;
     let mut response = match spec.service {
         "models" if crash_body.is_some() => Response::new(pending_stream()),
-        _ if fault == Fault::Error => full_response(500, "the stock file is locked"),
-        "models" => {
+        "models" if !is_error => {
             let splits = state.lock().unwrap().splits_events;
             Response::new(event_stream(last, fault, splits, running))
         }
-        _ if is_long => full_response(200, &"x".repeat(LONG_ANSWER)),
-        _ => full_response(200, &format!("done by {}", spec.id)),
+        _ => match fault {
+            Fault::Error(status) => full_response(status, "the stock file is locked"),
+            _ if is_long => full_response(200, &"x".repeat(LONG_ANSWER)),
+            _ => full_response(200, &format!("done by {}", spec.id)),
+        },
     };
     let headers = response.headers_mut();
     if spec.service == "models" {
--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -242,7 +242,7 @@
         .collect();
     deployment
         .engine_state()
-        .set_fault(&desks[0].id, Fault::Error);
+        .set_fault(&desks[0].id, Fault::Error(500));
     deployment.engine_state().kill(desks[1]);
     for i in 0..4 {
         let (status, body) = deployment.request(0, "/lookups/x", &format!("e-{i}"), KEY);
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -22,6 +22,7 @@
 mod order;
 mod pause;
 mod priority;
+mod promise;
 mod reach;
 mod restore;
 mod silence;
