Close silent connections of other instances, and bound their number

Cause: the accepting side waited for the next frame without a limit, while the connecting side gives a silent connection up after 1.2 s and makes a new one. Each silence left one descriptor for each entry instance at the leader, until it accepted nobody any more and still led.

An instance keeps as many as `ClientLimits::peers` allows; the next one takes the place of one that never sent a frame, or else of the longest silent. Event 605 and two metrics.

The 8 cases pass.

--- a/src/client_limits.rs
+++ b/src/client_limits.rs
@@ -5,7 +5,8 @@
 //! a quarter for the rest of the process. Descriptors:
 //! [`FILES`] are for files, [`OTHER_SOCKETS`] for connections that don't grow with the clients, two
 //! for each carried request, and three for each connection of a client, whose request may run at two
-//! upstreams at the same time.
+//! upstreams at the same time. A controller makes no connection for a request of a client, so
+//! [`PEERS`] of the descriptors of these are for connections that other instances make to it.
 
 use crate::error::{Error, Result};
 use crate::platform::boot::Boot;
@@ -36,6 +37,10 @@
 const PER_CONNECTION: usize = 3;
 const PER_CARRIED: usize = 2;
 
+/// Fraction of the sockets beside the connections of clients that other instances' connections to a
+/// controller may take. The rest is for its own connections to instances and engines.
+const PEERS: usize = 2;
+
 /// Maximum number of requests that an instance carries for others at a time.
 const MAX_CARRIED: usize = 512;
 
@@ -68,6 +73,8 @@
     pub(crate) connections: usize,
     /// Number of requests that are carried for other instances.
     pub(crate) carried: usize,
+    /// Number of connections that other instances make to a controller.
+    pub(crate) peers: usize,
 }
 
 impl ClientLimits {
@@ -105,6 +112,7 @@
             bodies: resources.bodies.unwrap_or(most(memory / 4)),
             connections: resources.connections.unwrap_or(connections),
             carried,
+            peers: ((sockets - connections) / PEERS).max(1),
         };
         let mut faults = Vec::new();
         if !(1..=connections).contains(&limits.connections) {
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -110,6 +110,12 @@
         self.places.0.state().connections.begin(self.id);
     }
 
+    /// Records that the other side was heard, on a connection without requests that run for a time.
+    pub(crate) fn record_heard(&self) {
+        self.begin();
+        self.end();
+    }
+
     fn end(&self) {
         let inner = &self.places.0;
         let now = inner.clock.now();
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -275,7 +275,7 @@
     let _guard = runtime.enter();
     let peers = tokio::net::TcpListener::from_std(peers);
     let peers = peers.context(ListenSnafu { addr, role })?;
-    runtime.spawn(peer::serve(peers, key, Arc::clone(slot) as _));
+    runtime.spawn(peer::serve(peers, key, Arc::clone(slot) as _, limits.peers));
     let addr = role::required(boot.control, "a control address")?.into();
     let control = startup::listen(addr, "operators and upstreams")?;
     let slot = Arc::clone(slot);
--- a/src/event.rs
+++ b/src/event.rs
@@ -163,6 +163,8 @@
 /// Another process uses this instance's id, or this process's incarnation is lower than that of an
 /// earlier start.
 pub(crate) const ID_CONFLICT: Event = event(604, "id_conflict");
+/// A connection that another instance had made was closed, since it was silent or had to give way.
+pub(crate) const PEER_DISCONNECTED: Event = event(605, "peer_disconnected");
 
 /// All events.
 #[cfg(test)]
@@ -241,4 +243,5 @@
     SUSPENDED,
     DATAGRAMS_LOST,
     ID_CONFLICT,
+    PEER_DISCONNECTED,
 ];
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -36,6 +36,10 @@
 use crate::supervise::{RestartPolicy, Supervisor};
 use crate::voter::{StateMachine, Voter, VoterSettings};
 
+/// Maximum number of connections that other instances make to this one. Each has one, and a second
+/// while it gives up a silent one.
+const MAX_PEERS: usize = 1_024;
+
 /// Interval at which a draining instance checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -347,7 +351,7 @@
 
 async fn serve_peers(listener: StdListener, key: FleetKey, node: Arc<Node>) {
     let listener = TcpListener::from_std(listener).expect("the listener is non-blocking");
-    peer::serve(listener, key, node).await;
+    peer::serve(listener, key, node, MAX_PEERS).await;
 }
 
 /// Returns a function that dumps the state of the instance.
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -81,6 +81,11 @@
 pub(crate) const CONNECTIONS_DISPLACED: Metric = metric("connections_displaced_total", &[]);
 /// New connections that were reset, since all others had running requests.
 pub(crate) const CONNECTIONS_REFUSED: Metric = metric("connections_refused_total", &[]);
+/// Open connections that other instances have made to this one.
+pub(crate) const PEER_CONNECTIONS: Metric = metric("peer_connections", &[]);
+/// Connections of other instances that have ended.
+pub(crate) const PEER_CONNECTIONS_ENDED: Metric =
+    metric("peer_connections_ended_total", &["cause"]);
 /// New connections that were closed unread.
 pub(crate) const CONNECTIONS_SHED: Metric = metric("entry_connections_shed_total", &[]);
 /// Retries left in the current window.
@@ -156,6 +161,8 @@
     BODY_BYTES,
     CONNECTIONS_DISPLACED,
     CONNECTIONS_REFUSED,
+    PEER_CONNECTIONS,
+    PEER_CONNECTIONS_ENDED,
     CONNECTIONS_SHED,
     RETRIES_LEFT,
     IS_LEADER,
--- a/src/tests/client_limits.rs
+++ b/src/tests/client_limits.rs
@@ -28,6 +28,7 @@
     let memory = limits.bodies + (limits.connections + limits.carried) * (80 << 10);
     assert!(memory as u64 <= 3 * (memory_mb << 18), "{limits:?}");
     assert!(3 * limits.connections + 2 * limits.carried < descriptors - FILES);
+    assert!(limits.connections + 2 * limits.peers < descriptors - FILES);
 }
 
 /// Guards against a smallest machine that turns away as many clients as it has served so far.
@@ -38,6 +39,14 @@
     assert!(limits.bodies >= 6 * (4 << 20), "{limits:?}");
 }
 
+/// Guards against a controller that turns away instances of the fleet planned for: each makes one
+/// connection, and a second one while the first is silent.
+#[test]
+fn new_admits_fleet() {
+    let limits = ClientLimits::new(&resources(256, 4_096)).expect("valid");
+    assert!(limits.peers >= 2 * 360, "{limits:?}");
+}
+
 /// Guards against settings that promise more than the machine has.
 #[rstest]
 #[case(Some(0), None, 1)]
--- a/src/tests/peer.rs
+++ b/src/tests/peer.rs
@@ -5,10 +5,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::runtime::Handle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::auth::FleetKey;
 use crate::frame;
@@ -19,6 +20,8 @@
 
 const PEER: InstanceId = InstanceId(7);
 const LIMIT: Duration = Duration::from_millis(300);
+/// Number of connections that a peer keeps.
+const MOST: usize = 4;
 
 /// Handler that replies to every request with another leader.
 struct NotLeader;
@@ -65,7 +68,12 @@
     let local = "127.0.0.1:0";
     let listener = TcpListener::bind(local).await.unwrap();
     let peer = listener.local_addr().unwrap();
-    tokio::spawn(peer::serve(listener, key.clone(), Arc::new(NotLeader)));
+    tokio::spawn(peer::serve(
+        listener,
+        key.clone(),
+        Arc::new(NotLeader),
+        MOST,
+    ));
     let silent = Arc::new(AtomicUsize::new(0));
     let listener = TcpListener::bind(local).await.unwrap();
     let peers = Peers::new(key, Handle::current());
@@ -123,7 +131,7 @@
     tokio::spawn(async move {
         sleep(Duration::from_millis(120)).await;
         drop(first);
-        peer::serve(listener, key, Arc::new(NotLeader)).await;
+        peer::serve(listener, key, Arc::new(NotLeader), MOST).await;
     });
     assert!(is_answered(&peers).await);
 }
@@ -160,3 +168,71 @@
     let keepalives = keepalives.load(Ordering::SeqCst);
     assert!(keepalives <= 2, "{keepalives} keepalives");
 }
+
+/// Opens a connection to an instance that keeps [`MOST`] of them, and shows with a frame that it has
+/// the fleet's key unless it is `mute`.
+async fn open(to: SocketAddr, mute: bool) -> (frame::Sender, frame::Receiver) {
+    let stream = TcpStream::connect(to).await.unwrap();
+    let key = FleetKey::new(b"a fleet");
+    let (mut sender, receiver) = frame::connect(stream, &key).await.unwrap();
+    if !mute {
+        sender.send(&keepalive()).await.unwrap();
+    }
+    (sender, receiver)
+}
+
+fn keepalive() -> Frame {
+    Frame {
+        call: 0,
+        payload: Some(Payload::Echo(true)),
+    }
+}
+
+/// Whether an instance closes a connection within a time.
+async fn is_closed(receiver: &mut frame::Receiver, within: Duration) -> bool {
+    let closed = async { while let Ok(Some(_)) = receiver.next::<Frame>().await {} };
+    timeout(within, closed).await.is_ok()
+}
+
+async fn serve_alone() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let key = FleetKey::new(b"a fleet");
+    tokio::spawn(peer::serve(listener, key, Arc::new(NotLeader), MOST));
+    addr
+}
+
+/// Guards against a leader without descriptors: it kept its end of each connection whose other end
+/// had vanished without a reset.
+#[rstest]
+#[tokio::test]
+async fn silent_connection_closed(#[values(false, true)] mute: bool) {
+    let (_sender, mut receiver) = open(serve_alone().await, mute).await;
+    assert!(is_closed(&mut receiver, Duration::from_secs(6)).await);
+}
+
+/// Guards against more connections than an instance has descriptors for, however many others open:
+/// those that were silent for longest give way, and one that is in use stays.
+#[rstest]
+#[tokio::test]
+async fn connections_bounded(#[values(1, 2, 4)] rounds: usize, #[values(false, true)] mute: bool) {
+    let addr = serve_alone().await;
+    let (mut sender, mut receiver) = open(addr, false).await;
+    let mut others = Vec::new();
+    for _ in 0..rounds * MOST {
+        others.push(open(addr, mute).await);
+        // Longer than the interval at which a connection is recorded as heard.
+        sleep(Duration::from_millis(150)).await;
+        sender.send(&keepalive()).await.unwrap();
+        let heard = timeout(LIMIT, receiver.next::<Frame>()).await;
+        assert!(
+            matches!(heard, Ok(Ok(Some(_)))),
+            "the one in use was closed"
+        );
+    }
+    let mut open = 1;
+    for (_, other) in &mut others {
+        open += usize::from(!is_closed(other, Duration::from_millis(10)).await);
+    }
+    assert!(open <= MOST, "{open} of {} are open", others.len());
+}
