Bound what one turn reads, and the framing of answers

Cause: the bound on an answer's bytes ended with its head, and the bounds on bodies count content. hyper decodes the framing of chunks byte by byte for as long as the socket has more, on the only thread of the role.

In tests/platform/endless.rs 5 new cases fail on the code before: 4 of ChunkLength and 1 of ChunkExtension. The cases of trailers pass on it too: hyper cuts those off.

Change: `TurnStream` lets other tasks run after 64 KiB and one read; `ReadLimit` ends a connection to an upstream after 512 KiB without content.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -9,8 +9,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder as ClientBuilder, SendRequest};
 use hyper::http::request::Builder;
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode, header};
@@ -22,13 +21,14 @@
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
-use self::head_limit::{HeadLimit, LimitedStream};
+pub(crate) use self::read_limit::UpstreamBody;
+use self::read_limit::{LimitedStream, MAX_HEAD_BYTES, ReadLimit};
 use crate::clock::{Clock, Time};
 use crate::id::UpstreamId;
 use crate::platform::{engine as platform, headers};
 use crate::whole::Payload;
 
-mod head_limit;
+mod read_limit;
 
 /// Timeout for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(750);
@@ -179,7 +179,7 @@
 pub(crate) struct Connection {
     sender: SendRequest<Payload>,
     driver: Driver,
-    head_limit: Arc<HeadLimit>,
+    read_limit: Arc<ReadLimit>,
 }
 
 /// Task that drives a connection. Dropping it closes the connection, which
@@ -194,7 +194,7 @@
 
 /// A response and its connection, which must stay open until the body is read.
 pub(crate) struct UpstreamResponse {
-    pub(crate) response: Response<Incoming>,
+    pub(crate) response: Response<UpstreamBody>,
     _driver: Driver,
 }
 
@@ -234,8 +234,11 @@
         let stream = connected.map_err(|_| EngineError::Connect)?;
         // With Nagle's algorithm, small writes wait for delayed ACKs.
         let _ = stream.set_nodelay(true);
-        let (stream, head_limit) = LimitedStream::new(stream);
-        let Ok((sender, connection)) = handshake(TokioIo::new(stream)).await else {
+        let (stream, read_limit) = LimitedStream::new(stream);
+        let mut builder = ClientBuilder::new();
+        // Also the maximum size of a read.
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let Ok((sender, connection)) = builder.handshake(TokioIo::new(stream)).await else {
             return ConnectSnafu.fail();
         };
         let task = tokio::spawn(async move {
@@ -244,7 +247,7 @@
         Ok(Self {
             sender,
             driver: Driver(task),
-            head_limit,
+            read_limit,
         })
     }
 
@@ -276,14 +279,15 @@
     async fn request(
         &mut self,
         request: Request<Payload>,
-    ) -> Result<Response<Incoming>, EngineError> {
+    ) -> Result<Response<UpstreamBody>, EngineError> {
         let sent = self.sender.send_request(request).await;
         match sent {
             Ok(response) => {
-                self.head_limit.lift();
-                Ok(response)
+                self.read_limit.record_taken();
+                let limit = Arc::clone(&self.read_limit);
+                Ok(response.map(|body| UpstreamBody::new(body, limit)))
             }
-            Err(_) if self.head_limit.is_exceeded() => LongHeadSnafu.fail(),
+            Err(_) if self.read_limit.is_exceeded() => LongHeadSnafu.fail(),
             Err(_) => ConnectionLostSnafu.fail(),
         }
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -28,6 +28,7 @@
 
 use crate::connection::{AnswerBody, Place, Places};
 use crate::metric;
+use crate::turn::TurnStream;
 
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -180,7 +181,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.receive_timeout)
         .max_buf_size(limits.max_head)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(TurnStream::new(stream)), service);
     let served = tokio::select! {
         served = poll_fn(|cx| connection.poll_without_shutdown(cx)) => Some(served),
         () = wait_closing(&mut closing) => None,
@@ -195,7 +196,7 @@
     if let Err(e) = served {
         tracing::debug!("client connection failed: {e}");
     }
-    let stream = connection.into_parts().io.into_inner();
+    let stream = connection.into_parts().io.into_inner().into_inner();
     close(stream, body_unread.load(Ordering::Relaxed)).await;
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,6 +71,7 @@
 mod store;
 mod supervise;
 mod sync;
+mod turn;
 mod upstream;
 mod voter;
 mod whole;
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -47,6 +47,7 @@
 mod store;
 mod sync;
 mod targets;
+mod turn;
 mod view;
 mod voter;
 mod waiters;
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -29,11 +29,21 @@
     Header,
     /// Heads of interim responses.
     InterimHeads,
+    /// Digits where the length of the first chunk is due.
+    ChunkLength,
+    /// The extension of the first chunk.
+    ChunkExtension,
+    /// Trailers after the last chunk.
+    Trailers,
 }
 
 /// Time within which a request must be answered, far below its deadline of 20 s.
 const ANSWER_TIME: Duration = Duration::from_secs(8);
 
+/// Time within which a request beside an endless answer must be answered: the objective and the
+/// slack of the users' rule on timeouts.
+const BESIDE_TIME: Duration = Duration::from_millis(1_000);
+
 /// Size of one write, in bytes.
 const WRITE_BYTES: usize = 64 << 10;
 
@@ -74,6 +84,18 @@
             let interim = "HTTP/1.1 100 Continue\r\n\r\n";
             (String::new(), interim.repeat(WRITE_BYTES / interim.len()))
         }
+        Endless::ChunkLength => (
+            head + "transfer-encoding: chunked\r\n\r\n",
+            "0".repeat(WRITE_BYTES),
+        ),
+        Endless::ChunkExtension => (
+            head + "transfer-encoding: chunked\r\n\r\n1;",
+            "x".repeat(WRITE_BYTES),
+        ),
+        Endless::Trailers => (
+            head + "transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+            "x-note: y\r\n".repeat(WRITE_BYTES / 11),
+        ),
     };
     stream.write_all(start.as_bytes()).await?;
     loop {
@@ -131,7 +153,10 @@
         Endless::SmallChunks,
         Endless::Length,
         Endless::Header,
-        Endless::InterimHeads
+        Endless::InterimHeads,
+        Endless::ChunkLength,
+        Endless::ChunkExtension,
+        Endless::Trailers
     )]
     kind: Endless,
 ) {
@@ -146,7 +171,13 @@
 /// Guards against the same in an instance that carries requests of another one, and in that one.
 #[rstest]
 fn endless_answer_carried(
-    #[values(Endless::Body, Endless::SmallChunks, Endless::InterimHeads)] kind: Endless,
+    #[values(
+        Endless::Body,
+        Endless::SmallChunks,
+        Endless::InterimHeads,
+        Endless::ChunkLength
+    )]
+    kind: Endless,
 ) {
     let deployment = Deployment::with_size(2, &[3, 3]);
     deployment.carry_requests(0);
@@ -186,3 +217,40 @@
         "{repeated} requests at the endless upstream"
     );
 }
+
+/// Guards against an instance that answers nobody while an engine sends the framing of a stream
+/// without end: requests to sound upstreams are answered beside it, and its own request ends.
+#[rstest]
+fn endless_framing_delays_nobody(
+    #[values(Endless::ChunkLength, Endless::ChunkExtension, Endless::Trailers)] kind: Endless,
+    #[values(false, true)] carried: bool,
+) {
+    let deployment = Deployment::with_size(2, &[3, 3]);
+    if carried {
+        deployment.carry_requests(0);
+    }
+    let models = deployment.engines.iter().filter(|e| e.service == "models");
+    for engine in models {
+        let id = engine.id.clone();
+        deployment.engine_state().endless.insert(id, kind);
+    }
+    thread::scope(|scope| {
+        for i in 0..4 {
+            let (deployment, attempt) = (&deployment, format!("endless-{i}"));
+            scope.spawn(move || {
+                let began = Instant::now();
+                let (status, _) = deployment.request(0, "/letters/x", &attempt, KEY);
+                assert_eq!(status, 502, "{attempt}");
+                assert!(began.elapsed() < ANSWER_TIME, "{attempt}");
+            });
+        }
+        for i in 0..20 {
+            let began = Instant::now();
+            let (status, _) = deployment.request(0, "/lookups/x", &format!("beside-{i}"), KEY);
+            assert_eq!(status, 200, "request {i}");
+            let took = began.elapsed();
+            assert!(took < BESIDE_TIME, "request {i} took {took:?}");
+        }
+    });
+    deployment.entries.iter().for_each(check_memory);
+}
