Send the head of a carried answer before it is cut off

Callers: an instance without links of its own answered 502 to requests at sound engines while one engine broke answers off.

Cause: an answer that its engine broke off right after the head made the carrier close its connection before that head had gone out. The sender took the carrier for lost (405 `proxy_lost`) and asked it no more.

Change: the carrier gives the head a turn to go out before it cuts the response off.

--- a/src/entry/proxy/carry.rs
+++ b/src/entry/proxy/carry.rs
@@ -10,6 +10,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use super::super::body::{self, Body, Truncated};
@@ -273,6 +274,11 @@
         (upstream, holdings),
         |(mut upstream, holdings)| async move {
             let frame = upstream.response.body_mut().frame().await?;
+            if frame.is_err() {
+                // Lets the head go out first: without it, the sender would take this instance for
+                // lost.
+                yield_now().await;
+            }
             Some((frame.map_err(|_| Truncated), (upstream, holdings)))
         },
     );
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -254,3 +254,26 @@
     });
     deployment.entries.iter().for_each(check_memory);
 }
+
+/// Guards against an instance that counts as lost, and carries nothing more, since the engine of a
+/// request that it carried broke off its answer.
+#[rstest]
+fn carrier_not_blamed_for_engine(
+    #[values(Endless::ChunkLength, Endless::ChunkExtension, Endless::Trailers)] kind: Endless,
+) {
+    let deployment = Deployment::with_size(2, &[3, 3]);
+    deployment.carry_requests(0);
+    let models = deployment.engines.iter().filter(|e| e.service == "models");
+    for engine in models {
+        let id = engine.id.clone();
+        deployment.engine_state().endless.insert(id, kind);
+    }
+    for i in 0..8 {
+        let (status, _) = deployment.request(0, "/letters/x", &format!("broken-{i}"), KEY);
+        assert_eq!(status, 502);
+    }
+    let entry = &deployment.metrics()[deployment.controllers.len()];
+    let lost = "entry_requests_via_total{outcome=\"lost\"}";
+    let lost = entry.lines().find(|l| l.starts_with(lost));
+    assert_eq!(lost, None);
+}
