Reject requests that become complete late in the grace period

Callers: connections that ended without an answer while an engine was at work, in a planned stop of one entry instance in calm.

Cause: a request whose body was on its way when the instance was stopped was passed on whenever it became whole, and cut off after 7.5 s of the grace period of 8.

Change: `decide::drain` holds the times of a shutdown.

A request on a kept connection stays unread (drain::late_request_on_kept_connection_unread passes before and after).

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod connections;
 pub(crate) mod crashing_parts;
 pub(crate) mod demand;
+pub(crate) mod drain;
 pub(crate) mod health;
 pub(crate) mod instance_count;
 pub(crate) mod link;
--- a/src/decide/refusal.rs
+++ b/src/decide/refusal.rs
@@ -22,6 +22,8 @@
     NoMemory,
     /// The body of the request didn't arrive in time.
     SlowBody,
+    /// This instance stops too soon for an answer.
+    Draining,
     /// This instance reaches no upstream of the service, and no other instance carries the request.
     Unreachable,
     /// Each attempt was refused by an upstream, or found no upstream.
@@ -84,6 +86,7 @@
             Self::Full => "full",
             Self::NoMemory => "no_memory",
             Self::SlowBody => "slow_body",
+            Self::Draining => "draining",
             Self::Unreachable => "unreachable",
             Self::NotRun => "not_run",
             Self::Limited => "limited",
@@ -172,7 +175,11 @@
             FULL_MAX_DELAY.0 + (FULL_MAX_DELAY.1 - FULL_MAX_DELAY.0) * refused,
         ),
         // A client that returns reaches another instance.
-        Reason::Unreachable | Reason::NotRun | Reason::NoMemory | Reason::SlowBody => (0.3, 1.0),
+        Reason::Unreachable
+        | Reason::NotRun
+        | Reason::NoMemory
+        | Reason::SlowBody
+        | Reason::Draining => (0.3, 1.0),
         Reason::Limited => (0.6, 3.0),
         // Spread, since all of them return to the one whose pause ends first.
         Reason::Paused(left) => (left.as_secs_f64(), left.as_secs_f64() + PAUSE_SPREAD),
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -88,6 +88,11 @@
             Err(response) => return *response,
         };
         let time_limit = head::deadline(&head.headers).unwrap_or(DEFAULT_DEADLINE);
+        if !self.may_pass() {
+            let attempt = head::text(&head.headers, headers::ATTEMPT_ID).unwrap_or("-");
+            log_refusal(attempt, Reason::Draining.code(), self.view().version());
+            return reject(unsent.reject(Reason::Draining), 0.0);
+        }
         let left = time_limit.saturating_sub(self.now().since(began));
         self.wait_until(left, View::is_confirmed).await;
         // The lookup comes after the body was read, since the configuration may have changed
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,7 +1,7 @@
 //! The entry role: accepts requests from callers and forwards them to upstreams.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -18,6 +18,7 @@
 use crate::collections::HashSet;
 use crate::decide::admission::Admission;
 use crate::decide::backoff::Backoffs;
+use crate::decide::drain::Drain;
 use crate::decide::health::Health;
 use crate::decide::link::LinkShare;
 use crate::decide::load::{Loads, unit_hash};
@@ -82,15 +83,6 @@
 /// the 15 s that the operator's limits allow.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Time after SIGTERM during which new connections are accepted. The load balancer checks once
-/// a second and removes an instance after two failed checks. While most instances of a domain
-/// restart in turn, it keeps sending; requests accepted later than this would be cut off, as
-/// responses take up to 5 s.
-const BALANCER_DELAY: Duration = Duration::from_millis(2_500);
-
-/// Share of the grace period after which running responses are cut off.
-const GRACE_SHARE: f64 = 0.94;
-
 /// Interval of checks for the end of the last response while draining.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -135,6 +127,8 @@
     view: ArcSwap<View>,
     shared: Mutex<Shared>,
     gate: Arc<Gate>,
+    /// Set once the process was asked to stop.
+    drain: OnceLock<Drain>,
     /// Start time of this process.
     started: Time,
     /// Start of this process, in milliseconds since 1970.
@@ -225,6 +219,7 @@
                 proxies: Proxies::default(),
             }),
             gate: Arc::default(),
+            drain: OnceLock::new(),
             started,
             born: wall_millis(),
             view_changed: Notify::new(),
@@ -339,14 +334,21 @@
         lost && !view.services.is_empty() && !shared.proxies.any_usable(now)
     }
 
+    /// Whether a request that no upstream has run may be passed on.
+    fn may_pass(&self) -> bool {
+        self.drain.get().is_none_or(|d| d.may_pass(self.now()))
+    }
+
     /// Fails the readiness check, then waits for the last byte of the last response.
     async fn drain(&self, close: &watch::Sender<bool>) {
+        let plan = Drain::new(self.now(), self.boot.bounds.grace_period);
+        let plan = self.drain.get_or_init(|| plan);
         self.gate.close();
         let running = self.gate.running();
         tracing::info!(event = event::DRAINING.id, running, "draining");
         let began = Instant::now();
-        let limit = self.boot.bounds.grace_period.mul_f64(GRACE_SHARE);
-        sleep(BALANCER_DELAY.min(limit)).await;
+        let limit = plan.answer_time();
+        sleep(plan.accept_time()).await;
         close.send_replace(true);
         while self.gate.running() > 0 && began.elapsed() < limit {
             sleep(DRAIN_POLL).await;
--- a/src/entry/proxy/carry.rs
+++ b/src/entry/proxy/carry.rs
@@ -158,6 +158,9 @@
             return Err(Refusal::Paused);
         }
         let body = Arc::new(self.receive_carried(&carriage.head, body).await?);
+        if !self.may_pass() {
+            return Err(Refusal::Draining);
+        }
         let connection = self.connect(&carriage.envelope).await?;
         let request = self.upstream_request(carriage, Arc::clone(&body))?;
         let opened = self.now();
--- a/src/entry/series.rs
+++ b/src/entry/series.rs
@@ -145,6 +145,9 @@
                 Err(reason) if beside => return Err(self.unsent(reason)),
                 Err(reason) => self.wait(reason).await,
             };
+            if !self.has_begun() && !self.entry.may_pass() {
+                return Err(self.unsent(Reason::Draining));
+            }
             // The request may have been quarantined while it waited.
             if let Some(reason) = self.quarantined() {
                 return Err(self.unsent(reason));
--- a/src/tests/decide.rs
+++ b/src/tests/decide.rs
@@ -27,6 +27,7 @@
 mod connections;
 mod crashing_parts;
 mod demand;
+mod drain;
 mod instance_count;
 mod migration;
 mod overload;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod crowd;
 mod cut;
 mod deployment;
+mod drain;
 mod end_to_end;
 mod endless;
 mod engine;
