Take only statuses from 200 to 599 for answers of upstreams

Callers: an engine's answer with status 101, 600 or 999 was passed on as an answer. Status 000, the one that was reported, never was: hyper doesn't parse it, and the attempt fails.

Cause: the entry checks an answer's signature and id, and no status but those of errors.

Evidence: malformed::status_unknown fails in 6 of 20 cases on the code before, 101, 600 and 999, direct and carried. malformed::head_cut_off, answers that end within their heads, passes in all 24 cases.

Change: `Connection` returns a response only if its status ends an exchange (RFC 9110, section 15); otherwise the attempt fails as `garbage`.

Result: all 44 cases pass.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -4,6 +4,7 @@
 
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -123,6 +124,9 @@
     /// The engine sent more than any response head has, and no complete one.
     #[snafu(display("the engine sent a response head without end"))]
     LongHead,
+    /// The engine sent a status that ends no response (RFC 9110, section 15).
+    #[snafu(display("the engine sent status {status}, which ends no response"))]
+    NotFinal { status: u16 },
     /// The connection was lost, or the stream ended without its final event.
     #[snafu(display("the token stream was interrupted"))]
     ConnectionLost,
@@ -282,6 +286,10 @@
     ) -> Result<Response<UpstreamBody>, EngineError> {
         let sent = self.sender.send_request(request).await;
         match sent {
+            Ok(response) if !FINAL_STATUSES.contains(&response.status().as_u16()) => {
+                let status = response.status().as_u16();
+                NotFinalSnafu { status }.fail()
+            }
             Ok(response) => {
                 self.read_limit.record_taken();
                 let limit = Arc::clone(&self.read_limit);
@@ -293,6 +301,9 @@
     }
 }
 
+/// Statuses of responses that end an exchange.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Maximum body size of a response to [`call`], in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
 
--- a/src/entry/cause.rs
+++ b/src/entry/cause.rs
@@ -23,6 +23,9 @@
 /// Failure cause: the upstream sent more than any response head has.
 pub(super) const LONG_HEAD: &str = "long_head";
 
+/// Failure cause: what the upstream sent is no response to the request.
+pub(super) const GARBAGE: &str = "garbage";
+
 /// Failure cause: the first engine reported another engine of the path as dead.
 pub(super) const DEAD_ENGINE: &str = "dead_part";
 
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -7,7 +7,7 @@
 use hyper::{Request, StatusCode};
 
 use super::attempt::{OpenResponse, Outcome};
-use super::cause::{DEAD_ENGINE, PAUSED, REFUSED};
+use super::cause::{DEAD_ENGINE, GARBAGE, PAUSED, REFUSED};
 use super::head;
 use super::notice::pause_asked;
 use super::select::Selection;
@@ -95,7 +95,7 @@
             return Outcome::Failed {
                 failure: Failure::Unknown,
                 culprit: Some(first),
-                cause: "garbage",
+                cause: GARBAGE,
             };
         }
         if status.is_server_error() || call::PROMISES.contains(&status) {
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -9,7 +9,9 @@
 
 use super::attempt::{FIRST_BYTE_FACTOR, OpenResponse, Outcome, Received, Run};
 use super::call::Context;
-use super::cause::{CONNECT_TIMED_OUT, CUT, LONG_HEAD, NO_CONNECTION, NO_PROXY, PROXY_LOST};
+use super::cause::{
+    CONNECT_TIMED_OUT, CUT, GARBAGE, LONG_HEAD, NO_CONNECTION, NO_PROXY, PROXY_LOST,
+};
 use super::hedge::{Ended, Stalled};
 use super::proxy::{Carried, Refusal, Via};
 use super::reroute::Stall;
@@ -141,6 +143,7 @@
                 self.context.entry.record_reached(service, first, sent);
                 self.classify(sent, OpenResponse::new(answer, selection))
             }
+            Err(EngineError::NotFinal { .. }) => failed(Failure::Unknown, Some(first), GARBAGE),
             Err(EngineError::LongHead) => failed(Failure::Unknown, Some(first), LONG_HEAD),
             Err(_) => {
                 self.context.entry.check_link(service, &upstream);
--- a/src/serve/stream.rs
+++ b/src/serve/stream.rs
@@ -85,9 +85,10 @@
         }
         EngineError::Connect | EngineError::ConnectTimeout => AttemptError::Refused,
         EngineError::ConnectionLost => AttemptError::ConnectionLost,
-        EngineError::Status { .. } | EngineError::InvalidEvent | EngineError::LongHead => {
-            AttemptError::InvalidData
-        }
+        EngineError::Status { .. }
+        | EngineError::NotFinal { .. }
+        | EngineError::InvalidEvent
+        | EngineError::LongHead => AttemptError::InvalidData,
     };
     Event::Failed {
         attempt,
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -29,6 +29,7 @@
 use crate::common::caller::agent;
 use crate::cut::{self, Cut, Link, Links};
 use crate::endless::{self, Endless};
+use crate::malformed::{self, Malformed};
 use crate::pause::{EngineRun, Pauses, Running};
 use crate::unframed::{self, Ending};
 
@@ -135,6 +136,8 @@
     pub(crate) unframed: Option<Ending>,
     /// Engines that send bytes without end, by ID.
     pub(crate) endless: HashMap<String, Endless>,
+    /// What engines send in place of answers.
+    pub(crate) malformed: Option<Malformed>,
     pub(crate) pauses: Pauses,
     /// Runs of attempts, in order of their start.
     pub(crate) engine_runs: Vec<EngineRun>,
@@ -576,6 +579,14 @@
             tokio::spawn(unframed::answer(stream, spec, state, ending));
             continue;
         }
+        let malformed = state.lock().unwrap().malformed;
+        if let Some(kind) = malformed
+            && !unframed::is_call(&stream).await
+        {
+            let (spec, state) = (spec.clone(), Arc::clone(&state));
+            tokio::spawn(malformed::answer(stream, spec, state, kind));
+            continue;
+        }
         let stream = Link::new(stream, peer.ip(), spec.id.clone(), Arc::clone(&state));
         let (spec, state, crash) = (spec.clone(), Arc::clone(&state), Arc::clone(&crash));
         let service = service_fn(move |request: Request<Incoming>| {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -17,6 +17,7 @@
 mod followers;
 mod founding;
 mod limit;
+mod malformed;
 mod metrics;
 mod misbehaving;
 mod notice;
