Count the incomplete events of streams in the memory for bodies

Callers: an entry of 112 MB was killed for its memory, with all its requests, while engines sent bytes that end no event in 400 streams.

Cause: each stream's incomplete event was bounded, 256 KiB, and each read buffer of a connection, some 400 KiB, but not their sum.

Change: `EventBuffer` takes memory for what is allocated for an incomplete event beyond 4 KiB; a read buffer has 32 KiB at most, and a single head with it. Only new bytes are searched for the end of an event.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -23,7 +23,7 @@
 use tokio::time::timeout;
 
 pub(crate) use self::read_limit::UpstreamBody;
-use self::read_limit::{LimitedStream, MAX_HEAD_BYTES, ReadLimit};
+use self::read_limit::{LimitedStream, ReadLimit};
 use crate::clock::{Clock, Time};
 use crate::id::UpstreamId;
 use crate::platform::{engine as platform, headers};
@@ -34,6 +34,10 @@
 /// Timeout for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(750);
 
+/// Maximum size of a read from an upstream, and of a response head, in bytes. Each connection may hold
+/// as much.
+const READ_BUFFER_BYTES: usize = 32 << 10;
+
 /// Maximum size of an event of a token stream, in bytes.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
 
@@ -240,8 +244,7 @@
         let _ = stream.set_nodelay(true);
         let (stream, read_limit) = LimitedStream::new(stream);
         let mut builder = ClientBuilder::new();
-        // Also the maximum size of a read.
-        builder.max_buf_size(MAX_HEAD_BYTES);
+        builder.max_buf_size(READ_BUFFER_BYTES);
         let Ok((sender, connection)) = builder.handshake(TokioIo::new(stream)).await else {
             return ConnectSnafu.fail();
         };
--- a/src/engine/read_limit.rs
+++ b/src/engine/read_limit.rs
@@ -15,7 +15,7 @@
 
 /// Maximum size of a response head and of the interim ones before it, in bytes, with the start of
 /// the body that is read along with it.
-pub(super) const MAX_HEAD_BYTES: usize = 128 << 10;
+const MAX_HEAD_BYTES: usize = 128 << 10;
 
 /// Maximum number of bytes received after the head, or after a piece of content, before the next
 /// piece of content is taken: the framing of a chunk, and up to three pieces that are read ahead.
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::header::CONTENT_TYPE;
@@ -16,6 +15,7 @@
     BLOCKED, CONNECT_TIMED_OUT, DEAD_ENGINE, NO_CONNECTION, NO_PROXY, PAUSED, REFUSED, is_cut,
     is_unconnected,
 };
+use super::event_buffer::{EventBuffer, Excess};
 use super::head;
 use super::pool;
 use super::reroute::Stall;
@@ -55,6 +55,8 @@
     End,
     /// The end of the connection within the body.
     Cut,
+    /// More of an event than may be held.
+    Excess(Excess),
 }
 
 /// A response whose head was received and whose body is still to be read.
@@ -62,7 +64,7 @@
     pub(super) answer: UpstreamResponse,
     pub(super) selection: Selection,
     /// Start of the body, as far as it was read to see the first event.
-    pub(super) buffer: BytesMut,
+    pub(super) buffer: EventBuffer,
 }
 
 impl OpenResponse {
@@ -70,7 +72,7 @@
         Self {
             answer,
             selection,
-            buffer: BytesMut::new(),
+            buffer: EventBuffer::default(),
         }
     }
 
@@ -86,8 +88,11 @@
         Ok(match progress.await? {
             Some(Ok(frame)) => {
                 let bytes = frame.into_data().unwrap_or_default();
-                self.buffer.extend_from_slice(&bytes);
-                Received::Bytes
+                self.buffer.extend(&bytes);
+                match self.buffer.count(&context.entry.body_memory).await {
+                    Ok(()) => Received::Bytes,
+                    Err(excess) => Received::Excess(excess),
+                }
             }
             Some(Err(_)) => Received::Cut,
             None => Received::End,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -46,6 +46,7 @@
 mod call;
 mod cause;
 mod crash;
+pub(crate) mod event_buffer;
 mod exchange;
 mod follow;
 mod head;
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -12,12 +12,12 @@
 use super::cause::{
     CONNECT_TIMED_OUT, CUT, GARBAGE, LONG_HEAD, NO_CONNECTION, NO_PROXY, PROXY_LOST,
 };
+use super::head;
 use super::hedge::{Ended, Stalled};
 use super::proxy::{Carried, Refusal, Via};
 use super::reroute::Stall;
 use super::retry::GrantedRetry;
 use super::select::Selection;
-use super::{head, stream};
 use crate::clock::millis;
 use crate::configuration::RetryPolicy;
 use crate::decide::retry::Failure;
@@ -189,10 +189,10 @@
         let mut silence = self.silence(&opened.selection);
         let is_framed = head::is_framed(opened.answer.response.headers());
         let may_be_empty = self.last_event.is_some() && is_framed;
-        while !stream::has_event(&opened.buffer) {
+        while !opened.buffer.has_event() {
             match opened.read(&self.context, &mut silence).await {
-                Ok(Received::Bytes) if stream::is_too_long(&opened.buffer) => {
-                    return failed(Failure::Unknown, Some(first), "long_event");
+                Ok(Received::Excess(excess)) => {
+                    return failed(Failure::Unknown, Some(first), excess.cause());
                 }
                 Ok(Received::Bytes) => {}
                 Ok(Received::End) if may_be_empty && opened.buffer.is_empty() => break,
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::stream;
 use hyper::Response;
 use hyper::body::Frame;
@@ -38,9 +38,6 @@
 /// Cause of rerouting a stream away from an engine that still serves it.
 const WITHDRAWN: &str = "given_up";
 
-/// Maximum size of an incomplete event in the buffer, in bytes.
-const MAX_EVENT: usize = 256 << 10;
-
 /// State of a stream to a caller.
 struct EventStream {
     run: Run,
@@ -90,21 +87,6 @@
     response
 }
 
-/// Whether the buffer holds a complete event.
-pub(super) fn has_event(buffer: &BytesMut) -> bool {
-    last_event_end(buffer).is_some()
-}
-
-/// Whether the buffer holds more than any event may have, and no complete one.
-pub(super) fn is_too_long(buffer: &BytesMut) -> bool {
-    buffer.len() > MAX_EVENT && !has_event(buffer)
-}
-
-/// End of the last complete event.
-fn last_event_end(buffer: &BytesMut) -> Option<usize> {
-    Some(buffer.windows(2).rposition(|w| w == b"\n\n")? + 2)
-}
-
 /// What happened to a stream while its next event was awaited.
 enum Step {
     /// There may be more to forward.
@@ -155,9 +137,9 @@
     fn accept(&mut self, received: Received) -> Step {
         self.silence = None;
         match received {
-            Received::Bytes if is_too_long(&self.opened.buffer) => Step::Cut("long_event"),
             Received::Bytes => Step::Continue,
             Received::Cut => Step::Cut("cut_stream"),
+            Received::Excess(excess) => Step::Cut(excess.cause()),
             Received::End if !self.opened.buffer.is_empty() => Step::Cut("cut_event"),
             Received::End if self.lacks_events() => Step::Cut("cut_stream"),
             Received::End => Step::Whole,
@@ -228,12 +210,9 @@
         self.opened = *opened;
     }
 
-    /// Takes the complete events out of the buffer. An engine may stop in the middle of an
-    /// event; a fragment followed by an event of the next run would reach the caller as one
-    /// event.
+    /// Takes the complete events out of the buffer.
     fn take_events(&mut self) -> Option<Bytes> {
-        let end = last_event_end(&self.opened.buffer)?;
-        let events = self.opened.buffer.split_to(end).freeze();
+        let events = self.opened.buffer.take_events()?;
         let now = self.run.entry.now();
         if self.run.events == 0 {
             self.opened.selection.record_success();
--- a/src/entry/stream/hedge.rs
+++ b/src/entry/stream/hedge.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::timeout;
 
-use super::{EventStream, Step, has_event, is_too_long};
+use super::{EventStream, Step};
 use crate::clock::millis;
 use crate::decide::stall::Silence;
 use crate::entry::attempt::{OpenResponse, Received};
@@ -51,10 +51,9 @@
 async fn await_event(context: &Context, opened: &mut OpenResponse, silence: &mut Silence) -> Next {
     loop {
         match timeout(context.left(), opened.read(context, silence)).await {
-            Ok(Ok(Received::Bytes)) if has_event(&opened.buffer) => return Next::Event,
-            Ok(Ok(Received::Bytes)) if is_too_long(&opened.buffer) => return Next::Cut,
+            Ok(Ok(Received::Bytes)) if opened.buffer.has_event() => return Next::Event,
             Ok(Ok(Received::Bytes)) => {}
-            Ok(Ok(Received::Cut)) => return Next::Cut,
+            Ok(Ok(Received::Cut | Received::Excess(_))) => return Next::Cut,
             Ok(Ok(Received::End)) => return Next::End,
             Ok(Err(_)) => {}
             Err(_) => return Next::Nothing,
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -19,6 +19,7 @@
 mod dispatch;
 mod engine;
 mod event;
+mod event_buffer;
 mod explain;
 mod fingerprint;
 mod flow;
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -35,6 +35,8 @@
     ChunkExtension,
     /// Trailers after the last chunk.
     Trailers,
+    /// Some events, and then bytes that end none.
+    Event,
 }
 
 /// Time within which a request must be answered, far below its deadline of 20 s.
@@ -44,6 +46,14 @@
 /// slack of the users' rule on timeouts.
 const BESIDE_TIME: Duration = Duration::from_millis(1_000);
 
+/// Number of streams that run at the same time, fewer than a machine of the smallest memory allows
+/// connections.
+const STREAMS: usize = 400;
+
+/// Time between the first event of a stream and the bytes without end, so that all streams of a test
+/// have begun.
+const EVENT_DELAY: Duration = Duration::from_secs(3);
+
 /// Size of one write, in bytes.
 const WRITE_BYTES: usize = 64 << 10;
 
@@ -69,7 +79,7 @@
         Endless::Body | Endless::ErrorBody => (head + "\r\n", "x".repeat(WRITE_BYTES)),
         Endless::Chunks => (
             head + "transfer-encoding: chunked\r\n\r\n",
-            format!("{WRITE_BYTES:x}\r\n{}\r\n", "x".repeat(WRITE_BYTES)),
+            chunk(&"x".repeat(WRITE_BYTES)),
         ),
         Endless::SmallChunks => (
             head + "transfer-encoding: chunked\r\n\r\n",
@@ -84,6 +94,10 @@
             let interim = "HTTP/1.1 100 Continue\r\n\r\n";
             (String::new(), interim.repeat(WRITE_BYTES / interim.len()))
         }
+        Endless::Event => (
+            head + "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            chunk(&"x".repeat(WRITE_BYTES)),
+        ),
         Endless::ChunkLength => (
             head + "transfer-encoding: chunked\r\n\r\n",
             "0".repeat(WRITE_BYTES),
@@ -98,11 +112,21 @@
         ),
     };
     stream.write_all(start.as_bytes()).await?;
+    if kind == Endless::Event {
+        stream
+            .write_all(chunk("id: 1\ndata: token 1\n\n").as_bytes())
+            .await?;
+        tokio::time::sleep(EVENT_DELAY).await;
+    }
     loop {
         stream.write_all(repeated.as_bytes()).await?;
     }
 }
 
+fn chunk(content: &str) -> String {
+    format!("{:x}\r\n{content}\r\n", content.len())
+}
+
 fn desks(deployment: &Deployment) -> Vec<EngineSpec> {
     let engines = deployment.engines.iter();
     engines.filter(|e| e.service == "desk").cloned().collect()
@@ -277,3 +301,29 @@
     let lost = entry.lines().find(|l| l.starts_with(lost));
     assert_eq!(lost, None);
 }
+
+/// Guards against an instance that is killed for its memory, since engines send bytes that end no
+/// event in many streams at once.
+#[test]
+fn endless_events_bounded() {
+    let deployment = Deployment::with_size(1, &[3, 3]);
+    // Plain services stream as well, and no instance limits its requests to them.
+    for desk in desks(&deployment) {
+        let kind = Endless::Event;
+        deployment.engine_state().endless.insert(desk.id, kind);
+    }
+    thread::scope(|scope| {
+        for i in 0..STREAMS {
+            let deployment = &deployment;
+            scope.spawn(move || {
+                let attempt = format!("stream-{i}");
+                let (status, _) = deployment.request(0, "/lookups/x", &attempt, KEY);
+                assert_eq!(status, 0, "{attempt} isn't cut off");
+            });
+        }
+    });
+    let runs = (0..STREAMS).map(|i| deployment.engine_state().runs(&format!("stream-{i}")));
+    let ran = runs.filter(|r| *r > 0).count();
+    assert!(ran >= STREAMS / 2, "{ran} streams ran");
+    check_memory(&deployment.entries[0]);
+}
