End streams at their deadlines, however fast their engines are

Callers: streams of events without end went on past the route's timeout, as long as the engine was faster than the client.

Cause: the deadline was a timeout around each read, and a read that is ready never times out. Besides, the socket to a slow client held up to megabytes.

Evidence: endless::endless_events_end_at_deadline fails on the code before in 2 of 2 cases of fast clients; with send buffers of 8 MiB it fails in 2 of 2 cases of slow ones.

Change: a stream reads nothing more from 200 ms after its deadline on. Connections of clients have send buffers of 64 KiB.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -43,6 +43,11 @@
     pub(super) fn left(&self, now: Time) -> Duration {
         self.time_limit.saturating_sub(now.since(self.began))
     }
+
+    /// Time since the deadline; zero before it.
+    pub(super) fn overdue(&self, now: Time) -> Duration {
+        now.since(self.began).saturating_sub(self.time_limit)
+    }
 }
 
 /// What all attempts for a request share.
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -35,6 +35,10 @@
 /// the time after which its first engine is asked.
 const MIN_STALL: Duration = stall::QUERY_AFTER;
 
+/// Time after the deadline for which bytes that are ready are passed on. Without a limit, an engine that
+/// is faster than its caller would never be cut off.
+const READY_TIME: Duration = Duration::from_millis(200);
+
 /// Cause of rerouting a stream away from an engine that still serves it.
 const WITHDRAWN: &str = "given_up";
 
@@ -175,6 +179,9 @@
     }
 
     async fn read(&mut self) -> Step {
+        if self.run.call.overdue(self.run.entry.now()) > READY_TIME {
+            return Step::Lost("deadline");
+        }
         if self.run.call.route.retry_policy != RetryPolicy::Never {
             self.leave_withdrawn().await;
         }
--- a/src/http.rs
+++ b/src/http.rs
@@ -20,7 +20,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use rustix::net::sockopt::set_socket_recv_buffer_size;
+use rustix::net::sockopt::{set_socket_recv_buffer_size, set_socket_send_buffer_size};
 use tokio::io::{AsyncWriteExt, Interest, Ready, copy, sink};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
@@ -43,6 +43,11 @@
 /// as much.
 const RECEIVE_BUFFER: usize = 16 << 10;
 
+/// Size of a connection's buffer for bytes that its client hasn't acknowledged, of which Linux reserves
+/// twice as much. The system's own size grows to megabytes, which a slow client would go on reading
+/// for seconds after its deadline.
+const SEND_BUFFER: usize = 64 << 10;
+
 /// Limits on the requests of a client.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReceiveLimits {
@@ -83,9 +88,11 @@
     B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    // Accepted connections inherit the size.
-    if let Err(e) = set_socket_recv_buffer_size(&listener, RECEIVE_BUFFER) {
-        tracing::debug!("the size of receive buffers isn't set: {e}");
+    // Accepted connections inherit the sizes.
+    let set = set_socket_recv_buffer_size(&listener, RECEIVE_BUFFER)
+        .and_then(|()| set_socket_send_buffer_size(&listener, SEND_BUFFER));
+    if let Err(e) = set {
+        tracing::debug!("the sizes of buffers aren't set: {e}");
     }
     let listener = TcpListener::from_std(listener).expect("the listener doesn't block");
     let places = Places::new(limits.connections);
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -1,14 +1,16 @@
 //! Upstreams that send bytes without end.
 
+use std::io::{Read, Write};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use socket2::{Domain, Socket, Type};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use crate::common::process::Process;
-use crate::deployment::{Deployment, KEY, MEMORY_MB};
+use crate::deployment::{Deployment, HOST, KEY, MEMORY_MB};
 use crate::engine::{EngineSpec, SharedState, expected_stream};
 use crate::unframed;
 
@@ -37,6 +39,8 @@
     Trailers,
     /// Some events, and then bytes that end none.
     Event,
+    /// Complete events.
+    Events,
 }
 
 /// Time within which a request must be answered, far below its deadline of 20 s.
@@ -54,6 +58,14 @@
 /// have begun.
 const EVENT_DELAY: Duration = Duration::from_secs(3);
 
+/// Time that a caller allows for a stream without end, and the time after it within which the stream
+/// must have ended: that of the users' rule on timeouts.
+const SHORT_DEADLINE: Duration = Duration::from_secs(2);
+const END_TIME: Duration = Duration::from_millis(500);
+
+/// Pause of a slow caller after each read.
+const READ_PAUSE: Duration = Duration::from_millis(60);
+
 /// Size of one write, in bytes.
 const WRITE_BYTES: usize = 64 << 10;
 
@@ -94,6 +106,10 @@
             let interim = "HTTP/1.1 100 Continue\r\n\r\n";
             (String::new(), interim.repeat(WRITE_BYTES / interim.len()))
         }
+        Endless::Events => (
+            head + "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            chunk(&"id: 1\ndata: token 1\n\n".repeat(WRITE_BYTES / 22)),
+        ),
         Endless::Event => (
             head + "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
             chunk(&"x".repeat(WRITE_BYTES)),
@@ -327,3 +343,38 @@
     assert!(ran >= STREAMS / 2, "{ran} streams ran");
     check_memory(&deployment.entries[0]);
 }
+
+/// Guards against a stream that goes on past its deadline, since its engine sends events faster than
+/// they are passed on, or since its caller reads more slowly than they are.
+#[rstest]
+fn endless_events_end_at_deadline(
+    #[values(false, true)] carried: bool,
+    #[values(Duration::ZERO, READ_PAUSE)] pause: Duration,
+) {
+    let deployment = Deployment::with_size(2, &[3, 3]);
+    if carried {
+        deployment.carry_requests(0);
+    }
+    for desk in desks(&deployment) {
+        let kind = Endless::Events;
+        deployment.engine_state().endless.insert(desk.id, kind);
+    }
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(WRITE_BYTES).unwrap();
+    socket.connect(&deployment.caller_addr(0).into()).unwrap();
+    let mut caller = std::net::TcpStream::from(socket);
+    let head = format!(
+        "POST /lookups/x HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: events\r\n\
+         x-credential: {KEY}\r\nx-deadline-ms: {}\r\ncontent-length: 0\r\n\r\n",
+        SHORT_DEADLINE.as_millis()
+    );
+    caller.write_all(head.as_bytes()).unwrap();
+    let began = Instant::now();
+    let mut piece = vec![0; WRITE_BYTES];
+    while caller.read(&mut piece).is_ok_and(|read| read > 0) {
+        let took = began.elapsed();
+        assert!(took < SHORT_DEADLINE + END_TIME, "events after {took:?}");
+        thread::sleep(pause);
+    }
+    assert!(began.elapsed() >= SHORT_DEADLINE);
+}
