Take no stream with a Content-Encoding for an engine's answer

Callers: streams whose engine added a `Content-Encoding`, so that the body isn't its own, passed as complete successes.

Cause: the header was checked only where a body is read whole.

Evidence: malformed::encoded_answer fails in 4 of 4 cases on the code before.

Change: the header is checked where the head of a response is classified.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use hyper::header::{HeaderName, HeaderValue};
+use hyper::header::{CONTENT_ENCODING, HeaderName, HeaderValue};
 use hyper::{Request, StatusCode};
 
 use super::attempt::{OpenResponse, Outcome};
@@ -91,7 +91,9 @@
             };
         }
         let signed = map.contains_key(headers::SIGNATURE);
-        if !signed || !ours {
+        // No request asks for an encoding, so an encoded body isn't the upstream's.
+        let encoded = map.contains_key(CONTENT_ENCODING);
+        if !signed || !ours || encoded {
             return Outcome::Failed {
                 failure: Failure::Unknown,
                 culprit: Some(first),
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -1,7 +1,6 @@
 //! Responses that are read in full before they are forwarded.
 
 use hyper::Response;
-use hyper::header::CONTENT_ENCODING;
 use hyper::http::response::Parts;
 use tokio::time::timeout;
 
@@ -76,11 +75,7 @@
         let share = self.entry.body_memory.share(Kind::Response);
         let body = WholeBody::read(body, BodyBounds::RESPONSE, share).await?;
         let (head, _) = answer.response.into_parts();
-        // No request asks for a content encoding, so an encoded body isn't the upstream's.
-        match head.headers.contains_key(CONTENT_ENCODING) {
-            true => Err(BodyError::Cut),
-            false => Ok((head, body)),
-        }
+        Ok((head, body))
     }
 
     fn deliver(&self, head: Parts, body: WholeBody, upstream: &str) -> Response<Body> {
--- a/tests/platform/malformed.rs
+++ b/tests/platform/malformed.rs
@@ -18,6 +18,8 @@
     HeadUpTo(&'static str),
     /// The same, but the connection is reset.
     ResetAt(&'static str),
+    /// A whole answer whose body is encoded so.
+    Encoded(&'static str),
 }
 
 /// Answers the request on a new connection.
@@ -34,15 +36,19 @@
         Malformed::Status(status) => status,
         _ => "200",
     };
+    let encoding = match kind {
+        Malformed::Encoded(name) => format!("content-encoding: {name}\r\n"),
+        _ => String::new(),
+    };
     let body = "id: 1\ndata: token 1\n\n";
     let answer = format!(
         "HTTP/1.1 {status} OK\r\nx-attempt-id: {attempt}\r\nx-server-signature: {}\r\n\
-         content-type: text/event-stream\r\ncontent-length: {}\r\n\r\n{body}",
+         content-type: text/event-stream\r\n{encoding}content-length: {}\r\n\r\n{body}",
         spec.id,
         body.len()
     );
     let end = match kind {
-        Malformed::Status(_) => answer.len(),
+        Malformed::Status(_) | Malformed::Encoded(_) => answer.len(),
         Malformed::HeadUpTo(point) | Malformed::ResetAt(point) => {
             answer.find(point).expect("a point of the head") + point.len()
         }
@@ -102,3 +108,12 @@
 ) {
     check_answers(&deployment(ending(point), carried));
 }
+
+/// Guards against a body that isn't the engine's: no request asks for an encoding.
+#[rstest]
+fn encoded_answer(
+    #[values("gzip", "identity")] encoding: &'static str,
+    #[values(false, true)] carried: bool,
+) {
+    check_answers(&deployment(Malformed::Encoded(encoding), carried));
+}
