Name what is done twice where requests are admitted, and drop unused clocks

No change of behaviour: the sum of a connection's memory is the same 80 KiB, now derived from the size of the receive buffer.

--- a/src/body_memory.rs
+++ b/src/body_memory.rs
@@ -20,7 +20,6 @@
 }
 
 struct Inner {
-    clock: Arc<dyn Clock>,
     state: Mutex<State>,
     /// Notified of each body that is given up or dropped.
     changed: Notify,
@@ -44,7 +43,6 @@
             readers: HashMap::default(),
         };
         Self(Arc::new(Inner {
-            clock: Arc::new(SystemClock),
             state: Mutex::new(state),
             changed: Notify::new(),
         }))
@@ -58,7 +56,7 @@
     /// Opens the share of a new body, with no memory yet.
     pub(crate) fn share(&self, kind: Kind) -> BodyShare {
         let mut state = self.0.state();
-        let id = state.budget.open(self.0.clock.now(), kind);
+        let id = state.budget.open(SystemClock.now(), kind);
         let given_up = Arc::new(Notify::new());
         state.readers.insert(id, Arc::clone(&given_up));
         drop(state);
@@ -97,7 +95,7 @@
     fn try_grow(&self, bytes: usize) -> Growth {
         let inner = &self.memory.0;
         let mut state = inner.state();
-        let growth = state.budget.grow(inner.clock.now(), self.id, bytes);
+        let growth = state.budget.grow(SystemClock.now(), self.id, bytes);
         if let Growth::Wait(Some(victim)) = growth {
             if let Some(reader) = state.readers.get(&victim) {
                 reader.notify_one();
--- a/src/client_limits.rs
+++ b/src/client_limits.rs
@@ -9,6 +9,7 @@
 //! [`PEERS`] of the descriptors of these are for connections that other instances make to it.
 
 use crate::error::{Error, Result};
+use crate::http::RECEIVE_BUFFER;
 use crate::platform::boot::Boot;
 use crate::role::RoleSettings;
 
@@ -22,9 +23,9 @@
 /// for the request line.
 pub(crate) const MAX_HEAD: usize = 24 << 10;
 
-/// Maximum memory of a connection, in bytes: 32 KiB that have arrived and weren't read, a head, and
-/// as much of a body that isn't counted yet.
-const CONNECTION_BYTES: u64 = (32 << 10) + 2 * MAX_HEAD as u64;
+/// Maximum memory of a connection, in bytes: its receive buffer as Linux reserves it, a head, and as
+/// much of a body that isn't counted yet.
+const CONNECTION_BYTES: u64 = 2 * (RECEIVE_BUFFER + MAX_HEAD) as u64;
 
 /// Descriptors that the platform reserves for files.
 const FILES: usize = 200;
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -19,7 +19,6 @@
 }
 
 struct Inner {
-    clock: Arc<dyn Clock>,
     state: Mutex<State>,
     /// Notified of each connection that was closed.
     closed: Notify,
@@ -43,7 +42,6 @@
             holders: HashMap::default(),
         };
         Self(Arc::new(Inner {
-            clock: Arc::new(SystemClock),
             state: Mutex::new(state),
             closed: Notify::new(),
         }))
@@ -63,7 +61,7 @@
     /// Takes a place. Returns the connection that leaves it, if one does.
     fn open(&self) -> Option<(Place, Option<u64>)> {
         let mut state = self.0.state();
-        let (id, victim) = match state.connections.open(self.0.clock.now()) {
+        let (id, victim) = match state.connections.open(SystemClock.now()) {
             Admission::Admitted(id) => (id, None),
             Admission::After { id, victim } => (id, Some(victim)),
             Admission::Refused => return None,
@@ -117,9 +115,8 @@
     }
 
     fn end(&self) {
-        let inner = &self.places.0;
-        let now = inner.clock.now();
-        inner.state().connections.end(now, self.id);
+        let mut state = self.places.0.state();
+        state.connections.end(SystemClock.now(), self.id);
     }
 }
 
--- a/src/decide/body_budget.rs
+++ b/src/decide/body_budget.rs
@@ -18,11 +18,6 @@
 /// sent again sooner.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
-/// Part of the memory that long request bodies may take, and that all request bodies may take. The
-/// rest is for short ones and for responses.
-const LONG_SHARE: usize = 2;
-const REQUEST_SHARE: (usize, usize) = (3, 4);
-
 /// What a body belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -209,12 +204,21 @@
         self.remove(id);
     }
 
+    /// Maximum of all request bodies, in bytes. The rest is for responses.
+    fn request_limit(&self) -> usize {
+        self.capacity / 4 * 3
+    }
+
+    /// Maximum of the long request bodies, in bytes. The rest of their part is for short ones.
+    fn long_limit(&self) -> usize {
+        self.capacity / 2
+    }
+
     fn fits(&self, sums: Sums, grown: &Held) -> bool {
-        let (part, whole) = REQUEST_SHARE;
         let is_request = grown.kind == Kind::Request;
         sums.all <= self.capacity
-            && (!is_request || sums.requests <= self.capacity / whole * part)
-            && (!is_request || !grown.is_long() || sums.long <= self.capacity / LONG_SHARE)
+            && (!is_request || sums.requests <= self.request_limit())
+            && (!is_request || !grown.is_long() || sums.long <= self.long_limit())
     }
 
     /// The body that makes room for `grown`, which doesn't fit since `wanted` would be held.
@@ -224,9 +228,7 @@
             let mut oldest = self.by_growth.range(range).take(2);
             oldest.find(|b| b.2 != id).map(|b| b.2)
         };
-        let (part, whole) = REQUEST_SHARE;
-        let only_long =
-            wanted.all <= self.capacity && wanted.requests <= self.capacity / whole * part;
+        let only_long = wanted.all <= self.capacity && wanted.requests <= self.request_limit();
         let longest = || {
             let mut by_size = self.by_size.iter().rev().take(2);
             let other = by_size.find(|b| b.1 != id)?;
--- a/src/entry/head.rs
+++ b/src/entry/head.rs
@@ -98,6 +98,11 @@
     text(map, name)?.trim().parse().ok()
 }
 
+/// The client's id of the attempt; "-" if it sent none.
+pub(super) fn attempt(map: &HeaderMap) -> &str {
+    text(map, headers::ATTEMPT_ID).unwrap_or("-")
+}
+
 /// Time that the client allows, sent in milliseconds.
 pub(super) fn deadline(map: &HeaderMap) -> Option<Duration> {
     let millis: f64 = number(map, headers::DEADLINE)?;
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -15,7 +15,7 @@
 use super::body::Body;
 use super::call::Call;
 use super::head;
-use super::respond::{ErrorKind, error_response, reject};
+use super::respond::{self, ErrorKind, error_response};
 use super::select::PLAIN_WORK;
 use super::view::View;
 use crate::clock::Time;
@@ -49,6 +49,8 @@
 struct Received {
     /// When its head was complete. Its deadline counts from there.
     began: Time,
+    /// Time that the client allows.
+    requested: Duration,
     head: Parts,
     body: WholeBody,
     unsent: Unsent,
@@ -83,23 +85,22 @@
         let began = self.now();
         let (head, body) = request.into_parts();
         let unsent = Unsent::on_arrival();
-        let body = match self.receive(&unsent, &head, body).await {
+        let requested = head::deadline(&head.headers).unwrap_or(DEFAULT_DEADLINE);
+        let body = match self.receive(&unsent, &head, body, requested).await {
             Ok(body) => body,
             Err(response) => return *response,
         };
-        let time_limit = head::deadline(&head.headers).unwrap_or(DEFAULT_DEADLINE);
         if !self.may_pass() {
-            let attempt = head::text(&head.headers, headers::ATTEMPT_ID).unwrap_or("-");
-            log_refusal(attempt, Reason::Draining.code(), self.view().version());
-            return reject(unsent.reject(Reason::Draining), 0.0);
+            return self.reject(&unsent, &head, Reason::Draining);
         }
-        let left = time_limit.saturating_sub(self.now().since(began));
+        let left = requested.saturating_sub(self.now().since(began));
         self.wait_until(left, View::is_confirmed).await;
         // The lookup comes after the body was read, since the configuration may have changed
         // meanwhile.
         let view = self.view();
         let received = Received {
             began,
+            requested,
             head,
             body,
             unsent,
@@ -124,40 +125,38 @@
         unsent: &Unsent,
         head: &Parts,
         mut body: RequestBody,
+        requested: Duration,
     ) -> Result<WholeBody, Box<Response<Body>>> {
         let bounds = BodyBounds::request(self.view().body_limit());
         let share = self.body_memory.share(Kind::Request);
-        let deadline = head::deadline(&head.headers).unwrap_or(RECEIVE_TIMEOUT);
         let read = WholeBody::read(&mut body, bounds, share);
-        let response = match timeout(deadline.min(RECEIVE_TIMEOUT), read).await {
+        let response = match timeout(requested.min(RECEIVE_TIMEOUT), read).await {
             Ok(Ok(body)) => return Ok(body),
             Ok(Err(BodyError::TooLong)) => {
                 error_response(ErrorKind::LongBody, "the body is too large")
             }
-            Ok(Err(BodyError::NoMemory)) => {
-                let attempt = head::text(&head.headers, headers::ATTEMPT_ID).unwrap_or("-");
-                log_refusal(attempt, Reason::NoMemory.code(), self.view().version());
-                reject(unsent.reject(Reason::NoMemory), 0.0)
-            }
+            Ok(Err(BodyError::NoMemory)) => self.reject(unsent, head, Reason::NoMemory),
             Ok(Err(BodyError::Cut)) => {
                 error_response(ErrorKind::BadRequest, "the body was cut off")
             }
-            Err(_) => reject(unsent.reject(Reason::SlowBody), 0.0),
+            Err(_) => self.reject(unsent, head, Reason::SlowBody),
         };
         Err(Box::new(response))
     }
 
+    /// Rejects a request before its first attempt.
+    fn reject(&self, unsent: &Unsent, head: &Parts, reason: Reason) -> Response<Body> {
+        let attempt = head::attempt(&head.headers);
+        log_refusal(attempt, reason.code(), self.view().version());
+        respond::reject(unsent.reject(reason), 0.0)
+    }
+
     /// Looks up the route and organisation of a request, or returns the response that refuses
     /// it.
     fn admit(&self, view: &View, received: Received) -> Result<Admitted, Box<Response<Body>>> {
         let head = &received.head;
-        let attempt = head::text(&head.headers, headers::ATTEMPT_ID)
-            .unwrap_or("-")
-            .to_owned();
-        let refused = |reason: Reason| {
-            log_refusal(&attempt, reason.code(), view.version());
-            Box::new(reject(received.unsent.reject(reason), 0.0))
-        };
+        let attempt = head::attempt(&head.headers).to_owned();
+        let refused = |reason: Reason| Box::new(self.reject(&received.unsent, head, reason));
         let Some(table) = view.table.clone() else {
             return Err(refused(Reason::NoConfiguration));
         };
@@ -204,6 +203,7 @@
     ) -> (Call, Unsent) {
         let Received {
             began,
+            requested,
             head,
             body,
             unsent,
@@ -212,7 +212,6 @@
         let service = route.target(rand::rng().random()).service.clone();
         let model = table.service(&service).and_then(|s| s.model.as_ref());
         let work = model.map_or(PLAIN_WORK, |m| estimate_work(m, &head));
-        let requested = head::deadline(&head.headers).unwrap_or(DEFAULT_DEADLINE);
         let time_limit = requested.min(route.timeout);
         let organisation = found.organisation.map(|o| o.name.as_str());
         tracing::debug!(attempt, route = route.name, service, "admitted");
--- a/src/entry/proxy/carry.rs
+++ b/src/entry/proxy/carry.rs
@@ -88,7 +88,7 @@
                 return refuse(Refusal::Unverified);
             }
         };
-        let attempt = head::text(&head.headers, headers::ATTEMPT_ID).unwrap_or("-");
+        let attempt = head::attempt(&head.headers);
         let carriage = Carriage {
             attempt: attempt.to_owned(),
             envelope,
--- a/src/http.rs
+++ b/src/http.rs
@@ -41,7 +41,7 @@
 
 /// Size of a connection's buffer for bytes that have arrived and weren't read. Linux reserves twice
 /// as much.
-const RECEIVE_BUFFER: usize = 16 << 10;
+pub(crate) const RECEIVE_BUFFER: usize = 16 << 10;
 
 /// Size of a connection's buffer for bytes that its client hasn't acknowledged, of which Linux reserves
 /// twice as much. The system's own size grows to megabytes, which a slow client would go on reading
--- a/tests/platform/misbehaving.rs
+++ b/tests/platform/misbehaving.rs
@@ -230,12 +230,12 @@
     table.lines().filter_map(queue).sum()
 }
 
-/// What runs against an entry instance: clients with a number of connections each.
+/// What runs against a process: clients with a number of connections each.
 #[derive(Clone, Copy)]
 struct Size {
     clients: usize,
     connections: usize,
-    /// File descriptors of the instance.
+    /// File descriptors of the process.
     descriptors: usize,
 }
 
