--- a/src/engine.rs
+++ b/src/engine.rs
@@ -22,11 +22,12 @@
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
+use self::read_limit::ReadLimit;
 pub(crate) use self::read_limit::UpstreamBody;
-use self::read_limit::{LimitedStream, ReadLimit};
 use crate::clock::{Clock, Time};
 use crate::id::UpstreamId;
 use crate::platform::{engine as platform, headers};
+use crate::turn::TurnStream;
 use crate::whole::Payload;
 
 mod read_limit;
@@ -242,7 +243,8 @@
         let stream = connected.map_err(|_| EngineError::Connect)?;
         // With Nagle's algorithm, small writes wait for delayed ACKs.
         let _ = stream.set_nodelay(true);
-        let (stream, read_limit) = LimitedStream::new(stream);
+        let read_limit = Arc::new(ReadLimit::default());
+        let stream = TurnStream::new(stream, Arc::clone(&read_limit));
         let mut builder = ClientBuilder::new();
         builder.max_buf_size(READ_BUFFER_BYTES);
         let Ok((sender, connection)) = builder.handshake(TokioIo::new(stream)).await else {
--- a/src/engine/read_limit.rs
+++ b/src/engine/read_limit.rs
@@ -1,17 +1,14 @@
 //! Limit on the bytes that an upstream sends without content of a response.
 
-use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
-use crate::turn::TurnStream;
+use crate::turn::Meter;
 
 /// Maximum size of a response head and of the interim ones before it, in bytes, with the start of
 /// the body that is read along with it.
@@ -35,17 +32,25 @@
         self.0.store(MAX_FRAMING_BYTES, Ordering::Relaxed);
     }
 
-    /// Counts received bytes. Returns whether they are within the limit.
-    fn count(&self, received: usize) -> bool {
+    pub(super) fn is_exceeded(&self) -> bool {
+        self.0.load(Ordering::Relaxed) == 0
+    }
+}
+
+impl Default for ReadLimit {
+    /// The limit of a new connection.
+    fn default() -> Self {
+        Self(AtomicUsize::new(MAX_HEAD_BYTES))
+    }
+}
+
+impl Meter for Arc<ReadLimit> {
+    fn allows(&self, received: usize) -> bool {
         let left = self.0.load(Ordering::Relaxed);
         self.0
             .store(left.saturating_sub(received), Ordering::Relaxed);
         received <= left
     }
-
-    pub(super) fn is_exceeded(&self) -> bool {
-        self.0.load(Ordering::Relaxed) == 0
-    }
 }
 
 /// Body of a response, which renews the [`ReadLimit`] of its connection with each piece of content.
@@ -85,67 +90,3 @@
         self.body.size_hint()
     }
 }
-
-/// A connection whose reads fail once its [`ReadLimit`] is exceeded.
-pub(super) struct LimitedStream {
-    stream: TurnStream<TcpStream>,
-    limit: Arc<ReadLimit>,
-}
-
-impl LimitedStream {
-    /// The stream of a new connection, and its limit.
-    pub(super) fn new(stream: TcpStream) -> (Self, Arc<ReadLimit>) {
-        let limit = Arc::new(ReadLimit(AtomicUsize::new(MAX_HEAD_BYTES)));
-        let limited = Self {
-            stream: TurnStream::new(stream),
-            limit: Arc::clone(&limit),
-        };
-        (limited, limit)
-    }
-}
-
-impl AsyncRead for LimitedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        let received = buf.filled().len() - before;
-        Poll::Ready(match self.limit.count(received) {
-            true => Ok(()),
-            false => Err(io::ErrorKind::InvalidData.into()),
-        })
-    }
-}
-
-impl AsyncWrite for LimitedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
--- a/src/http.rs
+++ b/src/http.rs
@@ -188,7 +188,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.receive_timeout)
         .max_buf_size(limits.max_head)
-        .serve_connection(TokioIo::new(TurnStream::new(stream)), service);
+        .serve_connection(TokioIo::new(TurnStream::new(stream, ())), service);
     let served = tokio::select! {
         served = poll_fn(|cx| connection.poll_without_shutdown(cx)) => Some(served),
         () = wait_closing(&mut closing) => None,
--- a/src/tests/turn.rs
+++ b/src/tests/turn.rs
@@ -47,7 +47,7 @@
     #[values(1 << 10, 8 << 10, 128 << 10)] buffer: usize,
 ) {
     let size = megabytes << 20;
-    let mut stream = TurnStream::new(Ready { left: size });
+    let mut stream = TurnStream::new(Ready { left: size }, ());
     let wakes = Arc::new(Wakes::default());
     let waker = Waker::from(Arc::clone(&wakes));
     let mut context = Context::from_waker(&waker);
--- a/src/turn.rs
+++ b/src/turn.rs
@@ -13,17 +13,36 @@
 /// size of the reader's buffer together.
 pub(crate) const TURN_BYTES: usize = 64 << 10;
 
-/// A stream that is never read for longer than a turn at a time.
+/// Counts what a stream receives.
+pub(crate) trait Meter: Unpin {
+    /// Counts received bytes. Returns whether the stream may go on.
+    fn allows(&self, received: usize) -> bool;
+}
+
+/// No limit.
+impl Meter for () {
+    fn allows(&self, _: usize) -> bool {
+        true
+    }
+}
+
+/// A stream that is never read for longer than a turn at a time. Reads fail once its meter allows no
+/// more.
 #[derive(Debug)]
-pub(crate) struct TurnStream<S> {
+pub(crate) struct TurnStream<S, M = ()> {
     stream: S,
+    meter: M,
     /// Bytes read since the task last gave way.
     read: usize,
 }
 
-impl<S> TurnStream<S> {
-    pub(crate) fn new(stream: S) -> Self {
-        Self { stream, read: 0 }
+impl<S, M> TurnStream<S, M> {
+    pub(crate) fn new(stream: S, meter: M) -> Self {
+        Self {
+            stream,
+            meter,
+            read: 0,
+        }
     }
 
     pub(crate) fn into_inner(self) -> S {
@@ -31,7 +50,7 @@
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for TurnStream<S> {
+impl<S: AsyncRead + Unpin, M: Meter> AsyncRead for TurnStream<S, M> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -44,15 +63,20 @@
         }
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        match polled {
-            Poll::Pending => self.read = 0,
-            Poll::Ready(_) => self.read += buf.filled().len() - before,
+        if polled.is_pending() {
+            self.read = 0;
+            return polled;
+        }
+        let received = buf.filled().len() - before;
+        self.read += received;
+        match self.meter.allows(received) {
+            true => polled,
+            false => Poll::Ready(Err(io::ErrorKind::InvalidData.into())),
         }
-        polled
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for TurnStream<S> {
+impl<S: AsyncWrite + Unpin, M: Meter> AsyncWrite for TurnStream<S, M> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
