Carry the proof that a request is unsent in one place

`Unsent` passed through two structs and the result of a function on its way to the first attempt; one local value lent to those that reject and given to `Run::new` does. The client's id of the attempt is copied once instead of twice. A rejection is logged with the version of the view that decided it, as before. No other behaviour changes.

--- a/src/client_limits.rs
+++ b/src/client_limits.rs
@@ -5,8 +5,8 @@
 //! a quarter for the rest of the process. Descriptors:
 //! [`FILES`] are for files, [`OTHER_SOCKETS`] for connections that don't grow with the clients, two
 //! for each carried request, and three for each connection of a client, whose request may run at two
-//! upstreams at the same time. A controller makes no connection for a request of a client, so
-//! [`PEERS`] of the descriptors of these are for connections that other instances make to it.
+//! upstreams at the same time. A controller calls no upstream for a client; half of what its clients
+//! leave is for the connections of other instances.
 
 use crate::error::{Error, Result};
 use crate::http::RECEIVE_BUFFER;
@@ -38,7 +38,7 @@
 const PER_CONNECTION: usize = 3;
 const PER_CARRIED: usize = 2;
 
-/// Fraction of the sockets beside the connections of clients that other instances' connections to a
+/// Fraction of the sockets that the connections of clients leave, which those of other instances to a
 /// controller may take. The rest is for its own connections to instances and engines.
 const PEERS: usize = 2;
 
--- a/src/engine/read_limit.rs
+++ b/src/engine/read_limit.rs
@@ -10,12 +10,12 @@
 
 use crate::turn::Meter;
 
-/// Maximum size of a response head and of the interim ones before it, in bytes, with the start of
-/// the body that is read along with it.
+/// Maximum size of a response's final head with the interim ones before it, in bytes, and the start of
+/// the body that is read along with them.
 const MAX_HEAD_BYTES: usize = 128 << 10;
 
 /// Maximum number of bytes received after the head, or after a piece of content, before the next
-/// piece of content is taken: the framing of a chunk, and up to three pieces that are read ahead.
+/// piece of content is taken: the framing of a chunk, and the pieces that are read ahead.
 const MAX_FRAMING_BYTES: usize = 4 * MAX_HEAD_BYTES;
 
 /// Number of bytes that a connection may still receive before more of its response is taken.
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -53,14 +53,12 @@
     requested: Duration,
     head: Parts,
     body: WholeBody,
-    unsent: Unsent,
 }
 
 /// A request with the configuration in which its route was found.
 struct Admitted {
     table: Arc<RoutingTable>,
     call: Call,
-    unsent: Unsent,
 }
 
 impl Entry {
@@ -91,7 +89,7 @@
             Err(response) => return *response,
         };
         if !self.may_pass() {
-            return self.reject(&unsent, &head, Reason::Draining);
+            return reject(&unsent, &head, Reason::Draining, &self.view());
         }
         let left = requested.saturating_sub(self.now().since(began));
         self.wait_until(left, View::is_confirmed).await;
@@ -103,15 +101,10 @@
             requested,
             head,
             body,
-            unsent,
         };
-        match self.admit(&view, received) {
+        match self.admit(&unsent, &view, received) {
             Ok(admitted) => {
-                let Admitted {
-                    table,
-                    call,
-                    unsent,
-                } = admitted;
+                let Admitted { table, call } = admitted;
                 let run = Run::new(self, table, call, unsent);
                 run.answer(running).await
             }
@@ -135,28 +128,26 @@
             Ok(Err(BodyError::TooLong)) => {
                 error_response(ErrorKind::LongBody, "the body is too large")
             }
-            Ok(Err(BodyError::NoMemory)) => self.reject(unsent, head, Reason::NoMemory),
+            Ok(Err(BodyError::NoMemory)) => reject(unsent, head, Reason::NoMemory, &self.view()),
             Ok(Err(BodyError::Cut)) => {
                 error_response(ErrorKind::BadRequest, "the body was cut off")
             }
-            Err(_) => self.reject(unsent, head, Reason::SlowBody),
+            Err(_) => reject(unsent, head, Reason::SlowBody, &self.view()),
         };
         Err(Box::new(response))
     }
 
-    /// Rejects a request before its first attempt.
-    fn reject(&self, unsent: &Unsent, head: &Parts, reason: Reason) -> Response<Body> {
-        let attempt = head::attempt(&head.headers);
-        log_refusal(attempt, reason.code(), self.view().version());
-        respond::reject(unsent.reject(reason), 0.0)
-    }
-
     /// Looks up the route and organisation of a request, or returns the response that refuses
     /// it.
-    fn admit(&self, view: &View, received: Received) -> Result<Admitted, Box<Response<Body>>> {
+    fn admit(
+        &self,
+        unsent: &Unsent,
+        view: &View,
+        received: Received,
+    ) -> Result<Admitted, Box<Response<Body>>> {
         let head = &received.head;
-        let attempt = head::attempt(&head.headers).to_owned();
-        let refused = |reason: Reason| Box::new(self.reject(&received.unsent, head, reason));
+        let attempt = head::attempt(&head.headers);
+        let refused = |reason: Reason| Box::new(reject(unsent, head, reason, view));
         let Some(table) = view.table.clone() else {
             return Err(refused(Reason::NoConfiguration));
         };
@@ -171,43 +162,38 @@
             return Err(refused(Reason::NoConfiguration));
         }
         let Some(found) = found else {
-            log_refusal(&attempt, "unknown_route", view.version());
+            log_refusal(attempt, "unknown_route", view.version());
             return Err(Box::new(error_response(
                 ErrorKind::UnknownRoute,
                 "there is no such route",
             )));
         };
         if !found.public && found.organisation.is_none() {
-            log_refusal(&attempt, "unknown_key", view.version());
+            log_refusal(attempt, "unknown_key", view.version());
             let reason = "the key is missing or unknown";
             return Err(Box::new(error_response(ErrorKind::UnknownKey, reason)));
         }
         let organisation = found.organisation.map(|o| o.name.as_str());
         let target = head.uri.path_and_query().map_or("/", |p| p.as_str());
         let fingerprint = Fingerprint::of(organisation, host, target, received.body.segments());
-        let (call, unsent) = self.call(&table, found, &attempt, fingerprint, received);
-        Ok(Admitted {
-            table,
-            call,
-            unsent,
-        })
+        let call = self.call(&table, found, fingerprint, received);
+        Ok(Admitted { table, call })
     }
 
     fn call(
         &self,
         table: &RoutingTable,
         found: RouteMatch<'_>,
-        attempt: &str,
         fingerprint: Fingerprint,
         received: Received,
-    ) -> (Call, Unsent) {
+    ) -> Call {
         let Received {
             began,
             requested,
             head,
             body,
-            unsent,
         } = received;
+        let attempt = head::attempt(&head.headers).to_owned();
         let route = found.route;
         let service = route.target(rand::rng().random()).service.clone();
         let model = table.service(&service).and_then(|s| s.model.as_ref());
@@ -215,8 +201,8 @@
         let time_limit = requested.min(route.timeout);
         let organisation = found.organisation.map(|o| o.name.as_str());
         tracing::debug!(attempt, route = route.name, service, "admitted");
-        let call = Call {
-            attempt: attempt.to_owned(),
+        Call {
+            attempt,
             fingerprint,
             prompt: prompt::decode(&head.headers).into(),
             organisation: organisation.unwrap_or_default().into(),
@@ -230,11 +216,17 @@
             work,
             began,
             time_limit,
-        };
-        (call, unsent)
+        }
     }
 }
 
+/// Rejects a request before its first attempt, as decided with `view`.
+fn reject(unsent: &Unsent, head: &Parts, reason: Reason, view: &View) -> Response<Body> {
+    let attempt = head::attempt(&head.headers);
+    log_refusal(attempt, reason.code(), view.version());
+    respond::reject(unsent.reject(reason), 0.0)
+}
+
 /// Estimates the work of a request. The client's hint of the response length is right at the
 /// median, while the maximum length is far off.
 fn estimate_work(model: &Model, head: &Parts) -> Work {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -342,8 +342,8 @@
 
     /// Fails the readiness check, then waits for the last byte of the last response.
     async fn drain(&self, close: &watch::Sender<bool>) {
-        let plan = Drain::new(self.now(), self.boot.bounds.grace_period);
-        let plan = self.drain.get_or_init(|| plan);
+        let grace = self.boot.bounds.grace_period;
+        let plan = self.drain.get_or_init(|| Drain::new(self.now(), grace));
         self.gate.close();
         let running = self.gate.running();
         tracing::info!(event = event::DRAINING.id, running, "draining");
--- a/src/turn.rs
+++ b/src/turn.rs
@@ -29,7 +29,7 @@
 /// A stream that is never read for longer than a turn at a time. Reads fail once its meter allows no
 /// more.
 #[derive(Debug)]
-pub(crate) struct TurnStream<S, M = ()> {
+pub(crate) struct TurnStream<S, M> {
     stream: S,
     meter: M,
     /// Bytes read since the task last gave way.
