--- a/src/tests/peer.rs
+++ b/src/tests/peer.rs
@@ -61,22 +61,22 @@
     }
 }
 
+/// Starts a peer that keeps [`MOST`] connections.
+async fn serve_alone() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let key = FleetKey::new(b"a fleet");
+    tokio::spawn(peer::serve(listener, key, Arc::new(NotLeader), MOST));
+    addr
+}
+
 /// Returns connections to a peer through a relay, and the number of the first
 /// connection that isn't silent.
 async fn peers_through_relay() -> (Peers, Arc<AtomicUsize>) {
-    let key = FleetKey::new(b"a fleet");
-    let local = "127.0.0.1:0";
-    let listener = TcpListener::bind(local).await.unwrap();
-    let peer = listener.local_addr().unwrap();
-    tokio::spawn(peer::serve(
-        listener,
-        key.clone(),
-        Arc::new(NotLeader),
-        MOST,
-    ));
+    let peer = serve_alone().await;
     let silent = Arc::new(AtomicUsize::new(0));
-    let listener = TcpListener::bind(local).await.unwrap();
-    let peers = Peers::new(key, Handle::current());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peers = Peers::new(FleetKey::new(b"a fleet"), Handle::current());
     peers.set_address(PEER, listener.local_addr().unwrap());
     tokio::spawn(relay(listener, peer, Arc::clone(&silent)));
     (peers, silent)
@@ -194,14 +194,6 @@
     timeout(within, closed).await.is_ok()
 }
 
-async fn serve_alone() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let addr = listener.local_addr().unwrap();
-    let key = FleetKey::new(b"a fleet");
-    tokio::spawn(peer::serve(listener, key, Arc::new(NotLeader), MOST));
-    addr
-}
-
 /// Guards against a leader without descriptors: it kept its end of each connection whose other end
 /// had vanished without a reset.
 #[rstest]
