--- a/tests/platform/deployment.rs
+++ b/tests/platform/deployment.rs
@@ -131,6 +131,16 @@
         Self::with_retries(entries, engines, DEFAULT_RETRIES)
     }
 
+    /// Two entry instances, of which the first reaches engines through the second one only if
+    /// `carried`.
+    pub(crate) fn with_links(carried: bool) -> Self {
+        let deployment = Self::with_size(2, &[3, 3]);
+        if carried {
+            deployment.carry_requests(0);
+        }
+        deployment
+    }
+
     /// Like [`Deployment::with_size`], with limits on retries.
     pub(crate) fn with_retries(entries: usize, engines: &[u8], retries: &'static str) -> Self {
         Self::with_all(CONTROLLERS, entries, engines, retries)
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -148,6 +148,14 @@
     engines.filter(|e| e.service == "desk").cloned().collect()
 }
 
+/// Lets all engines of a service send bytes without end.
+fn make_endless(deployment: &Deployment, service: &str, kind: Endless) {
+    for engine in deployment.engines.iter().filter(|e| e.service == service) {
+        let id = engine.id.clone();
+        deployment.engine_state().endless.insert(id, kind);
+    }
+}
+
 /// Sends requests to endless engines at the same time, and streams beside them.
 fn send_many(deployment: &Deployment) {
     thread::scope(|scope| {
@@ -200,10 +208,8 @@
     )]
     kind: Endless,
 ) {
-    let deployment = Deployment::with_size(2, &[3, 3]);
-    for desk in desks(&deployment) {
-        deployment.engine_state().endless.insert(desk.id, kind);
-    }
+    let deployment = Deployment::with_links(false);
+    make_endless(&deployment, "desk", kind);
     send_many(&deployment);
     check_memory(&deployment.entries[0]);
 }
@@ -219,11 +225,8 @@
     )]
     kind: Endless,
 ) {
-    let deployment = Deployment::with_size(2, &[3, 3]);
-    deployment.carry_requests(0);
-    for desk in desks(&deployment) {
-        deployment.engine_state().endless.insert(desk.id, kind);
-    }
+    let deployment = Deployment::with_links(true);
+    make_endless(&deployment, "desk", kind);
     send_many(&deployment);
     deployment.entries.iter().for_each(check_memory);
 }
@@ -265,15 +268,8 @@
     #[values(Endless::ChunkLength, Endless::ChunkExtension, Endless::Trailers)] kind: Endless,
     #[values(false, true)] carried: bool,
 ) {
-    let deployment = Deployment::with_size(2, &[3, 3]);
-    if carried {
-        deployment.carry_requests(0);
-    }
-    let models = deployment.engines.iter().filter(|e| e.service == "models");
-    for engine in models {
-        let id = engine.id.clone();
-        deployment.engine_state().endless.insert(id, kind);
-    }
+    let deployment = Deployment::with_links(carried);
+    make_endless(&deployment, "models", kind);
     thread::scope(|scope| {
         for i in 0..4 {
             let (deployment, attempt) = (&deployment, format!("endless-{i}"));
@@ -301,13 +297,8 @@
 fn carrier_not_blamed_for_engine(
     #[values(Endless::ChunkLength, Endless::ChunkExtension, Endless::Trailers)] kind: Endless,
 ) {
-    let deployment = Deployment::with_size(2, &[3, 3]);
-    deployment.carry_requests(0);
-    let models = deployment.engines.iter().filter(|e| e.service == "models");
-    for engine in models {
-        let id = engine.id.clone();
-        deployment.engine_state().endless.insert(id, kind);
-    }
+    let deployment = Deployment::with_links(true);
+    make_endless(&deployment, "models", kind);
     for i in 0..8 {
         let (status, _) = deployment.request(0, "/letters/x", &format!("broken-{i}"), KEY);
         assert_eq!(status, 502);
@@ -324,10 +315,7 @@
 fn endless_events_bounded() {
     let deployment = Deployment::with_size(1, &[3, 3]);
     // Plain services stream as well, and no instance limits its requests to them.
-    for desk in desks(&deployment) {
-        let kind = Endless::Event;
-        deployment.engine_state().endless.insert(desk.id, kind);
-    }
+    make_endless(&deployment, "desk", Endless::Event);
     thread::scope(|scope| {
         for i in 0..STREAMS {
             let deployment = &deployment;
@@ -351,14 +339,8 @@
     #[values(false, true)] carried: bool,
     #[values(Duration::ZERO, READ_PAUSE)] pause: Duration,
 ) {
-    let deployment = Deployment::with_size(2, &[3, 3]);
-    if carried {
-        deployment.carry_requests(0);
-    }
-    for desk in desks(&deployment) {
-        let kind = Endless::Events;
-        deployment.engine_state().endless.insert(desk.id, kind);
-    }
+    let deployment = Deployment::with_links(carried);
+    make_endless(&deployment, "desk", Endless::Events);
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     socket.set_recv_buffer_size(WRITE_BYTES).unwrap();
     socket.connect(&deployment.caller_addr(0).into()).unwrap();
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -18,7 +19,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Builder;
 use tokio::sync::{Notify, watch};
 use ureq::config::Config;
@@ -173,6 +174,25 @@
     }
 }
 
+/// An answer that is written to its connection without an HTTP server.
+#[derive(Clone, Copy, Debug)]
+enum RawAnswer {
+    Endless(Endless),
+    Unframed(Ending),
+    Malformed(Malformed),
+}
+
+impl RawAnswer {
+    /// Answers the request on a new connection.
+    async fn send(self, stream: TcpStream, spec: EngineSpec, state: SharedState) -> io::Result<()> {
+        match self {
+            Self::Endless(kind) => endless::answer(stream, spec, state, kind).await,
+            Self::Unframed(ending) => unframed::answer(stream, spec, state, ending).await,
+            Self::Malformed(kind) => malformed::answer(stream, spec, state, kind).await,
+        }
+    }
+}
+
 /// A request that reached an engine.
 #[derive(Clone, Debug)]
 pub(crate) struct Visit {
@@ -211,6 +231,14 @@
         self.faults.insert(id.to_owned(), fault);
     }
 
+    /// What an engine answers in place of proper HTTP, if anything.
+    fn raw_answer(&self, id: &str) -> Option<RawAnswer> {
+        let endless = self.endless.get(id).copied().map(RawAnswer::Endless);
+        let unframed = || self.unframed.map(RawAnswer::Unframed);
+        let malformed = || self.malformed.map(RawAnswer::Malformed);
+        endless.or_else(unframed).or_else(malformed)
+    }
+
     /// Stops an engine without announcing it.
     pub(crate) fn kill(&mut self, spec: &EngineSpec) {
         self.killed.push(spec.id.clone());
@@ -563,28 +591,11 @@
             cut::reset(&stream);
             continue;
         }
-        let endless = state.lock().unwrap().endless.get(&spec.id).copied();
-        if let Some(kind) = endless
-            && !unframed::is_call(&stream).await
-        {
-            let (spec, state) = (spec.clone(), Arc::clone(&state));
-            tokio::spawn(endless::answer(stream, spec, state, kind));
-            continue;
-        }
-        let unframed = state.lock().unwrap().unframed;
-        if let Some(ending) = unframed
-            && !unframed::is_call(&stream).await
-        {
-            let (spec, state) = (spec.clone(), Arc::clone(&state));
-            tokio::spawn(unframed::answer(stream, spec, state, ending));
-            continue;
-        }
-        let malformed = state.lock().unwrap().malformed;
-        if let Some(kind) = malformed
+        let raw = state.lock().unwrap().raw_answer(&spec.id);
+        if let Some(raw) = raw
             && !unframed::is_call(&stream).await
         {
-            let (spec, state) = (spec.clone(), Arc::clone(&state));
-            tokio::spawn(malformed::answer(stream, spec, state, kind));
+            tokio::spawn(raw.send(stream, spec.clone(), Arc::clone(&state)));
             continue;
         }
         let stream = Link::new(stream, peer.ip(), spec.id.clone(), Arc::clone(&state));
--- a/tests/platform/malformed.rs
+++ b/tests/platform/malformed.rs
@@ -63,10 +63,7 @@
 /// Starts a deployment whose engines answer so; the first instance reaches them through the second
 /// one only if `carried`.
 fn deployment(kind: Malformed, carried: bool) -> Deployment {
-    let deployment = Deployment::with_size(2, &[3, 3]);
-    if carried {
-        deployment.carry_requests(0);
-    }
+    let deployment = Deployment::with_links(carried);
     deployment.engine_state().malformed = Some(kind);
     deployment
 }
--- a/tests/platform/promise.rs
+++ b/tests/platform/promise.rs
@@ -8,10 +8,7 @@
 /// Starts a deployment whose engines of `service` run requests and then fail them with `status`; the
 /// first instance reaches engines through the second one only if `carried`.
 fn failing_deployment(service: &str, status: u16, carried: bool) -> Deployment {
-    let deployment = Deployment::with_size(2, &[3, 3]);
-    if carried {
-        deployment.carry_requests(0);
-    }
+    let deployment = Deployment::with_links(carried);
     for engine in deployment.engines.iter().filter(|e| e.service == service) {
         let fault = Fault::Error(status);
         deployment.engine_state().set_fault(&engine.id, fault);
--- a/tests/platform/unframed.rs
+++ b/tests/platform/unframed.rs
@@ -120,10 +120,7 @@
 /// Starts a deployment whose engines answer without a length; the first instance reaches them
 /// through the second one only if `carried`.
 fn deployment(ending: Ending, carried: bool) -> Deployment {
-    let deployment = Deployment::with_size(2, &[3, 3]);
-    if carried {
-        deployment.carry_requests(0);
-    }
+    let deployment = Deployment::with_links(carried);
     deployment.engine_state().unframed = Some(ending);
     deployment
 }
